--- /dev/null
+++ b/model/intent.go
@@ -0,0 +1,112 @@
+package model
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// IntentSpec is the work that an operator states. It is immutable once confirmed.
+type IntentSpec struct {
+	Account string `json:"account"`
+	Team    string `json:"team"`
+	Name    string `json:"name"`
+	Kind    Kind   `json:"kind"`
+	// Class is the scheduling class; nil means the default of the kind.
+	Class *Class `json:"class,omitempty"`
+	// Tasks is the number of tasks of one run.
+	Tasks int `json:"tasks"`
+	// Each is the declared demand of one task.
+	Each Resources `json:"each"`
+	// RunTimeMS is the declared run time of one task in milliseconds; a hint.
+	RunTimeMS int64 `json:"run_time_ms,omitempty"`
+	// Deadline is the time by which the work must have finished; zero means none.
+	Deadline time.Time `json:"deadline,omitzero"`
+	// EveryMS is the period of a recurring intent in milliseconds.
+	EveryMS int64 `json:"every_ms,omitempty"`
+	// Preemptible work may be checkpointed and stopped in favour of confirmed work.
+	Preemptible bool `json:"preemptible,omitempty"`
+	// Idempotent work may be started again after an unknown outcome.
+	Idempotent bool `json:"idempotent,omitempty"`
+	// Payload is passed to the worker unchanged.
+	Payload string `json:"payload,omitempty"`
+}
+
+// EffectiveClass returns the class of the tasks of the intent.
+func (s IntentSpec) EffectiveClass() Class {
+	if s.Class != nil {
+		return *s.Class
+	}
+	return s.Kind.DefaultClass()
+}
+
+// RunTime returns the declared run time.
+func (s IntentSpec) RunTime() time.Duration { return time.Duration(s.RunTimeMS) * time.Millisecond }
+
+// IntentState is the state of an intent.
+type IntentState string
+
+// The states of an intent.
+const (
+	IntentConfirmed IntentState = "confirmed"
+	IntentCancelled IntentState = "cancelled"
+	IntentDone      IntentState = "done"
+)
+
+// Intent is a confirmed intent as kept in the table service.
+type Intent struct {
+	ID          string      `json:"id"`
+	PlanID      string      `json:"plan_id"`
+	Spec        IntentSpec  `json:"spec"`
+	State       IntentState `json:"state"`
+	ConfirmedAt time.Time   `json:"confirmed_at"`
+}
+
+// IntentPartitions is the number of intent partitions of a cell. It is fixed for the life of a cell, since stored keys
+// contain the partition number.
+const IntentPartitions = 64
+
+// IntentPartition returns the partition that owns the intents of a team.
+func IntentPartition(account, team string) int {
+	return int(xxhash.Sum64String(account+"\x00"+team) % IntentPartitions)
+}
+
+// TaskID identifies a task: the intent id, a slash, and the task's run and index.
+type TaskID string
+
+// NewTaskID returns the id of a task of one run of an intent.
+func NewTaskID(intent string, run, index int) TaskID {
+	return TaskID(fmt.Sprintf("%s/%d.%d", intent, run, index))
+}
+
+// Task is one unit of work that runs on one worker.
+type Task struct {
+	ID          TaskID    `json:"id"`
+	Intent      string    `json:"intent"`
+	Partition   int       `json:"partition"`
+	Account     string    `json:"account"`
+	Team        string    `json:"team"`
+	Kind        Kind      `json:"kind"`
+	Class       Class     `json:"class"`
+	Each        Resources `json:"each"`
+	RunTimeMS   int64     `json:"run_time_ms,omitempty"`
+	LatestStart time.Time `json:"latest_start,omitzero"`
+	Submitted   time.Time `json:"submitted"`
+	Preemptible bool      `json:"preemptible,omitempty"`
+	Idempotent  bool      `json:"idempotent,omitempty"`
+	Payload     []byte    `json:"payload,omitempty"`
+}
+
+// StartToken identifies one permitted start of a task. It is minted by the owner of an intent partition.
+type StartToken struct {
+	// Partition is the number of the intent partition.
+	Partition int `json:"partition"`
+	// Epoch is the epoch of the intent partition's owner.
+	Epoch uint64 `json:"epoch"`
+	// Sequence counts tokens within the epoch, from 1.
+	Sequence uint64 `json:"sequence"`
+}
+
+// IsZero reports whether the token is unset.
+func (t StartToken) IsZero() bool { return t == StartToken{} }
--- /dev/null
+++ b/model/plan.go
@@ -0,0 +1,72 @@
+package model
+
+import "time"
+
+// Placement is the proposed place of one task.
+type Placement struct {
+	Task   TaskID `json:"task"`
+	Rack   string `json:"rack,omitempty"`
+	Worker string `json:"worker,omitempty"`
+	Zone   string `json:"zone,omitempty"`
+	// Waits is set when the task has to wait for capacity; Reason says for what.
+	Waits  bool   `json:"waits,omitempty"`
+	Reason string `json:"reason"`
+}
+
+// Displacement is a running task that the plan stops, after a checkpoint, to make room.
+type Displacement struct {
+	Task   TaskID `json:"task"`
+	Team   string `json:"team"`
+	Rack   string `json:"rack"`
+	Worker string `json:"worker"`
+	Reason string `json:"reason"`
+}
+
+// Plan is an immutable proposal for an intent. Confirming it makes the intent run.
+type Plan struct {
+	ID         string         `json:"id"`
+	IntentID   string         `json:"intent_id"`
+	Partition  int            `json:"partition"`
+	Spec       IntentSpec     `json:"spec"`
+	Placements []Placement    `json:"placements"`
+	Displaces  []Displacement `json:"displaces"`
+	// ConfigVersion is the configuration version that the plan rests on.
+	ConfigVersion uint64    `json:"config_version"`
+	CreatedAt     time.Time `json:"created_at"`
+	// ExpiresAt is the time after which the plan is stale.
+	ExpiresAt time.Time `json:"expires_at"`
+}
+
+// OutcomeState says how a started task ended.
+type OutcomeState string
+
+// The outcome states.
+const (
+	// OutcomeFinished: the task ended by itself without an error.
+	OutcomeFinished OutcomeState = "finished"
+	// OutcomeFailed: the task ended by itself with an error.
+	OutcomeFailed OutcomeState = "failed"
+	// OutcomeStopped: the worker confirmed a stop that the scheduler asked for.
+	OutcomeStopped OutcomeState = "stopped"
+	// OutcomePreempted: as OutcomeStopped, after a checkpoint, to make room.
+	OutcomePreempted OutcomeState = "preempted"
+	// OutcomeLapsed: the lease lapsed; the task no longer runs and its result is unknown.
+	OutcomeLapsed OutcomeState = "lapsed"
+	// OutcomeNotStarted: the start provably did not and will not take effect.
+	OutcomeNotStarted OutcomeState = "not_started"
+)
+
+// Outcome is the result of one permitted start of a task.
+type Outcome struct {
+	Task   TaskID       `json:"task"`
+	Token  StartToken   `json:"token"`
+	State  OutcomeState `json:"state"`
+	Worker string       `json:"worker"`
+	// Answer is what the task returned to its caller.
+	Answer []byte `json:"answer,omitempty"`
+	// AnswerDigest is the xxhash64 of Answer, computed by the worker.
+	AnswerDigest uint64 `json:"answer_digest,omitempty"`
+	Error        string `json:"error,omitempty"`
+	// RanMS is the run time on the worker in milliseconds.
+	RanMS int64 `json:"ran_ms,omitempty"`
+}
--- /dev/null
+++ b/model/resources.go
@@ -0,0 +1,75 @@
+// Package model holds the value types that all other packages share: resources, intents, plans, tasks, start tokens and
+// outcomes. Values of this package have no owner and no lock; they are copied between shards and messages.
+package model
+
+// Resources is an amount of worker capacity, either a demand or a supply.
+type Resources struct {
+	// CPUMilli is processor time in thousandths of a core.
+	CPUMilli int64 `json:"cpu_milli"`
+	// MemoryMiB is memory in mebibytes.
+	MemoryMiB int64 `json:"memory_mib"`
+	// Accelerators is a number of whole accelerators of AcceleratorType.
+	Accelerators int64 `json:"accelerators,omitempty"`
+	// AcceleratorType names the accelerator model. A worker has accelerators of one type.
+	AcceleratorType string `json:"accelerator_type,omitempty"`
+	// Slots is the number of task slots. A task takes at least one.
+	Slots int64 `json:"slots,omitempty"`
+	// Connections is the number of client connections.
+	Connections int64 `json:"connections,omitempty"`
+}
+
+// Add returns r plus o. The accelerator type of r is kept unless r has none.
+func (r Resources) Add(o Resources) Resources {
+	r.CPUMilli += o.CPUMilli
+	r.MemoryMiB += o.MemoryMiB
+	r.Accelerators += o.Accelerators
+	r.Slots += o.Slots
+	r.Connections += o.Connections
+	if r.AcceleratorType == "" {
+		r.AcceleratorType = o.AcceleratorType
+	}
+	return r
+}
+
+// Sub returns r minus o. Fields may become negative.
+func (r Resources) Sub(o Resources) Resources {
+	r.CPUMilli -= o.CPUMilli
+	r.MemoryMiB -= o.MemoryMiB
+	r.Accelerators -= o.Accelerators
+	r.Slots -= o.Slots
+	r.Connections -= o.Connections
+	return r
+}
+
+// Fits reports whether the demand r can be taken from the supply free.
+func (r Resources) Fits(free Resources) bool {
+	if r.Accelerators > 0 && r.AcceleratorType != free.AcceleratorType {
+		return false
+	}
+	return r.CPUMilli <= free.CPUMilli &&
+		r.MemoryMiB <= free.MemoryMiB &&
+		r.Accelerators <= free.Accelerators &&
+		r.Slots <= free.Slots &&
+		r.Connections <= free.Connections
+}
+
+// Negative reports whether any field is below zero.
+func (r Resources) Negative() bool {
+	return r.CPUMilli < 0 || r.MemoryMiB < 0 || r.Accelerators < 0 || r.Slots < 0 || r.Connections < 0
+}
+
+// DominantShare returns the largest share that r takes of total, from 0 to 1 for demands within total.
+func (r Resources) DominantShare(total Resources) float64 {
+	share := 0.0
+	raise := func(part, whole int64) {
+		if whole > 0 {
+			share = max(share, float64(part)/float64(whole))
+		}
+	}
+	raise(r.CPUMilli, total.CPUMilli)
+	raise(r.MemoryMiB, total.MemoryMiB)
+	raise(r.Accelerators, total.Accelerators)
+	raise(r.Slots, total.Slots)
+	raise(r.Connections, total.Connections)
+	return share
+}
