--- /dev/null
+++ b/cmd/lentiltided/main.go
@@ -0,0 +1,61 @@
+// Command lentiltided runs one entry instance of the cluster scheduler. Every instance of a cell runs the same program;
+// its addresses and availability zone come from its settings file.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	"github.com/sirupsen/logrus"
+
+	"github.com/lentiltide/lentiltide"
+	"github.com/lentiltide/lentiltide/process/settings"
+)
+
+type arguments struct {
+	Settings string `arg:"--settings,required" help:"path of the JSON settings file"`
+}
+
+// Description implements the help text of go-arg.
+func (arguments) Description() string {
+	return "lentiltided runs one entry instance of the lentiltide cluster scheduler."
+}
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	log := logrus.New()
+	log.SetFormatter(&logrus.JSONFormatter{})
+	if err := run(args, log); err != nil {
+		log.WithError(err).Error("instance stopped")
+		os.Exit(1)
+	}
+}
+
+// run serves until the first SIGTERM or SIGINT, then shuts down gracefully. A second signal ends the process at once.
+func run(args arguments, log *logrus.Logger) error {
+	s, err := settings.Load(args.Settings)
+	if err != nil {
+		return err
+	}
+	entry := log.WithFields(logrus.Fields{"instance": s.Instance, "zone": s.Zone})
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	in, err := lentiltide.Start(lentiltide.Options{Settings: s, Log: entry, Seed: uint64(os.Getpid())})
+	if err != nil {
+		return err
+	}
+	entry.WithField("url", in.URL()).Info("instance started")
+	<-signals
+	entry.Info("shutting down")
+	go func() {
+		<-signals
+		os.Exit(2)
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), s.Shutdown())
+	defer cancel()
+	return in.Shutdown(ctx)
+}
--- /dev/null
+++ b/process/instance/instance.go
@@ -0,0 +1,257 @@
+// Package instance wires the parts of one entry instance together and executes the effects of the rack and intent cores.
+// An Instance lives as long as the process.
+package instance
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"github.com/lentiltide/lentiltide/connection/peer"
+	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/process/settings"
+	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/ownership"
+	"github.com/lentiltide/lentiltide/version/rack"
+	"github.com/lentiltide/lentiltide/worker"
+)
+
+// Options are the parts that an instance is built from.
+type Options struct {
+	Settings settings.Settings
+	Clock    clockwork.Clock
+	Table    platform.Table
+	Objects  platform.Objects
+	Members  platform.InstanceList
+	Workers  worker.Dialer
+	Peers    peer.Caller
+	Log      logrus.FieldLogger
+	// Seed seeds the random choices.
+	Seed uint64
+}
+
+// Instance is one running entry instance.
+type Instance struct {
+	opts   Options
+	owners *ownership.Manager
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	// mu protects the maps below; it is never held while a core's method runs.
+	mu        sync.Mutex
+	racks     map[string]*rackRunner
+	intents   map[int]*intentRunner
+	members   []platform.Member
+	summaries map[string]rack.Summary
+	rng       *rand.Rand
+	handler   callHandler
+}
+
+// New returns an instance that does nothing until Start.
+func New(opts Options) *Instance {
+	if opts.Clock == nil {
+		opts.Clock = clockwork.NewRealClock()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	in := &Instance{
+		opts: opts, ctx: ctx, cancel: cancel,
+		racks: map[string]*rackRunner{}, intents: map[int]*intentRunner{}, summaries: map[string]rack.Summary{},
+		rng: rand.New(rand.NewPCG(opts.Seed, 0)),
+	}
+	s := opts.Settings
+	in.owners = ownership.New(ownership.Options{
+		Instance: s.Instance, Address: s.PeerAddress, Region: s.Region, Zone: s.Zone,
+		Table: opts.Table, Clock: opts.Clock, Hooks: in, Log: opts.Log, Partitions: in.partitions,
+		RenewEvery: s.SessionRenew(), Term: s.SessionTerm(),
+	})
+	return in
+}
+
+// Start begins to take partitions and to serve them.
+func (in *Instance) Start() {
+	in.refreshMembers()
+	in.run(func() { in.owners.Run(in.ctx) })
+	in.run(in.watchMembers)
+	in.run(in.spreadSummaries)
+}
+
+// Drain hands over all partitions and ends the session; ctx bounds it.
+func (in *Instance) Drain(ctx context.Context) error { return in.owners.Drain(ctx) }
+
+// Close stops at once, as a crash does: nothing is released.
+func (in *Instance) Close() {
+	in.cancel()
+	in.wg.Wait()
+}
+
+func (in *Instance) run(f func()) {
+	in.wg.Add(1)
+	go func() {
+		defer in.wg.Done()
+		f()
+	}()
+}
+
+// every calls f each period until ctx ends.
+func (in *Instance) every(ctx context.Context, period time.Duration, f func()) {
+	ticker := in.opts.Clock.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.Chan():
+			f()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// partitions returns all partitions of the cell: the intent partitions and the racks of the workers seen so far.
+func (in *Instance) partitions() []ownership.Partition {
+	var all []ownership.Partition
+	for n := range model.IntentPartitions {
+		all = append(all, ownership.Intent(n))
+	}
+	for _, name := range in.rackNames() {
+		all = append(all, ownership.Rack(name))
+	}
+	return all
+}
+
+func (in *Instance) rackNames() []string {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	seen := map[string]bool{}
+	var names []string
+	for _, m := range in.members {
+		if m.Role == platform.RoleWorker && !seen[m.Rack] {
+			seen[m.Rack] = true
+			names = append(names, m.Rack)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+func (in *Instance) rackMembers(name string) []platform.Member {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	var members []platform.Member
+	for _, m := range in.members {
+		if m.Role == platform.RoleWorker && m.Rack == name {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+func (in *Instance) watchMembers() { in.every(in.ctx, memberRefresh, in.refreshMembers) }
+
+// refreshMembers reads the platform's list. An error or an empty list keeps the last one, since the list is only a
+// suggestion and must never empty the fleet.
+func (in *Instance) refreshMembers() {
+	members, err := in.opts.Members.List(in.ctx)
+	if err != nil || len(members) == 0 {
+		return
+	}
+	in.mu.Lock()
+	in.members = members
+	runners := make([]*rackRunner, 0, len(in.racks))
+	for _, r := range in.racks {
+		runners = append(runners, r)
+	}
+	in.mu.Unlock()
+	for _, r := range runners {
+		r.setMembers(in.rackMembers(r.core.ID()))
+	}
+}
+
+const (
+	// memberRefresh is the time between reads of the platform's list.
+	memberRefresh = time.Second
+	// summaryEvery is the time between summaries of a rack.
+	summaryEvery = 500 * time.Millisecond
+	// retryDelay is the time between repeated messages to peers and workers.
+	retryDelay = 100 * time.Millisecond
+	// peerTimeout bounds one message to a peer.
+	peerTimeout = 2 * time.Second
+)
+
+// Acquired implements ownership.Hooks.
+func (in *Instance) Acquired(p ownership.Partition, epoch, rowVersion uint64) {
+	switch p.Kind {
+	case ownership.KindRack:
+		in.acquireRack(p.Name, epoch)
+	case ownership.KindIntent:
+		in.acquireIntent(p, epoch, rowVersion)
+	}
+}
+
+// Lost implements ownership.Hooks.
+func (in *Instance) Lost(p ownership.Partition) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	switch p.Kind {
+	case ownership.KindRack:
+		if r := in.racks[p.Name]; r != nil {
+			r.cancel()
+			delete(in.racks, p.Name)
+		}
+	case ownership.KindIntent:
+		n := partitionNumber(p)
+		if r := in.intents[n]; r != nil {
+			r.cancel()
+			delete(in.intents, n)
+		}
+	}
+}
+
+// OwnersChanged implements ownership.Hooks.
+func (in *Instance) OwnersChanged() {}
+
+func (in *Instance) rackRunner(name string) (*rackRunner, error) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if r := in.racks[name]; r != nil {
+		return r, nil
+	}
+	return nil, verdict.New(verdict.NotRun, verdict.CodeWrongOwner, "rack %q is not served here", name).After(retryDelay)
+}
+
+func (in *Instance) intentRunner(n int) (*intentRunner, error) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if r := in.intents[n]; r != nil && r.loaded {
+		return r, nil
+	}
+	return nil, verdict.New(verdict.NotRun, verdict.CodeWrongOwner, "intent partition %d is not served here", n).After(retryDelay)
+}
+
+// ask sends a message to the owner of a partition, which may be this instance.
+func (in *Instance) ask(ctx context.Context, p ownership.Partition, req *peerpb.Request) (*peerpb.Reply, error) {
+	loc, ok := in.owners.Locate(p)
+	if !ok {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "partition %s has no owner", p).After(retryDelay)
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	if loc.Local {
+		reply := in.HandlePeer(ctx, req)
+		return reply, peer.ErrorFromProto(reply.GetError())
+	}
+	return in.opts.Peers.Call(ctx, loc.Address, req)
+}
+
+// ServePeers serves other instances until the listener is closed.
+func (in *Instance) ServePeers(t *peer.Transport, l net.Listener) error {
+	return t.Serve(in.ctx, l, in.HandlePeer)
+}
--- /dev/null
+++ b/process/instance/racks.go
@@ -0,0 +1,321 @@
+package instance
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/lentiltide/lentiltide/connection/peer"
+	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
+	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/ownership"
+	"github.com/lentiltide/lentiltide/version/rack"
+	"github.com/lentiltide/lentiltide/worker"
+)
+
+const (
+	// rackTick is the time between checks for expired leases.
+	rackTick = 250 * time.Millisecond
+	// syncWait is how long a worker may hold a synchronisation request.
+	syncWait = time.Second
+	// workerTimeout bounds a request to a worker beyond the time that it may wait.
+	workerTimeout = 2 * time.Second
+)
+
+// rackRunner executes the effects of one rack core for one epoch.
+type rackRunner struct {
+	in     *Instance
+	core   *rack.Core
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu      sync.Mutex
+	agents  map[string]worker.Agent
+	fencing map[string]bool
+	syncing map[string]bool
+}
+
+func (in *Instance) acquireRack(name string, epoch uint64) {
+	policy := rack.DefaultPolicy()
+	policy.LeaseTerm = in.opts.Settings.LeaseTerm()
+	r := &rackRunner{
+		in: in, core: rack.New(in.opts.Clock.Now(), name, epoch, policy),
+		agents: map[string]worker.Agent{}, fencing: map[string]bool{}, syncing: map[string]bool{},
+	}
+	r.ctx, r.cancel = context.WithCancel(in.ctx)
+	in.run(r.serve)
+}
+
+// serve fences the intents, then the workers, and only then accepts offers.
+func (r *rackRunner) serve() {
+	for r.fenceIntents() != nil {
+		if !r.in.sleep(r.ctx, retryDelay) {
+			return
+		}
+	}
+	r.in.mu.Lock()
+	if r.ctx.Err() == nil {
+		r.in.racks[r.core.ID()] = r
+	}
+	r.in.mu.Unlock()
+	r.setMembers(r.in.rackMembers(r.core.ID()))
+	r.in.every(r.ctx, rackTick, func() {
+		r.execute(r.core.Tick(r.in.opts.Clock.Now()))
+		r.ensureSync()
+	})
+}
+
+// ensureSync starts the synchronisation of fenced workers that have none.
+func (r *rackRunner) ensureSync() {
+	r.mu.Lock()
+	ids := make([]string, 0, len(r.agents))
+	for id := range r.agents {
+		ids = append(ids, id)
+	}
+	r.mu.Unlock()
+	for _, id := range ids {
+		if _, ok := r.core.SyncRequest(id, 0); ok && r.begin(r.syncing, id) {
+			r.in.run(func() { r.sync(id) })
+		}
+	}
+}
+
+// fenceIntents reads the current epochs of the intent partitions from the table.
+func (r *rackRunner) fenceIntents() error {
+	const prefix = "partition/intent/"
+	rows, err := r.in.opts.Table.Scan(r.ctx, prefix)
+	if err != nil {
+		return err
+	}
+	for _, row := range rows {
+		n, err := strconv.Atoi(strings.TrimPrefix(row.Key, prefix))
+		var owner ownership.Owner
+		if err != nil || json.Unmarshal(row.Value, &owner) != nil {
+			continue
+		}
+		if _, _, err := r.core.FenceIntent(r.in.opts.Clock.Now(), n, owner.Epoch); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *rackRunner) setMembers(members []platform.Member) {
+	r.mu.Lock()
+	for _, m := range members {
+		r.agents[m.ID] = r.in.opts.Workers.Dial(m.Address)
+	}
+	r.mu.Unlock()
+	r.execute(r.core.SetMembers(r.in.opts.Clock.Now(), members))
+}
+
+func (r *rackRunner) agent(id string) worker.Agent {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.agents[id]
+}
+
+// execute runs effects, each on a goroutine of its own.
+func (r *rackRunner) execute(effects []rack.Effect) {
+	for _, e := range effects {
+		if r.ctx.Err() != nil {
+			return
+		}
+		switch e := e.(type) {
+		case rack.ClaimTask:
+			r.in.run(func() { r.claim(e) })
+		case rack.StartTask:
+			r.in.run(func() { r.start(e) })
+		case rack.StopTask:
+			r.in.run(func() { r.stop(e) })
+		case rack.FenceWorker:
+			r.in.run(func() { r.fence(e) })
+		case rack.ReportStarted:
+			r.in.run(func() { r.reportStarted(e) })
+		case rack.ReportOutcome:
+			r.in.run(func() { r.reportOutcome(e) })
+		}
+	}
+}
+
+// claim asks the intent owner until it answers. A repeated claim is answered alike, so a lost answer does no harm.
+func (r *rackRunner) claim(e rack.ClaimTask) {
+	req := &peerpb.Request{Body: &peerpb.Request_Claim{Claim: &peerpb.Claim{
+		Partition: uint32(e.Task.Partition), Task: string(e.Task.ID), Rack: r.core.ID(), RackEpoch: r.core.Epoch(),
+	}}}
+	for {
+		reply, err := r.in.ask(r.ctx, ownership.Intent(e.Task.Partition), req)
+		if err == nil {
+			claim := reply.GetClaim()
+			r.execute(r.core.ClaimResult(r.in.opts.Clock.Now(), e.Task.ID, claim.GetGranted(), peer.TokenFromProto(claim.GetToken())))
+			return
+		}
+		if !r.in.sleep(r.ctx, retryDelay) {
+			return
+		}
+	}
+}
+
+func (r *rackRunner) start(e rack.StartTask) {
+	ctx, cancel := context.WithTimeout(r.ctx, workerTimeout)
+	defer cancel()
+	_, err := r.agent(e.Worker).Start(ctx, e.Request)
+	r.execute(r.core.StartResult(r.in.opts.Clock.Now(), e.Request.Task.ID, e.Request.Token, verdict.Of(err)))
+}
+
+// stop repeats a stop until the worker has answered.
+func (r *rackRunner) stop(e rack.StopTask) {
+	for {
+		ctx, cancel := context.WithTimeout(r.ctx, workerTimeout)
+		err := r.agent(e.Worker).Stop(ctx, e.Request)
+		cancel()
+		if err == nil || !r.in.sleep(r.ctx, retryDelay) {
+			return
+		}
+	}
+}
+
+// fence raises the epoch of a worker and then keeps it synchronised.
+func (r *rackRunner) fence(e rack.FenceWorker) {
+	if !r.begin(r.fencing, e.Worker) {
+		return
+	}
+	defer r.end(r.fencing, e.Worker)
+	ctx, cancel := context.WithTimeout(r.ctx, workerTimeout)
+	defer cancel()
+	inv, err := r.agent(e.Worker).Fence(ctx, e.Request)
+	if err != nil {
+		return
+	}
+	r.execute(r.core.Fenced(r.in.opts.Clock.Now(), e.Worker, inv))
+	r.ensureSync()
+}
+
+// begin marks work on a worker as running; it returns false if it is already.
+func (r *rackRunner) begin(set map[string]bool, id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if set[id] {
+		return false
+	}
+	set[id] = true
+	return true
+}
+
+func (r *rackRunner) end(set map[string]bool, id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(set, id)
+}
+
+// sync synchronises with a worker by long polls until the worker has to be fenced again.
+func (r *rackRunner) sync(id string) {
+	defer r.end(r.syncing, id)
+	for {
+		req, ok := r.core.SyncRequest(id, syncWait)
+		if !ok || r.ctx.Err() != nil {
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.ctx, syncWait+workerTimeout)
+		reply, err := r.agent(id).Sync(ctx, req)
+		cancel()
+		if err != nil {
+			if !r.in.sleep(r.ctx, retryDelay) {
+				return
+			}
+			continue
+		}
+		r.execute(r.core.Synced(r.in.opts.Clock.Now(), id, req, reply))
+	}
+}
+
+func (r *rackRunner) reportStarted(e rack.ReportStarted) {
+	r.report(&peerpb.Report{
+		Partition: uint32(e.Task.Partition), Rack: r.core.ID(), RackEpoch: r.core.Epoch(), Started: true,
+		Task: peer.TaskToProto(e.Task), Outcome: &peerpb.Outcome{
+			Task: string(e.Task.ID), Token: peer.TokenToProto(e.Token), Worker: e.Worker,
+		},
+	})
+}
+
+func (r *rackRunner) reportOutcome(e rack.ReportOutcome) {
+	durable := r.report(&peerpb.Report{
+		Partition: uint32(e.Task.Partition), Rack: r.core.ID(), RackEpoch: r.core.Epoch(),
+		Task: peer.TaskToProto(e.Task), Outcome: peer.OutcomeToProto(e.Outcome),
+	})
+	if durable && e.Sequence > 0 {
+		r.core.Reported(e.Outcome.Worker, e.Sequence)
+	}
+}
+
+// report repeats a report until the intent owner has it durably. It returns false when the rack is lost before.
+func (r *rackRunner) report(report *peerpb.Report) bool {
+	for {
+		req := &peerpb.Request{Body: &peerpb.Request_Report{Report: report}}
+		reply, err := r.in.ask(r.ctx, ownership.Intent(int(report.GetPartition())), req)
+		if err == nil && reply.GetReport().GetDurable() {
+			return true
+		}
+		if !r.in.sleep(r.ctx, retryDelay) {
+			return false
+		}
+	}
+}
+
+// sleep waits and reports whether ctx is still valid.
+func (in *Instance) sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-in.opts.Clock.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// spreadSummaries sends the summaries of the racks served here to all other instances.
+func (in *Instance) spreadSummaries() {
+	in.every(in.ctx, summaryEvery, func() {
+		in.mu.Lock()
+		runners := make([]*rackRunner, 0, len(in.racks))
+		for _, r := range in.racks {
+			runners = append(runners, r)
+		}
+		in.mu.Unlock()
+		for _, r := range runners {
+			in.spreadSummary(r.core.Summary())
+		}
+	})
+}
+
+func (in *Instance) spreadSummary(s rack.Summary) {
+	in.takeSummary(s)
+	msg := &peerpb.Summary{
+		Rack: s.Rack, Epoch: s.Epoch, Free: peer.ResourcesToProto(s.Free), LargestFree: peer.ResourcesToProto(s.Largest),
+	}
+	for _, n := range s.Queued {
+		msg.Queued = append(msg.Queued, uint32(n))
+	}
+	for _, session := range in.owners.Sessions() {
+		if session.Instance == in.opts.Settings.Instance {
+			continue
+		}
+		in.run(func() {
+			ctx, cancel := context.WithTimeout(in.ctx, peerTimeout)
+			defer cancel()
+			_, _ = in.opts.Peers.Call(ctx, session.Address, &peerpb.Request{Body: &peerpb.Request_Summary{Summary: msg}})
+		})
+	}
+}
+
+// takeSummary keeps the newest summary of a rack.
+func (in *Instance) takeSummary(s rack.Summary) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if s.Epoch >= in.summaries[s.Rack].Epoch {
+		in.summaries[s.Rack] = s
+	}
+}
--- /dev/null
+++ b/standin/cell/cell.go
@@ -0,0 +1,107 @@
+// Package cell starts a stand-in platform with stand-in workers over loopback TCP, for tests, examples and the demo. A
+// Cell lives as long as the process that embeds it.
+package cell
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/platform"
+	standinplatform "github.com/lentiltide/lentiltide/standin/platform"
+	"github.com/lentiltide/lentiltide/standin/server"
+	standinworker "github.com/lentiltide/lentiltide/standin/worker"
+)
+
+// Options describes a cell.
+type Options struct {
+	// Listen is the address of the platform; an empty one takes a free loopback port.
+	Listen string
+	// Workers is the number of workers, PerRack the number of them in a rack.
+	Workers, PerRack int
+	// Zones are the availability zones, used in turn for each rack.
+	Zones []string
+	// Region is the region of all zones.
+	Region string
+	// Capacity is the capacity of each worker.
+	Capacity model.Resources
+	// Behave chooses how tasks run; nil runs them for their declared time.
+	Behave func(model.Task) standinworker.Behavior
+}
+
+// Cell is a running stand-in platform with workers.
+type Cell struct {
+	Table    *standinplatform.Table
+	Objects  *standinplatform.Objects
+	Members  *standinplatform.InstanceList
+	Observer *standinworker.Observer
+	Agents   map[string]*standinworker.Agent
+	// URL is the base URL of the platform.
+	URL     string
+	servers []*http.Server
+}
+
+// Start starts a cell.
+func Start(opts Options) (*Cell, error) {
+	c := &Cell{
+		Table: standinplatform.NewTable(), Objects: standinplatform.NewObjects(), Members: standinplatform.NewInstanceList(),
+		Observer: standinworker.NewObserver(time.Now), Agents: map[string]*standinworker.Agent{},
+	}
+	for i := range opts.Workers {
+		if err := c.addWorker(opts, i); err != nil {
+			c.Close()
+			return nil, err
+		}
+	}
+	if opts.Listen == "" {
+		opts.Listen = "127.0.0.1:0"
+	}
+	url, err := c.serve(opts.Listen, server.NewPlatform(c.Table, c.Objects, c.Members))
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	c.URL = url
+	return c, nil
+}
+
+func (c *Cell) addWorker(opts Options, i int) error {
+	id := fmt.Sprintf("worker-%03d", i)
+	rack := i / opts.PerRack
+	agent := standinworker.New(standinworker.Options{
+		ID: id, Capacity: opts.Capacity, Clock: clockwork.NewRealClock(), Observer: c.Observer, Behave: opts.Behave,
+	})
+	url, err := c.serve("127.0.0.1:0", server.NewWorker(agent))
+	if err != nil {
+		return err
+	}
+	c.Agents[id] = agent
+	c.Members.Set(platform.Member{
+		ID: id, Role: platform.RoleWorker, State: platform.MemberLive, Region: opts.Region,
+		Zone: opts.Zones[rack%len(opts.Zones)], Rack: fmt.Sprintf("rack-%02d", rack), Address: url, Capacity: opts.Capacity,
+	})
+	return nil
+}
+
+func (c *Cell) serve(address string, h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", errors.Wrap(err, "listen")
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	c.servers = append(c.servers, s)
+	go func() { _ = s.Serve(l) }()
+	return "http://" + l.Addr().String(), nil
+}
+
+// Close stops all servers.
+func (c *Cell) Close() {
+	for _, s := range c.servers {
+		_ = s.Close()
+	}
+}
--- /dev/null
+++ b/standin/platform/objects.go
@@ -0,0 +1,102 @@
+package platform
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/request/verdict"
+)
+
+// Objects is an in-memory object store.
+type Objects struct {
+	mu   sync.Mutex
+	data map[string][]byte
+}
+
+var _ platform.Objects = (*Objects)(nil)
+
+// NewObjects returns an empty object store.
+func NewObjects() *Objects { return &Objects{data: map[string][]byte{}} }
+
+// Put implements platform.Objects.
+func (o *Objects) Put(_ context.Context, name string, data []byte) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, ok := o.data[name]; ok {
+		return verdict.New(verdict.NotRun, verdict.CodeConflict, "object %q exists", name)
+	}
+	o.data[name] = append([]byte(nil), data...)
+	return nil
+}
+
+// Get implements platform.Objects.
+func (o *Objects) Get(_ context.Context, name string) ([]byte, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	data, ok := o.data[name]
+	if !ok {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeNotFound, "object %q does not exist", name)
+	}
+	return append([]byte(nil), data...), nil
+}
+
+// List implements platform.Objects.
+func (o *Objects) List(_ context.Context, prefix string) ([]string, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var names []string
+	for name := range o.data {
+		if strings.HasPrefix(name, prefix) {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names, nil
+}
+
+// Corrupt replaces the content of an object, to test the reader's checks.
+func (o *Objects) Corrupt(name string, data []byte) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.data[name] = data
+}
+
+// InstanceList is a settable list of machines.
+type InstanceList struct {
+	mu      sync.Mutex
+	members map[string]platform.Member
+}
+
+var _ platform.InstanceList = (*InstanceList)(nil)
+
+// NewInstanceList returns an empty list.
+func NewInstanceList() *InstanceList { return &InstanceList{members: map[string]platform.Member{}} }
+
+// Set adds or replaces a member.
+func (l *InstanceList) Set(m platform.Member) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.members[m.ID] = m
+}
+
+// Remove removes a member.
+func (l *InstanceList) Remove(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.members, id)
+}
+
+// List implements platform.InstanceList. The result is sorted by id.
+func (l *InstanceList) List(context.Context) ([]platform.Member, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	members := make([]platform.Member, 0, len(l.members))
+	for _, m := range l.members {
+		members = append(members, m)
+	}
+	sort.Slice(members, func(i, j int) bool { return members[i].ID < members[j].ID })
+	return members, nil
+}
--- /dev/null
+++ b/standin/platform/table.go
@@ -0,0 +1,147 @@
+// Package platform is a small stand-in for the platform's table service, object store and instance list. It keeps
+// everything in memory and lives as long as the process that embeds it. Faults are injected through Faults.
+package platform
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/request/verdict"
+)
+
+// unavailableRetry is the retry time that the stand-in gives while it is down.
+const unavailableRetry = time.Second
+
+// Faults decides about injected faults. A nil function injects nothing.
+type Faults struct {
+	// Before runs before an operation; an error ends the operation without effect.
+	Before func(op string) error
+	// After runs after an operation took effect; an error replaces the answer.
+	After func(op string) error
+}
+
+// Table is an in-memory transactional table.
+type Table struct {
+	mu      sync.Mutex
+	rows    map[string]platform.Row
+	version uint64
+	faults  Faults
+	reads   uint64
+	writes  uint64
+}
+
+var _ platform.Table = (*Table)(nil)
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{rows: map[string]platform.Row{}} }
+
+// SetFaults replaces the injected faults.
+func (t *Table) SetFaults(f Faults) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faults = f
+}
+
+// Counts returns the rows read and written so far.
+func (t *Table) Counts() (reads, writes uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reads, t.writes
+}
+
+func (t *Table) fault(op string, after bool) error {
+	t.mu.Lock()
+	hook := t.faults.Before
+	if after {
+		hook = t.faults.After
+	}
+	t.mu.Unlock()
+	if hook == nil {
+		return nil
+	}
+	return hook(op)
+}
+
+// Commit implements platform.Table.
+func (t *Table) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+	if err := t.enter(ctx, "commit"); err != nil {
+		return nil, err
+	}
+	versions, err := t.commit(txn)
+	if err != nil {
+		return nil, err
+	}
+	if err := t.fault("commit", true); err != nil {
+		return nil, err
+	}
+	return versions, nil
+}
+
+func (t *Table) enter(ctx context.Context, op string) error {
+	if err := ctx.Err(); err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "table").After(unavailableRetry)
+	}
+	return t.fault(op, false)
+}
+
+func (t *Table) commit(txn platform.Txn) ([]uint64, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range txn.Conditions {
+		t.reads++
+		if t.rows[c.Key].Version != c.Version {
+			return nil, verdict.New(verdict.NotRun, verdict.CodeConflict, "row %q has version %d, expected %d", c.Key, t.rows[c.Key].Version, c.Version)
+		}
+	}
+	versions := make([]uint64, 0, len(txn.Writes))
+	for _, w := range txn.Writes {
+		t.version++
+		t.writes++
+		versions = append(versions, t.version)
+		if w.Delete {
+			delete(t.rows, w.Key)
+			continue
+		}
+		t.rows[w.Key] = platform.Row{Key: w.Key, Version: t.version, TxnID: txn.ID, Value: append([]byte(nil), w.Value...)}
+	}
+	return versions, nil
+}
+
+// Get implements platform.Table.
+func (t *Table) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	if err := t.enter(ctx, "get"); err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var rows []platform.Row
+	for _, key := range keys {
+		t.reads++
+		if row, ok := t.rows[key]; ok {
+			rows = append(rows, row)
+		}
+	}
+	return rows, nil
+}
+
+// Scan implements platform.Table.
+func (t *Table) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
+	if err := t.enter(ctx, "scan"); err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var rows []platform.Row
+	for key, row := range t.rows {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, row)
+		}
+	}
+	t.reads += uint64(len(rows)) + 1
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	return rows, nil
+}
--- /dev/null
+++ b/standin/server/server.go
@@ -0,0 +1,81 @@
+// Package server serves the stand-in platform and the stand-in workers over HTTP. A handler lives as long as the process.
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/lentiltide/lentiltide/connection/jsonhttp"
+	platformclient "github.com/lentiltide/lentiltide/connection/platform"
+	workerclient "github.com/lentiltide/lentiltide/connection/worker"
+	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/worker"
+)
+
+// handle adapts a function from request to reply to an HTTP handler.
+func handle[In, Out any](do func(context.Context, In) (Out, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var in In
+		if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+			jsonhttp.WriteError(w, "", verdict.Invalid("body", "%v", err))
+			return
+		}
+		out, err := do(r.Context(), in)
+		if err != nil {
+			jsonhttp.WriteError(w, "", err)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(out)
+	}
+}
+
+// NewPlatform returns a handler for the platform's three services.
+func NewPlatform(table platform.Table, objects platform.Objects, list platform.InstanceList) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(platformclient.PathCommit, handle(func(ctx context.Context, txn platform.Txn) (platformclient.CommitReply, error) {
+		versions, err := table.Commit(ctx, txn)
+		return platformclient.CommitReply{Versions: versions}, err
+	}))
+	mux.Handle(platformclient.PathGet, handle(func(ctx context.Context, in platformclient.KeysRequest) (platformclient.RowsReply, error) {
+		rows, err := table.Get(ctx, in.Keys...)
+		return platformclient.RowsReply{Rows: rows}, err
+	}))
+	mux.Handle(platformclient.PathScan, handle(func(ctx context.Context, in platformclient.PrefixRequest) (platformclient.RowsReply, error) {
+		rows, err := table.Scan(ctx, in.Prefix)
+		return platformclient.RowsReply{Rows: rows}, err
+	}))
+	mux.Handle(platformclient.PathPut, handle(func(ctx context.Context, in platformclient.Object) (struct{}, error) {
+		return struct{}{}, objects.Put(ctx, in.Name, in.Data)
+	}))
+	mux.Handle(platformclient.PathObject, handle(func(ctx context.Context, in platformclient.Object) (platformclient.Object, error) {
+		data, err := objects.Get(ctx, in.Name)
+		return platformclient.Object{Name: in.Name, Data: data}, err
+	}))
+	mux.Handle(platformclient.PathObjects, handle(func(ctx context.Context, in platformclient.PrefixRequest) (platformclient.NamesReply, error) {
+		names, err := objects.List(ctx, in.Prefix)
+		return platformclient.NamesReply{Names: names}, err
+	}))
+	mux.Handle(platformclient.PathMembers, handle(func(ctx context.Context, _ struct{}) (platformclient.MembersReply, error) {
+		members, err := list.List(ctx)
+		return platformclient.MembersReply{Members: members}, err
+	}))
+	return mux
+}
+
+// NewWorker returns a handler for one worker agent.
+func NewWorker(agent worker.Agent) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(workerclient.PathFence, handle(agent.Fence))
+	mux.Handle(workerclient.PathStart, handle(agent.Start))
+	mux.Handle(workerclient.PathSync, handle(agent.Sync))
+	mux.Handle(workerclient.PathStop, handle(func(ctx context.Context, in worker.StopRequest) (struct{}, error) {
+		return struct{}{}, agent.Stop(ctx, in)
+	}))
+	mux.Handle(workerclient.PathThrottle, handle(func(ctx context.Context, in worker.ThrottleRequest) (struct{}, error) {
+		return struct{}{}, agent.Throttle(ctx, in)
+	}))
+	return mux
+}
--- /dev/null
+++ b/standin/worker/agent.go
@@ -0,0 +1,329 @@
+// Package worker is a small stand-in for a worker's agent. It runs tasks as timers, keeps the fence and the leases of
+// package worker, and reports each start and end to an Observer that is independent of the scheduler. An agent lives as
+// long as the process that embeds it.
+package worker
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/worker"
+)
+
+// Behavior says how a task runs on the stand-in.
+type Behavior struct {
+	// RunTime is how long the task runs; a negative value means until stopped.
+	RunTime time.Duration
+	// Fail makes the task end with an error.
+	Fail bool
+	// Answer is the task's result.
+	Answer []byte
+}
+
+// Options configures an agent.
+type Options struct {
+	ID       string
+	Capacity model.Resources
+	Clock    clockwork.Clock
+	// Observer is told about each start and end; nil observes nothing.
+	Observer *Observer
+	// Behave chooses how a task runs; nil runs a task for its declared time and answers with its id.
+	Behave func(model.Task) Behavior
+}
+
+type running struct {
+	worker.RunningTask
+	started  time.Time
+	behavior Behavior
+}
+
+// Agent is one stand-in worker.
+type Agent struct {
+	opts Options
+
+	mu       sync.Mutex
+	boot     int
+	booted   time.Time
+	epoch    uint64
+	running  map[model.TaskID]*running
+	results  []worker.Result
+	sequence uint64
+	done     map[model.StartToken]bool
+	changed  chan struct{}
+	timer    clockwork.Timer
+}
+
+var _ worker.Agent = (*Agent)(nil)
+
+// New returns a started agent.
+func New(opts Options) *Agent {
+	if opts.Clock == nil {
+		opts.Clock = clockwork.NewRealClock()
+	}
+	if opts.Behave == nil {
+		opts.Behave = DefaultBehavior
+	}
+	a := &Agent{opts: opts}
+	a.Restart()
+	return a
+}
+
+// DefaultBehavior runs a task for its declared run time, or until stopped if it declares none, and answers with its id.
+func DefaultBehavior(task model.Task) Behavior {
+	run := time.Duration(task.RunTimeMS) * time.Millisecond
+	if run == 0 {
+		run = -1
+	}
+	return Behavior{RunTime: run, Answer: []byte(task.ID)}
+}
+
+// Restart ends all tasks and drops all results, as a reboot does.
+func (a *Agent) Restart() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, t := range a.running {
+		a.opts.Observer.ended(a.opts.ID, t.RunningTask, model.OutcomeLapsed)
+	}
+	a.boot++
+	a.booted = a.opts.Clock.Now()
+	a.running = map[model.TaskID]*running{}
+	a.done = map[model.StartToken]bool{}
+	a.results, a.sequence = nil, 0
+	a.notify()
+}
+
+// notify wakes long polls. Callers hold a.mu.
+func (a *Agent) notify() {
+	if a.changed != nil {
+		close(a.changed)
+	}
+	a.changed = make(chan struct{})
+}
+
+func (a *Agent) now() worker.Stamp {
+	return worker.Stamp(a.opts.Clock.Since(a.booted).Milliseconds())
+}
+
+func (a *Agent) bootID() string { return fmt.Sprintf("%s-boot%d", a.opts.ID, a.boot) }
+
+// checkEpoch refuses a low epoch. Callers hold a.mu.
+func (a *Agent) checkEpoch(epoch uint64) error {
+	if epoch < a.epoch {
+		return verdict.New(verdict.NotRun, verdict.CodeFenced, "epoch %d is below %d", epoch, a.epoch)
+	}
+	a.epoch = epoch
+	return nil
+}
+
+// Fence implements worker.Agent.
+func (a *Agent) Fence(_ context.Context, req worker.FenceRequest) (worker.Inventory, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err := a.checkEpoch(req.Epoch); err != nil {
+		return worker.Inventory{}, err
+	}
+	a.advance()
+	inv := worker.Inventory{BootID: a.bootID(), Now: a.now(), Results: append([]worker.Result(nil), a.results...)}
+	for _, t := range a.running {
+		entry := t.RunningTask
+		entry.RanMS = a.opts.Clock.Since(t.started).Milliseconds()
+		inv.Running = append(inv.Running, entry)
+	}
+	sort.Slice(inv.Running, func(i, j int) bool { return inv.Running[i].Task.ID < inv.Running[j].Task.ID })
+	return inv, nil
+}
+
+// Start implements worker.Agent.
+func (a *Agent) Start(_ context.Context, req worker.StartRequest) (worker.StartReply, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err := a.checkEpoch(req.Epoch); err != nil {
+		return worker.StartReply{}, err
+	}
+	a.advance()
+	if a.done[req.Token] {
+		return worker.StartReply{Now: a.now()}, nil
+	}
+	if t, ok := a.running[req.Task.ID]; ok {
+		if t.Token == req.Token {
+			return worker.StartReply{Now: a.now()}, nil
+		}
+		return worker.StartReply{}, verdict.New(verdict.NotRun, verdict.CodeConflict, "task %s runs under another token", req.Task.ID)
+	}
+	if req.BootID != a.bootID() || a.now() > req.LeaseUntil {
+		return worker.StartReply{}, verdict.New(verdict.NotRun, verdict.CodeExpired, "lease of the start has expired")
+	}
+	t := &running{
+		RunningTask: worker.RunningTask{Task: req.Task, Token: req.Token, LeaseUntil: req.LeaseUntil},
+		started:     a.opts.Clock.Now(),
+		behavior:    a.opts.Behave(req.Task),
+	}
+	a.running[req.Task.ID] = t
+	a.opts.Observer.started(a.opts.ID, a.opts.Capacity, t.RunningTask)
+	a.schedule()
+	return worker.StartReply{Now: a.now()}, nil
+}
+
+// Sync implements worker.Agent.
+func (a *Agent) Sync(ctx context.Context, req worker.SyncRequest) (worker.SyncReply, error) {
+	wait := a.opts.Clock.NewTimer(time.Duration(req.WaitMS) * time.Millisecond)
+	defer wait.Stop()
+	for {
+		reply, changed, err := a.sync(req)
+		if err != nil || len(reply.Results) > 0 || req.WaitMS == 0 {
+			return reply, err
+		}
+		select {
+		case <-changed:
+		case <-wait.Chan():
+			req.WaitMS = 0
+		case <-ctx.Done():
+			return worker.SyncReply{}, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeUnavailable, "sync")
+		}
+	}
+}
+
+func (a *Agent) sync(req worker.SyncRequest) (worker.SyncReply, chan struct{}, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err := a.checkEpoch(req.Epoch); err != nil {
+		return worker.SyncReply{}, nil, err
+	}
+	a.advance()
+	if req.BootID == a.bootID() {
+		for _, t := range a.running {
+			t.LeaseUntil = max(t.LeaseUntil, req.LeaseUntil)
+		}
+		a.acknowledge(req.Acknowledged)
+	}
+	a.schedule()
+	reply := worker.SyncReply{BootID: a.bootID(), Now: a.now()}
+	for _, t := range a.running {
+		reply.Running = append(reply.Running, worker.TaskStatus{
+			Task: t.Task.ID, Token: t.Token, Used: t.Task.Each, RanMS: a.opts.Clock.Since(t.started).Milliseconds(),
+		})
+	}
+	for _, r := range a.results {
+		if r.Sequence > req.After {
+			reply.Results = append(reply.Results, r)
+		}
+	}
+	return reply, a.changed, nil
+}
+
+func (a *Agent) acknowledge(sequences []uint64) {
+	if len(sequences) == 0 {
+		return
+	}
+	acked := make(map[uint64]bool, len(sequences))
+	for _, s := range sequences {
+		acked[s] = true
+	}
+	kept := a.results[:0]
+	for _, r := range a.results {
+		if !acked[r.Sequence] {
+			kept = append(kept, r)
+		}
+	}
+	a.results = kept
+}
+
+// Stop implements worker.Agent.
+func (a *Agent) Stop(_ context.Context, req worker.StopRequest) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err := a.checkEpoch(req.Epoch); err != nil {
+		return err
+	}
+	t, ok := a.running[req.Task]
+	if !ok || t.Token != req.Token {
+		return nil
+	}
+	state := model.OutcomeStopped
+	if req.Checkpoint {
+		state = model.OutcomePreempted
+	}
+	a.end(t, state)
+	return nil
+}
+
+// Throttle implements worker.Agent. The stand-in accepts it without effect.
+func (a *Agent) Throttle(_ context.Context, req worker.ThrottleRequest) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.checkEpoch(req.Epoch)
+}
+
+// end records the result of a task. Callers hold a.mu.
+func (a *Agent) end(t *running, state model.OutcomeState) {
+	delete(a.running, t.Task.ID)
+	a.done[t.Token] = true
+	a.sequence++
+	out := model.Outcome{
+		Task: t.Task.ID, Token: t.Token, State: state, Worker: a.opts.ID,
+		RanMS: a.opts.Clock.Since(t.started).Milliseconds(),
+	}
+	switch state {
+	case model.OutcomeFinished:
+		out.Answer = t.behavior.Answer
+		out.AnswerDigest = xxhash.Sum64(out.Answer)
+	case model.OutcomeFailed:
+		out.Error = "task failed"
+	}
+	a.results = append(a.results, worker.Result{Sequence: a.sequence, Outcome: out, Task: t.Task})
+	a.opts.Observer.ended(a.opts.ID, t.RunningTask, state)
+	a.notify()
+}
+
+// advance ends the tasks that are due. Callers hold a.mu.
+func (a *Agent) advance() {
+	now := a.opts.Clock.Now()
+	stamp := a.now()
+	for _, t := range a.running {
+		switch {
+		case t.behavior.RunTime >= 0 && now.Sub(t.started) >= t.behavior.RunTime:
+			state := model.OutcomeFinished
+			if t.behavior.Fail {
+				state = model.OutcomeFailed
+			}
+			a.end(t, state)
+		case stamp > t.LeaseUntil:
+			a.end(t, model.OutcomeLapsed)
+		}
+	}
+}
+
+// schedule arms the timer for the next task that is due. Callers hold a.mu.
+func (a *Agent) schedule() {
+	if a.timer != nil {
+		a.timer.Stop()
+	}
+	next := time.Duration(-1)
+	for _, t := range a.running {
+		due := time.Duration(t.LeaseUntil-a.now()+1) * time.Millisecond
+		if t.behavior.RunTime >= 0 {
+			due = min(due, t.behavior.RunTime-a.opts.Clock.Since(t.started))
+		}
+		if next < 0 || due < next {
+			next = max(due, 0)
+		}
+	}
+	if next >= 0 {
+		a.timer = a.opts.Clock.AfterFunc(next, a.fire)
+	}
+}
+
+func (a *Agent) fire() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.advance()
+	a.schedule()
+}
--- /dev/null
+++ b/version/intent/call.go
@@ -0,0 +1,96 @@
+package intent
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/request/verdict"
+)
+
+// Tickets issues a block of idempotency keys for calls. They are executed only in this epoch.
+func (c *Core) Tickets(count int) ([]model.StartToken, error) {
+	if count < 1 || count > c.policy.MaxTickets {
+		return nil, verdict.Invalid("count", "expected 1 to %d", c.policy.MaxTickets)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	tickets := make([]model.StartToken, count)
+	for i := range tickets {
+		c.issued++
+		tickets[i] = model.StartToken{Partition: c.partition, Epoch: c.epoch, Sequence: c.issued}
+	}
+	return tickets, nil
+}
+
+// CallResult is the answer of Call.
+type CallResult struct {
+	Task    model.Task
+	Effects []Effect
+	// Outcome is set when the call has already ended.
+	Outcome *model.Outcome
+}
+
+// Call starts a call of a standing intent, or finds the one that its ticket started before. A zero ticket is allowed for
+// idempotent intents only; unique then names the task.
+func (c *Core) Call(now time.Time, intentID string, ticket model.StartToken, unique string, payload []byte) (CallResult, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	st := c.intents[intentID]
+	if st == nil {
+		return CallResult{}, notFound("intent", intentID)
+	}
+	if st.intent.Spec.Kind != model.KindCall {
+		return CallResult{}, verdict.Invalid("id", "intent %q is of kind %q, expected %q", intentID, st.intent.Spec.Kind, model.KindCall)
+	}
+	if st.intent.State != model.IntentConfirmed {
+		return CallResult{}, verdict.New(verdict.NotRun, verdict.CodeConflict, "intent %q is %s", intentID, st.intent.State)
+	}
+	if ticket.IsZero() {
+		if !st.intent.Spec.Idempotent {
+			return CallResult{}, verdict.Invalid("Lentiltide-Ticket", "a call that is not idempotent needs a ticket or an Idempotency-Key")
+		}
+		return c.newCall(now, st, model.TaskID(fmt.Sprintf("%s/u-%s", intentID, unique)), payload), nil
+	}
+	return c.ticketCall(now, st, ticket, payload)
+}
+
+// ticketCall executes a ticket once. Callers hold c.mu.
+func (c *Core) ticketCall(now time.Time, st *intentState, ticket model.StartToken, payload []byte) (CallResult, error) {
+	id := TicketTask(st.intent.ID, ticket)
+	if t := c.tasks[id]; t != nil {
+		res := CallResult{Task: t.task}
+		if t.phase == phaseDone {
+			out := t.outcome
+			res.Outcome = &out
+		}
+		return res, nil
+	}
+	switch {
+	case ticket.Partition != c.partition || ticket.Epoch > c.epoch:
+		return CallResult{}, verdict.Invalid("Lentiltide-Ticket", "the ticket was not issued by this partition")
+	case ticket.Epoch < c.epoch:
+		return CallResult{}, verdict.New(verdict.MayHaveRun, verdict.CodeExpired, "the ticket belongs to epoch %d, the current one is %d", ticket.Epoch, c.epoch)
+	case ticket.Sequence > c.issued:
+		return CallResult{}, verdict.Invalid("Lentiltide-Ticket", "the ticket was not issued by this partition")
+	}
+	if used, ok := c.tickets[ticket.Sequence]; ok {
+		return CallResult{}, verdict.New(verdict.NotRun, verdict.CodeConflict, "the ticket was used for task %s", used)
+	}
+	c.tickets[ticket.Sequence] = id
+	return c.newCall(now, st, id, payload), nil
+}
+
+// TicketTask returns the id of the task that a ticket starts.
+func TicketTask(intentID string, ticket model.StartToken) model.TaskID {
+	return model.TaskID(fmt.Sprintf("%s/t-%d-%d", intentID, ticket.Epoch, ticket.Sequence))
+}
+
+func (c *Core) newCall(now time.Time, st *intentState, id model.TaskID, payload []byte) CallResult {
+	task := NewTask(st.intent, c.partition, 0, 0, now)
+	task.ID, task.Payload = id, payload
+	t := &taskState{task: task, phase: phaseWaiting}
+	c.tasks[id] = t
+	st.tasks = append(st.tasks, id)
+	return CallResult{Task: task, Effects: []Effect{c.offer(now, t)}}
+}
--- /dev/null
+++ b/version/journal/journal.go
@@ -0,0 +1,171 @@
+// Package journal records the outcomes of an intent partition in the platform's table, in batches. A Journal lives for
+// one epoch of the partition.
+package journal
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/request/verdict"
+)
+
+// Prefix returns the key prefix of the outcome rows of a partition.
+func Prefix(partition int) string { return fmt.Sprintf("outcome/%d/", partition) }
+
+// Options configures a Journal.
+type Options struct {
+	Partition int
+	Epoch     uint64
+	Table     platform.Table
+	Clock     clockwork.Clock
+	// Condition makes each write fail once the partition has another owner.
+	Condition platform.Condition
+	// FlushEvery is the time between batches.
+	FlushEvery time.Duration
+	// MaxPending bounds the outcomes that wait for a write.
+	MaxPending int
+}
+
+// Journal collects outcomes and writes them in batches.
+type Journal struct {
+	opts Options
+
+	// flushing serialises flushes and protects frozen, txnID and batch. It is taken before mu.
+	flushing sync.Mutex
+	frozen   []model.Outcome
+	txnID    string
+	batch    uint64
+
+	mu      sync.Mutex
+	pending []model.Outcome
+	waiting map[model.TaskID]chan struct{}
+}
+
+// New returns a journal; Run writes its batches.
+func New(opts Options) *Journal {
+	return &Journal{opts: opts, waiting: map[model.TaskID]chan struct{}{}}
+}
+
+// Append queues an outcome. The channel is closed when the outcome is durable. A task that is already queued is not
+// queued again. It returns an error with NotRun when the journal is full.
+func (j *Journal) Append(out model.Outcome) (<-chan struct{}, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if done, ok := j.waiting[out.Task]; ok {
+		return done, nil
+	}
+	if len(j.waiting) >= j.opts.MaxPending {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the outcome journal is full").After(time.Second)
+	}
+	done := make(chan struct{})
+	j.waiting[out.Task] = done
+	j.pending = append(j.pending, out)
+	return done, nil
+}
+
+// Pending returns the number of outcomes that are not durable yet, and for one task the channel that Append returned.
+func (j *Journal) Pending(task model.TaskID) (count int, done <-chan struct{}) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if ch, ok := j.waiting[task]; ok {
+		return len(j.waiting), ch
+	}
+	return len(j.waiting), nil
+}
+
+// Run writes batches until ctx ends.
+func (j *Journal) Run(ctx context.Context) {
+	ticker := j.opts.Clock.NewTicker(j.opts.FlushEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.Chan():
+			_ = j.Flush(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Flush writes the queued outcomes as one row. A batch whose write was tried keeps its content, key and transaction id
+// until it is durable, so that a delayed earlier write can neither double nor replace it.
+func (j *Journal) Flush(ctx context.Context) error {
+	j.flushing.Lock()
+	defer j.flushing.Unlock()
+	if !j.freeze() {
+		return nil
+	}
+	data, err := json.Marshal(j.frozen)
+	if err != nil {
+		return err
+	}
+	key := fmt.Sprintf("%s%d-%012d", Prefix(j.opts.Partition), j.opts.Epoch, j.batch)
+	_, err = j.opts.Table.Commit(ctx, platform.Txn{
+		ID:         j.txnID,
+		Conditions: []platform.Condition{j.opts.Condition, {Key: key}},
+		Writes:     []platform.Write{{Key: key, Value: data}},
+	})
+	if err != nil && !j.written(ctx, key) {
+		return err
+	}
+	j.batch++
+	j.complete()
+	return nil
+}
+
+// freeze moves the queued outcomes into the batch to be written. It reports whether there is one.
+// Callers hold j.flushing.
+func (j *Journal) freeze() bool {
+	if len(j.frozen) > 0 {
+		return true
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.frozen, j.pending = j.pending, nil
+	j.txnID = uuid.NewString()
+	return len(j.frozen) > 0
+}
+
+// written reads back whether the batch took effect. Callers hold j.flushing.
+func (j *Journal) written(ctx context.Context, key string) bool {
+	rows, err := j.opts.Table.Get(ctx, key)
+	return err == nil && len(rows) == 1 && rows[0].TxnID == j.txnID
+}
+
+// complete tells the waiting callers that the batch is durable. Callers hold j.flushing.
+func (j *Journal) complete() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, out := range j.frozen {
+		close(j.waiting[out.Task])
+		delete(j.waiting, out.Task)
+	}
+	j.frozen = nil
+}
+
+// Load returns the recorded outcomes of a partition.
+func Load(ctx context.Context, table platform.Table, partition int) (map[model.TaskID]model.Outcome, error) {
+	rows, err := table.Scan(ctx, Prefix(partition))
+	if err != nil {
+		return nil, err
+	}
+	outcomes := map[model.TaskID]model.Outcome{}
+	for _, row := range rows {
+		var batch []model.Outcome
+		if err := json.Unmarshal(row.Value, &batch); err != nil {
+			return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "outcome row %q", row.Key)
+		}
+		for _, out := range batch {
+			outcomes[out.Task] = out
+		}
+	}
+	return outcomes, nil
+}
--- /dev/null
+++ b/version/rack/core.go
@@ -0,0 +1,274 @@
+// Package rack decides what runs on the workers of one rack. A Core lives for one epoch of the rack's partition and is
+// the only writer of the rack's worker ledger. It does no input or output and reads no clock: methods take the current
+// time and return effects, which the caller executes; results come back as further method calls.
+//
+// Locking: a Core has one lock. Methods never call out while they hold it, and no lock of an intent core is held while a
+// method runs.
+package rack
+
+import (
+	"sync"
+	"time"
+
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/worker"
+)
+
+// Policy holds the settings of a rack core.
+type Policy struct {
+	// LeaseTerm is how far a renewal extends leases.
+	LeaseTerm time.Duration
+	// DriftFraction is the largest relative difference between the clocks of a worker and its owner.
+	DriftFraction float64
+	// DriftFloor is added to the drift margin, for clock granularity.
+	DriftFloor time.Duration
+	// OrphanLimit is how long an owner without contact to the table goes on renewing leases.
+	OrphanLimit time.Duration
+	// QueueLimit bounds the queued offers of one class.
+	QueueLimit int
+	// ScanLimit bounds the queued offers of one class that one decision looks at.
+	ScanLimit int
+}
+
+// DefaultPolicy returns the policy used when settings name none.
+func DefaultPolicy() Policy {
+	return Policy{
+		LeaseTerm: 15 * time.Second, DriftFraction: 0.01, DriftFloor: 100 * time.Millisecond,
+		OrphanLimit: 2 * time.Hour, QueueLimit: 20_000, ScanLimit: 64,
+	}
+}
+
+// margin is the time after the end of a lease at which it has provably expired.
+func (p Policy) margin() time.Duration {
+	return time.Duration(float64(p.LeaseTerm)*p.DriftFraction) + p.DriftFloor
+}
+
+// Core is the state of one rack in one epoch.
+type Core struct {
+	id     string
+	epoch  uint64
+	policy Policy
+
+	mu           sync.Mutex
+	created      time.Time
+	workers      map[string]*workerState
+	tasks        map[model.TaskID]*taskState
+	queues       [model.NumClasses]queue
+	intentEpochs map[int]uint64
+}
+
+// New returns the core of a rack whose partition was taken over at time now with the given epoch.
+func New(now time.Time, id string, epoch uint64, policy Policy) *Core {
+	c := &Core{
+		id: id, epoch: epoch, policy: policy, created: now,
+		workers: map[string]*workerState{}, tasks: map[model.TaskID]*taskState{}, intentEpochs: map[int]uint64{},
+	}
+	for i := range c.queues {
+		c.queues[i] = newQueue()
+	}
+	return c
+}
+
+// ID returns the name of the rack.
+func (c *Core) ID() string { return c.id }
+
+// Epoch returns the epoch of the rack's partition.
+func (c *Core) Epoch() uint64 { return c.epoch }
+
+// Offer is a task that an intent owner would like to start in this rack.
+type Offer struct {
+	Task model.Task
+	// IntentEpoch is the epoch of the intent partition's owner.
+	IntentEpoch uint64
+	// Victims are running tasks that the confirmed plan allows to be displaced.
+	Victims []model.TaskID
+}
+
+// Offer queues tasks and returns the effects of the decisions that follow. refused lists the offers that were not
+// queued, because the queue is full or their intent epoch is too low.
+func (c *Core) Offer(now time.Time, offers []Offer) (effects []Effect, refused []model.TaskID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, o := range offers {
+		if o.IntentEpoch < c.intentEpochs[o.Task.Partition] || !c.enqueue(now, o) {
+			refused = append(refused, o.Task.ID)
+		}
+	}
+	return c.decide(now), refused
+}
+
+func (c *Core) enqueue(now time.Time, o Offer) bool {
+	if _, ok := c.tasks[o.Task.ID]; ok {
+		return true
+	}
+	return c.queues[o.Task.Class].add(o, now, c.policy.QueueLimit)
+}
+
+// Withdraw removes queued offers. Tasks that are already claimed are not affected.
+func (c *Core) Withdraw(ids []model.TaskID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range ids {
+		for i := range c.queues {
+			c.queues[i].remove(id)
+		}
+	}
+}
+
+// decide reserves capacity for queued offers until nothing more fits. Callers hold c.mu.
+func (c *Core) decide(now time.Time) []Effect {
+	var effects []Effect
+	for class := range c.queues {
+		for _, o := range c.queues[class].head(c.policy.ScanLimit) {
+			w := c.place(o.Task)
+			if w == nil {
+				continue
+			}
+			c.queues[class].remove(o.Task.ID)
+			c.reserve(now, w, o)
+			effects = append(effects, ClaimTask{Task: o.Task})
+		}
+	}
+	return effects
+}
+
+// ClaimResult takes the answer to a claim. A denied claim gives the reservation back, since nothing was started for it.
+func (c *Core) ClaimResult(now time.Time, id model.TaskID, granted bool, token model.StartToken) []Effect {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.tasks[id]
+	if t == nil || t.phase != phaseClaiming {
+		return nil
+	}
+	if !granted {
+		c.release(t)
+		return c.decide(now)
+	}
+	w := c.workers[t.worker]
+	t.token = token
+	if token.Epoch < c.intentEpochs[token.Partition] || !w.usable() {
+		c.release(t)
+		out := model.Outcome{Task: id, Token: token, State: model.OutcomeNotStarted, Worker: w.member.ID}
+		return append([]Effect{ReportOutcome{Task: t.task, Outcome: out}}, c.decide(now)...)
+	}
+	t.phase = phaseStarting
+	t.startUntil = w.leaseUntil(c.policy)
+	return []Effect{StartTask{Worker: w.member.ID, Request: worker.StartRequest{
+		Rack: c.id, Epoch: c.epoch, Task: t.task, Token: token, BootID: w.bootID, LeaseUntil: t.startUntil,
+	}}}
+}
+
+// StartResult takes the answer of a worker to a start. With MayHaveRun the capacity stays reserved until a later
+// synchronisation shows whether the task runs.
+func (c *Core) StartResult(now time.Time, id model.TaskID, token model.StartToken, v verdict.Verdict) []Effect {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.tasks[id]
+	if t == nil || t.token != token || t.phase != phaseStarting {
+		return nil
+	}
+	switch v {
+	case verdict.Ran:
+		t.phase = phaseRunning
+		return []Effect{ReportStarted{Task: t.task, Token: token, Worker: t.worker}}
+	case verdict.NotRun:
+		return c.notStarted(now, t)
+	default:
+		t.phase = phaseUnknown
+		return nil
+	}
+}
+
+// notStarted releases a task whose start provably did not take effect. Callers hold c.mu.
+func (c *Core) notStarted(now time.Time, t *taskState) []Effect {
+	c.release(t)
+	out := model.Outcome{Task: t.task.ID, Token: t.token, State: model.OutcomeNotStarted, Worker: t.worker}
+	return append([]Effect{ReportOutcome{Task: t.task, Outcome: out}}, c.decide(now)...)
+}
+
+// Stop asks for the end of a running task. The capacity returns when the worker confirms the stop.
+func (c *Core) Stop(id model.TaskID, token model.StartToken, checkpoint bool) []Effect {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.tasks[id]
+	if t == nil || t.token != token {
+		return nil
+	}
+	t.stopping = true
+	return []Effect{StopTask{Worker: t.worker, Request: worker.StopRequest{
+		Rack: c.id, Epoch: c.epoch, Task: id, Token: token, Checkpoint: checkpoint,
+	}}}
+}
+
+// Known is a task of an intent partition that a rack has claimed, started or seen end.
+type Known struct {
+	Task   model.Task
+	Token  model.StartToken
+	Worker string
+	// Outcome is set when the task has ended.
+	Outcome model.Outcome
+}
+
+// FenceIntent raises the epoch of an intent partition and returns the tasks known for it. complete is false while a
+// worker of the rack has not been fenced, so that tasks may run there that are not listed.
+func (c *Core) FenceIntent(now time.Time, partition int, epoch uint64) (known []Known, complete bool, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if epoch < c.intentEpochs[partition] {
+		return nil, false, verdict.New(verdict.NotRun, verdict.CodeFenced, "intent epoch %d is below %d", epoch, c.intentEpochs[partition])
+	}
+	c.intentEpochs[partition] = epoch
+	for _, t := range c.tasks {
+		if t.task.Partition == partition && t.phase != phaseClaiming {
+			known = append(known, Known{Task: t.task, Token: t.token, Worker: t.worker})
+		}
+	}
+	for _, w := range c.workers {
+		for _, r := range w.unreported {
+			if r.Task.Partition == partition {
+				known = append(known, Known{Task: r.Task, Token: r.Outcome.Token, Worker: w.member.ID, Outcome: r.Outcome})
+			}
+		}
+	}
+	return known, c.complete(now), nil
+}
+
+// complete reports whether every worker has been fenced in this epoch or can hold no task of an earlier one.
+// Callers hold c.mu.
+func (c *Core) complete(now time.Time) bool {
+	if len(c.workers) == 0 {
+		return false
+	}
+	for _, w := range c.workers {
+		if !w.fencedOnce && now.Sub(c.created) < c.policy.OrphanLimit+c.policy.LeaseTerm+c.policy.margin() {
+			return false
+		}
+	}
+	return true
+}
+
+// SetMembers replaces the list of the rack's workers. A worker that is missing from the list keeps its ledger, since the
+// list lags; a leaving worker gets no new work.
+func (c *Core) SetMembers(now time.Time, members []platform.Member) []Effect {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var effects []Effect
+	for _, m := range members {
+		w := c.workers[m.ID]
+		if w == nil {
+			w = newWorkerState(m)
+			c.workers[m.ID] = w
+			effects = append(effects, c.fenceEffect(w))
+			continue
+		}
+		w.member.State = m.State
+		if w.member.Address != m.Address {
+			w.member.Address = m.Address
+			w.fenced = false
+			effects = append(effects, c.fenceEffect(w))
+		}
+	}
+	return append(effects, c.decide(now)...)
+}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -56,6 +56,8 @@
 	Epoch uint64           `json:"epoch"`
 	Task  model.Task       `json:"task"`
 	Token model.StartToken `json:"token"`
+	// BootID is the boot whose clock LeaseUntil refers to; another boot refuses the start.
+	BootID string `json:"boot_id"`
 	// LeaseUntil ends the lease; a start that arrives later is refused.
 	LeaseUntil Stamp `json:"lease_until"`
 }
@@ -69,6 +71,8 @@
 type SyncRequest struct {
 	Rack  string `json:"rack"`
 	Epoch uint64 `json:"epoch"`
+	// BootID is the boot whose clock LeaseUntil refers to; another boot renews nothing.
+	BootID string `json:"boot_id"`
 	// LeaseUntil is the new end of all leases.
 	LeaseUntil Stamp `json:"lease_until"`
 	// After is the highest result sequence received; the reply holds later ones.
