--- a/process/instance/peers.go
+++ b/process/instance/peers.go
@@ -46,6 +46,14 @@
 		return in.handlePropose(body.Propose, reply)
 	case *peerpb.Request_FenceIntent:
 		return in.handleFenceIntent(body.FenceIntent, reply)
+	case *peerpb.Request_Hold:
+		return in.handleHold(body.Hold, reply)
+	case *peerpb.Request_StartHeld:
+		return in.handleStartHeld(body.StartHeld, reply)
+	case *peerpb.Request_Release:
+		return in.handleRelease(body.Release, reply)
+	case *peerpb.Request_ExplainTask:
+		return in.handleExplainTask(body.ExplainTask, reply)
 	case *peerpb.Request_Summary:
 		in.handleSummary(body.Summary)
 		reply.Body = &peerpb.Reply_Ack{Ack: &peerpb.Ack{}}
@@ -145,7 +153,7 @@
 	if err != nil {
 		return err
 	}
-	proposal := r.core.Propose(peer.TasksFromProto(p.GetTasks()))
+	proposal := r.core.Propose(in.opts.Clock.Now(), peer.TasksFromProto(p.GetTasks()))
 	reply.Body = &peerpb.Reply_Propose{Propose: &peerpb.ProposeReply{
 		Placements: peer.PlacementsToProto(proposal.Placements), Displaces: peer.DisplacementsToProto(proposal.Displaces),
 		FitsEmpty: proposal.FitsEmpty,
--- a/version/rack/core.go
+++ b/version/rack/core.go
@@ -16,35 +16,6 @@
 	"github.com/lentiltide/lentiltide/worker"
 )
 
-// Policy holds the settings of a rack core.
-type Policy struct {
-	// LeaseTerm is how far a renewal extends leases.
-	LeaseTerm time.Duration
-	// DriftFraction is the largest relative difference between the clocks of a worker and its owner.
-	DriftFraction float64
-	// DriftFloor is added to the drift margin, for clock granularity.
-	DriftFloor time.Duration
-	// OrphanLimit is how long an owner without contact to the table goes on renewing leases.
-	OrphanLimit time.Duration
-	// QueueLimit bounds the queued offers of one class.
-	QueueLimit int
-	// ScanLimit bounds the queued offers of one class that one decision looks at.
-	ScanLimit int
-}
-
-// DefaultPolicy returns the policy used when settings name none.
-func DefaultPolicy() Policy {
-	return Policy{
-		LeaseTerm: 15 * time.Second, DriftFraction: 0.01, DriftFloor: 100 * time.Millisecond,
-		OrphanLimit: 2 * time.Hour, QueueLimit: 20_000, ScanLimit: 64,
-	}
-}
-
-// margin is the time after the end of a lease at which it has provably expired.
-func (p Policy) margin() time.Duration {
-	return time.Duration(float64(p.LeaseTerm)*p.DriftFraction) + p.DriftFloor
-}
-
 // Core is the state of one rack in one epoch.
 type Core struct {
 	id     string
@@ -55,8 +26,32 @@
 	created      time.Time
 	workers      map[string]*workerState
 	tasks        map[model.TaskID]*taskState
-	queues       [model.NumClasses]queue
 	intentEpochs map[int]uint64
+
+	// order lists the workers in order of arrival; cursor is where the next bounded search begins.
+	order  []*workerState
+	cursor int
+	// pools index the free capacity; total and largestWorker cover the workers that accept work.
+	pools                []*workerPool
+	total, largestWorker model.Resources
+
+	// queues are one for each class and one for work past its latest start.
+	queues   [model.NumClasses + 1]*classQueue
+	offers   map[model.TaskID]*queuedOffer
+	queued   [model.NumClasses]int
+	due      dueHeap
+	sequence uint64
+
+	// kept is the capacity kept for short work as of shareAt; shortQueued is the demand of queued short work.
+	kept        keptCapacity
+	shareAt     time.Time
+	shortQueued model.Resources
+
+	jobs         jobTable
+	promotions   promotionHeap
+	reservations map[model.TaskID]*reservation
+	reserved     []*reservation
+	holds        map[string]*hold
 }
 
 // New returns the core of a rack whose partition was taken over at time now with the given epoch.
@@ -64,9 +59,11 @@
 	c := &Core{
 		id: id, epoch: epoch, policy: policy, created: now,
 		workers: map[string]*workerState{}, tasks: map[model.TaskID]*taskState{}, intentEpochs: map[int]uint64{},
+		offers: map[model.TaskID]*queuedOffer{}, shareAt: now, jobs: newJobTable(policy.Jobs),
+		reservations: map[model.TaskID]*reservation{}, holds: map[string]*hold{},
 	}
 	for i := range c.queues {
-		c.queues[i] = newQueue()
+		c.queues[i] = newClassQueue(model.Class(i))
 	}
 	return c
 }
@@ -99,39 +96,15 @@
 	return c.decide(now), refused
 }
 
-func (c *Core) enqueue(now time.Time, o Offer) bool {
-	if _, ok := c.tasks[o.Task.ID]; ok {
-		return true
-	}
-	return c.queues[o.Task.Class].add(o, now, c.policy.QueueLimit)
-}
-
-// Withdraw removes queued offers. Tasks that are already claimed are not affected.
+// Withdraw removes queued offers, each at constant cost. Tasks that are already claimed are not affected.
 func (c *Core) Withdraw(ids []model.TaskID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, id := range ids {
-		for i := range c.queues {
-			c.queues[i].remove(id)
-		}
-	}
-}
-
-// decide reserves capacity for queued offers until nothing more fits. Callers hold c.mu.
-func (c *Core) decide(now time.Time) []Effect {
-	var effects []Effect
-	for class := range c.queues {
-		for _, o := range c.queues[class].head(c.policy.ScanLimit) {
-			w := c.place(o.Task)
-			if w == nil {
-				continue
-			}
-			c.queues[class].remove(o.Task.ID)
-			c.reserve(now, w, o)
-			effects = append(effects, ClaimTask{Task: o.Task})
+		if o := c.offers[id]; o != nil {
+			c.dequeue(o)
 		}
 	}
-	return effects
 }
 
 // ClaimResult takes the answer to a claim. A denied claim gives the reservation back, since nothing was started for it.
@@ -146,12 +119,18 @@
 		c.release(t)
 		return c.decide(now)
 	}
-	w := c.workers[t.worker]
 	t.token = token
-	if token.Epoch < c.intentEpochs[token.Partition] || !w.usable() {
+	return append(c.start(now, t), c.decide(now)...)
+}
+
+// start sends a task to its worker, or reports that it did not start if the worker or the token is no longer valid.
+// Callers hold c.mu.
+func (c *Core) start(now time.Time, t *taskState) []Effect {
+	w, token := c.workers[t.worker], t.token
+	if token.Epoch < c.intentEpochs[token.Partition] || !w.acceptsWork() || w.tasks[t.task.ID] != t {
 		c.release(t)
-		out := model.Outcome{Task: id, Token: token, State: model.OutcomeNotStarted, Worker: w.member.ID}
-		return append([]Effect{ReportOutcome{Task: t.task, Outcome: out}}, c.decide(now)...)
+		out := model.Outcome{Task: t.task.ID, Token: token, State: model.OutcomeNotStarted, Worker: w.member.ID}
+		return []Effect{ReportOutcome{Task: t.task, Outcome: out}}
 	}
 	t.phase = phaseStarting
 	t.startUntil = w.leaseUntil(c.policy)
@@ -171,7 +150,8 @@
 	}
 	switch v {
 	case verdict.Ran:
-		t.phase = phaseRunning
+		t.phase, t.since = phaseRunning, now
+		c.schedulePromotion(t)
 		return []Effect{ReportStarted{Task: t.task, Token: token, Worker: t.worker}}
 	case verdict.NotRun:
 		return c.notStarted(now, t)
@@ -193,13 +173,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.tasks[id]
-	if t == nil || t.token != token {
+	if t == nil || t.token != token || t.phase == phaseHeld {
 		return nil
 	}
-	t.stopping = true
-	return []Effect{StopTask{Worker: t.worker, Request: worker.StopRequest{
-		Rack: c.id, Epoch: c.epoch, Task: id, Token: token, Checkpoint: checkpoint,
-	}}}
+	return []Effect{c.stop(t, checkpoint)}
 }
 
 // Known is a task of an intent partition that a rack has claimed, started or seen end.
@@ -220,8 +197,9 @@
 		return nil, false, verdict.New(verdict.NotRun, verdict.CodeFenced, "intent epoch %d is below %d", epoch, c.intentEpochs[partition])
 	}
 	c.intentEpochs[partition] = epoch
+	c.fenceHolds(partition, epoch)
 	for _, t := range c.tasks {
-		if t.task.Partition == partition && t.phase != phaseClaiming {
+		if t.task.Partition == partition && t.phase != phaseClaiming && t.phase != phaseHeld {
 			known = append(known, Known{Task: t.task, Token: t.token, Worker: t.worker})
 		}
 	}
@@ -260,6 +238,7 @@
 		if w == nil {
 			w = newWorkerState(m)
 			c.workers[m.ID] = w
+			c.order = append(c.order, w)
 			effects = append(effects, c.fenceEffect(w))
 			continue
 		}
@@ -269,6 +248,7 @@
 			w.fenced = false
 			effects = append(effects, c.fenceEffect(w))
 		}
+		c.reindex(w)
 	}
 	return append(effects, c.decide(now)...)
 }
--- a/version/rack/effect.go
+++ b/version/rack/effect.go
@@ -9,7 +9,11 @@
 type Effect interface{ isEffect() }
 
 // ClaimTask asks the intent owner for the right to start a task; see Core.ClaimResult.
-type ClaimTask struct{ Task model.Task }
+type ClaimTask struct {
+	Task model.Task
+	// Reason says why the task goes where it goes.
+	Reason Reason
+}
 
 // StartTask starts a task on a worker; see Core.StartResult.
 type StartTask struct {
--- /dev/null
+++ b/version/rack/history_test.go
@@ -0,0 +1,411 @@
+package rack
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/worker"
+)
+
+// fleet is a set of fake workers with a rack core. It keeps its own books by scanning everything, and takes the
+// effects of the core in any order, so that each answer may come late.
+type fleet struct {
+	t       rapid.TB
+	core    *Core
+	now     time.Time
+	boots   map[string]int
+	running map[string]map[model.TaskID]worker.StartRequest
+	results map[string][]worker.Result
+	// pending are effects that were not executed yet.
+	pending []Effect
+	// open are the offers that are neither withdrawn nor ended.
+	open     map[model.TaskID]model.Task
+	denied   map[model.TaskID]bool
+	sequence uint64
+	members  []platform.Member
+	runs     map[model.TaskID]int
+	// refuseEvery makes workers refuse each start with a multiple of this sequence; 0 refuses none.
+	refuseEvery uint64
+}
+
+func newFleet(t rapid.TB, policy Policy, capacities ...model.Resources) *fleet {
+	f := &fleet{
+		t: t, now: time.Unix(1000, 0), boots: map[string]int{}, running: map[string]map[model.TaskID]worker.StartRequest{},
+		results: map[string][]worker.Result{}, open: map[model.TaskID]model.Task{}, denied: map[model.TaskID]bool{},
+		runs: map[model.TaskID]int{},
+	}
+	f.core = New(f.now, "r1", 1, policy)
+	for i, c := range capacities {
+		id := fmt.Sprintf("w%d", i)
+		f.members = append(f.members, platform.Member{ID: id, State: platform.MemberLive, Capacity: c})
+		f.running[id] = map[model.TaskID]worker.StartRequest{}
+	}
+	f.take(f.core.SetMembers(f.now, f.members))
+	f.settle()
+	return f
+}
+
+func (f *fleet) take(effects []Effect) { f.pending = append(f.pending, effects...) }
+
+// settle executes effects until none is left.
+func (f *fleet) settle() {
+	for len(f.pending) > 0 {
+		f.execute(0)
+	}
+}
+
+func (f *fleet) execute(i int) {
+	e := f.pending[i]
+	f.pending = slices.Delete(f.pending, i, i+1)
+	switch e := e.(type) {
+	case FenceWorker:
+		inv := worker.Inventory{BootID: fmt.Sprint(f.boots[e.Worker]), Now: f.stamp(), Results: f.results[e.Worker]}
+		f.results[e.Worker] = nil
+		for _, id := range f.tasksOn(e.Worker) {
+			r := f.running[e.Worker][id]
+			inv.Running = append(inv.Running, worker.RunningTask{Task: r.Task, Token: r.Token, LeaseUntil: r.LeaseUntil})
+		}
+		f.take(f.core.Fenced(f.now, e.Worker, inv))
+	case ClaimTask:
+		f.sequence++
+		token := model.StartToken{Epoch: 1, Sequence: f.sequence}
+		f.take(f.core.ClaimResult(f.now, e.Task.ID, !f.denied[e.Task.ID], token))
+		if f.denied[e.Task.ID] {
+			delete(f.open, e.Task.ID)
+		}
+	case StartTask:
+		f.start(e)
+	case StopTask:
+		f.end(e.Worker, e.Request.Task, model.OutcomePreempted)
+	case ReportOutcome:
+		f.core.Reported(e.Outcome.Worker, e.Sequence)
+		delete(f.open, e.Task.ID)
+		switch e.Outcome.State {
+		case model.OutcomeNotStarted, model.OutcomeLapsed, model.OutcomePreempted:
+			f.offer(e.Task)
+		}
+	}
+}
+
+func (f *fleet) stamp() worker.Stamp { return worker.Stamp(f.now.UnixMilli()) }
+
+func (f *fleet) start(e StartTask) {
+	id := e.Request.Task.ID
+	refused := f.refuseEvery > 0 && e.Request.Token.Sequence%f.refuseEvery == 0
+	if refused || e.Request.BootID != fmt.Sprint(f.boots[e.Worker]) || f.stamp() > e.Request.LeaseUntil {
+		f.take(f.core.StartResult(f.now, id, e.Request.Token, verdict.NotRun))
+		return
+	}
+	for name, tasks := range f.running {
+		if _, ok := tasks[id]; ok {
+			f.t.Fatalf("task %s runs on %s and is started on %s", id, name, e.Worker)
+		}
+	}
+	f.running[e.Worker][id] = e.Request
+	f.runs[id]++
+	f.take(f.core.StartResult(f.now, id, e.Request.Token, verdict.Ran))
+}
+
+// expire ends the tasks whose lease has expired, as workers do on their own.
+func (f *fleet) expire() {
+	for _, m := range f.members {
+		for _, id := range f.tasksOn(m.ID) {
+			if f.stamp() > f.running[m.ID][id].LeaseUntil {
+				f.end(m.ID, id, model.OutcomeLapsed)
+			}
+		}
+	}
+}
+
+// end ends a task on a fake worker; the core learns of it with the next synchronisation.
+func (f *fleet) end(w string, id model.TaskID, state model.OutcomeState) {
+	req, ok := f.running[w][id]
+	if !ok {
+		return
+	}
+	delete(f.running[w], id)
+	f.sequence++
+	f.results[w] = append(f.results[w], worker.Result{
+		Sequence: f.sequence, Task: req.Task, Outcome: model.Outcome{Task: id, Token: req.Token, State: state, Worker: w},
+	})
+}
+
+func (f *fleet) sync(w string, usage int64) {
+	req, ok := f.core.SyncRequest(w, 0)
+	if !ok {
+		return
+	}
+	reply := worker.SyncReply{BootID: fmt.Sprint(f.boots[w]), Now: f.stamp(), Results: f.results[w]}
+	f.results[w] = nil
+	for id, r := range f.running[w] {
+		r.LeaseUntil = max(r.LeaseUntil, req.LeaseUntil)
+		f.running[w][id] = r
+		used := r.Task.Each
+		used.CPUMilli *= usage
+		reply.Running = append(reply.Running, worker.TaskStatus{Task: r.Task.ID, Token: r.Token, Used: used})
+	}
+	f.take(f.core.Synced(f.now, w, req, reply))
+}
+
+func (f *fleet) offer(tasks ...model.Task) {
+	offers := make([]Offer, len(tasks))
+	for i, task := range tasks {
+		offers[i] = Offer{Task: task, IntentEpoch: 1}
+		f.open[task.ID] = task
+	}
+	effects, refused := f.core.Offer(f.now, offers)
+	for _, id := range refused {
+		delete(f.open, id)
+	}
+	f.take(effects)
+}
+
+// check compares the core's books with a scan of everything.
+func (f *fleet) check() {
+	c := f.core
+	var total, used model.Resources
+	for _, w := range c.order {
+		var declared, counted model.Resources
+		for _, r := range f.running[w.member.ID] {
+			declared = declared.Add(Demand(r.Task))
+		}
+		assert.Assert(f.t, declared.Fits(w.member.Capacity), "overcommitted %s: %+v", w.member.ID, declared)
+		declared = model.Resources{}
+		for _, t := range w.tasks {
+			declared, counted = declared.Add(Demand(t.task)), counted.Add(t.demand)
+		}
+		assert.Assert(f.t, declared.Fits(w.member.Capacity), "overcommitted %s with reservations: %+v", w.member.ID, declared)
+		assert.Equal(f.t, counted.CPUMilli, w.used.CPUMilli)
+		if w.counted {
+			total, used = total.Add(w.member.Capacity), used.Add(counted)
+		}
+	}
+	assert.Equal(f.t, total.CPUMilli, c.total.CPUMilli)
+	var charged int64
+	for _, q := range c.queues {
+		charged += q.used.CPUMilli
+	}
+	assert.Equal(f.t, used.CPUMilli, charged)
+	for id, t := range c.tasks {
+		if t.phase == phaseHeld {
+			assert.Assert(f.t, c.holds[t.held.id] == t.held, "%s keeps capacity for an ended hold", id)
+			continue
+		}
+		claims := slices.ContainsFunc(f.pending, func(e Effect) bool {
+			claim, ok := e.(ClaimTask)
+			return ok && claim.Task.ID == id
+		})
+		starts := slices.ContainsFunc(f.pending, func(e Effect) bool {
+			start, ok := e.(StartTask)
+			return ok && start.Request.Task.ID == id && start.Request.Token == t.token
+		})
+		assert.Assert(f.t, claims == (t.phase == phaseClaiming) && starts == (t.phase == phaseStarting),
+			"%s keeps capacity in phase %d without an answer to come", id, t.phase)
+	}
+	for id := range f.open {
+		_, queued := c.offers[id]
+		_, known := c.tasks[id]
+		ended := slices.ContainsFunc(f.pending, func(e Effect) bool {
+			r, ok := e.(ReportOutcome)
+			return ok && r.Task.ID == id
+		})
+		for _, results := range f.results {
+			ended = ended || slices.ContainsFunc(results, func(r worker.Result) bool { return r.Task.ID == id })
+		}
+		assert.Assert(f.t, queued || known || ended, "offer %s is lost", id)
+		assert.Assert(f.t, !queued || !known, "offer %s is queued and placed", id)
+	}
+}
+
+// checkWorkConserving fails if an offer waits although a scan of all workers finds room within all limits.
+func (f *fleet) checkWorkConserving() {
+	for range 50 {
+		f.now = f.now.Add(time.Millisecond)
+		f.take(f.core.Tick(f.now))
+	}
+	c := f.core
+	for _, q := range c.queues {
+		for e := q.parked.Front(); e != nil; e = e.Next() {
+			o := e.Value.(*group).head()
+			demand := c.demandOf(o.Task)
+			for _, w := range c.order {
+				room := w.counted && w.reservation == nil && demand.Fits(w.free())
+				assert.Assert(f.t, !room || c.offerLimited(o, demand) != ReasonNone, "%s fits %s and waits", o.Task.ID, w.member.ID)
+			}
+		}
+	}
+}
+
+var capacities = []model.Resources{
+	{CPUMilli: 16_000, MemoryMiB: 64 << 10, Slots: 8, Connections: 60},
+	{CPUMilli: 64_000, MemoryMiB: 256 << 10, Slots: 8, Connections: 60},
+	{CPUMilli: 16_000, MemoryMiB: 64 << 10, Slots: 8, Connections: 60, Accelerators: 4, AcceleratorType: "a"},
+	{CPUMilli: 8_000, MemoryMiB: 128 << 10, Slots: 4, Connections: 60},
+}
+
+func drawTask(t *rapid.T, n int) model.Task {
+	task := model.Task{
+		ID: model.TaskID(fmt.Sprintf("i%d/%d", rapid.IntRange(0, 5).Draw(t, "intent"), n)), Account: "firm",
+		Team:  rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "team"),
+		Class: model.Class(rapid.IntRange(0, 4).Draw(t, "class")), Kind: model.KindBatch,
+		Each: model.Resources{
+			CPUMilli:  int64(rapid.IntRange(1, 20).Draw(t, "cpu")) * 1000,
+			MemoryMiB: int64(rapid.IntRange(1, 64).Draw(t, "memory")) << 10, Connections: int64(rapid.IntRange(0, 30).Draw(t, "connections")),
+		},
+		Preemptible: rapid.Bool().Draw(t, "preemptible"),
+	}
+	task.Intent = string(task.ID[:2])
+	if rapid.IntRange(0, 5).Draw(t, "accelerated") == 0 {
+		task.Each.Accelerators, task.Each.AcceleratorType = 2, "a"
+	}
+	return task
+}
+
+// TestMain fixes the seed and the size of random histories; the command line may override them.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "60", "rapid.steps": "250", "rapid.nofailfile": "true", "rapid.shrinktime": "5s"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// TestRandomHistories guards against overcommitted workers, lost offers, tasks in two places, partly started holds and
+// drifting books, under late answers, restarts, expired leases, leaving workers and wrong demands.
+func TestRandomHistories(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		policy := DefaultPolicy()
+		policy.Reserve.After = time.Second
+		f := newFleet(rt, policy, capacities...)
+		f.refuseEvery = 7
+		n, holds := 0, 0
+		steps := map[string]func(*rapid.T){
+			"offer": func(rt *rapid.T) {
+				var tasks []model.Task
+				for range rapid.IntRange(1, 4).Draw(rt, "offers") {
+					n++
+					tasks = append(tasks, drawTask(rt, n))
+				}
+				f.offer(tasks...)
+			},
+			"execute": func(rt *rapid.T) {
+				if len(f.pending) > 0 {
+					f.execute(rapid.IntRange(0, len(f.pending)-1).Draw(rt, "effect"))
+				}
+			},
+			"sync": func(rt *rapid.T) {
+				f.sync(f.drawWorker(rt), int64(rapid.IntRange(1, 3).Draw(rt, "usage")))
+			},
+			"end": func(rt *rapid.T) {
+				states := []model.OutcomeState{model.OutcomeFinished, model.OutcomeFailed}
+				w := f.drawWorker(rt)
+				for _, id := range f.tasksOn(w) {
+					f.end(w, id, rapid.SampledFrom(states).Draw(rt, "state"))
+					break
+				}
+			},
+			"withdraw or deny": func(rt *rapid.T) {
+				id := model.TaskID(fmt.Sprintf("i%d/%d", rapid.IntRange(0, 5).Draw(rt, "intent"), rapid.IntRange(0, n).Draw(rt, "task")))
+				f.denied[id] = true
+				if f.core.offers[id] != nil {
+					delete(f.open, id)
+				}
+				f.core.Withdraw([]model.TaskID{id})
+			},
+			"restart": func(rt *rapid.T) {
+				w := f.drawWorker(rt)
+				f.boots[w]++
+				f.running[w], f.results[w] = map[model.TaskID]worker.StartRequest{}, nil
+				f.sync(w, 1)
+			},
+			"member": func(rt *rapid.T) {
+				states := []platform.MemberState{platform.MemberLive, platform.MemberLeaving}
+				f.members[rapid.IntRange(0, 3).Draw(rt, "member")].State = rapid.SampledFrom(states).Draw(rt, "state")
+				f.take(f.core.SetMembers(f.now, f.members))
+			},
+			"tick": func(rt *rapid.T) {
+				f.now = f.now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(rt, "ms")) * time.Millisecond)
+				f.expire()
+				f.take(f.core.Tick(f.now))
+			},
+			"hold": func(rt *rapid.T) {
+				holds++
+				f.hold(rt, fmt.Sprintf("h%d", holds), &n)
+			},
+			"settle": func(rt *rapid.T) {
+				if rapid.IntRange(0, 3).Draw(rt, "all") == 0 {
+					f.settle()
+				}
+			},
+			"": func(*rapid.T) { f.check() },
+		}
+		rt.Repeat(steps)
+		f.checkWorkConserving()
+	})
+}
+
+func (f *fleet) drawWorker(t *rapid.T) string {
+	return f.members[rapid.IntRange(0, len(f.members)-1).Draw(t, "worker")].ID
+}
+
+func (f *fleet) tasksOn(w string) []model.TaskID {
+	var ids []model.TaskID
+	for id := range f.running[w] {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// hold reserves a small gang and starts, releases or abandons it.
+func (f *fleet) hold(t *rapid.T, id string, n *int) {
+	var tasks []model.Task
+	for range rapid.IntRange(1, 3).Draw(t, "tasks") {
+		*n++
+		tasks = append(tasks, drawTask(t, *n))
+	}
+	const term = 3 * time.Second
+	held := f.now
+	placements, effects, err := f.core.Hold(held, HoldRequest{ID: id, IntentEpoch: 1, Tasks: tasks, Term: term})
+	assert.NilError(f.t, err)
+	f.take(effects)
+	f.check()
+	if len(placements) < len(tasks) || rapid.Bool().Draw(t, "release") {
+		f.take(f.core.Release(f.now, id))
+		_, err := f.core.StartHeld(f.now, id, nil, nil)
+		assert.Equal(f.t, verdict.Of(err), verdict.NotRun)
+		return
+	}
+	f.now = f.now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "delay")) * time.Millisecond)
+	var ids []model.TaskID
+	var tokens []model.StartToken
+	for _, task := range tasks {
+		f.sequence++
+		ids, tokens = append(ids, task.ID), append(tokens, model.StartToken{Epoch: 1, Sequence: f.sequence})
+	}
+	effects, err = f.core.StartHeld(f.now, id, ids, tokens)
+	f.take(effects)
+	assert.Assert(f.t, err != nil || f.now.Sub(held) <= term, "an expired hold was started")
+	for i, task := range ids {
+		_, placed := f.core.tasks[task]
+		if err != nil {
+			assert.Assert(f.t, !placed, "%s keeps capacity after a refused start", task)
+			continue
+		}
+		f.open[task] = tasks[i]
+	}
+	repeated, again := f.core.StartHeld(f.now, id, ids, tokens)
+	assert.Equal(f.t, verdict.Of(again), verdict.Of(err))
+	assert.Equal(f.t, len(repeated), 0)
+}
--- /dev/null
+++ b/version/rack/index.go
@@ -0,0 +1,92 @@
+package rack
+
+import (
+	"math/bits"
+
+	"github.com/lentiltide/lentiltide/model"
+)
+
+const (
+	// indexLevels is the number of steps of free capacity in one dimension; a set of levels fits one word.
+	indexLevels = 64
+	// indexMinBits is the exponent of the smallest amount that the index tells apart: 64 milli-cores or 64 MiB.
+	indexMinBits = 6
+)
+
+// indexLevel maps an amount to a level, with four levels per power of two. It never decreases with the amount.
+func indexLevel(v int64) int {
+	if v < 1<<indexMinBits {
+		return 0
+	}
+	n := bits.Len64(uint64(v)) - 1
+	sub := int(v>>(n-2)) & 3
+	return min((n-indexMinBits)*4+sub+1, indexLevels-1)
+}
+
+// indexRow holds the workers of one level of free processor time, by level of free memory.
+type indexRow struct {
+	cells [indexLevels][]*workerState
+	used  uint64
+}
+
+// freeIndex finds workers by free capacity without looking at all of them. It holds the workers of one accelerator type
+// that accept work and have a free slot.
+type freeIndex struct {
+	rows [indexLevels]*indexRow
+	used uint64
+}
+
+func (x *freeIndex) insert(w *workerState) {
+	free := w.free()
+	w.row, w.cell = indexLevel(free.CPUMilli), indexLevel(free.MemoryMiB)
+	r := x.rows[w.row]
+	if r == nil {
+		r = &indexRow{}
+		x.rows[w.row] = r
+	}
+	w.position = len(r.cells[w.cell])
+	r.cells[w.cell] = append(r.cells[w.cell], w)
+	r.used |= 1 << w.cell
+	x.used |= 1 << w.row
+	w.index = x
+}
+
+func (x *freeIndex) remove(w *workerState) {
+	r := x.rows[w.row]
+	cell := r.cells[w.cell]
+	last := len(cell) - 1
+	cell[w.position] = cell[last]
+	cell[w.position].position = w.position
+	cell[last] = nil
+	r.cells[w.cell] = cell[:last]
+	if last == 0 {
+		r.used &^= 1 << w.cell
+		if r.used == 0 {
+			x.used &^= 1 << w.row
+		}
+	}
+	w.index = nil
+}
+
+// visit calls f with workers that have room for the demand, those with the least free processor time first, until f
+// returns false. At most perCell workers of one cell are passed.
+func (x *freeIndex) visit(demand model.Resources, perCell int, f func(w *workerState) bool) {
+	firstRow, firstCell := indexLevel(demand.CPUMilli), indexLevel(demand.MemoryMiB)
+	for rows := x.used >> firstRow << firstRow; rows != 0; rows &= rows - 1 {
+		r := x.rows[bits.TrailingZeros64(rows)]
+		for cells := r.used >> firstCell << firstCell; cells != 0; cells &= cells - 1 {
+			found := 0
+			for _, w := range r.cells[bits.TrailingZeros64(cells)] {
+				if !demand.Fits(w.free()) {
+					continue
+				}
+				if !f(w) {
+					return
+				}
+				if found++; found == perCell {
+					break
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/version/rack/job.go
@@ -0,0 +1,165 @@
+package rack
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/platform"
+)
+
+// maxFailedJobs bounds the failed jobs that are remembered of one worker.
+const maxFailedJobs = 64
+
+// jobStats is what was observed of the tasks of one intent.
+type jobStats struct {
+	id string
+	// usage is a slowly falling maximum of the observed usage of one task.
+	usage model.Resources
+	// runTime is a moving average of the observed run time of one task.
+	runTime time.Duration
+	// failedOn are the workers on which a task failed; succeeded is set when one finished anywhere.
+	failedOn  map[string]bool
+	succeeded bool
+	element   *list.Element
+}
+
+// suspect reports whether the failures of a job are put down to the job: it failed on several workers and finished on
+// none.
+func (j *jobStats) suspect() bool { return len(j.failedOn) >= 2 && !j.succeeded }
+
+func (j *jobStats) raise(used model.Resources) { j.usage = largest(j.usage, used) }
+
+// ranAtLeast raises the run time to a time that a task has already run.
+func (j *jobStats) ranAtLeast(ran time.Duration) { j.runTime = max(j.runTime, ran) }
+
+// ended takes the run time and the usage of a task that ended.
+func (j *jobStats) ended(ran time.Duration, used model.Resources) {
+	if j.runTime == 0 {
+		j.runTime = ran
+	}
+	j.runTime += (ran - j.runTime) / 4
+	fall := func(usage *int64, used int64) { *usage -= max(*usage-used, 0) / 8 }
+	fall(&j.usage.CPUMilli, used.CPUMilli)
+	fall(&j.usage.MemoryMiB, used.MemoryMiB)
+	fall(&j.usage.Connections, used.Connections)
+}
+
+// jobTable remembers a bounded number of jobs, those used last.
+type jobTable struct {
+	limit int
+	byID  map[string]*jobStats
+	order *list.List
+}
+
+func newJobTable(limit int) jobTable {
+	return jobTable{limit: limit, byID: map[string]*jobStats{}, order: list.New()}
+}
+
+func (t *jobTable) get(id string) *jobStats { return t.byID[id] }
+
+func (t *jobTable) touch(id string) *jobStats {
+	if j := t.byID[id]; j != nil {
+		t.order.MoveToFront(j.element)
+		return j
+	}
+	if len(t.byID) >= t.limit {
+		oldest := t.order.Remove(t.order.Back()).(*jobStats)
+		delete(t.byID, oldest.id)
+	}
+	j := &jobStats{id: id, failedOn: map[string]bool{}}
+	j.element = t.order.PushFront(j)
+	t.byID[id] = j
+	return j
+}
+
+// expectedRun returns the run time to expect of a task: the observed one of its job, or the declared one. ok is false
+// when neither is known or the task has no end.
+func (c *Core) expectedRun(task model.Task) (run time.Duration, ok bool) {
+	if task.Kind.Restarts() {
+		return 0, false
+	}
+	if j := c.jobs.get(task.Intent); j != nil && j.runTime > 0 {
+		return j.runTime, true
+	}
+	return time.Duration(task.RunTimeMS) * time.Millisecond, task.RunTimeMS > 0
+}
+
+// learn takes the outcome of a task that a worker reported and judges the worker by it. Callers hold c.mu.
+func (c *Core) learn(now time.Time, w *workerState, task model.Task, out model.Outcome) {
+	j := c.jobs.touch(task.Intent)
+	switch out.State {
+	case model.OutcomeFinished:
+		var used model.Resources
+		if t := w.tasks[task.ID]; t != nil && t.token == out.Token {
+			used = t.demand
+		}
+		j.ended(time.Duration(out.RanMS)*time.Millisecond, used)
+		j.succeeded = true
+		clear(w.failedJobs)
+		c.liftQuarantine(w)
+	case model.OutcomeFailed:
+		j.failedOn[w.member.ID] = true
+		if len(w.failedJobs) < maxFailedJobs {
+			w.failedJobs[task.Intent] = true
+		}
+		if w.quarantined {
+			c.probeFailed(now, w)
+		}
+	default:
+		return
+	}
+	c.judge(now, w)
+	for id := range j.failedOn {
+		if other := c.workers[id]; other != nil && other != w {
+			c.judge(now, other)
+		}
+	}
+}
+
+// judge puts a worker into quarantine while enough distinct jobs have failed there since a task last finished. Jobs
+// that also fail elsewhere do not count, so that a broken job cannot take workers out of use. Callers hold c.mu.
+func (c *Core) judge(now time.Time, w *workerState) {
+	blamed := 0
+	for id := range w.failedJobs {
+		if j := c.jobs.get(id); j != nil && !j.suspect() {
+			blamed++
+		}
+	}
+	bad := blamed >= c.policy.Quarantine.Jobs
+	if bad == w.quarantined {
+		return
+	}
+	w.quarantined, w.probing = bad, false
+	w.probeAfter = c.policy.Quarantine.ProbeAfter
+	w.probeAt = now.Add(w.probeAfter)
+	c.reindex(w)
+}
+
+// liftQuarantine lifts the quarantine of a worker on which a task finished. Callers hold c.mu.
+func (c *Core) liftQuarantine(w *workerState) {
+	if w.quarantined {
+		w.quarantined, w.probing = false, false
+		c.reindex(w)
+	}
+}
+
+// probeFailed doubles the time to the next probe. Callers hold c.mu.
+func (c *Core) probeFailed(now time.Time, w *workerState) {
+	w.probing = false
+	w.probeAfter = min(2*w.probeAfter, c.policy.Quarantine.ProbeMax)
+	w.probeAt = now.Add(w.probeAfter)
+	c.reindex(w)
+}
+
+// probe opens quarantined workers for one task when their probe is due. Callers hold c.mu.
+func (c *Core) probe(now time.Time) {
+	for _, w := range c.order {
+		open := w.quarantined && w.fenced && w.member.State != platform.MemberLeaving && !now.Before(w.probeAt)
+		if open != w.probing {
+			w.probing = open
+			c.reindex(w)
+			c.capacityFreed()
+		}
+	}
+}
--- a/version/rack/lease.go
+++ b/version/rack/lease.go
@@ -1,6 +1,7 @@
 package rack
 
 import (
+	"sort"
 	"time"
 
 	"github.com/lentiltide/lentiltide/model"
@@ -20,6 +21,8 @@
 	phaseUnknown
 	// phaseRunning: the worker confirmed the start.
 	phaseRunning
+	// phaseHeld: capacity is reserved for a gang that has not started.
+	phaseHeld
 )
 
 // taskState is a task that holds capacity of a worker.
@@ -30,8 +33,20 @@
 	phase  phase
 	// startUntil is the end of the lease sent with the start, on the worker's clock.
 	startUntil worker.Stamp
-	since      time.Time
-	stopping   bool
+	// since is when the task started, or was reserved before that.
+	since    time.Time
+	stopping bool
+	reason   Reason
+	held     *hold
+
+	// demand is the capacity that counts: the larger of declared and observed; class is the class that counts.
+	demand model.Resources
+	class  model.Class
+	// team is charged with the demand while the worker counts towards the rack.
+	team *teamQueue
+	// promoteAt is when the task counts in a longer class; promoteIndex is its place in the heap, -1 outside.
+	promoteAt    time.Time
+	promoteIndex int
 }
 
 // workerState is the ledger of one worker.
@@ -40,6 +55,20 @@
 	used   model.Resources
 	tasks  map[model.TaskID]*taskState
 
+	// counted is set while the worker is part of the rack's totals. index, row, cell and position are its place in the
+	// index of free capacity; index is nil outside.
+	counted             bool
+	index               *freeIndex
+	row, cell, position int
+	reservation         *reservation
+
+	// failedJobs are the jobs that failed here since a task last finished. A quarantined worker is open for one task
+	// while probing is set.
+	failedJobs           map[string]bool
+	quarantined, probing bool
+	probeAt              time.Time
+	probeAfter           time.Duration
+
 	// fenced is set while the worker is known to hold this epoch and its leases have not expired.
 	fenced bool
 	// fencedOnce is set when the worker was fenced at least once in this epoch.
@@ -48,6 +77,9 @@
 	// stamp is the newest reading of the worker's clock; it was received at stampAt of the owner's clock.
 	stamp   worker.Stamp
 	stampAt time.Time
+	// silent is set when the worker was not heard of for half a lease term. It gets no new work then, since a lease
+	// granted by an old stamp may have ended before the start arrives.
+	silent bool
 
 	// after is the highest result sequence received.
 	after uint64
@@ -58,7 +90,9 @@
 }
 
 func newWorkerState(m platform.Member) *workerState {
-	return &workerState{member: m, tasks: map[model.TaskID]*taskState{}, unreported: map[uint64]worker.Result{}}
+	return &workerState{
+		member: m, tasks: map[model.TaskID]*taskState{}, unreported: map[uint64]worker.Result{}, failedJobs: map[string]bool{},
+	}
 }
 
 func (w *workerState) free() model.Resources { return w.member.Capacity.Sub(w.used) }
@@ -68,7 +102,7 @@
 
 // acceptsWork reports whether new tasks may be placed on the worker.
 func (w *workerState) acceptsWork() bool {
-	return w.fenced && w.member.State != platform.MemberLeaving
+	return w.fenced && !w.silent && !w.leaving()
 }
 
 // leaseUntil returns the end of a lease granted now, on the worker's clock. It is based on the last stamp received, so
@@ -80,7 +114,7 @@
 // heard records a stamp that was requested at time asked and received at time now.
 func (w *workerState) heard(now time.Time, stamp worker.Stamp) {
 	if stamp >= w.stamp {
-		w.stamp, w.stampAt = stamp, now
+		w.stamp, w.stampAt, w.silent = stamp, now, false
 	}
 }
 
@@ -109,25 +143,40 @@
 	}
 	w.bootID, w.fenced, w.fencedOnce = inv.BootID, true, true
 	w.heard(now, inv.Now)
+	c.reindex(w)
 	for _, r := range inv.Running {
 		c.adopt(now, w, r)
 	}
-	effects = append(effects, c.results(w, inv.Results)...)
+	effects = append(effects, c.results(now, w, inv.Results)...)
 	return append(effects, c.decide(now)...)
 }
 
 // adopt enters a running task of the inventory into the ledger. Callers hold c.mu.
 func (c *Core) adopt(now time.Time, w *workerState, r worker.RunningTask) {
-	if t := c.tasks[r.Task.ID]; t != nil && t.worker == w.member.ID && t.token == r.Token {
+	ran := time.Duration(r.RanMS) * time.Millisecond
+	t := w.tasks[r.Task.ID]
+	switch {
+	case t != nil && t.token == r.Token:
 		t.phase = phaseRunning
-		return
+	case t != nil:
+		// A worker runs an id once, so the later start is refused there; its answer ends the entry of c.tasks.
+		c.vacate(w, t)
+		t = nil
+	}
+	if t == nil {
+		t = &taskState{
+			task: r.Task, token: r.Token, worker: w.member.ID, phase: phaseRunning, since: now.Add(-ran),
+			demand: Demand(r.Task), class: c.policy.lengthen(min(r.Task.Class, model.NumClasses-1), ran), promoteIndex: -1,
+		}
+		c.occupy(w, t)
 	}
-	t := &taskState{task: r.Task, token: r.Token, worker: w.member.ID, phase: phaseRunning, since: now}
-	w.tasks[r.Task.ID] = t
-	w.used = w.used.Add(Demand(r.Task))
 	if c.tasks[r.Task.ID] == nil {
 		c.tasks[r.Task.ID] = t
 	}
+	if o := c.offers[r.Task.ID]; o != nil {
+		c.dequeue(o)
+	}
+	c.observe(now, w, t, r.Used, ran)
 }
 
 // rebooted ends all tasks of a worker that restarted. Callers hold c.mu.
@@ -138,17 +187,30 @@
 // lapse ends all started tasks of a worker whose leases have expired or that restarted. Callers hold c.mu.
 func (c *Core) lapse(w *workerState, reason string) []Effect {
 	var effects []Effect
-	for _, t := range w.tasks {
+	for _, t := range w.sortedTasks() {
 		if t.phase == phaseClaiming {
 			continue
 		}
 		c.release(t)
+		if t.token.IsZero() {
+			continue
+		}
 		out := model.Outcome{Task: t.task.ID, Token: t.token, State: model.OutcomeLapsed, Worker: w.member.ID, Error: reason}
 		effects = append(effects, ReportOutcome{Task: t.task, Outcome: out})
 	}
 	return effects
 }
 
+// sortedTasks returns the tasks of the worker in order of their ids, so that effects do not depend on map order.
+func (w *workerState) sortedTasks() []*taskState {
+	tasks := make([]*taskState, 0, len(w.tasks))
+	for _, t := range w.tasks {
+		tasks = append(tasks, t)
+	}
+	sort.Slice(tasks, func(i, j int) bool { return tasks[i].task.ID < tasks[j].task.ID })
+	return tasks
+}
+
 // SyncRequest returns the next synchronisation request for a worker. ok is false while the worker is not fenced.
 func (c *Core) SyncRequest(id string, wait time.Duration) (req worker.SyncRequest, ok bool) {
 	c.mu.Lock()
@@ -173,17 +235,24 @@
 	}
 	if reply.BootID != w.bootID {
 		w.fenced = false
+		c.reindex(w)
 		return append(c.rebooted(w), c.fenceEffect(w))
 	}
 	w.heard(now, reply.Now)
+	c.reindex(w)
 	w.acknowledge = without(w.acknowledge, req.Acknowledged)
-	effects := c.results(w, reply.Results)
+	effects := c.results(now, w, reply.Results)
+	for _, s := range reply.Running {
+		if t := w.tasks[s.Task]; t != nil && t.token == s.Token {
+			c.observe(now, w, t, s.Used, time.Duration(s.RanMS)*time.Millisecond)
+		}
+	}
 	effects = append(effects, c.resolveUnknown(now, w, reply)...)
 	return append(effects, c.decide(now)...)
 }
 
 // results releases the capacity of ended tasks and reports their outcomes. Callers hold c.mu.
-func (c *Core) results(w *workerState, results []worker.Result) []Effect {
+func (c *Core) results(now time.Time, w *workerState, results []worker.Result) []Effect {
 	var effects []Effect
 	for _, r := range results {
 		if r.Sequence <= w.after {
@@ -191,6 +260,7 @@
 		}
 		w.after = r.Sequence
 		w.unreported[r.Sequence] = r
+		c.learn(now, w, r.Task, r.Outcome)
 		if t := w.tasks[r.Task.ID]; t != nil && t.token == r.Outcome.Token {
 			c.release(t)
 		}
@@ -207,7 +277,7 @@
 		running[r.Token] = true
 	}
 	var effects []Effect
-	for _, t := range w.tasks {
+	for _, t := range w.sortedTasks() {
 		switch {
 		case t.phase != phaseUnknown:
 		case running[t.token]:
@@ -235,13 +305,23 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var effects []Effect
-	for _, w := range c.workers {
+	c.promote(now)
+	c.expireHolds(now)
+	c.probe(now)
+	c.makeReservation(now)
+	c.capacityFreed()
+	for _, w := range c.order {
 		if !w.fenced {
 			effects = append(effects, c.fenceEffect(w))
 			continue
 		}
+		if silent := now.Sub(w.stampAt) > c.policy.LeaseTerm/2; silent != w.silent {
+			w.silent = silent
+			c.reindex(w)
+		}
 		if now.Sub(w.stampAt) > c.policy.LeaseTerm+c.policy.margin() {
 			w.fenced = false
+			c.reindex(w)
 			effects = append(effects, c.lapse(w, "lease expired without contact to the worker")...)
 			effects = append(effects, c.fenceEffect(w))
 		}
--- a/version/rack/place.go
+++ b/version/rack/place.go
@@ -6,52 +6,157 @@
 	"github.com/lentiltide/lentiltide/model"
 )
 
-// filter reports whether a worker can take a task now.
+const (
+	// candidatesPerCell and candidates bound the workers that are scored for one placement. Workers of one cell of the
+	// index have similar free capacity, so that a few of them stand for all.
+	candidatesPerCell = 4
+	candidates        = 24
+	// imbalanceWeight weighs an uneven rest against the size of the rest.
+	imbalanceWeight = 1.0
+)
+
+// filter reports whether a worker can take a demand now.
 func (c *Core) filter(w *workerState, demand model.Resources) bool {
-	return w.acceptsWork() && demand.Fits(w.free())
+	return (w.counted || w.probing) && demand.Fits(w.free())
 }
 
-// score rates a worker for a task; the highest score wins. It prefers the worker that is left with the least free
-// capacity in its dominant dimension, so that others stay usable for large tasks.
-func (c *Core) score(w *workerState, demand model.Resources) float64 {
-	return -w.free().Sub(demand).DominantShare(w.member.Capacity)
+// score rates a worker for a task; the highest score wins. A small rest keeps other workers usable for large tasks; an
+// uneven rest would leave memory without processors or the reverse. Tasks of one service avoid each other.
+func (c *Core) score(w *workerState, task model.Task, demand model.Resources) float64 {
+	free := w.free().Sub(demand)
+	cpu := ratio(free.CPUMilli, c.largestWorker.CPUMilli)
+	memory := ratio(free.MemoryMiB, c.largestWorker.MemoryMiB)
+	slots := ratio(free.Slots, c.largestWorker.Slots)
+	score := -(cpu + memory + slots + ratio(free.Accelerators, c.largestWorker.Accelerators)) -
+		imbalanceWeight*(max(cpu, memory, slots)-min(cpu, memory, slots))
+	if task.Kind == model.KindService {
+		score -= spreadWeight * float64(w.sameIntent(task.Intent))
+	}
+	return score
+}
+
+// spreadWeight makes one task of the same service count more than any rest of capacity.
+const spreadWeight = 10
+
+func ratio(part, whole int64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// sameIntent counts the worker's tasks of an intent.
+func (w *workerState) sameIntent(intent string) int {
+	n := 0
+	for _, t := range w.tasks {
+		if t.task.Intent == intent {
+			n++
+		}
+	}
+	return n
 }
 
 // place returns the worker for a task, or nil if it fits nowhere now. Callers hold c.mu.
-func (c *Core) place(task model.Task) *workerState {
-	demand := Demand(task)
+func (c *Core) place(now time.Time, task model.Task, demand model.Resources) (*workerState, Reason) {
+	reason := Reason{Code: ReasonTightest, Demand: demand}
+	if task.Kind == model.KindService {
+		reason.Code = ReasonSpread
+	}
+	if demand.Accelerators > 0 {
+		w := c.best(c.pool(demand.AcceleratorType), task, demand)
+		return w, reason.at(w)
+	}
+	// Workers without accelerators come first, so that accelerators stay usable.
+	w := c.best(c.pool(""), task, demand)
+	for _, p := range c.pools {
+		if w == nil && p.acceleratorType != "" {
+			w = c.best(&p.freeIndex, task, demand)
+		}
+	}
+	if w == nil {
+		if w = c.backfill(now, task, demand); w != nil {
+			reason.Code = ReasonBackfill
+		}
+	}
+	if w != nil && w.quarantined {
+		reason.Code = ReasonProbe
+	}
+	return w, reason.at(w)
+}
+
+func (r Reason) at(w *workerState) Reason {
+	if w == nil {
+		return Reason{Code: ReasonNoRoom, Demand: r.Demand}
+	}
+	r.Worker = w.member.ID
+	return r
+}
+
+// best returns the worker of a pool with the highest score among a bounded number of candidates. Callers hold c.mu.
+func (c *Core) best(pool *freeIndex, task model.Task, demand model.Resources) *workerState {
 	var best *workerState
-	bestScore := 0.0
-	for _, w := range c.workers {
-		if !c.filter(w, demand) {
-			continue
+	bestScore, seen := 0.0, 0
+	pool.visit(demand, candidatesPerCell, func(w *workerState) bool {
+		if w.quarantined && task.Kind == model.KindCall {
+			// A call may not be repeatable, so it never serves as a probe.
+			return true
 		}
-		s := c.score(w, demand)
+		seen++
+		s := c.score(w, task, demand)
 		if best == nil || s > bestScore || (s == bestScore && w.member.ID < best.member.ID) {
 			best, bestScore = w, s
 		}
-	}
+		return seen < candidates
+	})
 	return best
 }
 
+// fitsAny reports whether some worker in the index has room for a demand. Callers hold c.mu.
+func (c *Core) fitsAny(demand model.Resources) bool {
+	found := false
+	for _, p := range c.pools {
+		if !found && (demand.Accelerators == 0 || p.acceleratorType == demand.AcceleratorType) {
+			p.visit(demand, 1, func(*workerState) bool {
+				found = true
+				return false
+			})
+		}
+	}
+	return found
+}
+
 // reserve takes the capacity for an offer. Callers hold c.mu.
-func (c *Core) reserve(now time.Time, w *workerState, o *queuedOffer) {
-	t := &taskState{task: o.Task, worker: w.member.ID, phase: phaseClaiming, since: now}
-	c.tasks[o.Task.ID] = t
-	w.tasks[o.Task.ID] = t
-	w.used = w.used.Add(Demand(o.Task))
+func (c *Core) reserve(now time.Time, w *workerState, task model.Task, class model.Class, reason Reason) *taskState {
+	t := &taskState{
+		task: task, worker: w.member.ID, phase: phaseClaiming, since: now, class: class, demand: reason.Demand,
+		reason: reason, promoteIndex: -1,
+	}
+	c.tasks[task.ID] = t
+	if w.probing {
+		w.probing = false
+		w.probeAt = now.Add(w.probeAfter)
+	}
+	c.occupy(w, t)
+	return t
 }
 
 // release returns the capacity of a task that provably does not run. Callers hold c.mu.
 func (c *Core) release(t *taskState) {
-	delete(c.tasks, t.task.ID)
+	if c.tasks[t.task.ID] == t {
+		delete(c.tasks, t.task.ID)
+	}
+	c.dropPromotion(t)
+	if t.held != nil {
+		t.held.drop(t)
+	}
 	if w := c.workers[t.worker]; w != nil && w.tasks[t.task.ID] == t {
-		delete(w.tasks, t.task.ID)
-		w.used = w.used.Sub(Demand(t.task))
+		c.vacate(w, t)
+	} else if w != nil && w.tasks[t.task.ID] != nil {
+		c.tasks[t.task.ID] = w.tasks[t.task.ID]
 	}
 }
 
-// Demand returns the capacity that a task takes; it takes at least one slot.
+// Demand returns the declared capacity that a task takes; it takes at least one slot.
 func Demand(task model.Task) model.Resources {
 	d := task.Each
 	d.Slots = max(d.Slots, 1)
@@ -62,40 +167,95 @@
 type Proposal struct {
 	Placements []model.Placement
 	Displaces  []model.Displacement
-	// FitsEmpty is true when some worker of the rack could hold one of the tasks if it were empty.
+	// FitsEmpty is true when each task fits some worker of the rack if it were empty.
 	FitsEmpty bool
 }
 
-// Propose returns where tasks would go now, without changing anything. Tasks that fit nowhere are left out.
-func (c *Core) Propose(tasks []model.Task) Proposal {
+// Propose returns where tasks would go now and what they would displace, without changing anything. Tasks that fit
+// nowhere are left out.
+func (c *Core) Propose(now time.Time, tasks []model.Task) Proposal {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var p Proposal
-	var trial []*taskState
+	p := Proposal{FitsEmpty: len(tasks) > 0}
+	trial := trialLedger{core: c, taken: map[model.TaskID]bool{}}
+	defer trial.undo()
 	for _, task := range tasks {
-		w := c.place(task)
+		demand := c.demandOf(task)
+		p.FitsEmpty = p.FitsEmpty && c.fitsEmpty(demand)
+		w, victims, reason := c.propose(now, &trial, task, demand)
 		if w == nil {
 			continue
 		}
-		t := &taskState{task: task, worker: w.member.ID}
-		trial = append(trial, t)
-		w.used = w.used.Add(Demand(task))
+		for _, v := range victims {
+			trial.take(w, v)
+			p.Displaces = append(p.Displaces, c.displacement(w, v, task))
+		}
+		trial.use(w, demand)
 		p.Placements = append(p.Placements, model.Placement{
-			Task: task.ID, Rack: c.id, Worker: w.member.ID, Zone: w.member.Zone, Reason: "fits now",
+			Task: task.ID, Rack: c.id, Worker: w.member.ID, Zone: w.member.Zone, Reason: reason.String(),
 		})
 	}
-	for _, t := range trial {
-		w := c.workers[t.worker]
-		w.used = w.used.Sub(Demand(t.task))
+	return p
+}
+
+// propose returns where a task would go and what it would displace there; nil if nothing makes room for it within the
+// limits. Callers hold c.mu.
+func (c *Core) propose(now time.Time, trial *trialLedger, task model.Task, demand model.Resources) (*workerState, []*taskState, Reason) {
+	class := c.queueClass(task)
+	if c.limited(class, trial.change.Add(demand)) == ReasonNone {
+		if w, reason := c.place(now, task, demand); w != nil {
+			return w, nil, reason
+		}
+	}
+	w, victims := c.findVictims(now, task, demand, trial.taken)
+	if w == nil {
+		return nil, nil, Reason{}
 	}
-	if len(tasks) > 0 {
-		p.FitsEmpty = c.fitsEmpty(Demand(tasks[0]))
+	change := trial.change.Add(demand)
+	for _, v := range victims {
+		change = change.Sub(v.demand)
 	}
-	return p
+	if c.limited(class, change) != ReasonNone {
+		return nil, nil, Reason{}
+	}
+	return w, victims, Reason{Code: ReasonDisplacing, Worker: w.member.ID, Demand: demand}
+}
+
+// trialLedger changes the ledger of workers for a dry run and restores it afterwards.
+type trialLedger struct {
+	core  *Core
+	taken map[model.TaskID]bool
+	// change is the change of the usage of the rack.
+	change  model.Resources
+	workers []*workerState
+	before  []model.Resources
+}
+
+func (l *trialLedger) use(w *workerState, demand model.Resources) {
+	l.workers, l.before = append(l.workers, w), append(l.before, w.used)
+	w.used = w.used.Add(demand)
+	l.change = l.change.Add(demand)
+	l.core.reindex(w)
 }
 
+func (l *trialLedger) take(w *workerState, victim *taskState) {
+	l.taken[victim.task.ID] = true
+	l.workers, l.before = append(l.workers, w), append(l.before, w.used)
+	w.used = w.used.Sub(victim.demand)
+	l.change = l.change.Sub(victim.demand)
+	l.core.reindex(w)
+}
+
+func (l *trialLedger) undo() {
+	for i := len(l.workers) - 1; i >= 0; i-- {
+		l.workers[i].used = l.before[i]
+		l.core.reindex(l.workers[i])
+	}
+}
+
+// fitsEmpty reports whether some worker could hold a demand if it were empty. Callers hold c.mu.
 func (c *Core) fitsEmpty(demand model.Resources) bool {
-	for _, w := range c.workers {
+	for _, w := range c.order {
 		if demand.Fits(w.member.Capacity) {
 			return true
 		}
@@ -117,9 +277,9 @@
 func (c *Core) Summary() Summary {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := Summary{Rack: c.id, Epoch: c.epoch}
-	for _, w := range c.workers {
-		if !w.acceptsWork() {
+	s := Summary{Rack: c.id, Epoch: c.epoch, Queued: c.queued}
+	for _, w := range c.order {
+		if !w.counted {
 			continue
 		}
 		free := w.free()
@@ -128,8 +288,5 @@
 			s.Largest = free
 		}
 	}
-	for i := range c.queues {
-		s.Queued[i] = c.queues[i].len()
-	}
 	return s
 }
--- a/version/rack/queue.go
+++ b/version/rack/queue.go
@@ -1,55 +1,274 @@
 package rack
 
 import (
+	"container/heap"
 	"container/list"
 	"time"
 
 	"github.com/lentiltide/lentiltide/model"
 )
 
+// teamKey names a team of an account.
+type teamKey struct{ account, team string }
+
+// shapeKey groups demands of similar size, so that the number of groups stays small however many sizes are declared.
+type shapeKey struct {
+	cpu, memory, accelerators, slots, connections int8
+	acceleratorType                               string
+}
+
+func shapeOf(d model.Resources) shapeKey {
+	k := shapeKey{
+		cpu: int8(indexLevel(d.CPUMilli)), memory: int8(indexLevel(d.MemoryMiB)),
+		// Counts are scaled so that the index tells small counts apart.
+		accelerators: int8(indexLevel(d.Accelerators << indexMinBits)), slots: int8(indexLevel(d.Slots << indexMinBits)),
+		connections: int8(indexLevel(d.Connections << indexMinBits)),
+	}
+	if d.Accelerators > 0 {
+		k.acceleratorType = d.AcceleratorType
+	}
+	return k
+}
+
 // queuedOffer is an offer with the time it arrived.
 type queuedOffer struct {
 	Offer
-	since time.Time
+	since    time.Time
+	sequence uint64
+	// queue is the queue that holds the offer: its own class, or the queue of work past its latest start.
+	queue   *classQueue
+	class   model.Class
+	group   *group
+	element *list.Element
+	// dueIndex is the place in the heap of latest start times; -1 outside.
+	dueIndex int
+	// demand is what the offer added to the demand of queued short work.
+	demand model.Resources
+}
+
+// group holds the offers of one team with demands of similar size, in order of arrival.
+type group struct {
+	team   *teamQueue
+	shape  shapeKey
+	offers *list.List
+	// parked is the group's place among the blocked groups; nil while it may be tried.
+	parked *list.Element
+	reason Reason
+}
+
+func (g *group) head() *queuedOffer { return g.offers.Front().Value.(*queuedOffer) }
+
+// teamQueue holds the offers and the usage of one team in one queue.
+type teamQueue struct {
+	key    teamKey
+	queue  *classQueue
+	weight float64
+	groups map[shapeKey]*group
+	// active are the groups that may be tried.
+	active []*group
+	used   model.Resources
+	// order is the dominant share of the usage divided by the weight.
+	order float64
+	// heapIndex is the place in the queue's heap; -1 while no group is active.
+	heapIndex int
+	running   int
+}
+
+// next returns the active group whose first offer came first.
+func (t *teamQueue) next() *group {
+	best := t.active[0]
+	for _, g := range t.active[1:] {
+		if g.head().sequence < best.head().sequence {
+			best = g
+		}
+	}
+	return best
 }
 
-// queue holds the offers of one class in order of arrival. The caller's lock protects it.
-type queue struct {
-	order *list.List
-	byID  map[model.TaskID]*list.Element
+// classQueue holds the offers of one class: teams in order of their weighted share, each with groups by demand.
+// The caller's lock protects it.
+type classQueue struct {
+	// class is the class of the queue; NumClasses for work past its latest start.
+	class  model.Class
+	teams  map[teamKey]*teamQueue
+	active teamHeap
+	// parked are the groups whose first offer fits nowhere or exceeds a limit.
+	parked *list.List
+	// recheck counts the parked groups that have to be tried again since capacity was released.
+	recheck int
+	used    model.Resources
 }
 
-func newQueue() queue {
-	return queue{order: list.New(), byID: map[model.TaskID]*list.Element{}}
+func newClassQueue(class model.Class) *classQueue {
+	return &classQueue{class: class, teams: map[teamKey]*teamQueue{}, parked: list.New()}
 }
 
-// add appends an offer. A repeated offer keeps its place. It returns false when the queue is full.
-func (q *queue) add(o Offer, now time.Time, limit int) bool {
-	if e, ok := q.byID[o.Task.ID]; ok {
-		e.Value.(*queuedOffer).Offer = o
-		return true
+func (q *classQueue) team(key teamKey, policy *Policy) *teamQueue {
+	t := q.teams[key]
+	if t == nil {
+		t = &teamQueue{
+			key: key, queue: q, weight: policy.teamWeight(key.team), groups: map[shapeKey]*group{}, heapIndex: -1,
+		}
+		q.teams[key] = t
 	}
-	if len(q.byID) >= limit {
-		return false
+	return t
+}
+
+// forget drops a team without offers and running tasks.
+func (q *classQueue) forget(t *teamQueue) {
+	if len(t.groups) == 0 && t.running == 0 {
+		delete(q.teams, t.key)
 	}
-	q.byID[o.Task.ID] = q.order.PushBack(&queuedOffer{Offer: o, since: now})
-	return true
 }
 
-func (q *queue) remove(id model.TaskID) {
-	if e, ok := q.byID[id]; ok {
-		q.order.Remove(e)
-		delete(q.byID, id)
+func (q *classQueue) add(o *queuedOffer, demand model.Resources, policy *Policy) {
+	t := q.team(teamKey{o.Task.Account, o.Task.Team}, policy)
+	shape := shapeOf(demand)
+	g := t.groups[shape]
+	if g == nil {
+		g = &group{team: t, shape: shape, offers: list.New()}
+		t.groups[shape] = g
+	}
+	o.queue, o.group = q, g
+	o.element = g.offers.PushBack(o)
+	if g.offers.Len() == 1 {
+		q.activate(g)
 	}
 }
 
-// head returns up to limit offers in order.
-func (q *queue) head(limit int) []*queuedOffer {
-	offers := make([]*queuedOffer, 0, min(limit, len(q.byID)))
-	for e := q.order.Front(); e != nil && len(offers) < limit; e = e.Next() {
-		offers = append(offers, e.Value.(*queuedOffer))
+func (q *classQueue) remove(o *queuedOffer) {
+	g := o.group
+	wasHead := g.offers.Front() == o.element
+	g.offers.Remove(o.element)
+	o.group, o.element = nil, nil
+	switch {
+	case g.offers.Len() == 0:
+		q.dropGroup(g)
+	case wasHead && g.parked != nil:
+		// The next offer of the group may be smaller.
+		q.unpark(g)
+	case wasHead:
+		q.active.fix(g.team)
 	}
-	return offers
 }
 
-func (q *queue) len() int { return len(q.byID) }
+func (q *classQueue) dropGroup(g *group) {
+	q.removeParked(g)
+	q.deactivate(g)
+	delete(g.team.groups, g.shape)
+	q.forget(g.team)
+}
+
+func (q *classQueue) activate(g *group) {
+	t := g.team
+	t.active = append(t.active, g)
+	if t.heapIndex < 0 {
+		heap.Push(&q.active, t)
+		return
+	}
+	q.active.fix(t)
+}
+
+func (q *classQueue) deactivate(g *group) {
+	t := g.team
+	for i, a := range t.active {
+		if a == g {
+			t.active[i] = t.active[len(t.active)-1]
+			t.active = t.active[:len(t.active)-1]
+			break
+		}
+	}
+	if len(t.active) == 0 && t.heapIndex >= 0 {
+		heap.Remove(&q.active, t.heapIndex)
+		return
+	}
+	q.active.fix(t)
+}
+
+func (q *classQueue) park(g *group, reason Reason) {
+	q.deactivate(g)
+	g.reason = reason
+	g.parked = q.parked.PushBack(g)
+}
+
+func (q *classQueue) unpark(g *group) {
+	q.removeParked(g)
+	q.activate(g)
+}
+
+func (q *classQueue) removeParked(g *group) {
+	if g.parked != nil {
+		q.parked.Remove(g.parked)
+		g.parked = nil
+		q.recheck = min(q.recheck, q.parked.Len())
+	}
+}
+
+// charge adds a running task's demand to a team's usage, or takes it back with sign -1.
+func (t *teamQueue) charge(d model.Resources, sign int, total model.Resources) {
+	if sign > 0 {
+		t.used, t.queue.used = t.used.Add(d), t.queue.used.Add(d)
+	} else {
+		t.used, t.queue.used = t.used.Sub(d), t.queue.used.Sub(d)
+	}
+	t.order = t.used.DominantShare(total) / t.weight
+	t.queue.active.fix(t)
+}
+
+// teamHeap orders teams by weighted share.
+type teamHeap []*teamQueue
+
+// fix restores the order after the share or the next offer of a team has changed.
+func (h *teamHeap) fix(t *teamQueue) {
+	if t.heapIndex >= 0 {
+		heap.Fix(h, t.heapIndex)
+	}
+}
+
+func (h teamHeap) Len() int { return len(h) }
+func (h teamHeap) Less(i, j int) bool {
+	if h[i].order != h[j].order {
+		return h[i].order < h[j].order
+	}
+	return h[i].next().head().sequence < h[j].next().head().sequence
+}
+func (h teamHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].heapIndex, h[j].heapIndex = i, j
+}
+func (h *teamHeap) Push(x any) {
+	t := x.(*teamQueue)
+	t.heapIndex = len(*h)
+	*h = append(*h, t)
+}
+func (h *teamHeap) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	t.heapIndex = -1
+	return t
+}
+
+// dueHeap orders queued offers by latest start time.
+type dueHeap []*queuedOffer
+
+func (h dueHeap) Len() int           { return len(h) }
+func (h dueHeap) Less(i, j int) bool { return h[i].Task.LatestStart.Before(h[j].Task.LatestStart) }
+func (h dueHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].dueIndex, h[j].dueIndex = i, j
+}
+func (h *dueHeap) Push(x any) {
+	o := x.(*queuedOffer)
+	o.dueIndex = len(*h)
+	*h = append(*h, o)
+}
+func (h *dueHeap) Pop() any {
+	old := *h
+	o := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	o.dueIndex = -1
+	return o
+}
