Keep outcomes of unplaced tasks until all racks have answered

Cause: an outcome that reached a new intent owner before it had asked the racks was answered as durable and dropped, so the worker forgot it and a finished batch task would run again; and a lapsed earlier start sent a task back to waiting while a later start could still run in a rack that had not answered. Change: Ended settles an unplaced task only by an outcome that is final whatever other starts there were; others are refused as NotRun, so the worker keeps them, and are applied once all racks have answered. Outcomes of calls of earlier epochs are recorded. Conclusion: recovery no longer depends on the order in which reports and fence answers arrive.

--- a/model/intent.go
+++ b/model/intent.go
@@ -110,3 +110,11 @@
 
 // IsZero reports whether the token is unset.
 func (t StartToken) IsZero() bool { return t == StartToken{} }
+
+// Less reports whether t was minted before o. Tokens of one partition are ordered by epoch, then by sequence.
+func (t StartToken) Less(o StartToken) bool {
+	if t.Epoch != o.Epoch {
+		return t.Epoch < o.Epoch
+	}
+	return t.Sequence < o.Sequence
+}
--- a/process/instance/intents.go
+++ b/process/instance/intents.go
@@ -56,11 +56,11 @@
 	return n
 }
 
-func intentPrefix(n int) string          { return fmt.Sprintf("intent/%d/", n) }
-func planKey(n int, id string) string    { return fmt.Sprintf("plan/%d/%s", n, id) }
-func intentKey(n int, id string) string  { return intentPrefix(n) + id }
-func (r *intentRunner) now() time.Time   { return r.in.opts.Clock.Now() }
-func (r *intentRunner) partition() int   { return r.core.Partition() }
+func intentPrefix(n int) string         { return fmt.Sprintf("intent/%d/", n) }
+func planKey(n int, id string) string   { return fmt.Sprintf("plan/%d/%s", n, id) }
+func intentKey(n int, id string) string { return intentPrefix(n) + id }
+func (r *intentRunner) now() time.Time  { return r.in.opts.Clock.Now() }
+func (r *intentRunner) partition() int  { return r.core.Partition() }
 
 func (in *Instance) acquireIntent(p ownership.Partition, epoch, rowVersion uint64) {
 	n := partitionNumber(p)
@@ -135,7 +135,11 @@
 		}
 		if missing == 0 && !opened && len(answered) > 0 {
 			opened = true
-			r.execute(r.core.RacksAnswered(r.now()))
+			effects, final := r.core.RacksAnswered(r.now())
+			r.execute(effects)
+			for _, out := range final {
+				_, _ = r.journal.Append(out)
+			}
 		}
 		if !r.in.sleep(r.ctx, retryDelay) {
 			return
@@ -156,10 +160,11 @@
 	for _, t := range answer.GetTasks() {
 		task, token := peer.TaskFromProto(t.GetTask()), peer.TokenFromProto(t.GetToken())
 		known[token] = true
-		r.core.Known(r.now(), name, answer.GetRackEpoch(), task, token, t.GetWorker())
 		if out := peer.OutcomeFromProto(t.GetOutcome()); out.State != "" {
-			_, _ = r.ended(out)
+			_, _ = r.ended(task, out)
+			continue
 		}
+		r.core.Known(r.now(), name, answer.GetRackEpoch(), task, token, t.GetWorker())
 	}
 	if !answer.GetComplete() {
 		return 0, false
@@ -254,8 +259,11 @@
 
 // ended enters an outcome and returns a channel that is closed when it is durable; nil means that nothing has to be
 // recorded.
-func (r *intentRunner) ended(out model.Outcome) (<-chan struct{}, error) {
-	effects, final := r.core.Ended(r.now(), out)
+func (r *intentRunner) ended(task model.Task, out model.Outcome) (<-chan struct{}, error) {
+	effects, final, err := r.core.Ended(r.now(), task, out)
+	if err != nil {
+		return nil, err
+	}
 	r.execute(effects)
 	if !final {
 		_, done := r.journal.Pending(out.Task)
--- a/process/instance/peers.go
+++ b/process/instance/peers.go
@@ -116,7 +116,7 @@
 		r.execute(r.core.Started(r.now(), out.Task, out.Token, out.Worker))
 		return nil
 	}
-	durable, err := r.ended(out)
+	durable, err := r.ended(peer.TaskFromProto(report.GetTask()), out)
 	if err != nil || durable == nil {
 		return err
 	}
--- a/version/intent/claim.go
+++ b/version/intent/claim.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/request/verdict"
 )
 
 // Claim asks for the right to start a task in a rack. The right is granted to one rack at a time; the same rack epoch
@@ -42,15 +43,50 @@
 	return nil
 }
 
-// Ended takes the outcome of a granted start. final is true when the outcome is the task's last and has to be recorded;
-// repeated reports of the same token are ignored.
-func (c *Core) Ended(now time.Time, out model.Outcome) (effects []Effect, final bool) {
+// Ended takes the outcome of a start. final is true when the outcome is the task's last and has to be recorded; repeated
+// reports of the same token are ignored. A task that is unknown in this epoch, such as a call of an earlier one, is
+// entered with its outcome. The error is NotRun while the task is unplaced and the outcome does not settle it: the worker
+// has to keep the outcome until all racks have answered.
+func (c *Core) Ended(now time.Time, task model.Task, out model.Outcome) (effects []Effect, final bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.tasks[out.Task]
-	if t == nil || t.token != out.Token || t.phase != phaseGranted {
-		return nil, false
+	if t == nil {
+		t = &taskState{task: task, phase: phaseDone, token: out.Token, outcome: out}
+		c.tasks[out.Task] = t
+		return []Effect{TaskEnded{Task: task, Outcome: out}}, true, nil
+	}
+	if t.phase == phaseUnplaced {
+		if !c.settles(t, out) {
+			t.keepEarlier(out)
+			return nil, false, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "task %s is not placed yet", out.Task).After(unplacedRetry)
+		}
+		t.phase, t.token = phaseGranted, out.Token
+	}
+	if t.token != out.Token || t.phase != phaseGranted {
+		return nil, false, nil
+	}
+	effects, final = c.end(now, t, out)
+	return effects, final, nil
+}
+
+// unplacedRetry is the retry time for an outcome of a task that is not placed yet.
+const unplacedRetry = 200 * time.Millisecond
+
+// settles reports whether an outcome of any earlier start is the task's last, whatever other starts there were.
+func (c *Core) settles(t *taskState, out model.Outcome) bool {
+	return out.State == model.OutcomeFinished && !t.task.Kind.Restarts()
+}
+
+// keepEarlier keeps the outcome of the latest start that is known for an unplaced task.
+func (t *taskState) keepEarlier(out model.Outcome) {
+	if t.earlier.State == "" || t.earlier.Token.Less(out.Token) {
+		t.earlier = out
 	}
+}
+
+// end applies an outcome to a granted task. Callers hold c.mu.
+func (c *Core) end(now time.Time, t *taskState, out model.Outcome) (effects []Effect, final bool) {
 	if c.startsAgain(t, out) {
 		t.phase, t.running, t.rack, t.worker = phaseWaiting, false, "", ""
 		t.offeredAt = now.Add(-c.policy.OfferTerm)
--- a/version/intent/core.go
+++ b/version/intent/core.go
@@ -74,19 +74,21 @@
 var phaseNames = [...]string{"unplaced", "waiting", "granted", "done", "cancelled"}
 
 type taskState struct {
-	task       model.Task
-	phase      phase
-	rack       string
-	rackEpoch  uint64
-	worker     string
-	token      model.StartToken
-	running    bool
-	cancelled  bool
-	offeredAt  time.Time
-	victims    []model.TaskID
-	failedOn   map[string]bool
-	lastError  string
-	outcome    model.Outcome
+	task      model.Task
+	phase     phase
+	rack      string
+	rackEpoch uint64
+	worker    string
+	token     model.StartToken
+	running   bool
+	cancelled bool
+	offeredAt time.Time
+	victims   []model.TaskID
+	failedOn  map[string]bool
+	lastError string
+	outcome   model.Outcome
+	// earlier is the outcome of the latest known start of an unplaced task.
+	earlier    model.Outcome
 	preferRack string
 }
 
@@ -148,7 +150,7 @@
 	}
 }
 
-// Known enters a task that a rack listed in its answer to the fence.
+// Known enters a task that a rack listed as running in its answer to the fence.
 func (c *Core) Known(now time.Time, rack string, rackEpoch uint64, task model.Task, token model.StartToken, worker string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -157,23 +159,34 @@
 		t = &taskState{task: task}
 		c.tasks[task.ID] = t
 	}
-	if t.phase == phaseDone {
+	if t.phase == phaseDone || (t.phase != phaseUnplaced && t.token != token) {
 		return
 	}
 	t.phase, t.running = phaseGranted, true
 	t.rack, t.rackEpoch, t.worker, t.token = rack, rackEpoch, worker, token
 }
 
-// RacksAnswered returns unplaced tasks to waiting: every rack has listed completely what it runs for the partition.
-func (c *Core) RacksAnswered(now time.Time) []Effect {
+// RacksAnswered settles the unplaced tasks: every rack has listed completely what it runs for the partition. final lists
+// outcomes that have to be recorded.
+func (c *Core) RacksAnswered(now time.Time) (effects []Effect, final []model.Outcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, t := range c.tasks {
-		if t.phase == phaseUnplaced {
-			t.phase = phaseWaiting
+		if t.phase != phaseUnplaced {
+			continue
+		}
+		t.phase = phaseWaiting
+		if t.earlier.State == "" {
+			continue
+		}
+		t.phase, t.token = phaseGranted, t.earlier.Token
+		ended, last := c.end(now, t, t.earlier)
+		effects = append(effects, ended...)
+		if last {
+			final = append(final, t.outcome)
 		}
 	}
-	return c.offerWaiting(now)
+	return append(effects, c.offerWaiting(now)...), final
 }
 
 // addIntent enters an intent and its first run. Callers hold c.mu.
