Add the demo of both deployments and a stricter observer

Cause: the first path had no way to see the system at work on a fresh machine, and the observer overlooked a second start of finished idempotent work, tasks without a declared slot, accelerators of another type, and orders that run under two task ids.

Change: 'lentiltide demo' runs both example deployments at once over loopback, kills an instance of each and prints what the observers counted. The observer names work by the caller's order where it is told how, measures waits from the caller's submission, and keeps them in an HDR histogram.

--- /dev/null
+++ b/cmd/lentiltide/internal/demo/client.go
@@ -0,0 +1,182 @@
+package demo
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lentiltide/lentiltide/connection/jsonhttp"
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/request/api"
+	"github.com/lentiltide/lentiltide/request/verdict"
+)
+
+const (
+	// requestBound is how long a caller keeps trying.
+	requestBound = 10 * time.Second
+	// attemptTimeout bounds one attempt.
+	attemptTimeout = 4 * time.Second
+	// retryBase is the shortest time between two attempts.
+	retryBase = 50 * time.Millisecond
+	// ticketBlock is the number of tickets fetched at once.
+	ticketBlock = 50
+)
+
+// client sends requests to any instance, as the platform's load balancer does.
+type client struct {
+	instances []*jsonhttp.Client
+
+	// mu protects the tickets.
+	mu      sync.Mutex
+	tickets []string
+}
+
+func newClient(urls []string) *client {
+	c := &client{}
+	for _, url := range urls {
+		c.instances = append(c.instances, jsonhttp.NewClient(url, nil))
+	}
+	return c
+}
+
+// attempt sends a request once to a random instance.
+func (c *client) attempt(ctx context.Context, path string, header http.Header, body []byte, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	_, err := c.instances[rand.IntN(len(c.instances))].Do(ctx, http.MethodPost, path, header, body, out)
+	return err
+}
+
+// retry repeats an attempt that may be repeated until it succeeds, is refused for good, or the bound has passed.
+func retry(ctx context.Context, attempt func(ctx context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, requestBound)
+	defer cancel()
+	for {
+		err := attempt(ctx)
+		if err == nil || final(err) {
+			return err
+		}
+		pause(ctx, err)
+		if ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
+// final reports whether a repetition cannot succeed.
+func final(err error) bool {
+	switch verdict.From(err).Code {
+	case verdict.CodeInvalid, verdict.CodeStalePlan, verdict.CodeConflict, verdict.CodeExpired, verdict.CodeFailed:
+		return true
+	default:
+		return false
+	}
+}
+
+// pause waits for the retry time of an error, with jitter.
+func pause(ctx context.Context, err error) {
+	d := max(retryBase, verdict.From(err).RetryAfter)
+	select {
+	case <-time.After(d/2 + rand.N(d)):
+	case <-ctx.Done():
+	}
+}
+
+func isStale(err error) bool {
+	if err == nil {
+		return false
+	}
+	code := verdict.From(err).Code
+	return code == verdict.CodeStalePlan || code == verdict.CodeNotFound
+}
+
+func (c *client) plan(ctx context.Context, spec model.IntentSpec) (model.Plan, error) {
+	var plan model.Plan
+	err := c.post(ctx, "/v1/plans", spec, &plan)
+	return plan, err
+}
+
+// confirm may be repeated, since a second confirmation of a plan returns the first result.
+func (c *client) confirm(ctx context.Context, plan string) (model.Intent, error) {
+	var in model.Intent
+	err := c.post(ctx, "/v1/plans/"+plan+"/confirm", struct{}{}, &in)
+	return in, err
+}
+
+func (c *client) cancel(ctx context.Context, id string) error {
+	return c.post(ctx, "/v1/intents/"+id+"/cancel", struct{}{}, nil)
+}
+
+// post repeats a request that has the same effect once or many times.
+func (c *client) post(ctx context.Context, path string, in, out any) error {
+	body, err := encode(in)
+	if err != nil {
+		return err
+	}
+	return retry(ctx, func(ctx context.Context) error { return c.attempt(ctx, path, nil, body, out) })
+}
+
+// ticket returns an unused ticket.
+func (c *client) ticket(ctx context.Context, id string) (string, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.tickets) == 0 {
+		var reply api.TicketsReply
+		if err := c.post(ctx, "/v1/intents/"+id+"/tickets", api.TicketsRequest{Count: ticketBlock}, &reply); err != nil {
+			return "", err
+		}
+		c.tickets = reply.Tickets
+	}
+	if len(c.tickets) == 0 {
+		return "", errors.New("no tickets were issued")
+	}
+	t := c.tickets[0]
+	c.tickets = c.tickets[1:]
+	return t, nil
+}
+
+// call runs one order. It repeats attempts with the same ticket, which runs at most once. A new ticket is taken only
+// when every attempt with the old one certainly did not run.
+func (c *client) call(ctx context.Context, id, order string) (reply api.CallReply, err error) {
+	body, err := encode(api.CallRequest{Payload: order})
+	if err != nil {
+		return reply, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, requestBound)
+	defer cancel()
+	for {
+		ticket, err := c.ticket(ctx, id)
+		if err != nil {
+			return reply, verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "tickets")
+		}
+		reply, sentBefore, err := c.callTicket(ctx, id, ticket, body)
+		expired := err != nil && verdict.From(err).Code == verdict.CodeExpired
+		if !expired || sentBefore || ctx.Err() != nil {
+			return reply, err
+		}
+	}
+}
+
+// callTicket repeats a call with one ticket. sentBefore reports whether an attempt before the last may have run.
+func (c *client) callTicket(ctx context.Context, id, ticket string, body []byte) (reply api.CallReply, sentBefore bool, err error) {
+	header := http.Header{api.HeaderTicket: {ticket}}
+	for {
+		reply = api.CallReply{}
+		err = c.attempt(ctx, "/v1/intents/"+id+"/calls", header, body, &reply)
+		if err == nil || final(err) {
+			return reply, sentBefore, err
+		}
+		sentBefore = sentBefore || verdict.Of(err) == verdict.MayHaveRun
+		pause(ctx, err)
+		if ctx.Err() != nil {
+			if sentBefore {
+				err = verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUnavailable, "gave up")
+			}
+			return reply, sentBefore, err
+		}
+	}
+}
--- /dev/null
+++ b/cmd/lentiltide/internal/demo/demo.go
@@ -0,0 +1,103 @@
+// Package demo runs the two example deployments in one process: stand-in platforms and workers, several instances of the
+// scheduler, operators and callers, all over loopback TCP. An instance is killed on the way. The result is counted by the
+// observers in the stand-in workers. Values live as long as one run of the demo.
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"io/fs"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+)
+
+// Summary is the last line of the demo.
+type Summary struct {
+	Intents       int `json:"intents"`
+	TasksStarted  int `json:"tasks_started"`
+	TasksFinished int `json:"tasks_finished"`
+	DoubleRuns    int `json:"double_runs"`
+	Overcommits   int `json:"overcommits"`
+	// Lost counts confirmed tasks and answered calls that no worker finished, and confirmed watchers that did not run.
+	Lost      int     `json:"lost"`
+	WaitP50MS float64 `json:"wait_p50_ms"`
+	WaitP99MS float64 `json:"wait_p99_ms"`
+}
+
+// ErrFaults is returned when the observers saw a double run, an overcommit or lost work.
+var ErrFaults = errors.New("the observers saw double runs, overcommits or lost work")
+
+// Run runs the deployments in the given directories at the same time, prints progress and ends with the summary.
+func Run(ctx context.Context, out io.Writer, files fs.FS, dirs ...string) error {
+	printer := &printer{out: out, began: time.Now()}
+	runs := make([]*run, len(dirs))
+	for i, dir := range dirs {
+		d, err := load(files, dir)
+		if err != nil {
+			return err
+		}
+		runs[i] = &run{deployment: d, printer: printer, answered: map[string]string{}}
+	}
+	errs := make([]error, len(runs))
+	var wg sync.WaitGroup
+	for i, r := range runs {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			errs[i] = r.run(ctx)
+		}()
+	}
+	wg.Wait()
+	for i, err := range errs {
+		if err != nil {
+			return errors.Wrap(err, runs[i].deployment.Name)
+		}
+	}
+	return summarise(out, runs)
+}
+
+// summarise prints what the observers counted.
+func summarise(out io.Writer, runs []*run) error {
+	var sum Summary
+	waits := hdrhistogram.New(1, time.Hour.Microseconds(), 3)
+	for _, r := range runs {
+		counts := r.cell.Observer.Counts()
+		waits.Merge(r.cell.Observer.Waits())
+		sum.Intents += len(r.intents)
+		sum.TasksStarted += counts.TasksStarted
+		sum.TasksFinished += counts.TasksFinished
+		// Nothing in the demo hides a worker's result, so a repetition of finished work is never permitted here.
+		sum.DoubleRuns += counts.DoubleRuns + counts.Reruns
+		sum.Overcommits += counts.Overcommits
+		sum.Lost += r.lost
+	}
+	sum.WaitP50MS = float64(waits.ValueAtQuantile(50)) / 1000
+	sum.WaitP99MS = float64(waits.ValueAtQuantile(99)) / 1000
+	line, err := json.Marshal(sum)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%s\n", line)
+	if sum.DoubleRuns+sum.Overcommits+sum.Lost > 0 {
+		return ErrFaults
+	}
+	return nil
+}
+
+// printer writes whole lines of several deployments.
+type printer struct {
+	mu    sync.Mutex
+	out   io.Writer
+	began time.Time
+}
+
+func (p *printer) line(name, format string, args ...any) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	fmt.Fprintf(p.out, "%5.1fs %-12s  %s\n", time.Since(p.began).Seconds(), name, fmt.Sprintf(format, args...))
+}
--- a/cmd/lentiltide/main.go
+++ b/cmd/lentiltide/main.go
@@ -10,7 +10,9 @@
 
 	"github.com/alexflint/go-arg"
 
+	"github.com/lentiltide/lentiltide/cmd/lentiltide/internal/demo"
 	"github.com/lentiltide/lentiltide/connection/jsonhttp"
+	"github.com/lentiltide/lentiltide/examples"
 	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/process/settings"
 	"github.com/lentiltide/lentiltide/request/verdict"
@@ -38,6 +40,8 @@
 
 type dumpCmd struct{}
 
+type demoCmd struct{}
+
 type arguments struct {
 	Plan     *planCmd     `arg:"subcommand:plan" help:"state an intent and show the plan; nothing changes"`
 	Confirm  *idCmd       `arg:"subcommand:confirm" help:"make a plan run"`
@@ -45,6 +49,7 @@
 	Status   *idCmd       `arg:"subcommand:status" help:"show an intent and its tasks"`
 	Dump     *dumpCmd     `arg:"subcommand:dump" help:"show the state of one instance"`
 	Validate *validateCmd `arg:"subcommand:validate" help:"check a settings file"`
+	Demo     *demoCmd     `arg:"subcommand:demo" help:"run both example deployments in this process"`
 	URL      string       `arg:"--url,env:LENTILTIDE_URL" default:"http://127.0.0.1:7411" help:"base URL of any instance"`
 	JSON     bool         `arg:"--json" help:"print JSON"`
 }
@@ -85,6 +90,8 @@
 		return err
 	}
 	switch {
+	case args.Demo != nil:
+		return demo.Run(ctx, out, examples.Files, "karutehas", "crease-union")
 	case args.Plan != nil:
 		data, err := os.ReadFile(args.Plan.File)
 		if err != nil {
--- a/lentiltide.go
+++ b/lentiltide.go
@@ -107,6 +107,9 @@
 	return endpoint.String()
 }
 
+// Dump returns the state of the instance.
+func (in *Instance) Dump() instance.Dump { return in.core.Dump() }
+
 // Shutdown stops the instance gracefully: it hands its partitions over, finishes requests in flight and ends. ctx bounds
 // the whole; when it ends first, the rest is cut off.
 func (in *Instance) Shutdown(ctx context.Context) error {
--- a/standin/worker/agent.go
+++ b/standin/worker/agent.go
@@ -92,6 +92,9 @@
 	for _, t := range a.running {
 		a.opts.Observer.ended(a.opts.ID, t.RunningTask, model.OutcomeLapsed)
 	}
+	for _, r := range a.results {
+		a.opts.Observer.lost(r.Task)
+	}
 	a.boot++
 	a.booted = a.opts.Clock.Now()
 	a.running = map[model.TaskID]*running{}
--- /dev/null
+++ b/standin/worker/observer_test.go
@@ -0,0 +1,118 @@
+package worker
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/worker"
+)
+
+// TestObserverFaults guards against an observer that overlooks a fault or reports a permitted start as one. All proofs
+// rest on it.
+func TestObserverFaults(t *testing.T) {
+	small := model.Resources{CPUMilli: 1000, MemoryMiB: 1}
+	capacity := model.Resources{CPUMilli: 2000, MemoryMiB: 100, Slots: 2, Accelerators: 1, AcceleratorType: "a"}
+	task := func(id string, kind model.Kind, idempotent bool, each model.Resources) worker.RunningTask {
+		return worker.RunningTask{Task: model.Task{ID: model.TaskID(id), Kind: kind, Idempotent: idempotent, Each: each}}
+	}
+	batch, again := task("b", model.KindBatch, false, small), task("b", model.KindBatch, true, small)
+	call, idempotentCall := task("c", model.KindCall, false, small), task("c", model.KindCall, true, small)
+	service := task("s", model.KindService, false, small)
+	type step struct {
+		worker string
+		task   worker.RunningTask
+		// end is the state in which the task ends; empty means that it starts.
+		end model.OutcomeState
+		// lost is set when the worker loses the result.
+		lost bool
+	}
+	for _, tc := range []struct {
+		name                           string
+		steps                          []step
+		doubleRuns, reruns, overcommit int
+	}{
+		{name: "once", steps: []step{{"w1", batch, "", false}, {"w1", batch, model.OutcomeFinished, false}}},
+		{name: "two workers at once", steps: []step{{"w1", batch, "", false}, {"w2", batch, "", false}}, doubleRuns: 1},
+		{name: "twice on one worker", steps: []step{{"w1", again, "", false}, {"w1", again, "", false}}, doubleRuns: 1},
+		{name: "service on two workers", steps: []step{{"w1", service, "", false}, {"w2", service, "", false}}, doubleRuns: 1},
+		{name: "idempotent call on two workers", steps: []step{{"w1", idempotentCall, "", false}, {"w2", idempotentCall, "", false}}, doubleRuns: 1},
+		{name: "third copy after one ended", steps: []step{
+			{"w1", batch, "", false}, {"w2", batch, "", false}, {"w1", batch, model.OutcomeLapsed, false}, {"w3", batch, "", false},
+		}, doubleRuns: 2},
+		{name: "preempted and started elsewhere", steps: []step{
+			{"w1", batch, "", false}, {"w1", batch, model.OutcomePreempted, false}, {"w2", batch, "", false},
+		}},
+		{name: "finished and started again", steps: []step{
+			{"w1", batch, "", false}, {"w1", batch, model.OutcomeFinished, false}, {"w2", batch, "", false},
+		}, doubleRuns: 1},
+		{name: "finished, result lost, not idempotent", steps: []step{
+			{"w1", batch, "", false}, {"w1", batch, model.OutcomeFinished, true}, {"w2", batch, "", false},
+		}, doubleRuns: 1},
+		{name: "finished, result lost, idempotent", steps: []step{
+			{"w1", again, "", false}, {"w1", again, model.OutcomeFinished, true}, {"w2", again, "", false},
+		}},
+		{name: "finished, result kept, idempotent", steps: []step{
+			{"w1", again, "", false}, {"w1", again, model.OutcomeFinished, false}, {"w2", again, "", false},
+		}, reruns: 1},
+		{name: "failed call started again", steps: []step{
+			{"w1", call, "", false}, {"w1", call, model.OutcomeFailed, false}, {"w2", call, "", false},
+		}, doubleRuns: 1},
+		{name: "service started again", steps: []step{
+			{"w1", service, "", false}, {"w1", service, model.OutcomeFinished, false}, {"w2", service, "", false},
+		}},
+		{name: "processors", steps: []step{
+			{"w1", batch, "", false}, {"w1", task("big", model.KindBatch, false, model.Resources{CPUMilli: 1001}), "", false},
+		}, overcommit: 1},
+		{name: "room after the end", steps: []step{
+			{"w1", batch, "", false}, {"w1", batch, model.OutcomeFinished, false},
+			{"w1", task("big", model.KindBatch, false, model.Resources{CPUMilli: 2000}), "", false},
+		}},
+		{name: "a task takes a slot even if it declares none", steps: []step{
+			{"w1", task("1", model.KindBatch, false, model.Resources{}), "", false},
+			{"w1", task("2", model.KindBatch, false, model.Resources{}), "", false},
+			{"w1", task("3", model.KindBatch, false, model.Resources{}), "", false},
+		}, overcommit: 1},
+		{name: "accelerators of another type", steps: []step{
+			{"w1", task("acc", model.KindBatch, false, model.Resources{Accelerators: 1, AcceleratorType: "b"}), "", false},
+		}, overcommit: 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			o := NewObserver(time.Now)
+			for _, s := range tc.steps {
+				if s.end == "" {
+					o.started(s.worker, capacity, s.task)
+					continue
+				}
+				o.ended(s.worker, s.task, s.end)
+				if s.lost {
+					o.lost(s.task.Task)
+				}
+			}
+			c := o.Counts()
+			assert.Equal(t, c.DoubleRuns, tc.doubleRuns)
+			assert.Equal(t, c.Reruns, tc.reruns)
+			assert.Equal(t, c.Overcommits, tc.overcommit)
+			assert.Equal(t, len(o.Faults()), tc.doubleRuns+tc.reruns+tc.overcommit)
+		})
+	}
+}
+
+// TestObserverNames guards against a double run that hides behind two task ids, and against a wait that starts only when
+// the scheduler accepts the work.
+func TestObserverNames(t *testing.T) {
+	now := time.Unix(1000, 0)
+	o := NewObserver(func() time.Time { return now })
+	o.Identify(func(t model.Task) string { return string(t.Payload) })
+	o.Submitted("hold 7", now.Add(-2*time.Second))
+	for _, id := range []model.TaskID{"x/1", "x/2"} {
+		o.started("w1", model.Resources{Slots: 8}, worker.RunningTask{Task: model.Task{
+			ID: id, Kind: model.KindCall, Payload: []byte("hold 7"), Submitted: now,
+		}})
+	}
+	c := o.Counts()
+	assert.Equal(t, c.DoubleRuns, 1)
+	assert.Assert(t, c.WaitP50MS > 1990 && c.WaitP50MS < 2010, "wait %v", c.WaitP50MS)
+}
