Check requests and settings whole, and export metrics

Cause: decoding accepted duplicate and differently cased names, forwarding dropped the query, unknown paths and methods were answered by the default mux, settings stopped at the first decoding error, and no metrics existed.

Change: request/strictjson compares a document with a type and reports all problems with paths; the API and the settings use it. Unknown paths, methods, query parameters, media types and codings, past deadlines, accelerator settings that contradict each other and gangs larger than the cell get typed errors. Answers carry length and digest; a forwarded answer must repeat the request id. A read whose answer is lost is not_run, since it changes nothing. process/telemetry records requests, forwards, starts, outcomes, waits and table operations by OpenTelemetry, read at /metrics of each instance; the table and the workers are counted by wrappers, so the cores know nothing of metrics. Dumps have a limit for each list and say what they left out. The library takes a transport and a listener.

Conclusion: input errors name the field and that nothing ran, whichever instance is asked.

--- a/lentiltide.go
+++ b/lentiltide.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -17,10 +18,22 @@
 	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/process/instance"
 	"github.com/lentiltide/lentiltide/process/settings"
+	"github.com/lentiltide/lentiltide/process/telemetry"
 	"github.com/lentiltide/lentiltide/request/api"
 	"github.com/lentiltide/lentiltide/worker"
 )
 
+// Transport carries messages between instances.
+type Transport interface {
+	peer.Caller
+	// Serve answers the messages that arrive on a listener until the listener or the transport is closed.
+	Serve(ctx context.Context, l net.Listener, handle peer.Handler) error
+	// Close closes all connections.
+	Close()
+}
+
+var _ Transport = (*peer.Transport)(nil)
+
 // Options are the parts of an instance. Nil parts are replaced by those of the daemon: the real clock, HTTP clients for
 // platform and workers, and TCP between instances.
 type Options struct {
@@ -30,6 +43,10 @@
 	Objects  platform.Objects
 	Members  platform.InstanceList
 	Workers  worker.Dialer
+	// Transport carries messages between instances.
+	Transport Transport
+	// Listener accepts messages of other instances; its address is made known to them.
+	Listener net.Listener
 	Log      logrus.FieldLogger
 	// Seed seeds the random choices of the instance.
 	Seed uint64
@@ -55,32 +72,51 @@
 	if o.Log == nil {
 		o.Log = logrus.StandardLogger()
 	}
+	if o.Transport == nil {
+		o.Transport = peer.NewTransport()
+	}
 }
 
 // Instance is a running entry instance.
 type Instance struct {
 	core      *instance.Instance
 	api       *api.Server
-	transport *peer.Transport
+	transport Transport
 	listener  net.Listener
+	metrics   *telemetry.Metrics
 	wg        sync.WaitGroup
 }
 
 // Start starts an instance and returns when it listens on its addresses. It serves its partitions once it has taken them.
 func Start(opts Options) (*Instance, error) {
 	opts.setDefaults()
-	listener, err := net.Listen("tcp", opts.Settings.PeerAddress)
+	if problems := opts.Settings.Check(); len(problems) > 0 {
+		return nil, errors.Newf("settings: %s", strings.Join(problems, "; "))
+	}
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		return nil, err
+	}
+	listener, err := opts.listen()
 	if err != nil {
-		return nil, errors.Wrap(err, "listen for peers")
+		return nil, err
 	}
 	opts.Settings.PeerAddress = listener.Addr().String()
-	transport := peer.NewTransport()
 	core := instance.New(instance.Options{
-		Settings: opts.Settings, Clock: opts.Clock, Table: opts.Table, Objects: opts.Objects, Members: opts.Members,
-		Workers: opts.Workers, Peers: transport, Log: opts.Log, Seed: opts.Seed,
+		Settings: opts.Settings, Clock: opts.Clock, Table: metrics.Table(opts.Table, opts.Clock), Objects: opts.Objects,
+		Members: opts.Members, Workers: metrics.Workers(opts.Workers, opts.Clock), Peers: opts.Transport, Log: opts.Log,
+		Seed: opts.Seed,
+	})
+	in := &Instance{core: core, transport: opts.Transport, listener: listener, metrics: metrics}
+	in.api = api.New(api.Options{
+		Address: opts.Settings.HTTPAddress, Backend: core, Clock: opts.Clock, Log: opts.Log, Observer: metrics,
+		Metrics: metrics.Handler(),
 	})
-	in := &Instance{core: core, transport: transport, listener: listener, api: api.New(opts.Settings.HTTPAddress, core)}
 	core.SetCallHandler(in.api.HandleForward)
+	if err := metrics.Watch(core.Stats); err != nil {
+		_ = listener.Close()
+		return nil, errors.Wrap(err, "metrics")
+	}
 	if _, err := in.api.HTTP().Endpoint(); err != nil {
 		_ = listener.Close()
 		return nil, errors.Wrap(err, "listen for callers")
@@ -88,7 +124,7 @@
 	in.wg.Add(2)
 	go func() {
 		defer in.wg.Done()
-		_ = core.ServePeers(transport, listener)
+		_ = core.ServePeers(opts.Transport, listener)
 	}()
 	go func() {
 		defer in.wg.Done()
@@ -98,6 +134,15 @@
 	return in, nil
 }
 
+// listen returns the listener for other instances.
+func (o *Options) listen() (net.Listener, error) {
+	if o.Listener != nil {
+		return o.Listener, nil
+	}
+	l, err := net.Listen("tcp", o.Settings.PeerAddress)
+	return l, errors.Wrap(err, "listen for peers")
+}
+
 // URL returns the base URL of the HTTP API.
 func (in *Instance) URL() string {
 	endpoint, err := in.api.HTTP().Endpoint()
@@ -108,7 +153,7 @@
 }
 
 // Dump returns the state of the instance.
-func (in *Instance) Dump() instance.Dump { return in.core.Dump() }
+func (in *Instance) Dump() instance.Dump { return in.core.Dump(instance.DefaultDumpLimit) }
 
 // Shutdown stops the instance gracefully: it hands its partitions over, finishes requests in flight and ends. ctx bounds
 // the whole; when it ends first, the rest is cut off.
@@ -126,4 +171,5 @@
 	in.core.Close()
 	_ = in.api.HTTP().Close()
 	in.wg.Wait()
+	in.metrics.Close()
 }
--- a/model/check.go
+++ b/model/check.go
@@ -1,6 +1,9 @@
 package model
 
 import (
+	"strings"
+	"time"
+	"unicode"
 	"unicode/utf8"
 
 	"github.com/lentiltide/lentiltide/request/verdict"
@@ -89,12 +92,48 @@
 			return err
 		}
 	}
-	if r.Accelerators > 0 && r.AcceleratorType == "" {
-		return verdict.Invalid(path+".accelerator_type", "expected the type of the accelerators")
+	return r.checkAccelerators(path)
+}
+
+func (r Resources) checkAccelerators(path string) error {
+	switch {
+	case r.Accelerators > 0 && r.AcceleratorType == "":
+		return verdict.Invalid(path+".accelerator_type", "expected the type of the %d accelerators", r.Accelerators)
+	case r.Accelerators == 0 && r.AcceleratorType != "":
+		return verdict.Invalid(path+".accelerators", "expected 1 to %d of type %q, got 0", MaxCount, r.AcceleratorType)
+	case r.AcceleratorType == "":
+		return nil
+	}
+	return checkName(path+".accelerator_type", r.AcceleratorType)
+}
+
+// CheckAt returns an error for times that lie in the past at time now, or nil.
+func (s IntentSpec) CheckAt(now time.Time) error {
+	if !s.Deadline.IsZero() && !s.Deadline.After(now) {
+		return verdict.Invalid("deadline", "expected a time after %s, got %s", now.UTC().Format(time.RFC3339), s.Deadline.UTC().Format(time.RFC3339))
 	}
 	return nil
 }
 
+// Copies returns how many tasks of demand r fit side by side into a supply. A task takes at least one slot.
+func (r Resources) Copies(supply Resources) int64 {
+	r.Slots = max(r.Slots, 1)
+	if !r.Fits(supply) {
+		return 0
+	}
+	copies := supply.Slots / r.Slots
+	bound := func(demand, have int64) {
+		if demand > 0 {
+			copies = min(copies, have/demand)
+		}
+	}
+	bound(r.CPUMilli, supply.CPUMilli)
+	bound(r.MemoryMiB, supply.MemoryMiB)
+	bound(r.Accelerators, supply.Accelerators)
+	bound(r.Connections, supply.Connections)
+	return copies
+}
+
 func checkName(field, value string) error {
 	switch {
 	case value == "":
@@ -103,6 +142,10 @@
 		return verdict.Invalid(field, "expected at most %d bytes, got %d", MaxNameBytes, len(value))
 	case !utf8.ValidString(value):
 		return verdict.Invalid(field, "expected valid UTF-8")
+	case strings.TrimSpace(value) != value:
+		return verdict.Invalid(field, "expected no space at the start or end")
+	case strings.ContainsFunc(value, unicode.IsControl):
+		return verdict.Invalid(field, "expected no control characters")
 	}
 	return nil
 }
--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -251,7 +251,12 @@
 	return in.opts.Peers.Call(ctx, loc.Address, req)
 }
 
+// PeerServer answers the messages that arrive on a listener.
+type PeerServer interface {
+	Serve(ctx context.Context, l net.Listener, handle peer.Handler) error
+}
+
 // ServePeers serves other instances until the listener is closed.
-func (in *Instance) ServePeers(t *peer.Transport, l net.Listener) error {
+func (in *Instance) ServePeers(t PeerServer, l net.Listener) error {
 	return t.Serve(in.ctx, l, in.HandlePeer)
 }
--- a/process/instance/queries.go
+++ b/process/instance/queries.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"sort"
 
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
 	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
 	"github.com/lentiltide/lentiltide/version/intent"
 	"github.com/lentiltide/lentiltide/version/ownership"
-	"github.com/lentiltide/lentiltide/version/rack"
 )
 
 // GetPlan returns a plan that was made in this epoch.
@@ -51,6 +50,25 @@
 	return loc.Address, loc.Local, nil
 }
 
+// OwnerEpoch returns the epoch of an intent partition as last read from the table; 0 if it is unknown.
+func (in *Instance) OwnerEpoch(n int) uint64 {
+	loc, _ := in.owners.Locate(ownership.Intent(n))
+	return loc.Epoch
+}
+
+// WorkerCapacities returns the capacities of the workers that the platform lists.
+func (in *Instance) WorkerCapacities() []model.Resources {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	var all []model.Resources
+	for _, m := range in.members {
+		if m.Role == platform.RoleWorker {
+			all = append(all, m.Capacity)
+		}
+	}
+	return all
+}
+
 // Forward sends a caller's request to the instance at an address.
 func (in *Instance) Forward(ctx context.Context, address string, f *peerpb.Forward) (*peerpb.ForwardReply, error) {
 	reply, err := in.opts.Peers.Call(ctx, address, &peerpb.Request{Body: &peerpb.Request_Forward{Forward: f}})
@@ -59,51 +77,3 @@
 	}
 	return reply.GetForward(), nil
 }
-
-// Dump is the state of one process.
-type Dump struct {
-	Instance string              `json:"instance"`
-	Zone     string              `json:"zone"`
-	Sessions []ownership.Session `json:"sessions"`
-	Racks    []rack.Summary      `json:"racks"`
-	Intents  []IntentDump        `json:"intents"`
-}
-
-// IntentDump is the state of one intent partition.
-type IntentDump struct {
-	Partition int    `json:"partition"`
-	Epoch     uint64 `json:"epoch"`
-	Intents   int    `json:"intents"`
-	Loaded    bool   `json:"loaded"`
-}
-
-// Dump returns the state of the process.
-func (in *Instance) Dump() Dump {
-	d := Dump{
-		Instance: in.opts.Settings.Instance, Zone: in.opts.Settings.Zone, Sessions: in.owners.Sessions(),
-		Racks: []rack.Summary{}, Intents: []IntentDump{},
-	}
-	in.mu.Lock()
-	racks := make([]*rackRunner, 0, len(in.racks))
-	for _, r := range in.racks {
-		racks = append(racks, r)
-	}
-	intents := make([]*intentRunner, 0, len(in.intents))
-	loaded := map[*intentRunner]bool{}
-	for _, r := range in.intents {
-		intents = append(intents, r)
-		loaded[r] = r.loaded
-	}
-	in.mu.Unlock()
-	for _, r := range racks {
-		d.Racks = append(d.Racks, r.core.Summary())
-	}
-	for _, r := range intents {
-		d.Intents = append(d.Intents, IntentDump{
-			Partition: r.partition(), Epoch: r.core.Epoch(), Intents: len(r.core.List()), Loaded: loaded[r],
-		})
-	}
-	sort.Slice(d.Racks, func(i, j int) bool { return d.Racks[i].Rack < d.Racks[j].Rack })
-	sort.Slice(d.Intents, func(i, j int) bool { return d.Intents[i].Partition < d.Intents[j].Partition })
-	return d
-}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -2,15 +2,14 @@
 package settings
 
 import (
-	"bytes"
 	"encoding/json"
-	"fmt"
-	"net"
 	"os"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/lentiltide/lentiltide/request/strictjson"
 )
 
 // Settings are the settings of one instance.
@@ -24,6 +23,8 @@
 	HTTPAddress string `json:"http_address"`
 	// PeerAddress is host:port on which other instances are served.
 	PeerAddress string `json:"peer_address"`
+	// PeerTLS names the certificates for mutual TLS with other instances. It may be left out only for a loopback address.
+	PeerTLS *PeerTLS `json:"peer_tls,omitempty"`
 	// PlatformURL is the base URL of the platform's services.
 	PlatformURL string `json:"platform_url"`
 	// SessionRenewMS is the time between renewals of the session row, in milliseconds.
@@ -34,11 +35,21 @@
 	LeaseTermMS int64 `json:"lease_term_ms,omitempty"`
 	// ShutdownMS bounds a graceful shutdown, in milliseconds.
 	ShutdownMS int64 `json:"shutdown_ms,omitempty"`
+	// LogLevel is the lowest level that is logged: debug, info, warn or error.
+	LogLevel string `json:"log_level,omitempty"`
+}
+
+// PeerTLS names PEM files, which are read again when they change.
+type PeerTLS struct {
+	CertFile string `json:"cert_file"`
+	KeyFile  string `json:"key_file"`
+	// CAFile holds the authority that signs the certificates of all instances.
+	CAFile string `json:"ca_file"`
 }
 
 // Default returns the values of settings that a file leaves out.
 func Default() Settings {
-	return Settings{SessionRenewMS: 1000, SessionTermMS: 4000, LeaseTermMS: 15_000, ShutdownMS: 20_000}
+	return Settings{SessionRenewMS: 1000, SessionTermMS: 4000, LeaseTermMS: 15_000, ShutdownMS: 20_000, LogLevel: "info"}
 }
 
 // SessionRenew returns the time between renewals of the session row.
@@ -55,56 +66,62 @@
 
 func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
-// Load reads a settings file and checks it whole.
+// Error lists every problem of a settings file.
+type Error struct {
+	// Problems are lines that start with the path of the setting.
+	Problems []string
+}
+
+// Error implements error.
+func (e *Error) Error() string { return "settings: " + strings.Join(e.Problems, "; ") }
+
+// Load reads a settings file and checks it whole, including that the files it names can be read.
 func Load(path string) (Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return Settings{}, errors.Wrap(err, "read settings")
 	}
-	return Parse(data)
+	return parse(data, Settings.checkFiles)
 }
 
-// Parse decodes settings and checks them whole. The error lists every problem with the path of the setting.
-func Parse(data []byte) (Settings, error) {
+// Parse decodes settings and checks them whole. The error is an *Error with every problem; unknown and duplicate names
+// are problems too.
+func Parse(data []byte) (Settings, error) { return parse(data, nil) }
+
+func parse(data []byte, more func(Settings) []string) (Settings, error) {
 	s := Default()
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&s); err != nil {
-		return Settings{}, errors.Wrap(err, "settings")
+	var problems []string
+	decoded := strictjson.Decode(data, &s)
+	for _, p := range decoded {
+		problems = append(problems, p.String())
 	}
-	if problems := s.Check(); len(problems) > 0 {
-		return Settings{}, errors.Newf("settings: %s", strings.Join(problems, "; "))
+	if len(decoded) > 0 {
+		// The values are checked as far as they can be read, so that one run shows all problems: a member of a wrong type
+		// does not keep encoding/json from decoding the others.
+		s = Default()
+		_ = json.Unmarshal(data, &s)
 	}
-	return s, nil
-}
-
-// Check returns one line for each problem, starting with the path of the setting.
-func (s Settings) Check() []string {
-	var problems []string
-	require := func(path, value string) {
-		if value == "" {
-			problems = append(problems, path+": must not be empty")
+	for _, line := range s.Check() {
+		if !mentioned(decoded, line) {
+			problems = append(problems, line)
 		}
 	}
-	address := func(path, value string) {
-		if _, _, err := net.SplitHostPort(value); err != nil {
-			problems = append(problems, fmt.Sprintf("%s: expected host:port, got %q", path, value))
-		}
+	if more != nil && len(problems) == 0 {
+		problems = more(s)
 	}
-	within := func(path string, value, low, high int64) {
-		if value < low || value > high {
-			problems = append(problems, fmt.Sprintf("%s: expected %d to %d milliseconds, got %d", path, low, high, value))
+	if len(problems) > 0 {
+		return Settings{}, &Error{Problems: problems}
+	}
+	return s, nil
+}
+
+// mentioned reports whether a problem with the setting of a line was found before.
+func mentioned(found []strictjson.Problem, line string) bool {
+	path, _, _ := strings.Cut(line, ":")
+	for _, p := range found {
+		if p.Path == path || p.Path == "" {
+			return true
 		}
 	}
-	require("instance", s.Instance)
-	require("region", s.Region)
-	require("zone", s.Zone)
-	require("platform_url", s.PlatformURL)
-	address("http_address", s.HTTPAddress)
-	address("peer_address", s.PeerAddress)
-	within("session_renew_ms", s.SessionRenewMS, 50, 10_000)
-	within("session_term_ms", s.SessionTermMS, 3*s.SessionRenewMS, 60_000)
-	within("lease_term_ms", s.LeaseTermMS, 2000, 120_000)
-	within("shutdown_ms", s.ShutdownMS, 100, 600_000)
-	return problems
+	return false
 }
--- a/request/api/api.go
+++ b/request/api/api.go
@@ -6,10 +6,15 @@
 import (
 	"context"
 	"net/http"
+	"path"
 	"strconv"
 	"strings"
+	"time"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
 
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
 	"github.com/lentiltide/lentiltide/model"
@@ -43,32 +48,133 @@
 	Status(partition int, id string) (intent.Status, error)
 	Tickets(partition int, id string, count int) ([]model.StartToken, error)
 	Call(ctx context.Context, partition int, id string, ticket model.StartToken, payload []byte) (model.Outcome, error)
-	Dump() instance.Dump
+	Dump(limit int) instance.Dump
+	// OwnerEpoch returns the epoch of an intent partition as last read; 0 if it is unknown.
+	OwnerEpoch(partition int) uint64
+	// WorkerCapacities returns the capacities of the workers that the platform lists.
+	WorkerCapacities() []model.Resources
 }
 
 var _ Backend = (*instance.Instance)(nil)
 
+// Observer is told about each request that was answered, for metrics.
+type Observer interface {
+	// Request is called with the operation, the verdict and the code of the answer; the code is empty for a success.
+	Request(operation string, v verdict.Verdict, code verdict.Code, took time.Duration)
+	// Forwarded is called when a request was sent to another instance.
+	Forwarded(operation string, v verdict.Verdict)
+}
+
+// Options are the parts of a server.
+type Options struct {
+	// Address is host:port; port 0 takes a free port.
+	Address string
+	Backend Backend
+	Clock   clockwork.Clock
+	Log     logrus.FieldLogger
+	// Observer may be nil.
+	Observer Observer
+	// Metrics is served at /metrics; nil serves none.
+	Metrics http.Handler
+}
+
 // Server is the HTTP API of one instance.
 type Server struct {
+	opts    Options
 	backend Backend
 	http    *khttp.Server
 }
 
-// New returns the API on an address. An address with port 0 takes a free port.
-func New(address string, backend Backend) *Server {
-	s := &Server{backend: backend, http: khttp.NewServer(khttp.Address(address), khttp.Timeout(0))}
+// readHeaderTimeout bounds how long a connection may take to send its headers.
+const readHeaderTimeout = 10 * time.Second
+
+// New returns the API of a backend.
+func New(opts Options) *Server {
+	s := &Server{opts: opts, backend: opts.Backend}
+	s.http = khttp.NewServer(
+		khttp.Address(opts.Address), khttp.Timeout(0), khttp.StrictSlash(false), khttp.Filter(s.rejectUncleanPath),
+		khttp.NotFoundHandler(http.HandlerFunc(s.notFound)), khttp.MethodNotAllowedHandler(http.HandlerFunc(s.wrongMethod)),
+	)
+	s.http.ReadHeaderTimeout = readHeaderTimeout
 	r := s.http.Route("/v1")
-	r.POST("/plans", s.handle(s.partitionOfSpec, s.plan))
-	r.GET("/plans/{id}", s.handle(s.partitionOfID, s.getPlan))
-	r.POST("/plans/{id}/confirm", s.handle(s.partitionOfID, s.confirm))
-	r.GET("/intents/{id}", s.handle(s.partitionOfID, s.status))
-	r.POST("/intents/{id}/cancel", s.handle(s.partitionOfID, s.cancel))
-	r.POST("/intents/{id}/tickets", s.handle(s.partitionOfID, s.tickets))
-	r.POST("/intents/{id}/calls", s.handle(s.partitionOfID, s.call))
-	r.GET("/dump", s.handle(nil, s.dump))
+	r.POST("/plans", s.handle(operation{name: "plan", partition: s.partitionOfSpec, serve: s.plan}))
+	r.GET("/plans/{id}", s.handle(operation{name: "get_plan", readOnly: true, partition: s.partitionOfID, serve: s.getPlan}))
+	r.POST("/plans/{id}/confirm", s.handle(operation{name: "confirm", partition: s.partitionOfID, serve: s.confirm}))
+	r.GET("/intents/{id}", s.handle(operation{name: "status", readOnly: true, partition: s.partitionOfID, serve: s.status}))
+	r.POST("/intents/{id}/cancel", s.handle(operation{name: "cancel", partition: s.partitionOfID, serve: s.cancel}))
+	r.POST("/intents/{id}/tickets", s.handle(operation{name: "tickets", partition: s.partitionOfID, serve: s.tickets}))
+	r.POST("/intents/{id}/calls", s.handle(operation{name: "call", partition: s.partitionOfID, serve: s.call}))
+	r.GET("/dump", s.handle(operation{name: "dump", readOnly: true, query: []string{"limit"}, serve: s.dump}))
+	if opts.Metrics != nil {
+		s.http.Handle("/metrics", opts.Metrics)
+	}
 	return s
 }
 
+// rejectUncleanPath answers paths such as /v1//plans, which the router would redirect.
+func (s *Server) rejectUncleanPath(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != path.Clean(r.URL.Path) {
+			s.notFound(w, r)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) notFound(w http.ResponseWriter, r *http.Request) {
+	s.refuse(w, r, verdict.New(verdict.NotRun, verdict.CodeNotFound, "unknown path; docs/api.md lists the paths"))
+}
+
+func (s *Server) wrongMethod(w http.ResponseWriter, r *http.Request) {
+	err := verdict.Invalid("method", "the path does not support %s; docs/api.md lists the methods", r.Method)
+	s.refuse(w, r, err)
+}
+
+// refuse answers a request that belongs to no operation.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, err error) {
+	id := r.Header.Get(HeaderRequestID)
+	if !visible(id, maxHeaderText) {
+		id = uuid.NewString()
+	}
+	w.Header().Set(HeaderRequestID, id)
+	writeError(w, id, err)
+	s.observe(r.Context(), &request{requestID: id, partition: noPartition}, operation{name: "unknown"}, 0, err)
+}
+
+// observe logs and counts an answered request. Nothing that a caller wrote is logged except the request id.
+func (s *Server) observe(ctx context.Context, req *request, op operation, took time.Duration, err error) {
+	v, code := verdict.Of(err), verdict.Code("")
+	if err != nil {
+		code = verdict.From(err).Code
+	}
+	if s.opts.Observer != nil {
+		s.opts.Observer.Request(op.name, v, code, took)
+	}
+	fields := logrus.Fields{
+		"request_id": req.requestID, "operation": op.name, "verdict": v.String(), "code": string(code),
+		"took_ms": took.Milliseconds(), "forwarded_here": ctx.Value(forwardedKey{}) != nil,
+	}
+	if req.status != 0 {
+		fields["owner_status"] = req.status
+	}
+	if req.partition != noPartition {
+		fields["partition"] = req.partition
+		fields["epoch"] = s.backend.OwnerEpoch(req.partition)
+	}
+	entry := s.opts.Log.WithFields(fields)
+	switch {
+	case code == verdict.CodeInternal:
+		entry.WithError(err).Error("request failed")
+	case err != nil && v == verdict.MayHaveRun:
+		entry.Warn("request may have run")
+	case err != nil:
+		entry.Info("request refused")
+	default:
+		entry.Debug("request answered")
+	}
+}
+
 // HTTP returns the kratos server, which is started and stopped by the caller.
 func (s *Server) HTTP() *khttp.Server { return s.http }
 
@@ -80,9 +186,31 @@
 	if err := req.spec.Check(); err != nil {
 		return 0, err
 	}
+	if err := req.spec.CheckAt(s.opts.Clock.Now()); err != nil {
+		return 0, err
+	}
+	if err := s.checkGang(req.spec); err != nil {
+		return 0, err
+	}
 	return model.IntentPartition(req.spec.Account, req.spec.Team), nil
 }
 
+// checkGang refuses a gang that cannot run at once even in an empty cell. An empty list of workers proves nothing.
+func (s *Server) checkGang(spec model.IntentSpec) error {
+	workers := s.backend.WorkerCapacities()
+	if spec.Kind != model.KindGang || len(workers) == 0 {
+		return nil
+	}
+	room := int64(0)
+	for _, capacity := range workers {
+		room += spec.Each.Copies(capacity)
+	}
+	if int64(spec.Tasks) > room {
+		return verdict.Invalid("tasks", "expected at most %d, which is how many of these tasks the whole empty cell holds at once, got %d", room, spec.Tasks)
+	}
+	return nil
+}
+
 // partitionOfID finds the partition in an id such as i17-….
 func (s *Server) partitionOfID(req *request) (int, error) {
 	head, _, ok := strings.Cut(req.id, "-")
@@ -105,10 +233,16 @@
 }
 
 func (s *Server) confirm(ctx context.Context, req *request) (any, error) {
+	if err := req.decode(&struct{}{}); err != nil {
+		return nil, err
+	}
 	return s.backend.Confirm(ctx, req.partition, req.id)
 }
 
 func (s *Server) cancel(ctx context.Context, req *request) (any, error) {
+	if err := req.decode(&struct{}{}); err != nil {
+		return nil, err
+	}
 	return s.backend.Cancel(ctx, req.partition, req.id)
 }
 
@@ -116,7 +250,17 @@
 	return s.backend.Status(req.partition, req.id)
 }
 
-func (s *Server) dump(context.Context, *request) (any, error) { return s.backend.Dump(), nil }
+func (s *Server) dump(_ context.Context, req *request) (any, error) {
+	limit := instance.DefaultDumpLimit
+	if text := req.query.Get("limit"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 || n > instance.MaxDumpLimit {
+			return nil, verdict.Invalid("limit", "expected 1 to %d entries, got %q", instance.MaxDumpLimit, text)
+		}
+		limit = n
+	}
+	return s.backend.Dump(limit), nil
+}
 
 // TicketsRequest asks for a block of tickets.
 type TicketsRequest struct {
@@ -166,7 +310,7 @@
 	if len(in.Payload) > model.MaxPayloadBytes {
 		return nil, verdict.Invalid("payload", "expected at most %d bytes, got %d", model.MaxPayloadBytes, len(in.Payload))
 	}
-	ticket, err := ParseTicket(req.header.Get(HeaderTicket))
+	ticket, err := callTicket(req.header)
 	if err != nil {
 		return nil, err
 	}
@@ -177,6 +321,21 @@
 	return callReply(out)
 }
 
+// callTicket reads the headers that keep a call from running twice.
+func callTicket(header http.Header) (model.StartToken, error) {
+	ticket, err := ParseTicket(header.Get(HeaderTicket))
+	key := header.Get(HeaderIdempotencyKey)
+	switch {
+	case err != nil:
+		return ticket, err
+	case key != "" && !visible(key, maxHeaderText):
+		return ticket, verdict.Invalid(HeaderIdempotencyKey, "expected 1 to %d visible ASCII characters", maxHeaderText)
+	case key != "" && !ticket.IsZero():
+		return ticket, verdict.Invalid(HeaderIdempotencyKey, "expected either a ticket or an %s, got both", HeaderIdempotencyKey)
+	}
+	return ticket, nil
+}
+
 func callReply(out model.Outcome) (any, error) {
 	switch out.State {
 	case model.OutcomeFinished:
@@ -189,5 +348,3 @@
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the outcome of the call is unknown: %s", out.State)
 	}
 }
-
-var _ http.Handler = (*khttp.Server)(nil)
--- a/request/api/request.go
+++ b/request/api/request.go
@@ -1,25 +1,28 @@
 package api
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"mime"
 	"net/http"
+	"net/url"
+	"runtime/debug"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
-	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
 
 	"github.com/lentiltide/lentiltide/connection/jsonhttp"
-	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
 	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/request/strictjson"
 	"github.com/lentiltide/lentiltide/request/verdict"
 )
 
@@ -30,73 +33,129 @@
 	defaultTimeout = 30 * time.Second
 	// maxTimeout bounds the timeout that a caller may name.
 	maxTimeout = 10 * time.Minute
+	// maxHeaderText bounds request ids and idempotency keys.
+	maxHeaderText = 200
+	// noPartition stands for a request that belongs to no partition.
+	noPartition = -1
 )
 
-// forwardedKey marks the context of a forwarded request, which is not forwarded again.
-type forwardedKey struct{}
-
 // request is one decoded request.
 type request struct {
 	id        string
 	requestID string
 	partition int
 	header    http.Header
+	query     url.Values
 	body      []byte
 	spec      model.IntentSpec
+	// status is the HTTP status of the owner's answer, for a request that was forwarded.
+	status int
 }
 
-// decode reads the body strictly: unknown fields, trailing data and invalid UTF-8 are errors.
+// decode reads the body strictly. An empty body counts as an empty object.
 func (r *request) decode(out any) error {
-	if !utf8.Valid(r.body) {
-		return verdict.Invalid("body", "expected valid UTF-8")
+	body := r.body
+	if len(body) == 0 {
+		body = []byte("{}")
 	}
-	dec := json.NewDecoder(bytes.NewReader(r.body))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(out); err != nil {
-		return decodeError(err)
+	problems := strictjson.Decode(body, out)
+	if len(problems) == 0 {
+		return nil
 	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return verdict.Invalid("body", "expected one JSON value")
+	path := problems[0].Path
+	if path == "" {
+		path = "body"
 	}
-	return nil
-}
-
-func decodeError(err error) error {
-	var typeErr *json.UnmarshalTypeError
-	if errors.As(err, &typeErr) {
-		return verdict.Invalid(typeErr.Field, "expected %s, got %s", typeErr.Type, typeErr.Value)
-	}
-	if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
-		return verdict.Invalid(strings.Trim(name, `"`), "unknown field")
+	err := verdict.Invalid(path, "%s", problems[0].Message)
+	if len(problems) > 1 {
+		all := make([]string, len(problems))
+		for i, p := range problems {
+			all[i] = p.String()
+		}
+		err = err.With(map[string]any{"problems": all})
 	}
-	return verdict.Invalid("body", "%v", err)
+	return err
 }
 
-type (
-	partitionFunc func(*request) (int, error)
-	serveFunc     func(context.Context, *request) (any, error)
-)
+// operation is one entry of the contract.
+type operation struct {
+	// name labels logs and metrics.
+	name string
+	// readOnly is set when the operation changes nothing.
+	readOnly bool
+	// query lists the allowed query parameters.
+	query []string
+	// partition finds the partition whose owner serves the request; nil serves it on any instance.
+	partition func(*request) (int, error)
+	serve     func(context.Context, *request) (any, error)
+}
 
 // handle wraps a request function: it reads the request, finds the partition, forwards where needed, and answers.
-func (s *Server) handle(partition partitionFunc, serve serveFunc) khttp.HandlerFunc {
+func (s *Server) handle(op operation) khttp.HandlerFunc {
 	return func(c khttp.Context) error {
-		req := &request{id: c.Vars().Get("id"), header: c.Request().Header, requestID: c.Request().Header.Get(HeaderRequestID)}
-		if req.requestID == "" {
-			req.requestID = uuid.NewString()
-		}
+		began := s.opts.Clock.Now()
+		req, err := newRequest(c)
 		c.Response().Header().Set(HeaderRequestID, req.requestID)
-		ctx, cancel, err := withTimeout(c.Request().Context(), req.header)
 		if err == nil {
-			defer cancel()
-			err = s.serve(ctx, c, req, partition, serve)
+			err = s.attempt(c, req, op)
 		}
 		if err != nil {
-			jsonhttp.WriteError(c.Response(), req.requestID, err)
+			writeError(c.Response(), req.requestID, err)
 		}
+		s.observe(c.Request().Context(), req, op, s.opts.Clock.Since(began), err)
 		return nil
 	}
 }
 
+// newRequest reads the id and the headers. The request that it returns is never nil.
+func newRequest(c khttp.Context) (*request, error) {
+	r := c.Request()
+	req := &request{
+		id: c.Vars().Get("id"), header: r.Header, query: r.URL.Query(), partition: noPartition,
+		requestID: r.Header.Get(HeaderRequestID),
+	}
+	if req.requestID == "" {
+		req.requestID = uuid.NewString()
+	}
+	if !visible(req.requestID, maxHeaderText) {
+		req.requestID = uuid.NewString()
+		return req, verdict.Invalid(HeaderRequestID, "expected 1 to %d visible ASCII characters", maxHeaderText)
+	}
+	return req, nil
+}
+
+// visible reports whether text consists of 1 to high visible ASCII characters.
+func visible(text string, high int) bool {
+	return text != "" && len(text) <= high && !strings.ContainsFunc(text, func(r rune) bool { return r <= ' ' || r > '~' })
+}
+
+// attempt serves a request under its deadline. A panic is answered, since the request may have taken effect before it.
+func (s *Server) attempt(c khttp.Context, req *request, op operation) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.opts.Log.WithFields(logrus.Fields{"request_id": req.requestID, "stack": string(debug.Stack())}).Error("panic")
+			err = verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "internal error")
+		}
+	}()
+	ctx, cancel, err := withTimeout(c.Request().Context(), req.header)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	err = s.serve(ctx, c, req, op)
+	if op.readOnly && err != nil && verdict.Of(err) == verdict.MayHaveRun {
+		return readFailed(err)
+	}
+	return err
+}
+
+// readFailed returns the error of a request that changes nothing, so that nothing can have run.
+func readFailed(err error) error {
+	e := *verdict.From(err)
+	e.Verdict = verdict.NotRun
+	return &e
+}
+
 func withTimeout(ctx context.Context, header http.Header) (context.Context, context.CancelFunc, error) {
 	timeout := defaultTimeout
 	if text := header.Get(HeaderTimeoutMS); text != "" {
@@ -110,135 +169,86 @@
 	return ctx, cancel, nil
 }
 
-func (s *Server) serve(ctx context.Context, c khttp.Context, req *request, partition partitionFunc, serve serveFunc) error {
-	body, err := io.ReadAll(io.LimitReader(c.Request().Body, maxBodyBytes+1))
-	if err != nil {
-		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalid, "read body")
+func (s *Server) serve(ctx context.Context, c khttp.Context, req *request, op operation) error {
+	if err := op.checkQuery(req.query); err != nil {
+		return err
 	}
-	if len(body) > maxBodyBytes {
-		return verdict.Invalid("body", "expected at most %d bytes", maxBodyBytes)
+	if err := req.readBody(c); err != nil {
+		return err
 	}
-	req.body = body
-	if partition != nil {
-		if req.partition, err = partition(req); err != nil {
+	if op.partition != nil {
+		var err error
+		if req.partition, err = op.partition(req); err != nil {
 			return err
 		}
-		forwarded, err := s.forward(ctx, c, req)
+		forwarded, err := s.forward(ctx, c, req, op)
 		if forwarded || err != nil {
 			return err
 		}
 	}
-	out, err := serve(ctx, req)
+	out, err := op.serve(ctx, req)
 	if err != nil {
 		return err
 	}
-	return writeJSON(c.Response(), out)
+	return writeJSON(c.Response(), http.StatusOK, out)
 }
 
-func writeJSON(w http.ResponseWriter, out any) error {
-	data, err := json.Marshal(out)
-	if err != nil {
-		return err
+func (op operation) checkQuery(query url.Values) error {
+	for name, values := range query {
+		if !slices.Contains(op.query, name) {
+			return verdict.Invalid(name, "unknown query parameter")
+		}
+		if len(values) > 1 {
+			return verdict.Invalid(name, "expected the query parameter once, got it %d times", len(values))
+		}
 	}
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set(HeaderDigest, fmt.Sprintf("%016x", xxhash.Sum64(data)))
-	_, _ = w.Write(data)
 	return nil
 }
 
-// forwardedHeaders are the request headers that travel with a forwarded request.
-var forwardedHeaders = []string{HeaderRequestID, HeaderTicket, HeaderIdempotencyKey}
-
-// forward sends the request to the owner of its partition and copies the answer. It returns false when this instance is
-// the owner, or when the request was forwarded before.
-func (s *Server) forward(ctx context.Context, c khttp.Context, req *request) (bool, error) {
-	if ctx.Value(forwardedKey{}) != nil {
-		return false, nil
-	}
-	address, local, err := s.backend.Route(req.partition)
-	if err != nil || local {
-		return false, err
-	}
-	f := &peerpb.Forward{
-		Method: c.Request().Method, Path: c.Request().URL.Path, Headers: map[string]string{}, Body: req.body,
-	}
-	for _, key := range forwardedHeaders {
-		if value := req.header.Get(key); value != "" {
-			f.Headers[key] = value
+func (r *request) readBody(c khttp.Context) error {
+	if kind := r.header.Get("Content-Type"); kind != "" {
+		if media, _, err := mime.ParseMediaType(kind); err != nil || media != "application/json" {
+			return verdict.Invalid("Content-Type", "expected application/json, got %q", kind)
 		}
 	}
-	f.Headers[HeaderRequestID] = req.requestID
-	reply, err := s.backend.Forward(ctx, address, f)
-	if err != nil {
-		return true, err
-	}
-	if xxhash.Sum64(reply.GetBody()) != reply.GetDigest() {
-		return true, verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "the owner's answer was damaged on the way")
+	if coding := r.header.Get("Content-Encoding"); coding != "" && coding != "identity" {
+		return verdict.Invalid("Content-Encoding", "expected an uncompressed body, got %q", coding)
 	}
-	for key, value := range reply.GetHeaders() {
-		c.Response().Header().Set(key, value)
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return verdict.Invalid("body", "expected at most %d bytes", maxBodyBytes)
+	case err != nil:
+		return verdict.Invalid("body", "the body ended early: %v", err)
 	}
-	c.Response().WriteHeader(int(reply.GetStatus()))
-	_, _ = c.Response().Write(reply.GetBody())
-	return true, nil
+	r.body = body
+	return nil
 }
 
-// HandleForward serves a request that another instance forwarded.
-func (s *Server) HandleForward(ctx context.Context, f *peerpb.Forward) *peerpb.ForwardReply {
-	ctx = context.WithValue(ctx, forwardedKey{}, true)
-	w := &responseBuffer{header: http.Header{}, status: http.StatusOK}
-	req, err := http.NewRequestWithContext(ctx, f.GetMethod(), f.GetPath(), bytes.NewReader(f.GetBody()))
+// writeJSON answers with a value; its length and digest let the caller recognise a damaged answer.
+func writeJSON(w http.ResponseWriter, status int, out any) error {
+	data, err := json.Marshal(out)
 	if err != nil {
-		jsonhttp.WriteError(w, f.GetHeaders()[HeaderRequestID], verdict.Invalid("path", "%v", err))
-	} else {
-		for key, value := range f.GetHeaders() {
-			req.Header.Set(key, value)
-		}
-		if deadline, ok := ctx.Deadline(); ok {
-			req.Header.Set(HeaderTimeoutMS, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
-		}
-		s.http.ServeHTTP(w, req)
+		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeInternal, "encode answer")
 	}
-	reply := &peerpb.ForwardReply{
-		Status: int32(w.status), Headers: map[string]string{}, Body: w.body.Bytes(), Digest: xxhash.Sum64(w.body.Bytes()),
-	}
-	for key := range w.header {
-		reply.Headers[key] = w.header.Get(key)
-	}
-	return reply
-}
-
-// responseBuffer keeps an answer in memory.
-type responseBuffer struct {
-	header http.Header
-	status int
-	body   bytes.Buffer
-}
-
-func (b *responseBuffer) Header() http.Header { return b.header }
-
-func (b *responseBuffer) WriteHeader(status int) { b.status = status }
-
-func (b *responseBuffer) Write(data []byte) (int, error) { return b.body.Write(data) }
-
-// FormatTicket returns a ticket in the form of HeaderTicket.
-func FormatTicket(t model.StartToken) string {
-	return fmt.Sprintf("%d-%d-%d", t.Partition, t.Epoch, t.Sequence)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	w.Header().Set(HeaderDigest, fmt.Sprintf("%016x", xxhash.Sum64(data)))
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+	return nil
 }
 
-// ParseTicket reads the form of HeaderTicket. An empty text is the zero ticket.
-func ParseTicket(text string) (model.StartToken, error) {
-	if text == "" {
-		return model.StartToken{}, nil
-	}
-	parts := strings.Split(text, "-")
-	if len(parts) == 3 {
-		partition, err1 := strconv.ParseUint(parts[0], 10, 16)
-		epoch, err2 := strconv.ParseUint(parts[1], 10, 64)
-		sequence, err3 := strconv.ParseUint(parts[2], 10, 64)
-		if err1 == nil && err2 == nil && err3 == nil && epoch > 0 && sequence > 0 {
-			return model.StartToken{Partition: int(partition), Epoch: epoch, Sequence: sequence}, nil
-		}
+// writeError answers with a typed error. Retry-After is in whole seconds, rounded up.
+func writeError(w http.ResponseWriter, requestID string, err error) {
+	body := jsonhttp.ErrorBodyOf(err)
+	body.RequestID = requestID
+	if body.RetryAfterMS > 0 {
+		w.Header().Set("Retry-After", strconv.FormatInt((body.RetryAfterMS+999)/1000, 10))
+	}
+	if writeJSON(w, jsonhttp.Status(body.Code), body) != nil {
+		body.Detail = nil
+		_ = writeJSON(w, jsonhttp.Status(body.Code), body)
 	}
-	return model.StartToken{}, verdict.Invalid(HeaderTicket, "expected partition-epoch-sequence, got %q", text)
 }
--- a/version/intent/core.go
+++ b/version/intent/core.go
@@ -299,6 +299,13 @@
 	return s
 }
 
+// Len returns the number of intents of the partition.
+func (c *Core) Len() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.intents)
+}
+
 // List returns the intents of the partition, sorted by id.
 func (c *Core) List() []model.Intent {
 	c.mu.Lock()
