Add the operators' command with all subcommands

Cause: the first command had six subcommands in main, no help for newcomers and one exit code for wrong command lines and results.

Change: cmd/lentiltide/internal/command holds the command; main is thin. The client checks the digest of an answer.

All subcommands but config were run by hand against the three processes of examples/multi-process.

Conclusion: verdicts can be told apart by exit code; config and the reasons of explain wait for their methods in process/instance.

--- /dev/null
+++ b/cmd/lentiltide/internal/command/command.go
@@ -0,0 +1,194 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/alexflint/go-arg"
+	"github.com/cockroachdb/errors"
+
+	"github.com/lentiltide/lentiltide/cmd/lentiltide/internal/demo"
+	"github.com/lentiltide/lentiltide/connection/jsonhttp"
+	"github.com/lentiltide/lentiltide/examples"
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/process/settings"
+	"github.com/lentiltide/lentiltide/request/strictjson"
+	"github.com/lentiltide/lentiltide/request/verdict"
+)
+
+// Streams are the standard streams of the command.
+type Streams struct {
+	In       io.Reader
+	Out, Err io.Writer
+}
+
+// defaultURL is the first instance of examples/multi-process.
+const defaultURL = "http://127.0.0.1:7411"
+
+// Main runs the command with its arguments, without the program name, and returns the exit code.
+func Main(ctx context.Context, args []string, std Streams) int {
+	var parsed arguments
+	parser, err := arg.NewParser(arg.Config{Program: "lentiltide", Out: std.Err}, &parsed)
+	if err != nil {
+		fmt.Fprintln(std.Err, "lentiltide:", err)
+		return exitUsage
+	}
+	err = parser.Parse(args)
+	switch {
+	case errors.Is(err, arg.ErrHelp):
+		_ = parser.WriteHelpForSubcommand(std.Out, parser.SubcommandNames()...)
+		return exitDone
+	case err != nil:
+		_ = parser.WriteUsageForSubcommand(std.Err, parser.SubcommandNames()...)
+		fmt.Fprintln(std.Err, "lentiltide:", err)
+		return exitUsage
+	case parser.Subcommand() == nil || parsed.Config != nil && *parsed.Config == configArgs{}:
+		_ = parser.WriteHelpForSubcommand(std.Err, parser.SubcommandNames()...)
+		return exitUsage
+	}
+	if len(parsed.URL) == 0 {
+		parsed.URL = []string{defaultURL}
+	}
+	c := &command{args: parsed, std: std}
+	return c.finish(c.run(ctx))
+}
+
+// command is one run of the command.
+type command struct {
+	args arguments
+	std  Streams
+}
+
+// run executes the subcommand.
+func (c *command) run(ctx context.Context) error {
+	if c.args.Demo != nil {
+		return demo.Run(ctx, c.std.Out, examples.Files, "karutehas", "crease-union")
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.args.Timeout)
+	defer cancel()
+	switch a := c.args; {
+	case a.Plan != nil:
+		return c.plan(ctx, a.Plan.File)
+	case a.Confirm != nil:
+		return c.confirm(ctx, a.Confirm.ID)
+	case a.Status != nil:
+		return c.status(ctx, a.Status)
+	case a.Explain != nil:
+		return c.explain(ctx, a.Explain)
+	case a.Cancel != nil:
+		return c.cancel(ctx, a.Cancel.ID)
+	case a.Call != nil:
+		return c.call(ctx, a.Call)
+	case a.Tickets != nil:
+		return c.tickets(ctx, a.Tickets)
+	case a.Config != nil:
+		return c.config(ctx, a.Config)
+	case a.Dump != nil:
+		return c.dump(ctx, a.Dump.Limit)
+	default:
+		return c.validate(a.Validate)
+	}
+}
+
+// finish reports an error and returns the exit code.
+func (c *command) finish(err error) int {
+	if err == nil {
+		return exitDone
+	}
+	if errors.Is(err, demo.ErrFaults) {
+		fmt.Fprintln(c.std.Err, "lentiltide:", err)
+		return exitDemo
+	}
+	if c.args.JSON {
+		_ = c.printJSON(jsonhttp.ErrorBodyOf(err))
+	} else {
+		c.printError(verdict.From(err))
+	}
+	switch verdict.Of(err) {
+	case verdict.NotRun:
+		return exitNotRun
+	case verdict.MayHaveRun:
+		return exitMayHaveRun
+	default:
+		return exitFailed
+	}
+}
+
+func (c *command) printJSON(value any) error {
+	enc := json.NewEncoder(c.std.Out)
+	enc.SetIndent("", "  ")
+	enc.SetEscapeHTML(false)
+	return enc.Encode(value)
+}
+
+// show prints an answer as JSON or by its printer.
+func show[T any](c *command, answer T, print func(io.Writer, T)) error {
+	if c.args.JSON {
+		return c.printJSON(answer)
+	}
+	print(c.std.Out, answer)
+	return nil
+}
+
+// readFile reads a file or standard input.
+func (c *command) readFile(name string) ([]byte, error) {
+	var data []byte
+	var err error
+	if name == "-" {
+		data, err = io.ReadAll(c.std.In)
+	} else {
+		data, err = os.ReadFile(name)
+	}
+	if err != nil {
+		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalid, "read input")
+	}
+	return bytes.TrimSpace(data), nil
+}
+
+// validate checks a file without sending it.
+func (c *command) validate(a *validateArgs) error {
+	if a.Intent {
+		return c.validateIntent(a.File)
+	}
+	_, err := settings.Load(a.File)
+	var problems *settings.Error
+	switch {
+	case errors.As(err, &problems):
+		return invalidFile("settings", problems.Problems)
+	case err != nil:
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalid, "settings")
+	}
+	return show(c, map[string]bool{"valid": true}, func(w io.Writer, _ map[string]bool) { fmt.Fprintln(w, "the settings are valid") })
+}
+
+func (c *command) validateIntent(file string) error {
+	data, err := c.readFile(file)
+	if err != nil {
+		return err
+	}
+	var spec model.IntentSpec
+	var problems []string
+	for _, p := range strictjson.Decode(data, &spec) {
+		problems = append(problems, p.String())
+	}
+	if len(problems) > 0 {
+		return invalidFile("intent", problems)
+	}
+	if err := spec.Check(); err != nil {
+		return err
+	}
+	return show(c, map[string]bool{"valid": true}, func(w io.Writer, _ map[string]bool) {
+		fmt.Fprintln(w, "the intent is valid; plan shows whether it fits the cell")
+	})
+}
+
+// invalidFile returns an error that lists all problems of a file.
+func invalidFile(what string, problems []string) error {
+	return verdict.New(verdict.NotRun, verdict.CodeInvalid, "%s: %d problems\n  %s", what, len(problems), strings.Join(problems, "\n  ")).
+		With(map[string]any{"problems": problems})
+}
--- /dev/null
+++ b/cmd/lentiltide/internal/command/print.go
@@ -0,0 +1,163 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/request/api"
+	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/intent"
+)
+
+// maxListed bounds the tasks that are listed unless all are asked for.
+const maxListed = 20
+
+func printPlan(w io.Writer, p model.Plan) {
+	fmt.Fprintf(w, "plan %s\n", p.ID)
+	fmt.Fprintf(w, "  %s %q of %s/%s, valid until %s\n", p.Spec.Kind, p.Spec.Name, p.Spec.Account, p.Spec.Team, p.ExpiresAt.Format("15:04:05 MST"))
+	for i, pl := range p.Placements {
+		if i == maxListed {
+			fmt.Fprintf(w, "  and %d more tasks; --json lists all\n", len(p.Placements)-i)
+			break
+		}
+		if pl.Waits {
+			fmt.Fprintf(w, "  %s waits: %s\n", short(pl.Task), pl.Reason)
+			continue
+		}
+		fmt.Fprintf(w, "  %s on %s (%s, %s): %s\n", short(pl.Task), pl.Worker, pl.Rack, pl.Zone, pl.Reason)
+	}
+	for _, d := range p.Displaces {
+		fmt.Fprintf(w, "  displaces %s of team %s on %s: %s\n", d.Task, d.Team, d.Worker, d.Reason)
+	}
+	if len(p.Displaces) == 0 {
+		fmt.Fprintln(w, "  displaces nothing")
+	}
+	fmt.Fprintf(w, "nothing has changed yet; to run it: lentiltide confirm %s\n", p.ID)
+}
+
+// short returns the part of a task id after the intent.
+func short(id model.TaskID) string {
+	if _, run, ok := strings.Cut(string(id), "/"); ok {
+		return "task " + run
+	}
+	return string(id)
+}
+
+func printIntent(w io.Writer, in model.Intent) {
+	fmt.Fprintf(w, "intent %s: %s %q is %s\n", in.ID, in.Spec.Kind, in.Spec.Name, in.State)
+}
+
+func printConfirmed(w io.Writer, in model.Intent) {
+	printIntent(w, in)
+	fmt.Fprintf(w, "to follow it: lentiltide status %s\n", in.ID)
+	if in.Spec.Kind == model.KindCall {
+		fmt.Fprintf(w, "to call it: lentiltide call %s PAYLOAD\n", in.ID)
+	}
+}
+
+// statusPrinter prints counts by state and the tasks, those that have not ended first.
+func statusPrinter(all bool) func(io.Writer, intent.Status) {
+	return func(w io.Writer, s intent.Status) {
+		printIntent(w, s.Intent)
+		counts := map[string]int{}
+		for _, t := range s.Tasks {
+			counts[t.State]++
+		}
+		states := make([]string, 0, len(counts))
+		for state, n := range counts {
+			states = append(states, fmt.Sprintf("%d %s", n, state))
+		}
+		sort.Strings(states)
+		fmt.Fprintf(w, "%d tasks: %s\n", len(s.Tasks), strings.Join(states, ", "))
+		tasks := append([]intent.TaskStatus(nil), s.Tasks...)
+		sort.SliceStable(tasks, func(i, j int) bool { return tasks[i].Outcome == nil && tasks[j].Outcome != nil })
+		for i, t := range tasks {
+			if i == maxListed && !all {
+				fmt.Fprintf(w, "  and %d more; --all lists them\n", len(tasks)-i)
+				return
+			}
+			printTask(w, t)
+		}
+	}
+}
+
+func printTask(w io.Writer, t intent.TaskStatus) {
+	fmt.Fprintf(w, "  %s %s", short(t.ID), t.State)
+	if t.Worker != "" {
+		fmt.Fprintf(w, " on %s", t.Worker)
+	}
+	if t.Outcome != nil {
+		fmt.Fprintf(w, " (%s)", t.Outcome.State)
+	}
+	if t.Reason != "" {
+		fmt.Fprintf(w, ": %s", t.Reason)
+	}
+	fmt.Fprintln(w)
+}
+
+func printExplanations(w io.Writer, reply api.ExplainReply) {
+	for _, e := range reply.Explanations {
+		fmt.Fprintf(w, "%s is %s", short(e.Task.ID), e.Task.State)
+		if e.Task.Worker != "" {
+			fmt.Fprintf(w, " on %s", e.Task.Worker)
+		}
+		fmt.Fprintln(w)
+		for _, reason := range e.Reasons {
+			fmt.Fprintf(w, "  %s\n", reason)
+		}
+	}
+	if len(reply.Explanations) == 0 {
+		fmt.Fprintln(w, "all tasks have ended; name a task to explain it")
+	}
+	if reply.Omitted > 0 {
+		fmt.Fprintf(w, "and %d more tasks; name one to explain it\n", reply.Omitted)
+	}
+}
+
+func printTickets(w io.Writer, reply api.TicketsReply) {
+	for _, t := range reply.Tickets {
+		fmt.Fprintln(w, t)
+	}
+}
+
+func printCall(w io.Writer, reply api.CallReply) {
+	fmt.Fprintf(w, "%s %s\n%s\n", reply.Task, reply.Verdict, reply.Answer)
+}
+
+// verdictTexts say in words what a verdict means.
+var verdictTexts = map[verdict.Verdict]string{
+	verdict.NotRun:     "the request did not run",
+	verdict.MayHaveRun: "the request may have run; ask for the status before you repeat it",
+	verdict.Ran:        "the request ran",
+}
+
+func (c *command) printError(e *verdict.Error) {
+	text := e.Message
+	if e.Field != "" {
+		text = e.Field + ": " + text
+	}
+	fmt.Fprintf(c.std.Err, "lentiltide: %s: %s\n%s", e.Code, text, verdictTexts[e.Verdict])
+	if e.RetryAfter > 0 {
+		fmt.Fprintf(c.std.Err, "; try again after %s", e.RetryAfter)
+	}
+	fmt.Fprintln(c.std.Err)
+	if e.Code == verdict.CodeStalePlan {
+		c.printFreshPlan(e.Detail)
+	}
+}
+
+// printFreshPlan shows the plan that the error of a stale one carries.
+func (c *command) printFreshPlan(detail any) {
+	data, err := json.Marshal(detail)
+	var fresh model.Plan
+	if err != nil || json.Unmarshal(data, &fresh) != nil || fresh.ID == "" {
+		fmt.Fprintln(c.std.Err, "state the intent again to get a fresh plan")
+		return
+	}
+	fmt.Fprintln(c.std.Err, "this is the fresh plan:")
+	printPlan(c.std.Err, fresh)
+}
--- /dev/null
+++ b/cmd/lentiltide/internal/command/requests.go
@@ -0,0 +1,165 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/lentiltide/lentiltide/connection/jsonhttp"
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/request/api"
+	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/intent"
+)
+
+// send asks the instances in order until one can be reached. An instance that could not be reached did not run anything.
+func (c *command) send(ctx context.Context, method, path string, header http.Header, body []byte, out any) error {
+	if header == nil {
+		header = http.Header{}
+	}
+	if header.Get(api.HeaderRequestID) == "" {
+		header.Set(api.HeaderRequestID, uuid.NewString())
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		header.Set(api.HeaderTimeoutMS, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
+	}
+	var err error
+	for _, base := range c.args.URL {
+		_, err = jsonhttp.NewClient(base, nil).Do(ctx, method, path, header, body, out)
+		if err == nil || verdict.Of(err) != verdict.NotRun || verdict.From(err).Code != verdict.CodeUnavailable {
+			return err
+		}
+	}
+	return err
+}
+
+func (c *command) get(ctx context.Context, path string, out any) error {
+	return c.send(ctx, http.MethodGet, path, nil, nil, out)
+}
+
+func (c *command) post(ctx context.Context, path string, header http.Header, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalid, "encode request")
+	}
+	return c.send(ctx, http.MethodPost, path, header, body, out)
+}
+
+func (c *command) plan(ctx context.Context, file string) error {
+	data, err := c.readFile(file)
+	if err != nil {
+		return err
+	}
+	var plan model.Plan
+	if err := c.send(ctx, http.MethodPost, "/v1/plans", nil, data, &plan); err != nil {
+		return err
+	}
+	return show(c, plan, printPlan)
+}
+
+func (c *command) confirm(ctx context.Context, id string) error {
+	var in model.Intent
+	if err := c.post(ctx, "/v1/plans/"+url.PathEscape(id)+"/confirm", nil, struct{}{}, &in); err != nil {
+		return err
+	}
+	return show(c, in, printConfirmed)
+}
+
+func (c *command) cancel(ctx context.Context, id string) error {
+	var in model.Intent
+	if err := c.post(ctx, "/v1/intents/"+url.PathEscape(id)+"/cancel", nil, struct{}{}, &in); err != nil {
+		return err
+	}
+	return show(c, in, printIntent)
+}
+
+func (c *command) status(ctx context.Context, a *statusArgs) error {
+	var s intent.Status
+	if err := c.get(ctx, "/v1/intents/"+url.PathEscape(a.ID), &s); err != nil {
+		return err
+	}
+	return show(c, s, statusPrinter(a.All))
+}
+
+func (c *command) explain(ctx context.Context, a *explainArgs) error {
+	path := "/v1/intents/" + url.PathEscape(a.ID) + "/explain"
+	if a.Task != "" {
+		path += "?task=" + url.QueryEscape(a.Task)
+	}
+	var reply api.ExplainReply
+	if err := c.get(ctx, path, &reply); err != nil {
+		return err
+	}
+	return show(c, reply, printExplanations)
+}
+
+func (c *command) tickets(ctx context.Context, a *ticketsArgs) error {
+	var reply api.TicketsReply
+	if err := c.post(ctx, "/v1/intents/"+url.PathEscape(a.ID)+"/tickets", nil, api.TicketsRequest{Count: a.Count}, &reply); err != nil {
+		return err
+	}
+	return show(c, reply, printTickets)
+}
+
+// call runs a call. Without a ticket or key it fetches a ticket first, which costs nothing if the call is never made.
+func (c *command) call(ctx context.Context, a *callArgs) error {
+	path := "/v1/intents/" + url.PathEscape(a.ID)
+	if a.Ticket == "" && a.Key == "" {
+		var reply api.TicketsReply
+		if err := c.post(ctx, path+"/tickets", nil, api.TicketsRequest{Count: 1}, &reply); err != nil {
+			return verdict.Wrap(err, verdict.NotRun, verdict.From(err).Code, "fetch a ticket")
+		}
+		a.Ticket = reply.Tickets[0]
+	}
+	header := http.Header{}
+	if a.Ticket != "" {
+		header.Set(api.HeaderTicket, a.Ticket)
+	}
+	if a.Key != "" {
+		header.Set(api.HeaderIdempotencyKey, a.Key)
+	}
+	var reply api.CallReply
+	if err := c.post(ctx, path+"/calls", header, api.CallRequest{Payload: a.Payload}, &reply); err != nil {
+		if verdict.Of(err) == verdict.MayHaveRun && a.Ticket != "" && !c.args.JSON {
+			fmt.Fprintf(c.std.Err, "to ask again without running it twice: lentiltide call %s %q --ticket %s\n", a.ID, a.Payload, a.Ticket)
+		}
+		return err
+	}
+	return show(c, reply, printCall)
+}
+
+func (c *command) dump(ctx context.Context, limit int) error {
+	var d json.RawMessage
+	if err := c.get(ctx, "/v1/dump?limit="+strconv.Itoa(limit), &d); err != nil {
+		return err
+	}
+	return c.printJSON(d)
+}
+
+func (c *command) config(ctx context.Context, a *configArgs) error {
+	var reply json.RawMessage
+	var err error
+	switch {
+	case a.Show != nil:
+		err = c.get(ctx, "/v1/config", &reply)
+	case a.Status != nil:
+		err = c.get(ctx, "/v1/config/status", &reply)
+	case a.Confirm != nil:
+		err = c.post(ctx, "/v1/config/plans/"+url.PathEscape(a.Confirm.ID)+"/confirm", nil, struct{}{}, &reply)
+	default:
+		var data []byte
+		if data, err = c.readFile(a.Plan.File); err == nil {
+			err = c.send(ctx, http.MethodPost, "/v1/config/plans", nil, data, &reply)
+		}
+	}
+	if err != nil {
+		return err
+	}
+	return c.printJSON(reply)
+}
--- a/cmd/lentiltided/main.go
+++ b/cmd/lentiltided/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/lentiltide/lentiltide"
 	"github.com/lentiltide/lentiltide/process/settings"
+	"github.com/lentiltide/lentiltide/process/telemetry"
 )
 
 type arguments struct {
@@ -27,8 +28,8 @@
 func main() {
 	var args arguments
 	arg.MustParse(&args)
-	log := logrus.New()
-	log.SetFormatter(&logrus.JSONFormatter{})
+	log := telemetry.NewLogger(os.Stderr, logrus.InfoLevel)
+	telemetry.AdoptKratosLog(log)
 	if err := run(args, log); err != nil {
 		log.WithError(err).Error("instance stopped")
 		os.Exit(1)
@@ -41,6 +42,7 @@
 	if err != nil {
 		return err
 	}
+	log.SetLevel(s.Level())
 	entry := log.WithFields(logrus.Fields{"instance": s.Instance, "zone": s.Zone})
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
--- a/connection/jsonhttp/jsonhttp.go
+++ b/connection/jsonhttp/jsonhttp.go
@@ -6,16 +6,21 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/lentiltide/lentiltide/request/verdict"
 )
 
+// HeaderDigest is the xxhash64 of a body in hexadecimal. A reply that carries it is checked.
+const HeaderDigest = "Lentiltide-Digest"
+
 // maxReplyBytes bounds a reply body.
 const maxReplyBytes = 64 << 20
 
@@ -91,6 +96,9 @@
 	if err != nil {
 		return resp.Header, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUnavailable, "read reply")
 	}
+	if digest := resp.Header.Get(HeaderDigest); digest != "" && digest != Digest(data) {
+		return resp.Header, verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "the answer was damaged on the way")
+	}
 	if resp.StatusCode >= http.StatusBadRequest {
 		return resp.Header, replyError(resp.StatusCode, data)
 	}
@@ -103,6 +111,9 @@
 	return resp.Header, nil
 }
 
+// Digest returns the value of HeaderDigest for a body.
+func Digest(body []byte) string { return fmt.Sprintf("%016x", xxhash.Sum64(body)) }
+
 // transportError says NotRun only for a failed connection attempt, since then no byte of the request was sent.
 func transportError(err error) error {
 	var op *net.OpError
--- a/request/api/api.go
+++ b/request/api/api.go
@@ -16,6 +16,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
+	"github.com/lentiltide/lentiltide/connection/jsonhttp"
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
 	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/process/instance"
@@ -34,7 +35,7 @@
 	// HeaderTimeoutMS is the time until the caller gives up, in milliseconds.
 	HeaderTimeoutMS = "Lentiltide-Timeout-Ms"
 	// HeaderDigest is the xxhash64 of the answer's body in hexadecimal.
-	HeaderDigest = "Lentiltide-Digest"
+	HeaderDigest = jsonhttp.HeaderDigest
 )
 
 // Backend is the part of an instance that the API needs. Errors are *verdict.Error.
@@ -104,6 +105,7 @@
 	r.POST("/intents/{id}/cancel", s.handle(operation{name: "cancel", partition: s.partitionOfID, serve: s.cancel}))
 	r.POST("/intents/{id}/tickets", s.handle(operation{name: "tickets", partition: s.partitionOfID, serve: s.tickets}))
 	r.POST("/intents/{id}/calls", s.handle(operation{name: "call", partition: s.partitionOfID, serve: s.call}))
+	r.GET("/intents/{id}/explain", s.handle(operation{name: "explain", readOnly: true, query: []string{"task"}, partition: s.partitionOfID, serve: s.explain}))
 	r.GET("/dump", s.handle(operation{name: "dump", readOnly: true, query: []string{"limit"}, serve: s.dump}))
 	if opts.Metrics != nil {
 		s.http.Handle("/metrics", opts.Metrics)
--- a/request/api/request.go
+++ b/request/api/request.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"mime"
 	"net/http"
@@ -15,7 +14,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
@@ -234,7 +232,7 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
-	w.Header().Set(HeaderDigest, fmt.Sprintf("%016x", xxhash.Sum64(data)))
+	w.Header().Set(HeaderDigest, jsonhttp.Digest(data))
 	w.WriteHeader(status)
 	_, _ = w.Write(data)
 	return nil
