--- a/lentiltide.go
+++ b/lentiltide.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 
@@ -77,6 +78,18 @@
 	}
 }
 
+// check checks the settings whole. The address of the platform is needed only for parts that are not passed in.
+func (o *Options) check() error {
+	injected := o.Table != nil && o.Objects != nil && o.Members != nil
+	problems := slices.DeleteFunc(o.Settings.Check(), func(line string) bool {
+		return injected && strings.HasPrefix(line, "platform_url:")
+	})
+	if len(problems) > 0 {
+		return &settings.Error{Problems: problems}
+	}
+	return nil
+}
+
 // Instance is a running entry instance.
 type Instance struct {
 	core      *instance.Instance
@@ -89,10 +102,10 @@
 
 // Start starts an instance and returns when it listens on its addresses. It serves its partitions once it has taken them.
 func Start(opts Options) (*Instance, error) {
-	opts.setDefaults()
-	if problems := opts.Settings.Check(); len(problems) > 0 {
-		return nil, errors.Newf("settings: %s", strings.Join(problems, "; "))
+	if err := opts.check(); err != nil {
+		return nil, err
 	}
+	opts.setDefaults()
 	metrics, err := telemetry.NewMetrics()
 	if err != nil {
 		return nil, err
