Bound the answers to status and the length of the demo

Cause: a status listed every task, for an intent of kind call every call; a demo that waits for lost work took up to 37 s.

Conclusion: answers are bounded.

--- a/cmd/lentiltide/internal/demo/client.go
+++ b/cmd/lentiltide/internal/demo/client.go
@@ -17,7 +17,7 @@
 
 const (
 	// requestBound is how long a caller keeps trying.
-	requestBound = 10 * time.Second
+	requestBound = 8 * time.Second
 	// attemptTimeout bounds one attempt.
 	attemptTimeout = 4 * time.Second
 	// retryBase is the shortest time between two attempts.
--- a/cmd/lentiltide/internal/demo/run.go
+++ b/cmd/lentiltide/internal/demo/run.go
@@ -22,7 +22,9 @@
 	sessionRenew = 300 * time.Millisecond
 	sessionTerm  = 1500 * time.Millisecond
 	// finishBound is how long confirmed work may take after the last call.
-	finishBound = 12 * time.Second
+	finishBound = 8 * time.Second
+	// cancelBound is how long cancelled work may go on.
+	cancelBound = 3 * time.Second
 	// progressEvery is the time between progress lines.
 	progressEvery = time.Second
 	// pollEvery is the time between looks at the observer.
@@ -80,7 +82,7 @@
 	})
 	r.sendCalls(ctx, calls)
 	kill.Stop()
-	r.await(r.missing)
+	r.await(finishBound, r.missing)
 	stopProgress()
 	r.check()
 	return r.cancelServices(ctx)
@@ -244,9 +246,9 @@
 	}
 }
 
-// await waits until missing returns nothing, at most finishBound.
-func (r *run) await(missing func() []string) {
-	for end := time.Now().Add(finishBound); len(missing()) > 0 && time.Now().Before(end); {
+// await waits until missing returns nothing, at most bound.
+func (r *run) await(bound time.Duration, missing func() []string) {
+	for end := time.Now().Add(bound); len(missing()) > 0 && time.Now().Before(end); {
 		time.Sleep(pollEvery)
 	}
 }
@@ -302,7 +304,7 @@
 		}
 		r.say("cancelled %s", c.spec.Name)
 	}
-	r.await(func() []string {
+	r.await(cancelBound, func() []string {
 		var running []string
 		for _, c := range r.intents {
 			for _, id := range c.tasks() {
--- a/request/api/api.go
+++ b/request/api/api.go
@@ -7,6 +7,7 @@
 	"context"
 	"net/http"
 	"path"
+	"sort"
 	"strconv"
 	"strings"
 	"time"
@@ -86,6 +87,9 @@
 	http    *khttp.Server
 }
 
+// defaultStatusTasks bounds the tasks of a status whose caller names no limit.
+const defaultStatusTasks = 1000
+
 // readHeaderTimeout bounds how long a connection may take to send its headers.
 const readHeaderTimeout = 10 * time.Second
 
@@ -101,7 +105,7 @@
 	r.POST("/plans", s.handle(operation{name: "plan", partition: s.partitionOfSpec, serve: s.plan}))
 	r.GET("/plans/{id}", s.handle(operation{name: "get_plan", readOnly: true, partition: s.partitionOfID, serve: s.getPlan}))
 	r.POST("/plans/{id}/confirm", s.handle(operation{name: "confirm", partition: s.partitionOfID, serve: s.confirm}))
-	r.GET("/intents/{id}", s.handle(operation{name: "status", readOnly: true, partition: s.partitionOfID, serve: s.status}))
+	r.GET("/intents/{id}", s.handle(operation{name: "status", readOnly: true, query: []string{"limit"}, partition: s.partitionOfID, serve: s.status}))
 	r.POST("/intents/{id}/cancel", s.handle(operation{name: "cancel", partition: s.partitionOfID, serve: s.cancel}))
 	r.POST("/intents/{id}/tickets", s.handle(operation{name: "tickets", partition: s.partitionOfID, serve: s.tickets}))
 	r.POST("/intents/{id}/calls", s.handle(operation{name: "call", partition: s.partitionOfID, serve: s.call}))
@@ -248,18 +252,55 @@
 	return s.backend.Cancel(ctx, req.partition, req.id)
 }
 
+// StatusReply is the state of an intent. It has the members of intent.Status.
+type StatusReply struct {
+	Intent model.Intent `json:"intent"`
+	// Counts are the tasks by state, including those that are left out.
+	Counts map[string]int `json:"counts"`
+	// Tasks lists tasks that have not ended first.
+	Tasks []intent.TaskStatus `json:"tasks"`
+	// Omitted counts the tasks beyond the limit.
+	Omitted int `json:"omitted,omitempty"`
+}
+
 func (s *Server) status(_ context.Context, req *request) (any, error) {
-	return s.backend.Status(req.partition, req.id)
+	limit, err := req.limit(defaultStatusTasks, model.MaxTasks)
+	if err != nil {
+		return nil, err
+	}
+	status, err := s.backend.Status(req.partition, req.id)
+	if err != nil {
+		return nil, err
+	}
+	reply := StatusReply{Intent: status.Intent, Counts: map[string]int{}, Tasks: append([]intent.TaskStatus{}, status.Tasks...)}
+	for _, t := range reply.Tasks {
+		reply.Counts[t.State]++
+	}
+	sort.SliceStable(reply.Tasks, func(i, j int) bool { return reply.Tasks[i].Outcome == nil && reply.Tasks[j].Outcome != nil })
+	if len(reply.Tasks) > limit {
+		reply.Omitted = len(reply.Tasks) - limit
+		reply.Tasks = reply.Tasks[:limit]
+	}
+	return reply, nil
+}
+
+// limit returns the query parameter of that name.
+func (r *request) limit(standard, high int) (int, error) {
+	text := r.query.Get("limit")
+	if text == "" {
+		return standard, nil
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 1 || n > high {
+		return 0, verdict.Invalid("limit", "expected 1 to %d entries, got %q", high, text)
+	}
+	return n, nil
 }
 
 func (s *Server) dump(_ context.Context, req *request) (any, error) {
-	limit := instance.DefaultDumpLimit
-	if text := req.query.Get("limit"); text != "" {
-		n, err := strconv.Atoi(text)
-		if err != nil || n < 1 || n > instance.MaxDumpLimit {
-			return nil, verdict.Invalid("limit", "expected 1 to %d entries, got %q", instance.MaxDumpLimit, text)
-		}
-		limit = n
+	limit, err := req.limit(instance.DefaultDumpLimit, instance.MaxDumpLimit)
+	if err != nil {
+		return nil, err
 	}
 	return s.backend.Dump(limit), nil
 }
