--- a/connection/peer/convert.go
+++ b/connection/peer/convert.go
@@ -93,10 +93,14 @@
 	if o.State == "" {
 		return nil
 	}
-	return &peerpb.Outcome{
+	p := &peerpb.Outcome{
 		Task: string(o.Task), Token: TokenToProto(o.Token), State: string(o.State), Worker: o.Worker,
 		Answer: o.Answer, AnswerDigest: o.AnswerDigest, Error: o.Error, RanMs: o.RanMS,
 	}
+	if !o.Used.IsZero() {
+		p.Used = ResourcesToProto(o.Used)
+	}
+	return p
 }
 
 // OutcomeFromProto converts a message to an outcome. A nil message is the zero outcome.
@@ -104,7 +108,7 @@
 	return model.Outcome{
 		Task: model.TaskID(p.GetTask()), Token: TokenFromProto(p.GetToken()), State: model.OutcomeState(p.GetState()),
 		Worker: p.GetWorker(), Answer: p.GetAnswer(), AnswerDigest: p.GetAnswerDigest(), Error: p.GetError(),
-		RanMS: p.GetRanMs(),
+		RanMS: p.GetRanMs(), Used: ResourcesFromProto(p.GetUsed()),
 	}
 }
 
--- a/model/intent.go
+++ b/model/intent.go
@@ -61,6 +61,12 @@
 	Spec        IntentSpec  `json:"spec"`
 	State       IntentState `json:"state"`
 	ConfirmedAt time.Time   `json:"confirmed_at"`
+	// Runs is one more than the number of the last run that a recurring intent started; 0 means none.
+	Runs int `json:"runs,omitempty"`
+	// RunOpen is set while the last run of a recurring intent has tasks that have not ended.
+	RunOpen bool `json:"run_open,omitempty"`
+	// Starts counts the starts of a gang that were committed.
+	Starts int `json:"starts,omitempty"`
 }
 
 // IntentPartitions is the number of intent partitions of a cell. It is fixed for the life of a cell, since stored keys
--- a/model/plan.go
+++ b/model/plan.go
@@ -69,4 +69,6 @@
 	Error        string `json:"error,omitempty"`
 	// RanMS is the run time on the worker in milliseconds.
 	RanMS int64 `json:"ran_ms,omitempty"`
+	// Used is the largest observed usage; zero when it was not observed.
+	Used Resources `json:"used,omitzero"`
 }
--- a/model/resources.go
+++ b/model/resources.go
@@ -53,6 +53,11 @@
 		r.Connections <= free.Connections
 }
 
+// IsZero reports whether no amount is set.
+func (r Resources) IsZero() bool {
+	return r.CPUMilli == 0 && r.MemoryMiB == 0 && r.Accelerators == 0 && r.Slots == 0 && r.Connections == 0
+}
+
 // Negative reports whether any field is below zero.
 func (r Resources) Negative() bool {
 	return r.CPUMilli < 0 || r.MemoryMiB < 0 || r.Accelerators < 0 || r.Slots < 0 || r.Connections < 0
--- /dev/null
+++ b/process/instance/execute.go
@@ -0,0 +1,237 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/lentiltide/lentiltide/connection/peer"
+	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/intent"
+	"github.com/lentiltide/lentiltide/version/ownership"
+)
+
+// execute runs effects, each on a goroutine of its own where it sends a message.
+func (r *intentRunner) execute(effects []intent.Effect) {
+	for _, e := range effects {
+		if r.ctx.Err() != nil {
+			return
+		}
+		switch e := e.(type) {
+		case intent.OfferTasks:
+			r.in.run(func() { r.offer(e) })
+		case intent.WithdrawTasks:
+			r.in.run(func() { r.withdraw(e) })
+		case intent.StopTask:
+			r.in.run(func() { r.stop(e) })
+		case intent.TaskEnded:
+			if e.Record {
+				r.record([]model.Outcome{e.Outcome})
+			}
+			r.answer(e.Outcome)
+		case intent.SaveIntent:
+			r.in.run(func() { r.saveIntent(e.ID) })
+		case intent.RecordRun:
+			r.in.run(func() { r.recordRun(e.ID) })
+		case intent.Forget:
+			r.in.run(func() { r.forget(e) })
+		case intent.HoldTasks:
+			r.in.run(func() { r.hold(e) })
+		case intent.CommitGang:
+			r.in.run(func() { r.commitGang(e) })
+		case intent.StartHeld:
+			r.in.run(func() { r.startHeld(e) })
+		case intent.ReleaseHold:
+			r.in.run(func() { r.release(e) })
+		}
+	}
+}
+
+// offer offers tasks once. A lost offer is repeated when its term ends.
+func (r *intentRunner) offer(e intent.OfferTasks) {
+	reply, err := r.in.ask(r.ctx, ownership.Rack(e.Rack), &peerpb.Request{Body: &peerpb.Request_Offer{Offer: &peerpb.Offer{
+		Rack: e.Rack, IntentEpoch: r.core.Epoch(), Tasks: peer.TasksToProto(e.Tasks), Victims: taskNames(e.Victims),
+	}}})
+	if err == nil && len(reply.GetOffer().GetRefused()) > 0 {
+		r.core.Refused(e.Rack, taskIDs(reply.GetOffer().GetRefused()))
+	}
+}
+
+func taskNames(ids []model.TaskID) []string {
+	names := make([]string, len(ids))
+	for i, id := range ids {
+		names[i] = string(id)
+	}
+	return names
+}
+
+func (r *intentRunner) withdraw(e intent.WithdrawTasks) {
+	_, _ = r.in.ask(r.ctx, ownership.Rack(e.Rack), &peerpb.Request{Body: &peerpb.Request_Withdraw{
+		Withdraw: &peerpb.Withdraw{Rack: e.Rack, Tasks: taskNames(e.Tasks)},
+	}})
+}
+
+// stop repeats a stop until the rack has taken it.
+func (r *intentRunner) stop(e intent.StopTask) {
+	for {
+		_, err := r.in.ask(r.ctx, ownership.Rack(e.Rack), &peerpb.Request{Body: &peerpb.Request_StopTask{
+			StopTask: &peerpb.StopTask{Rack: e.Rack, Task: string(e.Task), Token: peer.TokenToProto(e.Token), Checkpoint: e.Checkpoint},
+		}})
+		if err == nil || !r.in.sleep(r.ctx, retryDelay) {
+			return
+		}
+	}
+}
+
+// hold asks a rack once; a lost answer counts as nothing held, and the hold expires or is released.
+func (r *intentRunner) hold(e intent.HoldTasks) {
+	reply, err := r.in.ask(r.ctx, ownership.Rack(e.Rack), &peerpb.Request{Body: &peerpb.Request_Hold{Hold: &peerpb.Hold{
+		Rack: e.Rack, IntentEpoch: r.core.Epoch(), Hold: e.Hold, Tasks: peer.TasksToProto(e.Tasks),
+		TermMs: e.Term.Milliseconds(), Victims: taskNames(e.Victims),
+	}}})
+	var placements []model.Placement
+	if err == nil {
+		placements = peer.PlacementsFromProto(reply.GetHold().GetPlacements())
+	}
+	r.execute(r.core.HoldAnswered(r.now(), e.Tasks[0].Intent, e.Hold, e.Rack, reply.GetHold().GetRackEpoch(), placements))
+}
+
+// commitGang records the start of a gang.
+func (r *intentRunner) commitGang(e intent.CommitGang) {
+	r.confirming.Lock()
+	in, ok := r.core.PrepareStart(e.ID, e.Hold)
+	if ok {
+		ok = r.writeIntents(r.ctx, in) == nil
+	}
+	r.confirming.Unlock()
+	r.execute(r.core.GangCommitted(r.now(), e.ID, e.Hold, ok))
+}
+
+// startHeld repeats the start of held members until the rack has answered, or until the rack has a later epoch: then
+// what runs is known from its answer to the fence.
+func (r *intentRunner) startHeld(e intent.StartHeld) {
+	msg := &peerpb.StartHeld{Rack: e.Rack, RackEpoch: e.RackEpoch, Hold: e.Hold, Tasks: taskNames(e.Tasks)}
+	for _, t := range e.Tokens {
+		msg.Tokens = append(msg.Tokens, peer.TokenToProto(t))
+	}
+	unknown := false
+	for {
+		if loc, ok := r.in.owners.Locate(ownership.Rack(e.Rack)); ok && loc.Epoch > e.RackEpoch {
+			return
+		}
+		_, err := r.in.ask(r.ctx, ownership.Rack(e.Rack), &peerpb.Request{Body: &peerpb.Request_StartHeld{StartHeld: msg}})
+		switch {
+		case err == nil || verdict.From(err).Code == verdict.CodeFenced:
+			return
+		case refusesStart(err) && !unknown:
+			r.execute(r.core.StartRefused(r.now(), e.Rack, e.Tasks, e.Tokens, verdict.From(err).Message))
+			return
+		case refusesStart(err):
+			// An earlier message may have started the members and the rack may have forgotten the hold since.
+			if r.refused(e, err) {
+				return
+			}
+		}
+		unknown = unknown || verdict.Of(err) != verdict.NotRun
+		if !r.in.sleep(r.ctx, retryDelay) {
+			return
+		}
+	}
+}
+
+// refusesStart reports whether a rack has answered that it does not hold the members.
+func refusesStart(err error) bool {
+	e := verdict.From(err)
+	return e.Verdict == verdict.NotRun && (e.Code == verdict.CodeExpired || e.Code == verdict.CodeConflict)
+}
+
+// refused gives up those members that the rack does not list. It returns false when the rack could not be asked.
+func (r *intentRunner) refused(e intent.StartHeld, cause error) bool {
+	known, epoch, complete := r.listRack(e.Rack)
+	if !complete || epoch != e.RackEpoch {
+		return false
+	}
+	var tasks []model.TaskID
+	var tokens []model.StartToken
+	for i, token := range e.Tokens {
+		if !known[token] {
+			tasks, tokens = append(tasks, e.Tasks[i]), append(tokens, token)
+		}
+	}
+	r.execute(r.core.StartRefused(r.now(), e.Rack, tasks, tokens, verdict.From(cause).Message))
+	return true
+}
+
+// release ends a hold; a lost message does no harm, since the hold expires.
+func (r *intentRunner) release(e intent.ReleaseHold) {
+	_, _ = r.in.ask(r.ctx, ownership.Rack(e.Rack), &peerpb.Request{Body: &peerpb.Request_Release{
+		Release: &peerpb.Release{Rack: e.Rack, Hold: e.Hold},
+	}})
+}
+
+// recordRun writes the start of a recurring run and then starts it.
+func (r *intentRunner) recordRun(id string) {
+	r.confirming.Lock()
+	in, due := r.core.PrepareRun(r.now(), id)
+	if due {
+		due = r.writeIntents(r.ctx, in) == nil
+	}
+	r.confirming.Unlock()
+	if !due && !r.in.sleep(r.ctx, time.Second) {
+		return
+	}
+	in.ID = id
+	r.execute(r.core.RunRecorded(r.now(), in, due))
+}
+
+// saveIntent writes the row of an intent once its outcomes are durable, and repeats it while the table is unavailable.
+func (r *intentRunner) saveIntent(id string) {
+	for {
+		err := r.journal.Flush(r.ctx)
+		if err == nil {
+			err = r.saveIntentOnce(id)
+		}
+		if err == nil || verdict.From(err).Code == verdict.CodeNotFound {
+			return
+		}
+		if !r.in.sleep(r.ctx, time.Second) {
+			return
+		}
+	}
+}
+
+func (r *intentRunner) saveIntentOnce(id string) error {
+	r.confirming.Lock()
+	defer r.confirming.Unlock()
+	in, err := r.core.Intent(id)
+	if err != nil {
+		return err
+	}
+	return r.writeIntents(r.ctx, in)
+}
+
+// Explain returns what the owner of an intent partition and the racks know about a task.
+func (in *Instance) Explain(ctx context.Context, n int, id model.TaskID) (intent.Explanation, error) {
+	r, err := in.intentRunner(n)
+	if err != nil {
+		return intent.Explanation{}, err
+	}
+	e, err := r.core.Explain(r.now(), id)
+	if err != nil {
+		return intent.Explanation{}, err
+	}
+	for _, name := range e.Racks {
+		reply, err := in.ask(ctx, ownership.Rack(name), &peerpb.Request{Body: &peerpb.Request_ExplainTask{
+			ExplainTask: &peerpb.ExplainTask{Rack: name, Task: string(id)},
+		}})
+		if err != nil {
+			e.Reasons = append(e.Reasons, "rack "+name+" could not be asked: "+verdict.From(err).Message)
+			continue
+		}
+		for _, reason := range reply.GetExplainTask().GetReasons() {
+			e.Reasons = append(e.Reasons, "rack "+name+": "+reason)
+		}
+	}
+	return e, nil
+}
--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -19,6 +19,7 @@
 	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/process/settings"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/intent"
 	"github.com/lentiltide/lentiltide/version/ownership"
 	"github.com/lentiltide/lentiltide/version/rack"
 	"github.com/lentiltide/lentiltide/worker"
@@ -36,6 +37,8 @@
 	Log      logrus.FieldLogger
 	// Seed seeds the random choices.
 	Seed uint64
+	// Quotas are the quotas in force; nil limits nothing.
+	Quotas intent.Quotas
 }
 
 // Instance is one running entry instance.
@@ -54,6 +57,9 @@
 	summaries map[string]rack.Summary
 	rng       *rand.Rand
 	handler   callHandler
+	view      cellView
+
+	usages *usageBook
 }
 
 // New returns an instance that does nothing until Start.
@@ -65,7 +71,7 @@
 	in := &Instance{
 		opts: opts, ctx: ctx, cancel: cancel,
 		racks: map[string]*rackRunner{}, intents: map[int]*intentRunner{}, summaries: map[string]rack.Summary{},
-		rng: rand.New(rand.NewPCG(opts.Seed, 0)),
+		rng: rand.New(rand.NewPCG(opts.Seed, 0)), usages: newUsageBook(opts.Clock.Now),
 	}
 	s := opts.Settings
 	in.owners = ownership.New(ownership.Options{
@@ -82,6 +88,7 @@
 	in.run(func() { in.owners.Run(in.ctx) })
 	in.run(in.watchMembers)
 	in.run(in.spreadSummaries)
+	in.run(in.spreadUsages)
 }
 
 // Drain hands over all partitions and ends the session; ctx bounds it.
--- a/process/instance/intents.go
+++ b/process/instance/intents.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -27,6 +28,8 @@
 	journalFlush = 200 * time.Millisecond
 	// journalPending bounds the outcomes of a partition that wait for a write.
 	journalPending = 50_000
+	// journalReserve is kept free for outcomes that no worker holds.
+	journalReserve = 10_000
 )
 
 // intentRunner executes the effects of one intent core for one epoch.
@@ -41,11 +44,15 @@
 	// loaded is set when the stored intents were read; the instance's lock protects it.
 	loaded bool
 
-	// confirming serialises confirmations and cancellations.
+	// confirming serialises the writes of intent rows. It protects versions, the versions of rows as last written or read.
 	confirming sync.Mutex
+	versions   map[string]uint64
 
 	mu      sync.Mutex
 	waiting map[model.TaskID][]chan model.Outcome
+	// cancels are the cancellations that wait to be written together.
+	cancels    []*cancellation
+	cancelling bool
 }
 
 func partitionNumber(p ownership.Partition) int {
@@ -67,8 +74,9 @@
 	r := &intentRunner{
 		in: in, core: intent.New(n, epoch, intent.DefaultPolicy()),
 		condition: platform.Condition{Key: "partition/" + p.String(), Version: rowVersion},
-		waiting:   map[model.TaskID][]chan model.Outcome{},
+		waiting:   map[model.TaskID][]chan model.Outcome{}, versions: map[string]uint64{},
 	}
+	r.core.SetQuotas(in.opts.Quotas)
 	r.ctx, r.cancel = context.WithCancel(in.ctx)
 	r.journal = journal.New(journal.Options{
 		Partition: n, Epoch: epoch, Table: in.opts.Table, Clock: in.opts.Clock, Condition: r.condition,
@@ -92,7 +100,8 @@
 	r.in.mu.Unlock()
 	r.in.run(func() { r.journal.Run(r.ctx) })
 	r.in.run(r.askRacks)
-	r.in.every(r.ctx, intentTick, func() { r.execute(r.core.Tick(r.now())) })
+	r.tick()
+	r.in.every(r.ctx, intentTick, r.tick)
 }
 
 // load reads the intents and outcomes of the partition from the table.
@@ -110,11 +119,21 @@
 		if err := json.Unmarshal(row.Value, &in); err != nil {
 			return err
 		}
+		r.versions[row.Key] = row.Version
 		r.core.Restore(r.now(), in, outcomes)
 	}
 	return nil
 }
 
+// tick gives the core the current view of the cell and executes what is due.
+func (r *intentRunner) tick() {
+	view := r.in.cellView()
+	r.core.SetRacks(view.racks)
+	r.core.SetPool(r.in.usages.pool(view, r.partition()))
+	r.core.SetOlderGang(r.in.usages.olderGang(r.partition()))
+	r.execute(r.core.Tick(r.now()))
+}
+
 // askRacks raises the epoch at every rack owner and enters what each lists, now and whenever a rack gets a new owner.
 // Tasks with no known place wait until all racks have answered completely.
 func (r *intentRunner) askRacks() {
@@ -136,10 +155,8 @@
 		if missing == 0 && !opened && len(answered) > 0 {
 			opened = true
 			effects, final := r.core.RacksAnswered(r.now())
+			r.record(final)
 			r.execute(effects)
-			for _, out := range final {
-				_, _ = r.journal.Append(out)
-			}
 		}
 		if !r.in.sleep(r.ctx, retryDelay) {
 			return
@@ -149,14 +166,26 @@
 
 // askRack enters what a rack lists for the partition. complete is true when nothing else can run in the rack.
 func (r *intentRunner) askRack(name string) (rackEpoch uint64, complete bool) {
+	known, rackEpoch, complete := r.listRack(name)
+	if !complete {
+		return 0, false
+	}
+	effects, final := r.core.RackReplaced(r.now(), name, rackEpoch, known)
+	r.record(final)
+	r.execute(effects)
+	return rackEpoch, true
+}
+
+// listRack enters what a rack lists for the partition and returns the start tokens of what runs or has ended there.
+func (r *intentRunner) listRack(name string) (known map[model.StartToken]bool, rackEpoch uint64, complete bool) {
 	reply, err := r.in.ask(r.ctx, ownership.Rack(name), &peerpb.Request{Body: &peerpb.Request_FenceIntent{
 		FenceIntent: &peerpb.FenceIntent{Rack: name, Partition: uint32(r.partition()), Epoch: r.core.Epoch()},
 	}})
 	if err != nil {
-		return 0, false
+		return nil, 0, false
 	}
 	answer := reply.GetFenceIntent()
-	known := map[model.StartToken]bool{}
+	known = map[model.StartToken]bool{}
 	for _, t := range answer.GetTasks() {
 		task, token := peer.TaskFromProto(t.GetTask()), peer.TokenFromProto(t.GetToken())
 		known[token] = true
@@ -164,77 +193,16 @@
 			_, _ = r.ended(task, out)
 			continue
 		}
-		r.core.Known(r.now(), name, answer.GetRackEpoch(), task, token, t.GetWorker())
-	}
-	if !answer.GetComplete() {
-		return 0, false
-	}
-	r.execute(r.core.RackReplaced(r.now(), name, answer.GetRackEpoch(), known))
-	return answer.GetRackEpoch(), true
-}
-
-// execute runs effects, each on a goroutine of its own where it sends a message.
-func (r *intentRunner) execute(effects []intent.Effect) {
-	for _, e := range effects {
-		switch e := e.(type) {
-		case intent.OfferTask:
-			r.in.run(func() { r.offer(e) })
-		case intent.StopTask:
-			r.in.run(func() { r.stop(e) })
-		case intent.TaskEnded:
-			r.answer(e.Outcome)
-		}
+		r.execute(r.core.Known(r.now(), name, answer.GetRackEpoch(), task, token, t.GetWorker()))
 	}
+	return known, answer.GetRackEpoch(), answer.GetComplete()
 }
 
-func (r *intentRunner) offer(e intent.OfferTask) {
-	name := e.Rack
-	if name == "" {
-		name = r.in.chooseRack(e.Task)
+// record appends outcomes to the journal that no worker reports.
+func (r *intentRunner) record(outcomes []model.Outcome) {
+	for _, out := range outcomes {
+		_, _ = r.journal.Append(out)
 	}
-	if name == "" {
-		return
-	}
-	victims := make([]string, len(e.Victims))
-	for i, v := range e.Victims {
-		victims[i] = string(v)
-	}
-	// A lost offer is repeated when its term ends.
-	_, _ = r.in.ask(r.ctx, ownership.Rack(name), &peerpb.Request{Body: &peerpb.Request_Offer{Offer: &peerpb.Offer{
-		Rack: name, IntentEpoch: r.core.Epoch(), Tasks: peer.TasksToProto([]model.Task{e.Task}), Victims: victims,
-	}}})
-}
-
-// stop repeats a stop until the rack has taken it.
-func (r *intentRunner) stop(e intent.StopTask) {
-	for {
-		_, err := r.in.ask(r.ctx, ownership.Rack(e.Rack), &peerpb.Request{Body: &peerpb.Request_StopTask{
-			StopTask: &peerpb.StopTask{Rack: e.Rack, Task: string(e.Task), Token: peer.TokenToProto(e.Token)},
-		}})
-		if err == nil || !r.in.sleep(r.ctx, retryDelay) {
-			return
-		}
-	}
-}
-
-// chooseRack picks the better of two random racks by their summaries; among racks whose largest worker seems too full it
-// picks any, where the offer waits.
-func (in *Instance) chooseRack(task model.Task) string {
-	names := in.rackNames()
-	if len(names) == 0 {
-		return ""
-	}
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	best, bestFree := "", int64(-1)
-	for range 2 {
-		name := names[in.rng.IntN(len(names))]
-		free := in.summaries[name].Largest.CPUMilli
-		if free > bestFree {
-			best, bestFree = name, free
-		}
-	}
-	return best
 }
 
 // answer hands an outcome to the callers that wait for it.
@@ -257,152 +225,50 @@
 	return ch
 }
 
+// stopWaiting removes a caller that has gone.
+func (r *intentRunner) stopWaiting(id model.TaskID, gone chan model.Outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	left := slices.DeleteFunc(r.waiting[id], func(ch chan model.Outcome) bool { return ch == gone })
+	if len(left) == 0 {
+		delete(r.waiting, id)
+		return
+	}
+	r.waiting[id] = left
+}
+
 // ended enters an outcome and returns a channel that is closed when it is durable; nil means that nothing has to be
-// recorded.
+// recorded. While the journal is full the outcome is refused as NotRun, and the worker keeps it.
 func (r *intentRunner) ended(task model.Task, out model.Outcome) (<-chan struct{}, error) {
+	pending, done := r.journal.Pending(out.Task)
+	if done != nil {
+		return done, nil
+	}
+	if pending >= journalPending-journalReserve {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the outcome journal is full").After(time.Second)
+	}
 	effects, final, err := r.core.Ended(r.now(), task, out)
 	if err != nil {
 		return nil, err
 	}
-	r.execute(effects)
 	if !final {
+		r.execute(effects)
 		_, done := r.journal.Pending(out.Task)
 		return done, nil
 	}
-	return r.journal.Append(out)
-}
-
-// Plan states an intent and returns a plan; nothing changes.
-func (in *Instance) Plan(ctx context.Context, n int, spec model.IntentSpec) (model.Plan, error) {
-	r, err := in.intentRunner(n)
-	if err != nil {
-		return model.Plan{}, err
-	}
-	plan, tasks := r.core.Draft(r.now(), spec, 0, uuid.NewString())
-	if err := r.propose(ctx, &plan, tasks); err != nil {
-		return model.Plan{}, err
-	}
-	if err := r.put(ctx, planKey(n, plan.ID), 0, plan); err != nil {
-		return model.Plan{}, err
-	}
-	r.core.AddPlan(plan)
-	return plan, nil
-}
-
-// propose asks the racks where the tasks would go. Tasks that fit nowhere now wait; a task that fits no worker at all is
-// an error.
-func (r *intentRunner) propose(ctx context.Context, plan *model.Plan, tasks []model.Task) error {
-	rest, fits, asked := tasks, false, 0
-	for _, name := range r.in.rackNames() {
-		if len(rest) == 0 {
-			break
-		}
-		reply, err := r.in.ask(ctx, ownership.Rack(name), &peerpb.Request{Body: &peerpb.Request_Propose{
-			Propose: &peerpb.Propose{Rack: name, Tasks: peer.TasksToProto(rest)},
-		}})
-		if err != nil {
-			continue
-		}
-		asked++
-		p := reply.GetPropose()
-		fits = fits || p.GetFitsEmpty()
-		placed := peer.PlacementsFromProto(p.GetPlacements())
-		plan.Placements = append(plan.Placements, placed...)
-		plan.Displaces = append(plan.Displaces, peer.DisplacementsFromProto(p.GetDisplaces())...)
-		rest = withoutPlaced(rest, placed)
-	}
-	if asked == 0 {
-		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no rack can be reached").After(time.Second)
-	}
-	if len(rest) > 0 && !fits {
-		return verdict.Invalid("each", "no worker that could be reached is large enough for one task")
-	}
-	for _, t := range rest {
-		plan.Placements = append(plan.Placements, model.Placement{Task: t.ID, Waits: true, Reason: "waits for free capacity"})
-	}
-	return nil
-}
-
-func withoutPlaced(tasks []model.Task, placed []model.Placement) []model.Task {
-	done := make(map[model.TaskID]bool, len(placed))
-	for _, p := range placed {
-		done[p.Task] = true
-	}
-	var rest []model.Task
-	for _, t := range tasks {
-		if !done[t.ID] {
-			rest = append(rest, t)
+	// The outcome is queued before the end of the intent is, so that no row says done before its outcomes are durable.
+	for _, e := range effects {
+		if ended, ok := e.(intent.TaskEnded); ok && ended.Outcome.Task == out.Task {
+			out = ended.Outcome
 		}
 	}
-	return rest
-}
-
-// put writes a row under the partition's condition. version 0 requires the row to be absent.
-func (r *intentRunner) put(ctx context.Context, key string, version uint64, value any) error {
-	data, err := json.Marshal(value)
-	if err != nil {
-		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "encode %s", key)
-	}
-	txn := platform.Txn{
-		ID: uuid.NewString(), Conditions: []platform.Condition{r.condition, {Key: key, Version: version}},
-		Writes: []platform.Write{{Key: key, Value: data}},
-	}
-	_, err = r.in.opts.Table.Commit(ctx, txn)
-	if verdict.Of(err) != verdict.MayHaveRun {
-		return err
-	}
-	rows, readErr := r.in.opts.Table.Get(ctx, key)
-	if readErr == nil && len(rows) == 1 && rows[0].TxnID == txn.ID {
-		return nil
-	}
-	return err
-}
-
-// Confirm makes a plan run. A second confirmation of the same plan returns the first result.
-func (in *Instance) Confirm(ctx context.Context, n int, planID string) (model.Intent, error) {
-	r, err := in.intentRunner(n)
-	if err != nil {
-		return model.Intent{}, err
-	}
-	r.confirming.Lock()
-	defer r.confirming.Unlock()
-	out, confirmed, err := r.core.PrepareConfirm(r.now(), planID)
-	if err != nil || confirmed {
-		return out, err
-	}
-	if err := r.put(ctx, intentKey(n, out.ID), 0, out); err != nil {
-		return model.Intent{}, err
-	}
-	r.execute(r.core.Confirmed(r.now(), out))
-	return out, nil
-}
-
-// Cancel ends an intent.
-func (in *Instance) Cancel(ctx context.Context, n int, id string) (model.Intent, error) {
-	r, err := in.intentRunner(n)
-	if err != nil {
-		return model.Intent{}, err
-	}
-	r.confirming.Lock()
-	defer r.confirming.Unlock()
-	out, err := r.core.Intent(id)
-	if err != nil || out.State == model.IntentCancelled {
-		return out, err
-	}
-	out.State = model.IntentCancelled
-	rows, err := in.opts.Table.Get(ctx, intentKey(n, id))
-	if err != nil || len(rows) == 0 {
-		return model.Intent{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "intent row cannot be read").After(time.Second)
-	}
-	if err := r.put(ctx, intentKey(n, id), rows[0].Version, out); err != nil {
-		return model.Intent{}, err
-	}
-	effects, err := r.core.Cancelled(r.now(), id)
+	done, err = r.journal.Append(out)
 	r.execute(effects)
-	return out, err
+	return done, err
 }
 
-// Call runs a call of a standing intent and waits for its outcome.
+// Call runs a call of a standing intent and waits for its outcome. A caller that gives up before the call was granted
+// gets NotRun.
 func (in *Instance) Call(ctx context.Context, n int, id string, ticket model.StartToken, payload []byte) (model.Outcome, error) {
 	r, err := in.intentRunner(n)
 	if err != nil {
@@ -421,7 +287,10 @@
 	case out := <-done:
 		return out, nil
 	case <-ctx.Done():
-		return model.Outcome{}, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeUnavailable, "wait for the outcome")
+		r.stopWaiting(res.Task.ID, done)
+		effects, v := r.core.Abandon(r.now(), res.Task.ID)
+		r.execute(effects)
+		return model.Outcome{}, verdict.Wrap(ctx.Err(), v, verdict.CodeUnavailable, "wait for the outcome")
 	case <-r.ctx.Done():
 		return model.Outcome{}, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the partition moved to another owner").After(retryDelay)
 	}
--- a/process/instance/peers.go
+++ b/process/instance/peers.go
@@ -50,6 +50,10 @@
 		in.handleSummary(body.Summary)
 		reply.Body = &peerpb.Reply_Ack{Ack: &peerpb.Ack{}}
 		return nil
+	case *peerpb.Request_Usages:
+		in.usages.take(body.Usages)
+		reply.Body = &peerpb.Reply_Ack{Ack: &peerpb.Ack{}}
+		return nil
 	default:
 		return verdict.New(verdict.NotRun, verdict.CodeInvalid, "unknown message")
 	}
--- /dev/null
+++ b/process/instance/rows.go
@@ -0,0 +1,168 @@
+package instance
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+
+	"github.com/google/uuid"
+
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/intent"
+)
+
+// commitTries bounds how often a transaction is repeated whose answer was lost.
+const commitTries = 5
+
+// commit applies a transaction under the partition's condition and returns the versions of the written rows. After a lost
+// answer the first row is read back; while it is unchanged, the same transaction is tried again, since at most one of the
+// two can apply.
+func (r *intentRunner) commit(ctx context.Context, conditions []platform.Condition, writes []platform.Write) ([]uint64, error) {
+	txn := platform.Txn{
+		ID: uuid.NewString(), Conditions: append([]platform.Condition{r.condition}, conditions...), Writes: writes,
+	}
+	var err error
+	for try := range commitTries {
+		var versions []uint64
+		if versions, err = r.in.opts.Table.Commit(ctx, txn); err == nil {
+			return versions, nil
+		}
+		// Only a conflict after an unknown result can hide that the transaction took effect.
+		if verdict.Of(err) == verdict.NotRun && try == 0 {
+			return nil, err
+		}
+		if versions, ok := r.readBack(ctx, txn); ok {
+			return versions, nil
+		}
+		if verdict.From(err).Code == verdict.CodeConflict {
+			return nil, err
+		}
+		if !r.in.sleep(ctx, retryDelay) {
+			break
+		}
+	}
+	// An earlier try may still arrive, so not even a refusal of the last one proves that nothing was written.
+	return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUnavailable, "the result of a write is unknown").After(retryDelay)
+}
+
+// readBack returns the versions of the rows that a transaction has written, if it has taken effect.
+func (r *intentRunner) readBack(ctx context.Context, txn platform.Txn) ([]uint64, bool) {
+	keys := make([]string, len(txn.Writes))
+	for i, w := range txn.Writes {
+		keys[i] = w.Key
+	}
+	rows, err := r.in.opts.Table.Get(ctx, keys...)
+	if err != nil || len(rows) != len(keys) {
+		return nil, false
+	}
+	versions := make([]uint64, len(rows))
+	for i, row := range rows {
+		if row.TxnID != txn.ID {
+			return nil, false
+		}
+		versions[i] = row.Version
+	}
+	return versions, true
+}
+
+// put writes a row under the partition's condition. version 0 requires the row to be absent.
+func (r *intentRunner) put(ctx context.Context, key string, version uint64, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "encode %s", key)
+	}
+	_, err = r.commit(ctx, []platform.Condition{{Key: key, Version: version}}, []platform.Write{{Key: key, Value: data}})
+	return err
+}
+
+// writeIntents writes rows of known intents, or of new ones, in one transaction. Callers hold r.confirming.
+func (r *intentRunner) writeIntents(ctx context.Context, intents ...model.Intent) error {
+	if err := r.refreshVersions(ctx, intents); err != nil {
+		return err
+	}
+	var conditions []platform.Condition
+	var writes []platform.Write
+	for _, in := range intents {
+		key := intentKey(r.partition(), in.ID)
+		data, err := json.Marshal(in)
+		if err != nil {
+			return verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "encode %s", key)
+		}
+		conditions = append(conditions, platform.Condition{Key: key, Version: r.versions[key]})
+		writes = append(writes, platform.Write{Key: key, Value: data})
+	}
+	versions, err := r.commit(ctx, conditions, writes)
+	for i, w := range writes {
+		if err != nil {
+			// An earlier write whose result was unknown may have taken effect.
+			delete(r.versions, w.Key)
+			continue
+		}
+		r.versions[w.Key] = versions[i]
+	}
+	return err
+}
+
+// refreshVersions reads the versions of rows that are not known. Callers hold r.confirming.
+func (r *intentRunner) refreshVersions(ctx context.Context, intents []model.Intent) error {
+	var missing []string
+	for _, in := range intents {
+		key := intentKey(r.partition(), in.ID)
+		if _, ok := r.versions[key]; !ok && (in.State != model.IntentConfirmed || in.Starts > 0 || in.Runs > 0) {
+			missing = append(missing, key)
+		}
+	}
+	if len(missing) == 0 {
+		return nil
+	}
+	rows, err := r.in.opts.Table.Get(ctx, missing...)
+	if err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "read intent rows").After(retryDelay)
+	}
+	for _, row := range rows {
+		r.versions[row.Key] = row.Version
+	}
+	return nil
+}
+
+// storedIntent returns the row of an intent; ok is false when there is none. Callers hold r.confirming.
+func (r *intentRunner) storedIntent(ctx context.Context, id string) (in model.Intent, ok bool, err error) {
+	rows, err := r.in.opts.Table.Get(ctx, intentKey(r.partition(), id))
+	if err != nil || len(rows) == 0 {
+		return model.Intent{}, false, err
+	}
+	if err := json.NewDecoder(bytes.NewReader(rows[0].Value)).Decode(&in); err != nil {
+		return model.Intent{}, false, verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "decode %s", rows[0].Key)
+	}
+	r.versions[rows[0].Key] = rows[0].Version
+	return in, true, nil
+}
+
+// forgetBatch bounds the rows of one transaction that deletes.
+const forgetBatch = 64
+
+// forget deletes the rows of intents and plans that are past their retention. A failure leaves rows behind, which the
+// next owner reads and forgets in its turn.
+func (r *intentRunner) forget(e intent.Forget) {
+	r.confirming.Lock()
+	defer r.confirming.Unlock()
+	var writes []platform.Write
+	for _, id := range e.Intents {
+		key := intentKey(r.partition(), id)
+		delete(r.versions, key)
+		writes = append(writes, platform.Write{Key: key, Delete: true})
+	}
+	for _, id := range e.Plans {
+		writes = append(writes, platform.Write{Key: planKey(r.partition(), id), Delete: true})
+	}
+	for len(writes) > 0 {
+		n := min(forgetBatch, len(writes))
+		if _, err := r.commit(r.ctx, nil, writes[:n]); err != nil {
+			r.in.opts.Log.WithError(err).WithField("partition", r.partition()).Warn("rows past their retention were not deleted")
+			return
+		}
+		writes = writes[n:]
+	}
+}
--- /dev/null
+++ b/process/instance/usage.go
@@ -0,0 +1,190 @@
+package instance
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/lentiltide/lentiltide/connection/peer"
+	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/version/intent"
+	"github.com/lentiltide/lentiltide/version/ownership"
+)
+
+const (
+	// usageEvery is the time between messages about quota use to the other instances.
+	usageEvery = 2 * time.Second
+	// usageTerm is how long the last message about a partition counts.
+	usageTerm = 10 * time.Second
+)
+
+// cellView is a lagging view of all racks, shared by the intent partitions of an instance.
+type cellView struct {
+	at             time.Time
+	racks          []intent.RackView
+	capacity, free model.Resources
+}
+
+// cellView returns the view of the racks that have an owner, sorted by name. It is made anew once per tick.
+func (in *Instance) cellView() cellView {
+	now := in.opts.Clock.Now()
+	in.mu.Lock()
+	view := in.view
+	in.mu.Unlock()
+	if now.Sub(view.at) < intentTick/2 && len(view.racks) > 0 {
+		return view
+	}
+	view = cellView{at: now}
+	names := in.rackNames()
+	in.mu.Lock()
+	zones := map[string]string{}
+	for _, m := range in.members {
+		if m.Role != platform.RoleWorker {
+			continue
+		}
+		zones[m.Rack] = m.Zone
+		if m.State != platform.MemberLeaving {
+			view.capacity = view.capacity.Add(m.Capacity)
+		}
+	}
+	in.mu.Unlock()
+	for _, name := range names {
+		if _, ok := in.owners.Locate(ownership.Rack(name)); !ok {
+			continue
+		}
+		in.mu.Lock()
+		s := in.summaries[name]
+		in.mu.Unlock()
+		queued := 0
+		for _, n := range s.Queued {
+			queued += n
+		}
+		view.free = view.free.Add(s.Free)
+		view.racks = append(view.racks, intent.RackView{
+			Rack: name, Zone: zones[name], Epoch: s.Epoch, Free: s.Free, Largest: s.Largest, Queued: queued,
+		})
+	}
+	in.mu.Lock()
+	in.view = view
+	in.mu.Unlock()
+	return view
+}
+
+// usageBook keeps what the intent partitions have told about quotas and gangs.
+type usageBook struct {
+	now func() time.Time
+
+	mu    sync.Mutex
+	items map[int]usageItem
+}
+
+type usageItem struct {
+	epoch uint64
+	at    time.Time
+	usage intent.Usage
+	gang  intent.GangAge
+}
+
+func newUsageBook(now func() time.Time) *usageBook {
+	return &usageBook{now: now, items: map[int]usageItem{}}
+}
+
+// take enters a message of another instance, or of this one.
+func (b *usageBook) take(m *peerpb.Usages) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range m.GetItems() {
+		n := int(p.GetPartition())
+		if n < 0 || n >= model.IntentPartitions || p.GetEpoch() < b.items[n].epoch {
+			continue
+		}
+		b.items[n] = usageItem{
+			epoch: p.GetEpoch(), at: b.now(),
+			usage: intent.Usage{Borrowed: peer.ResourcesFromProto(p.GetBorrowed()), Short: peer.ResourcesFromProto(p.GetShort())},
+			gang:  intent.GangAge{Intent: p.GetGangIntent(), ConfirmedAt: time.UnixMilli(p.GetGangConfirmedUnixMs())},
+		}
+	}
+}
+
+// others calls f for each other partition whose last message still counts.
+func (b *usageBook) others(partition int, f func(usageItem)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	for n, item := range b.items {
+		if n != partition && now.Sub(item.at) <= usageTerm {
+			f(item)
+		}
+	}
+}
+
+// pool returns the view of the cell that limits borrowing of a partition.
+func (b *usageBook) pool(view cellView, partition int) intent.Pool {
+	p := intent.Pool{Capacity: view.capacity, Free: view.free}
+	b.others(partition, func(item usageItem) {
+		p.Borrowed = p.Borrowed.Add(item.usage.Borrowed)
+		p.Short = p.Short.Add(item.usage.Short)
+	})
+	return p
+}
+
+// olderGang returns the oldest waiting gang of the other partitions.
+func (b *usageBook) olderGang(partition int) intent.GangAge {
+	var oldest intent.GangAge
+	b.others(partition, func(item usageItem) {
+		if item.gang.Older(oldest) {
+			oldest = item.gang
+		}
+	})
+	return oldest
+}
+
+// spreadUsages tells all instances what the intent partitions served here borrow, lack and wait for. Partitions with
+// nothing to tell are left out; what was told about them ends with its term.
+func (in *Instance) spreadUsages() {
+	in.every(in.ctx, usageEvery, func() {
+		m := &peerpb.Usages{}
+		for _, r := range in.intentRunners() {
+			u, g := r.core.Usage(r.now()), r.core.OldestGang()
+			if u.Borrowed.IsZero() && u.Short.IsZero() && g.IsZero() {
+				continue
+			}
+			m.Items = append(m.Items, &peerpb.PartitionUsage{
+				Partition: uint32(r.partition()), Epoch: r.core.Epoch(), Borrowed: peer.ResourcesToProto(u.Borrowed),
+				Short: peer.ResourcesToProto(u.Short), GangIntent: g.Intent, GangConfirmedUnixMs: g.ConfirmedAt.UnixMilli(),
+			})
+		}
+		if len(m.Items) > 0 {
+			in.spreadUsage(m)
+		}
+	})
+}
+
+func (in *Instance) spreadUsage(m *peerpb.Usages) {
+	in.usages.take(m)
+	for _, session := range in.owners.Sessions() {
+		if session.Instance == in.opts.Settings.Instance {
+			continue
+		}
+		in.run(func() {
+			ctx, cancel := context.WithTimeout(in.ctx, peerTimeout)
+			defer cancel()
+			_, _ = in.opts.Peers.Call(ctx, session.Address, &peerpb.Request{Body: &peerpb.Request_Usages{Usages: m}})
+		})
+	}
+}
+
+// intentRunners returns the intent partitions that are served here.
+func (in *Instance) intentRunners() []*intentRunner {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	runners := make([]*intentRunner, 0, len(in.intents))
+	for _, r := range in.intents {
+		if r.loaded {
+			runners = append(runners, r)
+		}
+	}
+	return runners
+}
--- a/version/intent/call.go
+++ b/version/intent/call.go
@@ -46,6 +46,9 @@
 	if st.intent.State != model.IntentConfirmed {
 		return CallResult{}, verdict.New(verdict.NotRun, verdict.CodeConflict, "intent %q is %s", intentID, st.intent.State)
 	}
+	if c.tasks[TicketTask(intentID, ticket)] == nil && !c.makeRoom(now, 1) {
+		return CallResult{}, overloaded(c.policy.MaxTasks)
+	}
 	if ticket.IsZero() {
 		if !st.intent.Spec.Idempotent {
 			return CallResult{}, verdict.Invalid("Lentiltide-Ticket", "a call that is not idempotent needs a ticket or an Idempotency-Key")
@@ -60,7 +63,7 @@
 	id := TicketTask(st.intent.ID, ticket)
 	if t := c.tasks[id]; t != nil {
 		res := CallResult{Task: t.task}
-		if t.phase == phaseDone {
+		if t.ended() {
 			out := t.outcome
 			res.Outcome = &out
 		}
@@ -74,7 +77,9 @@
 	case ticket.Sequence > c.issued:
 		return CallResult{}, verdict.Invalid("Lentiltide-Ticket", "the ticket was not issued by this partition")
 	}
-	if used, ok := c.tickets[ticket.Sequence]; ok {
+	if used, ok := c.tickets[ticket.Sequence]; ok && used == id {
+		return CallResult{}, verdict.New(verdict.MayHaveRun, verdict.CodeExpired, "the call of this ticket is past its retention")
+	} else if ok {
 		return CallResult{}, verdict.New(verdict.NotRun, verdict.CodeConflict, "the ticket was used for task %s", used)
 	}
 	c.tickets[ticket.Sequence] = id
@@ -89,8 +94,6 @@
 func (c *Core) newCall(now time.Time, st *intentState, id model.TaskID, payload []byte) CallResult {
 	task := NewTask(st.intent, c.partition, 0, 0, now)
 	task.ID, task.Payload = id, payload
-	t := &taskState{task: task, phase: phaseWaiting}
-	c.tasks[id] = t
-	st.tasks = append(st.tasks, id)
-	return CallResult{Task: task, Effects: []Effect{c.offer(now, t)}}
+	c.toWaiting(now, c.enter(st, task), time.Time{})
+	return CallResult{Task: task, Effects: c.dispatch(now)}
 }
--- /dev/null
+++ b/version/intent/cancel.go
@@ -0,0 +1,66 @@
+package intent
+
+import (
+	"time"
+
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/request/verdict"
+)
+
+// Cancelled enters cancellations whose rows are in the table. Waiting tasks end at once as not started; running ones are
+// stopped and say later what happened. The offers are withdrawn in one message for each rack.
+func (c *Core) Cancelled(now time.Time, ids ...string) []Effect {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var effects []Effect
+	for _, id := range ids {
+		st := c.intents[id]
+		if st == nil || st.intent.State == model.IntentCancelled {
+			continue
+		}
+		st.intent.State = model.IntentCancelled
+		if st.gang != nil {
+			effects = append(effects, c.cancelGang(st.gang)...)
+		}
+		for _, t := range st.tasks {
+			effects = append(effects, c.cancelTask(now, t)...)
+		}
+		effects = append(effects, c.finishIntent(now, st)...)
+	}
+	return append(effects, c.withdrawals()...)
+}
+
+// cancelTask cancels one task. Its cost does not depend on the number of tasks, but for the logarithm of the queue of
+// offers. Callers hold c.mu.
+func (c *Core) cancelTask(now time.Time, t *taskState) []Effect {
+	switch t.phase {
+	case phaseWaiting:
+		out := model.Outcome{Task: t.task.ID, State: model.OutcomeNotStarted, Error: "cancelled before it started"}
+		return c.finish(now, t, phaseCancelled, out)
+	case phaseUnplaced:
+		t.cancelled = true
+	case phaseGranted:
+		t.cancelled = true
+		return []Effect{StopTask{Rack: t.rack, Task: t.task.ID, Token: t.token}}
+	}
+	return nil
+}
+
+// Abandon cancels a call whose caller has gone. The verdict is NotRun if the call had not been granted; otherwise it goes
+// on and the verdict is MayHaveRun.
+func (c *Core) Abandon(now time.Time, id model.TaskID) ([]Effect, verdict.Verdict) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.tasks[id]
+	if t == nil {
+		return nil, verdict.MayHaveRun
+	}
+	switch t.phase {
+	case phaseWaiting:
+		return c.cancelTask(now, t), verdict.NotRun
+	case phaseCancelled:
+		return nil, verdict.NotRun
+	default:
+		return nil, verdict.MayHaveRun
+	}
+}
--- a/version/intent/claim.go
+++ b/version/intent/claim.go
@@ -1,6 +1,7 @@
 package intent
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/lentiltide/lentiltide/model"
@@ -8,7 +9,7 @@
 )
 
 // Claim asks for the right to start a task in a rack. The right is granted to one rack at a time; the same rack epoch
-// gets the same token again, so that a lost answer does no harm.
+// gets the same token again, so that a lost answer does no harm. A denied task is offered again when its term ends.
 func (c *Core) Claim(now time.Time, id model.TaskID, rack string, rackEpoch uint64) (model.StartToken, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -16,18 +17,35 @@
 	if t == nil {
 		return model.StartToken{}, false
 	}
-	switch {
-	case t.phase == phaseGranted && t.rack == rack && t.rackEpoch == rackEpoch && !t.running:
+	if t.phase == phaseGranted && t.gang == nil && t.rack == rack && t.rackEpoch == rackEpoch && !t.running {
 		return t.token, true
-	case t.phase != phaseWaiting:
+	}
+	if c.denial(now, t, rack) != "" {
 		return model.StartToken{}, false
 	}
-	c.sequence++
-	t.token = model.StartToken{Partition: c.partition, Epoch: c.epoch, Sequence: c.sequence}
-	t.phase, t.rack, t.rackEpoch, t.running = phaseGranted, rack, rackEpoch, false
+	c.grant(now, t, rack, rackEpoch)
 	return t.token, true
 }
 
+// denial says why a claim is denied; an empty text grants it. Callers hold c.mu.
+func (c *Core) denial(now time.Time, t *taskState, rack string) string {
+	switch {
+	case t.phase != phaseWaiting:
+		return "the task is " + phaseNames[t.phase]
+	case t.gang != nil:
+		return "members of a gang start together"
+	case !t.admitted:
+		return "the team's quota does not admit the task"
+	case now.Before(t.notBefore):
+		return "the task waits before it is started again"
+	case c.othersShort && !within(t.team.used, c.quota(t.team).Share):
+		return "other teams wait within their shares, this one has borrowed"
+	case t.task.Kind == model.KindService && t.intent != nil && !c.zoneHasRoom(t, c.rackZones[rack]):
+		return "the availability zone has its share of the service"
+	}
+	return ""
+}
+
 // Started notes that a granted task runs. A task that was cancelled meanwhile is stopped.
 func (c *Core) Started(now time.Time, id model.TaskID, token model.StartToken, worker string) []Effect {
 	c.mu.Lock()
@@ -37,7 +55,7 @@
 		return nil
 	}
 	t.running, t.worker = true, worker
-	if t.cancelled {
+	if t.cancelled || (t.gang != nil && t.gang.phase == gangStopping) {
 		return []Effect{StopTask{Rack: t.rack, Task: id, Token: token}}
 	}
 	return nil
@@ -52,9 +70,9 @@
 	defer c.mu.Unlock()
 	t := c.tasks[out.Task]
 	if t == nil {
-		t = &taskState{task: task, phase: phaseDone, token: out.Token, outcome: out}
-		c.tasks[out.Task] = t
-		return []Effect{TaskEnded{Task: task, Outcome: out}}, true, nil
+		t = c.enter(c.standing(task), task)
+		t.token = out.Token
+		return c.finish(now, t, phaseDone, out), true, nil
 	}
 	if t.phase == phaseUnplaced {
 		if !c.settles(t, out) {
@@ -67,7 +85,16 @@
 		return nil, false, nil
 	}
 	effects, final = c.end(now, t, out)
-	return effects, final, nil
+	return append(effects, c.dispatch(now)...), final, nil
+}
+
+// standing returns the intent that a task of an earlier epoch belongs to, if that intent's tasks are not created by
+// Restore. Callers hold c.mu.
+func (c *Core) standing(task model.Task) *intentState {
+	if st := c.intents[task.Intent]; st != nil && st.intent.Spec.Kind == model.KindCall {
+		return st
+	}
+	return nil
 }
 
 // unplacedRetry is the retry time for an outcome of a task that is not placed yet.
@@ -87,21 +114,32 @@
 
 // end applies an outcome to a granted task. Callers hold c.mu.
 func (c *Core) end(now time.Time, t *taskState, out model.Outcome) (effects []Effect, final bool) {
-	if c.startsAgain(t, out) {
-		t.phase, t.running, t.rack, t.worker = phaseWaiting, false, "", ""
-		t.offeredAt = now.Add(-c.policy.OfferTerm)
-		return c.offerWaiting(now), false
+	t.intent.observe(t, out)
+	delete(c.claimedVictims, t.task.ID)
+	if out.RanMS >= c.policy.StableRun.Milliseconds() {
+		t.failedOn, t.failures, t.restarts = nil, 0, 0
+	}
+	if t.gang != nil {
+		return c.memberEnded(now, t, out)
+	}
+	if c.startsAgain(t, &out) {
+		c.toWaiting(now, t, now.Add(c.restartDelay(t, out)))
+		return nil, false
 	}
-	t.phase, t.running, t.outcome = phaseDone, false, out
+	return c.finish(now, t, lastPhase(out), out), true
+}
+
+// lastPhase returns the phase of a task whose last outcome is out.
+func lastPhase(out model.Outcome) phase {
 	if out.State == model.OutcomeNotStarted {
-		t.phase = phaseCancelled
+		return phaseCancelled
 	}
-	c.finishIntent(t.task.Intent)
-	return []Effect{TaskEnded{Task: t.task, Outcome: out}}, true
+	return phaseDone
 }
 
-// startsAgain reports whether a task goes back to waiting after an outcome. Callers hold c.mu.
-func (c *Core) startsAgain(t *taskState, out model.Outcome) bool {
+// startsAgain reports whether a task goes back to waiting after an outcome. The reason why a failing task is stopped is
+// added to the outcome. Callers hold c.mu.
+func (c *Core) startsAgain(t *taskState, out *model.Outcome) bool {
 	if t.cancelled {
 		return false
 	}
@@ -110,7 +148,7 @@
 		return true
 	case model.OutcomeFailed:
 		t.lastError = out.Error
-		return c.retriesFailure(t, out.Worker)
+		return c.retriesFailure(t, out)
 	case model.OutcomeLapsed:
 		t.lastError = out.Error
 		return t.task.Idempotent || t.task.Kind != model.KindCall
@@ -121,39 +159,41 @@
 	}
 }
 
-// retriesFailure counts distinct workers on which a task failed. A call that is not idempotent is never repeated, since
-// a failed run may have had effects.
-func (c *Core) retriesFailure(t *taskState, worker string) bool {
+// retriesFailure counts the failures of a task and the distinct workers on which it failed. A call that is not idempotent
+// is never repeated, since a failed run may have had effects. Callers hold c.mu.
+func (c *Core) retriesFailure(t *taskState, out *model.Outcome) bool {
 	if t.task.Kind == model.KindCall && !t.task.Idempotent {
 		return false
 	}
 	if t.failedOn == nil {
 		t.failedOn = map[string]bool{}
 	}
-	t.failedOn[worker] = true
-	return len(t.failedOn) < c.policy.MaxAttempts
+	t.failedOn[out.Worker] = true
+	t.failures++
+	if len(t.failedOn) < c.policy.MaxAttempts && t.failures < c.policy.MaxFailures {
+		return true
+	}
+	out.Error = fmt.Sprintf("stopped after %d failures on %d distinct workers; the last one: %s", t.failures, len(t.failedOn), out.Error)
+	t.lastError = out.Error
+	return false
 }
 
-// finishIntent marks an intent as done when all its tasks have ended. Callers hold c.mu.
-func (c *Core) finishIntent(id string) {
-	st := c.intents[id]
-	if st == nil || st.intent.Spec.Kind.Standing() || st.intent.State != model.IntentConfirmed {
-		return
-	}
-	for _, taskID := range st.tasks {
-		if p := c.tasks[taskID].phase; p != phaseDone && p != phaseCancelled {
-			return
-		}
-	}
-	st.intent.State = model.IntentDone
+// restartDelay returns how long a task waits before it is started again. A task that failed, or a service that ended,
+// waits longer each time, so that one that ends at once does not load the cell. Callers hold c.mu.
+func (c *Core) restartDelay(t *taskState, out model.Outcome) time.Duration {
+	if out.State != model.OutcomeFailed && out.State != model.OutcomeFinished {
+		return 0
+	}
+	delay := backoff(c.policy.RestartBackoff, c.policy.MaxRestartBackoff, t.restarts)
+	t.restarts++
+	return delay
 }
 
 // RackReplaced returns tasks to waiting that an earlier epoch of a rack was granted and that the later epoch, with a
-// complete inventory, does not list. known are the tokens that it lists.
-func (c *Core) RackReplaced(now time.Time, rack string, rackEpoch uint64, known map[model.StartToken]bool) []Effect {
+// complete inventory, does not list. known are the tokens that it lists. final lists outcomes that have to be recorded.
+func (c *Core) RackReplaced(now time.Time, rack string, rackEpoch uint64, known map[model.StartToken]bool) (effects []Effect, final []model.Outcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var effects []Effect
 	for _, t := range c.tasks {
 		if t.phase != phaseGranted || t.rack != rack || t.rackEpoch >= rackEpoch {
 			continue
@@ -167,13 +207,11 @@
 			state = model.OutcomeLapsed
 		}
 		out := model.Outcome{Task: t.task.ID, Token: t.token, State: state, Worker: t.worker, Error: "the rack's owner was replaced"}
-		if c.startsAgain(t, out) {
-			t.phase, t.running, t.rack, t.worker = phaseWaiting, false, "", ""
-			t.offeredAt = time.Time{}
-			continue
+		ended, last := c.end(now, t, out)
+		effects = append(effects, ended...)
+		if last {
+			final = append(final, t.outcome)
 		}
-		t.phase, t.running, t.outcome = phaseDone, false, out
-		effects = append(effects, TaskEnded{Task: t.task, Outcome: out})
 	}
-	return append(effects, c.offerWaiting(now)...)
+	return append(effects, c.dispatch(now)...), final
 }
--- a/version/intent/core.go
+++ b/version/intent/core.go
@@ -1,15 +1,16 @@
 // Package intent decides about the intents of one intent partition: plans, confirmations, which rack may start which
-// task, calls and their tickets. A Core lives for one epoch of the partition and is the only one that grants starts for
-// it. It does no input or output and reads no clock: methods take the current time and return effects, which the caller
-// executes; results come back as further method calls.
+// task, gangs, recurring runs, quotas, calls and their tickets. A Core lives for one epoch of the partition and is the
+// only one that grants starts for it. It does no input or output and reads no clock: methods take the current time and
+// return effects, which the caller executes; results come back as further method calls.
 //
-// Locking: a Core has one lock. Methods never call out while they hold it, and no lock of a rack core is held while a
-// method runs.
+// Locking: a Core has one lock. Methods never call out while they hold it, but for Quotas, which must not block, and no
+// lock of a rack core is held while a method runs.
 package intent
 
 import (
+	"container/list"
 	"fmt"
-	"sort"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -17,23 +18,6 @@
 	"github.com/lentiltide/lentiltide/request/verdict"
 )
 
-// Policy holds the settings of an intent core.
-type Policy struct {
-	// PlanTerm is how long a plan can be confirmed.
-	PlanTerm time.Duration
-	// OfferTerm is how long an offer stands before the task is offered again elsewhere.
-	OfferTerm time.Duration
-	// MaxAttempts is on how many distinct workers a task may fail before it is stopped.
-	MaxAttempts int
-	// MaxTickets bounds one block of tickets.
-	MaxTickets int
-}
-
-// DefaultPolicy returns the policy used when settings name none.
-func DefaultPolicy() Policy {
-	return Policy{PlanTerm: 10 * time.Minute, OfferTerm: 2 * time.Second, MaxAttempts: 3, MaxTickets: 1000}
-}
-
 // Core is the state of one intent partition in one epoch.
 type Core struct {
 	partition int
@@ -41,18 +25,57 @@
 	policy    Policy
 
 	mu       sync.Mutex
+	rng      *rand.Rand
 	sequence uint64
 	intents  map[string]*intentState
 	tasks    map[model.TaskID]*taskState
 	plans    map[string]model.Plan
 	tickets  map[uint64]model.TaskID
 	issued   uint64
+
+	// offers holds the waiting tasks by the time of their next offer.
+	offers offerQueues
+	// withdrawn collects, by rack, offers that no longer stand.
+	withdrawn map[string][]model.TaskID
+	racks     []RackView
+	rackZones map[string]string
+	zones     []string
+	zoneRacks map[string][]string
+
+	quotas Quotas
+	pool   Pool
+	teams  map[teamKey]*team
+	// othersShort is set while teams within their shares wait too long, here or in other partitions.
+	othersShort bool
+
+	gangs map[string]*gangState
+	// olderGang is set while another partition has a waiting gang that is older than all of this one's.
+	olderGang GangAge
+
+	recurring map[string]*intentState
+	// opened is set once all racks have listed what they run.
+	opened bool
+	// ended holds ended tasks of standing intents, intents that have ended, and plans, each in order of their end.
+	endedTasks, endedIntents, oldPlans *list.List
+	// claimedVictims are the running tasks that a confirmed plan displaces, by the intent that does.
+	claimedVictims map[model.TaskID]string
 }
 
 type intentState struct {
-	intent  model.Intent
-	tasks   []model.TaskID
-	nextRun int
+	intent model.Intent
+	tasks  []*taskState
+	// open counts the tasks that have not ended.
+	open int
+	// recording is set while the start of a run is being recorded.
+	recording bool
+	// perZone counts granted tasks by availability zone.
+	perZone map[string]int
+	// observed are the largest run time and usage of the ended tasks.
+	observedMS int64
+	observed   model.Resources
+	gang       *gangState
+	endedAt    time.Time
+	forget     *list.Element
 }
 
 // phase is the state of a task.
@@ -61,7 +84,7 @@
 const (
 	// phaseUnplaced: it may run somewhere since an earlier epoch; no rack has listed it yet.
 	phaseUnplaced phase = iota
-	// phaseWaiting: not started; may be offered.
+	// phaseWaiting: not started; may be offered once it is admitted.
 	phaseWaiting
 	// phaseGranted: one rack may start it or runs it.
 	phaseGranted
@@ -74,30 +97,63 @@
 var phaseNames = [...]string{"unplaced", "waiting", "granted", "done", "cancelled"}
 
 type taskState struct {
-	task      model.Task
+	task  model.Task
+	index int
+	// intent is nil for a task of an intent that is unknown in this epoch.
+	intent    *intentState
+	slot      int
+	gang      *gangState
 	phase     phase
 	rack      string
+	zone      string
 	rackEpoch uint64
 	worker    string
 	token     model.StartToken
 	running   bool
 	cancelled bool
-	offeredAt time.Time
-	victims   []model.TaskID
+	// reclaimed is set while the task is stopped to give borrowed capacity back.
+	reclaimed bool
+
+	// A waiting task: its next offer and the racks that may have it queued.
+	offer      offerEntry
+	notBefore  time.Time
+	tries      int
+	offered    []string
+	preferRack string
+	victims    []model.TaskID
+
+	// admitted tasks are charged to their team's quota.
+	team     *team
+	admitted bool
+	charged  model.Resources
+	pending  *list.Element
+	// counted is set while the task counts as waiting in its team.
+	counted bool
+
 	failedOn  map[string]bool
+	failures  int
+	restarts  int
 	lastError string
 	outcome   model.Outcome
 	// earlier is the outcome of the latest known start of an unplaced task.
-	earlier    model.Outcome
-	preferRack string
+	earlier model.Outcome
+	endedAt time.Time
+	forget  *list.Element
 }
 
+// ended reports whether the task has its last state.
+func (t *taskState) ended() bool { return t.phase == phaseDone || t.phase == phaseCancelled }
+
 // New returns the core of an intent partition that was taken over with the given epoch.
 func New(partition int, epoch uint64, policy Policy) *Core {
 	return &Core{
 		partition: partition, epoch: epoch, policy: policy,
+		rng:     rand.New(rand.NewPCG(uint64(partition), epoch)),
 		intents: map[string]*intentState{}, tasks: map[model.TaskID]*taskState{}, plans: map[string]model.Plan{},
-		tickets: map[uint64]model.TaskID{},
+		tickets: map[uint64]model.TaskID{}, withdrawn: map[string][]model.TaskID{},
+		offers: newOfferQueues(policy.ReoffersPerSecond), teams: map[teamKey]*team{}, gangs: map[string]*gangState{},
+		recurring: map[string]*intentState{}, endedTasks: list.New(), endedIntents: list.New(), oldPlans: list.New(),
+		claimedVictims: map[model.TaskID]string{},
 	}
 }
 
@@ -107,107 +163,43 @@
 // Epoch returns the epoch of the partition.
 func (c *Core) Epoch() uint64 { return c.epoch }
 
-// Effect is an action that the caller of a Core executes.
-type Effect interface{ isEffect() }
-
-// OfferTask offers a task to a rack. An empty Rack lets the caller choose by its summaries.
-type OfferTask struct {
-	Task    model.Task
-	Rack    string
-	Victims []model.TaskID
-}
-
-// StopTask stops a task that a rack runs.
-type StopTask struct {
-	Rack  string
-	Task  model.TaskID
-	Token model.StartToken
-}
-
-// TaskEnded tells waiting callers the final outcome of a task.
-type TaskEnded struct {
-	Task    model.Task
-	Outcome model.Outcome
-}
-
-func (OfferTask) isEffect() {}
-func (StopTask) isEffect()  {}
-func (TaskEnded) isEffect() {}
-
-// Restore adds an intent that was read from the table at takeover, with the outcomes that were recorded for its tasks.
-func (c *Core) Restore(now time.Time, in model.Intent, outcomes map[model.TaskID]model.Outcome) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	st := c.addIntent(now, in)
-	for _, id := range st.tasks {
-		t := c.tasks[id]
-		t.phase = phaseUnplaced
-		if out, ok := outcomes[id]; ok {
-			t.phase, t.outcome = phaseDone, out
-		} else if in.State == model.IntentCancelled {
-			t.phase = phaseCancelled
-		}
-	}
-}
-
-// Known enters a task that a rack listed as running in its answer to the fence.
-func (c *Core) Known(now time.Time, rack string, rackEpoch uint64, task model.Task, token model.StartToken, worker string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	t := c.tasks[task.ID]
-	if t == nil {
-		t = &taskState{task: task}
-		c.tasks[task.ID] = t
-	}
-	if t.phase == phaseDone || (t.phase != phaseUnplaced && t.token != token) {
-		return
-	}
-	t.phase, t.running = phaseGranted, true
-	t.rack, t.rackEpoch, t.worker, t.token = rack, rackEpoch, worker, token
-}
-
-// RacksAnswered settles the unplaced tasks: every rack has listed completely what it runs for the partition. final lists
-// outcomes that have to be recorded.
-func (c *Core) RacksAnswered(now time.Time) (effects []Effect, final []model.Outcome) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, t := range c.tasks {
-		if t.phase != phaseUnplaced {
-			continue
-		}
-		t.phase = phaseWaiting
-		if t.earlier.State == "" {
-			continue
-		}
-		t.phase, t.token = phaseGranted, t.earlier.Token
-		ended, last := c.end(now, t, t.earlier)
-		effects = append(effects, ended...)
-		if last {
-			final = append(final, t.outcome)
-		}
-	}
-	return append(effects, c.offerWaiting(now)...), final
-}
-
-// addIntent enters an intent and its first run. Callers hold c.mu.
+// addIntent enters an intent and, unless it is standing, its only run. Callers hold c.mu.
 func (c *Core) addIntent(now time.Time, in model.Intent) *intentState {
-	st := &intentState{intent: in}
+	st := &intentState{intent: in, perZone: map[string]int{}}
 	c.intents[in.ID] = st
+	if in.Spec.Kind == model.KindRecurring && in.State == model.IntentConfirmed {
+		c.recurring[in.ID] = st
+	}
 	if !in.Spec.Kind.Standing() {
-		c.addRun(now, st)
+		c.addRun(now, st, 0)
 	}
 	return st
 }
 
 // addRun creates the tasks of one run. Callers hold c.mu.
-func (c *Core) addRun(now time.Time, st *intentState) {
-	run := st.nextRun
-	st.nextRun++
+func (c *Core) addRun(now time.Time, st *intentState, run int) []*taskState {
+	first := len(st.tasks)
 	for i := range st.intent.Spec.Tasks {
-		task := NewTask(st.intent, c.partition, run, i, now)
-		c.tasks[task.ID] = &taskState{task: task, phase: phaseWaiting}
-		st.tasks = append(st.tasks, task.ID)
+		c.enter(st, NewTask(st.intent, c.partition, run, i, now)).index = i
 	}
+	added := st.tasks[first:]
+	if st.intent.Spec.Kind == model.KindGang {
+		c.addGang(st, added)
+	}
+	return added
+}
+
+// enter adds a task in phaseUnplaced. st is nil for a task of an unknown intent. Callers hold c.mu.
+func (c *Core) enter(st *intentState, task model.Task) *taskState {
+	t := &taskState{task: task, intent: st, offer: offerEntry{index: -1}}
+	t.team = c.teamOf(task.Account, task.Team)
+	c.tasks[task.ID] = t
+	if st != nil {
+		t.slot = len(st.tasks)
+		st.tasks = append(st.tasks, t)
+		st.open++
+	}
+	return t
 }
 
 // NewTask returns one task of a run of an intent.
@@ -224,91 +216,65 @@
 	return t
 }
 
-// offerWaiting returns offers for waiting tasks whose last offer has expired. Callers hold c.mu.
-func (c *Core) offerWaiting(now time.Time) []Effect {
-	var due []*taskState
-	for _, t := range c.tasks {
-		if t.phase == phaseWaiting && (t.offeredAt.IsZero() || now.Sub(t.offeredAt) >= c.policy.OfferTerm) {
-			due = append(due, t)
-		}
+// current returns the task as it is offered: hints are the larger of the declared and the observed values, and the latest
+// start follows from the deadline and the run time. Callers hold c.mu.
+func (t *taskState) current() model.Task {
+	task := t.task
+	if t.intent == nil {
+		return task
 	}
-	sort.Slice(due, func(i, j int) bool { return due[i].task.ID < due[j].task.ID })
-	effects := make([]Effect, 0, len(due))
-	for _, t := range due {
-		effects = append(effects, c.offer(now, t))
+	task.RunTimeMS = max(task.RunTimeMS, t.intent.observedMS)
+	task.Each = larger(task.Each, t.intent.observed)
+	if d := t.intent.intent.Spec.Deadline; !d.IsZero() {
+		task.LatestStart = d.Add(-time.Duration(task.RunTimeMS) * time.Millisecond)
 	}
-	return effects
+	return task
 }
 
-func (c *Core) offer(now time.Time, t *taskState) Effect {
-	rack := ""
-	if t.offeredAt.IsZero() {
-		rack = t.preferRack
+// observe notes the run time and the usage of an ended task of the intent. Callers hold c.mu.
+func (st *intentState) observe(t *taskState, out model.Outcome) {
+	if st == nil {
+		return
+	}
+	st.observed = larger(st.observed, out.Used)
+	if out.State == model.OutcomeFinished && !t.task.Kind.Restarts() {
+		st.observedMS = max(st.observedMS, out.RanMS)
 	}
-	t.offeredAt = now
-	return OfferTask{Task: t.task, Rack: rack, Victims: t.victims}
 }
 
-// Tick offers waiting tasks again and starts due runs.
+// larger returns the larger of each field. The accelerator type of a is kept.
+func larger(a, b model.Resources) model.Resources {
+	a.CPUMilli = max(a.CPUMilli, b.CPUMilli)
+	a.MemoryMiB = max(a.MemoryMiB, b.MemoryMiB)
+	a.Accelerators = max(a.Accelerators, b.Accelerators)
+	a.Slots = max(a.Slots, b.Slots)
+	a.Connections = max(a.Connections, b.Connections)
+	return a
+}
+
+// Tick offers waiting tasks again, starts due runs, goes on with gangs, takes borrowed capacity back and drops what is
+// past its retention. Its cost follows what is due, not the number of tasks.
 func (c *Core) Tick(now time.Time) []Effect {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.offerWaiting(now)
-}
-
-// Status is what callers see of an intent.
-type Status struct {
-	Intent model.Intent `json:"intent"`
-	Tasks  []TaskStatus `json:"tasks"`
-}
-
-// TaskStatus is what callers see of a task.
-type TaskStatus struct {
-	ID      model.TaskID   `json:"id"`
-	State   string         `json:"state"`
-	Rack    string         `json:"rack,omitempty"`
-	Worker  string         `json:"worker,omitempty"`
-	Outcome *model.Outcome `json:"outcome,omitempty"`
-	Reason  string         `json:"reason,omitempty"`
+	effects := c.dueRuns(now)
+	c.admitAll(now)
+	effects = append(effects, c.reclaim(now)...)
+	effects = append(effects, c.tickGangs(now)...)
+	effects = append(effects, c.dropExpired(now)...)
+	effects = append(effects, c.dispatch(now)...)
+	return append(effects, c.withdrawals()...)
 }
 
-// Status returns the state of an intent.
-func (c *Core) Status(id string) (Status, error) {
+// Intent returns an intent as kept in the table.
+func (c *Core) Intent(id string) (model.Intent, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	st := c.intents[id]
 	if st == nil {
-		return Status{}, notFound("intent", id)
-	}
-	s := Status{Intent: st.intent, Tasks: []TaskStatus{}}
-	for _, id := range st.tasks {
-		s.Tasks = append(s.Tasks, c.tasks[id].status())
-	}
-	return s, nil
-}
-
-func (t *taskState) status() TaskStatus {
-	s := TaskStatus{ID: t.task.ID, State: phaseNames[t.phase], Rack: t.rack, Worker: t.worker, Reason: t.lastError}
-	if t.phase == phaseGranted && t.running {
-		s.State = "running"
-	}
-	if t.outcome.State != "" {
-		out := t.outcome
-		s.Outcome = &out
-	}
-	return s
-}
-
-// List returns the intents of the partition, sorted by id.
-func (c *Core) List() []model.Intent {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	list := make([]model.Intent, 0, len(c.intents))
-	for _, st := range c.intents {
-		list = append(list, st.intent)
+		return model.Intent{}, notFound("intent", id)
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
-	return list
+	return st.intent, nil
 }
 
 func notFound(what, id string) error {
--- /dev/null
+++ b/version/intent/explain.go
@@ -0,0 +1,131 @@
+package intent
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/lentiltide/lentiltide/model"
+)
+
+// Explanation says why a task is in its state.
+type Explanation struct {
+	Task TaskStatus `json:"task"`
+	// Reasons are listed in the order in which they were found, those of the intent owner first.
+	Reasons []string `json:"reasons"`
+	// Racks have the task queued or run it, and know more.
+	Racks []string `json:"racks"`
+}
+
+// Explain returns what the intent owner knows about a task.
+func (c *Core) Explain(now time.Time, id model.TaskID) (Explanation, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.tasks[id]
+	if t == nil {
+		return Explanation{}, notFound("task", string(id))
+	}
+	e := Explanation{Task: t.status(), Reasons: []string{}, Racks: []string{}}
+	say := func(format string, args ...any) { e.Reasons = append(e.Reasons, fmt.Sprintf(format, args...)) }
+	switch t.phase {
+	case phaseUnplaced:
+		say("the partition was taken over; the task may run in a rack that has not answered yet")
+	case phaseWaiting:
+		e.Racks = append(e.Racks, t.offered...)
+		sort.Strings(e.Racks)
+		c.explainWaiting(now, t, say)
+	case phaseGranted:
+		e.Racks = append(e.Racks, t.rack)
+		c.explainGranted(t, say)
+	default:
+		say("ended as %s", t.outcome.State)
+		if t.outcome.Error != "" {
+			say("%s", t.outcome.Error)
+		}
+	}
+	if t.lastError != "" && !t.ended() {
+		say("the last failure was: %s; %d failures on %d distinct workers so far", t.lastError, t.failures, len(t.failedOn))
+	}
+	c.explainHints(now, t, say)
+	return e, nil
+}
+
+func (c *Core) explainWaiting(now time.Time, t *taskState, say func(string, ...any)) {
+	if g := t.gang; g != nil {
+		say("the gang is %s", gangPhaseNames[g.phase])
+		if g.reason != "" {
+			say("%s", g.reason)
+		}
+		if wait := g.notBefore.Sub(now); wait > 0 {
+			say("it is tried again in %s", wait.Round(time.Millisecond))
+		}
+	}
+	if !t.admitted {
+		c.explainQuota(t, say)
+		return
+	}
+	if wait := t.notBefore.Sub(now); wait > 0 {
+		say("it is started again in %s", wait.Round(time.Millisecond))
+	}
+	if t.gang != nil {
+		return
+	}
+	if len(c.racks) == 0 {
+		say("no rack can be reached")
+	}
+	if t.task.Kind == model.KindService && t.intent != nil {
+		for _, zone := range c.zones {
+			if !c.zoneHasRoom(t, zone) {
+				say("availability zone %s has its share of the service", zone)
+			}
+		}
+	}
+	say("offered %d times, now to %d racks", t.tries, len(t.offered))
+}
+
+func (c *Core) explainQuota(t *taskState, say func(string, ...any)) {
+	q := c.quota(t.team)
+	total := t.team.used.Add(c.unitDemand(t))
+	switch {
+	case !within(total, q.Limit):
+		say("team %q would exceed its limit", t.team.key.team)
+	case !within(total, q.Share):
+		say("team %q uses its share, and there is no free capacity to borrow", t.team.key.team)
+	default:
+		say("work of team %q that came before or is of a higher class is not admitted yet", t.team.key.team)
+	}
+}
+
+func (c *Core) explainGranted(t *taskState, say func(string, ...any)) {
+	switch {
+	case t.reclaimed:
+		say("being stopped after a checkpoint, since the owner of the borrowed capacity needs it")
+	case t.cancelled:
+		say("being stopped, since it was cancelled")
+	case t.gang != nil && t.gang.phase == gangStopping:
+		say("being stopped, so that the gang starts again as a whole: %s", t.gang.reason)
+	case t.running:
+		say("runs on worker %s of rack %s", t.worker, t.rack)
+	default:
+		say("granted to rack %s, which is starting it", t.rack)
+	}
+}
+
+func (c *Core) explainHints(now time.Time, t *taskState, say func(string, ...any)) {
+	if t.ended() {
+		return
+	}
+	task := t.current()
+	if task.RunTimeMS > t.task.RunTimeMS {
+		say("run time taken as %d ms, as observed, instead of the declared %d ms", task.RunTimeMS, t.task.RunTimeMS)
+	}
+	if Demand(task) != Demand(t.task) {
+		say("size taken as observed, which is larger than declared")
+	}
+	if !task.LatestStart.IsZero() {
+		say("must start by %s to meet its deadline", task.LatestStart.UTC().Format(time.RFC3339))
+		if now.After(task.LatestStart) && t.phase == phaseWaiting {
+			say("this time has passed, so the work takes precedence")
+		}
+	}
+}
--- /dev/null
+++ b/version/intent/offer.go
@@ -0,0 +1,344 @@
+package intent
+
+import (
+	"container/heap"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/lentiltide/lentiltide/model"
+)
+
+// RackView is what an intent owner knows of a rack; it lags behind the rack's ledger.
+type RackView struct {
+	Rack, Zone string
+	Epoch      uint64
+	// Free is the free capacity of the rack, Largest that of the worker with the most free processor time.
+	Free, Largest model.Resources
+	// Queued counts the offers in the rack's queues.
+	Queued int
+}
+
+// SetRacks replaces the view of the racks that can be reached. The slice is not changed or kept by the caller.
+func (c *Core) SetRacks(racks []RackView) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.racks = racks
+	c.rackZones = make(map[string]string, len(racks))
+	c.zoneRacks = map[string][]string{}
+	c.zones = c.zones[:0]
+	for _, r := range racks {
+		c.rackZones[r.Rack] = r.Zone
+		if c.zoneRacks[r.Zone] == nil {
+			c.zones = append(c.zones, r.Zone)
+		}
+		c.zoneRacks[r.Zone] = append(c.zoneRacks[r.Zone], r.Rack)
+	}
+	sort.Strings(c.zones)
+}
+
+// offerEntry is the place of a task in a queue of offers.
+type offerEntry struct {
+	due   time.Time
+	index int
+	queue *offerHeap
+}
+
+// offerHeap orders tasks by the time of their next offer. It implements heap.Interface.
+type offerHeap []*taskState
+
+func (h offerHeap) Len() int           { return len(h) }
+func (h offerHeap) Less(i, j int) bool { return h[i].offer.due.Before(h[j].offer.due) }
+func (h offerHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].offer.index, h[j].offer.index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *offerHeap) Push(x any) {
+	t := x.(*taskState)
+	t.offer.index = len(*h)
+	*h = append(*h, t)
+}
+
+// Pop implements heap.Interface.
+func (h *offerHeap) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	t.offer.index = -1
+	return t
+}
+
+// offerQueues holds waiting tasks. First offers are made when due; repeated ones at a bounded rate, by class.
+type offerQueues struct {
+	first offerHeap
+	again [model.NumClasses]offerHeap
+	rate  float64
+	// tokens are the repeated offers that may be made now.
+	tokens   float64
+	refilled time.Time
+}
+
+func newOfferQueues(rate float64) offerQueues { return offerQueues{rate: rate, tokens: rate} }
+
+// refill adds the tokens for the time passed, up to one second's worth.
+func (q *offerQueues) refill(now time.Time) {
+	if !q.refilled.IsZero() {
+		q.tokens = min(q.rate, q.tokens+q.rate*now.Sub(q.refilled).Seconds())
+	}
+	q.refilled = now
+}
+
+func (q *offerQueues) push(t *taskState, due time.Time) {
+	q.remove(t)
+	t.offer.due, t.offer.queue = due, &q.first
+	if t.tries > 0 {
+		t.offer.queue = &q.again[t.task.Class]
+	}
+	heap.Push(t.offer.queue, t)
+}
+
+func (q *offerQueues) remove(t *taskState) {
+	if t.offer.index >= 0 && t.offer.queue != nil {
+		heap.Remove(t.offer.queue, t.offer.index)
+	}
+	t.offer.queue = nil
+}
+
+// next removes and returns a task whose offer is due, or nil.
+func (q *offerQueues) next(now time.Time) *taskState {
+	if t := q.pop(&q.first, now); t != nil {
+		return t
+	}
+	for class := range q.again {
+		if q.tokens < 1 {
+			return nil
+		}
+		if t := q.pop(&q.again[class], now); t != nil {
+			q.tokens--
+			return t
+		}
+	}
+	return nil
+}
+
+func (q *offerQueues) pop(h *offerHeap, now time.Time) *taskState {
+	if len(*h) == 0 || (*h)[0].offer.due.After(now) {
+		return nil
+	}
+	t := heap.Pop(h).(*taskState)
+	t.offer.queue = nil
+	return t
+}
+
+// noRackRetry is the time after which a task is offered again that found no rack.
+const noRackRetry = 500 * time.Millisecond
+
+// dispatch offers the tasks that are due, in one message for each rack and set of victims. Callers hold c.mu.
+func (c *Core) dispatch(now time.Time) []Effect {
+	c.offers.refill(now)
+	var b offerBatch
+	for t := c.offers.next(now); t != nil; t = c.offers.next(now) {
+		c.offerTask(now, t, &b)
+	}
+	return b.effects(c.policy.OfferBatch)
+}
+
+// offerTask adds the offers of one task to a batch and schedules the next ones. Callers hold c.mu.
+func (c *Core) offerTask(now time.Time, t *taskState, b *offerBatch) {
+	racks := c.chooseRacks(t)
+	if len(racks) == 0 {
+		c.offers.push(t, now.Add(noRackRetry))
+		return
+	}
+	task := t.current()
+	if !c.recharge(now, t, Demand(task)) {
+		return
+	}
+	for _, rack := range racks {
+		b.add(rack, task, t.victims)
+		if !slices.Contains(t.offered, rack) {
+			t.offered = append(t.offered, rack)
+		}
+	}
+	c.limitOffered(t)
+	limit := c.policy.MaxOfferTerm
+	if t.task.Class <= model.ClassShort {
+		limit = c.policy.OfferTerm
+	}
+	term := backoff(c.policy.OfferTerm, limit, t.tries)
+	t.tries++
+	c.offers.push(t, now.Add(term))
+}
+
+// limitOffered withdraws the oldest offers of a task beyond the allowed number of racks. Callers hold c.mu.
+func (c *Core) limitOffered(t *taskState) {
+	for len(t.offered) > c.policy.MaxRacks {
+		c.withdraw(t, t.offered[0])
+		t.offered = append(t.offered[:0], t.offered[1:]...)
+	}
+}
+
+func (c *Core) withdraw(t *taskState, rack string) {
+	c.withdrawn[rack] = append(c.withdrawn[rack], t.task.ID)
+}
+
+// withdrawOthers withdraws the offers of a task from all racks but one. Callers hold c.mu.
+func (c *Core) withdrawOthers(t *taskState, keep string) {
+	for _, rack := range t.offered {
+		if rack != keep {
+			c.withdraw(t, rack)
+		}
+	}
+	t.offered = t.offered[:0]
+}
+
+// withdrawals returns the collected withdrawals, one message for each rack. Callers hold c.mu.
+func (c *Core) withdrawals() []Effect {
+	effects := make([]Effect, 0, len(c.withdrawn))
+	for rack, ids := range c.withdrawn {
+		effects = append(effects, WithdrawTasks{Rack: rack, Tasks: ids})
+		delete(c.withdrawn, rack)
+	}
+	sort.Slice(effects, func(i, j int) bool { return effects[i].(WithdrawTasks).Rack < effects[j].(WithdrawTasks).Rack })
+	return effects
+}
+
+// chooseRacks returns the racks for the next offer: the planned rack first, then the better of two random racks, and one
+// more with each repetition, or every rack that seems to fit when there are few. Callers hold c.mu.
+func (c *Core) chooseRacks(t *taskState) []string {
+	if t.tries == 0 && t.preferRack != "" {
+		if _, ok := c.rackZones[t.preferRack]; ok {
+			return []string{t.preferRack}
+		}
+	}
+	if len(c.racks) == 0 {
+		return nil
+	}
+	if t.task.Kind == model.KindService && len(c.zones) > 1 {
+		return c.spreadRacks(t)
+	}
+	want := min(1+t.tries, c.policy.MaxRacks, len(c.racks))
+	demand := Demand(t.current())
+	var racks []string
+	for range 2 * want {
+		if name := c.betterOfTwo(demand); !slices.Contains(racks, name) {
+			racks = append(racks, name)
+		}
+		if len(racks) == want {
+			return racks
+		}
+	}
+	return racks
+}
+
+// betterOfTwo returns the better of two random racks. Callers hold c.mu.
+func (c *Core) betterOfTwo(demand model.Resources) string {
+	a, b := &c.racks[c.rng.IntN(len(c.racks))], &c.racks[c.rng.IntN(len(c.racks))]
+	if b.score(demand) > a.score(demand) {
+		a = b
+	}
+	return a.Rack
+}
+
+// score rates a rack for a demand: one with room before one without, then by free processor time for each queued offer.
+func (r *RackView) score(demand model.Resources) float64 {
+	s := float64(max(r.Free.CPUMilli, 0)) / float64(1+r.Queued)
+	if demand.Fits(r.Largest) {
+		return 1e12 + s
+	}
+	return s
+}
+
+// spreadRacks returns a rack of the availability zone whose turn it is for a task of a service. Callers hold c.mu.
+func (c *Core) spreadRacks(t *taskState) []string {
+	for i := range c.zones {
+		zone := c.zones[(t.index+t.tries+i)%len(c.zones)]
+		if !c.zoneHasRoom(t, zone) {
+			continue
+		}
+		racks := c.zoneRacks[zone]
+		first := (t.index/len(c.zones) + t.tries) % len(racks)
+		if t.tries == 0 {
+			return []string{racks[first]}
+		}
+		other := racks[c.rng.IntN(len(racks))]
+		if other == racks[first] {
+			return []string{other}
+		}
+		return []string{racks[first], other}
+	}
+	return nil
+}
+
+// zoneHasRoom reports whether a zone may take one more task of a service. At first each zone takes an even share, so that
+// a lost zone takes only its share along; later no zone may take all tasks. Callers hold c.mu.
+func (c *Core) zoneHasRoom(t *taskState, zone string) bool {
+	n := t.intent.intent.Spec.Tasks
+	if len(c.zones) < 2 || n < 2 {
+		return true
+	}
+	limit := (n + len(c.zones) - 1) / len(c.zones)
+	if t.tries > c.policy.SpreadTries {
+		limit = n - 1
+	}
+	return t.intent.perZone[zone] < limit
+}
+
+// Refused takes the answer to an offer that a rack did not queue. The tasks are offered elsewhere when their term ends.
+func (c *Core) Refused(rack string, ids []model.TaskID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range ids {
+		if t := c.tasks[id]; t != nil {
+			t.offered = slices.DeleteFunc(t.offered, func(r string) bool { return r == rack })
+		}
+	}
+}
+
+// Demand returns the capacity that a task takes; it takes at least one slot.
+func Demand(task model.Task) model.Resources {
+	d := task.Each
+	d.Slots = max(d.Slots, 1)
+	return d
+}
+
+// offerBatch collects offers by rack.
+type offerBatch struct {
+	byRack map[string][]OfferTasks
+}
+
+// add appends a task to the rack's offer with the same victims.
+func (b *offerBatch) add(rack string, task model.Task, victims []model.TaskID) {
+	if b.byRack == nil {
+		b.byRack = map[string][]OfferTasks{}
+	}
+	offers := b.byRack[rack]
+	for i := range offers {
+		if slices.Equal(offers[i].Victims, victims) {
+			offers[i].Tasks = append(offers[i].Tasks, task)
+			return
+		}
+	}
+	b.byRack[rack] = append(offers, OfferTasks{Rack: rack, Tasks: []model.Task{task}, Victims: victims})
+}
+
+// effects returns the offers, each with at most limit tasks, sorted by rack.
+func (b *offerBatch) effects(limit int) []Effect {
+	racks := make([]string, 0, len(b.byRack))
+	for rack := range b.byRack {
+		racks = append(racks, rack)
+	}
+	sort.Strings(racks)
+	var effects []Effect
+	for _, rack := range racks {
+		for _, o := range b.byRack[rack] {
+			for tasks := range slices.Chunk(o.Tasks, limit) {
+				effects = append(effects, OfferTasks{Rack: rack, Tasks: tasks, Victims: o.Victims})
+			}
+		}
+	}
+	return effects
+}
--- a/version/intent/plan.go
+++ b/version/intent/plan.go
@@ -1,36 +1,103 @@
 package intent
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/request/verdict"
 )
 
-// Draft returns a plan without placements and the tasks that it would run. unique makes the ids unique in the cell.
-func (c *Core) Draft(now time.Time, spec model.IntentSpec, configVersion uint64, unique string) (model.Plan, []model.Task) {
+// Draft returns a plan without placements and the tasks that it would run. unique makes the ids unique in the cell. It
+// returns an error with NotRun when the work can never run: its quota is too small or its deadline too early.
+func (c *Core) Draft(now time.Time, spec model.IntentSpec, configVersion uint64, unique string) (model.Plan, []model.Task, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	p := model.Plan{
 		ID: planID(c.partition, unique), IntentID: intentID(c.partition, unique), Partition: c.partition, Spec: spec,
 		Placements: []model.Placement{}, Displaces: []model.Displacement{},
 		ConfigVersion: configVersion, CreatedAt: now, ExpiresAt: now.Add(c.policy.PlanTerm),
 	}
-	in := model.Intent{ID: p.IntentID, Spec: spec}
-	count := spec.Tasks
-	if spec.Kind.Standing() {
+	if err := c.possible(now, spec); err != nil {
+		return model.Plan{}, nil, err
+	}
+	return p, planTasks(p, now), nil
+}
+
+// planTasks returns the tasks that a plan would run. For a standing template of calls it is one call.
+func planTasks(p model.Plan, now time.Time) []model.Task {
+	in := model.Intent{ID: p.IntentID, Spec: p.Spec}
+	count := p.Spec.Tasks
+	if p.Spec.Kind == model.KindCall {
 		count = 1
 	}
 	tasks := make([]model.Task, 0, count)
 	for i := range count {
-		tasks = append(tasks, NewTask(in, c.partition, 0, i, now))
+		tasks = append(tasks, NewTask(in, p.Partition, 0, i, now))
+	}
+	return tasks
+}
+
+// possible returns why work can never run, or nil. Callers hold c.mu.
+func (c *Core) possible(now time.Time, spec model.IntentSpec) error {
+	if spec.Tasks > c.policy.MaxTasks {
+		return verdict.Invalid("tasks", "expected at most %d, the limit of a partition", c.policy.MaxTasks)
+	}
+	if !spec.Deadline.IsZero() && now.Add(spec.RunTime()).After(spec.Deadline) {
+		return verdict.Invalid("deadline", "the declared run time of %s ends after the deadline even if the work starts now", spec.RunTime())
+	}
+	limit := c.quota(c.teamOf(spec.Account, spec.Team)).Limit
+	each := Demand(model.Task{Each: spec.Each})
+	if !within(each, limit) {
+		return verdict.Invalid("each", "one task exceeds the quota limit of team %q", spec.Team)
+	}
+	if spec.Kind == model.KindGang && !within(times(each, spec.Tasks), limit) {
+		return verdict.Invalid("tasks", "the members of the gang together exceed the quota limit of team %q", spec.Team)
 	}
-	return p, tasks
+	return nil
 }
 
-// AddPlan keeps a plan until it is confirmed or expires.
-func (c *Core) AddPlan(p model.Plan) {
+func times(r model.Resources, n int) model.Resources {
+	k := int64(n)
+	r.CPUMilli *= k
+	r.MemoryMiB *= k
+	r.Accelerators *= k
+	r.Slots *= k
+	r.Connections *= k
+	return r
+}
+
+// QuotaReason says what the quota means for the tasks of a plan; an empty text means that they run within the share.
+func (c *Core) QuotaReason(spec model.IntentSpec) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	tm := c.teamOf(spec.Account, spec.Team)
+	q := c.quota(tm)
+	total := tm.used.Add(times(Demand(model.Task{Each: spec.Each}), spec.Tasks))
+	switch {
+	case !within(total, q.Limit):
+		return "some tasks wait until the team's use falls below its limit"
+	case !within(total, q.Share) && spec.Preemptible:
+		return "partly on borrowed capacity; may be stopped after a checkpoint when its owner needs it"
+	case !within(total, q.Share):
+		return "partly on borrowed capacity"
+	}
+	return ""
+}
+
+// AddPlan keeps a plan until it is confirmed or expires. It returns an error with NotRun when too many plans wait.
+func (c *Core) AddPlan(p model.Plan) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.plans[p.ID]; ok {
+		return nil
+	}
+	if len(c.plans) >= c.policy.MaxPlans {
+		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "%d plans wait for a confirmation, the limit", len(c.plans)).After(time.Second)
+	}
 	c.plans[p.ID] = p
+	c.oldPlans.PushBack(p)
+	return nil
 }
 
 // Plan returns a plan that was added.
@@ -45,7 +112,7 @@
 }
 
 // PrepareConfirm returns the intent to be written for a plan. confirmed is set when the plan was confirmed before; then
-// the returned intent is the first result. Errors: CodeNotFound, CodeStalePlan; both NotRun.
+// the returned intent is the first result. Errors: CodeNotFound, CodeStalePlan, CodeOverloaded; all NotRun.
 func (c *Core) PrepareConfirm(now time.Time, id string) (in model.Intent, confirmed bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -59,11 +126,73 @@
 	if now.After(p.ExpiresAt) {
 		return model.Intent{}, false, verdict.New(verdict.NotRun, verdict.CodeStalePlan, "plan %q has expired", id)
 	}
+	if err := c.possible(now, p.Spec); err != nil {
+		return model.Intent{}, false, err
+	}
+	if !c.makeRoom(now, p.Spec.Tasks) {
+		return model.Intent{}, false, overloaded(c.policy.MaxTasks)
+	}
 	return model.Intent{
 		ID: p.IntentID, PlanID: p.ID, Spec: p.Spec, State: model.IntentConfirmed, ConfirmedAt: now,
 	}, false, nil
 }
 
+// Pending returns confirmed tasks of the partition that are offered for the first time and not granted yet, at most
+// limit. A plan that is made or confirmed now has to leave room for them.
+func (c *Core) Pending(limit int) []model.Task {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var tasks []model.Task
+	for _, h := range c.offers.again {
+		for _, t := range h {
+			if len(tasks) == limit {
+				return tasks
+			}
+			if t.tries == 1 {
+				tasks = append(tasks, t.current())
+			}
+		}
+	}
+	return tasks
+}
+
+// Holds returns why a plan no longer holds, given a fresh proposal for the same tasks, or an empty text. A plan holds
+// while nothing is displaced that it did not show, nothing that it displaces was promised to another confirmed plan, and
+// no more tasks have to wait than it showed.
+func (c *Core) Holds(shown, fresh model.Plan) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if shown.ConfigVersion != fresh.ConfigVersion {
+		return fmt.Sprintf("the configuration changed from version %d to %d", shown.ConfigVersion, fresh.ConfigVersion)
+	}
+	known := make(map[model.TaskID]bool, len(shown.Displaces))
+	for _, d := range shown.Displaces {
+		known[d.Task] = true
+		if other := c.claimedVictims[d.Task]; other != "" && other != shown.IntentID {
+			return fmt.Sprintf("task %s is displaced by intent %s already", d.Task, other)
+		}
+	}
+	for _, d := range fresh.Displaces {
+		if !known[d.Task] {
+			return fmt.Sprintf("it would now displace task %s, which it did not show", d.Task)
+		}
+	}
+	if before, after := waits(shown), waits(fresh); after > before {
+		return fmt.Sprintf("%d tasks would have to wait, the plan showed %d", after, before)
+	}
+	return ""
+}
+
+func waits(p model.Plan) int {
+	n := 0
+	for _, placement := range p.Placements {
+		if placement.Waits {
+			n++
+		}
+	}
+	return n
+}
+
 // Confirmed enters an intent whose row is in the table and returns its first offers.
 func (c *Core) Confirmed(now time.Time, in model.Intent) []Effect {
 	c.mu.Lock()
@@ -80,47 +209,16 @@
 	victims := make([]model.TaskID, 0, len(plan.Displaces))
 	for _, d := range plan.Displaces {
 		victims = append(victims, d.Task)
+		c.claimedVictims[d.Task] = in.ID
 	}
-	for _, id := range st.tasks {
-		c.tasks[id].preferRack = place[id]
-		c.tasks[id].victims = victims
+	for _, t := range st.tasks {
+		c.toWaiting(now, t, time.Time{})
+		t.preferRack, t.victims = place[t.task.ID], victims
 	}
-	return c.offerWaiting(now)
-}
-
-// Cancelled enters a cancellation whose row is in the table. Waiting tasks end at once; running ones are stopped.
-func (c *Core) Cancelled(now time.Time, id string) ([]Effect, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	st := c.intents[id]
-	if st == nil {
-		return nil, notFound("intent", id)
-	}
-	st.intent.State = model.IntentCancelled
-	var effects []Effect
-	for _, taskID := range st.tasks {
-		t := c.tasks[taskID]
-		switch t.phase {
-		case phaseWaiting:
-			t.phase = phaseCancelled
-			effects = append(effects, TaskEnded{Task: t.task, Outcome: model.Outcome{Task: taskID, State: model.OutcomeNotStarted}})
-		case phaseUnplaced:
-			t.cancelled = true
-		case phaseGranted:
-			t.cancelled = true
-			effects = append(effects, StopTask{Rack: t.rack, Task: taskID, Token: t.token})
-		}
-	}
-	return effects, nil
-}
-
-// Intent returns an intent as kept in the table.
-func (c *Core) Intent(id string) (model.Intent, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	st := c.intents[id]
-	if st == nil {
-		return model.Intent{}, notFound("intent", id)
+	if st.gang != nil {
+		c.gangWaits(now, st.gang, 0)
 	}
-	return st.intent, nil
+	effects := c.dueRuns(now)
+	effects = append(effects, c.tickGangs(now)...)
+	return append(effects, c.dispatch(now)...)
 }
--- /dev/null
+++ b/version/intent/recovery.go
@@ -0,0 +1,112 @@
+package intent
+
+import (
+	"time"
+
+	"github.com/lentiltide/lentiltide/model"
+)
+
+// Restore adds an intent that was read from the table at takeover, with the outcomes that were recorded for its tasks.
+// Tasks without an outcome are unplaced until all racks have answered. Of a recurring intent only the run that is
+// recorded as open is restored: a run is recorded before it starts, and the next one only after all its tasks have ended.
+func (c *Core) Restore(now time.Time, in model.Intent, outcomes map[model.TaskID]model.Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	st := c.addIntent(now, in)
+	if in.Spec.Kind == model.KindRecurring && in.RunOpen {
+		c.addRun(now, st, in.Runs-1)
+	}
+	for _, t := range st.tasks {
+		if out, ok := outcomes[t.task.ID]; ok {
+			t.phase, t.outcome, t.endedAt = phaseDone, out, now
+			st.observe(t, out)
+		} else if in.State == model.IntentDone {
+			t.phase, t.endedAt = phaseDone, now
+		} else if in.State == model.IntentCancelled {
+			// It may still run somewhere; Known stops it.
+			t.cancelled = true
+		}
+		if t.ended() {
+			st.open--
+			if in.Spec.Kind == model.KindRecurring {
+				t.forget = c.endedTasks.PushBack(t)
+			}
+		}
+	}
+	if in.State != model.IntentConfirmed && st.open == 0 {
+		c.retire(now, st)
+	}
+}
+
+// Known enters a task that a rack listed as running in its answer to the fence. A task that was cancelled is stopped.
+func (c *Core) Known(now time.Time, rack string, rackEpoch uint64, task model.Task, token model.StartToken, worker string) []Effect {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.tasks[task.ID]
+	if t == nil {
+		st := c.standing(task)
+		t = c.enter(st, task)
+		t.cancelled = st != nil && st.intent.State == model.IntentCancelled
+	}
+	switch {
+	case t.ended(), !t.token.IsZero() && t.token != token:
+		return nil
+	case t.phase == phaseWaiting && t.token == token:
+		// The start with this token has ended, and the task waits for the next one.
+		return nil
+	}
+	c.dequeue(t)
+	c.unpend(t)
+	c.placed(t, rack, rackEpoch)
+	c.charge(t, Demand(task))
+	t.running, t.worker, t.token = true, worker, token
+	if t.cancelled {
+		return []Effect{StopTask{Rack: rack, Task: task.ID, Token: token}}
+	}
+	return nil
+}
+
+// RacksAnswered settles the unplaced tasks: every rack has listed completely what it runs for the partition. final lists
+// outcomes that have to be recorded.
+func (c *Core) RacksAnswered(now time.Time) (effects []Effect, final []model.Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var unplaced []*taskState
+	for _, t := range c.tasks {
+		if t.phase == phaseUnplaced {
+			unplaced = append(unplaced, t)
+		}
+	}
+	for _, t := range unplaced {
+		ended, last := c.settle(now, t)
+		effects = append(effects, ended...)
+		if last {
+			final = append(final, t.outcome)
+		}
+	}
+	for _, st := range c.intents {
+		// The last outcome was recorded, but the end of the intent or of its run was not.
+		effects = append(effects, c.finishIntent(now, st)...)
+	}
+	for _, g := range c.sortedGangs() {
+		effects = append(effects, c.gangRestored(now, g)...)
+	}
+	c.opened = true
+	return append(effects, c.dispatch(now)...), final
+}
+
+// settle gives an unplaced task that no rack runs its state. Callers hold c.mu.
+func (c *Core) settle(now time.Time, t *taskState) (effects []Effect, final bool) {
+	out := t.earlier
+	switch {
+	case out.State != "":
+		t.phase, t.token = phaseGranted, out.Token
+		return c.end(now, t, out)
+	case t.cancelled:
+		out = model.Outcome{Task: t.task.ID, State: model.OutcomeNotStarted, Error: "the intent was cancelled"}
+		return c.finish(now, t, phaseCancelled, out), false
+	default:
+		c.toWaiting(now, t, time.Time{})
+		return nil, false
+	}
+}
--- /dev/null
+++ b/version/intent/retention.go
@@ -0,0 +1,112 @@
+package intent
+
+import (
+	"time"
+
+	"github.com/lentiltide/lentiltide/model"
+)
+
+// retire starts the retention of an intent that has ended. Callers hold c.mu.
+func (c *Core) retire(now time.Time, st *intentState) {
+	if st.forget != nil {
+		return
+	}
+	delete(c.recurring, st.intent.ID)
+	delete(c.gangs, st.intent.ID)
+	for victim, id := range c.claimedVictims {
+		if id == st.intent.ID {
+			delete(c.claimedVictims, victim)
+		}
+	}
+	st.endedAt = now
+	st.forget = c.endedIntents.PushBack(st)
+}
+
+// dropExpired drops ended tasks, intents and plans that are past their retention. Rows are deleted along with them.
+// Callers hold c.mu.
+func (c *Core) dropExpired(now time.Time) []Effect {
+	var f Forget
+	limit := now.Add(-c.policy.Retention)
+	for e := c.endedTasks.Front(); e != nil && e.Value.(*taskState).endedAt.Before(limit); e = c.endedTasks.Front() {
+		c.dropTask(e.Value.(*taskState))
+	}
+	for e := c.endedIntents.Front(); e != nil && e.Value.(*intentState).endedAt.Before(limit); e = c.endedIntents.Front() {
+		st := e.Value.(*intentState)
+		f.Intents = append(f.Intents, st.intent.ID)
+		f.Plans = append(f.Plans, st.intent.PlanID)
+		c.dropIntent(st)
+	}
+	for e := c.oldPlans.Front(); e != nil && e.Value.(model.Plan).ExpiresAt.Before(limit); e = c.oldPlans.Front() {
+		p := e.Value.(model.Plan)
+		c.oldPlans.Remove(e)
+		if c.intents[p.IntentID] == nil {
+			delete(c.plans, p.ID)
+			f.Plans = append(f.Plans, p.ID)
+		}
+	}
+	if len(f.Intents)+len(f.Plans) == 0 {
+		return nil
+	}
+	return []Effect{f}
+}
+
+// dropTask removes an ended task from memory. Callers hold c.mu.
+func (c *Core) dropTask(t *taskState) {
+	delete(c.tasks, t.task.ID)
+	if t.forget != nil {
+		c.endedTasks.Remove(t.forget)
+		t.forget = nil
+	}
+	st := t.intent
+	if st == nil {
+		return
+	}
+	last := st.tasks[len(st.tasks)-1]
+	st.tasks[t.slot], last.slot = last, t.slot
+	st.tasks[len(st.tasks)-1] = nil
+	st.tasks = st.tasks[:len(st.tasks)-1]
+}
+
+func (c *Core) dropIntent(st *intentState) {
+	c.endedIntents.Remove(st.forget)
+	for len(st.tasks) > 0 {
+		c.dropTask(st.tasks[len(st.tasks)-1])
+	}
+	delete(c.intents, st.intent.ID)
+	delete(c.plans, st.intent.PlanID)
+}
+
+// makeRoom drops the oldest ended tasks before their retention ends, so that n more fit the memory bound. It reports
+// whether they do. Callers hold c.mu.
+func (c *Core) makeRoom(now time.Time, n int) bool {
+	for len(c.tasks)+n > c.policy.MaxTasks {
+		if e := c.endedTasks.Front(); e != nil {
+			c.dropTask(e.Value.(*taskState))
+			continue
+		}
+		e := c.endedIntents.Front()
+		if e == nil {
+			return false
+		}
+		// The rows stay until the retention ends, so that the next owner still knows the intent.
+		st := e.Value.(*intentState)
+		for len(st.tasks) > 0 {
+			c.dropTask(st.tasks[len(st.tasks)-1])
+		}
+		c.endedIntents.MoveToBack(e)
+		if !c.anyEndedTasks() {
+			return len(c.tasks)+n <= c.policy.MaxTasks
+		}
+	}
+	return true
+}
+
+// anyEndedTasks reports whether an ended intent still has tasks in memory. Callers hold c.mu.
+func (c *Core) anyEndedTasks() bool {
+	for e := c.endedIntents.Front(); e != nil; e = e.Next() {
+		if len(e.Value.(*intentState).tasks) > 0 {
+			return true
+		}
+	}
+	return false
+}
