--- a/version/intent/claim.go
+++ b/version/intent/claim.go
@@ -20,7 +20,7 @@
 	if t.phase == phaseGranted && t.gang == nil && t.rack == rack && t.rackEpoch == rackEpoch && !t.running {
 		return t.token, true
 	}
-	if c.denial(now, t, rack) != "" {
+	if rackEpoch < c.rackEpochs[rack] || c.denial(now, t, rack) != "" {
 		return model.StartToken{}, false
 	}
 	c.grant(now, t, rack, rackEpoch)
@@ -194,6 +194,7 @@
 func (c *Core) RackReplaced(now time.Time, rack string, rackEpoch uint64, known map[model.StartToken]bool) (effects []Effect, final []model.Outcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.rackEpochs[rack] = max(c.rackEpochs[rack], rackEpoch)
 	for _, t := range c.tasks {
 		if t.phase != phaseGranted || t.rack != rack || t.rackEpoch >= rackEpoch {
 			continue
--- a/version/intent/core.go
+++ b/version/intent/core.go
@@ -39,8 +39,11 @@
 	withdrawn map[string][]model.TaskID
 	racks     []RackView
 	rackZones map[string]string
-	zones     []string
-	zoneRacks map[string][]string
+	// rackEpochs are the epochs whose complete inventories have been entered. Nothing is granted to earlier ones, since
+	// nobody would report what became of it.
+	rackEpochs map[string]uint64
+	zones      []string
+	zoneRacks  map[string][]string
 
 	quotas Quotas
 	pool   Pool
@@ -151,7 +154,8 @@
 		rng:     rand.New(rand.NewPCG(uint64(partition), epoch)),
 		intents: map[string]*intentState{}, tasks: map[model.TaskID]*taskState{}, plans: map[string]model.Plan{},
 		tickets: map[uint64]model.TaskID{}, withdrawn: map[string][]model.TaskID{},
-		offers: newOfferQueues(policy.ReoffersPerSecond), teams: map[teamKey]*team{}, gangs: map[string]*gangState{},
+		rackEpochs: map[string]uint64{},
+		offers:     newOfferQueues(policy.ReoffersPerSecond), teams: map[teamKey]*team{}, gangs: map[string]*gangState{},
 		recurring: map[string]*intentState{}, endedTasks: list.New(), endedIntents: list.New(), oldPlans: list.New(),
 		claimedVictims: map[model.TaskID]string{},
 	}
--- a/version/intent/gang.go
+++ b/version/intent/gang.go
@@ -188,8 +188,7 @@
 	}
 	if !g.admitted() {
 		g.reason = "the team's quota does not admit all members"
-		c.request(now, open[0])
-		if !g.admitted() {
+		if c.requestGang(now, g); !g.admitted() {
 			return nil
 		}
 	}
@@ -201,6 +200,21 @@
 	return c.holdNext(now, g)
 }
 
+// requestGang asks for the admission of all open members together. After a takeover only those are charged that ran.
+// Callers hold c.mu.
+func (c *Core) requestGang(now time.Time, g *gangState) {
+	open := g.open()
+	for _, m := range open {
+		if m.pending != nil {
+			return
+		}
+	}
+	for _, m := range open {
+		c.uncharge(m)
+	}
+	c.request(now, open[0])
+}
+
 // gangRacks returns the racks to ask, in ascending order: for the oldest gang all, otherwise as many as are needed by
 // their free capacity as last seen, those with the most room first. Callers hold c.mu.
 func (c *Core) gangRacks(g *gangState) []string {
@@ -384,6 +398,9 @@
 		if now.Sub(g.asked[rack]) > c.policy.HoldTerm/2 {
 			return c.gangBacksOff(now, g, "recording its start took too long")
 		}
+		if g.epochs[rack] < c.rackEpochs[rack] {
+			return c.gangBacksOff(now, g, "a rack that held members got a new owner")
+		}
 	}
 	g.phase = gangRunning
 	byRack := map[string]*StartHeld{}
--- /dev/null
+++ b/version/intent/kinds_test.go
@@ -0,0 +1,420 @@
+package intent
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/request/verdict"
+)
+
+// views returns n racks with room for free tasks of one core each, spread over zones.
+func views(n, zones int, free int64) []RackView {
+	var racks []RackView
+	for i := range n {
+		r := model.Resources{CPUMilli: 1000 * free, MemoryMiB: 1 << 20, Slots: free}
+		racks = append(racks, RackView{Rack: fmt.Sprintf("rack-%d", i), Zone: fmt.Sprintf("zone-%d", i%zones), Epoch: 1, Free: r, Largest: r})
+	}
+	return racks
+}
+
+func newCore(racks []RackView) *Core {
+	c := New(3, 1, DefaultPolicy())
+	c.SetRacks(racks)
+	return c
+}
+
+func confirmed(id string, spec model.IntentSpec) model.Intent {
+	if spec.Team == "" {
+		spec.Account, spec.Team = "office", "fleet"
+	}
+	return model.Intent{ID: id, PlanID: "p3-" + id, Spec: spec, State: model.IntentConfirmed, ConfirmedAt: testNow}
+}
+
+// offered returns the racks by task of the offers among effects.
+func offered(effects []Effect) map[model.TaskID][]string {
+	racks := map[model.TaskID][]string{}
+	for _, e := range effects {
+		if o, ok := e.(OfferTasks); ok {
+			for _, t := range o.Tasks {
+				racks[t.ID] = append(racks[t.ID], o.Rack)
+			}
+		}
+	}
+	return racks
+}
+
+func count[E Effect](effects []Effect) int {
+	n := 0
+	for _, e := range effects {
+		if _, ok := e.(E); ok {
+			n++
+		}
+	}
+	return n
+}
+
+// started claims a task and reports that it runs.
+func started(t *testing.T, c *Core, now time.Time, id model.TaskID, rack string) model.StartToken {
+	t.Helper()
+	token, granted := c.Claim(now, id, rack, 1)
+	assert.Assert(t, granted, "task %s is not granted to %s", id, rack)
+	c.Started(now, id, token, "w-"+rack)
+	return token
+}
+
+func ended(t *testing.T, c *Core, now time.Time, id model.TaskID, state model.OutcomeState, worker string) ([]Effect, bool) {
+	t.Helper()
+	st := c.tasks[id]
+	effects, final, err := c.Ended(now, st.task, model.Outcome{Task: id, Token: st.token, State: state, Worker: worker, Error: "boom"})
+	assert.NilError(t, err)
+	return effects, final
+}
+
+// TestNothingIsGrantedToReplacedRack guards against a task that stays granted for ever: a late claim or hold of an earlier
+// rack owner was granted after the later owner's inventory had been entered.
+func TestNothingIsGrantedToReplacedRack(t *testing.T) {
+	c := newCore(views(1, 1, 8))
+	c.Confirmed(testNow, confirmed("i3-a", model.IntentSpec{Kind: model.KindBatch, Tasks: 1}))
+	effects := c.Confirmed(testNow, confirmed("i3-g", model.IntentSpec{Kind: model.KindGang, Tasks: 1}))
+	hold := effects[0].(HoldTasks)
+	effects = c.HoldAnswered(testNow, "i3-g", hold.Hold, "rack-0", 1, []model.Placement{{Task: hold.Tasks[0].ID, Rack: "rack-0"}})
+	assert.Equal(t, count[CommitGang](effects), 1)
+	c.RackReplaced(testNow, "rack-0", 2, nil)
+	assert.Equal(t, count[StartHeld](c.GangCommitted(testNow, "i3-g", hold.Hold, true)), 0)
+	_, granted := c.Claim(testNow, "i3-a/0.0", "rack-0", 1)
+	assert.Assert(t, !granted)
+	_, granted = c.Claim(testNow, "i3-a/0.0", "rack-0", 2)
+	assert.Assert(t, granted)
+}
+
+// TestPartlyChargedGangStartsAgain guards against a gang that waits for ever: after a takeover only the members that ran
+// were charged to the quota, and the gang was never admitted as a whole.
+func TestPartlyChargedGangStartsAgain(t *testing.T) {
+	c := New(3, 2, DefaultPolicy())
+	c.SetRacks(views(2, 1, 8))
+	in := confirmed("i3-g", model.IntentSpec{Kind: model.KindGang, Tasks: 2})
+	c.Restore(testNow, in, nil)
+	token := model.StartToken{Partition: 3, Epoch: 1, Sequence: 1}
+	c.Known(testNow, "rack-0", 1, NewTask(in, 3, 0, 0, testNow), token, "w")
+	effects, _ := c.RacksAnswered(testNow)
+	assert.Equal(t, count[StopTask](effects), 1)
+	ended(t, c, testNow, "i3-g/0.0", model.OutcomeStopped, "w")
+	effects = c.Tick(testNow.Add(time.Minute))
+	assert.Equal(t, count[HoldTasks](effects), 1)
+	assert.Equal(t, len(effects[0].(HoldTasks).Tasks), 2)
+}
+
+// TestGangRestartsAsAWhole guards against a gang of which a part goes on after a member was lost, and against a second run
+// of a finished member.
+func TestGangRestartsAsAWhole(t *testing.T) {
+	c := newCore(views(1, 1, 8))
+	effects := c.Confirmed(testNow, confirmed("i3-g", model.IntentSpec{Kind: model.KindGang, Tasks: 3}))
+	hold := effects[0].(HoldTasks)
+	var placed []model.Placement
+	for _, task := range hold.Tasks {
+		placed = append(placed, model.Placement{Task: task.ID, Rack: "rack-0"})
+	}
+	c.HoldAnswered(testNow, "i3-g", hold.Hold, "rack-0", 1, placed)
+	effects = c.GangCommitted(testNow, "i3-g", hold.Hold, true)
+	assert.Equal(t, len(effects[0].(StartHeld).Tasks), 3)
+	for i := range 3 {
+		id := model.NewTaskID("i3-g", 0, i)
+		c.Started(testNow, id, c.tasks[id].token, "w")
+	}
+	_, final := ended(t, c, testNow, "i3-g/0.0", model.OutcomeFinished, "w")
+	assert.Assert(t, final)
+	effects, final = ended(t, c, testNow, "i3-g/0.1", model.OutcomeLapsed, "w")
+	assert.Assert(t, !final)
+	assert.Equal(t, count[StopTask](effects), 1)
+	assert.Equal(t, count[HoldTasks](c.Tick(testNow.Add(time.Minute))), 0)
+	ended(t, c, testNow, "i3-g/0.2", model.OutcomeStopped, "w")
+	effects = c.Tick(testNow.Add(2 * time.Minute))
+	assert.Equal(t, len(effects[0].(HoldTasks).Tasks), 2)
+}
+
+// TestFailedGangIsRecordedWhole guards against a later owner that starts a part of a gang of which one member failed.
+func TestFailedGangIsRecordedWhole(t *testing.T) {
+	c := newCore(views(1, 1, 8))
+	c.policy.MaxAttempts = 1
+	effects := c.Confirmed(testNow, confirmed("i3-g", model.IntentSpec{Kind: model.KindGang, Tasks: 2}))
+	hold := effects[0].(HoldTasks)
+	c.HoldAnswered(testNow, "i3-g", hold.Hold, "rack-0", 1, []model.Placement{{Task: "i3-g/0.0"}, {Task: "i3-g/0.1"}})
+	c.GangCommitted(testNow, "i3-g", hold.Hold, true)
+	// The first member did not start, so it waits when the second fails for good.
+	ended(t, c, testNow, "i3-g/0.0", model.OutcomeNotStarted, "w")
+	effects, final := ended(t, c, testNow, "i3-g/0.1", model.OutcomeFailed, "w")
+	assert.Assert(t, final)
+	recorded := 0
+	for _, e := range effects {
+		if end, ok := e.(TaskEnded); ok && end.Record {
+			recorded++
+		}
+	}
+	assert.Equal(t, recorded, 1)
+	in, _ := c.Intent("i3-g")
+	assert.Equal(t, in.State, model.IntentDone)
+}
+
+// TestOldestGangKeepsItsHolds guards against livelock: of two gangs that each hold a part, the older keeps it and the
+// younger, of this or another partition, gives way.
+func TestOldestGangKeepsItsHolds(t *testing.T) {
+	for name, other := range map[string]GangAge{
+		"older": {ConfirmedAt: testNow.Add(-time.Second), Intent: "i9-o"}, "younger": {ConfirmedAt: testNow.Add(time.Second), Intent: "i9-y"},
+	} {
+		c := newCore(views(1, 1, 8))
+		c.SetOlderGang(other)
+		effects := c.Confirmed(testNow, confirmed("i3-g", model.IntentSpec{Kind: model.KindGang, Tasks: 2}))
+		hold := effects[0].(HoldTasks)
+		effects = c.HoldAnswered(testNow, "i3-g", hold.Hold, "rack-0", 1, []model.Placement{{Task: "i3-g/0.0"}})
+		if name == "older" {
+			assert.Equal(t, count[ReleaseHold](effects), 1)
+			continue
+		}
+		assert.Equal(t, count[ReleaseHold](effects), 0)
+		effects = c.Tick(testNow.Add(c.policy.HoldTerm / 3))
+		assert.Equal(t, effects[0].(HoldTasks).Hold, hold.Hold)
+		assert.Equal(t, len(effects[0].(HoldTasks).Tasks), 2)
+	}
+}
+
+// TestRecurringRuns guards against a period with two runs, overlapping runs, and runs made up for periods that passed.
+func TestRecurringRuns(t *testing.T) {
+	c := newCore(views(1, 1, 8))
+	in := confirmed("i3-r", model.IntentSpec{Kind: model.KindRecurring, Tasks: 1, EveryMS: 60_000})
+	run := func(c *Core, now time.Time) bool {
+		row, due := c.PrepareRun(now, in.ID)
+		if due {
+			c.RunRecorded(now, row, true)
+			in = row
+		}
+		return due
+	}
+	assert.Equal(t, count[RecordRun](c.Confirmed(testNow, in)), 1)
+	assert.Assert(t, run(c, testNow))
+	assert.Assert(t, !run(c, testNow.Add(time.Second)))
+	// The first run lasts into the third period: the second period has no run, the third a late one.
+	late := testNow.Add(130 * time.Second)
+	assert.Equal(t, count[RecordRun](c.Tick(late)), 0)
+	started(t, c, late, "i3-r/0.0", "rack-0")
+	effects, _ := ended(t, c, late, "i3-r/0.0", model.OutcomeFinished, "w")
+	assert.Equal(t, count[SaveIntent](effects), 1)
+	assert.Equal(t, count[RecordRun](c.Tick(late)), 1)
+	assert.Assert(t, run(c, late))
+	assert.Assert(t, c.tasks["i3-r/2.0"] != nil)
+
+	// A successor continues the recorded run and starts no second one in its period.
+	next := New(3, 2, DefaultPolicy())
+	next.SetRacks(views(1, 1, 8))
+	next.Restore(late, in, nil)
+	assert.Assert(t, !run(next, late))
+	next.RacksAnswered(late)
+	started(t, next, late, "i3-r/2.0", "rack-0")
+	ended(t, next, late, "i3-r/2.0", model.OutcomeFinished, "w")
+	assert.Assert(t, !run(next, late))
+	// Many periods pass without an owner: at most one run follows.
+	assert.Assert(t, run(next, testNow.Add(time.Hour)))
+	assert.Assert(t, !run(next, testNow.Add(time.Hour)))
+}
+
+// TestRunThatEndedBeforeTakeover guards against a recurring intent that never runs again: all tasks of its run had ended
+// when the owner died, but the row still said that the run was open.
+func TestRunThatEndedBeforeTakeover(t *testing.T) {
+	c := newCore(views(1, 1, 8))
+	in := confirmed("i3-r", model.IntentSpec{Kind: model.KindRecurring, Tasks: 1, EveryMS: 60_000})
+	in.Runs, in.RunOpen = 1, true
+	c.Restore(testNow, in, map[model.TaskID]model.Outcome{"i3-r/0.0": {Task: "i3-r/0.0", State: model.OutcomeFinished}})
+	effects, _ := c.RacksAnswered(testNow)
+	assert.Equal(t, count[SaveIntent](effects), 1)
+	assert.Equal(t, count[RecordRun](c.Tick(testNow.Add(time.Minute))), 1)
+}
+
+// TestServiceSpread guards against a service of which a lost availability zone takes more than its share along.
+func TestServiceSpread(t *testing.T) {
+	c := newCore(views(6, 3, 8))
+	effects := c.Confirmed(testNow, confirmed("i3-s", model.IntentSpec{Kind: model.KindService, Tasks: 6}))
+	zones := map[string]int{}
+	for id, racks := range offered(effects) {
+		assert.Equal(t, len(racks), 1)
+		started(t, c, testNow, id, racks[0])
+		zones[c.rackZones[racks[0]]]++
+	}
+	assert.DeepEqual(t, zones, map[string]int{"zone-0": 2, "zone-1": 2, "zone-2": 2})
+	// A zone that has its share is not granted a task of another one that ended.
+	c.Ended(testNow, c.tasks["i3-s/0.0"].task, model.Outcome{Task: "i3-s/0.0", Token: c.tasks["i3-s/0.0"].token, State: model.OutcomeLapsed})
+	lost := c.rackZones["rack-0"]
+	for _, r := range c.racks {
+		if r.Zone != lost {
+			_, granted := c.Claim(testNow, "i3-s/0.0", r.Rack, 1)
+			assert.Assert(t, !granted)
+		}
+	}
+}
+
+// TestRestartBackoff guards against a service that ends at once and is restarted in a tight loop, and against one that is
+// given up although it ran well in between.
+func TestRestartBackoff(t *testing.T) {
+	c := newCore(views(1, 1, 8))
+	c.Confirmed(testNow, confirmed("i3-w", model.IntentSpec{Kind: model.KindWatcher, Tasks: 1}))
+	now, id := testNow, model.TaskID("i3-w/0.0")
+	for _, wait := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second} {
+		started(t, c, now, id, "rack-0")
+		ended(t, c, now, id, model.OutcomeFinished, "w")
+		_, early := c.Claim(now.Add(wait-time.Millisecond), id, "rack-0", 1)
+		assert.Assert(t, !early)
+		now = now.Add(wait)
+	}
+	for i := range 5 {
+		started(t, c, now, id, "rack-0")
+		st := c.tasks[id]
+		_, final, err := c.Ended(now, st.task, model.Outcome{Task: id, Token: st.token, State: model.OutcomeFailed, Worker: fmt.Sprint(i), RanMS: 3_600_000})
+		assert.NilError(t, err)
+		assert.Assert(t, !final)
+		now = now.Add(time.Minute)
+	}
+}
+
+// TestFailingTaskIsStopped guards against a task that can never run and is started for ever.
+func TestFailingTaskIsStopped(t *testing.T) {
+	for name, worker := range map[string]func(int) string{
+		"distinct workers": func(i int) string { return fmt.Sprint(i) }, "one worker": func(int) string { return "w" },
+	} {
+		c := newCore(views(1, 1, 8))
+		c.Confirmed(testNow, confirmed("i3-b", model.IntentSpec{Kind: model.KindBatch, Tasks: 1}))
+		now, id, final := testNow, model.TaskID("i3-b/0.0"), false
+		tries := 0
+		for ; !final; tries++ {
+			started(t, c, now, id, "rack-0")
+			_, final = ended(t, c, now, id, model.OutcomeFailed, worker(tries))
+			now = now.Add(10 * time.Minute)
+		}
+		want := map[string]int{"distinct workers": c.policy.MaxAttempts, "one worker": c.policy.MaxFailures}[name]
+		assert.Equal(t, tries, want)
+		assert.Assert(t, strings.Contains(c.tasks[id].outcome.Error, "stopped after"))
+	}
+}
+
+// TestObservedHints guards against hints that stay wrong: later tasks are offered with the observed run time and size, and
+// the latest start follows.
+func TestObservedHints(t *testing.T) {
+	c := newCore(views(1, 1, 8))
+	deadline := testNow.Add(time.Hour)
+	c.Confirmed(testNow, confirmed("i3-b", model.IntentSpec{
+		Kind: model.KindBatch, Tasks: 2, RunTimeMS: 1000, Deadline: deadline, Each: model.Resources{CPUMilli: 1000},
+	}))
+	token := started(t, c, testNow, "i3-b/0.0", "rack-0")
+	_, _, err := c.Ended(testNow, c.tasks["i3-b/0.0"].task, model.Outcome{
+		Task: "i3-b/0.0", Token: token, State: model.OutcomeFinished, RanMS: 600_000, Used: model.Resources{CPUMilli: 4000},
+	})
+	assert.NilError(t, err)
+	effects := c.Tick(testNow.Add(c.policy.OfferTerm))
+	task := effects[0].(OfferTasks).Tasks[0]
+	assert.Equal(t, task.RunTimeMS, int64(600_000))
+	assert.Equal(t, task.Each.CPUMilli, int64(4000))
+	assert.Assert(t, task.LatestStart.Equal(deadline.Add(-10*time.Minute)))
+}
+
+// TestOffersAreBoundedAndBatched guards against a flood of offers by thousands of waiting tasks.
+func TestOffersAreBoundedAndBatched(t *testing.T) {
+	c := newCore(views(10, 2, 8))
+	first := c.Confirmed(testNow, confirmed("i3-b", model.IntentSpec{Kind: model.KindBatch, Tasks: 10_000}))
+	assert.Equal(t, len(offered(first)), 10_000)
+	assert.Assert(t, count[OfferTasks](first) <= 10_000/c.policy.OfferBatch+10)
+	repeated := 0
+	for i := range 20 {
+		repeated += len(offered(c.Tick(testNow.Add(10*time.Second + time.Duration(i)*500*time.Millisecond))))
+	}
+	// Ten seconds at the rate, and one second's worth that had been saved up.
+	assert.Assert(t, repeated <= int(11*c.policy.ReoffersPerSecond), "%d repeated offers", repeated)
+	assert.Assert(t, repeated >= 10_000)
+}
+
+// TestCancelWave guards against a cancellation that leaves a task without a verdict or sends one message for each.
+func TestCancelWave(t *testing.T) {
+	c := newCore(views(4, 2, 8))
+	var ids []string
+	for i := range 50 {
+		ids = append(ids, fmt.Sprintf("i3-%d", i))
+		c.Confirmed(testNow, confirmed(ids[i], model.IntentSpec{Kind: model.KindBatch, Tasks: 2}))
+	}
+	started(t, c, testNow, "i3-0/0.0", "rack-0")
+	effects := c.Cancelled(testNow, ids...)
+	assert.Equal(t, count[TaskEnded](effects), 99)
+	assert.Equal(t, count[StopTask](effects), 1)
+	assert.Assert(t, count[WithdrawTasks](effects) <= 4)
+	for _, e := range effects {
+		if end, ok := e.(TaskEnded); ok {
+			assert.Equal(t, end.Outcome.State, model.OutcomeNotStarted)
+		}
+	}
+	effects, final := ended(t, c, testNow, "i3-0/0.0", model.OutcomeStopped, "w")
+	assert.Assert(t, final)
+	assert.Equal(t, count[TaskEnded](effects), 1)
+	_, granted := c.Claim(testNow, "i3-1/0.0", "rack-0", 1)
+	assert.Assert(t, !granted)
+}
+
+// TestAbandonedCall guards against the verdict MayHaveRun for a call that was never granted, and against NotRun for one
+// that was.
+func TestAbandonedCall(t *testing.T) {
+	c := newCore(views(1, 1, 8))
+	c.Confirmed(testNow, confirmed("i3-c", model.IntentSpec{Kind: model.KindCall, Tasks: 1}))
+	tickets, err := c.Tickets(2)
+	assert.NilError(t, err)
+	waiting, err := c.Call(testNow, "i3-c", tickets[0], "", nil)
+	assert.NilError(t, err)
+	granted, err := c.Call(testNow, "i3-c", tickets[1], "", nil)
+	assert.NilError(t, err)
+	started(t, c, testNow, granted.Task.ID, "rack-0")
+	_, v := c.Abandon(testNow, waiting.Task.ID)
+	assert.Equal(t, v, verdict.NotRun)
+	_, v = c.Abandon(testNow, granted.Task.ID)
+	assert.Equal(t, v, verdict.MayHaveRun)
+	again, err := c.Call(testNow, "i3-c", tickets[0], "", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, again.Outcome.State, model.OutcomeNotStarted)
+	// A ticket whose call is past its retention may have run.
+	ended(t, c, testNow, granted.Task.ID, model.OutcomeFinished, "w")
+	c.Tick(testNow.Add(c.policy.Retention + time.Second))
+	_, err = c.Call(testNow, "i3-c", tickets[1], "", nil)
+	assert.Equal(t, verdict.Of(err), verdict.MayHaveRun)
+}
+
+// TestPlanHolds guards against a confirmation that displaces what the plan did not show, and against two confirmed plans
+// that displace the same task.
+func TestPlanHolds(t *testing.T) {
+	c := newCore(views(1, 1, 8))
+	shown := model.Plan{ID: "p3-x", IntentID: "i3-x", Displaces: []model.Displacement{{Task: "i3-v/0.0"}}}
+	fresh := shown
+	assert.Equal(t, c.Holds(shown, fresh), "")
+	fresh.Displaces = append(fresh.Displaces[:1:1], model.Displacement{Task: "i3-v/0.1"})
+	assert.Assert(t, strings.Contains(c.Holds(shown, fresh), "i3-v/0.1"))
+	fresh = shown
+	fresh.Placements = []model.Placement{{Task: "t", Waits: true}}
+	assert.Assert(t, strings.Contains(c.Holds(shown, fresh), "wait"))
+	other := shown
+	other.ID, other.IntentID = "p3-i3-y", "i3-y"
+	assert.NilError(t, c.AddPlan(other))
+	c.Confirmed(testNow, confirmed("i3-y", model.IntentSpec{Kind: model.KindBatch, Tasks: 1}))
+	assert.Assert(t, strings.Contains(c.Holds(shown, shown), "i3-y"))
+}
+
+// TestImpossibleWorkIsRejected guards against a plan for work that can never run.
+func TestImpossibleWorkIsRejected(t *testing.T) {
+	c := newCore(views(1, 1, 8))
+	c.SetQuotas(testQuotas{"small": {Limit: model.Resources{CPUMilli: 2000}}})
+	each := model.Resources{CPUMilli: 1000}
+	for field, spec := range map[string]model.IntentSpec{
+		"deadline": {Team: "small", Kind: model.KindBatch, Tasks: 1, Each: each, Deadline: testNow.Add(time.Second), RunTimeMS: 2000},
+		"each":     {Team: "small", Kind: model.KindBatch, Tasks: 1, Each: model.Resources{CPUMilli: 3000}},
+		"tasks":    {Team: "small", Kind: model.KindGang, Tasks: 3, Each: each},
+	} {
+		_, _, err := c.Draft(testNow, spec, 0, "u")
+		assert.Equal(t, verdict.From(err).Field, field)
+		assert.Equal(t, verdict.Of(err), verdict.NotRun)
+	}
+}
--- a/version/intent/quota.go
+++ b/version/intent/quota.go
@@ -137,7 +137,8 @@
 	if within(total, q.Share) {
 		return true
 	}
-	return mayBorrow && covers(c.pool.Free.Sub(c.pool.Short), beyond(total, q.Share))
+	more := beyond(total, q.Share).Sub(beyond(tm.used, q.Share))
+	return mayBorrow && covers(c.pool.Free.Sub(c.pool.Short), more)
 }
 
 // request admits a waiting task or gang at once if its team's share allows it and none of its class or above is pending;
