Explain tasks by the owner's and the racks' reasons

Cause: explain repeated the last error of a task only, and the demo did not say why work had not finished.

--- a/cmd/lentiltide/internal/demo/client.go
+++ b/cmd/lentiltide/internal/demo/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/request/api"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/intent"
 )
 
 const (
@@ -44,10 +46,10 @@
 }
 
 // attempt sends a request once to a random instance.
-func (c *client) attempt(ctx context.Context, path string, header http.Header, body []byte, out any) error {
+func (c *client) attempt(ctx context.Context, method, path string, header http.Header, body []byte, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	_, err := c.instances[rand.IntN(len(c.instances))].Do(ctx, http.MethodPost, path, header, body, out)
+	_, err := c.instances[rand.IntN(len(c.instances))].Do(ctx, method, path, header, body, out)
 	return err
 }
 
@@ -111,13 +113,27 @@
 	return c.post(ctx, "/v1/intents/"+id+"/cancel", struct{}{}, nil)
 }
 
+// explain asks why one task is in its state.
+func (c *client) explain(ctx context.Context, id string, task model.TaskID) (intent.Explanation, error) {
+	var reply api.ExplainReply
+	path := "/v1/intents/" + id + "/explain?task=" + url.QueryEscape(string(task))
+	err := retry(ctx, func(ctx context.Context) error { return c.attempt(ctx, http.MethodGet, path, nil, nil, &reply) })
+	if err != nil {
+		return intent.Explanation{}, err
+	}
+	if len(reply.Explanations) == 0 {
+		return intent.Explanation{}, errors.New("no explanation")
+	}
+	return reply.Explanations[0], nil
+}
+
 // post repeats a request that has the same effect once or many times.
 func (c *client) post(ctx context.Context, path string, in, out any) error {
 	body, err := encode(in)
 	if err != nil {
 		return err
 	}
-	return retry(ctx, func(ctx context.Context) error { return c.attempt(ctx, path, nil, body, out) })
+	return retry(ctx, func(ctx context.Context) error { return c.attempt(ctx, http.MethodPost, path, nil, body, out) })
 }
 
 // ticket returns an unused ticket.
@@ -166,7 +182,7 @@
 	header := http.Header{api.HeaderTicket: {ticket}}
 	for {
 		reply = api.CallReply{}
-		err = c.attempt(ctx, "/v1/intents/"+id+"/calls", header, body, &reply)
+		err = c.attempt(ctx, http.MethodPost, "/v1/intents/"+id+"/calls", header, body, &reply)
 		if err == nil || final(err) {
 			return reply, sentBefore, err
 		}
--- a/cmd/lentiltide/internal/demo/run.go
+++ b/cmd/lentiltide/internal/demo/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"time"
 
@@ -62,6 +63,7 @@
 	mu       sync.Mutex
 	answered map[string]string // call name to wrong answer, empty if right
 	calls    callCounts
+	refusals map[string]string // verdict and code to an example
 }
 
 func (r *run) say(format string, args ...any) { r.printer.line(r.deployment.Name, format, args...) }
@@ -85,6 +87,7 @@
 	r.await(finishBound, r.missing)
 	stopProgress()
 	r.check()
+	r.explainUnfinished(ctx)
 	return r.cancelServices(ctx)
 }
 
@@ -288,11 +291,34 @@
 	}
 	counts, calls := r.cell.Observer.Counts(), r.callCounts()
 	r.say("calls: %d sent, %d ran, %d did not run, %d may have run", calls.sent, calls.ran, calls.notRun, calls.unknown)
+	r.mu.Lock()
+	for key, example := range r.refusals {
+		r.say("  %s, for example: %s", key, example)
+	}
+	r.mu.Unlock()
 	r.say("observer: started %d, finished %d, double runs %d, overcommits %d, lost %d, wait p50 %.1f ms, p99 %.1f ms",
 		counts.TasksStarted, counts.TasksFinished, counts.DoubleRuns+counts.Reruns, counts.Overcommits, r.lost,
 		counts.WaitP50MS, counts.WaitP99MS)
 }
 
+// explainUnfinished prints why the first unfinished task of each intent has not finished, as the scheduler sees it.
+func (r *run) explainUnfinished(ctx context.Context) {
+	for _, c := range r.intents {
+		for _, id := range c.tasks() {
+			if c.spec.Kind.Restarts() || r.cell.Observer.Finished(id) > 0 {
+				continue
+			}
+			e, err := r.client.explain(ctx, c.id, id)
+			if err != nil {
+				r.say("explain %s: %v", id, err)
+				break
+			}
+			r.say("%s is %s: %s", id, e.Task.State, strings.Join(e.Reasons, "; "))
+			break
+		}
+	}
+}
+
 // cancelServices ends the work that would run for ever.
 func (r *run) cancelServices(ctx context.Context) error {
 	for _, c := range r.intents {
