--- a/request/api/api.go
+++ b/request/api/api.go
@@ -178,4 +178,3 @@
 
 // HTTP returns the kratos server, which is started and stopped by the caller.
 func (s *Server) HTTP() *khttp.Server { return s.http }
-
--- a/request/api/operations.go
+++ b/request/api/operations.go
@@ -135,4 +135,3 @@
 	}
 	return s.backend.Dump(limit), nil
 }
-
