Take a new ticket only when the old one certainly did not run

Cause: after a caller gives up, its call may be answered 'cancelled before it started'; the demo counted it as not run, and the message did not say that it is certain for every attempt with the ticket.

--- a/cmd/lentiltide/internal/demo/client.go
+++ b/cmd/lentiltide/internal/demo/client.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"strconv"
 	"sync"
 	"time"
 
@@ -49,6 +50,11 @@
 func (c *client) attempt(ctx context.Context, method, path string, header http.Header, body []byte, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
+	header = header.Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	header.Set(api.HeaderTimeoutMS, strconv.FormatInt(attemptTimeout.Milliseconds(), 10))
 	_, err := c.instances[rand.IntN(len(c.instances))].Do(ctx, method, path, header, body, out)
 	return err
 }
@@ -156,7 +162,8 @@
 }
 
 // call runs one order. It repeats attempts with the same ticket, which runs at most once. A new ticket is taken only
-// when every attempt with the old one certainly did not run.
+// when every attempt with the old one certainly did not run: the owner says so (conflict), or an owner without a record of
+// the ticket refuses the first attempt (expired).
 func (c *client) call(ctx context.Context, id, order string) (reply api.CallReply, err error) {
 	body, err := encode(api.CallRequest{Payload: order})
 	if err != nil {
@@ -170,8 +177,13 @@
 			return reply, verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "tickets")
 		}
 		reply, sentBefore, err := c.callTicket(ctx, id, ticket, body)
-		expired := err != nil && verdict.From(err).Code == verdict.CodeExpired
-		if !expired || sentBefore || ctx.Err() != nil {
+		if err == nil || ctx.Err() != nil {
+			return reply, err
+		}
+		e := verdict.From(err)
+		cancelled := e.Code == verdict.CodeConflict && e.Verdict == verdict.NotRun
+		expired := e.Code == verdict.CodeExpired && !sentBefore
+		if !cancelled && !expired {
 			return reply, err
 		}
 	}
--- a/request/api/call.go
+++ b/request/api/call.go
@@ -89,7 +89,7 @@
 	case model.OutcomeFailed:
 		return nil, verdict.New(verdict.Ran, verdict.CodeFailed, "the task failed: %s", out.Error)
 	case model.OutcomeNotStarted:
-		return nil, verdict.New(verdict.NotRun, verdict.CodeConflict, "the call was cancelled before it started")
+		return nil, verdict.New(verdict.NotRun, verdict.CodeConflict, "no attempt with this ticket or key ran or will run: %s", out.Error)
 	default:
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the outcome of the call is unknown: %s", out.State)
 	}
