--- a/version/intent/core.go
+++ b/version/intent/core.go
@@ -284,6 +284,13 @@
 	return st.intent, nil
 }
 
+// Len returns the number of intents of the partition.
+func (c *Core) Len() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.intents)
+}
+
 func notFound(what, id string) error {
 	return verdict.New(verdict.NotRun, verdict.CodeNotFound, "%s %q does not exist", what, id)
 }
