--- a/process/instance/peers.go
+++ b/process/instance/peers.go
@@ -58,6 +58,10 @@
 		in.handleSummary(body.Summary)
 		reply.Body = &peerpb.Reply_Ack{Ack: &peerpb.Ack{}}
 		return nil
+	case *peerpb.Request_Usages:
+		in.usages.take(body.Usages)
+		reply.Body = &peerpb.Reply_Ack{Ack: &peerpb.Ack{}}
+		return nil
 	default:
 		return verdict.New(verdict.NotRun, verdict.CodeInvalid, "unknown message")
 	}
@@ -124,7 +128,7 @@
 		r.execute(r.core.Started(r.now(), out.Task, out.Token, out.Worker))
 		return nil
 	}
-	durable, err := r.ended(out)
+	durable, err := r.ended(peer.TaskFromProto(report.GetTask()), out)
 	if err != nil || durable == nil {
 		return err
 	}
