Pack by the mean demand of recent offers

Cause: the score weighed size and evenness of the rest as if all demands had the shape of a worker; it packed no better than best fit.

Change: score by the capacity that becomes unusable for the mean demand.

--- a/version/rack/core.go
+++ b/version/rack/core.go
@@ -34,6 +34,8 @@
 	// pools index the free capacity; total and largestWorker cover the workers that accept work.
 	pools                []*workerPool
 	total, largestWorker model.Resources
+	// profile is the mean demand of recent offers.
+	profile profile
 
 	// queues are one for each class and one for work past its latest start.
 	queues   [model.NumClasses + 1]*classQueue
--- a/version/rack/decide.go
+++ b/version/rack/decide.go
@@ -49,6 +49,7 @@
 		c.shortQueued = c.shortQueued.Add(demand)
 	}
 	c.push(q, c.queues[class], demand)
+	c.profile.learn(c.shares(demand), c.sequence)
 	if !o.Task.LatestStart.IsZero() && class != model.ClassUrgent {
 		heap.Push(&c.due, q)
 	}
--- a/version/rack/place.go
+++ b/version/rack/place.go
@@ -1,6 +1,7 @@
 package rack
 
 import (
+	"math"
 	"time"
 
 	"github.com/lentiltide/lentiltide/model"
@@ -11,24 +12,64 @@
 	// index have similar free capacity, so that a few of them stand for all.
 	candidatesPerCell = 4
 	candidates        = 24
-	// imbalanceWeight weighs an uneven rest against the size of the rest.
-	imbalanceWeight = 1.0
+	// restWeight weighs the size of the rest against the capacity that becomes unusable. Larger weights turn the choice
+	// into best fit, which packs less; without it empty workers are opened too early.
+	restWeight = 0.01
+	// priorOffers is the number of offers that the first assumption about the mean demand stands for.
+	priorOffers = 16
+	// profileOffers is the number of recent offers that the mean demand covers.
+	profileOffers = 2048
 )
 
+// profile is the mean demand of recent offers: cores, memory and slots as shares of the largest worker.
+type profile [3]float64
+
+// shares returns an amount as shares of the largest worker. Callers hold c.mu.
+func (c *Core) shares(r model.Resources) profile {
+	return profile{
+		ratio(r.CPUMilli, c.largestWorker.CPUMilli), ratio(r.MemoryMiB, c.largestWorker.MemoryMiB),
+		ratio(r.Slots, c.largestWorker.Slots),
+	}
+}
+
+// learn moves the mean towards a demand. At first it assumes demands that use all of a worker evenly, since a mean of
+// few demands would make their own shape look usable.
+func (p *profile) learn(demand profile, offers uint64) {
+	if offers == 1 {
+		*p = profile{demand[2], demand[2], demand[2]}
+	}
+	for i := range p {
+		p[i] += (demand[i] - p[i]) / float64(min(offers+priorOffers, profileOffers))
+	}
+}
+
+// unusable returns the part of a rest that stays free when the rest is filled with tasks of the mean demand.
+func (p *profile) unusable(rest profile) float64 {
+	const least = 1e-6
+	tasks := math.Inf(1)
+	for i := range rest {
+		tasks = min(tasks, rest[i]/max(p[i], least))
+	}
+	sum := 0.0
+	for i := range rest {
+		sum += rest[i] - tasks*p[i]
+	}
+	return sum
+}
+
 // filter reports whether a worker can take a demand now.
 func (c *Core) filter(w *workerState, demand model.Resources) bool {
 	return (w.counted || w.probing) && demand.Fits(w.free())
 }
 
-// score rates a worker for a task; the highest score wins. A small rest keeps other workers usable for large tasks; an
-// uneven rest would leave memory without processors or the reverse. Tasks of one service avoid each other.
+// score rates a worker for a task; the highest score wins. The best worker is the one where the task makes the least
+// capacity unusable for tasks of the mean demand, and then the one with the smallest rest, which keeps other workers
+// usable for large tasks. Tasks of one service avoid each other.
 func (c *Core) score(w *workerState, task model.Task, demand model.Resources) float64 {
-	free := w.free().Sub(demand)
-	cpu := ratio(free.CPUMilli, c.largestWorker.CPUMilli)
-	memory := ratio(free.MemoryMiB, c.largestWorker.MemoryMiB)
-	slots := ratio(free.Slots, c.largestWorker.Slots)
-	score := -(cpu + memory + slots + ratio(free.Accelerators, c.largestWorker.Accelerators)) -
-		imbalanceWeight*(max(cpu, memory, slots)-min(cpu, memory, slots))
+	free := w.free()
+	before, after := c.shares(free), c.shares(free.Sub(demand))
+	score := c.profile.unusable(before) - c.profile.unusable(after) -
+		restWeight*(after[0]+after[1]+after[2]+ratio(free.Accelerators-demand.Accelerators, c.largestWorker.Accelerators))
 	if task.Kind == model.KindService {
 		score -= spreadWeight * float64(w.sameIntent(task.Intent))
 	}
