--- a/version/rack/policy_test.go
+++ b/version/rack/policy_test.go
@@ -151,6 +151,11 @@
 	f.settle()
 	assert.Assert(t, f.runsNow("s/0") && f.runsNow("s/1"))
 
+	f.tick(5 * time.Second)
+	f.core.policy.Reserve.After = time.Second
+	f.tick(time.Second)
+	assert.Equal(t, len(f.core.reserved), 0, "a reservation for small long work closes capacity kept for short work")
+
 	// Two tasks that run on count as batch work, and so do later tasks of their job.
 	f.tick(11 * time.Second)
 	assert.Equal(t, f.core.queues[model.ClassShort].used.CPUMilli, int64(0))
--- a/version/rack/reservation.go
+++ b/version/rack/reservation.go
@@ -131,8 +131,7 @@
 		n++
 		g := e.Value.(*group)
 		o := g.head()
-		blocked := g.reason.Code == ReasonNoRoom || g.reason.Code == ReasonShortReserve
-		if !blocked || c.reservations[o.Task.ID] != nil {
+		if !c.needsReservation(g.reason) || c.reservations[o.Task.ID] != nil {
 			continue
 		}
 		if q != c.queues[dueQueue] && now.Sub(o.since) < c.policy.Reserve.After {
@@ -145,6 +144,20 @@
 	return oldest
 }
 
+// needsReservation reports whether an offer that waits for a reason gains by a reserved worker. While capacity is kept
+// for short work, that is so only for large tasks, for which a worker has to be emptied; a reservation for a small one
+// would keep short work out of the very capacity that is kept for it. Callers hold c.mu.
+func (c *Core) needsReservation(r Reason) bool {
+	const large = 0.5
+	switch r.Code {
+	case ReasonNoRoom:
+		return true
+	case ReasonShortReserve:
+		return r.Demand.DominantShare(c.largestWorker) > large
+	}
+	return false
+}
+
 // soonest returns the worker that should have room for a demand first, by the expected ends of its tasks. It looks at a
 // bounded number of workers, beginning with another one each time. Callers hold c.mu.
 func (c *Core) soonest(now time.Time, demand model.Resources) (*workerState, time.Time) {
