Settle writes whose result is unknown, and leave room for tasks that have no offer yet

Cause: a write whose answer was lost and whose repetition conflicted with itself was answered as NotRun when the row could not be read; a confirmation or cancellation of unknown result stayed in the table without effect until the next takeover; a second plan for the same capacity was confirmed when the tasks of the first had not been offered yet. Change: after an unknown result NotRun is answered only when the rows still have the required versions; unknown confirmations and cancellations are repeated in the background until they have certainly taken effect; Pending counts tasks without an offer. Conclusion: writes with unknown results settle by themselves.

--- a/process/instance/cancel.go
+++ b/process/instance/cancel.go
@@ -119,8 +119,40 @@
 	}
 	if err == nil {
 		r.execute(r.core.Cancelled(r.now(), ids...))
+	} else if verdict.Of(err) == verdict.MayHaveRun {
+		r.in.run(func() { r.cancelLater(ids) })
 	}
 	for _, c := range open {
 		c.done <- cancelResult{byID[c.id], err}
 	}
 }
+
+// cancelLater settles cancellations whose result is unknown: it cancels again until that has certainly taken effect, so
+// that the table does not say cancelled while the tasks run.
+func (r *intentRunner) cancelLater(ids []string) {
+	for len(ids) > 0 && r.in.sleep(r.ctx, lateRetry) {
+		var open []string
+		for _, id := range ids {
+			if !r.cancelAgain(id) {
+				open = append(open, id)
+			}
+		}
+		ids = open
+	}
+}
+
+// cancelAgain reports whether the cancellation is settled.
+func (r *intentRunner) cancelAgain(id string) bool {
+	r.confirming.Lock()
+	defer r.confirming.Unlock()
+	out, err := r.core.Intent(id)
+	if err != nil || out.State == model.IntentCancelled {
+		return true
+	}
+	out.State = model.IntentCancelled
+	if r.writeIntents(r.ctx, out) != nil {
+		return false
+	}
+	r.execute(r.core.Cancelled(r.now(), id))
+	return true
+}
--- a/process/instance/plans.go
+++ b/process/instance/plans.go
@@ -137,12 +137,53 @@
 		return r.confirmedBefore(ctx, plan, err)
 	}
 	if err := r.writeIntents(ctx, out); err != nil {
+		if verdict.Of(err) == verdict.MayHaveRun {
+			r.in.run(func() { r.confirmLater(plan, out) })
+		}
 		return r.confirmedBefore(ctx, plan, err)
 	}
 	r.execute(r.core.Confirmed(r.now(), out))
 	return out, nil
 }
 
+// confirmLater settles a confirmation whose result is unknown: it writes the row again, which requires its absence, until
+// either write has certainly taken effect. Otherwise a confirmed intent would lie in the table without an owner that
+// runs it. An expired plan is not written again, only looked for.
+func (r *intentRunner) confirmLater(plan model.Plan, out model.Intent) {
+	for r.in.sleep(r.ctx, lateRetry) {
+		if r.confirmAgain(plan, out) {
+			return
+		}
+	}
+}
+
+// confirmAgain reports whether the confirmation is settled.
+func (r *intentRunner) confirmAgain(plan model.Plan, out model.Intent) bool {
+	r.confirming.Lock()
+	defer r.confirming.Unlock()
+	if _, err := r.core.Intent(out.ID); err == nil {
+		return true
+	}
+	stored, found, err := r.storedIntent(r.ctx, out.ID)
+	switch {
+	case err != nil:
+		return false
+	case found && stored.State == model.IntentConfirmed:
+		r.execute(r.core.Confirmed(r.now(), stored))
+		return true
+	case found || r.now().After(plan.ExpiresAt):
+		return true
+	}
+	if r.writeIntents(r.ctx, out) != nil {
+		return false
+	}
+	r.execute(r.core.Confirmed(r.now(), out))
+	return true
+}
+
+// lateRetry is the time between attempts to settle a write whose result is unknown.
+const lateRetry = time.Second
+
 // findPlan returns a plan from memory or, after a takeover, from the table.
 func (r *intentRunner) findPlan(ctx context.Context, id string) (model.Plan, error) {
 	plan, err := r.core.Plan(id)
--- a/process/instance/rows.go
+++ b/process/instance/rows.go
@@ -29,42 +29,57 @@
 		if versions, err = r.in.opts.Table.Commit(ctx, txn); err == nil {
 			return versions, nil
 		}
-		// Only a conflict after an unknown result can hide that the transaction took effect.
 		if verdict.Of(err) == verdict.NotRun && try == 0 {
 			return nil, err
 		}
-		if versions, ok := r.readBack(ctx, txn); ok {
+		versions, untouched := r.readBack(ctx, txn)
+		if versions != nil {
 			return versions, nil
 		}
-		if verdict.From(err).Code == verdict.CodeConflict {
+		// A conflict shows that the transaction cannot apply any more; that no earlier try did shows in the rows.
+		if untouched && verdict.From(err).Code == verdict.CodeConflict {
 			return nil, err
 		}
 		if !r.in.sleep(ctx, retryDelay) {
 			break
 		}
 	}
-	// An earlier try may still arrive, so not even a refusal of the last one proves that nothing was written.
+	// An earlier try may have taken effect or still arrive, so not even a refusal of the last one proves the opposite.
 	return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUnavailable, "the result of a write is unknown").After(retryDelay)
 }
 
-// readBack returns the versions of the rows that a transaction has written, if it has taken effect.
-func (r *intentRunner) readBack(ctx context.Context, txn platform.Txn) ([]uint64, bool) {
+// readBack returns the versions of the rows that a transaction has written, or nil if it is not known to have taken
+// effect. untouched is set when all its rows still have the versions that it requires.
+func (r *intentRunner) readBack(ctx context.Context, txn platform.Txn) (versions []uint64, untouched bool) {
 	keys := make([]string, len(txn.Writes))
 	for i, w := range txn.Writes {
 		keys[i] = w.Key
 	}
 	rows, err := r.in.opts.Table.Get(ctx, keys...)
-	if err != nil || len(rows) != len(keys) {
+	if err != nil {
 		return nil, false
 	}
-	versions := make([]uint64, len(rows))
-	for i, row := range rows {
-		if row.TxnID != txn.ID {
+	found := make(map[string]platform.Row, len(rows))
+	for _, row := range rows {
+		found[row.Key] = row
+		if row.TxnID == txn.ID {
+			versions = append(versions, row.Version)
+		}
+	}
+	if len(versions) == len(keys) {
+		return versions, false
+	}
+	required := map[string]uint64{}
+	for _, c := range txn.Conditions {
+		required[c.Key] = c.Version
+	}
+	for _, key := range keys {
+		version, conditional := required[key]
+		if !conditional || found[key].Version != version {
 			return nil, false
 		}
-		versions[i] = row.Version
 	}
-	return versions, true
+	return nil, true
 }
 
 // put writes a row under the partition's condition. version 0 requires the row to be absent.
--- /dev/null
+++ b/process/instance/work_test.go
@@ -0,0 +1,301 @@
+package instance
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/process/settings"
+	"github.com/lentiltide/lentiltide/request/verdict"
+	standinplatform "github.com/lentiltide/lentiltide/standin/platform"
+	standinworker "github.com/lentiltide/lentiltide/standin/worker"
+	"github.com/lentiltide/lentiltide/version/intent"
+	"github.com/lentiltide/lentiltide/worker"
+)
+
+// waitLimit bounds waits in tests; it is no performance bound.
+const waitLimit = time.Minute
+
+// agents dials the stand-in workers of a test by id.
+type agents map[string]*standinworker.Agent
+
+func (a agents) Dial(address string) worker.Agent { return a[address] }
+
+// lossyTable loses the answers to writes of intent rows, and does not read them, while it is set.
+type lossyTable struct {
+	platform.Table
+	mu   sync.Mutex
+	lost bool
+}
+
+func (l *lossyTable) set(lost bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lost = lost
+}
+
+func (l *lossyTable) loses(key string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lost && strings.HasPrefix(key, "intent/")
+}
+
+func (l *lossyTable) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+	versions, err := l.Table.Commit(ctx, txn)
+	if err == nil && l.loses(txn.Writes[0].Key) {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the answer was lost")
+	}
+	return versions, err
+}
+
+func (l *lossyTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	if l.loses(keys[0]) {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the table is down")
+	}
+	return l.Table.Get(ctx, keys...)
+}
+
+// oneInstance is an instance with stand-ins in its own process: two racks of one worker with four slots each.
+type oneInstance struct {
+	*Instance
+	table    *standinplatform.Table
+	lossy    *lossyTable
+	observer *standinworker.Observer
+}
+
+func start(t *testing.T) *oneInstance {
+	t.Helper()
+	table, members := standinplatform.NewTable(), standinplatform.NewInstanceList()
+	observer := standinworker.NewObserver(time.Now)
+	workers := agents{}
+	capacity := model.Resources{CPUMilli: 4000, MemoryMiB: 4096, Slots: 4, Connections: 60}
+	for i := range 2 {
+		id := fmt.Sprintf("worker-%d", i)
+		workers[id] = standinworker.New(standinworker.Options{ID: id, Capacity: capacity, Observer: observer})
+		members.Set(platform.Member{
+			ID: id, Role: platform.RoleWorker, State: platform.MemberLive, Zone: fmt.Sprintf("zone-%d", i),
+			Rack: fmt.Sprintf("rack-%d", i), Address: id, Capacity: capacity,
+		})
+	}
+	s := settings.Default()
+	s.Instance, s.SessionRenewMS, s.SessionTermMS = "entry-0", 100, 1000
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	lossy := &lossyTable{Table: table}
+	in := New(Options{
+		Settings: s, Table: lossy, Objects: standinplatform.NewObjects(), Members: members, Workers: workers, Log: log, Seed: 1,
+	})
+	in.Start()
+	t.Cleanup(in.Close)
+	return &oneInstance{in, table, lossy, observer}
+}
+
+func work(kind model.Kind, tasks int, runMS int64) model.IntentSpec {
+	return model.IntentSpec{
+		Account: "office", Team: "fleet", Name: "work", Kind: kind, Tasks: tasks,
+		Each: model.Resources{CPUMilli: 1000, MemoryMiB: 512}, RunTimeMS: runMS,
+	}
+}
+
+func partitionOf(s model.IntentSpec) int { return model.IntentPartition(s.Account, s.Team) }
+
+// until repeats f until it succeeds.
+func until(t *testing.T, f func() error) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if err := f(); err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(waitLimit), poll.WithDelay(10*time.Millisecond))
+}
+
+func (in *oneInstance) plan(t *testing.T, s model.IntentSpec) model.Plan {
+	t.Helper()
+	var p model.Plan
+	until(t, func() (err error) {
+		p, err = in.Plan(context.Background(), partitionOf(s), s)
+		for _, placement := range p.Placements {
+			if placement.Waits && in.observer.Counts().TasksStarted == 0 {
+				return fmt.Errorf("the workers are not fenced yet")
+			}
+		}
+		return err
+	})
+	return p
+}
+
+func (in *oneInstance) confirm(t *testing.T, p model.Plan) model.Intent {
+	t.Helper()
+	out, err := in.Confirm(context.Background(), p.Partition, p.ID)
+	assert.NilError(t, err)
+	return out
+}
+
+// running waits until n tasks of an intent run.
+func (in *oneInstance) running(t *testing.T, i model.Intent, n int) {
+	t.Helper()
+	until(t, func() error {
+		s, err := in.Status(partitionOf(i.Spec), i.ID)
+		got := 0
+		for _, task := range s.Tasks {
+			if task.State == "running" {
+				got++
+			}
+		}
+		if got != n {
+			return fmt.Errorf("%d tasks run, want %d: %v", got, n, err)
+		}
+		return nil
+	})
+}
+
+func (in *oneInstance) state(t *testing.T, i model.Intent, want model.IntentState) intent.Status {
+	t.Helper()
+	var s intent.Status
+	until(t, func() (err error) {
+		s, err = in.Status(partitionOf(i.Spec), i.ID)
+		if err == nil && s.Intent.State != want {
+			err = fmt.Errorf("intent is %s", s.Intent.State)
+		}
+		return err
+	})
+	return s
+}
+
+// TestStalePlanIsRefusedWithFreshPlan guards against two confirmations of which the second makes work wait that its plan
+// showed as running at once, and against a second confirmation that runs a plan again.
+func TestStalePlanIsRefusedWithFreshPlan(t *testing.T) {
+	in := start(t)
+	first, second := in.plan(t, work(model.KindBatch, 6, 60_000)), in.plan(t, work(model.KindBatch, 6, 60_000))
+	out := in.confirm(t, first)
+	_, err := in.Confirm(context.Background(), second.Partition, second.ID)
+	e := verdict.From(err)
+	assert.Equal(t, e.Code, verdict.CodeStalePlan)
+	assert.Equal(t, e.Verdict, verdict.NotRun)
+	fresh, ok := e.Detail.(model.Plan)
+	assert.Assert(t, ok)
+	in.running(t, out, 6)
+	later := in.confirm(t, fresh)
+	assert.Equal(t, later.ID, fresh.IntentID)
+	again := in.confirm(t, first)
+	assert.Equal(t, again.ID, out.ID)
+	in.running(t, later, 2)
+	assert.Equal(t, in.observer.Counts().TasksStarted, 8)
+}
+
+// TestLostAnswerToConfirmation guards against NotRun for a write that took effect, and against a confirmed intent that
+// nobody runs: the answer was lost, the repeated write conflicts with the first, and the row cannot be read back.
+func TestLostAnswerToConfirmation(t *testing.T) {
+	in := start(t)
+	p := in.plan(t, work(model.KindBatch, 2, 10))
+	in.lossy.set(true)
+	_, err := in.Confirm(context.Background(), p.Partition, p.ID)
+	assert.Equal(t, verdict.Of(err), verdict.MayHaveRun)
+	in.lossy.set(false)
+	in.state(t, model.Intent{ID: p.IntentID, Spec: p.Spec}, model.IntentDone)
+	assert.Equal(t, in.confirm(t, p).ID, p.IntentID)
+	assert.Equal(t, in.observer.Counts().TasksStarted, 2)
+}
+
+// TestCancelWaveIsWrittenTogether guards against a wave of cancellations that takes a write each, and against one without
+// an answer.
+func TestCancelWaveIsWrittenTogether(t *testing.T) {
+	in := start(t)
+	filler := in.confirm(t, in.plan(t, work(model.KindService, 8, 0)))
+	in.running(t, filler, 8)
+	var intents []model.Intent
+	for range 40 {
+		intents = append(intents, in.confirm(t, in.plan(t, work(model.KindBatch, 1, 10))))
+	}
+	commits := 0
+	var mu sync.Mutex
+	in.table.SetFaults(standinplatform.Faults{Before: func(op string) error {
+		mu.Lock()
+		defer mu.Unlock()
+		if op == "commit" {
+			commits++
+		}
+		return nil
+	}})
+	var wg sync.WaitGroup
+	// The first transaction is held up, so that the others arrive meanwhile.
+	r, err := in.intentRunner(partitionOf(filler.Spec))
+	assert.NilError(t, err)
+	r.confirming.Lock()
+	for _, i := range intents {
+		wg.Go(func() {
+			out, err := in.Cancel(context.Background(), partitionOf(i.Spec), i.ID)
+			assert.Check(t, err)
+			assert.Check(t, out.State == model.IntentCancelled)
+		})
+	}
+	until(t, func() error {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if len(r.cancels) < len(intents)-cancelBatch && len(r.cancels) == 0 {
+			return fmt.Errorf("no cancellation has arrived")
+		}
+		return nil
+	})
+	time.Sleep(50 * time.Millisecond)
+	r.confirming.Unlock()
+	wg.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	assert.Assert(t, commits < 30, "%d transactions", commits)
+	for _, i := range intents {
+		s := in.state(t, i, model.IntentCancelled)
+		assert.Equal(t, s.Tasks[0].Outcome.State, model.OutcomeNotStarted)
+	}
+}
+
+// TestRecurringIntentRuns guards against a recurring intent that never runs or runs a period twice.
+func TestRecurringIntentRuns(t *testing.T) {
+	in := start(t)
+	s := work(model.KindRecurring, 2, 10)
+	s.EveryMS = 1000
+	out := in.confirm(t, in.plan(t, s))
+	var runs int
+	until(t, func() error {
+		got, err := in.core(t, s).Intent(out.ID)
+		if err != nil || got.Runs < 3 {
+			return fmt.Errorf("%d runs so far: %v", got.Runs, err)
+		}
+		runs = got.Runs
+		return nil
+	})
+	_, err := in.Cancel(context.Background(), partitionOf(s), out.ID)
+	assert.NilError(t, err)
+	assert.Assert(t, in.observer.Counts().TasksStarted <= 2*(runs+1))
+	assert.Equal(t, in.observer.Counts().DoubleRuns, 0)
+}
+
+func (in *oneInstance) core(t *testing.T, s model.IntentSpec) *intent.Core {
+	t.Helper()
+	r, err := in.intentRunner(partitionOf(s))
+	assert.NilError(t, err)
+	return r.core
+}
+
+// TestExplainJoinsReasons guards against an explanation that leaves out the rack.
+func TestExplainJoinsReasons(t *testing.T) {
+	in := start(t)
+	out := in.confirm(t, in.plan(t, work(model.KindBatch, 1, 60_000)))
+	in.running(t, out, 1)
+	e, err := in.Explain(context.Background(), partitionOf(out.Spec), model.NewTaskID(out.ID, 0, 0))
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(strings.Join(e.Reasons, "\n"), "runs on worker"))
+	assert.Equal(t, len(e.Racks), 1)
+	assert.Assert(t, strings.Contains(strings.Join(e.Reasons, "\n"), e.Racks[0]))
+}
--- a/version/intent/kinds_test.go
+++ b/version/intent/kinds_test.go
@@ -440,6 +440,20 @@
 	assert.Assert(t, strings.Contains(c.Holds(shown, shown), "i3-y"))
 }
 
+// TestPendingCountsTasksWithoutOffer guards against two confirmed plans for the same capacity: the tasks of the first had
+// not been offered yet, since no rack was known, and were left out when the second was checked.
+func TestPendingCountsTasksWithoutOffer(t *testing.T) {
+	c := newCore(nil)
+	c.Confirmed(testNow, confirmed("i3-b", model.IntentSpec{Kind: model.KindBatch, Tasks: 3}))
+	assert.Equal(t, len(c.Pending(10)), 3)
+	c.SetRacks(testNow, views(1, 1, 8))
+	assert.Equal(t, len(offered(c.Tick(testNow.Add(noRackRetry)))), 3)
+	assert.Equal(t, len(c.Pending(10)), 3)
+	started(t, c, testNow, "i3-b/0.0", "rack-0")
+	assert.Equal(t, len(c.Pending(10)), 2)
+	assert.Equal(t, len(c.Pending(1)), 1)
+}
+
 // TestImpossibleWorkIsRejected guards against a plan for work that can never run.
 func TestImpossibleWorkIsRejected(t *testing.T) {
 	c := newCore(views(1, 1, 8))
--- a/version/intent/plan.go
+++ b/version/intent/plan.go
@@ -137,22 +137,23 @@
 	}, false, nil
 }
 
-// Pending returns confirmed tasks of the partition that are offered for the first time and not granted yet, at most
-// limit. A plan that is made or confirmed now has to leave room for them.
+// Pending returns confirmed tasks of the partition that were offered at most once and are not granted yet, at most limit.
+// A plan that is confirmed now has to leave room for them.
 func (c *Core) Pending(limit int) []model.Task {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var tasks []model.Task
-	for _, h := range c.offers.again {
+	add := func(h offerHeap) {
 		for _, t := range h {
-			if len(tasks) == limit {
-				return tasks
-			}
-			if t.tries == 1 {
+			if len(tasks) < limit && t.tries <= 1 && t.restarts == 0 {
 				tasks = append(tasks, t.current())
 			}
 		}
 	}
+	add(c.offers.first)
+	for _, h := range c.offers.again {
+		add(h)
+	}
 	return tasks
 }
 
