--- a/version/intent/history_test.go
+++ b/version/intent/history_test.go
@@ -81,7 +81,7 @@
 	w := &world{
 		t: t, now: testNow, rows: map[string]model.Intent{}, journal: map[model.TaskID]model.Outcome{},
 		finished: map[model.TaskID]int{}, policy: DefaultPolicy(),
-		quota: testQuotas{"small": {Limit: model.Resources{Slots: 9}, Share: model.Resources{Slots: 4}}},
+		quota: testQuotas{"small": {Limit: model.Resources{Slots: 5}, Share: model.Resources{Slots: 3}}},
 	}
 	for i := range 3 {
 		w.racks = append(w.racks, &fakeRack{name: fmt.Sprintf("rack-%d", i), epoch: 1, slots: 5})
@@ -428,6 +428,10 @@
 		Kind: rapid.SampledFrom(kinds).Draw(w.t, "kind"), Tasks: rapid.IntRange(1, 9).Draw(w.t, "tasks"),
 		Preemptible: rapid.Bool().Draw(w.t, "preemptible"),
 	}
+	if spec.Kind == model.KindGang && spec.Team == "small" {
+		// A larger gang would be rejected with its plan.
+		spec.Tasks = min(spec.Tasks, int(w.quota["small"].Limit.Slots))
+	}
 	if spec.Kind == model.KindRecurring {
 		spec.EveryMS = 20_000
 	}
@@ -470,15 +474,15 @@
 		w.step()
 	case a < 60:
 		w.claim(r)
-	case a < 75:
+	case a < 67:
+		w.stray(r)
+	case a < 78:
 		if ids := sortedKeys(r.running); len(ids) > 0 {
 			states := []model.OutcomeState{model.OutcomeFinished, model.OutcomeFinished, model.OutcomeFailed, model.OutcomeLapsed, model.OutcomePreempted}
 			w.end(r, r.running[ids[0]], rapid.SampledFrom(states).Draw(w.t, "state"))
 		}
 	case a < 93:
 		w.tick(time.Duration(rapid.IntRange(1, 3000).Draw(w.t, "ms")) * time.Millisecond)
-	case a < 94:
-		w.stray(r)
 	case a < 95:
 		w.replaceRack(r)
 	case a < 97:
