Bound the cost of holds under contention

Cause: each hold scanned all holds for expired ones, empty holds were kept, and every task of a gang was tried against a full rack. Short offers too large for any worker also raised the capacity kept for short work.

Change: remember the earliest expiry, drop empty holds, skip a demand that has just found no room; count only queued short work that some worker could hold. Random histories also propose, displace and use deadlines and services.

--- a/version/rack/core.go
+++ b/version/rack/core.go
@@ -54,6 +54,8 @@
 	reservations map[model.TaskID]*reservation
 	reserved     []*reservation
 	holds        map[string]*hold
+	// nextExpiry is no later than the end of the first hold to expire; zero means that no hold can expire.
+	nextExpiry time.Time
 }
 
 // New returns the core of a rack whose partition was taken over at time now with the given epoch.
--- a/version/rack/decide.go
+++ b/version/rack/decide.go
@@ -44,7 +44,7 @@
 	c.offers[o.Task.ID] = q
 	c.queued[class]++
 	demand := c.demandOf(o.Task)
-	if class <= model.ClassShort {
+	if class <= model.ClassShort && demand.Fits(c.largestOf(demand)) {
 		q.demand = demand
 		c.shortQueued = c.shortQueued.Add(demand)
 	}
--- a/version/rack/history_test.go
+++ b/version/rack/history_test.go
@@ -265,6 +265,12 @@
 		Preemptible: rapid.Bool().Draw(t, "preemptible"),
 	}
 	task.Intent = string(task.ID[:2])
+	if rapid.IntRange(0, 3).Draw(t, "service") == 0 {
+		task.Kind = model.KindService
+	}
+	if rapid.IntRange(0, 3).Draw(t, "deadline") == 0 {
+		task.LatestStart = time.Unix(int64(rapid.IntRange(1000, 1400).Draw(t, "latest")), 0)
+	}
 	if rapid.IntRange(0, 5).Draw(t, "accelerated") == 0 {
 		task.Each.Accelerators, task.Each.AcceleratorType = 2, "a"
 	}
@@ -299,6 +305,28 @@
 				}
 				f.offer(tasks...)
 			},
+			"propose and displace": func(rt *rapid.T) {
+				n++
+				task := drawTask(rt, n)
+				before := f.core.Summary()
+				p := f.core.Propose(f.now, []model.Task{task})
+				assert.DeepEqual(rt, f.core.Summary(), before)
+				offer := Offer{Task: task, IntentEpoch: 1}
+				for _, d := range p.Displaces {
+					victim := f.core.tasks[d.Task]
+					assert.Assert(rt, victim.task.Preemptible && victim.class > task.Class)
+					offer.Victims = append(offer.Victims, d.Task)
+				}
+				f.open[task.ID] = task
+				effects, refused := f.core.Offer(f.now, []Offer{offer})
+				assert.Equal(rt, len(refused), 0)
+				f.take(effects)
+				for _, e := range effects {
+					if stop, ok := e.(StopTask); ok {
+						assert.Assert(rt, slices.Contains(offer.Victims, stop.Request.Task) && stop.Request.Checkpoint)
+					}
+				}
+			},
 			"execute": func(rt *rapid.T) {
 				if len(f.pending) > 0 {
 					f.execute(rapid.IntRange(0, len(f.pending)-1).Draw(rt, "effect"))
--- a/version/rack/hold.go
+++ b/version/rack/hold.go
@@ -61,15 +61,39 @@
 		return nil, nil, verdict.New(verdict.NotRun, verdict.CodeConflict, "hold %s was started already", req.ID)
 	}
 	h.expires = now.Add(req.Term)
-	var placements []model.Placement
-	var effects []Effect
+	c.nextExpiry = earliest(c.nextExpiry, h.expires)
+	placements, effects := c.holdTasks(now, h, req)
+	if len(h.tasks) == 0 && len(h.wanted) == 0 {
+		delete(c.holds, h.id)
+	}
+	return placements, append(effects, c.decide(now)...), nil
+}
+
+// holdTasks reserves capacity for the tasks of a request. A demand that has just found no room is not tried again, so
+// that a request to a full rack is cheap. Callers hold c.mu.
+func (c *Core) holdTasks(now time.Time, h *hold, req HoldRequest) (placements []model.Placement, effects []Effect) {
+	var full model.Resources
 	for _, task := range req.Tasks {
+		demand := Demand(task)
+		if demand == full && len(req.Victims) == 0 && c.tasks[task.ID] == nil {
+			continue
+		}
 		var p *model.Placement
 		if p, effects = c.holdTask(now, h, task, req.Victims, effects); p != nil {
 			placements = append(placements, *p)
+		} else if c.tasks[task.ID] == nil {
+			full = demand
 		}
 	}
-	return placements, append(effects, c.decide(now)...), nil
+	return placements, effects
+}
+
+// earliest returns the earlier time; the zero time stands for none.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
 }
 
 // holdTask reserves capacity for one task of a hold. A task that is claimed or runs already is not held. Callers hold
@@ -188,13 +212,22 @@
 
 // expireHolds ends holds whose term is over and forgets holds that were started long ago. Callers hold c.mu.
 func (c *Core) expireHolds(now time.Time) {
+	if c.nextExpiry.IsZero() || !now.After(c.nextExpiry) {
+		return
+	}
+	c.nextExpiry = time.Time{}
 	for _, id := range slices.Sorted(maps.Keys(c.holds)) {
 		h := c.holds[id]
-		switch {
-		case h.started != nil && now.After(h.forgetAt):
-			delete(c.holds, id)
-		case h.started == nil && now.After(h.expires):
-			delete(c.holds, id)
+		at := h.expires
+		if h.started != nil {
+			at = h.forgetAt
+		}
+		if !now.After(at) {
+			c.nextExpiry = earliest(c.nextExpiry, at)
+			continue
+		}
+		delete(c.holds, id)
+		if h.started == nil {
 			c.releaseHeld(h)
 		}
 	}
