--- a/process/instance/holds.go
+++ b/process/instance/holds.go
@@ -39,6 +39,10 @@
 	if err != nil {
 		return err
 	}
+	if s.GetRackEpoch() != r.core.Epoch() {
+		// Another epoch knows nothing of the hold, so its refusal would not prove that nothing was started.
+		return verdict.New(verdict.NotRun, verdict.CodeFenced, "the rack is in epoch %d, the hold of epoch %d", r.core.Epoch(), s.GetRackEpoch())
+	}
 	tokens := make([]model.StartToken, 0, len(s.GetTokens()))
 	for _, t := range s.GetTokens() {
 		tokens = append(tokens, peer.TokenFromProto(t))
--- a/version/rack/lease.go
+++ b/version/rack/lease.go
@@ -261,10 +261,14 @@
 		w.after = r.Sequence
 		w.unreported[r.Sequence] = r
 		c.learn(now, w, r.Task, r.Outcome)
+		out := r.Outcome
+		if j := c.jobs.get(r.Task.Intent); j != nil {
+			out.Used = smallest(j.usage, c.largestWorker)
+		}
 		if t := w.tasks[r.Task.ID]; t != nil && t.token == r.Outcome.Token {
 			c.release(t)
 		}
-		effects = append(effects, ReportOutcome{Task: r.Task, Outcome: r.Outcome, Sequence: r.Sequence})
+		effects = append(effects, ReportOutcome{Task: r.Task, Outcome: out, Sequence: r.Sequence})
 	}
 	return effects
 }
