Bound and isolate the messages between instances

Cause: a dial to an unreachable peer held the lock of the whole transport, a request too large to send was MayHaveRun, a slow reader blocked its senders, a half-open connection stayed in use until a keep-alive failed, and a peer that reset each connection was dialled in a loop.

Change: each address has its own circuit breaker with jittered backoff; each stream has a writer that joins small messages in one write, so that senders never wait for a receiver and a request that is still queued is NotRun when its caller gives up. Requests in flight are bounded at both ends. A caller who goes away cancels the handler. A call that times out without any answer probes the connection. Mutual TLS comes from certificate files that are read again when they change; it may be off only on loopback addresses.

--- a/connection/peer/convert.go
+++ b/connection/peer/convert.go
@@ -161,7 +161,7 @@
 	e := verdict.From(err)
 	return &peerpb.Error{
 		Verdict: uint32(e.Verdict), Code: string(e.Code), Field: e.Field, Message: e.Message,
-		RetryAfterMs: e.RetryAfter.Milliseconds(),
+		RetryAfterMs: e.RetryAfter.Milliseconds(), Owner: e.Owner,
 	}
 }
 
@@ -171,6 +171,6 @@
 		return nil
 	}
 	e := verdict.New(verdict.Verdict(p.GetVerdict()), verdict.Code(p.GetCode()), "%s", p.GetMessage())
-	e.Field = p.GetField()
+	e.Field, e.Owner = p.GetField(), p.GetOwner()
 	return e.After(time.Duration(p.GetRetryAfterMs()) * time.Millisecond)
 }
--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -5,9 +5,14 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/yamux"
 
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
@@ -36,46 +41,86 @@
 	switch req.GetBody().(type) {
 	case *peerpb.Request_Forward:
 		return ClassCall
-	case *peerpb.Request_Summary, *peerpb.Request_Handover:
+	case *peerpb.Request_Summary, *peerpb.Request_Summaries, *peerpb.Request_Handover:
 		return ClassBulk
 	default:
 		return ClassControl
 	}
 }
 
-// Handler answers a request of a peer. It is called on a goroutine of its own and never returns nil.
+// Handler answers a request of a peer. It is called on a goroutine of its own and never returns nil. Its context ends
+// when the sender gives up, when the deadline of the request passes, or when the connection is lost.
 type Handler func(ctx context.Context, req *peerpb.Request) *peerpb.Reply
 
-// Caller sends a request to the instance at an address and waits for its reply.
-// Errors are *verdict.Error: NotRun when the request was certainly not sent, MayHaveRun otherwise.
+// Caller sends requests to the instance at an address. Errors are *verdict.Error: NotRun when the request was certainly
+// not sent or the peer says so, MayHaveRun otherwise.
 type Caller interface {
+	// Call waits for the reply.
 	Call(ctx context.Context, address string, req *peerpb.Request) (*peerpb.Reply, error)
+	// Send queues a message that has no reply. A nil error does not say that the message arrived.
+	Send(ctx context.Context, address string, req *peerpb.Request) error
 }
 
-// Transport keeps the connections of one process. The zero value is not usable; see NewTransport.
+// Options configures a Transport. The zero value connects over plain TCP to loopback addresses only.
+type Options struct {
+	// Certificates enables mutual TLS. Without it only loopback addresses are dialled and served.
+	Certificates *Certificates
+	// Dial replaces the TCP dialler in tests.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Seed seeds the jitter of reconnections.
+	Seed uint64
+}
+
+// Transport keeps the connections of one process. See NewTransport.
+//
+// Locking: mu protects the maps; each endpoint has a lock of its own. No lock is held while a connection is dialled.
 type Transport struct {
-	dial func(ctx context.Context, address string) (net.Conn, error)
+	opts   Options
+	dial   func(ctx context.Context, address string) (net.Conn, error)
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	sent, received atomic.Uint64
 
-	mu     sync.Mutex
-	conns  map[string]*conn
-	served map[*yamux.Session]struct{}
-	closed bool
+	mu        sync.Mutex
+	endpoints map[string]*endpoint
+	served    map[*yamux.Session]struct{}
+	closed    bool
+	rng       *rand.Rand
 }
 
 var _ Caller = (*Transport)(nil)
 
 // NewTransport returns a transport that connects over TCP.
-func NewTransport() *Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Transport{
-		dial: func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", address)
-		},
-		conns:  map[string]*conn{},
-		served: map[*yamux.Session]struct{}{},
+func NewTransport(opts Options) *Transport {
+	ctx, cancel := context.WithCancel(context.Background())
+	t := &Transport{
+		opts: opts, dial: opts.Dial, ctx: ctx, cancel: cancel,
+		endpoints: map[string]*endpoint{}, served: map[*yamux.Session]struct{}{},
+		rng: rand.New(rand.NewPCG(opts.Seed, 1)),
 	}
+	if t.dial == nil {
+		t.dial = t.dialTCP
+	}
+	return t
 }
 
+// dialTCP connects with mutual TLS, or in plain text to a loopback address.
+func (t *Transport) dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := &net.Dialer{}
+	if t.opts.Certificates == nil {
+		if !IsLoopback(address) {
+			return nil, errors.Newf("address %s is not a loopback address and no certificates are configured", address)
+		}
+		return dialer.DialContext(ctx, "tcp", address)
+	}
+	cfg := t.opts.Certificates.client()
+	return (&tls.Dialer{NetDialer: dialer, Config: cfg}).DialContext(ctx, "tcp", address)
+}
+
+// Bytes returns the bytes written to and read from peers so far, without the headers of TCP and IP.
+func (t *Transport) Bytes() (sent, received uint64) { return t.sent.Load(), t.received.Load() }
+
 // Call implements Caller.
 func (t *Transport) Call(ctx context.Context, address string, req *peerpb.Request) (*peerpb.Reply, error) {
 	c, err := t.connect(ctx, address)
@@ -92,44 +137,60 @@
 	return reply, nil
 }
 
+// Send implements Caller.
+func (t *Transport) Send(ctx context.Context, address string, req *peerpb.Request) error {
+	c, err := t.connect(ctx, address)
+	if err != nil {
+		return err
+	}
+	return c.streams[ClassOf(req)].send(req)
+}
+
 // connect returns the connection to an address, opening one if there is none.
 func (t *Transport) connect(ctx context.Context, address string) (*conn, error) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	if t.closed {
+		t.mu.Unlock()
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "transport is closed")
 	}
-	if c := t.conns[address]; c != nil && !c.failed() {
-		return c, nil
-	}
-	raw, err := t.dial(ctx, address)
-	if err != nil {
-		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "connect to peer")
+	e := t.endpoints[address]
+	if e == nil {
+		e = &endpoint{transport: t, address: address}
+		t.endpoints[address] = e
 	}
-	c, err := newConn(raw)
-	if err != nil {
-		_ = raw.Close()
-		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "open peer session")
-	}
-	t.conns[address] = c
-	return c, nil
+	t.mu.Unlock()
+	return e.connect(ctx)
+}
+
+// jitter returns a random duration between half of d and d.
+func (t *Transport) jitter(d time.Duration) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return d/2 + time.Duration(t.rng.Int64N(int64(d/2)+1))
 }
 
 // Close closes all connections.
 func (t *Transport) Close() {
+	t.cancel()
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.closed = true
-	for _, c := range t.conns {
-		c.close()
+	endpoints, served := t.endpoints, t.served
+	t.endpoints, t.served = map[string]*endpoint{}, map[*yamux.Session]struct{}{}
+	t.mu.Unlock()
+	for _, e := range endpoints {
+		e.close()
 	}
-	for s := range t.served {
+	for s := range served {
 		_ = s.Close()
 	}
 }
 
-// Serve accepts connections until the listener or the transport is closed.
+// Serve accepts connections until the listener or the transport is closed. A listener on an address beyond loopback
+// needs certificates.
 func (t *Transport) Serve(ctx context.Context, l net.Listener, handle Handler) error {
+	if t.opts.Certificates == nil && !IsLoopback(l.Addr().String()) {
+		return errors.Newf("address %s is not a loopback address and no certificates are configured", l.Addr())
+	}
 	for {
 		raw, err := l.Accept()
 		if err != nil {
@@ -140,9 +201,19 @@
 }
 
 func (t *Transport) serveConn(ctx context.Context, raw net.Conn, handle Handler) {
-	session, err := yamux.Server(raw, yamuxConfig())
+	defer raw.Close()
+	if t.opts.Certificates != nil {
+		secured := tls.Server(raw, t.opts.Certificates.server())
+		handshake, cancel := context.WithTimeout(ctx, dialTimeout)
+		err := secured.HandshakeContext(handshake)
+		cancel()
+		if err != nil {
+			return
+		}
+		raw = secured
+	}
+	session, err := yamux.Server(t.count(raw), yamuxConfig())
 	if err != nil {
-		_ = raw.Close()
 		return
 	}
 	if !t.track(session) {
@@ -155,7 +226,12 @@
 		if err != nil {
 			return
 		}
-		go serveStream(ctx, stream, handle)
+		// A session has one stream for each class; more are refused, so that a peer cannot exhaust memory.
+		if session.NumStreams() > int(numClasses) {
+			_ = stream.Close()
+			continue
+		}
+		go serveStream(ctx, session, stream, handle)
 	}
 }
 
@@ -171,7 +247,37 @@
 
 func (t *Transport) untrack(s *yamux.Session) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	delete(t.served, s)
+	t.mu.Unlock()
 	_ = s.Close()
 }
+
+// count returns a connection whose bytes are counted by the transport.
+func (t *Transport) count(raw net.Conn) net.Conn { return &countedConn{Conn: raw, transport: t} }
+
+type countedConn struct {
+	net.Conn
+	transport *Transport
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.transport.received.Add(uint64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.transport.sent.Add(uint64(n))
+	return n, err
+}
+
+// IsLoopback reports whether host:port names a loopback address.
+func IsLoopback(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(host)
+	return host == "localhost" || (ip != nil && ip.IsLoopback())
+}
--- a/connection/peer/stream.go
+++ b/connection/peer/stream.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"encoding/binary"
-	"fmt"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -11,34 +10,59 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
 	"github.com/lentiltide/lentiltide/request/verdict"
 )
 
 const (
-	// dialTimeout bounds a connection attempt to a peer.
-	dialTimeout = 2 * time.Second
-	// maxMessageBytes bounds one message, so that a damaged length cannot exhaust memory.
-	maxMessageBytes = 8 << 20
-	// frameHeaderBytes is the size of the length in front of each message.
-	frameHeaderBytes = 4
-	// maxInFlight bounds the requests of one stream that are handled at the same time.
+	// maxInFlight bounds the requests of one stream that wait for an answer.
 	maxInFlight = 1024
+	// overloadRetry is the retry time given while a stream has too many requests in flight.
+	overloadRetry = 100 * time.Millisecond
+	// keepAliveEvery is the time between keep-alive messages. A call that times out probes the connection at once, so the
+	// period only bounds how long an idle half-open connection stays.
+	keepAliveEvery = 15 * time.Second
+	// probeTimeout is how long a peer has to answer a probe or to take the next bytes of a connection.
+	probeTimeout = 2 * time.Second
+	// slowReaderLimit is how long the receiver of a stream may take no bytes before the stream is given up.
+	slowReaderLimit = 10 * time.Second
 )
 
 func yamuxConfig() *yamux.Config {
 	cfg := yamux.DefaultConfig()
 	cfg.LogOutput = io.Discard
-	cfg.KeepAliveInterval = 5 * time.Second
-	cfg.ConnectionWriteTimeout = 5 * time.Second
+	cfg.KeepAliveInterval = keepAliveEvery
+	cfg.ConnectionWriteTimeout = probeTimeout
 	return cfg
 }
 
+var errSessionClosed = errors.New("session was closed")
+
+// clientSession is a yamux session with a probe for half-open connections.
+type clientSession struct {
+	*yamux.Session
+	probing atomic.Bool
+}
+
+func (s *clientSession) err() error { return errSessionClosed }
+
+// probe closes the session unless the peer answers in time. One probe runs at a time.
+func (s *clientSession) probe() {
+	if !s.probing.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer s.probing.Store(false)
+		if _, err := s.Ping(); err != nil {
+			_ = s.Close()
+		}
+	}()
+}
+
 // conn is one outgoing session with a stream for each class.
 type conn struct {
-	session *yamux.Session
+	session *clientSession
 	streams [numClasses]*clientStream
 }
 
@@ -47,14 +71,14 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{session: session}
+	c := &conn{session: &clientSession{Session: session}}
 	for i := range c.streams {
 		stream, err := session.OpenStream()
 		if err != nil {
 			_ = session.Close()
 			return nil, err
 		}
-		c.streams[i] = newClientStream(stream)
+		c.streams[i] = newClientStream(stream, c.session)
 	}
 	return c, nil
 }
@@ -69,52 +93,111 @@
 
 // clientStream sends requests and matches replies by id.
 type clientStream struct {
-	stream net.Conn
-	nextID atomic.Uint64
-
-	writeMu sync.Mutex
+	session *clientSession
+	stream  net.Conn
+	out     *writer
+	nextID  atomic.Uint64
+	// heard counts the replies read, to tell a slow answer from a silent peer.
+	heard atomic.Uint64
 
 	mu      sync.Mutex
 	pending map[uint64]chan *peerpb.Reply
 	err     error
 }
 
-func newClientStream(stream net.Conn) *clientStream {
-	s := &clientStream{stream: stream, pending: map[uint64]chan *peerpb.Reply{}}
+func newClientStream(stream net.Conn, session *clientSession) *clientStream {
+	s := &clientStream{stream: stream, session: session, pending: map[uint64]chan *peerpb.Reply{}}
+	s.out = newWriter(stream, func(error) { _ = session.Close() })
 	go s.readReplies()
 	return s
 }
 
+// envelope returns the message that is sent for req. req itself is not changed, since the caller may send it again.
+func (s *clientStream) envelope(ctx context.Context, id uint64, req *peerpb.Request) *peerpb.Request {
+	out := &peerpb.Request{Id: id, Version: Version, RequestId: req.GetRequestId(), Body: req.GetBody()}
+	if deadline, ok := ctx.Deadline(); ok {
+		out.TimeoutMs = max(1, time.Until(deadline).Milliseconds())
+	}
+	return out
+}
+
 func (s *clientStream) call(ctx context.Context, req *peerpb.Request) (*peerpb.Reply, error) {
 	id := s.nextID.Add(1)
-	req.Id, req.Version = id, Version
-	if deadline, ok := ctx.Deadline(); ok {
-		req.TimeoutMs = max(1, time.Until(deadline).Milliseconds())
+	f, err := newFrame(s.envelope(ctx, id, req))
+	if err != nil {
+		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalid, "send to peer")
 	}
 	answer := make(chan *peerpb.Reply, 1)
 	if err := s.register(id, answer); err != nil {
-		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "peer stream")
+		return nil, err
 	}
 	defer s.unregister(id)
-	if err := s.write(req); err != nil {
-		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUnavailable, "send to peer")
+	heard := s.heard.Load()
+	if err := s.out.enqueue(f); err != nil {
+		return nil, notQueued(err)
 	}
 	select {
 	case reply := <-answer:
-		if reply == nil {
-			return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "connection to peer was lost")
-		}
-		return reply, nil
+		return s.answered(f, reply)
 	case <-ctx.Done():
-		return nil, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeUnavailable, "wait for peer")
+		return nil, s.givenUp(ctx, id, f, heard)
+	}
+}
+
+func (s *clientStream) answered(f *frame, reply *peerpb.Reply) (*peerpb.Reply, error) {
+	if reply != nil {
+		return reply, nil
+	}
+	if f.withdraw() {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "connection to peer was lost before the request was sent").After(backoffBase)
+	}
+	return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "connection to peer was lost")
+}
+
+// givenUp says NotRun for a request that was never written; otherwise it tells the peer that nobody waits any more, and
+// probes a connection from which nothing was heard since the request was sent.
+func (s *clientStream) givenUp(ctx context.Context, id uint64, f *frame, heard uint64) error {
+	if s.heard.Load() == heard && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		s.session.probe()
+	}
+	if f.withdraw() {
+		return verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.CodeUnavailable, "the request was not sent to the peer")
+	}
+	cancel := &peerpb.Request{Version: Version, Body: &peerpb.Request_Cancel{Cancel: &peerpb.Cancel{Request: id}}}
+	if f, err := newFrame(cancel); err == nil {
+		_ = s.out.enqueue(f)
+	}
+	return verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeUnavailable, "wait for peer")
+}
+
+// send queues a message without a reply.
+func (s *clientStream) send(req *peerpb.Request) error {
+	f, err := newFrame(s.envelope(context.Background(), 0, req))
+	if err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalid, "send to peer")
+	}
+	if err := s.out.enqueue(f); err != nil {
+		return notQueued(err)
+	}
+	return nil
+}
+
+func notQueued(err error) error {
+	code := verdict.CodeUnavailable
+	if errors.Is(err, errQueueFull) {
+		code = verdict.CodeOverloaded
 	}
+	return verdict.Wrap(err, verdict.NotRun, code, "send to peer").After(overloadRetry)
 }
 
 func (s *clientStream) register(id uint64, answer chan *peerpb.Reply) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.err != nil {
-		return s.err
+		return verdict.Wrap(s.err, verdict.NotRun, verdict.CodeUnavailable, "peer stream").After(backoffBase)
+	}
+	if len(s.pending) >= maxInFlight {
+		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "%d requests to the peer are in flight", maxInFlight).After(overloadRetry)
 	}
 	s.pending[id] = answer
 	return nil
@@ -126,20 +209,16 @@
 	delete(s.pending, id)
 }
 
-func (s *clientStream) write(req *peerpb.Request) error {
-	s.writeMu.Lock()
-	defer s.writeMu.Unlock()
-	return writeMessage(s.stream, req)
-}
-
 // readReplies delivers replies until the stream fails, then answers all pending calls with nil.
 func (s *clientStream) readReplies() {
+	in := newReader(s.stream)
 	for {
 		reply := &peerpb.Reply{}
-		if err := readMessage(s.stream, reply); err != nil {
+		if err := in.read(reply); err != nil {
 			s.fail(err)
 			return
 		}
+		s.heard.Add(1)
 		s.mu.Lock()
 		answer := s.pending[reply.GetId()]
 		delete(s.pending, reply.GetId())
@@ -150,7 +229,10 @@
 	}
 }
 
+// fail ends the whole session: its streams share one fate, so that the next call opens a new connection.
 func (s *clientStream) fail(err error) {
+	s.out.close()
+	_ = s.session.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.err = err
@@ -158,76 +240,4 @@
 		delete(s.pending, id)
 		answer <- nil
 	}
-	_ = s.stream.Close()
-}
-
-// serveStream answers the requests of one stream, each on a goroutine of its own.
-func serveStream(ctx context.Context, stream net.Conn, handle Handler) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer stream.Close()
-	var writeMu sync.Mutex
-	slots := make(chan struct{}, maxInFlight)
-	for {
-		req := &peerpb.Request{}
-		if err := readMessage(stream, req); err != nil {
-			return
-		}
-		slots <- struct{}{}
-		go func() {
-			defer func() { <-slots }()
-			reply := serveRequest(ctx, req, handle)
-			writeMu.Lock()
-			defer writeMu.Unlock()
-			if err := writeMessage(stream, reply); err != nil {
-				cancel()
-			}
-		}()
-	}
-}
-
-func serveRequest(ctx context.Context, req *peerpb.Request, handle Handler) *peerpb.Reply {
-	if req.GetVersion() > Version {
-		err := verdict.New(verdict.NotRun, verdict.CodeInvalid, "message version %d is above %d", req.GetVersion(), Version)
-		return &peerpb.Reply{Id: req.GetId(), Error: ErrorToProto(err)}
-	}
-	if ms := req.GetTimeoutMs(); ms > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
-		defer cancel()
-	}
-	reply := handle(ctx, req)
-	reply.Id = req.GetId()
-	return reply
-}
-
-func writeMessage(w io.Writer, m proto.Message) error {
-	buf := make([]byte, frameHeaderBytes, frameHeaderBytes+proto.Size(m))
-	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, m)
-	if err != nil {
-		return err
-	}
-	size := len(buf) - frameHeaderBytes
-	if size > maxMessageBytes {
-		return fmt.Errorf("message of %d bytes exceeds %d", size, maxMessageBytes)
-	}
-	binary.BigEndian.PutUint32(buf, uint32(size))
-	_, err = w.Write(buf)
-	return err
-}
-
-func readMessage(r io.Reader, m proto.Message) error {
-	var header [frameHeaderBytes]byte
-	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return err
-	}
-	size := binary.BigEndian.Uint32(header[:])
-	if size > maxMessageBytes {
-		return fmt.Errorf("message of %d bytes exceeds %d", size, maxMessageBytes)
-	}
-	buf := make([]byte, size)
-	if _, err := io.ReadFull(r, buf); err != nil {
-		return err
-	}
-	return proto.Unmarshal(buf, m)
 }
--- a/lentiltide.go
+++ b/lentiltide.go
@@ -69,12 +69,15 @@
 // Start starts an instance and returns when it listens on its addresses. It serves its partitions once it has taken them.
 func Start(opts Options) (*Instance, error) {
 	opts.setDefaults()
+	transport, err := newTransport(opts)
+	if err != nil {
+		return nil, err
+	}
 	listener, err := net.Listen("tcp", opts.Settings.PeerAddress)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
 	}
 	opts.Settings.PeerAddress = listener.Addr().String()
-	transport := peer.NewTransport()
 	core := instance.New(instance.Options{
 		Settings: opts.Settings, Clock: opts.Clock, Table: opts.Table, Objects: opts.Objects, Members: opts.Members,
 		Workers: opts.Workers, Peers: transport, Log: opts.Log, Seed: opts.Seed,
@@ -98,6 +101,19 @@
 	return in, nil
 }
 
+// newTransport returns the transport between instances, with mutual TLS when the settings name certificates.
+func newTransport(opts Options) (*peer.Transport, error) {
+	files := opts.Settings.PeerTLS
+	if files == nil {
+		return peer.NewTransport(peer.Options{Seed: opts.Seed}), nil
+	}
+	certificates, err := peer.LoadCertificates(files.CertFile, files.KeyFile, files.CAFile)
+	if err != nil {
+		return nil, err
+	}
+	return peer.NewTransport(peer.Options{Seed: opts.Seed, Certificates: certificates}), nil
+}
+
 // URL returns the base URL of the HTTP API.
 func (in *Instance) URL() string {
 	endpoint, err := in.api.HTTP().Endpoint()
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -24,6 +24,8 @@
 	HTTPAddress string `json:"http_address"`
 	// PeerAddress is host:port on which other instances are served.
 	PeerAddress string `json:"peer_address"`
+	// PeerTLS names the certificates for mutual TLS with other instances. It may be left out only for a loopback address.
+	PeerTLS *PeerTLS `json:"peer_tls,omitempty"`
 	// PlatformURL is the base URL of the platform's services.
 	PlatformURL string `json:"platform_url"`
 	// SessionRenewMS is the time between renewals of the session row, in milliseconds.
@@ -36,6 +38,14 @@
 	ShutdownMS int64 `json:"shutdown_ms,omitempty"`
 }
 
+// PeerTLS names PEM files, which are read again when they change.
+type PeerTLS struct {
+	CertFile string `json:"cert_file"`
+	KeyFile  string `json:"key_file"`
+	// CAFile holds the authority that signs the certificates of all instances.
+	CAFile string `json:"ca_file"`
+}
+
 // Default returns the values of settings that a file leaves out.
 func Default() Settings {
 	return Settings{SessionRenewMS: 1000, SessionTermMS: 4000, LeaseTermMS: 15_000, ShutdownMS: 20_000}
@@ -78,6 +88,13 @@
 	return s, nil
 }
 
+// loopback reports whether host:port names a loopback address.
+func loopback(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	ip := net.ParseIP(host)
+	return err == nil && (host == "localhost" || (ip != nil && ip.IsLoopback()))
+}
+
 // Check returns one line for each problem, starting with the path of the setting.
 func (s Settings) Check() []string {
 	var problems []string
@@ -102,6 +119,14 @@
 	require("platform_url", s.PlatformURL)
 	address("http_address", s.HTTPAddress)
 	address("peer_address", s.PeerAddress)
+	switch {
+	case s.PeerTLS != nil:
+		require("peer_tls.cert_file", s.PeerTLS.CertFile)
+		require("peer_tls.key_file", s.PeerTLS.KeyFile)
+		require("peer_tls.ca_file", s.PeerTLS.CAFile)
+	case !loopback(s.PeerAddress):
+		problems = append(problems, fmt.Sprintf("peer_tls: required, since peer_address %q is not a loopback address", s.PeerAddress))
+	}
 	within("session_renew_ms", s.SessionRenewMS, 50, 10_000)
 	within("session_term_ms", s.SessionTermMS, 3*s.SessionRenewMS, 60_000)
 	within("lease_term_ms", s.LeaseTermMS, 2000, 120_000)
--- a/request/verdict/verdict.go
+++ b/request/verdict/verdict.go
@@ -87,6 +87,9 @@
 	RetryAfter time.Duration `json:"-"`
 	// Detail is an optional value for the caller, such as a fresh plan.
 	Detail any `json:"detail,omitempty"`
+	// Owner is the peer address of the owner that the answering instance knows, for CodeWrongOwner. It is not sent to
+	// callers.
+	Owner string `json:"-"`
 
 	cause error
 }
