--- a/lentiltide.go
+++ b/lentiltide.go
@@ -11,8 +11,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
-	platformclient "github.com/lentiltide/lentiltide/connection/platform"
 	"github.com/lentiltide/lentiltide/connection/peer"
+	platformclient "github.com/lentiltide/lentiltide/connection/platform"
 	workerclient "github.com/lentiltide/lentiltide/connection/worker"
 	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/process/instance"
--- a/process/instance/intents.go
+++ b/process/instance/intents.go
@@ -56,11 +56,11 @@
 	return n
 }
 
-func intentPrefix(n int) string          { return fmt.Sprintf("intent/%d/", n) }
-func planKey(n int, id string) string    { return fmt.Sprintf("plan/%d/%s", n, id) }
-func intentKey(n int, id string) string  { return intentPrefix(n) + id }
-func (r *intentRunner) now() time.Time   { return r.in.opts.Clock.Now() }
-func (r *intentRunner) partition() int   { return r.core.Partition() }
+func intentPrefix(n int) string         { return fmt.Sprintf("intent/%d/", n) }
+func planKey(n int, id string) string   { return fmt.Sprintf("plan/%d/%s", n, id) }
+func intentKey(n int, id string) string { return intentPrefix(n) + id }
+func (r *intentRunner) now() time.Time  { return r.in.opts.Clock.Now() }
+func (r *intentRunner) partition() int  { return r.core.Partition() }
 
 func (in *Instance) acquireIntent(p ownership.Partition, epoch, rowVersion uint64) {
 	n := partitionNumber(p)
