Add the configuration of a cell

Cause: weights, limits and quotas were constants; the promise that a confirmed configuration is in force everywhere within 4 s and never reverts had no code.

Change: one JSON document, checked whole, is stated, planned with a diff and confirmed by one conditional transaction on config/current. It is pushed to peers and polled every second; an instance applies only a higher version and reports it in its session row.

Conclusion: TestRestartedInstanceWithStaleReads first failed: an instance that restarts read its sessions only after its first poll and admitted plans under an old version. The first poll now reads the sessions itself.

--- /dev/null
+++ b/process/instance/config.go
@@ -0,0 +1,349 @@
+package instance
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
+	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/config"
+	"github.com/lentiltide/lentiltide/version/ownership"
+)
+
+const (
+	// configPlanTerm is how long a plan of a configuration can be confirmed.
+	configPlanTerm = 10 * time.Minute
+	// maxConfigPlans bounds the stored plans of configurations that were not confirmed.
+	maxConfigPlans = 256
+	// configRetry is the retry time given while the table cannot be used.
+	configRetry = time.Second
+)
+
+// ConfigPlan is a stated configuration with its differences from the one in force. It is immutable.
+type ConfigPlan struct {
+	ID string `json:"id"`
+	// Base is the version that the plan replaces; BaseRow is the version of its row.
+	Base     uint64          `json:"base"`
+	BaseRow  uint64          `json:"base_row"`
+	Document json.RawMessage `json:"document"`
+	Changes  []config.Change `json:"changes"`
+
+	CreatedAt time.Time `json:"created_at"`
+	ExpiresAt time.Time `json:"expires_at"`
+}
+
+// ConfigStatus is the configuration in force and where it is.
+type ConfigStatus struct {
+	Version  uint64          `json:"version"`
+	Document json.RawMessage `json:"document"`
+	// InForceEverywhere is set when each live session has reported the version or has expired.
+	InForceEverywhere bool `json:"in_force_everywhere"`
+	// Waiting lists the instances that have not reported the version.
+	Waiting []string `json:"waiting"`
+}
+
+// Config returns the configuration in force on this instance.
+func (in *Instance) Config() config.Applied { return in.config.Current() }
+
+// watchConfig polls the stored configuration.
+func (in *Instance) watchConfig() {
+	first := true
+	poll := func() {
+		if in.pollConfig(first) == nil {
+			first = false
+		}
+	}
+	poll()
+	in.every(in.ctx, config.PollEvery, poll)
+}
+
+// pollConfig reads the stored configuration. Versions that other sessions report show whether the read was stale. The
+// first poll reads the sessions itself: after a restart they are the only sign of a stale read.
+func (in *Instance) pollConfig(first bool) error {
+	ctx, cancel := context.WithTimeout(in.ctx, peerTimeout)
+	defer cancel()
+	sessions, err := in.owners.Sessions(), error(nil)
+	if first {
+		sessions, err = in.owners.ReadSessions(ctx)
+	}
+	for _, s := range sessions {
+		in.config.Reported(s.ConfigVersion)
+	}
+	began := in.opts.Clock.Now()
+	row := config.Row{}
+	if err == nil {
+		row, _, err = in.readConfig(ctx)
+	}
+	if err == nil {
+		err = in.config.Read(began, row)
+	}
+	if err != nil && in.ctx.Err() == nil {
+		in.opts.Log.WithError(err).Warn("configuration could not be read")
+	}
+	return err
+}
+
+// readConfig returns the stored configuration and the version of its row; both are zero while none is stored.
+func (in *Instance) readConfig(ctx context.Context) (config.Row, uint64, error) {
+	rows, err := in.opts.Table.Get(ctx, config.CurrentKey)
+	if err != nil {
+		return config.Row{}, 0, verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "read the configuration").After(configRetry)
+	}
+	if len(rows) == 0 {
+		return config.Row{}, 0, nil
+	}
+	var row config.Row
+	if err := json.Unmarshal(rows[0].Value, &row); err != nil {
+		return config.Row{}, 0, verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "decode the configuration")
+	}
+	return row, rows[0].Version, nil
+}
+
+// ConfigPlan checks a document and returns a plan with its differences from the version in force. Nothing changes until
+// the plan is confirmed.
+func (in *Instance) ConfigPlan(ctx context.Context, document []byte) (ConfigPlan, error) {
+	to, err := config.Parse(document)
+	if err != nil {
+		return ConfigPlan{}, err
+	}
+	current, rowVersion, err := in.readConfig(ctx)
+	if err != nil {
+		return ConfigPlan{}, err
+	}
+	from := config.Default()
+	if current.Version > 0 {
+		if from, err = config.Parse(current.Document); err != nil {
+			return ConfigPlan{}, err
+		}
+	}
+	changes, err := config.Diff(from, to)
+	if err != nil {
+		return ConfigPlan{}, verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "compare documents")
+	}
+	now := in.opts.Clock.Now()
+	plan := ConfigPlan{
+		ID: uuid.NewString(), Base: current.Version, BaseRow: rowVersion, Document: document, Changes: changes,
+		CreatedAt: now, ExpiresAt: now.Add(configPlanTerm),
+	}
+	return plan, in.storeConfigPlan(ctx, plan)
+}
+
+// storeConfigPlan writes a plan, so that any instance can confirm it, and deletes expired ones.
+func (in *Instance) storeConfigPlan(ctx context.Context, plan ConfigPlan) error {
+	data, err := json.Marshal(plan)
+	if err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "encode plan")
+	}
+	rows, err := in.opts.Table.Scan(ctx, config.PlanPrefix)
+	if err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "read plans").After(configRetry)
+	}
+	txn := platform.Txn{ID: uuid.NewString(), Writes: []platform.Write{{Key: config.PlanPrefix + plan.ID, Value: data}}}
+	for _, row := range rows {
+		var old ConfigPlan
+		if json.Unmarshal(row.Value, &old) != nil || plan.CreatedAt.After(old.ExpiresAt) {
+			txn.Conditions = append(txn.Conditions, platform.Condition{Key: row.Key, Version: row.Version})
+			txn.Writes = append(txn.Writes, platform.Write{Key: row.Key, Delete: true})
+		}
+	}
+	if len(rows) >= maxConfigPlans && len(txn.Writes) == 1 {
+		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "%d configuration plans wait for confirmation", len(rows)).After(configPlanTerm)
+	}
+	// A lost answer leaves at most a plan that nobody knows, which changes nothing.
+	if _, err := in.opts.Table.Commit(ctx, txn); err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "store the plan").After(configRetry)
+	}
+	return nil
+}
+
+// ConfigConfirm makes a planned configuration the one in force. It is one conditional transaction. A second confirmation
+// of the same plan returns the first result. A plan whose base is no longer in force is refused with a fresh plan.
+func (in *Instance) ConfigConfirm(ctx context.Context, planID string) (ConfigStatus, error) {
+	current, rowVersion, err := in.readConfig(ctx)
+	if err != nil {
+		return ConfigStatus{}, err
+	}
+	if _, ok := current.VersionOf(planID); ok {
+		return in.ConfigStatus(ctx)
+	}
+	plan, planRow, err := in.readConfigPlan(ctx, planID)
+	if err != nil {
+		return ConfigStatus{}, err
+	}
+	if plan.BaseRow != rowVersion {
+		return ConfigStatus{}, in.staleConfigPlan(ctx, plan)
+	}
+	next := current.Next(plan.ID, plan.Document)
+	applied, err := in.commitConfig(ctx, next, plan, planRow)
+	if err != nil {
+		return ConfigStatus{}, err
+	}
+	if !applied {
+		return ConfigStatus{}, in.staleConfigPlan(ctx, plan)
+	}
+	if err := in.config.Pushed(next.Version, next.Document); err != nil {
+		return ConfigStatus{}, err
+	}
+	in.pushConfig(next)
+	return in.statusAfterConfirm(ctx, next)
+}
+
+// statusAfterConfirm answers with the confirmed version also when the sessions cannot be read any more.
+func (in *Instance) statusAfterConfirm(ctx context.Context, row config.Row) (ConfigStatus, error) {
+	if status, err := in.ConfigStatus(ctx); err == nil {
+		return status, nil
+	}
+	return ConfigStatus{Version: row.Version, Document: row.Document, Waiting: []string{}}, nil
+}
+
+func (in *Instance) readConfigPlan(ctx context.Context, id string) (ConfigPlan, uint64, error) {
+	rows, err := in.opts.Table.Get(ctx, config.PlanPrefix+id)
+	if err != nil {
+		return ConfigPlan{}, 0, verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "read the plan").After(configRetry)
+	}
+	if len(rows) == 0 {
+		return ConfigPlan{}, 0, verdict.New(verdict.NotRun, verdict.CodeNotFound, "configuration plan %q is not known or has expired", id)
+	}
+	var plan ConfigPlan
+	if err := json.Unmarshal(rows[0].Value, &plan); err != nil {
+		return ConfigPlan{}, 0, verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "decode the plan")
+	}
+	if in.opts.Clock.Now().After(plan.ExpiresAt) {
+		return ConfigPlan{}, 0, verdict.New(verdict.NotRun, verdict.CodeStalePlan, "configuration plan %q has expired", id)
+	}
+	return plan, rows[0].Version, nil
+}
+
+func (in *Instance) staleConfigPlan(ctx context.Context, plan ConfigPlan) error {
+	stale := verdict.New(verdict.NotRun, verdict.CodeStalePlan, "another configuration was confirmed after the plan was made")
+	fresh, err := in.ConfigPlan(ctx, plan.Document)
+	if err != nil {
+		return stale
+	}
+	return stale.With(fresh)
+}
+
+// commitConfig writes the next version. After an unknown result it repeats the same transaction until a read shows
+// whether it took effect: at most one of the attempts can apply, and none can once the row has changed. applied is false
+// when another confirmation won.
+func (in *Instance) commitConfig(ctx context.Context, next config.Row, plan ConfigPlan, planRow uint64) (applied bool, err error) {
+	data, err := json.Marshal(next)
+	if err != nil {
+		return false, verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "encode the configuration")
+	}
+	planKey := config.PlanPrefix + plan.ID
+	txn := platform.Txn{
+		ID: uuid.NewString(),
+		Conditions: []platform.Condition{
+			{Key: config.CurrentKey, Version: plan.BaseRow}, {Key: planKey, Version: planRow},
+		},
+		Writes: []platform.Write{{Key: config.CurrentKey, Value: data}, {Key: planKey, Delete: true}},
+	}
+	unknown := false
+	for {
+		_, err := in.opts.Table.Commit(ctx, txn)
+		if err == nil {
+			return true, nil
+		}
+		unknown = unknown || verdict.Of(err) == verdict.MayHaveRun
+		if !unknown && verdict.From(err).Code != verdict.CodeConflict {
+			return false, verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "confirm the configuration").After(configRetry)
+		}
+		if row, version, readErr := in.readConfig(ctx); readErr == nil && version != plan.BaseRow {
+			_, applied = row.VersionOf(plan.ID)
+			return applied, nil
+		} else if readErr == nil && !unknown {
+			// The plan itself was deleted, as by its expiry.
+			return false, nil
+		}
+		if !in.sleep(ctx, retryDelay) {
+			return false, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUnavailable, "confirm the configuration").After(configRetry)
+		}
+	}
+}
+
+// pushConfig sends a version to all other instances. A lost push is made up for by their polls.
+func (in *Instance) pushConfig(row config.Row) {
+	for _, s := range in.peers() {
+		in.run(func() {
+			ctx, cancel := context.WithTimeout(in.ctx, peerTimeout)
+			defer cancel()
+			_, _ = in.opts.Peers.Call(ctx, s.Address, &peerpb.Request{Body: &peerpb.Request_ConfigChanged{
+				ConfigChanged: &peerpb.ConfigChanged{Version: row.Version, Document: row.Document},
+			}})
+		})
+	}
+}
+
+// peers returns the sessions of the other instances.
+func (in *Instance) peers() []ownership.Session {
+	var others []ownership.Session
+	for _, s := range in.owners.Sessions() {
+		if s.Instance != in.opts.Settings.Instance {
+			others = append(others, s)
+		}
+	}
+	return others
+}
+
+// ConfigStatus returns the stored configuration and whether it is in force everywhere. The sessions are read after the
+// configuration, so that a session that started later has read this version or a later one.
+func (in *Instance) ConfigStatus(ctx context.Context) (ConfigStatus, error) {
+	row, _, err := in.readConfig(ctx)
+	if err != nil {
+		return ConfigStatus{}, err
+	}
+	sessions, err := in.owners.ReadSessions(ctx)
+	if err != nil {
+		return ConfigStatus{}, verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "read the sessions").After(configRetry)
+	}
+	status := ConfigStatus{Version: row.Version, Document: row.Document, Waiting: []string{}}
+	if row.Version == 0 {
+		status.Document, _ = json.Marshal(config.Default())
+	}
+	for _, s := range sessions {
+		if s.ConfigVersion < row.Version && !in.owners.SessionExpired(s.ID) {
+			status.Waiting = append(status.Waiting, s.Instance)
+		}
+	}
+	status.InForceEverywhere = len(status.Waiting) == 0
+	return status, nil
+}
+
+// admitted returns a NotRun error while requests that depend on the configuration must not be admitted.
+func (in *Instance) admitted() error { return in.config.Admit(in.opts.Clock.Now()) }
+
+// configHooks calls functions with each version that is applied, in order of versions.
+type configHooks struct {
+	mu    sync.Mutex
+	hooks []func(config.Applied)
+	last  *config.Applied
+}
+
+// OnConfig registers a function that is called with the version in force, if one was applied, and with each later one.
+// It must not block.
+func (in *Instance) OnConfig(f func(config.Applied)) {
+	h := &in.configHooks
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.hooks = append(h.hooks, f)
+	if h.last != nil {
+		f(*h.last)
+	}
+}
+
+func (in *Instance) configApplied(a config.Applied) {
+	h := &in.configHooks
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.last = &a
+	for _, f := range h.hooks {
+		f(a)
+	}
+	in.opts.Log.WithField("config_version", a.Version).Info("configuration applied")
+}
--- /dev/null
+++ b/process/instance/config_test.go
@@ -0,0 +1,170 @@
+package instance
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/config"
+)
+
+// inForceBound is the bound of the design page on the time from a confirmation until no older version is applied.
+const inForceBound = 4 * time.Second
+
+func planConfig(t *testing.T, n *node, document string) ConfigPlan {
+	t.Helper()
+	plan, err := n.ConfigPlan(context.Background(), []byte(document))
+	assert.NilError(t, err)
+	return plan
+}
+
+func confirmConfig(t *testing.T, n *node, document string) ConfigStatus {
+	t.Helper()
+	status, err := n.ConfigConfirm(context.Background(), planConfig(t, n, document).ID)
+	assert.NilError(t, err)
+	return status
+}
+
+// noOldVersion fails if an instance admits requests under a version below the given one.
+func noOldVersion(t *testing.T, nodes []*node, version uint64) {
+	t.Helper()
+	for _, n := range nodes {
+		if n.admitted() == nil && n.Config().Version < version {
+			t.Fatalf("%s admits under version %d, not %d", n.address, n.Config().Version, version)
+		}
+	}
+}
+
+// TestConfigInForceEverywhere guards against a version that reaches only some instances, and against the answer "in
+// force everywhere" while one of them has not reported it.
+func TestConfigInForceEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, nodes := startMesh(t, 8, 0)
+		status := confirmConfig(t, nodes[3], `{"limits":{"queue_delay_ms":70}}`)
+		assert.Equal(t, status.Version, uint64(1))
+		assert.Assert(t, !status.InForceEverywhere)
+		time.Sleep(inForceBound)
+		for _, n := range nodes {
+			assert.Equal(t, n.Config().Document.Limits.QueueDelayMS, 70)
+			status, err := n.ConfigStatus(context.Background())
+			assert.NilError(t, err)
+			assert.Assert(t, status.InForceEverywhere, "waiting for %v", status.Waiting)
+		}
+	})
+}
+
+// TestIsolatedInstanceStopsAdmitting guards against plans and tickets that an instance admits under an old version after
+// it lost the table and its peers, and against an answer "in force everywhere" before its session has expired.
+func TestIsolatedInstanceStopsAdmitting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, nodes := startMesh(t, 4, 0)
+		lost := nodes[2]
+		lost.table.set(func(f *faultyTable) { f.cut = true })
+		lost.isolate(true)
+		status := confirmConfig(t, nodes[0], `{}`)
+		assert.DeepEqual(t, status.Waiting[len(status.Waiting)-1:], []string{"entry-3"})
+		assert.Assert(t, !status.InForceEverywhere)
+		time.Sleep(inForceBound)
+		noOldVersion(t, nodes, 1)
+		assert.Equal(t, verdict.Of(lost.admitted()), verdict.NotRun)
+		time.Sleep(5 * time.Second)
+		status, err := nodes[1].ConfigStatus(context.Background())
+		assert.NilError(t, err)
+		assert.Assert(t, status.InForceEverywhere, "waiting for %v", status.Waiting)
+
+		lost.table.set(func(f *faultyTable) { f.cut = false })
+		lost.isolate(false)
+		time.Sleep(2 * config.PollEvery)
+		assert.NilError(t, lost.admitted())
+		assert.Equal(t, lost.Config().Version, uint64(1))
+	})
+}
+
+// TestConfigLostAnswer guards against a second version, or an error, for a confirmation whose answer was lost after the
+// write took effect, and for its repetition by the caller at another instance.
+func TestConfigLostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, nodes := startMesh(t, 2, 0)
+		plan := planConfig(t, nodes[0], `{"limits":{"queue_delay_ms":70}}`)
+		nodes[0].table.set(func(f *faultyTable) {
+			f.loseCommit = func(txn platform.Txn) bool { return txn.Writes[0].Key == config.CurrentKey }
+		})
+		for _, n := range nodes {
+			status, err := n.ConfigConfirm(context.Background(), plan.ID)
+			assert.NilError(t, err)
+			assert.Equal(t, status.Version, uint64(1))
+		}
+	})
+}
+
+// TestConfigRaceHasOneWinner guards against two confirmations of plans with the same base that both take effect.
+func TestConfigRaceHasOneWinner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, nodes := startMesh(t, 2, 0)
+		first, second := planConfig(t, nodes[0], `{"limits":{"queue_delay_ms":70}}`), planConfig(t, nodes[1], `{"limits":{"queue_delay_ms":80}}`)
+		_, err := nodes[0].ConfigConfirm(context.Background(), first.ID)
+		assert.NilError(t, err)
+		_, err = nodes[1].ConfigConfirm(context.Background(), second.ID)
+		e := verdict.From(err)
+		assert.Equal(t, e.Verdict, verdict.NotRun)
+		assert.Equal(t, e.Code, verdict.CodeStalePlan)
+		fresh := e.Detail.(ConfigPlan)
+		assert.DeepEqual(t, fresh.Changes, []config.Change{{Path: "limits.queue_delay_ms", From: "70", To: "80"}})
+		_, err = nodes[1].ConfigConfirm(context.Background(), fresh.ID)
+		assert.NilError(t, err)
+		assert.Equal(t, nodes[1].Config().Version, uint64(2))
+	})
+}
+
+// TestInvalidConfigIsNotStored guards against a document with errors that reaches the table.
+func TestInvalidConfigIsNotStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, nodes := startMesh(t, 1, 0)
+		_, err := nodes[0].ConfigPlan(context.Background(), []byte(`{"limits":{"queue_delay_ms":0}}`))
+		assert.Equal(t, verdict.From(err).Code, verdict.CodeInvalid)
+		rows, err := m.table.Scan(context.Background(), "config/")
+		assert.NilError(t, err)
+		assert.Equal(t, len(rows), 0)
+	})
+}
+
+// TestRestartedInstanceWithStaleReads guards against a restart that brings an old version back: the read of the restarted
+// instance is stale, its peers report a later version.
+func TestRestartedInstanceWithStaleReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, nodes := startMesh(t, 3, 0)
+		confirmConfig(t, nodes[0], `{"limits":{"queue_delay_ms":70}}`)
+		old, err := m.table.Get(context.Background(), config.CurrentKey)
+		assert.NilError(t, err)
+		confirmConfig(t, nodes[0], `{"limits":{"queue_delay_ms":80}}`)
+		time.Sleep(inForceBound)
+		nodes[2].Close()
+		time.Sleep(6 * time.Second)
+
+		again := m.start(t, "entry-2")
+		again.table.set(func(f *faultyTable) { f.stale = map[string]platform.Row{config.CurrentKey: old[0]} })
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			noOldVersion(t, []*node{again}, 2)
+		}
+		again.table.set(func(f *faultyTable) { f.stale = nil })
+		time.Sleep(2 * config.PollEvery)
+		assert.NilError(t, again.admitted())
+		assert.Equal(t, again.Config().Document.Limits.QueueDelayMS, 80)
+	})
+}
+
+// TestPausedInstanceDoesNotAdmit guards against admission under an old version by an instance that was paused during a
+// confirmation: its clock has moved on when it returns, its polls have not.
+func TestPausedInstanceDoesNotAdmit(t *testing.T) {
+	v := config.NewView(nil)
+	now := time.Unix(1000, 0)
+	assert.NilError(t, v.Read(now, config.Row{}))
+	assert.NilError(t, v.Admit(now.Add(time.Second)))
+	assert.Equal(t, verdict.Of(v.Admit(now.Add(time.Hour))), verdict.NotRun)
+}
--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -19,6 +19,7 @@
 	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/process/settings"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/config"
 	"github.com/lentiltide/lentiltide/version/ownership"
 	"github.com/lentiltide/lentiltide/version/rack"
 	"github.com/lentiltide/lentiltide/worker"
@@ -46,6 +47,10 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
+	// running protects closed, so that no goroutine starts after Close has begun to wait.
+	running sync.Mutex
+	closed  bool
+
 	// mu protects the maps below; it is never held while a core's method runs.
 	mu        sync.Mutex
 	racks     map[string]*rackRunner
@@ -54,6 +59,9 @@
 	summaries map[string]rack.Summary
 	rng       *rand.Rand
 	handler   callHandler
+
+	config      *config.View
+	configHooks configHooks
 }
 
 // New returns an instance that does nothing until Start.
@@ -67,11 +75,13 @@
 		racks: map[string]*rackRunner{}, intents: map[int]*intentRunner{}, summaries: map[string]rack.Summary{},
 		rng: rand.New(rand.NewPCG(opts.Seed, 0)),
 	}
+	in.config = config.NewView(in.configApplied)
 	s := opts.Settings
 	in.owners = ownership.New(ownership.Options{
 		Instance: s.Instance, Address: s.PeerAddress, Region: s.Region, Zone: s.Zone,
 		Table: opts.Table, Clock: opts.Clock, Hooks: in, Log: opts.Log, Partitions: in.partitions,
 		RenewEvery: s.SessionRenew(), Term: s.SessionTerm(),
+		ConfigVersion: func() uint64 { return in.config.Current().Version },
 	})
 	return in
 }
@@ -81,6 +91,7 @@
 	in.refreshMembers()
 	in.run(func() { in.owners.Run(in.ctx) })
 	in.run(in.watchMembers)
+	in.run(in.watchConfig)
 	in.run(in.spreadSummaries)
 }
 
@@ -90,10 +101,19 @@
 // Close stops at once, as a crash does: nothing is released.
 func (in *Instance) Close() {
 	in.cancel()
+	in.running.Lock()
+	in.closed = true
+	in.running.Unlock()
 	in.wg.Wait()
 }
 
+// run starts f on a goroutine that Close waits for. After Close it does nothing.
 func (in *Instance) run(f func()) {
+	in.running.Lock()
+	defer in.running.Unlock()
+	if in.closed {
+		return
+	}
 	in.wg.Add(1)
 	go func() {
 		defer in.wg.Done()
--- a/process/instance/intents.go
+++ b/process/instance/intents.go
@@ -274,11 +274,14 @@
 
 // Plan states an intent and returns a plan; nothing changes.
 func (in *Instance) Plan(ctx context.Context, n int, spec model.IntentSpec) (model.Plan, error) {
+	if err := in.admitted(); err != nil {
+		return model.Plan{}, err
+	}
 	r, err := in.intentRunner(n)
 	if err != nil {
 		return model.Plan{}, err
 	}
-	plan, tasks := r.core.Draft(r.now(), spec, 0, uuid.NewString())
+	plan, tasks := r.core.Draft(r.now(), spec, in.config.Current().Version, uuid.NewString())
 	if err := r.propose(ctx, &plan, tasks); err != nil {
 		return model.Plan{}, err
 	}
@@ -360,6 +363,9 @@
 
 // Confirm makes a plan run. A second confirmation of the same plan returns the first result.
 func (in *Instance) Confirm(ctx context.Context, n int, planID string) (model.Intent, error) {
+	if err := in.admitted(); err != nil {
+		return model.Intent{}, err
+	}
 	r, err := in.intentRunner(n)
 	if err != nil {
 		return model.Intent{}, err
--- a/process/instance/peers.go
+++ b/process/instance/peers.go
@@ -50,6 +50,9 @@
 		in.handleSummary(body.Summary)
 		reply.Body = &peerpb.Reply_Ack{Ack: &peerpb.Ack{}}
 		return nil
+	case *peerpb.Request_ConfigChanged:
+		reply.Body = &peerpb.Reply_Ack{Ack: &peerpb.Ack{}}
+		return in.config.Pushed(body.ConfigChanged.GetVersion(), body.ConfigChanged.GetDocument())
 	default:
 		return verdict.New(verdict.NotRun, verdict.CodeInvalid, "unknown message")
 	}
--- /dev/null
+++ b/version/config/config_test.go
@@ -0,0 +1,126 @@
+package config
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/request/verdict"
+)
+
+// TestEveryProblemIsReported guards against a document that is refused one error at a time.
+func TestEveryProblemIsReported(t *testing.T) {
+	for name, test := range map[string]struct{ document, want string }{
+		"types and unknown keys": {
+			`{"limits":{"max_in_flight":"many","colour":1},"teams":[{"account":"office","team":"fleet","weight":true}],"x":1}`,
+			`limits.colour limits.max_in_flight teams[0].weight x`,
+		},
+		"ranges": {
+			`{"limits":{"max_in_flight":0,"retry_percent":101},"teams":[{"account":"","team":"a","weight":0,"quota":{"slots":-1}}]}`,
+			`limits.max_in_flight limits.retry_percent teams[0].account teams[0].weight teams[0].quota.slots`,
+		},
+		"duplicate team": {
+			`{"teams":[{"account":"a","team":"b","weight":1},{"account":"a","team":"b","weight":2}]}`, `teams[1].team`,
+		},
+		"class":    {`{"classes":{"fast":{"weight":1,"max_queued":1}}}`, `classes[fast]`},
+		"trailing": {`{} {}`, `document`},
+		"fraction": {`{"limits":{"max_in_flight":1.5}}`, `limits.max_in_flight`},
+		"case":     {`{"Limits":{}}`, `Limits`},
+		"no JSON":  {`{"limits":`, `document`},
+	} {
+		_, err := Parse([]byte(test.document))
+		e := verdict.From(err)
+		assert.Equal(t, e.Verdict, verdict.NotRun, name)
+		paths := ""
+		for i, p := range e.Detail.([]Problem) {
+			if i > 0 {
+				paths += " "
+			}
+			paths += p.Path
+		}
+		assert.Equal(t, paths, test.want, name)
+	}
+}
+
+// TestGivenFieldsReplaceDefaults guards against fields left out of a document that become zero, and against two parses
+// that share a map.
+func TestGivenFieldsReplaceDefaults(t *testing.T) {
+	d, err := Parse([]byte(`{"classes":{"short":{"weight":20,"max_queued":5}},"limits":{"retry_percent":0}}`))
+	assert.NilError(t, err)
+	want := Default()
+	want.Classes[model.ClassShort] = Class{Weight: 20, MaxQueued: 5}
+	want.Limits.RetryPercent = 0
+	assert.DeepEqual(t, d, want)
+	assert.Equal(t, Default().Classes[model.ClassShort].Weight, 8)
+}
+
+// TestDiff guards against a plan that hides a change, or that shows a changed order of teams as one.
+func TestDiff(t *testing.T) {
+	a, err := Parse([]byte(`{"teams":[{"account":"o","team":"x","weight":1},{"account":"o","team":"y","weight":2}]}`))
+	assert.NilError(t, err)
+	b, err := Parse([]byte(`{"teams":[{"account":"o","team":"y","weight":2},{"account":"o","team":"x","weight":3}],"limits":{"queue_delay_ms":70}}`))
+	assert.NilError(t, err)
+	changes, err := Diff(a, b)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, changes, []Change{{"limits.queue_delay_ms", "50", "70"}, {"teams.o/x.weight", "1", "3"}})
+}
+
+func row(version uint64, document string) Row {
+	return Row{Version: version, Document: json.RawMessage(document)}
+}
+
+// TestVersionNeverReverts guards against a stale read, a late push or a damaged document that replaces a later version.
+func TestVersionNeverReverts(t *testing.T) {
+	var applied []uint64
+	v := NewView(func(a Applied) { applied = append(applied, a.Version) })
+	now := time.Unix(1000, 0)
+	assert.NilError(t, v.Read(now, row(3, `{}`)))
+	assert.NilError(t, v.Pushed(5, []byte(`{"limits":{"queue_delay_ms":70}}`)))
+	assert.NilError(t, v.Pushed(4, []byte(`{}`)))
+	assert.NilError(t, v.Read(now.Add(time.Second), row(3, `{}`)))
+	assert.ErrorContains(t, v.Pushed(6, []byte(`{"limits":{"queue_delay_ms":0}}`)), "limits.queue_delay_ms")
+	assert.DeepEqual(t, applied, []uint64{3, 5})
+	assert.Equal(t, v.Current().Document.Limits.QueueDelayMS, 70)
+}
+
+// TestAdmitNeedsFreshRead guards against admission under a version whose age is unknown: before the first read, after a
+// pause, after stale reads, on a push alone, and when peers report a later version than a restarted instance read.
+func TestAdmitNeedsFreshRead(t *testing.T) {
+	v := NewView(nil)
+	now := time.Unix(1000, 0)
+	refused := func(at time.Time) {
+		t.Helper()
+		assert.Equal(t, verdict.Of(v.Admit(at)), verdict.NotRun)
+	}
+	refused(now)
+	assert.NilError(t, v.Pushed(2, []byte(`{}`)))
+	refused(now)
+	assert.NilError(t, v.Read(now, row(2, `{}`)))
+	assert.NilError(t, v.Admit(now.Add(FreshFor-1)))
+	refused(now.Add(FreshFor))
+	assert.NilError(t, v.Read(now.Add(FreshFor), row(1, `{}`)))
+	refused(now.Add(FreshFor))
+	assert.NilError(t, v.Read(now.Add(FreshFor), row(2, `{}`)))
+	assert.NilError(t, v.Admit(now.Add(FreshFor)))
+	v.Reported(3)
+	refused(now.Add(FreshFor))
+	assert.NilError(t, v.Read(now.Add(FreshFor+1), row(2, `{}`)))
+	refused(now.Add(FreshFor + 1))
+	assert.NilError(t, v.Read(now.Add(FreshFor+2), row(3, `{}`)))
+	assert.NilError(t, v.Admit(now.Add(FreshFor+2)))
+}
+
+// TestConfirmedPlansAreRemembered guards against a second version for a plan that is confirmed twice.
+func TestConfirmedPlansAreRemembered(t *testing.T) {
+	var r Row
+	for i := range 2 * keptPlans {
+		r = r.Next(string(rune('a'+i)), []byte(`{}`))
+	}
+	version, ok := r.VersionOf(string(rune('a' + 2*keptPlans - 1)))
+	assert.Assert(t, ok)
+	assert.Equal(t, version, uint64(2*keptPlans))
+	assert.Equal(t, len(r.Confirmed), keptPlans)
+}
--- /dev/null
+++ b/version/config/document.go
@@ -0,0 +1,294 @@
+// Package config holds the configuration of a cell: one JSON document with a version that only rises. A document is
+// checked whole and refused whole. A View lives as long as the process; an Applied value lives for one version.
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"sort"
+	"strings"
+
+	"github.com/go-viper/mapstructure/v2"
+
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/request/verdict"
+)
+
+// MaxDocumentBytes bounds a document.
+const MaxDocumentBytes = 256 << 10
+
+// rootType is the name that the decoder gives the whole document in errors.
+var rootType = reflect.TypeFor[Document]().String()
+
+// Document is the configuration of a cell. Fields that a document leaves out have the values of Default.
+type Document struct {
+	// Classes holds the weight and limits of each scheduling class.
+	Classes map[model.Class]Class `json:"classes"`
+	// Limits bounds the requests that one instance works on.
+	Limits Limits `json:"limits"`
+	// Teams holds the shares and quotas of teams. A team that is not listed has weight 1 and no quota.
+	Teams []Team `json:"teams"`
+	// Policy holds the settings of placement and intents.
+	Policy Policy `json:"policy"`
+}
+
+// Class is the weight and the limits of one scheduling class.
+type Class struct {
+	// Weight is the relative share of the class where classes compete for capacity.
+	Weight int `json:"weight"`
+	// MaxQueued bounds the requests of the class that wait at one instance.
+	MaxQueued int `json:"max_queued"`
+}
+
+// Limits bounds the requests that one instance works on at a time.
+type Limits struct {
+	// MaxInFlight bounds all requests.
+	MaxInFlight int `json:"max_in_flight"`
+	// ClientInFlight and TeamInFlight bound those of one client and of one team, in flight or queued.
+	ClientInFlight int `json:"client_in_flight"`
+	TeamInFlight   int `json:"team_in_flight"`
+	// QueueDelayMS is the queue delay in milliseconds above which the lowest class that waits is shed.
+	QueueDelayMS int `json:"queue_delay_ms"`
+	// RetryPercent is the share of retries in fresh traffic that the system itself makes.
+	RetryPercent int `json:"retry_percent"`
+}
+
+// Team is the share and the quota of one team.
+type Team struct {
+	Account string `json:"account"`
+	Team    string `json:"team"`
+	// Weight is the team's share relative to other teams.
+	Weight int `json:"weight"`
+	// Quota bounds what the team's running tasks hold; nil means no bound.
+	Quota *model.Resources `json:"quota"`
+}
+
+// Policy holds the settings of placement and intents.
+type Policy struct {
+	// PlanTermMS is how long a plan can be confirmed, in milliseconds.
+	PlanTermMS int `json:"plan_term_ms"`
+	// OfferTermMS is how long an offer stands before the task is offered elsewhere, in milliseconds.
+	OfferTermMS int `json:"offer_term_ms"`
+	// MaxAttempts is on how many distinct workers a task may fail before it is stopped.
+	MaxAttempts int `json:"max_attempts"`
+	// QueueLimit bounds the queued offers of one class in a rack.
+	QueueLimit int `json:"queue_limit"`
+}
+
+// Default returns the document that is in force while no version is stored.
+func Default() Document {
+	d := Document{
+		Classes: map[model.Class]Class{},
+		Limits: Limits{
+			MaxInFlight: 1024, ClientInFlight: 512, TeamInFlight: 512, QueueDelayMS: 50, RetryPercent: 10,
+		},
+		Policy: Policy{PlanTermMS: 600_000, OfferTermMS: 2000, MaxAttempts: 3, QueueLimit: 20_000},
+	}
+	weights := [model.NumClasses]int{16, 8, 4, 2, 1}
+	for c := range model.NumClasses {
+		d.Classes[c] = Class{Weight: weights[c], MaxQueued: 1024}
+	}
+	return d
+}
+
+// Parse decodes and checks a document. The error is a *verdict.Error with CodeInvalid and NotRun whose detail is a
+// []Problem with every problem.
+func Parse(data []byte) (Document, error) {
+	d, problems := decode(data)
+	if len(problems) == 0 {
+		problems = d.check()
+	}
+	if len(problems) == 0 {
+		return d, nil
+	}
+	lines := make([]string, len(problems))
+	for i, p := range problems {
+		lines[i] = p.Path + ": " + p.Message
+	}
+	return Document{}, verdict.Invalid(problems[0].Path, "%s", strings.Join(lines, "; ")).With(problems)
+}
+
+// Problem is one error of a document.
+type Problem struct {
+	// Path names the field, such as limits.max_in_flight or teams[2].weight.
+	Path    string `json:"path"`
+	Message string `json:"message"`
+}
+
+// decode reports every unknown key and every wrong type, which encoding/json does only one at a time.
+func decode(data []byte) (Document, []Problem) {
+	if len(data) > MaxDocumentBytes {
+		return Document{}, []Problem{{"document", fmt.Sprintf("expected at most %d bytes, got %d", MaxDocumentBytes, len(data))}}
+	}
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.UseNumber()
+	var raw map[string]any
+	if err := dec.Decode(&raw); err != nil {
+		return Document{}, []Problem{{"document", err.Error()}}
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return Document{}, []Problem{{"document", "expected one JSON object"}}
+	}
+	d := Default()
+	given := Document{}
+	var meta mapstructure.Metadata
+	m, err := mapstructure.NewDecoder(&mapstructure.DecoderConfig{
+		TagName: "json", Metadata: &meta, ErrorUnused: true, Result: &given, DecodeHook: mapstructure.TextUnmarshallerHookFunc(),
+		MatchName: func(key, field string) bool { return key == field },
+	})
+	if err != nil {
+		return Document{}, []Problem{{"document", err.Error()}}
+	}
+	problems := problemsOf(m.Decode(raw))
+	sort.Slice(problems, func(i, j int) bool { return problems[i].Path < problems[j].Path })
+	if len(problems) > 0 {
+		return Document{}, problems
+	}
+	return d.merge(given, meta.Keys), nil
+}
+
+// problemsOf splits the joined errors of the decoder.
+func problemsOf(err error) []Problem {
+	switch e := err.(type) {
+	case nil:
+		return nil
+	case interface{ Unwrap() []error }:
+		var all []Problem
+		for _, inner := range e.Unwrap() {
+			all = append(all, problemsOf(inner)...)
+		}
+		return all
+	case *mapstructure.DecodeError:
+		return fieldProblems(e.Name(), e.Unwrap())
+	case interface{ Unwrap() error }:
+		return problemsOf(e.Unwrap())
+	default:
+		return []Problem{{"document", err.Error()}}
+	}
+}
+
+// fieldProblems returns one problem for a wrong value, or one for each unknown key of an object.
+func fieldProblems(path string, err error) []Problem {
+	keys, ok := strings.CutPrefix(err.Error(), "has invalid keys: ")
+	if !ok {
+		return []Problem{{path, err.Error()}}
+	}
+	var all []Problem
+	for _, key := range strings.Split(keys, ", ") {
+		// The decoder names the document itself by its Go type.
+		if path != rootType {
+			key = path + "." + key
+		}
+		all = append(all, Problem{key, "unknown field"})
+	}
+	return all
+}
+
+// merge returns d with the fields that were given. keys are the paths of the given fields.
+func (d Document) merge(given Document, keys []string) Document {
+	has := make(map[string]bool, len(keys))
+	for _, key := range keys {
+		has[key] = true
+	}
+	set := func(key string, to *int, value int) {
+		if has[key] {
+			*to = value
+		}
+	}
+	set("limits.max_in_flight", &d.Limits.MaxInFlight, given.Limits.MaxInFlight)
+	set("limits.client_in_flight", &d.Limits.ClientInFlight, given.Limits.ClientInFlight)
+	set("limits.team_in_flight", &d.Limits.TeamInFlight, given.Limits.TeamInFlight)
+	set("limits.queue_delay_ms", &d.Limits.QueueDelayMS, given.Limits.QueueDelayMS)
+	set("limits.retry_percent", &d.Limits.RetryPercent, given.Limits.RetryPercent)
+	set("policy.plan_term_ms", &d.Policy.PlanTermMS, given.Policy.PlanTermMS)
+	set("policy.offer_term_ms", &d.Policy.OfferTermMS, given.Policy.OfferTermMS)
+	set("policy.max_attempts", &d.Policy.MaxAttempts, given.Policy.MaxAttempts)
+	set("policy.queue_limit", &d.Policy.QueueLimit, given.Policy.QueueLimit)
+	for c, v := range given.Classes {
+		d.Classes[c] = v
+	}
+	d.Teams = given.Teams
+	return d
+}
+
+// check returns every value that is out of range.
+func (d Document) check() []Problem {
+	var problems []Problem
+	within := func(path string, value, low, high int) {
+		if value < low || value > high {
+			problems = append(problems, Problem{path, fmt.Sprintf("expected %d to %d, got %d", low, high, value)})
+		}
+	}
+	for c := range model.NumClasses {
+		path := fmt.Sprintf("classes[%s].", c)
+		within(path+"weight", d.Classes[c].Weight, 1, 1000)
+		within(path+"max_queued", d.Classes[c].MaxQueued, 1, 100_000)
+	}
+	within("limits.max_in_flight", d.Limits.MaxInFlight, 1, 100_000)
+	within("limits.client_in_flight", d.Limits.ClientInFlight, 1, 100_000)
+	within("limits.team_in_flight", d.Limits.TeamInFlight, 1, 100_000)
+	within("limits.queue_delay_ms", d.Limits.QueueDelayMS, 1, 10_000)
+	within("limits.retry_percent", d.Limits.RetryPercent, 0, 100)
+	within("policy.plan_term_ms", d.Policy.PlanTermMS, 1000, 86_400_000)
+	within("policy.offer_term_ms", d.Policy.OfferTermMS, 100, 600_000)
+	within("policy.max_attempts", d.Policy.MaxAttempts, 1, 100)
+	within("policy.queue_limit", d.Policy.QueueLimit, 1, 1_000_000)
+	return append(problems, d.checkTeams()...)
+}
+
+func (d Document) checkTeams() []Problem {
+	var problems []Problem
+	seen := map[string]int{}
+	for i, t := range d.Teams {
+		path := fmt.Sprintf("teams[%d].", i)
+		if t.Account == "" {
+			problems = append(problems, Problem{path + "account", "must not be empty"})
+		}
+		if t.Team == "" {
+			problems = append(problems, Problem{path + "team", "must not be empty"})
+		}
+		if t.Weight < 1 || t.Weight > 1000 {
+			problems = append(problems, Problem{path + "weight", fmt.Sprintf("expected 1 to 1000, got %d", t.Weight)})
+		}
+		key := t.Account + "\x00" + t.Team
+		if first, ok := seen[key]; ok {
+			problems = append(problems, Problem{path + "team", fmt.Sprintf("is listed in teams[%d] as well", first)})
+		}
+		seen[key] = i
+		problems = append(problems, checkQuota(path+"quota.", t.Quota)...)
+	}
+	return problems
+}
+
+func checkQuota(path string, q *model.Resources) []Problem {
+	if q == nil {
+		return nil
+	}
+	var problems []Problem
+	for _, f := range []struct {
+		name  string
+		value int64
+	}{
+		{"cpu_milli", q.CPUMilli}, {"memory_mib", q.MemoryMiB}, {"accelerators", q.Accelerators}, {"slots", q.Slots},
+		{"connections", q.Connections},
+	} {
+		if f.value < 0 {
+			problems = append(problems, Problem{path + f.name, fmt.Sprintf("must not be negative, got %d", f.value)})
+		}
+	}
+	return problems
+}
+
+// Team returns the entry of a team; the second result is false for a team that is not listed.
+func (d Document) Team(account, team string) (Team, bool) {
+	for _, t := range d.Teams {
+		if t.Account == account && t.Team == team {
+			return t, true
+		}
+	}
+	return Team{Account: account, Team: team, Weight: 1}, false
+}
--- a/version/ownership/ownership.go
+++ b/version/ownership/ownership.go
@@ -491,6 +491,30 @@
 	return live
 }
 
+// ReadSessions reads all session rows from the table, also those that have expired.
+func (m *Manager) ReadSessions(ctx context.Context) ([]Session, error) {
+	rows, err := m.opts.Table.Scan(ctx, sessionPrefix)
+	if err != nil {
+		return nil, err
+	}
+	sessions := make([]Session, 0, len(rows))
+	for _, row := range rows {
+		var s Session
+		if err := json.Unmarshal(row.Value, &s); err != nil {
+			return nil, err
+		}
+		sessions = append(sessions, s)
+	}
+	return sessions, nil
+}
+
+// SessionExpired reports whether this instance has seen the row of a session stay unchanged for the whole term.
+func (m *Manager) SessionExpired(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.watched[id] != nil && m.expired(id)
+}
+
 // LastRenewal returns when the session row was last written successfully.
 func (m *Manager) LastRenewal() time.Time {
 	m.mu.Lock()
