Join the views of members and bound the rate of summaries

Cause: one short answer of the platform's list moved workers between racks and one hanging read stopped all refreshes; a leaving worker was known only to instances with a new list; each rack sent a message to each peer every 500 ms, changed or not: 122 racks and 24 instances made 5,600 messages a second.

Change: process/membership joins the list with what peers report: missing workers stay known, a worker stays in its rack, leaving is sticky for a minute, and entry instances that are leaving get no partitions unless there are no others. Summaries go out as deltas when they changed materially, one message for each peer, within 1,200 bytes/s per instance, and count less the older they are.

Figures: 2 x 1,200 bytes/s per instance, headers of yamux, TLS, TCP and IP included, with 23 peers and 6 racks that all change in every round (TestSummariesStayInBudget; computed from message sizes, not measured on a network).

Conclusion: within the budget of 3 KB/s; a peer hears of each rack at least 8 times in two minutes under continuous change.

--- a/bench/capacity/message_test.go
+++ b/bench/capacity/message_test.go
@@ -53,10 +53,10 @@
 		"report": &peerpb.Request{Id: 1000, Version: 1, Body: &peerpb.Request_Report{Report: &peerpb.Report{
 			Partition: 17, Rack: "rack-07", RackEpoch: 12, Task: peer.TaskToProto(task), Outcome: peer.OutcomeToProto(out),
 		}}},
-		"summary": &peerpb.Request{Id: 1000, Version: 1, Body: &peerpb.Request_Summary{Summary: &peerpb.Summary{
+		"summary": &peerpb.Request{Id: 1000, Version: 1, Body: &peerpb.Request_Summaries{Summaries: &peerpb.Summaries{Items: []*peerpb.Summary{{
 			Rack: "rack-07", Epoch: 12, Free: peer.ResourcesToProto(task.Each), LargestFree: peer.ResourcesToProto(task.Each),
 			Queued: []uint32{1, 2, 3, 4, 5},
-		}}},
+		}}}}},
 	}
 	for name, m := range messages {
 		b.Run(name, func(b *testing.B) {
--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -6,7 +6,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"sort"
 	"sync"
 	"time"
 
@@ -15,13 +14,12 @@
 
 	"github.com/lentiltide/lentiltide/connection/peer"
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
-	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/process/membership"
 	"github.com/lentiltide/lentiltide/process/settings"
 	"github.com/lentiltide/lentiltide/request/verdict"
 	"github.com/lentiltide/lentiltide/version/config"
 	"github.com/lentiltide/lentiltide/version/ownership"
-	"github.com/lentiltide/lentiltide/version/rack"
 	"github.com/lentiltide/lentiltide/worker"
 )
 
@@ -52,14 +50,14 @@
 	closed  bool
 
 	// mu protects the maps below; it is never held while a core's method runs.
-	mu        sync.Mutex
-	racks     map[string]*rackRunner
-	intents   map[int]*intentRunner
-	members   []platform.Member
-	summaries map[string]rack.Summary
-	rng       *rand.Rand
-	handler   callHandler
-
+	mu      sync.Mutex
+	racks   map[string]*rackRunner
+	intents map[int]*intentRunner
+	rng     *rand.Rand
+	handler callHandler
+
+	members     *membership.View
+	summaries   summaries
 	config      *config.View
 	configHooks configHooks
 }
@@ -72,7 +70,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	in := &Instance{
 		opts: opts, ctx: ctx, cancel: cancel,
-		racks: map[string]*rackRunner{}, intents: map[int]*intentRunner{}, summaries: map[string]rack.Summary{},
+		racks: map[string]*rackRunner{}, intents: map[int]*intentRunner{},
+		members: membership.New(), summaries: summaries{known: map[string]knownSummary{}},
 		rng: rand.New(rand.NewPCG(opts.Seed, 0)),
 	}
 	in.config = config.NewView(in.configApplied)
@@ -81,7 +80,7 @@
 		Instance: s.Instance, Address: s.PeerAddress, Region: s.Region, Zone: s.Zone,
 		Table: opts.Table, Clock: opts.Clock, Hooks: in, Log: opts.Log, Partitions: in.partitions,
 		RenewEvery: s.SessionRenew(), Term: s.SessionTerm(),
-		ConfigVersion: func() uint64 { return in.config.Current().Version },
+		Avoid: in.isLeaving, ConfigVersion: func() uint64 { return in.config.Current().Version },
 	})
 	return in
 }
@@ -135,71 +134,7 @@
 	}
 }
 
-// partitions returns all partitions of the cell: the intent partitions and the racks of the workers seen so far.
-func (in *Instance) partitions() []ownership.Partition {
-	var all []ownership.Partition
-	for n := range model.IntentPartitions {
-		all = append(all, ownership.Intent(n))
-	}
-	for _, name := range in.rackNames() {
-		all = append(all, ownership.Rack(name))
-	}
-	return all
-}
-
-func (in *Instance) rackNames() []string {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	seen := map[string]bool{}
-	var names []string
-	for _, m := range in.members {
-		if m.Role == platform.RoleWorker && !seen[m.Rack] {
-			seen[m.Rack] = true
-			names = append(names, m.Rack)
-		}
-	}
-	sort.Strings(names)
-	return names
-}
-
-func (in *Instance) rackMembers(name string) []platform.Member {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	var members []platform.Member
-	for _, m := range in.members {
-		if m.Role == platform.RoleWorker && m.Rack == name {
-			members = append(members, m)
-		}
-	}
-	return members
-}
-
-func (in *Instance) watchMembers() { in.every(in.ctx, memberRefresh, in.refreshMembers) }
-
-// refreshMembers reads the platform's list. An error or an empty list keeps the last one, since the list is only a
-// suggestion and must never empty the fleet.
-func (in *Instance) refreshMembers() {
-	members, err := in.opts.Members.List(in.ctx)
-	if err != nil || len(members) == 0 {
-		return
-	}
-	in.mu.Lock()
-	in.members = members
-	runners := make([]*rackRunner, 0, len(in.racks))
-	for _, r := range in.racks {
-		runners = append(runners, r)
-	}
-	in.mu.Unlock()
-	for _, r := range runners {
-		r.setMembers(in.rackMembers(r.core.ID()))
-	}
-}
-
 const (
-	// memberRefresh is the time between reads of the platform's list.
-	memberRefresh = time.Second
-	// summaryEvery is the time between summaries of a rack.
-	summaryEvery = 500 * time.Millisecond
 	// retryDelay is the time between repeated messages to peers and workers.
 	retryDelay = 100 * time.Millisecond
 	// peerTimeout bounds one message to a peer.
--- a/process/instance/intents.go
+++ b/process/instance/intents.go
@@ -224,12 +224,14 @@
 	if len(names) == 0 {
 		return ""
 	}
+	now := in.opts.Clock.Now()
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	best, bestFree := "", int64(-1)
 	for range 2 {
 		name := names[in.rng.IntN(len(names))]
-		free := in.summaries[name].Largest.CPUMilli
+		sum, age, _ := in.summaries.get(now, name)
+		free := discount(sum.Largest.CPUMilli, age)
 		if free > bestFree {
 			best, bestFree = name, free
 		}
--- /dev/null
+++ b/process/instance/members.go
@@ -0,0 +1,90 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/version/ownership"
+)
+
+const (
+	// memberRefresh is the time between reads of the platform's list.
+	memberRefresh = time.Second
+	// memberTimeout bounds one read of the list. Two reads fit into the 3 s in which a leaving worker may get new work.
+	memberTimeout = time.Second
+)
+
+// partitions returns all partitions of the cell: the intent partitions and the racks of the workers seen so far.
+func (in *Instance) partitions() []ownership.Partition {
+	var all []ownership.Partition
+	for n := range model.IntentPartitions {
+		all = append(all, ownership.Intent(n))
+	}
+	for _, name := range in.rackNames() {
+		all = append(all, ownership.Rack(name))
+	}
+	return all
+}
+
+func (in *Instance) rackNames() []string { return in.members.Racks() }
+
+func (in *Instance) rackMembers(name string) []platform.Member {
+	return in.members.Workers(in.opts.Clock.Now(), name)
+}
+
+// isLeaving reports whether the platform says that an entry instance is leaving, so that it gets no further partitions.
+func (in *Instance) isLeaving(name string) bool {
+	return in.members.IsLeaving(in.opts.Clock.Now(), name)
+}
+
+func (in *Instance) watchMembers() { in.every(in.ctx, memberRefresh, in.refreshMembers) }
+
+// refreshMembers reads the platform's list and tells the owners of racks about workers that have begun to leave.
+func (in *Instance) refreshMembers() {
+	ctx, cancel := context.WithTimeout(in.ctx, memberTimeout)
+	defer cancel()
+	members, err := in.opts.Members.List(ctx)
+	if err != nil {
+		return
+	}
+	left := in.members.List(in.opts.Clock.Now(), members)
+	in.membersChanged()
+	in.reportLeaving(left)
+}
+
+// membersChanged gives each rack served here its current members.
+func (in *Instance) membersChanged() {
+	in.mu.Lock()
+	runners := make([]*rackRunner, 0, len(in.racks))
+	for _, r := range in.racks {
+		runners = append(runners, r)
+	}
+	in.mu.Unlock()
+	for _, r := range runners {
+		r.setMembers(in.rackMembers(r.core.ID()))
+	}
+}
+
+// reportLeaving tells the owners of other racks which of their workers are leaving, since their own lists may be older.
+// The message is sent once: a lost one leaves the owner with its own list, as before.
+func (in *Instance) reportLeaving(left []platform.Member) {
+	byOwner := map[string][]string{}
+	for _, m := range left {
+		loc, ok := in.owners.Locate(ownership.Rack(m.Rack))
+		if ok && !loc.Local {
+			byOwner[loc.Address] = append(byOwner[loc.Address], m.ID)
+		}
+	}
+	for address, ids := range byOwner {
+		in.run(func() {
+			ctx, cancel := context.WithTimeout(in.ctx, peerTimeout)
+			defer cancel()
+			_ = in.opts.Peers.Send(ctx, address, &peerpb.Request{Body: &peerpb.Request_Summaries{
+				Summaries: &peerpb.Summaries{Leaving: ids},
+			}})
+		})
+	}
+}
--- /dev/null
+++ b/process/instance/members_test.go
@@ -0,0 +1,112 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentiltide/lentiltide/platform"
+)
+
+// leavingBound is the bound of the design page on new work for a leaving worker.
+const leavingBound = 3 * time.Second
+
+// ownersOf returns which nodes serve each rack.
+func ownersOf(m *mesh) map[string][]string {
+	owners := map[string][]string{}
+	for name, n := range m.nodes {
+		n.Instance.mu.Lock()
+		for rack := range n.racks {
+			owners[rack] = append(owners[rack], name)
+		}
+		n.Instance.mu.Unlock()
+	}
+	return owners
+}
+
+// freeSlots returns the slots that the owner of a rack offers.
+func freeSlots(m *mesh, rack string) int64 {
+	for _, n := range m.nodes {
+		if r, err := n.rackRunner(rack); err == nil {
+			return r.core.Summary().Free.Slots
+		}
+	}
+	return -1
+}
+
+func setState(t *testing.T, m *mesh, id string, state platform.MemberState) {
+	t.Helper()
+	members, err := m.members.List(context.Background())
+	assert.NilError(t, err)
+	for _, member := range members {
+		if member.ID == id {
+			member.State = state
+			m.members.Set(member)
+		}
+	}
+}
+
+// TestLeavingWorkerGetsNoWork guards against new work on a worker 3 s after the platform reported it as leaving, also
+// where the rack owner's own list hangs or is older and only its peers know.
+func TestLeavingWorkerGetsNoWork(t *testing.T) {
+	for name, answer := range map[string]func(old []platform.Member) ([]platform.Member, error){
+		"own list": nil,
+		"down":     func([]platform.Member) ([]platform.Member, error) { return nil, errors.New("down") },
+		"stale":    func(old []platform.Member) ([]platform.Member, error) { return old, nil },
+		"empty":    func([]platform.Member) ([]platform.Member, error) { return nil, nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m, _ := startMesh(t, 3, 4)
+				assert.Equal(t, freeSlots(m, "rack-01"), int64(16))
+				old, err := m.members.List(context.Background())
+				assert.NilError(t, err)
+				owner := m.nodes[ownersOf(m)["rack-01"][0]]
+				if answer != nil {
+					owner.list.set(func() ([]platform.Member, error) { return answer(old) })
+				}
+				setState(t, m, "worker-002", platform.MemberLeaving)
+				time.Sleep(leavingBound)
+				assert.Equal(t, freeSlots(m, "rack-01"), int64(8))
+				time.Sleep(20 * time.Second)
+				assert.Equal(t, freeSlots(m, "rack-01"), int64(8))
+			})
+		})
+	}
+}
+
+// TestWrongListKeepsOwners guards against a second owner, or none, of a rack while the lists of the instances differ.
+func TestWrongListKeepsOwners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, nodes := startMesh(t, 4, 8)
+		before := ownersOf(m)
+		nodes[0].list.set(func() ([]platform.Member, error) { return nil, nil })
+		nodes[1].list.set(func() ([]platform.Member, error) {
+			return []platform.Member{{ID: "worker-000", Role: platform.RoleWorker, Rack: "rack-03", Address: "worker-000"}}, nil
+		})
+		nodes[2].list.set(func() ([]platform.Member, error) { return nil, errors.New("down") })
+		for range 30 {
+			time.Sleep(time.Second)
+			assert.DeepEqual(t, ownersOf(m), before)
+		}
+		assert.Equal(t, freeSlots(m, "rack-00"), int64(16))
+	})
+}
+
+// TestLeavingEntryGetsNoPartitions guards against partitions that stay on an instance which the platform is about to stop.
+func TestLeavingEntryGetsNoPartitions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, _ := startMesh(t, 3, 8)
+		m.members.Set(platform.Member{ID: "entry-1", Role: platform.RoleEntry, State: platform.MemberLeaving})
+		time.Sleep(10 * time.Second)
+		owners := ownersOf(m)
+		assert.Equal(t, len(owners), 4)
+		for rack, names := range owners {
+			assert.Assert(t, len(names) == 1 && names[0] != "entry-1", "rack %s is served by %v", rack, names)
+		}
+	})
+}
--- a/process/instance/mesh_test.go
+++ b/process/instance/mesh_test.go
@@ -37,6 +37,7 @@
 	*Instance
 	mesh    *mesh
 	table   *faultyTable
+	list    *faultyList
 	address string
 
 	mu   sync.Mutex
@@ -106,6 +107,31 @@
 	return f.Table.Scan(ctx, prefix)
 }
 
+// faultyList is one instance's view of the platform's list.
+type faultyList struct {
+	platform.InstanceList
+
+	mu sync.Mutex
+	// answer replaces the list when it is not nil.
+	answer func() ([]platform.Member, error)
+}
+
+func (f *faultyList) set(answer func() ([]platform.Member, error)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answer = answer
+}
+
+func (f *faultyList) List(ctx context.Context) ([]platform.Member, error) {
+	f.mu.Lock()
+	answer := f.answer
+	f.mu.Unlock()
+	if answer != nil {
+		return answer()
+	}
+	return f.InstanceList.List(ctx)
+}
+
 // Dial implements worker.Dialer.
 func (m *mesh) Dial(address string) worker.Agent { return m.agents[address] }
 
@@ -166,10 +192,10 @@
 	log.SetOutput(io.Discard)
 	s := settings.Default()
 	s.Instance, s.Region, s.Zone, s.PeerAddress = name, "estonia", "maardu", name
-	n := &node{mesh: m, table: &faultyTable{Table: m.table}, address: name}
+	n := &node{mesh: m, table: &faultyTable{Table: m.table}, address: name, list: &faultyList{InstanceList: m.members}}
 	n.Instance = New(Options{
 		Settings: s, Clock: clockwork.NewRealClock(), Table: n.table, Objects: standinplatform.NewObjects(),
-		Members: m.members, Workers: m, Peers: caller{n}, Log: log, Seed: uint64(len(m.nodes)),
+		Members: n.list, Workers: m, Peers: caller{n}, Log: log, Seed: uint64(len(m.nodes)),
 	})
 	m.mu.Lock()
 	m.nodes[name] = n
--- a/process/instance/peers.go
+++ b/process/instance/peers.go
@@ -46,8 +46,8 @@
 		return in.handlePropose(body.Propose, reply)
 	case *peerpb.Request_FenceIntent:
 		return in.handleFenceIntent(body.FenceIntent, reply)
-	case *peerpb.Request_Summary:
-		in.handleSummary(body.Summary)
+	case *peerpb.Request_Summaries:
+		in.handleSummaries(body.Summaries)
 		reply.Body = &peerpb.Reply_Ack{Ack: &peerpb.Ack{}}
 		return nil
 	case *peerpb.Request_ConfigChanged:
@@ -175,16 +175,3 @@
 	reply.Body = &peerpb.Reply_FenceIntent{FenceIntent: answer}
 	return nil
 }
-
-func (in *Instance) handleSummary(s *peerpb.Summary) {
-	sum := rack.Summary{
-		Rack: s.GetRack(), Epoch: s.GetEpoch(),
-		Free: peer.ResourcesFromProto(s.GetFree()), Largest: peer.ResourcesFromProto(s.GetLargestFree()),
-	}
-	for i, n := range s.GetQueued() {
-		if i < len(sum.Queued) {
-			sum.Queued[i] = int(n)
-		}
-	}
-	in.takeSummary(sum)
-}
--- /dev/null
+++ b/process/instance/summary_test.go
@@ -0,0 +1,89 @@
+package instance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/version/ownership"
+	"github.com/lentiltide/lentiltide/version/rack"
+)
+
+func summaryOf(name string, cpu int64) rack.Summary {
+	free := model.Resources{CPUMilli: cpu, MemoryMiB: cpu, Slots: 8}
+	return rack.Summary{Rack: name, Epoch: 1, Free: free, Largest: free}
+}
+
+// sendRounds runs rounds of summaryEvery over racks whose free capacity is chosen by cpu, and returns what each peer got.
+func sendRounds(peers, racks, rounds int, cpu func(round, rack int) int64) (bytes int, got map[string]map[string]int) {
+	var sender summarySender
+	var sessions []ownership.Session
+	got = map[string]map[string]int{}
+	for i := range peers {
+		name := fmt.Sprintf("entry-%02d", i)
+		sessions = append(sessions, ownership.Session{ID: name, Instance: name})
+		got[name] = map[string]int{}
+	}
+	now := time.Unix(1000, 0)
+	for n := range rounds {
+		var own []rack.Summary
+		for r := range racks {
+			own = append(own, summaryOf(fmt.Sprintf("rack-%03d", r), cpu(n, r)))
+		}
+		sender.round(now, own, sessions, func(s ownership.Session, msg *peerpb.Summaries) error {
+			bytes += proto.Size(msg) + messageOverhead
+			for _, item := range msg.GetItems() {
+				got[s.ID][item.GetRack()]++
+			}
+			return nil
+		})
+		now = now.Add(summaryEvery)
+	}
+	return bytes, got
+}
+
+// TestSummariesStayInBudget guards against summaries that grow with the rate of starts: at the target size every rack
+// changes in every round, and both directions together must stay below 3 KB/s per instance.
+func TestSummariesStayInBudget(t *testing.T) {
+	const seconds = 120
+	// 122 racks over 24 instances are up to 6 racks for each.
+	bytes, got := sendRounds(23, 6, 2*seconds, func(round, _ int) int64 { return int64(1000 << (round % 2)) })
+	assert.Assert(t, 2*bytes < 3000*seconds+2*summaryBurst, "%d bytes sent in %d s", bytes, seconds)
+	for name, racks := range got {
+		for r := range 6 {
+			// Each peer hears of each rack several times in a minute.
+			assert.Assert(t, racks[fmt.Sprintf("rack-%03d", r)] >= 8, "%s heard %v", name, racks)
+		}
+	}
+}
+
+// TestUnchangedSummariesAreNotSent guards against messages without news.
+func TestUnchangedSummariesAreNotSent(t *testing.T) {
+	rounds := int(summaryRefresh/summaryEvery) - 1
+	_, got := sendRounds(3, 2, rounds, func(round, _ int) int64 { return 8000 + int64(round%2) })
+	for _, racks := range got {
+		assert.DeepEqual(t, racks, map[string]int{"rack-000": 1, "rack-001": 1})
+	}
+}
+
+// TestOldSummaryCountsLess guards against offers that go to a rack whose owner has not been heard of for long.
+func TestOldSummaryCountsLess(t *testing.T) {
+	s := summaries{known: map[string]knownSummary{}}
+	now := time.Unix(1000, 0)
+	s.take(now, summaryOf("rack-a", 16_000))
+	late := now.Add(3 * summaryStale)
+	s.take(late, summaryOf("rack-b", 8000))
+	a, ageA, _ := s.get(late, "rack-a")
+	b, ageB, _ := s.get(late, "rack-b")
+	assert.Assert(t, discount(a.Largest.CPUMilli, ageA) < discount(b.Largest.CPUMilli, ageB))
+	stale := summaryOf("rack-b", 1)
+	stale.Epoch = 0
+	s.take(late, stale)
+	again, _, _ := s.get(late, "rack-b")
+	assert.Equal(t, again.Largest.CPUMilli, int64(8000))
+}
--- /dev/null
+++ b/process/membership/membership_test.go
@@ -0,0 +1,86 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentiltide/lentiltide/platform"
+)
+
+var start = time.Unix(1000, 0)
+
+func fleet(n int) []platform.Member {
+	var members []platform.Member
+	for i := range n {
+		members = append(members, platform.Member{
+			ID: fmt.Sprintf("worker-%d", i), Role: platform.RoleWorker, State: platform.MemberLive,
+			Rack: fmt.Sprintf("rack-%d", i/4), Address: fmt.Sprint(i),
+		})
+	}
+	return members
+}
+
+// TestListNeverEmptiesFleet guards against an empty, short or malformed list that removes workers.
+func TestListNeverEmptiesFleet(t *testing.T) {
+	for name, list := range map[string][]platform.Member{
+		"empty": nil, "one worker": fleet(1), "no racks": {{ID: "x", Role: platform.RoleWorker}}, "half": fleet(4),
+	} {
+		v := New()
+		v.List(start, fleet(8))
+		for i := range 100 {
+			v.List(start.Add(time.Duration(i)*time.Second), list)
+		}
+		assert.Equal(t, len(v.Workers(start, "")), 8, name)
+		assert.DeepEqual(t, v.Racks(), []string{"rack-0", "rack-1"})
+	}
+}
+
+// TestWorkerStaysInItsRack guards against a wrong list that lets the owner of a second rack fence a worker.
+func TestWorkerStaysInItsRack(t *testing.T) {
+	v := New()
+	v.List(start, fleet(8))
+	moved := fleet(8)
+	moved[0].Rack = "rack-1"
+	v.List(start.Add(time.Second), moved)
+	assert.Equal(t, len(v.Workers(start, "rack-0")), 4)
+	assert.Equal(t, v.Workers(start, "rack-0")[0].ID, "worker-0")
+}
+
+// TestLeavingIsKeptAgainstOlderList guards against new work on a leaving worker after an answer from a replica of the
+// list that lags further.
+func TestLeavingIsKeptAgainstOlderList(t *testing.T) {
+	v := New()
+	v.List(start, fleet(4))
+	leaving := fleet(4)
+	leaving[2].State = platform.MemberLeaving
+	left := v.List(start.Add(time.Second), leaving)
+	assert.Equal(t, len(left), 1)
+	assert.Equal(t, left[0].ID, "worker-2")
+	assert.Equal(t, len(v.List(start.Add(2*time.Second), leaving)), 0)
+	v.List(start.Add(3*time.Second), fleet(4))
+	assert.Assert(t, v.IsLeaving(start.Add(3*time.Second), "worker-2"))
+	assert.Equal(t, v.Workers(start.Add(3*time.Second), "rack-0")[2].State, platform.MemberLeaving)
+	late := start.Add(3*time.Second + leavingHold)
+	assert.Equal(t, v.Workers(late, "rack-0")[2].State, platform.MemberLive)
+}
+
+// TestPeerReportsLeaving guards against new work on a leaving worker where only a peer's list has the news.
+func TestPeerReportsLeaving(t *testing.T) {
+	v := New()
+	v.List(start, fleet(4))
+	v.Leaving(start, []string{"worker-1", "unknown"})
+	v.List(start.Add(time.Second), fleet(4))
+	assert.Equal(t, v.Workers(start.Add(time.Second), "rack-0")[1].State, platform.MemberLeaving)
+	assert.Equal(t, len(v.Workers(start, "")), 4)
+}
+
+// TestForgottenAfterLongAbsence guards against memory that grows with each replaced worker.
+func TestForgottenAfterLongAbsence(t *testing.T) {
+	v := New()
+	v.List(start, fleet(8))
+	v.List(start.Add(forgetAfter+time.Second), fleet(7))
+	assert.Equal(t, len(v.Workers(start, "")), 7)
+}
--- a/version/ownership/ownership.go
+++ b/version/ownership/ownership.go
@@ -100,6 +100,8 @@
 	Log      logrus.FieldLogger
 	// Partitions returns all partitions of the cell.
 	Partitions func() []Partition
+	// Avoid reports whether an instance should get no further partitions although its session does not say so.
+	Avoid func(instance string) bool
 	// ConfigVersion returns the configuration version in force.
 	ConfigVersion func() uint64
 	// RenewEvery is the time between renewals; Term is how long a session row must stay unchanged before it has expired.
@@ -134,6 +136,9 @@
 
 // New returns a manager that has not contacted the table yet.
 func New(opts Options) *Manager {
+	if opts.Avoid == nil {
+		opts.Avoid = func(string) bool { return false }
+	}
 	if opts.ConfigVersion == nil {
 		opts.ConfigVersion = func() uint64 { return 0 }
 	}
@@ -318,14 +323,22 @@
 	return w == nil || (id != m.session.ID && m.opts.Clock.Since(w.since) >= m.opts.Term)
 }
 
-// candidates returns the live sessions that take partitions. Callers hold m.mu.
+// candidates returns the live sessions that take partitions. Sessions to avoid count when there are no others, so that a
+// wrong sign of leaving never leaves the partitions without an owner. Callers hold m.mu.
 func (m *Manager) candidates() []*watchedSession {
-	var live []*watchedSession
+	var live, avoided []*watchedSession
 	for id, w := range m.watched {
-		if !m.expired(id) && !w.Leaving {
+		switch {
+		case m.expired(id) || w.Leaving:
+		case m.opts.Avoid(w.Instance):
+			avoided = append(avoided, w)
+		default:
 			live = append(live, w)
 		}
 	}
+	if len(live) == 0 {
+		return avoided
+	}
 	return live
 }
 
