Route, hold, limit and shut down without cutting requests off

Cause: a request for a partition that had just moved failed, at the first instance and at an owner that was still loading; a forward to an old owner was not repeated; nothing limited the requests at an owner; a shutdown closed the connections under calls in flight.

Limits apply at the instance that callers reach and, apart from them, at the owner by class and team. A shutdown closes the partitions to new requests, lets those in flight finish, writes the journals, hands over, refuses what still arrives as NotRun, and closes listeners and peer connections when nothing arrives any more.

The listener is now closed only after 200 ms without a request.

--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -61,6 +61,13 @@
 	Send(ctx context.Context, address string, req *peerpb.Request) error
 }
 
+const (
+	// quietTime is how long no call must have arrived or been answered before connections may be closed.
+	quietTime = 200 * time.Millisecond
+	// quietCheck is the time between looks at the last call.
+	quietCheck = 10 * time.Millisecond
+)
+
 // Options configures a Transport. The zero value connects over plain TCP to loopback addresses only.
 type Options struct {
 	// Certificates enables mutual TLS. Without it only loopback addresses are dialled and served.
@@ -81,6 +88,9 @@
 	cancel context.CancelFunc
 
 	sent, received atomic.Uint64
+	// lastCall is when the last request of ClassCall arrived, in nanoseconds since the Unix epoch; calls counts those that
+	// are handled now.
+	lastCall, calls atomic.Int64
 
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
@@ -191,6 +201,7 @@
 	if t.opts.Certificates == nil && !IsLoopback(l.Addr().String()) {
 		return errors.Newf("address %s is not a loopback address and no certificates are configured", l.Addr())
 	}
+	handle = t.countCalls(handle)
 	for {
 		raw, err := l.Accept()
 		if err != nil {
@@ -200,6 +211,37 @@
 	}
 }
 
+// AwaitQuiet waits until no peer has sent a request of ClassCall for quietTime and none is handled, so that no answer is
+// cut off by Close; ctx bounds it.
+func (t *Transport) AwaitQuiet(ctx context.Context) {
+	t.lastCall.CompareAndSwap(0, time.Now().UnixNano())
+	ticker := time.NewTicker(quietCheck)
+	defer ticker.Stop()
+	for t.calls.Load() > 0 || time.Since(time.Unix(0, t.lastCall.Load())) < quietTime {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// countCalls returns a handler that notes the requests of ClassCall.
+func (t *Transport) countCalls(handle Handler) Handler {
+	return func(ctx context.Context, req *peerpb.Request) *peerpb.Reply {
+		if ClassOf(req) != ClassCall {
+			return handle(ctx, req)
+		}
+		t.calls.Add(1)
+		t.lastCall.Store(time.Now().UnixNano())
+		defer func() {
+			t.lastCall.Store(time.Now().UnixNano())
+			t.calls.Add(-1)
+		}()
+		return handle(ctx, req)
+	}
+}
+
 func (t *Transport) serveConn(ctx context.Context, raw net.Conn, handle Handler) {
 	defer raw.Close()
 	if t.opts.Certificates != nil {
--- a/connection/peer/peer_test.go
+++ b/connection/peer/peer_test.go
@@ -362,3 +362,19 @@
 	}
 	wg.Wait()
 }
+
+// TestDeadlineTravels guards against work at a peer beyond the deadline of the caller.
+func TestDeadlineTravels(t *testing.T) {
+	left := make(chan time.Duration, 1)
+	address := serve(t, Options{}, func(ctx context.Context, req *peerpb.Request) *peerpb.Reply {
+		deadline, _ := ctx.Deadline()
+		left <- time.Until(deadline)
+		return echo(ctx, req)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
+	defer cancel()
+	_, err := client(t, Options{}).Call(ctx, address, forward(nil))
+	assert.NilError(t, err)
+	got := <-left
+	assert.Assert(t, got > 0 && got <= time.Hour, "%v", got)
+}
--- a/lentiltide_test.go
+++ b/lentiltide_test.go
@@ -18,6 +18,7 @@
 	"github.com/lentiltide/lentiltide/process/settings"
 	"github.com/lentiltide/lentiltide/request/api"
 	"github.com/lentiltide/lentiltide/standin/cell"
+	standinworker "github.com/lentiltide/lentiltide/standin/worker"
 	"github.com/lentiltide/lentiltide/version/intent"
 )
 
@@ -25,10 +26,16 @@
 const pollTimeout = time.Minute
 
 func startCell(t *testing.T, instances int) (*cell.Cell, []*lentiltide.Instance) {
+	t.Helper()
+	return startCellWith(t, instances, nil)
+}
+
+func startCellWith(t *testing.T, instances int, behave func(model.Task) standinworker.Behavior) (*cell.Cell, []*lentiltide.Instance) {
 	t.Helper()
 	c, err := cell.Start(cell.Options{
 		Workers: 4, PerRack: 2, Zones: []string{"tallinn-port", "tallinn-yard"}, Region: "estonia",
 		Capacity: model.Resources{CPUMilli: 16_000, MemoryMiB: 65_536, Slots: 8, Connections: 60},
+		Behave:   behave,
 	})
 	assert.NilError(t, err)
 	t.Cleanup(c.Close)
--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -19,6 +19,7 @@
 	"github.com/lentiltide/lentiltide/process/settings"
 	"github.com/lentiltide/lentiltide/request/verdict"
 	"github.com/lentiltide/lentiltide/version/config"
+	"github.com/lentiltide/lentiltide/version/intent"
 	"github.com/lentiltide/lentiltide/version/ownership"
 	"github.com/lentiltide/lentiltide/worker"
 )
@@ -35,6 +36,8 @@
 	Log      logrus.FieldLogger
 	// Seed seeds the random choices.
 	Seed uint64
+	// Quotas are the quotas in force; nil limits nothing.
+	Quotas intent.Quotas
 }
 
 // Instance is one running entry instance.
@@ -55,11 +58,14 @@
 	intents map[int]*intentRunner
 	rng     *rand.Rand
 	handler callHandler
+	view    cellView
 
+	usages      *usageBook
 	members     *membership.View
 	summaries   summaries
 	config      *config.View
 	configHooks configHooks
+	router      *router
 }
 
 // New returns an instance that does nothing until Start.
@@ -72,9 +78,11 @@
 		opts: opts, ctx: ctx, cancel: cancel,
 		racks: map[string]*rackRunner{}, intents: map[int]*intentRunner{},
 		members: membership.New(), summaries: summaries{known: map[string]knownSummary{}},
-		rng: rand.New(rand.NewPCG(opts.Seed, 0)),
+		rng: rand.New(rand.NewPCG(opts.Seed, 0)), usages: newUsageBook(opts.Clock.Now),
 	}
 	in.config = config.NewView(in.configApplied)
+	in.router = newRouter(opts.Clock.Now, opts.Seed)
+	in.OnConfig(in.router.configure)
 	s := opts.Settings
 	in.owners = ownership.New(ownership.Options{
 		Instance: s.Instance, Address: s.PeerAddress, Region: s.Region, Zone: s.Zone,
@@ -92,11 +100,9 @@
 	in.run(in.watchMembers)
 	in.run(in.watchConfig)
 	in.run(in.spreadSummaries)
+	in.run(in.spreadUsages)
 }
 
-// Drain hands over all partitions and ends the session; ctx bounds it.
-func (in *Instance) Drain(ctx context.Context) error { return in.owners.Drain(ctx) }
-
 // Close stops at once, as a crash does: nothing is released.
 func (in *Instance) Close() {
 	in.cancel()
@@ -153,6 +159,7 @@
 
 // Lost implements ownership.Hooks.
 func (in *Instance) Lost(p ownership.Partition) {
+	defer in.router.notify()
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	switch p.Kind {
@@ -171,7 +178,7 @@
 }
 
 // OwnersChanged implements ownership.Hooks.
-func (in *Instance) OwnersChanged() {}
+func (in *Instance) OwnersChanged() { in.router.notify() }
 
 func (in *Instance) rackRunner(name string) (*rackRunner, error) {
 	in.mu.Lock()
@@ -206,7 +213,12 @@
 	return in.opts.Peers.Call(ctx, loc.Address, req)
 }
 
+// PeerServer answers the messages that arrive on a listener.
+type PeerServer interface {
+	Serve(ctx context.Context, l net.Listener, handle peer.Handler) error
+}
+
 // ServePeers serves other instances until the listener is closed.
-func (in *Instance) ServePeers(t *peer.Transport, l net.Listener) error {
+func (in *Instance) ServePeers(t PeerServer, l net.Listener) error {
 	return t.Serve(in.ctx, l, in.HandlePeer)
 }
--- a/process/instance/peers.go
+++ b/process/instance/peers.go
@@ -30,8 +30,9 @@
 func (in *Instance) dispatch(ctx context.Context, req *peerpb.Request, reply *peerpb.Reply) error {
 	switch body := req.GetBody().(type) {
 	case *peerpb.Request_Forward:
-		reply.Body = &peerpb.Reply_Forward{Forward: in.handler(ctx, body.Forward)}
-		return nil
+		answer, err := in.handleForward(ctx, body.Forward)
+		reply.Body = &peerpb.Reply_Forward{Forward: answer}
+		return err
 	case *peerpb.Request_Offer:
 		return in.handleOffer(body.Offer, reply)
 	case *peerpb.Request_Withdraw:
@@ -53,6 +54,10 @@
 	case *peerpb.Request_ConfigChanged:
 		reply.Body = &peerpb.Reply_Ack{Ack: &peerpb.Ack{}}
 		return in.config.Pushed(body.ConfigChanged.GetVersion(), body.ConfigChanged.GetDocument())
+	case *peerpb.Request_Usages:
+		in.usages.take(body.Usages)
+		reply.Body = &peerpb.Reply_Ack{Ack: &peerpb.Ack{}}
+		return nil
 	default:
 		return verdict.New(verdict.NotRun, verdict.CodeInvalid, "unknown message")
 	}
--- a/process/instance/summary.go
+++ b/process/instance/summary.go
@@ -21,8 +21,6 @@
 	// summaryRefresh is the time after which an unchanged summary is sent again, so that its age stays a sign of lost
 	// contact to its owner.
 	summaryRefresh = 15 * time.Second
-	// summaryStale is the age at which a summary counts half when racks are chosen.
-	summaryStale = 10 * time.Second
 	// summaryRate bounds the bytes of summaries that an instance sends in a second, headers included. An instance receives
 	// about as much as it sends, so that both together stay below the budget of 3 KB/s.
 	summaryRate = 1200
@@ -77,11 +75,6 @@
 	return k.Summary, now.Sub(k.at), ok
 }
 
-// discount returns an amount reduced by the age of the summary that it comes from.
-func discount(amount int64, age time.Duration) int64 {
-	return int64(float64(amount) * float64(summaryStale) / float64(summaryStale+max(0, age)))
-}
-
 // spreadSummaries sends the summaries of the racks served here to all other instances when they have changed.
 func (in *Instance) spreadSummaries() { in.every(in.ctx, summaryEvery, in.spreadOnce) }
 
--- a/version/config/document.go
+++ b/version/config/document.go
@@ -3,31 +3,23 @@
 package config
 
 import (
-	"bytes"
-	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
-	"reflect"
-	"sort"
+	"maps"
+	"slices"
 	"strings"
 
-	"github.com/go-viper/mapstructure/v2"
-
 	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/request/strictjson"
 	"github.com/lentiltide/lentiltide/request/verdict"
 )
 
 // MaxDocumentBytes bounds a document.
 const MaxDocumentBytes = 256 << 10
 
-// rootType is the name that the decoder gives the whole document in errors.
-var rootType = reflect.TypeFor[Document]().String()
-
 // Document is the configuration of a cell. Fields that a document leaves out have the values of Default.
 type Document struct {
-	// Classes holds the weight and limits of each scheduling class.
-	Classes map[model.Class]Class `json:"classes"`
+	// Classes holds the weight and limits of each scheduling class by its name.
+	Classes map[string]Class `json:"classes"`
 	// Limits bounds the requests that one instance works on.
 	Limits Limits `json:"limits"`
 	// Teams holds the shares and quotas of teams. A team that is not listed has weight 1 and no quota.
@@ -82,7 +74,7 @@
 // Default returns the document that is in force while no version is stored.
 func Default() Document {
 	d := Document{
-		Classes: map[model.Class]Class{},
+		Classes: map[string]Class{},
 		Limits: Limits{
 			MaxInFlight: 1024, ClientInFlight: 512, TeamInFlight: 512, QueueDelayMS: 50, RetryPercent: 10,
 		},
@@ -90,7 +82,7 @@
 	}
 	weights := [model.NumClasses]int{16, 8, 4, 2, 1}
 	for c := range model.NumClasses {
-		d.Classes[c] = Class{Weight: weights[c], MaxQueued: 1024}
+		d.Classes[c.String()] = Class{Weight: weights[c], MaxQueued: 1024}
 	}
 	return d
 }
@@ -119,100 +111,21 @@
 	Message string `json:"message"`
 }
 
-// decode reports every unknown key and every wrong type, which encoding/json does only one at a time.
+// decode decodes a document over the default one.
 func decode(data []byte) (Document, []Problem) {
 	if len(data) > MaxDocumentBytes {
 		return Document{}, []Problem{{"document", fmt.Sprintf("expected at most %d bytes, got %d", MaxDocumentBytes, len(data))}}
 	}
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.UseNumber()
-	var raw map[string]any
-	if err := dec.Decode(&raw); err != nil {
-		return Document{}, []Problem{{"document", err.Error()}}
-	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return Document{}, []Problem{{"document", "expected one JSON object"}}
-	}
 	d := Default()
-	given := Document{}
-	var meta mapstructure.Metadata
-	m, err := mapstructure.NewDecoder(&mapstructure.DecoderConfig{
-		TagName: "json", Metadata: &meta, ErrorUnused: true, Result: &given, DecodeHook: mapstructure.TextUnmarshallerHookFunc(),
-		MatchName: func(key, field string) bool { return key == field },
-	})
-	if err != nil {
-		return Document{}, []Problem{{"document", err.Error()}}
-	}
-	problems := problemsOf(m.Decode(raw))
-	sort.Slice(problems, func(i, j int) bool { return problems[i].Path < problems[j].Path })
-	if len(problems) > 0 {
-		return Document{}, problems
-	}
-	return d.merge(given, meta.Keys), nil
-}
-
-// problemsOf splits the joined errors of the decoder.
-func problemsOf(err error) []Problem {
-	switch e := err.(type) {
-	case nil:
-		return nil
-	case interface{ Unwrap() []error }:
-		var all []Problem
-		for _, inner := range e.Unwrap() {
-			all = append(all, problemsOf(inner)...)
-		}
-		return all
-	case *mapstructure.DecodeError:
-		return fieldProblems(e.Name(), e.Unwrap())
-	case interface{ Unwrap() error }:
-		return problemsOf(e.Unwrap())
-	default:
-		return []Problem{{"document", err.Error()}}
-	}
-}
-
-// fieldProblems returns one problem for a wrong value, or one for each unknown key of an object.
-func fieldProblems(path string, err error) []Problem {
-	keys, ok := strings.CutPrefix(err.Error(), "has invalid keys: ")
-	if !ok {
-		return []Problem{{path, err.Error()}}
-	}
-	var all []Problem
-	for _, key := range strings.Split(keys, ", ") {
-		// The decoder names the document itself by its Go type.
-		if path != rootType {
-			key = path + "." + key
-		}
-		all = append(all, Problem{key, "unknown field"})
-	}
-	return all
-}
-
-// merge returns d with the fields that were given. keys are the paths of the given fields.
-func (d Document) merge(given Document, keys []string) Document {
-	has := make(map[string]bool, len(keys))
-	for _, key := range keys {
-		has[key] = true
-	}
-	set := func(key string, to *int, value int) {
-		if has[key] {
-			*to = value
+	found := strictjson.Decode(data, &d)
+	problems := make([]Problem, len(found))
+	for i, p := range found {
+		problems[i] = Problem{Path: p.Path, Message: p.Message}
+		if p.Path == "" {
+			problems[i].Path = "document"
 		}
 	}
-	set("limits.max_in_flight", &d.Limits.MaxInFlight, given.Limits.MaxInFlight)
-	set("limits.client_in_flight", &d.Limits.ClientInFlight, given.Limits.ClientInFlight)
-	set("limits.team_in_flight", &d.Limits.TeamInFlight, given.Limits.TeamInFlight)
-	set("limits.queue_delay_ms", &d.Limits.QueueDelayMS, given.Limits.QueueDelayMS)
-	set("limits.retry_percent", &d.Limits.RetryPercent, given.Limits.RetryPercent)
-	set("policy.plan_term_ms", &d.Policy.PlanTermMS, given.Policy.PlanTermMS)
-	set("policy.offer_term_ms", &d.Policy.OfferTermMS, given.Policy.OfferTermMS)
-	set("policy.max_attempts", &d.Policy.MaxAttempts, given.Policy.MaxAttempts)
-	set("policy.queue_limit", &d.Policy.QueueLimit, given.Policy.QueueLimit)
-	for c, v := range given.Classes {
-		d.Classes[c] = v
-	}
-	d.Teams = given.Teams
-	return d
+	return d, problems
 }
 
 // check returns every value that is out of range.
@@ -224,9 +137,14 @@
 		}
 	}
 	for c := range model.NumClasses {
-		path := fmt.Sprintf("classes[%s].", c)
-		within(path+"weight", d.Classes[c].Weight, 1, 1000)
-		within(path+"max_queued", d.Classes[c].MaxQueued, 1, 100_000)
+		path := "classes." + c.String() + "."
+		within(path+"weight", d.Class(c).Weight, 1, 1000)
+		within(path+"max_queued", d.Class(c).MaxQueued, 1, 100_000)
+	}
+	for _, name := range slices.Sorted(maps.Keys(d.Classes)) {
+		if new(model.Class).UnmarshalText([]byte(name)) != nil {
+			problems = append(problems, Problem{"classes." + name, "unknown class"})
+		}
 	}
 	within("limits.max_in_flight", d.Limits.MaxInFlight, 1, 100_000)
 	within("limits.client_in_flight", d.Limits.ClientInFlight, 1, 100_000)
@@ -283,6 +201,9 @@
 	return problems
 }
 
+// Class returns the entry of a class.
+func (d Document) Class(c model.Class) Class { return d.Classes[c.String()] }
+
 // Team returns the entry of a team; the second result is false for a team that is not listed.
 func (d Document) Team(account, team string) (Team, bool) {
 	for _, t := range d.Teams {
