--- a/cmd/lentiltide-standin/main.go
+++ b/cmd/lentiltide-standin/main.go
@@ -47,4 +47,9 @@
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	<-signals
+	counts := c.Observer.Counts()
+	log.WithFields(logrus.Fields{
+		"tasks_started": counts.TasksStarted, "tasks_finished": counts.TasksFinished, "double_runs": counts.DoubleRuns,
+		"reruns": counts.Reruns, "overcommits": counts.Overcommits, "faults": c.Observer.Faults(),
+	}).Info("what the workers saw")
 }
--- a/cmd/lentiltide/internal/command/print.go
+++ b/cmd/lentiltide/internal/command/print.go
@@ -59,29 +59,21 @@
 	}
 }
 
-// statusPrinter prints counts by state and the tasks, those that have not ended first.
-func statusPrinter(all bool) func(io.Writer, intent.Status) {
-	return func(w io.Writer, s intent.Status) {
-		printIntent(w, s.Intent)
-		counts := map[string]int{}
-		for _, t := range s.Tasks {
-			counts[t.State]++
-		}
-		states := make([]string, 0, len(counts))
-		for state, n := range counts {
-			states = append(states, fmt.Sprintf("%d %s", n, state))
-		}
-		sort.Strings(states)
-		fmt.Fprintf(w, "%d tasks: %s\n", len(s.Tasks), strings.Join(states, ", "))
-		tasks := append([]intent.TaskStatus(nil), s.Tasks...)
-		sort.SliceStable(tasks, func(i, j int) bool { return tasks[i].Outcome == nil && tasks[j].Outcome != nil })
-		for i, t := range tasks {
-			if i == maxListed && !all {
-				fmt.Fprintf(w, "  and %d more; --all lists them\n", len(tasks)-i)
-				return
-			}
-			printTask(w, t)
-		}
+func printStatus(w io.Writer, s api.StatusReply) {
+	printIntent(w, s.Intent)
+	total := 0
+	states := make([]string, 0, len(s.Counts))
+	for state, n := range s.Counts {
+		total += n
+		states = append(states, fmt.Sprintf("%d %s", n, state))
+	}
+	sort.Strings(states)
+	fmt.Fprintf(w, "%d tasks: %s\n", total, strings.Join(states, ", "))
+	for _, t := range s.Tasks {
+		printTask(w, t)
+	}
+	if s.Omitted > 0 {
+		fmt.Fprintf(w, "  and %d more; --all lists up to %d\n", s.Omitted, model.MaxTasks)
 	}
 }
 
--- a/cmd/lentiltide/internal/command/requests.go
+++ b/cmd/lentiltide/internal/command/requests.go
@@ -15,7 +15,6 @@
 	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/request/api"
 	"github.com/lentiltide/lentiltide/request/verdict"
-	"github.com/lentiltide/lentiltide/version/intent"
 )
 
 // send asks the instances in order until one can be reached. An instance that could not be reached did not run anything.
@@ -80,11 +79,15 @@
 }
 
 func (c *command) status(ctx context.Context, a *statusArgs) error {
-	var s intent.Status
-	if err := c.get(ctx, "/v1/intents/"+url.PathEscape(a.ID), &s); err != nil {
+	limit := maxListed
+	if a.All {
+		limit = model.MaxTasks
+	}
+	var s api.StatusReply
+	if err := c.get(ctx, "/v1/intents/"+url.PathEscape(a.ID)+"?limit="+strconv.Itoa(limit), &s); err != nil {
 		return err
 	}
-	return show(c, s, statusPrinter(a.All))
+	return show(c, s, printStatus)
 }
 
 func (c *command) explain(ctx context.Context, a *explainArgs) error {
--- a/cmd/lentiltide/internal/demo/calls.go
+++ b/cmd/lentiltide/internal/demo/calls.go
@@ -68,7 +68,21 @@
 		}
 	case verdict.NotRun:
 		r.calls.notRun++
+		r.noteRefusal(err)
 	default:
 		r.calls.unknown++
+		r.noteRefusal(err)
+	}
+}
+
+// maxRefusals bounds the distinct errors of calls that are shown.
+const maxRefusals = 5
+
+// noteRefusal keeps an error for the report, by its code and verdict. Callers hold r.mu.
+func (r *run) noteRefusal(err error) {
+	e := verdict.From(err)
+	key := fmt.Sprintf("%s, %s", e.Verdict, e.Code)
+	if _, ok := r.refusals[key]; ok || len(r.refusals) < maxRefusals {
+		r.refusals[key] = e.Message
 	}
 }
--- a/cmd/lentiltide/internal/demo/client.go
+++ b/cmd/lentiltide/internal/demo/client.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
+	"strconv"
 	"sync"
 	"time"
 
@@ -13,11 +15,12 @@
 	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/request/api"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/intent"
 )
 
 const (
 	// requestBound is how long a caller keeps trying.
-	requestBound = 10 * time.Second
+	requestBound = 8 * time.Second
 	// attemptTimeout bounds one attempt.
 	attemptTimeout = 4 * time.Second
 	// retryBase is the shortest time between two attempts.
@@ -44,10 +47,15 @@
 }
 
 // attempt sends a request once to a random instance.
-func (c *client) attempt(ctx context.Context, path string, header http.Header, body []byte, out any) error {
+func (c *client) attempt(ctx context.Context, method, path string, header http.Header, body []byte, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	_, err := c.instances[rand.IntN(len(c.instances))].Do(ctx, http.MethodPost, path, header, body, out)
+	header = header.Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	header.Set(api.HeaderTimeoutMS, strconv.FormatInt(attemptTimeout.Milliseconds(), 10))
+	_, err := c.instances[rand.IntN(len(c.instances))].Do(ctx, method, path, header, body, out)
 	return err
 }
 
@@ -111,13 +119,27 @@
 	return c.post(ctx, "/v1/intents/"+id+"/cancel", struct{}{}, nil)
 }
 
+// explain asks why one task is in its state.
+func (c *client) explain(ctx context.Context, id string, task model.TaskID) (intent.Explanation, error) {
+	var reply api.ExplainReply
+	path := "/v1/intents/" + id + "/explain?task=" + url.QueryEscape(string(task))
+	err := retry(ctx, func(ctx context.Context) error { return c.attempt(ctx, http.MethodGet, path, nil, nil, &reply) })
+	if err != nil {
+		return intent.Explanation{}, err
+	}
+	if len(reply.Explanations) == 0 {
+		return intent.Explanation{}, errors.New("no explanation")
+	}
+	return reply.Explanations[0], nil
+}
+
 // post repeats a request that has the same effect once or many times.
 func (c *client) post(ctx context.Context, path string, in, out any) error {
 	body, err := encode(in)
 	if err != nil {
 		return err
 	}
-	return retry(ctx, func(ctx context.Context) error { return c.attempt(ctx, path, nil, body, out) })
+	return retry(ctx, func(ctx context.Context) error { return c.attempt(ctx, http.MethodPost, path, nil, body, out) })
 }
 
 // ticket returns an unused ticket.
@@ -140,7 +162,8 @@
 }
 
 // call runs one order. It repeats attempts with the same ticket, which runs at most once. A new ticket is taken only
-// when every attempt with the old one certainly did not run.
+// when every attempt with the old one certainly did not run: the owner says so (conflict), or an owner without a record of
+// the ticket refuses the first attempt (expired).
 func (c *client) call(ctx context.Context, id, order string) (reply api.CallReply, err error) {
 	body, err := encode(api.CallRequest{Payload: order})
 	if err != nil {
@@ -154,8 +177,13 @@
 			return reply, verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "tickets")
 		}
 		reply, sentBefore, err := c.callTicket(ctx, id, ticket, body)
-		expired := err != nil && verdict.From(err).Code == verdict.CodeExpired
-		if !expired || sentBefore || ctx.Err() != nil {
+		if err == nil || ctx.Err() != nil {
+			return reply, err
+		}
+		e := verdict.From(err)
+		cancelled := e.Code == verdict.CodeConflict && e.Verdict == verdict.NotRun
+		expired := e.Code == verdict.CodeExpired && !sentBefore
+		if !cancelled && !expired {
 			return reply, err
 		}
 	}
@@ -166,7 +194,7 @@
 	header := http.Header{api.HeaderTicket: {ticket}}
 	for {
 		reply = api.CallReply{}
-		err = c.attempt(ctx, "/v1/intents/"+id+"/calls", header, body, &reply)
+		err = c.attempt(ctx, http.MethodPost, "/v1/intents/"+id+"/calls", header, body, &reply)
 		if err == nil || final(err) {
 			return reply, sentBefore, err
 		}
--- a/cmd/lentiltide/internal/demo/demo.go
+++ b/cmd/lentiltide/internal/demo/demo.go
@@ -41,7 +41,7 @@
 		if err != nil {
 			return err
 		}
-		runs[i] = &run{deployment: d, printer: printer, answered: map[string]string{}}
+		runs[i] = &run{deployment: d, printer: printer, answered: map[string]string{}, refusals: map[string]string{}}
 	}
 	errs := make([]error, len(runs))
 	var wg sync.WaitGroup
--- a/cmd/lentiltide/internal/demo/run.go
+++ b/cmd/lentiltide/internal/demo/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"time"
 
@@ -22,7 +23,9 @@
 	sessionRenew = 300 * time.Millisecond
 	sessionTerm  = 1500 * time.Millisecond
 	// finishBound is how long confirmed work may take after the last call.
-	finishBound = 12 * time.Second
+	finishBound = 8 * time.Second
+	// cancelBound is how long cancelled work may go on.
+	cancelBound = 3 * time.Second
 	// progressEvery is the time between progress lines.
 	progressEvery = time.Second
 	// pollEvery is the time between looks at the observer.
@@ -60,6 +63,7 @@
 	mu       sync.Mutex
 	answered map[string]string // call name to wrong answer, empty if right
 	calls    callCounts
+	refusals map[string]string // verdict and code to an example
 }
 
 func (r *run) say(format string, args ...any) { r.printer.line(r.deployment.Name, format, args...) }
@@ -80,9 +84,10 @@
 	})
 	r.sendCalls(ctx, calls)
 	kill.Stop()
-	r.await(r.missing)
+	r.await(finishBound, r.missing)
 	stopProgress()
 	r.check()
+	r.explainUnfinished(ctx)
 	return r.cancelServices(ctx)
 }
 
@@ -244,9 +249,9 @@
 	}
 }
 
-// await waits until missing returns nothing, at most finishBound.
-func (r *run) await(missing func() []string) {
-	for end := time.Now().Add(finishBound); len(missing()) > 0 && time.Now().Before(end); {
+// await waits until missing returns nothing, at most bound.
+func (r *run) await(bound time.Duration, missing func() []string) {
+	for end := time.Now().Add(bound); len(missing()) > 0 && time.Now().Before(end); {
 		time.Sleep(pollEvery)
 	}
 }
@@ -286,11 +291,34 @@
 	}
 	counts, calls := r.cell.Observer.Counts(), r.callCounts()
 	r.say("calls: %d sent, %d ran, %d did not run, %d may have run", calls.sent, calls.ran, calls.notRun, calls.unknown)
+	r.mu.Lock()
+	for key, example := range r.refusals {
+		r.say("  %s, for example: %s", key, example)
+	}
+	r.mu.Unlock()
 	r.say("observer: started %d, finished %d, double runs %d, overcommits %d, lost %d, wait p50 %.1f ms, p99 %.1f ms",
 		counts.TasksStarted, counts.TasksFinished, counts.DoubleRuns+counts.Reruns, counts.Overcommits, r.lost,
 		counts.WaitP50MS, counts.WaitP99MS)
 }
 
+// explainUnfinished prints why the first unfinished task of each intent has not finished, as the scheduler sees it.
+func (r *run) explainUnfinished(ctx context.Context) {
+	for _, c := range r.intents {
+		for _, id := range c.tasks() {
+			if c.spec.Kind.Restarts() || r.cell.Observer.Finished(id) > 0 {
+				continue
+			}
+			e, err := r.client.explain(ctx, c.id, id)
+			if err != nil {
+				r.say("explain %s: %v", id, err)
+				break
+			}
+			r.say("%s is %s: %s", id, e.Task.State, strings.Join(e.Reasons, "; "))
+			break
+		}
+	}
+}
+
 // cancelServices ends the work that would run for ever.
 func (r *run) cancelServices(ctx context.Context) error {
 	for _, c := range r.intents {
@@ -302,7 +330,7 @@
 		}
 		r.say("cancelled %s", c.spec.Name)
 	}
-	r.await(func() []string {
+	r.await(cancelBound, func() []string {
 		var running []string
 		for _, c := range r.intents {
 			for _, id := range c.tasks() {
--- a/process/instance/execute.go
+++ b/process/instance/execute.go
@@ -48,13 +48,19 @@
 	}
 }
 
-// offer offers tasks once. A lost offer is repeated when its term ends.
+// offer offers tasks once. Tasks that were not queued, or may not have been, are offered again.
 func (r *intentRunner) offer(e intent.OfferTasks) {
 	reply, err := r.in.ask(r.ctx, ownership.Rack(e.Rack), &peerpb.Request{Body: &peerpb.Request_Offer{Offer: &peerpb.Offer{
 		Rack: e.Rack, IntentEpoch: r.core.Epoch(), Tasks: peer.TasksToProto(e.Tasks), Victims: taskNames(e.Victims),
 	}}})
-	if err == nil && len(reply.GetOffer().GetRefused()) > 0 {
-		r.core.Refused(e.Rack, taskIDs(reply.GetOffer().GetRefused()))
+	refused := taskIDs(reply.GetOffer().GetRefused())
+	if err != nil {
+		for _, t := range e.Tasks {
+			refused = append(refused, t.ID)
+		}
+	}
+	if len(refused) > 0 {
+		r.core.Refused(r.now(), e.Rack, refused)
 	}
 }
 
--- a/process/instance/intents.go
+++ b/process/instance/intents.go
@@ -129,7 +129,7 @@
 // tick gives the core the current view of the cell and executes what is due.
 func (r *intentRunner) tick() {
 	view := r.in.cellView()
-	r.core.SetRacks(view.racks)
+	r.core.SetRacks(r.now(), view.racks)
 	r.core.SetPool(r.in.usages.pool(view, r.partition()))
 	r.core.SetOlderGang(r.in.usages.olderGang(r.partition()))
 	r.execute(r.core.Tick(r.now()))
--- a/process/instance/usage.go
+++ b/process/instance/usage.go
@@ -14,7 +14,10 @@
 )
 
 const (
-	// usageEvery is the time between messages about quota use to the other instances.
+	// usageCheck is the time between checks whether the other instances have to be told something new. A gang that has
+	// started is told at once, since younger gangs wait for it.
+	usageCheck = 500 * time.Millisecond
+	// usageEvery is the time between messages about quota use.
 	usageEvery = 2 * time.Second
 	// usageTerm is how long the last message about a partition counts.
 	usageTerm = 10 * time.Second
@@ -96,7 +99,9 @@
 		b.items[n] = usageItem{
 			epoch: p.GetEpoch(), at: b.now(),
 			usage: intent.Usage{Borrowed: peer.ResourcesFromProto(p.GetBorrowed()), Short: peer.ResourcesFromProto(p.GetShort())},
-			gang:  intent.GangAge{Intent: p.GetGangIntent(), ConfirmedAt: time.UnixMilli(p.GetGangConfirmedUnixMs())},
+			gang: intent.GangAge{
+				Intent: p.GetGangIntent(), Since: time.UnixMilli(p.GetGangSinceUnixMs()), Missing: int(p.GetGangMissing()),
+			},
 		}
 	}
 }
@@ -134,20 +139,27 @@
 	return oldest
 }
 
-// spreadUsages tells all instances what the intent partitions served here borrow, lack and wait for. Partitions with
-// nothing to tell are left out; what was told about them ends with its term.
+// spreadUsages tells all instances what the intent partitions served here borrow, lack and wait for. A partition with
+// nothing to tell is left out once it has told so.
 func (in *Instance) spreadUsages() {
-	in.every(in.ctx, usageEvery, func() {
+	told := map[int]*peerpb.PartitionUsage{}
+	var quotasTold time.Time
+	in.every(in.ctx, usageCheck, func() {
+		now := in.opts.Clock.Now()
+		all := now.Sub(quotasTold) >= usageEvery
+		if all {
+			quotasTold = now
+		}
 		m := &peerpb.Usages{}
 		for _, r := range in.intentRunners() {
-			u, g := r.core.Usage(r.now()), r.core.OldestGang()
-			if u.Borrowed.IsZero() && u.Short.IsZero() && g.IsZero() {
+			u := r.usage()
+			last := told[r.partition()]
+			sameGang := last.GetGangIntent() == u.GetGangIntent()
+			if sameGang && (!all || (emptyUsage(u) && emptyUsage(last))) {
 				continue
 			}
-			m.Items = append(m.Items, &peerpb.PartitionUsage{
-				Partition: uint32(r.partition()), Epoch: r.core.Epoch(), Borrowed: peer.ResourcesToProto(u.Borrowed),
-				Short: peer.ResourcesToProto(u.Short), GangIntent: g.Intent, GangConfirmedUnixMs: g.ConfirmedAt.UnixMilli(),
-			})
+			told[r.partition()] = u
+			m.Items = append(m.Items, u)
 		}
 		if len(m.Items) > 0 {
 			in.spreadUsage(m)
@@ -155,6 +167,26 @@
 	})
 }
 
+// usage returns what the others need to know of the partition.
+func (r *intentRunner) usage() *peerpb.PartitionUsage {
+	u, g := r.core.Usage(r.now()), r.core.OldestGang()
+	p := &peerpb.PartitionUsage{Partition: uint32(r.partition()), Epoch: r.core.Epoch()}
+	if !u.Borrowed.IsZero() {
+		p.Borrowed = peer.ResourcesToProto(u.Borrowed)
+	}
+	if !u.Short.IsZero() {
+		p.Short = peer.ResourcesToProto(u.Short)
+	}
+	if !g.IsZero() {
+		p.GangIntent, p.GangSinceUnixMs, p.GangMissing = g.Intent, g.Since.UnixMilli(), uint32(g.Missing)
+	}
+	return p
+}
+
+func emptyUsage(u *peerpb.PartitionUsage) bool {
+	return u.GetBorrowed() == nil && u.GetShort() == nil && u.GetGangIntent() == ""
+}
+
 func (in *Instance) spreadUsage(m *peerpb.Usages) {
 	in.usages.take(m)
 	for _, session := range in.owners.Sessions() {
--- a/request/api/api.go
+++ b/request/api/api.go
@@ -7,8 +7,6 @@
 	"context"
 	"net/http"
 	"path"
-	"strconv"
-	"strings"
 	"time"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
@@ -51,6 +49,7 @@
 	Confirm(ctx context.Context, partition int, planID string) (model.Intent, error)
 	Cancel(ctx context.Context, partition int, id string) (model.Intent, error)
 	Status(partition int, id string) (intent.Status, error)
+	Explain(ctx context.Context, partition int, task model.TaskID) (intent.Explanation, error)
 	Tickets(partition int, id string, count int) ([]model.StartToken, error)
 	Call(ctx context.Context, partition int, id string, ticket model.StartToken, payload []byte) (model.Outcome, error)
 	Dump(limit int) instance.Dump
@@ -106,7 +105,7 @@
 	r.POST("/plans", s.handle(operation{name: "plan", class: model.ClassService, partition: s.partitionOfSpec, serve: s.plan}))
 	r.GET("/plans/{id}", s.handle(operation{name: "get_plan", class: model.ClassService, readOnly: true, partition: s.partitionOfID, serve: s.getPlan}))
 	r.POST("/plans/{id}/confirm", s.handle(operation{name: "confirm", class: model.ClassUrgent, partition: s.partitionOfID, serve: s.confirm}))
-	r.GET("/intents/{id}", s.handle(operation{name: "status", class: model.ClassService, readOnly: true, partition: s.partitionOfID, serve: s.status}))
+	r.GET("/intents/{id}", s.handle(operation{name: "status", class: model.ClassService, readOnly: true, query: []string{"limit"}, partition: s.partitionOfID, serve: s.status}))
 	r.POST("/intents/{id}/cancel", s.handle(operation{name: "cancel", class: model.ClassUrgent, partition: s.partitionOfID, serve: s.cancel}))
 	r.POST("/intents/{id}/tickets", s.handle(operation{name: "tickets", class: model.ClassShort, partition: s.partitionOfID, serve: s.tickets}))
 	r.POST("/intents/{id}/calls", s.handle(operation{name: "call", class: model.ClassShort, partition: s.partitionOfID, serve: s.call}))
@@ -184,174 +183,3 @@
 
 // HTTP returns the kratos server, which is started and stopped by the caller.
 func (s *Server) HTTP() *khttp.Server { return s.http }
-
-// partitionOfSpec finds the partition of a stated intent.
-func (s *Server) partitionOfSpec(req *request) (int, error) {
-	if err := req.decode(&req.spec); err != nil {
-		return 0, err
-	}
-	if err := req.spec.Check(); err != nil {
-		return 0, err
-	}
-	if err := req.spec.CheckAt(s.opts.Clock.Now()); err != nil {
-		return 0, err
-	}
-	if err := s.checkGang(req.spec); err != nil {
-		return 0, err
-	}
-	return model.IntentPartition(req.spec.Account, req.spec.Team), nil
-}
-
-// checkGang refuses a gang that cannot run at once even in an empty cell. An empty list of workers proves nothing.
-func (s *Server) checkGang(spec model.IntentSpec) error {
-	workers := s.backend.WorkerCapacities()
-	if spec.Kind != model.KindGang || len(workers) == 0 {
-		return nil
-	}
-	room := int64(0)
-	for _, capacity := range workers {
-		room += spec.Each.Copies(capacity)
-	}
-	if int64(spec.Tasks) > room {
-		return verdict.Invalid("tasks", "expected at most %d, which is how many of these tasks the whole empty cell holds at once, got %d", room, spec.Tasks)
-	}
-	return nil
-}
-
-// partitionOfID finds the partition in an id such as i17-….
-func (s *Server) partitionOfID(req *request) (int, error) {
-	head, _, ok := strings.Cut(req.id, "-")
-	if !ok || len(head) < 2 || (head[0] != 'i' && head[0] != 'p') {
-		return 0, verdict.Invalid("id", "expected an id of a plan or an intent, got %q", req.id)
-	}
-	n, err := strconv.Atoi(head[1:])
-	if err != nil || n < 0 || n >= model.IntentPartitions {
-		return 0, verdict.Invalid("id", "expected an id of a plan or an intent, got %q", req.id)
-	}
-	return n, nil
-}
-
-func (s *Server) plan(ctx context.Context, req *request) (any, error) {
-	return s.backend.Plan(ctx, req.partition, req.spec)
-}
-
-func (s *Server) getPlan(_ context.Context, req *request) (any, error) {
-	return s.backend.GetPlan(req.partition, req.id)
-}
-
-func (s *Server) confirm(ctx context.Context, req *request) (any, error) {
-	if err := req.decode(&struct{}{}); err != nil {
-		return nil, err
-	}
-	return s.backend.Confirm(ctx, req.partition, req.id)
-}
-
-func (s *Server) cancel(ctx context.Context, req *request) (any, error) {
-	if err := req.decode(&struct{}{}); err != nil {
-		return nil, err
-	}
-	return s.backend.Cancel(ctx, req.partition, req.id)
-}
-
-func (s *Server) status(_ context.Context, req *request) (any, error) {
-	return s.backend.Status(req.partition, req.id)
-}
-
-func (s *Server) dump(_ context.Context, req *request) (any, error) {
-	limit := instance.DefaultDumpLimit
-	if text := req.query.Get("limit"); text != "" {
-		n, err := strconv.Atoi(text)
-		if err != nil || n < 1 || n > instance.MaxDumpLimit {
-			return nil, verdict.Invalid("limit", "expected 1 to %d entries, got %q", instance.MaxDumpLimit, text)
-		}
-		limit = n
-	}
-	return s.backend.Dump(limit), nil
-}
-
-// TicketsRequest asks for a block of tickets.
-type TicketsRequest struct {
-	Count int `json:"count"`
-}
-
-// TicketsReply holds tickets in the form of HeaderTicket.
-type TicketsReply struct {
-	Tickets []string `json:"tickets"`
-}
-
-func (s *Server) tickets(_ context.Context, req *request) (any, error) {
-	var in TicketsRequest
-	if err := req.decode(&in); err != nil {
-		return nil, err
-	}
-	tickets, err := s.backend.Tickets(req.partition, req.id, in.Count)
-	if err != nil {
-		return nil, err
-	}
-	reply := TicketsReply{Tickets: make([]string, len(tickets))}
-	for i, t := range tickets {
-		reply.Tickets[i] = FormatTicket(t)
-	}
-	return reply, nil
-}
-
-// CallRequest is a call of a standing intent.
-type CallRequest struct {
-	// Payload is passed to the worker unchanged.
-	Payload string `json:"payload"`
-}
-
-// CallReply is the answer of a call.
-type CallReply struct {
-	Task    model.TaskID    `json:"task"`
-	Verdict verdict.Verdict `json:"verdict"`
-	// Answer is what the task returned.
-	Answer string `json:"answer"`
-}
-
-func (s *Server) call(ctx context.Context, req *request) (any, error) {
-	var in CallRequest
-	if err := req.decode(&in); err != nil {
-		return nil, err
-	}
-	if len(in.Payload) > model.MaxPayloadBytes {
-		return nil, verdict.Invalid("payload", "expected at most %d bytes, got %d", model.MaxPayloadBytes, len(in.Payload))
-	}
-	ticket, err := callTicket(req.header)
-	if err != nil {
-		return nil, err
-	}
-	out, err := s.backend.Call(ctx, req.partition, req.id, ticket, []byte(in.Payload))
-	if err != nil {
-		return nil, err
-	}
-	return callReply(out)
-}
-
-// callTicket reads the headers that keep a call from running twice.
-func callTicket(header http.Header) (model.StartToken, error) {
-	ticket, err := ParseTicket(header.Get(HeaderTicket))
-	key := header.Get(HeaderIdempotencyKey)
-	switch {
-	case err != nil:
-		return ticket, err
-	case key != "" && !visible(key, maxHeaderText):
-		return ticket, verdict.Invalid(HeaderIdempotencyKey, "expected 1 to %d visible ASCII characters", maxHeaderText)
-	case key != "" && !ticket.IsZero():
-		return ticket, verdict.Invalid(HeaderIdempotencyKey, "expected either a ticket or an %s, got both", HeaderIdempotencyKey)
-	}
-	return ticket, nil
-}
-
-func callReply(out model.Outcome) (any, error) {
-	switch out.State {
-	case model.OutcomeFinished:
-		return CallReply{Task: out.Task, Verdict: verdict.Ran, Answer: string(out.Answer)}, nil
-	case model.OutcomeFailed:
-		return nil, verdict.New(verdict.Ran, verdict.CodeFailed, "the task failed: %s", out.Error)
-	case model.OutcomeNotStarted:
-		return nil, verdict.New(verdict.NotRun, verdict.CodeConflict, "the call was cancelled before it started")
-	default:
-		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the outcome of the call is unknown: %s", out.State)
-	}
-}
--- a/request/api/api_test.go
+++ b/request/api/api_test.go
@@ -73,6 +73,10 @@
 	return intent.Status{Intent: model.Intent{ID: id}}, nil
 }
 
+func (b *fakeBackend) Explain(_ context.Context, _ int, id model.TaskID) (intent.Explanation, error) {
+	return intent.Explanation{Task: intent.TaskStatus{ID: id}, Reasons: []string{"waits"}}, nil
+}
+
 func (b *fakeBackend) Tickets(n int, _ string, count int) ([]model.StartToken, error) {
 	if count < 1 || count > 10 {
 		return nil, verdict.Invalid("count", "expected 1 to 10")
@@ -183,6 +187,7 @@
 		{"get plan", "GET", "/v1/plans/p1-a%2Fb", ""},
 		{"stale plan", "POST", "/v1/plans/p1-a/confirm", ""},
 		{"status", "GET", "/v1/intents/i1-a", ""},
+		{"explain", "GET", "/v1/intents/i1-a/explain?task=0.1", ""},
 		{"query", "GET", "/v1/intents/i1-a?x=1", ""},
 		{"panic", "GET", "/v1/intents/i1-panic", ""},
 		{"call", "POST", "/v1/intents/i1-a/calls", `{"payload":"lane 4"}`},
--- a/version/intent/core.go
+++ b/version/intent/core.go
@@ -118,10 +118,13 @@
 	reclaimed bool
 
 	// A waiting task: its next offer and the racks that may have it queued.
-	offer      offerEntry
-	notBefore  time.Time
-	tries      int
-	offered    []string
+	offer     offerEntry
+	notBefore time.Time
+	tries     int
+	offered   []string
+	// sentMS and sentEach are the hints of the last offer.
+	sentMS     int64
+	sentEach   model.Resources
 	preferRack string
 	victims    []model.TaskID
 
--- a/version/intent/gang.go
+++ b/version/intent/gang.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -58,12 +59,17 @@
 	epochs map[string]uint64
 	held   map[*taskState]string
 	reason string
+	// oldestSince is when the gang began to keep its holds; yielded is when it gave that up.
+	oldestSince, yielded time.Time
 }
 
 // GangAge orders waiting gangs of all partitions.
 type GangAge struct {
-	ConfirmedAt time.Time
-	Intent      string
+	// Since is when the gang was confirmed, or when it last gave up a start reservation.
+	Since  time.Time
+	Intent string
+	// Missing counts the members that are not held.
+	Missing int
 }
 
 // IsZero reports whether there is no gang.
@@ -75,14 +81,18 @@
 		return !a.IsZero()
 	}
 	// Messages carry milliseconds.
-	if x, y := a.ConfirmedAt.UnixMilli(), b.ConfirmedAt.UnixMilli(); x != y {
+	if x, y := a.Since.UnixMilli(), b.Since.UnixMilli(); x != y {
 		return x < y
 	}
 	return a.Intent < b.Intent
 }
 
 func (g *gangState) age() GangAge {
-	return GangAge{ConfirmedAt: g.intent.intent.ConfirmedAt, Intent: g.intent.intent.ID}
+	since := g.intent.intent.ConfirmedAt
+	if g.yielded.After(since) {
+		since = g.yielded
+	}
+	return GangAge{Since: since, Intent: g.intent.intent.ID, Missing: len(g.open()) - len(g.held)}
 }
 
 // waits reports whether the gang has not started and nothing of it runs.
@@ -173,7 +183,7 @@
 				continue
 			}
 			g.phase = gangHolding
-			g.order, g.next = c.gangRacks(g), 0
+			g.order, g.next = c.gangRacks(now, g), 0
 			effects = append(effects, c.holdNext(now, g)...)
 		}
 	}
@@ -192,14 +202,38 @@
 			return nil
 		}
 	}
+	if !c.isOldest(g) && !c.roomBehindOlder(g) {
+		g.reason = "there is no room for it next to the gangs that wait longer"
+		c.gangWaits(now, g, time.Duration(c.rng.Int64N(int64(c.policy.ReserveRetry)+1)))
+		return nil
+	}
 	g.attempt++
 	g.hold = fmt.Sprintf("%s/%d/%d", g.intent.intent.ID, c.epoch, g.attempt)
 	g.phase = gangHolding
 	g.asked, g.epochs, g.held = map[string]time.Time{}, map[string]uint64{}, map[*taskState]string{}
-	g.order, g.next = c.gangRacks(g), 0
+	g.order, g.next = c.gangRacks(now, g), 0
 	return c.holdNext(now, g)
 }
 
+// roomBehindOlder reports whether the racks seem to have room for a gang and for the older ones that wait. Callers hold
+// c.mu.
+func (c *Core) roomBehindOlder(g *gangState) bool {
+	need := int64(len(g.open()))
+	if c.olderGang.Older(g.age()) {
+		need += int64(c.olderGang.Missing)
+	}
+	for _, other := range c.gangs {
+		if age := other.age(); other.waits() && other.admitted() && age.Older(g.age()) {
+			need += int64(age.Missing)
+		}
+	}
+	demand := Demand(g.open()[0].current())
+	for _, r := range c.racks {
+		need -= roomFor(r, demand)
+	}
+	return need <= 0
+}
+
 // requestGang asks for the admission of all open members together. After a takeover only those are charged that ran.
 // Callers hold c.mu.
 func (c *Core) requestGang(now time.Time, g *gangState) {
@@ -215,24 +249,37 @@
 	c.request(now, open[0])
 }
 
-// gangRacks returns the racks to ask, in ascending order: for the oldest gang all, otherwise as many as are needed by
-// their free capacity as last seen, those with the most room first. Callers hold c.mu.
-func (c *Core) gangRacks(g *gangState) []string {
+// gangRacks returns the racks to ask, in ascending order. The oldest gang asks all racks that seem to have room, and those
+// whose holds are to be renewed; others ask as many as are needed by the free capacity as last seen, those with the most
+// room first. A gang that displaces other work asks all racks. Callers hold c.mu.
+func (c *Core) gangRacks(now time.Time, g *gangState) []string {
 	open := g.open()
 	demand := Demand(open[0].current())
-	racks := slices.Clone(c.racks)
-	if !c.isOldest(g) {
-		room := func(r RackView) int64 { return roomFor(r, demand) }
-		sort.SliceStable(racks, func(i, j int) bool { return room(racks[i]) > room(racks[j]) })
-		// Half more than needed, since the view lags and free capacity is split between workers.
-		need := int64(len(open)) * 3 / 2
-		n := 0
-		for n < len(racks) && need > 0 && room(racks[n]) > 0 {
-			need -= room(racks[n])
-			n++
-		}
-		racks = racks[:n]
+	if len(open[0].victims) > 0 {
+		return rackNames(c.racks)
 	}
+	racks := slices.Clone(c.racks)
+	if c.isOldest(g) {
+		return rackNames(slices.DeleteFunc(racks, func(r RackView) bool {
+			asked, ok := g.asked[r.Rack]
+			renew := ok && now.Sub(asked) >= c.policy.HoldTerm/3
+			return !renew && roomFor(r, demand) == 0
+		}))
+	}
+	room := func(r RackView) int64 { return roomFor(r, demand) }
+	sort.SliceStable(racks, func(i, j int) bool { return room(racks[i]) > room(racks[j]) })
+	// Half more than needed, since the view lags and free capacity is split between workers.
+	need := int64(len(open)) * 3 / 2
+	n := 0
+	for n < len(racks) && need > 0 && room(racks[n]) > 0 {
+		need -= room(racks[n])
+		n++
+	}
+	return rackNames(racks[:n])
+}
+
+// rackNames returns the names of racks, sorted.
+func rackNames(racks []RackView) []string {
 	names := make([]string, len(racks))
 	for i, r := range racks {
 		names[i] = r.Rack
@@ -305,8 +352,15 @@
 	if !c.isOldest(g) {
 		return c.gangBacksOff(now, g, reason)
 	}
+	if g.oldestSince.IsZero() {
+		g.oldestSince = now
+	}
+	if now.Sub(g.oldestSince) > c.policy.MaxReservation {
+		g.yielded, g.oldestSince = now, time.Time{}
+		return c.gangBacksOff(now, g, reason+"; gave up its start reservation")
+	}
 	g.phase, g.reason = gangReserved, reason
-	g.notBefore = now.Add(c.policy.HoldTerm / 3)
+	g.notBefore = now.Add(c.policy.ReserveRetry)
 	return nil
 }
 
@@ -395,14 +449,14 @@
 	}
 	g.intent.intent.Starts++
 	for _, rack := range g.held {
-		if now.Sub(g.asked[rack]) > c.policy.HoldTerm/2 {
+		if now.Sub(g.asked[rack]) > c.policy.HoldTerm*3/4 {
 			return c.gangBacksOff(now, g, "recording its start took too long")
 		}
 		if g.epochs[rack] < c.rackEpochs[rack] {
 			return c.gangBacksOff(now, g, "a rack that held members got a new owner")
 		}
 	}
-	g.phase = gangRunning
+	g.phase, g.oldestSince = gangRunning, time.Time{}
 	byRack := map[string]*StartHeld{}
 	for _, m := range g.open() {
 		rack := g.held[m]
@@ -414,11 +468,9 @@
 		byRack[rack].Tokens = append(byRack[rack].Tokens, m.token)
 	}
 	effects := c.releaseUnused(g, byRack)
-	for _, rack := range g.order {
-		if s := byRack[rack]; s != nil {
-			effects = append(effects, *s)
-			delete(byRack, rack)
-		}
+	// A rack that was asked in an earlier pass only is not in g.order any more.
+	for _, rack := range slices.Sorted(maps.Keys(byRack)) {
+		effects = append(effects, *byRack[rack])
 	}
 	g.asked, g.held = nil, nil
 	return effects
--- a/version/intent/history_test.go
+++ b/version/intent/history_test.go
@@ -74,7 +74,7 @@
 	w := &world{
 		t: t, now: testNow, rows: map[string]model.Intent{}, journal: map[model.TaskID]model.Outcome{},
 		finished: map[model.TaskID]int{}, policy: DefaultPolicy(),
-		quota: testQuotas{"small": {Limit: model.Resources{Slots: 4}, Share: model.Resources{Slots: 2}}},
+		quota: testQuotas{"small": {Limit: model.Resources{Slots: 9}, Share: model.Resources{Slots: 4}}},
 	}
 	for i := range 3 {
 		w.racks = append(w.racks, &fakeRack{name: fmt.Sprintf("rack-%d", i), epoch: 1, slots: 5})
@@ -123,7 +123,7 @@
 		pool.Free, pool.Capacity = pool.Free.Add(free), pool.Capacity.Add(model.Resources{CPUMilli: 1000 * int64(r.slots), Slots: int64(r.slots)})
 		views = append(views, RackView{Rack: r.name, Zone: fmt.Sprintf("zone-%d", i%2), Epoch: r.epoch, Free: free, Largest: free})
 	}
-	w.core.SetRacks(views)
+	w.core.SetRacks(w.now, views)
 	w.core.SetPool(pool)
 }
 
@@ -170,7 +170,9 @@
 	switch e := e.(type) {
 	case OfferTasks:
 		for _, task := range e.Tasks {
-			if _, runs := w.rack(e.Rack).running[task.ID]; !runs && !w.lost() {
+			if w.lost() {
+				w.core.Refused(w.now, e.Rack, []model.TaskID{task.ID})
+			} else if _, runs := w.rack(e.Rack).running[task.ID]; !runs {
 				w.rack(e.Rack).queue[task.ID] = task
 			}
 		}
@@ -384,7 +386,7 @@
 	kinds := []model.Kind{model.KindBatch, model.KindGang, model.KindService, model.KindRecurring}
 	spec := model.IntentSpec{
 		Account: "office", Team: rapid.SampledFrom([]string{"small", "free"}).Draw(w.t, "team"), Name: "n",
-		Kind: rapid.SampledFrom(kinds).Draw(w.t, "kind"), Tasks: rapid.IntRange(1, 4).Draw(w.t, "tasks"),
+		Kind: rapid.SampledFrom(kinds).Draw(w.t, "kind"), Tasks: rapid.IntRange(1, 9).Draw(w.t, "tasks"),
 		Preemptible: rapid.Bool().Draw(w.t, "preemptible"),
 	}
 	if spec.Kind == model.KindRecurring {
--- a/version/intent/kinds_test.go
+++ b/version/intent/kinds_test.go
@@ -24,7 +24,7 @@
 
 func newCore(racks []RackView) *Core {
 	c := New(3, 1, DefaultPolicy())
-	c.SetRacks(racks)
+	c.SetRacks(testNow, racks)
 	return c
 }
 
@@ -96,7 +96,7 @@
 // were charged to the quota, and the gang was never admitted as a whole.
 func TestPartlyChargedGangStartsAgain(t *testing.T) {
 	c := New(3, 2, DefaultPolicy())
-	c.SetRacks(views(2, 1, 8))
+	c.SetRacks(testNow, views(2, 1, 8))
 	in := confirmed("i3-g", model.IntentSpec{Kind: model.KindGang, Tasks: 2})
 	c.Restore(testNow, in, nil)
 	token := model.StartToken{Partition: 3, Epoch: 1, Sequence: 1}
@@ -164,7 +164,7 @@
 // younger, of this or another partition, gives way.
 func TestOldestGangKeepsItsHolds(t *testing.T) {
 	for name, other := range map[string]GangAge{
-		"older": {ConfirmedAt: testNow.Add(-time.Second), Intent: "i9-o"}, "younger": {ConfirmedAt: testNow.Add(time.Second), Intent: "i9-y"},
+		"older": {Since: testNow.Add(-time.Second), Intent: "i9-o"}, "younger": {Since: testNow.Add(time.Second), Intent: "i9-y"},
 	} {
 		c := newCore(views(1, 1, 8))
 		c.SetOlderGang(other)
@@ -182,6 +182,28 @@
 	}
 }
 
+// TestReservedGangStartsEverywhere guards against a gang that starts in part: a rack that was asked in an earlier pass only
+// was left out of the start.
+func TestReservedGangStartsEverywhere(t *testing.T) {
+	racks := views(2, 1, 1)
+	racks[1].Largest, racks[1].Free = model.Resources{}, model.Resources{}
+	c := newCore(racks)
+	effects := c.Confirmed(testNow, confirmed("i3-g", model.IntentSpec{Kind: model.KindGang, Tasks: 2, Each: model.Resources{CPUMilli: 1000}}))
+	hold := effects[0].(HoldTasks)
+	assert.Equal(t, hold.Rack, "rack-0")
+	c.HoldAnswered(testNow, "i3-g", hold.Hold, "rack-0", 1, []model.Placement{{Task: "i3-g/0.0"}})
+	// Now the other rack has room and the first has none.
+	racks = views(2, 1, 1)
+	racks[0].Largest, racks[0].Free = model.Resources{}, model.Resources{}
+	c.SetRacks(testNow, racks)
+	effects = c.Tick(testNow.Add(c.policy.ReserveRetry))
+	assert.Equal(t, effects[0].(HoldTasks).Rack, "rack-1")
+	effects = c.HoldAnswered(testNow, "i3-g", hold.Hold, "rack-1", 1, []model.Placement{{Task: "i3-g/0.1"}})
+	assert.Equal(t, count[CommitGang](effects), 1)
+	effects = c.GangCommitted(testNow.Add(time.Second), "i3-g", hold.Hold, true)
+	assert.Equal(t, count[StartHeld](effects), 2)
+}
+
 // TestRecurringRuns guards against a period with two runs, overlapping runs, and runs made up for periods that passed.
 func TestRecurringRuns(t *testing.T) {
 	c := newCore(views(1, 1, 8))
@@ -209,7 +231,7 @@
 
 	// A successor continues the recorded run and starts no second one in its period.
 	next := New(3, 2, DefaultPolicy())
-	next.SetRacks(views(1, 1, 8))
+	next.SetRacks(testNow, views(1, 1, 8))
 	next.Restore(late, in, nil)
 	assert.Assert(t, !run(next, late))
 	next.RacksAnswered(late)
@@ -330,7 +352,22 @@
 	}
 	// Ten seconds at the rate, and one second's worth that had been saved up.
 	assert.Assert(t, repeated <= int(11*c.policy.ReoffersPerSecond), "%d repeated offers", repeated)
-	assert.Assert(t, repeated >= 10_000)
+	assert.Assert(t, repeated >= int(9*c.policy.ReoffersPerSecond), "%d repeated offers", repeated)
+}
+
+// TestLostQueueIsOfferedAgain guards against a task that waits in the queue of a rack whose owner, and with it the queue,
+// is gone, and against one whose offer was refused.
+func TestLostQueueIsOfferedAgain(t *testing.T) {
+	racks := views(1, 1, 8)
+	c := newCore(racks)
+	c.Confirmed(testNow, confirmed("i3-b", model.IntentSpec{Kind: model.KindBatch, Tasks: 2}))
+	assert.Equal(t, len(offered(c.Tick(testNow.Add(time.Minute)))), 0)
+	again := views(1, 1, 8)
+	again[0].Epoch = 2
+	c.SetRacks(testNow.Add(time.Minute), again)
+	assert.Equal(t, len(offered(c.Tick(testNow.Add(time.Minute)))), 2)
+	c.Refused(testNow.Add(time.Minute), "rack-0", []model.TaskID{"i3-b/0.1"})
+	assert.Equal(t, len(offered(c.Tick(testNow.Add(time.Minute+noRackRetry)))), 1)
 }
 
 // TestCancelWave guards against a cancellation that leaves a task without a verdict or sends one message for each.
--- a/version/intent/offer.go
+++ b/version/intent/offer.go
@@ -25,10 +25,12 @@
 // judged by the last known capacity, since an unchanged rack is heard of less often.
 const staleAge = 10 * time.Second
 
-// SetRacks replaces the view of the racks that can be reached. The slice is not changed or kept by the caller.
-func (c *Core) SetRacks(racks []RackView) {
+// SetRacks replaces the view of the racks that can be reached. The caller does not change the slice afterwards. A rack
+// with a new owner has lost its queue, so its offers are made again.
+func (c *Core) SetRacks(now time.Time, racks []RackView) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.requeue(now, racks)
 	c.racks = racks
 	c.rackZones = make(map[string]string, len(racks))
 	c.zoneRacks = map[string][]string{}
@@ -43,6 +45,38 @@
 	sort.Strings(c.zones)
 }
 
+// requeue makes the offers of racks with a new owner again. It looks at all waiting tasks, which is rare: a rack changes
+// its owner when an instance comes or goes. Callers hold c.mu.
+func (c *Core) requeue(now time.Time, racks []RackView) {
+	epochs := make(map[string]uint64, len(c.racks))
+	for _, r := range c.racks {
+		epochs[r.Rack] = r.Epoch
+	}
+	changed := map[string]bool{}
+	for _, r := range racks {
+		if old := epochs[r.Rack]; old > 0 && r.Epoch > old {
+			changed[r.Rack] = true
+		}
+	}
+	if len(changed) == 0 {
+		return
+	}
+	var lost []*taskState
+	for class := range c.offers.again {
+		for _, t := range c.offers.again[class] {
+			before := len(t.offered)
+			t.offered = slices.DeleteFunc(t.offered, func(r string) bool { return changed[r] })
+			if len(t.offered) < before {
+				lost = append(lost, t)
+			}
+		}
+	}
+	for _, t := range lost {
+		t.tries = len(t.offered)
+		c.offers.push(t, now)
+	}
+}
+
 // offerEntry is the place of a task in a queue of offers.
 type offerEntry struct {
 	due   time.Time
@@ -152,10 +186,11 @@
 	return b.effects(c.policy.OfferBatch)
 }
 
-// offerTask adds the offers of one task to a batch and schedules the next ones. Callers hold c.mu.
+// offerTask adds the offers of one task to a batch and schedules the next ones. A rack that has the task queued already is
+// not sent it again. Callers hold c.mu.
 func (c *Core) offerTask(now time.Time, t *taskState, b *offerBatch) {
 	racks := c.chooseRacks(t)
-	if len(racks) == 0 {
+	if len(racks) == 0 && len(t.offered) == 0 {
 		c.offers.push(t, now.Add(noRackRetry))
 		return
 	}
@@ -163,9 +198,16 @@
 	if !c.recharge(now, t, Demand(task)) {
 		return
 	}
+	if len(t.offered) > 0 && (task.RunTimeMS != t.sentMS || task.Each != t.sentEach) {
+		// The racks decide by the hints, so they get the newer ones. A repeated offer keeps its place in the queue.
+		for _, rack := range t.offered {
+			b.add(rack, task, t.victims)
+		}
+	}
+	t.sentMS, t.sentEach = task.RunTimeMS, task.Each
 	for _, rack := range racks {
-		b.add(rack, task, t.victims)
 		if !slices.Contains(t.offered, rack) {
+			b.add(rack, task, t.victims)
 			t.offered = append(t.offered, rack)
 		}
 	}
@@ -179,11 +221,12 @@
 	c.offers.push(t, now.Add(term))
 }
 
-// limitOffered withdraws the oldest offers of a task beyond the allowed number of racks. Callers hold c.mu.
+// limitOffered withdraws offers of a task beyond the allowed number of racks. The first one is kept, where the task has
+// waited longest. Callers hold c.mu.
 func (c *Core) limitOffered(t *taskState) {
-	for len(t.offered) > c.policy.MaxRacks {
-		c.withdraw(t, t.offered[0])
-		t.offered = append(t.offered[:0], t.offered[1:]...)
+	for len(t.offered) > max(c.policy.MaxRacks, 2) {
+		c.withdraw(t, t.offered[1])
+		t.offered = slices.Delete(t.offered, 1, 2)
 	}
 }
 
@@ -212,8 +255,9 @@
 	return effects
 }
 
-// chooseRacks returns the racks for the next offer: the planned rack first, then the better of two random racks, and one
-// more with each repetition, or every rack that seems to fit when there are few. Callers hold c.mu.
+// chooseRacks returns the racks for the next offer: first the planned rack, or the better of two random racks, and then
+// one more with each repetition. A task that has its number of racks gets another one only if that one seems idle.
+// Callers hold c.mu.
 func (c *Core) chooseRacks(t *taskState) []string {
 	if t.tries == 0 && t.preferRack != "" {
 		if _, ok := c.rackZones[t.preferRack]; ok {
@@ -226,27 +270,27 @@
 	if t.task.Kind == model.KindService && len(c.zones) > 1 {
 		return c.spreadRacks(t)
 	}
-	want := min(1+t.tries, c.policy.MaxRacks, len(c.racks))
 	demand := Demand(t.current())
-	var racks []string
-	for range 2 * want {
-		if name := c.betterOfTwo(demand); !slices.Contains(racks, name) {
-			racks = append(racks, name)
-		}
-		if len(racks) == want {
-			return racks
+	for range pickTries {
+		r := c.betterOfTwo(demand)
+		idle := r.Queued == 0 && demand.Fits(r.Largest)
+		if !slices.Contains(t.offered, r.Rack) && (idle || len(t.offered) < c.policy.MaxRacks) {
+			return []string{r.Rack}
 		}
 	}
-	return racks
+	return nil
 }
 
+// pickTries bounds the search for a rack that does not have a task queued yet.
+const pickTries = 4
+
 // betterOfTwo returns the better of two random racks. Callers hold c.mu.
-func (c *Core) betterOfTwo(demand model.Resources) string {
+func (c *Core) betterOfTwo(demand model.Resources) *RackView {
 	a, b := &c.racks[c.rng.IntN(len(c.racks))], &c.racks[c.rng.IntN(len(c.racks))]
 	if b.score(demand) > a.score(demand) {
 		a = b
 	}
-	return a.Rack
+	return a
 }
 
 // score rates a rack for a demand: one with room before one without, then by free processor time for each queued offer.
@@ -294,13 +338,19 @@
 	return t.intent.perZone[zone] < limit
 }
 
-// Refused takes the answer to an offer that a rack did not queue. The tasks are offered elsewhere when their term ends.
-func (c *Core) Refused(rack string, ids []model.TaskID) {
+// Refused takes the answer to an offer that a rack did not queue, or whose answer was lost. The tasks are offered again
+// soon.
+func (c *Core) Refused(now time.Time, rack string, ids []model.TaskID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, id := range ids {
-		if t := c.tasks[id]; t != nil {
-			t.offered = slices.DeleteFunc(t.offered, func(r string) bool { return r == rack })
+		t := c.tasks[id]
+		if t == nil {
+			continue
+		}
+		t.offered = slices.DeleteFunc(t.offered, func(r string) bool { return r == rack })
+		if t.phase == phaseWaiting && t.offer.queue != nil && len(t.offered) == 0 && t.offer.due.After(now.Add(noRackRetry)) {
+			c.offers.push(t, now.Add(noRackRetry))
 		}
 	}
 }
--- a/version/intent/policy.go
+++ b/version/intent/policy.go
@@ -8,10 +8,11 @@
 	PlanTerm time.Duration
 	// MaxPlans bounds the plans that wait for a confirmation.
 	MaxPlans int
-	// OfferTerm is how long the first offer stands before the task is offered again elsewhere. It doubles with each
-	// further offer, up to MaxOfferTerm; urgent and short tasks keep the first term.
+	// OfferTerm is how long the first offer stands before the task is also offered elsewhere. It doubles with each further
+	// offer, up to MaxOfferTerm; urgent and short tasks keep the first term.
 	OfferTerm, MaxOfferTerm time.Duration
-	// ReoffersPerSecond bounds the rate of repeated offers of the partition.
+	// ReoffersPerSecond bounds the rate of further offers of the partition, so that the messages do not grow with the number
+	// of waiting tasks: each waits longer for its next offer instead.
 	ReoffersPerSecond float64
 	// OfferBatch bounds the tasks of one offer message.
 	OfferBatch int
@@ -34,6 +35,10 @@
 	MaxTickets int
 	// HoldTerm is the term of a gang's reservation at a rack; it is renewed after a third of it.
 	HoldTerm time.Duration
+	// ReserveRetry is the time between attempts of a gang that keeps a start reservation.
+	ReserveRetry time.Duration
+	// MaxReservation is how long a gang keeps a start reservation before it lets others go first.
+	MaxReservation time.Duration
 	// GangBackoff is the first wait of a gang that could not be held; it doubles up to MaxGangBackoff, with jitter.
 	GangBackoff, MaxGangBackoff time.Duration
 	// ReclaimAfter is how long tasks within their team's share wait before borrowed capacity is taken back.
@@ -44,11 +49,12 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		PlanTerm: 10 * time.Minute, MaxPlans: 10_000,
-		OfferTerm: 2 * time.Second, MaxOfferTerm: 16 * time.Second, ReoffersPerSecond: 2000, OfferBatch: 256, MaxRacks: 6,
+		OfferTerm: 2 * time.Second, MaxOfferTerm: 16 * time.Second, ReoffersPerSecond: 200, OfferBatch: 256, MaxRacks: 6,
 		SpreadTries: 5, MaxAttempts: 3, MaxFailures: 10,
 		RestartBackoff: time.Second, MaxRestartBackoff: 5 * time.Minute, StableRun: time.Minute,
 		Retention: 10 * time.Minute, MaxTasks: 100_000, MaxTickets: 1000,
-		HoldTerm: 5 * time.Second, GangBackoff: 200 * time.Millisecond, MaxGangBackoff: 10 * time.Second,
+		HoldTerm: 5 * time.Second, ReserveRetry: 400 * time.Millisecond, MaxReservation: 5 * time.Minute,
+		GangBackoff: 200 * time.Millisecond, MaxGangBackoff: 10 * time.Second,
 		ReclaimAfter: 5 * time.Second,
 	}
 }
