Serve and operate the configuration

Cause: the instances had methods to plan, confirm and follow a configuration, but neither API nor command used them.

The command prints every problem of an invalid input. The client's name is checked.

Conclusion: configuration is stated, planned and confirmed like work.

--- a/cmd/lentiltide/internal/command/command.go
+++ b/cmd/lentiltide/internal/command/command.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"os"
-	"strings"
 
 	"github.com/alexflint/go-arg"
 	"github.com/cockroachdb/errors"
@@ -189,6 +188,6 @@
 
 // invalidFile returns an error that lists all problems of a file.
 func invalidFile(what string, problems []string) error {
-	return verdict.New(verdict.NotRun, verdict.CodeInvalid, "%s: %d problems\n  %s", what, len(problems), strings.Join(problems, "\n  ")).
+	return verdict.New(verdict.NotRun, verdict.CodeInvalid, "%s: %s", what, problems[0]).
 		With(map[string]any{"problems": problems})
 }
--- a/cmd/lentiltide/internal/command/command_test.go
+++ b/cmd/lentiltide/internal/command/command_test.go
@@ -147,7 +147,18 @@
 	var status intent.Status
 	must(&status, "status", in.ID)
 	assert.Equal(t, len(status.Tasks), 1)
-	for _, args := range [][]string{{"explain", in.ID}, {"dump", "--limit", "1"}, {"cancel", in.ID}} {
+	file := filepath.Join(t.TempDir(), "config.json")
+	assert.NilError(t, os.WriteFile(file, []byte(`{"limits":{"retry_percent":20}}`), 0o600))
+	var config struct {
+		ID      string
+		Changes []any
+		Version int
+	}
+	must(&config, "config", "plan", file)
+	assert.Equal(t, len(config.Changes), 1)
+	must(&config, "config", "confirm", config.ID)
+	assert.Equal(t, config.Version, 1)
+	for _, args := range [][]string{{"config", "show"}, {"config", "status"}, {"explain", in.ID}, {"dump", "--limit", "1"}, {"cancel", in.ID}} {
 		var answer map[string]any
 		must(&answer, args...)
 	}
--- a/cmd/lentiltide/internal/command/print.go
+++ b/cmd/lentiltide/internal/command/print.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/process/instance"
 	"github.com/lentiltide/lentiltide/request/api"
 	"github.com/lentiltide/lentiltide/request/verdict"
 	"github.com/lentiltide/lentiltide/version/intent"
@@ -120,6 +121,32 @@
 	fmt.Fprintf(w, "%s %s\n%s\n", reply.Task, reply.Verdict, reply.Answer)
 }
 
+func printConfigPlan(w io.Writer, p instance.ConfigPlan) {
+	fmt.Fprintf(w, "plan %s replaces version %d, valid until %s\n", p.ID, p.Base, p.ExpiresAt.Format("15:04:05 MST"))
+	for _, change := range p.Changes {
+		fmt.Fprintf(w, "  %s: %s -> %s\n", change.Path, orAbsent(change.From), orAbsent(change.To))
+	}
+	if len(p.Changes) == 0 {
+		fmt.Fprintln(w, "  changes nothing")
+	}
+	fmt.Fprintf(w, "nothing has changed yet; to put it in force: lentiltide config confirm %s\n", p.ID)
+}
+
+func orAbsent(value string) string {
+	if value == "" {
+		return "(absent)"
+	}
+	return value
+}
+
+func printConfigStatus(w io.Writer, s instance.ConfigStatus) {
+	if s.InForceEverywhere {
+		fmt.Fprintf(w, "version %d is in force everywhere\n", s.Version)
+		return
+	}
+	fmt.Fprintf(w, "version %d is not in force everywhere yet; not reported by: %s\n", s.Version, strings.Join(s.Waiting, ", "))
+}
+
 // verdictTexts say in words what a verdict means.
 var verdictTexts = map[verdict.Verdict]string{
 	verdict.NotRun:     "the request did not run",
@@ -137,8 +164,26 @@
 		fmt.Fprintf(c.std.Err, "; try again after %s", e.RetryAfter)
 	}
 	fmt.Fprintln(c.std.Err)
-	if e.Code == verdict.CodeStalePlan {
+	switch e.Code {
+	case verdict.CodeStalePlan:
 		c.printFreshPlan(e.Detail)
+	case verdict.CodeInvalid:
+		c.printProblems(e.Detail)
+	}
+}
+
+// printProblems lists all problems of the input where the error carries more than one.
+func (c *command) printProblems(detail any) {
+	var listed struct {
+		Problems []string `json:"problems"`
+	}
+	data, err := json.Marshal(detail)
+	if err != nil || json.Unmarshal(data, &listed) != nil || len(listed.Problems) < 2 {
+		return
+	}
+	fmt.Fprintln(c.std.Err, "all problems:")
+	for _, line := range listed.Problems {
+		fmt.Fprintf(c.std.Err, "  %s\n", line)
 	}
 }
 
--- a/cmd/lentiltide/internal/command/requests.go
+++ b/cmd/lentiltide/internal/command/requests.go
@@ -13,6 +13,7 @@
 
 	"github.com/lentiltide/lentiltide/connection/jsonhttp"
 	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/process/instance"
 	"github.com/lentiltide/lentiltide/request/api"
 	"github.com/lentiltide/lentiltide/request/verdict"
 )
@@ -146,23 +147,35 @@
 }
 
 func (c *command) config(ctx context.Context, a *configArgs) error {
-	var reply json.RawMessage
-	var err error
 	switch {
 	case a.Show != nil:
-		err = c.get(ctx, "/v1/config", &reply)
-	case a.Status != nil:
-		err = c.get(ctx, "/v1/config/status", &reply)
+		var reply json.RawMessage
+		if err := c.get(ctx, "/v1/config", &reply); err != nil {
+			return err
+		}
+		return c.printJSON(reply)
+	case a.Plan != nil:
+		data, err := c.readFile(a.Plan.File)
+		if err != nil {
+			return err
+		}
+		var plan instance.ConfigPlan
+		if err := c.send(ctx, http.MethodPost, "/v1/config/plans", nil, data, &plan); err != nil {
+			return err
+		}
+		return show(c, plan, printConfigPlan)
 	case a.Confirm != nil:
-		err = c.post(ctx, "/v1/config/plans/"+url.PathEscape(a.Confirm.ID)+"/confirm", nil, struct{}{}, &reply)
+		var status instance.ConfigStatus
+		path := "/v1/config/plans/" + url.PathEscape(a.Confirm.ID) + "/confirm"
+		if err := c.post(ctx, path, nil, struct{}{}, &status); err != nil {
+			return err
+		}
+		return show(c, status, printConfigStatus)
 	default:
-		var data []byte
-		if data, err = c.readFile(a.Plan.File); err == nil {
-			err = c.send(ctx, http.MethodPost, "/v1/config/plans", nil, data, &reply)
+		var status instance.ConfigStatus
+		if err := c.get(ctx, "/v1/config/status", &status); err != nil {
+			return err
 		}
+		return show(c, status, printConfigStatus)
 	}
-	if err != nil {
-		return err
-	}
-	return c.printJSON(reply)
 }
--- a/request/api/api.go
+++ b/request/api/api.go
@@ -20,6 +20,7 @@
 	"github.com/lentiltide/lentiltide/process/instance"
 	"github.com/lentiltide/lentiltide/request/limit"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/config"
 	"github.com/lentiltide/lentiltide/version/intent"
 )
 
@@ -52,6 +53,10 @@
 	Explain(ctx context.Context, partition int, task model.TaskID) (intent.Explanation, error)
 	Tickets(partition int, id string, count int) ([]model.StartToken, error)
 	Call(ctx context.Context, partition int, id string, ticket model.StartToken, payload []byte) (model.Outcome, error)
+	Config() config.Applied
+	ConfigPlan(ctx context.Context, document []byte) (instance.ConfigPlan, error)
+	ConfigConfirm(ctx context.Context, planID string) (instance.ConfigStatus, error)
+	ConfigStatus(ctx context.Context) (instance.ConfigStatus, error)
 	Dump(limit int) instance.Dump
 	// OwnerEpoch returns the epoch of an intent partition as last read; 0 if it is unknown.
 	OwnerEpoch(partition int) uint64
@@ -110,6 +115,10 @@
 	r.POST("/intents/{id}/tickets", s.handle(operation{name: "tickets", class: model.ClassShort, partition: s.partitionOfID, serve: s.tickets}))
 	r.POST("/intents/{id}/calls", s.handle(operation{name: "call", class: model.ClassShort, partition: s.partitionOfID, serve: s.call}))
 	r.GET("/intents/{id}/explain", s.handle(operation{name: "explain", class: model.ClassBatch, readOnly: true, query: []string{"task"}, partition: s.partitionOfID, serve: s.explain}))
+	r.GET("/config", s.handle(operation{name: "config", readOnly: true, serve: s.showConfig}))
+	r.GET("/config/status", s.handle(operation{name: "config_status", readOnly: true, serve: s.configStatus}))
+	r.POST("/config/plans", s.handle(operation{name: "plan_config", serve: s.planConfig}))
+	r.POST("/config/plans/{id}/confirm", s.handle(operation{name: "confirm_config", serve: s.confirmConfig}))
 	r.GET("/dump", s.handle(operation{name: "dump", readOnly: true, query: []string{"limit"}, serve: s.dump}))
 	if opts.Metrics != nil {
 		s.http.Handle("/metrics", opts.Metrics)
--- a/request/api/api_test.go
+++ b/request/api/api_test.go
@@ -21,6 +21,7 @@
 	"github.com/lentiltide/lentiltide/process/instance"
 	"github.com/lentiltide/lentiltide/request/limit"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/config"
 	"github.com/lentiltide/lentiltide/version/intent"
 )
 
@@ -89,6 +90,22 @@
 	return model.Outcome{Task: model.TaskID(id), State: model.OutcomeFinished, Answer: payload}, nil
 }
 
+func (b *fakeBackend) Config() config.Applied { return config.Applied{Version: 3} }
+
+func (b *fakeBackend) ConfigPlan(context.Context, []byte) (instance.ConfigPlan, error) {
+	b.changes++
+	return instance.ConfigPlan{ID: "c1"}, nil
+}
+
+func (b *fakeBackend) ConfigConfirm(context.Context, string) (instance.ConfigStatus, error) {
+	b.changes++
+	return instance.ConfigStatus{Version: 4}, nil
+}
+
+func (b *fakeBackend) ConfigStatus(context.Context) (instance.ConfigStatus, error) {
+	return instance.ConfigStatus{}, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "table")
+}
+
 func (b *fakeBackend) Dump(limit int) instance.Dump {
 	return instance.Dump{Truncated: map[string]int{"limit": limit}}
 }
@@ -148,6 +165,7 @@
 		{"media type", "POST", "/v1/plans", goodSpec, []string{"Content-Type", "text/plain"}, "Content-Type", "application/json"},
 		{"coding", "POST", "/v1/plans", goodSpec, []string{"Content-Encoding", "gzip"}, "Content-Encoding", "uncompressed"},
 		{"request id", "POST", "/v1/plans", goodSpec, []string{HeaderRequestID, "a b"}, HeaderRequestID, "visible"},
+		{"client", "POST", "/v1/plans", goodSpec, []string{HeaderClient, strings.Repeat("x", 201)}, HeaderClient, "visible"},
 		{"timeout", "POST", "/v1/plans", goodSpec, []string{HeaderTimeoutMS, "-1"}, HeaderTimeoutMS, "expected 1 to"},
 		{"plan id", "POST", "/v1/plans/x/confirm", "", nil, "id", "expected an id"},
 		{"partition of an id", "GET", "/v1/intents/i64-a", "", nil, "id", "expected an id"},
@@ -157,6 +175,8 @@
 		{"key", "POST", "/v1/intents/i1-a/calls", `{}`, []string{HeaderIdempotencyKey, "a\tb"}, HeaderIdempotencyKey, "visible"},
 		{"key and ticket", "POST", "/v1/intents/i1-a/calls", `{}`, []string{HeaderIdempotencyKey, "k", HeaderTicket, "1-2-3"}, HeaderIdempotencyKey, "got both"},
 		{"payload", "POST", "/v1/intents/i1-a/calls", `{"payload":"` + strings.Repeat("x", model.MaxPayloadBytes+1) + `"}`, nil, "payload", "expected at most"},
+		{"configuration", "POST", "/v1/config/plans", `{"limits":{},"limits":{}}`, nil, "limits", "more than once"},
+		{"configuration plan", "POST", "/v1/config/plans/c1/confirm", `{"x":1}`, nil, "x", "unknown name"},
 		{"query parameter", "GET", "/v1/dump?limits=1", "", nil, "limits", "unknown query parameter"},
 		{"repeated parameter", "GET", "/v1/dump?limit=1&limit=2", "", nil, "limit", "once"},
 		{"dump limit", "GET", "/v1/dump?limit=0", "", nil, "limit", "expected 1 to"},
--- /dev/null
+++ b/request/api/config.go
@@ -0,0 +1,43 @@
+package api
+
+import (
+	"context"
+	"strings"
+
+	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/config"
+)
+
+// ConfigReply is the configuration in force on the instance that was asked.
+type ConfigReply struct {
+	Version  uint64          `json:"version"`
+	Document config.Document `json:"document"`
+}
+
+func (s *Server) showConfig(context.Context, *request) (any, error) {
+	applied := s.backend.Config()
+	return ConfigReply{Version: applied.Version, Document: applied.Document}, nil
+}
+
+// planConfig passes the document on after a check of its form; its content is checked where versions are kept.
+func (s *Server) planConfig(ctx context.Context, req *request) (any, error) {
+	var document any
+	if err := req.decode(&document); err != nil {
+		return nil, err
+	}
+	return s.backend.ConfigPlan(ctx, req.body)
+}
+
+func (s *Server) confirmConfig(ctx context.Context, req *request) (any, error) {
+	if err := req.decode(&struct{}{}); err != nil {
+		return nil, err
+	}
+	if !visible(req.id, maxHeaderText) || strings.Contains(req.id, "/") {
+		return nil, verdict.Invalid("id", "expected the id of a plan of a configuration")
+	}
+	return s.backend.ConfigConfirm(ctx, req.id)
+}
+
+func (s *Server) configStatus(ctx context.Context, _ *request) (any, error) {
+	return s.backend.ConfigStatus(ctx)
+}
--- a/request/api/request.go
+++ b/request/api/request.go
@@ -124,6 +124,9 @@
 		req.requestID = uuid.NewString()
 		return req, verdict.Invalid(HeaderRequestID, "expected 1 to %d visible ASCII characters", maxHeaderText)
 	}
+	if name := r.Header.Get(HeaderClient); name != "" && !visible(name, maxHeaderText) {
+		return req, verdict.Invalid(HeaderClient, "expected 1 to %d visible ASCII characters", maxHeaderText)
+	}
 	return req, nil
 }
 
