--- a/cmd/lentiltide/internal/command/arguments.go
+++ b/cmd/lentiltide/internal/command/arguments.go
@@ -45,6 +45,7 @@
 type validateArgs struct {
 	File   string `arg:"positional,required" placeholder:"FILE" help:"JSON file to check; nothing is sent"`
 	Intent bool   `arg:"--intent" help:"the file states an intent, not settings"`
+	Config bool   `arg:"--config" help:"the file is a configuration of the cell, not settings"`
 }
 
 type noArgs struct{}
@@ -66,7 +67,7 @@
 	Tickets  *ticketsArgs  `arg:"subcommand:tickets" help:"fetch tickets, each of which runs one call at most once"`
 	Config   *configArgs   `arg:"subcommand:config" help:"show, plan and confirm the configuration of the cell"`
 	Dump     *dumpArgs     `arg:"subcommand:dump" help:"show the state of the instance asked, as JSON"`
-	Validate *validateArgs `arg:"subcommand:validate" help:"check a settings or intent file without sending it"`
+	Validate *validateArgs `arg:"subcommand:validate" help:"check a file of settings, an intent or a configuration without sending it"`
 	Demo     *noArgs       `arg:"subcommand:demo" help:"run both example deployments in this process; needs nothing else"`
 
 	URL     []string      `arg:"--url,separate,env:LENTILTIDE_URL" placeholder:"URL" help:"base URL of an instance; may be repeated, the next is asked when one cannot be reached [default: http://127.0.0.1:7411]"`
--- a/cmd/lentiltide/internal/command/command.go
+++ b/cmd/lentiltide/internal/command/command.go
@@ -18,6 +18,7 @@
 	"github.com/lentiltide/lentiltide/process/settings"
 	"github.com/lentiltide/lentiltide/request/strictjson"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/config"
 )
 
 // Streams are the standard streams of the command.
@@ -151,10 +152,26 @@
 
 // validate checks a file without sending it.
 func (c *command) validate(a *validateArgs) error {
-	if a.Intent {
-		return c.validateIntent(a.File)
+	var err error
+	text := "the settings are valid"
+	switch {
+	case a.Intent:
+		err = c.validateIntent(a.File)
+		text = "the intent is valid; plan shows whether it fits the cell"
+	case a.Config:
+		err = c.validateConfig(a.File)
+		text = "the configuration is valid; config plan shows what it changes"
+	default:
+		err = validateSettings(a.File)
 	}
-	_, err := settings.Load(a.File)
+	if err != nil {
+		return err
+	}
+	return show(c, map[string]bool{"valid": true}, func(w io.Writer, _ map[string]bool) { fmt.Fprintln(w, text) })
+}
+
+func validateSettings(file string) error {
+	_, err := settings.Load(file)
 	var problems *settings.Error
 	switch {
 	case errors.As(err, &problems):
@@ -162,7 +179,7 @@
 	case err != nil:
 		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalid, "settings")
 	}
-	return show(c, map[string]bool{"valid": true}, func(w io.Writer, _ map[string]bool) { fmt.Fprintln(w, "the settings are valid") })
+	return nil
 }
 
 func (c *command) validateIntent(file string) error {
@@ -178,12 +195,16 @@
 	if len(problems) > 0 {
 		return invalidFile("intent", problems)
 	}
-	if err := spec.Check(); err != nil {
+	return spec.Check()
+}
+
+func (c *command) validateConfig(file string) error {
+	data, err := c.readFile(file)
+	if err != nil {
 		return err
 	}
-	return show(c, map[string]bool{"valid": true}, func(w io.Writer, _ map[string]bool) {
-		fmt.Fprintln(w, "the intent is valid; plan shows whether it fits the cell")
-	})
+	_, err = config.Parse(data)
+	return err
 }
 
 // invalidFile returns an error that lists all problems of a file.
--- a/cmd/lentiltide/internal/command/command_test.go
+++ b/cmd/lentiltide/internal/command/command_test.go
@@ -90,6 +90,8 @@
 	}
 	code, out, _ := execute(`{"account":"a","team":"t","name":"n","kind":"batch","tasks":1,"each":{"cpu_milli":1,"memory_mib":1}}`, "validate", "--intent", "-")
 	assert.Equal(t, code, exitDone, out)
+	code, out, _ = execute("", "validate", "--config", "../../../../examples/config.json")
+	assert.Equal(t, code, exitDone, out)
 }
 
 func startInstance(t *testing.T) string {
