Count requests by scheduling class, and export configuration version and peer bytes

Cause: the class of a request in the metrics was a second grouping beside the scheduling class by which the limits work; the control cost between instances was not exported.

Change: metrics use the class of the operation and count the bytes between instances; dumps and metrics have the version of the configuration in force.

--- a/lentiltide.go
+++ b/lentiltide.go
@@ -37,6 +37,11 @@
 
 var _ Transport = (*peer.Transport)(nil)
 
+// byteCounter is a transport that counts the bytes of its connections.
+type byteCounter interface {
+	Bytes() (sent, received uint64)
+}
+
 // Options are the parts of an instance. Nil parts are replaced by those of the daemon: the real clock, HTTP clients for
 // platform and workers, and TCP between instances.
 type Options struct {
@@ -145,13 +150,10 @@
 		Metrics: metrics.Handler(),
 	})
 	core.SetCallHandler(in.api.HandleForward)
-	if err := metrics.Watch(core.Stats); err != nil {
+	if err := in.prepare(); err != nil {
 		_ = listener.Close()
-		return nil, errors.Wrap(err, "metrics")
-	}
-	if _, err := in.api.HTTP().Endpoint(); err != nil {
-		_ = listener.Close()
-		return nil, errors.Wrap(err, "listen for callers")
+		metrics.Close()
+		return nil, err
 	}
 	in.wg.Add(2)
 	go func() {
@@ -166,6 +168,20 @@
 	return in, nil
 }
 
+// prepare connects the metrics with what they watch and opens the address for callers.
+func (in *Instance) prepare() error {
+	if err := in.metrics.Watch(in.core.Stats); err != nil {
+		return errors.Wrap(err, "metrics")
+	}
+	if counted, ok := in.transport.(byteCounter); ok {
+		if err := in.metrics.WatchPeers(counted.Bytes); err != nil {
+			return errors.Wrap(err, "metrics")
+		}
+	}
+	_, err := in.api.HTTP().Endpoint()
+	return errors.Wrap(err, "listen for callers")
+}
+
 // listen returns the listener for other instances.
 func (o *Options) listen() (net.Listener, error) {
 	if o.Listener != nil {
--- a/process/instance/dump.go
+++ b/process/instance/dump.go
@@ -19,12 +19,14 @@
 
 // Dump is the state of one process. Its size is bounded by the limit of its lists; Truncated says what was left out.
 type Dump struct {
-	Instance string              `json:"instance"`
-	Zone     string              `json:"zone"`
-	Process  ProcessDump         `json:"process"`
-	Sessions []ownership.Session `json:"sessions"`
-	Racks    []rack.Summary      `json:"racks"`
-	Intents  []IntentDump        `json:"intents"`
+	Instance string      `json:"instance"`
+	Zone     string      `json:"zone"`
+	Process  ProcessDump `json:"process"`
+	// ConfigVersion is the version of the configuration in force here.
+	ConfigVersion uint64              `json:"config_version"`
+	Sessions      []ownership.Session `json:"sessions"`
+	Racks         []rack.Summary      `json:"racks"`
+	Intents       []IntentDump        `json:"intents"`
 	// Truncated counts the entries left out of each list, by the name of the list.
 	Truncated map[string]int `json:"truncated,omitempty"`
 }
@@ -53,7 +55,7 @@
 	stats := in.Stats()
 	d := Dump{
 		Instance: in.opts.Settings.Instance, Zone: in.opts.Settings.Zone, Truncated: map[string]int{},
-		Process: processDump(stats.SessionAge),
+		Process: processDump(stats.SessionAge), ConfigVersion: stats.ConfigVersion,
 	}
 	d.Sessions = truncate(d.Truncated, "sessions", in.owners.Sessions(), limit)
 	d.Racks = truncate(d.Truncated, "racks", stats.Racks, limit)
@@ -86,6 +88,8 @@
 	Intents []IntentDump
 	// SessionAge is the time since the session was last renewed; -1 ms if it never was.
 	SessionAge time.Duration
+	// ConfigVersion is the version of the configuration in force here.
+	ConfigVersion uint64
 }
 
 // Stats returns the figures of the process.
@@ -102,7 +106,7 @@
 		loaded[r] = r.loaded
 	}
 	in.mu.Unlock()
-	s := Stats{SessionAge: -time.Millisecond}
+	s := Stats{SessionAge: -time.Millisecond, ConfigVersion: in.config.Current().Version}
 	if last := in.owners.LastRenewal(); !last.IsZero() {
 		s.SessionAge = in.opts.Clock.Since(last)
 	}
--- a/process/telemetry/gauges.go
+++ b/process/telemetry/gauges.go
@@ -18,6 +18,8 @@
 	owned      metric.Int64ObservableGauge
 	intents    metric.Int64ObservableGauge
 	pending    metric.Int64ObservableGauge
+	config     metric.Int64ObservableGauge
+	peerBytes  metric.Int64ObservableCounter
 }
 
 func (b *builder) gauge(name, description string) metric.Int64ObservableGauge {
@@ -35,6 +37,11 @@
 		intents: b.gauge("lentiltide.intents", "Intents kept by the partitions served here."),
 		pending: b.gauge("lentiltide.journal.pending", "Outcomes that are not durable yet."),
 	}
+	g.config = b.gauge("lentiltide.config.version", "Version of the configuration in force on this instance.")
+	peerBytes, err := b.meter.Int64ObservableCounter("lentiltide.peer.bytes",
+		metric.WithDescription("Bytes sent to and received from other instances, by direction."))
+	b.note(err)
+	g.peerBytes = peerBytes
 	age, err := b.meter.Float64ObservableGauge("lentiltide.session.age", metric.WithUnit("s"),
 		metric.WithDescription("Time since the session was renewed; negative if it never was."))
 	b.note(err)
@@ -48,7 +55,19 @@
 	_, err := g.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		g.observe(o, stats())
 		return nil
-	}, g.queued, g.freeCPU, g.sessionAge, g.owned, g.intents, g.pending)
+	}, g.queued, g.freeCPU, g.sessionAge, g.owned, g.intents, g.pending, g.config)
+	return err
+}
+
+// WatchPeers reads the bytes exchanged with other instances whenever the metrics are read.
+func (m *Metrics) WatchPeers(bytes func() (sent, received uint64)) error {
+	g := m.gauges
+	_, err := g.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		sent, received := bytes()
+		o.ObserveInt64(g.peerBytes, int64(sent), with("direction", "sent"))
+		o.ObserveInt64(g.peerBytes, int64(received), with("direction", "received"))
+		return nil
+	}, g.peerBytes)
 	return err
 }
 
@@ -73,5 +92,6 @@
 	o.ObserveInt64(g.owned, int64(len(s.Intents)), with("kind", "intent"))
 	o.ObserveInt64(g.intents, intents)
 	o.ObserveInt64(g.pending, pending)
+	o.ObserveInt64(g.config, int64(s.ConfigVersion))
 	o.ObserveFloat64(g.sessionAge, s.SessionAge.Seconds())
 }
--- a/process/telemetry/metrics.go
+++ b/process/telemetry/metrics.go
@@ -104,24 +104,10 @@
 	return metric.WithAttributes(set...)
 }
 
-// classOf groups operations by what a caller waits for.
-func classOf(operation string) string {
-	switch operation {
-	case "call":
-		return "call"
-	case "get_plan", "status", "explain", "dump", "config", "config_status":
-		return "query"
-	case "unknown":
-		return "unknown"
-	default:
-		return "change"
-	}
-}
-
 // Request counts an answered request of a caller.
-func (m *Metrics) Request(operation string, v verdict.Verdict, code verdict.Code, took time.Duration) {
+func (m *Metrics) Request(class model.Class, operation string, v verdict.Verdict, code verdict.Code, took time.Duration) {
 	ctx := context.Background()
-	m.requests.Add(ctx, 1, with("class", classOf(operation), "operation", operation, "verdict", v.String(), "code", string(code)))
+	m.requests.Add(ctx, 1, with("class", class.String(), "operation", operation, "verdict", v.String(), "code", string(code)))
 	m.requestTime.Record(ctx, took.Seconds(), with("operation", operation))
 }
 
--- a/request/api/api.go
+++ b/request/api/api.go
@@ -68,8 +68,9 @@
 
 // Observer is told about each request that was answered, for metrics.
 type Observer interface {
-	// Request is called with the operation, the verdict and the code of the answer; the code is empty for a success.
-	Request(operation string, v verdict.Verdict, code verdict.Code, took time.Duration)
+	// Request is called with the class and the name of the operation, the verdict and the code of the answer; the code is
+	// empty for a success.
+	Request(class model.Class, operation string, v verdict.Verdict, code verdict.Code, took time.Duration)
 	// Forwarded is called when a request was sent to another instance.
 	Forwarded(operation string, v verdict.Verdict)
 }
@@ -115,8 +116,8 @@
 	r.POST("/intents/{id}/tickets", s.handle(operation{name: "tickets", class: model.ClassShort, partition: s.partitionOfID, serve: s.tickets}))
 	r.POST("/intents/{id}/calls", s.handle(operation{name: "call", class: model.ClassShort, partition: s.partitionOfID, serve: s.call}))
 	r.GET("/intents/{id}/explain", s.handle(operation{name: "explain", class: model.ClassBatch, readOnly: true, query: []string{"task"}, partition: s.partitionOfID, serve: s.explain}))
-	r.GET("/config", s.handle(operation{name: "config", readOnly: true, serve: s.showConfig}))
-	r.GET("/config/status", s.handle(operation{name: "config_status", readOnly: true, serve: s.configStatus}))
+	r.GET("/config", s.handle(operation{name: "config", class: model.ClassService, readOnly: true, serve: s.showConfig}))
+	r.GET("/config/status", s.handle(operation{name: "config_status", class: model.ClassService, readOnly: true, serve: s.configStatus}))
 	r.POST("/config/plans", s.handle(operation{name: "plan_config", serve: s.planConfig}))
 	r.POST("/config/plans/{id}/confirm", s.handle(operation{name: "confirm_config", serve: s.confirmConfig}))
 	r.GET("/dump", s.handle(operation{name: "dump", readOnly: true, query: []string{"limit"}, serve: s.dump}))
@@ -154,7 +155,7 @@
 	}
 	w.Header().Set(HeaderRequestID, id)
 	writeError(w, id, err)
-	s.observe(r.Context(), &request{requestID: id, partition: noPartition}, operation{name: "unknown"}, 0, err)
+	s.observe(r.Context(), &request{requestID: id, partition: noPartition}, operation{name: "unknown", class: model.ClassService}, 0, err)
 }
 
 // observe logs and counts an answered request. Nothing that a caller wrote is logged except the request id.
@@ -164,7 +165,7 @@
 		code = verdict.From(err).Code
 	}
 	if s.opts.Observer != nil {
-		s.opts.Observer.Request(op.name, v, code, took)
+		s.opts.Observer.Request(op.class, op.name, v, code, took)
 	}
 	fields := logrus.Fields{
 		"request_id": req.requestID, "operation": op.name, "verdict": v.String(), "code": string(code),
