--- a/process/instance/intents.go
+++ b/process/instance/intents.go
@@ -98,6 +98,7 @@
 	r.in.mu.Lock()
 	r.loaded = true
 	r.in.mu.Unlock()
+	r.in.router.notify()
 	r.in.run(func() { r.journal.Run(r.ctx) })
 	r.in.run(r.askRacks)
 	r.tick()
--- /dev/null
+++ b/process/instance/route_test.go
@@ -0,0 +1,164 @@
+package instance
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/request/limit"
+	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/ownership"
+)
+
+// ownedBy returns an intent partition that a node serves.
+func ownedBy(t *testing.T, n *node) int {
+	t.Helper()
+	for p := range model.IntentPartitions {
+		if _, err := n.intentRunner(p); err == nil {
+			return p
+		}
+	}
+	t.Fatalf("%s serves no intent partition", n.address)
+	return -1
+}
+
+// TestAnyInstanceTakesAnyRequest guards against requests that only some instances can serve, and against more than one
+// forward while the owners do not change.
+func TestAnyInstanceTakesAnyRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, nodes := startMesh(t, 8, 0)
+		for p := range model.IntentPartitions {
+			first, err := nodes[0].request(context.Background(), p)
+			assert.NilError(t, err)
+			for _, n := range nodes[1:] {
+				by, err := n.request(context.Background(), p)
+				assert.NilError(t, err)
+				assert.Equal(t, by, first)
+			}
+		}
+		sent := int64(0)
+		for _, n := range nodes {
+			sent += n.sent.Load()
+		}
+		assert.Equal(t, sent, int64(model.IntentPartitions*(len(nodes)-1)))
+	})
+}
+
+// TestRequestsWaitForHandOver guards against requests that fail while an instance shuts down, at the stopping instance,
+// at the next owner or at any other.
+func TestRequestsWaitForHandOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, nodes := startMesh(t, 4, 2)
+		var wg sync.WaitGroup
+		for _, n := range nodes {
+			n.work = func(context.Context) error { time.Sleep(30 * time.Millisecond); return nil }
+		}
+		for _, n := range nodes {
+			for p := range model.IntentPartitions {
+				wg.Go(func() {
+					for range 50 {
+						ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+						if _, err := n.request(ctx, p); err != nil {
+							t.Errorf("%s partition %d: %v", n.address, p, err)
+						}
+						cancel()
+						time.Sleep(100 * time.Millisecond)
+					}
+				})
+			}
+		}
+		time.Sleep(time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		assert.NilError(t, nodes[1].Shutdown(ctx))
+		wg.Wait()
+	})
+}
+
+// TestOldViewTriesNewOwnerOnce guards against a failed request where the first instance has an old view of the owners:
+// the refusal names the new owner, which is tried once.
+func TestOldViewTriesNewOwnerOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, nodes := startMesh(t, 3, 0)
+		first, old := nodes[0], nodes[1]
+		var before []int
+		for p := range model.IntentPartitions {
+			if _, err := old.intentRunner(p); err == nil {
+				before = append(before, p)
+			}
+		}
+		first.table.set(func(f *faultyTable) { f.cut = true })
+		assert.NilError(t, old.owners.Drain(context.Background()))
+		time.Sleep(3 * time.Second)
+		// The first instance cannot take its share, since it is cut off from the table.
+		p := slices.IndexFunc(before, func(p int) bool {
+			loc, _ := old.owners.Locate(ownership.Intent(p))
+			return loc.Address == nodes[2].address
+		})
+		assert.Assert(t, p >= 0)
+		p = before[p]
+		by, err := first.request(context.Background(), p)
+		assert.NilError(t, err)
+		assert.Equal(t, by, nodes[2].address)
+		assert.Equal(t, old.sent.Load(), int64(1))
+		assert.Equal(t, nodes[2].sent.Load(), int64(1))
+	})
+}
+
+// TestHeldRequestsAreBounded guards against requests that wait without bound for an owner, in number or in time.
+func TestHeldRequestsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(0, 2)
+		n := m.start(t, "entry-0")
+		n.table.set(func(f *faultyTable) { f.cut = true })
+		n.router.retries.SetPercent(0)
+		began := time.Now()
+		_, err := n.request(context.Background(), 7)
+		assert.Equal(t, verdict.Of(err), verdict.NotRun)
+		assert.Assert(t, verdict.From(err).RetryAfter > 0)
+		assert.Assert(t, time.Since(began) <= holdTime)
+		n.router.held = maxHeld
+		began = time.Now()
+		_, err = n.request(context.Background(), 7)
+		assert.Equal(t, verdict.From(err).Code, verdict.CodeOverloaded)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+	})
+}
+
+// TestGoneCallerFreesOwner guards against work and places at the owner that are kept for a caller who has gone away.
+func TestGoneCallerFreesOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, nodes := startMesh(t, 2, 0)
+		owner := nodes[1]
+		p := ownedBy(t, owner)
+		owner.work = func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(time.Second, cancel)
+		_, err := nodes[0].request(ctx, p)
+		assert.Assert(t, err != nil)
+		synctest.Wait()
+		working, queued := owner.router.owned.InFlight()
+		assert.Equal(t, working+queued+len(owner.router.working), 0)
+	})
+}
+
+// TestLimitsFollowConfiguration guards against limits that keep the values of the start.
+func TestLimitsFollowConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, nodes := startMesh(t, 2, 0)
+		confirmConfig(t, nodes[0], `{"limits":{"client_in_flight":1}}`)
+		time.Sleep(inForceBound)
+		key := limit.Key{Client: "desk"}
+		release, err := nodes[1].Admit(context.Background(), key)
+		assert.NilError(t, err)
+		_, err = nodes[1].Admit(context.Background(), key)
+		assert.Equal(t, verdict.From(err).Code, verdict.CodeOverloaded)
+		release()
+	})
+}
--- a/process/instance/usage.go
+++ b/process/instance/usage.go
@@ -41,32 +41,25 @@
 	}
 	view = cellView{at: now}
 	names := in.rackNames()
-	in.mu.Lock()
 	zones := map[string]string{}
-	for _, m := range in.members {
-		if m.Role != platform.RoleWorker {
-			continue
-		}
+	for _, m := range in.members.Workers(now, "") {
 		zones[m.Rack] = m.Zone
 		if m.State != platform.MemberLeaving {
 			view.capacity = view.capacity.Add(m.Capacity)
 		}
 	}
-	in.mu.Unlock()
 	for _, name := range names {
 		if _, ok := in.owners.Locate(ownership.Rack(name)); !ok {
 			continue
 		}
-		in.mu.Lock()
-		s := in.summaries[name]
-		in.mu.Unlock()
+		s, age, _ := in.summaries.get(now, name)
 		queued := 0
 		for _, n := range s.Queued {
 			queued += n
 		}
 		view.free = view.free.Add(s.Free)
 		view.racks = append(view.racks, intent.RackView{
-			Rack: name, Zone: zones[name], Epoch: s.Epoch, Free: s.Free, Largest: s.Largest, Queued: queued,
+			Rack: name, Zone: zones[name], Epoch: s.Epoch, Free: s.Free, Largest: s.Largest, Queued: queued, Age: age,
 		})
 	}
 	in.mu.Lock()
--- a/request/api/forward.go
+++ b/request/api/forward.go
@@ -3,14 +3,18 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
+	"github.com/lentiltide/lentiltide/process/instance"
+	"github.com/lentiltide/lentiltide/request/limit"
 	"github.com/lentiltide/lentiltide/request/verdict"
 )
 
@@ -20,16 +24,67 @@
 // forwardedHeaders are the request headers that travel with a forwarded request.
 var forwardedHeaders = []string{HeaderTicket, HeaderIdempotencyKey, "Content-Type"}
 
-// forward sends the request to the owner of its partition and copies the answer. It returns false when this instance is
-// the owner, or when the request was forwarded before.
-func (s *Server) forward(ctx context.Context, c khttp.Context, req *request, op operation) (bool, error) {
+// route serves the request where its partition is owned, within the limits, and writes the answer.
+func (s *Server) route(ctx context.Context, c khttp.Context, req *request, op operation) error {
+	var out any
+	local := func(ctx context.Context) (err error) {
+		out, err = op.serve(ctx, req)
+		return err
+	}
 	if ctx.Value(forwardedKey{}) != nil {
-		return false, nil
+		if err := s.backend.Serve(ctx, req.about(op), local); err != nil {
+			return err
+		}
+		return writeJSON(c.Response(), http.StatusOK, out)
+	}
+	release, err := s.backend.Admit(ctx, limit.Key{Class: op.class, Client: client(c.Request())})
+	if err != nil {
+		return err
 	}
-	address, local, err := s.backend.Route(req.partition)
-	if err != nil || local {
-		return false, err
+	defer release()
+	forwarded := false
+	reply, err := s.backend.Dispatch(ctx, req.about(op), func() *peerpb.Forward {
+		forwarded = true
+		return forwardOf(c, req)
+	}, local)
+	if forwarded && s.opts.Observer != nil {
+		s.opts.Observer.Forwarded(op.name, verdict.Of(err))
+	}
+	if err != nil {
+		return err
 	}
+	if reply == nil {
+		return writeJSON(c.Response(), http.StatusOK, out)
+	}
+	return writeReply(c, req, reply)
+}
+
+// about returns what routing and limits need to know of the request.
+func (r *request) about(op operation) instance.Request {
+	about := instance.Request{Partition: r.partition, Class: op.class}
+	if r.spec.Account != "" {
+		about.Spec = &r.spec
+	}
+	if strings.HasPrefix(r.id, "i") {
+		about.Intent = r.id
+	}
+	return about
+}
+
+// client returns the client whose limits apply to a request.
+func client(r *http.Request) string {
+	if name := r.Header.Get(HeaderClient); name != "" {
+		return name
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
+// forwardOf returns the message that carries the request to the owner of its partition.
+func forwardOf(c khttp.Context, req *request) *peerpb.Forward {
 	f := &peerpb.Forward{
 		Method: c.Request().Method, Path: c.Request().URL.RequestURI(), Headers: map[string]string{}, Body: req.body,
 	}
@@ -39,18 +94,16 @@
 		}
 	}
 	f.Headers[HeaderRequestID] = req.requestID
-	reply, err := s.backend.Forward(ctx, address, f)
-	if s.opts.Observer != nil {
-		s.opts.Observer.Forwarded(op.name, verdict.Of(err))
-	}
-	if err != nil {
-		return true, err
-	}
+	return f
+}
+
+// writeReply copies the owner's answer, if it is whole and belongs to the request.
+func writeReply(c khttp.Context, req *request, reply *peerpb.ForwardReply) error {
 	if xxhash.Sum64(reply.GetBody()) != reply.GetDigest() {
-		return true, verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "the owner's answer was damaged on the way")
+		return verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "the owner's answer was damaged on the way")
 	}
 	if id := reply.GetHeaders()[HeaderRequestID]; id != req.requestID {
-		return true, verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "the owner answered another request")
+		return verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "the owner answered another request")
 	}
 	req.status = int(reply.GetStatus())
 	for key, value := range reply.GetHeaders() {
@@ -58,7 +111,7 @@
 	}
 	c.Response().WriteHeader(int(reply.GetStatus()))
 	_, _ = c.Response().Write(reply.GetBody())
-	return true, nil
+	return nil
 }
 
 // HandleForward serves a request that another instance forwarded.
--- a/version/intent/offer.go
+++ b/version/intent/offer.go
@@ -17,8 +17,14 @@
 	Free, Largest model.Resources
 	// Queued counts the offers in the rack's queues.
 	Queued int
+	// Age is the time since the rack's owner was heard of.
+	Age time.Duration
 }
 
+// staleAge is the age at which the free capacity of a rack counts half when racks are compared. Whether a task fits is
+// judged by the last known capacity, since an unchanged rack is heard of less often.
+const staleAge = 10 * time.Second
+
 // SetRacks replaces the view of the racks that can be reached. The caller does not change the slice afterwards. A rack
 // with a new owner has lost its queue, so its offers are made again.
 func (c *Core) SetRacks(now time.Time, racks []RackView) {
@@ -290,6 +296,7 @@
 // score rates a rack for a demand: one with room before one without, then by free processor time for each queued offer.
 func (r *RackView) score(demand model.Resources) float64 {
 	s := float64(max(r.Free.CPUMilli, 0)) / float64(1+r.Queued)
+	s *= float64(staleAge) / float64(staleAge+max(0, r.Age))
 	if demand.Fits(r.Largest) {
 		return 1e12 + s
 	}
--- /dev/null
+++ b/version/ownership/view.go
@@ -0,0 +1,59 @@
+package ownership
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/lentiltide/lentiltide/platform"
+)
+
+// ReadSessions reads all session rows from the table, also those that have expired.
+func (m *Manager) ReadSessions(ctx context.Context) ([]Session, error) {
+	rows, err := m.opts.Table.Scan(ctx, sessionPrefix)
+	if err != nil {
+		return nil, err
+	}
+	sessions := make([]Session, 0, len(rows))
+	for _, row := range rows {
+		var s Session
+		if err := json.Unmarshal(row.Value, &s); err != nil {
+			return nil, err
+		}
+		sessions = append(sessions, s)
+	}
+	return sessions, nil
+}
+
+// SessionExpired reports whether this instance has seen the row of a session stay unchanged for the whole term.
+func (m *Manager) SessionExpired(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.watched[id] != nil && m.expired(id)
+}
+
+// Refresh reads the owner of one partition from the table, between the regular reads. It takes no partition and loses
+// none.
+func (m *Manager) Refresh(ctx context.Context, p Partition) error {
+	rows, err := m.opts.Table.Get(ctx, partitionPrefix+p.String())
+	if err != nil {
+		return err
+	}
+	if m.noteOwner(rows) {
+		m.opts.Hooks.OwnersChanged()
+	}
+	return nil
+}
+
+// noteOwner enters rows of partitions that this session does not own, which a step of the manager observes.
+func (m *Manager) noteOwner(rows []platform.Row) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var foreign []platform.Row
+	for _, row := range rows {
+		p, ok := parsePartition(row.Key[len(partitionPrefix):])
+		if _, mine := m.mine[p]; ok && !mine {
+			foreign = append(foreign, row)
+		}
+	}
+	return m.observePartitions(foreign)
+}
