Apply quotas and policies of the configuration; break circuits to workers

Cause: the cores kept the constants of their start; a dead worker was asked ten times a second by each loop, and a request to it waited for its timeout.

Change: intent cores take quotas, plan term, offer term and attempts, rack cores the bound of their queues from the document in force, at once. A plan made under an earlier version is stale.

Conclusion: TestConfigReachesCores and the tests of connection/worker guard it. Weights of classes wait for the placement policy to take them.

--- a/connection/worker/client.go
+++ b/connection/worker/client.go
@@ -3,7 +3,9 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/lentiltide/lentiltide/connection/jsonhttp"
@@ -24,46 +26,90 @@
 const maxConnsPerWorker = 4
 
 // Dialer connects to agents over HTTP. It is safe for concurrent use.
-type Dialer struct{ transport *http.Transport }
+//
+// Each address has a circuit breaker: after failures without an answer, requests to it fail at once as NotRun for a time
+// that doubles, and then one request probes it.
+type Dialer struct {
+	transport *http.Transport
+
+	mu       sync.Mutex
+	breakers map[string]*breaker
+}
 
 var _ worker.Dialer = (*Dialer)(nil)
 
 // NewDialer returns a dialer with a connection pool of its own.
 func NewDialer() *Dialer {
-	return &Dialer{transport: &http.Transport{
+	return &Dialer{breakers: map[string]*breaker{}, transport: &http.Transport{
 		MaxConnsPerHost: maxConnsPerWorker, MaxIdleConnsPerHost: maxConnsPerWorker, IdleConnTimeout: time.Minute,
 	}}
 }
 
 // Dial implements worker.Dialer.
 func (d *Dialer) Dial(address string) worker.Agent {
-	return agent{http: jsonhttp.NewClient(address, d.transport)}
+	return agent{http: jsonhttp.NewClient(address, d.transport), breaker: d.breaker(address)}
+}
+
+// breaker returns the breaker of an address. Addresses that are not in use are forgotten when there are too many.
+func (d *Dialer) breaker(address string) *breaker {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if b := d.breakers[address]; b != nil {
+		return b
+	}
+	if len(d.breakers) >= maxBreakers {
+		for old, b := range d.breakers {
+			if b.idle(time.Now()) {
+				delete(d.breakers, old)
+			}
+		}
+	}
+	b := &breaker{}
+	d.breakers[address] = b
+	return b
 }
 
-type agent struct{ http *jsonhttp.Client }
+type agent struct {
+	http    *jsonhttp.Client
+	breaker *breaker
+}
+
+// post sends a request unless the breaker is open.
+func (a agent) post(ctx context.Context, path string, in, out any) error {
+	if err := a.breaker.allow(time.Now()); err != nil {
+		return err
+	}
+	err := a.http.Post(ctx, path, in, out)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		a.breaker.forget()
+	} else {
+		a.breaker.done(time.Now(), answered(err))
+	}
+	return err
+}
 
 func (a agent) Fence(ctx context.Context, req worker.FenceRequest) (worker.Inventory, error) {
 	var reply worker.Inventory
-	err := a.http.Post(ctx, PathFence, req, &reply)
+	err := a.post(ctx, PathFence, req, &reply)
 	return reply, err
 }
 
 func (a agent) Start(ctx context.Context, req worker.StartRequest) (worker.StartReply, error) {
 	var reply worker.StartReply
-	err := a.http.Post(ctx, PathStart, req, &reply)
+	err := a.post(ctx, PathStart, req, &reply)
 	return reply, err
 }
 
 func (a agent) Sync(ctx context.Context, req worker.SyncRequest) (worker.SyncReply, error) {
 	var reply worker.SyncReply
-	err := a.http.Post(ctx, PathSync, req, &reply)
+	err := a.post(ctx, PathSync, req, &reply)
 	return reply, err
 }
 
 func (a agent) Stop(ctx context.Context, req worker.StopRequest) error {
-	return a.http.Post(ctx, PathStop, req, nil)
+	return a.post(ctx, PathStop, req, nil)
 }
 
 func (a agent) Throttle(ctx context.Context, req worker.ThrottleRequest) error {
-	return a.http.Post(ctx, PathThrottle, req, nil)
+	return a.post(ctx, PathThrottle, req, nil)
 }
--- a/process/instance/config.go
+++ b/process/instance/config.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,7 +14,9 @@
 	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
 	"github.com/lentiltide/lentiltide/version/config"
+	"github.com/lentiltide/lentiltide/version/intent"
 	"github.com/lentiltide/lentiltide/version/ownership"
+	"github.com/lentiltide/lentiltide/version/rack"
 )
 
 const (
@@ -315,6 +319,45 @@
 	return status, nil
 }
 
+// configQuotas gives the intent cores the quotas in force.
+type configQuotas struct{ view *config.View }
+
+// Quota implements intent.Quotas.
+func (q configQuotas) Quota(account, team string) intent.Quota {
+	t := q.view.Current().Team(account, team)
+	return intent.Quota{Weight: float64(t.Weight), Share: t.Share, Limit: t.Limit}
+}
+
+// intentPolicy returns the policy of intent cores under a document.
+func intentPolicy(d config.Document) intent.Policy {
+	p := intent.DefaultPolicy()
+	p.PlanTerm = time.Duration(d.Policy.PlanTermMS) * time.Millisecond
+	p.OfferTerm = time.Duration(d.Policy.OfferTermMS) * time.Millisecond
+	p.MaxAttempts = d.Policy.MaxAttempts
+	return p
+}
+
+// rackPolicy returns the policy of rack cores under a document.
+func (in *Instance) rackPolicy(d config.Document) rack.Policy {
+	p := rack.DefaultPolicy()
+	p.LeaseTerm = in.opts.Settings.LeaseTerm()
+	p.QueueLimit = d.Policy.QueueLimit
+	return p
+}
+
+// applyPolicies gives the cores served here the policies of a document.
+func (in *Instance) applyPolicies(a config.Applied) {
+	in.mu.Lock()
+	intents, racks := slices.Collect(maps.Values(in.intents)), slices.Collect(maps.Values(in.racks))
+	in.mu.Unlock()
+	for _, r := range intents {
+		r.core.SetPolicy(intentPolicy(a.Document))
+	}
+	for _, r := range racks {
+		r.core.SetQueueLimit(a.Document.Policy.QueueLimit)
+	}
+}
+
 // admitted returns a NotRun error while requests that depend on the configuration must not be admitted.
 func (in *Instance) admitted() error { return in.config.Admit(in.opts.Clock.Now()) }
 
--- a/process/instance/config_test.go
+++ b/process/instance/config_test.go
@@ -8,9 +8,11 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
 	"github.com/lentiltide/lentiltide/version/config"
+	"github.com/lentiltide/lentiltide/version/intent"
 )
 
 // inForceBound is the bound of the design page on the time from a confirmation until no older version is applied.
@@ -168,3 +170,29 @@
 	assert.NilError(t, v.Admit(now.Add(time.Second)))
 	assert.Equal(t, verdict.Of(v.Admit(now.Add(time.Hour))), verdict.NotRun)
 }
+
+// TestConfigReachesCores guards against quotas and policies that stay at the values of a partition's start, and against
+// plans made under an earlier version that are confirmed after a change.
+func TestConfigReachesCores(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, nodes := startMesh(t, 1, 2)
+		n := nodes[0]
+		assert.Equal(t, n.opts.Quotas.Quota("office", "fleet"), intent.Quota{Weight: 1})
+		spec := model.IntentSpec{
+			Account: "office", Team: "fleet", Name: "audit", Kind: model.KindBatch, Tasks: 1,
+			Each: model.Resources{CPUMilli: 100, MemoryMiB: 10},
+		}
+		p := model.IntentPartition(spec.Account, spec.Team)
+		before, err := n.Plan(context.Background(), p, spec)
+		assert.NilError(t, err)
+		confirmConfig(t, n, `{"teams":[{"account":"office","team":"fleet","weight":3,"limit":{"cpu_milli":9000}}],"policy":{"plan_term_ms":5000}}`)
+		want := intent.Quota{Weight: 3, Limit: model.Resources{CPUMilli: 9000}}
+		assert.Equal(t, n.opts.Quotas.Quota("office", "fleet"), want)
+		_, err = n.Confirm(context.Background(), p, before.ID)
+		assert.Equal(t, verdict.From(err).Code, verdict.CodeStalePlan)
+		after, err := n.Plan(context.Background(), p, spec)
+		assert.NilError(t, err)
+		assert.Equal(t, after.ConfigVersion, uint64(1))
+		assert.Equal(t, after.ExpiresAt.Sub(after.CreatedAt), 5*time.Second)
+	})
+}
--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -36,7 +36,7 @@
 	Log      logrus.FieldLogger
 	// Seed seeds the random choices.
 	Seed uint64
-	// Quotas are the quotas in force; nil limits nothing.
+	// Quotas are the quotas in force; nil takes those of the configuration.
 	Quotas intent.Quotas
 }
 
@@ -82,7 +82,11 @@
 	}
 	in.config = config.NewView(in.configApplied)
 	in.router = newRouter(opts.Clock.Now, opts.Seed)
+	if opts.Quotas == nil {
+		in.opts.Quotas = configQuotas{in.config}
+	}
 	in.OnConfig(in.router.configure)
+	in.OnConfig(in.applyPolicies)
 	s := opts.Settings
 	in.owners = ownership.New(ownership.Options{
 		Instance: s.Instance, Address: s.PeerAddress, Region: s.Region, Zone: s.Zone,
--- a/process/instance/intents.go
+++ b/process/instance/intents.go
@@ -72,7 +72,7 @@
 func (in *Instance) acquireIntent(p ownership.Partition, epoch, rowVersion uint64) {
 	n := partitionNumber(p)
 	r := &intentRunner{
-		in: in, core: intent.New(n, epoch, intent.DefaultPolicy()),
+		in: in, core: intent.New(n, epoch, intentPolicy(in.config.Current().Document)),
 		condition: platform.Condition{Key: "partition/" + p.String(), Version: rowVersion},
 		waiting:   map[model.TaskID][]chan model.Outcome{}, versions: map[string]uint64{},
 	}
--- a/process/instance/racks.go
+++ b/process/instance/racks.go
@@ -40,8 +40,7 @@
 }
 
 func (in *Instance) acquireRack(name string, epoch uint64) {
-	policy := rack.DefaultPolicy()
-	policy.LeaseTerm = in.opts.Settings.LeaseTerm()
+	policy := in.rackPolicy(in.config.Current().Document)
 	r := &rackRunner{
 		in: in, core: rack.New(in.opts.Clock.Now(), name, epoch, policy),
 		agents: map[string]worker.Agent{}, fencing: map[string]bool{}, syncing: map[string]bool{},
--- a/version/config/config_test.go
+++ b/version/config/config_test.go
@@ -19,8 +19,8 @@
 			`limits.max_in_flight limits.colour teams[0].weight x`,
 		},
 		"ranges": {
-			`{"limits":{"max_in_flight":0,"retry_percent":101},"teams":[{"account":"","team":"a","weight":0,"quota":{"slots":-1}}]}`,
-			`limits.max_in_flight limits.retry_percent teams[0].account teams[0].weight teams[0].quota.slots`,
+			`{"limits":{"max_in_flight":0,"retry_percent":101},"teams":[{"account":"","team":"a","weight":0,"limit":{"slots":-1}}]}`,
+			`limits.max_in_flight limits.retry_percent teams[0].account teams[0].weight teams[0].limit.slots`,
 		},
 		"duplicate team": {
 			`{"teams":[{"account":"a","team":"b","weight":1},{"account":"a","team":"b","weight":2}]}`, `teams[1].team`,
--- a/version/config/document.go
+++ b/version/config/document.go
@@ -22,7 +22,7 @@
 	Classes map[string]Class `json:"classes"`
 	// Limits bounds the requests that one instance works on.
 	Limits Limits `json:"limits"`
-	// Teams holds the shares and quotas of teams. A team that is not listed has weight 1 and no quota.
+	// Teams holds the shares and quotas of teams. A team that is not listed has weight 1 and no limit.
 	Teams []Team `json:"teams"`
 	// Policy holds the settings of placement and intents.
 	Policy Policy `json:"policy"`
@@ -53,10 +53,12 @@
 type Team struct {
 	Account string `json:"account"`
 	Team    string `json:"team"`
-	// Weight is the team's share relative to other teams.
+	// Weight scales the team's fair share.
 	Weight int `json:"weight"`
-	// Quota bounds what the team's running tasks hold; nil means no bound.
-	Quota *model.Resources `json:"quota"`
+	// Share is what the team may use at any time; use beyond it is borrowed. Limit is what it never exceeds. A field that is
+	// zero is not limited.
+	Share model.Resources `json:"share"`
+	Limit model.Resources `json:"limit"`
 }
 
 // Policy holds the settings of placement and intents.
@@ -177,15 +179,13 @@
 			problems = append(problems, Problem{path + "team", fmt.Sprintf("is listed in teams[%d] as well", first)})
 		}
 		seen[key] = i
-		problems = append(problems, checkQuota(path+"quota.", t.Quota)...)
+		problems = append(problems, checkAmounts(path+"share.", t.Share)...)
+		problems = append(problems, checkAmounts(path+"limit.", t.Limit)...)
 	}
 	return problems
 }
 
-func checkQuota(path string, q *model.Resources) []Problem {
-	if q == nil {
-		return nil
-	}
+func checkAmounts(path string, q model.Resources) []Problem {
 	var problems []Problem
 	for _, f := range []struct {
 		name  string
@@ -203,13 +203,3 @@
 
 // Class returns the entry of a class.
 func (d Document) Class(c model.Class) Class { return d.Classes[c.String()] }
-
-// Team returns the entry of a team; the second result is false for a team that is not listed.
-func (d Document) Team(account, team string) (Team, bool) {
-	for _, t := range d.Teams {
-		if t.Account == account && t.Team == team {
-			return t, true
-		}
-	}
-	return Team{Account: account, Team: team, Weight: 1}, false
-}
--- a/version/config/view.go
+++ b/version/config/view.go
@@ -61,6 +61,26 @@
 type Applied struct {
 	Version  uint64
 	Document Document
+
+	teams map[teamKey]Team
+}
+
+type teamKey struct{ account, team string }
+
+func newApplied(version uint64, d Document) Applied {
+	a := Applied{Version: version, Document: d, teams: make(map[teamKey]Team, len(d.Teams))}
+	for _, t := range d.Teams {
+		a.teams[teamKey{t.Account, t.Team}] = t
+	}
+	return a
+}
+
+// Team returns the entry of a team; one that is not listed has weight 1 and no limit.
+func (a Applied) Team(account, team string) Team {
+	if t, ok := a.teams[teamKey{account, team}]; ok {
+		return t
+	}
+	return Team{Account: account, Team: team, Weight: 1}
 }
 
 // View is the configuration in force on one instance. It only moves to higher versions.
@@ -82,7 +102,7 @@
 // NewView returns a view with the default document as version 0, which admits nothing before the first read. onApply is
 // called for each version that is applied.
 func NewView(onApply func(Applied)) *View {
-	return &View{onApply: onApply, applied: Applied{Document: Default()}}
+	return &View{onApply: onApply, applied: newApplied(0, Default())}
 }
 
 // Current returns the version in force.
@@ -132,7 +152,7 @@
 	if err != nil {
 		return err
 	}
-	next := Applied{Version: version, Document: d}
+	next := newApplied(version, d)
 	v.mu.Lock()
 	v.applied = next
 	v.mu.Unlock()
--- a/version/intent/call.go
+++ b/version/intent/call.go
@@ -10,11 +10,11 @@
 
 // Tickets issues a block of idempotency keys for calls. They are executed only in this epoch.
 func (c *Core) Tickets(count int) ([]model.StartToken, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if count < 1 || count > c.policy.MaxTickets {
 		return nil, verdict.Invalid("count", "expected 1 to %d", c.policy.MaxTickets)
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	tickets := make([]model.StartToken, count)
 	for i := range tickets {
 		c.issued++
--- a/version/intent/policy.go
+++ b/version/intent/policy.go
@@ -53,6 +53,13 @@
 	}
 }
 
+// SetPolicy replaces the policy. It applies to plans, offers and failures from now on.
+func (c *Core) SetPolicy(p Policy) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.policy = p
+}
+
 // backoff returns first doubled n times, at most limit.
 func backoff(first, limit time.Duration, n int) time.Duration {
 	d := first
