--- /dev/null
+++ b/bench/network/forward_test.go
@@ -0,0 +1,177 @@
+package network
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/lentiltide/lentiltide"
+	"github.com/lentiltide/lentiltide/connection/jsonhttp"
+	"github.com/lentiltide/lentiltide/connection/peer"
+	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/process/settings"
+	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/standin/cell"
+)
+
+func notServed(err error) bool { return verdict.From(err).Code == verdict.CodeWrongOwner }
+
+// BenchmarkForward reports what a forward adds to a request: latency and allocations of a status request at the owner and
+// at another instance, and of a message between instances alone, also beside a stalled bulk stream.
+func BenchmarkForward(b *testing.B) {
+	b.Run("peer", func(b *testing.B) { benchmarkPeer(b, 1, false) })
+	b.Run("peer_64_callers", func(b *testing.B) { benchmarkPeer(b, 64, false) })
+	b.Run("peer_beside_bulk", func(b *testing.B) { benchmarkPeer(b, 1, true) })
+	benchmarkStatus(b)
+}
+
+// benchmarkPeer measures an answered message of 200 bytes each way.
+func benchmarkPeer(b *testing.B, callers int, besideBulk bool) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	server, client := peer.NewTransport(peer.Options{}), peer.NewTransport(peer.Options{})
+	defer server.Close()
+	defer client.Close()
+	defer l.Close()
+	body := make([]byte, 200)
+	go func() {
+		_ = server.Serve(context.Background(), l, func(ctx context.Context, req *peerpb.Request) *peerpb.Reply {
+			return &peerpb.Reply{Body: &peerpb.Reply_Forward{Forward: &peerpb.ForwardReply{Body: body}}}
+		})
+	}()
+	address := l.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	var bulk sync.WaitGroup
+	if besideBulk {
+		for range 4 {
+			bulk.Go(func() {
+				for ctx.Err() == nil {
+					_, _ = client.Call(ctx, address, &peerpb.Request{Body: &peerpb.Request_Handover{
+						Handover: &peerpb.Handover{State: make([]byte, 1<<20)},
+					}})
+				}
+			})
+		}
+	}
+	took := measure(b, callers, func() error {
+		_, err := client.Call(ctx, address, &peerpb.Request{Body: &peerpb.Request_Forward{Forward: &peerpb.Forward{Body: body}}})
+		return err
+	})
+	cancel()
+	bulk.Wait()
+	report(b, took)
+}
+
+// measure runs b.N requests from a number of callers and returns how long each took.
+func measure(b *testing.B, callers int, request func() error) []time.Duration {
+	if err := request(); err != nil {
+		b.Fatal(err)
+	}
+	took := make([][]time.Duration, callers)
+	b.ReportAllocs()
+	b.ResetTimer()
+	var wg sync.WaitGroup
+	for c := range callers {
+		wg.Go(func() {
+			for i := c; i < b.N; i += callers {
+				began := time.Now()
+				if err := request(); err != nil {
+					b.Error(err)
+					return
+				}
+				took[c] = append(took[c], time.Since(began))
+			}
+		})
+	}
+	wg.Wait()
+	b.StopTimer()
+	var all []time.Duration
+	for _, t := range took {
+		all = append(all, t...)
+	}
+	return all
+}
+
+func report(b *testing.B, took []time.Duration) {
+	b.ReportMetric(float64(percentile(took, 0.5).Nanoseconds())/1000, "p50-µs")
+	b.ReportMetric(float64(percentile(took, 0.99).Nanoseconds())/1000, "p99-µs")
+}
+
+// benchmarkStatus measures status requests over HTTP at the owner and at another instance.
+func benchmarkStatus(b *testing.B) {
+	c, err := cell.Start(cell.Options{Workers: 4, PerRack: 2, Zones: []string{"maardu"}, Region: "estonia", Capacity: capacity})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Close()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	var all []*lentiltide.Instance
+	for i := range 2 {
+		s := settings.Default()
+		s.Instance, s.Region, s.Zone = fmt.Sprintf("entry-%d", i), "estonia", "maardu"
+		s.HTTPAddress, s.PeerAddress, s.PlatformURL = "127.0.0.1:0", "127.0.0.1:0", c.URL
+		in, err := lentiltide.Start(lentiltide.Options{Settings: s, Log: log})
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer in.Kill()
+		all = append(all, in)
+	}
+	client := func(in *lentiltide.Instance) *jsonhttp.Client { return jsonhttp.NewClient(in.URL(), nil) }
+	id := confirmOver(b, client(all[0]))
+	// The owner's own answer is the faster one; which instance owns the partition depends on its name only.
+	served := map[bool]*lentiltide.Instance{}
+	for _, in := range all {
+		served[owns(in, id)] = in
+	}
+	for name, local := range map[string]bool{"http_at_owner": true, "http_forwarded": false} {
+		b.Run(name, func(b *testing.B) {
+			http := client(served[local])
+			report(b, measure(b, 1, func() error {
+				_, err := http.Do(context.Background(), "GET", "/v1/intents/"+id, nil, nil, nil)
+				return err
+			}))
+		})
+	}
+}
+
+func owns(in *lentiltide.Instance, id string) bool {
+	for _, p := range in.Dump().Intents {
+		if fmt.Sprintf("i%d-", p.Partition) == id[:len(fmt.Sprintf("i%d-", p.Partition))] {
+			return true
+		}
+	}
+	return false
+}
+
+// confirmOver plans and confirms a small batch over HTTP, and returns its id.
+func confirmOver(b *testing.B, client *jsonhttp.Client) string {
+	spec := model.IntentSpec{
+		Account: "office", Team: "fleet", Name: "audit", Kind: model.KindBatch, Tasks: 1,
+		Each: model.Resources{CPUMilli: 100, MemoryMiB: 10}, RunTimeMS: 10,
+	}
+	var err error
+	for range 600 {
+		var plan model.Plan
+		var in model.Intent
+		if err = client.Post(context.Background(), "/v1/plans", spec, &plan); err == nil {
+			err = client.Post(context.Background(), "/v1/plans/"+plan.ID+"/confirm", struct{}{}, &in)
+		}
+		if err == nil {
+			return in.ID
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	b.Fatal(err)
+	return ""
+}
--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -202,14 +202,29 @@
 	return nil, verdict.New(verdict.NotRun, verdict.CodeWrongOwner, "intent partition %d is not served here", n).After(retryDelay)
 }
 
-// ask sends a message to the owner of a partition, which may be this instance.
+// ask sends a message to the owner of a partition, which may be this instance. When the owner has changed, the view is
+// refreshed and the message is sent to the new owner once.
 func (in *Instance) ask(ctx context.Context, p ownership.Partition, req *peerpb.Request) (*peerpb.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
 	loc, ok := in.owners.Locate(p)
 	if !ok {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "partition %s has no owner", p).After(retryDelay)
 	}
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
+	reply, err := in.send(ctx, loc, req)
+	if !ownerChanged(err) {
+		return reply, err
+	}
+	in.refreshOwner(ctx, p)
+	now, ok := in.owners.Locate(p)
+	if !ok || now.Address == loc.Address {
+		return reply, err
+	}
+	return in.send(ctx, now, req)
+}
+
+// send sends a message to the instance at a location.
+func (in *Instance) send(ctx context.Context, loc ownership.Location, req *peerpb.Request) (*peerpb.Reply, error) {
 	if loc.Local {
 		reply := in.HandlePeer(ctx, req)
 		return reply, peer.ErrorFromProto(reply.GetError())
--- a/process/instance/intents.go
+++ b/process/instance/intents.go
@@ -159,7 +159,7 @@
 			r.record(final)
 			r.execute(effects)
 		}
-		if !r.in.sleep(r.ctx, retryDelay) {
+		if missing > 0 && !r.in.sleep(r.ctx, retryDelay) || missing == 0 && !r.in.awaitChange(r.ctx) {
 			return
 		}
 	}
@@ -293,6 +293,6 @@
 		r.execute(effects)
 		return model.Outcome{}, verdict.Wrap(ctx.Err(), v, verdict.CodeUnavailable, "wait for the outcome")
 	case <-r.ctx.Done():
-		return model.Outcome{}, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the partition moved to another owner").After(retryDelay)
+		return model.Outcome{}, verdict.New(verdict.MayHaveRun, verdict.CodeWrongOwner, "the partition moved to another owner").After(retryDelay)
 	}
 }
--- a/process/instance/members.go
+++ b/process/instance/members.go
@@ -31,14 +31,10 @@
 
 func (in *Instance) rackNames() []string { return in.members.Racks() }
 
-func (in *Instance) rackMembers(name string) []platform.Member {
-	return in.members.Workers(in.opts.Clock.Now(), name)
-}
+func (in *Instance) rackMembers(name string) []platform.Member { return in.members.Workers(name) }
 
 // isLeaving reports whether the platform says that an entry instance is leaving, so that it gets no further partitions.
-func (in *Instance) isLeaving(name string) bool {
-	return in.members.IsLeaving(in.opts.Clock.Now(), name)
-}
+func (in *Instance) isLeaving(name string) bool { return in.members.IsLeaving(name) }
 
 func (in *Instance) watchMembers() { in.every(in.ctx, memberRefresh, in.refreshMembers) }
 
@@ -50,13 +46,16 @@
 	if err != nil {
 		return
 	}
-	left := in.members.List(in.opts.Clock.Now(), members)
-	in.membersChanged()
+	left, changed := in.members.List(in.opts.Clock.Now(), members)
+	if changed {
+		in.membersChanged()
+	}
 	in.reportLeaving(left)
 }
 
 // membersChanged gives each rack served here its current members.
 func (in *Instance) membersChanged() {
+	in.router.notify()
 	in.mu.Lock()
 	runners := make([]*rackRunner, 0, len(in.racks))
 	for _, r := range in.racks {
--- a/process/instance/mesh_test.go
+++ b/process/instance/mesh_test.go
@@ -183,7 +183,11 @@
 
 // request dispatches a request and returns the instance that served it.
 func (n *node) request(ctx context.Context, partition int) (servedBy string, err error) {
-	reply, err := n.Dispatch(ctx, Request{Partition: partition}, func() *peerpb.Forward { return &peerpb.Forward{} }, n.work)
+	return n.dispatch(ctx, Request{Partition: partition})
+}
+
+func (n *node) dispatch(ctx context.Context, req Request) (servedBy string, err error) {
+	reply, err := n.Dispatch(ctx, req, func() *peerpb.Forward { return &peerpb.Forward{} }, n.work)
 	if err != nil || reply == nil {
 		return n.address, err
 	}
--- a/process/instance/queries.go
+++ b/process/instance/queries.go
@@ -48,7 +48,7 @@
 // WorkerCapacities returns the capacities of the workers that the platform lists.
 func (in *Instance) WorkerCapacities() []model.Resources {
 	var all []model.Resources
-	for _, m := range in.members.Workers(in.opts.Clock.Now(), "") {
+	for _, m := range in.members.AllWorkers() {
 		all = append(all, m.Capacity)
 	}
 	return all
--- a/process/instance/route.go
+++ b/process/instance/route.go
@@ -23,6 +23,8 @@
 	maxHeld = 1024
 	// heldRetry is the retry time given when a partition has no owner after holdTime.
 	heldRetry = time.Second
+	// changeCheck is the time after which the owners are looked at again without a sign of a change.
+	changeCheck = time.Second
 	// refreshEvery is the shortest time between reads of one partition's owner that requests cause.
 	refreshEvery = 100 * time.Millisecond
 )
@@ -36,6 +38,8 @@
 	Spec *model.IntentSpec
 	// Class is the class of the request where neither an intent nor a spec says it.
 	Class model.Class
+	// Repeatable is set for a request with a ticket or a key, which the next owner answers once more without a second run.
+	Repeatable bool
 }
 
 // router keeps what routing needs beside the owners.
@@ -49,8 +53,8 @@
 	// changed is closed and replaced when an owner or the partitions served here change.
 	changed chan struct{}
 	held    int
-	// refreshed is when the owner of an intent partition was last read because of a request.
-	refreshed map[int]time.Time
+	// refreshed is when the owner of a partition was last read because of a request or a message.
+	refreshed map[ownership.Partition]time.Time
 	// working counts the requests that are worked on, by partition; closing partitions take no more.
 	working map[int]int
 	closing map[int]bool
@@ -61,7 +65,7 @@
 	return &router{
 		entry: limit.New(now, seed, limits), owned: limit.New(now, seed+1, limits),
 		retries: limit.NewBudget(config.Default().Limits.RetryPercent, seed),
-		changed: make(chan struct{}), refreshed: map[int]time.Time{}, working: map[int]int{}, closing: map[int]bool{},
+		changed: make(chan struct{}), refreshed: map[ownership.Partition]time.Time{}, working: map[int]int{}, closing: map[int]bool{},
 	}
 }
 
@@ -92,6 +96,22 @@
 	r.changed = make(chan struct{})
 }
 
+// awaitChange waits until an owner or the partitions served here may have changed, for at most changeCheck. It returns
+// false when ctx has ended.
+func (in *Instance) awaitChange(ctx context.Context) bool {
+	in.router.mu.Lock()
+	changed := in.router.changed
+	in.router.mu.Unlock()
+	select {
+	case <-changed:
+		return true
+	case <-in.opts.Clock.After(changeCheck):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Admit applies the limits of the instance that a caller reached. release is called when the request has been answered.
 func (in *Instance) Admit(ctx context.Context, key limit.Key) (release func(), err error) {
 	return in.router.entry.Acquire(ctx, key)
@@ -99,7 +119,8 @@
 
 // Dispatch serves a request here if this instance owns its partition, and otherwise forwards it to the owner. The reply
 // is nil when local has served the request. After an answer that it certainly did not run because the owner has changed,
-// the request is sent to the new owner once. Requests wait briefly for the end of a hand-over.
+// the request is sent to the new owner once; so is one whose partition moved while it ran, if a ticket or a key keeps it
+// from running twice. Requests wait briefly for the end of a hand-over.
 func (in *Instance) Dispatch(
 	ctx context.Context, req Request, forward func() *peerpb.Forward, local func(context.Context) error,
 ) (reply *peerpb.ForwardReply, err error) {
@@ -121,7 +142,7 @@
 		} else {
 			reply, err = in.forward(ctx, address, req.Partition, forward())
 		}
-		if tries > 0 || !ownerChanged(err) {
+		if tries > 0 || !(ownerChanged(err) || req.Repeatable && movedMeanwhile(err)) {
 			return reply, err
 		}
 		address, here, err = in.nextOwner(ctx, req.Partition, address, err)
@@ -138,6 +159,15 @@
 	return e.Verdict == verdict.NotRun && (e.Code == verdict.CodeWrongOwner || e.Code == verdict.CodeUnavailable)
 }
 
+// movedMeanwhile reports whether a partition moved to another owner while it worked on the request.
+func movedMeanwhile(err error) bool {
+	if err == nil {
+		return false
+	}
+	e := verdict.From(err)
+	return e.Verdict == verdict.MayHaveRun && e.Code == verdict.CodeWrongOwner
+}
+
 // nextOwner returns the owner to try after the one at an address refused. An owner that cannot be reached stays the owner
 // until the table names another.
 func (in *Instance) nextOwner(ctx context.Context, n int, tried string, refusal error) (address string, here bool, err error) {
@@ -145,7 +175,7 @@
 	if e.Owner != "" && e.Owner != tried && e.Owner != in.opts.Settings.PeerAddress {
 		return e.Owner, false, nil
 	}
-	in.refreshOwner(ctx, n)
+	in.refreshOwner(ctx, ownership.Intent(n))
 	if loc, ok := in.owners.Locate(ownership.Intent(n)); ok && !loc.Local && loc.Address == tried && e.Code == verdict.CodeUnavailable {
 		return "", false, refusal
 	}
@@ -179,7 +209,7 @@
 		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "%d requests wait for partitions that move", maxHeld).After(heldRetry)
 	}
 	defer r.endHold()
-	in.refreshOwner(ctx, n)
+	in.refreshOwner(ctx, ownership.Intent(n))
 	timeout := in.opts.Clock.After(holdTime)
 	refresh := in.opts.Clock.NewTicker(refreshEvery)
 	defer refresh.Stop()
@@ -187,7 +217,7 @@
 		select {
 		case <-changed:
 		case <-refresh.Chan():
-			in.refreshOwner(ctx, n)
+			in.refreshOwner(ctx, ownership.Intent(n))
 		case <-timeout:
 			return verdict.New(verdict.NotRun, verdict.CodeWrongOwner, "intent partition %d has no owner that serves it", n).After(heldRetry)
 		case <-ctx.Done():
@@ -218,19 +248,19 @@
 	r.held--
 }
 
-// refreshOwner reads the owner of a partition from the table, unless a request has done so just now.
-func (in *Instance) refreshOwner(ctx context.Context, n int) {
+// refreshOwner reads the owner of a partition from the table, unless a request or a message has done so just now.
+func (in *Instance) refreshOwner(ctx context.Context, p ownership.Partition) {
 	now := in.opts.Clock.Now()
 	r := in.router
 	r.mu.Lock()
-	due := now.Sub(r.refreshed[n]) >= refreshEvery
+	due := now.Sub(r.refreshed[p]) >= refreshEvery
 	if due {
-		r.refreshed[n] = now
+		r.refreshed[p] = now
 	}
 	r.mu.Unlock()
 	if due {
 		// Without an answer the view stays as it is; the regular reads go on.
-		_ = in.owners.Refresh(ctx, ownership.Intent(n))
+		_ = in.owners.Refresh(ctx, p)
 	}
 }
 
--- a/process/instance/route_test.go
+++ b/process/instance/route_test.go
@@ -111,6 +111,39 @@
 	})
 }
 
+// TestLongCallMovesWithItsTicket guards against a call that is cut off because it runs longer than a shutdown may take. With
+// a ticket it is answered by the next owner; without one its caller is told that it may have run.
+func TestLongCallMovesWithItsTicket(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, nodes := startMesh(t, 3, 0)
+		old := nodes[1]
+		p := ownedBy(t, old)
+		r, err := old.intentRunner(p)
+		assert.NilError(t, err)
+		old.work = func(context.Context) error {
+			<-r.ctx.Done()
+			return verdict.New(verdict.MayHaveRun, verdict.CodeWrongOwner, "the partition moved")
+		}
+		var wg sync.WaitGroup
+		for _, entry := range nodes[:2] {
+			wg.Go(func() {
+				by, err := entry.dispatch(context.Background(), Request{Partition: p, Repeatable: true})
+				assert.Check(t, err)
+				assert.Check(t, by != old.address)
+			})
+			wg.Go(func() {
+				_, err := entry.dispatch(context.Background(), Request{Partition: p})
+				assert.Check(t, verdict.Of(err) == verdict.MayHaveRun)
+			})
+		}
+		time.Sleep(time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+		defer cancel()
+		assert.NilError(t, old.Shutdown(ctx))
+		wg.Wait()
+	})
+}
+
 // TestHeldRequestsAreBounded guards against requests that wait without bound for an owner, in number or in time.
 func TestHeldRequestsAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/process/instance/usage.go
+++ b/process/instance/usage.go
@@ -39,7 +39,7 @@
 	view = cellView{at: now}
 	names := in.rackNames()
 	zones := map[string]string{}
-	for _, m := range in.members.Workers(now, "") {
+	for _, m := range in.members.AllWorkers() {
 		zones[m.Rack] = m.Zone
 		if m.State != platform.MemberLeaving {
 			view.capacity = view.capacity.Add(m.Capacity)
@@ -164,7 +164,7 @@
 		in.run(func() {
 			ctx, cancel := context.WithTimeout(in.ctx, peerTimeout)
 			defer cancel()
-			_, _ = in.opts.Peers.Call(ctx, session.Address, &peerpb.Request{Body: &peerpb.Request_Usages{Usages: m}})
+			_ = in.opts.Peers.Send(ctx, session.Address, &peerpb.Request{Body: &peerpb.Request_Usages{Usages: m}})
 		})
 	}
 }
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -4,8 +4,11 @@
 package membership
 
 import (
-	"sort"
+	"cmp"
+	"maps"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lentiltide/lentiltide/platform"
@@ -24,12 +27,21 @@
 
 // View is the joined view.
 //
-// Locking: one lock for all fields.
+// Locking: one lock for the machines; readers use an immutable snapshot without a lock, since the names of the racks and
+// their workers are read far more often than they change.
 type View struct {
 	mu       sync.Mutex
 	machines map[string]*machine
-	// listed is when the last list was taken.
-	listed time.Time
+
+	snapshot atomic.Pointer[snapshot]
+}
+
+// snapshot is the joined view at the time of the last sign. Its slices and maps are shared and never changed.
+type snapshot struct {
+	racks   []string
+	byRack  map[string][]platform.Member
+	workers []platform.Member
+	leaving map[string]bool
 }
 
 // machine is a worker or an entry instance.
@@ -42,14 +54,19 @@
 }
 
 // New returns an empty view.
-func New() *View { return &View{machines: map[string]*machine{}} }
+func New() *View {
+	v := &View{machines: map[string]*machine{}}
+	v.snapshot.Store(&snapshot{})
+	return v
+}
 
-// List takes an answer of the platform and returns the workers that were not leaving before and are now.
+// List takes an answer of the platform. It returns the workers that were not leaving before and are now, and whether the
+// view of the workers has changed.
 //
 // An empty list changes nothing. A machine that is missing stays known with its last state, since a worker's tasks do not
 // end because of a list. A worker stays in the rack in which it was first listed: a list that moves it must not make a
 // second rack owner fence it. A machine that is listed as leaving stays so for leavingHold.
-func (v *View) List(now time.Time, members []platform.Member) (left []platform.Member) {
+func (v *View) List(now time.Time, members []platform.Member) (left []platform.Member, changed bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	known, listed := len(v.machines), 0
@@ -63,9 +80,8 @@
 		}
 	}
 	if listed == 0 {
-		return nil
+		return nil, false
 	}
-	v.listed = now
 	trusted := float64(listed) >= minShare*float64(known)
 	for id, m := range v.machines {
 		if !trusted {
@@ -75,7 +91,31 @@
 			delete(v.machines, id)
 		}
 	}
-	return left
+	return left, v.publish(now)
+}
+
+// publish makes a new snapshot if the view has changed. Callers hold v.mu.
+func (v *View) publish(now time.Time) (changed bool) {
+	next := &snapshot{byRack: map[string][]platform.Member{}, leaving: map[string]bool{}}
+	for id, m := range v.machines {
+		if m.isLeaving(now) {
+			next.leaving[id] = true
+		}
+		if m.Role == platform.RoleWorker {
+			next.workers = append(next.workers, m.member(now))
+		}
+	}
+	slices.SortFunc(next.workers, func(a, b platform.Member) int { return cmp.Compare(a.ID, b.ID) })
+	old := v.snapshot.Load()
+	if slices.Equal(old.workers, next.workers) && maps.Equal(old.leaving, next.leaving) {
+		return false
+	}
+	for _, m := range next.workers {
+		next.byRack[m.Rack] = append(next.byRack[m.Rack], m)
+	}
+	next.racks = slices.Sorted(maps.Keys(next.byRack))
+	v.snapshot.Store(next)
+	return true
 }
 
 func valid(m platform.Member) bool {
@@ -112,8 +152,9 @@
 	return !m.leaving.IsZero() && now.Sub(m.leaving) < leavingHold
 }
 
-// Leaving takes the word of a peer that machines are leaving, whose own list may be newer. Unknown ones are ignored.
-func (v *View) Leaving(now time.Time, ids []string) {
+// Leaving takes the word of a peer that machines are leaving, whose own list may be newer. Unknown ones are ignored. It
+// returns whether the view has changed.
+func (v *View) Leaving(now time.Time, ids []string) (changed bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, id := range ids {
@@ -121,45 +162,20 @@
 			m.leaving = now
 		}
 	}
+	return v.publish(now)
 }
 
 // IsLeaving reports whether a machine is leaving.
-func (v *View) IsLeaving(now time.Time, id string) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	m := v.machines[id]
-	return m != nil && m.isLeaving(now)
-}
+func (v *View) IsLeaving(id string) bool { return v.snapshot.Load().leaving[id] }
 
-// Racks returns the names of all racks with a known worker, sorted.
-func (v *View) Racks() []string {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	seen := map[string]bool{}
-	var names []string
-	for _, m := range v.machines {
-		if m.Role == platform.RoleWorker && !seen[m.Rack] {
-			seen[m.Rack] = true
-			names = append(names, m.Rack)
-		}
-	}
-	sort.Strings(names)
-	return names
-}
+// Racks returns the names of all racks with a known worker, sorted. The slice is shared and must not be changed.
+func (v *View) Racks() []string { return v.snapshot.Load().racks }
 
-// Workers returns the known workers of a rack, or of all racks for an empty name, ordered by id.
-func (v *View) Workers(now time.Time, rack string) []platform.Member {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	var members []platform.Member
-	for _, m := range v.machines {
-		if m.Role == platform.RoleWorker && (rack == "" || m.Rack == rack) {
-			members = append(members, m.member(now))
-		}
-	}
-	sort.Slice(members, func(i, j int) bool { return members[i].ID < members[j].ID })
-	return members
-}
+// Workers returns the known workers of a rack, ordered by id. The slice is shared and must not be changed.
+func (v *View) Workers(rack string) []platform.Member { return v.snapshot.Load().byRack[rack] }
+
+// AllWorkers returns all known workers, ordered by id. The slice is shared and must not be changed.
+func (v *View) AllWorkers() []platform.Member { return v.snapshot.Load().workers }
 
 // member returns the machine with its joined state.
 func (m *machine) member(now time.Time) platform.Member {
--- a/process/membership/membership_test.go
+++ b/process/membership/membership_test.go
@@ -33,7 +33,7 @@
 		for i := range 100 {
 			v.List(start.Add(time.Duration(i)*time.Second), list)
 		}
-		assert.Equal(t, len(v.Workers(start, "")), 8, name)
+		assert.Equal(t, len(v.AllWorkers()), 8, name)
 		assert.DeepEqual(t, v.Racks(), []string{"rack-0", "rack-1"})
 	}
 }
@@ -45,8 +45,8 @@
 	moved := fleet(8)
 	moved[0].Rack = "rack-1"
 	v.List(start.Add(time.Second), moved)
-	assert.Equal(t, len(v.Workers(start, "rack-0")), 4)
-	assert.Equal(t, v.Workers(start, "rack-0")[0].ID, "worker-0")
+	assert.Equal(t, len(v.Workers("rack-0")), 4)
+	assert.Equal(t, v.Workers("rack-0")[0].ID, "worker-0")
 }
 
 // TestLeavingIsKeptAgainstOlderList guards against new work on a leaving worker after an answer from a replica of the
@@ -56,15 +56,17 @@
 	v.List(start, fleet(4))
 	leaving := fleet(4)
 	leaving[2].State = platform.MemberLeaving
-	left := v.List(start.Add(time.Second), leaving)
+	left, changed := v.List(start.Add(time.Second), leaving)
+	assert.Assert(t, changed)
 	assert.Equal(t, len(left), 1)
 	assert.Equal(t, left[0].ID, "worker-2")
-	assert.Equal(t, len(v.List(start.Add(2*time.Second), leaving)), 0)
+	left, changed = v.List(start.Add(2*time.Second), leaving)
+	assert.Assert(t, len(left) == 0 && !changed)
 	v.List(start.Add(3*time.Second), fleet(4))
-	assert.Assert(t, v.IsLeaving(start.Add(3*time.Second), "worker-2"))
-	assert.Equal(t, v.Workers(start.Add(3*time.Second), "rack-0")[2].State, platform.MemberLeaving)
-	late := start.Add(3*time.Second + leavingHold)
-	assert.Equal(t, v.Workers(late, "rack-0")[2].State, platform.MemberLive)
+	assert.Assert(t, v.IsLeaving("worker-2"))
+	assert.Equal(t, v.Workers("rack-0")[2].State, platform.MemberLeaving)
+	v.List(start.Add(3*time.Second+leavingHold), fleet(4))
+	assert.Equal(t, v.Workers("rack-0")[2].State, platform.MemberLive)
 }
 
 // TestPeerReportsLeaving guards against new work on a leaving worker where only a peer's list has the news.
@@ -73,8 +75,8 @@
 	v.List(start, fleet(4))
 	v.Leaving(start, []string{"worker-1", "unknown"})
 	v.List(start.Add(time.Second), fleet(4))
-	assert.Equal(t, v.Workers(start.Add(time.Second), "rack-0")[1].State, platform.MemberLeaving)
-	assert.Equal(t, len(v.Workers(start, "")), 4)
+	assert.Equal(t, v.Workers("rack-0")[1].State, platform.MemberLeaving)
+	assert.Equal(t, len(v.AllWorkers()), 4)
 }
 
 // TestForgottenAfterLongAbsence guards against memory that grows with each replaced worker.
@@ -82,5 +84,5 @@
 	v := New()
 	v.List(start, fleet(8))
 	v.List(start.Add(forgetAfter+time.Second), fleet(7))
-	assert.Equal(t, len(v.Workers(start, "")), 7)
+	assert.Equal(t, len(v.AllWorkers()), 7)
 }
--- a/request/api/forward.go
+++ b/request/api/forward.go
@@ -61,7 +61,10 @@
 
 // about returns what routing and limits need to know of the request.
 func (r *request) about(op operation) instance.Request {
-	about := instance.Request{Partition: r.partition, Class: op.class}
+	about := instance.Request{
+		Partition: r.partition, Class: op.class,
+		Repeatable: r.header.Get(HeaderTicket) != "" || r.header.Get(HeaderIdempotencyKey) != "",
+	}
 	if r.spec.Account != "" {
 		about.Spec = &r.spec
 	}
