--- a/process/instance/config.go
+++ b/process/instance/config.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
+	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
 	"github.com/lentiltide/lentiltide/version/config"
@@ -341,7 +342,17 @@
 func (in *Instance) rackPolicy(d config.Document) rack.Policy {
 	p := rack.DefaultPolicy()
 	p.LeaseTerm = in.opts.Settings.LeaseTerm()
-	p.QueueLimit = d.Policy.QueueLimit
+	for c := range p.Classes {
+		class := d.Class(model.Class(c))
+		p.Classes[c] = rack.ClassPolicy{
+			Weight: float64(class.Weight), MaxShare: float64(class.MaxSharePercent) / 100, QueueLimit: class.QueueLimit,
+		}
+	}
+	// Racks weigh teams by name; of teams with one name in several accounts the largest weight counts.
+	p.TeamWeights = make(map[string]float64, len(d.Teams))
+	for _, t := range d.Teams {
+		p.TeamWeights[t.Team] = max(p.TeamWeights[t.Team], float64(t.Weight))
+	}
 	return p
 }
 
@@ -354,7 +365,7 @@
 		r.core.SetPolicy(intentPolicy(a.Document))
 	}
 	for _, r := range racks {
-		r.core.SetQueueLimit(a.Document.Policy.QueueLimit)
+		r.core.SetPolicy(in.rackPolicy(a.Document))
 	}
 }
 
