--- a/network_test.go
+++ b/network_test.go
@@ -39,6 +39,18 @@
 			RunTime: time.Duration(rng.Int64N(int64(atMost))), Answer: bytes.Repeat(task.Payload, 1+rng.IntN(2000)),
 		}
 	})
+	// Calls without a ticket may be cut off when a partition moves to an instance that has just started.
+	waitFor(t, func() bool {
+		sum := 0
+		for _, instance := range all {
+			served := len(instance.Dump().Intents)
+			if served == 0 {
+				return false
+			}
+			sum += served
+		}
+		return sum == model.IntentPartitions
+	})
 	spec := audit(1)
 	spec.Kind, spec.Name, spec.Each = model.KindCall, "hold", model.Resources{CPUMilli: 100, MemoryMiB: 64}
 	spec.Idempotent = true
