--- a/version/config/config_test.go
+++ b/version/config/config_test.go
@@ -19,8 +19,8 @@
 			`limits.max_in_flight limits.colour teams[0].weight x`,
 		},
 		"ranges": {
-			`{"limits":{"max_in_flight":0,"retry_percent":101},"teams":[{"account":"","team":"a","weight":0,"quota":{"slots":-1}}]}`,
-			`limits.max_in_flight limits.retry_percent teams[0].account teams[0].weight teams[0].quota.slots`,
+			`{"limits":{"max_in_flight":0,"retry_percent":101},"teams":[{"account":"","team":"a","weight":0,"limit":{"slots":-1}}]}`,
+			`limits.max_in_flight limits.retry_percent teams[0].account teams[0].weight teams[0].limit.slots`,
 		},
 		"duplicate team": {
 			`{"teams":[{"account":"a","team":"b","weight":1},{"account":"a","team":"b","weight":2}]}`, `teams[1].team`,
@@ -48,10 +48,10 @@
 // TestGivenFieldsReplaceDefaults guards against fields left out of a document that become zero, and against two parses
 // that share a map.
 func TestGivenFieldsReplaceDefaults(t *testing.T) {
-	d, err := Parse([]byte(`{"classes":{"short":{"weight":20,"max_queued":5}},"limits":{"retry_percent":0}}`))
+	d, err := Parse([]byte(`{"classes":{"short":{"weight":20,"max_share_percent":50,"queue_limit":7,"max_queued":5}},"limits":{"retry_percent":0}}`))
 	assert.NilError(t, err)
 	want := Default()
-	want.Classes["short"] = Class{Weight: 20, MaxQueued: 5}
+	want.Classes["short"] = Class{Weight: 20, MaxSharePercent: 50, QueueLimit: 7, MaxQueued: 5}
 	want.Limits.RetryPercent = 0
 	assert.DeepEqual(t, d, want)
 	assert.Equal(t, Default().Class(model.ClassShort).Weight, 8)
