--- a/process/instance/plans.go
+++ b/process/instance/plans.go
@@ -11,7 +11,9 @@
 	"github.com/lentiltide/lentiltide/connection/peer"
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
 	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/intent"
 	"github.com/lentiltide/lentiltide/version/ownership"
 )
 
@@ -75,6 +77,9 @@
 		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no rack can be reached").After(time.Second)
 	}
 	rest = withoutTasks(plan, before, rest)
+	if err := r.in.checkGang(plan.Spec); err != nil && len(rest) > 0 {
+		return err
+	}
 	// With other tasks before them the racks have answered for the first of those.
 	if len(rest) > 0 && !fits && len(before) == 0 {
 		return verdict.Invalid("each", "no worker that could be reached is large enough for one task")
@@ -93,6 +98,26 @@
 	return nil
 }
 
+// checkGang returns an error when the workers of the cell could not hold a gang even if they were empty.
+func (in *Instance) checkGang(spec model.IntentSpec) error {
+	if spec.Kind != model.KindGang {
+		return nil
+	}
+	each := intent.Demand(model.Task{Each: spec.Each})
+	room := 0
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	for _, m := range in.members {
+		if m.Role == platform.RoleWorker {
+			room += int(intent.RoomFor(m.Capacity, each))
+		}
+	}
+	if room >= spec.Tasks {
+		return nil
+	}
+	return verdict.Invalid("tasks", "the workers of the cell can hold %d members at a time, the gang has %d", room, spec.Tasks)
+}
+
 // waitTogether makes all members of a gang wait: nothing runs and nothing is displaced before all fit.
 func waitTogether(plan *model.Plan, missing int) {
 	for i := range plan.Placements {
@@ -143,12 +168,53 @@
 		return r.confirmedBefore(ctx, plan, err)
 	}
 	if err := r.writeIntents(ctx, out); err != nil {
+		if verdict.Of(err) == verdict.MayHaveRun {
+			r.in.run(func() { r.confirmLater(plan, out) })
+		}
 		return r.confirmedBefore(ctx, plan, err)
 	}
 	r.execute(r.core.Confirmed(r.now(), out))
 	return out, nil
 }
 
+// confirmLater settles a confirmation whose result is unknown: it writes the row again, which requires its absence, until
+// either write has certainly taken effect. Otherwise a confirmed intent would lie in the table without an owner that
+// runs it. An expired plan is not written again, only looked for.
+func (r *intentRunner) confirmLater(plan model.Plan, out model.Intent) {
+	for r.in.sleep(r.ctx, lateRetry) {
+		if r.confirmAgain(plan, out) {
+			return
+		}
+	}
+}
+
+// confirmAgain reports whether the confirmation is settled.
+func (r *intentRunner) confirmAgain(plan model.Plan, out model.Intent) bool {
+	r.confirming.Lock()
+	defer r.confirming.Unlock()
+	if _, err := r.core.Intent(out.ID); err == nil {
+		return true
+	}
+	stored, found, err := r.storedIntent(r.ctx, out.ID)
+	switch {
+	case err != nil:
+		return false
+	case found && stored.State == model.IntentConfirmed:
+		r.execute(r.core.Confirmed(r.now(), stored))
+		return true
+	case found || r.now().After(plan.ExpiresAt):
+		return true
+	}
+	if r.writeIntents(r.ctx, out) != nil {
+		return false
+	}
+	r.execute(r.core.Confirmed(r.now(), out))
+	return true
+}
+
+// lateRetry is the time between attempts to settle a write whose result is unknown.
+const lateRetry = time.Second
+
 // findPlan returns a plan from memory or, after a takeover, from the table.
 func (r *intentRunner) findPlan(ctx context.Context, id string) (model.Plan, error) {
 	plan, err := r.core.Plan(id)
