--- a/lentiltide.go
+++ b/lentiltide.go
@@ -29,12 +29,19 @@
 	peer.Caller
 	// Serve answers the messages that arrive on a listener until the listener or the transport is closed.
 	Serve(ctx context.Context, l net.Listener, handle peer.Handler) error
+	// AwaitQuiet waits until no request of a caller is handled and none has arrived for a short time; ctx bounds it.
+	AwaitQuiet(ctx context.Context)
 	// Close closes all connections.
 	Close()
 }
 
 var _ Transport = (*peer.Transport)(nil)
 
+// byteCounter is a transport that counts the bytes of its connections.
+type byteCounter interface {
+	Bytes() (sent, received uint64)
+}
+
 // Options are the parts of an instance. Nil parts are replaced by those of the daemon: the real clock, HTTP clients for
 // platform and workers, and TCP between instances.
 type Options struct {
@@ -73,9 +80,22 @@
 	if o.Log == nil {
 		o.Log = logrus.StandardLogger()
 	}
-	if o.Transport == nil {
-		o.Transport = peer.NewTransport()
+}
+
+// newTransport returns the transport between instances, with mutual TLS when the settings name certificates.
+func (o *Options) newTransport() (Transport, error) {
+	files := o.Settings.PeerTLS
+	if o.Transport != nil {
+		return o.Transport, nil
+	}
+	if files == nil {
+		return peer.NewTransport(peer.Options{Seed: o.Seed}), nil
 	}
+	certificates, err := peer.LoadCertificates(files.CertFile, files.KeyFile, files.CAFile)
+	if err != nil {
+		return nil, err
+	}
+	return peer.NewTransport(peer.Options{Seed: o.Seed, Certificates: certificates}), nil
 }
 
 // check checks the settings whole. The address of the platform is needed only for parts that are not passed in.
@@ -106,6 +126,10 @@
 		return nil, err
 	}
 	opts.setDefaults()
+	var err error
+	if opts.Transport, err = opts.newTransport(); err != nil {
+		return nil, err
+	}
 	metrics, err := telemetry.NewMetrics()
 	if err != nil {
 		return nil, err
@@ -126,13 +150,10 @@
 		Metrics: metrics.Handler(),
 	})
 	core.SetCallHandler(in.api.HandleForward)
-	if err := metrics.Watch(core.Stats); err != nil {
-		_ = listener.Close()
-		return nil, errors.Wrap(err, "metrics")
-	}
-	if _, err := in.api.HTTP().Endpoint(); err != nil {
+	if err := in.prepare(); err != nil {
 		_ = listener.Close()
-		return nil, errors.Wrap(err, "listen for callers")
+		metrics.Close()
+		return nil, err
 	}
 	in.wg.Add(2)
 	go func() {
@@ -147,6 +168,20 @@
 	return in, nil
 }
 
+// prepare connects the metrics with what they watch and opens the address for callers.
+func (in *Instance) prepare() error {
+	if err := in.metrics.Watch(in.core.Stats); err != nil {
+		return errors.Wrap(err, "metrics")
+	}
+	if counted, ok := in.transport.(byteCounter); ok {
+		if err := in.metrics.WatchPeers(counted.Bytes); err != nil {
+			return errors.Wrap(err, "metrics")
+		}
+	}
+	_, err := in.api.HTTP().Endpoint()
+	return errors.Wrap(err, "listen for callers")
+}
+
 // listen returns the listener for other instances.
 func (o *Options) listen() (net.Listener, error) {
 	if o.Listener != nil {
@@ -168,11 +203,14 @@
 // Dump returns the state of the instance.
 func (in *Instance) Dump() instance.Dump { return in.core.Dump(instance.DefaultDumpLimit) }
 
-// Shutdown stops the instance gracefully: it hands its partitions over, finishes requests in flight and ends. ctx bounds
-// the whole; when it ends first, the rest is cut off.
+// Shutdown stops the instance gracefully: its partitions take no further requests, those in flight finish, the partitions
+// are handed over, and the rest of the requests that it forwards are answered. ctx bounds the whole; when it ends first,
+// the rest is cut off.
 func (in *Instance) Shutdown(ctx context.Context) error {
-	err := in.core.Drain(ctx)
-	err = errors.CombineErrors(err, in.api.HTTP().Stop(ctx))
+	in.api.CloseConnections()
+	err := in.core.Shutdown(ctx)
+	err = errors.CombineErrors(err, in.api.Stop(ctx))
+	in.transport.AwaitQuiet(ctx)
 	in.Kill()
 	return err
 }
--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -6,7 +6,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"sort"
 	"sync"
 	"time"
 
@@ -15,13 +14,13 @@
 
 	"github.com/lentiltide/lentiltide/connection/peer"
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
-	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/process/membership"
 	"github.com/lentiltide/lentiltide/process/settings"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/config"
 	"github.com/lentiltide/lentiltide/version/intent"
 	"github.com/lentiltide/lentiltide/version/ownership"
-	"github.com/lentiltide/lentiltide/version/rack"
 	"github.com/lentiltide/lentiltide/worker"
 )
 
@@ -37,7 +36,7 @@
 	Log      logrus.FieldLogger
 	// Seed seeds the random choices.
 	Seed uint64
-	// Quotas are the quotas in force; nil limits nothing.
+	// Quotas are the quotas in force; nil takes those of the configuration.
 	Quotas intent.Quotas
 }
 
@@ -49,17 +48,24 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
+	// running protects closed, so that no goroutine starts after Close has begun to wait.
+	running sync.Mutex
+	closed  bool
+
 	// mu protects the maps below; it is never held while a core's method runs.
-	mu        sync.Mutex
-	racks     map[string]*rackRunner
-	intents   map[int]*intentRunner
-	members   []platform.Member
-	summaries map[string]rack.Summary
-	rng       *rand.Rand
-	handler   callHandler
-	view      cellView
+	mu      sync.Mutex
+	racks   map[string]*rackRunner
+	intents map[int]*intentRunner
+	rng     *rand.Rand
+	handler callHandler
+	view    cellView
 
-	usages *usageBook
+	usages      *usageBook
+	members     *membership.View
+	summaries   summaries
+	config      *config.View
+	configHooks configHooks
+	router      *router
 }
 
 // New returns an instance that does nothing until Start.
@@ -70,14 +76,23 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	in := &Instance{
 		opts: opts, ctx: ctx, cancel: cancel,
-		racks: map[string]*rackRunner{}, intents: map[int]*intentRunner{}, summaries: map[string]rack.Summary{},
+		racks: map[string]*rackRunner{}, intents: map[int]*intentRunner{},
+		members: membership.New(), summaries: summaries{known: map[string]knownSummary{}},
 		rng: rand.New(rand.NewPCG(opts.Seed, 0)), usages: newUsageBook(opts.Clock.Now),
 	}
+	in.config = config.NewView(in.configApplied)
+	in.router = newRouter(opts.Clock.Now, opts.Seed)
+	if opts.Quotas == nil {
+		in.opts.Quotas = configQuotas{in.config}
+	}
+	in.OnConfig(in.router.configure)
+	in.OnConfig(in.applyPolicies)
 	s := opts.Settings
 	in.owners = ownership.New(ownership.Options{
 		Instance: s.Instance, Address: s.PeerAddress, Region: s.Region, Zone: s.Zone,
 		Table: opts.Table, Clock: opts.Clock, Hooks: in, Log: opts.Log, Partitions: in.partitions,
 		RenewEvery: s.SessionRenew(), Term: s.SessionTerm(),
+		Avoid: in.isLeaving, ConfigVersion: func() uint64 { return in.config.Current().Version },
 	})
 	return in
 }
@@ -87,20 +102,27 @@
 	in.refreshMembers()
 	in.run(func() { in.owners.Run(in.ctx) })
 	in.run(in.watchMembers)
+	in.run(in.watchConfig)
 	in.run(in.spreadSummaries)
 	in.run(in.spreadUsages)
 }
 
-// Drain hands over all partitions and ends the session; ctx bounds it.
-func (in *Instance) Drain(ctx context.Context) error { return in.owners.Drain(ctx) }
-
 // Close stops at once, as a crash does: nothing is released.
 func (in *Instance) Close() {
 	in.cancel()
+	in.running.Lock()
+	in.closed = true
+	in.running.Unlock()
 	in.wg.Wait()
 }
 
+// run starts f on a goroutine that Close waits for. After Close it does nothing.
 func (in *Instance) run(f func()) {
+	in.running.Lock()
+	defer in.running.Unlock()
+	if in.closed {
+		return
+	}
 	in.wg.Add(1)
 	go func() {
 		defer in.wg.Done()
@@ -122,71 +144,7 @@
 	}
 }
 
-// partitions returns all partitions of the cell: the intent partitions and the racks of the workers seen so far.
-func (in *Instance) partitions() []ownership.Partition {
-	var all []ownership.Partition
-	for n := range model.IntentPartitions {
-		all = append(all, ownership.Intent(n))
-	}
-	for _, name := range in.rackNames() {
-		all = append(all, ownership.Rack(name))
-	}
-	return all
-}
-
-func (in *Instance) rackNames() []string {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	seen := map[string]bool{}
-	var names []string
-	for _, m := range in.members {
-		if m.Role == platform.RoleWorker && !seen[m.Rack] {
-			seen[m.Rack] = true
-			names = append(names, m.Rack)
-		}
-	}
-	sort.Strings(names)
-	return names
-}
-
-func (in *Instance) rackMembers(name string) []platform.Member {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	var members []platform.Member
-	for _, m := range in.members {
-		if m.Role == platform.RoleWorker && m.Rack == name {
-			members = append(members, m)
-		}
-	}
-	return members
-}
-
-func (in *Instance) watchMembers() { in.every(in.ctx, memberRefresh, in.refreshMembers) }
-
-// refreshMembers reads the platform's list. An error or an empty list keeps the last one, since the list is only a
-// suggestion and must never empty the fleet.
-func (in *Instance) refreshMembers() {
-	members, err := in.opts.Members.List(in.ctx)
-	if err != nil || len(members) == 0 {
-		return
-	}
-	in.mu.Lock()
-	in.members = members
-	runners := make([]*rackRunner, 0, len(in.racks))
-	for _, r := range in.racks {
-		runners = append(runners, r)
-	}
-	in.mu.Unlock()
-	for _, r := range runners {
-		r.setMembers(in.rackMembers(r.core.ID()))
-	}
-}
-
 const (
-	// memberRefresh is the time between reads of the platform's list.
-	memberRefresh = time.Second
-	// summaryEvery is the time between summaries of a rack.
-	summaryEvery = 500 * time.Millisecond
 	// retryDelay is the time between repeated messages to peers and workers.
 	retryDelay = 100 * time.Millisecond
 	// peerTimeout bounds one message to a peer.
@@ -205,6 +163,7 @@
 
 // Lost implements ownership.Hooks.
 func (in *Instance) Lost(p ownership.Partition) {
+	defer in.router.notify()
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	switch p.Kind {
@@ -223,7 +182,7 @@
 }
 
 // OwnersChanged implements ownership.Hooks.
-func (in *Instance) OwnersChanged() {}
+func (in *Instance) OwnersChanged() { in.router.notify() }
 
 func (in *Instance) rackRunner(name string) (*rackRunner, error) {
 	in.mu.Lock()
@@ -243,14 +202,29 @@
 	return nil, verdict.New(verdict.NotRun, verdict.CodeWrongOwner, "intent partition %d is not served here", n).After(retryDelay)
 }
 
-// ask sends a message to the owner of a partition, which may be this instance.
+// ask sends a message to the owner of a partition, which may be this instance. When the owner has changed, the view is
+// refreshed and the message is sent to the new owner once.
 func (in *Instance) ask(ctx context.Context, p ownership.Partition, req *peerpb.Request) (*peerpb.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
 	loc, ok := in.owners.Locate(p)
 	if !ok {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "partition %s has no owner", p).After(retryDelay)
 	}
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
+	reply, err := in.send(ctx, loc, req)
+	if !ownerChanged(err) {
+		return reply, err
+	}
+	in.refreshOwner(ctx, p)
+	now, ok := in.owners.Locate(p)
+	if !ok || now.Address == loc.Address {
+		return reply, err
+	}
+	return in.send(ctx, now, req)
+}
+
+// send sends a message to the instance at a location.
+func (in *Instance) send(ctx context.Context, loc ownership.Location, req *peerpb.Request) (*peerpb.Reply, error) {
 	if loc.Local {
 		reply := in.HandlePeer(ctx, req)
 		return reply, peer.ErrorFromProto(reply.GetError())
--- a/process/instance/intents.go
+++ b/process/instance/intents.go
@@ -72,7 +72,7 @@
 func (in *Instance) acquireIntent(p ownership.Partition, epoch, rowVersion uint64) {
 	n := partitionNumber(p)
 	r := &intentRunner{
-		in: in, core: intent.New(n, epoch, intent.DefaultPolicy()),
+		in: in, core: intent.New(n, epoch, intentPolicy(in.config.Current().Document)),
 		condition: platform.Condition{Key: "partition/" + p.String(), Version: rowVersion},
 		waiting:   map[model.TaskID][]chan model.Outcome{}, versions: map[string]uint64{},
 	}
@@ -98,6 +98,7 @@
 	r.in.mu.Lock()
 	r.loaded = true
 	r.in.mu.Unlock()
+	r.in.router.notify()
 	r.in.run(func() { r.journal.Run(r.ctx) })
 	r.in.run(r.askRacks)
 	r.tick()
@@ -158,7 +159,7 @@
 			r.record(final)
 			r.execute(effects)
 		}
-		if !r.in.sleep(r.ctx, retryDelay) {
+		if missing > 0 && !r.in.sleep(r.ctx, retryDelay) || missing == 0 && !r.in.awaitChange(r.ctx) {
 			return
 		}
 	}
@@ -292,6 +293,6 @@
 		r.execute(effects)
 		return model.Outcome{}, verdict.Wrap(ctx.Err(), v, verdict.CodeUnavailable, "wait for the outcome")
 	case <-r.ctx.Done():
-		return model.Outcome{}, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the partition moved to another owner").After(retryDelay)
+		return model.Outcome{}, verdict.New(verdict.MayHaveRun, verdict.CodeWrongOwner, "the partition moved to another owner").After(retryDelay)
 	}
 }
--- a/process/instance/peers.go
+++ b/process/instance/peers.go
@@ -30,8 +30,9 @@
 func (in *Instance) dispatch(ctx context.Context, req *peerpb.Request, reply *peerpb.Reply) error {
 	switch body := req.GetBody().(type) {
 	case *peerpb.Request_Forward:
-		reply.Body = &peerpb.Reply_Forward{Forward: in.handler(ctx, body.Forward)}
-		return nil
+		answer, err := in.handleForward(ctx, body.Forward)
+		reply.Body = &peerpb.Reply_Forward{Forward: answer}
+		return err
 	case *peerpb.Request_Offer:
 		return in.handleOffer(body.Offer, reply)
 	case *peerpb.Request_Withdraw:
@@ -54,10 +55,13 @@
 		return in.handleRelease(body.Release, reply)
 	case *peerpb.Request_ExplainTask:
 		return in.handleExplainTask(body.ExplainTask, reply)
-	case *peerpb.Request_Summary:
-		in.handleSummary(body.Summary)
+	case *peerpb.Request_Summaries:
+		in.handleSummaries(body.Summaries)
 		reply.Body = &peerpb.Reply_Ack{Ack: &peerpb.Ack{}}
 		return nil
+	case *peerpb.Request_ConfigChanged:
+		reply.Body = &peerpb.Reply_Ack{Ack: &peerpb.Ack{}}
+		return in.config.Pushed(body.ConfigChanged.GetVersion(), body.ConfigChanged.GetDocument())
 	case *peerpb.Request_Usages:
 		in.usages.take(body.Usages)
 		reply.Body = &peerpb.Reply_Ack{Ack: &peerpb.Ack{}}
@@ -184,16 +188,3 @@
 	reply.Body = &peerpb.Reply_FenceIntent{FenceIntent: answer}
 	return nil
 }
-
-func (in *Instance) handleSummary(s *peerpb.Summary) {
-	sum := rack.Summary{
-		Rack: s.GetRack(), Epoch: s.GetEpoch(),
-		Free: peer.ResourcesFromProto(s.GetFree()), Largest: peer.ResourcesFromProto(s.GetLargestFree()),
-	}
-	for i, n := range s.GetQueued() {
-		if i < len(sum.Queued) {
-			sum.Queued[i] = int(n)
-		}
-	}
-	in.takeSummary(sum)
-}
--- a/process/instance/plans.go
+++ b/process/instance/plans.go
@@ -11,7 +11,6 @@
 	"github.com/lentiltide/lentiltide/connection/peer"
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
 	"github.com/lentiltide/lentiltide/version/intent"
 	"github.com/lentiltide/lentiltide/version/ownership"
@@ -22,6 +21,9 @@
 
 // Plan states an intent and returns a plan; nothing changes.
 func (in *Instance) Plan(ctx context.Context, n int, spec model.IntentSpec) (model.Plan, error) {
+	if err := in.admitted(); err != nil {
+		return model.Plan{}, err
+	}
 	r, err := in.intentRunner(n)
 	if err != nil {
 		return model.Plan{}, err
@@ -31,7 +33,7 @@
 
 // plan makes a plan and stores it.
 func (r *intentRunner) plan(ctx context.Context, spec model.IntentSpec) (model.Plan, error) {
-	plan, tasks, err := r.core.Draft(r.now(), spec, 0, uuid.NewString())
+	plan, tasks, err := r.core.Draft(r.now(), spec, r.in.config.Current().Version, uuid.NewString())
 	if err != nil {
 		return model.Plan{}, err
 	}
@@ -102,12 +104,8 @@
 	}
 	each := intent.Demand(model.Task{Each: spec.Each})
 	room := 0
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	for _, m := range in.members {
-		if m.Role == platform.RoleWorker {
-			room += int(intent.RoomFor(m.Capacity, each))
-		}
+	for _, m := range in.members.Workers("") {
+		room += int(intent.RoomFor(m.Capacity, each))
 	}
 	if room >= spec.Tasks {
 		return nil
@@ -141,6 +139,9 @@
 // Confirm makes a plan run. A second confirmation of the same plan returns the first result. A plan that no longer holds
 // is refused with a fresh one attached.
 func (in *Instance) Confirm(ctx context.Context, n int, planID string) (model.Intent, error) {
+	if err := in.admitted(); err != nil {
+		return model.Intent{}, err
+	}
 	r, err := in.intentRunner(n)
 	if err != nil {
 		return model.Intent{}, err
@@ -253,7 +254,7 @@
 // checkPlan proposes the tasks of a plan again, next to what was confirmed and is not placed yet, and returns an error
 // with a fresh plan when the plan no longer holds.
 func (r *intentRunner) checkPlan(ctx context.Context, plan model.Plan) error {
-	fresh, tasks, err := r.core.Draft(r.now(), plan.Spec, plan.ConfigVersion, uuid.NewString())
+	fresh, tasks, err := r.core.Draft(r.now(), plan.Spec, r.in.config.Current().Version, uuid.NewString())
 	if err != nil {
 		return err
 	}
--- a/process/instance/racks.go
+++ b/process/instance/racks.go
@@ -40,8 +40,7 @@
 }
 
 func (in *Instance) acquireRack(name string, epoch uint64) {
-	policy := rack.DefaultPolicy()
-	policy.LeaseTerm = in.opts.Settings.LeaseTerm()
+	policy := in.rackPolicy(in.config.Current().Document)
 	r := &rackRunner{
 		in: in, core: rack.New(in.opts.Clock.Now(), name, epoch, policy),
 		agents: map[string]worker.Agent{}, fencing: map[string]bool{}, syncing: map[string]bool{},
@@ -275,47 +274,3 @@
 		return false
 	}
 }
-
-// spreadSummaries sends the summaries of the racks served here to all other instances.
-func (in *Instance) spreadSummaries() {
-	in.every(in.ctx, summaryEvery, func() {
-		in.mu.Lock()
-		runners := make([]*rackRunner, 0, len(in.racks))
-		for _, r := range in.racks {
-			runners = append(runners, r)
-		}
-		in.mu.Unlock()
-		for _, r := range runners {
-			in.spreadSummary(r.core.Summary())
-		}
-	})
-}
-
-func (in *Instance) spreadSummary(s rack.Summary) {
-	in.takeSummary(s)
-	msg := &peerpb.Summary{
-		Rack: s.Rack, Epoch: s.Epoch, Free: peer.ResourcesToProto(s.Free), LargestFree: peer.ResourcesToProto(s.Largest),
-	}
-	for _, n := range s.Queued {
-		msg.Queued = append(msg.Queued, uint32(n))
-	}
-	for _, session := range in.owners.Sessions() {
-		if session.Instance == in.opts.Settings.Instance {
-			continue
-		}
-		in.run(func() {
-			ctx, cancel := context.WithTimeout(in.ctx, peerTimeout)
-			defer cancel()
-			_, _ = in.opts.Peers.Call(ctx, session.Address, &peerpb.Request{Body: &peerpb.Request_Summary{Summary: msg}})
-		})
-	}
-}
-
-// takeSummary keeps the newest summary of a rack.
-func (in *Instance) takeSummary(s rack.Summary) {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	if s.Epoch >= in.summaries[s.Rack].Epoch {
-		in.summaries[s.Rack] = s
-	}
-}
--- /dev/null
+++ b/version/config/document.go
@@ -0,0 +1,208 @@
+// Package config holds the configuration of a cell: one JSON document with a version that only rises. A document is
+// checked whole and refused whole. A View lives as long as the process; an Applied value lives for one version.
+package config
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/request/strictjson"
+	"github.com/lentiltide/lentiltide/request/verdict"
+)
+
+// MaxDocumentBytes bounds a document.
+const MaxDocumentBytes = 256 << 10
+
+// Document is the configuration of a cell. Fields that a document leaves out have the values of Default.
+type Document struct {
+	// Classes holds the weight and limits of each scheduling class by its name.
+	Classes map[string]Class `json:"classes"`
+	// Limits bounds the requests that one instance works on.
+	Limits Limits `json:"limits"`
+	// Teams holds the shares and quotas of teams. A team that is not listed has weight 1 and no limit.
+	Teams []Team `json:"teams"`
+	// Policy holds the settings of intents.
+	Policy Policy `json:"policy"`
+}
+
+// Class is the weight and the limits of one scheduling class.
+type Class struct {
+	// Weight is the relative share of the class where service, batch and long work compete for capacity.
+	Weight int `json:"weight"`
+	// MaxSharePercent is the largest share of a rack that the class may hold.
+	MaxSharePercent int `json:"max_share_percent"`
+	// QueueLimit bounds the queued offers of the class in a rack.
+	QueueLimit int `json:"queue_limit"`
+	// MaxQueued bounds the requests of the class that wait at one instance.
+	MaxQueued int `json:"max_queued"`
+}
+
+// Limits bounds the requests that one instance works on at a time.
+type Limits struct {
+	// MaxInFlight bounds all requests.
+	MaxInFlight int `json:"max_in_flight"`
+	// ClientInFlight and TeamInFlight bound those of one client and of one team, in flight or queued.
+	ClientInFlight int `json:"client_in_flight"`
+	TeamInFlight   int `json:"team_in_flight"`
+	// QueueDelayMS is the queue delay in milliseconds above which the lowest class that waits is shed.
+	QueueDelayMS int `json:"queue_delay_ms"`
+	// RetryPercent is the share of retries in fresh traffic that the system itself makes.
+	RetryPercent int `json:"retry_percent"`
+}
+
+// Team is the share and the quota of one team.
+type Team struct {
+	Account string `json:"account"`
+	Team    string `json:"team"`
+	// Weight scales the team's fair share.
+	Weight int `json:"weight"`
+	// Share is what the team may use at any time; use beyond it is borrowed. Limit is what it never exceeds. A field that is
+	// zero is not limited.
+	Share model.Resources `json:"share"`
+	Limit model.Resources `json:"limit"`
+}
+
+// Policy holds the settings of intents.
+type Policy struct {
+	// PlanTermMS is how long a plan can be confirmed, in milliseconds.
+	PlanTermMS int `json:"plan_term_ms"`
+	// OfferTermMS is how long an offer stands before the task is offered elsewhere, in milliseconds.
+	OfferTermMS int `json:"offer_term_ms"`
+	// MaxAttempts is on how many distinct workers a task may fail before it is stopped.
+	MaxAttempts int `json:"max_attempts"`
+}
+
+// Default returns the document that is in force while no version is stored.
+func Default() Document {
+	d := Document{
+		Classes: map[string]Class{},
+		Limits: Limits{
+			MaxInFlight: 1024, ClientInFlight: 512, TeamInFlight: 512, QueueDelayMS: 50, RetryPercent: 10,
+		},
+		Policy: Policy{PlanTermMS: 600_000, OfferTermMS: 2000, MaxAttempts: 3},
+	}
+	weights := [model.NumClasses]int{8, 8, 4, 2, 1}
+	for c := range model.NumClasses {
+		d.Classes[c.String()] = Class{Weight: weights[c], MaxSharePercent: 100, QueueLimit: 20_000, MaxQueued: 1024}
+	}
+	return d
+}
+
+// Parse decodes and checks a document. The error is a *verdict.Error with CodeInvalid and NotRun whose detail is a
+// []Problem with every problem.
+func Parse(data []byte) (Document, error) {
+	d, problems := decode(data)
+	if len(problems) == 0 {
+		problems = d.check()
+	}
+	if len(problems) == 0 {
+		return d, nil
+	}
+	lines := make([]string, len(problems))
+	for i, p := range problems {
+		lines[i] = p.Path + ": " + p.Message
+	}
+	return Document{}, verdict.Invalid(problems[0].Path, "%s", strings.Join(lines, "; ")).With(problems)
+}
+
+// Problem is one error of a document.
+type Problem struct {
+	// Path names the field, such as limits.max_in_flight or teams[2].weight.
+	Path    string `json:"path"`
+	Message string `json:"message"`
+}
+
+// decode decodes a document over the default one.
+func decode(data []byte) (Document, []Problem) {
+	if len(data) > MaxDocumentBytes {
+		return Document{}, []Problem{{"document", fmt.Sprintf("expected at most %d bytes, got %d", MaxDocumentBytes, len(data))}}
+	}
+	d := Default()
+	found := strictjson.Decode(data, &d)
+	problems := make([]Problem, len(found))
+	for i, p := range found {
+		problems[i] = Problem{Path: p.Path, Message: p.Message}
+		if p.Path == "" {
+			problems[i].Path = "document"
+		}
+	}
+	return d, problems
+}
+
+// check returns every value that is out of range.
+func (d Document) check() []Problem {
+	var problems []Problem
+	within := func(path string, value, low, high int) {
+		if value < low || value > high {
+			problems = append(problems, Problem{path, fmt.Sprintf("expected %d to %d, got %d", low, high, value)})
+		}
+	}
+	for c := range model.NumClasses {
+		path := "classes." + c.String() + "."
+		within(path+"weight", d.Class(c).Weight, 1, 1000)
+		within(path+"max_share_percent", d.Class(c).MaxSharePercent, 1, 100)
+		within(path+"queue_limit", d.Class(c).QueueLimit, 1, 1_000_000)
+		within(path+"max_queued", d.Class(c).MaxQueued, 1, 100_000)
+	}
+	for _, name := range slices.Sorted(maps.Keys(d.Classes)) {
+		if new(model.Class).UnmarshalText([]byte(name)) != nil {
+			problems = append(problems, Problem{"classes." + name, "unknown class"})
+		}
+	}
+	within("limits.max_in_flight", d.Limits.MaxInFlight, 1, 100_000)
+	within("limits.client_in_flight", d.Limits.ClientInFlight, 1, 100_000)
+	within("limits.team_in_flight", d.Limits.TeamInFlight, 1, 100_000)
+	within("limits.queue_delay_ms", d.Limits.QueueDelayMS, 1, 10_000)
+	within("limits.retry_percent", d.Limits.RetryPercent, 0, 100)
+	within("policy.plan_term_ms", d.Policy.PlanTermMS, 1000, 86_400_000)
+	within("policy.offer_term_ms", d.Policy.OfferTermMS, 100, 600_000)
+	within("policy.max_attempts", d.Policy.MaxAttempts, 1, 100)
+	return append(problems, d.checkTeams()...)
+}
+
+func (d Document) checkTeams() []Problem {
+	var problems []Problem
+	seen := map[string]int{}
+	for i, t := range d.Teams {
+		path := fmt.Sprintf("teams[%d].", i)
+		if t.Account == "" {
+			problems = append(problems, Problem{path + "account", "must not be empty"})
+		}
+		if t.Team == "" {
+			problems = append(problems, Problem{path + "team", "must not be empty"})
+		}
+		if t.Weight < 1 || t.Weight > 1000 {
+			problems = append(problems, Problem{path + "weight", fmt.Sprintf("expected 1 to 1000, got %d", t.Weight)})
+		}
+		key := t.Account + "\x00" + t.Team
+		if first, ok := seen[key]; ok {
+			problems = append(problems, Problem{path + "team", fmt.Sprintf("is listed in teams[%d] as well", first)})
+		}
+		seen[key] = i
+		problems = append(problems, checkAmounts(path+"share.", t.Share)...)
+		problems = append(problems, checkAmounts(path+"limit.", t.Limit)...)
+	}
+	return problems
+}
+
+func checkAmounts(path string, q model.Resources) []Problem {
+	var problems []Problem
+	for _, f := range []struct {
+		name  string
+		value int64
+	}{
+		{"cpu_milli", q.CPUMilli}, {"memory_mib", q.MemoryMiB}, {"accelerators", q.Accelerators}, {"slots", q.Slots},
+		{"connections", q.Connections},
+	} {
+		if f.value < 0 {
+			problems = append(problems, Problem{path + f.name, fmt.Sprintf("must not be negative, got %d", f.value)})
+		}
+	}
+	return problems
+}
+
+// Class returns the entry of a class.
+func (d Document) Class(c model.Class) Class { return d.Classes[c.String()] }
