--- a/process/instance/peers.go
+++ b/process/instance/peers.go
@@ -47,10 +47,6 @@
 		return in.handlePropose(body.Propose, reply)
 	case *peerpb.Request_FenceIntent:
 		return in.handleFenceIntent(body.FenceIntent, reply)
-	case *peerpb.Request_Summaries:
-		in.handleSummaries(body.Summaries)
-		reply.Body = &peerpb.Reply_Ack{Ack: &peerpb.Ack{}}
-		return nil
 	case *peerpb.Request_Hold:
 		return in.handleHold(body.Hold, reply)
 	case *peerpb.Request_StartHeld:
@@ -59,6 +55,10 @@
 		return in.handleRelease(body.Release, reply)
 	case *peerpb.Request_ExplainTask:
 		return in.handleExplainTask(body.ExplainTask, reply)
+	case *peerpb.Request_Summaries:
+		in.handleSummaries(body.Summaries)
+		reply.Body = &peerpb.Reply_Ack{Ack: &peerpb.Ack{}}
+		return nil
 	case *peerpb.Request_ConfigChanged:
 		reply.Body = &peerpb.Reply_Ack{Ack: &peerpb.Ack{}}
 		return in.config.Pushed(body.ConfigChanged.GetVersion(), body.ConfigChanged.GetDocument())
--- a/process/instance/plans.go
+++ b/process/instance/plans.go
@@ -104,7 +104,7 @@
 	}
 	each := intent.Demand(model.Task{Each: spec.Each})
 	room := 0
-	for _, m := range in.members.Workers("") {
+	for _, m := range in.members.AllWorkers() {
 		room += int(intent.RoomFor(m.Capacity, each))
 	}
 	if room >= spec.Tasks {
