--- a/version/intent/core.go
+++ b/version/intent/core.go
@@ -118,10 +118,13 @@
 	reclaimed bool
 
 	// A waiting task: its next offer and the racks that may have it queued.
-	offer      offerEntry
-	notBefore  time.Time
-	tries      int
-	offered    []string
+	offer     offerEntry
+	notBefore time.Time
+	tries     int
+	offered   []string
+	// sentMS and sentEach are the hints of the last offer.
+	sentMS     int64
+	sentEach   model.Resources
 	preferRack string
 	victims    []model.TaskID
 
@@ -197,6 +200,7 @@
 func (c *Core) enter(st *intentState, task model.Task) *taskState {
 	t := &taskState{task: task, intent: st, offer: offerEntry{index: -1}}
 	t.team = c.teamOf(task.Account, task.Team)
+	t.team.open++
 	c.tasks[task.ID] = t
 	if st != nil {
 		t.slot = len(st.tasks)
