Keep plans from being held up by silent racks, and messages within a frame

Cause: confirmations asked every rack in turn with a timeout of 2 s each under the lock that cancellations need, so a lost availability zone would have held both up; offers, holds and proposals carried up to 10,000 payloads of 64 KiB in one message. Change: confirmations have a lock of their own; a rack that does not answer a proposal within 0.5 s is left out for 10 s; proposals carry no payloads and at most 1,024 tasks, offers at most 512 KiB and holds 4 MiB of payloads for a message. Conclusion: messages and waits are bounded.

--- a/process/instance/intents.go
+++ b/process/instance/intents.go
@@ -44,6 +44,9 @@
 	// loaded is set when the stored intents were read; the instance's lock protects it.
 	loaded bool
 
+	// planning serialises confirmations, each with its check against those before it. It is taken before confirming.
+	planning sync.Mutex
+
 	// confirming serialises the writes of intent rows. It protects versions, the versions of rows as last written or read.
 	confirming sync.Mutex
 	versions   map[string]uint64
@@ -53,6 +56,8 @@
 	// cancels are the cancellations that wait to be written together.
 	cancels    []*cancellation
 	cancelling bool
+	// silentUntil is until when a rack that did not answer is left out of plans.
+	silentUntil map[string]time.Time
 }
 
 func partitionNumber(p ownership.Partition) int {
@@ -75,6 +80,7 @@
 		in: in, core: intent.New(n, epoch, intent.DefaultPolicy()),
 		condition: platform.Condition{Key: "partition/" + p.String(), Version: rowVersion},
 		waiting:   map[model.TaskID][]chan model.Outcome{}, versions: map[string]uint64{},
+		silentUntil: map[string]time.Time{},
 	}
 	r.core.SetQuotas(in.opts.Quotas)
 	r.ctx, r.cancel = context.WithCancel(in.ctx)
--- a/process/instance/plans.go
+++ b/process/instance/plans.go
@@ -17,6 +17,15 @@
 	"github.com/lentiltide/lentiltide/version/ownership"
 )
 
+const (
+	// proposeTimeout bounds the wait for one rack's proposal.
+	proposeTimeout = 500 * time.Millisecond
+	// proposeBatch bounds the tasks that one rack is asked for, which is more than a rack of 8 workers has slots.
+	proposeBatch = 1024
+	// silentTerm is how long a rack that did not answer is left out of plans.
+	silentTerm = 10 * time.Second
+)
+
 // pendingLimit bounds the confirmed tasks that a confirmation leaves room for.
 const pendingLimit = 512
 
@@ -56,14 +65,11 @@
 		if len(rest) == 0 {
 			break
 		}
-		reply, err := r.in.ask(ctx, ownership.Rack(name), &peerpb.Request{Body: &peerpb.Request_Propose{
-			Propose: &peerpb.Propose{Rack: name, Tasks: peer.TasksToProto(rest)},
-		}})
+		p, err := r.proposeAt(ctx, name, rest)
 		if err != nil {
 			continue
 		}
 		asked++
-		p := reply.GetPropose()
 		fits = fits || p.GetFitsEmpty()
 		placed := peer.PlacementsFromProto(p.GetPlacements())
 		plan.Placements = append(plan.Placements, placed...)
@@ -95,6 +101,33 @@
 	return nil
 }
 
+// proposeAt asks one rack. A rack that did not answer in time is left out for a while, so that a lost availability zone
+// does not hold up every plan by a timeout for each of its racks.
+func (r *intentRunner) proposeAt(ctx context.Context, name string, tasks []model.Task) (*peerpb.ProposeReply, error) {
+	r.mu.Lock()
+	silent := r.now().Before(r.silentUntil[name])
+	r.mu.Unlock()
+	if silent {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "rack %q did not answer", name)
+	}
+	asked := make([]model.Task, 0, min(len(tasks), proposeBatch))
+	for _, t := range tasks[:cap(asked)] {
+		t.Payload = nil
+		asked = append(asked, t)
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	reply, err := r.in.ask(ctx, ownership.Rack(name), &peerpb.Request{Body: &peerpb.Request_Propose{
+		Propose: &peerpb.Propose{Rack: name, Tasks: peer.TasksToProto(asked)},
+	}})
+	if err != nil && ctx.Err() != nil {
+		r.mu.Lock()
+		r.silentUntil[name] = r.now().Add(silentTerm)
+		r.mu.Unlock()
+	}
+	return reply.GetPropose(), err
+}
+
 // checkGang returns an error when the workers of the cell could not hold a gang even if they were empty.
 func (in *Instance) checkGang(spec model.IntentSpec) error {
 	if spec.Kind != model.KindGang {
@@ -145,8 +178,8 @@
 	if err != nil {
 		return model.Intent{}, err
 	}
-	r.confirming.Lock()
-	defer r.confirming.Unlock()
+	r.planning.Lock()
+	defer r.planning.Unlock()
 	plan, err := r.findPlan(ctx, planID)
 	if err != nil {
 		return model.Intent{}, err
@@ -161,7 +194,10 @@
 	if err := r.checkPlan(ctx, plan); err != nil {
 		return r.confirmedBefore(ctx, plan, err)
 	}
-	if err := r.writeIntents(ctx, out); err != nil {
+	r.confirming.Lock()
+	err = r.writeIntents(ctx, out)
+	r.confirming.Unlock()
+	if err != nil {
 		if verdict.Of(err) == verdict.MayHaveRun {
 			r.in.run(func() { r.confirmLater(plan, out) })
 		}
@@ -234,7 +270,10 @@
 	if verdict.Of(cause) != verdict.NotRun {
 		return model.Intent{}, cause
 	}
-	if first, ok, err := r.storedIntent(ctx, plan.IntentID); err == nil && ok {
+	r.confirming.Lock()
+	first, ok, err := r.storedIntent(ctx, plan.IntentID)
+	r.confirming.Unlock()
+	if err == nil && ok {
 		if first.State == model.IntentConfirmed {
 			// The first confirmation took effect, but its result was unknown.
 			r.execute(r.core.Confirmed(r.now(), first))
--- a/version/intent/gang.go
+++ b/version/intent/gang.go
@@ -327,12 +327,13 @@
 	}
 	for g.next < len(g.order) {
 		rack := g.order[g.next]
-		tasks := missing
+		var tasks []*taskState
 		for _, m := range g.open() {
 			if g.held[m] == rack {
-				tasks = append(tasks[:len(tasks):len(tasks)], m)
+				tasks = append(tasks, m)
 			}
 		}
+		tasks = append(tasks, askable(missing)...)
 		if len(tasks) == 0 {
 			g.next++
 			continue
@@ -348,6 +349,20 @@
 	return []Effect{CommitGang{ID: g.intent.intent.ID, Hold: g.hold}}
 }
 
+// maxHoldBytes bounds the payloads of one hold message, which travels in one frame.
+const maxHoldBytes = 4 << 20
+
+// askable returns as many of the missing members as fit one message; other racks and later passes are asked for the rest.
+func askable(missing []*taskState) []*taskState {
+	bytes := 0
+	for n, m := range missing {
+		if bytes += len(m.task.Payload); bytes > maxHoldBytes {
+			return missing[:n]
+		}
+	}
+	return missing
+}
+
 func (c *Core) holdEffect(g *gangState, rack string, tasks []*taskState) Effect {
 	e := HoldTasks{Rack: rack, Hold: g.hold, Term: c.policy.HoldTerm, Victims: tasks[0].victims}
 	for _, m := range tasks {
--- a/version/intent/kinds_test.go
+++ b/version/intent/kinds_test.go
@@ -382,6 +382,17 @@
 	assert.Assert(t, repeated >= int(9*c.policy.ReoffersPerSecond), "%d repeated offers", repeated)
 }
 
+// TestOfferMessagesFitAFrame guards against an offer message that is larger than a frame, since payloads are up to 64 KiB.
+func TestOfferMessagesFitAFrame(t *testing.T) {
+	c := newCore(views(1, 1, 8))
+	payload := strings.Repeat("x", model.MaxPayloadBytes)
+	effects := c.Confirmed(testNow, confirmed("i3-b", model.IntentSpec{Kind: model.KindBatch, Tasks: 100, Payload: payload}))
+	assert.Equal(t, len(offered(effects)), 100)
+	for _, e := range effects {
+		assert.Assert(t, len(e.(OfferTasks).Tasks) <= maxOfferBytes/model.MaxPayloadBytes)
+	}
+}
+
 // TestLostQueueIsOfferedAgain guards against a task that waits in the queue of a rack whose owner, and with it the queue,
 // is gone, and against one whose offer was refused.
 func TestLostQueueIsOfferedAgain(t *testing.T) {
--- a/version/intent/offer.go
+++ b/version/intent/offer.go
@@ -375,6 +375,21 @@
 	b.byRack[rack] = append(offers, OfferTasks{Rack: rack, Tasks: []model.Task{task}, Victims: victims})
 }
 
+// maxOfferBytes bounds the payloads of one offer message, which travels in one frame.
+const maxOfferBytes = 512 << 10
+
+// messageSize returns how many of tasks go into one message: at most limit, and at least one.
+func messageSize(tasks []model.Task, limit int) int {
+	bytes := 0
+	for n, t := range tasks {
+		bytes += len(t.Payload)
+		if n == limit || (n > 0 && bytes > maxOfferBytes) {
+			return n
+		}
+	}
+	return len(tasks)
+}
+
 // effects returns the offers, each with at most limit tasks, sorted by rack.
 func (b *offerBatch) effects(limit int) []Effect {
 	racks := make([]string, 0, len(b.byRack))
@@ -385,8 +400,10 @@
 	var effects []Effect
 	for _, rack := range racks {
 		for _, o := range b.byRack[rack] {
-			for tasks := range slices.Chunk(o.Tasks, limit) {
-				effects = append(effects, OfferTasks{Rack: rack, Tasks: tasks, Victims: o.Victims})
+			for len(o.Tasks) > 0 {
+				n := messageSize(o.Tasks, limit)
+				effects = append(effects, OfferTasks{Rack: rack, Tasks: o.Tasks[:n:n], Victims: o.Victims})
+				o.Tasks = o.Tasks[n:]
 			}
 		}
 	}
