--- a/process/instance/plans.go
+++ b/process/instance/plans.go
@@ -31,6 +31,9 @@
 
 // Plan states an intent and returns a plan; nothing changes.
 func (in *Instance) Plan(ctx context.Context, n int, spec model.IntentSpec) (model.Plan, error) {
+	if err := in.admitted(); err != nil {
+		return model.Plan{}, err
+	}
 	r, err := in.intentRunner(n)
 	if err != nil {
 		return model.Plan{}, err
@@ -40,7 +43,7 @@
 
 // plan makes a plan and stores it.
 func (r *intentRunner) plan(ctx context.Context, spec model.IntentSpec) (model.Plan, error) {
-	plan, tasks, err := r.core.Draft(r.now(), spec, 0, uuid.NewString())
+	plan, tasks, err := r.core.Draft(r.now(), spec, r.in.config.Current().Version, uuid.NewString())
 	if err != nil {
 		return model.Plan{}, err
 	}
@@ -174,6 +177,9 @@
 // Confirm makes a plan run. A second confirmation of the same plan returns the first result. A plan that no longer holds
 // is refused with a fresh one attached.
 func (in *Instance) Confirm(ctx context.Context, n int, planID string) (model.Intent, error) {
+	if err := in.admitted(); err != nil {
+		return model.Intent{}, err
+	}
 	r, err := in.intentRunner(n)
 	if err != nil {
 		return model.Intent{}, err
@@ -292,7 +298,7 @@
 // checkPlan proposes the tasks of a plan again, next to what was confirmed and is not placed yet, and returns an error
 // with a fresh plan when the plan no longer holds.
 func (r *intentRunner) checkPlan(ctx context.Context, plan model.Plan) error {
-	fresh, tasks, err := r.core.Draft(r.now(), plan.Spec, plan.ConfigVersion, uuid.NewString())
+	fresh, tasks, err := r.core.Draft(r.now(), plan.Spec, r.in.config.Current().Version, uuid.NewString())
 	if err != nil {
 		return err
 	}
