Follow the merged view of members, and send quota use as one-way messages

Change: the check reads the merged view; quota use is sent without a reply on the stream for bulk messages, like summaries.

--- a/process/instance/plans.go
+++ b/process/instance/plans.go
@@ -11,7 +11,6 @@
 	"github.com/lentiltide/lentiltide/connection/peer"
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
 	"github.com/lentiltide/lentiltide/version/intent"
 	"github.com/lentiltide/lentiltide/version/ownership"
@@ -138,12 +137,8 @@
 	}
 	each := intent.Demand(model.Task{Each: spec.Each})
 	room := 0
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	for _, m := range in.members {
-		if m.Role == platform.RoleWorker {
-			room += int(intent.RoomFor(m.Capacity, each))
-		}
+	for _, m := range in.members.Workers(in.opts.Clock.Now(), "") {
+		room += int(intent.RoomFor(m.Capacity, each))
 	}
 	if room >= spec.Tasks {
 		return nil
--- a/process/instance/usage.go
+++ b/process/instance/usage.go
@@ -196,7 +196,8 @@
 		in.run(func() {
 			ctx, cancel := context.WithTimeout(in.ctx, peerTimeout)
 			defer cancel()
-			_, _ = in.opts.Peers.Call(ctx, session.Address, &peerpb.Request{Body: &peerpb.Request_Usages{Usages: m}})
+			// A lost message is made up for by the next one, or by the end of its term.
+			_ = in.opts.Peers.Send(ctx, session.Address, &peerpb.Request{Body: &peerpb.Request_Usages{Usages: m}})
 		})
 	}
 }
