Answer calls of the stand-in with their payload, and log the end of a shutdown

Cause: in the README's walk a call printed its task id twice, and a daemon that stopped gracefully left no last line. Change: the stand-in program answers 'done: PAYLOAD'; the daemon logs 'stopped'. Conclusion: a newcomer sees that the answer belongs to the call.

--- a/cmd/lentiltide-standin/main.go
+++ b/cmd/lentiltide-standin/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/standin/cell"
+	standinworker "github.com/lentiltide/lentiltide/standin/worker"
 )
 
 type arguments struct {
@@ -37,6 +38,7 @@
 	c, err := cell.Start(cell.Options{
 		Listen: args.Listen, Workers: args.Workers, PerRack: args.PerRack, Zones: args.Zones, Region: args.Region,
 		Capacity: model.Resources{CPUMilli: args.CPUMilli, MemoryMiB: args.Memory, Slots: 8, Connections: 60},
+		Behave: behave,
 	})
 	if err != nil {
 		log.WithError(err).Error("start failed")
@@ -53,3 +55,12 @@
 		"reruns": counts.Reruns, "overcommits": counts.Overcommits, "faults": c.Observer.Faults(),
 	}).Info("what the workers saw")
 }
+
+// behave runs calls with an answer that repeats the payload, and other work as declared.
+func behave(task model.Task) standinworker.Behavior {
+	b := standinworker.DefaultBehavior(task)
+	if task.Kind == model.KindCall {
+		b.Answer = append([]byte("done: "), task.Payload...)
+	}
+	return b
+}
--- a/cmd/lentiltided/main.go
+++ b/cmd/lentiltided/main.go
@@ -59,5 +59,9 @@
 	}()
 	ctx, cancel := context.WithTimeout(context.Background(), s.Shutdown())
 	defer cancel()
-	return in.Shutdown(ctx)
+	if err := in.Shutdown(ctx); err != nil {
+		return err
+	}
+	entry.Info("stopped")
+	return nil
 }
