--- a/cmd/lentiltide-standin/main.go
+++ b/cmd/lentiltide-standin/main.go
@@ -38,7 +38,7 @@
 	c, err := cell.Start(cell.Options{
 		Listen: args.Listen, Workers: args.Workers, PerRack: args.PerRack, Zones: args.Zones, Region: args.Region,
 		Capacity: model.Resources{CPUMilli: args.CPUMilli, MemoryMiB: args.Memory, Slots: 8, Connections: 60},
-		Behave: behave,
+		Behave:   behave,
 	})
 	if err != nil {
 		log.WithError(err).Error("start failed")
