--- a/process/instance/plans.go
+++ b/process/instance/plans.go
@@ -137,7 +137,7 @@
 	}
 	each := intent.Demand(model.Task{Each: spec.Each})
 	room := 0
-	for _, m := range in.members.Workers(in.opts.Clock.Now(), "") {
+	for _, m := range in.members.Workers("") {
 		room += int(intent.RoomFor(m.Capacity, each))
 	}
 	if room >= spec.Tasks {
--- a/process/instance/usage.go
+++ b/process/instance/usage.go
@@ -42,7 +42,7 @@
 	view = cellView{at: now}
 	names := in.rackNames()
 	zones := map[string]string{}
-	for _, m := range in.members.Workers(now, "") {
+	for _, m := range in.members.AllWorkers() {
 		zones[m.Rack] = m.Zone
 		if m.State != platform.MemberLeaving {
 			view.capacity = view.capacity.Add(m.Capacity)
--- a/version/config/document.go
+++ b/version/config/document.go
@@ -22,16 +22,20 @@
 	Classes map[string]Class `json:"classes"`
 	// Limits bounds the requests that one instance works on.
 	Limits Limits `json:"limits"`
-	// Teams holds the shares and quotas of teams. A team that is not listed has weight 1 and no quota.
+	// Teams holds the shares and quotas of teams. A team that is not listed has weight 1 and no limit.
 	Teams []Team `json:"teams"`
-	// Policy holds the settings of placement and intents.
+	// Policy holds the settings of intents.
 	Policy Policy `json:"policy"`
 }
 
 // Class is the weight and the limits of one scheduling class.
 type Class struct {
-	// Weight is the relative share of the class where classes compete for capacity.
+	// Weight is the relative share of the class where service, batch and long work compete for capacity.
 	Weight int `json:"weight"`
+	// MaxSharePercent is the largest share of a rack that the class may hold.
+	MaxSharePercent int `json:"max_share_percent"`
+	// QueueLimit bounds the queued offers of the class in a rack.
+	QueueLimit int `json:"queue_limit"`
 	// MaxQueued bounds the requests of the class that wait at one instance.
 	MaxQueued int `json:"max_queued"`
 }
@@ -53,13 +57,15 @@
 type Team struct {
 	Account string `json:"account"`
 	Team    string `json:"team"`
-	// Weight is the team's share relative to other teams.
+	// Weight scales the team's fair share.
 	Weight int `json:"weight"`
-	// Quota bounds what the team's running tasks hold; nil means no bound.
-	Quota *model.Resources `json:"quota"`
+	// Share is what the team may use at any time; use beyond it is borrowed. Limit is what it never exceeds. A field that is
+	// zero is not limited.
+	Share model.Resources `json:"share"`
+	Limit model.Resources `json:"limit"`
 }
 
-// Policy holds the settings of placement and intents.
+// Policy holds the settings of intents.
 type Policy struct {
 	// PlanTermMS is how long a plan can be confirmed, in milliseconds.
 	PlanTermMS int `json:"plan_term_ms"`
@@ -67,8 +73,6 @@
 	OfferTermMS int `json:"offer_term_ms"`
 	// MaxAttempts is on how many distinct workers a task may fail before it is stopped.
 	MaxAttempts int `json:"max_attempts"`
-	// QueueLimit bounds the queued offers of one class in a rack.
-	QueueLimit int `json:"queue_limit"`
 }
 
 // Default returns the document that is in force while no version is stored.
@@ -78,11 +82,11 @@
 		Limits: Limits{
 			MaxInFlight: 1024, ClientInFlight: 512, TeamInFlight: 512, QueueDelayMS: 50, RetryPercent: 10,
 		},
-		Policy: Policy{PlanTermMS: 600_000, OfferTermMS: 2000, MaxAttempts: 3, QueueLimit: 20_000},
+		Policy: Policy{PlanTermMS: 600_000, OfferTermMS: 2000, MaxAttempts: 3},
 	}
-	weights := [model.NumClasses]int{16, 8, 4, 2, 1}
+	weights := [model.NumClasses]int{8, 8, 4, 2, 1}
 	for c := range model.NumClasses {
-		d.Classes[c.String()] = Class{Weight: weights[c], MaxQueued: 1024}
+		d.Classes[c.String()] = Class{Weight: weights[c], MaxSharePercent: 100, QueueLimit: 20_000, MaxQueued: 1024}
 	}
 	return d
 }
@@ -139,6 +143,8 @@
 	for c := range model.NumClasses {
 		path := "classes." + c.String() + "."
 		within(path+"weight", d.Class(c).Weight, 1, 1000)
+		within(path+"max_share_percent", d.Class(c).MaxSharePercent, 1, 100)
+		within(path+"queue_limit", d.Class(c).QueueLimit, 1, 1_000_000)
 		within(path+"max_queued", d.Class(c).MaxQueued, 1, 100_000)
 	}
 	for _, name := range slices.Sorted(maps.Keys(d.Classes)) {
@@ -154,7 +160,6 @@
 	within("policy.plan_term_ms", d.Policy.PlanTermMS, 1000, 86_400_000)
 	within("policy.offer_term_ms", d.Policy.OfferTermMS, 100, 600_000)
 	within("policy.max_attempts", d.Policy.MaxAttempts, 1, 100)
-	within("policy.queue_limit", d.Policy.QueueLimit, 1, 1_000_000)
 	return append(problems, d.checkTeams()...)
 }
 
@@ -177,15 +182,13 @@
 			problems = append(problems, Problem{path + "team", fmt.Sprintf("is listed in teams[%d] as well", first)})
 		}
 		seen[key] = i
-		problems = append(problems, checkQuota(path+"quota.", t.Quota)...)
+		problems = append(problems, checkAmounts(path+"share.", t.Share)...)
+		problems = append(problems, checkAmounts(path+"limit.", t.Limit)...)
 	}
 	return problems
 }
 
-func checkQuota(path string, q *model.Resources) []Problem {
-	if q == nil {
-		return nil
-	}
+func checkAmounts(path string, q model.Resources) []Problem {
 	var problems []Problem
 	for _, f := range []struct {
 		name  string
@@ -203,13 +206,3 @@
 
 // Class returns the entry of a class.
 func (d Document) Class(c model.Class) Class { return d.Classes[c.String()] }
-
-// Team returns the entry of a team; the second result is false for a team that is not listed.
-func (d Document) Team(account, team string) (Team, bool) {
-	for _, t := range d.Teams {
-		if t.Account == account && t.Team == team {
-			return t, true
-		}
-	}
-	return Team{Account: account, Team: team, Weight: 1}, false
-}
