Test that a displaced task is shown in the plan and finishes later

Cause: no test followed a displaced task through its checkpoint back to waiting and to its end. Change: an urgent plan shows one running audit task as displaced; after the confirmation all three tasks finish once.

--- a/process/instance/work_test.go
+++ b/process/instance/work_test.go
@@ -225,6 +225,29 @@
 	assert.Equal(t, counts.Overcommits, 0)
 }
 
+// TestDisplacedTaskIsNotLost guards against displacement that the plan did not show, and against a displaced task that never
+// finishes.
+func TestDisplacedTaskIsNotLost(t *testing.T) {
+	in := start(t)
+	long := model.ClassLong
+	// Long enough that both run at the same time even if one is offered again first.
+	audit := work(model.KindBatch, 2, 6000)
+	audit.Class, audit.Preemptible, audit.Each.CPUMilli = &long, true, 2500
+	victim := in.confirm(t, in.plan(t, audit))
+	in.running(t, victim, 2)
+	urgent := model.ClassUrgent
+	s := work(model.KindBatch, 1, 50)
+	s.Class, s.Each.CPUMilli = &urgent, 2500
+	p := in.plan(t, s)
+	assert.Equal(t, len(p.Displaces), 1)
+	assert.Assert(t, strings.HasPrefix(string(p.Displaces[0].Task), victim.ID))
+	in.state(t, in.confirm(t, p), model.IntentDone)
+	in.state(t, victim, model.IntentDone)
+	counts := in.observer.Counts()
+	assert.Equal(t, counts.TasksFinished, 3)
+	assert.Equal(t, counts.DoubleRuns, 0)
+}
+
 // TestTooLargeGangIsRejected guards against a plan for a gang that can never start.
 func TestTooLargeGangIsRejected(t *testing.T) {
 	in := start(t)
