--- a/version/intent/claim.go
+++ b/version/intent/claim.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/lentiltide/lentiltide/model"
@@ -195,7 +197,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.rackEpochs[rack] = max(c.rackEpochs[rack], rackEpoch)
-	for _, t := range c.tasks {
+	for _, id := range slices.Sorted(maps.Keys(c.tasks)) {
+		t := c.tasks[id]
 		if t.phase != phaseGranted || t.rack != rack || t.rackEpoch >= rackEpoch {
 			continue
 		}
--- a/version/intent/recovery.go
+++ b/version/intent/recovery.go
@@ -1,6 +1,8 @@
 package intent
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/lentiltide/lentiltide/model"
@@ -73,8 +75,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var unplaced []*taskState
-	for _, t := range c.tasks {
-		if t.phase == phaseUnplaced {
+	for _, id := range slices.Sorted(maps.Keys(c.tasks)) {
+		if t := c.tasks[id]; t.phase == phaseUnplaced {
 			unplaced = append(unplaced, t)
 		}
 	}
@@ -85,9 +87,9 @@
 			final = append(final, t.outcome)
 		}
 	}
-	for _, st := range c.intents {
+	for _, id := range slices.Sorted(maps.Keys(c.intents)) {
 		// The last outcome was recorded, but the end of the intent or of its run was not.
-		effects = append(effects, c.finishIntent(now, st)...)
+		effects = append(effects, c.finishIntent(now, c.intents[id])...)
 	}
 	for _, g := range c.sortedGangs() {
 		effects = append(effects, c.gangRestored(now, g)...)
--- a/version/intent/recurring.go
+++ b/version/intent/recurring.go
@@ -1,6 +1,8 @@
 package intent
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/lentiltide/lentiltide/model"
@@ -21,7 +23,8 @@
 // dueRuns asks to record the runs that are due. Callers hold c.mu.
 func (c *Core) dueRuns(now time.Time) []Effect {
 	var effects []Effect
-	for id, st := range c.recurring {
+	for _, id := range slices.Sorted(maps.Keys(c.recurring)) {
+		st := c.recurring[id]
 		if !st.recording && c.runDue(now, st) {
 			st.recording = true
 			effects = append(effects, RecordRun{ID: id})
