--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -39,6 +39,8 @@
 	Seed uint64
 	// Quotas are the quotas in force; nil limits nothing.
 	Quotas intent.Quotas
+	// IntentPartitions are the intent partitions that the cell uses; nil means all.
+	IntentPartitions []int
 }
 
 // Instance is one running entry instance.
@@ -67,6 +69,11 @@
 	if opts.Clock == nil {
 		opts.Clock = clockwork.NewRealClock()
 	}
+	if opts.IntentPartitions == nil {
+		for n := range model.IntentPartitions {
+			opts.IntentPartitions = append(opts.IntentPartitions, n)
+		}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	in := &Instance{
 		opts: opts, ctx: ctx, cancel: cancel,
@@ -125,7 +132,7 @@
 // partitions returns all partitions of the cell: the intent partitions and the racks of the workers seen so far.
 func (in *Instance) partitions() []ownership.Partition {
 	var all []ownership.Partition
-	for n := range model.IntentPartitions {
+	for _, n := range in.opts.IntentPartitions {
 		all = append(all, ownership.Intent(n))
 	}
 	for _, name := range in.rackNames() {
@@ -197,7 +204,7 @@
 func (in *Instance) Acquired(p ownership.Partition, epoch, rowVersion uint64) {
 	switch p.Kind {
 	case ownership.KindRack:
-		in.acquireRack(p.Name, epoch)
+		in.acquireRack(p.Name, epoch, rowVersion)
 	case ownership.KindIntent:
 		in.acquireIntent(p, epoch, rowVersion)
 	}
--- a/process/instance/intents.go
+++ b/process/instance/intents.go
@@ -45,7 +45,7 @@
 	loaded bool
 
 	// confirming serialises the writes of intent rows. It protects versions, the versions of rows as last written or read.
-	confirming sync.Mutex
+	confirming semaphore
 	versions   map[string]uint64
 
 	mu      sync.Mutex
@@ -55,6 +55,16 @@
 	cancelling bool
 }
 
+// semaphore is a lock that is held during input and output. Its waiters block on a channel, which tests in virtual time
+// need in order to advance the clock.
+type semaphore chan struct{}
+
+// Lock takes the semaphore.
+func (s semaphore) Lock() { s <- struct{}{} }
+
+// Unlock returns the semaphore.
+func (s semaphore) Unlock() { <-s }
+
 func partitionNumber(p ownership.Partition) int {
 	n, err := strconv.Atoi(p.Name)
 	if err != nil {
@@ -75,6 +85,7 @@
 		in: in, core: intent.New(n, epoch, intent.DefaultPolicy()),
 		condition: platform.Condition{Key: "partition/" + p.String(), Version: rowVersion},
 		waiting:   map[model.TaskID][]chan model.Outcome{}, versions: map[string]uint64{},
+		confirming: make(semaphore, 1),
 	}
 	r.core.SetQuotas(in.opts.Quotas)
 	r.ctx, r.cancel = context.WithCancel(in.ctx)
@@ -122,6 +133,7 @@
 		r.versions[row.Key] = row.Version
 		r.core.Restore(r.now(), in, outcomes)
 	}
+	r.core.RestoreCalls(r.now(), outcomes)
 	return nil
 }
 
--- a/process/instance/rows.go
+++ b/process/instance/rows.go
@@ -31,13 +31,13 @@
 		}
 		// Only a conflict after an unknown result can hide that the transaction took effect.
 		if verdict.Of(err) == verdict.NotRun && try == 0 {
-			return nil, err
+			return nil, r.ownerError(ctx, err)
 		}
 		if versions, ok := r.readBack(ctx, txn); ok {
 			return versions, nil
 		}
 		if verdict.From(err).Code == verdict.CodeConflict {
-			return nil, err
+			return nil, r.ownerError(ctx, err)
 		}
 		if !r.in.sleep(ctx, retryDelay) {
 			break
@@ -47,6 +47,18 @@
 	return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUnavailable, "the result of a write is unknown").After(retryDelay)
 }
 
+// ownerError replaces a conflict on the partition row, which only says that the partition has another owner now.
+func (r *intentRunner) ownerError(ctx context.Context, err error) error {
+	if verdict.From(err).Code != verdict.CodeConflict {
+		return err
+	}
+	rows, readErr := r.in.opts.Table.Get(ctx, r.condition.Key)
+	if readErr == nil && len(rows) == 1 && rows[0].Version == r.condition.Version {
+		return err
+	}
+	return verdict.Wrap(err, verdict.NotRun, verdict.CodeWrongOwner, "intent partition %d moved to another owner", r.partition()).After(retryDelay)
+}
+
 // readBack returns the versions of the rows that a transaction has written, if it has taken effect.
 func (r *intentRunner) readBack(ctx context.Context, txn platform.Txn) ([]uint64, bool) {
 	keys := make([]string, len(txn.Writes))
