--- a/process/instance/intents.go
+++ b/process/instance/intents.go
@@ -47,6 +47,7 @@
 	// confirming serialises the writes of intent rows. It protects versions, the versions of rows as last written or read.
 	confirming semaphore
 	versions   map[string]uint64
+	keys       keyWriter
 
 	mu      sync.Mutex
 	waiting map[model.TaskID][]chan model.Outcome
@@ -280,12 +281,17 @@
 }
 
 // Call runs a call of a standing intent and waits for its outcome. A caller that gives up before the call was granted
-// gets NotRun.
-func (in *Instance) Call(ctx context.Context, n int, id string, ticket model.StartToken, payload []byte) (model.Outcome, error) {
+// gets NotRun. A key, which a call without a ticket may have, is recorded before anything is dispatched.
+func (in *Instance) Call(ctx context.Context, n int, id string, ticket model.StartToken, key string, payload []byte) (model.Outcome, error) {
 	r, err := in.intentRunner(n)
 	if err != nil {
 		return model.Outcome{}, err
 	}
+	if key != "" {
+		if ticket, err = r.recordKey(ctx, id, key, payload); err != nil {
+			return model.Outcome{}, err
+		}
+	}
 	res, err := r.core.Call(r.now(), id, ticket, uuid.NewString(), payload)
 	if err != nil {
 		return model.Outcome{}, err
--- a/request/api/api.go
+++ b/request/api/api.go
@@ -47,7 +47,7 @@
 	Status(partition int, id string) (intent.Status, error)
 	Explain(ctx context.Context, partition int, task model.TaskID) (intent.Explanation, error)
 	Tickets(partition int, id string, count int) ([]model.StartToken, error)
-	Call(ctx context.Context, partition int, id string, ticket model.StartToken, payload []byte) (model.Outcome, error)
+	Call(ctx context.Context, partition int, id string, ticket model.StartToken, key string, payload []byte) (model.Outcome, error)
 	Dump(limit int) instance.Dump
 	// OwnerEpoch returns the epoch of an intent partition as last read; 0 if it is unknown.
 	OwnerEpoch(partition int) uint64
--- a/version/intent/call.go
+++ b/version/intent/call.go
@@ -71,7 +71,10 @@
 		return res, nil
 	}
 	switch {
-	case ticket.Partition != c.partition || ticket.Epoch > c.epoch:
+	case ticket.Epoch > c.epoch && ticket.Partition == c.partition:
+		// A later owner has issued it and may have run it; this instance has not noticed the change yet.
+		return CallResult{}, verdict.New(verdict.MayHaveRun, verdict.CodeWrongOwner, "the ticket belongs to epoch %d, this instance knows %d", ticket.Epoch, c.epoch).After(unplacedRetry)
+	case ticket.Partition != c.partition:
 		return CallResult{}, verdict.Invalid("Lentiltide-Ticket", "the ticket was not issued by this partition")
 	case ticket.Epoch < c.epoch && !c.opened:
 		return CallResult{}, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the racks have not yet listed the calls of epoch %d", ticket.Epoch).After(unplacedRetry)
