--- a/faultmatrix/fakes_test.go
+++ b/faultmatrix/fakes_test.go
@@ -133,6 +133,12 @@
 	return reply, peer.ErrorFromProto(reply.GetError())
 }
 
+// Send implements peer.Caller.
+func (p *faultPeers) Send(ctx context.Context, address string, req *peerpb.Request) error {
+	p.w.later(0, func() { _, _ = p.Call(context.WithoutCancel(ctx), address, req) })
+	return nil
+}
+
 // faultTable is the table service as one instance sees it.
 type faultTable struct {
 	w *world
--- a/process/instance/members.go
+++ b/process/instance/members.go
@@ -1,84 +1,88 @@
 package instance
 
 import (
-	"encoding/json"
-	"maps"
-	"slices"
-	"sort"
-
-	"github.com/google/uuid"
+	"context"
+	"time"
 
+	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
 	"github.com/lentiltide/lentiltide/platform"
-	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/ownership"
 )
 
-func workersKey(rack string) string { return "workers/" + rack }
+const (
+	// memberRefresh is the time between reads of the platform's list.
+	memberRefresh = time.Second
+	// memberTimeout bounds one read of the list. Two reads fit into the 3 s in which a leaving worker may get new work.
+	memberTimeout = time.Second
+)
 
-// loadRecorded reads the workers that owners of the rack have ever fenced.
-func (r *rackRunner) loadRecorded() error {
-	rows, err := r.in.opts.Table.Get(r.ctx, workersKey(r.core.ID()))
-	if err != nil {
-		return err
+// partitions returns all partitions of the cell: the intent partitions and the racks of the workers seen so far.
+func (in *Instance) partitions() []ownership.Partition {
+	var all []ownership.Partition
+	for _, n := range in.opts.IntentPartitions {
+		all = append(all, ownership.Intent(n))
 	}
-	r.recording.Lock()
-	defer r.recording.Unlock()
-	r.recorded = map[string]platform.Member{}
-	if len(rows) == 0 {
-		return nil
+	for _, name := range in.rackNames() {
+		all = append(all, ownership.Rack(name))
 	}
-	var members []platform.Member
-	if err := json.Unmarshal(rows[0].Value, &members); err != nil {
-		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "decode %s", rows[0].Key)
+	return all
+}
+
+func (in *Instance) rackNames() []string { return in.members.Racks() }
+
+func (in *Instance) rackMembers(name string) []platform.Member { return in.members.Workers(name) }
+
+// isLeaving reports whether the platform says that an entry instance is leaving, so that it gets no further partitions.
+func (in *Instance) isLeaving(name string) bool { return in.members.IsLeaving(name) }
+
+func (in *Instance) watchMembers() { in.every(in.ctx, memberRefresh, in.refreshMembers) }
+
+// refreshMembers reads the platform's list and tells the owners of racks about workers that have begun to leave.
+func (in *Instance) refreshMembers() {
+	ctx, cancel := context.WithTimeout(in.ctx, memberTimeout)
+	defer cancel()
+	members, err := in.opts.Members.List(ctx)
+	if err != nil {
+		return
 	}
-	for _, m := range members {
-		r.recorded[m.ID] = m
+	left, changed := in.members.List(in.opts.Clock.Now(), members)
+	if changed {
+		in.membersChanged()
 	}
-	r.recordedRow = rows[0].Version
-	return nil
+	in.reportLeaving(left)
 }
 
-// record writes the row of the rack's workers when members has new ones or new addresses, and returns the members that
-// may be used: those in the row, in their state of members. Callers hold r.recording.
-func (r *rackRunner) record(members []platform.Member) []platform.Member {
-	next := maps.Clone(r.recorded)
-	changed := false
-	for _, m := range members {
-		old, known := r.recorded[m.ID]
-		if known && old.Address == m.Address {
-			r.recorded[m.ID] = m
-		} else {
-			changed = true
-		}
-		next[m.ID] = m
+// membersChanged gives each rack served here its current members.
+func (in *Instance) membersChanged() {
+	in.router.notify()
+	in.mu.Lock()
+	runners := make([]*rackRunner, 0, len(in.racks))
+	for _, r := range in.racks {
+		runners = append(runners, r)
 	}
-	if changed && r.writeRecorded(next) {
-		r.recorded = next
+	in.mu.Unlock()
+	for _, r := range runners {
+		r.setMembers(in.rackMembers(r.core.ID()))
 	}
-	usable := slices.Collect(maps.Values(r.recorded))
-	sort.Slice(usable, func(i, j int) bool { return usable[i].ID < usable[j].ID })
-	return usable
 }
 
-// writeRecorded writes the row and reports whether it is certain that it was written.
-func (r *rackRunner) writeRecorded(members map[string]platform.Member) bool {
-	list := slices.Collect(maps.Values(members))
-	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
-	data, err := json.Marshal(list)
-	if err != nil {
-		return false
-	}
-	key := workersKey(r.core.ID())
-	versions, err := r.in.opts.Table.Commit(r.ctx, platform.Txn{
-		ID: uuid.NewString(), Conditions: []platform.Condition{r.condition, {Key: key, Version: r.recordedRow}},
-		Writes: []platform.Write{{Key: key, Value: data}},
-	})
-	if err != nil {
-		// An earlier write may have taken effect; the next one is based on the row as it is then.
-		if rows, readErr := r.in.opts.Table.Get(r.ctx, key); readErr == nil && len(rows) == 1 {
-			r.recordedRow = rows[0].Version
+// reportLeaving tells the owners of other racks which of their workers are leaving, since their own lists may be older.
+// The message is sent once: a lost one leaves the owner with its own list, as before.
+func (in *Instance) reportLeaving(left []platform.Member) {
+	byOwner := map[string][]string{}
+	for _, m := range left {
+		loc, ok := in.owners.Locate(ownership.Rack(m.Rack))
+		if ok && !loc.Local {
+			byOwner[loc.Address] = append(byOwner[loc.Address], m.ID)
 		}
-		return false
 	}
-	r.recordedRow = versions[0]
-	return true
+	for address, ids := range byOwner {
+		in.run(func() {
+			ctx, cancel := context.WithTimeout(in.ctx, peerTimeout)
+			defer cancel()
+			_ = in.opts.Peers.Send(ctx, address, &peerpb.Request{Body: &peerpb.Request_Summaries{
+				Summaries: &peerpb.Summaries{Leaving: ids},
+			}})
+		})
+	}
 }
--- a/process/instance/racks.go
+++ b/process/instance/racks.go
@@ -49,8 +49,7 @@
 }
 
 func (in *Instance) acquireRack(name string, epoch, rowVersion uint64) {
-	policy := rack.DefaultPolicy()
-	policy.LeaseTerm = in.opts.Settings.LeaseTerm()
+	policy := in.rackPolicy(in.config.Current().Document)
 	r := &rackRunner{
 		in: in, core: rack.New(in.opts.Clock.Now(), name, epoch, policy),
 		condition: platform.Condition{Key: "partition/" + ownership.Rack(name).String(), Version: rowVersion},
@@ -80,6 +79,7 @@
 	r.in.mu.Unlock()
 	r.setMembers(r.in.rackMembers(r.core.ID()))
 	r.in.every(r.ctx, rackTick, func() {
+		r.core.Owned(r.in.owners.LastRenewal())
 		r.execute(r.core.Tick(r.in.opts.Clock.Now()))
 		r.ensureSync()
 	})
@@ -193,6 +193,10 @@
 func (r *rackRunner) start(e rack.StartTask) {
 	ctx, cancel := context.WithTimeout(r.ctx, workerTimeout)
 	defer cancel()
+	if !r.core.MayRenew(r.in.opts.Clock.Now()) {
+		r.execute(r.core.StartResult(r.in.opts.Clock.Now(), e.Request.Task.ID, e.Request.Token, verdict.NotRun))
+		return
+	}
 	_, err := r.agent(e.Worker).Start(ctx, e.Request)
 	r.execute(r.core.StartResult(r.in.opts.Clock.Now(), e.Request.Task.ID, e.Request.Token, verdict.Of(err)))
 }
@@ -247,7 +251,7 @@
 	defer r.end(r.syncing, id)
 	for {
 		req, ok := r.core.SyncRequest(id, syncWait)
-		if !ok || r.ctx.Err() != nil {
+		if !ok || r.ctx.Err() != nil || !r.core.MayRenew(r.in.opts.Clock.Now()) {
 			return
 		}
 		ctx, cancel := context.WithTimeout(r.ctx, syncWait+workerTimeout)
@@ -305,47 +309,3 @@
 		return false
 	}
 }
-
-// spreadSummaries sends the summaries of the racks served here to all other instances.
-func (in *Instance) spreadSummaries() {
-	in.every(in.ctx, summaryEvery, func() {
-		in.mu.Lock()
-		runners := make([]*rackRunner, 0, len(in.racks))
-		for _, r := range in.racks {
-			runners = append(runners, r)
-		}
-		in.mu.Unlock()
-		for _, r := range runners {
-			in.spreadSummary(r.core.Summary())
-		}
-	})
-}
-
-func (in *Instance) spreadSummary(s rack.Summary) {
-	in.takeSummary(s)
-	msg := &peerpb.Summary{
-		Rack: s.Rack, Epoch: s.Epoch, Free: peer.ResourcesToProto(s.Free), LargestFree: peer.ResourcesToProto(s.Largest),
-	}
-	for _, n := range s.Queued {
-		msg.Queued = append(msg.Queued, uint32(n))
-	}
-	for _, session := range in.owners.Sessions() {
-		if session.Instance == in.opts.Settings.Instance {
-			continue
-		}
-		in.run(func() {
-			ctx, cancel := context.WithTimeout(in.ctx, peerTimeout)
-			defer cancel()
-			_, _ = in.opts.Peers.Call(ctx, session.Address, &peerpb.Request{Body: &peerpb.Request_Summary{Summary: msg}})
-		})
-	}
-}
-
-// takeSummary keeps the newest summary of a rack.
-func (in *Instance) takeSummary(s rack.Summary) {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	if s.Epoch >= in.summaries[s.Rack].Epoch {
-		in.summaries[s.Rack] = s
-	}
-}
--- /dev/null
+++ b/process/membership/membership.go
@@ -0,0 +1,188 @@
+// Package membership keeps one instance's view of the machines of a cell. It joins the platform's list, which lags and
+// may be wrong, with the sessions in the table and with what peers report. The view only suggests: ownership is decided
+// by the table and by the workers' fences. A View lives as long as the process.
+package membership
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lentiltide/lentiltide/platform"
+)
+
+const (
+	// leavingHold is how long a machine stays leaving after the last sign of it. Replicas of the platform's list lag by
+	// different times, so that a later answer may be older.
+	leavingHold = time.Minute
+	// forgetAfter is how long a worker must be missing from the list before it is forgotten. Its rack owner keeps track of
+	// it by its leases; only the memory of this view is bounded here.
+	forgetAfter = 24 * time.Hour
+	// minShare is the share of the known workers that a list must hold for missing ones to count as missing.
+	minShare = 0.5
+)
+
+// View is the joined view.
+//
+// Locking: one lock for the machines; readers use an immutable snapshot without a lock, since the names of the racks and
+// their workers are read far more often than they change.
+type View struct {
+	mu       sync.Mutex
+	machines map[string]*machine
+
+	snapshot atomic.Pointer[snapshot]
+}
+
+// snapshot is the joined view at the time of the last sign. Its slices and maps are shared and never changed.
+type snapshot struct {
+	racks   []string
+	byRack  map[string][]platform.Member
+	workers []platform.Member
+	leaving map[string]bool
+}
+
+// machine is a worker or an entry instance.
+type machine struct {
+	platform.Member
+	// seen is when the machine was last in a list, or when the last list was taken that may have left it out wrongly.
+	seen time.Time
+	// leaving is when the last sign was taken that the machine is leaving; zero if there was none.
+	leaving time.Time
+}
+
+// New returns an empty view.
+func New() *View {
+	v := &View{machines: map[string]*machine{}}
+	v.snapshot.Store(&snapshot{})
+	return v
+}
+
+// List takes an answer of the platform. It returns the workers that were not leaving before and are now, and whether the
+// view of the workers has changed.
+//
+// An empty list changes nothing. A machine that is missing stays known with its last state, since a worker's tasks do not
+// end because of a list. A worker stays in the rack in which it was first listed: a list that moves it must not make a
+// second rack owner fence it. A machine that is listed as leaving stays so for leavingHold.
+func (v *View) List(now time.Time, members []platform.Member) (left []platform.Member, changed bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	known, listed := len(v.machines), 0
+	for _, m := range members {
+		if !valid(m) {
+			continue
+		}
+		listed++
+		if v.take(now, m) {
+			left = append(left, m)
+		}
+	}
+	if listed == 0 {
+		return nil, false
+	}
+	trusted := float64(listed) >= minShare*float64(known)
+	for id, m := range v.machines {
+		if !trusted {
+			m.seen = now
+		}
+		if now.Sub(m.seen) > forgetAfter {
+			delete(v.machines, id)
+		}
+	}
+	return left, v.publish(now)
+}
+
+// publish makes a new snapshot if the view has changed. Callers hold v.mu.
+func (v *View) publish(now time.Time) (changed bool) {
+	next := &snapshot{byRack: map[string][]platform.Member{}, leaving: map[string]bool{}}
+	for id, m := range v.machines {
+		if m.isLeaving(now) {
+			next.leaving[id] = true
+		}
+		if m.Role == platform.RoleWorker {
+			next.workers = append(next.workers, m.member(now))
+		}
+	}
+	slices.SortFunc(next.workers, func(a, b platform.Member) int { return cmp.Compare(a.ID, b.ID) })
+	old := v.snapshot.Load()
+	if slices.Equal(old.workers, next.workers) && maps.Equal(old.leaving, next.leaving) {
+		return false
+	}
+	for _, m := range next.workers {
+		next.byRack[m.Rack] = append(next.byRack[m.Rack], m)
+	}
+	next.racks = slices.Sorted(maps.Keys(next.byRack))
+	v.snapshot.Store(next)
+	return true
+}
+
+func valid(m platform.Member) bool {
+	switch m.Role {
+	case platform.RoleWorker:
+		return m.ID != "" && m.Rack != "" && m.Address != ""
+	case platform.RoleEntry:
+		return m.ID != ""
+	default:
+		return false
+	}
+}
+
+// take enters one listed machine; it returns true for a worker that is newly leaving. Callers hold v.mu.
+func (v *View) take(now time.Time, listed platform.Member) bool {
+	m := v.machines[listed.ID]
+	if m == nil {
+		m = &machine{Member: listed}
+		v.machines[listed.ID] = m
+	}
+	if m.Role != listed.Role {
+		return false
+	}
+	before := m.isLeaving(now)
+	m.seen = now
+	m.Address, m.Capacity, m.Zone, m.Region = listed.Address, listed.Capacity, listed.Zone, listed.Region
+	if listed.State == platform.MemberLeaving {
+		m.leaving = now
+	}
+	return m.Role == platform.RoleWorker && !before && m.isLeaving(now)
+}
+
+func (m *machine) isLeaving(now time.Time) bool {
+	return !m.leaving.IsZero() && now.Sub(m.leaving) < leavingHold
+}
+
+// Leaving takes the word of a peer that machines are leaving, whose own list may be newer. Unknown ones are ignored. It
+// returns whether the view has changed.
+func (v *View) Leaving(now time.Time, ids []string) (changed bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, id := range ids {
+		if m := v.machines[id]; m != nil {
+			m.leaving = now
+		}
+	}
+	return v.publish(now)
+}
+
+// IsLeaving reports whether a machine is leaving.
+func (v *View) IsLeaving(id string) bool { return v.snapshot.Load().leaving[id] }
+
+// Racks returns the names of all racks with a known worker, sorted. The slice is shared and must not be changed.
+func (v *View) Racks() []string { return v.snapshot.Load().racks }
+
+// Workers returns the known workers of a rack, ordered by id. The slice is shared and must not be changed.
+func (v *View) Workers(rack string) []platform.Member { return v.snapshot.Load().byRack[rack] }
+
+// AllWorkers returns all known workers, ordered by id. The slice is shared and must not be changed.
+func (v *View) AllWorkers() []platform.Member { return v.snapshot.Load().workers }
+
+// member returns the machine with its joined state.
+func (m *machine) member(now time.Time) platform.Member {
+	out := m.Member
+	out.State = platform.MemberLive
+	if m.isLeaving(now) {
+		out.State = platform.MemberLeaving
+	}
+	return out
+}
--- a/request/api/api.go
+++ b/request/api/api.go
@@ -18,7 +18,9 @@
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
 	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/process/instance"
+	"github.com/lentiltide/lentiltide/request/limit"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/config"
 	"github.com/lentiltide/lentiltide/version/intent"
 )
 
@@ -32,14 +34,17 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 	// HeaderTimeoutMS is the time until the caller gives up, in milliseconds.
 	HeaderTimeoutMS = "Lentiltide-Timeout-Ms"
+	// HeaderClient names the client whose limits apply; without it the caller's IP address counts as the client.
+	HeaderClient = "Lentiltide-Client"
 	// HeaderDigest is the xxhash64 of the answer's body in hexadecimal.
 	HeaderDigest = jsonhttp.HeaderDigest
 )
 
 // Backend is the part of an instance that the API needs. Errors are *verdict.Error.
 type Backend interface {
-	Route(partition int) (address string, local bool, err error)
-	Forward(ctx context.Context, address string, f *peerpb.Forward) (*peerpb.ForwardReply, error)
+	Admit(ctx context.Context, key limit.Key) (release func(), err error)
+	Dispatch(ctx context.Context, req instance.Request, forward func() *peerpb.Forward, local func(context.Context) error) (*peerpb.ForwardReply, error)
+	Serve(ctx context.Context, req instance.Request, local func(context.Context) error) error
 	Plan(ctx context.Context, partition int, spec model.IntentSpec) (model.Plan, error)
 	GetPlan(partition int, id string) (model.Plan, error)
 	Confirm(ctx context.Context, partition int, planID string) (model.Intent, error)
@@ -48,6 +53,10 @@
 	Explain(ctx context.Context, partition int, task model.TaskID) (intent.Explanation, error)
 	Tickets(partition int, id string, count int) ([]model.StartToken, error)
 	Call(ctx context.Context, partition int, id string, ticket model.StartToken, key string, payload []byte) (model.Outcome, error)
+	Config() config.Applied
+	ConfigPlan(ctx context.Context, document []byte) (instance.ConfigPlan, error)
+	ConfigConfirm(ctx context.Context, planID string) (instance.ConfigStatus, error)
+	ConfigStatus(ctx context.Context) (instance.ConfigStatus, error)
 	Dump(limit int) instance.Dump
 	// OwnerEpoch returns the epoch of an intent partition as last read; 0 if it is unknown.
 	OwnerEpoch(partition int) uint64
@@ -59,8 +68,9 @@
 
 // Observer is told about each request that was answered, for metrics.
 type Observer interface {
-	// Request is called with the operation, the verdict and the code of the answer; the code is empty for a success.
-	Request(operation string, v verdict.Verdict, code verdict.Code, took time.Duration)
+	// Request is called with the class and the name of the operation, the verdict and the code of the answer; the code is
+	// empty for a success.
+	Request(class model.Class, operation string, v verdict.Verdict, code verdict.Code, took time.Duration)
 	// Forwarded is called when a request was sent to another instance.
 	Forwarded(operation string, v verdict.Verdict)
 }
@@ -83,6 +93,7 @@
 	opts    Options
 	backend Backend
 	http    *khttp.Server
+	drain   drain
 }
 
 // readHeaderTimeout bounds how long a connection may take to send its headers.
@@ -97,14 +108,18 @@
 	)
 	s.http.ReadHeaderTimeout = readHeaderTimeout
 	r := s.http.Route("/v1")
-	r.POST("/plans", s.handle(operation{name: "plan", partition: s.partitionOfSpec, serve: s.plan}))
-	r.GET("/plans/{id}", s.handle(operation{name: "get_plan", readOnly: true, partition: s.partitionOfID, serve: s.getPlan}))
-	r.POST("/plans/{id}/confirm", s.handle(operation{name: "confirm", partition: s.partitionOfID, serve: s.confirm}))
-	r.GET("/intents/{id}", s.handle(operation{name: "status", readOnly: true, query: []string{"limit"}, partition: s.partitionOfID, serve: s.status}))
-	r.POST("/intents/{id}/cancel", s.handle(operation{name: "cancel", partition: s.partitionOfID, serve: s.cancel}))
-	r.POST("/intents/{id}/tickets", s.handle(operation{name: "tickets", partition: s.partitionOfID, serve: s.tickets}))
-	r.POST("/intents/{id}/calls", s.handle(operation{name: "call", partition: s.partitionOfID, serve: s.call}))
-	r.GET("/intents/{id}/explain", s.handle(operation{name: "explain", readOnly: true, query: []string{"task"}, partition: s.partitionOfID, serve: s.explain}))
+	r.POST("/plans", s.handle(operation{name: "plan", class: model.ClassService, partition: s.partitionOfSpec, serve: s.plan}))
+	r.GET("/plans/{id}", s.handle(operation{name: "get_plan", class: model.ClassService, readOnly: true, partition: s.partitionOfID, serve: s.getPlan}))
+	r.POST("/plans/{id}/confirm", s.handle(operation{name: "confirm", class: model.ClassUrgent, partition: s.partitionOfID, serve: s.confirm}))
+	r.GET("/intents/{id}", s.handle(operation{name: "status", class: model.ClassService, readOnly: true, query: []string{"limit"}, partition: s.partitionOfID, serve: s.status}))
+	r.POST("/intents/{id}/cancel", s.handle(operation{name: "cancel", class: model.ClassUrgent, partition: s.partitionOfID, serve: s.cancel}))
+	r.POST("/intents/{id}/tickets", s.handle(operation{name: "tickets", class: model.ClassShort, partition: s.partitionOfID, serve: s.tickets}))
+	r.POST("/intents/{id}/calls", s.handle(operation{name: "call", class: model.ClassShort, partition: s.partitionOfID, serve: s.call}))
+	r.GET("/intents/{id}/explain", s.handle(operation{name: "explain", class: model.ClassBatch, readOnly: true, query: []string{"task"}, partition: s.partitionOfID, serve: s.explain}))
+	r.GET("/config", s.handle(operation{name: "config", class: model.ClassService, readOnly: true, serve: s.showConfig}))
+	r.GET("/config/status", s.handle(operation{name: "config_status", class: model.ClassService, readOnly: true, serve: s.configStatus}))
+	r.POST("/config/plans", s.handle(operation{name: "plan_config", serve: s.planConfig}))
+	r.POST("/config/plans/{id}/confirm", s.handle(operation{name: "confirm_config", serve: s.confirmConfig}))
 	r.GET("/dump", s.handle(operation{name: "dump", readOnly: true, query: []string{"limit"}, serve: s.dump}))
 	if opts.Metrics != nil {
 		s.http.Handle("/metrics", opts.Metrics)
@@ -140,7 +155,7 @@
 	}
 	w.Header().Set(HeaderRequestID, id)
 	writeError(w, id, err)
-	s.observe(r.Context(), &request{requestID: id, partition: noPartition}, operation{name: "unknown"}, 0, err)
+	s.observe(r.Context(), &request{requestID: id, partition: noPartition}, operation{name: "unknown", class: model.ClassService}, 0, err)
 }
 
 // observe logs and counts an answered request. Nothing that a caller wrote is logged except the request id.
@@ -150,7 +165,7 @@
 		code = verdict.From(err).Code
 	}
 	if s.opts.Observer != nil {
-		s.opts.Observer.Request(op.name, v, code, took)
+		s.opts.Observer.Request(op.class, op.name, v, code, took)
 	}
 	fields := logrus.Fields{
 		"request_id": req.requestID, "operation": op.name, "verdict": v.String(), "code": string(code),
--- a/request/api/request.go
+++ b/request/api/request.go
@@ -81,6 +81,8 @@
 	name string
 	// readOnly is set when the operation changes nothing.
 	readOnly bool
+	// class is the class that limits apply to where the intent does not say it.
+	class model.Class
 	// query lists the allowed query parameters.
 	query []string
 	// partition finds the partition whose owner serves the request; nil serves it on any instance.
@@ -94,6 +96,9 @@
 		began := s.opts.Clock.Now()
 		req, err := newRequest(c)
 		c.Response().Header().Set(HeaderRequestID, req.requestID)
+		if err == nil {
+			err = s.drain.arrived(c)
+		}
 		if err == nil {
 			err = s.attempt(c, req, op)
 		}
@@ -119,6 +124,9 @@
 		req.requestID = uuid.NewString()
 		return req, verdict.Invalid(HeaderRequestID, "expected 1 to %d visible ASCII characters", maxHeaderText)
 	}
+	if name := r.Header.Get(HeaderClient); name != "" && !visible(name, maxHeaderText) {
+		return req, verdict.Invalid(HeaderClient, "expected 1 to %d visible ASCII characters", maxHeaderText)
+	}
 	return req, nil
 }
 
@@ -179,10 +187,7 @@
 		if req.partition, err = op.partition(req); err != nil {
 			return err
 		}
-		forwarded, err := s.forward(ctx, c, req, op)
-		if forwarded || err != nil {
-			return err
-		}
+		return s.route(ctx, c, req, op)
 	}
 	out, err := op.serve(ctx, req)
 	if err != nil {
--- a/version/ownership/balance.go
+++ b/version/ownership/balance.go
@@ -15,8 +15,8 @@
 const (
 	// takeBatch bounds the partitions of one transaction.
 	takeBatch = 16
-	// moveBatch bounds the partitions that one step moves to another live instance.
-	moveBatch = 4
+	// moveBatch bounds the partitions that one step releases for another live instance.
+	moveBatch = 16
 )
 
 // ranked returns the sessions in the order in which they should own a partition: the region of the rack first, then by
@@ -58,14 +58,13 @@
 	return p.Kind != KindRack || m.opts.Reachable == nil || m.opts.Reachable(p.Name)
 }
 
-// move is a partition with its row and the session that should have it.
+// move is a partition with its row.
 type move struct {
 	partition Partition
 	row       ownerRow
-	to        Session
 }
 
-// balance takes ownerless partitions and hands those over that another live instance should own.
+// balance takes ownerless partitions and releases those that another live instance should own.
 func (m *Manager) balance(ctx context.Context) error {
 	take, give := m.choose()
 	for len(take) > 0 {
@@ -76,7 +75,7 @@
 		take = take[n:]
 	}
 	for _, g := range give {
-		if err := m.handOver(ctx, g); err != nil && !isConflict(err) {
+		if err := m.release(ctx, g); err != nil && !isConflict(err) {
 			return err
 		}
 	}
@@ -98,33 +97,40 @@
 		waited := m.ownerlessFor(p, row.Session == "" || m.expired(row.Session))
 		_, ownerless := m.ownerless[p]
 		switch {
-		case m.draining || place < 0:
+		case m.draining || len(order) == 0:
+		case have && place < 0 && len(give) < moveBatch:
+			// This instance is about to be stopped.
+			give = append(give, move{p, row})
+		case place < 0:
 		case row.Session == m.session.ID && !have:
-			take = append(take, move{p, row, m.session})
+			take = append(take, move{p, row})
 		case ownerless && int64(waited) >= int64(place)*2*int64(m.opts.RenewEvery) && m.reachable(p):
-			take = append(take, move{p, row, m.session})
+			take = append(take, move{p, row})
 		case have && place > 0 && len(give) < moveBatch && m.settled():
-			give = append(give, move{p, row, order[0].Session})
+			give = append(give, move{p, row})
 		}
 	}
 	return take, give
 }
 
-// take raises the epochs of partitions in one transaction. A partition that its former owner has handed to this session
-// is served in the epoch that the hand-over has raised.
+// take raises the epochs of partitions in one transaction. A partition whose row names this session, because the answer to
+// an earlier take was lost, is served in that epoch, unless the session has given the epoch up since.
 func (m *Manager) take(ctx context.Context, batch []move) error {
 	m.mu.Lock()
 	s, sessionVersion := m.session, m.row
-	var rest []move
+	var rest, given []move
 	for _, t := range batch {
 		if t.row.Session == s.ID && t.row.Epoch > m.dropped[t.partition] {
 			m.mine[t.partition] = t.row.Epoch
-			defer m.acquired(t.partition, t.row)
+			given = append(given, t)
 			continue
 		}
 		rest = append(rest, t)
 	}
 	m.mu.Unlock()
+	for _, t := range given {
+		m.acquired(t.partition, t.row)
+	}
 	if len(rest) == 0 {
 		return nil
 	}
@@ -140,7 +146,7 @@
 		}
 		writes = append(writes, platform.Write{Key: key, Value: data})
 	}
-	versions, err := m.commit(ctx, conditions, append(writes, directoryWrite(s.Instance)))
+	versions, err := m.commit(ctx, conditions, append(writes, directoryWrite(ownersKey, s.Instance)))
 	if err != nil {
 		m.forceRead()
 		return err
@@ -166,28 +172,24 @@
 func (m *Manager) forceRead() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.directory = 0
+	m.ownersRow = 0
 }
 
-// handOver stops serving a partition and then, in one transaction, names its successor and raises its epoch. Without a
-// successor the partition becomes ownerless.
-func (m *Manager) handOver(ctx context.Context, g move) error {
+// release stops serving a partition and then gives it up; the next owner raises its epoch.
+func (m *Manager) release(ctx context.Context, g move) error {
 	m.mu.Lock()
 	delete(m.mine, g.partition)
 	m.dropped[g.partition] = g.row.Epoch
 	m.mu.Unlock()
 	m.opts.Hooks.Lost(g.partition)
 	owner := Owner{Epoch: g.row.Epoch}
-	if g.to.ID != "" {
-		owner = Owner{Session: g.to.ID, Address: g.to.Address, Epoch: g.row.Epoch + 1}
-	}
 	data, err := json.Marshal(owner)
 	if err != nil {
 		return err
 	}
 	key := partitionPrefix + g.partition.String()
 	versions, err := m.commit(ctx, []platform.Condition{{Key: key, Version: g.row.version}},
-		[]platform.Write{{Key: key, Value: data}, directoryWrite(m.opts.Instance)})
+		[]platform.Write{{Key: key, Value: data}, directoryWrite(ownersKey, m.opts.Instance)})
 	if err != nil {
 		m.forceRead()
 		return err
@@ -195,29 +197,21 @@
 	m.mu.Lock()
 	m.owners[g.partition] = ownerRow{Owner: owner, version: versions[0]}
 	m.mu.Unlock()
-	m.opts.Log.WithFields(logrus.Fields{"partition": g.partition.String(), "epoch": owner.Epoch}).Info("partition handed over")
+	m.opts.Log.WithFields(logrus.Fields{"partition": g.partition.String(), "epoch": owner.Epoch}).Info("partition released")
 	return nil
 }
 
-// Drain hands all partitions over to the instances that should own them and ends the session, for a graceful shutdown.
+// Drain releases all partitions and ends the session, for a graceful shutdown.
 func (m *Manager) Drain(ctx context.Context) error {
 	m.mu.Lock()
 	m.draining = true
-	live := m.candidates()
 	var give []move
 	for p := range m.mine {
-		var to Session
-		for _, w := range ranked(p, m.region(p), live) {
-			if w.ID != m.session.ID {
-				to = w.Session
-				break
-			}
-		}
-		give = append(give, move{p, m.owners[p], to})
+		give = append(give, move{p, m.owners[p]})
 	}
 	m.mu.Unlock()
 	for _, g := range give {
-		if err := m.handOver(ctx, g); err != nil && !isConflict(err) {
+		if err := m.release(ctx, g); err != nil && !isConflict(err) {
 			return err
 		}
 	}
@@ -225,7 +219,7 @@
 	key, version := sessionPrefix+m.opts.Instance, m.row
 	m.mu.Unlock()
 	_, err := m.commit(ctx, []platform.Condition{{Key: key, Version: version}},
-		[]platform.Write{{Key: key, Delete: true}, directoryWrite(m.opts.Instance)})
+		[]platform.Write{{Key: key, Delete: true}, directoryWrite(sessionsKey, m.opts.Instance)})
 	return err
 }
 
--- a/version/ownership/ownership.go
+++ b/version/ownership/ownership.go
@@ -20,9 +20,10 @@
 const (
 	sessionPrefix   = "session/"
 	partitionPrefix = "partition/"
-	// directoryKey is a row that is written along with each change of the sessions or of the owners, so that an instance
-	// reads the rows themselves only after a change.
-	directoryKey = "directory/owners"
+	// ownersKey and sessionsKey are rows that are written along with each change of an owner, and with each start and end
+	// of a session and each change of its configuration version. An instance reads all rows only after such a change.
+	ownersKey   = "directory/owners"
+	sessionsKey = "directory/sessions"
 )
 
 // Kind is the kind of a partition.
@@ -100,6 +101,8 @@
 	Log      logrus.FieldLogger
 	// Partitions returns all partitions of the cell.
 	Partitions func() []Partition
+	// Avoid reports whether an instance should get no further partitions although its session does not say so.
+	Avoid func(instance string) bool
 	// ConfigVersion returns the configuration version in force.
 	ConfigVersion func() uint64
 	// Reachable reports whether this instance reaches workers of a rack; nil means that it reaches all. A rack that is not
@@ -129,11 +132,14 @@
 	dropped map[Partition]uint64
 	// ownerless is when a partition was first seen without an owner.
 	ownerless map[Partition]time.Time
-	// directory is the version of the directory row when all rows were last read; scanned is when that was, and changed is
-	// when the set of sessions last changed.
-	directory uint64
-	scanned   time.Time
-	changed   time.Time
+	// ownersRow and sessionsRow are the versions of the directory rows when all rows were last read; scanned is when that
+	// was, changed is when the set of sessions last changed, and announced is the configuration version that is known to
+	// the others.
+	ownersRow   uint64
+	sessionsRow uint64
+	scanned     time.Time
+	changed     time.Time
+	announced   uint64
 }
 
 type watchedSession struct {
@@ -150,6 +156,9 @@
 
 // New returns a manager that has not contacted the table yet.
 func New(opts Options) *Manager {
+	if opts.Avoid == nil {
+		opts.Avoid = func(string) bool { return false }
+	}
 	if opts.ConfigVersion == nil {
 		opts.ConfigVersion = func() uint64 { return 0 }
 	}
--- a/version/ownership/session.go
+++ b/version/ownership/session.go
@@ -18,6 +18,9 @@
 	watchers = 3
 	// fullReadEvery is the number of renewals between reads of all rows without a change of the directory.
 	fullReadEvery = 10
+	// settleRenewals is the number of renewals without a start or end of a session after which partitions move between live
+	// instances.
+	settleRenewals = 3
 )
 
 // renew writes the session row. A conflict means that another instance has ended the session, unless the row still holds
@@ -34,7 +37,6 @@
 	s, version := m.session, m.row
 	m.mu.Unlock()
 
-	started := version == 0
 	asked := m.opts.Clock.Now()
 	version, err := m.writeSession(ctx, s, version)
 	if isConflict(err) {
@@ -52,10 +54,7 @@
 		return err
 	}
 	m.mu.Lock()
-	m.row, m.renewed = version, asked
-	if started {
-		m.directory = 0
-	}
+	m.row, m.renewed, m.announced = version, asked, s.ConfigVersion
 	m.mu.Unlock()
 	return nil
 }
@@ -69,7 +68,8 @@
 		return 0, err
 	}
 	writes := []platform.Write{{Key: key, Value: data}}
-	if version == 0 {
+	fresh := version == 0
+	if fresh {
 		rows, err := m.opts.Table.Get(ctx, key)
 		if err != nil {
 			return 0, err
@@ -77,7 +77,12 @@
 		if len(rows) == 1 {
 			version = rows[0].Version
 		}
-		writes = append(writes, directoryWrite(s.Instance))
+	}
+	m.mu.Lock()
+	announced := m.announced
+	m.mu.Unlock()
+	if fresh || s.ConfigVersion != announced {
+		writes = append(writes, directoryWrite(sessionsKey, s.Instance))
 	}
 	versions, err := m.commit(ctx, []platform.Condition{{Key: key, Version: version}}, writes)
 	if err != nil {
@@ -104,64 +109,87 @@
 	m.mu.Lock()
 	lost := m.mine
 	m.mine, m.dropped = map[Partition]uint64{}, map[Partition]uint64{}
-	m.session, m.row, m.directory = Session{}, 0, 0
+	m.session, m.row, m.ownersRow, m.sessionsRow = Session{}, 0, 0, 0
 	m.mu.Unlock()
 	for p := range lost {
 		m.opts.Hooks.Lost(p)
 	}
 }
 
-func directoryWrite(changedBy string) platform.Write {
-	return platform.Write{Key: directoryKey, Value: []byte(changedBy)}
+func directoryWrite(key, changedBy string) platform.Write {
+	return platform.Write{Key: key, Value: []byte(changedBy)}
 }
 
-// read refreshes the view of sessions and partitions: only the directory and the watched session rows, or everything
-// after a change.
+// read refreshes the view of sessions and partitions: only the directory and the watched session rows, or all rows after
+// a change.
 func (m *Manager) read(ctx context.Context) error {
-	keys := append([]string{directoryKey}, m.watchedKeys()...)
-	rows, err := m.opts.Table.Get(ctx, keys...)
+	rows, err := m.opts.Table.Get(ctx, append([]string{ownersKey, sessionsKey}, m.watchedKeys()...)...)
 	if err != nil {
 		return err
 	}
-	var directory uint64
-	if len(rows) > 0 && rows[0].Key == directoryKey {
-		directory, rows = rows[0].Version, rows[1:]
+	var owners, sessions uint64
+	for len(rows) > 0 && (rows[0].Key == ownersKey || rows[0].Key == sessionsKey) {
+		if rows[0].Key == ownersKey {
+			owners = rows[0].Version
+		} else {
+			sessions = rows[0].Version
+		}
+		rows = rows[1:]
 	}
 	m.mu.Lock()
 	m.observeSessions(rows)
-	due := m.opts.Clock.Since(m.scanned) >= fullReadEvery*m.opts.RenewEvery
-	full := directory != m.directory || due || m.scanned.IsZero()
+	due := m.scanned.IsZero() || m.opts.Clock.Since(m.scanned) >= fullReadEvery*m.opts.RenewEvery
+	readOwners, readSessions := owners != m.ownersRow || due, sessions != m.sessionsRow || due
 	m.mu.Unlock()
-	if !full {
-		return nil
+	changed := false
+	if readSessions {
+		if changed, err = m.readSessions(ctx, sessions); err != nil {
+			return err
+		}
+	}
+	if readOwners {
+		moved, err := m.readOwners(ctx, owners)
+		if err != nil {
+			return err
+		}
+		changed = changed || moved
+	}
+	if changed {
+		m.opts.Hooks.OwnersChanged()
 	}
-	return m.readAll(ctx, directory)
+	return nil
 }
 
-// readAll reads all sessions and partitions. directory was read before, so that a change in between is seen next time.
-func (m *Manager) readAll(ctx context.Context, directory uint64) error {
-	sessions, err := m.opts.Table.Scan(ctx, sessionPrefix)
+// readSessions reads all sessions. version is that of the directory row as read before, so that a change in between is
+// seen next time.
+func (m *Manager) readSessions(ctx context.Context, version uint64) (changed bool, err error) {
+	rows, err := m.opts.Table.Scan(ctx, sessionPrefix)
 	if err != nil {
-		return err
+		return false, err
 	}
-	partitions, err := m.opts.Table.Scan(ctx, partitionPrefix)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	changed = m.observeSessions(rows)
+	changed = m.forgetSessions(rows) || changed
+	m.sessionsRow, m.scanned = version, m.opts.Clock.Now()
+	return changed, nil
+}
+
+// readOwners reads all partitions.
+func (m *Manager) readOwners(ctx context.Context, version uint64) (changed bool, err error) {
+	rows, err := m.opts.Table.Scan(ctx, partitionPrefix)
 	if err != nil {
-		return err
+		return false, err
 	}
 	m.mu.Lock()
-	changed := m.observeSessions(sessions)
-	changed = m.forgetSessions(sessions) || changed
-	changed = m.observePartitions(partitions) || changed
-	m.directory, m.scanned = directory, m.opts.Clock.Now()
+	changed = m.observePartitions(rows)
+	m.ownersRow = version
 	lost := m.lostPartitions()
 	m.mu.Unlock()
 	for _, p := range lost {
 		m.opts.Hooks.Lost(p)
 	}
-	if changed {
-		m.opts.Hooks.OwnersChanged()
-	}
-	return nil
+	return changed, nil
 }
 
 // watchedKeys returns the session rows that this instance watches: those of the instances that follow it in the order of
@@ -248,13 +276,13 @@
 	for _, w := range dead {
 		key := sessionPrefix + w.Instance
 		_, err := m.commit(ctx, []platform.Condition{{Key: key, Version: w.version}},
-			[]platform.Write{{Key: key, Delete: true}, directoryWrite(m.opts.Instance)})
+			[]platform.Write{{Key: key, Delete: true}, directoryWrite(sessionsKey, m.opts.Instance)})
 		if err != nil && !isConflict(err) {
 			return err
 		}
 		m.mu.Lock()
 		delete(m.watched, w.ID)
-		m.directory, m.changed = 0, m.opts.Clock.Now()
+		m.changed = m.opts.Clock.Now()
 		m.mu.Unlock()
 	}
 	if len(dead) > 0 {
@@ -328,21 +356,29 @@
 	return lost
 }
 
-// candidates returns the live sessions that take partitions. Callers hold m.mu.
+// candidates returns the live sessions that take partitions. Sessions to avoid count when there are no others, so that a
+// wrong sign of leaving never leaves the partitions without an owner. Callers hold m.mu.
 func (m *Manager) candidates() []*watchedSession {
-	var live []*watchedSession
+	var live, avoided []*watchedSession
 	for id, w := range m.watched {
-		if !m.expired(id) && !w.Leaving {
+		switch {
+		case m.expired(id) || w.Leaving:
+		case m.opts.Avoid != nil && m.opts.Avoid(w.Instance):
+			avoided = append(avoided, w)
+		default:
 			live = append(live, w)
 		}
 	}
+	if len(live) == 0 {
+		return avoided
+	}
 	return live
 }
 
 // settled reports whether the set of sessions has not changed for some renewals, so that moving partitions makes sense.
 // Callers hold m.mu.
 func (m *Manager) settled() bool {
-	return m.opts.Clock.Since(m.changed) >= fullReadEvery*m.opts.RenewEvery
+	return m.opts.Clock.Since(m.changed) >= settleRenewals*m.opts.RenewEvery
 }
 
 // ownerlessFor returns how long a partition has been seen without an owner. Callers hold m.mu.
