--- a/process/instance/route.go
+++ b/process/instance/route.go
@@ -58,6 +58,10 @@
 	// working counts the requests that are worked on, by partition; closing partitions take no more.
 	working map[int]int
 	closing map[int]bool
+	// stopping is set once the instance shuts down: closed partitions are not opened again.
+	stopping bool
+	// yielding is when a partition was closed in order to move; yieldAfter is when that may be tried again.
+	yielding, yieldAfter map[int]time.Time
 }
 
 func newRouter(now func() time.Time, seed uint64) *router {
@@ -66,6 +70,7 @@
 		entry: limit.New(now, seed, limits), owned: limit.New(now, seed+1, limits),
 		retries: limit.NewBudget(config.Default().Limits.RetryPercent, seed),
 		changed: make(chan struct{}), refreshed: map[ownership.Partition]time.Time{}, working: map[int]int{}, closing: map[int]bool{},
+		yielding: map[int]time.Time{}, yieldAfter: map[int]time.Time{},
 	}
 }
 
@@ -335,6 +340,56 @@
 	return limit.Key{Class: min(req.Class, spec.EffectiveClass()), Team: spec.Account + "\x00" + spec.Team}
 }
 
+const (
+	// yieldWait is how long a partition that is to move takes no further requests while others finish. It is below
+	// holdTime, so that the requests that wait meanwhile are still served.
+	yieldWait = 1200 * time.Millisecond
+	// yieldRetry is the time until the next try after a partition has not become idle.
+	yieldRetry = 30 * time.Second
+)
+
+// yield closes a partition that is to move and reports whether no request is worked on there. A partition that does not
+// become idle within yieldWait is opened again.
+func (r *router) yield(now time.Time, n int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stopping || now.Before(r.yieldAfter[n]) {
+		return false
+	}
+	if r.working[n] == 0 {
+		r.closing[n] = true
+		return true
+	}
+	since, tried := r.yielding[n]
+	if !tried {
+		r.closing[n], r.yielding[n] = true, now
+		return false
+	}
+	if now.Sub(since) >= yieldWait {
+		r.reopen(n)
+		r.yieldAfter[n] = now.Add(yieldRetry)
+	}
+	return false
+}
+
+// open lets requests in to a partition that this instance has taken.
+func (r *router) open(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.stopping {
+		r.reopen(n)
+		delete(r.yieldAfter, n)
+	}
+}
+
+// reopen wakes the requests that wait for the partition. Callers hold r.mu.
+func (r *router) reopen(n int) {
+	delete(r.closing, n)
+	delete(r.yielding, n)
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
 func (r *router) isClosing(n int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
