Hand ticket tables over with a released partition

Change: an owner that releases an intent partition freezes its core and writes which tickets of the last epochs were used, in the transaction that gives the partition up. Only the owner of the epoch right after it relies on that row. A call that waited and was not granted counts as unused, since a frozen core grants nothing. Conclusion: tickets survive a graceful move; after a crash they are answered from outcomes or as may_have_run, as before.

--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -175,6 +176,23 @@
 	return p.Kind != ownership.KindIntent || in.router.yield(in.opts.Clock.Now(), partitionNumber(p))
 }
 
+// Release implements ownership.Hooks. An intent partition leaves its ticket tables to the next owner.
+func (in *Instance) Release(p ownership.Partition) *platform.Write {
+	defer in.Lost(p)
+	if p.Kind != ownership.KindIntent {
+		return nil
+	}
+	r, err := in.intentRunner(partitionNumber(p))
+	if err != nil {
+		return nil
+	}
+	data, err := json.Marshal(r.core.Freeze())
+	if err != nil {
+		return nil
+	}
+	return &platform.Write{Key: handoverKey(r.partition()), Value: data}
+}
+
 // Lost implements ownership.Hooks.
 func (in *Instance) Lost(p ownership.Partition) {
 	defer in.router.notify()
--- a/process/instance/intents.go
+++ b/process/instance/intents.go
@@ -80,6 +80,7 @@
 }
 
 func intentPrefix(n int) string         { return fmt.Sprintf("intent/%d/", n) }
+func handoverKey(n int) string          { return fmt.Sprintf("handover/%d", n) }
 func planKey(n int, id string) string   { return fmt.Sprintf("plan/%d/%s", n, id) }
 func intentKey(n int, id string) string { return intentPrefix(n) + id }
 func (r *intentRunner) now() time.Time  { return r.in.opts.Clock.Now() }
@@ -141,6 +142,20 @@
 		r.core.Restore(r.now(), in, outcomes)
 	}
 	r.core.RestoreCalls(r.now(), outcomes)
+	return r.loadTickets()
+}
+
+// loadTickets reads the ticket tables that the owner before has left.
+func (r *intentRunner) loadTickets() error {
+	rows, err := r.in.opts.Table.Get(r.ctx, handoverKey(r.partition()))
+	if err != nil || len(rows) == 0 {
+		return err
+	}
+	var left intent.Handover
+	if err := json.Unmarshal(rows[0].Value, &left); err != nil {
+		return err
+	}
+	r.core.RestoreTickets(left)
 	return nil
 }
 
--- a/version/intent/call.go
+++ b/version/intent/call.go
@@ -9,17 +9,21 @@
 	"github.com/lentiltide/lentiltide/request/verdict"
 )
 
-// Tickets issues a block of idempotency keys for calls. They are executed only in this epoch.
+// Tickets issues a block of idempotency keys for calls. They are executed in this epoch, and in later ones as long as the
+// partition is handed over gracefully.
 func (c *Core) Tickets(count int) ([]model.StartToken, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if count < 1 || count > c.policy.MaxTickets {
 		return nil, verdict.Invalid("count", "expected 1 to %d", c.policy.MaxTickets)
 	}
+	if c.frozen {
+		return nil, c.moved()
+	}
+	table := c.tickets[c.epoch]
 	tickets := make([]model.StartToken, count)
 	for i := range tickets {
-		c.issued++
-		tickets[i] = model.StartToken{Partition: c.partition, Epoch: c.epoch, Sequence: c.issued}
+		tickets[i] = model.StartToken{Partition: c.partition, Epoch: c.epoch, Sequence: table.issue()}
 	}
 	return tickets, nil
 }
@@ -37,6 +41,9 @@
 func (c *Core) Call(now time.Time, intentID string, ticket model.StartToken, unique string, payload []byte) (CallResult, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.frozen {
+		return CallResult{}, c.moved()
+	}
 	st := c.intents[intentID]
 	if st == nil {
 		return CallResult{}, notFound("intent", intentID)
@@ -70,26 +77,41 @@
 		}
 		return res, nil
 	}
-	switch {
-	case ticket.Epoch > c.epoch && ticket.Partition == c.partition:
-		// A later owner has issued it and may have run it; this instance has not noticed the change yet.
-		return CallResult{}, verdict.New(verdict.MayHaveRun, verdict.CodeWrongOwner, "the ticket belongs to epoch %d, this instance knows %d", ticket.Epoch, c.epoch).After(unplacedRetry)
-	case ticket.Partition != c.partition:
-		return CallResult{}, verdict.Invalid("Lentiltide-Ticket", "the ticket was not issued by this partition")
-	case ticket.Epoch < c.epoch && !c.opened:
-		return CallResult{}, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the racks have not yet listed the calls of epoch %d", ticket.Epoch).After(unplacedRetry)
-	case ticket.Epoch < c.epoch:
-		return CallResult{}, verdict.New(verdict.MayHaveRun, verdict.CodeExpired, "the ticket belongs to epoch %d, the current one is %d", ticket.Epoch, c.epoch)
-	case ticket.Sequence > c.issued:
+	if ticket.Partition != c.partition {
 		return CallResult{}, verdict.Invalid("Lentiltide-Ticket", "the ticket was not issued by this partition")
 	}
-	if used, ok := c.tickets[ticket.Sequence]; ok && used == id {
-		return CallResult{}, verdict.New(verdict.MayHaveRun, verdict.CodeExpired, "the call of this ticket is past its retention")
-	} else if ok {
+	table := c.tickets[ticket.Epoch]
+	if table == nil {
+		return CallResult{}, c.unknownTable(ticket.Epoch)
+	}
+	used, isUsed := table.used[ticket.Sequence]
+	switch {
+	case ticket.Sequence > table.issued:
+		return CallResult{}, verdict.Invalid("Lentiltide-Ticket", "the ticket was not issued by this partition")
+	case isUsed && used != "" && used != id:
 		return CallResult{}, verdict.New(verdict.NotRun, verdict.CodeConflict, "the ticket was used for task %s", used)
+	case isUsed || ticket.Sequence <= table.expired:
+		if ticket.Epoch < c.epoch && !c.opened {
+			return CallResult{}, c.unknownTable(ticket.Epoch)
+		}
+		return CallResult{}, verdict.New(verdict.MayHaveRun, verdict.CodeExpired, "the ticket or its call is past its retention")
+	}
+	res := c.newCall(now, st, id, payload)
+	table.use(ticket.Sequence, id, c.waits)
+	return res, nil
+}
+
+// unknownTable is the error for a ticket of an epoch whose table is not known here, or whose calls are not all listed.
+func (c *Core) unknownTable(epoch uint64) error {
+	switch {
+	case epoch > c.epoch:
+		// A later owner has issued it and may have run it; this instance has not noticed the change yet.
+		return verdict.New(verdict.MayHaveRun, verdict.CodeWrongOwner, "the ticket belongs to epoch %d, this instance knows %d", epoch, c.epoch).After(unplacedRetry)
+	case !c.opened:
+		return verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the racks have not yet listed the calls of epoch %d", epoch).After(unplacedRetry)
+	default:
+		return verdict.New(verdict.MayHaveRun, verdict.CodeExpired, "the ticket belongs to epoch %d, the current one is %d", epoch, c.epoch)
 	}
-	c.tickets[ticket.Sequence] = id
-	return c.newCall(now, st, id, payload), nil
 }
 
 // RestoreCalls enters the recorded outcomes of calls, which have no rows of their own, so that a repeated call of an
--- a/version/intent/claim.go
+++ b/version/intent/claim.go
@@ -20,7 +20,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.tasks[id]
-	if t == nil {
+	if t == nil || c.frozen {
 		return model.StartToken{}, false
 	}
 	if t.phase == phaseGranted && t.gang == nil && t.rack == rack && t.rackEpoch == rackEpoch && !t.running {
--- a/version/intent/core.go
+++ b/version/intent/core.go
@@ -30,8 +30,10 @@
 	intents  map[string]*intentState
 	tasks    map[model.TaskID]*taskState
 	plans    map[string]model.Plan
-	tickets  map[uint64]model.TaskID
-	issued   uint64
+	// tickets holds the tables of this epoch and of earlier ones that were handed over, by epoch.
+	tickets map[uint64]*ticketTable
+	// frozen is set once the partition is being handed over.
+	frozen bool
 
 	// offers holds the waiting tasks by the time of their next offer.
 	offers offerQueues
@@ -156,7 +158,7 @@
 		partition: partition, epoch: epoch, policy: policy,
 		rng:     rand.New(rand.NewPCG(uint64(partition), epoch)),
 		intents: map[string]*intentState{}, tasks: map[model.TaskID]*taskState{}, plans: map[string]model.Plan{},
-		tickets: map[uint64]model.TaskID{}, withdrawn: map[string][]model.TaskID{},
+		tickets: map[uint64]*ticketTable{epoch: newTicketTable()}, withdrawn: map[string][]model.TaskID{},
 		rackEpochs: map[string]uint64{},
 		offers:     newOfferQueues(policy.ReoffersPerSecond), teams: map[teamKey]*team{}, gangs: map[string]*gangState{},
 		recurring: map[string]*intentState{}, endedTasks: list.New(), endedIntents: list.New(), oldPlans: list.New(),
--- a/version/intent/gang.go
+++ b/version/intent/gang.go
@@ -265,7 +265,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	g := c.gangs[id]
-	if g == nil || g.hold != hold || g.phase != gangCommitting {
+	if g == nil || g.hold != hold || g.phase != gangCommitting || c.frozen {
 		return nil
 	}
 	if !recorded {
--- a/version/ownership/balance.go
+++ b/version/ownership/balance.go
@@ -184,15 +184,18 @@
 	delete(m.mine, g.partition)
 	m.dropped[g.partition] = g.row.Epoch
 	m.mu.Unlock()
-	m.opts.Hooks.Lost(g.partition)
+	left := m.opts.Hooks.Release(g.partition)
 	owner := Owner{Epoch: g.row.Epoch}
 	data, err := json.Marshal(owner)
 	if err != nil {
 		return err
 	}
 	key := partitionPrefix + g.partition.String()
-	versions, err := m.commit(ctx, []platform.Condition{{Key: key, Version: g.row.version}},
-		[]platform.Write{{Key: key, Value: data}, directoryWrite(ownersKey, m.opts.Instance)})
+	writes := []platform.Write{{Key: key, Value: data}, directoryWrite(ownersKey, m.opts.Instance)}
+	if left != nil {
+		writes = append(writes, *left)
+	}
+	versions, err := m.commit(ctx, []platform.Condition{{Key: key, Version: g.row.version}}, writes)
 	if err != nil {
 		m.forceRead()
 		return err
--- a/version/ownership/ownership.go
+++ b/version/ownership/ownership.go
@@ -83,6 +83,9 @@
 	// Acquired: this instance owns the partition in the given epoch. rowVersion is the version of the partition row; every
 	// durable write for the partition is conditional on it.
 	Acquired(p Partition, epoch, rowVersion uint64)
+	// Release ends the service of a partition that this instance gives up. It returns the state that it leaves to the next
+	// owner, which is written in the transaction that gives the partition up; nil leaves nothing.
+	Release(p Partition) *platform.Write
 	// Lost: this instance no longer owns the partition.
 	Lost(p Partition)
 	// Yield asks to hand a partition over to another live instance. It returns false while requests are worked on there; a
