Send requests on when a conflict shows that the partition has moved

Change: after a conflict the owner reads the row of the partition; if the partition has moved, it takes no further requests and the request is sent to the new owner, since it certainly did not run.

--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -294,26 +294,6 @@
 	_ = s.Close()
 }
 
-// count returns a connection whose bytes are counted by the transport.
-func (t *Transport) count(raw net.Conn) net.Conn { return &countedConn{Conn: raw, transport: t} }
-
-type countedConn struct {
-	net.Conn
-	transport *Transport
-}
-
-func (c *countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.transport.received.Add(uint64(n))
-	return n, err
-}
-
-func (c *countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.transport.sent.Add(uint64(n))
-	return n, err
-}
-
 // IsLoopback reports whether host:port names a loopback address.
 func IsLoopback(address string) bool {
 	host, _, err := net.SplitHostPort(address)
--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -157,6 +157,7 @@
 	case ownership.KindRack:
 		in.acquireRack(p.Name, epoch)
 	case ownership.KindIntent:
+		in.router.setClosing(partitionNumber(p), false)
 		in.acquireIntent(p, epoch, rowVersion)
 	}
 }
--- a/process/instance/route.go
+++ b/process/instance/route.go
@@ -317,7 +317,24 @@
 		return verdict.New(verdict.NotRun, verdict.CodeWrongOwner, "intent partition %d moves to another owner", req.Partition).After(retryDelay)
 	}
 	defer in.router.leave(req.Partition)
-	return local(ctx)
+	return in.explainConflict(ctx, req.Partition, local(ctx))
+}
+
+// explainConflict turns a conflict of a write into CodeWrongOwner when the partition has moved to another owner that this
+// instance has not heard of, so that the request goes there. The partition takes no requests until the view has changed.
+func (in *Instance) explainConflict(ctx context.Context, n int, err error) error {
+	if err == nil {
+		return nil
+	}
+	e := verdict.From(err)
+	if e.Verdict != verdict.NotRun || e.Code != verdict.CodeConflict {
+		return err
+	}
+	if owns, readErr := in.owners.Owns(ctx, ownership.Intent(n)); readErr != nil || owns {
+		return err
+	}
+	in.router.setClosing(n, true)
+	return verdict.Wrap(err, verdict.NotRun, verdict.CodeWrongOwner, "intent partition %d has moved to another owner", n).After(retryDelay)
 }
 
 // ownerKey returns the limits that apply to a request at the owner of its partition.
@@ -341,6 +358,17 @@
 	return r.closing[n]
 }
 
+// setClosing keeps requests from a partition, or admits them again.
+func (r *router) setClosing(n int, closing bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if closing {
+		r.closing[n] = true
+	} else {
+		delete(r.closing, n)
+	}
+}
+
 // enter counts a request on a partition, unless the partition is closing.
 func (r *router) enter(n int) bool {
 	r.mu.Lock()
--- a/process/instance/route_test.go
+++ b/process/instance/route_test.go
@@ -144,6 +144,35 @@
 	})
 }
 
+// TestConflictAfterMoveGoesToNewOwner guards against a conflict that callers get because the partition has moved and the
+// old owner has not noticed yet.
+func TestConflictAfterMoveGoesToNewOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, nodes := startMesh(t, 2, 0)
+		old, next := nodes[0], nodes[1]
+		p := ownedBy(t, old)
+		old.table.set(func(f *faultyTable) { f.cut = true })
+		time.Sleep(10 * time.Second)
+		_, err := next.intentRunner(p)
+		assert.NilError(t, err)
+		_, err = old.intentRunner(p)
+		assert.NilError(t, err)
+		old.table.set(func(f *faultyTable) { f.cut = false })
+		conflicts := 0
+		old.work = func(ctx context.Context) error {
+			if owns, err := old.owners.Owns(ctx, ownership.Intent(p)); err != nil || owns {
+				return err
+			}
+			conflicts++
+			return verdict.New(verdict.NotRun, verdict.CodeConflict, "the row of the partition has another version")
+		}
+		by, err := old.request(context.Background(), p)
+		assert.NilError(t, err)
+		assert.Equal(t, by, next.address)
+		assert.Equal(t, conflicts, 1)
+	})
+}
+
 // TestHeldRequestsAreBounded guards against requests that wait without bound for an owner, in number or in time.
 func TestHeldRequestsAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/version/ownership/view.go
+++ b/version/ownership/view.go
@@ -57,3 +57,15 @@
 	}
 	return m.observePartitions(foreign)
 }
+
+// Owns reads the row of a partition and reports whether this session still owns it in the epoch that it serves.
+func (m *Manager) Owns(ctx context.Context, p Partition) (bool, error) {
+	rows, err := m.opts.Table.Get(ctx, partitionPrefix+p.String())
+	if err != nil {
+		return false, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, mine := m.mine[p]
+	return mine && len(rows) == 1 && rows[0].Version == m.owners[p].version, nil
+}
