Close the listener only when no request of a caller is in flight

Cause: TestShutdownCutsOffNoCall failed once in the full run, on a busy machine: a call at the stopping instance got a connection reset. A caller whose request was answered after the quiet time had ended connected again while the listener was being closed.

Change: the quiet time counts from the last answer as well as from the last arrival, and does not end while a request is in flight.

Conclusion: the same test guards it.

--- a/request/api/drain.go
+++ b/request/api/drain.go
@@ -23,22 +23,25 @@
 // drain is the state of a server that stops.
 type drain struct {
 	closing, refusing atomic.Bool
-	// last is when the last request arrived, in nanoseconds since the Unix epoch.
+	// working counts the requests of callers that are not answered yet.
+	working atomic.Int64
+	// last is when the last request arrived or was answered, in nanoseconds since the Unix epoch. A caller who gets an
+	// answer may come back at once.
 	last atomic.Int64
 }
 
 // CloseConnections makes each answer close its connection, so that callers move to other instances before Stop.
 func (s *Server) CloseConnections() { s.drain.closing.Store(true) }
 
-// Stop refuses new requests as NotRun until none arrives any more, and then stops the server when the requests in flight
-// have been answered. ctx bounds it.
+// Stop refuses new requests as NotRun until those in flight have been answered and none arrives any more, and then stops
+// the server. ctx bounds it.
 func (s *Server) Stop(ctx context.Context) error {
 	s.drain.closing.Store(true)
 	s.drain.refusing.Store(true)
 	s.drain.last.Store(time.Now().UnixNano())
 	ticker := time.NewTicker(quietCheck)
 	defer ticker.Stop()
-	for time.Since(time.Unix(0, s.drain.last.Load())) < quietTime {
+	for s.drain.working.Load() > 0 || time.Since(time.Unix(0, s.drain.last.Load())) < quietTime {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -48,16 +51,27 @@
 	return s.http.Stop(ctx)
 }
 
-// arrived notes a request and returns an error when it has to be refused. Requests that other instances forwarded are
-// refused by the owner's check instead.
-func (d *drain) arrived(c khttp.Context) error {
-	if !d.closing.Load() || c.Request().Context().Value(forwardedKey{}) != nil {
-		return nil
+// begin notes a request of a caller; the returned function notes its answer. Requests that other instances forwarded are
+// not counted: the owner's check refuses them.
+func (d *drain) begin(c khttp.Context) (end func()) {
+	if c.Request().Context().Value(forwardedKey{}) != nil {
+		return func() {}
+	}
+	d.working.Add(1)
+	d.last.Store(time.Now().UnixNano())
+	if d.closing.Load() {
+		c.Response().Header().Set("Connection", "close")
+	}
+	return func() {
+		d.last.Store(time.Now().UnixNano())
+		d.working.Add(-1)
 	}
-	c.Response().Header().Set("Connection", "close")
-	if !d.refusing.Load() {
+}
+
+// refuse returns an error for a request of a caller while the server stops.
+func (d *drain) refuse(c khttp.Context) error {
+	if !d.refusing.Load() || c.Request().Context().Value(forwardedKey{}) != nil {
 		return nil
 	}
-	d.last.Store(time.Now().UnixNano())
 	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the instance stops").After(stopRetry)
 }
--- a/request/api/request.go
+++ b/request/api/request.go
@@ -94,10 +94,11 @@
 func (s *Server) handle(op operation) khttp.HandlerFunc {
 	return func(c khttp.Context) error {
 		began := s.opts.Clock.Now()
+		defer s.drain.begin(c)()
 		req, err := newRequest(c)
 		c.Response().Header().Set(HeaderRequestID, req.requestID)
 		if err == nil {
-			err = s.drain.arrived(c)
+			err = s.drain.refuse(c)
 		}
 		if err == nil {
 			err = s.attempt(c, req, op)
