Bound the groups that compete for a freed slot

Cause: in a full rack each freed slot woke up to 64 blocked groups of every queue, of which one won and the others were parked again.

Change: look at no offer while no worker has a free slot, wake at most eight groups of a queue, and compare blocked groups by the demand with which they were parked. Offers that name victims are kept apart, so that a full rack still displaces for them.

One of six runs of process/instance under the race detector failed on the loaded machine; its cause was not recorded, and five repeated runs passed.

--- a/version/rack/core.go
+++ b/version/rack/core.go
@@ -53,7 +53,9 @@
 	promotions   promotionHeap
 	reservations map[model.TaskID]*reservation
 	reserved     []*reservation
-	holds        map[string]*hold
+	// displacers are the queued offers that name victims.
+	displacers []*queuedOffer
+	holds      map[string]*hold
 	// nextExpiry is no later than the end of the first hold to expire; zero means that no hold can expire.
 	nextExpiry time.Time
 }
--- a/version/rack/decide.go
+++ b/version/rack/decide.go
@@ -10,6 +10,11 @@
 // dueQueue is the queue of work whose latest start time has come.
 const dueQueue = int(model.NumClasses)
 
+// wakeGroups bounds the blocked groups of one queue that compete for released capacity in one decision. The groups that
+// lose have to be parked again, which costs more than the placement; among eight the team with the smallest share is
+// close to the smallest of all.
+const wakeGroups = 8
+
 // queueClass returns the class in which a task is queued: its own, or a longer one if its job was seen to run longer.
 // Urgent work keeps its class. Callers hold c.mu.
 func (c *Core) queueClass(task model.Task) model.Class {
@@ -31,9 +36,7 @@
 	}
 	if q := c.offers[o.Task.ID]; q != nil {
 		q.IntentEpoch, q.Victims = o.IntentEpoch, o.Victims
-		if q.group.parked != nil {
-			q.queue.unpark(q.group)
-		}
+		c.wantsRoom(q)
 		return true
 	}
 	class := c.queueClass(o.Task)
@@ -50,6 +53,7 @@
 	}
 	c.push(q, c.queues[class], demand)
 	c.profile.learn(c.shares(demand), c.sequence)
+	c.wantsRoom(q)
 	if !o.Task.LatestStart.IsZero() && class != model.ClassUrgent {
 		heap.Push(&c.due, q)
 	}
@@ -93,17 +97,28 @@
 	var effects []Effect
 	urgent := c.queues[model.ClassUrgent]
 	c.recheckParked(urgent)
-	for len(urgent.active) > 0 {
+	for len(urgent.active) > 0 && c.anyRoom() {
 		effects = c.tryNext(now, urgent, effects)
 	}
 	effects = c.serveReservations(now, effects)
 	for _, q := range c.queues {
 		c.recheckParked(q)
 	}
-	for q := c.nextQueue(); q != nil; q = c.nextQueue() {
+	for q := c.nextQueue(); q != nil && c.anyRoom(); q = c.nextQueue() {
 		effects = c.tryNext(now, q, effects)
 	}
-	return effects
+	return c.displaceForOffers(now, effects)
+}
+
+// anyRoom reports whether any worker has a free slot. Without one no offer is looked at, so that the decisions of a full
+// rack do not depend on the length of its queues. Callers hold c.mu.
+func (c *Core) anyRoom() bool {
+	for _, p := range c.pools {
+		if p.used != 0 {
+			return true
+		}
+	}
+	return len(c.reserved) > 0
 }
 
 // tryNext places the first offer of the team with the smallest share, or parks its group. Callers hold c.mu.
@@ -117,7 +132,6 @@
 			return append(effects, c.claim(now, o, w, reason))
 		}
 	}
-	effects = c.displace(now, o.Task, demand, o.Victims, effects)
 	q.park(g, c.waitReason(o.Task.ID, limit, demand))
 	return effects
 }
@@ -186,16 +200,34 @@
 // recheckParked tries a bounded number of blocked groups of a queue again after capacity was released. The rest is left
 // for the next decision. Callers hold c.mu.
 func (c *Core) recheckParked(q *classQueue) {
-	for n := min(q.recheck, c.policy.WakeLimit); n > 0 && q.recheck > 0; n-- {
+	if !c.anyRoom() {
+		return
+	}
+	woken := 0
+	for n := min(q.recheck, c.policy.WakeLimit); n > 0 && q.recheck > 0 && woken < wakeGroups; n-- {
 		q.recheck--
 		e := q.parked.Front()
 		g := e.Value.(*group)
 		o := g.head()
-		demand := c.demandOf(o.Task)
-		if c.offerLimited(o, demand) == ReasonNone && (c.fitsAny(demand) || c.canBackfill(o)) {
+		demand := g.reason.Demand
+		if (c.fitsAny(demand) || c.canBackfill(o)) && c.offerLimited(o, demand) == ReasonNone {
 			q.unpark(g)
+			woken++
 			continue
 		}
 		q.parked.MoveToBack(e)
 	}
 }
+
+// refreshParked brings the demands of blocked groups up to date with what was observed of their jobs since they were
+// parked, for those that are tried next. Callers hold c.mu.
+func (c *Core) refreshParked() {
+	for _, q := range c.queues {
+		n := 0
+		for e := q.parked.Front(); e != nil && n < c.policy.WakeLimit; e = e.Next() {
+			g := e.Value.(*group)
+			g.reason.Demand = c.demandOf(g.head().Task)
+			n++
+		}
+	}
+}
--- a/version/rack/explain.go
+++ b/version/rack/explain.go
@@ -51,6 +51,12 @@
 		reasons = append(reasons, fmt.Sprintf("waits behind %s of the same team and size (%d queued)", head.Task.ID, o.group.offers.Len()))
 	}
 	reason := o.group.reason
+	if r := c.reservations[o.Task.ID]; r != nil && r.displacing {
+		reason = Reason{Code: ReasonDisplacing, Worker: r.worker.member.ID}
+	} else if reason.Code == ReasonNone && !c.anyRoom() {
+		demand := c.demandOf(o.Task)
+		reason = c.waitReason(o.Task.ID, c.offerLimited(o, demand), demand)
+	}
 	reasons = append(reasons, reason.String())
 	if r := c.reservations[o.Task.ID]; r != nil {
 		reasons = append(reasons, fmt.Sprintf("worker %s is reserved for it and should have room in %s",
--- a/version/rack/history_test.go
+++ b/version/rack/history_test.go
@@ -234,14 +234,14 @@
 		f.take(f.core.Tick(f.now))
 	}
 	c := f.core
-	for _, q := range c.queues {
-		for e := q.parked.Front(); e != nil; e = e.Next() {
-			o := e.Value.(*group).head()
-			demand := c.demandOf(o.Task)
-			for _, w := range c.order {
-				room := w.counted && w.reservation == nil && demand.Fits(w.free())
-				assert.Assert(f.t, !room || c.offerLimited(o, demand) != ReasonNone, "%s fits %s and waits", o.Task.ID, w.member.ID)
-			}
+	for _, o := range c.offers {
+		if o.group.head() != o {
+			continue
+		}
+		demand := c.demandOf(o.Task)
+		for _, w := range c.order {
+			room := w.counted && w.reservation == nil && demand.Fits(w.free())
+			assert.Assert(f.t, !room || c.offerLimited(o, demand) != ReasonNone, "%s fits %s and waits", o.Task.ID, w.member.ID)
 		}
 	}
 }
--- a/version/rack/lease.go
+++ b/version/rack/lease.go
@@ -313,6 +313,7 @@
 	c.expireHolds(now)
 	c.probe(now)
 	c.makeReservation(now)
+	c.refreshParked()
 	c.capacityFreed()
 	for _, w := range c.order {
 		if !w.fenced {
--- a/version/rack/queue.go
+++ b/version/rack/queue.go
@@ -42,6 +42,8 @@
 	element *list.Element
 	// dueIndex is the place in the heap of latest start times; -1 outside.
 	dueIndex int
+	// displaces is set while the offer is among those that name victims.
+	displaces bool
 	// demand is what the offer added to the demand of queued short work.
 	demand model.Resources
 }
--- a/version/rack/reservation.go
+++ b/version/rack/reservation.go
@@ -215,6 +215,31 @@
 	return t.task.LatestStart.IsZero() || now.Add(c.policy.Reserve.VictimMargin).Before(t.task.LatestStart)
 }
 
+// wantsRoom notes that an offer names victims. Callers hold c.mu.
+func (c *Core) wantsRoom(o *queuedOffer) {
+	if len(o.Victims) > 0 && !o.displaces {
+		o.displaces = true
+		c.displacers = append(c.displacers, o)
+	}
+}
+
+// displaceForOffers stops the victims of offers that found no room. An offer whose victims cannot be stopped yet is
+// tried again by later decisions, a bounded number in each. Callers hold c.mu.
+func (c *Core) displaceForOffers(now time.Time, effects []Effect) []Effect {
+	for range min(len(c.displacers), reservationScan) {
+		o := c.displacers[0]
+		c.displacers = c.displacers[1:]
+		if c.offers[o.Task.ID] != o {
+			continue
+		}
+		if c.reservations[o.Task.ID] == nil {
+			effects = c.displace(now, o.Task, c.demandOf(o.Task), o.Victims, effects)
+		}
+		c.displacers = append(c.displacers, o)
+	}
+	return effects
+}
+
 // displace stops tasks that a confirmed plan names, on one worker where their end makes room for a task, and keeps that
 // worker for the task. The capacity is used only after the worker has reported the ends. Callers hold c.mu.
 func (c *Core) displace(now time.Time, task model.Task, demand model.Resources, named []model.TaskID, effects []Effect) []Effect {
