Offer a task again that no rack has queued any more

Change: a denied claim removes the rack from the racks that have the task queued; every eighth offer of a task goes to all its racks again. The faults have a test of their own. Conclusion: a waiting task is offered again in bounded time, whatever message was lost or late.

--- a/version/intent/claim.go
+++ b/version/intent/claim.go
@@ -23,6 +23,8 @@
 		return t.token, true
 	}
 	if rackEpoch < c.rackEpochs[rack] || c.denial(now, t, rack) != "" {
+		// The rack has taken the offer out of its queue to claim it.
+		c.unqueued(now, t, rack)
 		return model.StartToken{}, false
 	}
 	c.grant(now, t, rack, rackEpoch)
--- a/version/intent/kinds_test.go
+++ b/version/intent/kinds_test.go
@@ -382,6 +382,32 @@
 	assert.Assert(t, repeated >= int(9*c.policy.ReoffersPerSecond), "%d repeated offers", repeated)
 }
 
+// TestDeniedOrLateWithdrawnTaskIsOfferedAgain guards against a task that waits for ever: a rack takes an offer out of its queue
+// to claim it, and a denied claim does not put it back; a late withdrawal removes a newer offer.
+func TestDeniedOrLateWithdrawnTaskIsOfferedAgain(t *testing.T) {
+	c := newCore(views(1, 1, 8))
+	c.Confirmed(testNow, confirmed("i3-w", model.IntentSpec{Kind: model.KindWatcher, Tasks: 1}))
+	started(t, c, testNow, "i3-w/0.0", "rack-0")
+	ended(t, c, testNow, "i3-w/0.0", model.OutcomeFinished, "w")
+	// A late claim is denied while the task waits for its restart; then the offer of the restart is made.
+	_, granted := c.Claim(testNow, "i3-w/0.0", "rack-0", 1)
+	assert.Assert(t, !granted)
+	now := testNow.Add(time.Second)
+	assert.Equal(t, len(offered(c.Tick(now))), 1)
+	// The rack claims it and is denied for a moment.
+	c.othersShort, c.quotas = true, testQuotas{"fleet": {Share: model.Resources{Slots: -1}}}
+	_, granted = c.Claim(now, "i3-w/0.0", "rack-0", 1)
+	assert.Assert(t, !granted)
+	c.quotas = nil
+	assert.Equal(t, len(offered(c.Tick(now.Add(noRackRetry)))), 1)
+	// Without any sign that the offer is gone it is repeated in bounded time.
+	repeated := 0
+	for i := range 200 {
+		repeated += len(offered(c.Tick(now.Add(time.Duration(i+1) * time.Second))))
+	}
+	assert.Assert(t, repeated >= 1)
+}
+
 // TestOfferMessagesFitAFrame guards against an offer message that is larger than a frame, since payloads are up to 64 KiB.
 func TestOfferMessagesFitAFrame(t *testing.T) {
 	c := newCore(views(1, 1, 8))
--- a/version/intent/offer.go
+++ b/version/intent/offer.go
@@ -173,6 +173,9 @@
 	return t
 }
 
+// refreshTries is after how many offers all racks are sent the task again.
+const refreshTries = 8
+
 // noRackRetry is the time after which a task is offered again that found no rack.
 const noRackRetry = 500 * time.Millisecond
 
@@ -198,8 +201,10 @@
 	if !c.recharge(now, t, Demand(task)) {
 		return
 	}
-	if len(t.offered) > 0 && (task.RunTimeMS != t.sentMS || task.Each != t.sentEach) {
-		// The racks decide by the hints, so they get the newer ones. A repeated offer keeps its place in the queue.
+	newHints := task.RunTimeMS != t.sentMS || task.Each != t.sentEach
+	if len(t.offered) > 0 && (newHints || t.tries%refreshTries == 0) {
+		// The racks decide by the hints, so they get the newer ones. Now and then all offers are repeated, since a withdrawal
+		// that arrives late can remove a newer offer. A repeated offer keeps its place in the queue.
 		for _, rack := range t.offered {
 			b.add(rack, task, t.victims)
 		}
@@ -348,10 +353,16 @@
 		if t == nil {
 			continue
 		}
-		t.offered = slices.DeleteFunc(t.offered, func(r string) bool { return r == rack })
-		if t.phase == phaseWaiting && t.offer.queue != nil && len(t.offered) == 0 && t.offer.due.After(now.Add(noRackRetry)) {
-			c.offers.push(t, now.Add(noRackRetry))
-		}
+		c.unqueued(now, t, rack)
+	}
+}
+
+// unqueued notes that a rack does not have a task queued, and has it offered again soon if no other rack does.
+// Callers hold c.mu.
+func (c *Core) unqueued(now time.Time, t *taskState, rack string) {
+	t.offered = slices.DeleteFunc(t.offered, func(r string) bool { return r == rack })
+	if t.phase == phaseWaiting && t.offer.queue != nil && len(t.offered) == 0 && t.offer.due.After(now.Add(noRackRetry)) {
+		c.offers.push(t, now.Add(noRackRetry))
 	}
 }
 
