--- a/process/instance/shutdown.go
+++ b/process/instance/shutdown.go
@@ -34,6 +34,7 @@
 	r := in.router
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.stopping = true
 	for _, n := range numbers {
 		r.closing[n] = true
 	}
