Acknowledge results by boot, and end the session once on a drain

Cause: a late report of a worker's earlier boot acknowledged a result of the current boot with the same number, so that the worker could forget an outcome that was not durable. A drain raced a renewal of the session row and failed with a conflict (seen once in TestLongCallMovesWithItsTicket), and a step after a drain could start a new session. Change: Reported names the boot; steps and drains exclude each other, and no step follows a drain.

--- a/bench/decisions/cell_test.go
+++ b/bench/decisions/cell_test.go
@@ -219,7 +219,7 @@
 	}
 	f.execute(f.core.Synced(f.now, w, req, reply))
 	for _, r := range reply.Results {
-		f.core.Reported(w, r.Sequence)
+		f.core.Reported(w, reply.BootID, r.Sequence)
 	}
 }
 
--- a/bench/decisions/place_test.go
+++ b/bench/decisions/place_test.go
@@ -99,7 +99,7 @@
 	})
 	l.ends = append(l.ends, time.Since(began))
 	l.take(effects)
-	l.core.Reported(oldest.Worker, sequence)
+	l.core.Reported(oldest.Worker, "b", sequence)
 }
 
 // BenchmarkPlace reports whole placements (offer, claim, start, end) per second of one core, and the time of the decisions
--- a/process/instance/racks.go
+++ b/process/instance/racks.go
@@ -282,7 +282,7 @@
 		Task: peer.TaskToProto(e.Task), Outcome: peer.OutcomeToProto(e.Outcome),
 	})
 	if durable && e.Sequence > 0 {
-		r.core.Reported(e.Outcome.Worker, e.Sequence)
+		r.core.Reported(e.Outcome.Worker, e.BootID, e.Sequence)
 	}
 }
 
--- a/version/ownership/balance.go
+++ b/version/ownership/balance.go
@@ -211,6 +211,15 @@
 func (m *Manager) Drain(ctx context.Context) error {
 	m.mu.Lock()
 	m.draining = true
+	m.mu.Unlock()
+	select {
+	case m.stepping <- struct{}{}:
+		defer func() { <-m.stepping }()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	m.ended = true
+	m.mu.Lock()
 	var give []move
 	for p := range m.mine {
 		give = append(give, move{p, m.owners[p]})
--- a/version/ownership/ownership.go
+++ b/version/ownership/ownership.go
@@ -125,6 +125,11 @@
 type Manager struct {
 	opts Options
 
+	// stepping is held during a step and during a drain, so that no renewal changes the session row between the releases
+	// and the end of the session. It protects ended, which is set once the session was ended by a drain.
+	stepping chan struct{}
+	ended    bool
+
 	mu       sync.Mutex
 	session  Session
 	row      uint64
@@ -170,7 +175,7 @@
 	}
 	return &Manager{
 		opts: opts, watched: map[string]*watchedSession{}, owners: map[Partition]ownerRow{}, mine: map[Partition]uint64{},
-		dropped: map[Partition]uint64{}, ownerless: map[Partition]time.Time{},
+		dropped: map[Partition]uint64{}, ownerless: map[Partition]time.Time{}, stepping: make(chan struct{}, 1),
 	}
 }
 
@@ -192,6 +197,15 @@
 
 // Step renews the session once, reads sessions and partitions, and takes the partitions that this instance should own.
 func (m *Manager) Step(ctx context.Context) error {
+	select {
+	case m.stepping <- struct{}{}:
+		defer func() { <-m.stepping }()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if m.ended {
+		return nil
+	}
 	if err := m.renew(ctx); err != nil {
 		return err
 	}
--- a/version/ownership/ownership_test.go
+++ b/version/ownership/ownership_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"github.com/lentiltide/lentiltide/platform"
@@ -114,3 +115,24 @@
 	assert.Assert(t, isConflict(first.Step(ctx)))
 	assert.Equal(t, lost.lost, 2)
 }
+
+// TestDrainEndsTheSession guards against a drain that fails because a renewal changes the session row meanwhile, and
+// against a step after it that starts a new session for an instance that has left.
+func TestDrainEndsTheSession(t *testing.T) {
+	ctx, clock := context.Background(), clockwork.NewFakeClock()
+	table := standinplatform.NewTable()
+	m, r := newTestManager("entry-1", table, clock)
+	assert.NilError(t, m.Step(ctx))
+	var steps, drain errgroup.Group
+	for range 20 {
+		steps.Go(func() error { return m.Step(ctx) })
+	}
+	drain.Go(func() error { return m.Drain(ctx) })
+	assert.NilError(t, drain.Wait())
+	assert.NilError(t, steps.Wait())
+	assert.NilError(t, m.Step(ctx))
+	assert.Equal(t, r.lost, 2)
+	rows, err := table.Scan(ctx, sessionPrefix)
+	assert.NilError(t, err)
+	assert.Equal(t, len(rows), 0)
+}
--- a/version/rack/effect.go
+++ b/version/rack/effect.go
@@ -47,6 +47,8 @@
 	Outcome model.Outcome
 	// Sequence is the worker's number of the result; 0 for outcomes that no worker holds.
 	Sequence uint64
+	// BootID is the boot of the worker that Sequence belongs to.
+	BootID string
 }
 
 func (ClaimTask) isEffect()     {}
--- a/version/rack/history_test.go
+++ b/version/rack/history_test.go
@@ -88,7 +88,7 @@
 	case StopTask:
 		f.end(e.Worker, e.Request.Task, model.OutcomePreempted)
 	case ReportOutcome:
-		f.core.Reported(e.Outcome.Worker, e.Sequence)
+		f.core.Reported(e.Outcome.Worker, e.BootID, e.Sequence)
 		delete(f.open, e.Task.ID)
 		switch e.Outcome.State {
 		case model.OutcomeNotStarted, model.OutcomeLapsed, model.OutcomePreempted:
--- a/version/rack/lease.go
+++ b/version/rack/lease.go
@@ -268,7 +268,7 @@
 		if t := w.tasks[r.Task.ID]; t != nil && t.token == r.Outcome.Token {
 			c.release(t)
 		}
-		effects = append(effects, ReportOutcome{Task: r.Task, Outcome: out, Sequence: r.Sequence})
+		effects = append(effects, ReportOutcome{Task: r.Task, Outcome: out, Sequence: r.Sequence, BootID: w.bootID})
 	}
 	return effects
 }
@@ -294,11 +294,12 @@
 	return effects
 }
 
-// Reported notes that the outcome with a sequence is durable, so that the worker may forget it.
-func (c *Core) Reported(id string, sequence uint64) {
+// Reported notes that the outcome with a sequence is durable, so that the worker may forget it. Each boot numbers its
+// results from 1, so that a report of an earlier boot must not acknowledge a result of the current one.
+func (c *Core) Reported(id, bootID string, sequence uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if w := c.workers[id]; w != nil {
+	if w := c.workers[id]; w != nil && w.bootID == bootID {
 		delete(w.unreported, sequence)
 		w.acknowledge = append(w.acknowledge, sequence)
 	}
--- a/version/rack/lease_test.go
+++ b/version/rack/lease_test.go
@@ -41,3 +41,23 @@
 	assert.Assert(t, c.MayRenew(now.Add(2*time.Hour-time.Second)))
 	assert.Assert(t, !c.MayRenew(now.Add(2*time.Hour)))
 }
+
+// TestReportOfEarlierBootAcknowledgesNothing guards against a lost outcome: a worker numbers the results of each boot from
+// 1, so that a late report of the boot before would acknowledge a result that is not durable yet.
+func TestReportOfEarlierBootAcknowledgesNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(now, "rack-1", 1, DefaultPolicy())
+	c.SetMembers(now, []platform.Member{{ID: "w1", State: platform.MemberLive, Capacity: model.Resources{CPUMilli: 8000, MemoryMiB: 8192, Slots: 8}}})
+	result := func(id model.TaskID) worker.Result {
+		return worker.Result{Sequence: 1, Task: model.Task{ID: id}, Outcome: model.Outcome{Task: id, State: model.OutcomeFinished, Worker: "w1"}}
+	}
+	c.Fenced(now, "w1", worker.Inventory{BootID: "b1", Results: []worker.Result{result("i1-a/0.0")}})
+	c.Fenced(now, "w1", worker.Inventory{BootID: "b2", Results: []worker.Result{result("i1-a/0.1")}})
+	c.Reported("w1", "b1", 1)
+	req, ok := c.SyncRequest("w1", 0)
+	assert.Assert(t, ok)
+	assert.Equal(t, len(req.Acknowledged), 0)
+	c.Reported("w1", "b2", 1)
+	req, _ = c.SyncRequest("w1", 0)
+	assert.DeepEqual(t, req.Acknowledged, []uint64{1})
+}
