--- a/process/instance/work_test.go
+++ b/process/instance/work_test.go
@@ -290,7 +290,15 @@
 	for range 40 {
 		s := work(model.KindBatch, 1, 10)
 		s.Each.CPUMilli = 4000
-		intents = append(intents, in.confirm(t, in.plan(t, s)))
+		// The second filler may be placed between a plan and its confirmation.
+		until(t, func() error {
+			p := in.plan(t, s)
+			out, err := in.Confirm(context.Background(), p.Partition, p.ID)
+			if err == nil {
+				intents = append(intents, out)
+			}
+			return err
+		})
 	}
 	commits := 0
 	var mu sync.Mutex
