--- a/bench/network/cost_test.go
+++ b/bench/network/cost_test.go
@@ -125,7 +125,7 @@
 			continue
 		}
 		wg.Go(func() {
-			if _, err := owners[at].Call(ctx, partitions[at], ids[at], model.StartToken{}, nil); err != nil {
+			if _, err := owners[at].Call(ctx, partitions[at], ids[at], model.StartToken{}, "", nil); err != nil {
 				failed.Add(1)
 				return
 			}
--- /dev/null
+++ b/faultmatrix/matrix_test.go
@@ -0,0 +1,201 @@
+package faultmatrix
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/request/verdict"
+)
+
+// cell is one entry of the matrix.
+type cell struct {
+	step   step
+	first  fault
+	second *fault
+	// twice: the fault fires at two messages in a row.
+	twice bool
+	// nth is the number of the message at which the fault fires, if it is not the first.
+	nth int
+}
+
+func (c cell) name() string {
+	name := string(c.step) + "/" + c.first.name
+	switch {
+	case c.second != nil:
+		return name + "+" + c.second.name
+	case c.twice:
+		return name + "-twice"
+	}
+	return name
+}
+
+// losesLeases reports whether a fault of the cell makes leases expire or loses a worker. The result of a task that
+// finishes out of reach is unknown, and batch work then starts again.
+func (c cell) losesLeases() bool {
+	lost := map[string]bool{"worker-dies": true, "lease-expires": true}
+	if lost[c.first.name] || (c.second != nil && lost[c.second.name]) {
+		return true
+	}
+	// Nobody takes over from a paused rack owner while the store is down.
+	return c.second != nil && c.first.name == "process-pauses" && c.second.name == "store-unavailable"
+}
+
+// cells returns every fault at every step, once, twice, and in pairs.
+func cells() (single, pairs []cell) {
+	for _, s := range steps {
+		for i, f := range faults {
+			single = append(single, cell{step: s, first: f}, cell{step: s, first: f, twice: true})
+			for k := i + 1; k < len(faults); k++ {
+				pairs = append(pairs, cell{step: s, first: f, second: &faults[k]})
+			}
+		}
+	}
+	return single, pairs
+}
+
+// run plays the scenario with the faults of a cell in virtual time. It returns the broken promises and whether a fault
+// fired.
+func run(t *testing.T, c cell, seed uint64, mutate mutations) (problems []string, fired int) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, seed, mutate)
+		s := &scenario{w: w}
+		if c.first.do != nil {
+			w.arm(c.step, c.first, at(c)...)
+		}
+		if c.second != nil {
+			w.arm(c.step, *c.second, 1)
+		}
+		s.play()
+		time.Sleep(5 * time.Second)
+		problems, fired = s.check(c), w.fired()
+		w.close()
+	})
+	return problems, fired
+}
+
+func at(c cell) []int {
+	if c.twice {
+		return []int{1, 2}
+	}
+	if c.nth > 0 {
+		return []int{c.nth}
+	}
+	return []int{1}
+}
+
+// check compares what workers and callers saw with the promises.
+func (s *scenario) check(c cell) []string {
+	counts := s.w.observer.Counts()
+	if counts.Overcommits > 0 {
+		s.problem("P1: %d starts exceeded the capacity of a worker", counts.Overcommits)
+	}
+	if counts.DoubleRuns > 0 {
+		s.problem("P2: %d starts of a task that ran elsewhere: %v", counts.DoubleRuns, s.w.observer.Faults())
+	}
+	if counts.Reruns > 0 && !c.losesLeases() {
+		s.problem("%d starts of a task that had finished, and no lease was lost", counts.Reruns)
+	}
+	for _, call := range s.calls {
+		s.checkCall(c, call)
+	}
+	if n := s.w.starts["other-payload"]; n > 0 && s.w.starts["keyed-0"] > 0 {
+		s.problem("P5: a key that was used for another payload started %d calls", n)
+	}
+	for _, name := range s.refused {
+		if n := s.w.starts[name]; n > 0 {
+			s.problem("P4: the confirmation of %s was answered NotRun, but it started %d times", name, n)
+		}
+	}
+	for _, seen := range s.w.startedAt[s.left] {
+		if late := seen.at.Sub(s.leftAt); s.left != "" && late > leaveBound+s.listLag(c) {
+			s.problem("P6: task %s started on leaving worker %s after %v", seen.task, s.left, late)
+		}
+	}
+	for _, j := range s.jobs {
+		for _, id := range s.missing(j) {
+			s.problem("lost: task %s of confirmed intent %s did not finish", id, j.intent.Spec.Name)
+		}
+	}
+	return s.problems
+}
+
+// listLag is how long the platform's list is stale in a cell; before it names the worker, nothing is promised.
+func (s *scenario) listLag(c cell) time.Duration {
+	if c.first.name == "instance-list-stale" || (c.second != nil && c.second.name == "instance-list-stale") {
+		return 2 * outage
+	}
+	return 0
+}
+
+func (s *scenario) checkCall(cell cell, c *call) {
+	starts := s.w.starts[c.payload]
+	if starts > 1 {
+		s.problem("P5: call %s started %d times", c.payload, starts)
+	}
+	if c.draining && cell.first.name == noFault && c.err != nil {
+		s.problem("P7: call %s was in flight on an instance that shut down gracefully and was answered %v", c.payload, c.err)
+	}
+	switch verdict.Of(c.err) {
+	case verdict.NotRun:
+		if starts > 0 {
+			s.problem("P4: call %s was answered NotRun (%v) at %s, but it started", c.payload, c.err, c.answered.Format(time.TimeOnly))
+		}
+	case verdict.Ran:
+		if c.err == nil && c.reply.Answer != string(answerTo(c.payload)) {
+			s.problem("P3: call %s was answered with %q", c.payload, c.reply.Answer)
+		}
+	}
+	if !cell.losesLeases() && !c.once && c.err != nil && s.w.observer.Finished(s.taskOf(c.payload)) > 0 && verdict.Of(c.err) != verdict.Ran {
+		s.problem("lost: call %s finished on a worker, its caller was told %v", c.payload, c.err)
+	}
+}
+
+// taskOf returns the task that a worker started for a payload.
+func (s *scenario) taskOf(payload string) model.TaskID {
+	return s.w.tasks[payload]
+}
+
+// TestFaultMatrix guards the promises P1 to P8 against every fault at every step, twice, and in pairs.
+func TestFaultMatrix(t *testing.T) {
+	single, pairs := cells()
+	var ran atomic.Int64
+	t.Run("cells", func(t *testing.T) {
+		for i, c := range append(single, pairs...) {
+			if i%raceStride != 0 {
+				continue
+			}
+			t.Run(c.name(), func(t *testing.T) {
+				t.Parallel()
+				problems, _ := run(t, c, uint64(i), mutations{})
+				for _, p := range problems {
+					t.Error(p)
+				}
+				ran.Add(1)
+			})
+		}
+	})
+	t.Logf("%d cells and %d pairs defined, %d run", len(single), len(pairs), ran.Load())
+}
+
+// noFault is the name of the fault that does nothing. Without a fault, no call in flight may fail at a graceful shutdown.
+const noFault = "none"
+
+// TestNoFault guards the scenario itself: without a fault nothing is refused, nothing is cut off, every step occurs.
+func TestNoFault(t *testing.T) {
+	never := fault{noFault, func(*world, message, *fate) {}}
+	for _, s := range steps {
+		t.Run(fmt.Sprint(s), func(t *testing.T) {
+			problems, fired := run(t, cell{step: s, first: never}, 1, mutations{})
+			for _, p := range problems {
+				t.Error(p)
+			}
+			if fired == 0 {
+				t.Errorf("step %s did not occur", s)
+			}
+		})
+	}
+}
--- a/process/instance/config.go
+++ b/process/instance/config.go
@@ -189,6 +189,14 @@
 		return ConfigStatus{}, err
 	}
 	if !applied {
+		// Another confirmation of the same plan may have been first.
+		current, _, err := in.readConfig(ctx)
+		if err != nil {
+			return ConfigStatus{}, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUnavailable, "read the configuration back").After(configRetry)
+		}
+		if _, ok := current.VersionOf(planID); ok {
+			return in.ConfigStatus(ctx)
+		}
 		return ConfigStatus{}, in.staleConfigPlan(ctx, plan)
 	}
 	if err := in.config.Pushed(next.Version, next.Document); err != nil {
--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -14,6 +14,7 @@
 
 	"github.com/lentiltide/lentiltide/connection/peer"
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
+	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/process/membership"
 	"github.com/lentiltide/lentiltide/process/settings"
@@ -38,6 +39,8 @@
 	Seed uint64
 	// Quotas are the quotas in force; nil takes those of the configuration.
 	Quotas intent.Quotas
+	// IntentPartitions are the intent partitions that the cell uses; nil means all.
+	IntentPartitions []int
 }
 
 // Instance is one running entry instance.
@@ -73,6 +76,11 @@
 	if opts.Clock == nil {
 		opts.Clock = clockwork.NewRealClock()
 	}
+	if opts.IntentPartitions == nil {
+		for n := range model.IntentPartitions {
+			opts.IntentPartitions = append(opts.IntentPartitions, n)
+		}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	in := &Instance{
 		opts: opts, ctx: ctx, cancel: cancel,
@@ -155,7 +163,7 @@
 func (in *Instance) Acquired(p ownership.Partition, epoch, rowVersion uint64) {
 	switch p.Kind {
 	case ownership.KindRack:
-		in.acquireRack(p.Name, epoch)
+		in.acquireRack(p.Name, epoch, rowVersion)
 	case ownership.KindIntent:
 		in.acquireIntent(p, epoch, rowVersion)
 	}
--- a/process/instance/intents.go
+++ b/process/instance/intents.go
@@ -24,8 +24,9 @@
 const (
 	// intentTick is the time between checks for offers that have expired.
 	intentTick = 500 * time.Millisecond
-	// journalFlush is the time between batches of outcomes.
-	journalFlush = 200 * time.Millisecond
+	// journalFlush is the time between batches of outcomes. With 64 busy partitions it allows 128 writes/s, which leaves room
+	// for sessions and confirmations in the budget of 200 writes/s.
+	journalFlush = 500 * time.Millisecond
 	// journalPending bounds the outcomes of a partition that wait for a write.
 	journalPending = 50_000
 	// journalReserve is kept free for outcomes that no worker holds.
@@ -45,11 +46,12 @@
 	loaded bool
 
 	// planning serialises confirmations, each with its check against those before it. It is taken before confirming.
-	planning sync.Mutex
+	planning semaphore
 
 	// confirming serialises the writes of intent rows. It protects versions, the versions of rows as last written or read.
-	confirming sync.Mutex
+	confirming semaphore
 	versions   map[string]uint64
+	keys       keyWriter
 
 	mu      sync.Mutex
 	waiting map[model.TaskID][]chan model.Outcome
@@ -60,6 +62,16 @@
 	silentUntil map[string]time.Time
 }
 
+// semaphore is a lock that is held during input and output. Its waiters block on a channel, which tests in virtual time
+// need in order to advance the clock.
+type semaphore chan struct{}
+
+// Lock takes the semaphore.
+func (s semaphore) Lock() { s <- struct{}{} }
+
+// Unlock returns the semaphore.
+func (s semaphore) Unlock() { <-s }
+
 func partitionNumber(p ownership.Partition) int {
 	n, err := strconv.Atoi(p.Name)
 	if err != nil {
@@ -80,6 +92,7 @@
 		in: in, core: intent.New(n, epoch, intentPolicy(in.config.Current().Document)),
 		condition: platform.Condition{Key: "partition/" + p.String(), Version: rowVersion},
 		waiting:   map[model.TaskID][]chan model.Outcome{}, versions: map[string]uint64{},
+		planning: make(semaphore, 1), confirming: make(semaphore, 1),
 		silentUntil: map[string]time.Time{},
 	}
 	r.core.SetQuotas(in.opts.Quotas)
@@ -129,6 +142,7 @@
 		r.versions[row.Key] = row.Version
 		r.core.Restore(r.now(), in, outcomes)
 	}
+	r.core.RestoreCalls(r.now(), outcomes)
 	return nil
 }
 
@@ -275,12 +289,17 @@
 }
 
 // Call runs a call of a standing intent and waits for its outcome. A caller that gives up before the call was granted
-// gets NotRun.
-func (in *Instance) Call(ctx context.Context, n int, id string, ticket model.StartToken, payload []byte) (model.Outcome, error) {
+// gets NotRun. A key, which a call without a ticket may have, is recorded before anything is dispatched.
+func (in *Instance) Call(ctx context.Context, n int, id string, ticket model.StartToken, key string, payload []byte) (model.Outcome, error) {
 	r, err := in.intentRunner(n)
 	if err != nil {
 		return model.Outcome{}, err
 	}
+	if key != "" {
+		if ticket, err = r.recordKey(ctx, id, key, payload); err != nil {
+			return model.Outcome{}, err
+		}
+	}
 	res, err := r.core.Call(r.now(), id, ticket, uuid.NewString(), payload)
 	if err != nil {
 		return model.Outcome{}, err
--- /dev/null
+++ b/process/instance/keys.go
@@ -0,0 +1,164 @@
+package instance
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/intent"
+)
+
+const (
+	// keyWindow is how long the first key of a batch waits for others.
+	keyWindow = 20 * time.Millisecond
+	// keyBatch bounds the keys of one transaction.
+	keyBatch = 64
+	// keysPending bounds the keys that wait for a write.
+	keysPending = 1024
+)
+
+// keyRequest is a key that waits to be recorded.
+type keyRequest struct {
+	row  string
+	want intent.Key
+	done chan keyResult
+}
+
+// keyResult is the recorded key, which an earlier call may have written.
+type keyResult struct {
+	key intent.Key
+	err error
+}
+
+// keyWriter records idempotency keys of one epoch in batches.
+type keyWriter struct {
+	mu      sync.Mutex
+	pending []*keyRequest
+	writing bool
+}
+
+// recordKey binds a key to a ticket durably and returns the ticket. Nothing is dispatched before, so that every error
+// means NotRun, also when the result of the write is unknown: a row that appears later names a ticket that nobody used.
+func (r *intentRunner) recordKey(ctx context.Context, id, key string, payload []byte) (model.StartToken, error) {
+	if _, err := r.core.Intent(id); err != nil {
+		return model.StartToken{}, err
+	}
+	tickets, err := r.core.Tickets(1)
+	if err != nil {
+		return model.StartToken{}, err
+	}
+	req := &keyRequest{
+		row:  fmt.Sprintf("key/%d/%s", r.partition(), intent.KeyHash(id, key)),
+		want: intent.NewKey(id, tickets[0], payload), done: make(chan keyResult, 1),
+	}
+	if err := r.keys.add(r, req); err != nil {
+		return model.StartToken{}, err
+	}
+	select {
+	case res := <-req.done:
+		if res.err != nil {
+			e := verdict.From(res.err)
+			return model.StartToken{}, verdict.Wrap(e, verdict.NotRun, verdict.CodeUnavailable, "the Idempotency-Key cannot be recorded").After(max(e.RetryAfter, retryDelay))
+		}
+		return res.key.Ticket, res.key.Matches(payload)
+	case <-ctx.Done():
+	case <-r.ctx.Done():
+	}
+	return model.StartToken{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the Idempotency-Key was not recorded in time").After(retryDelay)
+}
+
+// add queues a key and starts the writer where it does not run.
+func (w *keyWriter) add(r *intentRunner, req *keyRequest) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.pending) >= keysPending {
+		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "too many Idempotency-Keys wait to be recorded").After(time.Second)
+	}
+	w.pending = append(w.pending, req)
+	if !w.writing {
+		w.writing = true
+		r.in.run(func() { w.run(r) })
+	}
+	return nil
+}
+
+// run writes batches until no key waits.
+func (w *keyWriter) run(r *intentRunner) {
+	for {
+		r.in.sleep(r.ctx, keyWindow)
+		w.mu.Lock()
+		n := min(keyBatch, len(w.pending))
+		batch := w.pending[:n:n]
+		w.pending = w.pending[n:]
+		if n == 0 {
+			w.pending, w.writing = nil, false
+		}
+		w.mu.Unlock()
+		if n == 0 {
+			return
+		}
+		r.writeKeys(batch)
+	}
+}
+
+// writeKeys answers the keys that have a row and writes the others in one transaction. Two requests with one key share
+// the row of the first.
+func (r *intentRunner) writeKeys(batch []*keyRequest) {
+	found, err := r.readKeys(batch)
+	var conditions []platform.Condition
+	var writes []platform.Write
+	fresh := map[string]intent.Key{}
+	for _, req := range batch {
+		if _, ok := found[req.row]; ok || err != nil {
+			continue
+		}
+		if _, ok := fresh[req.row]; ok {
+			continue
+		}
+		var data []byte
+		data, err = json.Marshal(req.want)
+		fresh[req.row] = req.want
+		conditions = append(conditions, platform.Condition{Key: req.row})
+		writes = append(writes, platform.Write{Key: req.row, Value: data})
+	}
+	if err == nil && len(writes) > 0 {
+		_, err = r.commit(r.ctx, conditions, writes)
+	}
+	for _, req := range batch {
+		key, ok := found[req.row]
+		if !ok {
+			key = fresh[req.row]
+		}
+		if ok {
+			req.done <- keyResult{key: key}
+		} else {
+			req.done <- keyResult{key, err}
+		}
+	}
+}
+
+// readKeys returns the rows that exist among the keys of a batch.
+func (r *intentRunner) readKeys(batch []*keyRequest) (map[string]intent.Key, error) {
+	names := make([]string, len(batch))
+	for i, req := range batch {
+		names[i] = req.row
+	}
+	rows, err := r.in.opts.Table.Get(r.ctx, names...)
+	if err != nil {
+		return nil, err
+	}
+	found := make(map[string]intent.Key, len(rows))
+	for _, row := range rows {
+		var key intent.Key
+		if err := json.Unmarshal(row.Value, &key); err != nil {
+			return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "decode %s", row.Key)
+		}
+		found[row.Key] = key
+	}
+	return found, nil
+}
--- a/process/instance/members.go
+++ b/process/instance/members.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
-	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/version/ownership"
 )
@@ -20,7 +19,7 @@
 // partitions returns all partitions of the cell: the intent partitions and the racks of the workers seen so far.
 func (in *Instance) partitions() []ownership.Partition {
 	var all []ownership.Partition
-	for n := range model.IntentPartitions {
+	for _, n := range in.opts.IntentPartitions {
 		all = append(all, ownership.Intent(n))
 	}
 	for _, name := range in.rackNames() {
--- a/process/instance/peers.go
+++ b/process/instance/peers.go
@@ -161,6 +161,9 @@
 	if err != nil {
 		return err
 	}
+	if !r.hasWorkers() {
+		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the workers of rack %q are not known yet", p.GetRack()).After(retryDelay)
+	}
 	proposal := r.core.Propose(in.opts.Clock.Now(), peer.TasksFromProto(p.GetTasks()))
 	reply.Body = &peerpb.Reply_Propose{Propose: &peerpb.ProposeReply{
 		Placements: peer.PlacementsToProto(proposal.Placements), Displaces: peer.DisplacementsToProto(proposal.Displaces),
--- a/process/instance/racks.go
+++ b/process/instance/racks.go
@@ -28,23 +28,34 @@
 
 // rackRunner executes the effects of one rack core for one epoch.
 type rackRunner struct {
-	in     *Instance
-	core   *rack.Core
-	ctx    context.Context
-	cancel context.CancelFunc
+	in   *Instance
+	core *rack.Core
+	// condition makes durable writes fail once the rack has another owner.
+	condition platform.Condition
+	ctx       context.Context
+	cancel    context.CancelFunc
 
-	mu      sync.Mutex
-	agents  map[string]worker.Agent
-	fencing map[string]bool
-	syncing map[string]bool
+	// recording is held while members are read and recorded; it protects recorded and recordedRow.
+	recording   semaphore
+	recorded    map[string]platform.Member
+	recordedRow uint64
+
+	mu     sync.Mutex
+	agents map[string]worker.Agent
+	// addresses are those that the agents were dialled at.
+	addresses map[string]string
+	fencing   map[string]bool
+	syncing   map[string]bool
 }
 
-func (in *Instance) acquireRack(name string, epoch uint64) {
+func (in *Instance) acquireRack(name string, epoch, rowVersion uint64) {
 	policy := in.rackPolicy(in.config.Current().Document)
 	r := &rackRunner{
 		in: in, core: rack.New(in.opts.Clock.Now(), name, epoch, policy),
-		agents: map[string]worker.Agent{}, fencing: map[string]bool{}, syncing: map[string]bool{},
+		condition: platform.Condition{Key: "partition/" + ownership.Rack(name).String(), Version: rowVersion},
+		agents:    map[string]worker.Agent{}, addresses: map[string]string{}, fencing: map[string]bool{}, syncing: map[string]bool{},
 	}
+	r.recording = make(semaphore, 1)
 	r.ctx, r.cancel = context.WithCancel(in.ctx)
 	in.run(r.serve)
 }
@@ -56,6 +67,11 @@
 			return
 		}
 	}
+	for r.loadRecorded() != nil {
+		if !r.in.sleep(r.ctx, retryDelay) {
+			return
+		}
+	}
 	r.in.mu.Lock()
 	if r.ctx.Err() == nil {
 		r.in.racks[r.core.ID()] = r
@@ -63,6 +79,7 @@
 	r.in.mu.Unlock()
 	r.setMembers(r.in.rackMembers(r.core.ID()))
 	r.in.every(r.ctx, rackTick, func() {
+		r.core.Owned(r.in.owners.LastRenewal())
 		r.execute(r.core.Tick(r.in.opts.Clock.Now()))
 		r.ensureSync()
 	})
@@ -103,15 +120,29 @@
 	return nil
 }
 
+// setMembers gives the core the workers of the rack: those of the platform's list, and those that an owner of the rack has
+// recorded. A worker that is not recorded yet is used only once it is.
 func (r *rackRunner) setMembers(members []platform.Member) {
+	r.recording.Lock()
+	defer r.recording.Unlock()
+	members = r.record(members)
 	r.mu.Lock()
 	for _, m := range members {
-		r.agents[m.ID] = r.in.opts.Workers.Dial(m.Address)
+		if known := r.agents[m.ID]; known == nil || r.addresses[m.ID] != m.Address {
+			r.agents[m.ID], r.addresses[m.ID] = r.in.opts.Workers.Dial(m.Address), m.Address
+		}
 	}
 	r.mu.Unlock()
 	r.execute(r.core.SetMembers(r.in.opts.Clock.Now(), members))
 }
 
+// hasWorkers reports whether any worker of the rack may be used.
+func (r *rackRunner) hasWorkers() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.agents) > 0
+}
+
 func (r *rackRunner) agent(id string) worker.Agent {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -162,6 +193,10 @@
 func (r *rackRunner) start(e rack.StartTask) {
 	ctx, cancel := context.WithTimeout(r.ctx, workerTimeout)
 	defer cancel()
+	if !r.core.MayRenew(r.in.opts.Clock.Now()) {
+		r.execute(r.core.StartResult(r.in.opts.Clock.Now(), e.Request.Task.ID, e.Request.Token, verdict.NotRun))
+		return
+	}
 	_, err := r.agent(e.Worker).Start(ctx, e.Request)
 	r.execute(r.core.StartResult(r.in.opts.Clock.Now(), e.Request.Task.ID, e.Request.Token, verdict.Of(err)))
 }
@@ -216,7 +251,7 @@
 	defer r.end(r.syncing, id)
 	for {
 		req, ok := r.core.SyncRequest(id, syncWait)
-		if !ok || r.ctx.Err() != nil {
+		if !ok || r.ctx.Err() != nil || !r.core.MayRenew(r.in.opts.Clock.Now()) {
 			return
 		}
 		ctx, cancel := context.WithTimeout(r.ctx, syncWait+workerTimeout)
--- a/process/instance/rows.go
+++ b/process/instance/rows.go
@@ -30,7 +30,7 @@
 			return versions, nil
 		}
 		if verdict.Of(err) == verdict.NotRun && try == 0 {
-			return nil, err
+			return nil, r.ownerError(ctx, err)
 		}
 		versions, untouched := r.readBack(ctx, txn)
 		if versions != nil {
@@ -38,7 +38,7 @@
 		}
 		// A conflict shows that the transaction cannot apply any more; that no earlier try did shows in the rows.
 		if untouched && verdict.From(err).Code == verdict.CodeConflict {
-			return nil, err
+			return nil, r.ownerError(ctx, err)
 		}
 		if !r.in.sleep(ctx, retryDelay) {
 			break
@@ -48,6 +48,18 @@
 	return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUnavailable, "the result of a write is unknown").After(retryDelay)
 }
 
+// ownerError replaces a conflict on the partition row, which only says that the partition has another owner now.
+func (r *intentRunner) ownerError(ctx context.Context, err error) error {
+	if verdict.From(err).Code != verdict.CodeConflict {
+		return err
+	}
+	rows, readErr := r.in.opts.Table.Get(ctx, r.condition.Key)
+	if readErr == nil && len(rows) == 1 && rows[0].Version == r.condition.Version {
+		return err
+	}
+	return verdict.Wrap(err, verdict.NotRun, verdict.CodeWrongOwner, "intent partition %d moved to another owner", r.partition()).After(retryDelay)
+}
+
 // readBack returns the versions of the rows that a transaction has written, or nil if it is not known to have taken
 // effect. untouched is set when all its rows still have the versions that it requires.
 func (r *intentRunner) readBack(ctx context.Context, txn platform.Txn) (versions []uint64, untouched bool) {
--- /dev/null
+++ b/process/instance/workers.go
@@ -0,0 +1,84 @@
+package instance
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"sort"
+
+	"github.com/google/uuid"
+
+	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/request/verdict"
+)
+
+func workersKey(rack string) string { return "workers/" + rack }
+
+// loadRecorded reads the workers that owners of the rack have ever fenced.
+func (r *rackRunner) loadRecorded() error {
+	rows, err := r.in.opts.Table.Get(r.ctx, workersKey(r.core.ID()))
+	if err != nil {
+		return err
+	}
+	r.recording.Lock()
+	defer r.recording.Unlock()
+	r.recorded = map[string]platform.Member{}
+	if len(rows) == 0 {
+		return nil
+	}
+	var members []platform.Member
+	if err := json.Unmarshal(rows[0].Value, &members); err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "decode %s", rows[0].Key)
+	}
+	for _, m := range members {
+		r.recorded[m.ID] = m
+	}
+	r.recordedRow = rows[0].Version
+	return nil
+}
+
+// record writes the row of the rack's workers when members has new ones or new addresses, and returns the members that
+// may be used: those in the row, in their state of members. Callers hold r.recording.
+func (r *rackRunner) record(members []platform.Member) []platform.Member {
+	next := maps.Clone(r.recorded)
+	changed := false
+	for _, m := range members {
+		old, known := r.recorded[m.ID]
+		if known && old.Address == m.Address {
+			r.recorded[m.ID] = m
+		} else {
+			changed = true
+		}
+		next[m.ID] = m
+	}
+	if changed && r.writeRecorded(next) {
+		r.recorded = next
+	}
+	usable := slices.Collect(maps.Values(r.recorded))
+	sort.Slice(usable, func(i, j int) bool { return usable[i].ID < usable[j].ID })
+	return usable
+}
+
+// writeRecorded writes the row and reports whether it is certain that it was written.
+func (r *rackRunner) writeRecorded(members map[string]platform.Member) bool {
+	list := slices.Collect(maps.Values(members))
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	data, err := json.Marshal(list)
+	if err != nil {
+		return false
+	}
+	key := workersKey(r.core.ID())
+	versions, err := r.in.opts.Table.Commit(r.ctx, platform.Txn{
+		ID: uuid.NewString(), Conditions: []platform.Condition{r.condition, {Key: key, Version: r.recordedRow}},
+		Writes: []platform.Write{{Key: key, Value: data}},
+	})
+	if err != nil {
+		// An earlier write may have taken effect; the next one is based on the row as it is then.
+		if rows, readErr := r.in.opts.Table.Get(r.ctx, key); readErr == nil && len(rows) == 1 {
+			r.recordedRow = rows[0].Version
+		}
+		return false
+	}
+	r.recordedRow = versions[0]
+	return true
+}
--- a/request/api/api.go
+++ b/request/api/api.go
@@ -52,7 +52,7 @@
 	Status(partition int, id string) (intent.Status, error)
 	Explain(ctx context.Context, partition int, task model.TaskID) (intent.Explanation, error)
 	Tickets(partition int, id string, count int) ([]model.StartToken, error)
-	Call(ctx context.Context, partition int, id string, ticket model.StartToken, payload []byte) (model.Outcome, error)
+	Call(ctx context.Context, partition int, id string, ticket model.StartToken, key string, payload []byte) (model.Outcome, error)
 	Config() config.Applied
 	ConfigPlan(ctx context.Context, document []byte) (instance.ConfigPlan, error)
 	ConfigConfirm(ctx context.Context, planID string) (instance.ConfigStatus, error)
--- a/request/api/api_test.go
+++ b/request/api/api_test.go
@@ -85,7 +85,7 @@
 	return make([]model.StartToken, count), nil
 }
 
-func (b *fakeBackend) Call(_ context.Context, _ int, id string, _ model.StartToken, payload []byte) (model.Outcome, error) {
+func (b *fakeBackend) Call(_ context.Context, _ int, id string, _ model.StartToken, _ string, payload []byte) (model.Outcome, error) {
 	b.changes++
 	return model.Outcome{Task: model.TaskID(id), State: model.OutcomeFinished, Answer: payload}, nil
 }
--- a/request/api/call.go
+++ b/request/api/call.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out, err := s.backend.Call(ctx, req.partition, req.id, ticket, []byte(in.Payload))
+	out, err := s.backend.Call(ctx, req.partition, req.id, ticket, req.header.Get(HeaderIdempotencyKey), []byte(in.Payload))
 	if err != nil {
 		return nil, err
 	}
--- a/standin/worker/agent.go
+++ b/standin/worker/agent.go
@@ -258,6 +258,13 @@
 	return nil
 }
 
+// Busy reports whether a task runs.
+func (a *Agent) Busy() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.running) > 0
+}
+
 // Throttle implements worker.Agent. The stand-in accepts it without effect.
 func (a *Agent) Throttle(_ context.Context, req worker.ThrottleRequest) error {
 	a.mu.Lock()
--- a/version/intent/call.go
+++ b/version/intent/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/lentiltide/lentiltide/model"
@@ -70,8 +71,13 @@
 		return res, nil
 	}
 	switch {
-	case ticket.Partition != c.partition || ticket.Epoch > c.epoch:
+	case ticket.Epoch > c.epoch && ticket.Partition == c.partition:
+		// A later owner has issued it and may have run it; this instance has not noticed the change yet.
+		return CallResult{}, verdict.New(verdict.MayHaveRun, verdict.CodeWrongOwner, "the ticket belongs to epoch %d, this instance knows %d", ticket.Epoch, c.epoch).After(unplacedRetry)
+	case ticket.Partition != c.partition:
 		return CallResult{}, verdict.Invalid("Lentiltide-Ticket", "the ticket was not issued by this partition")
+	case ticket.Epoch < c.epoch && !c.opened:
+		return CallResult{}, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the racks have not yet listed the calls of epoch %d", ticket.Epoch).After(unplacedRetry)
 	case ticket.Epoch < c.epoch:
 		return CallResult{}, verdict.New(verdict.MayHaveRun, verdict.CodeExpired, "the ticket belongs to epoch %d, the current one is %d", ticket.Epoch, c.epoch)
 	case ticket.Sequence > c.issued:
@@ -86,6 +92,25 @@
 	return c.newCall(now, st, id, payload), nil
 }
 
+// RestoreCalls enters the recorded outcomes of calls, which have no rows of their own, so that a repeated call of an
+// earlier epoch is answered. Only outcomes of known call intents are kept.
+func (c *Core) RestoreCalls(now time.Time, outcomes map[model.TaskID]model.Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, out := range outcomes {
+		name, _, _ := strings.Cut(string(id), "/")
+		st := c.intents[name]
+		if st == nil || st.intent.Spec.Kind != model.KindCall || c.tasks[id] != nil {
+			continue
+		}
+		task := NewTask(st.intent, c.partition, 0, 0, now)
+		task.ID = id
+		t := c.enter(st, task)
+		t.token = out.Token
+		c.finish(now, t, lastPhase(out), out)
+	}
+}
+
 // TicketTask returns the id of the task that a ticket starts.
 func TicketTask(intentID string, ticket model.StartToken) model.TaskID {
 	return model.TaskID(fmt.Sprintf("%s/t-%d-%d", intentID, ticket.Epoch, ticket.Sequence))
--- a/version/intent/claim.go
+++ b/version/intent/claim.go
@@ -10,6 +10,10 @@
 	"github.com/lentiltide/lentiltide/request/verdict"
 )
 
+// refusedDelay is the time before a task whose start was refused is offered again. Without it, a worker that refuses
+// every start made intent owner and rack owner exchange offers, claims and reports as fast as they could.
+const refusedDelay = 200 * time.Millisecond
+
 // Claim asks for the right to start a task in a rack. The right is granted to one rack at a time; the same rack epoch
 // gets the same token again, so that a lost answer does no harm. A denied task is offered again when its term ends.
 func (c *Core) Claim(now time.Time, id model.TaskID, rack string, rackEpoch uint64) (model.StartToken, bool) {
@@ -183,6 +187,9 @@
 // restartDelay returns how long a task waits before it is started again. A task that failed, or a service that ended,
 // waits longer each time, so that one that ends at once does not load the cell. Callers hold c.mu.
 func (c *Core) restartDelay(t *taskState, out model.Outcome) time.Duration {
+	if out.State == model.OutcomeNotStarted {
+		return refusedDelay
+	}
 	if out.State != model.OutcomeFailed && out.State != model.OutcomeFinished {
 		return 0
 	}
--- /dev/null
+++ b/version/intent/key.go
@@ -0,0 +1,38 @@
+package intent
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/request/verdict"
+)
+
+// Key is the row of a client's idempotency key. It is written before the call is dispatched and binds the key to one
+// ticket, so that a repeated call with the key is a repeated call with the ticket.
+type Key struct {
+	Intent  string           `json:"intent"`
+	Payload string           `json:"payload_sha256"`
+	Ticket  model.StartToken `json:"ticket"`
+}
+
+// KeyHash returns the name of a key's row. Keys of different intents are independent.
+func KeyHash(intentID, key string) string { return digest([]byte(intentID + "\x00" + key)) }
+
+func digest(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+// NewKey returns the row that binds a key to a ticket.
+func NewKey(intentID string, ticket model.StartToken, payload []byte) Key {
+	return Key{Intent: intentID, Payload: digest(payload), Ticket: ticket}
+}
+
+// Matches returns an error with NotRun when the key was used for another payload.
+func (k Key) Matches(payload []byte) error {
+	if k.Payload != digest(payload) {
+		return verdict.New(verdict.NotRun, verdict.CodeConflict, "the Idempotency-Key was used with a different payload; this request did not run")
+	}
+	return nil
+}
--- a/version/journal/journal.go
+++ b/version/journal/journal.go
@@ -38,8 +38,9 @@
 type Journal struct {
 	opts Options
 
-	// flushing serialises flushes and protects frozen, txnID and batch. It is taken before mu.
-	flushing sync.Mutex
+	// flushing is a lock with one place. It serialises flushes and protects frozen, txnID and batch. It is taken before mu,
+	// and is a channel because it is held during a write to the table.
+	flushing chan struct{}
 	frozen   []model.Outcome
 	txnID    string
 	batch    uint64
@@ -51,7 +52,7 @@
 
 // New returns a journal; Run writes its batches.
 func New(opts Options) *Journal {
-	return &Journal{opts: opts, waiting: map[model.TaskID]chan struct{}{}}
+	return &Journal{opts: opts, flushing: make(chan struct{}, 1), waiting: map[model.TaskID]chan struct{}{}}
 }
 
 // Append queues an outcome. The channel is closed when the outcome is durable. A task that is already queued is not
@@ -98,8 +99,12 @@
 // Flush writes the queued outcomes as one row. A batch whose write was tried keeps its content, key and transaction id
 // until it is durable, so that a delayed earlier write can neither double nor replace it.
 func (j *Journal) Flush(ctx context.Context) error {
-	j.flushing.Lock()
-	defer j.flushing.Unlock()
+	select {
+	case j.flushing <- struct{}{}:
+	case <-ctx.Done():
+		return verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.CodeUnavailable, "wait for the batch before")
+	}
+	defer func() { <-j.flushing }()
 	if !j.freeze() {
 		return nil
 	}
--- a/version/ownership/ownership.go
+++ b/version/ownership/ownership.go
@@ -5,14 +5,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
@@ -23,6 +20,10 @@
 const (
 	sessionPrefix   = "session/"
 	partitionPrefix = "partition/"
+	// ownersKey and sessionsKey are rows that are written along with each change of an owner, and with each start and end
+	// of a session and each change of its configuration version. An instance reads all rows only after such a change.
+	ownersKey   = "directory/owners"
+	sessionsKey = "directory/sessions"
 )
 
 // Kind is the kind of a partition.
@@ -104,6 +105,11 @@
 	Avoid func(instance string) bool
 	// ConfigVersion returns the configuration version in force.
 	ConfigVersion func() uint64
+	// Reachable reports whether this instance reaches workers of a rack; nil means that it reaches all. A rack that is not
+	// reachable is left to other instances.
+	Reachable func(rack string) bool
+	// RegionOf returns the region of a rack, or an empty text if it is unknown. Instances of that region are preferred.
+	RegionOf func(rack string) string
 	// RenewEvery is the time between renewals; Term is how long a session row must stay unchanged before it has expired.
 	RenewEvery time.Duration
 	Term       time.Duration
@@ -121,12 +127,26 @@
 	mine     map[Partition]uint64
 	renewed  time.Time
 	draining bool
+	// dropped holds the epochs that this session has given up. A row that still shows such an epoch is taken with a new
+	// one, since the state of the epoch is gone.
+	dropped map[Partition]uint64
+	// ownerless is when a partition was first seen without an owner.
+	ownerless map[Partition]time.Time
+	// ownersRow and sessionsRow are the versions of the directory rows when all rows were last read, ownersRead and
+	// sessionsRead the times of that.
+	ownersRow, sessionsRow   uint64
+	ownersRead, sessionsRead time.Time
+	// changed is when the set of sessions last changed.
+	changed time.Time
+	// announced is the configuration version that the other instances know of.
+	announced uint64
 }
 
 type watchedSession struct {
 	Session
 	version uint64
-	since   time.Time
+	// since is when the row was first read with this version, seen when it was last read with it.
+	since, seen time.Time
 }
 
 type ownerRow struct {
@@ -144,6 +164,7 @@
 	}
 	return &Manager{
 		opts: opts, watched: map[string]*watchedSession{}, owners: map[Partition]ownerRow{}, mine: map[Partition]uint64{},
+		dropped: map[Partition]uint64{}, ownerless: map[Partition]time.Time{},
 	}
 }
 
@@ -171,302 +192,10 @@
 	if err := m.read(ctx); err != nil {
 		return err
 	}
-	return m.balance(ctx)
-}
-
-// renew writes the session row. A conflict means that another instance has ended the session.
-func (m *Manager) renew(ctx context.Context) error {
-	m.mu.Lock()
-	if m.session.ID == "" {
-		m.session = Session{
-			ID: uuid.NewString(), Instance: m.opts.Instance, Address: m.opts.Address, Region: m.opts.Region, Zone: m.opts.Zone,
-		}
-	}
-	m.session.ConfigVersion = m.opts.ConfigVersion()
-	m.session.Leaving = m.draining
-	s, version := m.session, m.row
-	m.mu.Unlock()
-
-	key := sessionPrefix + s.Instance
-	if version == 0 {
-		rows, err := m.opts.Table.Get(ctx, key)
-		if err != nil {
-			return err
-		}
-		if len(rows) == 1 {
-			version = rows[0].Version
-		}
-	}
-	versions, err := m.write(ctx, []platform.Condition{{Key: key, Version: version}}, key, s)
-	if isConflict(err) {
-		m.endSession()
-		return err
-	}
-	if err != nil {
-		return err
-	}
-	m.mu.Lock()
-	m.row, m.renewed = versions, m.opts.Clock.Now()
-	m.mu.Unlock()
-	return nil
-}
-
-// write commits one row and reads it back when the answer was lost.
-func (m *Manager) write(ctx context.Context, conditions []platform.Condition, key string, value any) (uint64, error) {
-	data, err := json.Marshal(value)
-	if err != nil {
-		return 0, err
-	}
-	txn := platform.Txn{ID: uuid.NewString(), Conditions: conditions, Writes: []platform.Write{{Key: key, Value: data}}}
-	versions, err := m.opts.Table.Commit(ctx, txn)
-	if err == nil {
-		return versions[0], nil
-	}
-	if verdict.Of(err) != verdict.MayHaveRun {
-		return 0, err
-	}
-	rows, readErr := m.opts.Table.Get(ctx, key)
-	if readErr == nil && len(rows) == 1 && rows[0].TxnID == txn.ID {
-		return rows[0].Version, nil
-	}
-	return 0, err
-}
-
-// endSession drops all partitions and forgets the session, so that the next step starts a new one.
-func (m *Manager) endSession() {
-	m.mu.Lock()
-	lost := m.mine
-	m.mine = map[Partition]uint64{}
-	m.session, m.row = Session{}, 0
-	m.mu.Unlock()
-	for p := range lost {
-		m.opts.Hooks.Lost(p)
-	}
-}
-
-// read refreshes the view of sessions and partitions.
-func (m *Manager) read(ctx context.Context) error {
-	sessions, err := m.opts.Table.Scan(ctx, sessionPrefix)
-	if err != nil {
-		return err
-	}
-	partitions, err := m.opts.Table.Scan(ctx, partitionPrefix)
-	if err != nil {
-		return err
-	}
-	m.mu.Lock()
-	changed := m.observeSessions(sessions)
-	changed = m.observePartitions(partitions) || changed
-	lost := m.lostPartitions()
-	m.mu.Unlock()
-	for _, p := range lost {
-		m.opts.Hooks.Lost(p)
-	}
-	if changed {
-		m.opts.Hooks.OwnersChanged()
-	}
-	return nil
-}
-
-// observeSessions notes how long each session row has stayed unchanged. Callers hold m.mu.
-func (m *Manager) observeSessions(rows []platform.Row) (changed bool) {
-	now := m.opts.Clock.Now()
-	seen := map[string]*watchedSession{}
-	for _, row := range rows {
-		var s Session
-		if json.Unmarshal(row.Value, &s) != nil {
-			continue
-		}
-		w := m.watched[s.ID]
-		if w == nil || w.version != row.Version {
-			changed = changed || w == nil
-			w = &watchedSession{Session: s, version: row.Version, since: now}
-		}
-		seen[s.ID] = w
-	}
-	changed = changed || len(seen) != len(m.watched)
-	m.watched = seen
-	return changed
-}
-
-// observePartitions notes the owners. Callers hold m.mu.
-func (m *Manager) observePartitions(rows []platform.Row) (changed bool) {
-	for _, row := range rows {
-		p, ok := parsePartition(strings.TrimPrefix(row.Key, partitionPrefix))
-		var o Owner
-		if !ok || json.Unmarshal(row.Value, &o) != nil {
-			continue
-		}
-		if old, known := m.owners[p]; !known || old.version < row.Version {
-			m.owners[p] = ownerRow{Owner: o, version: row.Version}
-			changed = true
-		}
-	}
-	return changed
-}
-
-// lostPartitions removes and returns the partitions that another session owns now. Callers hold m.mu.
-func (m *Manager) lostPartitions() []Partition {
-	var lost []Partition
-	for p := range m.mine {
-		if m.owners[p].Session != m.session.ID {
-			delete(m.mine, p)
-			lost = append(lost, p)
-		}
-	}
-	return lost
-}
-
-// expired reports whether a session has ended or its row has stayed unchanged for the whole term. Callers hold m.mu.
-func (m *Manager) expired(id string) bool {
-	w := m.watched[id]
-	return w == nil || (id != m.session.ID && m.opts.Clock.Since(w.since) >= m.opts.Term)
-}
-
-// candidates returns the live sessions that take partitions. Sessions to avoid count when there are no others, so that a
-// wrong sign of leaving never leaves the partitions without an owner. Callers hold m.mu.
-func (m *Manager) candidates() []*watchedSession {
-	var live, avoided []*watchedSession
-	for id, w := range m.watched {
-		switch {
-		case m.expired(id) || w.Leaving:
-		case m.opts.Avoid(w.Instance):
-			avoided = append(avoided, w)
-		default:
-			live = append(live, w)
-		}
-	}
-	if len(live) == 0 {
-		return avoided
-	}
-	return live
-}
-
-// preferred returns the session that should own a partition: the highest rendezvous hash of instance and partition.
-func preferred(p Partition, live []*watchedSession) string {
-	best, id := uint64(0), ""
-	for _, w := range live {
-		if h := xxhash.Sum64String(w.Instance + "|" + p.String()); id == "" || h > best {
-			best, id = h, w.ID
-		}
-	}
-	return id
-}
-
-// balance takes ownerless partitions that this instance should own and releases those that another should own.
-func (m *Manager) balance(ctx context.Context) error {
-	for _, p := range m.opts.Partitions() {
-		m.mu.Lock()
-		live := m.candidates()
-		want := preferred(p, live)
-		row := m.owners[p]
-		mine := m.session.ID
-		_, have := m.mine[p]
-		// A partition that the table gives to this session but that is not served, after a lost answer, is taken again
-		// with a new epoch: the state of the old epoch is gone.
-		ownerless := row.Session == "" || m.expired(row.Session) || (row.Session == mine && !have)
-		dead := m.watched[row.Session]
-		if row.Session == mine {
-			dead = nil
-		}
-		draining := m.draining
-		m.mu.Unlock()
-		var err error
-		switch {
-		case want == mine && ownerless && !draining:
-			err = m.take(ctx, p, row, dead)
-		case have && want != "" && want != mine:
-			err = m.release(ctx, p, row)
-		}
-		if err != nil && !isConflict(err) {
-			return err
-		}
-	}
-	return nil
-}
-
-// take raises the epoch of a partition. The same transaction deletes the expired session row, so that its holder's next
-// renewal fails.
-func (m *Manager) take(ctx context.Context, p Partition, row ownerRow, dead *watchedSession) error {
-	m.mu.Lock()
-	s := m.session
-	sessionVersion := m.row
-	m.mu.Unlock()
-	owner := Owner{Session: s.ID, Address: s.Address, Epoch: row.Epoch + 1}
-	data, err := json.Marshal(owner)
-	if err != nil {
-		return err
-	}
-	key := partitionPrefix + p.String()
-	txn := platform.Txn{
-		ID:         uuid.NewString(),
-		Conditions: []platform.Condition{{Key: key, Version: row.version}, {Key: sessionPrefix + s.Instance, Version: sessionVersion}},
-		Writes:     []platform.Write{{Key: key, Value: data}},
-	}
-	if dead != nil {
-		deadKey := sessionPrefix + dead.Instance
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: deadKey, Version: dead.version})
-		txn.Writes = append(txn.Writes, platform.Write{Key: deadKey, Delete: true})
-	}
-	versions, err := m.opts.Table.Commit(ctx, txn)
-	if err != nil {
-		return err
-	}
-	m.mu.Lock()
-	if dead != nil {
-		delete(m.watched, dead.ID)
-	}
-	m.owners[p] = ownerRow{Owner: owner, version: versions[0]}
-	m.mine[p] = owner.Epoch
-	m.mu.Unlock()
-	m.opts.Log.WithFields(logrus.Fields{"partition": p.String(), "epoch": owner.Epoch}).Info("partition taken")
-	m.opts.Hooks.Acquired(p, owner.Epoch, versions[0])
-	return nil
-}
-
-// release gives a partition up without a successor.
-func (m *Manager) release(ctx context.Context, p Partition, row ownerRow) error {
-	m.mu.Lock()
-	delete(m.mine, p)
-	m.mu.Unlock()
-	m.opts.Hooks.Lost(p)
-	key := partitionPrefix + p.String()
-	version, err := m.write(ctx, []platform.Condition{{Key: key, Version: row.version}}, key, Owner{Epoch: row.Epoch})
-	if err != nil {
+	if err := m.endExpired(ctx); err != nil {
 		return err
 	}
-	m.mu.Lock()
-	m.owners[p] = ownerRow{Owner: Owner{Epoch: row.Epoch}, version: version}
-	m.mu.Unlock()
-	m.opts.Log.WithFields(logrus.Fields{"partition": p.String(), "epoch": row.Epoch}).Info("partition released")
-	return nil
-}
-
-// Drain releases all partitions and ends the session, for a graceful shutdown.
-func (m *Manager) Drain(ctx context.Context) error {
-	m.mu.Lock()
-	m.draining = true
-	var owned []Partition
-	for p := range m.mine {
-		owned = append(owned, p)
-	}
-	m.mu.Unlock()
-	for _, p := range owned {
-		m.mu.Lock()
-		row := m.owners[p]
-		m.mu.Unlock()
-		if err := m.release(ctx, p, row); err != nil && !isConflict(err) {
-			return err
-		}
-	}
-	m.mu.Lock()
-	key, version := sessionPrefix+m.opts.Instance, m.row
-	m.mu.Unlock()
-	_, err := m.opts.Table.Commit(ctx, platform.Txn{
-		ID: uuid.NewString(), Conditions: []platform.Condition{{Key: key, Version: version}},
-		Writes: []platform.Write{{Key: key, Delete: true}},
-	})
-	return err
+	return m.balance(ctx)
 }
 
 // Location is where a partition is served.
--- /dev/null
+++ b/version/ownership/session.go
@@ -0,0 +1,404 @@
+package ownership
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/lentiltide/lentiltide/platform"
+)
+
+const (
+	// watchers is how many instances watch each session row. With one watcher, the loss of two neighbours at once would
+	// go unnoticed until the next full read.
+	watchers = 3
+	// sessionsEvery and ownersEvery are the numbers of renewals between reads of all sessions and of all partitions without
+	// a change of the directory. The first bounds how long the loss of neighbours at once stays unnoticed; the second is
+	// longer, since at the target's size a read of all partitions by all instances is 4,500 reads.
+	sessionsEvery = 10
+	ownersEvery   = 60
+	// settleRenewals is the number of renewals without a start or end of a session after which partitions move between live
+	// instances.
+	settleRenewals = 3
+)
+
+// renew writes the session row. A conflict means that another instance has ended the session, unless the row still holds
+// it: then an earlier renewal took effect whose answer was lost.
+func (m *Manager) renew(ctx context.Context) error {
+	m.mu.Lock()
+	if m.session.ID == "" {
+		m.session = Session{
+			ID: uuid.NewString(), Instance: m.opts.Instance, Address: m.opts.Address, Region: m.opts.Region, Zone: m.opts.Zone,
+		}
+	}
+	m.session.ConfigVersion = m.opts.ConfigVersion()
+	m.session.Leaving = m.draining
+	s, version := m.session, m.row
+	m.mu.Unlock()
+
+	asked := m.opts.Clock.Now()
+	version, err := m.writeSession(ctx, s, version)
+	if isConflict(err) {
+		held, found, readErr := m.heldSession(ctx, s)
+		switch {
+		case readErr != nil:
+			return readErr
+		case !found:
+			m.endSession()
+			return err
+		}
+		version, err = m.writeSession(ctx, s, held)
+	}
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	m.row, m.renewed, m.announced = version, asked, s.ConfigVersion
+	m.mu.Unlock()
+	return nil
+}
+
+// writeSession writes the session row. Version 0 starts a session and replaces the row of an earlier process of the same
+// name.
+func (m *Manager) writeSession(ctx context.Context, s Session, version uint64) (uint64, error) {
+	key := sessionPrefix + s.Instance
+	data, err := json.Marshal(s)
+	if err != nil {
+		return 0, err
+	}
+	writes := []platform.Write{{Key: key, Value: data}}
+	fresh := version == 0
+	if fresh {
+		rows, err := m.opts.Table.Get(ctx, key)
+		if err != nil {
+			return 0, err
+		}
+		if len(rows) == 1 {
+			version = rows[0].Version
+		}
+	}
+	m.mu.Lock()
+	announced := m.announced
+	m.mu.Unlock()
+	if fresh || s.ConfigVersion != announced {
+		writes = append(writes, directoryWrite(sessionsKey, s.Instance))
+	}
+	versions, err := m.commit(ctx, []platform.Condition{{Key: key, Version: version}}, writes)
+	if err != nil {
+		return 0, err
+	}
+	return versions[0], nil
+}
+
+// heldSession returns the version of the session row if it still holds the session.
+func (m *Manager) heldSession(ctx context.Context, s Session) (version uint64, found bool, err error) {
+	rows, err := m.opts.Table.Get(ctx, sessionPrefix+s.Instance)
+	if err != nil || len(rows) == 0 {
+		return 0, false, err
+	}
+	var held Session
+	if json.Unmarshal(rows[0].Value, &held) != nil || held.ID != s.ID {
+		return 0, false, nil
+	}
+	return rows[0].Version, true, nil
+}
+
+// endSession drops all partitions and forgets the session, so that the next step starts a new one.
+func (m *Manager) endSession() {
+	m.mu.Lock()
+	lost := m.mine
+	m.mine, m.dropped = map[Partition]uint64{}, map[Partition]uint64{}
+	m.session, m.row, m.ownersRow, m.sessionsRow = Session{}, 0, 0, 0
+	m.mu.Unlock()
+	for p := range lost {
+		m.opts.Hooks.Lost(p)
+	}
+}
+
+func directoryWrite(key, changedBy string) platform.Write {
+	return platform.Write{Key: key, Value: []byte(changedBy)}
+}
+
+// read refreshes the view of sessions and partitions: only the directory and the watched session rows, or all rows after
+// a change.
+func (m *Manager) read(ctx context.Context) error {
+	rows, err := m.opts.Table.Get(ctx, append([]string{ownersKey, sessionsKey}, m.watchedKeys()...)...)
+	if err != nil {
+		return err
+	}
+	var owners, sessions uint64
+	for len(rows) > 0 && (rows[0].Key == ownersKey || rows[0].Key == sessionsKey) {
+		if rows[0].Key == ownersKey {
+			owners = rows[0].Version
+		} else {
+			sessions = rows[0].Version
+		}
+		rows = rows[1:]
+	}
+	m.mu.Lock()
+	m.observeSessions(rows)
+	readOwners := owners != m.ownersRow || m.due(m.ownersRead, ownersEvery)
+	readSessions := sessions != m.sessionsRow || m.due(m.sessionsRead, sessionsEvery)
+	m.mu.Unlock()
+	changed := false
+	if readSessions {
+		if changed, err = m.readSessions(ctx, sessions); err != nil {
+			return err
+		}
+	}
+	if readOwners {
+		moved, err := m.readOwners(ctx, owners)
+		if err != nil {
+			return err
+		}
+		changed = changed || moved
+	}
+	if changed {
+		m.opts.Hooks.OwnersChanged()
+	}
+	return nil
+}
+
+// due reports whether a number of renewals has passed. Callers hold m.mu.
+func (m *Manager) due(last time.Time, renewals int) bool {
+	return last.IsZero() || m.opts.Clock.Since(last) >= time.Duration(renewals)*m.opts.RenewEvery
+}
+
+// readSessions reads all sessions. version is that of the directory row as read before, so that a change in between is
+// seen next time.
+func (m *Manager) readSessions(ctx context.Context, version uint64) (changed bool, err error) {
+	rows, err := m.opts.Table.Scan(ctx, sessionPrefix)
+	if err != nil {
+		return false, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	changed = m.observeSessions(rows)
+	changed = m.forgetSessions(rows) || changed
+	m.sessionsRow, m.sessionsRead = version, m.opts.Clock.Now()
+	return changed, nil
+}
+
+// readOwners reads all partitions.
+func (m *Manager) readOwners(ctx context.Context, version uint64) (changed bool, err error) {
+	rows, err := m.opts.Table.Scan(ctx, partitionPrefix)
+	if err != nil {
+		return false, err
+	}
+	m.mu.Lock()
+	changed = m.observePartitions(rows)
+	m.ownersRow, m.ownersRead = version, m.opts.Clock.Now()
+	lost := m.lostPartitions()
+	m.mu.Unlock()
+	for _, p := range lost {
+		m.opts.Hooks.Lost(p)
+	}
+	return changed, nil
+}
+
+// watchedKeys returns the session rows that this instance watches: those of the instances that follow it in the order of
+// their names.
+func (m *Manager) watchedKeys() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var names []string
+	for _, w := range m.watched {
+		if w.ID != m.session.ID {
+			names = append(names, w.Instance)
+		}
+	}
+	sort.Strings(names)
+	first := sort.SearchStrings(names, m.opts.Instance)
+	keys := make([]string, 0, watchers)
+	for i := range min(watchers, len(names)) {
+		keys = append(keys, sessionPrefix+names[(first+i)%len(names)])
+	}
+	return keys
+}
+
+// observeSessions notes how long each session row has stayed unchanged. Callers hold m.mu.
+func (m *Manager) observeSessions(rows []platform.Row) (changed bool) {
+	now := m.opts.Clock.Now()
+	for _, row := range rows {
+		var s Session
+		if json.Unmarshal(row.Value, &s) != nil {
+			continue
+		}
+		if w := m.watched[s.ID]; w != nil && w.version == row.Version {
+			w.seen = now
+			continue
+		} else if w == nil {
+			changed = true
+		}
+		m.watched[s.ID] = &watchedSession{Session: s, version: row.Version, since: now, seen: now}
+	}
+	if changed {
+		m.changed = now
+	}
+	return changed
+}
+
+// forgetSessions drops the sessions whose row is gone. Callers hold m.mu.
+func (m *Manager) forgetSessions(rows []platform.Row) (changed bool) {
+	seen := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		var s Session
+		if json.Unmarshal(row.Value, &s) == nil {
+			seen[s.ID] = true
+		}
+	}
+	for id := range m.watched {
+		if !seen[id] {
+			delete(m.watched, id)
+			changed = true
+		}
+	}
+	if changed {
+		m.changed = m.opts.Clock.Now()
+	}
+	return changed
+}
+
+// expired reports whether a session has ended or its row was read unchanged over the whole term. A row that was not read
+// meanwhile proves nothing. Callers hold m.mu.
+func (m *Manager) expired(id string) bool {
+	w := m.watched[id]
+	return w == nil || (id != m.session.ID && w.seen.Sub(w.since) >= m.opts.Term)
+}
+
+// endExpired deletes the rows of expired sessions, so that their holders' next renewals fail and all instances see that
+// their partitions have no owner.
+func (m *Manager) endExpired(ctx context.Context) error {
+	m.mu.Lock()
+	var dead []*watchedSession
+	for id, w := range m.watched {
+		if m.expired(id) {
+			dead = append(dead, w)
+		}
+	}
+	m.mu.Unlock()
+	for _, w := range dead {
+		key := sessionPrefix + w.Instance
+		_, err := m.commit(ctx, []platform.Condition{{Key: key, Version: w.version}},
+			[]platform.Write{{Key: key, Delete: true}, directoryWrite(sessionsKey, m.opts.Instance)})
+		if err != nil && !isConflict(err) {
+			return err
+		}
+		m.mu.Lock()
+		delete(m.watched, w.ID)
+		m.changed = m.opts.Clock.Now()
+		m.mu.Unlock()
+	}
+	if len(dead) > 0 {
+		return m.read(ctx)
+	}
+	return nil
+}
+
+// commit applies a transaction and reads it back when the answer was lost.
+func (m *Manager) commit(ctx context.Context, conditions []platform.Condition, writes []platform.Write) ([]uint64, error) {
+	txn := platform.Txn{ID: uuid.NewString(), Conditions: conditions, Writes: writes}
+	versions, err := m.opts.Table.Commit(ctx, txn)
+	if err == nil || !unknown(err) {
+		return versions, err
+	}
+	key := writes[0].Key
+	rows, readErr := m.opts.Table.Get(ctx, key)
+	if readErr == nil && len(rows) == 1 && rows[0].TxnID == txn.ID {
+		return m.writtenVersions(ctx, txn)
+	}
+	return nil, err
+}
+
+// writtenVersions returns the versions of the rows that a transaction has written. The directory row may have been
+// written again since; its version is not needed.
+func (m *Manager) writtenVersions(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+	keys := make([]string, len(txn.Writes))
+	for i, w := range txn.Writes {
+		keys[i] = w.Key
+	}
+	rows, err := m.opts.Table.Get(ctx, keys...)
+	if err != nil {
+		return nil, err
+	}
+	versions := make([]uint64, len(keys))
+	for i, key := range keys {
+		for _, row := range rows {
+			if row.Key == key && row.TxnID == txn.ID {
+				versions[i] = row.Version
+			}
+		}
+	}
+	return versions, nil
+}
+
+// observePartitions notes the owners. Callers hold m.mu.
+func (m *Manager) observePartitions(rows []platform.Row) (changed bool) {
+	for _, row := range rows {
+		p, ok := parsePartition(strings.TrimPrefix(row.Key, partitionPrefix))
+		var o Owner
+		if !ok || json.Unmarshal(row.Value, &o) != nil {
+			continue
+		}
+		if old, known := m.owners[p]; !known || old.version < row.Version {
+			m.owners[p] = ownerRow{Owner: o, version: row.Version}
+			changed = true
+		}
+	}
+	return changed
+}
+
+// lostPartitions removes and returns the partitions that another session owns now. Callers hold m.mu.
+func (m *Manager) lostPartitions() []Partition {
+	var lost []Partition
+	for p, epoch := range m.mine {
+		if row := m.owners[p]; row.Session != m.session.ID || row.Epoch != epoch {
+			delete(m.mine, p)
+			lost = append(lost, p)
+		}
+	}
+	return lost
+}
+
+// candidates returns the live sessions that take partitions. Sessions to avoid count when there are no others, so that a
+// wrong sign of leaving never leaves the partitions without an owner. Callers hold m.mu.
+func (m *Manager) candidates() []*watchedSession {
+	var live, avoided []*watchedSession
+	for id, w := range m.watched {
+		switch {
+		case m.expired(id) || w.Leaving:
+		case m.opts.Avoid != nil && m.opts.Avoid(w.Instance):
+			avoided = append(avoided, w)
+		default:
+			live = append(live, w)
+		}
+	}
+	if len(live) == 0 {
+		return avoided
+	}
+	return live
+}
+
+// settled reports whether the set of sessions has not changed for some renewals, so that moving partitions makes sense.
+// Callers hold m.mu.
+func (m *Manager) settled() bool {
+	return m.opts.Clock.Since(m.changed) >= settleRenewals*m.opts.RenewEvery
+}
+
+// ownerlessFor returns how long a partition has been seen without an owner. Callers hold m.mu.
+func (m *Manager) ownerlessFor(p Partition, ownerless bool) time.Duration {
+	if !ownerless {
+		delete(m.ownerless, p)
+		return 0
+	}
+	since, ok := m.ownerless[p]
+	if !ok {
+		since = m.opts.Clock.Now()
+		m.ownerless[p] = since
+	}
+	return m.opts.Clock.Since(since)
+}
--- a/version/rack/core.go
+++ b/version/rack/core.go
@@ -22,7 +22,9 @@
 	epoch  uint64
 	policy Policy
 
-	mu           sync.Mutex
+	mu sync.Mutex
+	// ownedAt is the last time at which this epoch was known to be the current one.
+	ownedAt      time.Time
 	created      time.Time
 	workers      map[string]*workerState
 	tasks        map[model.TaskID]*taskState
@@ -61,7 +63,7 @@
 // New returns the core of a rack whose partition was taken over at time now with the given epoch.
 func New(now time.Time, id string, epoch uint64, policy Policy) *Core {
 	c := &Core{
-		id: id, epoch: epoch, policy: policy, created: now,
+		id: id, epoch: epoch, policy: policy, created: now, ownedAt: now,
 		workers: map[string]*workerState{}, tasks: map[model.TaskID]*taskState{}, intentEpochs: map[int]uint64{},
 		offers: map[model.TaskID]*queuedOffer{}, shareAt: now, jobs: newJobTable(policy.Jobs),
 		reservations: map[model.TaskID]*reservation{}, holds: map[string]*hold{},
--- a/version/rack/lease.go
+++ b/version/rack/lease.go
@@ -304,6 +304,23 @@
 	}
 }
 
+// Owned notes a time at which this epoch was still the current one, as a renewal of the owner's session has shown.
+func (c *Core) Owned(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at.After(c.ownedAt) {
+		c.ownedAt = at
+	}
+}
+
+// MayRenew reports whether leases may be renewed and granted: an owner without contact to the table stops after the
+// orphan limit, so that a later owner that cannot reach a worker knows when its leases have expired.
+func (c *Core) MayRenew(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.ownedAt) < c.policy.OrphanLimit
+}
+
 // Tick ends the tasks of workers whose leases have provably expired and asks to fence such workers again.
 func (c *Core) Tick(now time.Time) []Effect {
 	c.mu.Lock()
@@ -324,6 +341,10 @@
 			c.reindex(w)
 		}
 		if now.Sub(w.stampAt) > c.policy.LeaseTerm+c.policy.margin() {
+			if !c.ownedAt.After(w.stampAt.Add(c.policy.LeaseTerm + c.policy.margin())) {
+				// A later owner may have renewed the leases; without a newer proof of ownership nothing has provably ended.
+				continue
+			}
 			w.fenced = false
 			c.reindex(w)
 			effects = append(effects, c.lapse(w, "lease expired without contact to the worker")...)
