--- a/process/instance/route.go
+++ b/process/instance/route.go
@@ -48,6 +48,7 @@
 	// They are apart, so that two instances full of requests for each other cannot wait for each other's places.
 	entry, owned *limit.Limiter
 	retries      *limit.Budget
+	now          func() time.Time
 
 	mu sync.Mutex
 	// changed is closed and replaced when an owner or the partitions served here change.
@@ -60,8 +61,8 @@
 	closing map[int]bool
 	// stopping is set once the instance shuts down: closed partitions are not opened again.
 	stopping bool
-	// yielding is when a partition was closed in order to move; yieldAfter is when that may be tried again.
-	yielding, yieldAfter map[int]time.Time
+	// yieldUntil is until when a partition takes no requests because it is to move.
+	yieldUntil map[int]time.Time
 }
 
 func newRouter(now func() time.Time, seed uint64) *router {
@@ -70,7 +71,7 @@
 		entry: limit.New(now, seed, limits), owned: limit.New(now, seed+1, limits),
 		retries: limit.NewBudget(config.Default().Limits.RetryPercent, seed),
 		changed: make(chan struct{}), refreshed: map[ownership.Partition]time.Time{}, working: map[int]int{}, closing: map[int]bool{},
-		yielding: map[int]time.Time{}, yieldAfter: map[int]time.Time{},
+		yieldUntil: map[int]time.Time{}, now: now,
 	}
 }
 
@@ -140,6 +141,7 @@
 	ctx context.Context, req Request, forward func() *peerpb.Forward, local func(context.Context) error,
 ) (*peerpb.ForwardReply, error) {
 	address, here, err := in.findOwner(ctx, req.Partition, "")
+	unsure := false
 	for tries := 0; err == nil; tries++ {
 		var reply *peerpb.ForwardReply
 		if here {
@@ -148,11 +150,29 @@
 			reply, err = in.forward(ctx, address, req.Partition, forward())
 		}
 		if tries > 0 || !(ownerChanged(err) || req.Repeatable && movedMeanwhile(err)) {
-			return reply, err
+			return afterUnknown(unsure, reply, err)
 		}
+		unsure = movedMeanwhile(err)
 		address, here, err = in.nextOwner(ctx, req.Partition, address, err)
 	}
-	return nil, err
+	return afterUnknown(unsure, nil, err)
+}
+
+// afterUnknown corrects the answer to the second attempt of a request whose first attempt may have run: a refusal of the
+// second says nothing about the first.
+func afterUnknown(unsure bool, reply *peerpb.ForwardReply, err error) (*peerpb.ForwardReply, error) {
+	if unsure && err == nil && reply.GetStatus() >= http.StatusBadRequest {
+		var body jsonhttp.ErrorBody
+		if json.Unmarshal(reply.GetBody(), &body) == nil && body.Verdict == verdict.NotRun {
+			err = body.Err()
+		}
+	}
+	if !unsure || err == nil || verdict.Of(err) != verdict.NotRun {
+		return reply, err
+	}
+	e := *verdict.From(err)
+	e.Verdict = verdict.MayHaveRun
+	return nil, &e
 }
 
 // ownerChanged reports whether a request certainly did not run and another owner may serve it.
@@ -365,26 +385,19 @@
 	yieldRetry = 30 * time.Second
 )
 
-// yield closes a partition that is to move and reports whether no request is worked on there. A partition that does not
-// become idle within yieldWait is opened again.
+// yield reports whether a partition that is to move is idle, and closes it then. A busy one takes no further requests for
+// yieldWait and is open again after that, also if it is no longer to move.
 func (r *router) yield(now time.Time, n int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.stopping || now.Before(r.yieldAfter[n]) {
+	switch {
+	case r.stopping:
 		return false
-	}
-	if r.working[n] == 0 {
+	case r.working[n] == 0:
 		r.closing[n] = true
 		return true
-	}
-	since, tried := r.yielding[n]
-	if !tried {
-		r.closing[n], r.yielding[n] = true, now
-		return false
-	}
-	if now.Sub(since) >= yieldWait {
-		r.reopen(n)
-		r.yieldAfter[n] = now.Add(yieldRetry)
+	case now.Sub(r.yieldUntil[n]) >= yieldRetry:
+		r.yieldUntil[n] = now.Add(yieldWait)
 	}
 	return false
 }
@@ -393,24 +406,22 @@
 func (r *router) open(n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.stopping {
-		r.reopen(n)
-		delete(r.yieldAfter, n)
+	if r.stopping {
+		return
 	}
-}
-
-// reopen wakes the requests that wait for the partition. Callers hold r.mu.
-func (r *router) reopen(n int) {
 	delete(r.closing, n)
-	delete(r.yielding, n)
+	delete(r.yieldUntil, n)
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
 
+// isClosed reports whether a partition takes no requests. Callers hold r.mu.
+func (r *router) isClosed(n int) bool { return r.closing[n] || r.now().Before(r.yieldUntil[n]) }
+
 func (r *router) isClosing(n int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.closing[n]
+	return r.isClosed(n)
 }
 
 // shut keeps requests from a partition until open.
@@ -424,7 +435,7 @@
 func (r *router) enter(n int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.closing[n] {
+	if r.isClosed(n) {
 		return false
 	}
 	r.working[n]++
@@ -438,7 +449,7 @@
 	if idle {
 		delete(r.working, n)
 	}
-	idle = idle && r.closing[n]
+	idle = idle && r.isClosed(n)
 	r.mu.Unlock()
 	if idle {
 		r.notify()
--- a/process/instance/route_test.go
+++ b/process/instance/route_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"slices"
 	"sync"
 	"testing"
@@ -10,6 +11,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lentiltide/lentiltide/connection/jsonhttp"
+	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
 	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/request/limit"
 	"github.com/lentiltide/lentiltide/request/verdict"
@@ -224,3 +227,19 @@
 		release()
 	})
 }
+
+// TestRefusalAfterUnknownAttempt guards against NotRun for a request whose first attempt may have run: the partition moved
+// meanwhile and the next owner refused the second attempt.
+func TestRefusalAfterUnknownAttempt(t *testing.T) {
+	refusal := verdict.New(verdict.NotRun, verdict.CodeOverloaded, "too many requests").After(time.Second)
+	_, err := afterUnknown(true, nil, refusal)
+	assert.Equal(t, verdict.Of(err), verdict.MayHaveRun)
+	assert.Equal(t, verdict.From(err).RetryAfter, time.Second)
+	assert.Equal(t, verdict.Of(refusal), verdict.NotRun)
+	body, marshalErr := json.Marshal(jsonhttp.ErrorBodyOf(refusal))
+	assert.NilError(t, marshalErr)
+	_, err = afterUnknown(true, &peerpb.ForwardReply{Status: 429, Body: body}, nil)
+	assert.Equal(t, verdict.Of(err), verdict.MayHaveRun)
+	_, err = afterUnknown(false, nil, refusal)
+	assert.Equal(t, verdict.Of(err), verdict.NotRun)
+}
--- a/version/ownership/ownership.go
+++ b/version/ownership/ownership.go
@@ -204,7 +204,8 @@
 		return ctx.Err()
 	}
 	if m.ended {
-		return nil
+		// The instance goes on forwarding requests until it stops, for which it needs to know the owners.
+		return m.read(ctx)
 	}
 	if err := m.renew(ctx); err != nil {
 		return err
