Answer for an unknown intent only as the proven owner; store configuration plans once

Change: not_found of a call is answered only while the partition row is still the owner's, otherwise wrong_owner with MayHaveRun; the plan row must be absent when it is stored, and a plan whose row is gone is looked up among the confirmed ones. Racks prefer instances of their own region. New benchmarks of calls with tickets and keys and of the table's use.

--- /dev/null
+++ b/bench/state/calls_test.go
@@ -0,0 +1,186 @@
+package state
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lentiltide/lentiltide"
+	"github.com/lentiltide/lentiltide/connection/jsonhttp"
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/process/settings"
+	"github.com/lentiltide/lentiltide/request/api"
+	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/standin/cell"
+)
+
+const (
+	// callRate is the target's peak of task starts, per second of the whole cell.
+	callRate = 520
+	// callTime is how long calls are made.
+	callTime = 10 * time.Second
+	// teams is the number of call intents, each of a team of its own.
+	teams = 40
+)
+
+// desk is a cell with call intents that are not idempotent.
+type desk struct {
+	cell      *cell.Cell
+	instances []*lentiltide.Instance
+	clients   []*jsonhttp.Client
+	intents   []string
+	tickets   [][]string
+}
+
+func startDesk(b *testing.B, instances, workers int) *desk {
+	b.Helper()
+	c, err := cell.Start(cell.Options{
+		Workers: workers, PerRack: perRack, Zones: []string{"osu", "tema", "kasoa"}, Region: "ghana",
+		Capacity: model.Resources{CPUMilli: 64_000, MemoryMiB: 262_144, Slots: 8, Connections: 60},
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(c.Close)
+	d := &desk{cell: c}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for i := range instances {
+		s := settings.Default()
+		s.Instance, s.Region, s.Zone = fmt.Sprintf("entry-%d", i), "ghana", "osu"
+		s.HTTPAddress, s.PeerAddress, s.PlatformURL = "127.0.0.1:0", "127.0.0.1:0", c.URL
+		in, err := lentiltide.Start(lentiltide.Options{Settings: s, Log: log, Seed: uint64(i)})
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(in.Kill)
+		d.instances = append(d.instances, in)
+		d.clients = append(d.clients, jsonhttp.NewClient(in.URL(), nil))
+	}
+	time.Sleep(settleTime)
+	for team := range teams {
+		d.confirm(b, team)
+	}
+	return d
+}
+
+// do repeats a request while it certainly did not run.
+func (d *desk) do(b *testing.B, client int, path string, in, out any) {
+	b.Helper()
+	for range 50 {
+		err := d.clients[client%len(d.clients)].Post(context.Background(), path, in, out)
+		if err == nil {
+			return
+		}
+		if verdict.Of(err) != verdict.NotRun {
+			b.Fatal(err)
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	b.Fatalf("%s is never served", path)
+}
+
+// confirm makes the call intent of a team and takes tickets for a whole run.
+func (d *desk) confirm(b *testing.B, team int) {
+	b.Helper()
+	spec := model.IntentSpec{
+		Account: "office", Team: fmt.Sprintf("team-%d", team), Name: "hold", Kind: model.KindCall, Tasks: 1,
+		Each: model.Resources{CPUMilli: 500, MemoryMiB: 512}, RunTimeMS: 20,
+	}
+	var plan model.Plan
+	d.do(b, team, "/v1/plans", spec, &plan)
+	var in model.Intent
+	d.do(b, team, "/v1/plans/"+plan.ID+"/confirm", struct{}{}, &in)
+	d.intents = append(d.intents, in.ID)
+	var reply api.TicketsReply
+	count := callRate*int(callTime/time.Second)/teams + 1
+	d.do(b, team, "/v1/intents/"+in.ID+"/tickets", api.TicketsRequest{Count: count}, &reply)
+	d.tickets = append(d.tickets, reply.Tickets)
+}
+
+// tally counts answers.
+type tally struct {
+	mu      sync.Mutex
+	waits   *hdrhistogram.Histogram
+	answers map[verdict.Verdict]int
+}
+
+// run makes calls at callRate and reports latency, answers, and reads and writes of the table.
+func (d *desk) run(b *testing.B, header func(team, n int) http.Header) {
+	b.Helper()
+	reads, writes := d.cell.Table.Counts()
+	count := tally{waits: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3), answers: map[verdict.Verdict]int{}}
+	var calls errgroup.Group
+	began := time.Now()
+	for n := range callRate * int(callTime/time.Second) {
+		time.Sleep(time.Until(began.Add(time.Duration(n) * time.Second / callRate)))
+		calls.Go(func() error {
+			team := n % teams
+			sent := time.Now()
+			var reply api.CallReply
+			_, err := d.clients[n%len(d.clients)].Do(context.Background(), http.MethodPost,
+				"/v1/intents/"+d.intents[team]+"/calls", header(team, n/teams), []byte(`{"payload":"lane"}`), &reply)
+			count.mu.Lock()
+			defer count.mu.Unlock()
+			_ = count.waits.RecordValue(time.Since(sent).Microseconds())
+			count.answers[verdict.Of(err)]++
+			return nil
+		})
+	}
+	_ = calls.Wait()
+	elapsed := time.Since(began).Seconds()
+	readsAfter, writesAfter := d.cell.Table.Counts()
+	b.ReportMetric(float64(readsAfter-reads)/elapsed, "reads/s")
+	b.ReportMetric(float64(writesAfter-writes)/elapsed, "writes/s")
+	b.ReportMetric(float64(count.waits.ValueAtQuantile(50))/1000, "p50-ms")
+	b.ReportMetric(float64(count.waits.ValueAtQuantile(99))/1000, "p99-ms")
+	b.ReportMetric(float64(count.answers[verdict.Ran])/elapsed, "ran/s")
+	b.ReportMetric(float64(count.answers[verdict.NotRun]), "not-run")
+	b.ReportMetric(float64(count.answers[verdict.MayHaveRun]), "may-have-run")
+	b.ReportMetric(float64(d.cell.Observer.Counts().DoubleRuns), "double-runs")
+}
+
+func (d *desk) ticket(team, n int) http.Header {
+	return http.Header{api.HeaderTicket: {d.tickets[team][n]}}
+}
+
+func key(team, n int) http.Header {
+	return http.Header{api.HeaderIdempotencyKey: {fmt.Sprintf("key-%d-%d", team, n)}}
+}
+
+// BenchmarkAtMostOnce compares calls with tickets, which need no write before they start, and with keys, which are
+// recorded first. Calls run for 20 ms on the worker.
+func BenchmarkAtMostOnce(b *testing.B) {
+	for name, header := range map[string]func(*desk) func(int, int) http.Header{
+		"ticket": func(d *desk) func(int, int) http.Header { return d.ticket },
+		"key":    func(*desk) func(int, int) http.Header { return key },
+	} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				d := startDesk(b, 8, 48)
+				d.run(b, header(d))
+			}
+		})
+	}
+}
+
+// BenchmarkStoreBudget reports the use of the table by all instances at the target's peak of starts. The budget is 200
+// writes/s and 800 reads/s.
+func BenchmarkStoreBudget(b *testing.B) {
+	for _, size := range []struct{ instances, workers int }{{8, 48}, {24, 240}} {
+		b.Run(fmt.Sprintf("instances=%d/workers=%d", size.instances, size.workers), func(b *testing.B) {
+			for b.Loop() {
+				d := startDesk(b, size.instances, size.workers)
+				d.run(b, d.ticket)
+			}
+		})
+	}
+}
--- a/process/instance/config.go
+++ b/process/instance/config.go
@@ -148,7 +148,11 @@
 	if err != nil {
 		return verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "read plans").After(configRetry)
 	}
-	txn := platform.Txn{ID: uuid.NewString(), Writes: []platform.Write{{Key: config.PlanPrefix + plan.ID, Value: data}}}
+	key := config.PlanPrefix + plan.ID
+	// The row must be absent: a repeated write that arrives late would change its version, on which the confirmation rests.
+	txn := platform.Txn{
+		ID: uuid.NewString(), Conditions: []platform.Condition{{Key: key}}, Writes: []platform.Write{{Key: key, Value: data}},
+	}
 	for _, row := range rows {
 		var old ConfigPlan
 		if json.Unmarshal(row.Value, &old) != nil || plan.CreatedAt.After(old.ExpiresAt) {
@@ -159,8 +163,11 @@
 	if len(rows) >= maxConfigPlans && len(txn.Writes) == 1 {
 		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "%d configuration plans wait for confirmation", len(rows)).After(configPlanTerm)
 	}
-	// A lost answer leaves at most a plan that nobody knows, which changes nothing.
 	if _, err := in.opts.Table.Commit(ctx, txn); err != nil {
+		if rows, readErr := in.opts.Table.Get(ctx, key); readErr == nil && len(rows) == 1 && rows[0].TxnID == txn.ID {
+			return nil
+		}
+		// A lost answer leaves at most a plan that nobody knows, which changes nothing.
 		return verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "store the plan").After(configRetry)
 	}
 	return nil
@@ -178,7 +185,7 @@
 	}
 	plan, planRow, err := in.readConfigPlan(ctx, planID)
 	if err != nil {
-		return ConfigStatus{}, err
+		return in.confirmedMeanwhile(ctx, planID, err)
 	}
 	if plan.BaseRow != rowVersion {
 		return ConfigStatus{}, in.staleConfigPlan(ctx, plan)
@@ -206,6 +213,21 @@
 	return in.statusAfterConfirm(ctx, next)
 }
 
+// confirmedMeanwhile returns the result of another confirmation of a plan whose row is gone, or else the cause.
+func (in *Instance) confirmedMeanwhile(ctx context.Context, planID string, cause error) (ConfigStatus, error) {
+	if verdict.From(cause).Code != verdict.CodeNotFound {
+		return ConfigStatus{}, cause
+	}
+	current, _, err := in.readConfig(ctx)
+	if err != nil {
+		return ConfigStatus{}, err
+	}
+	if _, ok := current.VersionOf(planID); ok {
+		return in.ConfigStatus(ctx)
+	}
+	return ConfigStatus{}, cause
+}
+
 // statusAfterConfirm answers with the confirmed version also when the sessions cannot be read any more.
 func (in *Instance) statusAfterConfirm(ctx context.Context, row config.Row) (ConfigStatus, error) {
 	if status, err := in.ConfigStatus(ctx); err == nil {
--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -101,7 +101,7 @@
 		Instance: s.Instance, Address: s.PeerAddress, Region: s.Region, Zone: s.Zone,
 		Table: opts.Table, Clock: opts.Clock, Hooks: in, Log: opts.Log, Partitions: in.partitions,
 		RenewEvery: s.SessionRenew(), Term: s.SessionTerm(),
-		Avoid: in.isLeaving, ConfigVersion: func() uint64 { return in.config.Current().Version },
+		Avoid: in.isLeaving, RegionOf: in.rackRegion, ConfigVersion: func() uint64 { return in.config.Current().Version },
 	})
 	return in
 }
--- a/process/instance/intents.go
+++ b/process/instance/intents.go
@@ -302,6 +302,19 @@
 	return done, err
 }
 
+// unlessMoved returns err, but for an intent that is not found while another instance may own the partition: that one may
+// know the intent and may have run the call, so that the result is unknown here.
+func (r *intentRunner) unlessMoved(ctx context.Context, err error) error {
+	if verdict.From(err).Code != verdict.CodeNotFound {
+		return err
+	}
+	rows, readErr := r.in.opts.Table.Get(ctx, r.condition.Key)
+	if readErr == nil && len(rows) == 1 && rows[0].Version == r.condition.Version {
+		return err
+	}
+	return verdict.New(verdict.MayHaveRun, verdict.CodeWrongOwner, "intent partition %d may have another owner, which may know the intent", r.partition()).After(retryDelay)
+}
+
 // Call runs a call of a standing intent and waits for its outcome. A caller that gives up before the call was granted
 // gets NotRun. A key, which a call without a ticket may have, is recorded before anything is dispatched.
 func (in *Instance) Call(ctx context.Context, n int, id string, ticket model.StartToken, key string, payload []byte) (model.Outcome, error) {
@@ -311,12 +324,12 @@
 	}
 	if key != "" {
 		if ticket, err = r.recordKey(ctx, id, key, payload); err != nil {
-			return model.Outcome{}, err
+			return model.Outcome{}, r.unlessMoved(ctx, err)
 		}
 	}
 	res, err := r.core.Call(r.now(), id, ticket, uuid.NewString(), payload)
 	if err != nil {
-		return model.Outcome{}, err
+		return model.Outcome{}, r.unlessMoved(ctx, err)
 	}
 	if res.Outcome != nil {
 		return *res.Outcome, nil
--- a/process/instance/members.go
+++ b/process/instance/members.go
@@ -32,6 +32,14 @@
 
 func (in *Instance) rackMembers(name string) []platform.Member { return in.members.Workers(name) }
 
+// rackRegion returns the region of a rack, or an empty text if it is unknown.
+func (in *Instance) rackRegion(name string) string {
+	if members := in.rackMembers(name); len(members) > 0 {
+		return members[0].Region
+	}
+	return ""
+}
+
 // isLeaving reports whether the platform says that an entry instance is leaving, so that it gets no further partitions.
 func (in *Instance) isLeaving(name string) bool { return in.members.IsLeaving(name) }
 
--- a/version/ownership/ownership_test.go
+++ b/version/ownership/ownership_test.go
@@ -136,3 +136,18 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(rows), 0)
 }
+
+// TestRackPrefersItsRegion guards against racks that are owned across regions while an instance of their own region
+// lives: a region that is cut off would lose the control of its own work.
+func TestRackPrefersItsRegion(t *testing.T) {
+	var live []*watchedSession
+	for _, s := range []Session{
+		{ID: "1", Instance: "a-1", Region: "a"}, {ID: "2", Instance: "b-1", Region: "b"}, {ID: "3", Instance: "b-2", Region: "b"},
+	} {
+		live = append(live, &watchedSession{Session: s})
+	}
+	for _, rack := range []string{"r1", "r2", "r3", "r4", "r5", "r6", "r7", "r8"} {
+		assert.Equal(t, ranked(Rack(rack), "a", live)[0].Region, "a")
+		assert.Equal(t, ranked(Rack(rack), "b", live)[0].Region, "b")
+	}
+}
