--- a/bench/network/cost_test.go
+++ b/bench/network/cost_test.go
@@ -14,6 +14,8 @@
 )
 
 const (
+	// settleTime is the time from the start until nothing moves any more; it is not part of the idle time.
+	settleTime = 30 * time.Second
 	// idleTime holds each message that is sent without a change at least once; costTime is how long the load lasts.
 	idleTime = 16 * time.Second
 	costTime = 8 * time.Second
@@ -46,8 +48,8 @@
 	for i := range costTeams {
 		partitions[i], ids[i] = f.standing(b, fmt.Sprintf("team-%02d", i), model.ClassShort)
 	}
-	// Sessions, summaries and the fences of the workers settle.
-	time.Sleep(5 * time.Second)
+	// All instances start at once, which does not happen in operation: partitions move between them for the first seconds.
+	time.Sleep(settleTime)
 	idle := f.cost(func() { time.Sleep(idleTime) })
 	idle.report(b, "idle")
 	var done, failed atomic.Int64
--- a/version/ownership/balance.go
+++ b/version/ownership/balance.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sort"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
@@ -74,12 +75,39 @@
 		}
 		take = take[n:]
 	}
-	for _, g := range give {
-		if !m.opts.Hooks.Yield(g.partition) {
-			continue
+	return m.give(ctx, give)
+}
+
+const (
+	// yieldCheck is the time between two questions whether a partition may move; yieldLimit bounds the time that one step
+	// waits for that, which must leave room for the next renewal.
+	yieldCheck = 20 * time.Millisecond
+	yieldLimit = 600 * time.Millisecond
+)
+
+// give hands partitions over. Those that are busy are asked again for a short time, since each takes no requests from the
+// first question on; what is still busy then is left to a later step.
+func (m *Manager) give(ctx context.Context, busy []move) error {
+	began := m.opts.Clock.Now()
+	for len(busy) > 0 {
+		var later []move
+		for _, g := range busy {
+			if !m.opts.Hooks.Yield(g.partition) {
+				later = append(later, g)
+				continue
+			}
+			if err := m.release(ctx, g); err != nil && !isConflict(err) {
+				return err
+			}
 		}
-		if err := m.release(ctx, g); err != nil && !isConflict(err) {
-			return err
+		busy = later
+		if len(busy) == 0 || m.opts.Clock.Since(began) >= yieldLimit {
+			return nil
+		}
+		select {
+		case <-m.opts.Clock.After(yieldCheck):
+		case <-ctx.Done():
+			return nil
 		}
 	}
 	return nil
