Measure how long calls wait when an instance leaves or dies

Cause: the bounds of 2 s for a graceful leave and 10 s for a death had been measured for the change of owners only. Change: BenchmarkLeave makes 520 calls/s with tickets over 8 instances and 48 workers while one instance goes.

--- a/bench/state/calls_test.go
+++ b/bench/state/calls_test.go
@@ -142,6 +142,7 @@
 	b.ReportMetric(float64(writesAfter-writes)/elapsed, "writes/s")
 	b.ReportMetric(float64(count.waits.ValueAtQuantile(50))/1000, "p50-ms")
 	b.ReportMetric(float64(count.waits.ValueAtQuantile(99))/1000, "p99-ms")
+	b.ReportMetric(float64(count.waits.Max())/1000, "max-ms")
 	b.ReportMetric(float64(count.answers[verdict.Ran])/elapsed, "ran/s")
 	b.ReportMetric(float64(count.answers[verdict.NotRun]), "not-run")
 	b.ReportMetric(float64(count.answers[verdict.MayHaveRun]), "may-have-run")
@@ -184,3 +185,38 @@
 		})
 	}
 }
+
+// leaveAfter is when an instance goes while calls are made.
+const leaveAfter = 3 * time.Second
+
+// BenchmarkLeave reports how long calls wait when an instance leaves gracefully and when it dies, with the loading of its
+// partitions and the fencing of its workers included. The bounds are 2 s and 10 s. Callers use the other instances.
+func BenchmarkLeave(b *testing.B) {
+	for name, leave := range map[string]func(*lentiltide.Instance) error{
+		"graceful": func(in *lentiltide.Instance) error {
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			return in.Shutdown(ctx)
+		},
+		"death": func(in *lentiltide.Instance) error {
+			in.Kill()
+			return nil
+		},
+	} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				d := startDesk(b, 8, 48)
+				d.clients = d.clients[1:]
+				var left errgroup.Group
+				left.Go(func() error {
+					time.Sleep(leaveAfter)
+					return leave(d.instances[0])
+				})
+				d.run(b, d.ticket)
+				if err := left.Wait(); err != nil {
+					b.Error(err)
+				}
+			}
+		})
+	}
+}
