Keep recorded keys within the write budget

Cause: 520 keyed calls/s took 595 writes/s of the table, above the 200 for all instances together. Change: all instances record at most 120 new keys/s, with bursts of 16 each; more are refused at once as NotRun with a retry time, and a known key is still answered.

--- a/process/instance/certainty_test.go
+++ b/process/instance/certainty_test.go
@@ -73,3 +73,23 @@
 		assert.Equal(t, status.Version, uint64(1))
 	}
 }
+
+// TestKeysKeepTheWriteBudget guards against keyed calls that use up the writes of the table: beyond the budget a new key is
+// refused at once, while a known one is still answered.
+func TestKeysKeepTheWriteBudget(t *testing.T) {
+	in := start(t)
+	spec := work(model.KindCall, 1, 1)
+	out := in.confirm(t, in.plan(t, spec))
+	n := partitionOf(spec)
+	call := func(key string) error {
+		_, err := in.Call(context.Background(), n, out.ID, model.StartToken{}, key, nil)
+		return err
+	}
+	assert.NilError(t, call("first"))
+	in.keyBudget.SetBurst(0)
+	err := call("second")
+	assert.Equal(t, verdict.Of(err), verdict.NotRun)
+	assert.Equal(t, verdict.From(err).Code, verdict.CodeOverloaded)
+	assert.Assert(t, verdict.From(err).RetryAfter > 0)
+	assert.NilError(t, call("first"))
+}
--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -12,6 +12,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"github.com/lentiltide/lentiltide/connection/peer"
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
@@ -61,8 +62,10 @@
 	racks   map[string]*rackRunner
 	intents map[int]*intentRunner
 	rng     *rand.Rand
-	handler callHandler
-	view    cellView
+	// keyBudget bounds the new idempotency keys that this instance records.
+	keyBudget *rate.Limiter
+	handler   callHandler
+	view      cellView
 
 	usages      *usageBook
 	members     *membership.View
@@ -87,7 +90,7 @@
 		opts: opts, ctx: ctx, cancel: cancel,
 		racks: map[string]*rackRunner{}, intents: map[int]*intentRunner{},
 		members: membership.New(), summaries: summaries{known: map[string]knownSummary{}},
-		rng: rand.New(rand.NewPCG(opts.Seed, 0)), usages: newUsageBook(opts.Clock.Now),
+		rng: rand.New(rand.NewPCG(opts.Seed, 0)), keyBudget: rate.NewLimiter(keyRate, keyBurst), usages: newUsageBook(opts.Clock.Now),
 	}
 	in.config = config.NewView(in.configApplied)
 	in.router = newRouter(opts.Clock.Now, opts.Seed)
--- a/process/instance/keys.go
+++ b/process/instance/keys.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
@@ -20,8 +22,23 @@
 	keyBatch = 64
 	// keysPending bounds the keys that wait for a write.
 	keysPending = 1024
+	// keyRate bounds the new keys that all instances together record per second. It is what outcomes and sessions leave of
+	// the 200 writes/s of the cell at the peak of starts.
+	keyRate = 120
+	// keyBurst is the number of new keys that one instance records at once after a quiet time.
+	keyBurst = 16
 )
 
+// admitKey takes this instance's part of keyRate for one new key; the error is NotRun.
+func (in *Instance) admitKey() error {
+	now := in.opts.Clock.Now()
+	in.keyBudget.SetLimitAt(now, rate.Limit(keyRate/float64(max(1, len(in.owners.Sessions())))))
+	if in.keyBudget.AllowN(now, 1) {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "more Idempotency-Keys arrive than can be recorded; tickets have no such limit").After(time.Second)
+}
+
 // keyRequest is a key that waits to be recorded.
 type keyRequest struct {
 	row  string
@@ -63,6 +80,9 @@
 	case res := <-req.done:
 		if res.err != nil {
 			e := verdict.From(res.err)
+			if e.Code == verdict.CodeOverloaded {
+				return model.StartToken{}, e
+			}
 			return model.StartToken{}, verdict.Wrap(e, verdict.NotRun, verdict.CodeUnavailable, "the Idempotency-Key cannot be recorded").After(max(e.RetryAfter, retryDelay))
 		}
 		return res.key.Ticket, res.key.Matches(payload)
@@ -112,7 +132,7 @@
 	found, err := r.readKeys(batch)
 	var conditions []platform.Condition
 	var writes []platform.Write
-	fresh := map[string]intent.Key{}
+	fresh, refused := map[string]intent.Key{}, map[*keyRequest]error{}
 	for _, req := range batch {
 		if _, ok := found[req.row]; ok || err != nil {
 			continue
@@ -120,6 +140,10 @@
 		if _, ok := fresh[req.row]; ok {
 			continue
 		}
+		if refusal := r.in.admitKey(); refusal != nil {
+			refused[req] = refusal
+			continue
+		}
 		var data []byte
 		data, err = json.Marshal(req.want)
 		fresh[req.row] = req.want
@@ -130,6 +154,10 @@
 		_, err = r.commit(r.ctx, conditions, writes)
 	}
 	for _, req := range batch {
+		if refusal := refused[req]; refusal != nil {
+			req.done <- keyResult{err: refusal}
+			continue
+		}
 		key, ok := found[req.row]
 		if !ok {
 			key = fresh[req.row]
