Say NotRun for a failed connection only if none was made before

Cause: the HTTP client of the standard library repeats a request with an Idempotency-Key by itself when its connection is lost; if the repetition could not connect, the error was taken for a first attempt that sent nothing, and answered NotRun. Conclusion: one more false NotRun is closed.

--- a/connection/jsonhttp/jsonhttp.go
+++ b/connection/jsonhttp/jsonhttp.go
@@ -10,6 +10,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -79,6 +81,10 @@
 
 // Do sends a request with headers and decodes the JSON reply into out, if out is not nil. It returns the reply headers.
 func (c *Client) Do(ctx context.Context, method, path string, header http.Header, body []byte, out any) (http.Header, error) {
+	// The HTTP client repeats a request with an Idempotency-Key by itself, so that a failed connection attempt may follow
+	// one that was sent.
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "build request")
@@ -89,7 +95,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, transportError(err)
+		return nil, transportError(err, connected.Load())
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
@@ -114,10 +120,11 @@
 // Digest returns the value of HeaderDigest for a body.
 func Digest(body []byte) string { return fmt.Sprintf("%016x", xxhash.Sum64(body)) }
 
-// transportError says NotRun only for a failed connection attempt, since then no byte of the request was sent.
-func transportError(err error) error {
+// transportError says NotRun only for a failed connection attempt without any connection before, since then no byte of the
+// request was sent.
+func transportError(err error, connected bool) error {
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if !connected && errors.As(err, &op) && op.Op == "dial" {
 		return verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "connect")
 	}
 	return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUnavailable, "request failed")
