Define the demand of a task once

Cause: the rule that a task takes at least one slot stood in the rack core and in the intent core. Change: model.Task.Demand holds it; both cores use it. Conclusion: the owners of a quota and of a ledger cannot come to count differently.

--- a/model/intent.go
+++ b/model/intent.go
@@ -104,6 +104,13 @@
 	Payload     []byte    `json:"payload,omitempty"`
 }
 
+// Demand returns the declared capacity that a task takes; it takes at least one slot.
+func (t Task) Demand() Resources {
+	d := t.Each
+	d.Slots = max(d.Slots, 1)
+	return d
+}
+
 // StartToken identifies one permitted start of a task. It is minted by the owner of an intent partition.
 type StartToken struct {
 	// Partition is the number of the intent partition.
--- a/version/intent/offer.go
+++ b/version/intent/offer.go
@@ -367,11 +367,7 @@
 }
 
 // Demand returns the capacity that a task takes; it takes at least one slot.
-func Demand(task model.Task) model.Resources {
-	d := task.Each
-	d.Slots = max(d.Slots, 1)
-	return d
-}
+func Demand(task model.Task) model.Resources { return task.Demand() }
 
 // offerBatch collects offers by rack.
 type offerBatch struct {
--- a/version/rack/place.go
+++ b/version/rack/place.go
@@ -198,11 +198,7 @@
 }
 
 // Demand returns the declared capacity that a task takes; it takes at least one slot.
-func Demand(task model.Task) model.Resources {
-	d := task.Each
-	d.Slots = max(d.Slots, 1)
-	return d
-}
+func Demand(task model.Task) model.Resources { return task.Demand() }
 
 // Proposal is the dry run of placing tasks.
 type Proposal struct {
