--- a/bench/capacity/fixture.go
+++ b/bench/capacity/fixture.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/version/intent"
 	"github.com/lentiltide/lentiltide/version/rack"
 	"github.com/lentiltide/lentiltide/worker"
@@ -30,10 +30,10 @@
 // fencedRack returns a rack core with n fenced workers of the Crease Union size.
 func fencedRack(n int) *rack.Core {
 	c := rack.New(start, "rack-0", 1, rack.DefaultPolicy())
-	members := make([]platform.Member, n)
+	members := make([]store.Member, n)
 	for i := range members {
-		members[i] = platform.Member{
-			ID: fmt.Sprintf("worker-%05d", i), Role: platform.RoleWorker, State: platform.MemberLive, Zone: "osu", Rack: "rack-0",
+		members[i] = store.Member{
+			ID: fmt.Sprintf("worker-%05d", i), Role: store.RoleWorker, State: store.MemberLive, Zone: "osu", Rack: "rack-0",
 			Address:  fmt.Sprintf("http://10.0.%d.%d:80", i/250, i%250),
 			Capacity: model.Resources{CPUMilli: 64_000, MemoryMiB: 262_144, Slots: 8, Connections: 60},
 		}
--- a/bench/decisions/cell.go
+++ b/bench/decisions/cell.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/version/rack"
 	"github.com/lentiltide/lentiltide/worker"
 )
@@ -107,15 +107,15 @@
 
 var start = time.Unix(1_000_000, 0)
 
-func members(n int, capacity model.Resources) []platform.Member {
-	out := make([]platform.Member, n)
+func members(n int, capacity model.Resources) []store.Member {
+	out := make([]store.Member, n)
 	for i := range out {
-		out[i] = platform.Member{ID: fmt.Sprintf("w%d", i), State: platform.MemberLive, Capacity: capacity}
+		out[i] = store.Member{ID: fmt.Sprintf("w%d", i), State: store.MemberLive, Capacity: capacity}
 	}
 	return out
 }
 
-func newFleet(e *events, id string, policy rack.Policy, workers []platform.Member) *fleet {
+func newFleet(e *events, id string, policy rack.Policy, workers []store.Member) *fleet {
 	f := &fleet{
 		events: e, core: rack.New(e.now, id, 1, policy), jobs: map[model.TaskID]*job{},
 		running: map[string]map[model.TaskID]*startedJob{}, results: map[string][]worker.Result{}, capacity: map[string]model.Resources{},
@@ -231,7 +231,7 @@
 	onEnd func(*job)
 }
 
-func newFIFO(e *events, workers []platform.Member) *fifo {
+func newFIFO(e *events, workers []store.Member) *fifo {
 	f := &fifo{events: e}
 	for _, m := range workers {
 		f.free = append(f.free, m.Capacity)
--- a/bench/decisions/gang_test.go
+++ b/bench/decisions/gang_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/version/rack"
 )
 
@@ -184,7 +184,7 @@
 // fifoGangs returns when the last gang starts if one queue with full knowledge of all racks starts gangs in order.
 func fifoGangs(n int) float64 {
 	e := &events{now: start}
-	var workers []platform.Member
+	var workers []store.Member
 	for range 8 {
 		workers = append(workers, members(8, creaseUnion)...)
 	}
--- a/bench/decisions/place_test.go
+++ b/bench/decisions/place_test.go
@@ -7,14 +7,14 @@
 	"time"
 
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/version/rack"
 	"github.com/lentiltide/lentiltide/worker"
 )
 
 // mixed returns a fleet in which half of the workers have four times the capacity of the others.
-func mixed(n int) []platform.Member {
+func mixed(n int) []store.Member {
 	out := members(n, karutehas)
 	for i := range out {
 		if i%2 == 1 {
@@ -36,7 +36,7 @@
 	offers, ends []time.Duration
 }
 
-func newPlaceLoop(workers []platform.Member, tasks int) *placeLoop {
+func newPlaceLoop(workers []store.Member, tasks int) *placeLoop {
 	l := &placeLoop{core: rack.New(start, "r1", 1, rack.DefaultPolicy()), now: start, started: map[string]uint64{}}
 	for _, e := range l.core.SetMembers(l.now, workers) {
 		l.core.Fenced(l.now, e.(rack.FenceWorker).Worker, worker.Inventory{BootID: "b"})
@@ -132,7 +132,7 @@
 }
 
 // firstFitTime returns the time of one first-fit search with a number of running tasks, in nanoseconds.
-func firstFitTime(workers []platform.Member, tasks int) float64 {
+func firstFitTime(workers []store.Member, tasks int) float64 {
 	f := newFIFO(&events{now: start}, workers)
 	for i := range tasks {
 		f.offer(&job{task: model.Task{Each: resources(int64(500+i%7*300), 1024)}, run: time.Hour})
@@ -159,7 +159,7 @@
 
 // packCore offers tasks until one waits, and returns the tasks that were placed. The core has seen the earlier tasks
 // before, whose claims were denied.
-func packCore(workers []platform.Member, earlier, tasks []model.Task) int {
+func packCore(workers []store.Member, earlier, tasks []model.Task) int {
 	p := rack.DefaultPolicy()
 	p.Short.MinShare = 0
 	core := rack.New(start, "r1", 1, p)
@@ -179,7 +179,7 @@
 }
 
 // packBy places tasks by the smallest cost of a worker until one fits nowhere.
-func packBy(workers []platform.Member, tasks []model.Task, cost func(i int, rest model.Resources) float64) int {
+func packBy(workers []store.Member, tasks []model.Task, cost func(i int, rest model.Resources) float64) int {
 	free := make([]model.Resources, len(workers))
 	for i, m := range workers {
 		free[i] = m.Capacity
@@ -203,7 +203,7 @@
 }
 
 // idealTasks is an upper bound of any packing: the tasks whose sum stays within the sum of the capacities.
-func idealTasks(workers []platform.Member, tasks []model.Task) int {
+func idealTasks(workers []store.Member, tasks []model.Task) int {
 	var total, sum model.Resources
 	for _, m := range workers {
 		total = total.Add(m.Capacity)
@@ -217,7 +217,7 @@
 }
 
 // inUse is the share of the dominant capacity that the first n tasks take.
-func inUse(workers []platform.Member, tasks []model.Task, n int) float64 {
+func inUse(workers []store.Member, tasks []model.Task, n int) float64 {
 	var total, sum model.Resources
 	for _, m := range workers {
 		total = total.Add(m.Capacity)
--- a/bench/decisions/waits_test.go
+++ b/bench/decisions/waits_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/version/rack"
 )
 
@@ -78,14 +78,14 @@
 
 type newScheduler func(e *events) (s scheduler, onEnd func(func(*job)))
 
-func withCore(policy rack.Policy, workers []platform.Member) newScheduler {
+func withCore(policy rack.Policy, workers []store.Member) newScheduler {
 	return func(e *events) (scheduler, func(func(*job))) {
 		f := newFleet(e, "r1", policy, workers)
 		return f, func(on func(*job)) { f.onEnd = on }
 	}
 }
 
-func withFIFO(workers []platform.Member) newScheduler {
+func withFIFO(workers []store.Member) newScheduler {
 	return func(e *events) (scheduler, func(func(*job))) {
 		f := newFIFO(e, workers)
 		return f, func(on func(*job)) { f.onEnd = on }
--- a/bench/network/fleet_test.go
+++ b/bench/network/fleet_test.go
@@ -18,11 +18,11 @@
 
 	"github.com/lentiltide/lentiltide/connection/peer"
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/process/instance"
 	"github.com/lentiltide/lentiltide/process/settings"
 	standinplatform "github.com/lentiltide/lentiltide/standin/platform"
 	standinworker "github.com/lentiltide/lentiltide/standin/worker"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/worker"
 )
 
@@ -51,8 +51,8 @@
 	for i := range workers {
 		id := fmt.Sprintf("worker-%03d", i)
 		f.agents[id] = standinworker.New(standinworker.Options{ID: id, Capacity: capacity, Clock: clockwork.NewRealClock()})
-		f.members.Set(platform.Member{
-			ID: id, Role: platform.RoleWorker, State: platform.MemberLive, Region: "estonia",
+		f.members.Set(store.Member{
+			ID: id, Role: store.RoleWorker, State: store.MemberLive, Region: "estonia",
 			Zone: []string{"tallinn-port", "tallinn-yard", "maardu"}[i/8%3], Rack: fmt.Sprintf("rack-%03d", i/8),
 			Address: id, Capacity: capacity,
 		})
--- a/bench/state/takeover_test.go
+++ b/bench/state/takeover_test.go
@@ -13,8 +13,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
 	standinplatform "github.com/lentiltide/lentiltide/standin/platform"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/version/ownership"
 )
 
@@ -44,7 +44,7 @@
 func (m *member) Lost(p ownership.Partition)                  { m.count(p, false) }
 func (m *member) Yield(ownership.Partition) bool              { return true }
 
-func (m *member) Release(p ownership.Partition) *platform.Write {
+func (m *member) Release(p ownership.Partition) *store.Write {
 	m.Lost(p)
 	return nil
 }
--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -72,6 +72,8 @@
 type Options struct {
 	// Certificates enables mutual TLS. Without it only loopback addresses are dialled and served.
 	Certificates *Certificates
+	// PrivateNetwork permits plain TCP beyond loopback, for deployments whose network connects only their own instances.
+	PrivateNetwork bool
 	// Dial replaces the TCP dialler in tests.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Seed seeds the jitter of reconnections.
@@ -119,7 +121,7 @@
 func (t *Transport) dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	dialer := &net.Dialer{}
 	if t.opts.Certificates == nil {
-		if !IsLoopback(address) {
+		if !t.opts.PrivateNetwork && !IsLoopback(address) {
 			return nil, errors.Newf("address %s is not a loopback address and no certificates are configured", address)
 		}
 		return dialer.DialContext(ctx, "tcp", address)
@@ -198,7 +200,7 @@
 // Serve accepts connections until the listener or the transport is closed. A listener on an address beyond loopback
 // needs certificates.
 func (t *Transport) Serve(ctx context.Context, l net.Listener, handle Handler) error {
-	if t.opts.Certificates == nil && !IsLoopback(l.Addr().String()) {
+	if t.opts.Certificates == nil && !t.opts.PrivateNetwork && !IsLoopback(l.Addr().String()) {
 		return errors.Newf("address %s is not a loopback address and no certificates are configured", l.Addr())
 	}
 	handle = t.countCalls(handle)
--- a/connection/platform/client.go
+++ b/connection/store/client.go
@@ -1,12 +1,12 @@
-// Package platform is the HTTP client of the platform's table service, object store and instance list. A Client lives as
+// Package store is the HTTP client of the platform's table service, object store and instance list. A Client lives as
 // long as its pooled connections.
-package platform
+package store
 
 import (
 	"context"
 
 	"github.com/lentiltide/lentiltide/connection/jsonhttp"
-	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/store"
 )
 
 // Paths of the platform's HTTP interface.
@@ -37,7 +37,7 @@
 
 // RowsReply holds rows.
 type RowsReply struct {
-	Rows []platform.Row `json:"rows"`
+	Rows []store.Row `json:"rows"`
 }
 
 // Object is a named object.
@@ -53,43 +53,43 @@
 
 // MembersReply holds the list of machines.
 type MembersReply struct {
-	Members []platform.Member `json:"members"`
+	Members []store.Member `json:"members"`
 }
 
-// Client implements platform.Table, platform.Objects (by Objects) and platform.InstanceList (by Members).
+// Client implements store.Table, store.Objects (by Objects) and store.InstanceList (by Members).
 type Client struct{ http *jsonhttp.Client }
 
-var _ platform.Table = (*Client)(nil)
+var _ store.Table = (*Client)(nil)
 
 // NewClient returns a client for the platform's base URL.
 func NewClient(base string) *Client { return &Client{http: jsonhttp.NewClient(base, nil)} }
 
-// Commit implements platform.Table.
-func (c *Client) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+// Commit implements store.Table.
+func (c *Client) Commit(ctx context.Context, txn store.Txn) ([]uint64, error) {
 	var reply CommitReply
 	err := c.http.Post(ctx, PathCommit, txn, &reply)
 	return reply.Versions, err
 }
 
-// Get implements platform.Table.
-func (c *Client) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+// Get implements store.Table.
+func (c *Client) Get(ctx context.Context, keys ...string) ([]store.Row, error) {
 	var reply RowsReply
 	err := c.http.Post(ctx, PathGet, KeysRequest{Keys: keys}, &reply)
 	return reply.Rows, err
 }
 
-// Scan implements platform.Table.
-func (c *Client) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
+// Scan implements store.Table.
+func (c *Client) Scan(ctx context.Context, prefix string) ([]store.Row, error) {
 	var reply RowsReply
 	err := c.http.Post(ctx, PathScan, PrefixRequest{Prefix: prefix}, &reply)
 	return reply.Rows, err
 }
 
 // Objects returns the object store of the platform.
-func (c *Client) Objects() platform.Objects { return objects{c.http} }
+func (c *Client) Objects() store.Objects { return objects{c.http} }
 
 // Members returns the instance list of the platform.
-func (c *Client) Members() platform.InstanceList { return members{c.http} }
+func (c *Client) Members() store.InstanceList { return members{c.http} }
 
 type objects struct{ http *jsonhttp.Client }
 
@@ -111,7 +111,7 @@
 
 type members struct{ http *jsonhttp.Client }
 
-func (m members) List(ctx context.Context) ([]platform.Member, error) {
+func (m members) List(ctx context.Context) ([]store.Member, error) {
 	var reply MembersReply
 	err := m.http.Post(ctx, PathMembers, struct{}{}, &reply)
 	return reply.Members, err
--- a/example_test.go
+++ b/example_test.go
@@ -12,10 +12,10 @@
 	"github.com/lentiltide/lentiltide"
 	"github.com/lentiltide/lentiltide/connection/jsonhttp"
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/process/settings"
 	standinplatform "github.com/lentiltide/lentiltide/standin/platform"
 	standinworker "github.com/lentiltide/lentiltide/standin/worker"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/worker"
 )
 
@@ -30,8 +30,8 @@
 	capacity := model.Resources{CPUMilli: 16_000, MemoryMiB: 65_536, Slots: 8, Connections: 60}
 	observer := standinworker.NewObserver(time.Now)
 	members := standinplatform.NewInstanceList()
-	members.Set(platform.Member{
-		ID: "worker-1", Role: platform.RoleWorker, State: platform.MemberLive, Region: "estonia", Zone: "maardu",
+	members.Set(store.Member{
+		ID: "worker-1", Role: store.RoleWorker, State: store.MemberLive, Region: "estonia", Zone: "maardu",
 		Rack: "rack-1", Address: "local:worker-1", Capacity: capacity,
 	})
 	own := settings.Default()
--- a/faultmatrix/fakes_test.go
+++ b/faultmatrix/fakes_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/lentiltide/lentiltide/connection/peer"
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/worker"
 )
 
@@ -146,8 +146,8 @@
 	n *node
 }
 
-// store delivers one request to the table service.
-func store[T any](t *faultTable, ctx context.Context, s step, do func(context.Context) (T, error)) (T, error) {
+// deliver delivers one request to the table service.
+func deliver[T any](t *faultTable, ctx context.Context, s step, do func(context.Context) (T, error)) (T, error) {
 	t.w.mu.Lock()
 	down, slow := t.w.storeDown > 0, t.w.storeSlow > 0
 	t.w.mu.Unlock()
@@ -161,16 +161,16 @@
 	return exchange(t.w, ctx, message{step: s, from: t.n}, do)
 }
 
-func (t *faultTable) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
-	return store(t, ctx, t.w.stepOfTxn(txn), func(ctx context.Context) ([]uint64, error) { return t.w.table.Commit(ctx, txn) })
+func (t *faultTable) Commit(ctx context.Context, txn store.Txn) ([]uint64, error) {
+	return deliver(t, ctx, t.w.stepOfTxn(txn), func(ctx context.Context) ([]uint64, error) { return t.w.table.Commit(ctx, txn) })
 }
 
-func (t *faultTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
-	return store(t, ctx, "", func(ctx context.Context) ([]platform.Row, error) { return t.w.table.Get(ctx, keys...) })
+func (t *faultTable) Get(ctx context.Context, keys ...string) ([]store.Row, error) {
+	return deliver(t, ctx, "", func(ctx context.Context) ([]store.Row, error) { return t.w.table.Get(ctx, keys...) })
 }
 
-func (t *faultTable) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
-	return store(t, ctx, "", func(ctx context.Context) ([]platform.Row, error) { return t.w.table.Scan(ctx, prefix) })
+func (t *faultTable) Scan(ctx context.Context, prefix string) ([]store.Row, error) {
+	return deliver(t, ctx, "", func(ctx context.Context) ([]store.Row, error) { return t.w.table.Scan(ctx, prefix) })
 }
 
 // faultList is the platform's list as one instance sees it.
@@ -179,7 +179,7 @@
 	n *node
 }
 
-func (l *faultList) List(context.Context) ([]platform.Member, error) {
+func (l *faultList) List(context.Context) ([]store.Member, error) {
 	if !l.n.pass() {
 		return nil, context.Canceled
 	}
@@ -188,7 +188,7 @@
 	if l.w.frozen != nil {
 		return l.w.frozen, nil
 	}
-	return append([]platform.Member(nil), l.w.members...), nil
+	return append([]store.Member(nil), l.w.members...), nil
 }
 
 // faultDialer reaches the workers from one instance.
@@ -300,7 +300,7 @@
 }
 
 // stepOfTxn returns the step that a transaction belongs to.
-func (w *world) stepOfTxn(txn platform.Txn) step {
+func (w *world) stepOfTxn(txn store.Txn) step {
 	head, _, _ := strings.Cut(txn.Writes[0].Key, "/")
 	switch head {
 	case "plan":
--- a/faultmatrix/faults_test.go
+++ b/faultmatrix/faults_test.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/store"
 )
 
 // step is a point in the life of work at which faults fire.
@@ -71,7 +71,7 @@
 	}},
 	{"instance-list-stale", func(w *world, _ message, _ *fate) {
 		w.mu.Lock()
-		w.frozen = append([]platform.Member(nil), w.members[1:]...)
+		w.frozen = append([]store.Member(nil), w.members[1:]...)
 		w.mu.Unlock()
 		w.later(outage, func() {
 			w.mu.Lock()
--- a/faultmatrix/mutation_test.go
+++ b/faultmatrix/mutation_test.go
@@ -12,19 +12,19 @@
 
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/process/instance"
 	"github.com/lentiltide/lentiltide/request/api"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/worker"
 )
 
 // withoutEpochCondition drops the condition on the partition row from each transaction that is not an ownership change.
-type withoutEpochCondition struct{ platform.Table }
+type withoutEpochCondition struct{ store.Table }
 
-func (t withoutEpochCondition) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+func (t withoutEpochCondition) Commit(ctx context.Context, txn store.Txn) ([]uint64, error) {
 	if !strings.HasPrefix(txn.Writes[0].Key, "partition/") {
-		var kept []platform.Condition
+		var kept []store.Condition
 		for _, c := range txn.Conditions {
 			if !strings.HasPrefix(c.Key, "partition/") {
 				kept = append(kept, c)
@@ -36,9 +36,9 @@
 }
 
 // withoutReadBack takes a write whose answer was lost for one that was refused, instead of reading back what it did.
-type withoutReadBack struct{ platform.Table }
+type withoutReadBack struct{ store.Table }
 
-func (t withoutReadBack) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+func (t withoutReadBack) Commit(ctx context.Context, txn store.Txn) ([]uint64, error) {
 	versions, err := t.Table.Commit(ctx, txn)
 	if verdict.Of(err) == verdict.MayHaveRun {
 		err = verdict.New(verdict.NotRun, verdict.CodeUnavailable, "taken for not run")
@@ -115,7 +115,7 @@
 	if raceStride > 1 {
 		t.Skip("runs without the race detector, as does the whole matrix")
 	}
-	table := func(wrap func(platform.Table) platform.Table) mutations { return mutations{table: wrap} }
+	table := func(wrap func(store.Table) store.Table) mutations { return mutations{table: wrap} }
 	agent := func(wrap func(worker.Agent) worker.Agent) mutations {
 		return mutations{agent: func(a worker.Agent, _ *backend) worker.Agent { return wrap(a) }}
 	}
@@ -126,9 +126,9 @@
 		// faults are those of the matrix that the protection is for.
 		faults []string
 	}{
-		{"epoch-condition", table(func(t platform.Table) platform.Table { return withoutEpochCondition{t} }), []string{"process-pauses", "message-delayed"}},
+		{"epoch-condition", table(func(t store.Table) store.Table { return withoutEpochCondition{t} }), []string{"process-pauses", "message-delayed"}},
 		{"worker-fence", agent(func(a worker.Agent) worker.Agent { return withoutFence{a} }), []string{"process-dies", "message-delayed"}},
-		{"read-back", table(func(t platform.Table) platform.Table { return withoutReadBack{t} }), []string{"message-delayed"}},
+		{"read-back", table(func(t store.Table) store.Table { return withoutReadBack{t} }), []string{"message-delayed"}},
 		{"ticket-table", backend(func(b api.Backend) api.Backend { return withoutTicketTable{b} }), []string{"answer-lost", "message-duplicated"}},
 		{"confirmed-stop", agent(func(a worker.Agent) worker.Agent { return withoutConfirmedStop{a} }), []string{"answer-lost", "message-delayed"}},
 		{"answer-digest", backend(func(b api.Backend) api.Backend { return withoutAnswerCheck{b} }), []string{"answer-swapped"}},
--- a/faultmatrix/protection_test.go
+++ b/faultmatrix/protection_test.go
@@ -8,10 +8,10 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
 	standinplatform "github.com/lentiltide/lentiltide/standin/platform"
 	standinworker "github.com/lentiltide/lentiltide/standin/worker"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/worker"
 )
 
@@ -55,33 +55,33 @@
 // TestEpochConditionStopsLateWrite guards against an intent that a former owner confirms after its successor has taken the
 // partition over.
 func TestEpochConditionStopsLateWrite(t *testing.T) {
-	history := func(wrap func(platform.Table) platform.Table) (rows int, late error) {
+	history := func(wrap func(store.Table) store.Table) (rows int, late error) {
 		ctx := context.Background()
 		table := standinplatform.NewTable()
-		versions, err := table.Commit(ctx, platform.Txn{ID: "take-1", Writes: []platform.Write{{Key: "partition/intent/1"}}})
+		versions, err := table.Commit(ctx, store.Txn{ID: "take-1", Writes: []store.Write{{Key: "partition/intent/1"}}})
 		assert.NilError(t, err)
-		confirm := platform.Txn{
-			ID: "confirm", Writes: []platform.Write{{Key: "intent/1/i1-a"}},
-			Conditions: []platform.Condition{{Key: "partition/intent/1", Version: versions[0]}, {Key: "intent/1/i1-a"}},
+		confirm := store.Txn{
+			ID: "confirm", Writes: []store.Write{{Key: "intent/1/i1-a"}},
+			Conditions: []store.Condition{{Key: "partition/intent/1", Version: versions[0]}, {Key: "intent/1/i1-a"}},
 		}
-		_, err = table.Commit(ctx, platform.Txn{ID: "take-2", Writes: []platform.Write{{Key: "partition/intent/1"}}})
+		_, err = table.Commit(ctx, store.Txn{ID: "take-2", Writes: []store.Write{{Key: "partition/intent/1"}}})
 		assert.NilError(t, err)
 		_, late = wrap(table).Commit(ctx, confirm)
 		found, err := table.Get(ctx, "intent/1/i1-a")
 		assert.NilError(t, err)
 		return len(found), late
 	}
-	rows, late := history(func(t platform.Table) platform.Table { return t })
+	rows, late := history(func(t store.Table) store.Table { return t })
 	assert.Equal(t, verdict.From(late).Code, verdict.CodeConflict)
 	assert.Equal(t, rows, 0)
-	rows, late = history(func(t platform.Table) platform.Table { return withoutEpochCondition{t} })
+	rows, late = history(func(t store.Table) store.Table { return withoutEpochCondition{t} })
 	assert.NilError(t, late)
 	assert.Equal(t, rows, 1)
 }
 
 // TestLostAnswerIsNotNotRun guards against NotRun for a write that took effect and whose answer was lost.
 func TestLostAnswerIsNotNotRun(t *testing.T) {
-	history := func(wrap func(platform.Table) platform.Table) (rows int, answer error) {
+	history := func(wrap func(store.Table) store.Table) (rows int, answer error) {
 		ctx := context.Background()
 		table := standinplatform.NewTable()
 		table.SetFaults(standinplatform.Faults{After: func(op string) error {
@@ -90,15 +90,15 @@
 			}
 			return verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "answer lost")
 		}})
-		_, answer = wrap(table).Commit(ctx, platform.Txn{ID: "confirm", Writes: []platform.Write{{Key: "intent/1/i1-a"}}})
+		_, answer = wrap(table).Commit(ctx, store.Txn{ID: "confirm", Writes: []store.Write{{Key: "intent/1/i1-a"}}})
 		found, err := table.Get(ctx, "intent/1/i1-a")
 		assert.NilError(t, err)
 		return len(found), answer
 	}
-	rows, answer := history(func(t platform.Table) platform.Table { return t })
+	rows, answer := history(func(t store.Table) store.Table { return t })
 	assert.Equal(t, verdict.Of(answer), verdict.MayHaveRun)
 	assert.Equal(t, rows, 1)
-	rows, answer = history(func(t platform.Table) platform.Table { return withoutReadBack{t} })
+	rows, answer = history(func(t store.Table) store.Table { return withoutReadBack{t} })
 	assert.Equal(t, verdict.Of(answer), verdict.NotRun)
 	assert.Equal(t, rows, 1)
 }
--- a/faultmatrix/scenario_test.go
+++ b/faultmatrix/scenario_test.go
@@ -14,10 +14,10 @@
 	"github.com/lentiltide/lentiltide/connection/peer"
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/process/instance"
 	"github.com/lentiltide/lentiltide/request/api"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/store"
 )
 
 const (
@@ -344,7 +344,7 @@
 	defer s.w.mu.Unlock()
 	for i := range s.w.members {
 		if s.w.members[i].ID == id {
-			s.w.members[i].State = platform.MemberLeaving
+			s.w.members[i].State = store.MemberLeaving
 		}
 	}
 	s.left, s.leftAt = id, time.Now()
--- a/faultmatrix/world_test.go
+++ b/faultmatrix/world_test.go
@@ -14,12 +14,12 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/process/instance"
 	"github.com/lentiltide/lentiltide/process/settings"
 	"github.com/lentiltide/lentiltide/request/api"
 	standinplatform "github.com/lentiltide/lentiltide/standin/platform"
 	standinworker "github.com/lentiltide/lentiltide/standin/worker"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/worker"
 )
 
@@ -92,7 +92,7 @@
 
 // mutations replace protections of the scheduler, to show that the checks notice their absence.
 type mutations struct {
-	table   func(platform.Table) platform.Table
+	table   func(store.Table) store.Table
 	agent   func(worker.Agent, *backend) worker.Agent
 	backend func(api.Backend) api.Backend
 }
@@ -114,8 +114,8 @@
 	mu        sync.Mutex
 	nodes     map[string]*node
 	started   int
-	members   []platform.Member
-	frozen    []platform.Member
+	members   []store.Member
+	frozen    []store.Member
 	storeDown int
 	storeSlow int
 	armed     []*armed
@@ -163,8 +163,8 @@
 		Behave: func(task model.Task) standinworker.Behavior { return w.behave(b, task) },
 	})
 	w.workers[id] = b
-	w.members = append(w.members, platform.Member{
-		ID: id, Role: platform.RoleWorker, State: platform.MemberLive, Region: "estonia", Zone: "zone-" + rack, Rack: rack,
+	w.members = append(w.members, store.Member{
+		ID: id, Role: store.RoleWorker, State: store.MemberLive, Region: "estonia", Zone: "zone-" + rack, Rack: rack,
 		Address: id, Capacity: capacity,
 	})
 }
@@ -196,7 +196,7 @@
 	s.Instance, s.PeerAddress, s.Region, s.Zone = n.id, n.id, "estonia", "zone-rack-0"
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	var table platform.Table = &faultTable{w: w, n: n}
+	var table store.Table = &faultTable{w: w, n: n}
 	if w.mutate.table != nil {
 		table = w.mutate.table(table)
 	}
--- a/lentiltide.go
+++ b/lentiltide.go
@@ -14,13 +14,13 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/lentiltide/lentiltide/connection/peer"
-	platformclient "github.com/lentiltide/lentiltide/connection/platform"
+	platformclient "github.com/lentiltide/lentiltide/connection/store"
 	workerclient "github.com/lentiltide/lentiltide/connection/worker"
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/process/instance"
 	"github.com/lentiltide/lentiltide/process/settings"
 	"github.com/lentiltide/lentiltide/process/telemetry"
 	"github.com/lentiltide/lentiltide/request/api"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/worker"
 )
 
@@ -47,9 +47,9 @@
 type Options struct {
 	Settings settings.Settings
 	Clock    clockwork.Clock
-	Table    platform.Table
-	Objects  platform.Objects
-	Members  platform.InstanceList
+	Table    store.Table
+	Objects  store.Objects
+	Members  store.InstanceList
 	Workers  worker.Dialer
 	// Transport carries messages between instances.
 	Transport Transport
--- a/process/instance/certainty_test.go
+++ b/process/instance/certainty_test.go
@@ -11,10 +11,10 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/process/settings"
 	"github.com/lentiltide/lentiltide/request/verdict"
 	standinplatform "github.com/lentiltide/lentiltide/standin/platform"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/version/config"
 )
 
@@ -40,11 +40,11 @@
 
 // lateTable repeats the write of a configuration plan when the configuration is confirmed.
 type lateTable struct {
-	platform.Table
-	plan platform.Txn
+	store.Table
+	plan store.Txn
 }
 
-func (l *lateTable) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+func (l *lateTable) Commit(ctx context.Context, txn store.Txn) ([]uint64, error) {
 	if txn.Writes[0].Key == config.CurrentKey {
 		_, _ = l.Table.Commit(ctx, l.plan)
 	} else if strings.HasPrefix(txn.Writes[0].Key, config.PlanPrefix) {
--- a/process/instance/config.go
+++ b/process/instance/config.go
@@ -12,8 +12,8 @@
 
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/version/config"
 	"github.com/lentiltide/lentiltide/version/intent"
 	"github.com/lentiltide/lentiltide/version/ownership"
@@ -150,14 +150,14 @@
 	}
 	key := config.PlanPrefix + plan.ID
 	// The row must be absent: a repeated write that arrives late would change its version, on which the confirmation rests.
-	txn := platform.Txn{
-		ID: uuid.NewString(), Conditions: []platform.Condition{{Key: key}}, Writes: []platform.Write{{Key: key, Value: data}},
+	txn := store.Txn{
+		ID: uuid.NewString(), Conditions: []store.Condition{{Key: key}}, Writes: []store.Write{{Key: key, Value: data}},
 	}
 	for _, row := range rows {
 		var old ConfigPlan
 		if json.Unmarshal(row.Value, &old) != nil || plan.CreatedAt.After(old.ExpiresAt) {
-			txn.Conditions = append(txn.Conditions, platform.Condition{Key: row.Key, Version: row.Version})
-			txn.Writes = append(txn.Writes, platform.Write{Key: row.Key, Delete: true})
+			txn.Conditions = append(txn.Conditions, store.Condition{Key: row.Key, Version: row.Version})
+			txn.Writes = append(txn.Writes, store.Write{Key: row.Key, Delete: true})
 		}
 	}
 	if len(rows) >= maxConfigPlans && len(txn.Writes) == 1 {
@@ -272,12 +272,12 @@
 		return false, verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "encode the configuration")
 	}
 	planKey := config.PlanPrefix + plan.ID
-	txn := platform.Txn{
+	txn := store.Txn{
 		ID: uuid.NewString(),
-		Conditions: []platform.Condition{
+		Conditions: []store.Condition{
 			{Key: config.CurrentKey, Version: plan.BaseRow}, {Key: planKey, Version: planRow},
 		},
-		Writes: []platform.Write{{Key: config.CurrentKey, Value: data}, {Key: planKey, Delete: true}},
+		Writes: []store.Write{{Key: config.CurrentKey, Value: data}, {Key: planKey, Delete: true}},
 	}
 	unknown := false
 	for {
--- a/process/instance/config_test.go
+++ b/process/instance/config_test.go
@@ -9,8 +9,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/version/config"
 	"github.com/lentiltide/lentiltide/version/intent"
 )
@@ -94,7 +94,7 @@
 		_, nodes := startMesh(t, 2, 0)
 		plan := planConfig(t, nodes[0], `{"limits":{"queue_delay_ms":70}}`)
 		nodes[0].table.set(func(f *faultyTable) {
-			f.loseCommit = func(txn platform.Txn) bool { return txn.Writes[0].Key == config.CurrentKey }
+			f.loseCommit = func(txn store.Txn) bool { return txn.Writes[0].Key == config.CurrentKey }
 		})
 		for _, n := range nodes {
 			status, err := n.ConfigConfirm(context.Background(), plan.ID)
@@ -149,7 +149,7 @@
 		time.Sleep(6 * time.Second)
 
 		again := m.start(t, "entry-2")
-		again.table.set(func(f *faultyTable) { f.stale = map[string]platform.Row{config.CurrentKey: old[0]} })
+		again.table.set(func(f *faultyTable) { f.stale = map[string]store.Row{config.CurrentKey: old[0]} })
 		for range 100 {
 			time.Sleep(100 * time.Millisecond)
 			noOldVersion(t, []*node{again}, 2)
--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -17,10 +17,10 @@
 	"github.com/lentiltide/lentiltide/connection/peer"
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/process/membership"
 	"github.com/lentiltide/lentiltide/process/settings"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/version/config"
 	"github.com/lentiltide/lentiltide/version/intent"
 	"github.com/lentiltide/lentiltide/version/ownership"
@@ -31,9 +31,9 @@
 type Options struct {
 	Settings settings.Settings
 	Clock    clockwork.Clock
-	Table    platform.Table
-	Objects  platform.Objects
-	Members  platform.InstanceList
+	Table    store.Table
+	Objects  store.Objects
+	Members  store.InstanceList
 	Workers  worker.Dialer
 	Peers    peer.Caller
 	Log      logrus.FieldLogger
@@ -180,7 +180,7 @@
 }
 
 // Release implements ownership.Hooks. An intent partition leaves its ticket tables to the next owner.
-func (in *Instance) Release(p ownership.Partition) *platform.Write {
+func (in *Instance) Release(p ownership.Partition) *store.Write {
 	defer in.Lost(p)
 	if p.Kind != ownership.KindIntent {
 		return nil
@@ -193,7 +193,7 @@
 	if err != nil {
 		return nil
 	}
-	return &platform.Write{Key: handoverKey(r.partition()), Value: data}
+	return &store.Write{Key: handoverKey(r.partition()), Value: data}
 }
 
 // Lost implements ownership.Hooks.
--- a/process/instance/intents.go
+++ b/process/instance/intents.go
@@ -14,8 +14,8 @@
 	"github.com/lentiltide/lentiltide/connection/peer"
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/version/intent"
 	"github.com/lentiltide/lentiltide/version/journal"
 	"github.com/lentiltide/lentiltide/version/ownership"
@@ -39,7 +39,7 @@
 	core    *intent.Core
 	journal *journal.Journal
 	// condition makes durable writes fail once the partition has another owner.
-	condition platform.Condition
+	condition store.Condition
 	ctx       context.Context
 	cancel    context.CancelFunc
 	// loaded is set when the stored intents were read; the instance's lock protects it.
@@ -91,7 +91,7 @@
 	n := partitionNumber(p)
 	r := &intentRunner{
 		in: in, core: intent.New(n, epoch, intentPolicy(in.config.Current().Document)),
-		condition: platform.Condition{Key: "partition/" + p.String(), Version: rowVersion},
+		condition: store.Condition{Key: "partition/" + p.String(), Version: rowVersion},
 		waiting:   map[model.TaskID][]chan model.Outcome{}, versions: map[string]uint64{},
 		silentUntil: map[string]time.Time{}, planning: make(semaphore, 1), confirming: make(semaphore, 1),
 	}
--- a/process/instance/keys.go
+++ b/process/instance/keys.go
@@ -10,8 +10,8 @@
 	"golang.org/x/time/rate"
 
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/version/intent"
 )
 
@@ -130,8 +130,8 @@
 // the row of the first.
 func (r *intentRunner) writeKeys(batch []*keyRequest) {
 	found, err := r.readKeys(batch)
-	var conditions []platform.Condition
-	var writes []platform.Write
+	var conditions []store.Condition
+	var writes []store.Write
 	fresh, refused := map[string]intent.Key{}, map[*keyRequest]error{}
 	for _, req := range batch {
 		if _, ok := found[req.row]; ok || err != nil {
@@ -147,8 +147,8 @@
 		var data []byte
 		data, err = json.Marshal(req.want)
 		fresh[req.row] = req.want
-		conditions = append(conditions, platform.Condition{Key: req.row})
-		writes = append(writes, platform.Write{Key: req.row, Value: data})
+		conditions = append(conditions, store.Condition{Key: req.row})
+		writes = append(writes, store.Write{Key: req.row, Value: data})
 	}
 	if err == nil && len(writes) > 0 {
 		_, err = r.commit(r.ctx, conditions, writes)
--- a/process/instance/members.go
+++ b/process/instance/members.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
-	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/version/ownership"
 )
 
@@ -30,7 +30,7 @@
 
 func (in *Instance) rackNames() []string { return in.members.Racks() }
 
-func (in *Instance) rackMembers(name string) []platform.Member { return in.members.Workers(name) }
+func (in *Instance) rackMembers(name string) []store.Member { return in.members.Workers(name) }
 
 // rackRegion returns the region of a rack, or an empty text if it is unknown.
 func (in *Instance) rackRegion(name string) string {
@@ -76,7 +76,7 @@
 
 // reportLeaving tells the owners of other racks which of their workers are leaving, since their own lists may be older.
 // The message is sent once: a lost one leaves the owner with its own list, as before.
-func (in *Instance) reportLeaving(left []platform.Member) {
+func (in *Instance) reportLeaving(left []store.Member) {
 	byOwner := map[string][]string{}
 	for _, m := range left {
 		loc, ok := in.owners.Locate(ownership.Rack(m.Rack))
--- a/process/instance/members_test.go
+++ b/process/instance/members_test.go
@@ -9,7 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/store"
 )
 
 // leavingBound is the bound of the design page on new work for a leaving worker.
@@ -38,7 +38,7 @@
 	return -1
 }
 
-func setState(t *testing.T, m *mesh, id string, state platform.MemberState) {
+func setState(t *testing.T, m *mesh, id string, state store.MemberState) {
 	t.Helper()
 	members, err := m.members.List(context.Background())
 	assert.NilError(t, err)
@@ -53,11 +53,11 @@
 // TestLeavingWorkerGetsNoWork guards against new work on a worker 3 s after the platform reported it as leaving, also
 // where the rack owner's own list hangs or is older and only its peers know.
 func TestLeavingWorkerGetsNoWork(t *testing.T) {
-	for name, answer := range map[string]func(old []platform.Member) ([]platform.Member, error){
+	for name, answer := range map[string]func(old []store.Member) ([]store.Member, error){
 		"own list": nil,
-		"down":     func([]platform.Member) ([]platform.Member, error) { return nil, errors.New("down") },
-		"stale":    func(old []platform.Member) ([]platform.Member, error) { return old, nil },
-		"empty":    func([]platform.Member) ([]platform.Member, error) { return nil, nil },
+		"down":     func([]store.Member) ([]store.Member, error) { return nil, errors.New("down") },
+		"stale":    func(old []store.Member) ([]store.Member, error) { return old, nil },
+		"empty":    func([]store.Member) ([]store.Member, error) { return nil, nil },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -67,9 +67,9 @@
 				assert.NilError(t, err)
 				owner := m.nodes[ownersOf(m)["rack-01"][0]]
 				if answer != nil {
-					owner.list.set(func() ([]platform.Member, error) { return answer(old) })
+					owner.list.set(func() ([]store.Member, error) { return answer(old) })
 				}
-				setState(t, m, "worker-002", platform.MemberLeaving)
+				setState(t, m, "worker-002", store.MemberLeaving)
 				time.Sleep(leavingBound)
 				assert.Equal(t, freeSlots(m, "rack-01"), int64(8))
 				time.Sleep(20 * time.Second)
@@ -84,11 +84,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		m, nodes := startMesh(t, 4, 8)
 		before := ownersOf(m)
-		nodes[0].list.set(func() ([]platform.Member, error) { return nil, nil })
-		nodes[1].list.set(func() ([]platform.Member, error) {
-			return []platform.Member{{ID: "worker-000", Role: platform.RoleWorker, Rack: "rack-03", Address: "worker-000"}}, nil
+		nodes[0].list.set(func() ([]store.Member, error) { return nil, nil })
+		nodes[1].list.set(func() ([]store.Member, error) {
+			return []store.Member{{ID: "worker-000", Role: store.RoleWorker, Rack: "rack-03", Address: "worker-000"}}, nil
 		})
-		nodes[2].list.set(func() ([]platform.Member, error) { return nil, errors.New("down") })
+		nodes[2].list.set(func() ([]store.Member, error) { return nil, errors.New("down") })
 		for range 30 {
 			time.Sleep(time.Second)
 			assert.DeepEqual(t, ownersOf(m), before)
@@ -101,7 +101,7 @@
 func TestLeavingEntryGetsNoPartitions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m, _ := startMesh(t, 3, 8)
-		m.members.Set(platform.Member{ID: "entry-1", Role: platform.RoleEntry, State: platform.MemberLeaving})
+		m.members.Set(store.Member{ID: "entry-1", Role: store.RoleEntry, State: store.MemberLeaving})
 		time.Sleep(10 * time.Second)
 		owners := ownersOf(m)
 		assert.Equal(t, len(owners), 4)
--- a/process/instance/mesh_test.go
+++ b/process/instance/mesh_test.go
@@ -18,11 +18,11 @@
 	"github.com/lentiltide/lentiltide/connection/peer"
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/process/settings"
 	"github.com/lentiltide/lentiltide/request/verdict"
 	standinplatform "github.com/lentiltide/lentiltide/standin/platform"
 	standinworker "github.com/lentiltide/lentiltide/standin/worker"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/worker"
 )
 
@@ -54,15 +54,15 @@
 
 // faultyTable injects faults for one instance.
 type faultyTable struct {
-	platform.Table
+	store.Table
 
 	mu sync.Mutex
 	// cut makes every request fail without effect.
 	cut bool
 	// loseCommit is asked for each transaction; true loses the answer after the write took effect.
-	loseCommit func(platform.Txn) bool
+	loseCommit func(store.Txn) bool
 	// stale replaces the rows of a key by older ones.
-	stale map[string]platform.Row
+	stale map[string]store.Row
 }
 
 func (f *faultyTable) set(change func(*faultyTable)) {
@@ -80,7 +80,7 @@
 	return nil
 }
 
-func (f *faultyTable) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+func (f *faultyTable) Commit(ctx context.Context, txn store.Txn) ([]uint64, error) {
 	if err := f.err(); err != nil {
 		return nil, err
 	}
@@ -93,7 +93,7 @@
 	return versions, err
 }
 
-func (f *faultyTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (f *faultyTable) Get(ctx context.Context, keys ...string) ([]store.Row, error) {
 	if err := f.err(); err != nil {
 		return nil, err
 	}
@@ -108,7 +108,7 @@
 	return rows, err
 }
 
-func (f *faultyTable) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
+func (f *faultyTable) Scan(ctx context.Context, prefix string) ([]store.Row, error) {
 	if err := f.err(); err != nil {
 		return nil, err
 	}
@@ -117,20 +117,20 @@
 
 // faultyList is one instance's view of the platform's list.
 type faultyList struct {
-	platform.InstanceList
+	store.InstanceList
 
 	mu sync.Mutex
 	// answer replaces the list when it is not nil.
-	answer func() ([]platform.Member, error)
+	answer func() ([]store.Member, error)
 }
 
-func (f *faultyList) set(answer func() ([]platform.Member, error)) {
+func (f *faultyList) set(answer func() ([]store.Member, error)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.answer = answer
 }
 
-func (f *faultyList) List(ctx context.Context) ([]platform.Member, error) {
+func (f *faultyList) List(ctx context.Context) ([]store.Member, error) {
 	f.mu.Lock()
 	answer := f.answer
 	f.mu.Unlock()
@@ -219,8 +219,8 @@
 	for i := range workers {
 		id := fmt.Sprintf("worker-%03d", i)
 		m.agents[id] = standinworker.New(standinworker.Options{ID: id, Capacity: capacity, Clock: clockwork.NewRealClock()})
-		m.members.Set(platform.Member{
-			ID: id, Role: platform.RoleWorker, State: platform.MemberLive, Region: "estonia", Zone: "maardu",
+		m.members.Set(store.Member{
+			ID: id, Role: store.RoleWorker, State: store.MemberLive, Region: "estonia", Zone: "maardu",
 			Rack: fmt.Sprintf("rack-%02d", i/perRack), Address: id, Capacity: capacity,
 		})
 	}
--- a/process/instance/racks.go
+++ b/process/instance/racks.go
@@ -10,8 +10,8 @@
 
 	"github.com/lentiltide/lentiltide/connection/peer"
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/version/ownership"
 	"github.com/lentiltide/lentiltide/version/rack"
 	"github.com/lentiltide/lentiltide/worker"
@@ -31,13 +31,13 @@
 	in   *Instance
 	core *rack.Core
 	// condition makes durable writes fail once the rack has another owner.
-	condition platform.Condition
+	condition store.Condition
 	ctx       context.Context
 	cancel    context.CancelFunc
 
 	// recording is held while members are read and recorded; it protects recorded and recordedRow.
 	recording   semaphore
-	recorded    map[string]platform.Member
+	recorded    map[string]store.Member
 	recordedRow uint64
 
 	mu     sync.Mutex
@@ -52,7 +52,7 @@
 	policy := in.rackPolicy(in.config.Current().Document)
 	r := &rackRunner{
 		in: in, core: rack.New(in.opts.Clock.Now(), name, epoch, policy),
-		condition: platform.Condition{Key: "partition/" + ownership.Rack(name).String(), Version: rowVersion},
+		condition: store.Condition{Key: "partition/" + ownership.Rack(name).String(), Version: rowVersion},
 		agents:    map[string]worker.Agent{}, addresses: map[string]string{}, fencing: map[string]bool{}, syncing: map[string]bool{},
 	}
 	r.recording = make(semaphore, 1)
@@ -122,7 +122,7 @@
 
 // setMembers gives the core the workers of the rack: those of the platform's list, and those that an owner of the rack has
 // recorded. A worker that is not recorded yet is used only once it is.
-func (r *rackRunner) setMembers(members []platform.Member) {
+func (r *rackRunner) setMembers(members []store.Member) {
 	r.recording.Lock()
 	defer r.recording.Unlock()
 	members = r.record(members)
--- a/process/instance/rows.go
+++ b/process/instance/rows.go
@@ -8,8 +8,8 @@
 	"github.com/google/uuid"
 
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/version/intent"
 )
 
@@ -19,9 +19,9 @@
 // commit applies a transaction under the partition's condition and returns the versions of the written rows. After a lost
 // answer the first row is read back; while it is unchanged, the same transaction is tried again, since at most one of the
 // two can apply.
-func (r *intentRunner) commit(ctx context.Context, conditions []platform.Condition, writes []platform.Write) ([]uint64, error) {
-	txn := platform.Txn{
-		ID: uuid.NewString(), Conditions: append([]platform.Condition{r.condition}, conditions...), Writes: writes,
+func (r *intentRunner) commit(ctx context.Context, conditions []store.Condition, writes []store.Write) ([]uint64, error) {
+	txn := store.Txn{
+		ID: uuid.NewString(), Conditions: append([]store.Condition{r.condition}, conditions...), Writes: writes,
 	}
 	var err error
 	for try := range commitTries {
@@ -62,7 +62,7 @@
 
 // readBack returns the versions of the rows that a transaction has written, or nil if it is not known to have taken
 // effect. untouched is set when all its rows still have the versions that it requires.
-func (r *intentRunner) readBack(ctx context.Context, txn platform.Txn) (versions []uint64, untouched bool) {
+func (r *intentRunner) readBack(ctx context.Context, txn store.Txn) (versions []uint64, untouched bool) {
 	keys := make([]string, len(txn.Writes))
 	for i, w := range txn.Writes {
 		keys[i] = w.Key
@@ -71,7 +71,7 @@
 	if err != nil {
 		return nil, false
 	}
-	found := make(map[string]platform.Row, len(rows))
+	found := make(map[string]store.Row, len(rows))
 	for _, row := range rows {
 		found[row.Key] = row
 		if row.TxnID == txn.ID {
@@ -100,7 +100,7 @@
 	if err != nil {
 		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "encode %s", key)
 	}
-	_, err = r.commit(ctx, []platform.Condition{{Key: key, Version: version}}, []platform.Write{{Key: key, Value: data}})
+	_, err = r.commit(ctx, []store.Condition{{Key: key, Version: version}}, []store.Write{{Key: key, Value: data}})
 	return err
 }
 
@@ -109,16 +109,16 @@
 	if err := r.refreshVersions(ctx, intents); err != nil {
 		return err
 	}
-	var conditions []platform.Condition
-	var writes []platform.Write
+	var conditions []store.Condition
+	var writes []store.Write
 	for _, in := range intents {
 		key := intentKey(r.partition(), in.ID)
 		data, err := json.Marshal(in)
 		if err != nil {
 			return verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "encode %s", key)
 		}
-		conditions = append(conditions, platform.Condition{Key: key, Version: r.versions[key]})
-		writes = append(writes, platform.Write{Key: key, Value: data})
+		conditions = append(conditions, store.Condition{Key: key, Version: r.versions[key]})
+		writes = append(writes, store.Write{Key: key, Value: data})
 	}
 	versions, err := r.commit(ctx, conditions, writes)
 	for i, w := range writes {
@@ -175,14 +175,14 @@
 func (r *intentRunner) forget(e intent.Forget) {
 	r.confirming.Lock()
 	defer r.confirming.Unlock()
-	var writes []platform.Write
+	var writes []store.Write
 	for _, id := range e.Intents {
 		key := intentKey(r.partition(), id)
 		delete(r.versions, key)
-		writes = append(writes, platform.Write{Key: key, Delete: true})
+		writes = append(writes, store.Write{Key: key, Delete: true})
 	}
 	for _, id := range e.Plans {
-		writes = append(writes, platform.Write{Key: planKey(r.partition(), id), Delete: true})
+		writes = append(writes, store.Write{Key: planKey(r.partition(), id), Delete: true})
 	}
 	for len(writes) > 0 {
 		n := min(forgetBatch, len(writes))
--- a/process/instance/usage.go
+++ b/process/instance/usage.go
@@ -8,7 +8,7 @@
 	"github.com/lentiltide/lentiltide/connection/peer"
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/version/intent"
 	"github.com/lentiltide/lentiltide/version/ownership"
 )
@@ -44,7 +44,7 @@
 	zones := map[string]string{}
 	for _, m := range in.members.AllWorkers() {
 		zones[m.Rack] = m.Zone
-		if m.State != platform.MemberLeaving {
+		if m.State != store.MemberLeaving {
 			view.capacity = view.capacity.Add(m.Capacity)
 		}
 	}
--- a/process/instance/work_test.go
+++ b/process/instance/work_test.go
@@ -14,11 +14,11 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/process/settings"
 	"github.com/lentiltide/lentiltide/request/verdict"
 	standinplatform "github.com/lentiltide/lentiltide/standin/platform"
 	standinworker "github.com/lentiltide/lentiltide/standin/worker"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/version/intent"
 	"github.com/lentiltide/lentiltide/worker"
 )
@@ -33,7 +33,7 @@
 
 // lossyTable loses the answers to writes of intent rows, and does not read them, while it is set.
 type lossyTable struct {
-	platform.Table
+	store.Table
 	mu   sync.Mutex
 	lost bool
 }
@@ -50,7 +50,7 @@
 	return l.lost && strings.HasPrefix(key, "intent/")
 }
 
-func (l *lossyTable) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+func (l *lossyTable) Commit(ctx context.Context, txn store.Txn) ([]uint64, error) {
 	versions, err := l.Table.Commit(ctx, txn)
 	if err == nil && l.loses(txn.Writes[0].Key) {
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the answer was lost")
@@ -58,7 +58,7 @@
 	return versions, err
 }
 
-func (l *lossyTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (l *lossyTable) Get(ctx context.Context, keys ...string) ([]store.Row, error) {
 	if l.loses(keys[0]) {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the table is down")
 	}
@@ -82,8 +82,8 @@
 	for i := range 2 {
 		id := fmt.Sprintf("worker-%d", i)
 		workers[id] = standinworker.New(standinworker.Options{ID: id, Capacity: capacity, Observer: observer})
-		members.Set(platform.Member{
-			ID: id, Role: platform.RoleWorker, State: platform.MemberLive, Zone: fmt.Sprintf("zone-%d", i),
+		members.Set(store.Member{
+			ID: id, Role: store.RoleWorker, State: store.MemberLive, Zone: fmt.Sprintf("zone-%d", i),
 			Rack: fmt.Sprintf("rack-%d", i), Address: id, Capacity: capacity,
 		})
 	}
--- a/process/instance/workers.go
+++ b/process/instance/workers.go
@@ -8,8 +8,8 @@
 
 	"github.com/google/uuid"
 
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/store"
 )
 
 func workersKey(rack string) string { return "workers/" + rack }
@@ -22,11 +22,11 @@
 	}
 	r.recording.Lock()
 	defer r.recording.Unlock()
-	r.recorded = map[string]platform.Member{}
+	r.recorded = map[string]store.Member{}
 	if len(rows) == 0 {
 		return nil
 	}
-	var members []platform.Member
+	var members []store.Member
 	if err := json.Unmarshal(rows[0].Value, &members); err != nil {
 		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInternal, "decode %s", rows[0].Key)
 	}
@@ -39,7 +39,7 @@
 
 // record writes the row of the rack's workers when members has new ones or new addresses, and returns the members that
 // may be used: those in the row, in their state of members. Callers hold r.recording.
-func (r *rackRunner) record(members []platform.Member) []platform.Member {
+func (r *rackRunner) record(members []store.Member) []store.Member {
 	next := maps.Clone(r.recorded)
 	changed := false
 	for _, m := range members {
@@ -60,7 +60,7 @@
 }
 
 // writeRecorded writes the row and reports whether it is certain that it was written.
-func (r *rackRunner) writeRecorded(members map[string]platform.Member) bool {
+func (r *rackRunner) writeRecorded(members map[string]store.Member) bool {
 	list := slices.Collect(maps.Values(members))
 	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	data, err := json.Marshal(list)
@@ -68,9 +68,9 @@
 		return false
 	}
 	key := workersKey(r.core.ID())
-	versions, err := r.in.opts.Table.Commit(r.ctx, platform.Txn{
-		ID: uuid.NewString(), Conditions: []platform.Condition{r.condition, {Key: key, Version: r.recordedRow}},
-		Writes: []platform.Write{{Key: key, Value: data}},
+	versions, err := r.in.opts.Table.Commit(r.ctx, store.Txn{
+		ID: uuid.NewString(), Conditions: []store.Condition{r.condition, {Key: key, Version: r.recordedRow}},
+		Writes: []store.Write{{Key: key, Value: data}},
 	})
 	if err != nil {
 		// An earlier write may have taken effect; the next one is based on the row as it is then.
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/store"
 )
 
 const (
@@ -39,14 +39,14 @@
 // snapshot is the joined view at the time of the last sign. Its slices and maps are shared and never changed.
 type snapshot struct {
 	racks   []string
-	byRack  map[string][]platform.Member
-	workers []platform.Member
+	byRack  map[string][]store.Member
+	workers []store.Member
 	leaving map[string]bool
 }
 
 // machine is a worker or an entry instance.
 type machine struct {
-	platform.Member
+	store.Member
 	// seen is when the machine was last in a list, or when the last list was taken that may have left it out wrongly.
 	seen time.Time
 	// leaving is when the last sign was taken that the machine is leaving; zero if there was none.
@@ -66,7 +66,7 @@
 // An empty list changes nothing. A machine that is missing stays known with its last state, since a worker's tasks do not
 // end because of a list. A worker stays in the rack in which it was first listed: a list that moves it must not make a
 // second rack owner fence it. A machine that is listed as leaving stays so for leavingHold.
-func (v *View) List(now time.Time, members []platform.Member) (left []platform.Member, changed bool) {
+func (v *View) List(now time.Time, members []store.Member) (left []store.Member, changed bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	known, listed := len(v.machines), 0
@@ -96,16 +96,16 @@
 
 // publish makes a new snapshot if the view has changed. Callers hold v.mu.
 func (v *View) publish(now time.Time) (changed bool) {
-	next := &snapshot{byRack: map[string][]platform.Member{}, leaving: map[string]bool{}}
+	next := &snapshot{byRack: map[string][]store.Member{}, leaving: map[string]bool{}}
 	for id, m := range v.machines {
 		if m.isLeaving(now) {
 			next.leaving[id] = true
 		}
-		if m.Role == platform.RoleWorker {
+		if m.Role == store.RoleWorker {
 			next.workers = append(next.workers, m.member(now))
 		}
 	}
-	slices.SortFunc(next.workers, func(a, b platform.Member) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(next.workers, func(a, b store.Member) int { return cmp.Compare(a.ID, b.ID) })
 	old := v.snapshot.Load()
 	if slices.Equal(old.workers, next.workers) && maps.Equal(old.leaving, next.leaving) {
 		return false
@@ -118,11 +118,11 @@
 	return true
 }
 
-func valid(m platform.Member) bool {
+func valid(m store.Member) bool {
 	switch m.Role {
-	case platform.RoleWorker:
+	case store.RoleWorker:
 		return m.ID != "" && m.Rack != "" && m.Address != ""
-	case platform.RoleEntry:
+	case store.RoleEntry:
 		return m.ID != ""
 	default:
 		return false
@@ -130,7 +130,7 @@
 }
 
 // take enters one listed machine; it returns true for a worker that is newly leaving. Callers hold v.mu.
-func (v *View) take(now time.Time, listed platform.Member) bool {
+func (v *View) take(now time.Time, listed store.Member) bool {
 	m := v.machines[listed.ID]
 	if m == nil {
 		m = &machine{Member: listed}
@@ -142,10 +142,10 @@
 	before := m.isLeaving(now)
 	m.seen = now
 	m.Address, m.Capacity, m.Zone, m.Region = listed.Address, listed.Capacity, listed.Zone, listed.Region
-	if listed.State == platform.MemberLeaving {
+	if listed.State == store.MemberLeaving {
 		m.leaving = now
 	}
-	return m.Role == platform.RoleWorker && !before && m.isLeaving(now)
+	return m.Role == store.RoleWorker && !before && m.isLeaving(now)
 }
 
 func (m *machine) isLeaving(now time.Time) bool {
@@ -172,17 +172,17 @@
 func (v *View) Racks() []string { return v.snapshot.Load().racks }
 
 // Workers returns the known workers of a rack, ordered by id. The slice is shared and must not be changed.
-func (v *View) Workers(rack string) []platform.Member { return v.snapshot.Load().byRack[rack] }
+func (v *View) Workers(rack string) []store.Member { return v.snapshot.Load().byRack[rack] }
 
 // AllWorkers returns all known workers, ordered by id. The slice is shared and must not be changed.
-func (v *View) AllWorkers() []platform.Member { return v.snapshot.Load().workers }
+func (v *View) AllWorkers() []store.Member { return v.snapshot.Load().workers }
 
 // member returns the machine with its joined state.
-func (m *machine) member(now time.Time) platform.Member {
+func (m *machine) member(now time.Time) store.Member {
 	out := m.Member
-	out.State = platform.MemberLive
+	out.State = store.MemberLive
 	if m.isLeaving(now) {
-		out.State = platform.MemberLeaving
+		out.State = store.MemberLeaving
 	}
 	return out
 }
--- a/process/membership/membership_test.go
+++ b/process/membership/membership_test.go
@@ -7,16 +7,16 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/store"
 )
 
 var start = time.Unix(1000, 0)
 
-func fleet(n int) []platform.Member {
-	var members []platform.Member
+func fleet(n int) []store.Member {
+	var members []store.Member
 	for i := range n {
-		members = append(members, platform.Member{
-			ID: fmt.Sprintf("worker-%d", i), Role: platform.RoleWorker, State: platform.MemberLive,
+		members = append(members, store.Member{
+			ID: fmt.Sprintf("worker-%d", i), Role: store.RoleWorker, State: store.MemberLive,
 			Rack: fmt.Sprintf("rack-%d", i/4), Address: fmt.Sprint(i),
 		})
 	}
@@ -25,8 +25,8 @@
 
 // TestListNeverEmptiesFleet guards against an empty, short or malformed list that removes workers.
 func TestListNeverEmptiesFleet(t *testing.T) {
-	for name, list := range map[string][]platform.Member{
-		"empty": nil, "one worker": fleet(1), "no racks": {{ID: "x", Role: platform.RoleWorker}}, "half": fleet(4),
+	for name, list := range map[string][]store.Member{
+		"empty": nil, "one worker": fleet(1), "no racks": {{ID: "x", Role: store.RoleWorker}}, "half": fleet(4),
 	} {
 		v := New()
 		v.List(start, fleet(8))
@@ -55,7 +55,7 @@
 	v := New()
 	v.List(start, fleet(4))
 	leaving := fleet(4)
-	leaving[2].State = platform.MemberLeaving
+	leaving[2].State = store.MemberLeaving
 	left, changed := v.List(start.Add(time.Second), leaving)
 	assert.Assert(t, changed)
 	assert.Equal(t, len(left), 1)
@@ -64,9 +64,9 @@
 	assert.Assert(t, len(left) == 0 && !changed)
 	v.List(start.Add(3*time.Second), fleet(4))
 	assert.Assert(t, v.IsLeaving("worker-2"))
-	assert.Equal(t, v.Workers("rack-0")[2].State, platform.MemberLeaving)
+	assert.Equal(t, v.Workers("rack-0")[2].State, store.MemberLeaving)
 	v.List(start.Add(3*time.Second+leavingHold), fleet(4))
-	assert.Equal(t, v.Workers("rack-0")[2].State, platform.MemberLive)
+	assert.Equal(t, v.Workers("rack-0")[2].State, store.MemberLive)
 }
 
 // TestPeerReportsLeaving guards against new work on a leaving worker where only a peer's list has the news.
@@ -75,7 +75,7 @@
 	v.List(start, fleet(4))
 	v.Leaving(start, []string{"worker-1", "unknown"})
 	v.List(start.Add(time.Second), fleet(4))
-	assert.Equal(t, v.Workers("rack-0")[1].State, platform.MemberLeaving)
+	assert.Equal(t, v.Workers("rack-0")[1].State, store.MemberLeaving)
 	assert.Equal(t, len(v.AllWorkers()), 4)
 }
 
--- a/process/telemetry/telemetry_test.go
+++ b/process/telemetry/telemetry_test.go
@@ -14,11 +14,11 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/process/instance"
 	"github.com/lentiltide/lentiltide/request/verdict"
 	standinplatform "github.com/lentiltide/lentiltide/standin/platform"
 	standinworker "github.com/lentiltide/lentiltide/standin/worker"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/version/rack"
 	"github.com/lentiltide/lentiltide/worker"
 )
@@ -51,7 +51,7 @@
 		return nil
 	}})
 	counted := m.Table(table, clock)
-	_, err = counted.Commit(ctx, platform.Txn{ID: "t", Writes: []platform.Write{{Key: "a"}}})
+	_, err = counted.Commit(ctx, store.Txn{ID: "t", Writes: []store.Write{{Key: "a"}}})
 	assert.NilError(t, err)
 	_, err = counted.Scan(ctx, "")
 	assert.Assert(t, err != nil)
--- a/process/telemetry/wrap.go
+++ b/process/telemetry/wrap.go
@@ -5,40 +5,40 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/worker"
 )
 
 // Table returns a table that counts the operations on next.
-func (m *Metrics) Table(next platform.Table, clock clockwork.Clock) platform.Table {
+func (m *Metrics) Table(next store.Table, clock clockwork.Clock) store.Table {
 	return countedTable{next: next, metrics: m, clock: clock}
 }
 
 type countedTable struct {
-	next    platform.Table
+	next    store.Table
 	metrics *Metrics
 	clock   clockwork.Clock
 }
 
-// Commit implements platform.Table.
-func (t countedTable) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+// Commit implements store.Table.
+func (t countedTable) Commit(ctx context.Context, txn store.Txn) ([]uint64, error) {
 	began := t.clock.Now()
 	versions, err := t.next.Commit(ctx, txn)
 	t.metrics.table("commit", err, len(txn.Conditions), len(versions), t.clock.Since(began))
 	return versions, err
 }
 
-// Get implements platform.Table.
-func (t countedTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+// Get implements store.Table.
+func (t countedTable) Get(ctx context.Context, keys ...string) ([]store.Row, error) {
 	began := t.clock.Now()
 	rows, err := t.next.Get(ctx, keys...)
 	t.metrics.table("get", err, len(keys), 0, t.clock.Since(began))
 	return rows, err
 }
 
-// Scan implements platform.Table.
-func (t countedTable) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
+// Scan implements store.Table.
+func (t countedTable) Scan(ctx context.Context, prefix string) ([]store.Row, error) {
 	began := t.clock.Now()
 	rows, err := t.next.Scan(ctx, prefix)
 	t.metrics.table("scan", err, len(rows), 0, t.clock.Since(began))
--- a/standin/cell/cell.go
+++ b/standin/cell/cell.go
@@ -12,10 +12,10 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
 	standinplatform "github.com/lentiltide/lentiltide/standin/platform"
 	"github.com/lentiltide/lentiltide/standin/server"
 	standinworker "github.com/lentiltide/lentiltide/standin/worker"
+	"github.com/lentiltide/lentiltide/store"
 )
 
 // Options describes a cell.
@@ -81,8 +81,8 @@
 		return err
 	}
 	c.Agents[id] = agent
-	c.Members.Set(platform.Member{
-		ID: id, Role: platform.RoleWorker, State: platform.MemberLive, Region: opts.Region,
+	c.Members.Set(store.Member{
+		ID: id, Role: store.RoleWorker, State: store.MemberLive, Region: opts.Region,
 		Zone: opts.Zones[rack%len(opts.Zones)], Rack: fmt.Sprintf("rack-%02d", rack), Address: url, Capacity: opts.Capacity,
 	})
 	return nil
--- a/standin/platform/objects.go
+++ b/standin/platform/objects.go
@@ -6,8 +6,8 @@
 	"strings"
 	"sync"
 
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/store"
 )
 
 // Objects is an in-memory object store.
@@ -16,12 +16,12 @@
 	data map[string][]byte
 }
 
-var _ platform.Objects = (*Objects)(nil)
+var _ store.Objects = (*Objects)(nil)
 
 // NewObjects returns an empty object store.
 func NewObjects() *Objects { return &Objects{data: map[string][]byte{}} }
 
-// Put implements platform.Objects.
+// Put implements store.Objects.
 func (o *Objects) Put(_ context.Context, name string, data []byte) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -32,7 +32,7 @@
 	return nil
 }
 
-// Get implements platform.Objects.
+// Get implements store.Objects.
 func (o *Objects) Get(_ context.Context, name string) ([]byte, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -43,7 +43,7 @@
 	return append([]byte(nil), data...), nil
 }
 
-// List implements platform.Objects.
+// List implements store.Objects.
 func (o *Objects) List(_ context.Context, prefix string) ([]string, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -67,16 +67,16 @@
 // InstanceList is a settable list of machines.
 type InstanceList struct {
 	mu      sync.Mutex
-	members map[string]platform.Member
+	members map[string]store.Member
 }
 
-var _ platform.InstanceList = (*InstanceList)(nil)
+var _ store.InstanceList = (*InstanceList)(nil)
 
 // NewInstanceList returns an empty list.
-func NewInstanceList() *InstanceList { return &InstanceList{members: map[string]platform.Member{}} }
+func NewInstanceList() *InstanceList { return &InstanceList{members: map[string]store.Member{}} }
 
 // Set adds or replaces a member.
-func (l *InstanceList) Set(m platform.Member) {
+func (l *InstanceList) Set(m store.Member) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.members[m.ID] = m
@@ -89,11 +89,11 @@
 	delete(l.members, id)
 }
 
-// List implements platform.InstanceList. The result is sorted by id.
-func (l *InstanceList) List(context.Context) ([]platform.Member, error) {
+// List implements store.InstanceList. The result is sorted by id.
+func (l *InstanceList) List(context.Context) ([]store.Member, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	members := make([]platform.Member, 0, len(l.members))
+	members := make([]store.Member, 0, len(l.members))
 	for _, m := range l.members {
 		members = append(members, m)
 	}
--- a/standin/platform/table.go
+++ b/standin/platform/table.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/store"
 )
 
 // unavailableRetry is the retry time that the stand-in gives while it is down.
@@ -27,17 +27,17 @@
 // Table is an in-memory transactional table.
 type Table struct {
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]store.Row
 	version uint64
 	faults  Faults
 	reads   uint64
 	writes  uint64
 }
 
-var _ platform.Table = (*Table)(nil)
+var _ store.Table = (*Table)(nil)
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{rows: map[string]platform.Row{}} }
+func NewTable() *Table { return &Table{rows: map[string]store.Row{}} }
 
 // SetFaults replaces the injected faults.
 func (t *Table) SetFaults(f Faults) {
@@ -66,8 +66,8 @@
 	return hook(op)
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+// Commit implements store.Table.
+func (t *Table) Commit(ctx context.Context, txn store.Txn) ([]uint64, error) {
 	if err := t.enter(ctx, "commit"); err != nil {
 		return nil, err
 	}
@@ -88,7 +88,7 @@
 	return t.fault(op, false)
 }
 
-func (t *Table) commit(txn platform.Txn) ([]uint64, error) {
+func (t *Table) commit(txn store.Txn) ([]uint64, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, c := range txn.Conditions {
@@ -106,19 +106,19 @@
 			delete(t.rows, w.Key)
 			continue
 		}
-		t.rows[w.Key] = platform.Row{Key: w.Key, Version: t.version, TxnID: txn.ID, Value: append([]byte(nil), w.Value...)}
+		t.rows[w.Key] = store.Row{Key: w.Key, Version: t.version, TxnID: txn.ID, Value: append([]byte(nil), w.Value...)}
 	}
 	return versions, nil
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+// Get implements store.Table.
+func (t *Table) Get(ctx context.Context, keys ...string) ([]store.Row, error) {
 	if err := t.enter(ctx, "get"); err != nil {
 		return nil, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var rows []platform.Row
+	var rows []store.Row
 	for _, key := range keys {
 		t.reads++
 		if row, ok := t.rows[key]; ok {
@@ -128,14 +128,14 @@
 	return rows, nil
 }
 
-// Scan implements platform.Table.
-func (t *Table) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
+// Scan implements store.Table.
+func (t *Table) Scan(ctx context.Context, prefix string) ([]store.Row, error) {
 	if err := t.enter(ctx, "scan"); err != nil {
 		return nil, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var rows []platform.Row
+	var rows []store.Row
 	for key, row := range t.rows {
 		if strings.HasPrefix(key, prefix) {
 			rows = append(rows, row)
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -7,10 +7,10 @@
 	"net/http"
 
 	"github.com/lentiltide/lentiltide/connection/jsonhttp"
-	platformclient "github.com/lentiltide/lentiltide/connection/platform"
+	platformclient "github.com/lentiltide/lentiltide/connection/store"
 	workerclient "github.com/lentiltide/lentiltide/connection/worker"
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/worker"
 )
 
@@ -33,9 +33,9 @@
 }
 
 // NewPlatform returns a handler for the platform's three services.
-func NewPlatform(table platform.Table, objects platform.Objects, list platform.InstanceList) http.Handler {
+func NewPlatform(table store.Table, objects store.Objects, list store.InstanceList) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(platformclient.PathCommit, handle(func(ctx context.Context, txn platform.Txn) (platformclient.CommitReply, error) {
+	mux.Handle(platformclient.PathCommit, handle(func(ctx context.Context, txn store.Txn) (platformclient.CommitReply, error) {
 		versions, err := table.Commit(ctx, txn)
 		return platformclient.CommitReply{Versions: versions}, err
 	}))
--- a/platform/platform.go
+++ b/store/store.go
@@ -1,6 +1,6 @@
-// Package platform defines the interfaces to the platform that lentiltide runs on: the transactional table service, the
-// object store and the list of instances. Implementations are HTTP clients (package connection/platform) and stand-ins.
-package platform
+// Package store defines the interfaces to the platform that lentiltide runs on: the transactional table service, the
+// object store and the list of instances. Implementations are HTTP clients (package connection/store) and stand-ins.
+package store
 
 import (
 	"context"
--- a/version/journal/journal.go
+++ b/version/journal/journal.go
@@ -13,8 +13,8 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/store"
 )
 
 // Prefix returns the key prefix of the outcome rows of a partition.
@@ -24,10 +24,10 @@
 type Options struct {
 	Partition int
 	Epoch     uint64
-	Table     platform.Table
+	Table     store.Table
 	Clock     clockwork.Clock
 	// Condition makes each write fail once the partition has another owner.
-	Condition platform.Condition
+	Condition store.Condition
 	// FlushEvery is the time between batches.
 	FlushEvery time.Duration
 	// MaxPending bounds the outcomes that wait for a write.
@@ -113,10 +113,10 @@
 		return err
 	}
 	key := fmt.Sprintf("%s%d-%012d", Prefix(j.opts.Partition), j.opts.Epoch, j.batch)
-	_, err = j.opts.Table.Commit(ctx, platform.Txn{
+	_, err = j.opts.Table.Commit(ctx, store.Txn{
 		ID:         j.txnID,
-		Conditions: []platform.Condition{j.opts.Condition, {Key: key}},
-		Writes:     []platform.Write{{Key: key, Value: data}},
+		Conditions: []store.Condition{j.opts.Condition, {Key: key}},
+		Writes:     []store.Write{{Key: key, Value: data}},
 	})
 	if err != nil && !j.written(ctx, key) {
 		return err
@@ -157,7 +157,7 @@
 }
 
 // Load returns the recorded outcomes of a partition.
-func Load(ctx context.Context, table platform.Table, partition int) (map[model.TaskID]model.Outcome, error) {
+func Load(ctx context.Context, table store.Table, partition int) (map[model.TaskID]model.Outcome, error) {
 	rows, err := table.Scan(ctx, Prefix(partition))
 	if err != nil {
 		return nil, err
--- a/version/ownership/balance.go
+++ b/version/ownership/balance.go
@@ -9,8 +9,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/store"
 )
 
 const (
@@ -165,17 +165,17 @@
 	if len(rest) == 0 {
 		return nil
 	}
-	conditions := []platform.Condition{{Key: sessionPrefix + s.Instance, Version: sessionVersion}}
-	var writes []platform.Write
+	conditions := []store.Condition{{Key: sessionPrefix + s.Instance, Version: sessionVersion}}
+	var writes []store.Write
 	for i, t := range rest {
 		key := partitionPrefix + t.partition.String()
-		conditions = append(conditions, platform.Condition{Key: key, Version: t.row.version})
+		conditions = append(conditions, store.Condition{Key: key, Version: t.row.version})
 		rest[i].row.Owner = Owner{Session: s.ID, Address: s.Address, Epoch: t.row.Epoch + 1}
 		data, err := json.Marshal(rest[i].row.Owner)
 		if err != nil {
 			return err
 		}
-		writes = append(writes, platform.Write{Key: key, Value: data})
+		writes = append(writes, store.Write{Key: key, Value: data})
 	}
 	versions, err := m.commit(ctx, conditions, append(writes, directoryWrite(ownersKey, s.Instance)))
 	if err != nil {
@@ -219,11 +219,11 @@
 		return err
 	}
 	key := partitionPrefix + g.partition.String()
-	writes := []platform.Write{{Key: key, Value: data}, directoryWrite(ownersKey, m.opts.Instance)}
+	writes := []store.Write{{Key: key, Value: data}, directoryWrite(ownersKey, m.opts.Instance)}
 	if left != nil {
 		writes = append(writes, *left)
 	}
-	versions, err := m.commit(ctx, []platform.Condition{{Key: key, Version: g.row.version}}, writes)
+	versions, err := m.commit(ctx, []store.Condition{{Key: key, Version: g.row.version}}, writes)
 	if err != nil {
 		m.forceRead()
 		return err
@@ -261,8 +261,8 @@
 	m.mu.Lock()
 	key, version := sessionPrefix+m.opts.Instance, m.row
 	m.mu.Unlock()
-	_, err := m.commit(ctx, []platform.Condition{{Key: key, Version: version}},
-		[]platform.Write{{Key: key, Delete: true}, directoryWrite(sessionsKey, m.opts.Instance)})
+	_, err := m.commit(ctx, []store.Condition{{Key: key, Version: version}},
+		[]store.Write{{Key: key, Delete: true}, directoryWrite(sessionsKey, m.opts.Instance)})
 	return err
 }
 
--- a/version/ownership/ownership.go
+++ b/version/ownership/ownership.go
@@ -13,8 +13,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/store"
 )
 
 const (
@@ -85,7 +85,7 @@
 	Acquired(p Partition, epoch, rowVersion uint64)
 	// Release ends the service of a partition that this instance gives up. It returns the state that it leaves to the next
 	// owner, which is written in the transaction that gives the partition up; nil leaves nothing.
-	Release(p Partition) *platform.Write
+	Release(p Partition) *store.Write
 	// Lost: this instance no longer owns the partition.
 	Lost(p Partition)
 	// Yield asks to hand a partition over to another live instance. It returns false while requests are worked on there; a
@@ -101,7 +101,7 @@
 	Address  string
 	Region   string
 	Zone     string
-	Table    platform.Table
+	Table    store.Table
 	Clock    clockwork.Clock
 	Hooks    Hooks
 	Log      logrus.FieldLogger
--- a/version/ownership/ownership_test.go
+++ b/version/ownership/ownership_test.go
@@ -11,9 +11,9 @@
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
 	standinplatform "github.com/lentiltide/lentiltide/standin/platform"
+	"github.com/lentiltide/lentiltide/store"
 )
 
 // recorder notes what a manager tells.
@@ -26,7 +26,7 @@
 func (r *recorder) Lost(p Partition)                      { r.lost++ }
 func (r *recorder) Yield(Partition) bool                  { return true }
 
-func (r *recorder) Release(p Partition) *platform.Write {
+func (r *recorder) Release(p Partition) *store.Write {
 	r.Lost(p)
 	return nil
 }
@@ -34,11 +34,11 @@
 
 // lossy loses answers to commits and fails reads while broken is set.
 type lossy struct {
-	platform.Table
+	store.Table
 	broken bool
 }
 
-func (l *lossy) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+func (l *lossy) Commit(ctx context.Context, txn store.Txn) ([]uint64, error) {
 	versions, err := l.Table.Commit(ctx, txn)
 	if l.broken && err == nil {
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "answer lost")
@@ -46,14 +46,14 @@
 	return versions, err
 }
 
-func (l *lossy) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (l *lossy) Get(ctx context.Context, keys ...string) ([]store.Row, error) {
 	if l.broken {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "down")
 	}
 	return l.Table.Get(ctx, keys...)
 }
 
-func newTestManager(name string, table platform.Table, clock clockwork.Clock) (*Manager, *recorder) {
+func newTestManager(name string, table store.Table, clock clockwork.Clock) (*Manager, *recorder) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	r := &recorder{epochs: map[Partition]uint64{}}
--- a/version/ownership/session.go
+++ b/version/ownership/session.go
@@ -9,7 +9,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/store"
 )
 
 const (
@@ -70,7 +70,7 @@
 	if err != nil {
 		return 0, err
 	}
-	writes := []platform.Write{{Key: key, Value: data}}
+	writes := []store.Write{{Key: key, Value: data}}
 	fresh := version == 0
 	if fresh {
 		rows, err := m.opts.Table.Get(ctx, key)
@@ -87,7 +87,7 @@
 	if fresh || s.ConfigVersion != announced {
 		writes = append(writes, directoryWrite(sessionsKey, s.Instance))
 	}
-	versions, err := m.commit(ctx, []platform.Condition{{Key: key, Version: version}}, writes)
+	versions, err := m.commit(ctx, []store.Condition{{Key: key, Version: version}}, writes)
 	if err != nil {
 		return 0, err
 	}
@@ -119,8 +119,8 @@
 	}
 }
 
-func directoryWrite(key, changedBy string) platform.Write {
-	return platform.Write{Key: key, Value: []byte(changedBy)}
+func directoryWrite(key, changedBy string) store.Write {
+	return store.Write{Key: key, Value: []byte(changedBy)}
 }
 
 // read refreshes the view of sessions and partitions: only the directory and the watched session rows, or all rows after
@@ -221,7 +221,7 @@
 }
 
 // observeSessions notes how long each session row has stayed unchanged. Callers hold m.mu.
-func (m *Manager) observeSessions(rows []platform.Row) (changed bool) {
+func (m *Manager) observeSessions(rows []store.Row) (changed bool) {
 	now := m.opts.Clock.Now()
 	for _, row := range rows {
 		var s Session
@@ -243,7 +243,7 @@
 }
 
 // forgetSessions drops the sessions whose row is gone. Callers hold m.mu.
-func (m *Manager) forgetSessions(rows []platform.Row) (changed bool) {
+func (m *Manager) forgetSessions(rows []store.Row) (changed bool) {
 	seen := make(map[string]bool, len(rows))
 	for _, row := range rows {
 		var s Session
@@ -283,8 +283,8 @@
 	m.mu.Unlock()
 	for _, w := range dead {
 		key := sessionPrefix + w.Instance
-		_, err := m.commit(ctx, []platform.Condition{{Key: key, Version: w.version}},
-			[]platform.Write{{Key: key, Delete: true}, directoryWrite(sessionsKey, m.opts.Instance)})
+		_, err := m.commit(ctx, []store.Condition{{Key: key, Version: w.version}},
+			[]store.Write{{Key: key, Delete: true}, directoryWrite(sessionsKey, m.opts.Instance)})
 		if err != nil && !isConflict(err) {
 			return err
 		}
@@ -300,8 +300,8 @@
 }
 
 // commit applies a transaction and reads it back when the answer was lost.
-func (m *Manager) commit(ctx context.Context, conditions []platform.Condition, writes []platform.Write) ([]uint64, error) {
-	txn := platform.Txn{ID: uuid.NewString(), Conditions: conditions, Writes: writes}
+func (m *Manager) commit(ctx context.Context, conditions []store.Condition, writes []store.Write) ([]uint64, error) {
+	txn := store.Txn{ID: uuid.NewString(), Conditions: conditions, Writes: writes}
 	versions, err := m.opts.Table.Commit(ctx, txn)
 	if err == nil || !unknown(err) {
 		return versions, err
@@ -316,7 +316,7 @@
 
 // writtenVersions returns the versions of the rows that a transaction has written. The directory row may have been
 // written again since; its version is not needed.
-func (m *Manager) writtenVersions(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+func (m *Manager) writtenVersions(ctx context.Context, txn store.Txn) ([]uint64, error) {
 	keys := make([]string, len(txn.Writes))
 	for i, w := range txn.Writes {
 		keys[i] = w.Key
@@ -337,7 +337,7 @@
 }
 
 // observePartitions notes the owners. Callers hold m.mu.
-func (m *Manager) observePartitions(rows []platform.Row) (changed bool) {
+func (m *Manager) observePartitions(rows []store.Row) (changed bool) {
 	for _, row := range rows {
 		p, ok := parsePartition(strings.TrimPrefix(row.Key, partitionPrefix))
 		var o Owner
--- a/version/ownership/view.go
+++ b/version/ownership/view.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 
-	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/store"
 )
 
 // ReadSessions reads all session rows from the table, also those that have expired.
@@ -45,10 +45,10 @@
 }
 
 // noteOwner enters rows of partitions that this session does not own, which a step of the manager observes.
-func (m *Manager) noteOwner(rows []platform.Row) bool {
+func (m *Manager) noteOwner(rows []store.Row) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var foreign []platform.Row
+	var foreign []store.Row
 	for _, row := range rows {
 		p, ok := parsePartition(row.Key[len(partitionPrefix):])
 		if _, mine := m.mine[p]; ok && !mine {
--- a/version/rack/core.go
+++ b/version/rack/core.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/worker"
 )
 
@@ -237,7 +237,7 @@
 
 // SetMembers replaces the list of the rack's workers. A worker that is missing from the list keeps its ledger, since the
 // list lags; a leaving worker gets no new work.
-func (c *Core) SetMembers(now time.Time, members []platform.Member) []Effect {
+func (c *Core) SetMembers(now time.Time, members []store.Member) []Effect {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var effects []Effect
--- a/version/rack/history_test.go
+++ b/version/rack/history_test.go
@@ -12,8 +12,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/worker"
 )
 
@@ -32,7 +32,7 @@
 	open     map[model.TaskID]model.Task
 	denied   map[model.TaskID]bool
 	sequence uint64
-	members  []platform.Member
+	members  []store.Member
 	runs     map[model.TaskID]int
 	// refuseEvery makes workers refuse each start with a multiple of this sequence; 0 refuses none.
 	refuseEvery uint64
@@ -47,7 +47,7 @@
 	f.core = New(f.now, "r1", 1, policy)
 	for i, c := range capacities {
 		id := fmt.Sprintf("w%d", i)
-		f.members = append(f.members, platform.Member{ID: id, State: platform.MemberLive, Capacity: c})
+		f.members = append(f.members, store.Member{ID: id, State: store.MemberLive, Capacity: c})
 		f.running[id] = map[model.TaskID]worker.StartRequest{}
 	}
 	f.take(f.core.SetMembers(f.now, f.members))
@@ -358,7 +358,7 @@
 				f.sync(w, 1)
 			},
 			"member": func(rt *rapid.T) {
-				states := []platform.MemberState{platform.MemberLive, platform.MemberLeaving}
+				states := []store.MemberState{store.MemberLive, store.MemberLeaving}
 				f.members[rapid.IntRange(0, 3).Draw(rt, "member")].State = rapid.SampledFrom(states).Draw(rt, "state")
 				f.take(f.core.SetMembers(f.now, f.members))
 			},
--- a/version/rack/job.go
+++ b/version/rack/job.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/store"
 )
 
 // maxFailedJobs bounds the failed jobs that are remembered of one worker.
@@ -155,7 +155,7 @@
 // probe opens quarantined workers for one task when their probe is due. Callers hold c.mu.
 func (c *Core) probe(now time.Time) {
 	for _, w := range c.order {
-		open := w.quarantined && w.fenced && w.member.State != platform.MemberLeaving && !now.Before(w.probeAt)
+		open := w.quarantined && w.fenced && w.member.State != store.MemberLeaving && !now.Before(w.probeAt)
 		if open != w.probing {
 			w.probing = open
 			c.reindex(w)
--- a/version/rack/lease.go
+++ b/version/rack/lease.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/worker"
 )
 
@@ -51,7 +51,7 @@
 
 // workerState is the ledger of one worker.
 type workerState struct {
-	member platform.Member
+	member store.Member
 	used   model.Resources
 	tasks  map[model.TaskID]*taskState
 
@@ -89,7 +89,7 @@
 	acknowledge []uint64
 }
 
-func newWorkerState(m platform.Member) *workerState {
+func newWorkerState(m store.Member) *workerState {
 	return &workerState{
 		member: m, tasks: map[model.TaskID]*taskState{}, unreported: map[uint64]worker.Result{}, failedJobs: map[string]bool{},
 	}
--- a/version/rack/lease_test.go
+++ b/version/rack/lease_test.go
@@ -7,7 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/worker"
 )
 
@@ -16,7 +16,7 @@
 func TestLapseNeedsProofOfOwnership(t *testing.T) {
 	now := time.Unix(1000, 0)
 	c := New(now, "rack-1", 1, DefaultPolicy())
-	c.SetMembers(now, []platform.Member{{ID: "w1", State: platform.MemberLive, Capacity: model.Resources{CPUMilli: 8000, MemoryMiB: 8192, Slots: 8}}})
+	c.SetMembers(now, []store.Member{{ID: "w1", State: store.MemberLive, Capacity: model.Resources{CPUMilli: 8000, MemoryMiB: 8192, Slots: 8}}})
 	running := worker.RunningTask{Task: model.Task{ID: "i1-a/0.0"}, Token: model.StartToken{Epoch: 1, Sequence: 1}}
 	c.Fenced(now, "w1", worker.Inventory{BootID: "b1", Running: []worker.RunningTask{running}})
 	lapsed := func(at time.Time) (count int) {
@@ -47,7 +47,7 @@
 func TestReportOfEarlierBootAcknowledgesNothing(t *testing.T) {
 	now := time.Unix(1000, 0)
 	c := New(now, "rack-1", 1, DefaultPolicy())
-	c.SetMembers(now, []platform.Member{{ID: "w1", State: platform.MemberLive, Capacity: model.Resources{CPUMilli: 8000, MemoryMiB: 8192, Slots: 8}}})
+	c.SetMembers(now, []store.Member{{ID: "w1", State: store.MemberLive, Capacity: model.Resources{CPUMilli: 8000, MemoryMiB: 8192, Slots: 8}}})
 	result := func(id model.TaskID) worker.Result {
 		return worker.Result{Sequence: 1, Task: model.Task{ID: id}, Outcome: model.Outcome{Task: id, State: model.OutcomeFinished, Worker: "w1"}}
 	}
--- a/version/rack/policy_test.go
+++ b/version/rack/policy_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/worker"
 )
 
@@ -297,7 +297,7 @@
 func TestLeavingWorker(t *testing.T) {
 	f := newFleet(t, noShare(), eightCores())
 	f.offer(task("a/0", model.ClassBatch, 1))
-	f.members[0].State = platform.MemberLeaving
+	f.members[0].State = store.MemberLeaving
 	f.take(f.core.SetMembers(f.now, f.members))
 	f.execute(0)
 	for _, e := range f.pending {
--- a/version/rack/reservation.go
+++ b/version/rack/reservation.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/lentiltide/lentiltide/model"
-	"github.com/lentiltide/lentiltide/platform"
+	"github.com/lentiltide/lentiltide/store"
 	"github.com/lentiltide/lentiltide/worker"
 )
 
@@ -352,4 +352,4 @@
 }
 
 // leaving reports whether the platform takes a worker away.
-func (w *workerState) leaving() bool { return w.member.State == platform.MemberLeaving }
+func (w *workerState) leaving() bool { return w.member.State == store.MemberLeaving }
