--- /dev/null
+++ b/process/node/callers.go
@@ -0,0 +1,248 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
+	"github.com/lentiltide/lentiltide/model/job"
+	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/cell"
+)
+
+const (
+	// statusTimeout bounds the question to the leader, after which the store is asked.
+	statusTimeout = 250 * time.Millisecond
+	// waitingAge is how old the counts of waiting jobs may be.
+	waitingAge = 1800 * time.Millisecond
+	// configAge is how long ago the configuration must have been confirmed for the instance to take new connections.
+	configAge = 6 * time.Second
+)
+
+// Queue returns the queue of a request.
+func (n *Node) Queue(host, path string) (job.Queue, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.config.Version == 0 {
+		return job.Queue{}, unavailable(nil, "no configuration is known yet")
+	}
+	q, ok := n.config.Match(host, path)
+	if !ok {
+		return job.Queue{}, verdict.New(verdict.NotRun, verdict.CodeNotFound, "there is no such queue")
+	}
+	return q, nil
+}
+
+// Submit stores a job and tells the leader. The same job at several instances is one job.
+func (n *Node) Submit(ctx context.Context, q job.Queue, id job.ID, spec job.Spec) error {
+	if err := checkSpec(spec); err != nil {
+		return err
+	}
+	began := n.opts.Now()
+	_, epoch := n.leaderAddress()
+	data, err := json.Marshal(job.Record{Queue: q, Spec: spec, Epoch: epoch})
+	if err != nil {
+		return verdict.Invalid("body", "%v", err)
+	}
+	existing, err := n.inserts.Insert(ctx, jobKey(id), data)
+	n.logAnswer("job_submitted", id, err, map[string]any{
+		"queue": q.Name, "epoch": epoch, "existing": existing != nil, "took_ms": (n.opts.Now() - began).Milliseconds(),
+	})
+	if err != nil {
+		return err
+	}
+	if existing != nil {
+		return n.repeated(existing)
+	}
+	n.tellStored(ctx, id, data)
+	return nil
+}
+
+// repeated answers a job that is stored already.
+func (n *Node) repeated(existing []byte) error {
+	var record job.Record
+	if err := json.Unmarshal(existing, &record); err != nil {
+		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeInternal, "the stored job cannot be read")
+	}
+	if record.Refused {
+		return unavailable(nil, "the job was refused")
+	}
+	return nil
+}
+
+// Limits of a job.
+const (
+	maxSteps   = 200
+	maxTasks   = 5000
+	maxPayload = 4000
+)
+
+// checkSpec refuses jobs that make no sense.
+func checkSpec(spec job.Spec) error {
+	if len(spec.Payload) > maxPayload {
+		return verdict.Invalid("specification", "expected at most %d bytes, got %d", maxPayload, len(spec.Payload))
+	}
+	if len(spec.Steps) == 0 || len(spec.Steps) > maxSteps {
+		return verdict.Invalid("steps", "expected 1 to %d steps, got %d", maxSteps, len(spec.Steps))
+	}
+	tasks := 0
+	for i, s := range spec.Steps {
+		if s.Count <= 0 {
+			return verdict.Invalid("steps", "step %d: expected at least one task, got %d", i, s.Count)
+		}
+		if s.Each.CPUMilli < 0 || s.Each.MemoryMiB < 0 || s.Each.Accelerators < 0 {
+			return verdict.Invalid("steps", "step %d: expected demands of 0 or more", i)
+		}
+		for _, p := range s.After {
+			if p < 0 || p >= i {
+				return verdict.Invalid("steps", "step %d: expected earlier steps in its dependencies, got %d", i, p)
+			}
+		}
+		tasks += s.Count
+	}
+	if tasks > maxTasks {
+		return verdict.Invalid("steps", "expected at most %d tasks, got %d", maxTasks, tasks)
+	}
+	if spec.Repeat < 0 || (spec.Repeat > 0 && spec.IntervalMS < 0) {
+		return verdict.Invalid("repetitions", "expected repetitions and an interval of 0 or more")
+	}
+	return nil
+}
+
+// tellStored tells the leader of a stored job or, without a record, of a stored cancellation. The leader also follows the
+// tables, so a lost message costs time only.
+func (n *Node) tellStored(ctx context.Context, id job.ID, record []byte) {
+	if t := n.loadedTerm(); t != nil {
+		t.stored(id, record)
+		return
+	}
+	address, _ := n.leaderAddress()
+	if address == "" {
+		return
+	}
+	msg := &peerpb.Request{Body: &peerpb.Request_JobStored{JobStored: &peerpb.JobStored{Job: string(id), Record: record}}}
+	if err := n.opts.Transport.Send(ctx, address, msg); err != nil {
+		n.opts.Log.WithError(err).WithFields(map[string]any{"event": "leader_not_told", "job": id, "leader": address}).Info("leader learns from the table")
+	}
+}
+
+// Cancel stores a cancellation and tells the leader.
+func (n *Node) Cancel(ctx context.Context, _ job.Queue, id job.ID) error {
+	began := n.opts.Now()
+	err := n.cancel(ctx, id)
+	n.logAnswer("job_cancelled", id, err, map[string]any{"took_ms": (n.opts.Now() - began).Milliseconds()})
+	return err
+}
+
+func (n *Node) cancel(ctx context.Context, id job.ID) error {
+	if state, err := n.leaderState(ctx, id); err != nil || state == "" {
+		row, err := n.opts.Tables.Get(ctx, jobKey(id))
+		if err != nil {
+			return unavailable(err, "the store cannot be read")
+		}
+		if row.Version == 0 {
+			return verdict.New(verdict.NotRun, verdict.CodeExpired, "there is no such job")
+		}
+	}
+	if _, err := n.inserts.Insert(ctx, cancelKey(id), []byte("{}")); err != nil {
+		return err
+	}
+	n.tellStored(ctx, id, nil)
+	return nil
+}
+
+// State returns the state of a job: from the leader, or from the store if the leader cannot answer or does not know it.
+func (n *Node) State(ctx context.Context, _ job.Queue, id job.ID) (job.State, error) {
+	state, err := n.leaderState(ctx, id)
+	if err == nil && state != "" {
+		return state, nil
+	}
+	stored, storeErr := n.storedState(ctx, id)
+	if storeErr != nil {
+		n.logAnswer("state_unknown", id, storeErr, map[string]any{"leader_error": errText(err)})
+	}
+	return stored, storeErr
+}
+
+// leaderState asks the leader. An empty state says that the leader does not know the job.
+func (n *Node) leaderState(ctx context.Context, id job.ID) (job.State, error) {
+	if t := n.loadedTerm(); t != nil {
+		state, _ := t.core.State(id)
+		return state, nil
+	}
+	address, _ := n.leaderAddress()
+	if address == "" {
+		return "", unavailable(nil, "no leader is known")
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	reply, err := n.opts.Transport.Call(ctx, address, &peerpb.Request{
+		Body: &peerpb.Request_JobStatus{JobStatus: &peerpb.JobStatus{Job: string(id)}},
+	})
+	if err != nil {
+		return "", err
+	}
+	return job.State(reply.GetJobStatus().GetState()), nil
+}
+
+// storedState reads the state of a job from its rows.
+func (n *Node) storedState(ctx context.Context, id job.ID) (job.State, error) {
+	row, err := n.opts.Tables.Get(ctx, jobKey(id))
+	if err != nil {
+		return "", unavailable(err, "the store cannot be read")
+	}
+	if row.Version == 0 {
+		return "", verdict.New(verdict.NotRun, verdict.CodeExpired, "there is no such job")
+	}
+	progress, err := n.opts.Tables.Get(ctx, progressKey(id))
+	if err != nil {
+		return "", unavailable(err, "the store cannot be read")
+	}
+	state, begun := cell.StoredState(progress.Value)
+	if state != "" {
+		return state, nil
+	}
+	cancelled, err := n.opts.Tables.Get(ctx, cancelKey(id))
+	if err != nil {
+		return "", unavailable(err, "the store cannot be read")
+	}
+	switch {
+	case cancelled.Version != 0:
+		return job.Cancelled, nil
+	case begun:
+		return job.Running, nil
+	default:
+		return job.Queued, nil
+	}
+}
+
+// Waiting returns the number of jobs of a queue without a started task.
+func (n *Node) Waiting(_ context.Context, q job.Queue) (int, error) {
+	if t := n.loadedTerm(); t != nil {
+		return t.core.Waiting()[q.Name], nil
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.opts.Now()-n.waitingAt > waitingAge || n.waiting == nil {
+		return 0, unavailable(nil, "the leader has not answered lately")
+	}
+	return int(n.waiting[q.Name]), nil
+}
+
+// Ready reports whether the instance takes new connections.
+func (n *Node) Ready() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.leaving.Load() && n.config.Version != 0 && n.opts.Now()-n.configAt < configAge
+}
+
+// logAnswer logs what was decided about a caller's request.
+func (n *Node) logAnswer(event string, id job.ID, err error, fields map[string]any) {
+	entry := n.opts.Log.WithFields(fields).WithFields(map[string]any{"event": event, "job": id, "verdict": verdict.Of(err).String()})
+	if err != nil {
+		entry.WithError(err).Info("request failed")
+		return
+	}
+	entry.Info("request answered")
+}
--- /dev/null
+++ b/process/node/config.go
@@ -0,0 +1,79 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/model/job"
+	"github.com/lentiltide/lentiltide/request/verdict"
+)
+
+// configWait is the long poll on the configuration. A silent connection is noticed after it, so it is below the time in
+// which a configuration must be in force.
+const configWait = time.Second
+
+// followConfig keeps the configuration current.
+func (n *Node) followConfig(ctx context.Context) {
+	after, known, failing := uint64(0), false, false
+	key := n.opts.Sources.Config
+	for ctx.Err() == nil {
+		var page backend.Page
+		var err error
+		if known {
+			page, err = n.opts.Tables.Feed(ctx, key.Table, after, configWait)
+		} else {
+			page, err = n.opts.Tables.Range(ctx, key.Table, key.Part, "")
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if failing != (err != nil) {
+			failing = err != nil
+			n.opts.Log.WithFields(map[string]any{"event": "config_feed", "lost": failing, "error": errText(err)}).Warn("feed of the configuration")
+		}
+		if err != nil {
+			known = known && verdict.From(err).Code != verdict.CodeExpired
+			pause(ctx, readRetry)
+			continue
+		}
+		known, after = true, max(after, page.Version)
+		n.enterConfig(page.Rows, key)
+	}
+}
+
+// enterConfig applies the newest configuration among the rows.
+func (n *Node) enterConfig(rows []backend.Row, key backend.RowKey) {
+	n.mu.Lock()
+	n.configAt = n.opts.Now()
+	n.mu.Unlock()
+	for _, row := range rows {
+		if row.RowKey != key || row.Deleted {
+			continue
+		}
+		cfg, err := n.opts.Decoder.Config(row)
+		if err != nil {
+			n.opts.Log.WithError(err).WithField("event", "config_unreadable").Error("configuration cannot be read")
+			continue
+		}
+		n.applyConfig(cfg)
+	}
+}
+
+// applyConfig puts a configuration in force unless a newer one is.
+func (n *Node) applyConfig(cfg job.Config) {
+	n.mu.Lock()
+	newer := cfg.Version > n.config.Version
+	if newer {
+		n.config = cfg
+	}
+	t := n.term
+	n.mu.Unlock()
+	if !newer {
+		return
+	}
+	n.opts.Log.WithFields(map[string]any{"event": "config_applied", "config": cfg.Version, "queues": len(cfg.Queues)}).Info("configuration applied")
+	if t != nil {
+		t.core.SetConfig(cfg)
+	}
+}
--- /dev/null
+++ b/process/node/leadership.go
@@ -0,0 +1,240 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"hash/fnv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/cell"
+)
+
+// The rows of the cell. The leadership, its renewals and the progress of jobs share a part, so that one transaction can be
+// conditional on the leadership. Jobs and cancellations are spread over parts by the job's id.
+const (
+	leaderTable   = "leader"
+	progressTable = "progress"
+	jobTable      = "jobs"
+	cancelTable   = "cancels"
+	cellPart      = "cell"
+)
+
+var (
+	leaderKey  = backend.RowKey{Table: leaderTable, Part: cellPart, Key: "leader"}
+	renewalKey = backend.RowKey{Table: leaderTable, Part: cellPart, Key: "renewal"}
+)
+
+const (
+	// renewEvery is the time between renewals of the leadership.
+	renewEvery = 400 * time.Millisecond
+	// takeoverAfter is how long the renewals must have stopped before another instance takes over: four of them.
+	takeoverAfter = 1700 * time.Millisecond
+	// leaderWait is the long poll on the leadership. It is short, so that a silent connection is noticed within a takeover.
+	leaderWait = time.Second
+	// suspendAfter is how long a leader goes on without a renewal. Its successor waits for it before it counts leases of
+	// unreachable workers as lapsed.
+	suspendAfter = 6 * time.Second
+	// readRetry is the time between attempts to reach the table service.
+	readRetry = 150 * time.Millisecond
+	// takeoverJitter spreads the instances that try to take over at the same time.
+	takeoverJitter = 120 * time.Millisecond
+)
+
+// leaderRow is the value of the leader row. Its epoch is the fencing token.
+type leaderRow struct {
+	Epoch    uint64 `json:"epoch"`
+	Instance string `json:"instance"`
+	Address  string `json:"address"`
+	// Claim is unique for each attempt to take over, to recognise a write whose answer was lost.
+	Claim    string `json:"claim"`
+	Resigned bool   `json:"resigned,omitempty"`
+}
+
+// leadership is what this instance has seen of the leadership.
+type leadership struct {
+	row     leaderRow
+	version uint64
+	// changed is when a change was seen last, or when the table service could not be read last: only an uninterrupted
+	// observation shows that the renewals have stopped.
+	changed cell.Instant
+	// read is the version up to which the feed was read.
+	read  uint64
+	known bool
+}
+
+// followLeadership watches the leadership, takes over when its holder is gone, and leads until the leadership is lost.
+func (n *Node) followLeadership(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := n.observeLeadership(ctx); err != nil {
+			n.observationGap(err)
+			pause(ctx, readRetry)
+			continue
+		}
+		if !n.mayTakeOver() {
+			continue
+		}
+		if t := n.takeOver(ctx); t != nil {
+			n.lead(ctx, t)
+		}
+	}
+}
+
+// observeLeadership reads the leadership, or waits for its next change.
+func (n *Node) observeLeadership(ctx context.Context) error {
+	n.mu.Lock()
+	known, read := n.leader.known, n.leader.read
+	n.mu.Unlock()
+	var page backend.Page
+	var err error
+	if known {
+		page, err = n.opts.Tables.Feed(ctx, leaderTable, read, n.leadershipWait())
+	} else {
+		page, err = n.opts.Tables.Range(ctx, leaderTable, cellPart, "")
+	}
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.opts.Now()
+	l := &n.leader
+	if !l.known {
+		l.changed = now
+	}
+	l.known = true
+	l.read = max(l.read, page.Version)
+	for _, row := range page.Rows {
+		l.changed = now
+		n.enterLeaderRow(row)
+	}
+	return nil
+}
+
+// leadershipWait returns how long to wait for a change: not past the moment at which a takeover is due.
+func (n *Node) leadershipWait() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	due := n.leader.changed + takeoverAfter - n.opts.Now()
+	return min(leaderWait, max(due, 50*time.Millisecond))
+}
+
+// enterLeaderRow notes a row of the leader table. Callers hold n.mu.
+func (n *Node) enterLeaderRow(row backend.Row) {
+	if row.RowKey != leaderKey || row.Version <= n.leader.version {
+		return
+	}
+	var value leaderRow
+	if err := json.Unmarshal(row.Value, &value); err != nil {
+		n.opts.Log.WithError(err).Error("leader row cannot be read")
+		return
+	}
+	n.leader.row, n.leader.version = value, row.Version
+	n.opts.Log.WithFields(map[string]any{
+		"event": "leader_seen", "leader": value.Instance, "epoch": value.Epoch, "resigned": value.Resigned,
+	}).Info("leader changed")
+}
+
+// observationGap makes the observation start anew after the table service could not be read.
+func (n *Node) observationGap(err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.leader.changed = n.opts.Now()
+	if verdict.From(err).Code == verdict.CodeExpired {
+		n.leader.known = false
+	}
+}
+
+// mayTakeOver reports whether the leadership is free for this instance.
+func (n *Node) mayTakeOver() bool {
+	if n.leaving.Load() {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := &n.leader
+	if l.version == 0 || l.row.Resigned || l.row.Instance == n.opts.Instance {
+		return true
+	}
+	return n.opts.Now()-l.changed >= takeoverAfter
+}
+
+// jitterOf spreads instances by name, so that the first to try usually succeeds before the others do.
+func jitterOf(name string, epoch uint64) time.Duration {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name))
+	_, _ = h.Write([]byte{byte(epoch)})
+	return time.Duration(h.Sum32()%uint32(takeoverJitter/time.Millisecond)) * time.Millisecond
+}
+
+// takeOver tries to become the leader in the next epoch. It returns nil if another instance was faster.
+func (n *Node) takeOver(ctx context.Context) *term {
+	n.mu.Lock()
+	old := n.leader
+	n.mu.Unlock()
+	if old.version != 0 && old.row.Instance != n.opts.Instance {
+		pause(ctx, n.opts.TakeoverDelay+jitterOf(n.opts.Instance, old.row.Epoch))
+		if n.changedSince(ctx, old) {
+			return nil
+		}
+	}
+	row := leaderRow{
+		Epoch: old.row.Epoch + 1, Instance: n.opts.Instance, Address: n.opts.PeerAddress, Claim: uuid.NewString(),
+	}
+	value, err := json.Marshal(row)
+	if err != nil {
+		n.opts.Log.WithError(err).Error("leader row cannot be encoded")
+		return nil
+	}
+	txn := backend.Txn{
+		Expected: []backend.Row{{RowKey: leaderKey, Version: old.version}},
+		Put:      []backend.Row{{RowKey: leaderKey, Value: value}},
+	}
+	version, err := n.opts.Tables.Commit(ctx, txn)
+	if err != nil {
+		version = n.claimed(ctx, row, err)
+	}
+	if version == 0 {
+		return nil
+	}
+	return &term{node: n, epoch: row.Epoch, row: row, rowVersion: version, previous: old.row}
+}
+
+// changedSince reads the leader row once more before a takeover.
+func (n *Node) changedSince(ctx context.Context, old leadership) bool {
+	row, err := n.opts.Tables.Get(ctx, leaderKey)
+	if err != nil {
+		n.observationGap(err)
+		return true
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.enterLeaderRow(row)
+	return row.Version != old.version || n.leader.changed != old.changed
+}
+
+// claimed settles a takeover without a clear answer by reading the row back. Only the claim tells whether it took effect; a
+// write that arrives later finds another version or gives this instance an epoch that it does not use.
+func (n *Node) claimed(ctx context.Context, row leaderRow, cause error) uint64 {
+	n.opts.Log.WithError(cause).WithField("event", "takeover_unclear").Info("takeover has no clear answer")
+	if verdict.Of(cause) == verdict.NotRun {
+		n.observationGap(cause)
+		n.mu.Lock()
+		n.leader.known = false
+		n.mu.Unlock()
+		return 0
+	}
+	found, err := n.opts.Tables.Get(ctx, leaderKey)
+	if err != nil {
+		n.observationGap(err)
+		return 0
+	}
+	var value leaderRow
+	if err := json.Unmarshal(found.Value, &value); err != nil || value.Claim != row.Claim {
+		return 0
+	}
+	return found.Version
+}
--- /dev/null
+++ b/process/node/node.go
@@ -0,0 +1,151 @@
+// Package node runs one instance of a cell: it accepts jobs and answers for them, follows the configuration, and leads the
+// cell while it holds the leadership. All instances run the same program; what must last is in the table service.
+package node
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
+
+	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/connection/peer"
+	"github.com/lentiltide/lentiltide/model/job"
+	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/cell"
+)
+
+// Sources names the rows of other writers.
+type Sources struct {
+	// Config is the row with the newest configuration.
+	Config backend.RowKey
+	// Workers is the table with an entry for each worker, in the empty part.
+	Workers string
+}
+
+// Options configures a Node.
+type Options struct {
+	// Instance is the name of the instance, which a process that starts again on it keeps.
+	Instance string
+	// PeerAddress is host:port at which other instances are served; Listener accepts there.
+	PeerAddress string
+	Listener    net.Listener
+	Transport   *peer.Transport
+	Tables      backend.Tables
+	Workers     backend.Workers
+	Advisor     backend.Advisor
+	Decoder     backend.Decoder
+	Sources     Sources
+	Log         logrus.FieldLogger
+	// Note receives the decisions of the scheduler; see cell.Options.
+	Note func(cell.Decision)
+	// Lease is the term of leases on workers, StopTimeout the bound on a stop and Retention how long a finished job can be
+	// asked for.
+	Lease, StopTimeout, Retention time.Duration
+	// TakeoverDelay keeps this instance back when another one can lead as well.
+	TakeoverDelay time.Duration
+	// Now returns the time since boot, including suspension.
+	Now func() cell.Instant
+}
+
+// Node is one instance.
+//
+// Locking: mu protects the fields below it and is held for moments only, never during a call.
+type Node struct {
+	opts    Options
+	inserts *inserter
+	leaving atomic.Bool
+
+	mu     sync.Mutex
+	config job.Config
+	// configAt is when the configuration was last known to be current.
+	configAt cell.Instant
+	leader   leadership
+	// term is set while this instance leads.
+	term    *term
+	waiting map[string]uint32
+	// waitingAt is when waiting was learned from the leader.
+	waitingAt cell.Instant
+	// leaderLost says that the last join had no answer.
+	leaderLost bool
+}
+
+// New returns an instance that does nothing before Run.
+func New(opts Options) *Node {
+	n := &Node{opts: opts}
+	n.inserts = newInserter(opts.Tables)
+	return n
+}
+
+// Run serves until ctx ends or the listener fails.
+func (n *Node) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return n.opts.Transport.Serve(ctx, n.opts.Listener, n.handlePeer) })
+	group.Go(func() error { n.followConfig(ctx); return nil })
+	group.Go(func() error { n.followLeadership(ctx); return nil })
+	group.Go(func() error { n.join(ctx); return nil })
+	group.Go(func() error {
+		<-ctx.Done()
+		return n.opts.Listener.Close()
+	})
+	return group.Wait()
+}
+
+// BootClock returns the time since boot on the clock that counts suspension.
+func BootClock() cell.Instant {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		// Every supported kernel has this clock.
+		panic(err)
+	}
+	return time.Duration(ts.Nano())
+}
+
+// currentTerm returns the term in which this instance leads, or nil.
+func (n *Node) currentTerm() *term {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.term
+}
+
+// leaderAddress returns the peer address and the epoch of the leader that this instance knows; the address is empty if it
+// knows none or leads itself.
+func (n *Node) leaderAddress() (string, uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.term != nil {
+		return "", n.term.epoch
+	}
+	if n.leader.row.Resigned || n.leader.row.Instance == n.opts.Instance {
+		return "", n.leader.row.Epoch
+	}
+	return n.leader.row.Address, n.leader.row.Epoch
+}
+
+// pause waits, or returns false when ctx ends.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// unavailable is the refusal of a request that has not run and may be sent again.
+func unavailable(cause error, what string) error {
+	if cause == nil {
+		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "%s", what).After(retryAfter)
+	}
+	return verdict.Wrap(cause, verdict.NotRun, verdict.CodeUnavailable, "%s", what).After(retryAfter)
+}
+
+// retryAfter is when a refused caller should come back: after the time in which a leader is replaced.
+const retryAfter = time.Second
--- /dev/null
+++ b/process/node/peers.go
@@ -0,0 +1,160 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/connection/peer"
+	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
+	"github.com/lentiltide/lentiltide/model/job"
+	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/cell"
+)
+
+const (
+	// joinEvery is the time between joins, below the age that counts of waiting jobs may have.
+	joinEvery = 500 * time.Millisecond
+	// joinTimeout bounds a join.
+	joinTimeout = 700 * time.Millisecond
+	// adviceSlack is how much longer than expected advice may take.
+	adviceSlack = 600 * time.Millisecond
+)
+
+// join tells the leader that this instance is there and learns what it answers on its own.
+func (n *Node) join(ctx context.Context) {
+	for pause(ctx, joinEvery) {
+		address, _ := n.leaderAddress()
+		if address == "" {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, joinTimeout)
+		reply, err := n.opts.Transport.Call(call, address, &peerpb.Request{
+			Body: &peerpb.Request_Join{Join: &peerpb.Join{Instance: n.opts.Instance, Address: n.opts.PeerAddress}},
+		})
+		cancel()
+		n.joined(address, reply, err)
+	}
+}
+
+func (n *Node) joined(address string, reply *peerpb.Reply, err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	lost := err != nil
+	if lost != n.leaderLost {
+		n.leaderLost = lost
+		n.opts.Log.WithFields(map[string]any{"event": "leader_contact", "leader": address, "lost": lost, "error": errText(err)}).Info("contact to the leader")
+	}
+	if lost {
+		return
+	}
+	n.waiting = reply.GetJoin().GetWaiting()
+	if n.waiting == nil {
+		n.waiting = map[string]uint32{}
+	}
+	n.waitingAt = n.opts.Now()
+}
+
+// loadedTerm returns the term in which this instance leads, once it has read all rows.
+func (n *Node) loadedTerm() *term {
+	t := n.currentTerm()
+	if t == nil {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.loaded {
+		return nil
+	}
+	return t
+}
+
+// handlePeer answers a request of another instance.
+func (n *Node) handlePeer(ctx context.Context, req *peerpb.Request) *peerpb.Reply {
+	reply := &peerpb.Reply{Id: req.GetId()}
+	if err := n.answerPeer(ctx, req, reply); err != nil {
+		reply.Error = peer.ErrorToProto(verdict.From(err))
+	}
+	return reply
+}
+
+func (n *Node) answerPeer(ctx context.Context, req *peerpb.Request, reply *peerpb.Reply) error {
+	if body := req.GetAdvise(); body != nil {
+		return n.answerAdvise(ctx, body, reply)
+	}
+	t := n.loadedTerm()
+	if t == nil {
+		return unavailable(nil, "this instance does not lead")
+	}
+	switch body := req.GetBody().(type) {
+	case *peerpb.Request_Join:
+		reply.Body = &peerpb.Reply_Join{Join: t.joined(body.Join)}
+	case *peerpb.Request_JobStored:
+		t.stored(job.ID(body.JobStored.GetJob()), body.JobStored.GetRecord())
+	case *peerpb.Request_JobStatus:
+		state, _ := t.core.State(job.ID(body.JobStatus.GetJob()))
+		reply.Body = &peerpb.Reply_JobStatus{JobStatus: &peerpb.JobStatusReply{State: string(state)}}
+	default:
+		return verdict.New(verdict.NotRun, verdict.CodeInvalid, "unknown request")
+	}
+	return nil
+}
+
+// joined notes an instance that has joined.
+func (t *term) joined(join *peerpb.Join) *peerpb.JoinReply {
+	t.mu.Lock()
+	t.members[join.GetInstance()] = member{address: join.GetAddress(), seen: t.node.opts.Now()}
+	t.mu.Unlock()
+	waiting := map[string]uint32{}
+	for name, count := range t.core.Waiting() {
+		waiting[name] = uint32(count)
+	}
+	return &peerpb.JoinReply{Epoch: t.epoch, Waiting: waiting}
+}
+
+// stored enters a job or a cancellation of which the instance that stored it tells.
+func (t *term) stored(id job.ID, record []byte) {
+	key := backend.RowKey{Key: string(id)}
+	if len(record) == 0 {
+		t.enterCancel(backend.Row{RowKey: key})
+		return
+	}
+	t.enterJob(backend.Row{RowKey: key, Value: record}, backend.Row{})
+}
+
+// advise asks for placement advice by way of an instance.
+func (t *term) advise(ctx context.Context, a *cell.AdviseAction) ([]backend.Ticket, time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, a.Expected+a.Expected/2+adviceSlack)
+	defer cancel()
+	if a.Adviser == t.node.opts.Instance {
+		return t.node.opts.Advisor.Advise(ctx, a.Step, a.Workers)
+	}
+	t.mu.Lock()
+	address := t.members[a.Adviser].address
+	t.mu.Unlock()
+	reply, err := t.node.opts.Transport.Call(ctx, address, &peerpb.Request{
+		Body: &peerpb.Request_Advise{Advise: &peerpb.Advise{Step: a.Step, Workers: a.Workers}},
+	})
+	if err != nil {
+		return nil, 0, err
+	}
+	var good []backend.Ticket
+	for _, g := range reply.GetAdvise().GetGood() {
+		good = append(good, backend.Ticket{Worker: g.GetWorker(), Ticket: g.GetTicket()})
+	}
+	return good, time.Duration(reply.GetAdvise().GetValidityMs()) * time.Millisecond, nil
+}
+
+// answerAdvise asks the placement policy for the leader.
+func (n *Node) answerAdvise(ctx context.Context, req *peerpb.Advise, reply *peerpb.Reply) error {
+	good, validity, err := n.opts.Advisor.Advise(ctx, req.GetStep(), req.GetWorkers())
+	if err != nil {
+		return err
+	}
+	out := &peerpb.AdviseReply{ValidityMs: validity.Milliseconds()}
+	for _, g := range good {
+		out.Good = append(out.Good, &peerpb.Ticket{Worker: g.Worker, Ticket: g.Ticket})
+	}
+	reply.Body = &peerpb.Reply_Advise{Advise: out}
+	return nil
+}
--- /dev/null
+++ b/process/node/term.go
@@ -0,0 +1,364 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/cell"
+)
+
+// term is one epoch in which this instance leads.
+type term struct {
+	node       *Node
+	epoch      uint64
+	row        leaderRow
+	rowVersion uint64
+	previous   leaderRow
+	core       *cell.Core
+
+	// renewalVersion is the version of the renewal row, on which each write is conditional, so that a write whose answer
+	// was lost cannot overwrite a later one. renewal numbers the writes of the term.
+	renewalVersion uint64
+	renewal        uint64
+	renewedAt      cell.Instant
+	suspended      bool
+
+	mu sync.Mutex
+	// loaded says that all rows were read.
+	loaded bool
+	// members are the instances that have joined, with the time of their last join.
+	members map[string]member
+	// unusable are the entries of the registry that were logged as ignored.
+	unusable map[string]struct{}
+
+	// The versions up to which the feeds were read, each used by one loop.
+	jobsAfter, cancelsAfter, workersAfter uint64
+
+	// resigning asks the writer to give the leadership up; resigned is closed when it has tried.
+	resigning atomic.Bool
+	resigned  chan struct{}
+
+	end func()
+}
+
+// member is an instance that can ask for placement advice.
+type member struct {
+	address string
+	seen    cell.Instant
+}
+
+const (
+	// batchRows bounds the rows of one write of progress; the table service takes 100 entries.
+	batchRows = 80
+	// batchPause is the least time between writes of progress, so that several ends share one.
+	batchPause = 12 * time.Millisecond
+	// memberTerm is how long an instance is used for advice after its last join.
+	memberTerm = 1600 * time.Millisecond
+	// stepPause is the least time between two rounds of decisions.
+	stepPause = 2 * time.Millisecond
+	// stepIdle is the longest time between two rounds of decisions.
+	stepIdle = 50 * time.Millisecond
+)
+
+// lead runs the term until it is lost, given up or ctx ends.
+func (n *Node) lead(ctx context.Context, t *term) {
+	ctx, t.end = context.WithCancel(ctx)
+	defer t.end()
+	now := n.opts.Now()
+	t.members = map[string]member{}
+	t.resigned = make(chan struct{})
+	t.unusable = map[string]struct{}{}
+	t.renewedAt = now
+	t.core = cell.New(cell.Options{
+		Epoch: t.epoch, Lease: n.opts.Lease, PredecessorTerm: t.predecessorTerm(), StopTimeout: n.opts.StopTimeout,
+		Retention: n.opts.Retention, Note: n.opts.Note,
+	}, now)
+	n.mu.Lock()
+	n.term = t
+	cfg := n.config
+	n.mu.Unlock()
+	t.core.SetConfig(cfg)
+	n.opts.Log.WithFields(map[string]any{
+		"event": "leadership_taken", "epoch": t.epoch, "previous": t.previous.Instance, "resigned": t.previous.Resigned,
+	}).Info("leadership taken")
+	t.run(ctx)
+	n.mu.Lock()
+	n.term = nil
+	n.leader.known = false
+	n.mu.Unlock()
+	n.opts.Log.WithFields(map[string]any{"event": "leadership_ended", "epoch": t.epoch}).Info("leadership ended")
+}
+
+// predecessorTerm is how long the former leader may still extend leases: not at all if it resigned or was this instance.
+func (t *term) predecessorTerm() time.Duration {
+	if t.previous.Epoch == 0 || t.previous.Resigned || t.previous.Instance == t.row.Instance {
+		return 0
+	}
+	return suspendAfter
+}
+
+// run starts the loops of the term and waits for them.
+func (t *term) run(ctx context.Context) {
+	var loops sync.WaitGroup
+	loop := func(f func(context.Context)) {
+		loops.Add(1)
+		go func() {
+			defer loops.Done()
+			f(ctx)
+		}()
+	}
+	loop(t.write)
+	if t.load(ctx) {
+		loop(t.followJobs)
+		loop(t.followCancels)
+		loop(t.followWorkers)
+		loop(t.decide)
+	}
+	loops.Wait()
+}
+
+// decide runs the rounds of decisions and carries out the orders.
+func (t *term) decide(ctx context.Context) {
+	looks := map[string]struct{}{}
+	var ended sync.Map
+	for ctx.Err() == nil {
+		select {
+		case <-t.core.Wake():
+		case <-time.After(stepIdle):
+		case <-ctx.Done():
+			return
+		}
+		if t.core.Superseded() {
+			t.end()
+			return
+		}
+		t.core.SetAdvisers(t.advisers())
+		for _, action := range t.core.Step(t.node.opts.Now(), time.Now().UnixMilli()) {
+			go t.carryOut(ctx, action)
+		}
+		ended.Range(func(id, _ any) bool {
+			delete(looks, id.(string))
+			ended.Delete(id)
+			return true
+		})
+		for _, id := range t.core.WorkerIDs() {
+			if _, ok := looks[id]; ok {
+				continue
+			}
+			looks[id] = struct{}{}
+			go func() {
+				t.look(ctx, id)
+				ended.Store(id, true)
+			}()
+		}
+		pause(ctx, stepPause)
+	}
+}
+
+// advisers returns this instance and those that have joined lately.
+func (t *term) advisers() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	names := []string{t.node.opts.Instance}
+	now := t.node.opts.Now()
+	for name, m := range t.members {
+		if now-m.seen <= memberTerm {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// carryOut sends one order and enters its result.
+func (t *term) carryOut(ctx context.Context, action cell.Action) {
+	workers := t.node.opts.Workers
+	switch a := action.(type) {
+	case *cell.StartAction:
+		reply, err := workers.Start(ctx, a.Order)
+		t.core.StartResult(a, reply, err, t.node.opts.Now())
+	case *cell.StopAction:
+		reply, err := workers.Stop(ctx, a.Order)
+		t.core.StopResult(a, reply, err, t.node.opts.Now())
+	case *cell.ThrottleAction:
+		_, err := workers.Throttle(ctx, a.Order, a.Percent)
+		t.core.ThrottleResult(a, err, t.node.opts.Now())
+	case *cell.AdviseAction:
+		good, validity, err := t.advise(ctx, a)
+		t.core.AdviceResult(a, good, validity, err, t.node.opts.Now())
+	}
+}
+
+// lookRetry is the time between looks at a worker that does not answer.
+const lookRetry = 150 * time.Millisecond
+
+// ackPatience is how long a look waits for ends to become durable, so that it can acknowledge them.
+const ackPatience = 150 * time.Millisecond
+
+// look extends the leases of a worker and reads its inventory until the worker is forgotten.
+func (t *term) look(ctx context.Context, id string) {
+	now := t.node.opts.Now
+	for ctx.Err() == nil {
+		req, suspended, ok := t.core.PrepareHold(id, now())
+		if !ok {
+			return
+		}
+		if suspended {
+			pause(ctx, lookRetry)
+			continue
+		}
+		sent := now()
+		reply, err := t.node.opts.Workers.Hold(ctx, req)
+		if ctx.Err() != nil {
+			return
+		}
+		t.core.HoldResult(id, sent, reply, err, now())
+		if err != nil || reply.Refusal != "" {
+			pause(ctx, lookRetry)
+			continue
+		}
+		t.awaitAcks(ctx, id)
+	}
+}
+
+// awaitAcks waits for the ends of a worker to become durable.
+func (t *term) awaitAcks(ctx context.Context, id string) {
+	deadline := time.NewTimer(ackPatience)
+	defer deadline.Stop()
+	for {
+		changed, pending := t.core.AcksChanged(id)
+		if !pending {
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// write makes progress durable and renews the leadership until it is lost.
+func (t *term) write(ctx context.Context) {
+	defer t.end()
+	first := true
+	for ctx.Err() == nil {
+		if t.resigning.Load() {
+			t.commitResignation(ctx)
+			return
+		}
+		batch := t.core.CollectBatch(batchRows)
+		due := first || t.node.opts.Now()-t.renewedAt >= renewEvery
+		if len(batch.Progress) == 0 && len(batch.Removed) == 0 && !due {
+			pause(ctx, batchPause)
+			continue
+		}
+		first = false
+		stored, lost := t.commit(ctx, batch)
+		t.core.BatchStored(batch, stored, t.node.opts.Now())
+		if lost {
+			t.node.opts.Log.WithFields(map[string]any{"event": "leadership_lost", "epoch": t.epoch}).Warn("another instance leads")
+			return
+		}
+		t.suspendIfStale()
+		if !stored {
+			pause(ctx, readRetry)
+		}
+		pause(ctx, batchPause)
+	}
+}
+
+// suspendIfStale stops the orders to workers while the leadership cannot be renewed.
+func (t *term) suspendIfStale() {
+	stale := t.node.opts.Now()-t.renewedAt > suspendAfter-time.Second
+	if stale == t.suspended {
+		return
+	}
+	t.suspended = stale
+	t.core.Suspend(stale)
+	t.node.opts.Log.WithFields(map[string]any{
+		"event": "leadership_suspended", "epoch": t.epoch, "suspended": stale,
+		"renewal_age_ms": (t.node.opts.Now() - t.renewedAt).Milliseconds(),
+	}).Warn("renewal of the leadership")
+}
+
+// commit writes a batch together with a renewal. lost says that another instance leads.
+func (t *term) commit(ctx context.Context, batch cell.Batch) (stored, lost bool) {
+	sent := t.node.opts.Now()
+	t.renewal++
+	txn, err := t.transaction(batch, t.row)
+	if err != nil {
+		t.node.opts.Log.WithError(err).Error("progress cannot be encoded")
+		return false, false
+	}
+	version, err := t.node.opts.Tables.Commit(ctx, txn)
+	if err == nil {
+		t.renewalVersion, t.renewedAt = version, sent
+		return true, false
+	}
+	t.node.opts.Log.WithError(err).WithFields(map[string]any{
+		"event": "renewal_failed", "epoch": t.epoch, "renewal": t.renewal,
+	}).Warn("progress was not stored")
+	if e := verdict.From(err); e.Verdict == verdict.NotRun && e.Code != verdict.CodeConflict {
+		return false, false
+	}
+	return t.settle(ctx, sent)
+}
+
+// settle reads the leadership back after a write with an unknown outcome or a failed condition.
+func (t *term) settle(ctx context.Context, sent cell.Instant) (stored, lost bool) {
+	leader, err := t.node.opts.Tables.Get(ctx, leaderKey)
+	if err != nil {
+		return false, false
+	}
+	if leader.Version != t.rowVersion {
+		return false, true
+	}
+	renewal, err := t.node.opts.Tables.Get(ctx, renewalKey)
+	if err != nil {
+		return false, false
+	}
+	t.renewalVersion = renewal.Version
+	if string(renewal.Value) != t.renewalValue() {
+		return false, false
+	}
+	t.renewedAt = sent
+	return true, false
+}
+
+// renewalValue identifies the newest write of the term.
+func (t *term) renewalValue() string {
+	return t.row.Claim + "/" + strconv.FormatUint(t.renewal, 10)
+}
+
+// transaction returns the write of a batch. The renewal row chains the writes of the term.
+func (t *term) transaction(batch cell.Batch, row leaderRow) (backend.Txn, error) {
+	txn := backend.Txn{
+		Expected: []backend.Row{
+			{RowKey: leaderKey, Version: t.rowVersion},
+			{RowKey: renewalKey, Version: t.renewalVersion},
+		},
+		Put: []backend.Row{{RowKey: renewalKey, Value: []byte(t.renewalValue())}},
+	}
+	for _, p := range batch.Progress {
+		txn.Put = append(txn.Put, backend.Row{RowKey: progressKey(p.Job), Value: p.Data})
+	}
+	for _, id := range batch.Removed {
+		txn.Remove = append(txn.Remove, progressKey(id))
+	}
+	if row.Resigned {
+		value, err := json.Marshal(row)
+		if err != nil {
+			return txn, err
+		}
+		txn.Put = append(txn.Put, backend.Row{RowKey: leaderKey, Value: value})
+	}
+	return txn, nil
+}
--- /dev/null
+++ b/process/settings/node.go
@@ -0,0 +1,119 @@
+package settings
+
+import (
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/lentiltide/lentiltide/request/strictjson"
+)
+
+// Node are the settings of an instance of a cell on a platform.
+type Node struct {
+	// Instance is the name of this instance, unique in the cell.
+	Instance string `json:"instance"`
+	Region   string `json:"region"`
+	// Zone is the availability zone of this instance.
+	Zone string `json:"zone"`
+	// CallerAddress, ReadyAddress, PeerAddress and MetricsAddress are host:port on which callers, the platform's question
+	// for readiness, other instances and readers of metrics are served.
+	CallerAddress  string `json:"caller_address"`
+	ReadyAddress   string `json:"ready_address"`
+	PeerAddress    string `json:"peer_address"`
+	MetricsAddress string `json:"metrics_address,omitempty"`
+	// StoreAddress, AdviceAddress and MachinesAddress are host:port of the platform's services. An empty address means that
+	// the platform has no such service.
+	StoreAddress    string `json:"store_address"`
+	AdviceAddress   string `json:"advice_address,omitempty"`
+	MachinesAddress string `json:"machines_address,omitempty"`
+	// CPUShare is the share of a core that the instance has.
+	CPUShare float64 `json:"cpu_share"`
+	// MemoryMB is the memory that the instance may use, in megabytes.
+	MemoryMB int64 `json:"memory_mb"`
+	// MaxLeaseMS is the longest lease that workers grant, in milliseconds.
+	MaxLeaseMS int64 `json:"max_lease_ms"`
+	// StopTimeoutMS bounds a stop on a worker, in milliseconds.
+	StopTimeoutMS int64 `json:"stop_timeout_ms"`
+	// RetentionS is how long the state of a finished job can be asked for, in seconds.
+	RetentionS float64 `json:"retention_s"`
+	// GraceS is the time from SIGTERM to SIGKILL, in seconds.
+	GraceS float64 `json:"grace_s"`
+	// LogLevel is the lowest level that is logged: debug, info, warn or error.
+	LogLevel string `json:"log_level,omitempty"`
+}
+
+// Bounds of the settings of a node.
+const (
+	minMemoryMB, maxMemoryMB = 32, 1 << 20
+	minMaxLeaseMS            = 1000
+	minGraceS, maxGraceS     = 0.5, 600
+	maxRetentionS            = 7 * 24 * 3600
+)
+
+// LoadNode reads the settings of a node and checks them whole.
+func LoadNode(path string) (Node, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Node{}, errors.Wrap(err, "read settings")
+	}
+	return ParseNode(data)
+}
+
+// ParseNode decodes and checks the settings of a node. The error is an *Error that lists every problem.
+func ParseNode(data []byte) (Node, error) {
+	s := Node{LogLevel: "info", CPUShare: 1, StopTimeoutMS: 500, RetentionS: 120, GraceS: 6, MaxLeaseMS: maxTermMS}
+	var found problems
+	for _, p := range strictjson.Decode(data, &s) {
+		found = append(found, p.String())
+	}
+	if len(found) == 0 {
+		s.check(&found)
+	}
+	if len(found) > 0 {
+		return Node{}, &Error{Problems: found}
+	}
+	return s, nil
+}
+
+func (s Node) check(p *problems) {
+	p.name("instance", s.Instance)
+	p.name("zone", s.Zone)
+	p.address("caller_address", s.CallerAddress)
+	p.address("ready_address", s.ReadyAddress)
+	p.address("peer_address", s.PeerAddress)
+	p.address("store_address", s.StoreAddress)
+	for path, value := range map[string]string{
+		"metrics_address": s.MetricsAddress, "advice_address": s.AdviceAddress, "machines_address": s.MachinesAddress,
+	} {
+		if value != "" {
+			p.address(path, value)
+		}
+	}
+	if s.CPUShare <= 0 {
+		p.add("cpu_share", "expected more than 0 cores, got %g", s.CPUShare)
+	}
+	if s.MemoryMB < minMemoryMB || s.MemoryMB > maxMemoryMB {
+		p.add("memory_mb", "expected %d to %d megabytes, got %d", minMemoryMB, maxMemoryMB, s.MemoryMB)
+	}
+	p.within("max_lease_ms", s.MaxLeaseMS, minMaxLeaseMS, maxLeaseMS)
+	p.within("stop_timeout_ms", s.StopTimeoutMS, 1, maxTermMS)
+	if s.GraceS < minGraceS || s.GraceS > maxGraceS {
+		p.add("grace_s", "expected %g to %g seconds, got %g", minGraceS, float64(maxGraceS), s.GraceS)
+	}
+	if s.RetentionS < 0 || s.RetentionS > maxRetentionS {
+		p.add("retention_s", "expected 0 to %d seconds, got %g", maxRetentionS, s.RetentionS)
+	}
+	if _, err := logrus.ParseLevel(s.LogLevel); err != nil {
+		p.add("log_level", "expected debug, info, warn or error, got %q", s.LogLevel)
+	}
+}
+
+// Level returns the lowest level that is logged.
+func (s Node) Level() logrus.Level {
+	level, err := logrus.ParseLevel(s.LogLevel)
+	if err != nil {
+		return logrus.InfoLevel
+	}
+	return level
+}
--- /dev/null
+++ b/version/cell/progress.go
@@ -0,0 +1,241 @@
+package cell
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lentiltide/lentiltide/model/job"
+)
+
+// progressRow is the durable progress of a job.
+type progressRow struct {
+	// State is the state of the job if it is final, otherwise empty.
+	State job.State `json:"s,omitempty"`
+	// Steps holds the steps with ends, by occurrence.step.
+	Steps map[string]*stepProgress `json:"t,omitempty"`
+}
+
+// stepProgress is the durable progress of a step.
+type stepProgress struct {
+	// All says that all tasks are done.
+	All bool `json:"a,omitempty"`
+	// Done is a bitmap of the tasks that are done.
+	Done []byte `json:"d,omitempty"`
+	// Failures holds the count of failed runs and the highest number of them, by task.
+	Failures map[string][2]int64 `json:"f,omitempty"`
+}
+
+// Progress is the encoded progress of one job.
+type Progress struct {
+	Job  job.ID
+	Data []byte
+	// since is the number of the first change that the batch makes durable.
+	since uint64
+}
+
+// Batch is progress that should become durable. Change identifies it.
+type Batch struct {
+	Progress []Progress
+	// Removed are jobs past their retention, whose rows can go.
+	Removed []job.ID
+	Change  uint64
+}
+
+// CollectBatch returns at most limit jobs whose progress changed, or an empty batch.
+func (c *Core) CollectBatch(limit int) Batch {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	batch := Batch{Change: c.changes}
+	for id, j := range c.dirty {
+		if len(batch.Progress) == limit {
+			break
+		}
+		batch.Progress = append(batch.Progress, Progress{id, encodeProgress(j), j.dirtySince})
+		delete(c.dirty, id)
+	}
+	for len(c.removals) > 0 && len(batch.Progress)+3*len(batch.Removed) < limit {
+		batch.Removed = append(batch.Removed, c.removals[0])
+		c.removals = c.removals[1:]
+	}
+	return batch
+}
+
+// BatchStored enters the outcome of writing a batch. What was not stored is collected again, with its newest state.
+func (c *Core) BatchStored(b Batch, stored bool, now Instant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = max(c.now, now)
+	if !stored {
+		c.returnBatch(b)
+		return
+	}
+	for _, p := range b.Progress {
+		if j := c.jobs[p.Job]; j != nil && j.state.Terminal() && j.changed <= b.Change {
+			j.shown = j.state
+		}
+	}
+	// Changes after the batch was collected, and jobs that did not fit into it, are not durable yet.
+	c.stored = b.Change
+	for _, j := range c.dirty {
+		c.stored = min(c.stored, j.dirtySince-1)
+	}
+	for _, w := range c.workers {
+		c.advanceAcks(w)
+	}
+}
+
+func (c *Core) returnBatch(b Batch) {
+	for _, p := range b.Progress {
+		j := c.jobs[p.Job]
+		if j == nil {
+			continue
+		}
+		if c.dirty[p.Job] == nil {
+			j.dirtySince = p.since
+		}
+		j.dirtySince = min(j.dirtySince, p.since)
+		c.dirty[p.Job] = j
+	}
+	c.removals = append(c.removals, b.Removed...)
+}
+
+func encodeProgress(j *jobState) []byte {
+	row := progressRow{}
+	if j.state.Terminal() {
+		row.State = j.state
+		return mustEncode(row)
+	}
+	row.Steps = map[string]*stepProgress{}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if p := s.progress(); p != nil {
+				row.Steps[fmt.Sprintf("%d.%d", o.index, s.index)] = p
+			}
+		}
+	}
+	return mustEncode(row)
+}
+
+// mustEncode encodes a value whose type cannot fail to encode.
+func mustEncode(row progressRow) []byte {
+	data, err := json.Marshal(row)
+	if err != nil {
+		panic(errors.Wrap(err, "encode progress"))
+	}
+	return data
+}
+
+// progress returns the durable form of a step, or nil if nothing has ended.
+func (s *step) progress() *stepProgress {
+	if s.open == 0 {
+		return &stepProgress{All: true}
+	}
+	p := &stepProgress{}
+	used := false
+	for _, t := range s.tasks {
+		if t.done {
+			if p.Done == nil {
+				p.Done = make([]byte, (len(s.tasks)+7)/8)
+			}
+			p.Done[t.index/8] |= 1 << (t.index % 8)
+			used = true
+		}
+		if t.failures > 0 {
+			if p.Failures == nil {
+				p.Failures = map[string][2]int64{}
+			}
+			p.Failures[strconv.Itoa(t.index)] = [2]int64{int64(t.failures), t.lastFailed}
+			used = true
+		}
+	}
+	if !used {
+		return nil
+	}
+	return p
+}
+
+// StoredState reads the state of a job from its durable progress: the final state, or whether a task has ended. Progress
+// that is absent or cannot be read says nothing.
+func StoredState(data []byte) (state job.State, begun bool) {
+	var row progressRow
+	if len(data) == 0 || json.Unmarshal(data, &row) != nil {
+		return "", false
+	}
+	return row.State, len(row.Steps) > 0
+}
+
+// LoadProgress prepares the durable progress of a job. It is called before AddJob.
+func (c *Core) LoadProgress(id job.ID, record job.Record, data []byte, now Instant) error {
+	row := &progressRow{}
+	if err := json.Unmarshal(data, row); err != nil {
+		return errors.Wrapf(err, "decode progress of job %s", id)
+	}
+	c.AddJob(id, record, now)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.jobs[id]
+	if j == nil {
+		return nil
+	}
+	j.progress = row
+	if row.State.Terminal() {
+		c.restoreFinal(j, row.State)
+		return nil
+	}
+	for _, o := range j.occurrences {
+		c.applyProgress(j, o)
+		for _, s := range o.steps {
+			c.queueStep(s)
+		}
+		c.closeOccurrence(o, j)
+	}
+	return nil
+}
+
+// restoreFinal enters a final state that is already durable.
+func (c *Core) restoreFinal(j *jobState, state job.State) {
+	j.state, j.shown = state, state
+	j.finished = c.now
+	j.started = true
+	delete(c.timed, j.id)
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			c.abandon(s)
+		}
+	}
+}
+
+// applyProgress enters durable progress into the steps of an occurrence.
+func (c *Core) applyProgress(j *jobState, o *occurrence) {
+	for _, s := range o.steps {
+		p := j.progress.Steps[fmt.Sprintf("%d.%d", o.index, s.index)]
+		if p == nil {
+			continue
+		}
+		j.started = true
+		before := s.open
+		for _, t := range s.tasks {
+			c.applyTask(s, t, p)
+		}
+		if before > 0 && s.open == 0 {
+			o.open--
+		}
+		c.unqueue(s)
+	}
+}
+
+func (c *Core) applyTask(s *step, t *task, p *stepProgress) {
+	bit := t.index/8 < len(p.Done) && p.Done[t.index/8]&(1<<(t.index%8)) != 0
+	if (p.All || bit) && !t.done {
+		t.done = true
+		t.waiting = false
+		s.open--
+	}
+	if f, ok := p.Failures[strconv.Itoa(t.index)]; ok {
+		t.failures, t.lastFailed = int(f[0]), f[1]
+		t.lastRun = max(t.lastRun, f[1])
+	}
+}
--- /dev/null
+++ b/version/cell/runs.go
@@ -0,0 +1,428 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/model/job"
+	"github.com/lentiltide/lentiltide/request/verdict"
+)
+
+// phase is what is known of a run.
+type phase uint8
+
+const (
+	// phaseStarting: the order is on its way.
+	phaseStarting phase = iota
+	// phaseUnsure: the order had no answer and may still be carried out.
+	phaseUnsure
+	// phaseRunning: the worker has confirmed the run.
+	phaseRunning
+	// phaseStopping: the run is to be stopped.
+	phaseStopping
+)
+
+// run is one start of a task on a worker. It holds capacity until the worker has listed its end, until a stop has made it
+// impossible, or until its lease has lapsed.
+type run struct {
+	task   *task
+	number int64
+	worker *worker
+	phase  phase
+	// known is when the worker answered the start.
+	known   Instant
+	created Instant
+	// stopSent and stopDone are when the last stop was sent and answered.
+	stopSent, stopDone Instant
+	stopReason         string
+	saved              string
+	percent            int
+	// moved is when percent changed last.
+	moved Instant
+	load  int64
+	// share is the throttle in percent; overTarget is when the tail latency went over the objective.
+	share      int
+	overTarget Instant
+	dropped    bool
+}
+
+func (r *run) key() runKey { return runKey{r.task.name, r.number} }
+
+func (r *run) order(c *Core) backend.Order {
+	return backend.Order{Worker: r.worker.ref(), Task: r.task.name, Run: r.number, Token: c.opts.Epoch}
+}
+
+// addRun enters a run into the ledger.
+func (c *Core) addRun(t *task, w *worker, number int64, p phase) *run {
+	r := &run{task: t, worker: w, number: number, phase: p, created: c.now, moved: c.now, share: 100, saved: t.saved}
+	t.runs = append(t.runs, r)
+	t.lastRun = max(t.lastRun, number)
+	if t.step.spec.Gang {
+		t.step.gangRun = max(t.step.gangRun, number)
+	}
+	w.runs[r.key()] = r
+	w.reserve(t.step, 1)
+	t.waiting = false
+	return r
+}
+
+// removeRun takes a run from the ledger.
+func (c *Core) removeRun(r *run) {
+	if r.dropped {
+		return
+	}
+	r.dropped = true
+	delete(r.worker.runs, r.key())
+	r.worker.reserve(r.task.step, -1)
+	t := r.task
+	for i, other := range t.runs {
+		if other == r {
+			t.runs = append(t.runs[:i], t.runs[i+1:]...)
+			break
+		}
+	}
+	c.poke()
+}
+
+// startTask orders a task to be started on a worker.
+func (c *Core) startTask(t *task, w *worker, number int64, saved string) {
+	r := c.addRun(t, w, number, phaseStarting)
+	r.saved = saved
+	order := backend.StartOrder{
+		Order: r.order(c), Payload: t.step.job.record.Spec.Payload, DeadlineMS: c.deadline(w),
+		Checkpoint: saved, Ticket: t.step.advice.good[w.info.ID].value,
+	}
+	c.actions = append(c.actions, &StartAction{order, r})
+	if !t.step.job.started {
+		t.step.job.started = true
+	}
+	c.note("task_started", t.step.job.id, map[string]any{
+		"task": t.name, "run": number, "worker": w.info.ID, "waited_ms": (c.now - t.since).Milliseconds(),
+		"free_cpu_milli": w.freeCPU(), "resumed": saved != "", "stamp_age_ms": (c.now - w.clockAt).Milliseconds(),
+	})
+}
+
+// StartResult enters the answer to a start.
+func (c *Core) StartResult(a *StartAction, reply backend.Reply, err error, now Instant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = max(c.now, now)
+	r := a.run
+	if r.dropped {
+		return
+	}
+	switch {
+	case err == nil && reply.Refusal == "":
+		c.startConfirmed(r, reply)
+	case err == nil:
+		c.startRefused(r, reply)
+	case verdict.Of(err) == verdict.NotRun:
+		r.worker.blockedUntil = c.now + blockAfterFailure
+		c.startFailed(r, "not sent", err)
+	default:
+		c.startUnsure(r, err)
+	}
+	c.poke()
+}
+
+func (c *Core) startConfirmed(r *run, reply backend.Reply) {
+	c.noteClock(r.worker, reply.ClockMS)
+	if r.known == 0 {
+		r.known = c.now
+	}
+	if r.phase == phaseStarting || r.phase == phaseUnsure {
+		r.phase = phaseRunning
+	}
+}
+
+// startUnsure keeps the capacity of a start without an answer until a look or a stop has settled it.
+func (c *Core) startUnsure(r *run, err error) {
+	c.note("start_unanswered", r.task.step.job.id, map[string]any{
+		"task": r.task.name, "run": r.number, "worker": r.worker.info.ID, "error": err.Error(),
+	})
+	r.worker.blockedUntil = c.now + blockAfterFailure
+	if r.phase == phaseStarting {
+		r.phase = phaseUnsure
+		r.known = c.now
+	}
+}
+
+// startRefused handles a worker that has certainly not started the run.
+func (c *Core) startRefused(r *run, reply backend.Reply) {
+	w, t := r.worker, r.task
+	c.noteClock(w, reply.ClockMS)
+	switch reply.Refusal {
+	case backend.RefusedFence:
+		c.supersede(w)
+		return
+	case backend.RefusedOldRun:
+		t.lastRun += oldRunStep
+		t.step.gangRun += oldRunStep
+	case backend.RefusedTicket:
+		t.step.advice.forgetTicket(w.info.ID)
+	case backend.RefusedRoom, backend.RefusedUnhealthy, backend.RefusedInvalid:
+		w.blockedUntil = c.now + blockAfterFailure
+		t.avoid[w.info.ID] = struct{}{}
+	case backend.RefusedLate, backend.RefusedInstance:
+		w.known = false
+	}
+	c.startFailed(r, string(reply.Refusal), nil)
+}
+
+// oldRunStep is by how much the run numbers of a task rise after a worker refused one as too low.
+const oldRunStep = 8
+
+// startFailed gives the capacity of a start back that has certainly not happened.
+func (c *Core) startFailed(r *run, reason string, err error) {
+	fields := map[string]any{"task": r.task.name, "run": r.number, "worker": r.worker.info.ID, "reason": reason}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	c.note("start_refused", r.task.step.job.id, fields)
+	c.removeRun(r)
+	c.afterRun(r)
+}
+
+// dropRun ends a run that certainly no longer exists, without an end in a list.
+func (c *Core) dropRun(r *run, reason string) {
+	c.note("run_lost", r.task.step.job.id, map[string]any{
+		"task": r.task.name, "run": r.number, "worker": r.worker.info.ID, "reason": reason,
+	})
+	r.task.saved = newerSave(r)
+	c.removeRun(r)
+	c.afterRun(r)
+}
+
+func newerSave(r *run) string {
+	if r.saved != "" {
+		return r.saved
+	}
+	return r.task.saved
+}
+
+// afterRun decides what follows a run that is gone: a gang breaks, other tasks wait again.
+func (c *Core) afterRun(r *run) {
+	t := r.task
+	if t.step.spec.Gang && !t.done {
+		c.gangBroken(t.step)
+		return
+	}
+	c.queueTask(t)
+}
+
+// stopRun has a run stopped. Its capacity stays reserved until the worker has listed its end.
+func (c *Core) stopRun(r *run, reason string) {
+	if r.phase == phaseStopping {
+		return
+	}
+	r.phase = phaseStopping
+	r.stopReason = reason
+	c.note("run_stopping", r.task.step.job.id, map[string]any{
+		"task": r.task.name, "run": r.number, "worker": r.worker.info.ID, "reason": reason, "percent": r.percent,
+	})
+	c.sendStop(r)
+}
+
+func (c *Core) sendStop(r *run) {
+	r.stopSent = c.now
+	c.actions = append(c.actions, &StopAction{r.order(c), r})
+	c.poke()
+}
+
+// StopResult enters the answer to a stop.
+func (c *Core) StopResult(a *StopAction, reply backend.Reply, err error, now Instant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = max(c.now, now)
+	r := a.run
+	if err != nil || r.dropped {
+		return
+	}
+	c.noteClock(r.worker, reply.ClockMS)
+	switch reply.Refusal {
+	case "":
+		r.stopDone = c.now
+	case backend.RefusedFence:
+		c.supersede(r.worker)
+	case backend.RefusedInstance:
+		r.worker.known = false
+	}
+}
+
+// stopRepeat is the time after which a stop without an effect is sent again.
+const stopRepeat = 600 * time.Millisecond
+
+// missing handles a run that a look sent at an instant has not listed.
+func (c *Core) missing(r *run, sent Instant) {
+	switch r.phase {
+	case phaseStarting:
+	case phaseRunning:
+		if sent > r.known {
+			c.dropRun(r, "not listed by the worker")
+		}
+	case phaseUnsure:
+		// The order may still be on its way. A stop of its number makes a later start impossible.
+		if sent > r.known {
+			c.stopRun(r, "start had no answer")
+		}
+	case phaseStopping:
+		if r.stopDone != 0 && sent > r.stopDone {
+			c.dropRun(r, r.stopReason)
+			return
+		}
+		if c.now > r.stopSent+stopRepeat {
+			c.sendStop(r)
+		}
+	}
+}
+
+// adopt enters a run that a worker lists and the ledger does not have: one of a former leader, or a start that was carried
+// out after it had counted as lost. Runs that must not go on are stopped.
+func (c *Core) adopt(w *worker, item backend.RunningTask) *run {
+	t := c.find(item.Task)
+	if t == nil && c.awaitsJob(w) {
+		return nil
+	}
+	if t == nil {
+		c.note("unknown_run", "", map[string]any{"task": item.Task, "run": item.Run, "worker": w.info.ID})
+		c.actions = append(c.actions, &StopAction{Order: backend.Order{
+			Worker: w.ref(), Task: item.Task, Run: item.Run, Token: c.opts.Epoch,
+		}, run: &run{dropped: true}})
+		return nil
+	}
+	r := c.addRun(t, w, item.Run, phaseRunning)
+	r.known = c.now
+	j := t.step.job
+	j.started = true
+	c.unqueue(t.step)
+	c.note("run_adopted", j.id, map[string]any{"task": t.name, "run": item.Run, "worker": w.info.ID, "percent": item.Percent})
+	switch {
+	case t.done || j.state.Terminal():
+		c.stopRun(r, "job or task is finished")
+	case t.step.spec.Gang && item.Run < t.step.gangRun:
+		c.stopRun(r, "gang runs under a higher number")
+	case len(t.runs) > 1 && !t.step.spec.Speculative:
+		c.stopRun(r, "task runs elsewhere")
+	}
+	return r
+}
+
+// unknownPatience is how long the record of a job may take to arrive after a worker has listed one of its tasks. A former
+// leader may have started the job after the records were read.
+const unknownPatience = 5 * time.Second
+
+// awaitsJob reports whether a task that no known job has may belong to a job that is about to arrive. Until then nothing
+// more is started on the worker, since the task's demand is not known.
+func (c *Core) awaitsJob(w *worker) bool {
+	if w.unknownSince == 0 {
+		w.unknownSince = c.now
+	}
+	if c.now > w.unknownSince+unknownPatience {
+		return false
+	}
+	w.blockedUntil = max(w.blockedUntil, c.now+blockAfterFailure)
+	return true
+}
+
+// observe enters what a worker reports about a run.
+func (c *Core) observe(r *run, item backend.RunningTask) {
+	if r.phase == phaseStarting || r.phase == phaseUnsure {
+		r.phase = phaseRunning
+		r.known = c.now
+	}
+	if item.Saved != "" {
+		r.saved = item.Saved
+		r.task.saved = item.Saved
+		if r.task.step.spec.Gang {
+			r.task.step.gangSaved = item.Saved
+		}
+	}
+	if item.Percent != r.percent {
+		r.percent = item.Percent
+		r.moved = c.now
+	}
+	r.load = item.Load
+	if r.task.done && r.phase == phaseRunning {
+		c.stopRun(r, "task is done")
+		return
+	}
+	if r.phase == phaseStopping && c.now > r.stopSent+stopRepeat {
+		c.sendStop(r)
+	}
+}
+
+// readEnd handles an end that a worker lists.
+func (c *Core) readEnd(w *worker, e backend.EndedTask) {
+	r := w.runs[runKey{e.Task, e.Run}]
+	if r != nil {
+		c.removeRun(r)
+	}
+	t := c.find(e.Task)
+	if t == nil {
+		c.note("unknown_end", "", map[string]any{"task": e.Task, "run": e.Run, "worker": w.info.ID, "how": e.How})
+		return
+	}
+	s := t.step
+	t.lastRun = max(t.lastRun, e.Run)
+	s.job.started = true
+	if e.Saved != "" {
+		t.saved = e.Saved
+		if s.spec.Gang {
+			s.gangSaved = e.Saved
+		}
+	}
+	c.note("run_ended", s.job.id, map[string]any{"task": t.name, "run": e.Run, "worker": w.info.ID, "how": e.How})
+	switch e.How {
+	case backend.EndDone:
+		c.runDone(t, r, w)
+	case backend.EndFailed:
+		c.runFailed(t, e.Run, w)
+	}
+	if r != nil {
+		c.afterRun(r)
+	}
+}
+
+// runDone handles a run that has finished its task.
+func (c *Core) runDone(t *task, r *run, w *worker) {
+	s := t.step
+	w.health.succeeded()
+	if r != nil && s.observed == 0 && r.saved == "" {
+		s.observed = c.now - r.created
+	}
+	if s.spec.Lasting {
+		return
+	}
+	if s.spec.Gang {
+		// One end stands for all members.
+		for _, member := range s.tasks {
+			c.taskDone(member, nil)
+		}
+		return
+	}
+	c.taskDone(t, r)
+}
+
+// runFailed counts a failed run. Failed runs of lasting tasks do not count.
+func (c *Core) runFailed(t *task, number int64, w *worker) {
+	s := t.step
+	c.blame(t, w)
+	t.avoid[w.info.ID] = struct{}{}
+	if s.spec.Lasting || t.done || s.job.state.Terminal() {
+		return
+	}
+	counted := t
+	if s.spec.Gang {
+		// The members fail together, so the first one counts for the gang.
+		counted = s.tasks[0]
+	}
+	if number <= counted.lastFailed {
+		return
+	}
+	counted.lastFailed = number
+	counted.failures++
+	c.touch(s.job)
+	if counted.failures >= max(1, s.job.queue.MaxAttempts) {
+		c.finish(s.job, job.Failed, "task "+t.name+" failed in every attempt")
+	}
+}
--- /dev/null
+++ b/version/cell/workers.go
@@ -0,0 +1,428 @@
+package cell
+
+import (
+	"strings"
+	"time"
+
+	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/model"
+)
+
+// worker is a worker and the ledger of what runs there.
+type worker struct {
+	info   backend.WorkerInfo
+	kind   string
+	rack   string
+	listed bool
+	// unlistedAt is when the entry left the registry.
+	unlistedAt Instant
+	// born is the life of the worker of which the inventory is known.
+	born int64
+	// known says that the inventory of this life was read in this epoch, so that orders may be sent.
+	known bool
+	// clockMS is the newest stamp of the worker's clock and clockAt when it was received.
+	clockMS int64
+	clockAt Instant
+	// leaseMS is the latest end of a lease on the worker's clock that was ever sent.
+	leaseMS int64
+	runs    map[runKey]*run
+	// used is what the runs reserve; the processor demand of best-effort runs is in bestEffort instead.
+	used       model.Resources
+	bestEffort int64
+	// read is the number of the last end handled; acked the last that may be forgotten.
+	read, acked int64
+	acks        []pendingAck
+	// acksChanged receives a value when acked rises.
+	acksChanged chan struct{}
+	// blockedUntil keeps new runs away for a moment after an order failed.
+	blockedUntil Instant
+	health       health
+	// unknownSince is when the worker first listed a task of an unknown job.
+	unknownSince Instant
+	// throttled is when a best-effort run was throttled last.
+	throttled  Instant
+	drainingAt Instant
+	// leaves is when a draining worker may be gone.
+	leaves Instant
+}
+
+// pendingAck is an end that may be acknowledged when the change with a number is durable.
+type pendingAck struct {
+	number int64
+	change uint64
+}
+
+type runKey struct {
+	task string
+	run  int64
+}
+
+// labelsOf returns the kind, which is the first label, and the rack, which is the last.
+func labelsOf(labels []string) (kind, rack string) {
+	if len(labels) == 0 {
+		return "", ""
+	}
+	return labels[0], labels[len(labels)-1]
+}
+
+func (w *worker) hasLabel(label string) bool {
+	for _, l := range w.info.Labels {
+		if l == label {
+			return true
+		}
+	}
+	return false
+}
+
+// sameRack reports whether the worker is on the named rack.
+func (w *worker) sameRack(rack string) bool {
+	return w.hasLabel(rack) || strings.EqualFold(w.rack, rack)
+}
+
+// SetWorker enters a worker's entry of the registry.
+func (c *Core) SetWorker(info backend.WorkerInfo, now Instant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = max(c.now, now)
+	w := c.workers[info.ID]
+	if w == nil {
+		w = &worker{runs: map[runKey]*run{}, acksChanged: make(chan struct{}, 1)}
+		c.workers[info.ID] = w
+		if c.now < c.start+c.recoveryBound() {
+			c.unread[info.ID] = struct{}{}
+		}
+		c.note("worker_listed", "", map[string]any{"worker": info.ID, "zone": info.Zone, "draining": info.Draining})
+	}
+	if info.Born != 0 && info.Born < w.born {
+		return
+	}
+	if info.Born > w.born && w.born != 0 {
+		c.newLife(w, info.Born)
+	}
+	wasDraining := w.info.Draining
+	w.info = info
+	w.listed = true
+	w.kind, w.rack = labelsOf(info.Labels)
+	if info.Draining {
+		w.leaves = c.now + time.Duration(info.RemainingMS)*time.Millisecond
+		if !wasDraining {
+			w.drainingAt = c.now
+			c.note("worker_draining", "", map[string]any{"worker": info.ID, "runs": len(w.runs), "remaining_ms": info.RemainingMS})
+			c.evacuate(w)
+		}
+	}
+	c.poke()
+}
+
+// RemoveWorker notes that a worker's entry has left the registry. Its runs stay accounted until they have provably ended.
+func (c *Core) RemoveWorker(id string, now Instant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = max(c.now, now)
+	w := c.workers[id]
+	if w == nil || !w.listed {
+		return
+	}
+	w.listed = false
+	w.unlistedAt = c.now
+	c.note("worker_unlisted", "", map[string]any{
+		"worker": id, "runs": len(w.runs), "last_answer_ms": (c.now - w.clockAt).Milliseconds(),
+	})
+	c.poke()
+}
+
+// newLife drops everything that belonged to a former life of a worker: a worker that starts anew runs nothing.
+func (c *Core) newLife(w *worker, born int64) {
+	c.note("worker_restarted", "", map[string]any{"worker": w.info.ID, "runs": len(w.runs), "born": born})
+	for _, r := range w.runs {
+		c.dropRun(r, "worker restarted")
+	}
+	w.born = born
+	w.known = false
+	w.clockMS, w.leaseMS = 0, 0
+	w.read, w.acked, w.acks = 0, 0, nil
+	w.health = health{}
+	w.blockedUntil = 0
+}
+
+// leaseEnd returns when every lease on the worker has lapsed, on the caller's clock.
+func (c *Core) leaseEnd(w *worker) Instant {
+	if w.clockMS == 0 {
+		return c.start + c.recoveryBound()
+	}
+	left := time.Duration(w.leaseMS-w.clockMS) * time.Millisecond
+	return w.clockAt + stretchClock(max(left, 0))
+}
+
+// expireLease drops the runs of a worker that has not answered until every lease on it has lapsed.
+func (c *Core) expireLease(w *worker) {
+	gone := !w.listed && w.info.Draining && c.now > w.leaves && c.now > w.clockAt+goneAfter
+	if !gone && c.now <= c.leaseEnd(w) {
+		return
+	}
+	if len(w.runs) > 0 {
+		c.note("leases_lapsed", "", map[string]any{
+			"worker": w.info.ID, "runs": len(w.runs), "last_answer_ms": (c.now - w.clockAt).Milliseconds(), "gone": gone,
+		})
+		for _, r := range w.runs {
+			c.dropRun(r, "lease lapsed")
+		}
+		w.known = false
+	}
+	delete(c.unread, w.info.ID)
+	if !w.listed && c.now > w.unlistedAt+forgetWorkerAfter {
+		delete(c.workers, w.info.ID)
+	}
+}
+
+const (
+	// goneAfter is how long a drained worker without an entry must have been silent to count as gone.
+	goneAfter = 900 * time.Millisecond
+	// forgetWorkerAfter is how long a worker without an entry is kept, since an entry may come back.
+	forgetWorkerAfter = 10 * time.Second
+)
+
+// noteClock enters a stamp of the worker's clock.
+func (c *Core) noteClock(w *worker, stampMS int64) {
+	if stampMS > w.clockMS {
+		w.clockMS, w.clockAt = stampMS, c.now
+	}
+}
+
+// deadline returns the end of a lease that starts now, on the worker's clock, and notes that it was sent.
+func (c *Core) deadline(w *worker) int64 {
+	if w.clockMS == 0 {
+		return 0
+	}
+	elapsed := time.Duration(float64(c.now-w.clockAt) * (1 - clockDrift))
+	d := w.clockMS + (elapsed + c.opts.Lease).Milliseconds()
+	w.leaseMS = max(w.leaseMS, d)
+	return d
+}
+
+func (w *worker) ref() backend.WorkerRef {
+	return backend.WorkerRef{ID: w.info.ID, Address: w.info.Address}
+}
+
+const (
+	// holdWait and idleHoldWait are how long a worker with and without runs waits for an end before it answers.
+	holdWait     = time.Second
+	idleHoldWait = 2 * time.Second
+)
+
+// PrepareHold returns the next look at a worker. ok is false when the worker is forgotten; pause asks the caller to try
+// again later.
+func (c *Core) PrepareHold(id string, now Instant) (req backend.HoldRequest, pause, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = max(c.now, now)
+	w := c.workers[id]
+	if w == nil {
+		return req, false, false
+	}
+	if c.suspended || c.superseded {
+		return req, true, true
+	}
+	req = backend.HoldRequest{Worker: w.ref(), Token: c.opts.Epoch, DeadlineMS: c.deadline(w), Acked: w.acked}
+	switch {
+	case !w.known || w.read > w.acked || w.unsettled():
+		req.Wait = 0
+	case len(w.runs) == 0:
+		req.Wait = idleHoldWait
+	default:
+		req.Wait = holdWait
+	}
+	return req, false, true
+}
+
+// unsettled reports whether a run needs another look soon.
+func (w *worker) unsettled() bool {
+	for _, r := range w.runs {
+		if r.phase == phaseUnsure {
+			return true
+		}
+	}
+	return false
+}
+
+// AcksChanged returns a channel that receives a value when ends of a worker may be acknowledged, and whether there are
+// ends that may not be yet.
+func (c *Core) AcksChanged(id string) (changed <-chan struct{}, pending bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.workers[id]
+	if w == nil {
+		return nil, false
+	}
+	return w.acksChanged, w.read > w.acked
+}
+
+// WorkerIDs returns the workers that need to be looked at.
+func (c *Core) WorkerIDs() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ids := make([]string, 0, len(c.workers))
+	for id := range c.workers {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// HoldResult enters the answer to a look at a worker that was sent at an instant.
+func (c *Core) HoldResult(id string, sent Instant, reply backend.HoldReply, err error, now Instant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = max(c.now, now)
+	w := c.workers[id]
+	if w == nil {
+		return
+	}
+	if err != nil {
+		c.holdFailed(w, err)
+		return
+	}
+	if reply.Refusal == backend.RefusedFence {
+		c.supersede(w)
+		return
+	}
+	if reply.Refusal != "" {
+		c.note("look_refused", "", map[string]any{"worker": id, "refusal": reply.Refusal})
+		w.blockedUntil = c.now + blockAfterFailure
+		return
+	}
+	if reply.Born < w.born {
+		return
+	}
+	if reply.Born > w.born {
+		if w.born != 0 {
+			c.newLife(w, reply.Born)
+		}
+		w.born = reply.Born
+	}
+	c.noteClock(w, reply.ClockMS)
+	if !w.known {
+		c.note("worker_read", "", map[string]any{"worker": id, "running": len(reply.Running), "ended": len(reply.Ended), "born": reply.Born})
+	}
+	if w.health.silent {
+		w.health.silent = false
+		c.note("worker_answers", "", map[string]any{"worker": id})
+	}
+	c.readEnds(w, reply.Ended)
+	c.readRunning(w, sent, reply.Running)
+	w.known = true
+	delete(c.unread, id)
+	c.poke()
+}
+
+// holdFailed notes a look without an answer.
+func (c *Core) holdFailed(w *worker, err error) {
+	w.blockedUntil = max(w.blockedUntil, c.now+blockAfterFailure)
+	if !w.health.silent {
+		w.health.silent = true
+		c.note("worker_silent", "", map[string]any{"worker": w.info.ID, "error": err.Error(), "runs": len(w.runs)})
+	}
+}
+
+// blockAfterFailure keeps new runs from a worker that did not answer.
+const blockAfterFailure = 700 * time.Millisecond
+
+// supersede ends the epoch: a worker has seen a higher token.
+func (c *Core) supersede(w *worker) {
+	if c.superseded {
+		return
+	}
+	c.superseded = true
+	c.note("epoch_superseded", "", map[string]any{"worker": w.info.ID, "epoch": c.opts.Epoch})
+	c.poke()
+}
+
+// readEnds handles the ends that are new.
+func (c *Core) readEnds(w *worker, ended []backend.EndedTask) {
+	for _, e := range ended {
+		if e.Number <= w.read {
+			continue
+		}
+		if c.find(e.Task) == nil && c.awaitsJob(w) {
+			break
+		}
+		w.read = e.Number
+		before := c.changes
+		c.readEnd(w, e)
+		need := uint64(0)
+		if c.changes > before {
+			need = c.changes
+		} else if t := c.find(e.Task); t != nil {
+			// The end may repeat what is known but not yet durable.
+			need = t.step.job.changed
+		}
+		w.acks = append(w.acks, pendingAck{e.Number, need})
+	}
+	c.advanceAcks(w)
+}
+
+// advanceAcks raises what a worker may forget to what is durable.
+func (c *Core) advanceAcks(w *worker) {
+	n := 0
+	for n < len(w.acks) && w.acks[n].change <= c.stored {
+		w.acked = w.acks[n].number
+		n++
+	}
+	if n == 0 {
+		return
+	}
+	w.acks = w.acks[n:]
+	select {
+	case w.acksChanged <- struct{}{}:
+	default:
+	}
+}
+
+// readRunning compares the runs that a worker lists with the ledger.
+func (c *Core) readRunning(w *worker, sent Instant, running []backend.RunningTask) {
+	listed := make(map[runKey]struct{}, len(running))
+	for _, item := range running {
+		key := runKey{item.Task, item.Run}
+		listed[key] = struct{}{}
+		r := w.runs[key]
+		if r == nil {
+			r = c.adopt(w, item)
+		}
+		if r != nil {
+			c.observe(r, item)
+		}
+	}
+	for key, r := range w.runs {
+		if _, ok := listed[key]; !ok {
+			c.missing(r, sent)
+		}
+	}
+	c.protectTargets(w)
+}
+
+// freeCPU returns the free processor time of a worker in thousandths of a core.
+func (w *worker) freeCPU() int64 { return w.info.Capacity.CPUMilli - w.used.CPUMilli }
+
+// fits reports whether a task of a step fits.
+func (w *worker) fits(each model.Resources, bestEffort bool) bool {
+	capacity := w.info.Capacity
+	if w.used.MemoryMiB+each.MemoryMiB > capacity.MemoryMiB || w.used.Accelerators+each.Accelerators > capacity.Accelerators {
+		return false
+	}
+	return bestEffort || w.used.CPUMilli+each.CPUMilli <= capacity.CPUMilli
+}
+
+// reserve adds the demand of a run to the ledger; sign -1 releases it.
+func (w *worker) reserve(s *step, sign int64) {
+	each := s.spec.Each
+	w.used.MemoryMiB += sign * each.MemoryMiB
+	w.used.Accelerators += sign * each.Accelerators
+	if s.spec.BestEffort {
+		w.bestEffort += sign * each.CPUMilli
+	} else {
+		w.used.CPUMilli += sign * each.CPUMilli
+	}
+	s.perWorker[w] += int(sign)
+	if s.perWorker[w] == 0 {
+		delete(s.perWorker, w)
+	}
+}
