Renew the leadership in rows that only renewals change

Cause: every write of progress changed the row that the other instances follow, so each woke seven long polls.

Ruled out: the job, cancel and worker feeds, which only the leader reads.

--- a/process/node/leadership.go
+++ b/process/node/leadership.go
@@ -20,12 +20,15 @@
 	progressTable = "progress"
 	jobTable      = "jobs"
 	cancelTable   = "cancels"
+	writeTable    = "writes"
 	cellPart      = "cell"
 )
 
 var (
 	leaderKey  = backend.RowKey{Table: leaderTable, Part: cellPart, Key: "leader"}
 	renewalKey = backend.RowKey{Table: leaderTable, Part: cellPart, Key: "renewal"}
+	// writeKey names the newest write of the leader. Its table is not followed, since it changes with each write.
+	writeKey = backend.RowKey{Table: writeTable, Part: cellPart, Key: "newest"}
 )
 
 const (
--- a/process/node/shutdown.go
+++ b/process/node/shutdown.go
@@ -35,15 +35,15 @@
 	var batch cell.Batch
 	for range resignAttempts {
 		batch = t.core.CollectBatch(batchRows)
-		t.renewal++
-		txn, err := t.transaction(batch, row)
+		t.writes++
+		txn, err := t.transaction(batch, row, false)
 		if err != nil {
 			return
 		}
 		_, err = t.node.opts.Tables.Commit(ctx, txn)
 		stored, lost := err == nil, false
 		if err != nil {
-			stored, lost = t.settle(ctx, t.node.opts.Now())
+			stored, lost = t.settle(ctx)
 		}
 		t.core.BatchStored(batch, stored, t.node.opts.Now())
 		t.node.opts.Log.WithFields(map[string]any{
--- a/process/node/term.go
+++ b/process/node/term.go
@@ -22,12 +22,13 @@
 	previous   leaderRow
 	core       *cell.Core
 
-	// renewalVersion is the version of the renewal row, on which each write is conditional, so that a write whose answer
-	// was lost cannot overwrite a later one. renewal numbers the writes of the term.
-	renewalVersion uint64
-	renewal        uint64
-	renewedAt      cell.Instant
-	suspended      bool
+	// writeVersion is the version of the row that names the newest write. Each write is conditional on it, so that a write
+	// whose answer was lost cannot overwrite a later one. writes numbers the writes of the term.
+	writeVersion uint64
+	writes       uint64
+	// storedAt is when the last write that is durable was sent; renewedAt when the renewal row was last among the rows.
+	storedAt, renewedAt cell.Instant
+	suspended           bool
 
 	mu sync.Mutex
 	// loaded says that all rows were read.
@@ -74,7 +75,7 @@
 	t.members = map[string]member{}
 	t.resigned = make(chan struct{})
 	t.unusable = map[string]struct{}{}
-	t.renewedAt = now
+	t.storedAt = now
 	t.core = cell.New(cell.Options{
 		Epoch: t.epoch, Lease: n.opts.Lease, PredecessorTerm: t.predecessorTerm(), StopTimeout: n.opts.StopTimeout,
 		Retention: n.opts.Retention, Note: n.opts.Note,
@@ -248,20 +249,19 @@
 // write makes progress durable and renews the leadership until it is lost.
 func (t *term) write(ctx context.Context) {
 	defer t.end()
-	first := true
+	t.readWriteVersion(ctx)
 	for ctx.Err() == nil {
 		if t.resigning.Load() {
 			t.commitResignation(ctx)
 			return
 		}
 		batch := t.core.CollectBatch(batchRows)
-		due := first || t.node.opts.Now()-t.renewedAt >= renewEvery
+		due := t.node.opts.Now()-t.renewedAt >= renewEvery
 		if len(batch.Progress) == 0 && len(batch.Removed) == 0 && !due {
 			pause(ctx, batchPause)
 			continue
 		}
-		first = false
-		stored, lost := t.commit(ctx, batch)
+		stored, lost := t.commit(ctx, batch, due)
 		t.core.BatchStored(batch, stored, t.node.opts.Now())
 		if lost {
 			t.node.opts.Log.WithFields(map[string]any{"event": "leadership_lost", "epoch": t.epoch}).Warn("another instance leads")
@@ -277,7 +277,7 @@
 
 // suspendIfStale stops the orders to workers while the leadership cannot be renewed.
 func (t *term) suspendIfStale() {
-	stale := t.node.opts.Now()-t.renewedAt > suspendAfter-time.Second
+	stale := t.node.opts.Now()-t.storedAt > suspendAfter-time.Second
 	if stale == t.suspended {
 		return
 	}
@@ -285,35 +285,57 @@
 	t.core.Suspend(stale)
 	t.node.opts.Log.WithFields(map[string]any{
 		"event": "leadership_suspended", "epoch": t.epoch, "suspended": stale,
-		"renewal_age_ms": (t.node.opts.Now() - t.renewedAt).Milliseconds(),
+		"renewal_age_ms": (t.node.opts.Now() - t.storedAt).Milliseconds(),
 	}).Warn("renewal of the leadership")
 }
 
-// commit writes a batch together with a renewal. lost says that another instance leads.
-func (t *term) commit(ctx context.Context, batch cell.Batch) (stored, lost bool) {
+// readWriteVersion reads the version on which the first write is conditional. A failure costs the first write a conflict.
+func (t *term) readWriteVersion(ctx context.Context) {
+	row, err := t.node.opts.Tables.Get(ctx, writeKey)
+	if err != nil {
+		t.node.opts.Log.WithError(err).WithField("event", "write_version_unknown").Info("newest write cannot be read")
+		return
+	}
+	t.writeVersion = row.Version
+}
+
+// commit writes a batch, and the renewal row if renew is set. lost says that another instance leads.
+func (t *term) commit(ctx context.Context, batch cell.Batch, renew bool) (stored, lost bool) {
 	sent := t.node.opts.Now()
-	t.renewal++
-	txn, err := t.transaction(batch, t.row)
+	t.writes++
+	txn, err := t.transaction(batch, t.row, renew)
 	if err != nil {
 		t.node.opts.Log.WithError(err).Error("progress cannot be encoded")
 		return false, false
 	}
 	version, err := t.node.opts.Tables.Commit(ctx, txn)
 	if err == nil {
-		t.renewalVersion, t.renewedAt = version, sent
+		t.writeVersion = version
+		t.noteStored(sent, renew)
 		return true, false
 	}
 	t.node.opts.Log.WithError(err).WithFields(map[string]any{
-		"event": "renewal_failed", "epoch": t.epoch, "renewal": t.renewal,
+		"event": "renewal_failed", "epoch": t.epoch, "write": t.writes,
 	}).Warn("progress was not stored")
 	if e := verdict.From(err); e.Verdict == verdict.NotRun && e.Code != verdict.CodeConflict {
 		return false, false
 	}
-	return t.settle(ctx, sent)
+	stored, lost = t.settle(ctx)
+	if stored {
+		t.noteStored(sent, renew)
+	}
+	return stored, lost
+}
+
+func (t *term) noteStored(sent cell.Instant, renewed bool) {
+	t.storedAt = sent
+	if renewed {
+		t.renewedAt = sent
+	}
 }
 
 // settle reads the leadership back after a write with an unknown outcome or a failed condition.
-func (t *term) settle(ctx context.Context, sent cell.Instant) (stored, lost bool) {
+func (t *term) settle(ctx context.Context) (stored, lost bool) {
 	leader, err := t.node.opts.Tables.Get(ctx, leaderKey)
 	if err != nil {
 		return false, false
@@ -321,31 +343,30 @@
 	if leader.Version != t.rowVersion {
 		return false, true
 	}
-	renewal, err := t.node.opts.Tables.Get(ctx, renewalKey)
+	newest, err := t.node.opts.Tables.Get(ctx, writeKey)
 	if err != nil {
 		return false, false
 	}
-	t.renewalVersion = renewal.Version
-	if string(renewal.Value) != t.renewalValue() {
-		return false, false
-	}
-	t.renewedAt = sent
-	return true, false
+	t.writeVersion = newest.Version
+	return string(newest.Value) == t.writeName(), false
 }
 
-// renewalValue identifies the newest write of the term.
-func (t *term) renewalValue() string {
-	return t.row.Claim + "/" + strconv.FormatUint(t.renewal, 10)
+// writeName identifies the newest write of the term.
+func (t *term) writeName() string {
+	return t.row.Claim + "/" + strconv.FormatUint(t.writes, 10)
 }
 
-// transaction returns the write of a batch. The renewal row chains the writes of the term.
-func (t *term) transaction(batch cell.Batch, row leaderRow) (backend.Txn, error) {
+// transaction returns the write of a batch. The row of the newest write chains the writes of the term.
+func (t *term) transaction(batch cell.Batch, row leaderRow, renew bool) (backend.Txn, error) {
 	txn := backend.Txn{
 		Expected: []backend.Row{
 			{RowKey: leaderKey, Version: t.rowVersion},
-			{RowKey: renewalKey, Version: t.renewalVersion},
+			{RowKey: writeKey, Version: t.writeVersion},
 		},
-		Put: []backend.Row{{RowKey: renewalKey, Value: []byte(t.renewalValue())}},
+		Put: []backend.Row{{RowKey: writeKey, Value: []byte(t.writeName())}},
+	}
+	if renew {
+		txn.Put = append(txn.Put, backend.Row{RowKey: renewalKey, Value: []byte(t.writeName())})
 	}
 	for _, p := range batch.Progress {
 		txn.Put = append(txn.Put, backend.Row{RowKey: progressKey(p.Job), Value: p.Data})
