Record workers before use, let leases of silent workers lapse, reject at once while the store is down

Besides, instances waited up to a second before they joined a new leader, takeovers took 1.5 s, and callers waited until their deadline while the store was silent.

Ruled out: acknowledging before the progress is durable (the ends were not acknowledged by this system's leader).

Change: the ids and addresses of the workers in use are durable before a worker is used; a new leader reads each of them or waits until a missing one counts as gone. While something runs on a worker, leases count from its newest stamp. An answer of another life at a worker's address ends its runs. Instances join a new leader at once; a leader that neither renews nor answers its peers is replaced after 0.8 s. While the store does not answer, submissions are refused at once with a time to come back, and those with an unknown outcome are told so.

--- a/process/node/callers.go
+++ b/process/node/callers.go
@@ -137,7 +137,7 @@
 
 func (n *Node) cancel(ctx context.Context, id job.ID) error {
 	if state, err := n.leaderState(ctx, id); err != nil || state == "" {
-		row, err := n.opts.Tables.Get(ctx, jobKey(id))
+		row, err := n.tables.Get(ctx, jobKey(id))
 		if err != nil {
 			return unavailable(err, "the store cannot be read")
 		}
@@ -188,14 +188,17 @@
 
 // storedState reads the state of a job from its rows.
 func (n *Node) storedState(ctx context.Context, id job.ID) (job.State, error) {
-	row, err := n.opts.Tables.Get(ctx, jobKey(id))
+	if n.tables.Down() {
+		return "", unavailable(nil, "the store does not answer")
+	}
+	row, err := n.tables.Get(ctx, jobKey(id))
 	if err != nil {
 		return "", unavailable(err, "the store cannot be read")
 	}
 	if row.Version == 0 {
 		return "", verdict.New(verdict.NotRun, verdict.CodeExpired, "there is no such job")
 	}
-	progress, err := n.opts.Tables.Get(ctx, progressKey(id))
+	progress, err := n.tables.Get(ctx, progressKey(id))
 	if err != nil {
 		return "", unavailable(err, "the store cannot be read")
 	}
@@ -203,7 +206,7 @@
 	if state != "" {
 		return state, nil
 	}
-	cancelled, err := n.opts.Tables.Get(ctx, cancelKey(id))
+	cancelled, err := n.tables.Get(ctx, cancelKey(id))
 	if err != nil {
 		return "", unavailable(err, "the store cannot be read")
 	}
--- a/process/node/config.go
+++ b/process/node/config.go
@@ -21,9 +21,9 @@
 		var page backend.Page
 		var err error
 		if known {
-			page, err = n.opts.Tables.Feed(ctx, key.Table, after, configWait)
+			page, err = n.tables.Feed(ctx, key.Table, after, configWait)
 		} else {
-			page, err = n.opts.Tables.Range(ctx, key.Table, key.Part, "")
+			page, err = n.tables.Range(ctx, key.Table, key.Part, "")
 		}
 		if ctx.Err() != nil {
 			return
--- a/process/node/inserts.go
+++ b/process/node/inserts.go
@@ -53,7 +53,7 @@
 
 // inserter writes rows that must not exist yet. Rows of one part share transactions while one is on its way.
 type inserter struct {
-	tables backend.Tables
+	tables *observedTables
 
 	mu    sync.Mutex
 	parts map[string]*insertQueue
@@ -79,36 +79,51 @@
 	err      error
 }
 
-func newInserter(tables backend.Tables) *inserter {
+func newInserter(tables *observedTables) *inserter {
 	return &inserter{tables: tables, parts: map[string]*insertQueue{}}
 }
 
-// Insert writes a row unless one exists, whose value it returns then. It repeats attempts until ctx ends. The error has the
-// verdict NotRun only if every attempt was certainly refused.
+// Insert writes a row unless one exists, whose value it returns then. It repeats attempts until ctx ends or the store
+// counts as down. The error has the verdict NotRun only if every attempt was certainly refused.
 func (i *inserter) Insert(ctx context.Context, key backend.RowKey, value []byte) (existing []byte, err error) {
 	certain := true
 	for attempt := 1; ; attempt++ {
-		in := &insert{key: key, value: value, done: make(chan insertOutcome, 1)}
-		i.enqueue(in)
-		var out insertOutcome
-		select {
-		case out = <-in.done:
-		case <-ctx.Done():
-			return nil, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeUnavailable, "wait for the store")
+		if certain && i.tables.Down() {
+			return nil, unavailable(nil, "the store does not answer")
 		}
+		out := i.try(ctx, &insert{key: key, value: value, done: make(chan insertOutcome, 1)})
 		if out.err == nil {
 			return out.existing, nil
 		}
 		certain = certain && verdict.Of(out.err) == verdict.NotRun
-		if certain && attempt >= refusedAttempts {
-			return nil, out.err
-		}
-		if !pause(ctx, insertRetry) {
+		if (certain && attempt >= refusedAttempts) || i.tables.Down() || !pause(ctx, insertRetry) {
 			return nil, insertFailed(out.err, certain)
 		}
 	}
 }
 
+// try waits for the outcome of one attempt. It gives up with an unknown outcome when the store counts as down.
+func (i *inserter) try(ctx context.Context, in *insert) insertOutcome {
+	i.enqueue(in)
+	check := time.NewTicker(downCheck)
+	defer check.Stop()
+	for {
+		select {
+		case out := <-in.done:
+			return out
+		case <-ctx.Done():
+			return insertOutcome{err: verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeUnavailable, "wait for the store")}
+		case <-check.C:
+			if i.tables.Down() {
+				return insertOutcome{err: verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the store does not answer")}
+			}
+		}
+	}
+}
+
+// downCheck is the time between checks whether the store still answers.
+const downCheck = 100 * time.Millisecond
+
 // refusedAttempts is after how many certain refusals a caller is told to come back later.
 const refusedAttempts = 3
 
--- a/process/node/leadership.go
+++ b/process/node/leadership.go
@@ -29,6 +29,8 @@
 	renewalKey = backend.RowKey{Table: leaderTable, Part: cellPart, Key: "renewal"}
 	// writeKey names the newest write of the leader. Its table is not followed, since it changes with each write.
 	writeKey = backend.RowKey{Table: writeTable, Part: cellPart, Key: "newest"}
+	// fleetKey names the record of the workers in use.
+	fleetKey = backend.RowKey{Table: writeTable, Part: cellPart, Key: "fleet"}
 )
 
 const (
@@ -36,15 +38,19 @@
 	renewEvery = 400 * time.Millisecond
 	// takeoverAfter is how long the renewals must have stopped before another instance takes over: four of them.
 	takeoverAfter = 1700 * time.Millisecond
+	// takeoverLost is how long they must have stopped if the leader does not answer its peers either.
+	takeoverLost = 800 * time.Millisecond
 	// leaderWait is the long poll on the leadership. It is short, so that a silent connection is noticed within a takeover.
 	leaderWait = time.Second
+	// leaderPoll is the wait while a takeover may be due.
+	leaderPoll = 150 * time.Millisecond
 	// suspendAfter is how long a leader goes on without a renewal. Its successor waits for it before it counts leases of
 	// unreachable workers as lapsed.
 	suspendAfter = 6 * time.Second
 	// readRetry is the time between attempts to reach the table service.
 	readRetry = 150 * time.Millisecond
 	// takeoverJitter spreads the instances that try to take over at the same time.
-	takeoverJitter = 120 * time.Millisecond
+	takeoverJitter = 60 * time.Millisecond
 )
 
 // leaderRow is the value of the leader row. Its epoch is the fencing token.
@@ -94,9 +100,9 @@
 	var page backend.Page
 	var err error
 	if known {
-		page, err = n.opts.Tables.Feed(ctx, leaderTable, read, n.leadershipWait())
+		page, err = n.tables.Feed(ctx, leaderTable, read, n.leadershipWait())
 	} else {
-		page, err = n.opts.Tables.Range(ctx, leaderTable, cellPart, "")
+		page, err = n.tables.Range(ctx, leaderTable, cellPart, "")
 	}
 	if err != nil {
 		return err
@@ -121,8 +127,11 @@
 func (n *Node) leadershipWait() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	due := n.leader.changed + takeoverAfter - n.opts.Now()
-	return min(leaderWait, max(due, 50*time.Millisecond))
+	due := n.leader.changed + takeoverLost - n.opts.Now()
+	if due <= 0 {
+		due = leaderPoll
+	}
+	return min(leaderWait, due)
 }
 
 // enterLeaderRow notes a row of the leader table. Callers hold n.mu.
@@ -136,6 +145,11 @@
 		return
 	}
 	n.leader.row, n.leader.version = value, row.Version
+	n.leaderLost = false
+	select {
+	case n.joinNow <- struct{}{}:
+	default:
+	}
 	n.opts.Log.WithFields(map[string]any{
 		"event": "leader_seen", "leader": value.Instance, "epoch": value.Epoch, "resigned": value.Resigned,
 	}).Info("leader changed")
@@ -162,7 +176,15 @@
 	if l.version == 0 || l.row.Resigned || l.row.Instance == n.opts.Instance {
 		return true
 	}
-	return n.opts.Now()-l.changed >= takeoverAfter
+	return n.opts.Now()-l.changed >= n.patience()
+}
+
+// patience returns how long the renewals must have stopped before a takeover. Callers hold n.mu.
+func (n *Node) patience() time.Duration {
+	if n.leaderLost {
+		return takeoverLost
+	}
+	return takeoverAfter
 }
 
 // jitterOf spreads instances by name, so that the first to try usually succeeds before the others do.
@@ -196,7 +218,7 @@
 		Expected: []backend.Row{{RowKey: leaderKey, Version: old.version}},
 		Put:      []backend.Row{{RowKey: leaderKey, Value: value}},
 	}
-	version, err := n.opts.Tables.Commit(ctx, txn)
+	version, err := n.tables.Commit(ctx, txn)
 	if err != nil {
 		version = n.claimed(ctx, row, err)
 	}
@@ -208,7 +230,7 @@
 
 // changedSince reads the leader row once more before a takeover.
 func (n *Node) changedSince(ctx context.Context, old leadership) bool {
-	row, err := n.opts.Tables.Get(ctx, leaderKey)
+	row, err := n.tables.Get(ctx, leaderKey)
 	if err != nil {
 		n.observationGap(err)
 		return true
@@ -230,7 +252,7 @@
 		n.mu.Unlock()
 		return 0
 	}
-	found, err := n.opts.Tables.Get(ctx, leaderKey)
+	found, err := n.tables.Get(ctx, leaderKey)
 	if err != nil {
 		n.observationGap(err)
 		return 0
--- a/process/node/load.go
+++ b/process/node/load.go
@@ -56,7 +56,7 @@
 	version := uint64(0)
 	from := ""
 	for {
-		page, err := n.opts.Tables.Range(ctx, table, part, from)
+		page, err := n.tables.Range(ctx, table, part, from)
 		if err != nil {
 			return nil, 0, err
 		}
@@ -92,9 +92,13 @@
 	jobs, ok2 := t.mustRead(ctx, jobTable, jobParts())
 	cancels, ok3 := t.mustRead(ctx, cancelTable, jobParts())
 	progress, ok4 := t.mustRead(ctx, progressTable, []string{cellPart})
-	if !ok1 || !ok2 || !ok3 || !ok4 {
+	writes, ok5 := t.mustRead(ctx, writeTable, []string{cellPart})
+	if !ok1 || !ok2 || !ok3 || !ok4 || !ok5 {
 		return false
 	}
+	if err := t.core.LoadFleet(writes.rows[fleetKey.Key].Value, t.node.opts.Now()); err != nil {
+		t.node.opts.Log.WithError(err).WithField("event", "fleet_unreadable").Error("record of the workers cannot be read")
+	}
 	for _, row := range workers.rows {
 		t.enterWorker(row)
 	}
@@ -197,7 +201,7 @@
 func (t *term) follow(ctx context.Context, table string, after *uint64, parts []string, enter func(backend.Row), prune func(map[string]backend.Row)) {
 	failing := false
 	for ctx.Err() == nil {
-		page, err := t.node.opts.Tables.Feed(ctx, table, *after, feedWait)
+		page, err := t.node.tables.Feed(ctx, table, *after, feedWait)
 		if ctx.Err() != nil {
 			return
 		}
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -58,7 +58,10 @@
 // Locking: mu protects the fields below it and is held for moments only, never during a call.
 type Node struct {
 	opts    Options
+	tables  *observedTables
 	inserts *inserter
+	// joinNow asks for a join without waiting, after the leader has changed.
+	joinNow chan struct{}
 	leaving atomic.Bool
 
 	mu     sync.Mutex
@@ -77,8 +80,9 @@
 
 // New returns an instance that does nothing before Run.
 func New(opts Options) *Node {
-	n := &Node{opts: opts}
-	n.inserts = newInserter(opts.Tables)
+	n := &Node{opts: opts, joinNow: make(chan struct{}, 1)}
+	n.tables = observeTables(opts.Tables, opts.Now, n.storeChanged)
+	n.inserts = newInserter(n.tables)
 	return n
 }
 
@@ -89,6 +93,7 @@
 	group.Go(func() error { n.followConfig(ctx); return nil })
 	group.Go(func() error { n.followLeadership(ctx); return nil })
 	group.Go(func() error { n.join(ctx); return nil })
+	group.Go(func() error { n.tables.probe(ctx); return nil })
 	group.Go(func() error {
 		<-ctx.Done()
 		return n.opts.Listener.Close()
@@ -106,6 +111,11 @@
 	return time.Duration(ts.Nano())
 }
 
+// storeChanged logs that the table service was lost or regained.
+func (n *Node) storeChanged(down bool, cause string) {
+	n.opts.Log.WithFields(map[string]any{"event": "store_contact", "lost": down, "error": cause}).Warn("contact to the table service")
+}
+
 // currentTerm returns the term in which this instance leads, or nil.
 func (n *Node) currentTerm() *term {
 	n.mu.Lock()
--- a/process/node/peers.go
+++ b/process/node/peers.go
@@ -14,16 +14,26 @@
 
 const (
 	// joinEvery is the time between joins, below the age that counts of waiting jobs may have.
-	joinEvery = 500 * time.Millisecond
-	// joinTimeout bounds a join.
-	joinTimeout = 700 * time.Millisecond
+	joinEvery = 300 * time.Millisecond
+	// joinRetry is the time between joins that fail, such as while a new leader reads the rows.
+	joinRetry = 100 * time.Millisecond
+	// joinTimeout bounds a join. Several renewals of the leadership fall into it.
+	joinTimeout = 450 * time.Millisecond
 	// adviceSlack is how much longer than expected advice may take.
 	adviceSlack = 600 * time.Millisecond
 )
 
 // join tells the leader that this instance is there and learns what it answers on its own.
 func (n *Node) join(ctx context.Context) {
-	for pause(ctx, joinEvery) {
+	wait := joinEvery
+	for ctx.Err() == nil {
+		select {
+		case <-n.joinNow:
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return
+		}
+		wait = joinEvery
 		address, _ := n.leaderAddress()
 		if address == "" {
 			continue
@@ -34,6 +44,9 @@
 		})
 		cancel()
 		n.joined(address, reply, err)
+		if err != nil {
+			wait = joinRetry
+		}
 	}
 }
 
--- a/process/node/shutdown.go
+++ b/process/node/shutdown.go
@@ -40,7 +40,7 @@
 		if err != nil {
 			return
 		}
-		_, err = t.node.opts.Tables.Commit(ctx, txn)
+		_, err = t.node.tables.Commit(ctx, txn)
 		stored, lost := err == nil, false
 		if err != nil {
 			stored, lost = t.settle(ctx)
--- a/process/node/term.go
+++ b/process/node/term.go
@@ -257,7 +257,7 @@
 		}
 		batch := t.core.CollectBatch(batchRows)
 		due := t.node.opts.Now()-t.renewedAt >= renewEvery
-		if len(batch.Progress) == 0 && len(batch.Removed) == 0 && !due {
+		if batch.Empty() && !due {
 			pause(ctx, batchPause)
 			continue
 		}
@@ -291,7 +291,7 @@
 
 // readWriteVersion reads the version on which the first write is conditional. A failure costs the first write a conflict.
 func (t *term) readWriteVersion(ctx context.Context) {
-	row, err := t.node.opts.Tables.Get(ctx, writeKey)
+	row, err := t.node.tables.Get(ctx, writeKey)
 	if err != nil {
 		t.node.opts.Log.WithError(err).WithField("event", "write_version_unknown").Info("newest write cannot be read")
 		return
@@ -308,7 +308,7 @@
 		t.node.opts.Log.WithError(err).Error("progress cannot be encoded")
 		return false, false
 	}
-	version, err := t.node.opts.Tables.Commit(ctx, txn)
+	version, err := t.node.tables.Commit(ctx, txn)
 	if err == nil {
 		t.writeVersion = version
 		t.noteStored(sent, renew)
@@ -336,14 +336,14 @@
 
 // settle reads the leadership back after a write with an unknown outcome or a failed condition.
 func (t *term) settle(ctx context.Context) (stored, lost bool) {
-	leader, err := t.node.opts.Tables.Get(ctx, leaderKey)
+	leader, err := t.node.tables.Get(ctx, leaderKey)
 	if err != nil {
 		return false, false
 	}
 	if leader.Version != t.rowVersion {
 		return false, true
 	}
-	newest, err := t.node.opts.Tables.Get(ctx, writeKey)
+	newest, err := t.node.tables.Get(ctx, writeKey)
 	if err != nil {
 		return false, false
 	}
@@ -368,6 +368,9 @@
 	if renew {
 		txn.Put = append(txn.Put, backend.Row{RowKey: renewalKey, Value: []byte(t.writeName())})
 	}
+	if batch.Fleet != nil {
+		txn.Put = append(txn.Put, backend.Row{RowKey: fleetKey, Value: batch.Fleet})
+	}
 	for _, p := range batch.Progress {
 		txn.Put = append(txn.Put, backend.Row{RowKey: progressKey(p.Job), Value: p.Data})
 	}
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -65,11 +65,14 @@
 	changes, stored uint64
 	dirty           map[job.ID]*jobState
 	removals        []job.ID
-	superseded      bool
-	suspended       bool
-	goodShare       map[string]float64
-	nextSweep       Instant
-	wake            chan struct{}
+	// fleetChanged says that the record of the workers in use must be written; loadedAt is when it was read.
+	fleetChanged bool
+	loadedAt     Instant
+	superseded   bool
+	suspended    bool
+	goodShare    map[string]float64
+	nextSweep    Instant
+	wake         chan struct{}
 }
 
 // New returns the core of an epoch.
@@ -192,6 +195,7 @@
 		c.expireLease(w)
 		c.checkRuns(w)
 	}
+	c.giveUpMissing()
 	c.closeRecovery()
 	c.openOccurrences()
 	c.forgetFinished()
--- a/version/cell/progress.go
+++ b/version/cell/progress.go
@@ -41,14 +41,22 @@
 	Progress []Progress
 	// Removed are jobs past their retention, whose rows can go.
 	Removed []job.ID
-	Change  uint64
+	// Fleet is the record of the workers in use, nil if it has not changed.
+	Fleet  []byte
+	Change uint64
+
+	fleet fleetRow
 }
 
+// Empty reports whether there is nothing to write.
+func (b Batch) Empty() bool { return len(b.Progress) == 0 && len(b.Removed) == 0 && b.Fleet == nil }
+
 // CollectBatch returns at most limit jobs whose progress changed, or an empty batch.
 func (c *Core) CollectBatch(limit int) Batch {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	batch := Batch{Change: c.changes}
+	c.collectFleet(&batch)
 	for id, j := range c.dirty {
 		if len(batch.Progress) == limit {
 			break
@@ -68,6 +76,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.now = max(c.now, now)
+	c.fleetStored(b, stored)
 	if !stored {
 		c.returnBatch(b)
 		return
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -86,10 +86,11 @@
 
 // startTask orders a task to be started on a worker.
 func (c *Core) startTask(t *task, w *worker, number int64, saved string) {
+	deadline := c.deadline(w)
 	r := c.addRun(t, w, number, phaseStarting)
 	r.saved = saved
 	order := backend.StartOrder{
-		Order: r.order(c), Payload: t.step.job.record.Spec.Payload, DeadlineMS: c.deadline(w),
+		Order: r.order(c), Payload: t.step.job.record.Spec.Payload, DeadlineMS: deadline,
 		Checkpoint: saved, Ticket: t.step.advice.good[w.info.ID].value,
 	}
 	c.actions = append(c.actions, &StartAction{order, r})
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -14,6 +14,8 @@
 	kind   string
 	rack   string
 	listed bool
+	// recorded is the address under which the worker is in the durable record of the fleet.
+	recorded string
 	// unlistedAt is when the entry left the registry.
 	unlistedAt Instant
 	// born is the life of the worker of which the inventory is known.
@@ -86,8 +88,7 @@
 	c.now = max(c.now, now)
 	w := c.workers[info.ID]
 	if w == nil {
-		w = &worker{runs: map[runKey]*run{}, acksChanged: make(chan struct{}, 1)}
-		c.workers[info.ID] = w
+		w = c.newWorker(info.ID)
 		if c.now < c.start+c.recoveryBound() {
 			c.unread[info.ID] = struct{}{}
 		}
@@ -102,6 +103,7 @@
 	wasDraining := w.info.Draining
 	w.info = info
 	w.listed = true
+	c.record(w)
 	w.kind, w.rack = labelsOf(info.Labels)
 	if info.Draining {
 		w.leaves = c.now + time.Duration(info.RemainingMS)*time.Millisecond
@@ -172,6 +174,7 @@
 	delete(c.unread, w.info.ID)
 	if !w.listed && c.now > w.unlistedAt+forgetWorkerAfter {
 		delete(c.workers, w.info.ID)
+		c.fleetChanged = true
 	}
 }
 
@@ -189,12 +192,17 @@
 	}
 }
 
-// deadline returns the end of a lease that starts now, on the worker's clock, and notes that it was sent.
+// deadline returns the end of a lease on the worker's clock and notes that it was sent. While the worker runs something, the
+// lease counts from its newest stamp, so that the leases of a worker that has fallen silent lapse. 0 means no deadline,
+// because no stamp is known.
 func (c *Core) deadline(w *worker) int64 {
 	if w.clockMS == 0 {
 		return 0
 	}
-	elapsed := time.Duration(float64(c.now-w.clockAt) * (1 - clockDrift))
+	elapsed := time.Duration(0)
+	if len(w.runs) == 0 {
+		elapsed = time.Duration(float64(c.now-w.clockAt) * (1 - clockDrift))
+	}
 	d := w.clockMS + (elapsed + c.opts.Lease).Milliseconds()
 	w.leaseMS = max(w.leaseMS, d)
 	return d
@@ -285,6 +293,10 @@
 		c.supersede(w)
 		return
 	}
+	if reply.Refusal == backend.RefusedInstance {
+		c.lifeOver(w)
+		return
+	}
 	if reply.Refusal != "" {
 		c.note("look_refused", "", map[string]any{"worker": id, "refusal": reply.Refusal})
 		w.blockedUntil = c.now + blockAfterFailure
@@ -314,6 +326,19 @@
 	c.poke()
 }
 
+// lifeOver drops the runs of a worker whose address another life answers for: what ran there has ended with its process.
+func (c *Core) lifeOver(w *worker) {
+	delete(c.unread, w.info.ID)
+	if !w.known && len(w.runs) == 0 {
+		return
+	}
+	c.note("worker_replaced", "", map[string]any{"worker": w.info.ID, "runs": len(w.runs), "address": w.info.Address})
+	for _, r := range w.runs {
+		c.dropRun(r, "another worker has the address")
+	}
+	w.known = false
+}
+
 // holdFailed notes a look without an answer.
 func (c *Core) holdFailed(w *worker, err error) {
 	w.blockedUntil = max(w.blockedUntil, c.now+blockAfterFailure)
