--- a/cmd/lentiltide-node/main.go
+++ b/cmd/lentiltide-node/main.go
@@ -128,7 +128,12 @@
 	}
 	transport := peer.NewTransport(peer.Options{PrivateNetwork: true, Seed: uint64(time.Now().UnixNano())})
 	n := node.New(node.Options{
-		Instance: s.Instance, PeerAddress: s.PeerAddress, Listener: listener, Transport: transport,
+		Instance: s.Instance, PeerAddress: s.PeerAddress, Peers: transport,
+		ServePeers: func(ctx context.Context, handle peer.Handler) error {
+			stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+			defer stop()
+			return transport.Serve(ctx, listener, handle)
+		},
 		Tables: platform.NewRows(s.StoreAddress), Workers: platform.NewWorkers(), Advisor: platform.NewAdvisor(s.AdviceAddress),
 		Decoder: platform.Decoder{},
 		Sources: node.Sources{
--- a/process/node/callers.go
+++ b/process/node/callers.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return verdict.Invalid("body", "%v", err)
 	}
-	existing, err := n.inserts.Insert(ctx, jobKey(id), data)
+	existing, err := n.store(ctx, id, data)
 	n.logAnswer("job_submitted", id, err, map[string]any{
 		"queue": q.Name, "epoch": epoch, "existing": existing != nil, "took_ms": (n.opts.Now() - began).Milliseconds(),
 	})
@@ -122,7 +122,7 @@
 		return
 	}
 	msg := &peerpb.Request{Body: &peerpb.Request_JobStored{JobStored: &peerpb.JobStored{Job: string(id), Record: record}}}
-	if err := n.opts.Transport.Send(ctx, address, msg); err != nil {
+	if err := n.opts.Peers.Send(ctx, address, msg); err != nil {
 		n.opts.Log.WithError(err).WithFields(map[string]any{"event": "leader_not_told", "job": id, "leader": address}).Info("leader learns from the table")
 	}
 }
@@ -137,6 +137,9 @@
 
 func (n *Node) cancel(ctx context.Context, id job.ID) error {
 	if state, err := n.leaderState(ctx, id); err != nil || state == "" {
+		if n.tables.Down() {
+			return unavailable(err, "the store does not answer")
+		}
 		row, err := n.tables.Get(ctx, jobKey(id))
 		if err != nil {
 			return unavailable(err, "the store cannot be read")
@@ -145,7 +148,7 @@
 			return verdict.New(verdict.NotRun, verdict.CodeExpired, "there is no such job")
 		}
 	}
-	if _, err := n.inserts.Insert(ctx, cancelKey(id), []byte("{}")); err != nil {
+	if _, err := n.store(ctx, id, nil); err != nil {
 		return err
 	}
 	n.tellStored(ctx, id, nil)
@@ -177,7 +180,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	reply, err := n.opts.Transport.Call(ctx, address, &peerpb.Request{
+	reply, err := n.opts.Peers.Call(ctx, address, &peerpb.Request{
 		Body: &peerpb.Request_JobStatus{JobStatus: &peerpb.JobStatus{Job: string(id)}},
 	})
 	if err != nil {
--- /dev/null
+++ b/process/node/failover_test.go
@@ -0,0 +1,270 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/model/job"
+	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/standin/backends"
+)
+
+// inCell runs a test in a bubble with a cell of three instances and four workers.
+func inCell(t *testing.T, test func(t *testing.T, c *testCell)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCell(t, 3, 4)
+		defer c.stop()
+		test(t, c)
+		assert.DeepEqual(t, c.workers.Violations(), []string(nil))
+	})
+}
+
+// Guards against jobs that are accepted and never completed, at the leader and elsewhere.
+func TestJobCompletes(t *testing.T) {
+	inCell(t, func(t *testing.T, c *testCell) {
+		assert.NilError(t, c.submit(c.other(), "a", 5, small(time.Second), nil))
+		assert.NilError(t, c.submit(c.nodes[c.leader()], "b", 5, small(time.Second), nil))
+		time.Sleep(3 * time.Second)
+		for _, id := range []string{"a", "b"} {
+			state, err := c.state(c.other(), id)
+			assert.NilError(t, err)
+			assert.Equal(t, state, job.Completed)
+		}
+	})
+}
+
+// Guards against a takeover that takes longer than the leases last, or that starts tasks again that run.
+func TestLeaderDiesWhileTasksRun(t *testing.T) {
+	inCell(t, func(t *testing.T, c *testCell) {
+		assert.NilError(t, c.submit(c.other(), "a", 5, small(8*time.Second), nil))
+		time.Sleep(time.Second)
+		old := c.leader()
+		c.kill(old)
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, c.leader() != "" && c.leader() != old)
+		time.Sleep(7 * time.Second)
+		state, err := c.state(c.other(), "a")
+		assert.NilError(t, err)
+		assert.Equal(t, state, job.Completed)
+		assert.Equal(t, c.workers.Starts("a.0.0.0"), 1)
+	})
+}
+
+// Guards against a second start of a task whose end a former leader could not make durable, by a leader that does not know
+// the worker because the registry lost its entry while the store was away.
+func TestSuccessorReadsUnlistedWorkers(t *testing.T) {
+	inCell(t, func(t *testing.T, c *testCell) {
+		assert.NilError(t, c.submit(c.other(), "a", 4, small(time.Second), nil))
+		time.Sleep(200 * time.Millisecond)
+		for name := range c.nodes {
+			c.setCut(name, backends.FaultRefused)
+		}
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, c.workers.Done("a.0.0.0"))
+		for id := range c.tables.Rows("workers") {
+			c.tables.Delete(backend.RowKey{Table: "workers", Key: id})
+		}
+		c.kill(c.leader())
+		for name := range c.nodes {
+			c.setCut(name, backends.FaultNone)
+		}
+		time.Sleep(4 * time.Second)
+		state, err := c.state(c.other(), "a")
+		assert.NilError(t, err)
+		assert.Equal(t, state, job.Completed)
+		assert.Equal(t, c.workers.Starts("a.0.0.0"), 1)
+	})
+}
+
+// Guards against a cell without a leader, or with two that act, while the leader cannot reach the store and others can.
+func TestLeaderIsCutFromTheStore(t *testing.T) {
+	for _, fault := range []backends.Fault{backends.FaultRefused, backends.FaultSilent} {
+		inCell(t, func(t *testing.T, c *testCell) {
+			old := c.leader()
+			assert.NilError(t, c.submit(c.other(), "a", 5, small(6*time.Second), nil))
+			time.Sleep(500 * time.Millisecond)
+			c.setCut(old, fault)
+			time.Sleep(3 * time.Second)
+			assert.Assert(t, c.leader() != old)
+			assert.NilError(t, c.submit(c.other(), "b", 5, small(time.Second), nil))
+			time.Sleep(6 * time.Second)
+			for _, id := range []string{"a", "b"} {
+				state, err := c.state(c.nodes[c.leader()], id)
+				assert.NilError(t, err)
+				assert.Equal(t, state, job.Completed)
+			}
+			assert.Equal(t, c.workers.Starts("a.0.0.0"), 1)
+		})
+	}
+}
+
+// Guards against work that stops while the store is away, and against ends that are acknowledged before they last.
+func TestWorkGoesOnWithoutTheStore(t *testing.T) {
+	inCell(t, func(t *testing.T, c *testCell) {
+		assert.NilError(t, c.submit(c.other(), "a", 20, small(time.Second), nil))
+		time.Sleep(300 * time.Millisecond)
+		c.tables.SetFault(func(bool) backends.Fault { return backends.FaultRefused })
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, c.workers.Done("a.0.0.19"))
+		state, err := c.state(c.nodes[c.leader()], "a")
+		assert.NilError(t, err)
+		assert.Equal(t, state, job.Running)
+		c.tables.SetFault(nil)
+		time.Sleep(2 * time.Second)
+		state, err = c.state(c.nodes[c.leader()], "a")
+		assert.NilError(t, err)
+		assert.Equal(t, state, job.Completed)
+	})
+}
+
+// Guards against callers that wait until their deadline for a store that does not answer, and against a refusal that says
+// not run of a job that is stored.
+func TestSubmissionsWhileTheStoreIsSilent(t *testing.T) {
+	inCell(t, func(t *testing.T, c *testCell) {
+		n := c.other()
+		c.tables.SetFault(func(write bool) backends.Fault {
+			if write {
+				return backends.FaultLost
+			}
+			return backends.FaultSilent
+		})
+		// Long polls that were served before the fault end.
+		time.Sleep(1100 * time.Millisecond)
+		began := time.Now()
+		err := c.submit(n, "a", 1, small(time.Second), nil)
+		assert.Equal(t, verdict.Of(err), verdict.MayHaveRun)
+		assert.Assert(t, time.Since(began) < 1200*time.Millisecond)
+		began = time.Now()
+		err = c.submit(n, "b", 1, small(time.Second), nil)
+		assert.Equal(t, verdict.Of(err), verdict.NotRun)
+		assert.Assert(t, verdict.From(err).RetryAfter > 0)
+		assert.Assert(t, time.Since(began) < 100*time.Millisecond)
+		c.tables.SetFault(nil)
+		time.Sleep(2 * time.Second)
+		assert.NilError(t, c.submit(n, "a", 1, small(time.Second), nil))
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, c.workers.Done("a.0.0.0"))
+		assert.Assert(t, !c.workers.Done("b.0.0.0"))
+	})
+}
+
+// Guards against submissions that are refused by an instance that cannot reach the store although others can.
+func TestSubmissionByWayOfAnotherInstance(t *testing.T) {
+	for _, fault := range []backends.Fault{backends.FaultRefused, backends.FaultSilent} {
+		inCell(t, func(t *testing.T, c *testCell) {
+			n := c.other()
+			c.setCut(n.opts.Instance, fault)
+			assert.NilError(t, c.submit(n, "a", 2, small(time.Second), nil))
+			assert.NilError(t, c.submit(n, "a", 2, small(time.Second), nil))
+			time.Sleep(3 * time.Second)
+			assert.Assert(t, c.workers.Done("a.0.0.1"))
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			assert.NilError(t, n.Cancel(ctx, job.Queue{}, "a"))
+		})
+	}
+}
+
+// Guards against two jobs under one id when it is handed in at two instances, and again after the answer.
+func TestSameJobAtTwoInstances(t *testing.T) {
+	inCell(t, func(t *testing.T, c *testCell) {
+		errs := make(chan error, len(c.nodes))
+		for _, n := range c.nodes {
+			go func() { errs <- c.submit(n, "a", 3, small(time.Second), nil) }()
+		}
+		for range c.nodes {
+			assert.NilError(t, <-errs)
+		}
+		time.Sleep(3 * time.Second)
+		assert.NilError(t, c.submit(c.other(), "a", 3, small(time.Second), nil))
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, c.workers.Starts("a.0.0.0"), 1)
+	})
+}
+
+// Guards against tasks that start after the cancellation of their job was answered, also by a later leader.
+func TestCancelledJobStaysCancelled(t *testing.T) {
+	inCell(t, func(t *testing.T, c *testCell) {
+		n := c.other()
+		assert.NilError(t, c.submit(n, "a", 30, small(2*time.Second), nil))
+		time.Sleep(500 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		assert.NilError(t, n.Cancel(ctx, job.Queue{}, "a"))
+		time.Sleep(time.Second)
+		assert.Equal(t, len(c.workers.RunningOn("a.0.0.0")), 0)
+		c.kill(c.leader())
+		time.Sleep(4 * time.Second)
+		state, err := c.state(c.nodes[c.leader()], "a")
+		assert.NilError(t, err)
+		assert.Equal(t, state, job.Cancelled)
+		err = n.Cancel(ctx, job.Queue{}, "unknown")
+		assert.Equal(t, verdict.From(err).Code, verdict.CodeExpired)
+	})
+}
+
+// Guards against a takeover that waits for the renewals to stop after the leader has resigned.
+func TestResignationIsTakenUpAtOnce(t *testing.T) {
+	inCell(t, func(t *testing.T, c *testCell) {
+		old := c.leader()
+		assert.NilError(t, c.submit(c.other(), "a", 5, small(3*time.Second), nil))
+		time.Sleep(500 * time.Millisecond)
+		c.nodes[old].Leave(t.Context())
+		assert.Assert(t, !c.nodes[old].Ready())
+		time.Sleep(400 * time.Millisecond)
+		assert.Assert(t, c.leader() != "" && c.leader() != old)
+		assert.NilError(t, c.submit(c.nodes[old], "b", 2, small(time.Second), nil))
+		time.Sleep(4 * time.Second)
+		assert.Assert(t, c.workers.Done("a.0.0.4"))
+		assert.Assert(t, c.workers.Done("b.0.0.1"))
+		assert.Equal(t, c.workers.Starts("a.0.0.0"), 1)
+	})
+}
+
+// Guards against feeds that stop when the store has forgotten its history.
+func TestHistoryIsForgotten(t *testing.T) {
+	inCell(t, func(t *testing.T, c *testCell) {
+		leader := c.leader()
+		c.setCut(leader, backends.FaultSilent)
+		c.tables.Put(backend.RowKey{Table: "config", Key: "current"}, []byte("7"))
+		c.addWorker("late")
+		c.tables.ForgetHistory()
+		c.setCut(leader, backends.FaultNone)
+		time.Sleep(4 * time.Second)
+		for _, n := range c.nodes {
+			n.mu.Lock()
+			version := n.config.Version
+			n.mu.Unlock()
+			assert.Equal(t, version, uint64(7))
+		}
+		assert.NilError(t, c.submit(c.other(), "a", 20, small(time.Second), nil))
+		time.Sleep(4 * time.Second)
+		assert.Assert(t, c.workers.Done("a.0.0.19"))
+	})
+}
+
+// Guards against a cell that does not come back after all instances were lost at once.
+func TestAllInstancesDie(t *testing.T) {
+	inCell(t, func(t *testing.T, c *testCell) {
+		assert.NilError(t, c.submit(c.other(), "a", 5, small(6*time.Second), nil))
+		time.Sleep(500 * time.Millisecond)
+		names := []string{"i0", "i1", "i2"}
+		for _, name := range names {
+			c.kill(name)
+		}
+		time.Sleep(time.Second)
+		for _, name := range names {
+			c.start(name)
+		}
+		time.Sleep(8 * time.Second)
+		state, err := c.state(c.other(), "a")
+		assert.NilError(t, err)
+		assert.Equal(t, state, job.Completed)
+		assert.Equal(t, c.workers.Starts("a.0.0.0"), 1)
+	})
+}
--- a/process/node/leadership.go
+++ b/process/node/leadership.go
@@ -145,7 +145,7 @@
 		return
 	}
 	n.leader.row, n.leader.version = value, row.Version
-	n.leaderLost = false
+	n.leaderLost, n.leaderHint = false, ""
 	select {
 	case n.joinNow <- struct{}{}:
 	default:
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,16 +31,17 @@
 type Options struct {
 	// Instance is the name of the instance, which a process that starts again on it keeps.
 	Instance string
-	// PeerAddress is host:port at which other instances are served; Listener accepts there.
+	// PeerAddress is host:port at which other instances reach this one.
 	PeerAddress string
-	Listener    net.Listener
-	Transport   *peer.Transport
-	Tables      backend.Tables
-	Workers     backend.Workers
-	Advisor     backend.Advisor
-	Decoder     backend.Decoder
-	Sources     Sources
-	Log         logrus.FieldLogger
+	// Peers sends messages to other instances; ServePeers answers theirs until ctx ends.
+	Peers      peer.Caller
+	ServePeers func(ctx context.Context, handle peer.Handler) error
+	Tables     backend.Tables
+	Workers    backend.Workers
+	Advisor    backend.Advisor
+	Decoder    backend.Decoder
+	Sources    Sources
+	Log        logrus.FieldLogger
 	// Note receives the decisions of the scheduler; see cell.Options.
 	Note func(cell.Decision)
 	// Lease is the term of leases on workers, StopTimeout the bound on a stop and Retention how long a finished job can be
@@ -74,6 +74,10 @@
 	waiting map[string]uint32
 	// waitingAt is when waiting was learned from the leader.
 	waitingAt cell.Instant
+	// leaderHint is the address of the leader that another instance named, while this one cannot reach the leader it knows.
+	leaderHint string
+	// members are the addresses of the instances that have joined the leader.
+	members []string
 	// leaderLost says that the last join had no answer.
 	leaderLost bool
 }
@@ -86,18 +90,14 @@
 	return n
 }
 
-// Run serves until ctx ends or the listener fails.
+// Run serves until ctx ends or peers cannot be served.
 func (n *Node) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return n.opts.Transport.Serve(ctx, n.opts.Listener, n.handlePeer) })
+	group.Go(func() error { return n.opts.ServePeers(ctx, n.handlePeer) })
 	group.Go(func() error { n.followConfig(ctx); return nil })
 	group.Go(func() error { n.followLeadership(ctx); return nil })
 	group.Go(func() error { n.join(ctx); return nil })
 	group.Go(func() error { n.tables.probe(ctx); return nil })
-	group.Go(func() error {
-		<-ctx.Done()
-		return n.opts.Listener.Close()
-	})
 	return group.Wait()
 }
 
@@ -131,10 +131,14 @@
 	if n.term != nil {
 		return "", n.term.epoch
 	}
-	if n.leader.row.Resigned || n.leader.row.Instance == n.opts.Instance {
-		return "", n.leader.row.Epoch
+	row := n.leader.row
+	if n.leaderHint != "" {
+		return n.leaderHint, row.Epoch
 	}
-	return n.leader.row.Address, n.leader.row.Epoch
+	if row.Resigned || row.Instance == n.opts.Instance {
+		return "", row.Epoch
+	}
+	return row.Address, row.Epoch
 }
 
 // pause waits, or returns false when ctx ends.
--- a/process/node/peers.go
+++ b/process/node/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/lentiltide/lentiltide/backend"
@@ -34,12 +35,12 @@
 			return
 		}
 		wait = joinEvery
-		address, _ := n.leaderAddress()
+		address := n.addressToJoin()
 		if address == "" {
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, joinTimeout)
-		reply, err := n.opts.Transport.Call(call, address, &peerpb.Request{
+		reply, err := n.opts.Peers.Call(call, address, &peerpb.Request{
 			Body: &peerpb.Request_Join{Join: &peerpb.Join{Instance: n.opts.Instance, Address: n.opts.PeerAddress}},
 		})
 		cancel()
@@ -59,6 +60,7 @@
 		n.opts.Log.WithFields(map[string]any{"event": "leader_contact", "leader": address, "lost": lost, "error": errText(err)}).Info("contact to the leader")
 	}
 	if lost {
+		n.followHint(address, err)
 		return
 	}
 	n.waiting = reply.GetJoin().GetWaiting()
@@ -66,6 +68,31 @@
 		n.waiting = map[string]uint32{}
 	}
 	n.waitingAt = n.opts.Now()
+	n.members = reply.GetJoin().GetMembers()
+}
+
+// addressToJoin returns the leader's address, or that of another instance if the leader is not known or does not answer:
+// it may know a leader that this instance has not learned of, for want of the store.
+func (n *Node) addressToJoin() string {
+	leader, _ := n.leaderAddress()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.term != nil || (leader != "" && !n.leaderLost) || len(n.members) == 0 || rand.IntN(2) == 0 {
+		return leader
+	}
+	return n.members[rand.IntN(len(n.members))]
+}
+
+// followHint notes the leader that an instance has named in its refusal, or forgets one that does not answer. Callers hold
+// n.mu.
+func (n *Node) followHint(asked string, err error) {
+	if owner := verdict.From(err).Owner; owner != "" {
+		n.leaderHint = owner
+		return
+	}
+	if asked == n.leaderHint {
+		n.leaderHint = ""
+	}
 }
 
 // loadedTerm returns the term in which this instance leads, once it has read all rows.
@@ -95,9 +122,12 @@
 	if body := req.GetAdvise(); body != nil {
 		return n.answerAdvise(ctx, body, reply)
 	}
+	if body := req.GetStoreRow(); body != nil {
+		return n.answerStoreRow(ctx, body, reply)
+	}
 	t := n.loadedTerm()
 	if t == nil {
-		return unavailable(nil, "this instance does not lead")
+		return n.notLeader()
 	}
 	switch body := req.GetBody().(type) {
 	case *peerpb.Request_Join:
@@ -113,6 +143,13 @@
 	return nil
 }
 
+// notLeader is the refusal of a question for the leader. It names the leader that this instance knows.
+func (n *Node) notLeader() error {
+	e := verdict.New(verdict.NotRun, verdict.CodeWrongOwner, "this instance does not lead").After(retryAfter)
+	e.Owner, _ = n.leaderAddress()
+	return e
+}
+
 // joined notes an instance that has joined.
 func (t *term) joined(join *peerpb.Join) *peerpb.JoinReply {
 	t.mu.Lock()
@@ -122,7 +159,7 @@
 	for name, count := range t.core.Waiting() {
 		waiting[name] = uint32(count)
 	}
-	return &peerpb.JoinReply{Epoch: t.epoch, Waiting: waiting}
+	return &peerpb.JoinReply{Epoch: t.epoch, Waiting: waiting, Members: t.memberAddresses()}
 }
 
 // stored enters a job or a cancellation of which the instance that stored it tells.
@@ -145,7 +182,7 @@
 	t.mu.Lock()
 	address := t.members[a.Adviser].address
 	t.mu.Unlock()
-	reply, err := t.node.opts.Transport.Call(ctx, address, &peerpb.Request{
+	reply, err := t.node.opts.Peers.Call(ctx, address, &peerpb.Request{
 		Body: &peerpb.Request_Advise{Advise: &peerpb.Advise{Step: a.Step, Workers: a.Workers}},
 	})
 	if err != nil {
--- a/process/node/term.go
+++ b/process/node/term.go
@@ -89,8 +89,10 @@
 		"event": "leadership_taken", "epoch": t.epoch, "previous": t.previous.Instance, "resigned": t.previous.Resigned,
 	}).Info("leadership taken")
 	t.run(ctx)
+	members := t.memberAddresses()
 	n.mu.Lock()
 	n.term = nil
+	n.members = members
 	n.leader.known = false
 	n.mu.Unlock()
 	n.opts.Log.WithFields(map[string]any{"event": "leadership_ended", "epoch": t.epoch}).Info("leadership ended")
@@ -176,6 +178,20 @@
 	return names
 }
 
+// memberAddresses returns the addresses of the instances that have joined lately.
+func (t *term) memberAddresses() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	now := t.node.opts.Now()
+	for _, m := range t.members {
+		if now-m.seen <= memberTerm {
+			out = append(out, m.address)
+		}
+	}
+	return out
+}
+
 // carryOut sends one order and enters its result.
 func (t *term) carryOut(ctx context.Context, action cell.Action) {
 	workers := t.node.opts.Workers
--- /dev/null
+++ b/standin/backends/tables.go
@@ -0,0 +1,258 @@
+// Package backends holds in-memory stand-ins for the interfaces of package backend: a table service, workers and a
+// placement policy. They keep the promises of the interfaces, can be told to fail, and count what they saw, so that tests
+// judge the scheduler by what its surroundings observed.
+package backends
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/request/verdict"
+)
+
+// Fault says what a table service does to one call.
+type Fault uint8
+
+// The faults of a call.
+const (
+	// FaultNone serves the call.
+	FaultNone Fault = iota
+	// FaultRefused says that nothing was done.
+	FaultRefused
+	// FaultSilent never answers and does nothing.
+	FaultSilent
+	// FaultLost does what was asked and loses the answer.
+	FaultLost
+)
+
+// Tables is an in-memory table service. Its zero value is not usable; see NewTables.
+//
+// Locking: mu protects the rows and is not held while a call waits.
+type Tables struct {
+	mu      sync.Mutex
+	rows    map[backend.RowKey]backend.Row
+	history []backend.Row
+	// forgotten is the version up to which the history is gone.
+	forgotten uint64
+	version   uint64
+	changed   chan struct{}
+	fault     func(write bool) Fault
+	calls     int
+}
+
+var _ backend.Tables = (*Tables)(nil)
+
+// NewTables returns an empty service.
+func NewTables() *Tables {
+	return &Tables{rows: map[backend.RowKey]backend.Row{}, changed: make(chan struct{})}
+}
+
+// SetFault decides about each later call; nil serves all.
+func (t *Tables) SetFault(fault func(write bool) Fault) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fault = fault
+}
+
+// Calls returns the number of calls so far.
+func (t *Tables) Calls() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.calls
+}
+
+// ForgetHistory drops the history, so that feeds must be read anew.
+func (t *Tables) ForgetHistory() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.history = nil
+	t.forgotten = t.version
+}
+
+// Put writes a row without a condition, as other writers do.
+func (t *Tables) Put(key backend.RowKey, value []byte) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.apply(backend.Txn{Put: []backend.Row{{RowKey: key, Value: value}}})
+}
+
+// Delete removes a row without a condition.
+func (t *Tables) Delete(key backend.RowKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.apply(backend.Txn{Remove: []backend.RowKey{key}})
+}
+
+// Commit implements backend.Tables.
+func (t *Tables) Commit(ctx context.Context, txn backend.Txn) (uint64, error) {
+	fault := t.begin(true)
+	if err := fail(ctx, fault); err != nil {
+		return 0, err
+	}
+	version, err := t.commit(txn)
+	if fault == FaultLost {
+		<-ctx.Done()
+		return 0, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeUnavailable, "the answer was lost")
+	}
+	return version, err
+}
+
+func (t *Tables) commit(txn backend.Txn) (uint64, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if failed := t.failed(txn); failed != nil {
+		return 0, verdict.New(verdict.NotRun, verdict.CodeConflict, "a row has another version").With(failed)
+	}
+	return t.apply(txn), nil
+}
+
+func (t *Tables) begin(write bool) Fault {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.calls++
+	if t.fault == nil {
+		return FaultNone
+	}
+	return t.fault(write)
+}
+
+func fail(ctx context.Context, fault Fault) error {
+	switch fault {
+	case FaultRefused:
+		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the stand-in refuses")
+	case FaultSilent:
+		<-ctx.Done()
+		return verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeUnavailable, "the stand-in is silent")
+	default:
+		return nil
+	}
+}
+
+// failed returns the present rows of the expectations if one does not hold. Callers hold t.mu.
+func (t *Tables) failed(txn backend.Txn) []backend.Row {
+	holds := true
+	rows := []backend.Row{}
+	for _, e := range txn.Expected {
+		row, ok := t.rows[e.RowKey]
+		holds = holds && row.Version == e.Version
+		if ok {
+			rows = append(rows, row)
+		}
+	}
+	if holds {
+		return nil
+	}
+	return rows
+}
+
+// apply writes a transaction. Callers hold t.mu.
+func (t *Tables) apply(txn backend.Txn) uint64 {
+	t.version++
+	for _, row := range txn.Put {
+		row.Version = t.version
+		row.Value = slices.Clone(row.Value)
+		t.rows[row.RowKey] = row
+		t.history = append(t.history, row)
+	}
+	for _, key := range txn.Remove {
+		delete(t.rows, key)
+		t.history = append(t.history, backend.Row{RowKey: key, Version: t.version, Deleted: true})
+	}
+	close(t.changed)
+	t.changed = make(chan struct{})
+	return t.version
+}
+
+// Range implements backend.Tables. All rows are in one page.
+func (t *Tables) Range(ctx context.Context, table, part, from string) (backend.Page, error) {
+	if err := fail(ctx, t.begin(false)); err != nil {
+		return backend.Page{}, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	page := backend.Page{Version: t.version}
+	for _, row := range t.rows {
+		if row.Table == table && row.Part == part && row.Key >= from {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	slices.SortFunc(page.Rows, func(a, b backend.Row) int { return strings.Compare(a.Key, b.Key) })
+	return page, nil
+}
+
+// Get implements backend.Tables.
+func (t *Tables) Get(ctx context.Context, key backend.RowKey) (backend.Row, error) {
+	if err := fail(ctx, t.begin(false)); err != nil {
+		return backend.Row{}, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row := t.rows[key]
+	row.RowKey = key
+	return row, nil
+}
+
+// Feed implements backend.Tables.
+func (t *Tables) Feed(ctx context.Context, table string, after uint64, wait time.Duration) (backend.Page, error) {
+	if err := fail(ctx, t.begin(false)); err != nil {
+		return backend.Page{}, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		page, changed, gone := t.since(table, after)
+		if gone {
+			return backend.Page{}, verdict.New(verdict.NotRun, verdict.CodeExpired, "the history is gone")
+		}
+		if len(page.Rows) > 0 {
+			return page, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return page, nil
+		case <-ctx.Done():
+			return backend.Page{}, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeUnavailable, "feed")
+		}
+	}
+}
+
+func (t *Tables) since(table string, after uint64) (backend.Page, <-chan struct{}, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if after < t.forgotten {
+		return backend.Page{}, nil, true
+	}
+	page := backend.Page{Version: t.version}
+	newest := map[backend.RowKey]int{}
+	for _, row := range t.history {
+		if row.Table != table || row.Version <= after {
+			continue
+		}
+		if at, ok := newest[row.RowKey]; ok {
+			page.Rows[at] = row
+			continue
+		}
+		newest[row.RowKey] = len(page.Rows)
+		page.Rows = append(page.Rows, row)
+	}
+	return page, t.changed, false
+}
+
+// Rows returns a copy of all rows of a table.
+func (t *Tables) Rows(table string) map[string]backend.Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := map[string]backend.Row{}
+	for key, row := range maps.All(t.rows) {
+		if key.Table == table {
+			out[key.Key] = row
+		}
+	}
+	return out
+}
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -67,12 +67,12 @@
 	index int
 	name  string
 	done  bool
-	// failures counts the failed runs; lastFailed is the highest run number counted.
-	failures   int
-	lastFailed int64
-	lastRun    int64
-	saved      string
-	runs       []*run
+	// failed are the numbers of the failed runs, in the order in which their ends were read: a new leader reads them from
+	// several workers in any order.
+	failed  []int64
+	lastRun int64
+	saved   string
+	runs    []*run
 	// avoid are workers on which the task failed or stood still.
 	avoid   map[string]struct{}
 	blamed  *worker
--- a/version/cell/progress.go
+++ b/version/cell/progress.go
@@ -24,8 +24,8 @@
 	All bool `json:"a,omitempty"`
 	// Done is a bitmap of the tasks that are done.
 	Done []byte `json:"d,omitempty"`
-	// Failures holds the count of failed runs and the highest number of them, by task.
-	Failures map[string][2]int64 `json:"f,omitempty"`
+	// Failed holds the numbers of the failed runs, by task.
+	Failed map[string][]int64 `json:"f,omitempty"`
 }
 
 // Progress is the encoded progress of one job.
@@ -152,11 +152,11 @@
 			p.Done[t.index/8] |= 1 << (t.index % 8)
 			used = true
 		}
-		if t.failures > 0 {
-			if p.Failures == nil {
-				p.Failures = map[string][2]int64{}
+		if len(t.failed) > 0 {
+			if p.Failed == nil {
+				p.Failed = map[string][]int64{}
 			}
-			p.Failures[strconv.Itoa(t.index)] = [2]int64{int64(t.failures), t.lastFailed}
+			p.Failed[strconv.Itoa(t.index)] = t.failed
 			used = true
 		}
 	}
@@ -243,8 +243,8 @@
 		t.waiting = false
 		s.open--
 	}
-	if f, ok := p.Failures[strconv.Itoa(t.index)]; ok {
-		t.failures, t.lastFailed = int(f[0]), f[1]
-		t.lastRun = max(t.lastRun, f[1])
+	t.failed = p.Failed[strconv.Itoa(t.index)]
+	for _, number := range t.failed {
+		t.lastRun = max(t.lastRun, number)
 	}
 }
--- /dev/null
+++ b/version/cell/recovery_test.go
@@ -0,0 +1,114 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/model/job"
+)
+
+// Guards against starts of recovered tasks before the inventories of all recorded workers were read, also of those that the
+// registry has lost.
+func TestRecoveredTasksWaitForRecordedWorkers(t *testing.T) {
+	before := newWorld(t, 1)
+	before.list("w1", nil)
+	before.list("w2", nil)
+	fleet := before.store()[0].Fleet
+
+	w := newWorld(t, 2)
+	assert.NilError(t, w.core.LoadFleet(fleet, w.now))
+	w.worker("w2")
+	w.add("a", "plain", 1, tasks(2))
+	w.add("new", "plain", 2, tasks(1))
+	w.run(500 * time.Millisecond)
+	assert.Equal(t, len(w.starts), 1)
+	assert.Equal(t, w.starts[0].Order.Task, "new.0.0.0")
+	w.confirm()
+	w.read("w1", []backend.RunningTask{{Task: "a.0.0.0", Run: 1, Percent: 10}}, nil)
+	w.run(100 * time.Millisecond)
+	assert.Equal(t, len(w.starts), 1)
+	assert.Equal(t, w.starts[0].Order.Task, "a.0.0.1")
+	assert.Assert(t, w.starts[0].Order.Run > runsPerEpoch)
+}
+
+// Guards against a wait without an end for a recorded worker that is gone, and for one that is listed and cut off.
+func TestRecoveryEndsWithoutTheWorker(t *testing.T) {
+	fleet := []byte(`{"w1":"w1:1"}`)
+	for _, listed := range []bool{false, true} {
+		w := newWorld(t, 2)
+		assert.NilError(t, w.core.LoadFleet(fleet, w.now))
+		if listed {
+			w.list("w1", nil)
+		}
+		w.worker("w2")
+		w.add("a", "plain", 1, tasks(1))
+		began := w.now
+		for len(w.starts) == 0 && w.now < began+time.Minute {
+			w.read("w2", nil, nil)
+			w.run(100 * time.Millisecond)
+		}
+		waited := w.now - began
+		if listed {
+			assert.Assert(t, waited > 6*time.Second+testLease, "waited %s", waited)
+		} else {
+			assert.Assert(t, waited >= missingPatience && waited < missingPatience+time.Second, "waited %s", waited)
+		}
+	}
+}
+
+// Guards against a final state that is forgotten by the next leader, and against work that goes on after it.
+func TestFinalStateSurvives(t *testing.T) {
+	w := newWorld(t, 1)
+	w.worker("w1")
+	w.add("a", "plain", 1, tasks(2))
+	w.step()
+	w.core.CancelJob("a", w.now)
+	progress := w.store()[0].Progress[0]
+
+	next := newWorld(t, 2)
+	assert.NilError(t, next.core.LoadProgress("a", record("plain", 1, tasks(2)), progress.Data, next.now))
+	next.list("w1", nil)
+	next.read("w1", []backend.RunningTask{{Task: "a.0.0.0", Run: 1}}, nil)
+	assert.Equal(t, next.state("a"), job.Cancelled)
+	next.run(100 * time.Millisecond)
+	assert.Equal(t, len(next.starts), 0)
+	assert.Equal(t, len(next.stops), 1)
+}
+
+// Guards against progress that is lost when a leader changes between steps.
+func TestStepsContinueInTheNextEpoch(t *testing.T) {
+	steps := []job.Step{tasks(2), tasks(1, after(0))}
+	w := newWorld(t, 1)
+	w.worker("w1")
+	w.add("a", "plain", 1, steps...)
+	w.step()
+	w.confirm()
+	w.read("w1", nil, []backend.EndedTask{
+		w.end("w1", "a.0.0.0", 1, backend.EndDone), w.end("w1", "a.0.0.1", 1, backend.EndDone),
+	})
+	batches := w.store()
+
+	next := newWorld(t, 2)
+	assert.NilError(t, next.core.LoadProgress("a", record("plain", 1, steps...), batches[0].Progress[0].Data, next.now))
+	next.worker("w1")
+	next.run(50 * time.Millisecond)
+	assert.Equal(t, len(next.starts), 1)
+	assert.Equal(t, next.starts[0].Order.Task, "a.0.1.0")
+}
+
+// Guards against rows that stay in the store for ever.
+func TestFinishedJobsAreRemoved(t *testing.T) {
+	w := newWorld(t, 1)
+	w.worker("w1")
+	w.add("a", "plain", 1, tasks(1))
+	w.core.CancelJob("a", w.now)
+	w.store()
+	w.run(time.Minute + time.Second)
+	batches := w.store()
+	assert.DeepEqual(t, batches[len(batches)-1].Removed, []job.ID{"a"})
+	_, known := w.core.State("a")
+	assert.Assert(t, !known)
+}
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lentiltide/lentiltide/backend"
@@ -417,13 +418,12 @@
 		// The members fail together, so the first one counts for the gang.
 		counted = s.tasks[0]
 	}
-	if number <= counted.lastFailed {
+	if slices.Contains(counted.failed, number) {
 		return
 	}
-	counted.lastFailed = number
-	counted.failures++
+	counted.failed = append(counted.failed, number)
 	c.touch(s.job)
-	if counted.failures >= max(1, s.job.queue.MaxAttempts) {
+	if len(counted.failed) >= max(1, s.job.queue.MaxAttempts) {
 		c.finish(s.job, job.Failed, "task "+t.name+" failed in every attempt")
 	}
 }
