Observe each part of the store, and store requests in a second part

The health of the store was kept for the store as a whole and flapped, callers of those parts got unknown outcomes, and 16 of them waited until their deadline.

Ruled out: the processor (0.02 of a core) and the workers (nothing late apart from the outage).

Change: health is observed for each part. A request whose part does not answer is stored in a second part of its id, by this instance or by way of others at the same time; the leader merges both. A write is preceded by a read when there is reason to doubt that the part answers, so that an outage costs few unknown outcomes and more certain refusals with a time to come back. Reads say that a job is unknown only if both parts were read.

--- a/process/node/callers.go
+++ b/process/node/callers.go
@@ -137,12 +137,9 @@
 
 func (n *Node) cancel(ctx context.Context, id job.ID) error {
 	if state, err := n.leaderState(ctx, id); err != nil || state == "" {
-		if n.tables.Down() {
-			return unavailable(err, "the store does not answer")
-		}
-		row, err := n.tables.Get(ctx, jobKey(id))
+		row, err := n.readRow(ctx, id, jobKey)
 		if err != nil {
-			return unavailable(err, "the store cannot be read")
+			return err
 		}
 		if row.Version == 0 {
 			return verdict.New(verdict.NotRun, verdict.CodeExpired, "there is no such job")
@@ -191,16 +188,16 @@
 
 // storedState reads the state of a job from its rows.
 func (n *Node) storedState(ctx context.Context, id job.ID) (job.State, error) {
-	if n.tables.Down() {
-		return "", unavailable(nil, "the store does not answer")
-	}
-	row, err := n.tables.Get(ctx, jobKey(id))
+	row, err := n.readRow(ctx, id, jobKey)
 	if err != nil {
-		return "", unavailable(err, "the store cannot be read")
+		return "", err
 	}
 	if row.Version == 0 {
 		return "", verdict.New(verdict.NotRun, verdict.CodeExpired, "there is no such job")
 	}
+	if n.tables.Down(cellPart) {
+		return "", unavailable(nil, "the store does not answer")
+	}
 	progress, err := n.tables.Get(ctx, progressKey(id))
 	if err != nil {
 		return "", unavailable(err, "the store cannot be read")
@@ -209,9 +206,9 @@
 	if state != "" {
 		return state, nil
 	}
-	cancelled, err := n.tables.Get(ctx, cancelKey(id))
+	cancelled, err := n.readRow(ctx, id, cancelKey)
 	if err != nil {
-		return "", unavailable(err, "the store cannot be read")
+		return "", err
 	}
 	switch {
 	case cancelled.Version != 0:
--- a/process/node/inserts.go
+++ b/process/node/inserts.go
@@ -27,24 +27,29 @@
 func jobParts() []string {
 	parts := make([]string, partCount)
 	for i := range parts {
-		parts[i] = fmt.Sprintf("p%d", i)
+		parts[i] = partName(uint32(i))
 	}
 	return parts
 }
 
-// partOf returns the part of a job.
-func partOf(id job.ID) string {
+// partsOf returns the parts in which the rows of a job may be, the usual one first. The second one is used while the first
+// does not answer. A row in both means the same job.
+func partsOf(id job.ID) [2]string {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(id))
-	return fmt.Sprintf("p%d", h.Sum32()%partCount)
+	first := h.Sum32() % partCount
+	second := (first + 1 + (h.Sum32()/partCount)%(partCount-1)) % partCount
+	return [2]string{partName(first), partName(second)}
 }
 
-func jobKey(id job.ID) backend.RowKey {
-	return backend.RowKey{Table: jobTable, Part: partOf(id), Key: string(id)}
+func partName(i uint32) string { return fmt.Sprintf("p%d", i) }
+
+func jobKey(id job.ID, part string) backend.RowKey {
+	return backend.RowKey{Table: jobTable, Part: part, Key: string(id)}
 }
 
-func cancelKey(id job.ID) backend.RowKey {
-	return backend.RowKey{Table: cancelTable, Part: partOf(id), Key: string(id)}
+func cancelKey(id job.ID, part string) backend.RowKey {
+	return backend.RowKey{Table: cancelTable, Part: part, Key: string(id)}
 }
 
 func progressKey(id job.ID) backend.RowKey {
@@ -83,20 +88,20 @@
 	return &inserter{tables: tables, parts: map[string]*insertQueue{}}
 }
 
-// Insert writes a row unless one exists, whose value it returns then. It repeats attempts until ctx ends or the store
+// Insert writes a row unless one exists, whose value it returns then. It repeats attempts until ctx ends or the part
 // counts as down. The error has the verdict NotRun only if every attempt was certainly refused.
 func (i *inserter) Insert(ctx context.Context, key backend.RowKey, value []byte) (existing []byte, err error) {
 	certain := true
 	for attempt := 1; ; attempt++ {
-		if certain && i.tables.Down() {
-			return nil, unavailable(nil, "the store does not answer")
+		if err := i.tables.Check(ctx, key.Part); err != nil {
+			return nil, insertFailed(err, certain)
 		}
 		out := i.try(ctx, &insert{key: key, value: value, done: make(chan insertOutcome, 1)})
 		if out.err == nil {
 			return out.existing, nil
 		}
 		certain = certain && verdict.Of(out.err) == verdict.NotRun
-		if (certain && attempt >= refusedAttempts) || i.tables.Down() || !pause(ctx, insertRetry) {
+		if (certain && attempt >= refusedAttempts) || i.tables.Down(key.Part) || !pause(ctx, insertRetry) {
 			return nil, insertFailed(out.err, certain)
 		}
 	}
@@ -114,7 +119,7 @@
 		case <-ctx.Done():
 			return insertOutcome{err: verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeUnavailable, "wait for the store")}
 		case <-check.C:
-			if i.tables.Down() {
+			if i.tables.Down(in.key.Part) {
 				return insertOutcome{err: verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the store does not answer")}
 			}
 		}
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -111,9 +111,9 @@
 	return time.Duration(ts.Nano())
 }
 
-// storeChanged logs that the table service was lost or regained.
-func (n *Node) storeChanged(down bool, cause string) {
-	n.opts.Log.WithFields(map[string]any{"event": "store_contact", "lost": down, "error": cause}).Warn("contact to the table service")
+// storeChanged logs that a part of the table service was lost or regained.
+func (n *Node) storeChanged(part string, down bool, cause string) {
+	n.opts.Log.WithFields(map[string]any{"event": "store_contact", "part": part, "lost": down, "error": cause}).Warn("contact to the table service")
 }
 
 // currentTerm returns the term in which this instance leads, or nil.
--- a/process/node/storehealth.go
+++ b/process/node/storehealth.go
@@ -11,137 +11,210 @@
 )
 
 const (
-	// silentAfter is how long a call may be without an answer before the store counts as silent. A store that is slow by a
+	// silentAfter is how long a call may be without an answer before its part counts as silent. A store that is slow by a
 	// factor of 60 answers sooner.
 	silentAfter = 800 * time.Millisecond
-	// failingAfter is how long calls must have failed, without a success, before the store counts as down.
+	// failingAfter is how long calls must have failed, without a success, before a part counts as down.
 	failingAfter = 250 * time.Millisecond
-	// probeEvery and probeTimeout are the time between questions to a store that is down and their bound.
+	// quietAfter is how long the store may have been without any answer before a write is preceded by a read: renewals of
+	// the leadership arrive more often, unless the store is slow.
+	quietAfter = 600 * time.Millisecond
+	// probeEvery and probeTimeout are the time between questions to a part that is down and their bound.
 	probeEvery   = 200 * time.Millisecond
 	probeTimeout = 500 * time.Millisecond
 )
 
-// observedTables passes calls to the table service and observes whether it answers this instance.
+// observedTables passes calls to the table service and observes for each part whether it answers this instance: the
+// service may be away as a whole, for some parts, or for some instances.
 //
 // Locking: mu protects the fields below it and is not held during a call.
 type observedTables struct {
 	backend.Tables
 	now func() cell.Instant
-	// changed is called without mu when the store is lost or regained.
-	changed func(down bool, cause string)
+	// changed is called without mu when a part is lost or regained.
+	changed func(part string, down bool, cause string)
 
-	mu        sync.Mutex
-	pending   map[uint64]cell.Instant
-	next      uint64
-	success   cell.Instant
+	mu    sync.Mutex
+	parts map[string]*partHealth
+	next  uint64
+	// answered is when the service answered last, by any call; failed is when a call failed last.
+	answered, failed cell.Instant
+}
+
+// partHealth is what was seen of one part.
+type partHealth struct {
+	pending map[uint64]cell.Instant
+	success cell.Instant
+	// failing is when the present series of failures began, 0 if the last call was answered.
 	failing   cell.Instant
 	lastError string
 	down      bool
 }
 
-func observeTables(tables backend.Tables, now func() cell.Instant, changed func(down bool, cause string)) *observedTables {
-	return &observedTables{Tables: tables, now: now, changed: changed, pending: map[uint64]cell.Instant{}, success: now()}
+func observeTables(tables backend.Tables, now func() cell.Instant, changed func(part string, down bool, cause string)) *observedTables {
+	return &observedTables{Tables: tables, now: now, changed: changed, parts: map[string]*partHealth{}, answered: now()}
+}
+
+// part returns the health of a part. Callers hold o.mu.
+func (o *observedTables) part(name string) *partHealth {
+	p := o.parts[name]
+	if p == nil {
+		p = &partHealth{pending: map[uint64]cell.Instant{}}
+		o.parts[name] = p
+	}
+	return p
+}
+
+// partOfTxn returns the part that a transaction writes.
+func partOfTxn(txn backend.Txn) string {
+	switch {
+	case len(txn.Put) > 0:
+		return txn.Put[0].Part
+	case len(txn.Remove) > 0:
+		return txn.Remove[0].Part
+	default:
+		return ""
+	}
 }
 
 // Commit implements backend.Tables.
 func (o *observedTables) Commit(ctx context.Context, txn backend.Txn) (uint64, error) {
-	defer o.end(o.begin())
+	part := partOfTxn(txn)
+	id := o.begin(part)
 	version, err := o.Tables.Commit(ctx, txn)
-	o.note(err)
+	o.end(part, id, err)
 	return version, err
 }
 
 // Get implements backend.Tables.
 func (o *observedTables) Get(ctx context.Context, key backend.RowKey) (backend.Row, error) {
-	defer o.end(o.begin())
+	id := o.begin(key.Part)
 	row, err := o.Tables.Get(ctx, key)
-	o.note(err)
+	o.end(key.Part, id, err)
 	return row, err
 }
 
 // Range implements backend.Tables.
 func (o *observedTables) Range(ctx context.Context, table, part, from string) (backend.Page, error) {
-	defer o.end(o.begin())
+	id := o.begin(part)
 	page, err := o.Tables.Range(ctx, table, part, from)
-	o.note(err)
+	o.end(part, id, err)
 	return page, err
 }
 
-// Feed implements backend.Tables. A long poll says nothing while it waits.
+// Feed implements backend.Tables. A feed spans all parts, so only its answers say something.
 func (o *observedTables) Feed(ctx context.Context, table string, after uint64, wait time.Duration) (backend.Page, error) {
 	page, err := o.Tables.Feed(ctx, table, after, wait)
-	if ctx.Err() == nil {
-		o.note(err)
+	if isAnswer(err) {
+		o.mu.Lock()
+		o.answered = o.now()
+		o.mu.Unlock()
 	}
 	return page, err
 }
 
-func (o *observedTables) begin() uint64 {
+func (o *observedTables) begin(part string) uint64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.next++
-	o.pending[o.next] = o.now()
+	o.part(part).pending[o.next] = o.now()
 	return o.next
 }
 
-func (o *observedTables) end(id uint64) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	delete(o.pending, id)
+// isAnswer reports whether a call was answered. A refusal of a condition or of a version is an answer.
+func isAnswer(err error) bool {
+	if err == nil {
+		return true
+	}
+	code := verdict.From(err).Code
+	return code == verdict.CodeConflict || code == verdict.CodeExpired
 }
 
-// note enters the outcome of a call. An answer that refuses a condition or a version is an answer.
-func (o *observedTables) note(err error) {
-	answered := err == nil
-	if err != nil {
-		code := verdict.From(err).Code
-		answered = code == verdict.CodeConflict || code == verdict.CodeExpired
-	}
+// end enters the outcome of a call.
+func (o *observedTables) end(part string, id uint64, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if answered {
-		o.success = o.now()
-		o.failing = 0
+	p := o.part(part)
+	delete(p.pending, id)
+	now := o.now()
+	if isAnswer(err) {
+		p.success, p.failing = now, 0
+		o.answered = now
 		return
 	}
-	o.lastError = err.Error()
-	if o.failing == 0 {
-		o.failing = o.now()
+	p.lastError = err.Error()
+	o.failed = now
+	if p.failing == 0 {
+		p.failing = now
 	}
 }
 
-// Down reports whether the store does not answer this instance.
-func (o *observedTables) Down() bool {
+// Down reports whether a part does not answer this instance.
+func (o *observedTables) Down(part string) bool {
 	o.mu.Lock()
+	p := o.part(part)
 	now := o.now()
-	down := o.failing != 0 && now-o.failing > failingAfter
-	for _, began := range o.pending {
-		if now-began > silentAfter && o.success < began {
+	// A call of any part shows that the service as a whole is silent.
+	down := o.failed > o.answered && now-o.answered > silentAfter
+	down = down || (p.failing != 0 && now-p.failing > failingAfter)
+	for _, began := range p.pending {
+		if now-began > silentAfter && p.success < began {
 			down = true
 		}
 	}
-	if o.failing == 0 && o.success > now-failingAfter {
-		down = false
-	}
-	changed := down != o.down
-	o.down = down
-	cause := o.lastError
+	changed := down != p.down
+	p.down = down
+	cause := p.lastError
 	o.mu.Unlock()
 	if changed {
-		o.changed(down, cause)
+		o.changed(part, down, cause)
 	}
 	return down
 }
 
-// probe asks a store that is down whether it is back, until ctx ends.
+// Check asks a part for an answer before a write if there is reason to doubt that it gives one, so that the write is not
+// sent into the unknown. The error has the verdict NotRun.
+func (o *observedTables) Check(ctx context.Context, part string) error {
+	o.mu.Lock()
+	doubt := o.part(part).failing != 0 || o.now()-o.answered > quietAfter
+	o.mu.Unlock()
+	if !doubt {
+		return nil
+	}
+	if o.Down(part) {
+		return unavailable(nil, "the store does not answer")
+	}
+	if err := o.probePart(ctx, part); err != nil {
+		return unavailable(err, "the store does not answer")
+	}
+	return nil
+}
+
+func (o *observedTables) probePart(ctx context.Context, part string) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, err := o.Get(ctx, backend.RowKey{Table: writeTable, Part: part, Key: "probe"})
+	return err
+}
+
+// probe asks the parts that are down whether they are back, until ctx ends.
 func (o *observedTables) probe(ctx context.Context) {
 	for pause(ctx, probeEvery) {
-		if !o.Down() {
-			continue
+		for _, part := range o.partNames() {
+			if o.Down(part) {
+				// The outcome is noted by Get.
+				go func() { _ = o.probePart(ctx, part) }()
+			}
 		}
-		call, cancel := context.WithTimeout(ctx, probeTimeout)
-		// The outcome is noted by Get.
-		_, _ = o.Get(call, leaderKey)
-		cancel()
 	}
 }
+
+func (o *observedTables) partNames() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	names := make([]string, 0, len(o.parts))
+	for name := range o.parts {
+		names = append(names, name)
+	}
+	return names
+}
