Reach the store by way of other instances, keep early cancellations, remove expired rows

A test of the retention failed now and then: a cancellation that the leader learned of before its job was dropped, so the cancelled job ran on.

Ruled out: handing the leadership over by resignation, which also needs the store.

Change: calls to the table service go by way of two other instances while the own access gives no answer; every transaction of this package can be repeated without harm. Only instances with an access of their own take over. Cancellations of unknown jobs are remembered for a minute. Records, cancellations and then the progress of jobs are removed after the retention.

--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -41,7 +41,7 @@
 	switch req.GetBody().(type) {
 	case *peerpb.Request_Forward:
 		return ClassCall
-	case *peerpb.Request_Summaries, *peerpb.Request_Usages, *peerpb.Request_Handover:
+	case *peerpb.Request_Summaries, *peerpb.Request_Usages, *peerpb.Request_Handover, *peerpb.Request_TableRange:
 		return ClassBulk
 	default:
 		return ClassControl
--- a/process/node/callers.go
+++ b/process/node/callers.go
@@ -195,9 +195,6 @@
 	if row.Version == 0 {
 		return "", verdict.New(verdict.NotRun, verdict.CodeExpired, "there is no such job")
 	}
-	if n.tables.Down(cellPart) {
-		return "", unavailable(nil, "the store does not answer")
-	}
 	progress, err := n.tables.Get(ctx, progressKey(id))
 	if err != nil {
 		return "", unavailable(err, "the store cannot be read")
--- a/process/node/inserts.go
+++ b/process/node/inserts.go
@@ -19,7 +19,7 @@
 	insertBatch = 40
 	// insertBytes bounds the values of one transaction, well below the service's limit of 1 MB in base64.
 	insertBytes = 400_000
-	// insertRetry is the time between attempts whose outcome is unknown or that were refused for now.
+	// insertRetry is the time between attempts that were refused for now.
 	insertRetry = 60 * time.Millisecond
 )
 
@@ -58,7 +58,7 @@
 
 // inserter writes rows that must not exist yet. Rows of one part share transactions while one is on its way.
 type inserter struct {
-	tables *observedTables
+	tables backend.Tables
 
 	mu    sync.Mutex
 	parts map[string]*insertQueue
@@ -84,62 +84,35 @@
 	err      error
 }
 
-func newInserter(tables *observedTables) *inserter {
+func newInserter(tables backend.Tables) *inserter {
 	return &inserter{tables: tables, parts: map[string]*insertQueue{}}
 }
 
-// Insert writes a row unless one exists, whose value it returns then. It repeats attempts until ctx ends or the part
-// counts as down. The error has the verdict NotRun only if every attempt was certainly refused.
+// Insert writes a row unless one exists, whose value it returns then. It repeats refused attempts a few times. The error has
+// the verdict NotRun only if every attempt was certainly refused.
 func (i *inserter) Insert(ctx context.Context, key backend.RowKey, value []byte) (existing []byte, err error) {
-	certain := true
 	for attempt := 1; ; attempt++ {
-		if err := i.tables.Check(ctx, key.Part); err != nil {
-			return nil, insertFailed(err, certain)
-		}
-		out := i.try(ctx, &insert{key: key, value: value, done: make(chan insertOutcome, 1)})
-		if out.err == nil {
-			return out.existing, nil
-		}
-		certain = certain && verdict.Of(out.err) == verdict.NotRun
-		if (certain && attempt >= refusedAttempts) || i.tables.Down(key.Part) || !pause(ctx, insertRetry) {
-			return nil, insertFailed(out.err, certain)
-		}
-	}
-}
-
-// try waits for the outcome of one attempt. It gives up with an unknown outcome when the store counts as down.
-func (i *inserter) try(ctx context.Context, in *insert) insertOutcome {
-	i.enqueue(in)
-	check := time.NewTicker(downCheck)
-	defer check.Stop()
-	for {
+		in := &insert{key: key, value: value, done: make(chan insertOutcome, 1)}
+		i.enqueue(in)
 		select {
 		case out := <-in.done:
-			return out
-		case <-ctx.Done():
-			return insertOutcome{err: verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeUnavailable, "wait for the store")}
-		case <-check.C:
-			if i.tables.Down(in.key.Part) {
-				return insertOutcome{err: verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the store does not answer")}
+			if out.err == nil {
+				return out.existing, nil
 			}
+			err = out.err
+		case <-ctx.Done():
+			return nil, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeUnavailable, "wait for the store")
+		}
+		busy := verdict.From(err).Code == verdict.CodeOverloaded
+		if verdict.Of(err) != verdict.NotRun || !busy || attempt == refusedAttempts || !pause(ctx, insertRetry) {
+			return nil, err
 		}
 	}
 }
 
-// downCheck is the time between checks whether the store still answers.
-const downCheck = 100 * time.Millisecond
-
-// refusedAttempts is after how many certain refusals a caller is told to come back later.
+// refusedAttempts is how often a write is tried that the store refuses for its rate.
 const refusedAttempts = 3
 
-func insertFailed(cause error, certain bool) error {
-	v := verdict.MayHaveRun
-	if certain {
-		v = verdict.NotRun
-	}
-	return verdict.Wrap(cause, v, verdict.CodeUnavailable, "the store did not answer in time").After(retryAfter)
-}
-
 func (i *inserter) enqueue(in *insert) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -240,3 +213,49 @@
 	}
 	return rest
 }
+
+// store writes the record of a job, or its cancellation if the record is empty, unless a row exists, whose value it returns
+// then. If the usual part does not answer, the second one is used: the leader merges both. The error has the verdict NotRun
+// only if no attempt can have written the row.
+func (n *Node) store(ctx context.Context, id job.ID, record []byte) ([]byte, error) {
+	v := verdict.NotRun
+	var first error
+	for _, part := range partsOf(id) {
+		existing, err := n.insertInto(ctx, id, part, record)
+		if err == nil {
+			return existing, nil
+		}
+		if first == nil {
+			first = err
+		}
+		if verdict.Of(err) != verdict.NotRun {
+			v = verdict.MayHaveRun
+		}
+		if n.own.Silent() {
+			break
+		}
+	}
+	return nil, verdict.Wrap(first, v, verdict.From(first).Code, "store the request").After(retryAfter)
+}
+
+func (n *Node) insertInto(ctx context.Context, id job.ID, part string, record []byte) ([]byte, error) {
+	if len(record) == 0 {
+		return n.inserts.Insert(ctx, cancelKey(id, part), []byte("{}"))
+	}
+	return n.inserts.Insert(ctx, jobKey(id, part), record)
+}
+
+// readRow reads a row that may be in either part of a job. A row with version 0 is certainly in neither.
+func (n *Node) readRow(ctx context.Context, id job.ID, key func(job.ID, string) backend.RowKey) (backend.Row, error) {
+	var failed error
+	for _, part := range partsOf(id) {
+		row, err := n.tables.Get(ctx, key(id, part))
+		if err == nil && row.Version != 0 {
+			return row, nil
+		}
+		if err != nil {
+			failed = unavailable(err, "the store cannot be read")
+		}
+	}
+	return backend.Row{}, failed
+}
--- a/process/node/leadership.go
+++ b/process/node/leadership.go
@@ -167,7 +167,7 @@
 
 // mayTakeOver reports whether the leadership is free for this instance.
 func (n *Node) mayTakeOver() bool {
-	if n.leaving.Load() {
+	if n.leaving.Load() || n.own.Down(cellPart) {
 		return false
 	}
 	n.mu.Lock()
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -57,8 +57,10 @@
 //
 // Locking: mu protects the fields below it and is held for moments only, never during a call.
 type Node struct {
-	opts    Options
-	tables  *observedTables
+	opts Options
+	// own is this instance's own access to the table service; tables also uses that of others.
+	own     *observedTables
+	tables  relayedTables
 	inserts *inserter
 	// joinNow asks for a join without waiting, after the leader has changed.
 	joinNow chan struct{}
@@ -85,7 +87,8 @@
 // New returns an instance that does nothing before Run.
 func New(opts Options) *Node {
 	n := &Node{opts: opts, joinNow: make(chan struct{}, 1)}
-	n.tables = observeTables(opts.Tables, opts.Now, n.storeChanged)
+	n.own = observeTables(opts.Tables, opts.Now, n.storeChanged)
+	n.tables = relayedTables{n.own, n}
 	n.inserts = newInserter(n.tables)
 	return n
 }
@@ -97,7 +100,7 @@
 	group.Go(func() error { n.followConfig(ctx); return nil })
 	group.Go(func() error { n.followLeadership(ctx); return nil })
 	group.Go(func() error { n.join(ctx); return nil })
-	group.Go(func() error { n.tables.probe(ctx); return nil })
+	group.Go(func() error { n.own.probe(ctx); return nil })
 	return group.Wait()
 }
 
--- a/process/node/peers.go
+++ b/process/node/peers.go
@@ -122,8 +122,9 @@
 	if body := req.GetAdvise(); body != nil {
 		return n.answerAdvise(ctx, body, reply)
 	}
-	if body := req.GetStoreRow(); body != nil {
-		return n.answerStoreRow(ctx, body, reply)
+	if page, err, ok := n.answerTables(ctx, req); ok {
+		reply.Body = &peerpb.Reply_TablePage{TablePage: page}
+		return err
 	}
 	t := n.loadedTerm()
 	if t == nil {
--- /dev/null
+++ b/process/node/relay.go
@@ -0,0 +1,259 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
+	"github.com/lentiltide/lentiltide/request/verdict"
+)
+
+const (
+	// relayPeers is how many other instances are asked at the same time.
+	relayPeers = 2
+	// relayTimeout bounds a relayed call, apart from the wait of a feed.
+	relayTimeout = 700 * time.Millisecond
+	// relayFeedWait is the longest wait of a relayed feed, so that the own access is used again soon.
+	relayFeedWait = time.Second
+)
+
+// relayedTables reaches the table service by the own access, or by way of other instances while the own access fails: the
+// service may turn single instances away. Every transaction of this package can be repeated without harm, since it is
+// conditional or only removes rows.
+type relayedTables struct {
+	own  *observedTables
+	node *Node
+}
+
+var _ backend.Tables = relayedTables{}
+
+// outcome is the result of one way to the table service.
+type outcome[T any] struct {
+	value T
+	err   error
+}
+
+// relay calls the table service by the own access and, if that gives no answer, by way of peers. The error has the verdict
+// NotRun only if no way can have carried the call out.
+func relay[T any](ctx context.Context, r relayedTables, part string, own func(context.Context) (T, error), by func(ctx context.Context, address string) (T, error)) (T, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ways := make(chan outcome[T], relayPeers+1)
+	left := 0
+	start := func(call func(context.Context) (T, error)) {
+		left++
+		go func() {
+			value, err := call(ctx)
+			ways <- outcome[T]{value, err}
+		}()
+	}
+	v := verdict.NotRun
+	first := r.own.Check(ctx, part)
+	if first == nil {
+		start(own)
+		select {
+		case out := <-ways:
+			if isAnswer(out.err) {
+				return out.value, out.err
+			}
+			left--
+			first, v = out.err, verdict.Of(out.err)
+		case <-time.After(silentAfter):
+			first = verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the store is silent")
+		}
+	}
+	for _, address := range r.node.peersToAsk() {
+		start(func(ctx context.Context) (T, error) {
+			ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+			defer cancel()
+			return by(ctx, address)
+		})
+	}
+	for ; left > 0; left-- {
+		out := <-ways
+		if isAnswer(out.err) {
+			return out.value, out.err
+		}
+		if verdict.Of(out.err) != verdict.NotRun {
+			v = verdict.MayHaveRun
+		}
+	}
+	var none T
+	return none, verdict.Wrap(first, v, verdict.From(first).Code, "no way to the store").After(retryAfter)
+}
+
+// Commit implements backend.Tables.
+func (r relayedTables) Commit(ctx context.Context, txn backend.Txn) (uint64, error) {
+	return relay(ctx, r, partOfTxn(txn),
+		func(ctx context.Context) (uint64, error) { return r.own.Commit(ctx, txn) },
+		func(ctx context.Context, address string) (uint64, error) {
+			page, err := r.ask(ctx, address, &peerpb.Request{Body: &peerpb.Request_TableCommit{TableCommit: txnToProto(txn)}})
+			return page.Version, err
+		})
+}
+
+// Get implements backend.Tables.
+func (r relayedTables) Get(ctx context.Context, key backend.RowKey) (backend.Row, error) {
+	return relay(ctx, r, key.Part,
+		func(ctx context.Context) (backend.Row, error) { return r.own.Get(ctx, key) },
+		func(ctx context.Context, address string) (backend.Row, error) {
+			msg := &peerpb.TableGet{Key: rowToProto(backend.Row{RowKey: key})}
+			page, err := r.ask(ctx, address, &peerpb.Request{Body: &peerpb.Request_TableGet{TableGet: msg}})
+			if err != nil || len(page.Rows) == 0 {
+				return backend.Row{RowKey: key}, err
+			}
+			return page.Rows[0], nil
+		})
+}
+
+// Range implements backend.Tables.
+func (r relayedTables) Range(ctx context.Context, table, part, from string) (backend.Page, error) {
+	return relay(ctx, r, part,
+		func(ctx context.Context) (backend.Page, error) { return r.own.Range(ctx, table, part, from) },
+		func(ctx context.Context, address string) (backend.Page, error) {
+			msg := &peerpb.TableRange{Table: table, Part: part, From: from}
+			return r.ask(ctx, address, &peerpb.Request{Body: &peerpb.Request_TableRange{TableRange: msg}})
+		})
+}
+
+// Feed implements backend.Tables. A feed is relayed after the own access has failed.
+func (r relayedTables) Feed(ctx context.Context, table string, after uint64, wait time.Duration) (backend.Page, error) {
+	var page backend.Page
+	err := r.own.Check(ctx, feedHealth)
+	if err == nil {
+		page, err = r.own.Feed(ctx, table, after, wait)
+	}
+	if isAnswer(err) || ctx.Err() != nil {
+		return page, err
+	}
+	wait = min(wait, relayFeedWait)
+	for _, address := range r.node.peersToAsk() {
+		msg := &peerpb.TableFeed{Table: table, After: after, WaitMs: wait.Milliseconds()}
+		call, cancel := context.WithTimeout(ctx, wait+relayTimeout)
+		page, byErr := r.ask(call, address, &peerpb.Request{Body: &peerpb.Request_TableFeed{TableFeed: msg}})
+		cancel()
+		if isAnswer(byErr) {
+			return page, byErr
+		}
+	}
+	return page, err
+}
+
+// ask sends a call to another instance.
+func (r relayedTables) ask(ctx context.Context, address string, req *peerpb.Request) (backend.Page, error) {
+	reply, err := r.node.opts.Peers.Call(ctx, address, req)
+	if err != nil {
+		return backend.Page{}, err
+	}
+	msg := reply.GetTablePage()
+	page := backend.Page{More: msg.GetMore(), Version: msg.GetVersion(), Rows: rowsFromProto(msg.GetRows())}
+	if msg.GetConflict() {
+		return page, verdict.New(verdict.NotRun, verdict.CodeConflict, "a row has another version").With(page.Rows)
+	}
+	return page, nil
+}
+
+// peersToAsk returns the leader and other instances, at most relayPeers.
+func (n *Node) peersToAsk() []string {
+	leader, _ := n.leaderAddress()
+	t := n.currentTerm()
+	n.mu.Lock()
+	members := n.members
+	n.mu.Unlock()
+	if t != nil {
+		members = t.memberAddresses()
+	}
+	var out []string
+	if leader != "" {
+		out = append(out, leader)
+	}
+	for _, i := range rand.Perm(len(members)) {
+		if address := members[i]; address != n.opts.PeerAddress && address != leader && len(out) < relayPeers {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+// answerTables makes a call for another instance, by the own access only. ok is false for other requests.
+func (n *Node) answerTables(ctx context.Context, req *peerpb.Request) (page *peerpb.TablePage, err error, ok bool) {
+	var rows backend.Page
+	switch body := req.GetBody().(type) {
+	case *peerpb.Request_TableCommit:
+		txn := txnFromProto(body.TableCommit)
+		if err = n.own.Check(ctx, partOfTxn(txn)); err == nil {
+			rows.Version, err = n.own.Commit(ctx, txn)
+		}
+	case *peerpb.Request_TableGet:
+		var row backend.Row
+		key := rowFromProto(body.TableGet.GetKey()).RowKey
+		if err = n.own.Check(ctx, key.Part); err == nil {
+			row, err = n.own.Get(ctx, key)
+			rows.Rows = []backend.Row{row}
+		}
+	case *peerpb.Request_TableRange:
+		if err = n.own.Check(ctx, body.TableRange.GetPart()); err == nil {
+			rows, err = n.own.Range(ctx, body.TableRange.GetTable(), body.TableRange.GetPart(), body.TableRange.GetFrom())
+		}
+	case *peerpb.Request_TableFeed:
+		wait := time.Duration(body.TableFeed.GetWaitMs()) * time.Millisecond
+		if err = n.own.Check(ctx, feedHealth); err == nil {
+			rows, err = n.own.Feed(ctx, body.TableFeed.GetTable(), body.TableFeed.GetAfter(), wait)
+		}
+	default:
+		return nil, nil, false
+	}
+	page = &peerpb.TablePage{Rows: rowsToProto(rows.Rows), More: rows.More, Version: rows.Version}
+	if err != nil {
+		if e := verdict.From(err); e.Code == verdict.CodeConflict {
+			present, _ := e.Detail.([]backend.Row)
+			return &peerpb.TablePage{Conflict: true, Rows: rowsToProto(present)}, nil, true
+		}
+	}
+	return page, err, true
+}
+
+func rowToProto(r backend.Row) *peerpb.Row {
+	return &peerpb.Row{Table: r.Table, Part: r.Part, Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted}
+}
+
+func rowFromProto(r *peerpb.Row) backend.Row {
+	return backend.Row{
+		RowKey: backend.RowKey{Table: r.GetTable(), Part: r.GetPart(), Key: r.GetKey()},
+		Value:  r.GetValue(), Version: r.GetVersion(), Deleted: r.GetDeleted(),
+	}
+}
+
+func rowsToProto(rows []backend.Row) []*peerpb.Row {
+	out := make([]*peerpb.Row, len(rows))
+	for i, r := range rows {
+		out[i] = rowToProto(r)
+	}
+	return out
+}
+
+func rowsFromProto(rows []*peerpb.Row) []backend.Row {
+	out := make([]backend.Row, len(rows))
+	for i, r := range rows {
+		out[i] = rowFromProto(r)
+	}
+	return out
+}
+
+func txnToProto(txn backend.Txn) *peerpb.TableCommit {
+	out := &peerpb.TableCommit{Expected: rowsToProto(txn.Expected), Put: rowsToProto(txn.Put)}
+	for _, key := range txn.Remove {
+		out.Remove = append(out.Remove, rowToProto(backend.Row{RowKey: key}))
+	}
+	return out
+}
+
+func txnFromProto(msg *peerpb.TableCommit) backend.Txn {
+	txn := backend.Txn{Expected: rowsFromProto(msg.GetExpected()), Put: rowsFromProto(msg.GetPut())}
+	for _, r := range msg.GetRemove() {
+		txn.Remove = append(txn.Remove, rowFromProto(r).RowKey)
+	}
+	return txn
+}
--- a/process/node/storehealth.go
+++ b/process/node/storehealth.go
@@ -102,13 +102,14 @@
 	return page, err
 }
 
-// Feed implements backend.Tables. A feed spans all parts, so only its answers say something.
+// feedHealth names the health of the feeds, which span all parts.
+const feedHealth = "(feeds)"
+
+// Feed implements backend.Tables. A feed that waits says nothing, so only its end is noted.
 func (o *observedTables) Feed(ctx context.Context, table string, after uint64, wait time.Duration) (backend.Page, error) {
 	page, err := o.Tables.Feed(ctx, table, after, wait)
-	if isAnswer(err) {
-		o.mu.Lock()
-		o.answered = o.now()
-		o.mu.Unlock()
+	if ctx.Err() == nil {
+		o.end(feedHealth, 0, err)
 	}
 	return page, err
 }
@@ -154,8 +155,7 @@
 	o.mu.Lock()
 	p := o.part(part)
 	now := o.now()
-	// A call of any part shows that the service as a whole is silent.
-	down := o.failed > o.answered && now-o.answered > silentAfter
+	down := o.silent()
 	down = down || (p.failing != 0 && now-p.failing > failingAfter)
 	for _, began := range p.pending {
 		if now-began > silentAfter && p.success < began {
@@ -172,6 +172,18 @@
 	return down
 }
 
+// Silent reports whether the service as a whole has not answered for a while although it was asked.
+func (o *observedTables) Silent() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.silent()
+}
+
+// silent is Silent for callers that hold o.mu.
+func (o *observedTables) silent() bool {
+	return o.failed > o.answered && o.now()-o.answered > silentAfter
+}
+
 // Check asks a part for an answer before a write if there is reason to doubt that it gives one, so that the write is not
 // sent into the unknown. The error has the verdict NotRun.
 func (o *observedTables) Check(ctx context.Context, part string) error {
@@ -193,7 +205,14 @@
 func (o *observedTables) probePart(ctx context.Context, part string) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	if part == feedHealth {
+		// A feed spans all parts, so the platform's own part stands for it.
+		part = ""
+	}
 	_, err := o.Get(ctx, backend.RowKey{Table: writeTable, Part: part, Key: "probe"})
+	if err == nil {
+		o.end(feedHealth, 0, nil)
+	}
 	return err
 }
 
--- a/process/node/term.go
+++ b/process/node/term.go
@@ -122,6 +122,7 @@
 		loop(t.followCancels)
 		loop(t.followWorkers)
 		loop(t.decide)
+		loop(t.removeExpired)
 	}
 	loops.Wait()
 }
--- a/standin/backends/tables.go
+++ b/standin/backends/tables.go
@@ -215,7 +215,8 @@
 		select {
 		case <-changed:
 		case <-timer.C:
-			return page, nil
+			// A fault that began while the poll waited hits its answer as well.
+			return page, fail(ctx, t.begin(false))
 		case <-ctx.Done():
 			return backend.Page{}, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeUnavailable, "feed")
 		}
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -46,13 +46,15 @@
 	opts  Options
 	start Instant
 
-	mu      sync.Mutex
-	now     Instant
-	wallMS  int64
-	config  job.Config
-	jobs    map[job.ID]*jobState
-	timed   map[job.ID]*jobState
-	workers map[string]*worker
+	mu     sync.Mutex
+	now    Instant
+	wallMS int64
+	config job.Config
+	jobs   map[job.ID]*jobState
+	timed  map[job.ID]*jobState
+	// cancelled are cancellations of jobs that are not known yet.
+	cancelled map[job.ID]Instant
+	workers   map[string]*worker
 	// ready are the steps that have waiting tasks.
 	ready    map[*step]struct{}
 	advisers map[string]*adviser
@@ -64,7 +66,8 @@
 	// changes counts durable changes; stored is the count up to which they are durable.
 	changes, stored uint64
 	dirty           map[job.ID]*jobState
-	removals        []job.ID
+	// expired are jobs past their retention; removals are those of them whose other rows are gone.
+	expired, removals []job.ID
 	// fleetChanged says that the record of the workers in use must be written; loadedAt is when it was read.
 	fleetChanged bool
 	loadedAt     Instant
@@ -79,7 +82,7 @@
 func New(opts Options, now Instant) *Core {
 	return &Core{
 		opts: opts, start: now, now: now,
-		jobs: map[job.ID]*jobState{}, timed: map[job.ID]*jobState{}, workers: map[string]*worker{},
+		jobs: map[job.ID]*jobState{}, timed: map[job.ID]*jobState{}, cancelled: map[job.ID]Instant{}, workers: map[string]*worker{},
 		ready: map[*step]struct{}{}, advisers: map[string]*adviser{}, unread: map[string]struct{}{},
 		dirty: map[job.ID]*jobState{}, goodShare: map[string]float64{}, wake: make(chan struct{}, 1),
 	}
@@ -199,6 +202,7 @@
 	c.closeRecovery()
 	c.openOccurrences()
 	c.forgetFinished()
+	c.forgetEarlyCancels()
 }
 
 // closeRecovery ends the wait for workers that cannot be reached once no run of a former leader can be left there.
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -125,6 +125,10 @@
 	} else {
 		c.open(j, 0)
 	}
+	if _, early := c.cancelled[id]; early {
+		delete(c.cancelled, id)
+		c.finish(j, job.Cancelled, "cancelled by the caller")
+	}
 	c.poke()
 }
 
@@ -333,11 +337,24 @@
 	c.now = max(c.now, now)
 	j := c.jobs[id]
 	if j == nil {
+		c.cancelled[id] = c.now
 		return
 	}
 	c.finish(j, job.Cancelled, "cancelled by the caller")
 }
 
+// earlyCancelTerm is how long a cancellation is remembered whose job is not known yet: the two are learned of on different
+// ways.
+const earlyCancelTerm = time.Minute
+
+func (c *Core) forgetEarlyCancels() {
+	for id, at := range c.cancelled {
+		if c.now > at+earlyCancelTerm {
+			delete(c.cancelled, id)
+		}
+	}
+}
+
 // State returns the state of a job that may be shown, and whether the job is known.
 func (c *Core) State(id job.ID) (job.State, bool) {
 	c.mu.Lock()
@@ -368,12 +385,12 @@
 	return out
 }
 
-// forgetFinished drops jobs past their retention and has their rows removed.
+// forgetFinished drops jobs past their retention, whose rows can go.
 func (c *Core) forgetFinished() {
 	for id, j := range c.jobs {
 		if j.shown.Terminal() && c.now > j.finished+c.opts.Retention && !j.hasRuns() {
 			delete(c.jobs, id)
-			c.removals = append(c.removals, id)
+			c.expired = append(c.expired, id)
 		}
 	}
 }
--- a/version/cell/progress.go
+++ b/version/cell/progress.go
@@ -39,7 +39,7 @@
 // Batch is progress that should become durable. Change identifies it.
 type Batch struct {
 	Progress []Progress
-	// Removed are jobs past their retention, whose rows can go.
+	// Removed are jobs whose progress can go.
 	Removed []job.ID
 	// Fleet is the record of the workers in use, nil if it has not changed.
 	Fleet  []byte
@@ -71,6 +71,29 @@
 	return batch
 }
 
+// TakeExpired returns at most limit jobs past their retention, whose records and cancellations can be removed.
+func (c *Core) TakeExpired(limit int) []job.ID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := min(limit, len(c.expired))
+	ids := c.expired[:n:n]
+	c.expired = c.expired[n:]
+	return ids
+}
+
+// RowsRemoved enters whether the records and cancellations of jobs were removed. Their progress goes afterwards, so that a
+// record is never read without it.
+func (c *Core) RowsRemoved(ids []job.ID, removed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !removed {
+		c.expired = append(c.expired, ids...)
+		return
+	}
+	c.removals = append(c.removals, ids...)
+	c.poke()
+}
+
 // BatchStored enters the outcome of writing a batch. What was not stored is collected again, with its newest state.
 func (c *Core) BatchStored(b Batch, stored bool, now Instant) {
 	c.mu.Lock()
--- a/version/cell/runs_test.go
+++ b/version/cell/runs_test.go
@@ -219,3 +219,15 @@
 	assert.Equal(t, w.state("a"), job.Completed)
 	assert.Equal(t, len(w.starts), 0)
 }
+
+// Guards against a job that runs although it was cancelled, because the cancellation was learned of first.
+func TestCancellationBeforeItsJob(t *testing.T) {
+	w := newWorld(t, 1)
+	w.worker("w1")
+	w.core.CancelJob("a", w.now)
+	w.add("a", "plain", 1, tasks(1))
+	w.run(100 * time.Millisecond)
+	assert.Equal(t, len(w.starts), 0)
+	w.store()
+	assert.Equal(t, w.state("a"), job.Cancelled)
+}
