--- a/process/node/failover_test.go
+++ b/process/node/failover_test.go
@@ -129,6 +129,26 @@
 	}
 }
 
+// Guards against a leader that keeps the leadership although it reaches no other instance, while the others reach each other.
+func TestIsolatedLeaderGivesWay(t *testing.T) {
+	inCell(t, func(t *testing.T, c *testCell) {
+		old := c.leader()
+		assert.NilError(t, c.submit(c.other(), "a", 5, small(6*time.Second), nil))
+		time.Sleep(500 * time.Millisecond)
+		c.setLonely(old)
+		time.Sleep(4 * time.Second)
+		assert.Assert(t, c.leader() != old && c.leader() != "")
+		assert.NilError(t, c.submit(c.nodes[old], "b", 5, small(time.Second), nil))
+		time.Sleep(5 * time.Second)
+		for _, id := range []string{"a", "b"} {
+			state, err := c.state(c.nodes[old], id)
+			assert.NilError(t, err)
+			assert.Equal(t, state, job.Completed)
+		}
+		assert.Equal(t, c.workers.Starts("a.0.0.0"), 1)
+	})
+}
+
 // Guards against work that stops while the store is away, and against ends that are acknowledged before they last.
 func TestWorkGoesOnWithoutTheStore(t *testing.T) {
 	inCell(t, func(t *testing.T, c *testCell) {
--- a/process/node/leadership.go
+++ b/process/node/leadership.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 
 	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
 	"github.com/lentiltide/lentiltide/request/verdict"
 	"github.com/lentiltide/lentiltide/version/cell"
 )
@@ -49,6 +50,9 @@
 	suspendAfter = 6 * time.Second
 	// readRetry is the time between attempts to reach the table service.
 	readRetry = 150 * time.Millisecond
+	// lonelyDelay keeps an instance back in a takeover that reaches no other one; greetTimeout bounds the question.
+	lonelyDelay  = 600 * time.Millisecond
+	greetTimeout = 150 * time.Millisecond
 	// takeoverJitter spreads the instances that try to take over at the same time.
 	takeoverJitter = 60 * time.Millisecond
 )
@@ -200,8 +204,12 @@
 	n.mu.Lock()
 	old := n.leader
 	n.mu.Unlock()
-	if old.version != 0 && old.row.Instance != n.opts.Instance {
+	restarted := old.row.Instance == n.opts.Instance && !old.row.Resigned
+	if old.version != 0 && !restarted {
 		pause(ctx, n.opts.TakeoverDelay+jitterOf(n.opts.Instance, old.row.Epoch))
+		if !n.reachesOthers(ctx) {
+			pause(ctx, lonelyDelay)
+		}
 		if n.changedSince(ctx, old) {
 			return nil
 		}
@@ -228,6 +236,29 @@
 	return &term{node: n, epoch: row.Epoch, row: row, rowVersion: version, previous: old.row}
 }
 
+// reachesOthers reports whether one of the instances that this one knows answers it.
+func (n *Node) reachesOthers(ctx context.Context) bool {
+	asked := n.peersToAsk()
+	answers := make(chan bool, len(asked))
+	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
+	defer cancel()
+	for _, address := range asked {
+		go func() {
+			_, err := n.opts.Peers.Call(ctx, address, &peerpb.Request{
+				Body: &peerpb.Request_JobStatus{JobStatus: &peerpb.JobStatus{}},
+			})
+			// A refusal because the other instance does not lead is an answer, too.
+			answers <- err == nil || verdict.From(err).Code == verdict.CodeWrongOwner
+		}()
+	}
+	for range asked {
+		if <-answers {
+			return true
+		}
+	}
+	return len(asked) == 0
+}
+
 // changedSince reads the leader row once more before a takeover.
 func (n *Node) changedSince(ctx context.Context, old leadership) bool {
 	row, err := n.tables.Get(ctx, leaderKey)
--- a/process/node/peers.go
+++ b/process/node/peers.go
@@ -160,7 +160,7 @@
 	for name, count := range t.core.Waiting() {
 		waiting[name] = uint32(count)
 	}
-	return &peerpb.JoinReply{Epoch: t.epoch, Waiting: waiting, Members: t.memberAddresses()}
+	return &peerpb.JoinReply{Epoch: t.epoch, Waiting: waiting, Members: t.memberAddresses(memberTerm)}
 }
 
 // stored enters a job or a cancellation of which the instance that stored it tells.
--- a/process/node/relay.go
+++ b/process/node/relay.go
@@ -163,7 +163,7 @@
 	members := n.members
 	n.mu.Unlock()
 	if t != nil {
-		members = t.memberAddresses()
+		members = t.memberAddresses(memberTerm)
 	}
 	var out []string
 	if leader != "" {
--- a/process/node/term.go
+++ b/process/node/term.go
@@ -37,6 +37,8 @@
 	members map[string]member
 	// unusable are the entries of the registry that were logged as ignored.
 	unusable map[string]struct{}
+	// hadMembers says that another instance has joined in this term. It is used by the loop of decisions only.
+	hadMembers bool
 
 	// The versions up to which the feeds were read, each used by one loop.
 	jobsAfter, cancelsAfter, workersAfter uint64
@@ -89,7 +91,7 @@
 		"event": "leadership_taken", "epoch": t.epoch, "previous": t.previous.Instance, "resigned": t.previous.Resigned,
 	}).Info("leadership taken")
 	t.run(ctx)
-	members := t.memberAddresses()
+	members := t.memberAddresses(keepMembers)
 	n.mu.Lock()
 	n.term = nil
 	n.members = members
@@ -142,7 +144,11 @@
 			t.end()
 			return
 		}
-		t.core.SetAdvisers(t.advisers())
+		names := t.advisers()
+		if t.isolated(len(names) - 1) {
+			go t.resign(ctx)
+		}
+		t.core.SetAdvisers(names)
 		for _, action := range t.core.Step(t.node.opts.Now(), time.Now().UnixMilli()) {
 			go t.carryOut(ctx, action)
 		}
@@ -179,14 +185,32 @@
 	return names
 }
 
-// memberAddresses returns the addresses of the instances that have joined lately.
-func (t *term) memberAddresses() []string {
+// isolated reports, once, that this leader has lost every other instance. One that the others reach leads better: it spreads
+// the questions for advice and answers for the jobs.
+func (t *term) isolated(others int) bool {
+	if others > 0 {
+		t.hadMembers = true
+		return false
+	}
+	if !t.hadMembers || t.resigning.Load() {
+		return false
+	}
+	t.node.opts.Log.WithFields(map[string]any{"event": "leader_isolated", "epoch": t.epoch}).Warn("no other instance reaches this leader")
+	t.hadMembers = false
+	return true
+}
+
+// keepMembers is how long the instances of an ended term are remembered as ones to ask.
+const keepMembers = time.Minute
+
+// memberAddresses returns the addresses of the instances that have joined within a time.
+func (t *term) memberAddresses(within time.Duration) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []string
 	now := t.node.opts.Now()
 	for _, m := range t.members {
-		if now-m.seen <= memberTerm {
+		if now-m.seen <= within {
 			out = append(out, m.address)
 		}
 	}
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -197,6 +197,7 @@
 	for _, w := range c.workers {
 		c.expireLease(w)
 		c.checkRuns(w)
+		c.startCopies(w)
 	}
 	c.giveUpMissing()
 	c.closeRecovery()
--- a/version/cell/health.go
+++ b/version/cell/health.go
@@ -10,6 +10,8 @@
 type health struct {
 	// silent says that the last look had no answer.
 	silent bool
+	// missed counts the looks in a row that had no answer.
+	missed int
 	// streak counts jobs that failed here in a row and failed nowhere else.
 	streak       int
 	lastJob      job.ID
@@ -53,6 +55,36 @@
 	})
 }
 
+const (
+	// slowFactor is how many times its expected duration a run must have taken for a copy to start beside it.
+	slowFactor = 1.7
+	// slowSlack is added for tasks that are short.
+	slowSlack = 150 * time.Millisecond
+)
+
+// startCopies lets a second run of a task start where copies are permitted and the first one is slow or its worker silent.
+func (c *Core) startCopies(w *worker) {
+	for _, r := range w.runs {
+		t := r.task
+		s := t.step
+		if !s.spec.Speculative || s.spec.Lasting || t.done || t.waiting || len(t.runs) > 1 || s.job.state.Terminal() {
+			continue
+		}
+		late := c.now > r.created+time.Duration(slowFactor*float64(s.estimate()))+slowSlack
+		if r.phase == phaseStopping || (!late && w.health.missed < missesToBlock) {
+			continue
+		}
+		c.note("copy_wanted", s.job.id, map[string]any{
+			"task": t.name, "worker": w.info.ID, "percent": r.percent, "silent_looks": w.health.missed, "after_ms": (c.now - r.created).Milliseconds(),
+		})
+		t.avoid[w.info.ID] = struct{}{}
+		t.waiting = true
+		t.since = c.now
+		s.waiting = append(s.waiting, t)
+		c.ready[s] = struct{}{}
+	}
+}
+
 const (
 	// stallAfter is how long the progress of a sound task may stand still: several times its slowest observed step.
 	stallAfter = 1500 * time.Millisecond
--- a/version/cell/runs_test.go
+++ b/version/cell/runs_test.go
@@ -231,3 +231,50 @@
 	w.store()
 	assert.Equal(t, w.state("a"), job.Cancelled)
 }
+
+// Guards against a permitted copy that never starts beside a slow run, and against one that starts without permission.
+func TestCopyBesideASlowRun(t *testing.T) {
+	for _, permitted := range []bool{false, true} {
+		w := newWorld(t, 1)
+		w.worker("w1")
+		w.worker("w2")
+		w.add("a", "plain", 1, tasks(1, func(s *job.Step) { s.Speculative = permitted }))
+		w.step()
+		first := w.starts[0].Order.Worker.ID
+		running := w.confirm()[first]
+		for range 12 {
+			w.read("w1", map[bool][]backend.RunningTask{true: running}[first == "w1"], nil)
+			w.read("w2", map[bool][]backend.RunningTask{true: running}[first == "w2"], nil)
+			w.run(200 * time.Millisecond)
+			if len(w.starts) > 0 {
+				break
+			}
+			running[0].Percent += 5
+		}
+		if !permitted {
+			assert.Equal(t, len(w.starts), 0)
+			continue
+		}
+		assert.Equal(t, len(w.starts), 1)
+		second := w.starts[0].Order
+		assert.Assert(t, second.Worker.ID != first && second.Run == 2)
+		w.confirm()
+		w.read(second.Worker.ID, nil, []backend.EndedTask{w.end(second.Worker.ID, "a.0.0.0", 2, backend.EndDone)})
+		w.step()
+		assert.Equal(t, len(w.stops), 1)
+		assert.Equal(t, w.stops[0].Order.Worker.ID, first)
+		w.store()
+		assert.Equal(t, w.state("a"), job.Completed)
+	}
+}
+
+// Guards against looks that wait long past the end of a task, so that a lost answer hides the end.
+func TestLookWaitsUntilTheNextEnd(t *testing.T) {
+	w := newWorld(t, 1)
+	w.worker("w1")
+	w.add("a", "plain", 1, tasks(1, func(s *job.Step) { s.EstimateMS = 400 }))
+	w.step()
+	w.read("w1", w.confirm()["w1"], nil)
+	req, _, _ := w.core.PrepareHold("w1", w.now)
+	assert.Assert(t, req.Wait > 400*time.Millisecond && req.Wait < 700*time.Millisecond, "%s", req.Wait)
+}
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -216,6 +216,13 @@
 	// holdWait and idleHoldWait are how long a worker with and without runs waits for an end before it answers.
 	holdWait     = time.Second
 	idleHoldWait = 2 * time.Second
+	// endSlack is added to the time at which an end is expected.
+	endSlack = 200 * time.Millisecond
+	// shortestHoldWait bounds the looks at a worker whose tasks take longer than expected.
+	shortestHoldWait = 300 * time.Millisecond
+	// missesToBlock is how many looks in a row must have had no answer before new runs keep away from a worker: a single
+	// answer may be lost.
+	missesToBlock = 2
 )
 
 // PrepareHold returns the next look at a worker. ok is false when the worker is forgotten; pause asks the caller to try
@@ -238,11 +245,23 @@
 	case len(w.runs) == 0:
 		req.Wait = idleHoldWait
 	default:
-		req.Wait = holdWait
+		req.Wait = c.untilEnd(w)
 	}
 	return req, false, true
 }
 
+// untilEnd returns how long a look at a worker should wait: until the next end is expected. A look whose answer is lost then
+// delays the news of an end no longer than needed.
+func (c *Core) untilEnd(w *worker) time.Duration {
+	wait := holdWait
+	for _, r := range w.runs {
+		if !r.task.step.spec.Lasting {
+			wait = min(wait, c.remaining(r)+endSlack)
+		}
+	}
+	return max(wait.Truncate(time.Millisecond), shortestHoldWait)
+}
+
 // unsettled reports whether a run needs another look soon.
 func (w *worker) unsettled() bool {
 	for _, r := range w.runs {
@@ -315,6 +334,7 @@
 	if !w.known {
 		c.note("worker_read", "", map[string]any{"worker": id, "running": len(reply.Running), "ended": len(reply.Ended), "born": reply.Born})
 	}
+	w.health.missed = 0
 	if w.health.silent {
 		w.health.silent = false
 		c.note("worker_answers", "", map[string]any{"worker": id})
@@ -341,7 +361,10 @@
 
 // holdFailed notes a look without an answer.
 func (c *Core) holdFailed(w *worker, err error) {
-	w.blockedUntil = max(w.blockedUntil, c.now+blockAfterFailure)
+	w.health.missed++
+	if w.health.missed >= missesToBlock {
+		w.blockedUntil = max(w.blockedUntil, c.now+blockAfterFailure)
+	}
 	if !w.health.silent {
 		w.health.silent = true
 		c.note("worker_silent", "", map[string]any{"worker": w.info.ID, "error": err.Error(), "runs": len(w.runs)})
