Maintenance waves, metrics and dump of a node, and the trace of a job in logs

Cause: the contract of the upkeep was not served, a node had no metrics, and a failed request's lines had to be put in order by hand.

Change: the leader clears machines of a wave within its maximum and the disruption budgets of jobs, orders their maintenance under its epoch, and tells the operator when the last one has begun. Counters, latency histograms and gauges on the metrics address, a bounded JSON dump beside them. lentiltide trace JOB FILE... prints the story of a job from the logs of several instances. Log times resolve microseconds.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -192,17 +192,59 @@
 	Advise(ctx context.Context, step string, workers []string) (good []Ticket, validity time.Duration, err error)
 }
 
-// Entry is a worker's entry in the registry, or its removal.
-type Entry struct {
-	ID      string
-	Removed bool
-	Info    WorkerInfo
+// Machine is a machine of the platform. A worker is one life of a machine.
+type Machine struct {
+	ID string
+	// Worker is the id of the present worker; empty if there is none.
+	Worker string
+	// Up says that the machine serves its pool.
+	Up bool
 }
 
-// Decoder turns rows of other writers into values of the product.
+// Wave asks for one maintenance of each of its machines.
+type Wave struct {
+	Number   int
+	Machines []string
+	// Duration is the time in which all maintenances should have begun.
+	Duration time.Duration
+	// Max is how many machines may be down for maintenance at the same time.
+	Max int
+}
+
+// Duty identifies the leader to the machine service, which refuses lower tokens.
+type Duty struct {
+	Holder string
+	Token  uint64
+}
+
+// MachineRefusal says why the machine service did not do what it was told.
+type MachineRefusal string
+
+// The refusals of the machine service.
+const (
+	// MachineFenced: a higher token has been used.
+	MachineFenced MachineRefusal = "fence"
+	// MachineBusy: the machine is not up, or leaving.
+	MachineBusy MachineRefusal = "busy"
+	// MachineNotInWave: the wave does not name the machine, or there is no such machine.
+	MachineNotInWave MachineRefusal = "wave"
+)
+
+// Machines is the service that operates machines. An error means that the outcome is unknown, unless it has NotRun.
+type Machines interface {
+	List(ctx context.Context) ([]Machine, error)
+	// Maintain begins the maintenance of a machine for a wave; everything that runs there ends. It is idempotent.
+	Maintain(ctx context.Context, duty Duty, machine string, wave int) (MachineRefusal, error)
+}
+
+// Decoder turns rows of other writers into values of the product, and back.
 type Decoder interface {
 	// Config decodes a configuration.
 	Config(row Row) (job.Config, error)
 	// Worker decodes an entry of the registry. An error means that the entry names no worker to use.
 	Worker(row Row) (WorkerInfo, error)
+	// Wave decodes a request for maintenance; ok is false for rows that are none.
+	Wave(row Row) (wave Wave, ok bool, err error)
+	// WaveStatus returns the row that tells the operator whether a wave is completed.
+	WaveStatus(number int, completed bool) Row
 }
--- a/cmd/lentiltide-node/main.go
+++ b/cmd/lentiltide-node/main.go
@@ -57,7 +57,7 @@
 	out := telemetry.NewAsyncWriter(os.Stdout)
 	log := telemetry.NewLogger(out, logrus.InfoLevel)
 	telemetry.AdoptKratosLog(log)
-	err := run(args, log)
+	err := run(args, log, out.Dropped)
 	if err != nil {
 		log.WithError(err).WithField("event", "failed").Error("instance failed")
 	}
@@ -68,7 +68,7 @@
 }
 
 // run serves until SIGTERM or SIGINT, then leaves gracefully.
-func run(args arguments, log *logrus.Logger) error {
+func run(args arguments, log *logrus.Logger, dropped func() uint64) error {
 	s, err := settings.LoadNode(args.Settings)
 	if err != nil {
 		return err
@@ -78,7 +78,7 @@
 	entry := log.WithFields(logrus.Fields{"instance": s.Instance, "zone": s.Zone})
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	in, err := build(s, entry)
+	in, err := build(s, entry, dropped)
 	if err != nil {
 		return err
 	}
@@ -121,12 +121,20 @@
 	servers   []*khttp.Server
 }
 
-func build(s settings.Node, log logrus.FieldLogger) (*instance, error) {
+func build(s settings.Node, log logrus.FieldLogger, dropped func() uint64) (*instance, error) {
+	metrics, err := telemetry.NewNodeMetrics()
+	if err != nil {
+		return nil, err
+	}
 	listener, err := net.Listen("tcp", s.PeerAddress)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
 	}
 	transport := peer.NewTransport(peer.Options{PrivateNetwork: true, Seed: uint64(time.Now().UnixNano())})
+	var machines backend.Machines
+	if s.MachinesAddress != "" {
+		machines = platform.NewMachines(s.MachinesAddress)
+	}
 	n := node.New(node.Options{
 		Instance: s.Instance, PeerAddress: s.PeerAddress, Peers: transport,
 		ServePeers: func(ctx context.Context, handle peer.Handler) error {
@@ -134,22 +142,31 @@
 			defer stop()
 			return transport.Serve(ctx, listener, handle)
 		},
-		Tables: platform.NewRows(s.StoreAddress), Workers: platform.NewWorkers(), Advisor: platform.NewAdvisor(s.AdviceAddress),
-		Decoder: platform.Decoder{},
+		Tables: metrics.Tables(platform.NewRows(s.StoreAddress)), Workers: platform.NewWorkers(), Advisor: platform.NewAdvisor(s.AdviceAddress),
+		Machines: machines, Decoder: platform.Decoder{},
 		Sources: node.Sources{
 			Config:  backend.RowKey{Table: platform.ConfigTable, Key: platform.ConfigKey},
 			Workers: platform.WorkerTable,
 		},
-		Log: log, Note: noteTo(log),
+		Log: log, Note: noteTo(log, metrics), Answered: metrics.Answer,
 		Lease:         min(maxLease, time.Duration(s.MaxLeaseMS)*time.Millisecond),
 		StopTimeout:   time.Duration(s.StopTimeoutMS) * time.Millisecond,
 		Retention:     time.Duration(s.RetentionS * float64(time.Second)),
 		TakeoverDelay: time.Duration((1 - min(s.CPUShare, 1)) * float64(takeoverSpan)),
 		Now:           node.BootClock,
 	})
+	if err := metrics.Watch(n.Status, dropped); err != nil {
+		return nil, err
+	}
 	in := &instance{node: n, transport: transport}
 	in.serve(s.CallerAddress, platform.NewFront(n))
 	in.serve(s.ReadyAddress, platform.Ready(n))
+	if s.MetricsAddress != "" {
+		mux := http.NewServeMux()
+		mux.Handle("/metrics", metrics.Handler())
+		mux.HandleFunc("/dump", n.ServeDump)
+		in.serve(s.MetricsAddress, mux)
+	}
 	return in, nil
 }
 
@@ -194,9 +211,10 @@
 	in.transport.Close()
 }
 
-// noteTo logs the decisions of the scheduler.
-func noteTo(log logrus.FieldLogger) func(cell.Decision) {
+// noteTo logs and counts the decisions of the scheduler.
+func noteTo(log logrus.FieldLogger, metrics *telemetry.NodeMetrics) func(cell.Decision) {
 	return func(d cell.Decision) {
+		metrics.Decision(d)
 		entry := log.WithFields(logrus.Fields(d.Fields)).WithField("event", d.Event)
 		if d.Job != "" {
 			entry = entry.WithField("job", string(d.Job))
--- a/cmd/lentiltide/internal/command/arguments.go
+++ b/cmd/lentiltide/internal/command/arguments.go
@@ -48,6 +48,11 @@
 	Config bool   `arg:"--config" help:"the file is a configuration of the cell, not settings"`
 }
 
+type traceArgs struct {
+	Job   string   `arg:"positional,required" placeholder:"JOB" help:"id of the job"`
+	Files []string `arg:"positional" placeholder:"FILE" help:"logs of instances; - or none reads standard input"`
+}
+
 type noArgs struct{}
 
 type configArgs struct {
@@ -67,6 +72,7 @@
 	Tickets  *ticketsArgs  `arg:"subcommand:tickets" help:"fetch tickets, each of which runs one call at most once"`
 	Config   *configArgs   `arg:"subcommand:config" help:"show, plan and confirm the configuration of the cell"`
 	Dump     *dumpArgs     `arg:"subcommand:dump" help:"show the state of the instance asked, as JSON"`
+	Trace    *traceArgs    `arg:"subcommand:trace" help:"print what the logs of several instances say about a job, in the order of time"`
 	Validate *validateArgs `arg:"subcommand:validate" help:"check a file of settings, an intent or a configuration without sending it"`
 	Demo     *noArgs       `arg:"subcommand:demo" help:"run both example deployments in this process; needs nothing else"`
 
--- a/cmd/lentiltide/internal/command/command.go
+++ b/cmd/lentiltide/internal/command/command.go
@@ -90,6 +90,12 @@
 		return c.config(ctx, a.Config)
 	case a.Dump != nil:
 		return c.dump(ctx, a.Dump.Limit)
+	case a.Trace != nil:
+		files := a.Trace.Files
+		if len(files) == 0 {
+			files = []string{"-"}
+		}
+		return c.trace(a.Trace.Job, files)
 	default:
 		return c.validate(a.Validate)
 	}
--- /dev/null
+++ b/cmd/lentiltide/internal/command/trace.go
@@ -0,0 +1,120 @@
+package command
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/lentiltide/lentiltide/request/verdict"
+)
+
+// maxLogLine bounds a line of a log.
+const maxLogLine = 1 << 20
+
+// traceLine is one log line about a job.
+type traceLine struct {
+	// order is the time prefix of the line if it has one, else its own time.
+	order  string
+	fields map[string]any
+}
+
+// trace prints what the logs of several instances say about a job, in the order of time.
+func (c *command) trace(id string, files []string) error {
+	var lines []traceLine
+	for _, name := range files {
+		found, err := c.traceFile(id, name)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, found...)
+	}
+	if len(lines) == 0 {
+		return verdict.New(verdict.NotRun, verdict.CodeNotFound, "no log line names job %s", id)
+	}
+	slices.SortStableFunc(lines, func(a, b traceLine) int { return cmp.Compare(a.order, b.order) })
+	for _, l := range lines {
+		fmt.Fprintln(c.std.Out, l.String())
+	}
+	return nil
+}
+
+func (c *command) traceFile(id, name string) ([]traceLine, error) {
+	var in io.Reader = c.std.In
+	if name != "-" {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalid, "read log")
+		}
+		defer f.Close()
+		in = f
+	}
+	var out []traceLine
+	scanner := bufio.NewScanner(in)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		if l, ok := parseTrace(id, scanner.Bytes()); ok {
+			out = append(out, l)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalid, "read log %s", name)
+	}
+	return out, nil
+}
+
+// parseTrace decodes a line that names the job. A log collector may have put text such as a time before the JSON.
+func parseTrace(id string, line []byte) (traceLine, bool) {
+	start := bytes.IndexByte(line, '{')
+	if start < 0 || !bytes.Contains(line, []byte(id)) {
+		return traceLine{}, false
+	}
+	var fields map[string]any
+	if json.Unmarshal(line[start:], &fields) != nil {
+		return traceLine{}, false
+	}
+	for _, key := range []string{"job", "task", "step"} {
+		value, _ := fields[key].(string)
+		if value == id || strings.HasPrefix(value, id+".") {
+			return traceLine{orderOf(line[:start], fields), fields}, true
+		}
+	}
+	return traceLine{}, false
+}
+
+// orderOf returns the text by which lines are ordered. A numeric prefix is padded, so that it sorts as a number.
+func orderOf(prefix []byte, fields map[string]any) string {
+	first, _, _ := strings.Cut(strings.TrimSpace(string(prefix)), " ")
+	var seconds float64
+	if _, err := fmt.Sscanf(first, "%f", &seconds); err == nil {
+		return fmt.Sprintf("%020.6f", seconds+prefixOffset)
+	}
+	at, _ := fields["time"].(string)
+	return at
+}
+
+// prefixOffset keeps times before the start of a recording positive.
+const prefixOffset = 1e6
+
+// String prints time, instance and event first, then the inputs in the order of their names.
+func (l traceLine) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%v %v %v", l.fields["time"], l.fields["instance"], l.fields["event"])
+	skip := map[string]bool{"time": true, "instance": true, "event": true, "msg": true, "level": true, "zone": true, "job": true}
+	var names []string
+	for name := range l.fields {
+		if !skip[name] {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		fmt.Fprintf(&b, " %s=%v", name, l.fields[name])
+	}
+	return b.String()
+}
--- a/process/node/callers.go
+++ b/process/node/callers.go
@@ -46,9 +46,7 @@
 		return verdict.Invalid("body", "%v", err)
 	}
 	existing, err := n.store(ctx, id, data)
-	n.logAnswer("job_submitted", id, err, map[string]any{
-		"queue": q.Name, "epoch": epoch, "existing": existing != nil, "took_ms": (n.opts.Now() - began).Milliseconds(),
-	})
+	n.logAnswer("job_submitted", id, began, err, map[string]any{"queue": q.Name, "epoch": epoch, "existing": existing != nil})
 	if err != nil {
 		return err
 	}
@@ -131,7 +129,7 @@
 func (n *Node) Cancel(ctx context.Context, _ job.Queue, id job.ID) error {
 	began := n.opts.Now()
 	err := n.cancel(ctx, id)
-	n.logAnswer("job_cancelled", id, err, map[string]any{"took_ms": (n.opts.Now() - began).Milliseconds()})
+	n.logAnswer("job_cancelled", id, began, err, map[string]any{})
 	return err
 }
 
@@ -154,15 +152,19 @@
 
 // State returns the state of a job: from the leader, or from the store if the leader cannot answer or does not know it.
 func (n *Node) State(ctx context.Context, _ job.Queue, id job.ID) (job.State, error) {
+	began := n.opts.Now()
 	state, err := n.leaderState(ctx, id)
 	if err == nil && state != "" {
+		n.answered("state_asked", nil, began)
 		return state, nil
 	}
 	stored, storeErr := n.storedState(ctx, id)
 	if storeErr != nil {
-		n.logAnswer("state_unknown", id, storeErr, map[string]any{"leader_error": errText(err)})
+		n.logAnswer("state_unknown", id, began, storeErr, map[string]any{"leader_error": errText(err)})
+		return stored, storeErr
 	}
-	return stored, storeErr
+	n.answered("state_asked", nil, began)
+	return stored, nil
 }
 
 // leaderState asks the leader. An empty state says that the leader does not know the job.
@@ -238,11 +240,21 @@
 }
 
 // logAnswer logs what was decided about a caller's request.
-func (n *Node) logAnswer(event string, id job.ID, err error, fields map[string]any) {
-	entry := n.opts.Log.WithFields(fields).WithFields(map[string]any{"event": event, "job": id, "verdict": verdict.Of(err).String()})
+func (n *Node) logAnswer(event string, id job.ID, began cell.Instant, err error, fields map[string]any) {
+	n.answered(event, err, began)
+	entry := n.opts.Log.WithFields(fields).WithFields(map[string]any{
+		"event": event, "job": id, "verdict": verdict.Of(err).String(), "took_ms": (n.opts.Now() - began).Milliseconds(),
+	})
 	if err != nil {
 		entry.WithError(err).Info("request failed")
 		return
 	}
 	entry.Info("request answered")
 }
+
+// answered counts an answer.
+func (n *Node) answered(event string, err error, began cell.Instant) {
+	if n.opts.Answered != nil {
+		n.opts.Answered(event, verdict.Of(err), n.opts.Now()-began)
+	}
+}
--- a/process/node/cell_test.go
+++ b/process/node/cell_test.go
@@ -105,6 +105,20 @@
 	return info, err
 }
 
+func (testDecoder) Wave(row backend.Row) (backend.Wave, bool, error) {
+	if !strings.HasPrefix(row.Key, "wave") {
+		return backend.Wave{}, false, nil
+	}
+	var wave backend.Wave
+	err := json.Unmarshal(row.Value, &wave)
+	return wave, err == nil, err
+}
+
+func (testDecoder) WaveStatus(number int, completed bool) backend.Row {
+	key := backend.RowKey{Table: "status", Key: fmt.Sprint(number)}
+	return backend.Row{RowKey: key, Value: []byte(fmt.Sprint(completed))}
+}
+
 func (testDecoder) Config(row backend.Row) (job.Config, error) {
 	var version uint64
 	if err := json.Unmarshal(row.Value, &version); err != nil {
--- a/process/node/config.go
+++ b/process/node/config.go
@@ -48,6 +48,7 @@
 	n.configAt = n.opts.Now()
 	n.mu.Unlock()
 	for _, row := range rows {
+		n.enterWave(row)
 		if row.RowKey != key || row.Deleted {
 			continue
 		}
@@ -77,3 +78,21 @@
 		t.core.SetConfig(cfg)
 	}
 }
+
+// enterWave passes a request for maintenance on. All instances keep them for the case that they lead.
+func (n *Node) enterWave(row backend.Row) {
+	wave, ok, err := n.opts.Decoder.Wave(row)
+	if err != nil {
+		n.opts.Log.WithError(err).WithField("event", "wave_unreadable").Error("request for maintenance cannot be read")
+	}
+	if !ok || err != nil {
+		return
+	}
+	n.mu.Lock()
+	n.waves = append(n.waves, wave)
+	t := n.term
+	n.mu.Unlock()
+	if t != nil {
+		t.core.SetWave(wave, n.opts.Now())
+	}
+}
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -39,11 +39,15 @@
 	Tables     backend.Tables
 	Workers    backend.Workers
 	Advisor    backend.Advisor
-	Decoder    backend.Decoder
-	Sources    Sources
-	Log        logrus.FieldLogger
+	// Machines is nil if the platform has no such service.
+	Machines backend.Machines
+	Decoder  backend.Decoder
+	Sources  Sources
+	Log      logrus.FieldLogger
 	// Note receives the decisions of the scheduler; see cell.Options.
 	Note func(cell.Decision)
+	// Answered receives the answers to callers; nil for none.
+	Answered func(event string, v verdict.Verdict, took time.Duration)
 	// Lease is the term of leases on workers, StopTimeout the bound on a stop and Retention how long a finished job can be
 	// asked for.
 	Lease, StopTimeout, Retention time.Duration
@@ -68,6 +72,8 @@
 
 	mu     sync.Mutex
 	config job.Config
+	// waves are the operator's requests for maintenance.
+	waves []backend.Wave
 	// configAt is when the configuration was last known to be current.
 	configAt cell.Instant
 	leader   leadership
--- /dev/null
+++ b/process/node/status.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/lentiltide/lentiltide/version/cell"
+)
+
+// Status is a summary of an instance for metrics and operators.
+type Status struct {
+	Instance string `json:"instance"`
+	// Epoch is the epoch in which this instance leads, 0 if it does not.
+	Epoch uint64 `json:"epoch"`
+	// Leader is the leader that this instance has seen last, of SeenEpoch.
+	Leader    string `json:"leader"`
+	SeenEpoch uint64 `json:"seen_epoch"`
+	// LeaderLost says that the leader did not answer the last join.
+	LeaderLost bool `json:"leader_lost"`
+	Leaving    bool `json:"leaving"`
+	Ready      bool `json:"ready"`
+	// Config is the version in force; ConfigAgeMS is how long ago it was known to be current.
+	Config      uint64 `json:"config"`
+	ConfigAgeMS int64  `json:"config_age_ms"`
+	// DownParts are the parts of the store that do not answer this instance.
+	DownParts []string `json:"down_parts"`
+	// Waiting, Workers and Members are known by the leader only.
+	Waiting int `json:"waiting"`
+	Workers int `json:"workers"`
+	Members int `json:"members"`
+	// Cell is the leader's state, bounded in size.
+	Cell *cell.Dump `json:"cell,omitempty"`
+}
+
+// Status returns a summary without the state of the cell.
+func (n *Node) Status() Status {
+	n.mu.Lock()
+	s := Status{
+		Instance: n.opts.Instance, Leader: n.leader.row.Instance, SeenEpoch: n.leader.row.Epoch, LeaderLost: n.leaderLost,
+		Leaving: n.leaving.Load(), Config: n.config.Version, ConfigAgeMS: (n.opts.Now() - n.configAt).Milliseconds(),
+	}
+	t := n.term
+	n.mu.Unlock()
+	s.Ready = n.Ready()
+	for _, part := range n.own.partNames() {
+		if n.own.Down(part) {
+			s.DownParts = append(s.DownParts, part)
+		}
+	}
+	if t != nil {
+		s.Epoch = t.epoch
+		s.Members = len(t.memberAddresses(memberTerm))
+		s.Workers = t.core.UsableWorkers()
+		for _, count := range t.core.Waiting() {
+			s.Waiting += count
+		}
+	}
+	return s
+}
+
+// dumpLimit bounds the entries of each list of a dump.
+const dumpLimit = 500
+
+// ServeDump answers with the state of the instance as JSON.
+func (n *Node) ServeDump(w http.ResponseWriter, _ *http.Request) {
+	s := n.Status()
+	if t := n.currentTerm(); t != nil {
+		dump := t.core.Dump(dumpLimit)
+		s.Cell = &dump
+	}
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	// A reader that has gone away cannot be told.
+	_ = encoder.Encode(s)
+}
--- a/process/node/term.go
+++ b/process/node/term.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -84,9 +85,12 @@
 	}, now)
 	n.mu.Lock()
 	n.term = t
-	cfg := n.config
+	cfg, waves := n.config, slices.Clone(n.waves)
 	n.mu.Unlock()
 	t.core.SetConfig(cfg)
+	for _, w := range waves {
+		t.core.SetWave(w, now)
+	}
 	n.opts.Log.WithFields(map[string]any{
 		"event": "leadership_taken", "epoch": t.epoch, "previous": t.previous.Instance, "resigned": t.previous.Resigned,
 	}).Info("leadership taken")
@@ -125,6 +129,7 @@
 		loop(t.followWorkers)
 		loop(t.decide)
 		loop(t.removeExpired)
+		loop(t.followMachines)
 	}
 	loops.Wait()
 }
@@ -233,6 +238,14 @@
 	case *cell.AdviseAction:
 		good, validity, err := t.advise(ctx, a)
 		t.core.AdviceResult(a, good, validity, err, t.node.opts.Now())
+	case *cell.MaintainAction:
+		duty := backend.Duty{Holder: t.node.opts.Instance, Token: t.epoch}
+		refusal, err := t.node.opts.Machines.Maintain(ctx, duty, a.Machine, a.Wave)
+		t.core.MaintainResult(a, refusal, err, t.node.opts.Now())
+	case *cell.WaveAction:
+		status := t.node.opts.Decoder.WaveStatus(a.Wave, a.Completed)
+		_, err := t.node.tables.Commit(ctx, backend.Txn{Put: []backend.Row{status}})
+		t.core.WaveTold(a, err)
 	}
 }
 
@@ -427,3 +440,22 @@
 	}
 	return txn, nil
 }
+
+// machinesEvery is the time between lists of machines while a wave is open.
+const machinesEvery = 500 * time.Millisecond
+
+// followMachines reads the list of machines while a wave is open.
+func (t *term) followMachines(ctx context.Context) {
+	for pause(ctx, machinesEvery) {
+		if t.node.opts.Machines == nil || !t.core.NeedsMachines() {
+			continue
+		}
+		read := t.node.opts.Now()
+		list, err := t.node.opts.Machines.List(ctx)
+		if err != nil {
+			t.node.opts.Log.WithError(err).WithField("event", "machines_unreadable").Warn("list of machines cannot be read")
+			continue
+		}
+		t.core.SetMachines(list, read, t.node.opts.Now())
+	}
+}
--- a/process/telemetry/log.go
+++ b/process/telemetry/log.go
@@ -11,12 +11,15 @@
 	"github.com/sirupsen/logrus"
 )
 
+// timeFormat resolves microseconds, so that lines of several instances can be put in order.
+const timeFormat = "2006-01-02T15:04:05.000000Z07:00"
+
 // NewLogger returns a logger that writes JSON lines of a level and above.
 func NewLogger(out io.Writer, level logrus.Level) *logrus.Logger {
 	log := logrus.New()
 	log.SetOutput(out)
 	log.SetLevel(level)
-	log.SetFormatter(&logrus.JSONFormatter{})
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeFormat})
 	return log
 }
 
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -74,8 +74,11 @@
 	superseded   bool
 	suspended    bool
 	goodShare    map[string]float64
-	nextSweep    Instant
-	wake         chan struct{}
+	waves        map[int]*wave
+	// machines is the list of machines, nil before the first one.
+	machines  map[string]backend.Machine
+	nextSweep Instant
+	wake      chan struct{}
 }
 
 // New returns the core of an epoch.
@@ -84,11 +87,13 @@
 		opts: opts, start: now, now: now,
 		jobs: map[job.ID]*jobState{}, timed: map[job.ID]*jobState{}, cancelled: map[job.ID]Instant{}, workers: map[string]*worker{},
 		ready: map[*step]struct{}{}, advisers: map[string]*adviser{}, unread: map[string]struct{}{},
-		dirty: map[job.ID]*jobState{}, goodShare: map[string]float64{}, wake: make(chan struct{}, 1),
+		dirty: map[job.ID]*jobState{}, goodShare: map[string]float64{}, waves: map[int]*wave{},
+		wake: make(chan struct{}, 1),
 	}
 }
 
-// Action is an order that the caller of Step carries out: *StartAction, *StopAction, *ThrottleAction or *AdviseAction.
+// Action is an order that the caller of Step carries out: *StartAction, *StopAction, *ThrottleAction, *AdviseAction,
+// *MaintainAction or *WaveAction.
 type Action any
 
 // StartAction starts a run. The result goes to StartResult.
@@ -199,6 +204,7 @@
 		c.checkRuns(w)
 		c.startCopies(w)
 	}
+	c.driveWaves()
 	c.giveUpMissing()
 	c.closeRecovery()
 	c.openOccurrences()
--- /dev/null
+++ b/version/cell/dump.go
@@ -0,0 +1,117 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/lentiltide/lentiltide/model/job"
+)
+
+// Dump is the state of a cell for operators.
+type Dump struct {
+	Epoch uint64 `json:"epoch"`
+	// Unread are workers whose inventory a new leader still needs.
+	Unread  []string     `json:"unread,omitempty"`
+	Jobs    []JobDump    `json:"jobs"`
+	Workers []WorkerDump `json:"workers"`
+	// Omitted counts entries beyond the limit.
+	Omitted int `json:"omitted,omitempty"`
+}
+
+// JobDump is the state of a job that is not finished.
+type JobDump struct {
+	ID    job.ID    `json:"id"`
+	Queue string    `json:"queue"`
+	State job.State `json:"state"`
+	AgeMS int64     `json:"age_ms"`
+	// LateMS is how long ago the job should have been completed; negative before.
+	LateMS  int64 `json:"late_ms"`
+	Waiting int   `json:"waiting_tasks"`
+	Running int   `json:"running_tasks"`
+	// Asking says that a question for placement advice waits for its answer.
+	Asking bool `json:"asking_advice"`
+	// Blocked says that the job waits for the inventories of workers.
+	Blocked bool `json:"blocked_by_recovery"`
+}
+
+// WorkerDump is the state of a worker.
+type WorkerDump struct {
+	ID           string `json:"id"`
+	Listed       bool   `json:"listed"`
+	Known        bool   `json:"known"`
+	Draining     bool   `json:"draining"`
+	Runs         int    `json:"runs"`
+	FreeCPUMilli int64  `json:"free_cpu_milli"`
+	FreeMemory   int64  `json:"free_memory_mib"`
+	StampAgeMS   int64  `json:"stamp_age_ms"`
+	// SuspectMS is for how much longer the worker is avoided.
+	SuspectMS int64 `json:"suspect_ms"`
+	// UnackedEnds are ends that are not durable yet.
+	UnackedEnds int `json:"unacked_ends"`
+}
+
+// Dump returns at most limit jobs and workers, the longest waiting jobs first.
+func (c *Core) Dump(limit int) Dump {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := Dump{Epoch: c.opts.Epoch}
+	for id := range c.unread {
+		d.Unread = append(d.Unread, id)
+	}
+	slices.Sort(d.Unread)
+	for _, j := range c.jobs {
+		if !j.state.Terminal() {
+			d.Jobs = append(d.Jobs, c.dumpJob(j))
+		}
+	}
+	slices.SortFunc(d.Jobs, func(a, b JobDump) int { return cmp.Or(cmp.Compare(b.AgeMS, a.AgeMS), cmp.Compare(a.ID, b.ID)) })
+	for _, w := range c.workers {
+		d.Workers = append(d.Workers, c.dumpWorker(w))
+	}
+	slices.SortFunc(d.Workers, func(a, b WorkerDump) int { return cmp.Compare(a.ID, b.ID) })
+	d.Omitted = max(0, len(d.Jobs)-limit) + max(0, len(d.Workers)-limit)
+	d.Jobs = d.Jobs[:min(len(d.Jobs), limit)]
+	d.Workers = d.Workers[:min(len(d.Workers), limit)]
+	return d
+}
+
+func (c *Core) dumpJob(j *jobState) JobDump {
+	d := JobDump{
+		ID: j.id, Queue: j.queue.Name, State: j.state, AgeMS: (c.now - j.arrived).Milliseconds(),
+		LateMS: (c.now - j.objective).Milliseconds(),
+	}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			d.Waiting += len(s.waiting)
+			d.Asking = d.Asking || s.advice.asking != nil
+			d.Blocked = d.Blocked || (len(s.waiting) > 0 && c.blocked(s))
+			for _, t := range s.tasks {
+				d.Running += len(t.runs)
+			}
+		}
+	}
+	return d
+}
+
+func (c *Core) dumpWorker(w *worker) WorkerDump {
+	return WorkerDump{
+		ID: w.info.ID, Listed: w.listed, Known: w.known, Draining: w.info.Draining, Runs: len(w.runs),
+		FreeCPUMilli: w.freeCPU(), FreeMemory: w.info.Capacity.MemoryMiB - w.used.MemoryMiB,
+		StampAgeMS:  (c.now - w.clockAt).Milliseconds(),
+		SuspectMS:   max(0, w.health.suspectUntil-c.now).Milliseconds(),
+		UnackedEnds: len(w.acks),
+	}
+}
+
+// UsableWorkers counts the workers that new runs may start on.
+func (c *Core) UsableWorkers() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, w := range c.workers {
+		if w.listed && w.known && !w.info.Draining && c.now >= w.health.suspectUntil {
+			n++
+		}
+	}
+	return n
+}
--- a/version/cell/place.go
+++ b/version/cell/place.go
@@ -121,7 +121,7 @@
 
 // eligible reports whether a task of a step may start on a worker now, apart from placement advice.
 func (c *Core) eligible(w *worker, s *step, t *task) bool {
-	if !w.listed || !w.known || !w.isRecorded() || w.info.Draining || c.now < w.blockedUntil || c.now < w.health.suspectUntil {
+	if !w.listed || !w.known || !w.isRecorded() || w.info.Draining || w.cordoned || c.now < w.blockedUntil || c.now < w.health.suspectUntil {
 		return false
 	}
 	if w.info.Service != s.job.queue.Service || c.now > w.clockAt+maxStampAge {
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -42,7 +42,9 @@
 	// unknownSince is when the worker first listed a task of an unknown job.
 	unknownSince Instant
 	// throttled is when a best-effort run was throttled last.
-	throttled  Instant
+	throttled Instant
+	// cordoned keeps new runs away before a maintenance of the machine.
+	cordoned   bool
 	drainingAt Instant
 	// leaves is when a draining worker may be gone.
 	leaves Instant
