--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -58,9 +58,7 @@
 	// ready are the steps that have waiting tasks.
 	ready    map[*step]struct{}
 	advisers map[string]*adviser
-	// questions are the questions for placement advice that no adviser has taken.
-	questions []*question
-	actions   []Action
+	actions  []Action
 	// unread are workers whose inventory this epoch has not seen although a former leader may have used them.
 	unread map[string]struct{}
 	// changes counts durable changes; stored is the count up to which they are durable.
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -41,10 +41,9 @@
 	// moved is when percent changed last.
 	moved Instant
 	load  int64
-	// share is the throttle in percent; overTarget is when the tail latency went over the objective.
-	share      int
-	overTarget Instant
-	dropped    bool
+	// share is the throttle in percent.
+	share   int
+	dropped bool
 }
 
 func (r *run) key() runKey { return runKey{r.task.name, r.number} }
--- a/version/cell/world_test.go
+++ b/version/cell/world_test.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -21,7 +20,6 @@
 	starts  []*StartAction
 	stops   []*StopAction
 	advices []*AdviseAction
-	notes   []Decision
 	ends    map[string]int64
 }
 
@@ -36,7 +34,7 @@
 	w := &world{t: t, now: time.Hour, ends: map[string]int64{}}
 	w.core = New(Options{
 		Epoch: epoch, Lease: testLease, PredecessorTerm: 6 * time.Second, StopTimeout: 400 * time.Millisecond,
-		Retention: time.Minute, Note: func(d Decision) { w.notes = append(w.notes, d) },
+		Retention: time.Minute,
 	}, w.now)
 	queue := func(name string, priority int, advice *job.Advice) job.Queue {
 		return job.Queue{
@@ -165,16 +163,3 @@
 	assert.Assert(w.t, ok)
 	return state
 }
-
-// noted counts the decisions with a name.
-func (w *world) noted(event string) int {
-	n := 0
-	for _, d := range w.notes {
-		if d.Event == event {
-			n++
-		}
-	}
-	return n
-}
-
-func taskName(id string, step, index int) string { return fmt.Sprintf("%s.0.%d.%d", id, step, index) }
