Read the renewal before a takeover, choose candidates, give way to a majority, bear a slow store

Ruled out: the workers' room, and the processor of the leader (0.37 of its 0.8 cores at the most).

Change: a takeover reads leader and renewal rows first; a refusal by a leader that loads is contact; a leader that lost more than half of its members resigns, and an instance that reaches less than half of those greeted holds back. The leader chooses six candidates by size, and others look at the leadership seldom. Feeds pause 0.15 s.

--- a/cmd/lentiltide-node/main.go
+++ b/cmd/lentiltide-node/main.go
@@ -152,6 +152,7 @@
 		Lease:         min(maxLease, time.Duration(s.MaxLeaseMS)*time.Millisecond),
 		StopTimeout:   time.Duration(s.StopTimeoutMS) * time.Millisecond,
 		Retention:     time.Duration(s.RetentionS * float64(time.Second)),
+		CPUShare:      s.CPUShare,
 		TakeoverDelay: time.Duration((1 - min(s.CPUShare, 1)) * float64(takeoverSpan)),
 		Now:           node.BootClock,
 	})
--- a/process/node/leadership.go
+++ b/process/node/leadership.go
@@ -39,6 +39,10 @@
 	renewEvery = 400 * time.Millisecond
 	// takeoverAfter is how long the renewals must have stopped before another instance takes over: four of them.
 	takeoverAfter = 1700 * time.Millisecond
+	// takeoverReserve is how long they must have stopped for an instance that the leader has not chosen as a candidate.
+	takeoverReserve = 3500 * time.Millisecond
+	// reservePause is the time between looks at the leadership by such an instance.
+	reservePause = 900 * time.Millisecond
 	// takeoverLost is how long they must have stopped if the leader does not answer its peers either.
 	takeoverLost = 800 * time.Millisecond
 	// leaderWait is the long poll on the leadership. It is short, so that a silent connection is noticed within a takeover.
@@ -50,9 +54,11 @@
 	suspendAfter = 6 * time.Second
 	// readRetry is the time between attempts to reach the table service.
 	readRetry = 150 * time.Millisecond
-	// lonelyDelay keeps an instance back in a takeover that reaches no other one; greetTimeout bounds the question.
+	// lonelyDelay keeps an instance back in a takeover that does not reach half of the greeted ones; greetTimeout bounds the
+	// question.
 	lonelyDelay  = 600 * time.Millisecond
 	greetTimeout = 150 * time.Millisecond
+	greeted      = 6
 	// takeoverJitter spreads the instances that try to take over at the same time.
 	takeoverJitter = 60 * time.Millisecond
 )
@@ -71,6 +77,8 @@
 type leadership struct {
 	row     leaderRow
 	version uint64
+	// renewal is the version of the renewal row.
+	renewal uint64
 	// changed is when a change was seen last, or when the table service could not be read last: only an uninterrupted
 	// observation shows that the renewals have stopped.
 	changed cell.Instant
@@ -88,6 +96,7 @@
 			continue
 		}
 		if !n.mayTakeOver() {
+			n.pauseReserve(ctx)
 			continue
 		}
 		if t := n.takeOver(ctx); t != nil {
@@ -96,6 +105,21 @@
 	}
 }
 
+// pauseReserve spares the store looks by instances that would not take over soon.
+func (n *Node) pauseReserve(ctx context.Context) {
+	n.mu.Lock()
+	reserve := !n.candidate && n.leader.known && !n.leaderLost
+	n.mu.Unlock()
+	if !reserve {
+		return
+	}
+	select {
+	case <-time.After(reservePause):
+	case <-n.lookNow:
+	case <-ctx.Done():
+	}
+}
+
 // observeLeadership reads the leadership, or waits for its next change.
 func (n *Node) observeLeadership(ctx context.Context) error {
 	n.mu.Lock()
@@ -140,6 +164,9 @@
 
 // enterLeaderRow notes a row of the leader table. Callers hold n.mu.
 func (n *Node) enterLeaderRow(row backend.Row) {
+	if row.RowKey == renewalKey {
+		n.leader.renewal = max(n.leader.renewal, row.Version)
+	}
 	if row.RowKey != leaderKey || row.Version <= n.leader.version {
 		return
 	}
@@ -180,6 +207,9 @@
 	if l.version == 0 || l.row.Resigned || l.row.Instance == n.opts.Instance {
 		return true
 	}
+	if !n.candidate && n.opts.Now()-l.changed < takeoverReserve {
+		return false
+	}
 	return n.opts.Now()-l.changed >= n.patience()
 }
 
@@ -207,7 +237,7 @@
 	restarted := old.row.Instance == n.opts.Instance && !old.row.Resigned
 	if old.version != 0 && !restarted {
 		pause(ctx, n.opts.TakeoverDelay+jitterOf(n.opts.Instance, old.row.Epoch))
-		if !n.reachesOthers(ctx) {
+		if !n.reachesMost(ctx) {
 			pause(ctx, lonelyDelay)
 		}
 		if n.changedSince(ctx, old) {
@@ -236,9 +266,9 @@
 	return &term{node: n, epoch: row.Epoch, row: row, rowVersion: version, previous: old.row}
 }
 
-// reachesOthers reports whether one of the instances that this one knows answers it.
-func (n *Node) reachesOthers(ctx context.Context) bool {
-	asked := n.peersToAsk()
+// reachesMost reports whether at least half of some instances that this one knows answer it.
+func (n *Node) reachesMost(ctx context.Context) bool {
+	asked := n.peersToAsk(greeted)
 	answers := make(chan bool, len(asked))
 	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
 	defer cancel()
@@ -251,25 +281,42 @@
 			answers <- err == nil || verdict.From(err).Code == verdict.CodeWrongOwner
 		}()
 	}
-	for range asked {
+	yes := 0
+	for i := range asked {
 		if <-answers {
+			yes++
+		}
+		if 2*yes >= len(asked) {
 			return true
 		}
+		if left := len(asked) - i - 1; 2*(yes+left) < len(asked) {
+			return false
+		}
 	}
-	return len(asked) == 0
+	return true
 }
 
-// changedSince reads the leader row once more before a takeover.
+// changedSince reads the leadership once more before a takeover. The feed may be late or have been cut while the store
+// forgot its history; these reads are not.
 func (n *Node) changedSince(ctx context.Context, old leadership) bool {
 	row, err := n.tables.Get(ctx, leaderKey)
+	var renewal backend.Row
+	if err == nil {
+		renewal, err = n.tables.Get(ctx, renewalKey)
+	}
 	if err != nil {
 		n.observationGap(err)
 		return true
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	renewed := renewal.Version > n.leader.renewal
+	if renewed {
+		n.leader.changed = n.opts.Now()
+	}
 	n.enterLeaderRow(row)
-	return row.Version != old.version || n.leader.changed != old.changed
+	n.enterLeaderRow(renewal)
+	return renewed || row.Version != old.version || n.leader.changed != old.changed
 }
 
 // claimed settles a takeover without a clear answer by reading the row back. Only the claim tells whether it took effect; a
--- a/process/node/load.go
+++ b/process/node/load.go
@@ -177,15 +177,15 @@
 const maxUnusable = 200
 
 func (t *term) followJobs(ctx context.Context) {
-	t.follow(ctx, jobTable, &t.jobsAfter, jobParts(), func(row backend.Row) { t.enterJob(row, backend.Row{}) }, nil)
+	t.follow(ctx, feed{jobTable, &t.jobsAfter, jobParts(), func(row backend.Row) { t.enterJob(row, backend.Row{}) }, nil})
 }
 
 func (t *term) followCancels(ctx context.Context) {
-	t.follow(ctx, cancelTable, &t.cancelsAfter, jobParts(), t.enterCancel, nil)
+	t.follow(ctx, feed{cancelTable, &t.cancelsAfter, jobParts(), t.enterCancel, nil})
 }
 
 func (t *term) followWorkers(ctx context.Context) {
-	t.follow(ctx, t.node.opts.Sources.Workers, &t.workersAfter, []string{""}, t.enterWorker, t.pruneWorkers)
+	t.follow(ctx, feed{t.node.opts.Sources.Workers, &t.workersAfter, []string{""}, t.enterWorker, t.pruneWorkers})
 }
 
 // pruneWorkers removes workers that a full read of the registry no longer has.
@@ -197,30 +197,42 @@
 	}
 }
 
+// feed is a table that a leader follows.
+type feed struct {
+	table string
+	// after is the version up to which the feed was read.
+	after *uint64
+	parts []string
+	enter func(backend.Row)
+	// prune is given all rows after the table was read anew; nil for none.
+	prune func(map[string]backend.Row)
+}
+
+// feedPause lets changes gather, so that a busy table costs few calls. Jobs and cancellations are also told by message.
+const feedPause = 150 * time.Millisecond
+
 // follow enters the rows of a table as they change. When the history is gone, the table is read anew.
-func (t *term) follow(ctx context.Context, table string, after *uint64, parts []string, enter func(backend.Row), prune func(map[string]backend.Row)) {
+func (t *term) follow(ctx context.Context, f feed) {
 	failing := false
-	for ctx.Err() == nil {
-		page, err := t.node.tables.Feed(ctx, table, *after, feedWait)
+	for pause(ctx, feedPause) {
+		page, err := t.node.tables.Feed(ctx, f.table, *f.after, feedWait)
 		if ctx.Err() != nil {
 			return
 		}
 		if failing != (err != nil) {
 			failing = err != nil
-			t.node.opts.Log.WithFields(map[string]any{"event": "feed", "table": table, "lost": failing, "error": errText(err)}).Warn("feed of a table")
+			t.node.opts.Log.WithFields(map[string]any{"event": "feed", "table": f.table, "lost": failing, "error": errText(err)}).Warn("feed of a table")
 		}
 		if err != nil {
 			if verdict.From(err).Code == verdict.CodeExpired {
-				t.reread(ctx, table, after, parts, enter, prune)
-			} else {
-				pause(ctx, readRetry)
+				t.reread(ctx, f)
 			}
 			continue
 		}
 		for _, row := range page.Rows {
-			enter(row)
+			f.enter(row)
 		}
-		*after = max(*after, page.Version)
+		*f.after = max(*f.after, page.Version)
 	}
 }
 
@@ -232,16 +244,16 @@
 }
 
 // reread reads a table whose history is gone.
-func (t *term) reread(ctx context.Context, table string, after *uint64, parts []string, enter func(backend.Row), prune func(map[string]backend.Row)) {
-	s, ok := t.mustRead(ctx, table, parts)
+func (t *term) reread(ctx context.Context, f feed) {
+	s, ok := t.mustRead(ctx, f.table, f.parts)
 	if !ok {
 		return
 	}
 	for _, row := range s.rows {
-		enter(row)
+		f.enter(row)
 	}
-	if prune != nil {
-		prune(s.rows)
+	if f.prune != nil {
+		f.prune(s.rows)
 	}
-	*after = s.version
+	*f.after = s.version
 }
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -51,6 +51,8 @@
 	// Lease is the term of leases on workers, StopTimeout the bound on a stop and Retention how long a finished job can be
 	// asked for.
 	Lease, StopTimeout, Retention time.Duration
+	// CPUShare is the share of a core of this instance; larger instances lead rather than smaller ones.
+	CPUShare float64
 	// TakeoverDelay keeps this instance back when another one can lead as well.
 	TakeoverDelay time.Duration
 	// Now returns the time since boot, including suspension.
@@ -68,6 +70,8 @@
 	inserts *inserter
 	// joinNow asks for a join without waiting, after the leader has changed.
 	joinNow chan struct{}
+	// lookNow ends a pause between looks at the leadership.
+	lookNow chan struct{}
 	leaving atomic.Bool
 
 	mu     sync.Mutex
@@ -86,13 +90,15 @@
 	leaderHint string
 	// members are the addresses of the instances that have joined the leader.
 	members []string
+	// candidate says that this instance may take over soon: the leader chooses a few in a large fleet.
+	candidate bool
 	// leaderLost says that the last join had no answer.
 	leaderLost bool
 }
 
 // New returns an instance that does nothing before Run.
 func New(opts Options) *Node {
-	n := &Node{opts: opts, joinNow: make(chan struct{}, 1)}
+	n := &Node{opts: opts, joinNow: make(chan struct{}, 1), lookNow: make(chan struct{}, 1), candidate: true}
 	n.own = observeTables(opts.Tables, opts.Now, n.storeChanged)
 	n.tables = relayedTables{n.own, n}
 	n.inserts = newInserter(n.tables)
--- a/process/node/peers.go
+++ b/process/node/peers.go
@@ -41,7 +41,9 @@
 		}
 		call, cancel := context.WithTimeout(ctx, joinTimeout)
 		reply, err := n.opts.Peers.Call(call, address, &peerpb.Request{
-			Body: &peerpb.Request_Join{Join: &peerpb.Join{Instance: n.opts.Instance, Address: n.opts.PeerAddress}},
+			Body: &peerpb.Request_Join{Join: &peerpb.Join{
+				Instance: n.opts.Instance, Address: n.opts.PeerAddress, CpuShare: n.opts.CPUShare,
+			}},
 		})
 		cancel()
 		n.joined(address, reply, err)
@@ -54,15 +56,23 @@
 func (n *Node) joined(address string, reply *peerpb.Reply, err error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	lost := err != nil
+	// A leader that still reads its rows refuses, but it is there.
+	lost := err != nil && (verdict.From(err).Code != verdict.CodeWrongOwner || address != n.leader.row.Address)
 	if lost != n.leaderLost {
 		n.leaderLost = lost
 		n.opts.Log.WithFields(map[string]any{"event": "leader_contact", "leader": address, "lost": lost, "error": errText(err)}).Info("contact to the leader")
 	}
 	if lost {
 		n.followHint(address, err)
+		select {
+		case n.lookNow <- struct{}{}:
+		default:
+		}
+	}
+	if err != nil {
 		return
 	}
+	n.candidate = reply.GetJoin().GetCandidate()
 	n.waiting = reply.GetJoin().GetWaiting()
 	if n.waiting == nil {
 		n.waiting = map[string]uint32{}
@@ -144,6 +154,24 @@
 	return nil
 }
 
+// maxCandidates bounds the instances that watch the leadership closely.
+const maxCandidates = 6
+
+// isCandidate reports whether a member is among the largest ones.
+func (t *term) isCandidate(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	me := t.members[name]
+	ahead := 0
+	now := t.node.opts.Now()
+	for other, m := range t.members {
+		if now-m.seen <= memberTerm && (m.share > me.share || (m.share == me.share && other < name)) {
+			ahead++
+		}
+	}
+	return ahead < maxCandidates
+}
+
 // notLeader is the refusal of a question for the leader. It names the leader that this instance knows.
 func (n *Node) notLeader() error {
 	e := verdict.New(verdict.NotRun, verdict.CodeWrongOwner, "this instance does not lead").After(retryAfter)
@@ -154,13 +182,13 @@
 // joined notes an instance that has joined.
 func (t *term) joined(join *peerpb.Join) *peerpb.JoinReply {
 	t.mu.Lock()
-	t.members[join.GetInstance()] = member{address: join.GetAddress(), seen: t.node.opts.Now()}
+	t.members[join.GetInstance()] = member{address: join.GetAddress(), seen: t.node.opts.Now(), share: join.GetCpuShare()}
 	t.mu.Unlock()
 	waiting := map[string]uint32{}
 	for name, count := range t.core.Waiting() {
 		waiting[name] = uint32(count)
 	}
-	return &peerpb.JoinReply{Epoch: t.epoch, Waiting: waiting, Members: t.memberAddresses(memberTerm)}
+	return &peerpb.JoinReply{Epoch: t.epoch, Waiting: waiting, Members: t.memberAddresses(memberTerm), Candidate: t.isCandidate(join.GetInstance())}
 }
 
 // stored enters a job or a cancellation of which the instance that stored it tells.
--- a/process/node/relay.go
+++ b/process/node/relay.go
@@ -60,11 +60,11 @@
 			}
 			left--
 			first, v = out.err, verdict.Of(out.err)
-		case <-time.After(silentAfter):
+		case <-time.After(r.own.Patience()):
 			first = verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the store is silent")
 		}
 	}
-	for _, address := range r.node.peersToAsk() {
+	for _, address := range r.node.peersToAsk(relayPeers) {
 		start(func(ctx context.Context) (T, error) {
 			ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 			defer cancel()
@@ -129,7 +129,7 @@
 		return page, err
 	}
 	wait = min(wait, relayFeedWait)
-	for _, address := range r.node.peersToAsk() {
+	for _, address := range r.node.peersToAsk(relayPeers) {
 		msg := &peerpb.TableFeed{Table: table, After: after, WaitMs: wait.Milliseconds()}
 		call, cancel := context.WithTimeout(ctx, wait+relayTimeout)
 		page, byErr := r.ask(call, address, &peerpb.Request{Body: &peerpb.Request_TableFeed{TableFeed: msg}})
@@ -155,8 +155,8 @@
 	return page, nil
 }
 
-// peersToAsk returns the leader and other instances, at most relayPeers.
-func (n *Node) peersToAsk() []string {
+// peersToAsk returns the leader and other instances, at most limit.
+func (n *Node) peersToAsk(limit int) []string {
 	leader, _ := n.leaderAddress()
 	t := n.currentTerm()
 	n.mu.Lock()
@@ -170,7 +170,7 @@
 		out = append(out, leader)
 	}
 	for _, i := range rand.Perm(len(members)) {
-		if address := members[i]; address != n.opts.PeerAddress && address != leader && len(out) < relayPeers {
+		if address := members[i]; address != n.opts.PeerAddress && address != leader && len(out) < limit {
 			out = append(out, address)
 		}
 	}
--- a/process/node/storehealth.go
+++ b/process/node/storehealth.go
@@ -11,9 +11,13 @@
 )
 
 const (
-	// silentAfter is how long a call may be without an answer before its part counts as silent. A store that is slow by a
-	// factor of 60 answers sooner.
-	silentAfter = 800 * time.Millisecond
+	// silentAfter is how long a call may be without an answer before its part counts as silent, unless the store has been
+	// slow lately: then it may take slowFactor times the longest recent answer, up to silentAtMost.
+	silentAfter  = 800 * time.Millisecond
+	silentAtMost = 2 * time.Second
+	slowFactor   = 3
+	// slowMemory is how long a slow answer counts as recent.
+	slowMemory = 3 * time.Second
 	// failingAfter is how long calls must have failed, without a success, before a part counts as down.
 	failingAfter = 250 * time.Millisecond
 	// quietAfter is how long the store may have been without any answer before a write is preceded by a read: renewals of
@@ -39,6 +43,9 @@
 	next  uint64
 	// answered is when the service answered last, by any call; failed is when a call failed last.
 	answered, failed cell.Instant
+	// slowest is the longest recent time of an answer, seen at slowestAt.
+	slowest   time.Duration
+	slowestAt cell.Instant
 }
 
 // partHealth is what was seen of one part.
@@ -136,8 +143,11 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	p := o.part(part)
-	delete(p.pending, id)
 	now := o.now()
+	if began, ok := p.pending[id]; ok && isAnswer(err) && (now-began >= o.slowest || now > o.slowestAt+slowMemory) {
+		o.slowest, o.slowestAt = now-began, now
+	}
+	delete(p.pending, id)
 	if isAnswer(err) {
 		p.success, p.failing = now, 0
 		o.answered = now
@@ -158,7 +168,7 @@
 	down := o.silent()
 	down = down || (p.failing != 0 && now-p.failing > failingAfter)
 	for _, began := range p.pending {
-		if now-began > silentAfter && p.success < began {
+		if now-began > o.patience() && p.success < began {
 			down = true
 		}
 	}
@@ -181,7 +191,22 @@
 
 // silent is Silent for callers that hold o.mu.
 func (o *observedTables) silent() bool {
-	return o.failed > o.answered && o.now()-o.answered > silentAfter
+	return o.failed > o.answered && o.now()-o.answered > o.patience()
+}
+
+// Patience returns how long a call may be without an answer before it counts as silent.
+func (o *observedTables) Patience() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.patience()
+}
+
+// patience is Patience for callers that hold o.mu.
+func (o *observedTables) patience() time.Duration {
+	if o.now() > o.slowestAt+slowMemory {
+		return silentAfter
+	}
+	return min(max(silentAfter, slowFactor*o.slowest), silentAtMost)
 }
 
 // Check asks a part for an answer before a write if there is reason to doubt that it gives one, so that the write is not
--- a/process/node/term.go
+++ b/process/node/term.go
@@ -38,8 +38,8 @@
 	members map[string]member
 	// unusable are the entries of the registry that were logged as ignored.
 	unusable map[string]struct{}
-	// hadMembers says that another instance has joined in this term. It is used by the loop of decisions only.
-	hadMembers bool
+	// mostMembers is the largest number of other instances in this term. It is used by the loop of decisions only.
+	mostMembers int
 
 	// The versions up to which the feeds were read, each used by one loop.
 	jobsAfter, cancelsAfter, workersAfter uint64
@@ -55,6 +55,8 @@
 type member struct {
 	address string
 	seen    cell.Instant
+	// share is the share of a core of the instance.
+	share float64
 }
 
 const (
@@ -190,18 +192,17 @@
 	return names
 }
 
-// isolated reports, once, that this leader has lost every other instance. One that the others reach leads better: it spreads
-// the questions for advice and answers for the jobs.
+// isolated reports, once, that this leader has lost more than half of the other instances. One that the others reach leads
+// better: it spreads the questions for advice and answers for the jobs.
 func (t *term) isolated(others int) bool {
-	if others > 0 {
-		t.hadMembers = true
+	t.mostMembers = max(t.mostMembers, others)
+	if 2*others >= t.mostMembers || t.resigning.Load() {
 		return false
 	}
-	if !t.hadMembers || t.resigning.Load() {
-		return false
-	}
-	t.node.opts.Log.WithFields(map[string]any{"event": "leader_isolated", "epoch": t.epoch}).Warn("no other instance reaches this leader")
-	t.hadMembers = false
+	t.node.opts.Log.WithFields(map[string]any{
+		"event": "leader_isolated", "epoch": t.epoch, "members": others, "most_members": t.mostMembers,
+	}).Warn("most instances do not reach this leader")
+	t.mostMembers = others
 	return true
 }
 
