Claim listed runs and ends when their job is learned of

The successor read the worker before it learned of the job, passed over the unknown run, and started the task again elsewhere.

Ruled out: a worker that was not read (its inventory had listed the run) and a start after the fence (the start was earlier).

Change: runs and ends of unknown jobs that a worker lists are kept, and claimed when the job is added. A leader ends its epoch when it learns of a job that was accepted under a later one.

--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -104,6 +104,13 @@
 	if record.Refused || c.jobs[id] != nil {
 		return
 	}
+	if record.Epoch > c.opts.Epoch {
+		// The instance that accepted the job knows a later leader, which does not expect starts by this one.
+		c.superseded = true
+		c.note("epoch_superseded", id, map[string]any{"epoch": c.opts.Epoch, "by_epoch": record.Epoch})
+		c.poke()
+		return
+	}
 	j := &jobState{
 		id: id, record: record, queue: record.Queue, arrived: c.now, recovered: record.Epoch < c.opts.Epoch,
 		occurrences: map[int]*occurrence{}, state: job.Queued, shown: job.Queued,
@@ -125,6 +132,7 @@
 	} else {
 		c.open(j, 0)
 	}
+	c.claimStrays(j)
 	if _, early := c.cancelled[id]; early {
 		delete(c.cancelled, id)
 		c.finish(j, job.Cancelled, "cancelled by the caller")
--- a/version/cell/recovery_test.go
+++ b/version/cell/recovery_test.go
@@ -117,3 +117,31 @@
 	_, known := w.core.State("a")
 	assert.Assert(t, !known)
 }
+
+// Guards against a second run of a task that a former leader started, when its job is learned of after the inventory of the
+// worker.
+func TestJobIsLearnedOfAfterItsRuns(t *testing.T) {
+	w := newWorld(t, 2)
+	assert.NilError(t, w.core.LoadFleet([]byte(`{"w1":"w1:1","w2":"w2:1"}`), w.now))
+	w.worker("w2")
+	w.list("w1", nil)
+	w.read("w1", []backend.RunningTask{{Task: "a.0.0.0", Run: 1}}, []backend.EndedTask{w.end("w1", "a.0.0.1", 1, backend.EndDone)})
+	w.add("a", "plain", 1, tasks(3))
+	w.run(100 * time.Millisecond)
+	assert.Equal(t, len(w.starts), 1)
+	assert.Equal(t, w.starts[0].Order.Task, "a.0.0.2")
+	w.read("w1", []backend.RunningTask{{Task: "a.0.0.0", Run: 1}}, []backend.EndedTask{{Number: 1, Task: "a.0.0.1", Run: 1, How: backend.EndDone}})
+	w.store()
+	req, _, _ := w.core.PrepareHold("w1", w.now)
+	assert.Equal(t, req.Acked, int64(1))
+}
+
+// Guards against a former leader that starts jobs which were accepted for its successor.
+func TestJobOfALaterEpochEndsTheEpoch(t *testing.T) {
+	w := newWorld(t, 1)
+	w.worker("w1")
+	w.add("a", "plain", 2, tasks(1))
+	w.run(100 * time.Millisecond)
+	assert.Equal(t, len(w.starts), 0)
+	assert.Assert(t, w.core.Superseded())
+}
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/lentiltide/lentiltide/backend"
@@ -283,6 +284,7 @@
 func (c *Core) adopt(w *worker, item backend.RunningTask) *run {
 	t := c.find(item.Task)
 	if t == nil && c.awaitsJob(w) {
+		w.strayRuns = append(w.strayRuns, item)
 		return nil
 	}
 	if t == nil {
@@ -326,6 +328,25 @@
 	return true
 }
 
+// claimStrays enters what workers have listed of a job before it was known: a former leader may have started it, and its
+// tasks must not start again.
+func (c *Core) claimStrays(j *jobState) {
+	prefix := string(j.id) + "."
+	for _, w := range c.workers {
+		for _, item := range w.strayRuns {
+			if strings.HasPrefix(item.Task, prefix) && w.runs[runKey{item.Task, item.Run}] == nil {
+				c.adopt(w, item)
+			}
+		}
+		for _, e := range w.strayEnds {
+			if strings.HasPrefix(e.Task, prefix) {
+				// The end is read again with its number, and acknowledged, at the next look.
+				c.readEnd(w, e)
+			}
+		}
+	}
+}
+
 // observe enters what a worker reports about a run.
 func (c *Core) observe(r *run, item backend.RunningTask) {
 	if r.phase == phaseStarting {
