Add a fault soak of real node processes

Change: standin/wire serves the stand-ins over the users' protocol; soak starts node processes, hands jobs in and injects SIGKILL, SIGTERM, SIGSTOP and disturbed links (delayed, reset, silent, one way) to the store and to workers, overlapping. It judges by what callers were told and workers saw: accepted jobs complete, refused ones never run, no second run, no capacity exceeded. Clocks and storage: the programs use no wall clock for decisions but start times, and no storage.

--- /dev/null
+++ b/soak/cluster_test.go
@@ -0,0 +1,219 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/standin/backends"
+	"github.com/lentiltide/lentiltide/standin/wire"
+)
+
+const (
+	testHost, testPrefix, testService = "desk.example", "/jobs/", "desk"
+	// taskTime is the duration of a task.
+	taskTime = 400 * time.Millisecond
+)
+
+// cluster is a set of real node processes against stand-ins of the platform in the test process.
+type cluster struct {
+	t       *testing.T
+	dir     string
+	binary  string
+	began   time.Time
+	tables  *backends.Tables
+	workers *backends.Workers
+	nodes   []*nodeProcess
+	// links are the proxies to the workers.
+	links []*proxy
+	http  *http.Client
+}
+
+// nodeProcess is one node process, which may be started several times.
+type nodeProcess struct {
+	name     string
+	settings string
+	callers  string
+	// store is the proxy to the table service.
+	store *proxy
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	stopped bool
+	exited  chan struct{}
+}
+
+// buildNode builds the program under test once for the test process.
+var buildNode = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "lentiltide-soak")
+	if err != nil {
+		return "", err
+	}
+	binary := filepath.Join(dir, "lentiltide-node")
+	out, err := exec.Command("go", "build", "-o", binary, "../cmd/lentiltide-node").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build: %w: %s", err, out)
+	}
+	return binary, nil
+})
+
+func newCluster(t *testing.T, nodes, workers int) *cluster {
+	binary, err := buildNode()
+	assert.NilError(t, err)
+	c := &cluster{t: t, dir: t.TempDir(), binary: binary, began: time.Now(), tables: backends.NewTables(), http: &http.Client{}}
+	each := model.Resources{CPUMilli: 1000, MemoryMiB: 100}
+	c.workers = backends.NewWorkers(func() time.Duration { return time.Since(c.began) }, func(string) backends.Image {
+		return backends.Image{Each: each, Duration: taskTime}
+	})
+	key, value := wire.Config(1, testHost, testPrefix, testService)
+	c.tables.Put(key, value)
+	for i := range workers {
+		c.addWorker(fmt.Sprintf("w%02d", i))
+	}
+	store := c.serve(wire.Tables(c.tables))
+	advice := c.serve(wire.Advisor(&backends.Advisor{Delay: 10 * time.Millisecond, Validity: 2500 * time.Millisecond}))
+	for i := range nodes {
+		n := c.newNode(fmt.Sprintf("n%d", i), store, advice)
+		c.nodes = append(c.nodes, n)
+		c.start(n)
+	}
+	t.Cleanup(c.close)
+	return c
+}
+
+func (c *cluster) serve(handler http.Handler) string {
+	server, address, err := wire.Serve(handler)
+	assert.NilError(c.t, err)
+	c.t.Cleanup(func() { _ = server.Close() })
+	return address
+}
+
+func (c *cluster) addWorker(id string) {
+	info := backend.WorkerInfo{
+		ID: id, Service: testService, Zone: "a", Labels: []string{"k", "r1"}, Born: time.Now().UnixMilli(),
+		Capacity: model.Resources{CPUMilli: 4000, MemoryMiB: 8000},
+	}
+	link := newProxy(c.t, c.serve(wire.Worker(c.workers, id)))
+	c.links = append(c.links, link)
+	info.Address = link.address()
+	c.workers.Add(info)
+	key, value := wire.Entry(info)
+	c.tables.Put(key, value)
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (c *cluster) newNode(name, store, advice string) *nodeProcess {
+	n := &nodeProcess{name: name, callers: freeAddress(c.t), store: newProxy(c.t, store)}
+	data, err := json.Marshal(map[string]any{
+		"instance": name, "region": "r", "zone": "a", "caller_address": n.callers, "ready_address": freeAddress(c.t),
+		"peer_address": freeAddress(c.t), "store_address": n.store.address(), "advice_address": advice,
+		"cpu_share": 0.5, "memory_mb": 256, "max_lease_ms": 6000, "grace_s": 4,
+	})
+	assert.NilError(c.t, err)
+	n.settings = filepath.Join(c.dir, name+".json")
+	assert.NilError(c.t, os.WriteFile(n.settings, data, 0o600))
+	return n
+}
+
+// start starts a node process. Its log is kept when the test fails.
+func (c *cluster) start(n *nodeProcess) {
+	log, err := os.OpenFile(filepath.Join(c.dir, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	assert.NilError(c.t, err)
+	cmd := exec.Command(c.binary, "--settings", n.settings)
+	cmd.Stdout, cmd.Stderr = log, log
+	assert.NilError(c.t, cmd.Start())
+	exited := make(chan struct{})
+	go func() {
+		// The outcome of a killed process is known.
+		_ = cmd.Wait()
+		_ = log.Close()
+		close(exited)
+	}()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cmd, n.exited = cmd, exited
+}
+
+// signal sends a signal to the process of a node.
+func (n *nodeProcess) signal(s syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	// A process that has ended cannot be signalled.
+	_ = n.cmd.Process.Signal(s)
+}
+
+// restart ends a node by a signal, waits until its process is gone and starts it again.
+func (c *cluster) restart(n *nodeProcess, s syscall.Signal, pause time.Duration) {
+	n.mu.Lock()
+	exited := n.exited
+	n.mu.Unlock()
+	n.signal(s)
+	select {
+	case <-exited:
+	case <-time.After(10 * time.Second):
+		c.t.Errorf("node %s did not end after %v", n.name, s)
+		n.signal(syscall.SIGKILL)
+		<-exited
+	}
+	time.Sleep(pause)
+	c.start(n)
+}
+
+func (c *cluster) close() {
+	for _, n := range c.nodes {
+		n.signal(syscall.SIGCONT)
+		n.signal(syscall.SIGKILL)
+		<-n.exited
+	}
+	if !c.t.Failed() {
+		return
+	}
+	keep, err := os.MkdirTemp("", "lentiltide-soak-logs")
+	if err == nil {
+		err = os.CopyFS(keep, os.DirFS(c.dir))
+	}
+	c.t.Logf("logs of the nodes: %s (%v)", keep, err)
+}
+
+// call sends a request about a job to a node and returns the status, 0 for no answer.
+func (c *cluster) call(n *nodeProcess, method, id, body string) (status int, answer string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.callers+testPrefix+id, strings.NewReader(body))
+	if err != nil {
+		return 0, err.Error()
+	}
+	req.Host = testHost
+	req.Header.Set("Remaining-Time", "3000")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(data)
+}
--- a/standin/backends/workers.go
+++ b/standin/backends/workers.go
@@ -169,7 +169,7 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *standWorker) clock(now time.Duration) int64 { return (now-s.bornAt).Milliseconds() + 1 }
+func (s *standWorker) clock(now time.Duration) int64 { return (now - s.bornAt).Milliseconds() + 1 }
 
 // call finds a worker and applies a fault. Callers hold w.mu.
 func (w *Workers) call(ref backend.WorkerRef, order string, token uint64) (*standWorker, backend.Refusal, error) {
