--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -52,10 +52,9 @@
 	// store is the proxy to the table service.
 	store *proxy
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	stopped bool
-	exited  chan struct{}
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
 }
 
 // buildNode builds the program under test once for the test process.
