Read finished jobs without their steps, probe a store that is away with one call at a time

Change: one part at a time is asked, the others when it answers. Jobs with a durable final state are entered without their steps; what still runs of them is stopped and their ends are acknowledged.

--- a/process/node/load.go
+++ b/process/node/load.go
@@ -9,6 +9,7 @@
 	"github.com/lentiltide/lentiltide/backend"
 	"github.com/lentiltide/lentiltide/model/job"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/cell"
 )
 
 // feedWait is the long poll on the tables that a leader follows.
@@ -124,6 +125,10 @@
 	if row.Deleted {
 		return
 	}
+	if state, _ := cell.StoredState(progress.Value); state != "" {
+		t.core.AddFinished(job.ID(row.Key), state, t.node.opts.Now())
+		return
+	}
 	var record job.Record
 	if err := json.Unmarshal(row.Value, &record); err != nil {
 		t.node.opts.Log.WithError(err).WithFields(map[string]any{"event": "job_unreadable", "job": row.Key}).Error("job record cannot be read")
--- a/process/node/status.go
+++ b/process/node/status.go
@@ -42,11 +42,7 @@
 	t := n.term
 	n.mu.Unlock()
 	s.Ready = n.Ready()
-	for _, part := range n.own.partNames() {
-		if n.own.Down(part) {
-			s.DownParts = append(s.DownParts, part)
-		}
-	}
+	s.DownParts = n.own.downParts()
 	if t != nil {
 		s.Epoch = t.epoch
 		s.Members = len(t.memberAddresses(memberTerm))
--- a/process/node/storehealth.go
+++ b/process/node/storehealth.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -241,16 +242,36 @@
 	return err
 }
 
-// probe asks the parts that are down whether they are back, until ctx ends.
+// probe asks whether what is down is back, until ctx ends: one part at a time, since calls are priced also while the store
+// is away, and the others as soon as one answers.
 func (o *observedTables) probe(ctx context.Context) {
 	for pause(ctx, probeEvery) {
-		for _, part := range o.partNames() {
-			if o.Down(part) {
-				// The outcome is noted by Get.
-				go func() { _ = o.probePart(ctx, part) }()
-			}
+		down := o.downParts()
+		if len(down) == 0 {
+			continue
+		}
+		first := down[rand.IntN(len(down))]
+		if o.Silent() {
+			first = cellPart
+		}
+		if o.probePart(ctx, first) != nil {
+			continue
+		}
+		for _, part := range o.downParts() {
+			// The outcome is noted by Get.
+			go func() { _ = o.probePart(ctx, part) }()
+		}
+	}
+}
+
+func (o *observedTables) downParts() []string {
+	var down []string
+	for _, part := range o.partNames() {
+		if o.Down(part) {
+			down = append(down, part)
 		}
 	}
+	return down
 }
 
 func (o *observedTables) partNames() []string {
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -140,6 +140,26 @@
 	c.poke()
 }
 
+// AddFinished adds a job whose final state is durable. Its steps are not needed any more: what may still run of it is
+// stopped, and its ends are acknowledged.
+func (c *Core) AddFinished(id job.ID, state job.State, now Instant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = max(c.now, now)
+	if c.jobs[id] != nil {
+		return
+	}
+	c.jobs[id] = &jobState{
+		id: id, state: state, shown: state, finished: c.now, started: true, occurrences: map[int]*occurrence{},
+	}
+}
+
+// isOver reports whether a task belongs to a job that was added as finished.
+func (c *Core) isOver(name string) bool {
+	n, ok := job.ParseTaskName(name)
+	return ok && c.jobs[n.Job] != nil && c.jobs[n.Job].state.Terminal()
+}
+
 // objectiveOf returns how long a job may take to be on time.
 func objectiveOf(j *jobState) time.Duration {
 	steps := j.record.Spec.Steps
--- a/version/cell/recovery_test.go
+++ b/version/cell/recovery_test.go
@@ -145,3 +145,24 @@
 	assert.Equal(t, len(w.starts), 0)
 	assert.Assert(t, w.core.Superseded())
 }
+
+// Guards against a finished job that is read without its steps and whose leftovers go on, keep their ends, or hide their
+// demand from new starts.
+func TestLeftoversOfFinishedJobs(t *testing.T) {
+	w := newWorld(t, 2)
+	w.core.AddFinished("a", job.Completed, w.now)
+	w.list("w1", nil)
+	left := []backend.RunningTask{{Task: "a.0.0.0", Run: 1}}
+	w.read("w1", left, []backend.EndedTask{w.end("w1", "a.0.0.1", 1, backend.EndDone)})
+	w.store()
+	w.add("b", "plain", 2, tasks(4))
+	w.step()
+	assert.Equal(t, len(w.starts), 0)
+	assert.Equal(t, len(w.stops), 1)
+	assert.Equal(t, w.state("a"), job.Completed)
+	req, _, _ := w.core.PrepareHold("w1", w.now)
+	assert.Equal(t, req.Acked, int64(1))
+	w.read("w1", nil, []backend.EndedTask{w.end("w1", "a.0.0.0", 1, backend.EndStopped)})
+	w.run(time.Second)
+	assert.Equal(t, len(w.starts), 4)
+}
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -283,10 +283,15 @@
 // out after it had counted as lost. Runs that must not go on are stopped.
 func (c *Core) adopt(w *worker, item backend.RunningTask) *run {
 	t := c.find(item.Task)
-	if t == nil && c.awaitsJob(w) {
+	over := t == nil && c.isOver(item.Task)
+	if t == nil && !over && c.awaitsJob(w) {
 		w.strayRuns = append(w.strayRuns, item)
 		return nil
 	}
+	if over {
+		// The demand of the run is not known, so nothing starts on the worker until it has gone.
+		w.blockedUntil = max(w.blockedUntil, c.now+blockAfterFailure)
+	}
 	if t == nil {
 		c.note("unknown_run", "", map[string]any{"task": item.Task, "run": item.Run, "worker": w.info.ID})
 		c.actions = append(c.actions, &StopAction{Order: backend.Order{
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -386,7 +386,7 @@
 		if e.Number <= w.read {
 			continue
 		}
-		if c.find(e.Task) == nil && c.awaitsJob(w) {
+		if c.find(e.Task) == nil && !c.isOver(e.Task) && c.awaitsJob(w) {
 			w.strayEnds = ended[i:]
 			break
 		}
