--- /dev/null
+++ b/bench/cell/cell_test.go
@@ -0,0 +1,150 @@
+package cell
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/model/job"
+	"github.com/lentiltide/lentiltide/version/cell"
+)
+
+// fleet is a core with workers that end every task at the next look.
+type fleet struct {
+	core  *cell.Core
+	now   time.Duration
+	ends  map[string]int64
+	next  int
+	queue job.Queue
+}
+
+// tasksPerJob is the width of a step, as on the users' grown sheets.
+const tasksPerJob = 10
+
+func newFleet(b *testing.B, workers int) *fleet {
+	f := &fleet{now: time.Hour, ends: map[string]int64{}}
+	f.core = cell.New(cell.Options{Epoch: 1, Lease: 6 * time.Second, Retention: time.Second}, f.now)
+	f.queue = job.Queue{
+		Name: "q", Service: "s", MaxAttempts: 3, Stretch: 1.5, ObjectiveMS: 250,
+		Advice: &job.Advice{DecisionMS: 20, PerWorkerMS: 0.3, ValidityMS: 2500},
+	}
+	f.core.SetConfig(job.Config{Version: 1, Queues: []job.Queue{f.queue}})
+	f.core.SetAdvisers([]string{"i1", "i2", "i3", "i4"})
+	for i := range workers {
+		id := fmt.Sprintf("w%04d", i)
+		f.core.SetWorker(backend.WorkerInfo{
+			ID: id, Address: id, Service: "s", Labels: []string{"k", "r"}, Born: 1,
+			Capacity: model.Resources{CPUMilli: 16_000, MemoryMiB: 64_000},
+		}, f.now)
+		f.look(id, nil)
+	}
+	f.store()
+	assert.Equal(b, f.core.UsableWorkers(), workers)
+	return f
+}
+
+func (f *fleet) clockMS() int64 { return f.now.Milliseconds() }
+
+func (f *fleet) look(id string, ended []backend.EndedTask) {
+	f.core.PrepareHold(id, f.now)
+	f.core.HoldResult(id, f.now, backend.HoldReply{Reply: backend.Reply{ClockMS: f.clockMS()}, Born: 1, Ended: ended}, nil, f.now)
+}
+
+func (f *fleet) store() {
+	for {
+		batch := f.core.CollectBatch(80)
+		if batch.Empty() {
+			return
+		}
+		f.core.BatchStored(batch, true, f.now)
+	}
+}
+
+// job runs one job from its acceptance to its end and returns the number of starts.
+func (f *fleet) job() int {
+	f.next++
+	id := job.ID(fmt.Sprintf("%016x", f.next))
+	step := job.Step{Count: tasksPerJob, Each: model.Resources{CPUMilli: 1000, MemoryMiB: 1000}, EstimateMS: 500}
+	f.core.AddJob(id, job.Record{Queue: f.queue, Epoch: 1, Spec: job.Spec{Payload: "p", Steps: []job.Step{step}}}, f.now)
+	started := 0
+	for started < tasksPerJob {
+		f.now += 2 * time.Millisecond
+		ended := map[string][]backend.EndedTask{}
+		for _, action := range f.core.Step(f.now, 0) {
+			switch a := action.(type) {
+			case *cell.AdviseAction:
+				var good []backend.Ticket
+				for _, w := range a.Workers {
+					good = append(good, backend.Ticket{Worker: w, Ticket: "t"})
+				}
+				f.core.AdviceResult(a, good, 2500*time.Millisecond, nil, f.now)
+			case *cell.StartAction:
+				started++
+				f.core.StartResult(a, backend.Reply{ClockMS: f.clockMS()}, nil, f.now)
+				w := a.Order.Worker.ID
+				f.ends[w]++
+				ended[w] = append(ended[w], backend.EndedTask{Number: f.ends[w], Task: a.Order.Task, Run: a.Order.Run, How: backend.EndDone})
+			}
+		}
+		for w, list := range ended {
+			f.now++
+			f.look(w, list)
+		}
+	}
+	f.store()
+	return started
+}
+
+// BenchmarkStart measures the decisions for one start, from the acceptance of its job to the durable end, without network.
+// Every worker is looked at once a second, as an idle one is.
+func BenchmarkStart(b *testing.B) {
+	for _, workers := range []int{50, 350, 970} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			f := newFleet(b, workers)
+			starts := 0
+			lookAt := f.now
+			b.ResetTimer()
+			for starts < b.N {
+				starts += f.job()
+				if f.now > lookAt+time.Second {
+					lookAt = f.now
+					for _, id := range f.core.WorkerIDs() {
+						f.look(id, nil)
+					}
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(starts), "us/start")
+		})
+	}
+}
+
+// BenchmarkState measures the memory of a worker and of a waiting job.
+func BenchmarkState(b *testing.B) {
+	heap := func() float64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	}
+	for range b.N {
+		before := heap()
+		f := newFleet(b, 970)
+		withWorkers := heap()
+		step := job.Step{Count: tasksPerJob, Each: model.Resources{CPUMilli: 1000, MemoryMiB: 1000}, EstimateMS: 500}
+		f.core.SetAdvisers(nil)
+		const jobs = 2000
+		for i := range jobs {
+			id := job.ID(fmt.Sprintf("%016x", i))
+			f.core.AddJob(id, job.Record{Queue: f.queue, Epoch: 1, Spec: job.Spec{Payload: "p", Steps: []job.Step{step}}}, f.now)
+		}
+		withJobs := heap()
+		b.ReportMetric((withWorkers-before)/970, "B/worker")
+		b.ReportMetric((withJobs-withWorkers)/jobs, "B/job")
+		runtime.KeepAlive(f)
+	}
+}
--- /dev/null
+++ b/bench/cell/doc.go
@@ -0,0 +1,2 @@
+// Package cell benchmarks the decisions of a cell's leader.
+package cell
