Keep small instances from leading a cell

Change: instances below 0.3 of a core wait 0.9 s in a takeover, longer than all other delays together, and a small leader resigns when an instance of twice its size has joined.

Measured: TestSmallInstanceGivesWay; go test -count=4 ./process/node passes.

--- a/process/node/cell_test.go
+++ b/process/node/cell_test.go
@@ -35,12 +35,14 @@
 	mu sync.Mutex
 	// cut names the instances that the table service does not answer.
 	cut map[string]backends.Fault
+	// shares are the shares of a core of instances; others have a whole one.
+	shares map[string]float64
 	// away is the part of the table service that answers nobody.
 	away string
 	down map[string]bool
-	// lonely is an instance that reaches no other one.
-	lonely string
-	log    strings.Builder
+	// isolated is an instance that reaches no other one.
+	isolated string
+	log      strings.Builder
 }
 
 type testNode struct {
@@ -55,7 +57,7 @@
 func newTestCell(t *testing.T, instances, workers int) *testCell {
 	c := &testCell{
 		t: t, began: time.Now(), tables: backends.NewTables(), nodes: map[string]*testNode{},
-		images: map[string]backends.Image{}, cut: map[string]backends.Fault{}, down: map[string]bool{},
+		images: map[string]backends.Image{}, cut: map[string]backends.Fault{}, down: map[string]bool{}, shares: map[string]float64{},
 	}
 	c.workers = backends.NewWorkers(c.now, c.image)
 	c.tables.Put(backend.RowKey{Table: "config", Key: "current"}, []byte("1"))
@@ -245,7 +247,7 @@
 	p.c.mu.Lock()
 	defer p.c.mu.Unlock()
 	n := p.c.nodes[address]
-	if n == nil || p.c.down[address] || p.c.down[p.name] || p.c.lonely == address || p.c.lonely == p.name {
+	if n == nil || p.c.down[address] || p.c.down[p.name] || p.c.isolated == address || p.c.isolated == p.name {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "peer %s cannot be reached", address)
 	}
 	return n, nil
@@ -286,7 +288,8 @@
 		Note: func(d cell.Decision) {
 			entry.WithFields(d.Fields).WithField("job", d.Job).WithField("at", c.now()).Info(d.Event)
 		},
-		Lease: 4 * time.Second, StopTimeout: 400 * time.Millisecond, Retention: time.Minute, Now: c.now,
+		CPUShare: c.shareOf(name),
+		Lease:    4 * time.Second, StopTimeout: 400 * time.Millisecond, Retention: time.Minute, Now: c.now,
 	})
 	ctx, cancel := context.WithCancel(c.t.Context())
 	node := &testNode{Node: n, cancel: cancel, done: make(chan struct{})}
@@ -302,6 +305,13 @@
 	}()
 }
 
+func (c *testCell) shareOf(name string) float64 {
+	if share, ok := c.shares[name]; ok {
+		return share
+	}
+	return 1
+}
+
 // lockedWriter writes to a builder under a lock.
 type lockedWriter struct {
 	mu *sync.Mutex
@@ -346,11 +356,11 @@
 	c.cut[name] = fault
 }
 
-// setLonely cuts an instance off from the others.
-func (c *testCell) setLonely(name string) {
+// isolate cuts an instance off from the others.
+func (c *testCell) isolate(name string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lonely = name
+	c.isolated = name
 }
 
 // setAway makes a part of the table service fail for all instances.
--- a/process/node/failover_test.go
+++ b/process/node/failover_test.go
@@ -114,7 +114,7 @@
 			assert.NilError(t, c.submit(c.other(), "a", 5, small(6*time.Second), nil))
 			time.Sleep(500 * time.Millisecond)
 			c.setCut(old, fault)
-			c.setLonely(old)
+			c.isolate(old)
 			time.Sleep(3 * time.Second)
 			assert.Assert(t, c.leader() != old)
 			assert.NilError(t, c.submit(c.nodes[c.leader()], "b", 5, small(time.Second), nil))
@@ -135,7 +135,7 @@
 		old := c.leader()
 		assert.NilError(t, c.submit(c.other(), "a", 5, small(6*time.Second), nil))
 		time.Sleep(500 * time.Millisecond)
-		c.setLonely(old)
+		c.isolate(old)
 		time.Sleep(4 * time.Second)
 		assert.Assert(t, c.leader() != old && c.leader() != "")
 		assert.NilError(t, c.submit(c.nodes[old], "b", 5, small(time.Second), nil))
@@ -359,3 +359,38 @@
 		assert.Equal(t, verdict.From(err).Code, verdict.CodeExpired)
 	})
 }
+
+// Guards against a rolling restart that stops each new leader next: an instance that has just started takes over first.
+func TestRecentlyStartedTakesOverFirst(t *testing.T) {
+	inCell(t, func(t *testing.T, c *testCell) {
+		time.Sleep(2 * recentStart)
+		c.start("recent")
+		time.Sleep(time.Second)
+		c.nodes[c.leader()].Leave(t.Context())
+		time.Sleep(time.Second)
+		assert.Equal(t, c.leader(), "recent")
+	})
+}
+
+// Guards against a small instance that leads a cell which it cannot carry, because it was the first to take over or the
+// only one there.
+func TestSmallInstanceGivesWay(t *testing.T) {
+	inCell(t, func(t *testing.T, c *testCell) {
+		c.shares["small"] = 0.2
+		c.start("small")
+		time.Sleep(time.Second)
+		c.kill(c.leader())
+		time.Sleep(4 * time.Second)
+		assert.Assert(t, c.leader() != "" && c.leader() != "small")
+		for _, name := range []string{"i0", "i1", "i2"} {
+			if !c.down[name] {
+				c.kill(name)
+			}
+		}
+		time.Sleep(6 * time.Second)
+		assert.Equal(t, c.leader(), "small")
+		c.start("i1")
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, c.leader(), "i1")
+	})
+}
--- a/process/node/leadership.go
+++ b/process/node/leadership.go
@@ -54,14 +54,18 @@
 	suspendAfter = 6 * time.Second
 	// readRetry is the time between attempts to reach the table service.
 	readRetry = 150 * time.Millisecond
-	// juniorTime is how long an instance counts as just started; others wait seniorDelay in a takeover.
-	juniorTime  = 20 * time.Second
-	seniorDelay = 120 * time.Millisecond
-	// lonelyDelay keeps an instance back in a takeover that does not reach half of the greeted ones; greetTimeout bounds the
+	// recentStart is how long an instance counts as just started; others wait longRunningDelay in a takeover.
+	recentStart      = 20 * time.Second
+	longRunningDelay = 120 * time.Millisecond
+	// smallShare is the share of a core below which an instance waits smallDelay in a takeover, longer than all other
+	// delays together, and gives way to one that is twice as large.
+	smallShare = 0.3
+	smallDelay = 900 * time.Millisecond
+	// isolatedDelay keeps an instance back in a takeover that does not reach half of the sampledPeers ones; sampleTimeout bounds the
 	// question.
-	lonelyDelay  = 600 * time.Millisecond
-	greetTimeout = 150 * time.Millisecond
-	greeted      = 6
+	isolatedDelay = 600 * time.Millisecond
+	sampleTimeout = 150 * time.Millisecond
+	sampledPeers  = 6
 	// takeoverJitter spreads the instances that try to take over at the same time.
 	takeoverJitter = 60 * time.Millisecond
 )
@@ -239,9 +243,9 @@
 	n.mu.Unlock()
 	restarted := old.row.Instance == n.opts.Instance && !old.row.Resigned
 	if old.version != 0 && !restarted {
-		pause(ctx, n.opts.TakeoverDelay+n.seniorDelay()+jitterOf(n.opts.Instance, old.row.Epoch))
+		pause(ctx, n.opts.TakeoverDelay+n.smallDelay()+n.longRunningDelay()+jitterOf(n.opts.Instance, old.row.Epoch))
 		if !n.reachesMost(ctx) {
-			pause(ctx, lonelyDelay)
+			pause(ctx, isolatedDelay)
 		}
 		// A resignation needs no second look: the takeover is conditional on its version.
 		if !old.row.Resigned && n.changedSince(ctx, old) {
@@ -270,20 +274,28 @@
 	return &term{node: n, epoch: row.Epoch, row: row, rowVersion: version, previous: old.row}
 }
 
-// seniorDelay keeps instances back that have run for long: in a rolling restart, those that have just started are the last
+// smallDelay keeps small instances back, whose processor does not carry the leadership of a large cell.
+func (n *Node) smallDelay() time.Duration {
+	if n.opts.CPUShare >= smallShare {
+		return 0
+	}
+	return smallDelay
+}
+
+// longRunningDelay keeps instances back that have run for long: in a rolling restart, those that have just started are the last
 // to be stopped.
-func (n *Node) seniorDelay() time.Duration {
-	if n.opts.Now()-n.started < juniorTime {
+func (n *Node) longRunningDelay() time.Duration {
+	if n.opts.Now()-n.started < recentStart {
 		return 0
 	}
-	return seniorDelay
+	return longRunningDelay
 }
 
 // reachesMost reports whether at least half of some instances that this one knows answer it.
 func (n *Node) reachesMost(ctx context.Context) bool {
-	asked := n.peersToAsk(greeted)
+	asked := n.peersToAsk(sampledPeers)
 	answers := make(chan bool, len(asked))
-	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
+	ctx, cancel := context.WithTimeout(ctx, sampleTimeout)
 	defer cancel()
 	for _, address := range asked {
 		go func() {
--- a/process/node/term.go
+++ b/process/node/term.go
@@ -40,6 +40,8 @@
 	unusable map[string]struct{}
 	// mostMembers is the largest number of other instances in this term. It is used by the loop of decisions only.
 	mostMembers int
+	// givesWay says that this small leader resigns for a larger instance. It is used by the loop of decisions only.
+	givesWay bool
 
 	// The versions up to which the feeds were read, each used by one loop.
 	jobsAfter, cancelsAfter, workersAfter uint64
@@ -152,7 +154,7 @@
 			return
 		}
 		names := t.advisers()
-		if t.isolated(len(names) - 1) {
+		if t.isolated(len(names)-1) || t.outgrown() {
 			go t.resign(ctx)
 		}
 		t.core.SetAdvisers(names)
@@ -206,6 +208,27 @@
 	return true
 }
 
+// outgrown reports, once, that a small instance leads although a larger one has joined.
+func (t *term) outgrown() bool {
+	share := t.node.opts.CPUShare
+	if share >= smallShare || t.resigning.Load() || t.givesWay {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.node.opts.Now()
+	for name, m := range t.members {
+		if now-m.seen <= memberTerm && m.share >= 2*share {
+			t.givesWay = true
+			t.node.opts.Log.WithFields(map[string]any{
+				"event": "leader_outgrown", "epoch": t.epoch, "share": share, "member": name, "member_share": m.share,
+			}).Info("a larger instance can lead")
+			return true
+		}
+	}
+	return false
+}
+
 // keepMembers is how long the instances of an ended term are remembered as ones to ask.
 const keepMembers = time.Minute
 
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -132,7 +132,7 @@
 	} else {
 		c.open(j, 0)
 	}
-	c.claimStrays(j)
+	c.claimListed(j)
 	if _, early := c.cancelled[id]; early {
 		delete(c.cancelled, id)
 		c.finish(j, job.Cancelled, "cancelled by the caller")
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -285,7 +285,7 @@
 	t := c.find(item.Task)
 	over := t == nil && c.isOver(item.Task)
 	if t == nil && !over && c.awaitsJob(w) {
-		w.strayRuns = append(w.strayRuns, item)
+		w.unclaimedRuns = append(w.unclaimedRuns, item)
 		return nil
 	}
 	if over {
@@ -333,17 +333,17 @@
 	return true
 }
 
-// claimStrays enters what workers have listed of a job before it was known: a former leader may have started it, and its
+// claimListed enters what workers have listed of a job before it was known: a former leader may have started it, and its
 // tasks must not start again.
-func (c *Core) claimStrays(j *jobState) {
+func (c *Core) claimListed(j *jobState) {
 	prefix := string(j.id) + "."
 	for _, w := range c.workers {
-		for _, item := range w.strayRuns {
+		for _, item := range w.unclaimedRuns {
 			if strings.HasPrefix(item.Task, prefix) && w.runs[runKey{item.Task, item.Run}] == nil {
 				c.adopt(w, item)
 			}
 		}
-		for _, e := range w.strayEnds {
+		for _, e := range w.unclaimedEnds {
 			if strings.HasPrefix(e.Task, prefix) {
 				// The end is read again with its number, and acknowledged, at the next look.
 				c.readEnd(w, e)
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -39,9 +39,9 @@
 	// blockedUntil keeps new runs away for a moment after an order failed.
 	blockedUntil Instant
 	health       health
-	// strayRuns and strayEnds are listed by the worker and belong to jobs that are not known yet.
-	strayRuns []backend.RunningTask
-	strayEnds []backend.EndedTask
+	// unclaimedRuns and unclaimedEnds are listed by the worker and belong to jobs that are not known yet.
+	unclaimedRuns []backend.RunningTask
+	unclaimedEnds []backend.EndedTask
 	// unknownSince is when the worker first listed a task of an unknown job.
 	unknownSince Instant
 	// throttled is when a best-effort run was throttled last.
@@ -381,13 +381,13 @@
 
 // readEnds handles the ends that are new.
 func (c *Core) readEnds(w *worker, ended []backend.EndedTask) {
-	w.strayEnds = nil
+	w.unclaimedEnds = nil
 	for i, e := range ended {
 		if e.Number <= w.read {
 			continue
 		}
 		if c.find(e.Task) == nil && !c.isOver(e.Task) && c.awaitsJob(w) {
-			w.strayEnds = ended[i:]
+			w.unclaimedEnds = ended[i:]
 			break
 		}
 		w.read = e.Number
@@ -424,7 +424,7 @@
 
 // readRunning compares the runs that a worker lists with the ledger.
 func (c *Core) readRunning(w *worker, sent Instant, running []backend.RunningTask) {
-	w.strayRuns = nil
+	w.unclaimedRuns = nil
 	listed := make(map[runKey]struct{}, len(running))
 	for _, item := range running {
 		key := runKey{item.Task, item.Run}
