--- a/process/node/term.go
+++ b/process/node/term.go
@@ -40,6 +40,8 @@
 	unusable map[string]struct{}
 	// mostMembers is the largest number of other instances in this term. It is used by the loop of decisions only.
 	mostMembers int
+	// orders has a slot for each start and stop on its way.
+	orders chan struct{}
 	// givesWay says that this small leader resigns for a larger instance. It is used by the loop of decisions only.
 	givesWay bool
 
@@ -66,6 +68,9 @@
 	batchRows = 80
 	// batchPause is the least time between writes of progress, so that several ends share one.
 	batchPause = 12 * time.Millisecond
+	// maxOrders bounds the starts and stops on their way. A backlog that is sent all at once would keep a small processor
+	// busy for longer than an order may take, so that all of them would count as unanswered.
+	maxOrders = 48
 	// memberTerm is how long an instance is used for advice after its last join.
 	memberTerm = 1600 * time.Millisecond
 	// stepPause is the least time between two rounds of decisions.
@@ -80,6 +85,7 @@
 	defer t.end()
 	now := n.opts.Now()
 	t.members = map[string]member{}
+	t.orders = make(chan struct{}, maxOrders)
 	t.resigned = make(chan struct{})
 	t.unusable = map[string]struct{}{}
 	t.storedAt = now
@@ -251,10 +257,15 @@
 	workers := t.node.opts.Workers
 	switch a := action.(type) {
 	case *cell.StartAction:
+		// The wait for a slot is not part of the time that the order may take.
+		t.orders <- struct{}{}
 		reply, err := workers.Start(ctx, a.Order)
+		<-t.orders
 		t.core.StartResult(a, reply, err, t.node.opts.Now())
 	case *cell.StopAction:
+		t.orders <- struct{}{}
 		reply, err := workers.Stop(ctx, a.Order)
+		<-t.orders
 		t.core.StopResult(a, reply, err, t.node.opts.Now())
 	case *cell.LookAction:
 		t.lookOnce(ctx, a.Worker)
