Keep the runs of a leaving worker until its leases lapse

Cause: found by reading: the runs of a draining worker without an entry were given up after its announced time and 0.9 s of silence. The announced time is a minimum, and an entry can be lost while the process goes on, so a task could run twice.

Change: only a listed end, a new life, a confirmed stop or lapsed leases give capacity back.

Measured: the new test failed before (the task moved after 1.5 s) and passes now; tests of version/cell and process/node pass.

--- a/version/cell/recovery_test.go
+++ b/version/cell/recovery_test.go
@@ -166,3 +166,23 @@
 	w.run(time.Second)
 	assert.Equal(t, len(w.starts), 4)
 }
+
+// Guards against a second run of a task on a leaving worker that has lost its entry and its connections, but not its process:
+// it may go on past its announced time, so only its leases end its runs.
+func TestLeavingWorkerKeepsItsRunsUntilTheLeasesLapse(t *testing.T) {
+	w := newWorld(t, 1)
+	w.worker("w1")
+	w.add("a", "plain", 1, tasks(1))
+	w.step()
+	w.read("w1", w.confirm()["w1"], nil)
+	w.worker("w2")
+	w.list("w1", func(info *backend.WorkerInfo) { info.Draining, info.RemainingMS = true, 1500 })
+	w.core.RemoveWorker("w1", w.now)
+	silentSince := w.now
+	for w.now < silentSince+3*testLease && len(w.starts) == 0 {
+		w.read("w2", nil, nil)
+		w.run(100 * time.Millisecond)
+	}
+	assert.Equal(t, len(w.starts), 1)
+	assert.Assert(t, w.now-silentSince >= testLease, "moved after %s", w.now-silentSince)
+}
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -163,13 +163,12 @@
 
 // expireLease drops the runs of a worker that has not answered until every lease on it has lapsed.
 func (c *Core) expireLease(w *worker) {
-	gone := !w.listed && w.info.Draining && c.now > w.leaves && c.now > w.clockAt+goneAfter
-	if !gone && c.now <= c.leaseEnd(w) {
+	if c.now <= c.leaseEnd(w) {
 		return
 	}
 	if len(w.runs) > 0 {
 		c.note("leases_lapsed", "", map[string]any{
-			"worker": w.info.ID, "runs": len(w.runs), "last_answer_ms": (c.now - w.clockAt).Milliseconds(), "gone": gone,
+			"worker": w.info.ID, "runs": len(w.runs), "last_answer_ms": (c.now - w.clockAt).Milliseconds(),
 		})
 		for _, r := range w.runs {
 			c.dropRun(r, "lease lapsed")
@@ -183,12 +182,8 @@
 	}
 }
 
-const (
-	// goneAfter is how long a drained worker without an entry must have been silent to count as gone.
-	goneAfter = 900 * time.Millisecond
-	// forgetWorkerAfter is how long a worker without an entry is kept, since an entry may come back.
-	forgetWorkerAfter = 10 * time.Second
-)
+// forgetWorkerAfter is how long a worker without an entry is kept, since an entry may come back.
+const forgetWorkerAfter = 10 * time.Second
 
 // noteClock enters a stamp of the worker's clock.
 func (c *Core) noteClock(w *worker, stampMS int64) {
