Show completed jobs while the store is silent, and survive a gone log reader

A final state was shown only once its row was stored.

Ruled out: work that waits for the store. Steps go on; the log shows the starts and ends within the outage.

Change: a completed job is shown 200 ms after its last end also without its row. Workers keep ends until they are acknowledged, and they are acknowledged only once stored, so that the next leader finds the job completed too. Failed jobs are still shown when durable, since a lost end would leave an attempt.

Cause (log reader): a write to standard output whose reader is gone ends a Go process by SIGPIPE.

--- a/cmd/lentiltide-node/main.go
+++ b/cmd/lentiltide-node/main.go
@@ -54,6 +54,8 @@
 func main() {
 	var args arguments
 	arg.MustParse(&args)
+	// Without this, a write to standard output whose reader is gone ends the process.
+	signal.Ignore(syscall.SIGPIPE)
 	out := telemetry.NewAsyncWriter(os.Stdout)
 	log := telemetry.NewLogger(out, logrus.InfoLevel)
 	telemetry.AdoptKratosLog(log)
--- a/process/node/callers.go
+++ b/process/node/callers.go
@@ -170,7 +170,7 @@
 // leaderState asks the leader. An empty state says that the leader does not know the job.
 func (n *Node) leaderState(ctx context.Context, id job.ID) (job.State, error) {
 	if t := n.loadedTerm(); t != nil {
-		state, _ := t.core.State(id)
+		state, _ := t.core.State(id, n.opts.Now())
 		return state, nil
 	}
 	address, _ := n.leaderAddress()
--- a/process/node/peers.go
+++ b/process/node/peers.go
@@ -146,7 +146,7 @@
 	case *peerpb.Request_JobStored:
 		t.stored(job.ID(body.JobStored.GetJob()), body.JobStored.GetRecord())
 	case *peerpb.Request_JobStatus:
-		state, _ := t.core.State(job.ID(body.JobStatus.GetJob()))
+		state, _ := t.core.State(job.ID(body.JobStatus.GetJob()), n.opts.Now())
 		reply.Body = &peerpb.Reply_JobStatus{JobStatus: &peerpb.JobStatusReply{State: string(state)}}
 	default:
 		return verdict.New(verdict.NotRun, verdict.CodeInvalid, "unknown request")
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -139,6 +139,11 @@
 func (c *cluster) start(n *nodeProcess) {
 	log, err := os.OpenFile(filepath.Join(c.dir, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	assert.NilError(c.t, err)
+	c.startWith(n, log)
+}
+
+// startWith starts a node process that writes its log to a file, which is closed when the process ends.
+func (c *cluster) startWith(n *nodeProcess, log *os.File) {
 	cmd := exec.Command(c.binary, "--settings", n.settings)
 	cmd.Stdout, cmd.Stderr = log, log
 	assert.NilError(c.t, cmd.Start())
--- a/standin/backends/workers.go
+++ b/standin/backends/workers.go
@@ -125,6 +125,13 @@
 	return w.done[task]
 }
 
+// Acknowledged reports whether the end of a task that is done was acknowledged, so that its worker has forgotten it.
+func (w *Workers) Acknowledged(task string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.noted[task]
+}
+
 // RunningOn returns the ids of the workers on which a task runs.
 func (w *Workers) RunningOn(task string) []string {
 	w.mu.Lock()
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -383,8 +383,14 @@
 	}
 }
 
-// State returns the state of a job that may be shown, and whether the job is known.
-func (c *Core) State(id job.ID) (job.State, bool) {
+// unstoredDelay is how long a completed job waits for its progress to become durable before it is shown as completed. It
+// exceeds a write to the store, so that only an outage of the store makes a difference.
+const unstoredDelay = 200 * time.Millisecond
+
+// State returns the state of a job that may be shown, and whether the job is known. A completed job is shown without its
+// durable progress when the store does not answer: workers keep the ends of its tasks until they are acknowledged, so that
+// the next leader finds the job completed too.
+func (c *Core) State(id job.ID, now Instant) (job.State, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	j := c.jobs[id]
@@ -394,6 +400,9 @@
 	if j.shown.Terminal() {
 		return j.shown, true
 	}
+	if j.state == job.Completed && now >= j.finished+unstoredDelay {
+		return j.state, true
+	}
 	if j.started {
 		return job.Running, true
 	}
