Withdraw starts that are not wanted any more, and apply the limit on bodies

A start that waits for its turn behind others was sent although its task was done or cancelled meanwhile, or the leadership suspended. The leader now asks the core when the turn comes; TestStartIsWithdrawnWhenNotWanted.

--- a/process/node/callers.go
+++ b/process/node/callers.go
@@ -239,6 +239,13 @@
 	return !n.leaving.Load() && n.config.Version != 0 && n.opts.Now()-n.configAt < configAge
 }
 
+// MaxBodyBytes implements the limit of the callers' interface.
+func (n *Node) MaxBodyBytes() int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.config.MaxBodyBytes
+}
+
 // logAnswer logs what was decided about a caller's request.
 func (n *Node) logAnswer(event string, id job.ID, began cell.Instant, err error, fields map[string]any) {
 	n.answered(event, err, began)
--- a/process/node/term.go
+++ b/process/node/term.go
@@ -208,11 +208,7 @@
 	workers := t.node.opts.Workers
 	switch a := action.(type) {
 	case *cell.StartAction:
-		// The wait for a slot is not part of the time that the order may take.
-		release := t.takeSlot()
-		reply, err := workers.Start(ctx, a.Order)
-		release()
-		t.core.StartResult(a, reply, err, t.node.opts.Now())
+		t.start(ctx, a)
 	case *cell.StopAction:
 		release := t.takeSlot()
 		reply, err := workers.Stop(ctx, a.Order)
@@ -237,6 +233,19 @@
 	}
 }
 
+// start sends a start unless it is not wanted any more when its turn comes. The wait for a slot is not part of the time that
+// the order may take.
+func (t *term) start(ctx context.Context, a *cell.StartAction) {
+	release := t.takeSlot()
+	defer release()
+	if !t.core.Wanted(a) {
+		t.core.StartWithdrawn(a, t.node.opts.Now())
+		return
+	}
+	reply, err := t.node.opts.Workers.Start(ctx, a.Order)
+	t.core.StartResult(a, reply, err, t.node.opts.Now())
+}
+
 // takeSlot waits for a slot of an order and returns the function that frees it. The slot is free after slotTerm at the
 // latest, so that orders to silent workers do not hold up those to the others.
 func (t *term) takeSlot() (release func()) {
--- a/process/telemetry/metrics.go
+++ b/process/telemetry/metrics.go
@@ -2,16 +2,10 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.opentelemetry.io/otel/attribute"
-	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
-	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
 
 	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/request/verdict"
@@ -26,9 +20,8 @@
 // Metrics are the metrics of one instance. Each has a registry of its own, so that several instances of one process do
 // not mix.
 type Metrics struct {
-	provider *sdkmetric.MeterProvider
-	registry *prometheus.Registry
-	gauges   *gauges
+	*registry
+	gauges *gauges
 
 	requests    metric.Int64Counter
 	requestTime metric.Float64Histogram
@@ -43,13 +36,12 @@
 
 // NewMetrics returns the metrics of an instance.
 func NewMetrics() (*Metrics, error) {
-	registry := prometheus.NewRegistry()
-	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(registry), otelprometheus.WithoutScopeInfo(), otelprometheus.WithoutTargetInfo())
+	registry, err := newRegistry()
 	if err != nil {
-		return nil, errors.Wrap(err, "metrics exporter")
+		return nil, err
 	}
-	m := &Metrics{provider: sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter)), registry: registry}
-	b := &builder{meter: m.provider.Meter("github.com/lentiltide/lentiltide")}
+	m := &Metrics{registry: registry}
+	b := &builder{meter: registry.meter}
 	m.requests = b.counter("lentiltide.requests", "Requests answered, by class, operation, verdict and code.")
 	m.requestTime = b.seconds("lentiltide.request.duration", "Time from a request to its answer, by operation.")
 	m.forwards = b.counter("lentiltide.forwards", "Requests sent to the owner of their partition, by operation and verdict.")
@@ -63,14 +55,6 @@
 	return m, b.err
 }
 
-// Handler serves the metrics in the Prometheus text format.
-func (m *Metrics) Handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
-}
-
-// Close ends the recording of metrics.
-func (m *Metrics) Close() { _ = m.provider.Shutdown(context.Background()) }
-
 // builder creates instruments and keeps the first error.
 type builder struct {
 	meter metric.Meter
--- a/process/telemetry/node.go
+++ b/process/telemetry/node.go
@@ -2,15 +2,10 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
-	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
-	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
 
 	"github.com/lentiltide/lentiltide/backend"
 	"github.com/lentiltide/lentiltide/model/job"
@@ -21,8 +16,7 @@
 
 // NodeMetrics are the metrics of one instance of a cell.
 type NodeMetrics struct {
-	registry   *prometheus.Registry
-	meter      metric.Meter
+	*registry
 	decisions  metric.Int64Counter
 	startWait  metric.Float64Histogram
 	jobTime    metric.Float64Histogram
@@ -35,13 +29,11 @@
 
 // NewNodeMetrics returns the metrics of an instance, in a registry of their own.
 func NewNodeMetrics() (*NodeMetrics, error) {
-	registry := prometheus.NewRegistry()
-	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(registry), otelprometheus.WithoutScopeInfo(), otelprometheus.WithoutTargetInfo())
+	registry, err := newRegistry()
 	if err != nil {
-		return nil, errors.Wrap(err, "metrics exporter")
+		return nil, err
 	}
-	provider := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter))
-	m := &NodeMetrics{registry: registry, meter: provider.Meter("github.com/lentiltide/lentiltide/node")}
+	m := &NodeMetrics{registry: registry}
 	b := &builder{meter: m.meter}
 	m.decisions = b.counter("lentiltide.decisions", "Decisions of the leader, by event; see the table of events in the documentation.")
 	m.startWait = b.seconds("lentiltide.start.wait", "Time for which a task waited for its start.")
@@ -54,11 +46,6 @@
 	return m, b.err
 }
 
-// Handler serves the metrics in the Prometheus text format.
-func (m *NodeMetrics) Handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
-}
-
 // Watch reads the gauges from the instance and the log writer whenever the metrics are read.
 func (m *NodeMetrics) Watch(status func() node.Status, dropped func() uint64) error {
 	b := &builder{meter: m.meter}
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -102,6 +102,24 @@
 	})
 }
 
+// Wanted reports whether a start may still be sent. One that waited may belong to a task that is done, cancelled or stopped
+// meanwhile, or to a leadership that is in doubt.
+func (c *Core) Wanted(a *StartAction) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !a.run.dropped && a.run.phase == phaseStarting && !c.suspended && !c.superseded
+}
+
+// StartWithdrawn enters a start that was not sent.
+func (c *Core) StartWithdrawn(a *StartAction, now Instant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = max(c.now, now)
+	if !a.run.dropped {
+		c.startFailed(a.run, "not wanted any more", nil)
+	}
+}
+
 // StartResult enters the answer to a start.
 func (c *Core) StartResult(a *StartAction, reply backend.Reply, err error, now Instant) {
 	c.mu.Lock()
--- a/version/cell/runs_test.go
+++ b/version/cell/runs_test.go
@@ -294,3 +294,29 @@
 	req, _, _ := w.core.PrepareHold("w1", w.now)
 	assert.Assert(t, req.Wait > 400*time.Millisecond && req.Wait < 700*time.Millisecond, "%s", req.Wait)
 }
+
+// Guards against starts that wait for their turn and are sent after their task was cancelled, or by a leader in doubt.
+func TestStartIsWithdrawnWhenNotWanted(t *testing.T) {
+	w := newWorld(t, 1)
+	w.worker("w1")
+	w.add("a", "plain", 1, tasks(1))
+	w.add("b", "plain", 1, tasks(1))
+	w.step()
+	assert.Equal(t, len(w.starts), 2)
+	cancelled, kept := w.starts[0], w.starts[1]
+	w.core.CancelJob(job.ID("a"), w.now)
+	if cancelled.Order.Task != "a.0.0.0" {
+		cancelled, kept = kept, cancelled
+	}
+	assert.Assert(t, !w.core.Wanted(cancelled))
+	assert.Assert(t, w.core.Wanted(kept))
+	w.core.Suspend(true)
+	assert.Assert(t, !w.core.Wanted(kept))
+	w.core.StartWithdrawn(cancelled, w.now)
+	w.core.StartWithdrawn(kept, w.now)
+	w.core.Suspend(false)
+	w.starts = nil
+	w.run(100 * time.Millisecond)
+	assert.Equal(t, len(w.starts), 1)
+	assert.Equal(t, w.starts[0].Order.Task, "b.0.0.0")
+}
