--- a/process/node/inserts.go
+++ b/process/node/inserts.go
@@ -15,7 +15,7 @@
 const (
 	// partCount is the number of parts over which jobs and cancellations are spread. A part takes one transaction at a time,
 	// and a slow store 0.2 s for each.
-	partCount = 32
+	partCount = 64
 	// insertBatch bounds the rows of one transaction, each of which takes two entries of the service's 100.
 	insertBatch = 40
 	// insertBytes bounds the values of one transaction, well below the service's limit of 1 MB in base64.
--- a/process/node/storehealth.go
+++ b/process/node/storehealth.go
@@ -36,7 +36,8 @@
 type observedTables struct {
 	backend.Tables
 	now func() cell.Instant
-	// changed is called without mu when a part is lost or regained.
+	// changed is called without mu when a part is lost or regained while others answer, and with allParts when the service
+	// as a whole is.
 	changed func(part string, down bool, cause string)
 
 	mu    sync.Mutex
@@ -47,8 +48,13 @@
 	// slowest is the longest recent time of an answer, seen at slowestAt.
 	slowest   time.Duration
 	slowestAt cell.Instant
+	// toldSilent is whether the service as a whole was last told to be lost.
+	toldSilent bool
 }
 
+// allParts stands for the service as a whole where parts are named.
+const allParts = "(all)"
+
 // partHealth is what was seen of one part.
 type partHealth struct {
 	pending map[uint64]cell.Instant
@@ -56,7 +62,8 @@
 	// failing is when the present series of failures began, 0 if the last call was answered.
 	failing   cell.Instant
 	lastError string
-	down      bool
+	// told is whether the part was last told to be lost.
+	told bool
 }
 
 func observeTables(tables backend.Tables, now func() cell.Instant, changed func(part string, down bool, cause string)) *observedTables {
@@ -165,24 +172,43 @@
 func (o *observedTables) Down(part string) bool {
 	o.mu.Lock()
 	p := o.part(part)
-	now := o.now()
-	down := o.silent()
-	down = down || (p.failing != 0 && now-p.failing > failingAfter)
-	for _, began := range p.pending {
-		if now-began > o.patience() && p.success < began {
-			down = true
-		}
+	silent := o.silent()
+	since := o.downSince(p)
+	down := silent || since != 0
+	silentChanged := silent != o.toldSilent
+	o.toldSilent = silent
+	// A part is told as lost only if another one has answered meanwhile; otherwise the service as a whole may be away.
+	lost := down && !silent && o.answered > since
+	partChanged := lost != p.told && (lost || !down)
+	if partChanged {
+		p.told = lost
 	}
-	changed := down != p.down
-	p.down = down
 	cause := p.lastError
 	o.mu.Unlock()
-	if changed {
-		o.changed(part, down, cause)
+	if silentChanged {
+		o.changed(allParts, silent, cause)
+	}
+	if partChanged {
+		o.changed(part, lost, cause)
 	}
 	return down
 }
 
+// downSince returns since when a part has not answered long enough to count as down, 0 if it counts as up. Callers hold o.mu.
+func (o *observedTables) downSince(p *partHealth) cell.Instant {
+	now := o.now()
+	if p.failing != 0 && now-p.failing > failingAfter {
+		return p.failing
+	}
+	since := cell.Instant(0)
+	for _, began := range p.pending {
+		if now-began > o.patience() && p.success < began && (since == 0 || began < since) {
+			since = began
+		}
+	}
+	return since
+}
+
 // Silent reports whether the service as a whole has not answered for a while although it was asked.
 func (o *observedTables) Silent() bool {
 	o.mu.Lock()
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -208,6 +208,7 @@
 		c.checkRuns(w)
 		c.startCopies(w)
 	}
+	c.preempt()
 	c.driveWaves()
 	c.giveUpMissing()
 	c.closeRecovery()
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -59,6 +59,8 @@
 	gangSaved string
 	// observed is the duration of the first task that was done, 0 if none was.
 	observed time.Duration
+	// preemptAt is when tasks of others may be stopped for the step again.
+	preemptAt Instant
 }
 
 // task is one task of a step.
@@ -78,6 +80,8 @@
 	blamed  *worker
 	waiting bool
 	since   Instant
+	// preempted counts how often the task was stopped for a more urgent one.
+	preempted int
 }
 
 func stepName(id job.ID, occurrence, index int) string {
--- a/version/cell/place.go
+++ b/version/cell/place.go
@@ -121,10 +121,21 @@
 
 // eligible reports whether a task of a step may start on a worker now, apart from placement advice.
 func (c *Core) eligible(w *worker, s *step, t *task) bool {
+	if !c.usable(w, s, t) {
+		return false
+	}
+	if s.spec.BestEffort && !c.leavesEnough(w, s) {
+		return false
+	}
+	return w.fits(s.spec.Each, s.spec.BestEffort)
+}
+
+// usable reports whether a task of a step may start on a worker if it has room.
+func (c *Core) usable(w *worker, s *step, t *task) bool {
 	if !w.listed || !w.known || !w.isRecorded() || w.info.Draining || w.cordoned || c.now < w.blockedUntil || c.now < w.health.suspectUntil {
 		return false
 	}
-	if w.info.Service != s.job.queue.Service || c.now > w.clockAt+maxStampAge {
+	if w.info.Service != s.job.queue.Service || c.now > w.clockAt+maxStampAge || w.keeps(s, c.now) {
 		return false
 	}
 	if s.spec.RequiredLabel != "" && !w.hasLabel(s.spec.RequiredLabel) {
@@ -138,10 +149,7 @@
 			return false
 		}
 	}
-	if s.spec.BestEffort && !c.leavesEnough(w, s) {
-		return false
-	}
-	return w.fits(s.spec.Each, s.spec.BestEffort)
+	return true
 }
 
 const (
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -47,6 +47,9 @@
 	unknownSince Instant
 	// throttled is when a best-effort run was throttled last.
 	throttled Instant
+	// keptFor and keptUntil keep the room for queues of this priority or a higher one, after tasks were stopped for it.
+	keptFor   int
+	keptUntil Instant
 	// cordoned keeps new runs away before a maintenance of the machine.
 	cordoned   bool
 	drainingAt Instant
