--- a/cmd/lentiltide-node/main.go
+++ b/cmd/lentiltide-node/main.go
@@ -47,6 +47,8 @@
 	drainTime = 2500 * time.Millisecond
 	// logFlush bounds the writing of the last log lines.
 	logFlush = 200 * time.Millisecond
+	// headerTimeout bounds how long a connection may take to send the headers of a request.
+	headerTimeout = 5 * time.Second
 	// takeoverSpan is by how much the smallest instance stays behind the largest one in a takeover.
 	takeoverSpan = 200 * time.Millisecond
 )
@@ -173,9 +175,10 @@
 	return in, nil
 }
 
-// serve adds an HTTP server. Handlers bound their own time, so the server sets none.
+// serve adds an HTTP server. Handlers bound their own time, so the server bounds that of the headers only.
 func (in *instance) serve(address string, handler http.Handler) {
 	server := khttp.NewServer(khttp.Address(address), khttp.Timeout(0))
+	server.ReadHeaderTimeout = headerTimeout
 	server.HandlePrefix("/", handler)
 	in.servers = append(in.servers, server)
 }
