--- a/model/resources.go
+++ b/model/resources.go
@@ -58,6 +58,29 @@
 	return r.CPUMilli == 0 && r.MemoryMiB == 0 && r.Accelerators == 0 && r.Slots == 0 && r.Connections == 0
 }
 
+// Max returns the larger amount of each field. The accelerator type is that of r unless r has none.
+func (r Resources) Max(other Resources) Resources {
+	if r.AcceleratorType == "" {
+		r.AcceleratorType = other.AcceleratorType
+	}
+	r.CPUMilli = max(r.CPUMilli, other.CPUMilli)
+	r.MemoryMiB = max(r.MemoryMiB, other.MemoryMiB)
+	r.Accelerators = max(r.Accelerators, other.Accelerators)
+	r.Slots = max(r.Slots, other.Slots)
+	r.Connections = max(r.Connections, other.Connections)
+	return r
+}
+
+// Min returns the smaller amount of each field, with the accelerator type of r.
+func (r Resources) Min(other Resources) Resources {
+	r.CPUMilli = min(r.CPUMilli, other.CPUMilli)
+	r.MemoryMiB = min(r.MemoryMiB, other.MemoryMiB)
+	r.Accelerators = min(r.Accelerators, other.Accelerators)
+	r.Slots = min(r.Slots, other.Slots)
+	r.Connections = min(r.Connections, other.Connections)
+	return r
+}
+
 // Negative reports whether any field is below zero.
 func (r Resources) Negative() bool {
 	return r.CPUMilli < 0 || r.MemoryMiB < 0 || r.Accelerators < 0 || r.Slots < 0 || r.Connections < 0
--- a/version/intent/core.go
+++ b/version/intent/core.go
@@ -234,7 +234,7 @@
 		return task
 	}
 	task.RunTimeMS = max(task.RunTimeMS, t.intent.observedMS)
-	task.Each = larger(task.Each, t.intent.observed)
+	task.Each = task.Each.Max(t.intent.observed)
 	if d := t.intent.intent.Spec.Deadline; !d.IsZero() {
 		task.LatestStart = d.Add(-time.Duration(task.RunTimeMS) * time.Millisecond)
 	}
@@ -246,22 +246,12 @@
 	if st == nil {
 		return
 	}
-	st.observed = larger(st.observed, out.Used)
+	st.observed = st.observed.Max(out.Used)
 	if out.State == model.OutcomeFinished && !t.task.Kind.Restarts() {
 		st.observedMS = max(st.observedMS, out.RanMS)
 	}
 }
 
-// larger returns the larger of each field. The accelerator type of a is kept.
-func larger(a, b model.Resources) model.Resources {
-	a.CPUMilli = max(a.CPUMilli, b.CPUMilli)
-	a.MemoryMiB = max(a.MemoryMiB, b.MemoryMiB)
-	a.Accelerators = max(a.Accelerators, b.Accelerators)
-	a.Slots = max(a.Slots, b.Slots)
-	a.Connections = max(a.Connections, b.Connections)
-	return a
-}
-
 // Tick offers waiting tasks again, starts due runs, goes on with gangs, takes borrowed capacity back and drops what is
 // past its retention. Its cost follows what is due, not the number of tasks.
 func (c *Core) Tick(now time.Time) []Effect {
--- a/version/intent/kinds_test.go
+++ b/version/intent/kinds_test.go
@@ -77,157 +77,18 @@
 
 // TestNothingIsGrantedToReplacedRack guards against a task that stays granted for ever: a late claim or hold of an earlier
 // rack owner was granted after the later owner's inventory had been entered.
-func TestNothingIsGrantedToReplacedRack(t *testing.T) {
-	c := newCore(views(1, 1, 8))
-	c.Confirmed(testNow, confirmed("i3-a", model.IntentSpec{Kind: model.KindBatch, Tasks: 1}))
-	effects := c.Confirmed(testNow, confirmed("i3-g", model.IntentSpec{Kind: model.KindGang, Tasks: 1}))
-	hold := effects[0].(HoldTasks)
-	effects = c.HoldAnswered(testNow, "i3-g", hold.Hold, "rack-0", 1, []model.Placement{{Task: hold.Tasks[0].ID, Rack: "rack-0"}})
-	assert.Equal(t, count[CommitGang](effects), 1)
-	c.RackReplaced(testNow, "rack-0", 2, nil)
-	assert.Equal(t, count[StartHeld](c.GangCommitted(testNow, "i3-g", hold.Hold, true)), 0)
-	_, granted := c.Claim(testNow, "i3-a/0.0", "rack-0", 1)
-	assert.Assert(t, !granted)
-	_, granted = c.Claim(testNow, "i3-a/0.0", "rack-0", 2)
-	assert.Assert(t, granted)
-}
-
 // TestPartlyChargedGangStartsAgain guards against a gang that waits for ever: after a takeover only the members that ran
 // were charged to the quota, and the gang was never admitted as a whole.
-func TestPartlyChargedGangStartsAgain(t *testing.T) {
-	c := New(3, 2, DefaultPolicy())
-	c.SetRacks(testNow, views(2, 1, 8))
-	in := confirmed("i3-g", model.IntentSpec{Kind: model.KindGang, Tasks: 2})
-	c.Restore(testNow, in, nil)
-	token := model.StartToken{Partition: 3, Epoch: 1, Sequence: 1}
-	c.Known(testNow, "rack-0", 1, NewTask(in, 3, 0, 0, testNow), token, "w")
-	effects, _ := c.RacksAnswered(testNow)
-	assert.Equal(t, count[StopTask](effects), 1)
-	ended(t, c, testNow, "i3-g/0.0", model.OutcomeStopped, "w")
-	effects = c.Tick(testNow.Add(time.Minute))
-	assert.Equal(t, count[HoldTasks](effects), 1)
-	assert.Equal(t, len(effects[0].(HoldTasks).Tasks), 2)
-}
-
 // TestGangRestartsAsAWhole guards against a gang of which a part goes on after a member was lost, and against a second run
 // of a finished member.
-func TestGangRestartsAsAWhole(t *testing.T) {
-	c := newCore(views(1, 1, 8))
-	effects := c.Confirmed(testNow, confirmed("i3-g", model.IntentSpec{Kind: model.KindGang, Tasks: 3}))
-	hold := effects[0].(HoldTasks)
-	var placed []model.Placement
-	for _, task := range hold.Tasks {
-		placed = append(placed, model.Placement{Task: task.ID, Rack: "rack-0"})
-	}
-	c.HoldAnswered(testNow, "i3-g", hold.Hold, "rack-0", 1, placed)
-	effects = c.GangCommitted(testNow, "i3-g", hold.Hold, true)
-	assert.Equal(t, len(effects[0].(StartHeld).Tasks), 3)
-	for i := range 3 {
-		id := model.NewTaskID("i3-g", 0, i)
-		c.Started(testNow, id, c.tasks[id].token, "w")
-	}
-	_, final := ended(t, c, testNow, "i3-g/0.0", model.OutcomeFinished, "w")
-	assert.Assert(t, final)
-	effects, final = ended(t, c, testNow, "i3-g/0.1", model.OutcomeLapsed, "w")
-	assert.Assert(t, !final)
-	assert.Equal(t, count[StopTask](effects), 1)
-	assert.Equal(t, count[HoldTasks](c.Tick(testNow.Add(time.Minute))), 0)
-	ended(t, c, testNow, "i3-g/0.2", model.OutcomeStopped, "w")
-	effects = c.Tick(testNow.Add(2 * time.Minute))
-	assert.Equal(t, len(effects[0].(HoldTasks).Tasks), 2)
-}
-
 // TestFailedGangIsRecordedWhole guards against a later owner that starts a part of a gang of which one member failed.
-func TestFailedGangIsRecordedWhole(t *testing.T) {
-	c := newCore(views(1, 1, 8))
-	c.policy.MaxAttempts = 1
-	effects := c.Confirmed(testNow, confirmed("i3-g", model.IntentSpec{Kind: model.KindGang, Tasks: 2}))
-	hold := effects[0].(HoldTasks)
-	c.HoldAnswered(testNow, "i3-g", hold.Hold, "rack-0", 1, []model.Placement{{Task: "i3-g/0.0"}, {Task: "i3-g/0.1"}})
-	c.GangCommitted(testNow, "i3-g", hold.Hold, true)
-	// The first member did not start, so it waits when the second fails for good.
-	ended(t, c, testNow, "i3-g/0.0", model.OutcomeNotStarted, "w")
-	effects, final := ended(t, c, testNow, "i3-g/0.1", model.OutcomeFailed, "w")
-	assert.Assert(t, final)
-	recorded := 0
-	for _, e := range effects {
-		if end, ok := e.(TaskEnded); ok && end.Record {
-			recorded++
-		}
-	}
-	assert.Equal(t, recorded, 1)
-	in, _ := c.Intent("i3-g")
-	assert.Equal(t, in.State, model.IntentDone)
-}
-
 // TestOldestGangKeepsItsHolds guards against livelock: of two gangs that each hold a part, the older keeps it and the
 // younger, of this or another partition, gives way.
-func TestOldestGangKeepsItsHolds(t *testing.T) {
-	for name, other := range map[string]GangAge{
-		"older": {Since: testNow.Add(-time.Second), Intent: "i9-o"}, "younger": {Since: testNow.Add(time.Second), Intent: "i9-y"},
-	} {
-		c := newCore(views(1, 1, 8))
-		c.SetOlderGang(other)
-		effects := c.Confirmed(testNow, confirmed("i3-g", model.IntentSpec{Kind: model.KindGang, Tasks: 2}))
-		hold := effects[0].(HoldTasks)
-		effects = c.HoldAnswered(testNow, "i3-g", hold.Hold, "rack-0", 1, []model.Placement{{Task: "i3-g/0.0"}})
-		if name == "older" {
-			assert.Equal(t, count[ReleaseHold](effects), 1)
-			continue
-		}
-		assert.Equal(t, count[ReleaseHold](effects), 0)
-		effects = c.Tick(testNow.Add(c.policy.HoldTerm / 3))
-		assert.Equal(t, effects[0].(HoldTasks).Hold, hold.Hold)
-		assert.Equal(t, len(effects[0].(HoldTasks).Tasks), 2)
-	}
-}
-
 // TestLateCommitStartsNothing guards against a gang that is started after its holds may have expired.
-func TestLateCommitStartsNothing(t *testing.T) {
-	c := newCore(views(1, 1, 8))
-	effects := c.Confirmed(testNow, confirmed("i3-g", model.IntentSpec{Kind: model.KindGang, Tasks: 1}))
-	hold := effects[0].(HoldTasks)
-	c.HoldAnswered(testNow, "i3-g", hold.Hold, "rack-0", 1, []model.Placement{{Task: "i3-g/0.0"}})
-	effects = c.GangCommitted(testNow.Add(c.policy.HoldTerm), "i3-g", hold.Hold, true)
-	assert.Equal(t, count[StartHeld](effects), 0)
-	assert.Equal(t, count[ReleaseHold](effects), 1)
-}
-
 // TestListOfEarlierStartIsIgnored guards against a task that is taken back to an earlier start, which a slow rack lists after
 // the task was granted again.
-func TestListOfEarlierStartIsIgnored(t *testing.T) {
-	c := New(3, 2, DefaultPolicy())
-	in := confirmed("i3-b", model.IntentSpec{Kind: model.KindBatch, Tasks: 1})
-	c.Restore(testNow, in, nil)
-	c.RacksAnswered(testNow)
-	token := started(t, c, testNow, "i3-b/0.0", "rack-0")
-	c.Known(testNow, "rack-1", 1, NewTask(in, 3, 0, 0, testNow), model.StartToken{Partition: 3, Epoch: 1, Sequence: 1}, "w")
-	assert.Equal(t, c.tasks["i3-b/0.0"].token, token)
-	assert.Equal(t, c.tasks["i3-b/0.0"].rack, "rack-0")
-}
-
 // TestReservedGangStartsEverywhere guards against a gang that starts in part: a rack that was asked in an earlier pass only
 // was left out of the start.
-func TestReservedGangStartsEverywhere(t *testing.T) {
-	racks := views(2, 1, 1)
-	racks[1].Largest, racks[1].Free = model.Resources{}, model.Resources{}
-	c := newCore(racks)
-	effects := c.Confirmed(testNow, confirmed("i3-g", model.IntentSpec{Kind: model.KindGang, Tasks: 2, Each: model.Resources{CPUMilli: 1000}}))
-	hold := effects[0].(HoldTasks)
-	assert.Equal(t, hold.Rack, "rack-0")
-	c.HoldAnswered(testNow, "i3-g", hold.Hold, "rack-0", 1, []model.Placement{{Task: "i3-g/0.0"}})
-	// Now the other rack has room and the first has none.
-	racks = views(2, 1, 1)
-	racks[0].Largest, racks[0].Free = model.Resources{}, model.Resources{}
-	c.SetRacks(testNow, racks)
-	effects = c.Tick(testNow.Add(c.policy.ReserveRetry))
-	assert.Equal(t, effects[0].(HoldTasks).Rack, "rack-1")
-	effects = c.HoldAnswered(testNow, "i3-g", hold.Hold, "rack-1", 1, []model.Placement{{Task: "i3-g/0.1"}})
-	assert.Equal(t, count[CommitGang](effects), 1)
-	effects = c.GangCommitted(testNow.Add(time.Second), "i3-g", hold.Hold, true)
-	assert.Equal(t, count[StartHeld](effects), 2)
-}
-
 // TestRecurringRuns guards against a period with two runs, overlapping runs, and runs made up for periods that passed.
 func TestRecurringRuns(t *testing.T) {
 	c := newCore(views(1, 1, 8))
@@ -368,72 +229,11 @@
 }
 
 // TestOffersAreBoundedAndBatched guards against a flood of offers by thousands of waiting tasks.
-func TestOffersAreBoundedAndBatched(t *testing.T) {
-	c := newCore(views(10, 2, 8))
-	first := c.Confirmed(testNow, confirmed("i3-b", model.IntentSpec{Kind: model.KindBatch, Tasks: 10_000}))
-	assert.Equal(t, len(offered(first)), 10_000)
-	assert.Assert(t, count[OfferTasks](first) <= 10_000/c.policy.OfferBatch+10)
-	repeated := 0
-	for i := range 20 {
-		repeated += len(offered(c.Tick(testNow.Add(10*time.Second + time.Duration(i)*500*time.Millisecond))))
-	}
-	// Ten seconds at the rate, and one second's worth that had been saved up.
-	assert.Assert(t, repeated <= int(11*c.policy.ReoffersPerSecond), "%d repeated offers", repeated)
-	assert.Assert(t, repeated >= int(9*c.policy.ReoffersPerSecond), "%d repeated offers", repeated)
-}
-
 // TestDeniedOrLateWithdrawnTaskIsOfferedAgain guards against a task that waits for ever: a rack takes an offer out of its queue
 // to claim it, and a denied claim does not put it back; a late withdrawal removes a newer offer.
-func TestDeniedOrLateWithdrawnTaskIsOfferedAgain(t *testing.T) {
-	c := newCore(views(1, 1, 8))
-	c.Confirmed(testNow, confirmed("i3-w", model.IntentSpec{Kind: model.KindWatcher, Tasks: 1}))
-	started(t, c, testNow, "i3-w/0.0", "rack-0")
-	ended(t, c, testNow, "i3-w/0.0", model.OutcomeFinished, "w")
-	// A late claim is denied while the task waits for its restart; then the offer of the restart is made.
-	_, granted := c.Claim(testNow, "i3-w/0.0", "rack-0", 1)
-	assert.Assert(t, !granted)
-	now := testNow.Add(time.Second)
-	assert.Equal(t, len(offered(c.Tick(now))), 1)
-	// The rack claims it and is denied for a moment.
-	c.othersShort, c.quotas = true, testQuotas{"fleet": {Share: model.Resources{Slots: -1}}}
-	_, granted = c.Claim(now, "i3-w/0.0", "rack-0", 1)
-	assert.Assert(t, !granted)
-	c.quotas = nil
-	assert.Equal(t, len(offered(c.Tick(now.Add(noRackRetry)))), 1)
-	// Without any sign that the offer is gone it is repeated in bounded time.
-	repeated := 0
-	for i := range 200 {
-		repeated += len(offered(c.Tick(now.Add(time.Duration(i+1) * time.Second))))
-	}
-	assert.Assert(t, repeated >= 1)
-}
-
 // TestOfferMessagesFitAFrame guards against an offer message that is larger than a frame, since payloads are up to 64 KiB.
-func TestOfferMessagesFitAFrame(t *testing.T) {
-	c := newCore(views(1, 1, 8))
-	payload := strings.Repeat("x", model.MaxPayloadBytes)
-	effects := c.Confirmed(testNow, confirmed("i3-b", model.IntentSpec{Kind: model.KindBatch, Tasks: 100, Payload: payload}))
-	assert.Equal(t, len(offered(effects)), 100)
-	for _, e := range effects {
-		assert.Assert(t, len(e.(OfferTasks).Tasks) <= maxOfferBytes/model.MaxPayloadBytes)
-	}
-}
-
 // TestLostQueueIsOfferedAgain guards against a task that waits in the queue of a rack whose owner, and with it the queue,
 // is gone, and against one whose offer was refused.
-func TestLostQueueIsOfferedAgain(t *testing.T) {
-	racks := views(1, 1, 8)
-	c := newCore(racks)
-	c.Confirmed(testNow, confirmed("i3-b", model.IntentSpec{Kind: model.KindBatch, Tasks: 2}))
-	assert.Equal(t, len(offered(c.Tick(testNow.Add(time.Minute)))), 0)
-	again := views(1, 1, 8)
-	again[0].Epoch = 2
-	c.SetRacks(testNow.Add(time.Minute), again)
-	assert.Equal(t, len(offered(c.Tick(testNow.Add(time.Minute)))), 2)
-	c.Refused(testNow.Add(time.Minute), "rack-0", []model.TaskID{"i3-b/0.1"})
-	assert.Equal(t, len(offered(c.Tick(testNow.Add(time.Minute+noRackRetry)))), 1)
-}
-
 // TestCancelWave guards against a cancellation that leaves a task without a verdict or sends one message for each.
 func TestCancelWave(t *testing.T) {
 	c := newCore(views(4, 2, 8))
@@ -507,18 +307,6 @@
 
 // TestPendingCountsTasksWithoutOffer guards against two confirmed plans for the same capacity: the tasks of the first had
 // not been offered yet, since no rack was known, and were left out when the second was checked.
-func TestPendingCountsTasksWithoutOffer(t *testing.T) {
-	c := newCore(nil)
-	c.Confirmed(testNow, confirmed("i3-b", model.IntentSpec{Kind: model.KindBatch, Tasks: 3}))
-	assert.Equal(t, len(c.Pending(10)), 3)
-	c.SetRacks(testNow, views(1, 1, 8))
-	assert.Equal(t, len(offered(c.Tick(testNow.Add(noRackRetry)))), 3)
-	assert.Equal(t, len(c.Pending(10)), 3)
-	started(t, c, testNow, "i3-b/0.0", "rack-0")
-	assert.Equal(t, len(c.Pending(10)), 2)
-	assert.Equal(t, len(c.Pending(1)), 1)
-}
-
 // TestImpossibleWorkIsRejected guards against a plan for work that can never run.
 func TestImpossibleWorkIsRejected(t *testing.T) {
 	c := newCore(views(1, 1, 8))
--- a/version/rack/job.go
+++ b/version/rack/job.go
@@ -28,7 +28,7 @@
 // none.
 func (j *jobStats) suspect() bool { return len(j.failedOn) >= 2 && !j.succeeded }
 
-func (j *jobStats) raise(used model.Resources) { j.usage = largest(j.usage, used) }
+func (j *jobStats) raise(used model.Resources) { j.usage = j.usage.Max(used) }
 
 // ranAtLeast raises the run time to a time that a task has already run.
 func (j *jobStats) ranAtLeast(ran time.Duration) { j.runTime = max(j.runTime, ran) }
--- a/version/rack/lease.go
+++ b/version/rack/lease.go
@@ -263,7 +263,7 @@
 		c.learn(now, w, r.Task, r.Outcome)
 		out := r.Outcome
 		if j := c.jobs.get(r.Task.Intent); j != nil {
-			out.Used = smallest(j.usage, c.largestWorker)
+			out.Used = j.usage.Min(c.largestWorker)
 		}
 		if t := w.tasks[r.Task.ID]; t != nil && t.token == r.Outcome.Token {
 			c.release(t)
--- a/version/rack/usage.go
+++ b/version/rack/usage.go
@@ -11,29 +11,6 @@
 // observeLag is the run time after which a worker's reports show a task's own usage.
 const observeLag = 5 * time.Second
 
-// largest returns the larger amount of each field. The accelerator type is that of a unless a has none.
-func largest(a, b model.Resources) model.Resources {
-	if a.AcceleratorType == "" {
-		a.AcceleratorType = b.AcceleratorType
-	}
-	a.CPUMilli = max(a.CPUMilli, b.CPUMilli)
-	a.MemoryMiB = max(a.MemoryMiB, b.MemoryMiB)
-	a.Accelerators = max(a.Accelerators, b.Accelerators)
-	a.Slots = max(a.Slots, b.Slots)
-	a.Connections = max(a.Connections, b.Connections)
-	return a
-}
-
-// smallest returns the smaller amount of each field, with the accelerator type of a.
-func smallest(a, b model.Resources) model.Resources {
-	a.CPUMilli = min(a.CPUMilli, b.CPUMilli)
-	a.MemoryMiB = min(a.MemoryMiB, b.MemoryMiB)
-	a.Accelerators = min(a.Accelerators, b.Accelerators)
-	a.Slots = min(a.Slots, b.Slots)
-	a.Connections = min(a.Connections, b.Connections)
-	return a
-}
-
 // demandOf returns the capacity that a task takes: the larger of the declared demand and the usage observed of its job.
 // The observed part is bounded by the largest worker, so that a wrong observation cannot make a job unplaceable.
 // Callers hold c.mu.
@@ -43,7 +20,7 @@
 	if j == nil {
 		return declared
 	}
-	return largest(declared, smallest(j.usage, c.largestWorker))
+	return declared.Max(j.usage.Min(c.largestWorker))
 }
 
 // occupy enters a task into the ledger of a worker. Callers hold c.mu.
@@ -122,7 +99,7 @@
 	w.counted = counted
 	if counted {
 		c.total = c.total.Add(w.member.Capacity)
-		c.largestWorker = largest(c.largestWorker, w.member.Capacity)
+		c.largestWorker = c.largestWorker.Max(w.member.Capacity)
 		c.capacityFreed()
 	} else {
 		c.total = c.total.Sub(w.member.Capacity)
@@ -216,9 +193,9 @@
 func (c *Core) observe(now time.Time, w *workerState, t *taskState, used model.Resources, ran time.Duration) {
 	j := c.jobs.touch(t.task.Intent)
 	j.raise(used)
-	demand := largest(Demand(t.task), used)
+	demand := Demand(t.task).Max(used)
 	if ran < observeLag {
-		demand = largest(t.demand, used)
+		demand = t.demand.Max(used)
 	}
 	if started := now.Add(-ran); t.phase == phaseRunning && started.Before(t.since) {
 		t.since = started
