Stop no more work than urgent tasks take, and bound the search for room

For a queue without placement advice the share of good workers was taken as one half, so that twice the needed tasks were stopped; TestPreemptionStopsNoMoreThanNeeded failed before (4 stops for 2 tasks).

--- a/version/cell/preempt.go
+++ b/version/cell/preempt.go
@@ -15,6 +15,8 @@
 	preemptAfter = 150 * time.Millisecond
 	// preemptEvery is the time between preemptions for one step, in which the room is given back and used.
 	preemptEvery = time.Second
+	// preemptSteps bounds the steps for which room is sought in one sweep, which looks at all workers for each.
+	preemptSteps = 8
 	// preemptLeast is the remaining time of a task below which it is left to end.
 	preemptLeast = 500 * time.Millisecond
 	// maxPreemptions bounds how often one task is stopped for others, so that it ends some time.
@@ -25,19 +27,28 @@
 
 // preempt stops tasks that save checkpoints for steps of more urgent queues that find no room and can still be on time.
 func (c *Core) preempt() {
+	examined := 0
 	for _, s := range c.ordered() {
+		if examined == preemptSteps {
+			return
+		}
 		if s.spec.Gang || s.spec.Lasting || s.spec.BestEffort || c.now < s.became+preemptAfter || c.now < s.preemptAt {
 			continue
 		}
 		if c.blocked(s) || c.now > s.job.objective {
 			continue
 		}
+		examined++
 		missing := len(s.waiting) - c.roomFor(s)
 		if missing <= 0 {
 			continue
 		}
 		s.preemptAt = c.now + preemptEvery
-		c.makeRoom(s, int(math.Ceil(float64(missing)/c.shareOfGood(s))))
+		share := 1.0
+		if s.job.queue.Advice != nil {
+			share = c.shareOfGood(s)
+		}
+		c.makeRoom(s, int(math.Ceil(float64(missing)/share)))
 	}
 }
 
--- a/version/cell/preempt_test.go
+++ b/version/cell/preempt_test.go
@@ -61,6 +61,22 @@
 	assert.Equal(t, w.starts[0].Order.Task, "hold.0.0.0")
 }
 
+// Guards against more work that is stopped than the urgent tasks take, where every worker may run them.
+func TestPreemptionStopsNoMoreThanNeeded(t *testing.T) {
+	w := newWorld(t, 1)
+	w.core.SetAdvisers([]string{"i1", "i2"})
+	w.worker("w1")
+	w.fill("audit", 10, checkpoints)
+	w.worker("w2")
+	w.add("audit2", "long", 1, tasks(4, checkpoints))
+	w.advise()
+	w.step()
+	w.confirm()
+	w.add("hold", "plain", 1, tasks(2))
+	w.run(preemptAfter + 2*sweepEvery)
+	assert.Equal(t, len(w.stops), 2)
+}
+
 // Guards against work that is stopped for others and would lose what it has done, that is not less urgent, or that was
 // stopped often enough.
 func TestWorkThatIsNotPreempted(t *testing.T) {
