--- a/bench/loads/loads_test.go
+++ b/bench/loads/loads_test.go
@@ -1,6 +1,7 @@
 package loads
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -74,7 +75,7 @@
 	for i := range 100 {
 		if i == 30 {
 			for w := range 6 {
-				f.workers[[]string{"w000", "w001", "w002", "w003", "w004", "w005"}[w]].silent = true
+				f.workers[fmt.Sprintf("w%03d", w)].silent = true
 			}
 		}
 		f.submit("short", 4, 2, 680*time.Millisecond)
