--- a/faultmatrix/content_test.go
+++ b/faultmatrix/content_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
 	"github.com/lentiltide/lentiltide/store"
-	"github.com/lentiltide/lentiltide/worker"
 )
 
 // randomID matches the identifiers that the scheduler draws.
--- a/faultmatrix/exchange_test.go
+++ b/faultmatrix/exchange_test.go
@@ -8,7 +8,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lentiltide/lentiltide/request/verdict"
-	"github.com/lentiltide/lentiltide/worker"
 )
 
 // message is one request on its way.
