Play every fault at every step of a cell

What was accepted completes once, what was refused never starts, what was cancelled ends, and the stand-in workers see no violation. Throttling and maintenance are not among the steps.

--- a/process/node/cell_test.go
+++ b/process/node/cell_test.go
@@ -47,6 +47,9 @@
 	// highest count.
 	mute             map[string]bool
 	onTheirWay, most int
+	// armed is a fault of the matrix; late are the calls that are still to be carried out.
+	armed *armedFault
+	late  sync.WaitGroup
 }
 
 type testNode struct {
@@ -174,7 +177,7 @@
 	if err := n.fail(ctx, partOfTxn(txn)); err != nil {
 		return 0, err
 	}
-	return n.Tables.Commit(ctx, txn)
+	return through(ctx, n.c, stepOf(txn), func(ctx context.Context) (uint64, error) { return n.Tables.Commit(ctx, txn) })
 }
 
 func (n nodeTables) Get(ctx context.Context, key backend.RowKey) (backend.Row, error) {
@@ -253,21 +256,21 @@
 	if err := n.order(o.Worker.ID); err != nil {
 		return backend.Reply{}, err
 	}
-	return n.Workers.Start(ctx, o)
+	return through(ctx, n.c, stepStart, func(ctx context.Context) (backend.Reply, error) { return n.Workers.Start(ctx, o) })
 }
 
 func (n nodeWorkers) Stop(ctx context.Context, o backend.Order) (backend.Reply, error) {
 	if err := n.order(o.Worker.ID); err != nil {
 		return backend.Reply{}, err
 	}
-	return n.Workers.Stop(ctx, o)
+	return through(ctx, n.c, stepStop, func(ctx context.Context) (backend.Reply, error) { return n.Workers.Stop(ctx, o) })
 }
 
 func (n nodeWorkers) Hold(ctx context.Context, req backend.HoldRequest) (backend.HoldReply, error) {
 	if err := n.reach(req.Worker.ID); err != nil {
 		return backend.HoldReply{}, err
 	}
-	return n.Workers.Hold(ctx, req)
+	return through(ctx, n.c, stepLook, func(ctx context.Context) (backend.HoldReply, error) { return n.Workers.Hold(ctx, req) })
 }
 
 // peers delivers messages between the instances of a cell.
@@ -300,7 +303,16 @@
 	if err != nil {
 		return err
 	}
-	go n.handlePeer(context.WithoutCancel(ctx), req)
+	s := step("")
+	if req.GetJobStored() != nil {
+		s = stepTell
+	}
+	p.c.late.Go(func() {
+		// Nobody waits for the answer to a message.
+		_, _ = through(context.WithoutCancel(ctx), p.c, s, func(ctx context.Context) (*peerpb.Reply, error) {
+			return n.handlePeer(ctx, req), nil
+		})
+	})
 	return nil
 }
 
@@ -314,7 +326,7 @@
 		Instance: name, PeerAddress: name, Peers: peers{c, name},
 		ServePeers: func(ctx context.Context, _ peer.Handler) error { <-ctx.Done(); return nil },
 		Tables:     nodeTables{c.tables, c, name}, Workers: nodeWorkers{c.workers, c, name},
-		Advisor: &backends.Advisor{Delay: 25 * time.Millisecond, Validity: 2500 * time.Millisecond},
+		Advisor: &matrixAdvisor{backends.Advisor{Delay: 25 * time.Millisecond, Validity: 2500 * time.Millisecond}, c},
 		Decoder: testDecoder{},
 		Sources: Sources{Config: backend.RowKey{Table: "config", Key: "current"}, Workers: "workers"},
 		Log:     entry,
