Do not call a conflict certain after several ways to the store

Cause: a call that the own access leaves unanswered is sent by way of peers too. The first answer counts, and a conflict among the copies may be with the row that another copy has written. It kept the verdict NotRun: a takeover that succeeded by one copy was taken for lost and repeated in a further epoch, and an insert whose row the answer did not show would have been refused as certainly not run.

Ruled out for the other users: the leader's writes read the chain row back after any conflict, and inserts take their own row for an existing one.

Change: a conflict has MayHaveRun if more than one way may have carried the call out. TestConflictOfOneWayIsUncertain failed before (not_run).

--- a/process/node/relay.go
+++ b/process/node/relay.go
@@ -36,7 +36,7 @@
 }
 
 // relay calls the table service by the own access and, if that gives no answer, by way of peers. The error has the verdict
-// NotRun only if no way can have carried the call out.
+// NotRun only if no way can have carried the call out: after several ways a conflict may be with the caller's own write.
 func relay[T any](ctx context.Context, r relayedTables, part string, own func(context.Context) (T, error), by func(ctx context.Context, address string) (T, error)) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -71,10 +71,11 @@
 			return by(ctx, address)
 		})
 	}
+	several := left > 1 || first != nil && verdict.Of(first) != verdict.NotRun
 	for ; left > 0; left-- {
 		out := <-ways
 		if isAnswer(out.err) {
-			return out.value, out.err
+			return out.value, uncertainIf(several, out.err)
 		}
 		if verdict.Of(out.err) != verdict.NotRun {
 			v = verdict.MayHaveRun
@@ -84,6 +85,16 @@
 	return none, verdict.Wrap(first, v, verdict.From(first).Code, "no way to the store").After(retryAfter)
 }
 
+// uncertainIf returns the error of an answer, with the verdict MayHaveRun if other ways may have carried the call out.
+func uncertainIf(several bool, err error) error {
+	if err == nil || !several {
+		return err
+	}
+	e := *verdict.From(err)
+	e.Verdict = verdict.MayHaveRun
+	return &e
+}
+
 // Commit implements backend.Tables.
 func (r relayedTables) Commit(ctx context.Context, txn backend.Txn) (uint64, error) {
 	return relay(ctx, r, partOfTxn(txn),
--- /dev/null
+++ b/process/node/relay_test.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentiltide/lentiltide/request/verdict"
+)
+
+// Guards against a conflict that is taken for certain although another way may have written the rows: the conflict may be
+// with the caller's own write.
+func TestConflictOfOneWayIsUncertain(t *testing.T) {
+	conflict := verdict.New(verdict.NotRun, verdict.CodeConflict, "a row has another version").With("rows")
+	answerAfter := func(d time.Duration) func(context.Context) (int, error) {
+		return func(context.Context) (int, error) {
+			time.Sleep(d)
+			return 0, conflict
+		}
+	}
+	cases := map[string]struct {
+		own  time.Duration
+		want verdict.Verdict
+	}{
+		"own way alone":     {time.Millisecond, verdict.NotRun},
+		"own way and peers": {2 * time.Second, verdict.MayHaveRun},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			inCell(t, func(t *testing.T, cell *testCell) {
+				n := cell.other()
+				by := func(ctx context.Context, _ string) (int, error) { return answerAfter(10 * time.Millisecond)(ctx) }
+				_, err := relay(t.Context(), n.tables, cellPart, answerAfter(c.own), by)
+				e := verdict.From(err)
+				assert.Equal(t, e.Verdict, c.want)
+				assert.Equal(t, e.Code, verdict.CodeConflict)
+				assert.Equal(t, e.Detail, "rows")
+				time.Sleep(3 * time.Second)
+				synctest.Wait()
+			})
+		})
+	}
+}
