Keep workers with foreign runs out of use until the runs have ended

Cause: a worker may list a run that the ledger does not have, of a finished job or of one that never arrives. Nothing started there for 0.7 s after each look, while looks at a worker without known runs are up to 2 s apart; after 5 s with an unknown job, nothing was kept away at all. So a timeout gave back capacity that the run still took.

Change: the worker is not usable as long as its last inventory lists such a run. The two timers that stood for it are gone, also the one for ends of unknown jobs, which take no capacity. TestForeignRunsKeepTheWorkerFull failed before in both cases.

--- a/version/cell/place.go
+++ b/version/cell/place.go
@@ -132,7 +132,7 @@
 
 // usable reports whether a task of a step may start on a worker if it has room.
 func (c *Core) usable(w *worker, s *step, t *task) bool {
-	if !w.listed || !w.known || !w.isRecorded() || w.info.Draining || w.cordoned || c.now < w.blockedUntil || c.now < w.health.suspectUntil {
+	if !w.listed || !w.known || !w.isRecorded() || w.info.Draining || w.cordoned || w.foreign || c.now < w.blockedUntil || c.now < w.health.suspectUntil {
 		return false
 	}
 	if w.info.Service != s.job.queue.Service || c.now > w.clockAt+maxStampAge || w.keeps(s, c.now) {
--- a/version/cell/recovery_test.go
+++ b/version/cell/recovery_test.go
@@ -284,3 +284,30 @@
 	req, _, _ := w.core.PrepareHold("w1", w.now)
 	assert.Equal(t, req.Acked, int64(1))
 }
+
+// Guards against starts on a worker that still runs what the ledger does not have: its demand is not known, so the capacity it
+// takes is not free before the worker has listed its end.
+func TestForeignRunsKeepTheWorkerFull(t *testing.T) {
+	cases := map[string]func(w *world){
+		"of a finished job": func(w *world) { w.core.AddFinished("a", job.Completed, w.now) },
+		"of an unknown job": func(*world) {},
+	}
+	for name, prepare := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 2)
+			prepare(w)
+			w.list("w1", nil)
+			left := []backend.RunningTask{{Task: "a.0.0.0", Run: 1}}
+			w.read("w1", left, nil)
+			w.store()
+			w.run(unknownPatience)
+			w.read("w1", left, nil)
+			w.add("b", "plain", 2, tasks(1))
+			w.run(2 * blockAfterFailure)
+			assert.Equal(t, len(w.starts), 0)
+			w.read("w1", nil, nil)
+			w.run(100 * time.Millisecond)
+			assert.Equal(t, len(w.starts), 1)
+		})
+	}
+}
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -307,15 +307,10 @@
 // out after it had counted as lost. Runs that must not go on are stopped.
 func (c *Core) adopt(w *worker, item backend.RunningTask) *run {
 	t := c.find(item.Task)
-	over := t == nil && c.isOver(item.Task)
-	if t == nil && !over && c.awaitsJob(w) {
+	if t == nil && !c.isOver(item.Task) && c.awaitsJob(w) {
 		w.unclaimedRuns = append(w.unclaimedRuns, item)
 		return nil
 	}
-	if over {
-		// The demand of the run is not known, so nothing starts on the worker until it has gone.
-		w.blockedUntil = max(w.blockedUntil, c.now+blockAfterFailure)
-	}
 	if t == nil {
 		c.note("unknown_run", "", map[string]any{"task": item.Task, "run": item.Run, "worker": w.info.ID})
 		c.actions = append(c.actions, &StopAction{Order: backend.Order{
@@ -344,17 +339,12 @@
 // leader may have started the job after the records were read.
 const unknownPatience = 5 * time.Second
 
-// awaitsJob reports whether a task that no known job has may belong to a job that is about to arrive. Until then nothing
-// more is started on the worker, since the task's demand is not known.
+// awaitsJob reports whether a task that no known job has may belong to a job that is about to arrive.
 func (c *Core) awaitsJob(w *worker) bool {
 	if w.unknownSince == 0 {
 		w.unknownSince = c.now
 	}
-	if c.now > w.unknownSince+unknownPatience {
-		return false
-	}
-	w.blockedUntil = max(w.blockedUntil, c.now+blockAfterFailure)
-	return true
+	return c.now <= w.unknownSince+unknownPatience
 }
 
 // claimListed enters what workers have listed of a job before it was known: a former leader may have started it, and its
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -38,7 +38,9 @@
 	acksChanged chan struct{}
 	// blockedUntil keeps new runs away for a moment after an order failed.
 	blockedUntil Instant
-	health       health
+	// foreign says that the worker runs what the ledger does not have, so that its free capacity is not known.
+	foreign bool
+	health  health
 	// unclaimedRuns and unclaimedEnds are listed by the worker and belong to jobs that are not known yet.
 	unclaimedRuns []backend.RunningTask
 	unclaimedEnds []backend.EndedTask
@@ -146,6 +148,7 @@
 	w.clockMS, w.leaseMS = 0, 0
 	w.read, w.acked, w.acks = 0, 0, nil
 	w.unclaimedRuns, w.unclaimedEnds, w.unknownSince = nil, nil, 0
+	w.foreign = false
 	w.health = health{}
 	w.blockedUntil = 0
 }
@@ -378,6 +381,7 @@
 // readRunning compares the runs that a worker lists with the ledger.
 func (c *Core) readRunning(w *worker, sent Instant, running []backend.RunningTask) {
 	w.unclaimedRuns = nil
+	w.foreign = false
 	listed := make(map[runKey]struct{}, len(running))
 	for _, item := range running {
 		key := runKey{item.Task, item.Run}
@@ -386,9 +390,11 @@
 		if r == nil {
 			r = c.adopt(w, item)
 		}
-		if r != nil {
-			c.observe(r, item)
+		if r == nil {
+			w.foreign = true
+			continue
 		}
+		c.observe(r, item)
 	}
 	for key, r := range w.runs {
 		if _, ok := listed[key]; !ok {
