Keep expired jobs known until their records are removed

Cause: a finished job was forgotten when its retention passed, up to 2 s and a write before its record was removed, longer while the store is away. When a table is read anew in that time, because its history is gone, the record was entered as that of a new job, and its tasks ran a second time. A late end of the job was taken for one of a job that is about to arrive.

Change: the job stays known, without its steps, until its record is removed, and removals keep out of the way of a table that is being read anew. TestExpiredJobDoesNotRunAgain failed before.

--- a/process/node/load.go
+++ b/process/node/load.go
@@ -192,15 +192,18 @@
 const maxUnusable = 200
 
 func (t *term) followJobs(ctx context.Context) {
-	t.follow(ctx, feed{jobTable, &t.jobsAfter, jobParts(), func(row backend.Row) { t.enterJob(row, backend.Row{}) }, nil})
+	enter := func(row backend.Row) { t.enterJob(row, backend.Row{}) }
+	t.follow(ctx, feed{table: jobTable, after: &t.jobsAfter, parts: jobParts(), enter: enter, expires: true})
 }
 
 func (t *term) followCancels(ctx context.Context) {
-	t.follow(ctx, feed{cancelTable, &t.cancelsAfter, jobParts(), t.enterCancel, nil})
+	t.follow(ctx, feed{table: cancelTable, after: &t.cancelsAfter, parts: jobParts(), enter: t.enterCancel, expires: true})
 }
 
 func (t *term) followWorkers(ctx context.Context) {
-	t.follow(ctx, feed{t.node.opts.Sources.Workers, &t.workersAfter, []string{""}, t.enterWorker, t.pruneWorkers})
+	t.follow(ctx, feed{
+		table: t.node.opts.Sources.Workers, after: &t.workersAfter, parts: []string{""}, enter: t.enterWorker, prune: t.pruneWorkers,
+	})
 }
 
 // pruneWorkers removes workers that a full read of the registry no longer has.
@@ -219,6 +222,8 @@
 	after *uint64
 	parts []string
 	enter func(backend.Row)
+	// expires says that the leader removes rows of the table after the retention.
+	expires bool
 	// prune is given all rows after the table was read anew; nil for none.
 	prune func(map[string]backend.Row)
 }
@@ -260,6 +265,10 @@
 
 // reread reads a table whose history is gone.
 func (t *term) reread(ctx context.Context, f feed) {
+	if f.expires {
+		t.rows.RLock()
+		defer t.rows.RUnlock()
+	}
 	s, ok := t.mustRead(ctx, f.table, f.parts)
 	if !ok {
 		return
--- a/process/node/retention.go
+++ b/process/node/retention.go
@@ -22,8 +22,14 @@
 		if len(ids) == 0 {
 			continue
 		}
+		// A removal waits for nobody: the table may be read anew for as long as the store is away.
+		if !t.rows.TryLock() {
+			t.core.RowsRemoved(ids, false)
+			continue
+		}
 		err := t.removeRows(ctx, ids)
 		t.core.RowsRemoved(ids, err == nil)
+		t.rows.Unlock()
 		t.node.opts.Log.WithFields(map[string]any{"event": "rows_removed", "jobs": len(ids), "error": errText(err)}).Info("expired rows removed")
 	}
 }
--- a/process/node/term.go
+++ b/process/node/term.go
@@ -40,6 +40,8 @@
 	unusable map[string]struct{}
 	// mostMembers is the largest number of other instances in this term. It is used by the loop of decisions only.
 	mostMembers int
+	// rows keeps expired rows from being removed while a table is read anew, since the removed ones would be entered as new.
+	rows sync.RWMutex
 	// orders has a slot for each start and stop on its way.
 	orders chan struct{}
 	// givesWay says that this small leader resigns for a larger instance. It is used by the loop of decisions only.
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -213,7 +213,7 @@
 	c.giveUpMissing()
 	c.closeRecovery()
 	c.openOccurrences()
-	c.forgetFinished()
+	c.expireFinished()
 	c.forgetEarlyCancels()
 }
 
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -28,7 +28,9 @@
 	// changed is the number of the last change of the progress; dirtySince the first one that is not in a batch.
 	changed, dirtySince uint64
 	finished            Instant
-	progress            *progressRow
+	// expired says that the retention has passed.
+	expired  bool
+	progress *progressRow
 }
 
 // occurrence is one repetition of the steps of a job.
@@ -426,11 +428,13 @@
 	return out
 }
 
-// forgetFinished drops jobs past their retention, whose rows can go.
-func (c *Core) forgetFinished() {
+// expireFinished marks jobs past their retention, whose rows can go. They stay known until their records are removed, so that
+// a record that is read again does not start them.
+func (c *Core) expireFinished() {
 	for id, j := range c.jobs {
-		if j.shown.Terminal() && c.now > j.finished+c.opts.Retention && !j.hasRuns() {
-			delete(c.jobs, id)
+		if !j.expired && j.shown.Terminal() && c.now > j.finished+c.opts.Retention && !j.hasRuns() {
+			j.expired = true
+			j.occurrences = map[int]*occurrence{}
 			c.expired = append(c.expired, id)
 		}
 	}
--- a/version/cell/progress.go
+++ b/version/cell/progress.go
@@ -90,6 +90,9 @@
 		c.expired = append(c.expired, ids...)
 		return
 	}
+	for _, id := range ids {
+		delete(c.jobs, id)
+	}
 	c.removals = append(c.removals, ids...)
 	c.poke()
 }
--- a/version/cell/recovery_test.go
+++ b/version/cell/recovery_test.go
@@ -118,6 +118,27 @@
 	assert.Assert(t, !known)
 }
 
+// Guards against a finished job past its retention that runs again because its record, which is not removed yet, is read
+// once more, as when the table service has forgotten its history; and against a new job of that name that does not run.
+func TestExpiredJobDoesNotRunAgain(t *testing.T) {
+	w := newWorld(t, 1)
+	w.worker("w1")
+	w.add("a", "plain", 1, tasks(1))
+	w.core.CancelJob("a", w.now)
+	w.store()
+	w.run(time.Minute + time.Second)
+	expired := w.core.TakeExpired(10)
+	assert.DeepEqual(t, expired, []job.ID{"a"})
+	w.read("w1", nil, nil)
+	w.add("a", "plain", 1, tasks(1))
+	w.run(100 * time.Millisecond)
+	assert.Equal(t, len(w.starts), 0)
+	w.core.RowsRemoved(expired, true)
+	w.add("a", "plain", 1, tasks(1))
+	w.run(100 * time.Millisecond)
+	assert.Equal(t, len(w.starts), 1)
+}
+
 // Guards against a second run of a task that a former leader started, when its job is learned of after the inventory of the
 // worker.
 func TestJobIsLearnedOfAfterItsRuns(t *testing.T) {
