Remove the record of a refused job, which nothing writes

No instance has ever stored such a record: a refusal rests on the outcome of the inserts. Reading it back cost a decoding of each repeated job and a refusal that could not occur. No behaviour changes; the tests of process/node and version/cell pass as before.

--- a/model/job/job.go
+++ b/model/job/job.go
@@ -70,8 +70,6 @@
 	Spec  Spec  `json:"spec"`
 	// Epoch is the epoch of the leader that the accepting instance knew, 0 if it knew none.
 	Epoch uint64 `json:"epoch,omitempty"`
-	// Refused marks a record that only prevents a late acceptance: the job never runs.
-	Refused bool `json:"refused,omitempty"`
 }
 
 // Advice is what the placement policy of a queue costs.
--- a/process/node/callers.go
+++ b/process/node/callers.go
@@ -50,21 +50,9 @@
 	if err != nil {
 		return err
 	}
-	if existing != nil {
-		return n.repeated(existing)
-	}
-	n.tellStored(ctx, id, data)
-	return nil
-}
-
-// repeated answers a job that is stored already.
-func (n *Node) repeated(existing []byte) error {
-	var record job.Record
-	if err := json.Unmarshal(existing, &record); err != nil {
-		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeInternal, "the stored job cannot be read")
-	}
-	if record.Refused {
-		return unavailable(nil, "the job was refused")
+	// The leader knows a job that was stored before.
+	if existing == nil {
+		n.tellStored(ctx, id, data)
 	}
 	return nil
 }
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -107,7 +107,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.now = max(c.now, now)
-	if record.Refused || c.jobs[id] != nil {
+	if c.jobs[id] != nil {
 		return
 	}
 	if record.Epoch > c.opts.Epoch {
