Keep the members of a leader in one file, and share a test's beginning

peers.go and term.go each held a part of what a leader knows of its members; members.go now has all of it. The first four lines of the histories on a core stand once, in newStartedWorld.

--- a/bench/network/storm_test.go
+++ b/bench/network/storm_test.go
@@ -21,7 +21,7 @@
 	stormRate    = 1600
 	// stormTimeout is how long a caller waits for an answer; stormRetries is how often it repeats a request that failed.
 	stormTimeout = 250 * time.Millisecond
-	stormRetries  = 3
+	stormRetries = 3
 )
 
 // storm counts answers by the second in which they arrived.
--- a/process/node/members.go
+++ b/process/node/members.go
@@ -1,6 +1,66 @@
 package node
 
-import "time"
+import (
+	"time"
+
+	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
+	"github.com/lentiltide/lentiltide/version/cell"
+)
+
+// member is an instance that can ask for placement advice.
+type member struct {
+	address string
+	seen    cell.Instant
+	// share is the share of a core of the instance.
+	share float64
+}
+
+// memberTerm is how long an instance is used for advice after its last join.
+const memberTerm = 1600 * time.Millisecond
+
+// joined notes an instance that has joined.
+func (t *term) joined(join *peerpb.Join) *peerpb.JoinReply {
+	t.mu.Lock()
+	t.members[join.GetInstance()] = member{address: join.GetAddress(), seen: t.node.opts.Now(), share: join.GetCpuShare()}
+	t.mu.Unlock()
+	waiting := map[string]uint32{}
+	for name, count := range t.core.Waiting() {
+		waiting[name] = uint32(count)
+	}
+	return &peerpb.JoinReply{Epoch: t.epoch, Waiting: waiting, Members: t.memberAddresses(memberTerm), Candidate: t.isCandidate(join.GetInstance())}
+}
+
+// advisers returns this instance and those that have joined lately.
+func (t *term) advisers() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	names := []string{t.node.opts.Instance}
+	now := t.node.opts.Now()
+	for name, m := range t.members {
+		if now-m.seen <= memberTerm {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// maxCandidates bounds the instances that watch the leadership closely.
+const maxCandidates = 6
+
+// isCandidate reports whether a member is among the largest ones.
+func (t *term) isCandidate(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	me := t.members[name]
+	ahead := 0
+	now := t.node.opts.Now()
+	for other, m := range t.members {
+		if now-m.seen <= memberTerm && (m.share > me.share || (m.share == me.share && other < name)) {
+			ahead++
+		}
+	}
+	return ahead < maxCandidates
+}
 
 // isolated reports, once, that this leader has lost more than half of the other instances. One that the others reach leads
 // better: it spreads the questions for advice and answers for the jobs.
--- a/process/node/peers.go
+++ b/process/node/peers.go
@@ -154,24 +154,6 @@
 	return nil
 }
 
-// maxCandidates bounds the instances that watch the leadership closely.
-const maxCandidates = 6
-
-// isCandidate reports whether a member is among the largest ones.
-func (t *term) isCandidate(name string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	me := t.members[name]
-	ahead := 0
-	now := t.node.opts.Now()
-	for other, m := range t.members {
-		if now-m.seen <= memberTerm && (m.share > me.share || (m.share == me.share && other < name)) {
-			ahead++
-		}
-	}
-	return ahead < maxCandidates
-}
-
 // notLeader is the refusal of a question for the leader. It names the leader that this instance knows.
 func (n *Node) notLeader() error {
 	e := verdict.New(verdict.NotRun, verdict.CodeWrongOwner, "this instance does not lead").After(retryAfter)
@@ -179,18 +161,6 @@
 	return e
 }
 
-// joined notes an instance that has joined.
-func (t *term) joined(join *peerpb.Join) *peerpb.JoinReply {
-	t.mu.Lock()
-	t.members[join.GetInstance()] = member{address: join.GetAddress(), seen: t.node.opts.Now(), share: join.GetCpuShare()}
-	t.mu.Unlock()
-	waiting := map[string]uint32{}
-	for name, count := range t.core.Waiting() {
-		waiting[name] = uint32(count)
-	}
-	return &peerpb.JoinReply{Epoch: t.epoch, Waiting: waiting, Members: t.memberAddresses(memberTerm), Candidate: t.isCandidate(join.GetInstance())}
-}
-
 // stored enters a job or a cancellation of which the instance that stored it tells.
 func (t *term) stored(id job.ID, record []byte) {
 	key := backend.RowKey{Key: string(id)}
--- a/process/node/term.go
+++ b/process/node/term.go
@@ -57,14 +57,6 @@
 	end func()
 }
 
-// member is an instance that can ask for placement advice.
-type member struct {
-	address string
-	seen    cell.Instant
-	// share is the share of a core of the instance.
-	share float64
-}
-
 const (
 	// batchRows bounds the rows of one write of progress; the table service takes 100 entries.
 	batchRows = 80
@@ -76,8 +68,6 @@
 	// slotTerm is the longest time for which an order counts as on its way. A sound worker answers within a few
 	// milliseconds, and waiting for a silent one costs no processor time.
 	slotTerm = 100 * time.Millisecond
-	// memberTerm is how long an instance is used for advice after its last join.
-	memberTerm = 1600 * time.Millisecond
 	// stepPause is the least time between two rounds of decisions.
 	stepPause = 2 * time.Millisecond
 	// stepIdle is the longest time between two rounds of decisions.
@@ -191,20 +181,6 @@
 	}
 }
 
-// advisers returns this instance and those that have joined lately.
-func (t *term) advisers() []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	names := []string{t.node.opts.Instance}
-	now := t.node.opts.Now()
-	for name, m := range t.members {
-		if now-m.seen <= memberTerm {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
 // carryOut sends one order and enters its result.
 func (t *term) carryOut(ctx context.Context, action cell.Action) {
 	workers := t.node.opts.Workers
--- a/version/cell/place_test.go
+++ b/version/cell/place_test.go
@@ -69,10 +69,7 @@
 
 // Guards against capacity that is given away while a stopped run has not ended.
 func TestStoppedRunsKeepTheirCapacity(t *testing.T) {
-	w := newWorld(t, 1)
-	w.worker("w1")
-	w.add("a", "plain", 1, tasks(4))
-	w.step()
+	w := newStartedWorld(t, tasks(4))
 	running := w.confirm()["w1"]
 	w.core.CancelJob("a", w.now)
 	w.add("b", "plain", 1, tasks(1))
--- a/version/cell/recovery_test.go
+++ b/version/cell/recovery_test.go
@@ -61,10 +61,7 @@
 
 // Guards against a final state that is forgotten by the next leader, and against work that goes on after it.
 func TestFinalStateSurvives(t *testing.T) {
-	w := newWorld(t, 1)
-	w.worker("w1")
-	w.add("a", "plain", 1, tasks(2))
-	w.step()
+	w := newStartedWorld(t, tasks(2))
 	w.core.CancelJob("a", w.now)
 	progress := w.store()[0].Progress[0]
 
@@ -191,10 +188,7 @@
 // Guards against a second run of a task on a leaving worker that has lost its entry and its connections, but not its process:
 // it may go on past its announced time, so only its leases end its runs.
 func TestLeavingWorkerKeepsItsRunsUntilTheLeasesLapse(t *testing.T) {
-	w := newWorld(t, 1)
-	w.worker("w1")
-	w.add("a", "plain", 1, tasks(1))
-	w.step()
+	w := newStartedWorld(t, tasks(1))
 	w.read("w1", w.confirm()["w1"], nil)
 	w.worker("w2")
 	w.list("w1", func(info *backend.WorkerInfo) { info.Draining, info.RemainingMS = true, 1500 })
--- a/version/cell/runs_test.go
+++ b/version/cell/runs_test.go
@@ -32,10 +32,7 @@
 
 // Guards against a failed run that is counted again by the next leader, which would fail a job too early.
 func TestFailureIsCountedOnce(t *testing.T) {
-	w := newWorld(t, 1)
-	w.worker("w1")
-	w.add("a", "plain", 1, tasks(1))
-	w.step()
+	w := newStartedWorld(t, tasks(1))
 	w.confirm()
 	failed := w.end("w1", "a.0.0.0", 1, backend.EndFailed)
 	w.read("w1", nil, []backend.EndedTask{failed})
@@ -51,10 +48,7 @@
 // Guards against work that is never moved from a worker that has fallen silent, and against moving it before its leases
 // have lapsed.
 func TestSilentWorkerLosesItsRuns(t *testing.T) {
-	w := newWorld(t, 1)
-	w.worker("w1")
-	w.add("a", "plain", 1, tasks(1))
-	w.step()
+	w := newStartedWorld(t, tasks(1))
 	w.read("w1", w.confirm()["w1"], nil)
 	w.worker("w2")
 	silentSince := w.now
@@ -74,10 +68,7 @@
 
 // Guards against capacity that is given away while a start without an answer may still be carried out.
 func TestUnansweredStartKeepsItsCapacity(t *testing.T) {
-	w := newWorld(t, 1)
-	w.worker("w1")
-	w.add("a", "plain", 1, tasks(4))
-	w.step()
+	w := newStartedWorld(t, tasks(4))
 	lost := w.starts[0]
 	w.core.StartResult(lost, backend.Reply{}, errSilent, w.now)
 	w.starts = w.starts[1:]
@@ -100,10 +91,7 @@
 
 // Guards against a stop whose answer was lost and that is never repeated.
 func TestUnansweredStopIsRepeated(t *testing.T) {
-	w := newWorld(t, 1)
-	w.worker("w1")
-	w.add("a", "plain", 1, tasks(1))
-	w.step()
+	w := newStartedWorld(t, tasks(1))
 	running := w.confirm()["w1"]
 	w.core.CancelJob("a", w.now)
 	w.step()
@@ -115,10 +103,7 @@
 
 // Guards against a start without an answer that is done twice, because it was carried out and ended before the stop.
 func TestUnansweredStartHasEnded(t *testing.T) {
-	w := newWorld(t, 1)
-	w.worker("w1")
-	w.add("a", "plain", 1, tasks(1))
-	w.step()
+	w := newStartedWorld(t, tasks(1))
 	w.core.StartResult(w.starts[0], backend.Reply{}, errSilent, w.now)
 	w.step()
 	w.core.StopResult(w.stops[0], backend.Reply{ClockMS: w.clockMS()}, nil, w.now)
@@ -178,10 +163,7 @@
 
 // Guards against the runs of a former life of a worker that keep their capacity or their tasks.
 func TestRestartedWorkerRunsNothing(t *testing.T) {
-	w := newWorld(t, 1)
-	w.worker("w1")
-	w.add("a", "plain", 1, tasks(4))
-	w.step()
+	w := newStartedWorld(t, tasks(4))
 	w.confirm()
 	w.list("w1", func(info *backend.WorkerInfo) { info.StartedMS = 2000 })
 	w.core.PollResult("w1", w.now, backend.PollReply{Reply: backend.Reply{ClockMS: 5}, StartedMS: 2000}, nil, w.now+1)
@@ -286,10 +268,7 @@
 
 // Guards against polls that wait long past the end of a task, so that a lost answer hides the end.
 func TestPollWaitsUntilTheNextEnd(t *testing.T) {
-	w := newWorld(t, 1)
-	w.worker("w1")
-	w.add("a", "plain", 1, tasks(1, func(s *job.Step) { s.EstimateMS = 400 }))
-	w.step()
+	w := newStartedWorld(t, tasks(1, func(s *job.Step) { s.EstimateMS = 400 }))
 	w.read("w1", w.confirm()["w1"], nil)
 	req, _, _ := w.core.PreparePoll("w1", w.now)
 	assert.Assert(t, req.Wait > 400*time.Millisecond && req.Wait < 700*time.Millisecond, "%s", req.Wait)
--- a/version/cell/world_test.go
+++ b/version/cell/world_test.go
@@ -49,6 +49,15 @@
 	return w
 }
 
+// newStartedWorld returns a core of epoch 1 that has ordered the tasks of job a to start on worker w1.
+func newStartedWorld(t *testing.T, step job.Step) *world {
+	w := newWorld(t, 1)
+	w.worker("w1")
+	w.add("a", "plain", 1, step)
+	w.step()
+	return w
+}
+
 // worker lists a worker of 4 cores and lets it answer its first poll.
 func (w *world) worker(id string) {
 	w.list(id, nil)
