--- a/process/node/failover_test.go
+++ b/process/node/failover_test.go
@@ -32,9 +32,7 @@
 		assert.NilError(t, c.submit(c.nodes[c.leader()], "b", 5, small(time.Second), nil))
 		time.Sleep(3 * time.Second)
 		for _, id := range []string{"a", "b"} {
-			state, err := c.state(c.other(), id)
-			assert.NilError(t, err)
-			assert.Equal(t, state, job.Completed)
+			c.requireState(c.other(), id, job.Completed)
 		}
 	})
 }
@@ -49,9 +47,7 @@
 		time.Sleep(2 * time.Second)
 		assert.Assert(t, c.leader() != "" && c.leader() != old)
 		time.Sleep(7 * time.Second)
-		state, err := c.state(c.other(), "a")
-		assert.NilError(t, err)
-		assert.Equal(t, state, job.Completed)
+		c.requireState(c.other(), "a", job.Completed)
 		assert.Equal(t, c.workers.Starts("a.0.0.0"), 1)
 	})
 }
@@ -75,9 +71,7 @@
 			c.setCut(name, backends.FaultNone)
 		}
 		time.Sleep(4 * time.Second)
-		state, err := c.state(c.other(), "a")
-		assert.NilError(t, err)
-		assert.Equal(t, state, job.Completed)
+		c.requireState(c.other(), "a", job.Completed)
 		assert.Equal(t, c.workers.Starts("a.0.0.0"), 1)
 	})
 }
@@ -96,9 +90,7 @@
 			c.addWorker("late")
 			time.Sleep(6 * time.Second)
 			for _, id := range []string{"a", "b"} {
-				state, err := c.state(c.other(), id)
-				assert.NilError(t, err)
-				assert.Equal(t, state, job.Completed)
+				c.requireState(c.other(), id, job.Completed)
 			}
 			assert.NilError(t, c.submit(c.other(), "c", 20, small(5*time.Second), nil))
 			time.Sleep(time.Second)
@@ -121,9 +113,7 @@
 			assert.NilError(t, c.submit(c.nodes[c.leader()], "b", 5, small(time.Second), nil))
 			time.Sleep(6 * time.Second)
 			for _, id := range []string{"a", "b"} {
-				state, err := c.state(c.nodes[c.leader()], id)
-				assert.NilError(t, err)
-				assert.Equal(t, state, job.Completed)
+				c.requireState(c.nodes[c.leader()], id, job.Completed)
 			}
 			assert.Equal(t, c.workers.Starts("a.0.0.0"), 1)
 		})
@@ -142,9 +132,7 @@
 		assert.NilError(t, c.submit(c.nodes[old], "b", 5, small(time.Second), nil))
 		time.Sleep(5 * time.Second)
 		for _, id := range []string{"a", "b"} {
-			state, err := c.state(c.nodes[old], id)
-			assert.NilError(t, err)
-			assert.Equal(t, state, job.Completed)
+			c.requireState(c.nodes[old], id, job.Completed)
 		}
 		assert.Equal(t, c.workers.Starts("a.0.0.0"), 1)
 	})
@@ -193,9 +181,16 @@
 
 // requireCompleted fails the test unless the leader shows a job as completed.
 func (c *testCell) requireCompleted(id string) {
-	state, err := c.state(c.nodes[c.leader()], id)
+	c.t.Helper()
+	c.requireState(c.nodes[c.leader()], id, job.Completed)
+}
+
+// requireState fails the test unless an instance shows a job in a state.
+func (c *testCell) requireState(n *testNode, id string, want job.State) {
+	c.t.Helper()
+	state, err := c.state(n, id)
 	assert.NilError(c.t, err)
-	assert.Equal(c.t, state, job.Completed)
+	assert.Equal(c.t, state, want)
 }
 
 // Guards against callers that wait until their deadline for a store that does not answer, and against a refusal that says
@@ -254,9 +249,7 @@
 		assert.NilError(t, c.submit(n, "a", 2, small(time.Second), nil))
 		assert.NilError(t, c.submit(n, "a", 2, small(time.Second), nil))
 		time.Sleep(3 * time.Second)
-		state, err := c.state(n, "a")
-		assert.NilError(t, err)
-		assert.Equal(t, state, job.Completed)
+		c.requireState(n, "a", job.Completed)
 		assert.Equal(t, c.workers.Starts("a.0.0.0"), 1)
 		// A job that may be in the part that is away cannot be said to be unknown.
 		for _, id := range []string{"b", "c", "d", "e", "f", "g", "h", "i"} {
@@ -300,9 +293,7 @@
 		assert.Equal(t, len(c.workers.RunningOn("a.0.0.0")), 0)
 		c.kill(c.leader())
 		time.Sleep(4 * time.Second)
-		state, err := c.state(c.nodes[c.leader()], "a")
-		assert.NilError(t, err)
-		assert.Equal(t, state, job.Cancelled)
+		c.requireState(c.nodes[c.leader()], "a", job.Cancelled)
 		err = n.Cancel(ctx, job.Queue{}, "unknown")
 		assert.Equal(t, verdict.From(err).Code, verdict.CodeExpired)
 	})
@@ -362,9 +353,7 @@
 			c.start(name)
 		}
 		time.Sleep(8 * time.Second)
-		state, err := c.state(c.other(), "a")
-		assert.NilError(t, err)
-		assert.Equal(t, state, job.Completed)
+		c.requireState(c.other(), "a", job.Completed)
 		assert.Equal(t, c.workers.Starts("a.0.0.0"), 1)
 	})
 }
