Read every page of the configuration's table

Cause: at its start and after a lost history an instance read the first page of the operator's table only. The configuration is one row behind others in the order of keys, so that enough requests for maintenance before it would have hidden it (500 rows a page on the users' platform).

Change: the pages are read by the function that the leader's loading uses. The stand-in's pages now have three rows, so that all tests of process/node read several. TestConfigurationOnALaterPage failed before.

Also: each request for maintenance is kept once, instead of again with each reading of the table; the core ignored the repetitions.

--- a/process/node/config.go
+++ b/process/node/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/lentiltide/lentiltide/backend"
@@ -23,7 +24,7 @@
 		if known {
 			page, err = n.tables.Feed(ctx, key.Table, after, configWait)
 		} else {
-			page, err = n.tables.Range(ctx, key.Table, key.Part, "")
+			page.Rows, page.Version, err = n.readPart(ctx, key.Table, key.Part)
 		}
 		if ctx.Err() != nil {
 			return
@@ -89,7 +90,10 @@
 		return
 	}
 	n.mu.Lock()
-	n.waves = append(n.waves, wave)
+	// The table is read anew when its history is gone.
+	if !slices.ContainsFunc(n.waves, func(w backend.Wave) bool { return w.Number == wave.Number }) {
+		n.waves = append(n.waves, wave)
+	}
 	t := n.term
 	n.mu.Unlock()
 	if t != nil {
--- a/process/node/failover_test.go
+++ b/process/node/failover_test.go
@@ -253,7 +253,7 @@
 		assert.Equal(t, c.workers.Starts("a.0.0.0"), 1)
 		// A job that may be in the part that is away cannot be said to be unknown.
 		for _, id := range []string{"b", "c", "d", "e", "f", "g", "h", "i"} {
-			_, err = c.state(n, id)
+			_, err := c.state(n, id)
 			if parts := partsOf(job.ID(id)); parts[0] == part || parts[1] == part {
 				assert.Equal(t, verdict.From(err).Code, verdict.CodeUnavailable)
 			} else {
@@ -294,7 +294,7 @@
 		c.kill(c.leader())
 		time.Sleep(4 * time.Second)
 		c.requireState(c.nodes[c.leader()], "a", job.Cancelled)
-		err = n.Cancel(ctx, job.Queue{}, "unknown")
+		err := n.Cancel(ctx, job.Queue{}, "unknown")
 		assert.Equal(t, verdict.From(err).Code, verdict.CodeExpired)
 	})
 }
@@ -413,3 +413,17 @@
 		assert.Equal(t, c.leader(), "i1")
 	})
 }
+
+// Guards against a configuration on a later page of its table, behind the requests for maintenance, that is not found.
+func TestConfigurationOnALaterPage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCell(t, 0, 1)
+		for i := range 10 {
+			c.tables.Put(backend.RowKey{Table: "config", Key: fmt.Sprintf("a%d", i)}, []byte("1"))
+		}
+		c.start("i0")
+		defer c.stop()
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, c.nodes["i0"].Ready())
+	})
+}
--- a/standin/backends/tables.go
+++ b/standin/backends/tables.go
@@ -168,7 +168,10 @@
 	return t.version
 }
 
-// Range implements backend.Tables. All rows are in one page.
+// pageRows is the number of rows of a page, so small that tests read several.
+const pageRows = 3
+
+// Range implements backend.Tables.
 func (t *Tables) Range(ctx context.Context, table, part, from string) (backend.Page, error) {
 	if err := fail(ctx, t.begin(false)); err != nil {
 		return backend.Page{}, err
@@ -182,6 +185,8 @@
 		}
 	}
 	slices.SortFunc(page.Rows, func(a, b backend.Row) int { return strings.Compare(a.Key, b.Key) })
+	page.More = len(page.Rows) > pageRows
+	page.Rows = page.Rows[:min(len(page.Rows), pageRows)]
 	return page, nil
 }
 
