Encode log lines without reflection and collect garbage less often

Cause: in a profile of a leader under 490 starts/s, log lines took 11.5 % of its processor time and garbage collection 10 %.

--- a/cmd/lentiltide-node/main.go
+++ b/cmd/lentiltide-node/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -41,6 +42,9 @@
 	maxLease = 6 * time.Second
 	// memoryLimitShare is the fraction of the instance's memory that is set as the Go runtime's soft memory limit.
 	memoryLimitShare = 0.7
+	// gcPercent is how much the heap grows between garbage collections, in percent. The heap of an instance is small
+	// compared with its memory, and the memory limit applies as well.
+	gcPercent = 300
 	// graceShare is the fraction of the grace period after which the process exits even if callers are still connected.
 	graceShare = 0.75
 	// drainDuration is how long an instance accepts connections after its shutdown has begun: the platform stops sending new
@@ -79,6 +83,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryLimitShare * (1 << 20)))
 	log.SetLevel(s.Level())
 	entry := log.WithFields(logrus.Fields{"instance": s.Instance, "zone": s.Zone})
@@ -225,10 +230,11 @@
 func decisionRecorder(log logrus.FieldLogger, metrics *telemetry.NodeMetrics) func(cell.Decision) {
 	return func(d cell.Decision) {
 		metrics.RecordDecision(d)
-		entry := log.WithFields(logrus.Fields(d.Fields)).WithField("event", d.Event)
+		fields := logrus.Fields{"event": d.Event}
 		if d.Job != "" {
-			entry = entry.WithField("job", string(d.Job))
+			fields["job"] = string(d.Job)
 		}
-		entry.Info(d.Event)
+		maps.Copy(fields, d.Fields)
+		log.WithFields(fields).Info(d.Event)
 	}
 }
--- a/process/telemetry/log.go
+++ b/process/telemetry/log.go
@@ -19,7 +19,7 @@
 	log := logrus.New()
 	log.SetOutput(out)
 	log.SetLevel(level)
-	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeFormat})
+	log.SetFormatter(lineFormatter{})
 	return log
 }
 
