Mend three faults of the scheduler that were found in reading

Each has a test that failed first: - A leader that adopted a later occurrence of a recurring job than its clock had reached skipped the occurrences before it. - A worker whose maintenance was refused for good stayed cordoned. - Preemption counted the processor demand of best-effort tasks as capacity, which the ledger does not hold for them, and stopped them in vain. TestTicketsExpireAndAdviceStays sent no request in its first step, so that two of its checks never ran; they run now.

--- a/version/cell/advice_test.go
+++ b/version/cell/advice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -92,15 +93,16 @@
 	tc.addWorkers(4)
 	tc.core.SetAdvisers([]string{"i1"})
 	tc.addJob("a", "short", 1, stepWithTasks(1, dependsOn()), stepWithTasks(1, dependsOn(0)))
+	tc.step()
+	first := tc.adviceRequests
+	tc.adviceRequests = nil
+	assert.Equal(t, len(first), 1)
+	assert.Assert(t, len(first[0].Workers) > 1)
 	tc.addJob("blocker", "plain", 1, stepWithTasks(16))
 	tc.step()
 	assert.Equal(t, len(tc.starts), 16)
 	running := tc.confirmStarts()
-	first := tc.adviceRequests
-	tc.adviceRequests = nil
-	if len(first) == 1 {
-		tc.answerAdvice(first[0], time.Second, func(i int) bool { return i == 0 })
-	}
+	tc.answerAdvice(first[0], time.Second, func(i int) bool { return i == 0 })
 	tc.advance(1500 * time.Millisecond)
 	// Capacity becomes free only after the tickets have expired: advice is requested again for the approved worker, but
 	// not for rejected ones.
@@ -115,13 +117,8 @@
 	tc.step()
 	assert.Equal(t, len(tc.starts), 0)
 	assert.Equal(t, len(tc.adviceRequests), 1)
-	if len(first) == 1 {
-		bad := first[0].Workers[1:]
-		for _, id := range tc.adviceRequests[0].Workers {
-			for _, b := range bad {
-				assert.Assert(t, id != b)
-			}
-		}
+	for _, id := range tc.adviceRequests[0].Workers {
+		assert.Assert(t, !slices.Contains(first[0].Workers[1:], id))
 	}
 	tc.answerAdvice(tc.adviceRequests[0], time.Second, permitAll)
 	tc.step()
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -493,8 +493,11 @@
 	}
 	o := j.occurrences[n.Occurrence]
 	if o == nil && n.Occurrence < j.record.Spec.Repetitions {
-		// A former leader opened an occurrence that is not due yet according to this instance's clock.
-		o = c.openOccurrence(j, n.Occurrence)
+		// A former leader opened an occurrence that is not due yet according to this instance's clock. The ones before it
+		// are due as well.
+		for j.openedOccurrences <= n.Occurrence {
+			o = c.openOccurrence(j, j.openedOccurrences)
+		}
 	}
 	if o == nil || n.Step >= len(o.steps) || n.Index >= len(o.steps[n.Step].tasks) {
 		return nil
--- a/version/cell/maintenance.go
+++ b/version/cell/maintenance.go
@@ -319,6 +319,9 @@
 		c.superseded = true
 	case refusal != "":
 		c.setPhase(w, m, maintenanceFinished)
+		if worker := c.workerOf(m); worker != nil {
+			worker.cordoned = false
+		}
 	default:
 		c.setPhase(w, m, maintenanceDown)
 	}
--- a/version/cell/maintenance_test.go
+++ b/version/cell/maintenance_test.go
@@ -129,3 +129,20 @@
 	}
 	assert.Assert(t, tc.core.Superseded())
 }
+
+// A worker whose maintenance was refused for good must run tasks again: its capacity would be lost until its restart.
+func TestRefusedMaintenanceUncordonsTheWorker(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	tc.addWorker("w1")
+	tc.core.SetWave(backend.MaintenanceWave{Number: 1, Machines: []string{"m-w1"}, Duration: time.Minute, MaxUnavailable: 1}, tc.now)
+	tc.listMachines([]string{"w1"}, nil)
+	tc.now += time.Second
+	for _, action := range tc.core.Step(tc.now, 0) {
+		if a, ok := action.(*MaintainAction); ok {
+			tc.core.MaintainResult(a, backend.MachineNotInWave, nil, tc.now)
+		}
+	}
+	tc.addJob("a", "plain", 1, stepWithTasks(1))
+	tc.advance(200 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 1)
+}
--- a/version/cell/place.go
+++ b/version/cell/place.go
@@ -122,11 +122,7 @@
 
 // capacityFor returns how many tasks of a step fit into the capacity of a worker that is free and not reserved for others.
 func (c *Core) capacityFor(w *worker, s *step) int {
-	demand := s.spec.TaskDemand
-	if s.spec.BestEffort {
-		demand.CPUMilli = 0
-	}
-	return multiplesIn(w.info.Capacity.Sub(w.allocated).Sub(c.reservedFor(w, s)), demand)
+	return multiplesIn(w.info.Capacity.Sub(w.allocated).Sub(c.reservedFor(w, s)), s.allocatedDemand())
 }
 
 // usable reports whether a task of a step may start on a worker, provided that the free capacity suffices. t may be
--- a/version/cell/place_test.go
+++ b/version/cell/place_test.go
@@ -182,3 +182,23 @@
 	tc.storeBatches()
 	assert.Equal(t, tc.state("a"), job.Completed)
 }
+
+// An occurrence that a former leader opened before this leader's clock reached its time must not make the leader skip the
+// occurrences before it.
+func TestAdoptedOccurrenceDoesNotSkipEarlierOnes(t *testing.T) {
+	tc := newTestCluster(t, 2)
+	tc.addWorker("w1")
+	start := tc.now.Milliseconds() + 1000
+	tc.core.AddJob("a", job.Record{
+		Queue: job.Queue{Name: "plain", Service: "desk", MaxAttempts: 3}, Epoch: 1,
+		Spec: job.Spec{Steps: []job.Step{stepWithTasks(1)}, Repetitions: 3, StartAtMS: start, IntervalMS: 500},
+	}, tc.now)
+	adopted := backend.ActiveRun{Task: "a.1.0.0", Run: 1}
+	tc.answerPoll("w1", []backend.ActiveRun{adopted}, nil)
+	tc.advance(3 * time.Second)
+	var started []string
+	for _, a := range tc.starts {
+		started = append(started, a.Command.Task)
+	}
+	assert.DeepEqual(t, started, []string{"a.0.0.0", "a.2.0.0"})
+}
--- a/version/cell/plan.go
+++ b/version/cell/plan.go
@@ -443,11 +443,7 @@
 		if at > c.now+planHorizon {
 			continue
 		}
-		demand := spec.TaskDemand
-		if spec.BestEffort {
-			demand.CPUMilli = 0
-		}
-		ends = append(ends, expectedEnd{at, demand})
+		ends = append(ends, expectedEnd{at, r.task.step.allocatedDemand()})
 	}
 	slices.SortFunc(ends, func(a, b expectedEnd) int { return cmp.Compare(a.at, b.at) })
 	return ends
--- a/version/cell/preempt.go
+++ b/version/cell/preempt.go
@@ -97,10 +97,7 @@
 	allocatedAfter := w.allocated
 	fitting := 0
 	for _, r := range c.preemptibleRuns(w, s) {
-		demand := r.task.step.spec.TaskDemand
-		allocatedAfter.CPUMilli -= demand.CPUMilli
-		allocatedAfter.MemoryMiB -= demand.MemoryMiB
-		allocatedAfter.Accelerators -= demand.Accelerators
+		allocatedAfter = allocatedAfter.Sub(r.task.step.allocatedDemand())
 		victims = append(victims, r)
 		workerAfter := &worker{info: w.info, allocated: allocatedAfter}
 		if fitting = workerAfter.taskCapacity(s.spec.TaskDemand); fitting >= wanted {
--- a/version/cell/preempt_test.go
+++ b/version/cell/preempt_test.go
@@ -115,3 +115,20 @@
 	tc.advance(preemptionDelay + 2*sweepInterval)
 	assert.Equal(t, len(tc.stops), 0)
 }
+
+// Preempting a best-effort task releases no processor time that the ledger holds, so it must not be counted as capacity for an
+// urgent task.
+func TestPreemptingBestEffortFreesNoProcessorTime(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	tc.core.SetAdvisers([]string{"i1", "i2"})
+	tc.addWorker("w1")
+	tc.fillWorker("audit", 95, withCheckpoints)
+	tc.addJob("filler", "long", 1, stepWithTasks(1, func(s *job.Step) { withCheckpoints(s); s.BestEffort = true }))
+	tc.advance(bestEffortTimeout + 200*time.Millisecond)
+	tc.answerAllAdvice()
+	running := tc.confirmStarts()["w1"]
+	assert.Equal(t, len(running), 1)
+	tc.addJob("hold", "short", 1, stepWithTasks(1))
+	tc.advance(preemptionDelay + 2*sweepInterval)
+	assert.Equal(t, len(tc.stops), 0)
+}
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -447,15 +447,20 @@
 	return sum
 }
 
+// allocatedDemand returns what one run of a step adds to worker.allocated.
+func (s *step) allocatedDemand() model.Resources {
+	demand := s.spec.TaskDemand
+	if s.spec.BestEffort {
+		demand.CPUMilli = 0
+	}
+	return demand
+}
+
 // addDemand adds the demand of one run of a step to the ledger; a sign of -1 subtracts it.
 func (w *worker) addDemand(s *step, sign int64) {
-	demand := s.spec.TaskDemand
-	w.allocated.MemoryMiB += sign * demand.MemoryMiB
-	w.allocated.Accelerators += sign * demand.Accelerators
+	w.allocated = w.allocated.Add(s.allocatedDemand().Times(int(sign)))
 	if s.spec.BestEffort {
-		w.bestEffortCPUMilli += sign * demand.CPUMilli
-	} else {
-		w.allocated.CPUMilli += sign * demand.CPUMilli
+		w.bestEffortCPUMilli += sign * s.spec.TaskDemand.CPUMilli
 	}
 	s.runsPerWorker[w] += int(sign)
 	if s.runsPerWorker[w] == 0 {
