Confine a panic in a peer's request to that request

Cause: operators of similar systems saw one unexpected error take a whole process down. A panic in the handler of a peer's message ended the process here, and with the leader's process the cell's leadership.

TestPanicCostsOneRequest shows it for requests with and without a reply; it needs the new option to compile, and without the recovery it ends the test process.

--- a/cmd/lentiltide-node/main.go
+++ b/cmd/lentiltide-node/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"net"
 	"net/http"
@@ -141,7 +142,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
 	}
-	transport := peer.NewTransport(peer.Options{PrivateNetwork: true, Seed: uint64(time.Now().UnixNano())})
+	transport := peer.NewTransport(peer.Options{
+		PrivateNetwork: true, Seed: uint64(time.Now().UnixNano()), OnPanic: func(value any, stack []byte) {
+			log.WithFields(logrus.Fields{"event": "peer_request_panicked", "panic": fmt.Sprint(value), "stack": string(stack)}).Error("a request of a peer failed unexpectedly")
+		},
+	})
 	var machines backend.Machines
 	if s.MachinesAddress != "" {
 		machines = platform.NewMachines(s.MachinesAddress)
--- a/connection/peer/peer_test.go
+++ b/connection/peer/peer_test.go
@@ -59,6 +59,26 @@
 	return c
 }
 
+// A panic in the handler of one message must cost only that message: not the process, not the connection.
+func TestPanicCostsOneRequest(t *testing.T) {
+	var panics atomic.Int64
+	address := startServer(t, Options{OnPanic: func(any, []byte) { panics.Add(1) }}, func(ctx context.Context, req *peerpb.Request) *peerpb.Reply {
+		if len(req.GetForward().GetBody()) == 0 {
+			panic("unexpected")
+		}
+		return echo(ctx, req)
+	})
+	client := newClient(t, Options{})
+	_, err := client.Call(t.Context(), address, forwardRequest(nil))
+	assert.Equal(t, verdict.Of(err), verdict.MayHaveRun)
+	// A message without a reply is handled on the goroutine that reads the stream.
+	assert.NilError(t, client.Send(t.Context(), address, forwardRequest(nil)))
+	reply, err := client.Call(t.Context(), address, forwardRequest([]byte("next")))
+	assert.NilError(t, err)
+	assert.Equal(t, string(reply.GetForward().GetBody()), "next")
+	assert.Equal(t, panics.Load(), int64(2))
+}
+
 // serveRaw listens on a loopback address and calls f for each accepted connection with the index of the connection.
 func serveRaw(t *testing.T, f func(n int, raw net.Conn)) string {
 	t.Helper()
