Confirm the leadership before each maintenance request

Cause: operators of similar systems saw a process that had been paused act on a permission that had run out. Commands to workers are fenced there. The machine service of some deployments compares no fencing tokens, and a leader that wakes up after a suspension requested the maintenance that its core had planned, after its successor's request for the same machine.

Change: the leader reads its row before each request. Another row counts as a refused token and ends the epoch; an unreadable row defers the request.

TestFormerLeaderRequestsNoMaintenance plays it: without the read the former leader's token is recorded a second time.

--- a/process/node/leader.go
+++ b/process/node/leader.go
@@ -250,8 +250,7 @@
 		good, validity, err := l.requestAdvice(ctx, a)
 		l.core.AdviceResult(a, good, validity, err, l.node.opts.Now())
 	case *cell.MaintainAction:
-		leader := backend.Leader{Instance: l.node.opts.Instance, FencingToken: l.epoch}
-		refusal, err := l.node.opts.Machines.Maintain(ctx, leader, a.Machine, a.Wave)
+		refusal, err := l.maintain(ctx, a)
 		l.core.MaintainResult(a, refusal, err, l.node.opts.Now())
 	case *cell.WaveAction:
 		status := l.node.opts.Decoder.WaveStatus(a.Wave, a.Completed)
@@ -260,6 +259,20 @@
 	}
 }
 
+// maintain requests a maintenance if this instance still leads. The machine service may not compare fencing tokens, so that
+// the request of a leader that was suspended could follow one of its successor.
+func (l *leadership) maintain(ctx context.Context, a *cell.MaintainAction) (backend.MachineRefusal, error) {
+	row, err := l.node.tables.Get(ctx, leaderKey)
+	if err != nil {
+		return "", verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "confirm the leadership")
+	}
+	if row.Version != l.rowVersion {
+		return backend.MachineFenced, nil
+	}
+	leader := backend.Leader{Instance: l.node.opts.Instance, FencingToken: l.epoch}
+	return l.node.opts.Machines.Maintain(ctx, leader, a.Machine, a.Wave)
+}
+
 // startTask sends a start, unless the scheduler has withdrawn it while it waited for a slot. The wait for a slot does not
 // count toward the timeout of the command.
 func (l *leadership) startTask(ctx context.Context, a *cell.StartAction) {
--- /dev/null
+++ b/process/node/maintenance_test.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/standin/backends"
+	"github.com/lentiltide/lentiltide/version/cell"
+)
+
+// fakeMachines is a machine service that does not compare fencing tokens. It records the tokens of the requests.
+type fakeMachines struct {
+	mu     sync.Mutex
+	tokens []uint64
+}
+
+func (*fakeMachines) List(context.Context) ([]backend.Machine, error) { return nil, nil }
+
+func (m *fakeMachines) Maintain(_ context.Context, leader backend.Leader, _ string, _ int) (backend.MachineRefusal, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.tokens = append(m.tokens, leader.FencingToken)
+	return "", nil
+}
+
+// A leader that was suspended until another one took over must not request maintenance with the permission that it had before,
+// nor one that cannot find out whether it still leads.
+func TestFormerLeaderRequestsNoMaintenance(t *testing.T) {
+	runInCell(t, func(t *testing.T, c *testCell) {
+		n := c.nodes[c.leader()]
+		machines := &fakeMachines{}
+		n.opts.Machines = machines
+		l := n.loadedLeadership()
+		action := &cell.MaintainAction{Machine: "m1", Wave: 1}
+		refusal, err := l.maintain(t.Context(), action)
+		assert.NilError(t, err)
+		assert.Equal(t, refusal, backend.MachineRefusal(""))
+		assert.DeepEqual(t, machines.tokens, []uint64{l.epoch})
+
+		c.setStoreFault(n.opts.Instance, backends.FaultRefused)
+		c.isolate(n.opts.Instance)
+		_, err = l.maintain(t.Context(), action)
+		assert.Assert(t, err != nil)
+		time.Sleep(8 * time.Second)
+		assert.Assert(t, c.leader() != n.opts.Instance)
+		c.setStoreFault(n.opts.Instance, backends.FaultNone)
+		c.isolate("")
+		time.Sleep(time.Second)
+		refusal, err = l.maintain(t.Context(), action)
+		assert.NilError(t, err)
+		assert.Equal(t, refusal, backend.MachineFenced)
+		assert.DeepEqual(t, machines.tokens, []uint64{l.epoch})
+	})
+}
