Wait for late calls of the fault matrix after its instances have stopped

Cause: TestEveryFaultWithDelegatedCalls failed with a data race in one of ten runs under the race detector: a delegate added to the wait group while the test waited for it. The order of the two deferred calls is changed; no check is.

--- a/process/node/matrix_test.go
+++ b/process/node/matrix_test.go
@@ -152,8 +152,9 @@
 
 func runFaultCase(t *testing.T, injected *injectedFault, delegateFrom int) {
 	c := newTestCellWith(t, 3, 4, delegateFrom)
-	defer c.stop()
+	// Delegates send results until they are stopped.
 	defer c.lateCalls.Wait()
+	defer c.stop()
 	c.mu.Lock()
 	c.injected = injected
 	c.mu.Unlock()
