Replace late members' workers, and compare a sample of workers for advice

Cause: (1) a gang waited for the last worker of its plan while others that it may use were free.

Change: tickets are also renewed for a few spare workers, and a gang starts on any workers that it may use now. A request compares at most 200 workers, beside approved ones and those on the rack of the data.

--- a/version/cell/advice.go
+++ b/version/cell/advice.go
@@ -228,8 +228,12 @@
 	expectedTasksPerWorker = 2
 )
 
+// maxAdviceCandidates limits the workers that are compared for a request, apart from approved ones and those on the rack of the
+// data. Comparing all workers of a large cell would cost more than the better choice is worth.
+const maxAdviceCandidates = 200
+
 // adviceCandidates returns the workers to ask about: first approved ones whose tickets have expired, then those without
-// advice, the ones with the most free capacity first.
+// advice, the ones with the most free capacity first. In a large cell the latter are the best of a random sample.
 func (c *Core) adviceCandidates(s *step) []string {
 	type candidate struct {
 		id       string
@@ -243,6 +247,9 @@
 		}
 		id := w.info.ID
 		t, approved := s.advice.approved[id]
+		if len(candidates) >= maxAdviceCandidates && !approved && (s.spec.DataRack == "" || !w.isOnRack(s.spec.DataRack)) {
+			continue
+		}
 		if _, rejected := s.advice.rejected[id]; rejected || (approved && t.isValid(c.now)) || !c.eligible(w, s, nil) {
 			continue
 		}
--- a/version/cell/explore.go
+++ b/version/cell/explore.go
@@ -74,6 +74,11 @@
 	if !needed {
 		return nil
 	}
+	for _, w := range s.plan.spares {
+		if id := w.info.ID; !s.advice.isPending(id) && !s.advice.approved[id].isValid(startAt+ticketReserve) {
+			ids = append(ids, id)
+		}
+	}
 	return ids[:min(len(ids), maxTicketsPerRequest)]
 }
 
--- a/version/cell/gang.go
+++ b/version/cell/gang.go
@@ -1,15 +1,23 @@
 package cell
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
-// placeGang starts all members of a gang at once, when each worker of its plan has the capacity and a valid ticket.
+// placeGang starts all members of a gang at once, when the workers of its plan and those that can replace some of them have
+// the capacity and valid tickets.
 func (c *Core) placeGang(s *step) {
-	if len(s.waiting) < len(s.tasks) || s.plan == nil || !c.planIsReady(s) {
+	if len(s.waiting) < len(s.tasks) || s.plan == nil {
+		return
+	}
+	slots := c.startableSlots(s)
+	if slots == nil {
 		return
 	}
 	number := s.gangRunNumber + 1
 	tasks := slices.Clone(s.waiting)
-	for _, slot := range s.plan.slots {
+	for _, slot := range slots {
 		for _, t := range tasks[:slot.tasks] {
 			c.startTask(t, slot.worker, number, s.gangCheckpoint)
 		}
@@ -19,14 +27,56 @@
 	c.pruneWaiting(s)
 }
 
-// planIsReady reports whether all members of a gang can start now.
-func (c *Core) planIsReady(s *step) bool {
+// startableSlots returns the slots on which all members of a gang can start now, or nil. A worker of the plan whose capacity
+// is free later than expected is replaced by others that the policy allows.
+func (c *Core) startableSlots(s *step) []planSlot {
+	missing := len(s.waiting)
+	var slots []planSlot
+	planned := make(map[*worker]struct{}, len(s.plan.slots))
 	for _, slot := range s.plan.slots {
-		if !c.hasTicket(slot.worker, s) || !c.usable(slot.worker, s, nil) || c.capacityFor(slot.worker, s) < slot.tasks {
-			return false
+		planned[slot.worker] = struct{}{}
+		if n := min(slot.tasks, c.startableMembers(s, slot.worker)); n > 0 {
+			slots = append(slots, planSlot{worker: slot.worker, tasks: n})
+			missing -= n
+		}
+	}
+	if missing == 0 {
+		return slots
+	}
+	if s.spec.SameRack || s.job.queue.Advice == nil {
+		return nil
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.advice.approved)) {
+		w := c.workers[id]
+		if w == nil {
+			continue
 		}
+		_, inPlan := planned[w]
+		_, avoided := s.tasks[0].avoidedWorkers[id]
+		if inPlan || avoided {
+			continue
+		}
+		if n := min(missing, c.startableMembers(s, w)); n > 0 {
+			slots = append(slots, planSlot{worker: w, tasks: n})
+			missing -= n
+		}
+		if missing == 0 {
+			return slots
+		}
+	}
+	return nil
+}
+
+// startableMembers returns how many members of a gang can start on a worker now.
+func (c *Core) startableMembers(s *step, w *worker) int {
+	if !c.hasTicket(w, s) || !c.usable(w, s, nil) {
+		return 0
+	}
+	n := c.capacityFor(w, s)
+	if s.spec.MaxPerWorker > 0 {
+		n = min(n, s.spec.MaxPerWorker-s.runsPerWorker[w])
 	}
-	return true
+	return n
 }
 
 // sameRackTimeout is how long a gang waits for capacity on one rack before it may be spread over several.
--- a/version/cell/plan.go
+++ b/version/cell/plan.go
@@ -14,6 +14,8 @@
 // of a gang start together when the whole plan is ready, other tasks as soon as they fit.
 type plan struct {
 	slots []planSlot
+	// spares are workers that can replace one whose capacity is free later than expected.
+	spares []*worker
 	// readyAt is when the capacity and the tickets for all tasks are expected to be there.
 	readyAt Instant
 	// madeAt is when the plan was made or last confirmed.
@@ -55,6 +57,8 @@
 	// maxReservationAge is how long capacity is reserved for one step. Afterwards the step waits as long without a
 	// reservation, so that others get their turn.
 	maxReservationAge = 15 * time.Second
+	// spareShare is the number of spare workers of a gang's plan, as a share of its members.
+	spareShare = 0.25
 	// stopDuration is the expected duration of a stop.
 	stopDuration = 400 * time.Millisecond
 	// openingResolution is the time within which openings are considered equal.
@@ -351,9 +355,27 @@
 		p.slots[i].readyAt = max(p.slots[i].readyAt, o.at)
 		p.readyAt = max(p.readyAt, o.at)
 	}
+	p.spares = spareWorkers(openings[min(tasks, len(openings)):], index, p.readyAt, max(1, int(spareShare*float64(tasks))))
 	return p
 }
 
+// spareWorkers returns the workers of the openings until readyAt that the plan does not use, up to the given number of
+// openings.
+func spareWorkers(openings []opening, planned map[*worker]int, readyAt Instant, limit int) []*worker {
+	var spares []*worker
+	for _, o := range openings {
+		if limit == 0 {
+			break
+		}
+		if _, used := planned[o.worker]; used || o.at > readyAt || slices.Contains(spares, o.worker) {
+			continue
+		}
+		spares = append(spares, o.worker)
+		limit--
+	}
+	return spares
+}
+
 // approvedOpenings returns the openings for tasks of a step on the workers that the placement policy is known to allow, with
 // or without a valid ticket.
 func (c *Core) approvedOpenings(s *step) []opening {
