Keep the leader running when a queue loses its advice during a request

Cause: the speed of an outstanding request is taken from its queue, whose configuration may have lost the advice meanwhile: a nil dereference ended the leader's process, and that of each successor in the same state.

Change: a queue without advice has requests of no duration. TestQueueLosesItsAdviceDuringARequest panicked before.

--- a/version/cell/advice.go
+++ b/version/cell/advice.go
@@ -213,9 +213,13 @@
 	return &adviceRequest{step: s, workers: workers, expected: expected, dueAt: c.now + expected}
 }
 
-// adviceDuration returns the expected duration of a request for advice on a number of workers.
+// adviceDuration returns the expected duration of a request for advice on a number of workers. It is 0 if the queue needs
+// none: a configuration may remove the advice while a request is outstanding.
 func (s *step) adviceDuration(workers int) time.Duration {
 	advice := s.job.queue.Advice
+	if advice == nil {
+		return 0
+	}
 	return time.Duration((advice.DecisionMS + advice.PerWorkerMS*float64(workers)) * float64(time.Millisecond))
 }
 
--- a/version/cell/advice_test.go
+++ b/version/cell/advice_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/model/job"
 )
 
 // answerAdvice answers a request with tickets for the workers whose index is permitted.
@@ -197,3 +198,19 @@
 	assert.Equal(t, tc.stops[0].Command.Task, "a.0.0.0")
 	assert.Assert(t, tc.now-startedAt >= stallTimeout)
 }
+
+// A configuration that removes the advice of a queue must not end the leader's process while a request of the queue is
+// outstanding.
+func TestQueueLosesItsAdviceDuringARequest(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	tc.addWorkers(2)
+	tc.core.SetAdvisers([]string{"i1", "i2"})
+	tc.addJob("a", "long", 1, stepWithTasks(2, func(s *job.Step) { s.Gang = true }))
+	tc.step()
+	assert.Equal(t, len(tc.adviceRequests), 1)
+	tc.core.SetConfig(job.Config{Version: 2, Queues: []job.Queue{{Name: "long", Service: "desk", MaxAttempts: 3}}})
+	tc.advance(200 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 2)
+	tc.answerAdvice(tc.adviceRequests[0], time.Second, permitAll)
+	tc.advance(200 * time.Millisecond)
+}
