--- /dev/null
+++ b/process/node/progress.go
@@ -0,0 +1,156 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/cell"
+)
+
+// runWriter makes progress durable and renews the leadership until it is lost.
+func (l *leadership) runWriter(ctx context.Context) {
+	defer l.cancel()
+	l.readWriteVersion(ctx)
+	for ctx.Err() == nil {
+		if l.resigning.Load() {
+			l.commitResignation(ctx)
+			return
+		}
+		batch := l.core.CollectBatch(maxBatchRows)
+		renewalDue := l.node.opts.Now()-l.renewedAt >= renewalInterval
+		if batch.Empty() && !renewalDue {
+			pause(ctx, minWriteInterval)
+			continue
+		}
+		stored, lost := l.commitBatch(ctx, batch, renewalDue)
+		l.core.BatchStored(batch, stored, l.node.opts.Now())
+		if lost {
+			l.node.opts.Log.WithFields(map[string]any{"event": "leadership_lost", "epoch": l.epoch}).Warn("leadership lost to another instance")
+			return
+		}
+		l.suspendIfStale()
+		if !stored {
+			pause(ctx, storeRetryDelay)
+		}
+		pause(ctx, minWriteInterval)
+	}
+}
+
+// suspendIfStale suspends the commands to workers while the leadership cannot be renewed. It does so one second before
+// suspendAfter.
+func (l *leadership) suspendIfStale() {
+	stale := l.node.opts.Now()-l.storedAt > suspendAfter-time.Second
+	if stale == l.suspended {
+		return
+	}
+	l.suspended = stale
+	l.core.Suspend(stale)
+	l.node.opts.Log.WithFields(map[string]any{
+		"event": "leadership_suspended", "epoch": l.epoch, "suspended": stale,
+		"renewal_age_ms": (l.node.opts.Now() - l.storedAt).Milliseconds(),
+	}).Warn("leadership suspended or resumed")
+}
+
+// readWriteVersion reads the version on which the first write is conditional. If it fails, the first write gets a conflict.
+func (l *leadership) readWriteVersion(ctx context.Context) {
+	row, err := l.node.tables.Get(ctx, writeKey)
+	if err != nil {
+		l.node.opts.Log.WithError(err).WithField("event", "write_version_unknown").Info("cannot read the version of the newest write; the first write may conflict")
+		return
+	}
+	l.writeVersion = row.Version
+}
+
+// commitBatch writes a batch, and the renewal row if renew is set. lost is true if another instance leads.
+func (l *leadership) commitBatch(ctx context.Context, batch cell.Batch, renew bool) (stored, lost bool) {
+	sent := l.node.opts.Now()
+	l.writeCount++
+	txn, err := l.buildTxn(batch, l.row, renew)
+	if err != nil {
+		l.node.opts.Log.WithError(err).Error("cannot encode the progress")
+		return false, false
+	}
+	version, err := l.node.tables.Commit(ctx, txn)
+	if err == nil {
+		l.writeVersion = version
+		l.recordStored(sent, renew)
+		return true, false
+	}
+	l.node.opts.Log.WithError(err).WithFields(map[string]any{
+		"event": "renewal_failed", "epoch": l.epoch, "write": l.writeCount,
+	}).Warn("progress was not stored")
+	if e := verdict.From(err); e.Verdict == verdict.NotRun && e.Code != verdict.CodeConflict {
+		return false, false
+	}
+	stored, lost = l.resolveCommit(ctx)
+	if stored {
+		l.recordStored(sent, renew)
+	}
+	return stored, lost
+}
+
+func (l *leadership) recordStored(sent cell.Instant, renewed bool) {
+	l.storedAt = sent
+	if renewed {
+		l.renewedAt = sent
+	}
+}
+
+// resolveCommit resolves a write with an unknown outcome or a failed condition by reading the leader row and the row of the
+// newest write.
+func (l *leadership) resolveCommit(ctx context.Context) (stored, lost bool) {
+	leader, err := l.node.tables.Get(ctx, leaderKey)
+	if err != nil {
+		return false, false
+	}
+	if leader.Version != l.rowVersion {
+		return false, true
+	}
+	newest, err := l.node.tables.Get(ctx, writeKey)
+	if err != nil {
+		return false, false
+	}
+	l.writeVersion = newest.Version
+	return string(newest.Value) == l.writeID(), false
+}
+
+// writeID returns the id of the newest write of the leadership.
+func (l *leadership) writeID() string {
+	return l.row.Claim + "/" + strconv.FormatUint(l.writeCount, 10)
+}
+
+// buildTxn returns the transaction that writes a batch. Each transaction is conditional on the row of the newest write and
+// replaces it, which puts the writes of the leadership in sequence.
+func (l *leadership) buildTxn(batch cell.Batch, row leaderRow, renew bool) (backend.Txn, error) {
+	txn := backend.Txn{
+		Expected: []backend.Row{
+			{RowKey: leaderKey, Version: l.rowVersion},
+			{RowKey: writeKey, Version: l.writeVersion},
+		},
+		Put: []backend.Row{{RowKey: writeKey, Value: []byte(l.writeID())}},
+	}
+	if renew {
+		txn.Put = append(txn.Put, backend.Row{RowKey: renewalKey, Value: []byte(l.writeID())})
+	}
+	if batch.Fleet != nil {
+		txn.Put = append(txn.Put, backend.Row{RowKey: fleetKey, Value: batch.Fleet})
+	}
+	for _, p := range batch.Progress {
+		txn.Put = append(txn.Put, backend.Row{RowKey: progressKey(p.Job), Value: p.Data})
+	}
+	for _, id := range batch.Removed {
+		txn.Remove = append(txn.Remove, progressKey(id))
+	}
+	if row.Resigned {
+		value, err := json.Marshal(row)
+		if err != nil {
+			return txn, err
+		}
+		txn.Put = append(txn.Put, backend.Row{RowKey: leaderKey, Value: value})
+	}
+	return txn, nil
+}
