--- a/process/node/cell_test.go
+++ b/process/node/cell_test.go
@@ -29,6 +29,7 @@
 	startedAt time.Time
 	tables    *backends.Tables
 	workers   *backends.Workers
+	machines  fakeMachines
 	nodes     map[string]*testNode
 	behaviors map[string]backends.TaskBehavior
 
@@ -354,7 +355,7 @@
 		ServePeers: func(ctx context.Context, _ peer.Handler) error { <-ctx.Done(); return nil },
 		Tables:     nodeTables{c.tables, c, name}, Workers: nodeWorkers{c.workers, c, name},
 		Advisor: &faultyAdvisor{backends.Advisor{Delay: 25 * time.Millisecond, Validity: 2500 * time.Millisecond}, c},
-		Decoder: testDecoder{},
+		Machines: &c.machines, Decoder: testDecoder{},
 		Sources: Sources{Config: backend.RowKey{Table: "config", Key: "current"}, Workers: "workers"},
 		Log:     entry,
 		OnDecision: func(d cell.Decision) {
--- a/process/node/maintenance_test.go
+++ b/process/node/maintenance_test.go
@@ -33,14 +33,12 @@
 func TestFormerLeaderRequestsNoMaintenance(t *testing.T) {
 	runInCell(t, func(t *testing.T, c *testCell) {
 		n := c.nodes[c.leader()]
-		machines := &fakeMachines{}
-		n.opts.Machines = machines
 		l := n.loadedLeadership()
 		action := &cell.MaintainAction{Machine: "m1", Wave: 1}
 		refusal, err := l.maintain(t.Context(), action)
 		assert.NilError(t, err)
 		assert.Equal(t, refusal, backend.MachineRefusal(""))
-		assert.DeepEqual(t, machines.tokens, []uint64{l.epoch})
+		assert.DeepEqual(t, c.machines.tokens, []uint64{l.epoch})
 
 		c.setStoreFault(n.opts.Instance, backends.FaultRefused)
 		c.isolate(n.opts.Instance)
@@ -54,6 +52,6 @@
 		refusal, err = l.maintain(t.Context(), action)
 		assert.NilError(t, err)
 		assert.Equal(t, refusal, backend.MachineFenced)
-		assert.DeepEqual(t, machines.tokens, []uint64{l.epoch})
+		assert.DeepEqual(t, c.machines.tokens, []uint64{l.epoch})
 	})
 }
