--- a/process/node/cell_test.go
+++ b/process/node/cell_test.go
@@ -354,7 +354,7 @@
 		Instance: name, PeerAddress: name, Peers: testPeers{c, name},
 		ServePeers: func(ctx context.Context, _ peer.Handler) error { <-ctx.Done(); return nil },
 		Tables:     nodeTables{c.tables, c, name}, Workers: nodeWorkers{c.workers, c, name},
-		Advisor: &faultyAdvisor{backends.Advisor{Delay: 25 * time.Millisecond, Validity: 2500 * time.Millisecond}, c},
+		Advisor:  &faultyAdvisor{backends.Advisor{Delay: 25 * time.Millisecond, Validity: 2500 * time.Millisecond}, c},
 		Machines: &c.machines, Decoder: testDecoder{},
 		Sources: Sources{Config: backend.RowKey{Table: "config", Key: "current"}, Workers: "workers"},
 		Log:     entry,
