Count the timeout of an unknown job for each task

A worker had one timeout for all tasks of unknown jobs. While tasks of an earlier unknown job waited, the completion of a later one was acknowledged when the first timeout ended, at once in the worst case.

Change: each task has its own timeout. TestUnknownJobTimeoutCountsForEachTask failed first: the second of two completions was acknowledged after 0.4 s in place of 5 s, and its task started again when its record arrived.

--- a/version/cell/completions.go
+++ b/version/cell/completions.go
@@ -35,7 +35,7 @@
 func (c *Core) handleResolvedCompletions(w *worker) {
 	var unresolved []backend.FinishedRun
 	for _, e := range w.unknownCompletions {
-		if c.findTask(e.Task) == nil && !c.belongsToFinishedJob(e.Task) && c.awaitsJobRecord(w) {
+		if c.findTask(e.Task) == nil && !c.belongsToFinishedJob(e.Task) && c.awaitsJobRecord(w, e.Task) {
 			unresolved = append(unresolved, e)
 			continue
 		}
--- a/version/cell/recovery_test.go
+++ b/version/cell/recovery_test.go
@@ -288,6 +288,25 @@
 	assert.Equal(t, len(tc.starts), 0)
 }
 
+// The timeout of one unknown job must not run for another one on the same worker: the completion of a task that ended
+// shortly before would be acknowledged at once, and the task would run again when its record arrives.
+func TestUnknownJobTimeoutCountsForEachTask(t *testing.T) {
+	tc := newTestCluster(t, 2)
+	tc.addWorker("w1")
+	first := tc.completion("w1", "first.0.0.0", 1, backend.ResultDone)
+	tc.answerPoll("w1", nil, []backend.FinishedRun{first})
+	tc.advance(unknownJobTimeout - 200*time.Millisecond)
+	second := tc.completion("w1", "second.0.0.0", 1, backend.ResultDone)
+	tc.answerPoll("w1", nil, []backend.FinishedRun{first, second})
+	tc.advance(400 * time.Millisecond)
+	tc.answerPoll("w1", nil, []backend.FinishedRun{first, second})
+	req, _, _ := tc.core.PreparePoll("w1", tc.now)
+	assert.Equal(t, req.AcknowledgedCompletion, int64(1))
+	tc.addJob("second", "plain", 1, stepWithTasks(1))
+	tc.advance(400 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 0)
+}
+
 // A completion must be acknowledged eventually if its job record never arrives.
 func TestCompletionWithoutJobRecordIsAcknowledged(t *testing.T) {
 	tc := newTestCluster(t, 2)
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -54,8 +54,8 @@
 	// unknownRuns and unknownCompletions were listed by the worker and belong to jobs whose records have not arrived.
 	unknownRuns        []backend.ActiveRun
 	unknownCompletions []backend.FinishedRun
-	// unknownTasksSince is when the worker first listed tasks of unknown jobs; 0 if it lists none.
-	unknownTasksSince Instant
+	// unknownTasksSince holds when the worker first listed each task of an unknown job, by the name of the task.
+	unknownTasksSince map[string]Instant
 	// throttledAt is when the throttle of a best-effort run last changed.
 	throttledAt Instant
 	// reservedForPriority and reservedUntil reserve the worker's free capacity for queues of this or a more urgent
@@ -160,7 +160,7 @@
 	w.inventoryKnown = false
 	w.clockMS, w.leaseEndMS = 0, 0
 	w.lastReadCompletion, w.lastAckedCompletion, w.pendingAcks = 0, 0, nil
-	w.unknownRuns, w.unknownCompletions, w.unknownTasksSince = nil, nil, 0
+	w.unknownRuns, w.unknownCompletions, w.unknownTasksSince = nil, nil, nil
 	w.hasUnknownRuns = false
 	w.health = health{}
 	w.startsBlockedUntil = 0
@@ -360,9 +360,7 @@
 	}
 	c.recordCompletions(w, reply.Finished)
 	c.reconcileRuns(w, sentAt, reply.Running)
-	if len(w.unknownRuns) == 0 && len(w.unknownCompletions) == 0 {
-		w.unknownTasksSince = 0
-	}
+	w.forgetResolvedTasks()
 	w.inventoryKnown = true
 	delete(c.inventoryPending, id)
 	c.signalWake()
