Let new workers not delay the recovery after a change of the leader

Cause, as far as the record shows it: a leader starts no task of a recovered job before it has read the inventories of all workers that a former leader may have used, for at most 6 s and a lease (12.3 s there). Each worker that the registry listed within that time counted as one of them. A worker that is new and does not answer yet held up every recovered job, and each of the changes of the leader in series began the wait anew. The record of the workers in use, which a leader writes before it uses a worker, makes the wait needless: a worker that is not in it has never been used.

Change: workers outside the record are waited for only if the record could not be decoded.

TestNewWorkerDoesNotDelayRecovery failed before (0 starts in place of 1) and passes. TestUnreadableFleetRecordDelaysRecovery passed before and keeps the other case.

--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -71,13 +71,15 @@
 	// expiredJobs are jobs past their retention whose rows can be removed. progressRemovals are those whose record and
 	// cancellation rows have been removed and whose progress row is next.
 	expiredJobs, progressRemovals []job.ID
-	// fleetChanged means that the fleet record must be written; fleetLoadedAt is when it was loaded.
-	fleetChanged  bool
-	fleetLoadedAt Instant
-	superseded    bool
-	suspended     bool
-	approvalRates map[string]float64
-	waves         map[int]*wave
+	// fleetChanged means that the fleet record must be written; fleetLoadedAt is when it was loaded, and fleetRecordKnown
+	// means that it could be decoded.
+	fleetChanged     bool
+	fleetLoadedAt    Instant
+	fleetRecordKnown bool
+	superseded       bool
+	suspended        bool
+	approvalRates    map[string]float64
+	waves            map[int]*wave
 	// planned is the demand of the steps for which plans are made.
 	planned plannedShare
 	// machines holds the last list of machines by ID; nil until the first list arrives.
--- a/version/cell/fleet.go
+++ b/version/cell/fleet.go
@@ -32,6 +32,7 @@
 	defer c.mu.Unlock()
 	c.now = max(c.now, now)
 	c.fleetLoadedAt = c.now
+	c.fleetRecordKnown = true
 	for id, address := range row {
 		w := c.workers[id]
 		if w == nil {
--- a/version/cell/recovery_test.go
+++ b/version/cell/recovery_test.go
@@ -59,6 +59,35 @@
 	}
 }
 
+// A worker that no former leader has used, and that does not answer yet, must not keep the recovered tasks waiting: in a
+// fleet whose workers are being replaced some worker is always new, and each change of the leader starts the wait again.
+func TestNewWorkerDoesNotDelayRecovery(t *testing.T) {
+	tc := newTestCluster(t, 2)
+	assert.NilError(t, tc.core.LoadFleetRecord([]byte(`{"w1":"w1:1"}`), tc.now))
+	tc.listWorker("w1", nil)
+	tc.answerPoll("w1", nil, nil)
+	tc.storeBatches()
+	tc.listWorker("new", nil)
+	tc.addJob("a", "plain", 1, stepWithTasks(1))
+	tc.advance(100 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 1)
+	assert.Equal(t, tc.starts[0].Command.Worker.ID, "w1")
+}
+
+// If the record of the workers in use cannot be read, any worker may have been used by a former leader.
+func TestUnreadableFleetRecordDelaysRecovery(t *testing.T) {
+	tc := newTestCluster(t, 2)
+	assert.Assert(t, tc.core.LoadFleetRecord([]byte(`{"w1"`), tc.now) != nil)
+	tc.addWorker("w1")
+	tc.listWorker("w2", nil)
+	tc.addJob("a", "plain", 1, stepWithTasks(1))
+	tc.advance(100 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 0)
+	tc.answerPoll("w2", nil, nil)
+	tc.advance(100 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 1)
+}
+
 // The next leader must not lose a final state or continue the job's runs.
 func TestFinalStateSurvives(t *testing.T) {
 	tc := newStartedTestCluster(t, stepWithTasks(2))
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -104,7 +104,8 @@
 	w := c.workers[info.ID]
 	if w == nil {
 		w = c.addWorker(info.ID)
-		if c.now < c.epochStart+c.recoveryBound() {
+		if !c.fleetRecordKnown && c.now < c.epochStart+c.recoveryBound() {
+			// Without the record any worker may have been used by a former leader.
 			c.inventoryPending[info.ID] = struct{}{}
 		}
 		c.logDecision("worker_listed", "", map[string]any{"worker": info.ID, "zone": info.Zone, "draining": info.Draining})
