Let a task return to workers on which it failed

Callers would see a service task that stays away although there is capacity for it (LOST): a task avoided each worker on which it had failed, stalled or been refused for as long as the leader led, unless it had been on all workers of the cell. Tasks that last may fail at any time, and where a label, the placement policy or the antiaffinity leaves few workers, those few were lost one after the other.

Change: a worker is avoided for 5 s, less than the 6 s after which a service task counts as lost. Sick workers are avoided longer by all tasks, as before (health.go). A second run beside a slow one still never starts on the worker of the first.

TestServiceTaskReturnsToItsOnlyWorkers failed before (0 starts in place of 1 after 6 s) and passes.

--- /dev/null
+++ b/version/cell/avoid.go
@@ -0,0 +1,30 @@
+package cell
+
+import "time"
+
+// avoidDuration is how long a task avoids a worker on which it failed, stalled or was refused. It is shorter than the time
+// within which a service task must run again, since the workers that it avoids may be the only ones that can run it.
+const avoidDuration = 5 * time.Second
+
+// avoidedWorkers holds until when a task avoids workers, by worker ID.
+type avoidedWorkers map[string]Instant
+
+// add makes the task avoid a worker from now on.
+func (a avoidedWorkers) add(w *worker, now Instant) { a[w.info.ID] = now + avoidDuration }
+
+// contains reports whether the task avoids a worker.
+func (a avoidedWorkers) contains(id string, now Instant) bool {
+	until, ok := a[id]
+	return ok && now < until
+}
+
+// mayUse reports whether a task may start on a worker as far as its earlier runs are concerned. A task that has been on all
+// workers avoids none.
+func (c *Core) mayUse(w *worker, t *task) bool {
+	for _, r := range t.runs {
+		if r.worker == w {
+			return false
+		}
+	}
+	return !t.avoidedWorkers.contains(w.info.ID, c.now) || len(t.avoidedWorkers) >= len(c.workers)
+}
--- a/version/cell/completions.go
+++ b/version/cell/completions.go
@@ -136,7 +136,7 @@
 func (c *Core) handleRunFailed(t *task, number int64, w *worker) {
 	s := t.step
 	c.recordFailure(t, w)
-	t.avoidedWorkers[w.info.ID] = struct{}{}
+	t.avoidedWorkers.add(w, c.now)
 	if s.spec.LongRunning || t.done || s.job.state.Terminal() {
 		return
 	}
--- a/version/cell/gang.go
+++ b/version/cell/gang.go
@@ -51,9 +51,7 @@
 		if w == nil {
 			continue
 		}
-		_, inPlan := planned[w]
-		_, avoided := s.tasks[0].avoidedWorkers[id]
-		if inPlan || avoided {
+		if _, inPlan := planned[w]; inPlan || s.tasks[0].avoidedWorkers.contains(id, c.now) {
 			continue
 		}
 		if n := min(missing, c.startableMembers(s, w)); n > 0 {
--- a/version/cell/health.go
+++ b/version/cell/health.go
@@ -82,7 +82,7 @@
 			"task": t.name, "worker": w.info.ID, "percent": r.progressPercent,
 			"silent_polls": w.health.missedPolls, "after_ms": (c.now - r.createdAt).Milliseconds(),
 		})
-		t.avoidedWorkers[w.info.ID] = struct{}{}
+		t.avoidedWorkers.add(w, c.now)
 		c.enqueue(t)
 	}
 }
@@ -111,7 +111,7 @@
 				"still_ms": (c.now - r.progressedAt).Milliseconds(),
 			})
 			c.recordFailure(r.task, w)
-			r.task.avoidedWorkers[w.info.ID] = struct{}{}
+			r.task.avoidedWorkers.add(w, c.now)
 			c.stopRun(r, "no progress")
 		}
 	}
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -91,9 +91,8 @@
 	lastRunNumber int64
 	checkpoint    string
 	runs          []*run
-	// avoidedWorkers are workers on which the task failed, stalled, was refused, or still runs while a speculative copy
-	// is queued.
-	avoidedWorkers map[string]struct{}
+	// avoidedWorkers are workers on which the task failed, stalled or was refused.
+	avoidedWorkers avoidedWorkers
 	firstFailedOn  *worker
 	waiting        bool
 	waitingSince   Instant
@@ -212,11 +211,11 @@
 			name: stepName(j.id, index, i),
 		}
 		s.advice.init()
-		avoided := map[string]struct{}{}
+		avoided := avoidedWorkers{}
 		for t := range s.spec.Count {
 			if !s.spec.Gang {
 				// The members of a gang share the set: what fails one of them ends all.
-				avoided = map[string]struct{}{}
+				avoided = avoidedWorkers{}
 			}
 			s.tasks = append(s.tasks, &task{
 				step: s, index: t, name: job.TaskName{Job: j.id, Occurrence: index, Step: i, Index: t}.String(),
--- a/version/cell/place.go
+++ b/version/cell/place.go
@@ -141,12 +141,7 @@
 	if s.spec.MaxPerWorker > 0 && s.runsPerWorker[w] >= s.spec.MaxPerWorker {
 		return false
 	}
-	if t != nil {
-		if _, avoid := t.avoidedWorkers[w.info.ID]; avoid && len(t.avoidedWorkers) < len(c.workers) {
-			return false
-		}
-	}
-	return true
+	return t == nil || c.mayUse(w, t)
 }
 
 const (
--- a/version/cell/place_test.go
+++ b/version/cell/place_test.go
@@ -202,3 +202,29 @@
 	}
 	assert.DeepEqual(t, started, []string{"a.0.0.0", "a.2.0.0"})
 }
+
+// A service task that has failed on each worker that can run it must run again soon, although there are other workers: tasks
+// that last may fail at any time, and a worker must not be lost to them for good.
+func TestServiceTaskReturnsToItsOnlyWorkers(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	for _, id := range []string{"w1", "w2"} {
+		tc.listWorker(id, func(w *backend.WorkerInfo) { w.Labels = []string{"lane", "r1"} })
+		tc.answerPoll(id, nil, nil)
+	}
+	tc.addWorker("other")
+	tc.addJob("a", "plain", 1, stepWithTasks(1, func(s *job.Step) { s.LongRunning, s.RequiredLabel = true, "lane" }))
+	tc.step()
+	for range 2 {
+		assert.Equal(t, len(tc.starts), 1)
+		worker, run := tc.starts[0].Command.Worker.ID, tc.starts[0].Command.Run
+		tc.confirmStarts()
+		tc.answerPoll(worker, nil, []backend.FinishedRun{tc.completion(worker, "a.0.0.0", run, backend.ResultFailed)})
+		tc.step()
+	}
+	for end := tc.now + 6*time.Second; tc.now < end && len(tc.starts) == 0; tc.advance(100 * time.Millisecond) {
+		for _, id := range []string{"w1", "w2"} {
+			tc.answerPoll(id, nil, nil)
+		}
+	}
+	assert.Equal(t, len(tc.starts), 1)
+}
--- a/version/cell/plan.go
+++ b/version/cell/plan.go
@@ -295,8 +295,7 @@
 	}
 	avoided := s.waiting[0].avoidedWorkers
 	others := slices.DeleteFunc(slices.Clone(openings), func(o opening) bool {
-		_, avoid := avoided[o.worker.info.ID]
-		return avoid
+		return avoided.contains(o.worker.info.ID, c.now)
 	})
 	if s.plan = c.bestPlan(s, others); s.plan == nil && len(others) < len(openings) {
 		s.plan = c.bestPlan(s, openings)
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -237,7 +237,7 @@
 		t.step.advice.expireTicket(w.info.ID)
 	case backend.RefusedCapacity, backend.RefusedUnhealthy, backend.RefusedInvalid:
 		w.startsBlockedUntil = c.now + startBlockDuration
-		t.avoidedWorkers[w.info.ID] = struct{}{}
+		t.avoidedWorkers.add(w, c.now)
 	case backend.RefusedLate, backend.RefusedInstance:
 		w.inventoryKnown = false
 	}
