Forget workers that are gone

Callers see tasks start late after a change of the leader, and an operator a leader that polls ever more addresses: a worker without runs whose registry entry had gone was never forgotten. Each poll of an idle worker carries a new lease deadline, which counts from now, and the worker is kept until the latest deadline that was sent has passed. So the polls of a worker that no longer exists kept it, its loop of polls and its entry in the record of the workers in use. A new leader waits for every recorded worker that the registry does not list, for 2.5 s, before it starts any task of a recovered job: each change of the leader cost 2.5 s at least once a worker had ever been replaced, and several changes in series add up.

Change: without a registry entry the lease counts from the latest answer, as it does while the worker has runs.

TestGoneWorkerIsForgotten failed before (w2 still known after 30 s) and passes.

--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -208,14 +208,14 @@
 }
 
 // leaseDeadline returns the deadline of a new lease on the worker's clock and records it as sent. While the worker has
-// runs, the lease counts from the latest reading of its clock, so that the leases of an unresponsive worker expire. 0
-// means no deadline, because no reading is known.
+// runs or has no registry entry, the lease counts from the latest reading of its clock, so that the leases of an
+// unresponsive worker expire. 0 means no deadline, because no reading is known.
 func (c *Core) leaseDeadline(w *worker) int64 {
 	if w.clockMS == 0 {
 		return 0
 	}
 	elapsed := time.Duration(0)
-	if len(w.runs) == 0 {
+	if len(w.runs) == 0 && w.listed {
 		elapsed = time.Duration(float64(c.now-w.clockReceivedAt) * (1 - maxClockDrift))
 	}
 	d := w.clockMS + (elapsed + c.opts.LeaseDuration).Milliseconds()
