Remove workers from the record as soon as nothing is left on them

Callers see tasks wait after a change of the leader. A new leader starts no recovered task before it has heard of every worker of the record, and waits 2.5 s for one that the registry does not list. A worker stayed in the record for 10 s after its entry had gone and its leases had expired. So in a fleet whose workers are replaced or scaled in, each change of the leader cost 2.5 s, although the former leader had known that nothing ran there any longer.

Change: a worker without a registry entry leaves the record when no run, unknown run or completion that is not durable is left on it, or when its leases have expired. If its entry returns, it is recorded again before it is used. After a write of the record the recorded addresses are exactly those that were written.

--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -229,6 +229,7 @@
 	c.preempt()
 	c.advanceWaves()
 	c.expireMissingWorkers()
+	c.removeUnusedFromRecord()
 	c.endRecovery()
 	c.openDueOccurrences()
 	c.expireFinishedJobs()
--- a/version/cell/fleet.go
+++ b/version/cell/fleet.go
@@ -9,8 +9,9 @@
 	"github.com/lentiltide/lentiltide/backend"
 )
 
-// The fleet record holds the workers that leaders have used. A worker is recorded before it is used, so that a new
-// leader knows whose inventory it needs even if the registry has lost entries.
+// The fleet record holds the workers in use. A worker is recorded before it is used, so that a new leader knows whose
+// inventory it needs even if the registry has lost entries. A worker without a registry entry leaves the record when nothing
+// is left on it that a new leader would have to know of.
 
 // missingWorkerTimeout is how long after the rows were read a recorded worker may be missing from the registry before
 // it is considered gone. Entries that expired during an outage of the store return sooner.
@@ -72,10 +73,7 @@
 		return
 	}
 	c.fleetChanged = false
-	b.fleet = fleetRow{}
-	for id, w := range c.workers {
-		b.fleet[id] = w.info.Address
-	}
+	b.fleet = c.fleetRecord()
 	data, err := json.Marshal(b.fleet)
 	if err != nil {
 		panic(errors.Wrap(err, "encode fleet record"))
@@ -83,6 +81,39 @@
 	b.Fleet = data
 }
 
+// fleetRecord returns the record of the workers in use.
+func (c *Core) fleetRecord() fleetRow {
+	row := fleetRow{}
+	for id, w := range c.workers {
+		if c.inUse(w) {
+			row[id] = w.info.Address
+		}
+	}
+	return row
+}
+
+// inUse reports whether tasks may start or run on a worker, or completions that are not durable may be listed there.
+func (c *Core) inUse(w *worker) bool {
+	if w.listed {
+		return true
+	}
+	if c.now > c.leasesEnd(w) && len(w.runs) == 0 {
+		return false
+	}
+	return !w.inventoryKnown || len(w.runs) > 0 || w.hasUnknownRuns || w.lastReadCompletion > w.lastAckedCompletion
+}
+
+// removeUnusedFromRecord schedules a write of the fleet record without the workers that are not in use any longer.
+func (c *Core) removeUnusedFromRecord() {
+	for _, w := range c.workers {
+		if w.recordedAddress != "" && !c.inUse(w) {
+			// The worker is recorded again before it is used if its entry returns.
+			w.recordedAddress = ""
+			c.fleetChanged = true
+		}
+	}
+}
+
 // handleFleetRecordStored records whether the fleet record of a batch is durable.
 func (c *Core) handleFleetRecordStored(b Batch, stored bool) {
 	if b.Fleet == nil {
@@ -92,10 +123,8 @@
 		c.fleetChanged = true
 		return
 	}
-	for id, address := range b.fleet {
-		if w := c.workers[id]; w != nil {
-			w.recordedAddress = address
-		}
+	for id, w := range c.workers {
+		w.recordedAddress = b.fleet[id]
 	}
 	c.signalWake()
 }
--- a/version/cell/fleet_test.go
+++ b/version/cell/fleet_test.go
@@ -44,3 +44,62 @@
 	assert.DeepEqual(t, tc.core.WorkerIDs(), []string{"w1"})
 	assert.DeepEqual(t, recordedWorkers(tc.storeBatches()), fleetRow{"w1": "w1:1"})
 }
+
+// The record of the workers in use must hold every worker on which a task may run or whose completions are not durable, and
+// no other: a later leader starts no recovered task before it has heard of each.
+func TestFleetRecordHoldsWorkersInUse(t *testing.T) {
+	running := []backend.ActiveRun{{Task: "a.0.0.0", Run: 1}}
+	cases := []struct {
+		name string
+		// prepare brings about what w1 holds before its registry entry goes.
+		prepare  func(tc *testCluster)
+		recorded bool
+	}{
+		{"a run", func(tc *testCluster) { tc.answerPoll("w1", running, nil) }, true},
+		{"a completion that is not durable", func(tc *testCluster) {
+			tc.answerPoll("w1", nil, []backend.FinishedRun{tc.completion("w1", "a.0.0.0", 1, backend.ResultDone)})
+		}, true},
+		{"a durable completion", func(tc *testCluster) {
+			tc.answerPoll("w1", nil, []backend.FinishedRun{tc.completion("w1", "a.0.0.0", 1, backend.ResultDone)})
+			tc.storeBatches()
+		}, false},
+		{"an unknown run", func(tc *testCluster) {
+			tc.answerPoll("w1", append(running, backend.ActiveRun{Task: "unknown.0.0.0", Run: 1}), nil)
+			tc.answerPoll("w1", []backend.ActiveRun{{Task: "unknown.0.0.0", Run: 1}}, nil)
+		}, true},
+		{"an expired lease", func(tc *testCluster) {
+			tc.answerPoll("w1", running, nil)
+			tc.core.RemoveWorker("w1", tc.now)
+			tc.failPolls("w1", testLease+time.Second)
+		}, false},
+	}
+	for _, c := range cases {
+		tc := newStartedTestCluster(t, stepWithTasks(1))
+		tc.addWorker("w2")
+		tc.confirmStarts()
+		c.prepare(tc)
+		tc.core.RemoveWorker("w1", tc.now)
+		tc.advance(200 * time.Millisecond)
+		row := tc.core.fleetRecord()
+		_, recorded := row["w1"]
+		assert.Equal(t, recorded, c.recorded, c.name)
+		assert.Equal(t, row["w2"], "w2:1", c.name)
+	}
+}
+
+// A worker that returns to the registry after it has left the record must be recorded again before it is used.
+func TestReturningWorkerIsRecordedBeforeUse(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	tc.addWorker("w1")
+	tc.core.RemoveWorker("w1", tc.now)
+	tc.advance(200 * time.Millisecond)
+	assert.DeepEqual(t, recordedWorkers(tc.storeBatches()), fleetRow{})
+	tc.listWorker("w1", nil)
+	tc.answerPoll("w1", nil, nil)
+	tc.addJob("a", "plain", 1, stepWithTasks(1))
+	tc.advance(100 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 0)
+	assert.DeepEqual(t, recordedWorkers(tc.storeBatches()), fleetRow{"w1": "w1:1"})
+	tc.advance(100 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 1)
+}
