--- /dev/null
+++ b/process/node/crash_test.go
@@ -0,0 +1,152 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/model/job"
+	"github.com/lentiltide/lentiltide/standin/backends"
+)
+
+const (
+	// workerDowntime is how long a crashed worker is away.
+	workerDowntime = 3 * time.Second
+	// crashingJob is the id of the job whose tasks crash their workers, and crashingTaskName the name of its first task.
+	crashingJob, crashingTaskName = "crasher", "crasher.0.0.0"
+	// crashingDuration is how long such a task would take.
+	crashingDuration = time.Second
+	// givenUpWithin is the time within which such a job has failed and the other jobs are completed.
+	givenUpWithin = 40 * time.Second
+)
+
+// runWithCrashes runs a test in a cell of three instances and a number of workers, whose registry entries follow their crashes.
+func runWithCrashes(t *testing.T, workers int, test func(t *testing.T, c *testCell)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCell(t, 3, workers)
+		defer c.stop()
+		c.workers.SetRegistry(backends.Registry{
+			Write:  c.writeRegistryEntry,
+			Remove: func(id string) { c.tables.Delete(backend.RowKey{Table: "workers", Key: id}) },
+		})
+		test(t, c)
+		assert.DeepEqual(t, c.workers.Violations(), []string(nil))
+	})
+}
+
+// crashingTask describes a task that crashes its worker after a delay.
+func crashingTask(delay time.Duration) backends.TaskBehavior {
+	b := smallTask(crashingDuration)
+	b.Crash = &backends.Crash{Delay: delay, Downtime: workerDowntime}
+	return b
+}
+
+// crashCase is a job of tasks that crash their workers.
+type crashCase struct {
+	tasks    int
+	behavior backends.TaskBehavior
+	modify   func(*job.Step)
+}
+
+func crashCases() map[string]crashCase {
+	newID, service := crashingTask(50*time.Millisecond), crashingTask(50*time.Millisecond)
+	newID.Crash.NewID = true
+	service.Service = true
+	return map[string]crashCase{
+		"at the start":                    {1, crashingTask(0), nil},
+		"after 50 ms":                     {1, crashingTask(50 * time.Millisecond), nil},
+		"after most of the duration":      {1, crashingTask(crashingDuration * 9 / 10), nil},
+		"workers return under another id": {1, newID, nil},
+		"step of many tasks":              {12, crashingTask(50 * time.Millisecond), nil},
+		"gang at the start":               {4, crashingTask(0), func(s *job.Step) { s.Gang = true }},
+		"gang":                            {4, crashingTask(50 * time.Millisecond), func(s *job.Step) { s.Gang = true }},
+		"service":                         {1, service, nil},
+	}
+}
+
+// submitOrdinary submits a number of ordinary jobs, waits for an interval after each, and returns their ids.
+func (c *testCell) submitOrdinary(name string, jobs int, interval time.Duration) []string {
+	var ids []string
+	for i := range jobs {
+		id := fmt.Sprintf("%s%d", name, i)
+		assert.NilError(c.t, c.submit(c.follower(), id, 2, smallTask(time.Second), nil))
+		ids = append(ids, id)
+		time.Sleep(interval)
+	}
+	return ids
+}
+
+// requireAllCompleted fails the test unless all of the jobs are reported as completed.
+func (c *testCell) requireAllCompleted(ids []string) {
+	c.t.Helper()
+	for _, id := range ids {
+		state, err := c.state(c.nodes[c.leader()], id)
+		assert.NilError(c.t, err)
+		assert.Equal(c.t, state, job.Completed, "job %s", id)
+	}
+}
+
+// logCrashes logs the starts of the tasks that crash their workers and the crashes under them.
+func (c *testCell) logCrashes(tasks int) {
+	for i := range tasks {
+		task := fmt.Sprintf("%s.0.0.%d", crashingJob, i)
+		c.t.Logf("%s: %d starts, %d worker crashes", task, c.workers.Starts(task), c.workers.TaskCrashes(task))
+	}
+}
+
+// requireGivenUp fails the test unless their job is reported as failed and its tasks were started no more often than
+// they may.
+func (c *testCell) requireGivenUp() {
+	c.t.Helper()
+	state, err := c.state(c.nodes[c.leader()], crashingJob)
+	assert.NilError(c.t, err)
+	assert.Equal(c.t, state, job.Failed, "%d violations: %.300q", len(c.workers.Violations()), c.workers.Violations())
+	assert.DeepEqual(c.t, c.workers.Violations(), []string(nil))
+}
+
+// Guards against a task that is started again and again although each worker that starts it crashes, and against ordinary
+// jobs that fail or never complete beside it.
+func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	for name, d := range crashCases() {
+		t.Run(name, func(t *testing.T) {
+			runWithCrashes(t, 8, func(t *testing.T, c *testCell) {
+				ids := c.submitOrdinary("before", 3, 200*time.Millisecond)
+				assert.NilError(t, c.submit(c.follower(), crashingJob, d.tasks, d.behavior, d.modify))
+				ids = append(ids, c.submitOrdinary("beside", 20, 500*time.Millisecond)...)
+				time.Sleep(givenUpWithin)
+				c.logCrashes(d.tasks)
+				c.requireAllCompleted(ids)
+				c.requireGivenUp()
+			})
+		})
+	}
+}
+
+// Guards against a new leader that starts to count the crashes under a task from zero.
+func TestCrashesAreCountedAcrossTakeovers(t *testing.T) {
+	// The delays of the leader's end after the second crash: the former leader may know of it or not.
+	delays := map[string]time.Duration{"before the crash is noticed": 0, "after the crash is noticed": workerDowntime + 2*time.Second}
+	for name, delay := range delays {
+		t.Run(name, func(t *testing.T) {
+			runWithCrashes(t, 8, func(t *testing.T, c *testCell) {
+				ids := c.submitOrdinary("before", 3, 200*time.Millisecond)
+				assert.NilError(t, c.submit(c.follower(), crashingJob, 1, crashingTask(50*time.Millisecond), nil))
+				for c.workers.TaskCrashes(crashingTaskName) < 2 {
+					time.Sleep(5 * time.Millisecond)
+				}
+				time.Sleep(delay)
+				c.kill(c.leader())
+				time.Sleep(4 * time.Second)
+				ids = append(ids, c.submitOrdinary("after", 10, 500*time.Millisecond)...)
+				time.Sleep(givenUpWithin)
+				c.logCrashes(1)
+				c.requireAllCompleted(ids)
+				c.requireGivenUp()
+			})
+		})
+	}
+}
--- a/standin/backends/workers.go
+++ b/standin/backends/workers.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -23,6 +24,8 @@
 	BestEffort bool
 	// FailsOn reports whether a run of the task fails on a worker; nil means that it never fails.
 	FailsOn func(worker string) bool
+	// Crash is how each run of the task crashes its worker; nil means that it does not.
+	Crash *Crash
 }
 
 // Workers is a set of stand-in workers. Each worker rejects commands with a fencing token below the highest it has seen,
@@ -43,6 +46,7 @@
 	done         map[string]bool
 	acknowledged map[string]bool
 	chooseFault  func(worker, command string) error
+	crashes      crashRecord
 }
 
 // workerState is the state of a worker since its last start. Times are on the clock of Workers.
@@ -62,6 +66,8 @@
 	highestClosedRun map[string]int64
 	// changed is closed and replaced when a run ends.
 	changed chan struct{}
+	// outage is set from a crash of the worker to its next boot.
+	outage *outage
 }
 
 type activeRun struct {
@@ -79,7 +85,7 @@
 func NewWorkers(now func() time.Duration, behaviorOf func(task string) TaskBehavior) *Workers {
 	return &Workers{
 		now: now, behaviorOf: behaviorOf, workers: map[string]*workerState{}, starts: map[string]int{}, done: map[string]bool{},
-		acknowledged: map[string]bool{},
+		acknowledged: map[string]bool{}, crashes: newCrashRecord(),
 	}
 }
 
@@ -87,8 +93,12 @@
 func (w *Workers) Add(info backend.WorkerInfo) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.workers[info.ID] = &workerState{
-		info: info, startedAt: w.now(), running: map[string]*activeRun{}, highestClosedRun: map[string]int64{},
+	w.workers[info.ID] = newWorkerState(info, w.now())
+}
+
+func newWorkerState(info backend.WorkerInfo, startedAt time.Duration) *workerState {
+	return &workerState{
+		info: info, startedAt: startedAt, running: map[string]*activeRun{}, highestClosedRun: map[string]int64{},
 		changed: make(chan struct{}),
 	}
 }
@@ -117,7 +127,8 @@
 )
 
 // Violations describes the violations that the workers observed: a task started again after its completion was
-// acknowledged, a task that runs on two workers, or a worker over its capacity.
+// acknowledged, a task that runs on two workers, a worker over its capacity, or a task that is not given up although the
+// workers that start it crash.
 func (w *Workers) Violations() []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -162,22 +173,30 @@
 	return ids
 }
 
-// advance ends the runs that are due and those whose lease has expired. Callers hold w.mu.
+// advance brings the workers up to date: due crashes, boots and ends of runs. Callers hold w.mu.
 func (w *Workers) advance() {
 	now := w.now()
-	for _, worker := range w.workers {
-		for name, r := range worker.running {
-			finishAt := r.startedAt + r.behavior.Duration
-			switch {
-			case worker.leaseUntil < now && (r.behavior.Service || worker.leaseUntil < finishAt):
-				worker.end(name, r, backend.ResultExpired)
-			case r.behavior.Service || r.paused || finishAt > now:
-			case r.behavior.FailsOn != nil && r.behavior.FailsOn(worker.info.ID):
-				worker.end(name, r, backend.ResultFailed)
-			default:
-				worker.end(name, r, backend.ResultDone)
-				w.done[name] = true
-			}
+	for _, worker := range slices.Collect(maps.Values(w.workers)) {
+		w.crashDueRun(worker, now)
+		w.endDueRuns(worker, now)
+		w.bootIfDue(worker, now)
+	}
+	w.lapseEntries(now)
+}
+
+// endDueRuns ends the runs on a worker that are due and those whose lease has expired. Callers hold w.mu.
+func (w *Workers) endDueRuns(worker *workerState, now time.Duration) {
+	for name, r := range worker.running {
+		finishAt := r.startedAt + r.behavior.Duration
+		switch {
+		case worker.leaseUntil < now && (r.behavior.Service || worker.leaseUntil < finishAt):
+			worker.end(name, r, backend.ResultExpired)
+		case r.behavior.Service || r.paused || finishAt > now:
+		case r.behavior.FailsOn != nil && r.behavior.FailsOn(worker.info.ID):
+			worker.end(name, r, backend.ResultFailed)
+		default:
+			worker.end(name, r, backend.ResultDone)
+			w.done[name] = true
 		}
 	}
 }
@@ -199,7 +218,10 @@
 func (w *Workers) beginCommand(ref backend.WorkerRef, command string, token uint64) (*workerState, backend.Refusal, error) {
 	w.advance()
 	worker := w.workers[ref.ID]
-	if worker == nil {
+	if successor := w.workers[w.crashes.successors[ref.ID]]; successor != nil && successor.outage == nil {
+		return successor, backend.RefusedInstance, nil
+	}
+	if worker == nil || worker.outage != nil {
 		return nil, "", ErrNoAnswer
 	}
 	if w.chooseFault != nil {
@@ -256,6 +278,10 @@
 	worker.extendLease(now, command.LeaseDeadlineMS)
 	if worker.running[command.Task] == nil {
 		w.beginRun(worker, command)
+		w.advance()
+	}
+	if worker.outage != nil {
+		return backend.Reply{}, ErrNoAnswer
 	}
 	return reply, w.answerLostFault(command.Worker.ID, "start")
 }
@@ -273,6 +299,10 @@
 	}
 	worker.running[command.Task] = &activeRun{task: command.Task, run: command.Run, behavior: behavior, startedAt: w.now()}
 	w.starts[command.Task]++
+	if behavior.Crash != nil {
+		w.recordLateStart(command.Task)
+		w.advanceAfter(behavior.Crash.Delay)
+	}
 	used := model.Resources{}
 	for _, r := range worker.running {
 		demand := r.behavior.Resources
