Let crashed stand-in workers refuse connections, and test their crashes

A crashed process refuses connections, so that a start sent to it has certainly not run; the stand-in left the outcome open. The crash case with a downtime of 200 ms is new: on this code the task was started 197 times in 50 s. The tests of the stand-in pass, 20 times with the race detector.

--- a/process/node/crash_test.go
+++ b/process/node/crash_test.go
@@ -53,14 +53,16 @@
 }
 
 func crashCases() map[string]crashCase {
-	newID, service := crashingTask(50*time.Millisecond), crashingTask(50*time.Millisecond)
+	newID, soon, service := crashingTask(50*time.Millisecond), crashingTask(50*time.Millisecond), crashingTask(50*time.Millisecond)
 	newID.Crash.NewID = true
+	soon.Crash.Downtime = 200 * time.Millisecond
 	service.Service = true
 	return map[string]crashCase{
 		"at the start":                    {1, crashingTask(0), nil},
 		"after 50 ms":                     {1, crashingTask(50 * time.Millisecond), nil},
 		"after most of the duration":      {1, crashingTask(crashingDuration * 9 / 10), nil},
 		"workers return under another id": {1, newID, nil},
+		"workers return at once":          {1, soon, nil},
 		"step of many tasks":              {12, crashingTask(50 * time.Millisecond), nil},
 		"gang at the start":               {4, crashingTask(0), func(s *job.Step) { s.Gang = true }},
 		"gang":                            {4, crashingTask(50 * time.Millisecond), func(s *job.Step) { s.Gang = true }},
@@ -98,7 +100,7 @@
 	}
 }
 
-// requireGivenUp fails the test unless their job is reported as failed and its tasks were started no more often than
+// requireGivenUp fails the test unless the crashing job is reported as failed and its tasks were started no more often than
 // they may.
 func (c *testCell) requireGivenUp() {
 	c.t.Helper()
--- a/standin/backends/crashes.go
+++ b/standin/backends/crashes.go
@@ -37,7 +37,7 @@
 	maxLateStarts = 2
 )
 
-// outage is the time from the crash of a worker to its next boot.
+// outage is the time from the crash of a worker to its next boot. The worker refuses connections meanwhile.
 type outage struct {
 	bootAt time.Duration
 	newID  bool
--- a/standin/backends/workers.go
+++ b/standin/backends/workers.go
@@ -11,6 +11,7 @@
 
 	"github.com/lentiltide/lentiltide/backend"
 	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/request/verdict"
 )
 
 // TaskBehavior describes how the stand-in workers run a task.
@@ -221,9 +222,12 @@
 	if successor := w.workers[w.crashes.successors[ref.ID]]; successor != nil && successor.outage == nil {
 		return successor, backend.RefusedInstance, nil
 	}
-	if worker == nil || worker.outage != nil {
+	if worker == nil {
 		return nil, "", ErrNoAnswer
 	}
+	if worker.outage != nil {
+		return nil, "", verdict.New(verdict.NotRun, verdict.CodeUnavailable, "worker %s refuses connections", ref.ID)
+	}
 	if w.chooseFault != nil {
 		if err := w.chooseFault(ref.ID, command); err != nil && !errors.Is(err, ErrAnswerLost) {
 			return nil, "", err
