Give up jobs whose tasks crash the workers that run them

Cause: only ends that a worker lists as failed counted against a task. A crashed worker lists nothing.

Ruled out: counting for the workers (health.go) - each crashed once and returned under another id; failing a job at the second crash - innocent tasks that shared a worker with such a task twice would be failed.

Change (version/cell/crash.go): the end of a worker's process without notice is counted for each task that may have run there, durably with the progress of the job. Draining workers, maintenance, silence and expired leases are no crash; a worker that was silent until its leases had expired has crashed once it is back as a new boot, or is forgotten. After three crashes the job has failed, half a second later, so that the outage of a rack is recognized first: half of its workers (three at least) that answered last within two seconds take their crashes back, once for each task. A task with crashes gets no copies and is kept apart from other such tasks; from the second on it waits up to 2 s for a worker without recent starts, and nothing starts beside it for 2 s. A service task that has been stable for a minute forgets its crashes.

Not covered: a crash that the leader has not noticed when it is lost itself is not counted, so that each change of the leader may cost one more worker.

--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -80,6 +80,8 @@
 	suspended        bool
 	approvalRates    map[string]float64
 	waves            map[int]*wave
+	// crashes are the crashes of workers within crashRetention.
+	crashes []*crash
 	// planned is the demand of the steps for which plans are made.
 	planned plannedShare
 	// machines holds the last list of machines by ID; nil until the first list arrives.
@@ -228,6 +230,7 @@
 	c.planReadySteps()
 	c.preempt()
 	c.advanceWaves()
+	c.settleCrashes()
 	c.expireMissingWorkers()
 	c.removeUnusedFromRecord()
 	c.endRecovery()
--- /dev/null
+++ b/version/cell/crash.go
@@ -0,0 +1,178 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lentiltide/lentiltide/model/job"
+)
+
+// A task may crash each worker that runs it. After the first crash it looks like a task whose worker crashed by chance, so
+// crashes are counted for every task that ran on a worker when it crashed. Tasks with crashes are kept apart, so that a crash
+// says more about one of them the more it has, and a job with a task that has reached maxCrashes has failed.
+
+const (
+	// maxCrashes is how many workers may crash under a task before its job has failed.
+	maxCrashes = 3
+	// isolationCrashes is the number of crashes from which a task runs apart from tasks that started recently.
+	isolationCrashes = 2
+	// isolationDuration is how long after its start a run counts as recent, and how long nothing else starts beside an
+	// isolated one.
+	isolationDuration = 2 * time.Second
+	// isolationTimeout is how long a task waits for a worker without recently started runs. Afterwards any worker may do.
+	isolationTimeout = 2 * time.Second
+	// rackOutageWindow is the time within which the last answers of the workers of a rack lie that lost power together.
+	rackOutageWindow = 2 * time.Second
+	// minRackOutage is the lowest number of crashed workers, and rackOutageShare the share of the workers of a rack, from
+	// which their crashes count as one outage of the rack.
+	minRackOutage   = 3
+	rackOutageShare = 0.5
+	// crashSettleTime is how long after a crash its tasks are judged: the other workers of the rack may be noticed by then.
+	crashSettleTime = 500 * time.Millisecond
+	// crashRetention is how long a crash is kept to recognize the outage of a rack. Workers may return one after the other.
+	crashRetention = 15 * time.Second
+	// stableServiceRun is how long a service task must run for its earlier crashes to be forgotten.
+	stableServiceRun = time.Minute
+)
+
+// crash is the end of a worker without notice.
+type crash struct {
+	worker string
+	rack   string
+	// lastAnswerAt is when the worker answered last.
+	lastAnswerAt Instant
+	noticedAt    Instant
+	// tasks are the tasks for which the crash was counted.
+	tasks []*task
+	// settled means that the tasks have been judged.
+	settled bool
+}
+
+// recordCrash counts the crash of a worker for the tasks that ran there. Workers that were about to leave or had a maintenance
+// have not crashed.
+func (c *Core) recordCrash(w *worker, tasks []*task) {
+	if w.info.Draining || w.cordoned || len(tasks) == 0 {
+		return
+	}
+	k := &crash{worker: w.info.ID, rack: w.rack, lastAnswerAt: w.clockReceivedAt, noticedAt: c.now, tasks: tasks}
+	c.crashes = slices.DeleteFunc(c.crashes, func(old *crash) bool { return c.now > old.noticedAt+crashRetention })
+	c.crashes = append(c.crashes, k)
+	for _, t := range tasks {
+		t.crashes++
+		c.markChanged(t.step.job)
+	}
+	c.logDecision("worker_crashed", "", map[string]any{
+		"worker": w.info.ID, "rack": w.rack, "tasks": len(tasks), "rack_outage": c.attributeToRack(k),
+		"last_answer_ms": (c.now - w.clockReceivedAt).Milliseconds(),
+	})
+}
+
+// settleCrashes gives up the tasks under which too many workers have crashed, after crashSettleTime.
+func (c *Core) settleCrashes() {
+	for _, k := range c.crashes {
+		if k.settled || c.now < k.noticedAt+crashSettleTime {
+			continue
+		}
+		k.settled = true
+		for _, t := range k.tasks {
+			c.giveUpAfterCrashes(t)
+		}
+	}
+}
+
+// giveUpAfterCrashes ends the job of a task under which too many workers have crashed.
+func (c *Core) giveUpAfterCrashes(t *task) {
+	j := t.step.job
+	if t.crashes < maxCrashes || t.done || j.state.Terminal() {
+		return
+	}
+	c.logDecision("task_given_up", j.id, map[string]any{"task": t.name, "crashes": t.crashes})
+	c.finishJob(j, job.Failed, "workers crashed whenever task "+t.name+" ran")
+}
+
+// attributeToRack reports whether a crash belongs to an outage of its rack. The crashes of such an outage are taken back from
+// the tasks, once for each task: a task that crashes workers can bring down a rack as well.
+func (c *Core) attributeToRack(k *crash) bool {
+	var together []*crash
+	workers := map[string]struct{}{}
+	for _, other := range c.crashes {
+		if other.rack == k.rack && (other.lastAnswerAt-k.lastAnswerAt).Abs() <= rackOutageWindow {
+			together = append(together, other)
+			workers[other.worker] = struct{}{}
+		}
+	}
+	if len(workers) < minRackOutage || float64(len(workers)) < rackOutageShare*float64(c.rackSize(k.rack)) {
+		return false
+	}
+	for _, other := range together {
+		for _, t := range other.tasks {
+			if t.crashes > 0 && !t.crashTakenBack {
+				t.crashes--
+				t.crashTakenBack = true
+				c.markChanged(t.step.job)
+			}
+		}
+	}
+	return true
+}
+
+// rackSize returns the number of the known workers on a rack.
+func (c *Core) rackSize(rack string) int {
+	n := 0
+	for _, w := range c.workers {
+		if w.rack == rack {
+			n++
+		}
+	}
+	return n
+}
+
+// crashedTasks returns the tasks that may have run on a worker when it crashed: those of its runs, without starts that were
+// sent when it did not answer any longer, and those whose leases expired since its last answer.
+func (w *worker) crashedTasks() []*task {
+	tasks := slices.Clone(w.expiredTasks)
+	for _, r := range w.runs {
+		sentTooLate := r.confirmedAt == 0 && w.silentSince != 0 && r.createdAt > w.silentSince
+		if !sentTooLate && !slices.Contains(tasks, r.task) {
+			tasks = append(tasks, r.task)
+		}
+	}
+	return tasks
+}
+
+// forgetEarlierCrashes takes the crashes back from a service task whose run has been stable: it may meet crashes by chance for
+// as long as it lasts.
+func (c *Core) forgetEarlierCrashes(r *run) {
+	if r.task.step.spec.LongRunning && r.task.crashes > 0 && c.now > r.createdAt+stableServiceRun {
+		r.task.crashes = 0
+		c.markChanged(r.task.step.job)
+	}
+}
+
+// isIsolated reports whether a task runs apart from others. The members of a gang cannot, since they start together.
+func (t *task) isIsolated() bool { return t.crashes >= isolationCrashes && !t.step.spec.Gang }
+
+// mayShare reports whether a task with crashes may start on a worker now, beside the runs there. Two tasks with crashes are kept
+// apart for a while, so that the next crash is counted for one of them only.
+func (c *Core) mayShare(w *worker, t *task) bool {
+	if t.crashes == 0 || t.step.spec.Gang {
+		return true
+	}
+	if t.crashes >= maxCrashes {
+		// The task is about to be judged.
+		return false
+	}
+	patient := t.isIsolated() && c.now < t.waitingSince+isolationTimeout
+	for _, r := range w.runs {
+		recent := c.now < r.createdAt+isolationDuration
+		if recent && r.task.step.job != t.step.job && (patient || r.task.crashes > 0) {
+			return false
+		}
+	}
+	return true
+}
+
+// hasIsolatedRun reports whether nothing else may start on a worker because an isolated run has started there recently.
+func (c *Core) hasIsolatedRun(w *worker) bool {
+	return w.isolatedRun != nil && c.now < w.isolatedRun.createdAt+isolationDuration
+}
--- /dev/null
+++ b/version/cell/crash_test.go
@@ -0,0 +1,276 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/model/job"
+)
+
+// crashCluster is a test cluster whose workers can crash.
+type crashCluster struct {
+	*testCluster
+	boots map[string]int64
+}
+
+func newCrashCluster(t *testing.T, epoch uint64, workers ...string) *crashCluster {
+	cc := &crashCluster{newTestCluster(t, epoch), map[string]int64{}}
+	for _, id := range workers {
+		cc.boots[id] = 1000
+		cc.list(id)
+		cc.poll(id)
+	}
+	cc.storeBatches()
+	return cc
+}
+
+// list sets the registry entry of a worker in its present boot. The first character of its ID names the rack.
+func (cc *crashCluster) list(id string) {
+	cc.listWorker(id, func(w *backend.WorkerInfo) {
+		w.Labels, w.StartedMS = []string{"k", id[:1]}, cc.boots[id]
+	})
+}
+
+// poll answers a poll of a worker on which the ledger's confirmed runs go on.
+func (cc *crashCluster) poll(id string) {
+	_, _, ok := cc.core.PreparePoll(id, cc.now)
+	assert.Assert(cc.t, ok)
+	var running []backend.ActiveRun
+	for _, r := range cc.core.workers[id].runs {
+		running = append(running, backend.ActiveRun{Task: r.task.name, Run: r.number, ProgressPercent: 100})
+	}
+	cc.core.PollResult(id, cc.now, backend.PollReply{
+		Reply: backend.Reply{ClockMS: cc.clockMS()}, StartedMS: cc.boots[id], Running: running,
+	}, nil, cc.now+1)
+	cc.now += 2
+}
+
+// crash ends a worker and starts its next boot.
+func (cc *crashCluster) crash(id string) {
+	cc.boots[id] += 1000
+	cc.list(id)
+	cc.poll(id)
+}
+
+// start runs scheduling rounds, with all workers answering, until a task is started, confirms all starts and returns the worker.
+func (cc *crashCluster) start(task string) string {
+	for range 100 {
+		cc.advance(50 * time.Millisecond)
+		for id := range cc.boots {
+			cc.poll(id)
+		}
+		if len(cc.starts) == 0 {
+			continue
+		}
+		worker := ""
+		for _, a := range cc.starts {
+			if a.Command.Task == task {
+				worker = a.Command.Worker.ID
+			}
+		}
+		cc.confirmStarts()
+		if worker != "" {
+			return worker
+		}
+	}
+	cc.t.Fatalf("task %s was not started", task)
+	return ""
+}
+
+func (cc *crashCluster) crashesOf(task string) int { return cc.core.findTask(task).crashes }
+
+// The tasks that ran on a worker when it crashed must count its crash, whichever way it is noticed, and a task must be given up
+// after three.
+func TestTaskIsGivenUpAfterThreeCrashes(t *testing.T) {
+	cc := newCrashCluster(t, 1, "a1", "b1", "c1", "d1")
+	cc.addJob("x", "plain", 1, stepWithTasks(1))
+	for i := range maxCrashes {
+		assert.Equal(t, cc.state("x") == job.Failed, false)
+		worker := cc.start("x.0.0.0")
+		cc.crash(worker)
+		assert.Equal(t, cc.crashesOf("x.0.0.0"), i+1)
+	}
+	cc.advance(crashSettleTime + 200*time.Millisecond)
+	cc.storeBatches()
+	assert.Equal(t, cc.state("x"), job.Failed)
+	cc.advance(10 * time.Second)
+	assert.Equal(t, len(cc.starts), 0)
+}
+
+// Only the end of a process without notice is a crash. A worker that was silent, cut off until its leases expired, draining or
+// in a maintenance must not bring its tasks closer to being given up.
+func TestWhatIsNoCrash(t *testing.T) {
+	cases := map[string]func(cc *crashCluster){
+		"silent": func(cc *crashCluster) {
+			cc.failPolls("a1", testLease/2)
+			cc.poll("a1")
+		},
+		"cut off until its leases expired": func(cc *crashCluster) {
+			cc.failPolls("a1", testLease+time.Second)
+			cc.poll("a1")
+			cc.crash("a1")
+		},
+		"draining": func(cc *crashCluster) {
+			cc.listWorker("a1", func(w *backend.WorkerInfo) { w.Draining, w.RemainingMS = true, 100 })
+			cc.crash("a1")
+		},
+		"maintenance": func(cc *crashCluster) {
+			cc.core.workers["a1"].cordoned = true
+			cc.crash("a1")
+		},
+	}
+	for name, happen := range cases {
+		t.Run(name, func(t *testing.T) {
+			cc := newCrashCluster(t, 1, "a1")
+			cc.addJob("x", "plain", 1, stepWithTasks(1))
+			assert.Equal(t, cc.start("x.0.0.0"), "a1")
+			happen(cc)
+			assert.Equal(t, cc.crashesOf("x.0.0.0"), 0)
+		})
+	}
+}
+
+// A worker that crashes and stays away until its leases have expired has crashed all the same, once it is back or forgotten.
+func TestCrashIsCountedAfterExpiredLeases(t *testing.T) {
+	cases := map[string]func(cc *crashCluster){
+		"restarted": func(cc *crashCluster) { cc.crash("a1") },
+		"replaced": func(cc *crashCluster) {
+			cc.core.PollResult("a1", cc.now, backend.PollReply{Reply: backend.Reply{Refusal: backend.RefusedInstance}}, nil, cc.now)
+		},
+		"gone": func(cc *crashCluster) {
+			cc.core.RemoveWorker("a1", cc.now)
+			cc.failPolls("a1", unlistedWorkerRetention+time.Second)
+		},
+	}
+	for name, end := range cases {
+		t.Run(name, func(t *testing.T) {
+			cc := newCrashCluster(t, 1, "a1")
+			cc.addJob("x", "plain", 1, stepWithTasks(1))
+			cc.start("x.0.0.0")
+			cc.failPolls("a1", testLease+time.Second)
+			assert.Equal(t, cc.crashesOf("x.0.0.0"), 0)
+			end(cc)
+			assert.Equal(t, cc.crashesOf("x.0.0.0"), 1)
+		})
+	}
+}
+
+// A start that was sent when the worker did not answer any longer has not crashed it.
+func TestStartAfterTheCrashIsNotCounted(t *testing.T) {
+	cc := newCrashCluster(t, 1, "a1")
+	cc.addJob("x", "plain", 1, stepWithTasks(1))
+	cc.start("x.0.0.0")
+	cc.core.recordSilence(cc.core.workers["a1"])
+	cc.addJob("y", "plain", 1, stepWithTasks(1))
+	cc.step()
+	assert.Equal(t, len(cc.starts), 1)
+	cc.crash("a1")
+	assert.Equal(t, cc.crashesOf("x.0.0.0"), 1)
+	assert.Equal(t, cc.crashesOf("y.0.0.0"), 0)
+}
+
+// A rack that loses power under many tasks says nothing about the tasks: they must not be given up for it.
+func TestOutageOfARackIsTakenBack(t *testing.T) {
+	cc := newCrashCluster(t, 1, "a1", "a2", "a3", "a4", "b1")
+	cc.addJob("x", "plain", 1, stepWithTasks(16))
+	cc.start("x.0.0.0")
+	for _, id := range []string{"a1", "a2", "a3", "a4"} {
+		cc.crash(id)
+	}
+	for i := range 16 {
+		assert.Equal(t, cc.crashesOf(fmt.Sprintf("x.0.0.%d", i)), 0)
+	}
+}
+
+// A task that brings down a rack must be given up all the same: an outage is taken back once for each task.
+func TestOutageOfARackIsTakenBackOnce(t *testing.T) {
+	cc := newCrashCluster(t, 1, "a1", "a2", "a3", "a4")
+	cc.addJob("x", "plain", 1, stepWithTasks(4, func(s *job.Step) { s.TaskDemand.CPUMilli = 4000 }))
+	outages := 0
+	for ; cc.state("x") != job.Failed && outages < 10; outages++ {
+		cc.start("x.0.0.0")
+		for _, id := range []string{"a1", "a2", "a3", "a4"} {
+			cc.crash(id)
+		}
+		cc.advance(crashSettleTime + 200*time.Millisecond)
+		cc.storeBatches()
+	}
+	assert.Equal(t, outages, maxCrashes+1)
+}
+
+// The next leader must go on with the crashes that were counted, or each change of the leader costs three more workers.
+func TestCrashesSurviveATakeover(t *testing.T) {
+	cc := newCrashCluster(t, 1, "a1", "b1")
+	cc.addJob("x", "plain", 1, stepWithTasks(2))
+	cc.crash(cc.start("x.0.0.1"))
+	batches := cc.storeBatches()
+	next := newCrashCluster(t, 2, "a1")
+	progress := batches[len(batches)-1].Progress
+	assert.NilError(t, next.core.LoadProgress("x", record("plain", 1, stepWithTasks(2)), progress[len(progress)-1].Data, next.now))
+	assert.Equal(t, next.crashesOf("x.0.0.1"), 1)
+}
+
+// A task with crashes must not start a second copy while its worker is silent: the copy could crash another worker.
+func TestTaskWithCrashesGetsNoCopy(t *testing.T) {
+	cc := newCrashCluster(t, 1, "a1", "b1")
+	cc.addJob("x", "plain", 1, stepWithTasks(1, func(s *job.Step) { s.Speculative = true }))
+	cc.crash(cc.start("x.0.0.0"))
+	worker := cc.start("x.0.0.0")
+	cc.failPolls(worker, testLease/2)
+	assert.Equal(t, len(cc.starts), 0)
+}
+
+// Tasks with crashes must be kept apart from each other, and after the second crash from all that has started recently, so
+// that a task that shares workers with one that crashes them is not given up in its place.
+func TestTasksWithCrashesAreKeptApart(t *testing.T) {
+	cc := newCrashCluster(t, 1, "a1", "b1")
+	cc.addJob("x", "plain", 1, stepWithTasks(1))
+	cc.addJob("y", "plain", 1, stepWithTasks(1))
+	cc.addJob("z", "plain", 1, stepWithTasks(1, func(s *job.Step) { s.TaskDemand.CPUMilli = 100 }))
+	x, y := cc.core.findTask("x.0.0.0"), cc.core.findTask("y.0.0.0")
+	x.crashes, y.crashes = 1, 1
+	cc.step()
+	workers := map[string]string{}
+	for _, a := range cc.starts {
+		workers[a.Command.Task] = a.Command.Worker.ID
+	}
+	assert.Equal(t, len(workers), 3)
+	assert.Assert(t, workers["x.0.0.0"] != workers["y.0.0.0"])
+}
+
+// Beside a task that has crashed two workers nothing starts for a while, and it waits for a worker without recent starts, but not
+// for ever.
+func TestIsolatedTask(t *testing.T) {
+	cc := newCrashCluster(t, 1, "a1")
+	cc.addJob("y", "plain", 1, stepWithTasks(1, func(s *job.Step) { s.LongRunning = true }))
+	cc.start("y.0.0.0")
+	cc.addJob("x", "plain", 1, stepWithTasks(1))
+	cc.core.findTask("x.0.0.0").crashes = isolationCrashes
+	waitingSince := cc.now
+	cc.start("x.0.0.0")
+	assert.Assert(t, cc.now > waitingSince+isolationDuration-100*time.Millisecond && cc.now < waitingSince+isolationTimeout+time.Second)
+	startedAt := cc.now
+	cc.addJob("z", "plain", 1, stepWithTasks(1))
+	cc.start("z.0.0.0")
+	assert.Assert(t, cc.now > startedAt+isolationDuration-200*time.Millisecond)
+}
+
+// A service task lasts as long as its job, and must not be given up for crashes that are far apart.
+func TestStableServiceForgetsCrashes(t *testing.T) {
+	cc := newCrashCluster(t, 1, "a1", "b1", "c1")
+	cc.addJob("x", "plain", 1, stepWithTasks(1, func(s *job.Step) { s.LongRunning = true }))
+	for range 2 * maxCrashes {
+		worker := cc.start("x.0.0.0")
+		for end := cc.now + stableServiceRun + time.Second; cc.now < end; cc.advance(200 * time.Millisecond) {
+			for id := range cc.boots {
+				cc.poll(id)
+			}
+		}
+		cc.crash(worker)
+		assert.Equal(t, cc.crashesOf("x.0.0.0"), 1)
+	}
+}
--- a/version/cell/health.go
+++ b/version/cell/health.go
@@ -66,12 +66,13 @@
 )
 
 // queueSpeculativeRuns queues a second run of each task that permits speculative copies and whose only run is slow or
-// on a worker that has missed at least missedPollsToBlock polls in a row.
+// on a worker that has missed at least missedPollsToBlock polls in a row. A task with crashes gets none: the copy could crash
+// another worker.
 func (c *Core) queueSpeculativeRuns(w *worker) {
 	for _, r := range w.runs {
 		t := r.task
 		s := t.step
-		if !s.spec.Speculative || s.spec.LongRunning || t.done || t.waiting || len(t.runs) > 1 || s.job.state.Terminal() {
+		if !s.spec.Speculative || s.spec.LongRunning || t.done || t.waiting || len(t.runs) > 1 || s.job.state.Terminal() || t.crashes > 0 {
 			continue
 		}
 		slow := c.now > r.createdAt+time.Duration(slowRunFactor*float64(s.estimatedDuration()))+slowRunSlack
--- a/version/cell/place.go
+++ b/version/cell/place.go
@@ -64,7 +64,7 @@
 	for _, t := range s.waiting {
 		w := c.selectWorker(s, t)
 		if w == nil {
-			if len(t.avoidedWorkers) == 0 {
+			if len(t.avoidedWorkers) == 0 && t.crashes == 0 {
 				// No worker is left for the other tasks either.
 				break
 			}
@@ -132,7 +132,8 @@
 		c.now < w.startsBlockedUntil || c.now < w.health.suspectUntil {
 		return false
 	}
-	if w.info.Service != s.job.queue.Service || c.now > w.clockReceivedAt+maxClockAge || w.isReservedAgainst(s, c.now) {
+	if w.info.Service != s.job.queue.Service || c.now > w.clockReceivedAt+maxClockAge || w.isReservedAgainst(s, c.now) ||
+		c.hasIsolatedRun(w) {
 		return false
 	}
 	if s.spec.RequiredLabel != "" && !w.hasLabel(s.spec.RequiredLabel) {
@@ -141,7 +142,7 @@
 	if s.spec.MaxPerWorker > 0 && s.runsPerWorker[w] >= s.spec.MaxPerWorker {
 		return false
 	}
-	return t == nil || c.mayUse(w, t)
+	return t == nil || (c.mayUse(w, t) && c.mayShare(w, t))
 }
 
 const (
--- a/version/cell/progress.go
+++ b/version/cell/progress.go
@@ -26,6 +26,8 @@
 	Done []byte `json:"d,omitempty"`
 	// Failed holds the numbers of the failed runs, keyed by task index.
 	Failed map[string][]int64 `json:"f,omitempty"`
+	// Crashes holds how many workers crashed while a task ran there, keyed by task index.
+	Crashes map[string]int `json:"c,omitempty"`
 }
 
 // Progress is the encoded progress of one job.
@@ -164,7 +166,7 @@
 	return data
 }
 
-// progress returns the durable form of a step, or nil if no task is done and no run has failed.
+// progress returns the durable form of a step, or nil if no task is done, no run has failed and no worker has crashed.
 func (s *step) progress() *stepProgress {
 	if s.openTasks == 0 {
 		return &stepProgress{All: true}
@@ -186,6 +188,13 @@
 			p.Failed[strconv.Itoa(t.index)] = t.failedRuns
 			hasProgress = true
 		}
+		if t.crashes > 0 && !t.done {
+			if p.Crashes == nil {
+				p.Crashes = map[string]int{}
+			}
+			p.Crashes[strconv.Itoa(t.index)] = t.crashes
+			hasProgress = true
+		}
 	}
 	if !hasProgress {
 		return nil
@@ -270,6 +279,7 @@
 		t.waiting = false
 		s.openTasks--
 	}
+	t.crashes = p.Crashes[strconv.Itoa(t.index)]
 	t.failedRuns = p.Failed[strconv.Itoa(t.index)]
 	for _, number := range t.failedRuns {
 		t.lastRunNumber = max(t.lastRunNumber, number)
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -69,6 +69,9 @@
 	w.addDemand(t.step, 1)
 	w.releaseReservation(t.step)
 	t.waiting = false
+	if t.isIsolated() {
+		w.isolatedRun = r
+	}
 	return r
 }
 
@@ -80,6 +83,9 @@
 	r.removed = true
 	delete(r.worker.runs, r.key())
 	r.worker.addDemand(r.task.step, -1)
+	if r.worker.isolatedRun == r {
+		r.worker.isolatedRun = nil
+	}
 	t := r.task
 	for i, other := range t.runs {
 		if other == r {
@@ -171,6 +177,7 @@
 		return
 	}
 	r.unansweredAt = c.now
+	c.recordSilence(r.worker)
 	c.pollSoon(r.worker)
 }
 
@@ -467,6 +474,7 @@
 		r.progressedAt = c.now
 	}
 	r.load = item.Load
+	c.forgetEarlierCrashes(r)
 	if r.task.done && r.phase == phaseRunning {
 		c.stopRun(r, "task is done")
 		return
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -67,6 +67,12 @@
 	drainingSince Instant
 	// departsAt is when a draining worker may leave.
 	departsAt Instant
+	// silentSince is when a poll or a start first remained unanswered since the last answer; 0 after an answer.
+	silentSince Instant
+	// expiredTasks are the tasks whose leases expired since the last answer.
+	expiredTasks []*task
+	// isolatedRun is a run beside which nothing else starts for a while.
+	isolatedRun *run
 }
 
 type runKey struct {
@@ -154,9 +160,7 @@
 // restarted.
 func (c *Core) handleWorkerRestart(w *worker, startedMS int64) {
 	c.logDecision("worker_restarted", "", map[string]any{"worker": w.info.ID, "runs": len(w.runs), "started_ms": startedMS})
-	for _, r := range w.runs {
-		c.dropRun(r, "worker restarted")
-	}
+	c.dropCrashedRuns(w, "worker restarted")
 	w.startedMS = startedMS
 	w.inventoryKnown = false
 	w.clockMS, w.leaseEndMS = 0, 0
@@ -167,6 +171,16 @@
 	w.startsBlockedUntil = 0
 }
 
+// dropCrashedRuns drops the runs of a worker whose process has ended.
+func (c *Core) dropCrashedRuns(w *worker, reason string) {
+	tasks := w.crashedTasks()
+	for _, r := range w.runs {
+		c.dropRun(r, reason)
+	}
+	c.recordCrash(w, tasks)
+	w.expiredTasks, w.silentSince = nil, 0
+}
+
 // leasesEnd returns when every lease on the worker has expired, on the local clock.
 func (c *Core) leasesEnd(w *worker) Instant {
 	if w.clockMS == 0 {
@@ -185,6 +199,7 @@
 		c.logDecision("leases_lapsed", "", map[string]any{
 			"worker": w.info.ID, "runs": len(w.runs), "last_answer_ms": (c.now - w.clockReceivedAt).Milliseconds(),
 		})
+		w.expiredTasks = w.crashedTasks()
 		for _, r := range w.runs {
 			c.dropRun(r, "lease expired")
 		}
@@ -192,6 +207,7 @@
 	}
 	delete(c.inventoryPending, w.info.ID)
 	if !w.listed && c.now > w.unlistedAt+unlistedWorkerRetention {
+		c.recordCrash(w, w.expiredTasks)
 		delete(c.workers, w.info.ID)
 		c.fleetChanged = true
 	}
@@ -202,11 +218,19 @@
 
 // recordClock records a reading of the worker's clock. Older readings are ignored.
 func (c *Core) recordClock(w *worker, readingMS int64) {
+	w.silentSince = 0
 	if readingMS > w.clockMS {
 		w.clockMS, w.clockReceivedAt = readingMS, c.now
 	}
 }
 
+// recordSilence records that a worker has not answered a poll or a start.
+func (c *Core) recordSilence(w *worker) {
+	if w.silentSince == 0 {
+		w.silentSince = c.now
+	}
+}
+
 // leaseDeadline returns the deadline of a new lease on the worker's clock and records it as sent. While the worker has
 // runs or has no registry entry, the lease counts from the latest reading of its clock, so that the leases of an
 // unresponsive worker expire. 0 means no deadline, because no reading is known.
@@ -359,6 +383,7 @@
 		w.health.unresponsive = false
 		c.logDecision("worker_answers", "", map[string]any{"worker": id})
 	}
+	w.expiredTasks = nil
 	c.recordCompletions(w, reply.Finished)
 	c.reconcileRuns(w, sentAt, reply.Running)
 	w.forgetResolvedTasks()
@@ -371,18 +396,17 @@
 // process.
 func (c *Core) handleWorkerReplaced(w *worker) {
 	delete(c.inventoryPending, w.info.ID)
-	if !w.inventoryKnown && len(w.runs) == 0 {
+	if !w.inventoryKnown && len(w.runs) == 0 && len(w.expiredTasks) == 0 {
 		return
 	}
 	c.logDecision("worker_replaced", "", map[string]any{"worker": w.info.ID, "runs": len(w.runs), "address": w.info.Address})
-	for _, r := range w.runs {
-		c.dropRun(r, "address is used by another worker")
-	}
+	c.dropCrashedRuns(w, "address is used by another worker")
 	w.inventoryKnown = false
 }
 
 // handlePollFailure records an unanswered poll.
 func (c *Core) handlePollFailure(w *worker, err error) {
+	c.recordSilence(w)
 	w.health.missedPolls++
 	if w.health.missedPolls >= missedPollsToBlock {
 		w.startsBlockedUntil = max(w.startsBlockedUntil, c.now+startBlockDuration)
