Start nothing on a worker that is over its capacity

A worker's capacity may shrink below what runs there. The scheduler compared only what a task needs with what is free, so a best-effort task, whose processor demand does not count, and a task or gang that needs only memory were started on a worker whose processors were exceeded: the start left it over its capacity.

capacityFor, the count for preemption and the openings of a plan now yield nothing while any kind of capacity is exceeded. A plan counts openings there from the expected end that brings the worker back within its capacity. Runs that exceed the capacity go on; nothing is stopped for it.

TestShrunkenWorkerGetsNoStarts failed without the change in five of its 56 cases, best_effort/cpu (plain, short) with "1 (int) != 0 (int)" and memory_only/cpu/plain, memory_gang/cpu (plain, short) with "1" or "2 (int) != 0 (int)" starts, and passes now. TestGangPlanFollowsTheCapacity, TestAdoptedRunsAboveTheCapacity and TestPreemptionOnAShrunkenWorker are new and passed without the change: plans made for the former capacity, adopted runs and preemption were right.

--- /dev/null
+++ b/version/cell/capacity_test.go
@@ -0,0 +1,177 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/model/job"
+)
+
+// setCapacity changes the capacity in the registry entry of a worker that keeps running.
+func (tc *testCluster) setCapacity(id string, cpuMilli, memoryMiB int64) {
+	tc.listWorker(id, func(info *backend.WorkerInfo) {
+		info.Capacity = model.Resources{CPUMilli: cpuMilli, MemoryMiB: memoryMiB}
+	})
+}
+
+func asGang(s *job.Step)       { s.Gang = true }
+func asBestEffort(s *job.Step) { s.BestEffort = true }
+func asCheckpoint(s *job.Step) { s.Checkpoints = true }
+func withEstimate(ms int64) func(*job.Step) {
+	return func(s *job.Step) { s.EstimateMS = ms }
+}
+
+// A start must not bring a worker over a capacity that has shrunk below what runs there, and the runs must go on.
+func TestShrunkenWorkerGetsNoStarts(t *testing.T) {
+	steps := map[string]job.Step{
+		"task":         stepWithTasks(1),
+		"gang":         stepWithTasks(2, asGang),
+		"best effort":  stepWithTasks(1, asBestEffort),
+		"service task": stepWithTasks(1, func(s *job.Step) { s.LongRunning = true }),
+		"speculative":  stepWithTasks(1, func(s *job.Step) { s.Speculative = true }),
+		"memory only":  stepWithTasks(1, func(s *job.Step) { s.TaskDemand.CPUMilli = 0 }),
+		"memory gang":  stepWithTasks(2, asGang, func(s *job.Step) { s.TaskDemand.CPUMilli = 0 }),
+	}
+	capacities := map[string]model.Resources{
+		"cpu": {CPUMilli: 1000, MemoryMiB: 8000}, "memory": {CPUMilli: 8000, MemoryMiB: 150}, "both": {CPUMilli: 1999, MemoryMiB: 199},
+		"none": {},
+	}
+	for name, s := range steps {
+		for shrunken, capacity := range capacities {
+			for _, queue := range []string{"plain", "short"} {
+				t.Run(name+"/"+shrunken+"/"+queue, func(t *testing.T) {
+					tc := newStartedTestCluster(t, stepWithTasks(2, withEstimate(60_000)))
+					tc.core.SetAdvisers([]string{"i1", "i2"})
+					running := tc.confirmStarts()["w1"]
+					assert.Equal(t, len(running), 2)
+					tc.answerPoll("w1", running, nil)
+					tc.setCapacity("w1", capacity.CPUMilli, capacity.MemoryMiB)
+					tc.addJob("b", queue, 1, s)
+					for range 30 {
+						tc.advance(100 * time.Millisecond)
+						tc.approveAll(2500 * time.Millisecond)
+						tc.answerPoll("w1", running, nil)
+					}
+					assert.Equal(t, len(tc.starts), 0)
+					assert.Equal(t, len(tc.stops), 0)
+					tc.setCapacity("w1", 4000, 8000)
+					tc.advance(50 * time.Millisecond)
+					tc.approveAll(2500 * time.Millisecond)
+					tc.advance(50 * time.Millisecond)
+					tc.approveAll(2500 * time.Millisecond)
+					tc.advance(50 * time.Millisecond)
+					assert.Equal(t, len(tc.starts), s.Count)
+				})
+			}
+		}
+	}
+}
+
+// approveAll answers all requests for advice with tickets for every worker.
+func (tc *testCluster) approveAll(validity time.Duration) {
+	for _, a := range tc.adviceRequests {
+		var tickets []backend.Ticket
+		for _, id := range a.Workers {
+			tickets = append(tickets, backend.Ticket{Worker: id, Ticket: "t"})
+		}
+		tc.core.AdviceResult(a, tickets, validity, nil, tc.now)
+	}
+	tc.adviceRequests = nil
+}
+
+// The plan of a gang, made for a capacity that has shrunk, must not start it there, and another plan must replace it.
+func TestGangPlanFollowsTheCapacity(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	for _, id := range []string{"w1", "w2", "w3"} {
+		tc.addWorker(id)
+	}
+	tc.addJob("a", "plain", 1, stepWithTasks(12, withEstimate(1000)))
+	tc.step()
+	running := tc.confirmStarts()
+	assert.Equal(t, len(running), 3)
+	tc.addJob("g", "plain", 1, stepWithTasks(8, asGang))
+	tc.advance(300 * time.Millisecond)
+	tc.listWorker("w1", func(i *backend.WorkerInfo) { i.Capacity.CPUMilli = 2000 })
+	tc.listWorker("w2", func(i *backend.WorkerInfo) { i.Capacity.CPUMilli = 2000 })
+	for id, list := range running {
+		var completions []backend.FinishedRun
+		for _, r := range list {
+			completions = append(completions, tc.completion(id, r.Task, r.Run, backend.ResultDone))
+		}
+		tc.answerPoll(id, nil, completions)
+	}
+	tc.step()
+	tc.advance(200 * time.Millisecond)
+	perWorker := map[string]int{}
+	for _, a := range tc.starts {
+		perWorker[a.Command.Worker.ID]++
+	}
+	assert.DeepEqual(t, perWorker, map[string]int{"w1": 2, "w2": 2, "w3": 4})
+}
+
+// A new leader that adopts runs above the capacity of a worker must not start more there, and must not stop the runs.
+func TestAdoptedRunsAboveTheCapacity(t *testing.T) {
+	tc := newTestCluster(t, 2)
+	tc.setCapacity("w1", 1000, 8000)
+	tc.addJob("a", "plain", 1, stepWithTasks(4, withEstimate(60_000)))
+	running := []backend.ActiveRun{}
+	for i := range 3 {
+		running = append(running, backend.ActiveRun{Task: fmt.Sprintf("a.0.0.%d", i), Run: 1})
+	}
+	tc.answerPoll("w1", running, nil)
+	tc.storeBatches()
+	tc.advance(500 * time.Millisecond)
+	tc.answerPoll("w1", running, nil)
+	tc.advance(500 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 0)
+	assert.Equal(t, len(tc.stops), 0)
+	tc.answerPoll("w1", nil, []backend.FinishedRun{
+		tc.completion("w1", "a.0.0.0", 1, backend.ResultDone), tc.completion("w1", "a.0.0.1", 1, backend.ResultDone),
+		tc.completion("w1", "a.0.0.2", 1, backend.ResultDone),
+	})
+	tc.advance(50 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 1)
+}
+
+// Urgent tasks must get the capacity of a worker above its capacity only when enough runs there have ended, and no run may be
+// stopped there in vain.
+func TestPreemptionOnAShrunkenWorker(t *testing.T) {
+	cases := map[string]struct {
+		cpuMilli int64
+		stops    int
+	}{
+		"fits after three stops": {2000, 3},
+		"fits after all stops":   {1000, 4},
+		"never fits":             {500, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tc := newTestCluster(t, 1)
+			tc.core.SetAdvisers([]string{"i1"})
+			tc.addWorker("w1")
+			tc.addJob("long", "plain", 1, stepWithTasks(4, asCheckpoint, withEstimate(60_000)))
+			tc.step()
+			running := tc.confirmStarts()["w1"]
+			tc.answerPoll("w1", running, nil)
+			tc.setCapacity("w1", c.cpuMilli, 8000)
+			tc.addJob("urgent", "short", 1, stepWithTasks(1, withEstimate(60_000)))
+			tc.advance(300 * time.Millisecond)
+			assert.Equal(t, len(tc.stops), c.stops)
+			for i, r := range running {
+				tc.answerPoll("w1", running[i+1:], []backend.FinishedRun{tc.completion("w1", r.Task, r.Run, backend.ResultStopped)})
+				tc.advance(20 * time.Millisecond)
+				tc.approveAll(2500 * time.Millisecond)
+				tc.advance(20 * time.Millisecond)
+				stopped := int64(i + 1)
+				if fits := (4-stopped)*1000+1000 <= c.cpuMilli; !fits {
+					assert.Equal(t, len(tc.starts), 0)
+				}
+			}
+		})
+	}
+}
--- a/version/cell/place.go
+++ b/version/cell/place.go
@@ -122,6 +122,9 @@
 
 // capacityFor returns how many tasks of a step fit into the capacity of a worker that is free and not reserved for others.
 func (c *Core) capacityFor(w *worker, s *step) int {
+	if w.isOverCapacity() {
+		return 0
+	}
 	return multiplesIn(w.info.Capacity.Sub(w.allocated).Sub(c.reservedFor(w, s)), s.allocatedDemand())
 }
 
--- a/version/cell/plan.go
+++ b/version/cell/plan.go
@@ -423,14 +423,17 @@
 	if s.spec.MaxPerWorker > 0 {
 		limit = min(limit, s.spec.MaxPerWorker-s.runsPerWorker[w])
 	}
-	free := w.info.Capacity.Sub(w.allocated).Sub(c.reservedFor(w, s))
+	unallocated, reserved := w.info.Capacity.Sub(w.allocated), c.reservedFor(w, s)
 	var times []Instant
-	addUpTo := func(n int, at Instant) {
-		for len(times) < min(n, limit) {
+	addFitting := func(at Instant) {
+		if unallocated.HasNegative() {
+			return
+		}
+		for n := multiplesIn(unallocated.Sub(reserved), s.spec.TaskDemand); len(times) < min(n, limit); {
 			times = append(times, at)
 		}
 	}
-	addUpTo(multiplesIn(free, s.spec.TaskDemand), c.now)
+	addFitting(c.now)
 	if len(times) >= limit {
 		return times
 	}
@@ -438,8 +441,8 @@
 		if len(times) >= limit {
 			break
 		}
-		free = free.Add(e.demand)
-		addUpTo(multiplesIn(free, s.spec.TaskDemand), e.at)
+		unallocated = unallocated.Add(e.demand)
+		addFitting(e.at)
 	}
 	return times
 }
--- a/version/cell/preempt.go
+++ b/version/cell/preempt.go
@@ -69,6 +69,9 @@
 
 // taskCapacity returns how many tasks with the given demand fit into the free capacity of the worker.
 func (w *worker) taskCapacity(demand model.Resources) int {
+	if w.isOverCapacity() {
+		return 0
+	}
 	return multiplesIn(w.info.Capacity.Sub(w.allocated), demand)
 }
 
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -434,6 +434,10 @@
 // freeCPUMilli returns the free processor time of a worker in thousandths of a core.
 func (w *worker) freeCPUMilli() int64 { return w.info.Capacity.CPUMilli - w.allocated.CPUMilli }
 
+// isOverCapacity reports whether the runs of the worker exceed its capacity, which may have shrunk since they started. No run
+// starts there then, even if it needs nothing of what is exceeded.
+func (w *worker) isOverCapacity() bool { return w.info.Capacity.Sub(w.allocated).HasNegative() }
+
 // reservedCPUMilli returns the processor time that is reserved for other steps.
 func (w *worker) reservedCPUMilli(s *step) int64 {
 	sum := int64(0)
