Withdraw queued starts that their worker may no longer run

A start may wait for a command slot, about a second when the calls to silent workers hold them. StartNeeded then looked at the task and the leadership only.

StartNeeded now also requires that the worker is listed, not draining, not cordoned and within its capacity. The demand of queued starts is in the ledger, so that only as many are withdrawn as exceed the capacity. A gang of which one start is withdrawn starts again as a whole.

--- a/version/cell/capacity_test.go
+++ b/version/cell/capacity_test.go
@@ -84,6 +84,102 @@
 	tc.adviceRequests = nil
 }
 
+// A start that waits to be sent must be withdrawn when its worker may not run it any longer, and only as many starts as
+// exceed the capacity.
+func TestQueuedStartIsWithdrawnWhenItsWorkerChanges(t *testing.T) {
+	cases := map[string]struct {
+		change func(*backend.WorkerInfo)
+		needed int
+	}{
+		"no change":    {nil, 3},
+		"shrunken":     {func(i *backend.WorkerInfo) { i.Capacity.CPUMilli = 3000 }, 1},
+		"less memory":  {func(i *backend.WorkerInfo) { i.Capacity.MemoryMiB = 350 }, 1},
+		"no capacity":  {func(i *backend.WorkerInfo) { i.Capacity = model.Resources{} }, 0},
+		"draining":     {func(i *backend.WorkerInfo) { i.Draining, i.RemainingMS = true, 60_000 }, 0},
+		"grown":        {func(i *backend.WorkerInfo) { i.Capacity.CPUMilli = 8000 }, 3},
+		"another zone": {func(i *backend.WorkerInfo) { i.Zone = "b" }, 3},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tc := newTestCluster(t, 1)
+			tc.listWorker("w1", func(i *backend.WorkerInfo) { i.Capacity.CPUMilli = 5000 })
+			tc.answerPoll("w1", nil, nil)
+			tc.storeBatches()
+			tc.addJob("a", "plain", 1, stepWithTasks(2))
+			tc.step()
+			running := tc.confirmStarts()["w1"]
+			tc.answerPoll("w1", running, nil)
+			tc.addJob("b", "plain", 1, stepWithTasks(3))
+			tc.step()
+			assert.Equal(t, len(tc.starts), 3)
+			tc.listWorker("w1", func(i *backend.WorkerInfo) {
+				i.Capacity.CPUMilli = 5000
+				if c.change != nil {
+					c.change(i)
+				}
+			})
+			needed := 0
+			for _, a := range tc.starts {
+				if tc.core.StartNeeded(a) {
+					needed++
+				} else {
+					tc.core.StartWithdrawn(a, tc.now)
+				}
+			}
+			assert.Equal(t, needed, c.needed)
+		})
+	}
+}
+
+// A start that waits to be sent must be withdrawn when its worker has left the registry or awaits maintenance.
+func TestQueuedStartIsWithdrawnWhenItsWorkerLeaves(t *testing.T) {
+	tc := newStartedTestCluster(t, stepWithTasks(1))
+	assert.Assert(t, tc.core.StartNeeded(tc.starts[0]))
+	tc.core.RemoveWorker("w1", tc.now)
+	assert.Assert(t, !tc.core.StartNeeded(tc.starts[0]))
+
+	tc = newStartedTestCluster(t, stepWithTasks(1))
+	tc.core.SetWave(backend.MaintenanceWave{Number: 1, Machines: []string{"m-w1"}, Duration: time.Minute, MaxUnavailable: 1}, tc.now)
+	tc.listMachines([]string{"w1"}, nil)
+	assert.Assert(t, tc.core.StartNeeded(tc.starts[0]))
+	tc.advance(200 * time.Millisecond)
+	assert.Assert(t, !tc.core.StartNeeded(tc.starts[0]))
+}
+
+// A gang of which one queued start was withdrawn must not start partially.
+func TestGangIsWithdrawnWhenAWorkerShrinks(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	tc.addWorker("w1")
+	tc.addWorker("w2")
+	tc.addJob("a", "plain", 1, stepWithTasks(6, asGang))
+	tc.advance(50 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 6)
+	tc.setCapacity("w2", 1000, 8000)
+	for _, a := range tc.starts {
+		if tc.core.StartNeeded(a) {
+			tc.core.StartResult(a, backend.Reply{ClockMS: tc.clockMS()}, nil, tc.now)
+		} else {
+			tc.core.StartWithdrawn(a, tc.now)
+		}
+	}
+	tc.starts = nil
+	tc.step()
+	for _, a := range tc.stops {
+		tc.core.StopResult(a, backend.Reply{ClockMS: tc.clockMS()}, nil, tc.now)
+	}
+	tc.now++
+	tc.answerPoll("w1", nil, nil)
+	tc.answerPoll("w2", nil, nil)
+	tc.advance(time.Second)
+	assert.Equal(t, len(tc.starts), 0)
+	tc.setCapacity("w2", 2000, 8000)
+	tc.advance(200 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 6)
+	for _, a := range tc.starts {
+		assert.Assert(t, a.Command.Run > 1)
+	}
+}
+
 // The plan of a gang, made for a capacity that has shrunk, must not start it there, and another plan must replace it.
 func TestGangPlanFollowsTheCapacity(t *testing.T) {
 	tc := newTestCluster(t, 1)
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -110,12 +110,18 @@
 	})
 }
 
-// StartNeeded reports whether a queued start may still be sent. By then its task may be done, cancelled or stopped, or
-// the leadership may be uncertain.
+// StartNeeded reports whether a queued start may still be sent. By then its task may be done, cancelled or stopped, the
+// leadership may be uncertain, or the worker may no longer accept the run.
 func (c *Core) StartNeeded(a *StartAction) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !a.run.removed && a.run.phase == phaseStarting && !c.suspended && !c.superseded
+	return !a.run.removed && a.run.phase == phaseStarting && !c.suspended && !c.superseded && a.run.worker.acceptsQueuedStart()
+}
+
+// acceptsQueuedStart reports whether a start that was issued earlier may still be sent to the worker. Its demand is part of the
+// ledger, so that of several queued starts only those that exceed a shrunken capacity are withdrawn.
+func (w *worker) acceptsQueuedStart() bool {
+	return w.listed && !w.info.Draining && !w.cordoned && !w.isOverCapacity()
 }
 
 // StartWithdrawn records that a start was not sent.
