Place waiting tasks as soon as a worker has grown

It does now, so that the next round places tasks that need no advice, and asks for advice for the others.

TestWaitingTasksStartWhenCapacityGrows failed without the change ("0 (int) != 2 (int): plain") and passes now.

--- a/version/cell/capacity_test.go
+++ b/version/cell/capacity_test.go
@@ -84,6 +84,34 @@
 	tc.adviceRequests = nil
 }
 
+// Waiting tasks must start in the next round when the capacity of a worker has grown, not after the next sweep.
+func TestWaitingTasksStartWhenCapacityGrows(t *testing.T) {
+	for _, queue := range []string{"plain", "short"} {
+		tc := newTestCluster(t, 1)
+		tc.core.SetAdvisers([]string{"i1"})
+		tc.addWorker("w1")
+		tc.setCapacity("w1", 500, 8000)
+		tc.addJob("a", queue, 1, stepWithTasks(2))
+		tc.advance(time.Second)
+		tc.approveAll(2500 * time.Millisecond)
+		assert.Equal(t, len(tc.starts), 0)
+		// Without a sweep only the change itself can cause the starts.
+		tc.core.nextSweep = tc.now + time.Hour
+		for len(tc.core.Wake()) > 0 {
+			<-tc.core.Wake()
+		}
+		tc.setCapacity("w1", 4000, 8000)
+		assert.Equal(t, len(tc.core.Wake()), 1)
+		tc.step()
+		if queue == "short" {
+			assert.Equal(t, len(tc.adviceRequests), 1)
+			tc.approveAll(2500 * time.Millisecond)
+			tc.step()
+		}
+		assert.Equal(t, len(tc.starts), 2, queue)
+	}
+}
+
 // A start that waits to be sent must be withdrawn when its worker may not run it any longer, and only as many starts as
 // exceed the capacity.
 func TestQueuedStartIsWithdrawnWhenItsWorkerChanges(t *testing.T) {
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -116,8 +116,12 @@
 		c.handleWorkerRestart(w, info.StartedMS)
 	}
 	wasDraining := w.info.Draining
+	grown := !info.Capacity.Fits(w.info.Capacity)
 	w.info = info
 	w.listed = true
+	if grown {
+		c.ready.capacityFreed(w)
+	}
 	c.scheduleFleetRecord(w)
 	w.kind, w.rack = kindAndRack(info.Labels)
 	if info.Draining {
