Let steps that the workers cannot hold keep no turn

A gang that no longer fits the workers, since they have shrunk or the policy allows too few of them, kept its turn at the head of the queue. Its demand counted in the share of the capacity that may be planned, so that no gang behind it got a plan, though most of the capacity was free: they waited for as long as the gang was there and ranked before them.

A step whose waiting tasks would not fit the listed workers if nothing else ran there now gets no turn. The answer is kept until a registry entry changes in capacity, labels, service or draining, or until the policy rejects a worker, so that the step is planned again once the workers have grown. It stays queued; nothing fails it.

--- a/version/cell/advice.go
+++ b/version/cell/advice.go
@@ -373,6 +373,7 @@
 	for _, id := range request.workers {
 		if _, ok := s.advice.approved[id]; !ok {
 			s.advice.rejected[id] = struct{}{}
+			s.feasibility = feasibility{}
 		}
 	}
 	c.updateApprovalRate(s, asked, answered)
--- a/version/cell/capacity_test.go
+++ b/version/cell/capacity_test.go
@@ -238,6 +238,64 @@
 	assert.DeepEqual(t, perWorker, map[string]int{"w1": 2, "w2": 2, "w3": 4})
 }
 
+// A gang that the workers can no longer hold, since they have shrunk or the policy does not allow enough of them, must not keep
+// gangs behind it from starting, and must start when the capacity is back.
+func TestGangThatNoLongerFitsDoesNotBlockOthers(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	var ids []string
+	for i := range 10 {
+		ids = append(ids, fmt.Sprintf("w%d", i))
+		tc.addWorker(ids[i])
+	}
+	for _, id := range ids[:5] {
+		tc.setCapacity(id, 2000, 8000)
+	}
+	tc.addJob("a", "plain", 1, stepWithTasks(8, asGang, func(s *job.Step) { s.TaskDemand.CPUMilli = 4000 }))
+	tc.addJob("b", "plain", 1, stepWithTasks(4, asGang))
+	tc.advance(time.Second)
+	assert.Equal(t, len(tc.starts), 4)
+	for id, running := range tc.confirmStarts() {
+		var completions []backend.FinishedRun
+		for _, r := range running {
+			assert.Equal(t, r.Task[:2], "b.")
+			completions = append(completions, tc.completion(id, r.Task, r.Run, backend.ResultDone))
+		}
+		tc.answerPoll(id, nil, completions)
+	}
+	assert.Equal(t, tc.state("a"), job.Queued)
+	for _, id := range ids[:5] {
+		tc.setCapacity(id, 4000, 8000)
+	}
+	tc.advance(200 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 8)
+}
+
+// A gang that can never start, since the policy rejects too many workers, must not keep gangs behind it from starting.
+func TestGangWithoutEnoughApprovedWorkersDoesNotBlockOthers(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	tc.core.SetAdvisers([]string{"i1", "i2"})
+	for i := range 10 {
+		tc.addWorker(fmt.Sprintf("w%d", i))
+	}
+	wholeWorker := func(s *job.Step) { s.TaskDemand.CPUMilli = 4000 }
+	tc.addJob("a", "short", 1, stepWithTasks(8, asGang, wholeWorker))
+	tc.addJob("b", "plain", 1, stepWithTasks(4, asGang))
+	for range 100 {
+		tc.step()
+		for _, a := range tc.adviceRequests {
+			var tickets []backend.Ticket
+			for _, id := range a.Workers {
+				if id < "w5" {
+					tickets = append(tickets, backend.Ticket{Worker: id, Ticket: "t"})
+				}
+			}
+			tc.core.AdviceResult(a, tickets, 2500*time.Millisecond, nil, tc.now)
+		}
+		tc.adviceRequests = nil
+	}
+	assert.Equal(t, len(tc.starts), 4)
+}
+
 // A new leader that adopts runs above the capacity of a worker must not start more there, and must not stop the runs.
 func TestAdoptedRunsAboveTheCapacity(t *testing.T) {
 	tc := newTestCluster(t, 2)
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -56,6 +56,8 @@
 	// earlyCancels holds when jobs were cancelled whose records have not arrived yet.
 	earlyCancels map[job.ID]Instant
 	workers      map[string]*worker
+	// fleetVersion rises when a change of the registry entries may make a step feasible or infeasible.
+	fleetVersion uint64
 	// ready are the steps with waiting tasks.
 	ready    readyQueue
 	advisers map[string]*adviser
@@ -89,7 +91,7 @@
 // New returns a Core for one leadership epoch.
 func New(opts Options, now Instant) *Core {
 	return &Core{
-		opts: opts, epochStart: now, now: now,
+		opts: opts, epochStart: now, now: now, fleetVersion: 1,
 		jobs: map[job.ID]*jobState{}, recurring: map[job.ID]*jobState{}, earlyCancels: map[job.ID]Instant{}, workers: map[string]*worker{},
 		advisers: map[string]*adviser{}, inventoryPending: map[string]struct{}{},
 		dirtyJobs: map[job.ID]*jobState{}, approvalRates: map[string]float64{}, waves: map[int]*wave{},
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -61,6 +61,8 @@
 	// gangRunNumber and gangCheckpoint are the run number and the checkpoint shared by all members of a gang.
 	gangRunNumber  int64
 	gangCheckpoint string
+	// feasibility is the last result of Core.isFeasible.
+	feasibility feasibility
 	// turn says how far the preparations for the step may go.
 	turn planningTurn
 	// plan is the plan for the waiting tasks, or nil. nextPlanAt is the earliest time of the next plan.
--- a/version/cell/place.go
+++ b/version/cell/place.go
@@ -135,10 +135,7 @@
 		c.now < w.startsBlockedUntil || c.now < w.health.suspectUntil {
 		return false
 	}
-	if w.info.Service != s.job.queue.Service || c.now > w.clockReceivedAt+maxClockAge || w.isReservedAgainst(s, c.now) {
-		return false
-	}
-	if s.spec.RequiredLabel != "" && !w.hasLabel(s.spec.RequiredLabel) {
+	if !w.suits(s) || c.now > w.clockReceivedAt+maxClockAge || w.isReservedAgainst(s, c.now) {
 		return false
 	}
 	if s.spec.MaxPerWorker > 0 && s.runsPerWorker[w] >= s.spec.MaxPerWorker {
--- a/version/cell/plan.go
+++ b/version/cell/plan.go
@@ -75,15 +75,15 @@
 }
 
 // plansAhead reports whether capacity is reserved for the waiting tasks of a step: for gangs, and for tasks that others of
-// less urgent queues would otherwise keep from starting.
+// less urgent queues would otherwise keep from starting. Steps that the workers cannot hold get none.
 func (c *Core) plansAhead(s *step) bool {
 	if len(s.waiting) == 0 || s.spec.BestEffort || c.awaitsRecovery(s) {
 		return false
 	}
 	if s.spec.Gang {
-		return len(s.waiting) == len(s.tasks)
+		return len(s.waiting) == len(s.tasks) && c.isFeasible(s)
 	}
-	return s.job.queue.Priority < c.ready.leastUrgent && !s.queuePosition.rank.late
+	return s.job.queue.Priority < c.ready.leastUrgent && !s.queuePosition.rank.late && c.isFeasible(s)
 }
 
 // planningTurn says how far the preparations for a step go. Requests for advice and reserved capacity are limited, so that
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -117,6 +117,7 @@
 	}
 	wasDraining := w.info.Draining
 	grown := !info.Capacity.Fits(w.info.Capacity)
+	c.recordFleetChange(w.info, info, w.listed)
 	w.info = info
 	w.listed = true
 	if grown {
@@ -147,6 +148,7 @@
 	}
 	w.listed = false
 	w.unlistedAt = c.now
+	c.fleetVersion++
 	c.logDecision("worker_unlisted", "", map[string]any{
 		"worker": id, "runs": len(w.runs), "last_answer_ms": (c.now - w.clockReceivedAt).Milliseconds(),
 	})
