Follow the capacity of a rack's workers

SetMembers ignored a changed capacity of a known worker, so that the owner of a rack went on with the one that it saw first: it started tasks above a capacity that had shrunk and left unused what had grown. largestCapacity never shrank either: a task that no worker could hold any longer was explained as waiting for others to end, and once the capacity was followed, the observed usage of a job could exceed every worker and keep the job from being placed.

A changed capacity now updates the totals, the index of free capacity and the largest capacity, which is that of the workers that have accepted work and are not leaving, and blocked groups are examined again. A start whose claim or gang reservation was made before is reported as not started if its worker is over its capacity by then, so that only as many start as fit. A worker reservation ends when the worker has become too small for its task. The summary counts no negative free capacity. Running tasks go on.

--- a/version/rack/core.go
+++ b/version/rack/core.go
@@ -34,7 +34,8 @@
 	workersByArrival []*workerState
 	searchCursor     int
 	// pools index the workers by free capacity, one pool per accelerator type. totalCapacity is the sum over the workers
-	// that accept work; largestCapacity is the maximum in each dimension over all workers that ever accepted work.
+	// that accept work; largestCapacity is the maximum in each dimension over the workers that have accepted work and are
+	// not leaving.
 	pools                          []*workerPool
 	totalCapacity, largestCapacity model.Resources
 	// meanDemand is the mean demand of recent offers.
@@ -137,7 +138,7 @@
 // releases the task and returns the report that the task did not start. Callers hold c.mu.
 func (c *Core) startEffects(now time.Time, t *taskState) []Effect {
 	w, token := c.workers[t.worker], t.token
-	if token.Epoch < c.intentEpochs[token.Partition] || !w.acceptsWork() || w.tasks[t.task.ID] != t {
+	if token.Epoch < c.intentEpochs[token.Partition] || !w.acceptsWork() || w.tasks[t.task.ID] != t || w.isOverCapacity() {
 		c.release(t)
 		out := model.Outcome{Task: t.task.ID, Token: token, State: model.OutcomeNotStarted, Worker: w.member.ID}
 		return []Effect{ReportOutcome{Task: t.task, Outcome: out}}
@@ -252,7 +253,7 @@
 			effects = append(effects, c.fenceEffect(w))
 			continue
 		}
-		w.member.State = m.State
+		c.updateMember(w, m)
 		if w.member.Address != m.Address {
 			w.member.Address = m.Address
 			w.fenced = false
@@ -260,5 +261,15 @@
 		}
 		c.reindex(w)
 	}
+	c.updateLargestCapacity()
 	return append(effects, c.decide(now)...)
 }
+
+// updateMember records what the membership list says of a known worker, except for its address. Tasks that run go on if the
+// capacity has shrunk below their demand. Callers hold c.mu and reindex the worker.
+func (c *Core) updateMember(w *workerState, m store.Member) {
+	if w.member.Capacity != m.Capacity {
+		c.setCapacity(w, m.Capacity)
+	}
+	w.member.State = m.State
+}
--- a/version/rack/lease.go
+++ b/version/rack/lease.go
@@ -64,6 +64,8 @@
 	index               *freeIndex
 	row, cell, position int
 	reservation         *workerReservation
+	// acceptedWork is set when the worker was part of the rack's totals at least once.
+	acceptedWork bool
 
 	// failedJobs are the jobs that failed here since a task last finished. While probing is set, a quarantined worker
 	// accepts one task.
@@ -100,6 +102,19 @@
 
 func (w *workerState) free() model.Resources { return w.member.Capacity.Sub(w.used) }
 
+// isOverCapacity reports whether the tasks of the worker declare more than its capacity, which may have shrunk. The observed
+// usage of a task may exceed the capacity without that.
+func (w *workerState) isOverCapacity() bool {
+	if !w.free().HasNegative() {
+		return false
+	}
+	var declared model.Resources
+	for _, t := range w.tasks {
+		declared = declared.Add(Demand(t.task))
+	}
+	return w.member.Capacity.Sub(declared).HasNegative()
+}
+
 // canRenewLeases reports whether leases on the worker can be granted and renewed.
 func (w *workerState) canRenewLeases() bool { return w.fenced }
 
--- a/version/rack/place.go
+++ b/version/rack/place.go
@@ -328,7 +328,7 @@
 		if !w.inTotals {
 			continue
 		}
-		free := w.free()
+		free := w.free().Max(model.Resources{})
 		s.Free = s.Free.Add(free)
 		if free.CPUMilli > s.Largest.CPUMilli {
 			s.Largest = free
--- a/version/rack/usage.go
+++ b/version/rack/usage.go
@@ -100,6 +100,7 @@
 func (c *Core) setInTotals(w *workerState, inTotals bool) {
 	w.inTotals = inTotals
 	if inTotals {
+		w.acceptedWork = true
 		c.totalCapacity = c.totalCapacity.Add(w.member.Capacity)
 		c.largestCapacity = c.largestCapacity.Max(w.member.Capacity)
 		c.recheckAllBlocked()
@@ -115,6 +116,29 @@
 	}
 }
 
+// setCapacity changes the capacity of a worker. Callers hold c.mu, reindex the worker and update largestCapacity afterwards.
+func (c *Core) setCapacity(w *workerState, capacity model.Resources) {
+	if w.index != nil {
+		// The index depends on the accelerator type.
+		w.index.remove(w)
+	}
+	if w.inTotals {
+		c.totalCapacity = c.totalCapacity.Sub(w.member.Capacity).Add(capacity)
+	}
+	w.member.Capacity = capacity
+	c.recheckAllBlocked()
+}
+
+// updateLargestCapacity computes largestCapacity again after workers have changed. Callers hold c.mu.
+func (c *Core) updateLargestCapacity() {
+	c.largestCapacity = model.Resources{}
+	for _, w := range c.workersByArrival {
+		if w.acceptedWork && !w.leaving() {
+			c.largestCapacity = c.largestCapacity.Max(w.member.Capacity)
+		}
+	}
+}
+
 // pool returns the index of the workers with an accelerator type, which it creates if necessary. Callers hold c.mu.
 func (c *Core) pool(acceleratorType string) *freeIndex {
 	for _, p := range c.pools {
--- a/version/rack/worker_reservation.go
+++ b/version/rack/worker_reservation.go
@@ -60,7 +60,7 @@
 }
 
 // serveReservations claims the offers whose reserved worker has enough free capacity, and removes reservations that
-// expired or whose worker accepts no work. Callers hold c.mu.
+// expired, or whose worker accepts no work or has become too small. Callers hold c.mu.
 func (c *Core) serveReservations(now time.Time, effects []Effect) []Effect {
 	if len(c.workerReservationList) == 0 {
 		return effects
@@ -74,7 +74,9 @@
 			// A task without an offer belongs to a gang, whose reservation request is repeated until it is complete.
 		default:
 			demand := c.effectiveDemand(o.Task)
-			if c.offerLimitReason(o, demand) == ReasonNone && c.hasCapacity(r.worker, demand) {
+			if !demand.Fits(r.worker.member.Capacity) {
+				c.removeReservation(r.task)
+			} else if c.offerLimitReason(o, demand) == ReasonNone && c.hasCapacity(r.worker, demand) {
 				reason := Reason{Code: ReasonReserved, Worker: r.worker.member.ID, Demand: demand}
 				effects = append(effects, c.claim(now, o, r.worker, reason))
 			}
