Follow the availability zone of a rack's workers

SetMembers ignored a changed zone of a known worker, so that placements named the former one. It is recorded now.

TestZoneFollowsTheMembershipList failed without the change (" (placements[0].Zone string) != b") and passes now.

--- a/version/rack/capacity_test.go
+++ b/version/rack/capacity_test.go
@@ -141,3 +141,15 @@
 	f.endAndTick("b/0", model.OutcomeFinished)
 	assert.Assert(t, f.isRunning("large/0"), f.explanation("large/0"))
 }
+
+// TestZoneFollowsTheMembershipList guards against placements that name the former zone of a worker.
+func TestZoneFollowsTheMembershipList(t *testing.T) {
+	f := newFleet(t, policyWithoutShortReserve(), eightCores())
+	f.members[0].Zone = "b"
+	f.enqueue(f.core.SetMembers(f.now, f.members))
+	placements, _, err := f.core.ReserveGang(f.now, GangReservationRequest{
+		ID: "h", IntentEpoch: 1, Tasks: []model.Task{task("g/0", model.ClassBatch, 1)}, TTL: time.Minute,
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, placements[0].Zone, "b")
+}
--- a/version/rack/core.go
+++ b/version/rack/core.go
@@ -271,5 +271,5 @@
 	if w.member.Capacity != m.Capacity {
 		c.setCapacity(w, m.Capacity)
 	}
-	w.member.State = m.State
+	w.member.State, w.member.Zone = m.State, m.Zone
 }
