--- a/version/cell/place.go
+++ b/version/cell/place.go
@@ -122,6 +122,9 @@
 
 // capacityFor returns how many tasks of a step fit into the capacity of a worker that is free and not reserved for others.
 func (c *Core) capacityFor(w *worker, s *step) int {
+	if w.isOverCapacity() {
+		return 0
+	}
 	return multiplesIn(w.info.Capacity.Sub(w.allocated).Sub(c.reservedFor(w, s)), s.allocatedDemand())
 }
 
@@ -132,11 +135,7 @@
 		c.now < w.startsBlockedUntil || c.now < w.health.suspectUntil {
 		return false
 	}
-	if w.info.Service != s.job.queue.Service || c.now > w.clockReceivedAt+maxClockAge || w.isReservedAgainst(s, c.now) ||
-		c.hasIsolatedRun(w) {
-		return false
-	}
-	if s.spec.RequiredLabel != "" && !w.hasLabel(s.spec.RequiredLabel) {
+	if !w.suits(s) || c.now > w.clockReceivedAt+maxClockAge || w.isReservedAgainst(s, c.now) || c.hasIsolatedRun(w) {
 		return false
 	}
 	if s.spec.MaxPerWorker > 0 && s.runsPerWorker[w] >= s.spec.MaxPerWorker {
--- a/version/cell/plan.go
+++ b/version/cell/plan.go
@@ -75,15 +75,15 @@
 }
 
 // plansAhead reports whether capacity is reserved for the waiting tasks of a step: for gangs, and for tasks that others of
-// less urgent queues would otherwise keep from starting.
+// less urgent queues would otherwise keep from starting. Steps that the workers cannot hold get none.
 func (c *Core) plansAhead(s *step) bool {
 	if len(s.waiting) == 0 || s.spec.BestEffort || c.awaitsRecovery(s) {
 		return false
 	}
 	if s.spec.Gang {
-		return len(s.waiting) == len(s.tasks)
+		return len(s.waiting) == len(s.tasks) && c.isFeasible(s)
 	}
-	return s.job.queue.Priority < c.ready.leastUrgent && !s.queuePosition.rank.late
+	return s.job.queue.Priority < c.ready.leastUrgent && !s.queuePosition.rank.late && c.isFeasible(s)
 }
 
 // planningTurn says how far the preparations for a step go. Requests for advice and reserved capacity are limited, so that
@@ -422,14 +422,17 @@
 	if s.spec.MaxPerWorker > 0 {
 		limit = min(limit, s.spec.MaxPerWorker-s.runsPerWorker[w])
 	}
-	free := w.info.Capacity.Sub(w.allocated).Sub(c.reservedFor(w, s))
+	unallocated, reserved := w.info.Capacity.Sub(w.allocated), c.reservedFor(w, s)
 	var times []Instant
-	addUpTo := func(n int, at Instant) {
-		for len(times) < min(n, limit) {
+	addFitting := func(at Instant) {
+		if unallocated.HasNegative() {
+			return
+		}
+		for n := multiplesIn(unallocated.Sub(reserved), s.spec.TaskDemand); len(times) < min(n, limit); {
 			times = append(times, at)
 		}
 	}
-	addUpTo(multiplesIn(free, s.spec.TaskDemand), c.now)
+	addFitting(c.now)
 	if len(times) >= limit {
 		return times
 	}
@@ -437,8 +440,8 @@
 		if len(times) >= limit {
 			break
 		}
-		free = free.Add(e.demand)
-		addUpTo(multiplesIn(free, s.spec.TaskDemand), e.at)
+		unallocated = unallocated.Add(e.demand)
+		addFitting(e.at)
 	}
 	return times
 }
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -123,8 +123,13 @@
 		c.handleWorkerRestart(w, info.StartedMS)
 	}
 	wasDraining := w.info.Draining
+	grown := !info.Capacity.Fits(w.info.Capacity)
+	c.recordFleetChange(w.info, info, w.listed)
 	w.info = info
 	w.listed = true
+	if grown {
+		c.ready.capacityFreed(w)
+	}
 	c.scheduleFleetRecord(w)
 	w.kind, w.rack = kindAndRack(info.Labels)
 	if info.Draining {
@@ -150,6 +155,7 @@
 	}
 	w.listed = false
 	w.unlistedAt = c.now
+	c.fleetVersion++
 	c.logDecision("worker_unlisted", "", map[string]any{
 		"worker": id, "runs": len(w.runs), "last_answer_ms": (c.now - w.clockReceivedAt).Milliseconds(),
 	})
@@ -459,6 +465,10 @@
 // freeCPUMilli returns the free processor time of a worker in thousandths of a core.
 func (w *worker) freeCPUMilli() int64 { return w.info.Capacity.CPUMilli - w.allocated.CPUMilli }
 
+// isOverCapacity reports whether the runs of the worker exceed its capacity, which may have shrunk since they started. No run
+// starts there then, even if it needs nothing of what is exceeded.
+func (w *worker) isOverCapacity() bool { return w.info.Capacity.Sub(w.allocated).HasNegative() }
+
 // reservedCPUMilli returns the processor time that is reserved for other steps.
 func (w *worker) reservedCPUMilli(s *step) int64 {
 	sum := int64(0)
