Apply stored progress before listed completions

Callers would have seen more attempts of a task than its queue allows. A job was added first and its stored progress applied afterwards, under a second acquisition of the lock: the completions that workers had listed for it were handled in between, and the stored failures then replaced theirs. While a leader loads its rows no worker has been read, so that this order was harmless there; a job that is read later needs the other one.

The progress is part of adding a job now, in one step, and is applied before runs and completions are resolved. A final state adds the job without its steps, as the caller in process/node did already.

TestProgressIsAppliedBeforeListedCompletions failed before with "running != failed" and passes now.

--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -117,12 +117,18 @@
 // does not know of has a lower number.
 const runNumbersPerEpoch = 64
 
-// AddJob adds an accepted job. It is idempotent. If the record names an older epoch, a former leader may have started
-// the job.
+// AddJob adds an accepted job without progress. It is idempotent. If the record names an older epoch, a former leader may
+// have started the job.
 func (c *Core) AddJob(id job.ID, record job.Record, now Instant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.now = max(c.now, now)
+	c.addJob(id, record, nil)
+}
+
+// addJob adds a job with its durable progress, which may be nil. The progress is applied before the job is scheduled and
+// before the runs and completions that workers have listed for it are handled. Callers hold c.mu.
+func (c *Core) addJob(id job.ID, record job.Record, progress *progressRow) {
 	if c.jobs[id] != nil {
 		return
 	}
@@ -135,7 +141,7 @@
 	}
 	j := &jobState{
 		id: id, record: record, queue: record.Queue, addedAt: c.now, recovered: record.Epoch < c.opts.Epoch,
-		occurrences: map[int]*occurrence{}, state: job.Queued, reportedState: job.Queued,
+		occurrences: map[int]*occurrence{}, state: job.Queued, reportedState: job.Queued, progress: progress,
 	}
 	if q, ok := c.config.Queue(j.queue.Name); ok {
 		j.queue = q
--- a/version/cell/progress.go
+++ b/version/cell/progress.go
@@ -203,47 +203,23 @@
 	return row.State, len(row.Steps) > 0
 }
 
-// LoadProgress adds a job and applies its durable progress.
+// LoadProgress adds a job with its durable progress.
 func (c *Core) LoadProgress(id job.ID, record job.Record, data []byte, now Instant) error {
 	row := &progressRow{}
 	if err := json.Unmarshal(data, row); err != nil {
 		return errors.Wrapf(err, "decode progress of job %s", id)
 	}
-	c.AddJob(id, record, now)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	j := c.jobs[id]
-	if j == nil {
-		return nil
-	}
-	j.progress = row
 	if row.State.Terminal() {
-		c.restoreFinalState(j, row.State)
+		c.AddFinishedJob(id, row.State, now)
 		return nil
 	}
-	for _, o := range j.occurrences {
-		c.applyProgress(j, o)
-		for _, s := range o.steps {
-			c.queueStep(s)
-		}
-		c.finishIfComplete(o, j)
-	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = max(c.now, now)
+	c.addJob(id, record, row)
 	return nil
 }
 
-// restoreFinalState sets a final state that is already durable.
-func (c *Core) restoreFinalState(j *jobState, state job.State) {
-	j.state, j.reportedState = state, state
-	j.finishedAt = c.now
-	j.started = true
-	delete(c.recurring, j.id)
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			c.stopStep(s)
-		}
-	}
-}
-
 // applyProgress applies the job's durable progress to the steps of an occurrence.
 func (c *Core) applyProgress(j *jobState, o *occurrence) {
 	for _, s := range o.steps {
--- a/version/cell/recovery_test.go
+++ b/version/cell/recovery_test.go
@@ -345,3 +345,20 @@
 		})
 	}
 }
+
+// A stored failure must not be forgotten, and a listed one must not be lost, when the record of a job arrives with its
+// progress after a worker has listed a completion of the job: the task would have more attempts than allowed.
+func TestProgressIsAppliedBeforeListedCompletions(t *testing.T) {
+	tc := newTestCluster(t, 2)
+	tc.addWorker("w1")
+	tc.answerPoll("w1", nil, []backend.FinishedRun{tc.completion("w1", "a.0.0.0", 2, backend.ResultFailed)})
+	stored := []byte(`{"t":{"0.0":{"f":{"0":[1]}}}}`)
+	assert.NilError(t, tc.core.LoadProgress("a", record("plain", 1, stepWithTasks(1)), stored, tc.now))
+	tc.advance(100 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 1)
+	run := tc.starts[0].Command.Run
+	tc.confirmStarts()
+	tc.answerPoll("w1", nil, []backend.FinishedRun{tc.completion("w1", "a.0.0.0", run, backend.ResultFailed)})
+	tc.storeBatches()
+	assert.Equal(t, tc.state("a"), job.Failed)
+}
