Look up jobs that workers list and the leader does not know

A new leader that lists a task of a job whose record it lacks waited 5 s from the first listing and then acknowledged the completion, whatever it knew of the store. A job that the former leader had started in between would have been acknowledged away and started again when the feed returned.

The record is durable before the first start, so a read of the store that starts after the listing finds it. The core asks for that read with a LookupAction, once a second, and the leader reads the record from both shards with its progress and its cancellation and adds the job. A completion is acknowledged, and a run stopped, only after such a read that started more than 5 s after the listing has found no record. A read that fails decides nothing.

TestCompletionWithoutJobRecordIsAcknowledged expected the acknowledgement after the timeout alone, which is the fault; it now also requires that there is none before the store was read.

--- a/process/node/cell_test.go
+++ b/process/node/cell_test.go
@@ -46,7 +46,9 @@
 	mute     string
 	// unavailableShard is the shard of the table service that fails for all instances.
 	unavailableShard string
-	down             map[string]bool
+	// silentFeed is the table whose change feed does not answer.
+	silentFeed string
+	down       map[string]bool
 	// isolated is an instance that cannot reach any other one.
 	isolated string
 	log      strings.Builder
@@ -214,7 +216,7 @@
 func (n nodeTables) Feed(ctx context.Context, table string, after uint64, wait time.Duration) (backend.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
 	defer cancel()
-	if err := n.checkFault(ctx, ""); err != nil {
+	if err := n.checkFeedFault(ctx, table); err != nil {
 		return backend.Page{}, err
 	}
 	return n.Tables.Feed(ctx, table, after, wait)
--- a/process/node/leader.go
+++ b/process/node/leader.go
@@ -247,6 +247,9 @@
 	case *cell.AdviseAction:
 		good, validity, err := l.requestAdvice(ctx, a)
 		l.core.AdviceResult(a, good, validity, err, l.node.opts.Now())
+	case *cell.LookupAction:
+		found, err := l.lookUpJob(ctx, a.Job)
+		l.core.LookupResult(a, found, err, l.node.opts.Now())
 	case *cell.MaintainAction:
 		refusal, err := l.maintain(ctx, a)
 		l.core.MaintainResult(a, refusal, err, l.node.opts.Now())
--- a/process/node/load.go
+++ b/process/node/load.go
@@ -156,6 +156,30 @@
 	}
 }
 
+// lookUpJob reads the rows of a job and passes them to the scheduler. found is false if there is no record of the job.
+func (l *leadership) lookUpJob(ctx context.Context, id job.ID) (found bool, err error) {
+	// A record that is removed after it was read would be added as a new one.
+	l.removalLock.RLock()
+	defer l.removalLock.RUnlock()
+	record, err := l.node.readRow(ctx, id, jobKey)
+	if err != nil || record.Version == 0 {
+		return false, err
+	}
+	progress, err := l.node.tables.Get(ctx, progressKey(id))
+	if err != nil {
+		return false, err
+	}
+	cancel, err := l.node.readRow(ctx, id, cancelKey)
+	if err != nil {
+		return false, err
+	}
+	if cancel.Version != 0 {
+		l.applyCancelRow(cancel)
+	}
+	l.applyJobRow(record, progress)
+	return true, nil
+}
+
 func (l *leadership) applyCancelRow(row backend.Row) {
 	if !row.Deleted {
 		l.core.CancelJob(job.ID(row.Key), l.node.opts.Now())
--- a/version/cell/completions.go
+++ b/version/cell/completions.go
@@ -30,12 +30,12 @@
 	c.handleResolvedCompletions(w)
 }
 
-// handleResolvedCompletions handles the completions whose job is known or is not waited for any longer. The others wait
+// handleResolvedCompletions handles the completions whose job is known or does not exist. The others wait
 // for their jobs. They delay the acknowledgement of later completions, but not their handling.
 func (c *Core) handleResolvedCompletions(w *worker) {
 	var unresolved []backend.FinishedRun
 	for _, e := range w.unknownCompletions {
-		if c.findTask(e.Task) == nil && !c.belongsToFinishedJob(e.Task) && c.awaitsJobRecord(w, e.Task) {
+		if c.findTask(e.Task) == nil && c.awaitsJobRecord(w, e.Task) {
 			unresolved = append(unresolved, e)
 			continue
 		}
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -55,7 +55,9 @@
 	recurring   map[job.ID]*jobState
 	// earlyCancels holds when jobs were cancelled whose records have not arrived yet.
 	earlyCancels map[job.ID]Instant
-	workers      map[string]*worker
+	// lookups are the jobs that are not known and of which workers list tasks.
+	lookups map[job.ID]*jobLookup
+	workers map[string]*worker
 	// ready are the steps with waiting tasks.
 	ready    readyQueue
 	advisers map[string]*adviser
@@ -90,7 +92,8 @@
 func New(opts Options, now Instant) *Core {
 	return &Core{
 		opts: opts, epochStart: now, now: now,
-		jobs: map[job.ID]*jobState{}, recurring: map[job.ID]*jobState{}, earlyCancels: map[job.ID]Instant{}, workers: map[string]*worker{},
+		jobs: map[job.ID]*jobState{}, recurring: map[job.ID]*jobState{}, earlyCancels: map[job.ID]Instant{},
+		lookups: map[job.ID]*jobLookup{}, workers: map[string]*worker{},
 		advisers: map[string]*adviser{}, inventoryPending: map[string]struct{}{},
 		dirtyJobs: map[job.ID]*jobState{}, approvalRates: map[string]float64{}, waves: map[int]*wave{},
 		wake: make(chan struct{}, 1),
@@ -98,7 +101,7 @@
 }
 
 // Action is a command that the caller of Step executes: *StartAction, *StopAction, *PollAction, *ThrottleAction,
-// *AdviseAction, *MaintainAction or *WaveAction.
+// *AdviseAction, *LookupAction, *MaintainAction or *WaveAction.
 type Action any
 
 // StartAction starts a run. The outcome is passed to StartResult.
@@ -231,6 +234,7 @@
 	c.openDueOccurrences()
 	c.expireFinishedJobs()
 	c.expireEarlyCancels()
+	c.sendLookups()
 }
 
 // endRecovery stops waiting for unreachable workers once no run of a former leader can exist on them.
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -182,12 +182,6 @@
 	}
 }
 
-// belongsToFinishedJob reports whether a task belongs to a known job that has finished.
-func (c *Core) belongsToFinishedJob(name string) bool {
-	n, ok := job.ParseTaskName(name)
-	return ok && c.jobs[n.Job] != nil && c.jobs[n.Job].state.Terminal()
-}
-
 // objectiveDuration returns how long a job may take to be on time.
 func objectiveDuration(j *jobState) time.Duration {
 	steps := j.record.Spec.Steps
--- a/version/cell/recovery_test.go
+++ b/version/cell/recovery_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/lentiltide/lentiltide/backend"
 	"github.com/lentiltide/lentiltide/model/job"
+	"github.com/lentiltide/lentiltide/request/verdict"
 )
 
 // Recovered tasks must not start before the inventories of all recorded workers have been read, including workers that
@@ -307,7 +308,7 @@
 	assert.Equal(t, len(tc.starts), 0)
 }
 
-// A completion must be acknowledged eventually if its job record never arrives.
+// A completion must be acknowledged eventually if its job does not exist, but not at once: the record may be on its way.
 func TestCompletionWithoutJobRecordIsAcknowledged(t *testing.T) {
 	tc := newTestCluster(t, 2)
 	tc.addWorker("w1")
@@ -316,9 +317,37 @@
 	tc.advance(unknownJobTimeout)
 	tc.answerPoll("w1", nil, []backend.FinishedRun{unknown})
 	req, _, _ := tc.core.PreparePoll("w1", tc.now)
+	assert.Equal(t, req.AcknowledgedCompletion, int64(0))
+	tc.advance(lookupInterval + sweepInterval)
+	tc.answerPoll("w1", nil, []backend.FinishedRun{unknown})
+	req, _, _ = tc.core.PreparePoll("w1", tc.now)
 	assert.Equal(t, req.AcknowledgedCompletion, int64(1))
 }
 
+// A completion must not be acknowledged because the record of its job cannot be read for long: the task would start again
+// when the record arrives. Lookups must end when the job is known.
+func TestCompletionOfUnreadableJobIsNotAcknowledged(t *testing.T) {
+	tc := newTestCluster(t, 2)
+	tc.addWorker("w1")
+	tc.lookupError = verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the store is silent")
+	done := tc.completion("w1", "late.0.0.0", 1, backend.ResultDone)
+	for range 10 {
+		tc.answerPoll("w1", nil, []backend.FinishedRun{done})
+		tc.advance(unknownJobTimeout)
+	}
+	req, _, _ := tc.core.PreparePoll("w1", tc.now)
+	assert.Equal(t, req.AcknowledgedCompletion, int64(0))
+	assert.Assert(t, tc.lookups > 10)
+	tc.addJob("late", "plain", 1, stepWithTasks(1))
+	tc.advance(time.Second)
+	assert.Equal(t, len(tc.starts), 0)
+	tc.storeBatches()
+	assert.Equal(t, tc.state("late"), job.Completed)
+	sent := tc.lookups
+	tc.advance(3 * lookupInterval)
+	assert.Equal(t, tc.lookups, sent)
+}
+
 // No tasks may start on a worker with runs that the ledger does not have: their demand is not known, so their capacity
 // is not free before the worker has reported their completions.
 func TestUnknownRunsBlockNewStarts(t *testing.T) {
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -368,7 +368,7 @@
 // leader, or its start was executed after it had been given up. Runs that must not continue are stopped.
 func (c *Core) adoptRun(w *worker, item backend.ActiveRun) *run {
 	t := c.findTask(item.Task)
-	if t == nil && !c.belongsToFinishedJob(item.Task) && c.awaitsJobRecord(w, item.Task) {
+	if t == nil && c.awaitsJobRecord(w, item.Task) {
 		w.unknownRuns = append(w.unknownRuns, item)
 		return nil
 	}
@@ -396,40 +396,6 @@
 	return r
 }
 
-// unknownJobTimeout is how long the record of a job may take to arrive after a worker has listed one of its tasks. A
-// former leader may have started the job after this leader read the records.
-const unknownJobTimeout = 5 * time.Second
-
-// awaitsJobRecord reports whether a task of an unknown job may belong to a job whose record is about to arrive. It
-// starts the timeout of the task if it is not running. The timeout of an earlier task on the worker must not count: the
-// completion would be acknowledged before its job record has had time to arrive, and the task would run again.
-func (c *Core) awaitsJobRecord(w *worker, task string) bool {
-	since, listed := w.unknownTasksSince[task]
-	if !listed {
-		if w.unknownTasksSince == nil {
-			w.unknownTasksSince = map[string]Instant{}
-		}
-		since = c.now
-		w.unknownTasksSince[task] = since
-	}
-	return c.now <= since+unknownJobTimeout
-}
-
-// forgetResolvedTasks removes the timeouts of tasks that no longer wait for the records of their jobs.
-func (w *worker) forgetResolvedTasks() {
-	if len(w.unknownTasksSince) == 0 {
-		return
-	}
-	waiting := map[string]Instant{}
-	for _, item := range w.unknownRuns {
-		waiting[item.Task] = w.unknownTasksSince[item.Task]
-	}
-	for _, e := range w.unknownCompletions {
-		waiting[e.Task] = w.unknownTasksSince[e.Task]
-	}
-	w.unknownTasksSince = waiting
-}
-
 // resolveUnknownTasks processes the runs and completions of a job that workers listed before its record arrived: a
 // former leader may have started the job, and its tasks must not start again.
 func (c *Core) resolveUnknownTasks(j *jobState) {
--- a/version/cell/testcluster_test.go
+++ b/version/cell/testcluster_test.go
@@ -23,6 +23,9 @@
 	// polls are the workers of the additional polls.
 	polls          []string
 	lastCompletion map[string]int64
+	// lookups counts the lookups of unknown jobs. They find no record, or fail with lookupError.
+	lookups     int
+	lookupError error
 }
 
 const (
@@ -112,6 +115,9 @@
 			tc.adviceRequests = append(tc.adviceRequests, a)
 		case *PollAction:
 			tc.polls = append(tc.polls, a.Worker)
+		case *LookupAction:
+			tc.lookups++
+			tc.core.LookupResult(a, false, tc.lookupError, tc.now)
 		}
 	}
 }
