Read only the shards again that could not be read

LOST and TWICE in a leader whose path to the store fails for single calls: it read all 64 shards of a table at once and threw everything away when one of them failed.

The shards that were read are kept, and only the others are read again.

TestRowsAreLoadedOnAnUnreliablePath, with one read of four refused, failed before with "queued != completed" 5 s after the loss of the leader and passes now.

--- a/process/node/cell_test.go
+++ b/process/node/cell_test.go
@@ -46,9 +46,11 @@
 	mute     string
 	// unavailableShard is the shard of the table service that fails for all instances.
 	unavailableShard string
-	// silentFeed is the table whose change feed does not answer.
-	silentFeed string
-	down       map[string]bool
+	// silentFeed is the table whose change feed does not answer. rangesPerFault is the number of range reads of which one fails,
+	// 0 for none; ranges counts them.
+	silentFeed             string
+	rangesPerFault, ranges int
+	down                   map[string]bool
 	// isolated is an instance that cannot reach any other one.
 	isolated string
 	log      strings.Builder
@@ -207,7 +209,7 @@
 func (n nodeTables) Range(ctx context.Context, table, shard, from string) (backend.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := n.checkFault(ctx, shard); err != nil {
+	if err := n.checkRangeFault(ctx, shard); err != nil {
 		return backend.Page{}, err
 	}
 	return n.Tables.Range(ctx, table, shard, from)
--- a/process/node/load.go
+++ b/process/node/load.go
@@ -22,33 +22,35 @@
 	version uint64
 }
 
-// readTable reads the given shards of a table in parallel.
-func (n *Node) readTable(ctx context.Context, table string, shards []string) (snapshot, error) {
+// readShards reads shards of a table in parallel and adds them to the snapshot. It returns the shards that could not be
+// read, with the last error.
+func (n *Node) readShards(ctx context.Context, table string, shards []string, out *snapshot) (failed []string, lastErr error) {
 	var mu sync.Mutex
 	var group sync.WaitGroup
-	out := snapshot{rows: map[string]backend.Row{}}
-	var lastErr error
 	for _, shard := range shards {
-		group.Add(1)
-		go func() {
-			defer group.Done()
+		group.Go(func() {
 			rows, version, err := n.readShard(ctx, table, shard)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
-				lastErr = err
+				failed, lastErr = append(failed, shard), err
 				return
 			}
-			if out.version == 0 || version < out.version {
-				out.version = version
-			}
-			for _, row := range rows {
-				out.rows[row.Key] = row
-			}
-		}()
+			out.add(rows, version)
+		})
 	}
 	group.Wait()
-	return out, lastErr
+	return failed, lastErr
+}
+
+// add adds the rows of a shard that were read at a version.
+func (s *snapshot) add(rows []backend.Row, version uint64) {
+	if s.version == 0 || version < s.version {
+		s.version = version
+	}
+	for _, row := range rows {
+		s.rows[row.Key] = row
+	}
 }
 
 // readShard reads all pages of one shard. The returned version is that of the first page, so that a feed from it on misses
@@ -73,14 +75,19 @@
 	}
 }
 
-// readTableWithRetry reads a table, with retries until it succeeds. It returns false if the leadership ended.
+// readTableWithRetry reads a table. Shards that cannot be read are read again until none is left: on an unreliable path to
+// the store, a read of all shards at once would hardly ever succeed. It returns false if the leadership ended.
 func (l *leadership) readTableWithRetry(ctx context.Context, table string, shards []string) (snapshot, bool) {
+	out := snapshot{rows: map[string]backend.Row{}}
 	for ctx.Err() == nil {
-		s, err := l.node.readTable(ctx, table, shards)
-		if err == nil {
-			return s, true
+		failed, err := l.node.readShards(ctx, table, shards, &out)
+		if len(failed) == 0 {
+			return out, true
 		}
-		l.node.opts.Log.WithError(err).WithFields(map[string]any{"event": "table_unreadable", "table": table}).Warn("cannot read the table")
+		shards = failed
+		l.node.opts.Log.WithError(err).WithFields(map[string]any{
+			"event": "table_unreadable", "table": table, "shards": len(failed),
+		}).Warn("cannot read the table")
 		pause(ctx, storeRetryDelay)
 	}
 	return snapshot{}, false
