Count the leases of a former leader until this leader sends one

TWICE: a run that a new leader had adopted could be started again while it went on. The first poll of a worker sends no lease, since its clock is not known, and the run counted as expired 150 ms after the answer. The next poll, with a lease, follows at once as a rule, but it waits up to 150 ms for completions to be stored, and longer on a busy processor.

The first reading of a worker's clock now bounds the leases that a former leader has sent: the worker refuses that leader's commands from then on, so that they end at most one lease duration after the reading.

TestRunsOfFormerLeaderKeepTheirLease failed before with "run considered expired after 250 ms" (lease of 4 s) and passes now.

--- a/version/cell/recovery_test.go
+++ b/version/cell/recovery_test.go
@@ -391,3 +391,23 @@
 	tc.storeBatches()
 	assert.Equal(t, tc.state("a"), job.Failed)
 }
+
+// Runs of a former leader must not be considered expired before this leader has sent a lease: its first poll sends none, and
+// the next one can be late, for instance while completions are stored. The runs would start a second time.
+func TestRunsOfFormerLeaderKeepTheirLease(t *testing.T) {
+	tc := newTestCluster(t, 2)
+	assert.NilError(t, tc.core.LoadFleetRecord([]byte(`{"w1":"w1:1","w2":"w2:1"}`), tc.now))
+	tc.listWorker("w1", nil)
+	tc.listWorker("w2", nil)
+	tc.addJob("a", "plain", 1, stepWithTasks(1))
+	tc.answerPoll("w2", nil, nil)
+	tc.answerPoll("w1", []backend.ActiveRun{{Task: "a.0.0.0", Run: 1, ProgressPercent: 10}}, nil)
+	answeredAt := tc.now
+	for len(tc.starts) == 0 && tc.now < answeredAt+time.Minute {
+		tc.answerPoll("w2", nil, nil)
+		tc.advance(50 * time.Millisecond)
+	}
+	assert.Equal(t, len(tc.starts), 1)
+	assert.Assert(t, tc.now-answeredAt >= testLease, "run considered expired after %s", tc.now-answeredAt)
+	assert.Assert(t, tc.now-answeredAt < 2*testLease, "run considered expired after %s", tc.now-answeredAt)
+}
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -25,7 +25,7 @@
 	// clockMS is the latest reading of the worker's clock and clockReceivedAt is when it was received.
 	clockMS         int64
 	clockReceivedAt Instant
-	// leaseEndMS is the latest lease deadline ever sent, on the worker's clock.
+	// leaseEndMS is the latest lease deadline that may ever have been sent, on the worker's clock.
 	leaseEndMS int64
 	runs       map[runKey]*run
 	// allocated is the demand of all runs, except for the processor demand of best-effort runs, which is in
@@ -199,8 +199,12 @@
 // unlistedWorkerRetention is how long a worker without a registry entry is kept, since the entry may return.
 const unlistedWorkerRetention = 10 * time.Second
 
-// recordClock records a reading of the worker's clock. Older readings are ignored.
+// recordClock records a reading of the worker's clock. Older readings are ignored. A former leader, whose commands the worker
+// refuses from the first answer on, has sent leases that end at most one lease duration after that answer.
 func (c *Core) recordClock(w *worker, readingMS int64) {
+	if w.clockMS == 0 && readingMS > 0 {
+		w.leaseEndMS = max(w.leaseEndMS, readingMS+c.opts.LeaseDuration.Milliseconds())
+	}
 	if readingMS > w.clockMS {
 		w.clockMS, w.clockReceivedAt = readingMS, c.now
 	}
