Keep the progress of occurrences that are not due yet

TWICE for a recurring job after two changes of the leader: tasks of an occurrence that a first leader had completed would be started again by the third. The second leader opened only the occurrences that were due by its own clock; with a clock behind that of the first one, a later occurrence stayed closed, and the next write of the job's progress left it out.

A job is added with all occurrences that have progress opened, like those whose runs a worker lists.

TestProgressOfLaterOccurrenceIsKept failed before with "2 != 0" starts and passes now.

--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -156,6 +156,7 @@
 	})
 	if record.Spec.Repetitions > 0 {
 		c.recurring[id] = j
+		c.openOccurrencesUpTo(j, progress.lastOccurrence())
 		c.openDueOccurrencesOf(j)
 	} else {
 		c.openOccurrence(j, 0)
@@ -256,6 +257,14 @@
 	}
 }
 
+// openOccurrencesUpTo opens the occurrences up to the one with the given index. A former leader has opened it, and those
+// before it are due as well, even if they are not due yet according to this instance's clock.
+func (c *Core) openOccurrencesUpTo(j *jobState, index int) {
+	for j.openedOccurrences <= index && j.openedOccurrences < j.record.Spec.Repetitions {
+		c.openOccurrence(j, j.openedOccurrences)
+	}
+}
+
 // queueStep queues the tasks of a step if the step's dependencies are done.
 func (c *Core) queueStep(s *step) {
 	if s.openTasks == 0 || s.job.state.Terminal() || !s.dependenciesDone() {
@@ -452,14 +461,10 @@
 	if j == nil {
 		return nil
 	}
-	o := j.occurrences[n.Occurrence]
-	if o == nil && n.Occurrence < j.record.Spec.Repetitions {
-		// A former leader opened an occurrence that is not due yet according to this instance's clock. The ones before it
-		// are due as well.
-		for j.openedOccurrences <= n.Occurrence {
-			o = c.openOccurrence(j, j.openedOccurrences)
-		}
+	if n.Occurrence < j.record.Spec.Repetitions {
+		c.openOccurrencesUpTo(j, n.Occurrence)
 	}
+	o := j.occurrences[n.Occurrence]
 	if o == nil || n.Step >= len(o.steps) || n.Index >= len(o.steps[n.Step].tasks) {
 		return nil
 	}
--- a/version/cell/progress.go
+++ b/version/cell/progress.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"strconv"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -193,6 +194,21 @@
 	return p
 }
 
+// lastOccurrence returns the highest index of the occurrences with progress, or -1. r may be nil.
+func (r *progressRow) lastOccurrence() int {
+	last := -1
+	if r == nil {
+		return last
+	}
+	for key := range r.Steps {
+		occurrence, _, _ := strings.Cut(key, ".")
+		if index, err := strconv.Atoi(occurrence); err == nil {
+			last = max(last, index)
+		}
+	}
+	return last
+}
+
 // StoredState returns the state in a job's durable progress: the final state, and whether a task has ended. Progress
 // that is absent or cannot be decoded yields no state.
 func StoredState(data []byte) (state job.State, started bool) {
