Let the record with the oldest epoch count for a job

TWICE: a caller that repeats a submission while one of the job's two shards does not answer leaves two records, accepted under different epochs. A leader that loaded both took either of them. If it took the newer one, which can name its own epoch, it started the job at once, without waiting for the workers on which its predecessor had started it, and with the same run numbers.

--- a/process/node/load.go
+++ b/process/node/load.go
@@ -18,10 +18,19 @@
 // snapshot holds the rows of a table. It contains every row that was written before the read started, and a feed from
 // version on returns every later write.
 type snapshot struct {
-	rows    map[string]backend.Row
+	rows    []backend.Row
 	version uint64
 }
 
+// byKey returns the rows by key, for tables that have each key in one shard only.
+func (s snapshot) byKey() map[string]backend.Row {
+	rows := make(map[string]backend.Row, len(s.rows))
+	for _, row := range s.rows {
+		rows[row.Key] = row
+	}
+	return rows
+}
+
 // readShards reads shards of a table in parallel and adds them to the snapshot. It returns the shards that could not be
 // read, with the last error.
 func (n *Node) readShards(ctx context.Context, table string, shards []string, out *snapshot) (failed []string, lastErr error) {
@@ -48,9 +57,7 @@
 	if s.version == 0 || version < s.version {
 		s.version = version
 	}
-	for _, row := range rows {
-		s.rows[row.Key] = row
-	}
+	s.rows = append(s.rows, rows...)
 }
 
 // readShard reads all pages of one shard. The returned version is that of the first page, so that a feed from it on misses
@@ -78,7 +85,7 @@
 // readTableWithRetry reads a table. Shards that cannot be read are read again until none is left: on an unreliable path to
 // the store, a read of all shards at once would hardly ever succeed. It returns false if the leadership ended.
 func (l *leadership) readTableWithRetry(ctx context.Context, table string, shards []string) (snapshot, bool) {
-	out := snapshot{rows: map[string]backend.Row{}}
+	out := snapshot{}
 	for ctx.Err() == nil {
 		failed, err := l.node.readShards(ctx, table, shards, &out)
 		if len(failed) == 0 {
@@ -115,14 +122,15 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if err := l.core.LoadFleetRecord(writes.rows[fleetKey.Key].Value, l.node.opts.Now()); err != nil {
+	if err := l.core.LoadFleetRecord(writes.byKey()[fleetKey.Key].Value, l.node.opts.Now()); err != nil {
 		l.node.opts.Log.WithError(err).WithField("event", "fleet_unreadable").Error("cannot decode the record of the workers in use")
 	}
 	for _, row := range workers.rows {
 		l.applyWorkerRow(row)
 	}
+	progressOf := progress.byKey()
 	for _, row := range jobs.rows {
-		l.applyJobRow(row, progress.rows[row.Key])
+		l.applyJobRow(row, progressOf[row.Key])
 	}
 	for _, row := range cancels.rows {
 		l.applyCancelRow(row)
@@ -312,7 +320,7 @@
 		f.apply(row)
 	}
 	if f.prune != nil {
-		f.prune(s.rows)
+		f.prune(s.byKey())
 	}
 	*f.version = s.version
 }
--- a/process/node/load_test.go
+++ b/process/node/load_test.go
@@ -18,6 +18,13 @@
 	c.rangesPerFault = count
 }
 
+// setSilentWorker sets whether a worker does not answer any call.
+func (c *testCell) setSilentWorker(worker string, silent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silentWorkers[worker] = silent
+}
+
 func (n nodeTables) checkRangeFault(ctx context.Context, shard string) error {
 	n.c.mu.Lock()
 	n.c.ranges++
@@ -44,3 +51,29 @@
 		c.requireState(c.follower(), "b", job.Completed)
 	})
 }
+
+// Guards against a start that does not wait for the workers of a former leader: a job can have a record in each of its shards,
+// accepted under different epochs, if a caller repeated the submission while one shard did not answer.
+func TestOldestRecordOfAJobCounts(t *testing.T) {
+	for first := range 2 {
+		runInCell(t, func(t *testing.T, c *testCell) {
+			shards := shardsOf("a")
+			c.setUnavailableShard(shards[first])
+			assert.NilError(t, c.submit(c.follower(), "a", 1, smallTask(8*time.Second), nil))
+			time.Sleep(500 * time.Millisecond)
+			assert.Equal(t, c.workers.Starts("a.0.0.0"), 1)
+			former := c.leader()
+			worker := c.workers.RunningOn("a.0.0.0")[0]
+			c.setUnavailableShard("")
+			c.storeRecord("a", shards[first], 2, 8*time.Second)
+			c.setSilentWorker(worker, true)
+			c.kill(former)
+			time.Sleep(3 * time.Second)
+			assert.Assert(t, c.leader() != "")
+			assert.Equal(t, c.workers.Starts("a.0.0.0"), 1)
+			c.setSilentWorker(worker, false)
+			time.Sleep(20 * time.Second)
+			c.requireState(c.follower(), "a", job.Completed)
+		})
+	}
+}
--- a/process/node/lookup_test.go
+++ b/process/node/lookup_test.go
@@ -32,15 +32,20 @@
 	return n.checkFault(ctx, "")
 }
 
-// storeFormerJob writes the record of a job of one task that an instance accepted for the leader of an earlier epoch.
+// storeFormerJob writes the record of a job of one task that an instance accepted before it knew a leader.
 func (c *testCell) storeFormerJob(id job.ID, shard string, task time.Duration) {
+	c.storeRecord(id, shard, 0, task)
+}
+
+// storeRecord writes the record of a job of one task that an instance accepted under an epoch.
+func (c *testCell) storeRecord(id job.ID, shard string, epoch uint64, task time.Duration) {
 	c.mu.Lock()
 	c.behaviors[string(id)] = smallTask(task)
 	c.mu.Unlock()
 	queue, err := c.follower().Queue("h", "/b/"+string(id))
 	assert.NilError(c.t, err)
 	steps := []job.Step{{Count: 1, TaskDemand: smallTask(task).Resources, EstimateMS: task.Milliseconds()}}
-	record, err := json.Marshal(job.Record{Queue: queue, Spec: job.Spec{Payload: "p", Steps: steps}})
+	record, err := json.Marshal(job.Record{Queue: queue, Epoch: epoch, Spec: job.Spec{Payload: "p", Steps: steps}})
 	assert.NilError(c.t, err)
 	c.tables.Put(jobKey(id, shard), record)
 }
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -118,7 +118,7 @@
 const runNumbersPerEpoch = 64
 
 // AddJob adds an accepted job without progress. It is idempotent. If the record names an older epoch, a former leader may
-// have started the job.
+// have started the job. A job can have two records; the older epoch counts.
 func (c *Core) AddJob(id job.ID, record job.Record, now Instant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -129,7 +129,8 @@
 // addJob adds a job with its durable progress, which may be nil. The progress is applied before the job is scheduled and
 // before the runs and completions that workers have listed for it are handled. Callers hold c.mu.
 func (c *Core) addJob(id job.ID, record job.Record, progress *progressRow) {
-	if c.jobs[id] != nil {
+	if j := c.jobs[id]; j != nil {
+		c.lowerEpoch(j, record.Epoch)
 		return
 	}
 	if record.Epoch > c.opts.Epoch {
@@ -146,9 +147,7 @@
 	if q, ok := c.config.Queue(j.queue.Name); ok {
 		j.queue = q
 	}
-	if j.recovered {
-		j.baseRunNumber = int64(c.opts.Epoch-record.Epoch) * runNumbersPerEpoch
-	}
+	j.baseRunNumber = c.baseRunNumber(record.Epoch)
 	j.objectiveAt = c.now + objectiveDuration(j)
 	c.jobs[id] = j
 	c.logDecision("job_added", id, map[string]any{
@@ -169,6 +168,30 @@
 	c.signalWake()
 }
 
+// baseRunNumber returns the number after which the run numbers of this epoch start for a job accepted in the given epoch.
+func (c *Core) baseRunNumber(accepted uint64) int64 {
+	return int64(c.opts.Epoch-accepted) * runNumbersPerEpoch
+}
+
+// lowerEpoch handles another record of a known job, which names the given epoch: a caller that repeats a submission may have
+// it stored again in the other shard of the job. The leader of an older epoch may have started the job.
+func (c *Core) lowerEpoch(j *jobState, epoch uint64) {
+	if epoch >= j.record.Epoch {
+		return
+	}
+	j.record.Epoch = epoch
+	j.recovered = true
+	j.baseRunNumber = c.baseRunNumber(epoch)
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			s.gangRunNumber = max(s.gangRunNumber, j.baseRunNumber)
+			for _, t := range s.tasks {
+				t.lastRunNumber = max(t.lastRunNumber, j.baseRunNumber)
+			}
+		}
+	}
+}
+
 // AddFinishedJob adds a job whose final state is durable. Its steps are not needed: any remaining runs are stopped, and
 // their completions are acknowledged.
 func (c *Core) AddFinishedJob(id job.ID, state job.State, now Instant) {
--- a/version/cell/recovery_test.go
+++ b/version/cell/recovery_test.go
@@ -411,3 +411,21 @@
 	assert.Assert(t, tc.now-answeredAt >= testLease, "run considered expired after %s", tc.now-answeredAt)
 	assert.Assert(t, tc.now-answeredAt < 2*testLease, "run considered expired after %s", tc.now-answeredAt)
 }
+
+// A second record of a job that names an older epoch must count, however it arrives: the leader of that epoch may have
+// started the job on a worker that has not been read.
+func TestOlderRecordOfAJobCounts(t *testing.T) {
+	tc := newTestCluster(t, 3)
+	assert.NilError(t, tc.core.LoadFleetRecord([]byte(`{"w1":"w1:1","w2":"w2:1"}`), tc.now))
+	tc.listWorker("w1", nil)
+	tc.addWorker("w2")
+	for _, epoch := range []uint64{3, 2, 3} {
+		tc.addJob("a", "plain", epoch, stepWithTasks(1))
+	}
+	tc.advance(500 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 0)
+	tc.answerPoll("w1", nil, nil)
+	tc.advance(100 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 1)
+	assert.Equal(t, tc.starts[0].Command.Run, int64(runNumbersPerEpoch+1))
+}
