Keep runs that a restarted worker may have started

A start that was sent after the restart and before the news of it is executed by the new boot, so that its task ran twice until the next poll of the worker found the run.

Only runs that the previous boot has listed are dropped at once. The others stay in the ledger until a poll of the new boot shows whether it runs them; that poll is sent at once. Until it is answered they hold a lease from the news of the restart on, and clock readings in replies to commands for them are ignored, since they may come from the previous boot.

TestRunStartedAfterUnnoticedRestart failed before in its three cases with "1 != 0" starts and passes now.

--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -152,7 +152,7 @@
 }
 
 func (c *Core) startConfirmed(r *run, reply backend.Reply) {
-	c.recordClock(r.worker, reply.ClockMS)
+	c.recordReplyClock(r, reply.ClockMS)
 	if r.confirmedAt == 0 {
 		r.confirmedAt = c.now
 	}
@@ -225,7 +225,7 @@
 // startRefused handles a worker that has definitely not started the run.
 func (c *Core) startRefused(r *run, reply backend.Reply) {
 	w, t := r.worker, r.task
-	c.recordClock(w, reply.ClockMS)
+	c.recordReplyClock(r, reply.ClockMS)
 	switch reply.Refusal {
 	case backend.RefusedFence:
 		c.supersede(w)
@@ -314,7 +314,7 @@
 	if err != nil || r.removed {
 		return
 	}
-	c.recordClock(r.worker, reply.ClockMS)
+	c.recordReplyClock(r, reply.ClockMS)
 	switch reply.Refusal {
 	case "":
 		r.stopAnsweredAt = c.now
--- a/version/cell/runs_test.go
+++ b/version/cell/runs_test.go
@@ -333,3 +333,48 @@
 	assert.Equal(t, len(tc.starts), 1)
 	assert.Equal(t, tc.starts[0].Command.Task, "b.0.0.0")
 }
+
+// A run that was started between the restart of its worker and the news of it runs on the new boot. It must not be dropped
+// with those of the earlier boot, or its task would run twice.
+func TestRunStartedAfterUnnoticedRestart(t *testing.T) {
+	cases := map[string]struct {
+		listed, silent bool
+		// startsAfter is the time after which the task starts again, within a second.
+		startsAfter time.Duration
+	}{
+		"the new boot lists the run":          {listed: true},
+		"the new boot does not list the run":  {},
+		"the new boot does not answer a poll": {silent: true, startsAfter: testLease},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tc := newTestCluster(t, 1)
+			tc.now += tc.core.recoveryBound()
+			tc.addWorker("w1")
+			tc.addJob("a", "plain", 1, stepWithTasks(1))
+			tc.step()
+			running := tc.confirmStarts()["w1"]
+			tc.addWorker("w2")
+			tc.listWorker("w1", func(info *backend.WorkerInfo) { info.StartedMS = 2000 })
+			noticedAt := tc.now
+			tc.advance(50 * time.Millisecond)
+			assert.Equal(t, len(tc.starts), 0)
+			assert.DeepEqual(t, tc.polls, []string{"w1"})
+			if !c.listed {
+				running = nil
+			}
+			for len(tc.starts) == 0 && tc.now < noticedAt+2*testLease {
+				if !c.silent {
+					reply := backend.PollReply{Reply: backend.Reply{ClockMS: (tc.now - noticedAt).Milliseconds() + 5}, StartedMS: 2000, Running: running}
+					_, _, _ = tc.core.PreparePoll("w1", tc.now)
+					tc.core.PollResult("w1", tc.now, reply, nil, tc.now+1)
+				}
+				tc.answerPoll("w2", nil, nil)
+				tc.advance(20 * time.Millisecond)
+			}
+			waited := tc.now - noticedAt
+			assert.Equal(t, len(tc.starts) == 0, c.listed)
+			assert.Assert(t, c.listed || (waited >= c.startsAfter && waited < c.startsAfter+time.Second), "started after %s", waited)
+		})
+	}
+}
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -20,6 +20,8 @@
 	unlistedAt Instant
 	// startedMS identifies the boot of the worker to which the inventory belongs, by its start time.
 	startedMS int64
+	// restartedAt is when this leader learned of the boot; 0 for the first boot that it knows.
+	restartedAt Instant
 	// inventoryKnown means that the inventory of this boot has been read in this epoch, so that commands may be sent.
 	inventoryKnown bool
 	// clockMS is the latest reading of the worker's clock and clockReceivedAt is when it was received.
@@ -149,13 +151,20 @@
 	c.signalWake()
 }
 
-// handleWorkerRestart discards all state of the worker's previous boot: nothing runs on a worker that has just
-// restarted.
+// handleWorkerRestart discards the state of the worker's previous boot. A run that the previous boot has listed ended with
+// it. Any other start may have been executed by the new boot, before this leader knew of it: the next poll shows whether it
+// was.
 func (c *Core) handleWorkerRestart(w *worker, startedMS int64) {
 	c.logDecision("worker_restarted", "", map[string]any{"worker": w.info.ID, "runs": len(w.runs), "started_ms": startedMS})
 	for _, r := range w.runs {
-		c.dropRun(r, "worker restarted")
+		if r.firstReportAt != 0 {
+			c.dropRun(r, "worker restarted")
+		}
+	}
+	if len(w.runs) > 0 {
+		c.pollSoon(w)
 	}
+	w.restartedAt = c.now
 	w.startedMS = startedMS
 	w.inventoryKnown = false
 	w.clockMS, w.leaseEndMS = 0, 0
@@ -169,7 +178,8 @@
 // leasesEnd returns when every lease on the worker has expired, on the local clock.
 func (c *Core) leasesEnd(w *worker) Instant {
 	if w.clockMS == 0 {
-		return c.epochStart + c.recoveryBound()
+		// Until the new boot has answered, a start that it has executed may hold a full lease.
+		return max(c.epochStart+c.recoveryBound(), w.restartedAt+maxLocalDuration(c.opts.LeaseDuration))
 	}
 	remaining := time.Duration(w.leaseEndMS-w.clockMS) * time.Millisecond
 	return w.clockReceivedAt + maxLocalDuration(max(remaining, 0))
@@ -210,6 +220,14 @@
 	}
 }
 
+// recordReplyClock records the clock in the reply to a command for a run. A reply to a command for a run that is older than
+// the known boot may come from the previous boot, whose clock was another one.
+func (c *Core) recordReplyClock(r *run, readingMS int64) {
+	if r.createdAt >= r.worker.restartedAt {
+		c.recordClock(r.worker, readingMS)
+	}
+}
+
 // leaseDeadline returns the deadline of a new lease on the worker's clock and records it as sent. While the worker has
 // runs, the lease counts from the latest reading of its clock, so that the leases of an unresponsive worker expire. 0
 // means no deadline, because no reading is known.
