--- a/process/node/load.go
+++ b/process/node/load.go
@@ -18,37 +18,46 @@
 // snapshot holds the rows of a table. It contains every row that was written before the read started, and a feed from
 // version on returns every later write.
 type snapshot struct {
-	rows    map[string]backend.Row
+	rows    []backend.Row
 	version uint64
 }
 
-// readTable reads the given shards of a table in parallel.
-func (n *Node) readTable(ctx context.Context, table string, shards []string) (snapshot, error) {
+// byKey returns the rows by key, for tables that have each key in one shard only.
+func (s snapshot) byKey() map[string]backend.Row {
+	rows := make(map[string]backend.Row, len(s.rows))
+	for _, row := range s.rows {
+		rows[row.Key] = row
+	}
+	return rows
+}
+
+// readShards reads shards of a table in parallel and adds them to the snapshot. It returns the shards that could not be
+// read, with the last error.
+func (n *Node) readShards(ctx context.Context, table string, shards []string, out *snapshot) (failed []string, lastErr error) {
 	var mu sync.Mutex
 	var group sync.WaitGroup
-	out := snapshot{rows: map[string]backend.Row{}}
-	var lastErr error
 	for _, shard := range shards {
-		group.Add(1)
-		go func() {
-			defer group.Done()
+		group.Go(func() {
 			rows, version, err := n.readShard(ctx, table, shard)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
-				lastErr = err
+				failed, lastErr = append(failed, shard), err
 				return
 			}
-			if out.version == 0 || version < out.version {
-				out.version = version
-			}
-			for _, row := range rows {
-				out.rows[row.Key] = row
-			}
-		}()
+			out.add(rows, version)
+		})
 	}
 	group.Wait()
-	return out, lastErr
+	return failed, lastErr
+}
+
+// add adds the rows of a shard that were read at a version.
+func (s *snapshot) add(rows []backend.Row, version uint64) {
+	if s.version == 0 || version < s.version {
+		s.version = version
+	}
+	s.rows = append(s.rows, rows...)
 }
 
 // readShard reads all pages of one shard. The returned version is that of the first page, so that a feed from it on misses
@@ -73,14 +82,19 @@
 	}
 }
 
-// readTableWithRetry reads a table, with retries until it succeeds. It returns false if the leadership ended.
+// readTableWithRetry reads a table. Shards that cannot be read are read again until none is left: on an unreliable path to
+// the store, a read of all shards at once would hardly ever succeed. It returns false if the leadership ended.
 func (l *leadership) readTableWithRetry(ctx context.Context, table string, shards []string) (snapshot, bool) {
+	out := snapshot{}
 	for ctx.Err() == nil {
-		s, err := l.node.readTable(ctx, table, shards)
-		if err == nil {
-			return s, true
+		failed, err := l.node.readShards(ctx, table, shards, &out)
+		if len(failed) == 0 {
+			return out, true
 		}
-		l.node.opts.Log.WithError(err).WithFields(map[string]any{"event": "table_unreadable", "table": table}).Warn("cannot read the table")
+		shards = failed
+		l.node.opts.Log.WithError(err).WithFields(map[string]any{
+			"event": "table_unreadable", "table": table, "shards": len(failed),
+		}).Warn("cannot read the table")
 		pause(ctx, storeRetryDelay)
 	}
 	return snapshot{}, false
@@ -108,14 +122,15 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if err := l.core.LoadFleetRecord(writes.rows[fleetKey.Key].Value, l.node.opts.Now()); err != nil {
+	if err := l.core.LoadFleetRecord(writes.byKey()[fleetKey.Key].Value, l.node.opts.Now()); err != nil {
 		l.node.opts.Log.WithError(err).WithField("event", "fleet_unreadable").Error("cannot decode the record of the workers in use")
 	}
 	for _, row := range workers.rows {
 		l.applyWorkerRow(row)
 	}
+	progressOf := progress.byKey()
 	for _, row := range jobs.rows {
-		l.applyJobRow(row, progress.rows[row.Key])
+		l.applyJobRow(row, progressOf[row.Key])
 	}
 	for _, row := range cancels.rows {
 		l.applyCancelRow(row)
@@ -156,6 +171,30 @@
 	}
 }
 
+// lookUpJob reads the rows of a job and passes them to the scheduler. found is false if there is no record of the job.
+func (l *leadership) lookUpJob(ctx context.Context, id job.ID) (found bool, err error) {
+	// A record that is removed after it was read would be added as a new one.
+	l.removalLock.RLock()
+	defer l.removalLock.RUnlock()
+	record, err := l.node.readRow(ctx, id, jobKey)
+	if err != nil || record.Version == 0 {
+		return false, err
+	}
+	progress, err := l.node.tables.Get(ctx, progressKey(id))
+	if err != nil {
+		return false, err
+	}
+	cancel, err := l.node.readRow(ctx, id, cancelKey)
+	if err != nil {
+		return false, err
+	}
+	if cancel.Version != 0 {
+		l.applyCancelRow(cancel)
+	}
+	l.applyJobRow(record, progress)
+	return true, nil
+}
+
 func (l *leadership) applyCancelRow(row backend.Row) {
 	if !row.Deleted {
 		l.core.CancelJob(job.ID(row.Key), l.node.opts.Now())
@@ -281,7 +320,7 @@
 		f.apply(row)
 	}
 	if f.prune != nil {
-		f.prune(s.rows)
+		f.prune(s.byKey())
 	}
 	*f.version = s.version
 }
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -55,7 +55,9 @@
 	recurring   map[job.ID]*jobState
 	// earlyCancels holds when jobs were cancelled whose records have not arrived yet.
 	earlyCancels map[job.ID]Instant
-	workers      map[string]*worker
+	// lookups are the jobs that are not known and of which workers list tasks.
+	lookups map[job.ID]*jobLookup
+	workers map[string]*worker
 	// fleetVersion rises when a change of the registry entries may make a step feasible or infeasible.
 	fleetVersion uint64
 	// ready are the steps with waiting tasks.
@@ -96,7 +98,8 @@
 func New(opts Options, now Instant) *Core {
 	return &Core{
 		opts: opts, epochStart: now, now: now, fleetVersion: 1,
-		jobs: map[job.ID]*jobState{}, recurring: map[job.ID]*jobState{}, earlyCancels: map[job.ID]Instant{}, workers: map[string]*worker{},
+		jobs: map[job.ID]*jobState{}, recurring: map[job.ID]*jobState{}, earlyCancels: map[job.ID]Instant{},
+		lookups: map[job.ID]*jobLookup{}, workers: map[string]*worker{},
 		advisers: map[string]*adviser{}, inventoryPending: map[string]struct{}{},
 		dirtyJobs: map[job.ID]*jobState{}, approvalRates: map[string]float64{}, waves: map[int]*wave{},
 		wake: make(chan struct{}, 1),
@@ -104,7 +107,7 @@
 }
 
 // Action is a command that the caller of Step executes: *StartAction, *StopAction, *PollAction, *ThrottleAction,
-// *AdviseAction, *MaintainAction or *WaveAction.
+// *AdviseAction, *LookupAction, *MaintainAction or *WaveAction.
 type Action any
 
 // StartAction starts a run. The outcome is passed to StartResult.
@@ -239,6 +242,7 @@
 	c.openDueOccurrences()
 	c.expireFinishedJobs()
 	c.expireEarlyCancels()
+	c.sendLookups()
 }
 
 // endRecovery stops waiting for unreachable workers once no run of a former leader can exist on them.
--- a/version/cell/crash.go
+++ b/version/cell/crash.go
@@ -35,45 +35,77 @@
 	stableServiceRun = time.Minute
 )
 
-// crash is the end of a worker without notice.
+// crash is the end of a worker's process without notice.
 type crash struct {
 	worker string
 	rack   string
-	// lastAnswerAt is when the worker answered last.
-	lastAnswerAt Instant
-	noticedAt    Instant
+	// lastAnswerAt is when the worker answered last, and silentSince when it first failed to answer; 0 if it did not.
+	lastAnswerAt, silentSince Instant
+	noticedAt                 Instant
 	// tasks are the tasks for which the crash was counted.
 	tasks []*task
 	// settled means that the tasks have been judged.
 	settled bool
 }
 
-// recordCrash counts the crash of a worker for the tasks that ran there. Workers that were about to leave or had a maintenance
-// have not crashed.
-func (c *Core) recordCrash(w *worker, tasks []*task) {
-	if w.info.Draining || w.cordoned || len(tasks) == 0 {
-		return
+// noticeCrash records that the process of a worker has ended, and counts the crash for the tasks whose leases have expired
+// since the last answer. It returns nil if the end was expected: the worker was about to leave or had a maintenance.
+func (c *Core) noticeCrash(w *worker) *crash {
+	expired := w.expiredTasks
+	w.expiredTasks = nil
+	if w.info.Draining || w.cordoned {
+		return nil
+	}
+	k := &crash{
+		worker: w.info.ID, rack: w.rack, lastAnswerAt: w.clockReceivedAt, silentSince: w.silentSince, noticedAt: c.now,
 	}
-	k := &crash{worker: w.info.ID, rack: w.rack, lastAnswerAt: w.clockReceivedAt, noticedAt: c.now, tasks: tasks}
 	c.crashes = slices.DeleteFunc(c.crashes, func(old *crash) bool { return c.now > old.noticedAt+crashRetention })
 	c.crashes = append(c.crashes, k)
-	for _, t := range tasks {
-		t.crashes++
-		c.markChanged(t.step.job)
-	}
-	c.logDecision("worker_crashed", "", map[string]any{
-		"worker": w.info.ID, "rack": w.rack, "tasks": len(tasks), "rack_outage": c.attributeToRack(k),
-		"last_answer_ms": (c.now - w.clockReceivedAt).Milliseconds(),
-	})
+	for _, t := range expired {
+		c.countCrash(k, t)
+	}
+	return k
+}
+
+// countCrash counts a crash, which may be nil, for a task that ran on the worker.
+func (c *Core) countCrash(k *crash, t *task) {
+	if k == nil || slices.Contains(k.tasks, t) {
+		return
+	}
+	t.crashes++
+	k.tasks = append(k.tasks, t)
+	if k.settled {
+		k.settled, k.noticedAt = false, c.now
+	}
+	c.markChanged(t.step.job)
 }
 
-// settleCrashes gives up the tasks under which too many workers have crashed, after crashSettleTime.
+// countCrashOfRun counts a crash for the task of a run, unless its start was sent when the worker did not answer any longer.
+func (c *Core) countCrashOfRun(k *crash, r *run) {
+	if k != nil && !wasSentTooLate(r, k.silentSince) {
+		c.countCrash(k, r.task)
+	}
+}
+
+// wasSentTooLate reports whether the start of a run was sent after its worker had failed to answer, and was not answered.
+func wasSentTooLate(r *run, silentSince Instant) bool {
+	return r.confirmedAt == 0 && silentSince != 0 && r.createdAt > silentSince
+}
+
+// settleCrashes judges the tasks of crashes after crashSettleTime.
 func (c *Core) settleCrashes() {
 	for _, k := range c.crashes {
 		if k.settled || c.now < k.noticedAt+crashSettleTime {
 			continue
 		}
 		k.settled = true
+		if len(k.tasks) == 0 {
+			continue
+		}
+		c.logDecision("worker_crashed", "", map[string]any{
+			"worker": k.worker, "rack": k.rack, "tasks": len(k.tasks), "rack_outage": c.takeBackOutage(k),
+			"last_answer_ms": (c.now - k.lastAnswerAt).Milliseconds(),
+		})
 		for _, t := range k.tasks {
 			c.giveUpAfterCrashes(t)
 		}
@@ -90,9 +122,9 @@
 	c.finishJob(j, job.Failed, "workers crashed whenever task "+t.name+" ran")
 }
 
-// attributeToRack reports whether a crash belongs to an outage of its rack. The crashes of such an outage are taken back from
+// takeBackOutage reports whether a crash belongs to an outage of its rack. The crashes of such an outage are taken back from
 // the tasks, once for each task: a task that crashes workers can bring down a rack as well.
-func (c *Core) attributeToRack(k *crash) bool {
+func (c *Core) takeBackOutage(k *crash) bool {
 	var together []*crash
 	workers := map[string]struct{}{}
 	for _, other := range c.crashes {
@@ -127,13 +159,11 @@
 	return n
 }
 
-// crashedTasks returns the tasks that may have run on a worker when it crashed: those of its runs, without starts that were
-// sent when it did not answer any longer, and those whose leases expired since its last answer.
-func (w *worker) crashedTasks() []*task {
-	tasks := slices.Clone(w.expiredTasks)
+// tasksAtRisk returns the tasks that may have run on a worker since its last answer.
+func (w *worker) tasksAtRisk() []*task {
+	var tasks []*task
 	for _, r := range w.runs {
-		sentTooLate := r.confirmedAt == 0 && w.silentSince != 0 && r.createdAt > w.silentSince
-		if !sentTooLate && !slices.Contains(tasks, r.task) {
+		if !wasSentTooLate(r, w.silentSince) {
 			tasks = append(tasks, r.task)
 		}
 	}
--- a/version/cell/crash_test.go
+++ b/version/cell/crash_test.go
@@ -181,6 +181,7 @@
 	for _, id := range []string{"a1", "a2", "a3", "a4"} {
 		cc.crash(id)
 	}
+	cc.advance(crashSettleTime + 200*time.Millisecond)
 	for i := range 16 {
 		assert.Equal(t, cc.crashesOf(fmt.Sprintf("x.0.0.%d", i)), 0)
 	}
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -122,13 +122,20 @@
 // does not know of has a lower number.
 const runNumbersPerEpoch = 64
 
-// AddJob adds an accepted job. It is idempotent. If the record names an older epoch, a former leader may have started
-// the job.
+// AddJob adds an accepted job without progress. It is idempotent. If the record names an older epoch, a former leader may
+// have started the job. A job can have two records; the older epoch counts.
 func (c *Core) AddJob(id job.ID, record job.Record, now Instant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.now = max(c.now, now)
-	if c.jobs[id] != nil {
+	c.addJob(id, record, nil)
+}
+
+// addJob adds a job with its durable progress, which may be nil. The progress is applied before the job is scheduled and
+// before the runs and completions that workers have listed for it are handled. Callers hold c.mu.
+func (c *Core) addJob(id job.ID, record job.Record, progress *progressRow) {
+	if j := c.jobs[id]; j != nil {
+		c.lowerEpoch(j, record.Epoch)
 		return
 	}
 	if record.Epoch > c.opts.Epoch {
@@ -140,14 +147,12 @@
 	}
 	j := &jobState{
 		id: id, record: record, queue: record.Queue, addedAt: c.now, recovered: record.Epoch < c.opts.Epoch,
-		occurrences: map[int]*occurrence{}, state: job.Queued, reportedState: job.Queued,
+		occurrences: map[int]*occurrence{}, state: job.Queued, reportedState: job.Queued, progress: progress,
 	}
 	if q, ok := c.config.Queue(j.queue.Name); ok {
 		j.queue = q
 	}
-	if j.recovered {
-		j.baseRunNumber = int64(c.opts.Epoch-record.Epoch) * runNumbersPerEpoch
-	}
+	j.baseRunNumber = c.baseRunNumber(record.Epoch)
 	j.objectiveAt = c.now + objectiveDuration(j)
 	c.jobs[id] = j
 	c.logDecision("job_added", id, map[string]any{
@@ -155,6 +160,7 @@
 	})
 	if record.Spec.Repetitions > 0 {
 		c.recurring[id] = j
+		c.openOccurrencesUpTo(j, progress.lastOccurrence())
 		c.openDueOccurrencesOf(j)
 	} else {
 		c.openOccurrence(j, 0)
@@ -167,6 +173,30 @@
 	c.signalWake()
 }
 
+// baseRunNumber returns the number after which the run numbers of this epoch start for a job accepted in the given epoch.
+func (c *Core) baseRunNumber(accepted uint64) int64 {
+	return int64(c.opts.Epoch-accepted) * runNumbersPerEpoch
+}
+
+// lowerEpoch handles another record of a known job, which names the given epoch: a caller that repeats a submission may have
+// it stored again in the other shard of the job. The leader of an older epoch may have started the job.
+func (c *Core) lowerEpoch(j *jobState, epoch uint64) {
+	if epoch >= j.record.Epoch {
+		return
+	}
+	j.record.Epoch = epoch
+	j.recovered = true
+	j.baseRunNumber = c.baseRunNumber(epoch)
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			s.gangRunNumber = max(s.gangRunNumber, j.baseRunNumber)
+			for _, t := range s.tasks {
+				t.lastRunNumber = max(t.lastRunNumber, j.baseRunNumber)
+			}
+		}
+	}
+}
+
 // AddFinishedJob adds a job whose final state is durable. Its steps are not needed: any remaining runs are stopped, and
 // their completions are acknowledged.
 func (c *Core) AddFinishedJob(id job.ID, state job.State, now Instant) {
@@ -181,12 +211,6 @@
 	}
 }
 
-// belongsToFinishedJob reports whether a task belongs to a known job that has finished.
-func (c *Core) belongsToFinishedJob(name string) bool {
-	n, ok := job.ParseTaskName(name)
-	return ok && c.jobs[n.Job] != nil && c.jobs[n.Job].state.Terminal()
-}
-
 // objectiveDuration returns how long a job may take to be on time.
 func objectiveDuration(j *jobState) time.Duration {
 	steps := j.record.Spec.Steps
@@ -261,6 +285,14 @@
 	}
 }
 
+// openOccurrencesUpTo opens the occurrences up to the one with the given index. A former leader has opened it, and those
+// before it are due as well, even if they are not due yet according to this instance's clock.
+func (c *Core) openOccurrencesUpTo(j *jobState, index int) {
+	for j.openedOccurrences <= index && j.openedOccurrences < j.record.Spec.Repetitions {
+		c.openOccurrence(j, j.openedOccurrences)
+	}
+}
+
 // queueStep queues the tasks of a step if the step's dependencies are done.
 func (c *Core) queueStep(s *step) {
 	if s.openTasks == 0 || s.job.state.Terminal() || !s.dependenciesDone() {
@@ -457,14 +489,10 @@
 	if j == nil {
 		return nil
 	}
-	o := j.occurrences[n.Occurrence]
-	if o == nil && n.Occurrence < j.record.Spec.Repetitions {
-		// A former leader opened an occurrence that is not due yet according to this instance's clock. The ones before it
-		// are due as well.
-		for j.openedOccurrences <= n.Occurrence {
-			o = c.openOccurrence(j, j.openedOccurrences)
-		}
+	if n.Occurrence < j.record.Spec.Repetitions {
+		c.openOccurrencesUpTo(j, n.Occurrence)
 	}
+	o := j.occurrences[n.Occurrence]
 	if o == nil || n.Step >= len(o.steps) || n.Index >= len(o.steps[n.Step].tasks) {
 		return nil
 	}
--- a/version/cell/recovery_test.go
+++ b/version/cell/recovery_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/lentiltide/lentiltide/backend"
 	"github.com/lentiltide/lentiltide/model/job"
+	"github.com/lentiltide/lentiltide/request/verdict"
 )
 
 // Recovered tasks must not start before the inventories of all recorded workers have been read, including workers that
@@ -336,7 +337,7 @@
 	assert.Equal(t, len(tc.starts), 0)
 }
 
-// A completion must be acknowledged eventually if its job record never arrives.
+// A completion must be acknowledged eventually if its job does not exist, but not at once: the record may be on its way.
 func TestCompletionWithoutJobRecordIsAcknowledged(t *testing.T) {
 	tc := newTestCluster(t, 2)
 	tc.addWorker("w1")
@@ -345,9 +346,37 @@
 	tc.advance(unknownJobTimeout)
 	tc.answerPoll("w1", nil, []backend.FinishedRun{unknown})
 	req, _, _ := tc.core.PreparePoll("w1", tc.now)
+	assert.Equal(t, req.AcknowledgedCompletion, int64(0))
+	tc.advance(lookupInterval + sweepInterval)
+	tc.answerPoll("w1", nil, []backend.FinishedRun{unknown})
+	req, _, _ = tc.core.PreparePoll("w1", tc.now)
 	assert.Equal(t, req.AcknowledgedCompletion, int64(1))
 }
 
+// A completion must not be acknowledged because the record of its job cannot be read for long: the task would start again
+// when the record arrives. Lookups must end when the job is known.
+func TestCompletionOfUnreadableJobIsNotAcknowledged(t *testing.T) {
+	tc := newTestCluster(t, 2)
+	tc.addWorker("w1")
+	tc.lookupError = verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the store is silent")
+	done := tc.completion("w1", "late.0.0.0", 1, backend.ResultDone)
+	for range 10 {
+		tc.answerPoll("w1", nil, []backend.FinishedRun{done})
+		tc.advance(unknownJobTimeout)
+	}
+	req, _, _ := tc.core.PreparePoll("w1", tc.now)
+	assert.Equal(t, req.AcknowledgedCompletion, int64(0))
+	assert.Assert(t, tc.lookups > 10)
+	tc.addJob("late", "plain", 1, stepWithTasks(1))
+	tc.advance(time.Second)
+	assert.Equal(t, len(tc.starts), 0)
+	tc.storeBatches()
+	assert.Equal(t, tc.state("late"), job.Completed)
+	sent := tc.lookups
+	tc.advance(3 * lookupInterval)
+	assert.Equal(t, tc.lookups, sent)
+}
+
 // No tasks may start on a worker with runs that the ledger does not have: their demand is not known, so their capacity
 // is not free before the worker has reported their completions.
 func TestUnknownRunsBlockNewStarts(t *testing.T) {
@@ -374,3 +403,58 @@
 		})
 	}
 }
+
+// A stored failure must not be forgotten, and a listed one must not be lost, when the record of a job arrives with its
+// progress after a worker has listed a completion of the job: the task would have more attempts than allowed.
+func TestProgressIsAppliedBeforeListedCompletions(t *testing.T) {
+	tc := newTestCluster(t, 2)
+	tc.addWorker("w1")
+	tc.answerPoll("w1", nil, []backend.FinishedRun{tc.completion("w1", "a.0.0.0", 2, backend.ResultFailed)})
+	stored := []byte(`{"t":{"0.0":{"f":{"0":[1]}}}}`)
+	assert.NilError(t, tc.core.LoadProgress("a", record("plain", 1, stepWithTasks(1)), stored, tc.now))
+	tc.advance(100 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 1)
+	run := tc.starts[0].Command.Run
+	tc.confirmStarts()
+	tc.answerPoll("w1", nil, []backend.FinishedRun{tc.completion("w1", "a.0.0.0", run, backend.ResultFailed)})
+	tc.storeBatches()
+	assert.Equal(t, tc.state("a"), job.Failed)
+}
+
+// Runs of a former leader must not be considered expired before this leader has sent a lease: its first poll sends none, and
+// the next one can be late, for instance while completions are stored. The runs would start a second time.
+func TestRunsOfFormerLeaderKeepTheirLease(t *testing.T) {
+	tc := newTestCluster(t, 2)
+	assert.NilError(t, tc.core.LoadFleetRecord([]byte(`{"w1":"w1:1","w2":"w2:1"}`), tc.now))
+	tc.listWorker("w1", nil)
+	tc.listWorker("w2", nil)
+	tc.addJob("a", "plain", 1, stepWithTasks(1))
+	tc.answerPoll("w2", nil, nil)
+	tc.answerPoll("w1", []backend.ActiveRun{{Task: "a.0.0.0", Run: 1, ProgressPercent: 10}}, nil)
+	answeredAt := tc.now
+	for len(tc.starts) == 0 && tc.now < answeredAt+time.Minute {
+		tc.answerPoll("w2", nil, nil)
+		tc.advance(50 * time.Millisecond)
+	}
+	assert.Equal(t, len(tc.starts), 1)
+	assert.Assert(t, tc.now-answeredAt >= testLease, "run considered expired after %s", tc.now-answeredAt)
+	assert.Assert(t, tc.now-answeredAt < 2*testLease, "run considered expired after %s", tc.now-answeredAt)
+}
+
+// A second record of a job that names an older epoch must count, however it arrives: the leader of that epoch may have
+// started the job on a worker that has not been read.
+func TestOlderRecordOfAJobCounts(t *testing.T) {
+	tc := newTestCluster(t, 3)
+	assert.NilError(t, tc.core.LoadFleetRecord([]byte(`{"w1":"w1:1","w2":"w2:1"}`), tc.now))
+	tc.listWorker("w1", nil)
+	tc.addWorker("w2")
+	for _, epoch := range []uint64{3, 2, 3} {
+		tc.addJob("a", "plain", epoch, stepWithTasks(1))
+	}
+	tc.advance(500 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 0)
+	tc.answerPoll("w1", nil, nil)
+	tc.advance(100 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 1)
+	assert.Equal(t, tc.starts[0].Command.Run, int64(runNumbersPerEpoch+1))
+}
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -164,7 +164,7 @@
 }
 
 func (c *Core) startConfirmed(r *run, reply backend.Reply) {
-	c.recordClock(r.worker, reply.ClockMS)
+	c.recordReplyClock(r, reply.ClockMS)
 	if r.confirmedAt == 0 {
 		r.confirmedAt = c.now
 	}
@@ -238,7 +238,7 @@
 // startRefused handles a worker that has definitely not started the run.
 func (c *Core) startRefused(r *run, reply backend.Reply) {
 	w, t := r.worker, r.task
-	c.recordClock(w, reply.ClockMS)
+	c.recordReplyClock(r, reply.ClockMS)
 	switch reply.Refusal {
 	case backend.RefusedFence:
 		c.supersede(w)
@@ -327,7 +327,7 @@
 	if err != nil || r.removed {
 		return
 	}
-	c.recordClock(r.worker, reply.ClockMS)
+	c.recordReplyClock(r, reply.ClockMS)
 	switch reply.Refusal {
 	case "":
 		r.stopAnsweredAt = c.now
@@ -361,6 +361,10 @@
 
 // handleUnlistedRun handles a run that is missing from the answer to a poll sent at sentAt.
 func (c *Core) handleUnlistedRun(r *run, sentAt Instant) {
+	if r.createdAt < r.worker.restartedAt {
+		// The previous boot had it.
+		c.countCrashOfRun(r.worker.lastCrash, r)
+	}
 	switch r.phase {
 	case phaseStarting:
 		if r.unansweredAt != 0 && sentAt >= r.unansweredAt {
@@ -381,7 +385,7 @@
 // leader, or its start was executed after it had been given up. Runs that must not continue are stopped.
 func (c *Core) adoptRun(w *worker, item backend.ActiveRun) *run {
 	t := c.findTask(item.Task)
-	if t == nil && !c.belongsToFinishedJob(item.Task) && c.awaitsJobRecord(w, item.Task) {
+	if t == nil && c.awaitsJobRecord(w, item.Task) {
 		w.unknownRuns = append(w.unknownRuns, item)
 		return nil
 	}
@@ -409,40 +413,6 @@
 	return r
 }
 
-// unknownJobTimeout is how long the record of a job may take to arrive after a worker has listed one of its tasks. A
-// former leader may have started the job after this leader read the records.
-const unknownJobTimeout = 5 * time.Second
-
-// awaitsJobRecord reports whether a task of an unknown job may belong to a job whose record is about to arrive. It
-// starts the timeout of the task if it is not running. The timeout of an earlier task on the worker must not count: the
-// completion would be acknowledged before its job record has had time to arrive, and the task would run again.
-func (c *Core) awaitsJobRecord(w *worker, task string) bool {
-	since, listed := w.unknownTasksSince[task]
-	if !listed {
-		if w.unknownTasksSince == nil {
-			w.unknownTasksSince = map[string]Instant{}
-		}
-		since = c.now
-		w.unknownTasksSince[task] = since
-	}
-	return c.now <= since+unknownJobTimeout
-}
-
-// forgetResolvedTasks removes the timeouts of tasks that no longer wait for the records of their jobs.
-func (w *worker) forgetResolvedTasks() {
-	if len(w.unknownTasksSince) == 0 {
-		return
-	}
-	waiting := map[string]Instant{}
-	for _, item := range w.unknownRuns {
-		waiting[item.Task] = w.unknownTasksSince[item.Task]
-	}
-	for _, e := range w.unknownCompletions {
-		waiting[e.Task] = w.unknownTasksSince[e.Task]
-	}
-	w.unknownTasksSince = waiting
-}
-
 // resolveUnknownTasks processes the runs and completions of a job that workers listed before its record arrived: a
 // former leader may have started the job, and its tasks must not start again.
 func (c *Core) resolveUnknownTasks(j *jobState) {
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -20,12 +20,14 @@
 	unlistedAt Instant
 	// startedMS identifies the boot of the worker to which the inventory belongs, by its start time.
 	startedMS int64
+	// restartedAt is when this leader learned of the boot; 0 for the first boot that it knows.
+	restartedAt Instant
 	// inventoryKnown means that the inventory of this boot has been read in this epoch, so that commands may be sent.
 	inventoryKnown bool
 	// clockMS is the latest reading of the worker's clock and clockReceivedAt is when it was received.
 	clockMS         int64
 	clockReceivedAt Instant
-	// leaseEndMS is the latest lease deadline ever sent, on the worker's clock.
+	// leaseEndMS is the latest lease deadline that may ever have been sent, on the worker's clock.
 	leaseEndMS int64
 	runs       map[runKey]*run
 	// allocated is the demand of all runs, except for the processor demand of best-effort runs, which is in
@@ -71,6 +73,8 @@
 	silentSince Instant
 	// expiredTasks are the tasks whose leases expired since the last answer.
 	expiredTasks []*task
+	// lastCrash is how the previous boot ended; nil if that was expected or there was none.
+	lastCrash *crash
 	// isolatedRun is a run beside which nothing else starts for a while.
 	isolatedRun *run
 }
@@ -162,11 +166,22 @@
 	c.signalWake()
 }
 
-// handleWorkerRestart discards all state of the worker's previous boot: nothing runs on a worker that has just
-// restarted.
+// handleWorkerRestart discards the state of the worker's previous boot. A run that the previous boot has listed ended with
+// it. Any other start may have been executed by the new boot, before this leader knew of it: the next poll shows whether it
+// was.
 func (c *Core) handleWorkerRestart(w *worker, startedMS int64) {
 	c.logDecision("worker_restarted", "", map[string]any{"worker": w.info.ID, "runs": len(w.runs), "started_ms": startedMS})
-	c.dropCrashedRuns(w, "worker restarted")
+	k := c.noticeCrash(w)
+	for _, r := range w.runs {
+		if r.firstReportAt != 0 {
+			c.countCrashOfRun(k, r)
+			c.dropRun(r, "worker restarted")
+		}
+	}
+	if len(w.runs) > 0 {
+		c.pollSoon(w)
+	}
+	w.restartedAt, w.lastCrash = c.now, k
 	w.startedMS = startedMS
 	w.inventoryKnown = false
 	w.clockMS, w.leaseEndMS = 0, 0
@@ -177,20 +192,11 @@
 	w.startsBlockedUntil = 0
 }
 
-// dropCrashedRuns drops the runs of a worker whose process has ended.
-func (c *Core) dropCrashedRuns(w *worker, reason string) {
-	tasks := w.crashedTasks()
-	for _, r := range w.runs {
-		c.dropRun(r, reason)
-	}
-	c.recordCrash(w, tasks)
-	w.expiredTasks, w.silentSince = nil, 0
-}
-
 // leasesEnd returns when every lease on the worker has expired, on the local clock.
 func (c *Core) leasesEnd(w *worker) Instant {
 	if w.clockMS == 0 {
-		return c.epochStart + c.recoveryBound()
+		// Until the new boot has answered, a start that it has executed may hold a full lease.
+		return max(c.epochStart+c.recoveryBound(), w.restartedAt+maxLocalDuration(c.opts.LeaseDuration))
 	}
 	remaining := time.Duration(w.leaseEndMS-w.clockMS) * time.Millisecond
 	return w.clockReceivedAt + maxLocalDuration(max(remaining, 0))
@@ -205,7 +211,7 @@
 		c.logDecision("leases_lapsed", "", map[string]any{
 			"worker": w.info.ID, "runs": len(w.runs), "last_answer_ms": (c.now - w.clockReceivedAt).Milliseconds(),
 		})
-		w.expiredTasks = w.crashedTasks()
+		w.expiredTasks = w.tasksAtRisk()
 		for _, r := range w.runs {
 			c.dropRun(r, "lease expired")
 		}
@@ -213,7 +219,7 @@
 	}
 	delete(c.inventoryPending, w.info.ID)
 	if !w.listed && c.now > w.unlistedAt+unlistedWorkerRetention {
-		c.recordCrash(w, w.expiredTasks)
+		c.noticeCrash(w)
 		delete(c.workers, w.info.ID)
 		c.fleetChanged = true
 	}
@@ -222,9 +228,13 @@
 // unlistedWorkerRetention is how long a worker without a registry entry is kept, since the entry may return.
 const unlistedWorkerRetention = 10 * time.Second
 
-// recordClock records a reading of the worker's clock. Older readings are ignored.
+// recordClock records a reading of the worker's clock. Older readings are ignored. A former leader, whose commands the worker
+// refuses from the first answer on, has sent leases that end at most one lease duration after that answer.
 func (c *Core) recordClock(w *worker, readingMS int64) {
 	w.silentSince = 0
+	if w.clockMS == 0 && readingMS > 0 {
+		w.leaseEndMS = max(w.leaseEndMS, readingMS+c.opts.LeaseDuration.Milliseconds())
+	}
 	if readingMS > w.clockMS {
 		w.clockMS, w.clockReceivedAt = readingMS, c.now
 	}
@@ -237,6 +247,14 @@
 	}
 }
 
+// recordReplyClock records the clock in the reply to a command for a run. A reply to a command for a run that is older than
+// the known boot may come from the previous boot, whose clock was another one.
+func (c *Core) recordReplyClock(r *run, readingMS int64) {
+	if r.createdAt >= r.worker.restartedAt {
+		c.recordClock(r.worker, readingMS)
+	}
+}
+
 // leaseDeadline returns the deadline of a new lease on the worker's clock and records it as sent. While the worker has
 // runs or has no registry entry, the lease counts from the latest reading of its clock, so that the leases of an
 // unresponsive worker expire. 0 means no deadline, because no reading is known.
@@ -406,7 +424,11 @@
 		return
 	}
 	c.logDecision("worker_replaced", "", map[string]any{"worker": w.info.ID, "runs": len(w.runs), "address": w.info.Address})
-	c.dropCrashedRuns(w, "address is used by another worker")
+	k := c.noticeCrash(w)
+	for _, r := range w.runs {
+		c.countCrashOfRun(k, r)
+		c.dropRun(r, "address is used by another worker")
+	}
 	w.inventoryKnown = false
 }
 
