Let forwarded requests wait for an acquisition that is under way

Callers saw wrong_owner (503) at any instance while another one shut down: TestRequestsWaitForHandover failed with "entry-2 partition 29: wrong_owner: intent partition 29 is not served here (not_run)".

The cause is in the product. An instance acquires up to 16 partitions in one transaction and enters them into its own view one by one after the answer. Other instances can read the rows as soon as the transaction has committed, and send their waiting requests. The new owner refused these, because it did not know yet that it owns the partition, and a request has no third attempt. A trace of the failing runs showed at each refusal that the row already named the instance that refused: "to entry-1: ... row session '' epoch 2 | to entry-0: ... is not served here, view owner none, row address entry-0 epoch 3", for partitions 29, 42, 19 and 47.

The manager now remembers an acquisition from before it is sent until its answer, or until a later read resolves one without an answer, and a forwarded request waits meanwhile, bounded like the other waits for an owner.

TestForwardedRequestWaitsForAcquisition delays the answers by 200 ms. Without the change in route.go it failed with "intent partition 26 is not served here (not_run)" and eight more.

--- a/process/instance/cluster_test.go
+++ b/process/instance/cluster_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -62,6 +63,8 @@
 	unavailable bool
 	// losesAnswer is called for each committed transaction; if it returns true, the answer is lost.
 	losesAnswer func(store.Txn) bool
+	// acquisitionLatency is the time from the commit of an acquisition to its answer.
+	acquisitionLatency time.Duration
 	// stale contains the outdated rows, by key, that Get returns instead of the current ones.
 	stale map[string]store.Row
 }
@@ -87,6 +90,12 @@
 	}
 	versions, err := f.Table.Commit(ctx, txn)
 	f.mu.Lock()
+	latency := f.acquisitionLatency
+	f.mu.Unlock()
+	if strings.HasPrefix(txn.Writes[0].Key, "partition/") {
+		time.Sleep(latency)
+	}
+	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err == nil && f.losesAnswer != nil && f.losesAnswer(txn) {
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the answer was lost")
--- a/process/instance/route.go
+++ b/process/instance/route.go
@@ -320,9 +320,14 @@
 }
 
 // handleForward serves a request that another instance forwarded. It does not forward the request again: a sender with an
-// outdated view receives the owner in this instance's view.
+// outdated view receives the owner in this instance's view. A sender can also read the new owner before the answer to the
+// acquisition arrives here; its request waits for that answer.
 func (in *Instance) handleForward(ctx context.Context, f *peerpb.Forward) (*peerpb.ForwardReply, error) {
 	n := int(f.GetPartition())
+	acquired := func() bool { return !in.owners.Acquiring(ownership.Intent(n)) }
+	if err := in.waitUntilReady(ctx, n, acquired); err != nil {
+		return nil, err
+	}
 	if loc, ok := in.owners.Locate(ownership.Intent(n)); !loc.Local {
 		err := verdict.New(verdict.NotRun, verdict.CodeWrongOwner, "intent partition %d is not served here", n).WithRetryAfter(retryDelay)
 		if ok {
--- a/process/instance/route_test.go
+++ b/process/instance/route_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -83,6 +84,36 @@
 	})
 }
 
+// TestForwardedRequestWaitsForAcquisition guards against a new owner that refuses the requests of instances that have read
+// its acquisition of a partition before the answer to that acquisition has reached the new owner itself.
+func TestForwardedRequestWaitsForAcquisition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, nodes := startTestCluster(t, 3, 0)
+		entry, formerOwner, newOwner := nodes[0], nodes[1], nodes[2]
+		var owned []int
+		for p := range model.IntentPartitions {
+			if _, err := formerOwner.loadedIntentRunner(p); err == nil {
+				owned = append(owned, p)
+			}
+		}
+		newOwner.table.setFaults(func(f *faultyTable) { f.acquisitionLatency = 200 * time.Millisecond })
+		assert.NilError(t, formerOwner.owners.Drain(context.Background()))
+		var wg sync.WaitGroup
+		var servedByNewOwner atomic.Int64
+		for _, p := range owned {
+			wg.Go(func() {
+				servedBy, err := entry.request(context.Background(), p)
+				assert.Check(t, err, "partition %d", p)
+				if servedBy == newOwner.address {
+					servedByNewOwner.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		assert.Assert(t, servedByNewOwner.Load() > 0)
+	})
+}
+
 // TestStaleOwnerViewForwardsOnceToNewOwner guards against a request that fails because the instance that received it has an
 // outdated view of the owners. The refusal of the former owner names the new one, which receives the request once.
 func TestStaleOwnerViewForwardsOnceToNewOwner(t *testing.T) {
--- a/version/ownership/balance.go
+++ b/version/ownership/balance.go
@@ -120,6 +120,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	live := m.candidates()
+	m.resolveAcquisitions()
 	for _, p := range partitions {
 		row := m.owners[p]
 		_, owned := m.ownedEpochs[p]
@@ -144,6 +145,16 @@
 	return toAcquire, toRelease
 }
 
+// resolveAcquisitions forgets the acquisitions without an answer that have not taken effect according to the rows as last
+// read. Callers hold m.mu.
+func (m *Manager) resolveAcquisitions() {
+	for p := range m.acquiring {
+		if m.owners[p].Session != m.session.ID {
+			delete(m.acquiring, p)
+		}
+	}
+}
+
 // acquire raises the epochs of partitions in one transaction. If a row already names this session, because the reply to an
 // earlier acquisition was lost, the partition is served in that epoch, unless the session has released that epoch since.
 func (m *Manager) acquire(ctx context.Context, batch []ownershipChange) error {
@@ -153,9 +164,11 @@
 	for _, c := range batch {
 		if c.row.Session == s.ID && c.row.Epoch > m.releasedEpochs[c.partition] {
 			m.ownedEpochs[c.partition] = c.row.Epoch
+			delete(m.acquiring, c.partition)
 			alreadyOwned = append(alreadyOwned, c)
 			continue
 		}
+		m.acquiring[c.partition] = struct{}{}
 		unowned = append(unowned, c)
 	}
 	m.mu.Unlock()
@@ -179,6 +192,9 @@
 	}
 	versions, err := m.commit(ctx, conditions, append(writes, directoryWrite(ownersKey, s.Instance)))
 	if err != nil {
+		if !outcomeUnknown(err) {
+			m.forgetAcquisitions(unowned)
+		}
 		m.forceFullRead()
 		return err
 	}
@@ -187,6 +203,7 @@
 		m.mu.Lock()
 		m.owners[c.partition] = c.row
 		m.ownedEpochs[c.partition] = c.row.Epoch
+		delete(m.acquiring, c.partition)
 		delete(m.ownerlessSince, c.partition)
 		m.mu.Unlock()
 		m.notifyAcquired(c.partition, c.row)
@@ -194,6 +211,15 @@
 	return nil
 }
 
+// forgetAcquisitions records that an acquisition has not taken effect.
+func (m *Manager) forgetAcquisitions(batch []ownershipChange) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, c := range batch {
+		delete(m.acquiring, c.partition)
+	}
+}
+
 func (m *Manager) notifyAcquired(p Partition, row ownerRow) {
 	m.opts.Log.WithFields(logrus.Fields{"partition": p.String(), "epoch": row.Epoch}).Info("acquired partition")
 	m.opts.Hooks.Acquired(p, row.Epoch, row.version)
@@ -248,6 +274,7 @@
 	}
 	m.sessionEnded = true
 	m.mu.Lock()
+	clear(m.acquiring)
 	var owned []ownershipChange
 	for p := range m.ownedEpochs {
 		owned = append(owned, ownershipChange{p, m.owners[p]})
--- a/version/ownership/ownership.go
+++ b/version/ownership/ownership.go
@@ -139,8 +139,11 @@
 	sessions       map[string]*sessionRow
 	owners         map[Partition]ownerRow
 	ownedEpochs    map[Partition]uint64
-	lastRenewal    time.Time
-	draining       bool
+	// acquiring holds the partitions whose acquisition was sent and may have taken effect, but was not confirmed yet. Other
+	// instances may read this instance as their owner already.
+	acquiring   map[Partition]struct{}
+	lastRenewal time.Time
+	draining    bool
 	// releasedEpochs holds the epochs that this session has released. If the row still shows such an epoch, the partition is
 	// acquired in a new one, since the state of the old epoch is gone.
 	releasedEpochs map[Partition]uint64
@@ -179,7 +182,8 @@
 	}
 	return &Manager{
 		opts: opts, sessions: map[string]*sessionRow{}, owners: map[Partition]ownerRow{}, ownedEpochs: map[Partition]uint64{},
-		releasedEpochs: map[Partition]uint64{}, ownerlessSince: map[Partition]time.Time{}, stepLock: make(chan struct{}, 1),
+		releasedEpochs: map[Partition]uint64{}, ownerlessSince: map[Partition]time.Time{}, acquiring: map[Partition]struct{}{},
+		stepLock: make(chan struct{}, 1),
 	}
 }
 
@@ -246,6 +250,15 @@
 	return Location{Address: row.Address, Epoch: row.Epoch, Local: local, RowVersion: row.version}, true
 }
 
+// Acquiring reports whether this instance may own a partition that it does not serve yet, since the answer to the acquisition
+// is outstanding.
+func (m *Manager) Acquiring(p Partition) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, ok := m.acquiring[p]
+	return ok
+}
+
 // Sessions returns the sessions that have not expired, as last read.
 func (m *Manager) Sessions() []Session {
 	m.mu.Lock()
--- a/version/ownership/session.go
+++ b/version/ownership/session.go
@@ -112,6 +112,7 @@
 	m.mu.Lock()
 	lost := m.ownedEpochs
 	m.ownedEpochs, m.releasedEpochs = map[Partition]uint64{}, map[Partition]uint64{}
+	clear(m.acquiring)
 	m.session, m.sessionVersion, m.ownersRowVersion, m.sessionsRowVersion = Session{}, 0, 0, 0
 	m.mu.Unlock()
 	for p := range lost {
