Log what waiting gangs wait for

The log told of the requests and starts of a gang, but not why none came. One entry for each gang that has waited for 4 s, and another every 3 s: its turn, plan, openings and advice.

--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -224,6 +224,7 @@
 	c.ready.markAll(c)
 	c.ready.update(c)
 	c.planReadySteps()
+	c.logWaitingGangs()
 	c.preempt()
 	c.advanceWaves()
 	c.expireMissingWorkers()
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -77,6 +77,8 @@
 	observedDuration time.Duration
 	// nextPreemptionAt is the earliest time at which other tasks may be preempted for the step again.
 	nextPreemptionAt Instant
+	// nextWaitLogAt is the earliest time of the next log entry about the wait of a gang.
+	nextWaitLogAt Instant
 }
 
 // task is one task of a step.
--- /dev/null
+++ b/version/cell/waiting.go
@@ -0,0 +1,51 @@
+package cell
+
+import "time"
+
+const (
+	// waitLogDelay is how long a gang has waited before its wait is logged.
+	waitLogDelay = 4 * time.Second
+	// waitLogInterval is the time between log entries about the wait of one gang.
+	waitLogInterval = 3 * time.Second
+)
+
+// String returns the name of a turn in the log.
+func (t planningTurn) String() string {
+	switch t {
+	case turnExplore:
+		return "explore"
+	case turnReserve:
+		return "reserve"
+	default:
+		return "wait"
+	}
+}
+
+// logWaitingGangs logs now and then what the gangs that have not started for long wait for.
+func (c *Core) logWaitingGangs() {
+	for _, s := range c.ready.ranked {
+		if !s.spec.Gang || c.now < s.readyAt+waitLogDelay || c.now < s.nextWaitLogAt {
+			continue
+		}
+		s.nextWaitLogAt = c.now + waitLogInterval
+		c.logDecision("gang_waiting", s.job.id, c.waitOf(s))
+	}
+}
+
+// waitOf describes the state of a gang that waits. plan_in_ms is the time until its plan is ready; it is absent without a
+// plan.
+func (c *Core) waitOf(s *step) map[string]any {
+	fields := map[string]any{
+		"step": s.name, "waited_ms": (c.now - s.readyAt).Milliseconds(), "turn": s.turn.String(),
+		"tasks": len(s.tasks), "waiting": len(s.waiting), "cpu_milli": s.spec.TaskDemand.CPUMilli,
+		"openings_soon": s.openingsSoon, "openings": s.openingsTotal,
+		"approved": len(s.advice.approved), "rejected": len(s.advice.rejected), "asking": len(s.advice.pending),
+	}
+	if s.plan != nil {
+		fields["plan_in_ms"] = (s.plan.readyAt - c.now).Milliseconds()
+	}
+	if s.reservedSince != 0 {
+		fields["reserved_ms"] = (c.now - s.reservedSince).Milliseconds()
+	}
+	return fields
+}
