Request new tickets for a gang as soon as its capacity is there

Cause: a plan without tickets is expected to be ready after a request about as many workers as there are members. The request itself was sent when its answer, about the workers of the plan, was due shortly before. Where many members share a worker the first estimate is longer by more than the time between plans, and each new plan moved the request to later.

Now a plan also holds when its capacity is free, and that alone decides when the request is sent.

--- a/version/cell/explore.go
+++ b/version/cell/explore.go
@@ -56,10 +56,10 @@
 // tickets are valid at the same time.
 func (c *Core) ticketsToRenew(s *step) []string {
 	answerIn := s.adviceDuration(len(s.plan.slots))
-	startAt := max(s.plan.readyAt, c.now+answerIn)
-	if startAt > c.now+answerIn+ticketLead {
+	if s.plan.freeAt > c.now+answerIn+ticketLead {
 		return nil
 	}
+	startAt := max(s.plan.readyAt, c.now+answerIn)
 	needed := false
 	var ids []string
 	for _, slot := range s.plan.slots {
--- a/version/cell/plan.go
+++ b/version/cell/plan.go
@@ -16,8 +16,8 @@
 	slots []planSlot
 	// spares are workers that can replace one whose capacity is free later than expected.
 	spares []*worker
-	// readyAt is when the capacity and the tickets for all tasks are expected to be there.
-	readyAt Instant
+	// freeAt is when the capacity for all tasks is expected to be there, and readyAt when their tickets are there too.
+	freeAt, readyAt Instant
 	// madeAt is when the plan was made or last confirmed.
 	madeAt Instant
 }
@@ -69,7 +69,8 @@
 // there.
 type opening struct {
 	worker *worker
-	at     Instant
+	// freeAt is when the capacity is free, and at when the ticket is there too.
+	freeAt, at Instant
 	// onWorker is the number of openings on the worker.
 	onWorker int
 }
@@ -265,15 +266,17 @@
 
 // updateReadyAt sets the time at which the workers of a plan are expected to have its capacity and tickets.
 func (c *Core) updateReadyAt(s *step, p *plan) {
-	p.madeAt, p.readyAt = c.now, c.now
+	p.madeAt, p.freeAt, p.readyAt = c.now, c.now, c.now
 	for i := range p.slots {
 		slot := &p.slots[i]
 		times := c.openingTimes(slot.worker, s)
 		if len(times) < slot.tasks {
-			p.readyAt = math.MaxInt64
+			p.freeAt, p.readyAt = math.MaxInt64, math.MaxInt64
 			return
 		}
-		slot.readyAt = c.withTicket(slot.worker, s, times[slot.tasks-1])
+		freeAt := times[slot.tasks-1]
+		slot.readyAt = c.withTicket(slot.worker, s, freeAt)
+		p.freeAt = max(p.freeAt, freeAt)
 		p.readyAt = max(p.readyAt, slot.readyAt)
 	}
 }
@@ -342,7 +345,7 @@
 			cmp.Compare(b.onWorker, a.onWorker), cmp.Compare(a.worker.info.ID, b.worker.info.ID),
 		)
 	})
-	p := &plan{madeAt: c.now, readyAt: c.now}
+	p := &plan{madeAt: c.now, freeAt: c.now, readyAt: c.now}
 	index := map[*worker]int{}
 	for _, o := range openings[:min(tasks, len(openings))] {
 		i, ok := index[o.worker]
@@ -353,6 +356,7 @@
 		}
 		p.slots[i].tasks++
 		p.slots[i].readyAt = max(p.slots[i].readyAt, o.at)
+		p.freeAt = max(p.freeAt, o.freeAt)
 		p.readyAt = max(p.readyAt, o.at)
 	}
 	p.spares = spareWorkers(openings[min(tasks, len(openings)):], index, p.readyAt, max(1, int(spareShare*float64(tasks))))
@@ -383,7 +387,7 @@
 	add := func(w *worker) {
 		times := c.openingTimes(w, s)
 		for _, at := range times {
-			out = append(out, opening{w, c.withTicket(w, s, at), len(times)})
+			out = append(out, opening{w, at, c.withTicket(w, s, at), len(times)})
 		}
 	}
 	if s.job.queue.Advice == nil {
