Give the turn of a gang that cannot start to those behind it

A step has its turn when the demand of the steps before it and its own stay under a share of the capacity. The demand of a gang that could not start counted like any other: one that the policy allows on too few workers, one whose members fit on too few, and one whose reservation had expired ("so that others get their turn").

Now the demand of a step counts only while it may start soon: it has a plan that may reserve, or workers are left to ask about.

--- a/version/cell/gang_test.go
+++ b/version/cell/gang_test.go
@@ -1,6 +1,9 @@
 package cell
 
 import (
+	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,30 +17,25 @@
 // ticketValidity is the validity of the tickets in the tests of gangs.
 const ticketValidity = 1500 * time.Millisecond
 
-// advanceWithAdvice runs scheduling rounds in which workers answer polls and each advice request is answered after its
-// expected duration, until done returns true or the duration is over.
-func (tc *testCluster) advanceWithAdvice(d time.Duration, workers []string, running map[string][]backend.ActiveRun, done func() bool) {
-	sentAt := map[*AdviseAction]Instant{}
-	for end := tc.now + d; tc.now < end && !done(); {
-		for _, w := range workers {
-			tc.answerPoll(w, running[w], nil)
+// adviceSent records when the test has first seen the open advice requests.
+type adviceSent map[*AdviseAction]Instant
+
+// answer answers the requests whose expected duration is over with tickets for the workers that are permitted.
+func (sent adviceSent) answer(tc *testCluster, permitted func(a *AdviseAction, worker string) bool) {
+	tc.adviceRequests = slices.DeleteFunc(tc.adviceRequests, func(a *AdviseAction) bool {
+		if _, known := sent[a]; !known {
+			sent[a] = tc.now
 		}
-		tc.step()
-		var open []*AdviseAction
-		for _, a := range tc.adviceRequests {
-			if _, known := sentAt[a]; !known {
-				sentAt[a] = tc.now
-			}
-			if tc.now < sentAt[a]+a.Expected {
-				open = append(open, a)
-				continue
-			}
-			tc.answerAdvice(a, ticketValidity, permitAll)
+		if tc.now < sent[a]+a.Expected {
+			return false
 		}
-		tc.adviceRequests = open
-	}
+		tc.answerAdvice(a, ticketValidity, func(i int) bool { return permitted(a, a.Workers[i]) })
+		return true
+	})
 }
 
+func permitEverywhere(*AdviseAction, string) bool { return true }
+
 // A wide gang whose members share few workers must ask for new tickets as soon as the capacity is there, though its tickets
 // expired while it waited. It put the request off with each new plan before, and never started.
 func TestWideGangOnFewWorkersRenewsItsTickets(t *testing.T) {
@@ -52,7 +50,13 @@
 	tc.addJob("gang", "long", 1, job.Step{
 		Count: 100, TaskDemand: model.Resources{CPUMilli: 200, MemoryMiB: 50}, EstimateMS: 1000, Gang: true,
 	})
-	tc.advanceWithAdvice(3500*time.Millisecond, workers, running, func() bool { return false })
+	sent := adviceSent{}
+	for end := tc.now + 3500*time.Millisecond; tc.now < end; tc.step() {
+		for _, w := range workers {
+			tc.answerPoll(w, running[w], nil)
+		}
+		sent.answer(tc, permitEverywhere)
+	}
 	assert.Equal(t, len(tc.starts), 0)
 	for _, w := range workers {
 		var completions []backend.FinishedRun
@@ -62,8 +66,65 @@
 		tc.answerPoll(w, nil, completions)
 	}
 	freedAt := tc.now
-	tc.advanceWithAdvice(5*time.Second, workers, nil, func() bool { return len(tc.starts) > 0 })
+	for tc.now < freedAt+5*time.Second && len(tc.starts) == 0 {
+		for _, w := range workers {
+			tc.answerPoll(w, nil, nil)
+		}
+		sent.answer(tc, permitEverywhere)
+		tc.step()
+	}
 	assert.Equal(t, len(tc.starts), 100)
 	// One request for new tickets, and the time until the next plan.
 	assert.Assert(t, tc.now <= freedAt+1500*time.Millisecond, "started after %v", tc.now-freedAt)
 }
+
+// A gang that cannot start must not keep the turn of those behind it: neither one for which too few workers are allowed or large
+// enough, nor one whose reservation has expired. Each had blocked the gangs behind it until it ended.
+func TestGangsThatCannotStartLeaveTheirTurn(t *testing.T) {
+	gang := func(tasks int, memoryMiB int64) job.Step {
+		return job.Step{
+			Count: tasks, TaskDemand: model.Resources{CPUMilli: 1000, MemoryMiB: memoryMiB}, EstimateMS: 1000, Gang: true,
+		}
+	}
+	tests := []struct {
+		name  string
+		queue string
+		// blocked is the gang that cannot start, and permitted the number of workers that the policy allows for it.
+		blocked   job.Step
+		permitted int
+		bound     time.Duration
+	}{
+		{name: "too few workers are large enough", queue: "plain", blocked: gang(20, 5000), bound: time.Second},
+		{name: "too few workers are allowed", queue: "long", blocked: gang(20, 100), permitted: 2, bound: 3 * time.Second},
+		{name: "its reservation has expired", queue: "plain", blocked: gang(40, 100), bound: maxReservationAge + time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			tc := newTestCluster(t, 1)
+			tc.addWorkers(10)
+			tc.core.SetAdvisers([]string{"i1", "i2", "i3"})
+			tc.addJob("overdue", "plain", 1, stepWithTasks(1, func(s *job.Step) { s.EstimateMS = 100 }))
+			tc.step()
+			running := tc.confirmStarts()
+			tc.addJob("a-blocked", test.queue, 1, test.blocked)
+			tc.addJob("b-small", test.queue, 1, gang(4, 100))
+			sent, startedAt := adviceSent{}, tc.now
+			for tc.now < startedAt+test.bound && len(tc.starts) == 0 {
+				for i := range 10 {
+					id := fmt.Sprintf("w%02d", i)
+					for j := range running[id] {
+						// The run always seems to end soon.
+						running[id][j].ProgressPercent = 60 + 2*int((tc.now-startedAt)/time.Second)
+					}
+					tc.answerPoll(id, running[id], nil)
+				}
+				sent.answer(tc, func(a *AdviseAction, worker string) bool {
+					return !strings.HasPrefix(a.Step, "a-blocked") || worker < fmt.Sprintf("w%02d", test.permitted)
+				})
+				tc.step()
+			}
+			assert.Equal(t, len(tc.starts), 4)
+			assert.Assert(t, strings.HasPrefix(tc.starts[0].Command.Task, "b-small"))
+		})
+	}
+}
--- a/version/cell/plan.go
+++ b/version/cell/plan.go
@@ -57,6 +57,8 @@
 	// maxReservationAge is how long capacity is reserved for one step. Afterwards the step waits as long without a
 	// reservation, so that others get their turn.
 	maxReservationAge = 15 * time.Second
+	// maxBlockedPlans limits the steps that cannot start soon and are planned again in one sweep.
+	maxBlockedPlans = 20
 	// spareShare is the number of spare workers of a gang's plan, as a share of its members.
 	spareShare = 0.25
 	// stopDuration is the expected duration of a stop.
@@ -118,7 +120,37 @@
 		}
 		c.updatePlan(s)
 		c.reserveCapacity(s)
+		if c.cannotStartSoon(s) {
+			s.nextPlanAt = max(s.nextPlanAt, c.now+c.planned.addBlocked())
+			continue
+		}
+		c.planned.add(s)
+	}
+}
+
+// cannotStartSoon reports whether the preparations for a step have come to nothing for now, so that others get its turn: its
+// reservation has expired, or there is no plan and no worker left to ask about.
+func (c *Core) cannotStartSoon(s *step) bool {
+	if s.plan != nil {
+		return s.turn == turnReserve && c.reservationPaused(s)
+	}
+	return len(s.advice.pending) == 0 && !c.mayFindWorkers(s)
+}
+
+// mayFindWorkers reports whether there is a worker that a step could use if the placement policy allows it.
+func (c *Core) mayFindWorkers(s *step) bool {
+	if s.job.queue.Advice == nil {
+		return false
+	}
+	for id, w := range c.workers {
+		if _, approved := s.advice.approved[id]; approved || s.advice.isRejected(id) {
+			continue
+		}
+		if c.usable(w, s, nil) && multiplesIn(w.info.Capacity, s.spec.TaskDemand) > 0 {
+			return true
+		}
 	}
+	return false
 }
 
 // planNewSteps makes the plans of steps that have become ready or received advice since the last plan, without waiting for
@@ -129,38 +161,51 @@
 			continue
 		}
 		if s.turn == turnWait {
-			s.turn = c.planned.turnOf(s)
-		}
-		if s.turn == turnWait {
-			continue
+			if s.turn = c.planned.turnOf(s); s.turn == turnWait {
+				continue
+			}
+			c.planned.add(s)
 		}
 		c.makePlan(s)
 		c.reserveCapacity(s)
 	}
 }
 
-// plannedShare is the demand of the steps that have their turn.
+// plannedShare is the demand of the steps that have their turn, apart from those that cannot start soon.
 type plannedShare struct {
 	capacity, cpu int64
 	steps         int
+	// blocked counts the steps that have their turn and cannot start soon.
+	blocked int
 }
 
-// turnOf returns the turn of the next step in the order of the ranks and adds its demand.
+// turnOf returns the turn of the next step in the order of the ranks.
 func (p *plannedShare) turnOf(s *step) planningTurn {
-	cpu := p.cpu + s.spec.TaskDemand.CPUMilli*int64(len(s.waiting))
-	turn := turnWait
-	switch share := float64(cpu) / float64(max(p.capacity, 1)); {
+	switch share := float64(p.cpu+waitingCPU(s)) / float64(max(p.capacity, 1)); {
 	case p.steps == 0 || (share <= maxReservedShare && p.steps < maxReservingSteps):
-		turn = turnReserve
+		return turnReserve
 	case share <= maxExploringShare && p.steps < maxReservingSteps:
-		turn = turnExplore
+		return turnExplore
 	default:
 		return turnWait
 	}
-	p.cpu, p.steps = cpu, p.steps+1
-	return turn
 }
 
+// add adds the demand of a step that has its turn.
+func (p *plannedShare) add(s *step) {
+	p.cpu += waitingCPU(s)
+	p.steps++
+}
+
+// addBlocked adds a step that cannot start soon and returns the time after which it is planned again.
+func (p *plannedShare) addBlocked() time.Duration {
+	p.blocked++
+	return sweepInterval * time.Duration(1+p.blocked/maxBlockedPlans)
+}
+
+// waitingCPU returns the processor demand of the waiting tasks of a step in thousandths of a core.
+func waitingCPU(s *step) int64 { return s.spec.TaskDemand.CPUMilli * int64(len(s.waiting)) }
+
 // cpuCapacity returns the processor capacity of all listed workers in thousandths of a core.
 func (c *Core) cpuCapacity() int64 {
 	total := int64(0)
@@ -177,7 +222,12 @@
 	if s.reservedSince == 0 || c.now >= s.reservedSince+2*maxReservationAge {
 		s.reservedSince = c.now
 	}
-	return c.now < s.reservedSince+maxReservationAge
+	return !c.reservationPaused(s)
+}
+
+// reservationPaused reports whether the reservation of a step has expired and the next one may not start yet.
+func (c *Core) reservationPaused(s *step) bool {
+	return s.reservedSince != 0 && c.now >= s.reservedSince+maxReservationAge && c.now < s.reservedSince+2*maxReservationAge
 }
 
 // reserveCapacity reserves the capacity of the plan of a step if it has its turn.
