--- a/version/cell/plan.go
+++ b/version/cell/plan.go
@@ -47,18 +47,9 @@
 	planSlack = 100 * time.Millisecond
 	// minPlanGain is how much sooner than a plan another one must be ready to replace it. Its workers may need new tickets.
 	minPlanGain = 300 * time.Millisecond
-	// maxReservingSteps limits the steps for which capacity is reserved at the same time.
-	maxReservingSteps = 40
-	// maxReservedShare limits the share of the processor capacity that is reserved. The most urgent step may exceed it. With
-	// a larger share many gangs hold a part of what they need each.
-	maxReservedShare = 0.35
-	// maxExploringShare is the share up to which the next steps look for workers.
-	maxExploringShare = 0.55
 	// maxReservationAge is how long capacity is reserved for one step. Afterwards the step waits as long without a
 	// reservation, so that others get their turn.
 	maxReservationAge = 15 * time.Second
-	// maxBlockedPlans limits the steps that cannot start soon and are planned again in one sweep.
-	maxBlockedPlans = 20
 	// spareShare is the number of spare workers of a gang's plan, as a share of its members.
 	spareShare = 0.25
 	// stopDuration is the expected duration of a stop.
@@ -89,19 +80,6 @@
 	return s.job.queue.Priority < c.ready.leastUrgent && !s.queuePosition.rank.late
 }
 
-// planningTurn says how far the preparations for a step go. Requests for advice and reserved capacity are limited, so that
-// the steps at the head of the queue get all that they need soon, in place of many steps that each get a part.
-type planningTurn uint8
-
-const (
-	// turnWait: others are before the step.
-	turnWait planningTurn = iota
-	// turnExplore: the step looks for workers that it may use.
-	turnExplore
-	// turnReserve: capacity is reserved for the step, and tickets are renewed.
-	turnReserve
-)
-
 // planReadySteps updates the plans of the waiting steps in the order of their ranks and reserves the capacity for them.
 func (c *Core) planReadySteps() {
 	for _, w := range c.workers {
@@ -128,31 +106,6 @@
 	}
 }
 
-// cannotStartSoon reports whether the preparations for a step have come to nothing for now, so that others get its turn: its
-// reservation has expired, or there is no plan and no worker left to ask about.
-func (c *Core) cannotStartSoon(s *step) bool {
-	if s.plan != nil {
-		return s.turn == turnReserve && c.reservationPaused(s)
-	}
-	return len(s.advice.pending) == 0 && !c.mayFindWorkers(s)
-}
-
-// mayFindWorkers reports whether there is a worker that a step could use if the placement policy allows it.
-func (c *Core) mayFindWorkers(s *step) bool {
-	if s.job.queue.Advice == nil {
-		return false
-	}
-	for id, w := range c.workers {
-		if _, approved := s.advice.approved[id]; approved || s.advice.isRejected(id) {
-			continue
-		}
-		if c.usable(w, s, nil) && multiplesIn(w.info.Capacity, s.spec.TaskDemand) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // planNewSteps makes the plans of steps that have become ready or received advice since the last plan, without waiting for
 // the next time that all plans are updated.
 func (c *Core) planNewSteps() {
@@ -171,52 +124,6 @@
 	}
 }
 
-// plannedShare is the demand of the steps that have their turn, apart from those that cannot start soon.
-type plannedShare struct {
-	capacity, cpu int64
-	steps         int
-	// blocked counts the steps that have their turn and cannot start soon.
-	blocked int
-}
-
-// turnOf returns the turn of the next step in the order of the ranks.
-func (p *plannedShare) turnOf(s *step) planningTurn {
-	switch share := float64(p.cpu+waitingCPU(s)) / float64(max(p.capacity, 1)); {
-	case p.steps == 0 || (share <= maxReservedShare && p.steps < maxReservingSteps):
-		return turnReserve
-	case share <= maxExploringShare && p.steps < maxReservingSteps:
-		return turnExplore
-	default:
-		return turnWait
-	}
-}
-
-// add adds the demand of a step that has its turn.
-func (p *plannedShare) add(s *step) {
-	p.cpu += waitingCPU(s)
-	p.steps++
-}
-
-// addBlocked adds a step that cannot start soon and returns the time after which it is planned again.
-func (p *plannedShare) addBlocked() time.Duration {
-	p.blocked++
-	return sweepInterval * time.Duration(1+p.blocked/maxBlockedPlans)
-}
-
-// waitingCPU returns the processor demand of the waiting tasks of a step in thousandths of a core.
-func waitingCPU(s *step) int64 { return s.spec.TaskDemand.CPUMilli * int64(len(s.waiting)) }
-
-// cpuCapacity returns the processor capacity of all listed workers in thousandths of a core.
-func (c *Core) cpuCapacity() int64 {
-	total := int64(0)
-	for _, w := range c.workers {
-		if w.listed {
-			total += w.info.Capacity.CPUMilli
-		}
-	}
-	return total
-}
-
 // startReservation reports whether capacity may be reserved for a step now; see maxReservationAge.
 func (c *Core) startReservation(s *step) bool {
 	if s.reservedSince == 0 || c.now >= s.reservedSince+2*maxReservationAge {
--- /dev/null
+++ b/version/cell/turns.go
@@ -0,0 +1,111 @@
+package cell
+
+import "time"
+
+const (
+	// maxReservingSteps limits the steps for which capacity is reserved at the same time.
+	maxReservingSteps = 40
+	// maxReservedShare limits the share of the processor capacity that is reserved. The most urgent step may exceed it. With
+	// a larger share many gangs hold a part of what they need each.
+	maxReservedShare = 0.35
+	// maxExploringShare is the share up to which the next steps look for workers.
+	maxExploringShare = 0.55
+	// maxBlockedPlans limits the steps that cannot start soon and are planned again in one sweep.
+	maxBlockedPlans = 20
+)
+
+// planningTurn says how far the preparations for a step go. Requests for advice and reserved capacity are limited, so that
+// the steps at the head of the queue get all that they need soon, in place of many steps that each get a part.
+type planningTurn uint8
+
+const (
+	// turnWait: others are before the step.
+	turnWait planningTurn = iota
+	// turnExplore: the step looks for workers that it may use.
+	turnExplore
+	// turnReserve: capacity is reserved for the step, and tickets are renewed.
+	turnReserve
+)
+
+// String returns the name of a turn in the log.
+func (t planningTurn) String() string {
+	switch t {
+	case turnExplore:
+		return "explore"
+	case turnReserve:
+		return "reserve"
+	default:
+		return "wait"
+	}
+}
+
+// plannedShare is the demand of the steps that have their turn, apart from those that cannot start soon.
+type plannedShare struct {
+	capacity, cpu int64
+	steps         int
+	// blocked counts the steps that have their turn and cannot start soon.
+	blocked int
+}
+
+// turnOf returns the turn of the next step in the order of the ranks.
+func (p *plannedShare) turnOf(s *step) planningTurn {
+	switch share := float64(p.cpu+waitingCPU(s)) / float64(max(p.capacity, 1)); {
+	case p.steps == 0 || (share <= maxReservedShare && p.steps < maxReservingSteps):
+		return turnReserve
+	case share <= maxExploringShare && p.steps < maxReservingSteps:
+		return turnExplore
+	default:
+		return turnWait
+	}
+}
+
+// add adds the demand of a step that has its turn.
+func (p *plannedShare) add(s *step) {
+	p.cpu += waitingCPU(s)
+	p.steps++
+}
+
+// addBlocked adds a step that cannot start soon and returns the time after which it is planned again.
+func (p *plannedShare) addBlocked() time.Duration {
+	p.blocked++
+	return sweepInterval * time.Duration(1+p.blocked/maxBlockedPlans)
+}
+
+// waitingCPU returns the processor demand of the waiting tasks of a step in thousandths of a core.
+func waitingCPU(s *step) int64 { return s.spec.TaskDemand.CPUMilli * int64(len(s.waiting)) }
+
+// cpuCapacity returns the processor capacity of all listed workers in thousandths of a core.
+func (c *Core) cpuCapacity() int64 {
+	total := int64(0)
+	for _, w := range c.workers {
+		if w.listed {
+			total += w.info.Capacity.CPUMilli
+		}
+	}
+	return total
+}
+
+// cannotStartSoon reports whether the preparations for a step have come to nothing for now, so that others get its turn: its
+// reservation has expired, or there is no plan and no worker left to ask about.
+func (c *Core) cannotStartSoon(s *step) bool {
+	if s.plan != nil {
+		return s.turn == turnReserve && c.reservationPaused(s)
+	}
+	return len(s.advice.pending) == 0 && !c.mayFindWorkers(s)
+}
+
+// mayFindWorkers reports whether there is a worker that a step could use if the placement policy allows it.
+func (c *Core) mayFindWorkers(s *step) bool {
+	if s.job.queue.Advice == nil {
+		return false
+	}
+	for id, w := range c.workers {
+		if _, approved := s.advice.approved[id]; approved || s.advice.isRejected(id) {
+			continue
+		}
+		if c.usable(w, s, nil) && multiplesIn(w.info.Capacity, s.spec.TaskDemand) > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/version/cell/waiting.go
+++ b/version/cell/waiting.go
@@ -9,18 +9,6 @@
 	waitLogInterval = 3 * time.Second
 )
 
-// String returns the name of a turn in the log.
-func (t planningTurn) String() string {
-	switch t {
-	case turnExplore:
-		return "explore"
-	case turnReserve:
-		return "reserve"
-	default:
-		return "wait"
-	}
-}
-
 // logWaitingGangs logs now and then what the gangs that have not started for long wait for.
 func (c *Core) logWaitingGangs() {
 	for _, s := range c.ready.ranked {
