Count the age of a reservation only while it holds

A step reserves capacity for 15 s at most and pauses as long. The age ran from the first reservation on, also while steps before it had the turn. A gang that got its turn back was then paused at once, and others took the capacity of its plan.

Now only the time in which capacity is reserved counts, and the pause starts when it reaches 15 s.

The overdue run of TestGangsThatCannotStartLeaveTheirTurn seemed to end only in 20 s, beyond the horizon of a plan, so that its third case did not reach the expired reservation.

--- a/version/cell/gang_test.go
+++ b/version/cell/gang_test.go
@@ -34,6 +34,20 @@
 	})
 }
 
+// pollWithOverdueRuns answers polls of the given number of workers. The runs that started at startedAt seem to end within
+// seconds at any time, and do not.
+func (tc *testCluster) pollWithOverdueRuns(workers int, running map[string][]backend.ActiveRun, startedAt Instant) {
+	for i := range workers {
+		id := fmt.Sprintf("w%02d", i)
+		for j := range running[id] {
+			if tc.now > startedAt+time.Second {
+				running[id][j].ProgressPercent = 60 + int((tc.now-startedAt)/time.Second)
+			}
+		}
+		tc.answerPoll(id, running[id], nil)
+	}
+}
+
 func permitEverywhere(*AdviseAction, string) bool { return true }
 
 // A wide gang whose members share few workers must ask for new tickets as soon as the capacity is there, though its tickets
@@ -110,14 +124,7 @@
 			tc.addJob("b-small", test.queue, 1, gang(4, 100))
 			sent, startedAt := adviceSent{}, tc.now
 			for tc.now < startedAt+test.bound && len(tc.starts) == 0 {
-				for i := range 10 {
-					id := fmt.Sprintf("w%02d", i)
-					for j := range running[id] {
-						// The run always seems to end soon.
-						running[id][j].ProgressPercent = 60 + 2*int((tc.now-startedAt)/time.Second)
-					}
-					tc.answerPoll(id, running[id], nil)
-				}
+				tc.pollWithOverdueRuns(10, running, startedAt)
 				sent.answer(tc, func(a *AdviseAction, worker string) bool {
 					return !strings.HasPrefix(a.Step, "a-blocked") || worker < fmt.Sprintf("w%02d", test.permitted)
 				})
@@ -128,3 +135,41 @@
 		})
 	}
 }
+
+// The time in which more urgent gangs have the turn must not count as the age of a gang's reservation. The reservation was
+// paused as soon as the gang had its turn back, and less urgent work took its capacity.
+func TestReservationAgesOnlyWhileItHolds(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	tc.addWorkers(10)
+	tc.core.SetAdvisers([]string{"i1", "i2", "i3"})
+	tc.addJob("overdue", "plain", 1, stepWithTasks(1, func(s *job.Step) { s.EstimateMS = 100 }))
+	tc.step()
+	running := tc.confirmStarts()
+	whole := func() job.Step { return stepWithTasks(40, func(s *job.Step) { s.Gang = true }) }
+	sent, startedAt := adviceSent{}, tc.now
+	advance := func(d time.Duration) {
+		for end := tc.now + d; tc.now < end; tc.step() {
+			tc.pollWithOverdueRuns(10, running, startedAt)
+			sent.answer(tc, permitEverywhere)
+		}
+	}
+	reserved := func(id job.ID) bool {
+		for _, w := range tc.core.workers {
+			if slices.ContainsFunc(w.reservations, func(r capacityReservation) bool { return r.step.job.id == id }) {
+				return true
+			}
+		}
+		return false
+	}
+	tc.addJob("patient", "plain", 1, whole())
+	advance(time.Second)
+	assert.Assert(t, reserved("patient"))
+	tc.addJob("urgent", "short", 1, whole())
+	advance(maxReservationAge - 500*time.Millisecond)
+	assert.Assert(t, reserved("urgent"))
+	assert.Assert(t, !reserved("patient"))
+	// The urgent gang's own reservation expires.
+	advance(2 * time.Second)
+	assert.Assert(t, !reserved("urgent"))
+	assert.Assert(t, reserved("patient"))
+}
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -71,8 +71,8 @@
 	// openingsSoon and openingsTotal are the numbers of openings on the workers that the placement policy allows, as of the
 	// last plan.
 	openingsSoon, openingsTotal int
-	// reservedSince is when capacity was first reserved for the step; 0 if none was.
-	reservedSince Instant
+	// reservationAge limits how long capacity is reserved for the step.
+	reservationAge reservationAge
 	// observedDuration is the duration of the first completed task; 0 before that.
 	observedDuration time.Duration
 	// nextPreemptionAt is the earliest time at which other tasks may be preempted for the step again.
--- a/version/cell/plan.go
+++ b/version/cell/plan.go
@@ -47,9 +47,6 @@
 	planSlack = 100 * time.Millisecond
 	// minPlanGain is how much sooner than a plan another one must be ready to replace it. Its workers may need new tickets.
 	minPlanGain = 300 * time.Millisecond
-	// maxReservationAge is how long capacity is reserved for one step. Afterwards the step waits as long without a
-	// reservation, so that others get their turn.
-	maxReservationAge = 15 * time.Second
 	// spareShare is the number of spare workers of a gang's plan, as a share of its members.
 	spareShare = 0.25
 	// stopDuration is the expected duration of a stop.
@@ -89,11 +86,13 @@
 	for _, s := range c.ready.ranked {
 		if !c.plansAhead(s) {
 			s.plan, s.turn = nil, turnWait
+			s.reservationAge.interrupt()
 			continue
 		}
 		s.turn = c.planned.turnOf(s)
 		if s.turn == turnWait {
 			s.plan = nil
+			s.reservationAge.interrupt()
 			continue
 		}
 		c.updatePlan(s)
@@ -124,22 +123,10 @@
 	}
 }
 
-// startReservation reports whether capacity may be reserved for a step now; see maxReservationAge.
-func (c *Core) startReservation(s *step) bool {
-	if s.reservedSince == 0 || c.now >= s.reservedSince+2*maxReservationAge {
-		s.reservedSince = c.now
-	}
-	return !c.reservationPaused(s)
-}
-
-// reservationPaused reports whether the reservation of a step has expired and the next one may not start yet.
-func (c *Core) reservationPaused(s *step) bool {
-	return s.reservedSince != 0 && c.now >= s.reservedSince+maxReservationAge && c.now < s.reservedSince+2*maxReservationAge
-}
-
 // reserveCapacity reserves the capacity of the plan of a step if it has its turn.
 func (c *Core) reserveCapacity(s *step) {
-	if s.plan == nil || s.turn != turnReserve || !c.startReservation(s) {
+	if s.plan == nil || s.turn != turnReserve || !s.reservationAge.mayReserve(c.now) {
+		s.reservationAge.interrupt()
 		return
 	}
 	for _, slot := range s.plan.slots {
@@ -191,7 +178,7 @@
 		w := slot.worker
 		w.reservations = slices.DeleteFunc(w.reservations, func(r capacityReservation) bool { return r.step == s })
 	}
-	s.plan, s.reservedSince, s.nextPlanAt = nil, 0, 0
+	s.plan, s.reservationAge, s.nextPlanAt = nil, reservationAge{}, 0
 }
 
 // updatePlan makes the plan of a step if there is none, if the present one is old, or if it does not hold any longer. A plan
--- a/version/cell/turns.go
+++ b/version/cell/turns.go
@@ -89,7 +89,7 @@
 // reservation has expired, or there is no plan and no worker left to ask about.
 func (c *Core) cannotStartSoon(s *step) bool {
 	if s.plan != nil {
-		return s.turn == turnReserve && c.reservationPaused(s)
+		return s.turn == turnReserve && s.reservationAge.paused(c.now)
 	}
 	return len(s.advice.pending) == 0 && !c.mayFindWorkers(s)
 }
--- a/version/cell/waiting.go
+++ b/version/cell/waiting.go
@@ -20,20 +20,21 @@
 	}
 }
 
-// waitOf describes the state of a gang that waits. plan_in_ms is the time until its plan is ready; it is absent without a
-// plan.
+// waitOf describes the state of a gang that waits. plan_in_ms is the time until its plan is ready, and pause_ms the time until
+// capacity may be reserved for it again.
 func (c *Core) waitOf(s *step) map[string]any {
 	fields := map[string]any{
 		"step": s.name, "waited_ms": (c.now - s.readyAt).Milliseconds(), "turn": s.turn.String(),
 		"tasks": len(s.tasks), "waiting": len(s.waiting), "cpu_milli": s.spec.TaskDemand.CPUMilli,
 		"openings_soon": s.openingsSoon, "openings": s.openingsTotal,
-		"approved": len(s.advice.approved), "rejected": len(s.advice.rejected), "asking": len(s.advice.pending),
+		"reserved_ms": s.reservationAge.reserved.Milliseconds(),
+		"approved":    len(s.advice.approved), "rejected": len(s.advice.rejected), "asking": len(s.advice.pending),
 	}
 	if s.plan != nil {
 		fields["plan_in_ms"] = (s.plan.readyAt - c.now).Milliseconds()
 	}
-	if s.reservedSince != 0 {
-		fields["reserved_ms"] = (c.now - s.reservedSince).Milliseconds()
+	if s.reservationAge.paused(c.now) {
+		fields["pause_ms"] = (s.reservationAge.pausedUntil - c.now).Milliseconds()
 	}
 	return fields
 }
