--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -233,6 +233,7 @@
 	c.ready.markAll(c)
 	c.ready.update(c)
 	c.planReadySteps()
+	c.logWaitingGangs()
 	c.preempt()
 	c.advanceWaves()
 	c.settleCrashes()
--- a/version/cell/plan.go
+++ b/version/cell/plan.go
@@ -16,8 +16,8 @@
 	slots []planSlot
 	// spares are workers that can replace one whose capacity is free later than expected.
 	spares []*worker
-	// readyAt is when the capacity and the tickets for all tasks are expected to be there.
-	readyAt Instant
+	// freeAt is when the capacity for all tasks is expected to be there, and readyAt when their tickets are there too.
+	freeAt, readyAt Instant
 	// madeAt is when the plan was made or last confirmed.
 	madeAt Instant
 }
@@ -47,16 +47,6 @@
 	planSlack = 100 * time.Millisecond
 	// minPlanGain is how much sooner than a plan another one must be ready to replace it. Its workers may need new tickets.
 	minPlanGain = 300 * time.Millisecond
-	// maxReservingSteps limits the steps for which capacity is reserved at the same time.
-	maxReservingSteps = 40
-	// maxReservedShare limits the share of the processor capacity that is reserved. The most urgent step may exceed it. With
-	// a larger share many gangs hold a part of what they need each.
-	maxReservedShare = 0.35
-	// maxExploringShare is the share up to which the next steps look for workers.
-	maxExploringShare = 0.55
-	// maxReservationAge is how long capacity is reserved for one step. Afterwards the step waits as long without a
-	// reservation, so that others get their turn.
-	maxReservationAge = 15 * time.Second
 	// spareShare is the number of spare workers of a gang's plan, as a share of its members.
 	spareShare = 0.25
 	// stopDuration is the expected duration of a stop.
@@ -69,7 +59,8 @@
 // there.
 type opening struct {
 	worker *worker
-	at     Instant
+	// freeAt is when the capacity is free, and at when the ticket is there too.
+	freeAt, at Instant
 	// onWorker is the number of openings on the worker.
 	onWorker int
 }
@@ -86,19 +77,6 @@
 	return s.job.queue.Priority < c.ready.leastUrgent && !s.queuePosition.rank.late && c.isFeasible(s)
 }
 
-// planningTurn says how far the preparations for a step go. Requests for advice and reserved capacity are limited, so that
-// the steps at the head of the queue get all that they need soon, in place of many steps that each get a part.
-type planningTurn uint8
-
-const (
-	// turnWait: others are before the step.
-	turnWait planningTurn = iota
-	// turnExplore: the step looks for workers that it may use.
-	turnExplore
-	// turnReserve: capacity is reserved for the step, and tickets are renewed.
-	turnReserve
-)
-
 // planReadySteps updates the plans of the waiting steps in the order of their ranks and reserves the capacity for them.
 func (c *Core) planReadySteps() {
 	for _, w := range c.workers {
@@ -108,15 +86,22 @@
 	for _, s := range c.ready.ranked {
 		if !c.plansAhead(s) {
 			s.plan, s.turn = nil, turnWait
+			s.reservationAge.interrupt()
 			continue
 		}
 		s.turn = c.planned.turnOf(s)
 		if s.turn == turnWait {
 			s.plan = nil
+			s.reservationAge.interrupt()
 			continue
 		}
 		c.updatePlan(s)
 		c.reserveCapacity(s)
+		if c.cannotStartSoon(s) {
+			s.nextPlanAt = max(s.nextPlanAt, c.now+c.planned.addBlocked())
+			continue
+		}
+		c.planned.add(s)
 	}
 }
 
@@ -128,60 +113,20 @@
 			continue
 		}
 		if s.turn == turnWait {
-			s.turn = c.planned.turnOf(s)
-		}
-		if s.turn == turnWait {
-			continue
+			if s.turn = c.planned.turnOf(s); s.turn == turnWait {
+				continue
+			}
+			c.planned.add(s)
 		}
 		c.makePlan(s)
 		c.reserveCapacity(s)
 	}
 }
 
-// plannedShare is the demand of the steps that have their turn.
-type plannedShare struct {
-	capacity, cpu int64
-	steps         int
-}
-
-// turnOf returns the turn of the next step in the order of the ranks and adds its demand.
-func (p *plannedShare) turnOf(s *step) planningTurn {
-	cpu := p.cpu + s.spec.TaskDemand.CPUMilli*int64(len(s.waiting))
-	turn := turnWait
-	switch share := float64(cpu) / float64(max(p.capacity, 1)); {
-	case p.steps == 0 || (share <= maxReservedShare && p.steps < maxReservingSteps):
-		turn = turnReserve
-	case share <= maxExploringShare && p.steps < maxReservingSteps:
-		turn = turnExplore
-	default:
-		return turnWait
-	}
-	p.cpu, p.steps = cpu, p.steps+1
-	return turn
-}
-
-// cpuCapacity returns the processor capacity of all listed workers in thousandths of a core.
-func (c *Core) cpuCapacity() int64 {
-	total := int64(0)
-	for _, w := range c.workers {
-		if w.listed {
-			total += w.info.Capacity.CPUMilli
-		}
-	}
-	return total
-}
-
-// startReservation reports whether capacity may be reserved for a step now; see maxReservationAge.
-func (c *Core) startReservation(s *step) bool {
-	if s.reservedSince == 0 || c.now >= s.reservedSince+2*maxReservationAge {
-		s.reservedSince = c.now
-	}
-	return c.now < s.reservedSince+maxReservationAge
-}
-
 // reserveCapacity reserves the capacity of the plan of a step if it has its turn.
 func (c *Core) reserveCapacity(s *step) {
-	if s.plan == nil || s.turn != turnReserve || !c.startReservation(s) {
+	if s.plan == nil || s.turn != turnReserve || !s.reservationAge.mayReserve(c.now) {
+		s.reservationAge.interrupt()
 		return
 	}
 	for _, slot := range s.plan.slots {
@@ -233,7 +178,7 @@
 		w := slot.worker
 		w.reservations = slices.DeleteFunc(w.reservations, func(r capacityReservation) bool { return r.step == s })
 	}
-	s.plan, s.reservedSince, s.nextPlanAt = nil, 0, 0
+	s.plan, s.reservationAge, s.nextPlanAt = nil, reservationAge{}, 0
 }
 
 // updatePlan makes the plan of a step if there is none, if the present one is old, or if it does not hold any longer. A plan
@@ -265,15 +210,17 @@
 
 // updateReadyAt sets the time at which the workers of a plan are expected to have its capacity and tickets.
 func (c *Core) updateReadyAt(s *step, p *plan) {
-	p.madeAt, p.readyAt = c.now, c.now
+	p.madeAt, p.freeAt, p.readyAt = c.now, c.now, c.now
 	for i := range p.slots {
 		slot := &p.slots[i]
 		times := c.openingTimes(slot.worker, s)
 		if len(times) < slot.tasks {
-			p.readyAt = math.MaxInt64
+			p.freeAt, p.readyAt = math.MaxInt64, math.MaxInt64
 			return
 		}
-		slot.readyAt = c.withTicket(slot.worker, s, times[slot.tasks-1])
+		freeAt := times[slot.tasks-1]
+		slot.readyAt = c.withTicket(slot.worker, s, freeAt)
+		p.freeAt = max(p.freeAt, freeAt)
 		p.readyAt = max(p.readyAt, slot.readyAt)
 	}
 }
@@ -341,7 +288,7 @@
 			cmp.Compare(b.onWorker, a.onWorker), cmp.Compare(a.worker.info.ID, b.worker.info.ID),
 		)
 	})
-	p := &plan{madeAt: c.now, readyAt: c.now}
+	p := &plan{madeAt: c.now, freeAt: c.now, readyAt: c.now}
 	index := map[*worker]int{}
 	for _, o := range openings[:min(tasks, len(openings))] {
 		i, ok := index[o.worker]
@@ -352,6 +299,7 @@
 		}
 		p.slots[i].tasks++
 		p.slots[i].readyAt = max(p.slots[i].readyAt, o.at)
+		p.freeAt = max(p.freeAt, o.freeAt)
 		p.readyAt = max(p.readyAt, o.at)
 	}
 	p.spares = spareWorkers(openings[min(tasks, len(openings)):], index, p.readyAt, max(1, int(spareShare*float64(tasks))))
@@ -382,7 +330,7 @@
 	add := func(w *worker) {
 		times := c.openingTimes(w, s)
 		for _, at := range times {
-			out = append(out, opening{w, c.withTicket(w, s, at), len(times)})
+			out = append(out, opening{w, at, c.withTicket(w, s, at), len(times)})
 		}
 	}
 	if s.job.queue.Advice == nil {
