Preempt no tasks that free nothing more

When fewer tasks of an urgent step fitted on a worker than wanted, all preemptible runs there were stopped, also those after the last one that made another task fit. A worker that has shrunk is such a worker more often. Only the runs up to that one are stopped now.

TestPreemptionStopsNothingInVain failed without the change (stopped [b.0.0.0 a.0.0.0 a.0.0.1] in place of [b.0.0.0]) and passes now.

--- a/version/cell/capacity_test.go
+++ b/version/cell/capacity_test.go
@@ -357,3 +357,25 @@
 		})
 	}
 }
+
+// A task must not be stopped for urgent work that fits no better without it.
+func TestPreemptionStopsNothingInVain(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	tc.core.SetAdvisers([]string{"i1"})
+	tc.addWorker("w1")
+	demand := func(cpuMilli int64) func(*job.Step) { return func(s *job.Step) { s.TaskDemand.CPUMilli = cpuMilli } }
+	tc.addJob("a", "plain", 1, stepWithTasks(2, asCheckpoint, withEstimate(60_000), demand(500)))
+	tc.step()
+	tc.advance(20 * time.Millisecond)
+	tc.addJob("b", "plain", 1, stepWithTasks(1, asCheckpoint, withEstimate(60_000), demand(3000)))
+	tc.step()
+	tc.answerPoll("w1", tc.confirmStarts()["w1"], nil)
+	tc.setCapacity("w1", 3500, 8000)
+	tc.addJob("urgent", "short", 1, stepWithTasks(2, withEstimate(60_000), demand(2500)))
+	tc.advance(300 * time.Millisecond)
+	var stopped []string
+	for _, a := range tc.stops {
+		stopped = append(stopped, a.Command.Task)
+	}
+	assert.DeepEqual(t, stopped, []string{"b.0.0.0"})
+}
--- a/version/cell/preempt.go
+++ b/version/cell/preempt.go
@@ -96,17 +96,7 @@
 
 // preemptRunsOn stops tasks on a worker so that up to wanted tasks of a step fit, and returns how many will.
 func (c *Core) preemptRunsOn(w *worker, s *step, wanted int) int {
-	var victims []*run
-	allocatedAfter := w.allocated
-	fitting := 0
-	for _, r := range c.preemptibleRuns(w, s) {
-		allocatedAfter = allocatedAfter.Sub(r.task.step.allocatedDemand())
-		victims = append(victims, r)
-		workerAfter := &worker{info: w.info, allocated: allocatedAfter}
-		if fitting = workerAfter.taskCapacity(s.spec.TaskDemand); fitting >= wanted {
-			break
-		}
-	}
+	victims, fitting := c.victimsFor(w, s, wanted)
 	if fitting == 0 {
 		return 0
 	}
@@ -118,6 +108,23 @@
 	return min(fitting, wanted)
 }
 
+// victimsFor returns the runs to stop on a worker so that up to wanted tasks of a step fit, and how many will. Without the last
+// of the runs fewer would fit.
+func (c *Core) victimsFor(w *worker, s *step, wanted int) (victims []*run, fitting int) {
+	candidates := c.preemptibleRuns(w, s)
+	after := &worker{info: w.info, allocated: w.allocated}
+	for i, r := range candidates {
+		after.allocated = after.allocated.Sub(r.task.step.allocatedDemand())
+		if n := after.taskCapacity(s.spec.TaskDemand); n > fitting {
+			victims, fitting = candidates[:i+1], n
+		}
+		if fitting >= wanted {
+			break
+		}
+	}
+	return victims, fitting
+}
+
 // preemptibleRuns returns the runs on a worker that may be stopped for a step, the least urgent and most recently
 // started first.
 func (c *Core) preemptibleRuns(w *worker, s *step) []*run {
