Plan best-effort gangs

A gang whose tasks are best-effort never started: no plan was made for best-effort steps, and a gang starts only by its plan. It was found beside the tests on capacity. Plans are made for such gangs now. They look for idle processor time first and after bestEffortTimeout, as other best-effort tasks do, for any worker with the memory. Their reservations hold no processor time. Steps of other kinds are planned as before.

--- a/version/cell/place_test.go
+++ b/version/cell/place_test.go
@@ -158,6 +158,26 @@
 	}
 }
 
+// A best-effort gang must start, beside other tasks if it finds no idle processor time.
+func TestBestEffortGangStarts(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	tc.addWorker("w1")
+	tc.addWorker("w2")
+	tc.addJob("a", "plain", 1, stepWithTasks(4, withEstimate(60_000)))
+	tc.step()
+	tc.confirmStarts()
+	tc.addJob("idle", "plain", 1, stepWithTasks(2, asGang, asBestEffort))
+	tc.addJob("none", "plain", 1, stepWithTasks(7, asGang, asBestEffort))
+	tc.advance(time.Second)
+	assert.Equal(t, len(tc.starts), 2)
+	for _, a := range tc.starts {
+		assert.Assert(t, a.Command.Task == "idle.0.0.0" || a.Command.Task == "idle.0.0.1", a.Command.Task)
+	}
+	tc.starts = nil
+	tc.advance(time.Second)
+	assert.Equal(t, len(tc.starts), 7)
+}
+
 // Occurrences of recurring jobs must not start early, twice or not at all.
 func TestOccurrencesStartWhenDue(t *testing.T) {
 	tc := newTestCluster(t, 1)
--- a/version/cell/plan.go
+++ b/version/cell/plan.go
@@ -77,13 +77,13 @@
 // plansAhead reports whether capacity is reserved for the waiting tasks of a step: for gangs, and for tasks that others of
 // less urgent queues would otherwise keep from starting. Steps that the workers cannot hold get none.
 func (c *Core) plansAhead(s *step) bool {
-	if len(s.waiting) == 0 || s.spec.BestEffort || c.awaitsRecovery(s) {
+	if len(s.waiting) == 0 || c.awaitsRecovery(s) {
 		return false
 	}
 	if s.spec.Gang {
 		return len(s.waiting) == len(s.tasks) && c.isFeasible(s)
 	}
-	return s.job.queue.Priority < c.ready.leastUrgent && !s.queuePosition.rank.late && c.isFeasible(s)
+	return !s.spec.BestEffort && s.job.queue.Priority < c.ready.leastUrgent && !s.queuePosition.rank.late && c.isFeasible(s)
 }
 
 // planningTurn says how far the preparations for a step go. Requests for advice and reserved capacity are limited, so that
@@ -146,7 +146,7 @@
 
 // turnOf returns the turn of the next step in the order of the ranks and adds its demand.
 func (p *plannedShare) turnOf(s *step) planningTurn {
-	cpu := p.cpu + s.spec.TaskDemand.CPUMilli*int64(len(s.waiting))
+	cpu := p.cpu + s.allocatedDemand().CPUMilli*int64(len(s.waiting))
 	turn := turnWait
 	switch share := float64(cpu) / float64(max(p.capacity, 1)); {
 	case p.steps == 0 || (share <= maxReservedShare && p.steps < maxReservingSteps):
@@ -198,7 +198,7 @@
 	var sum model.Resources
 	for _, r := range w.reservations {
 		if r.step != s && c.respectsReservation(s, r) {
-			sum = sum.Add(r.step.spec.TaskDemand.Times(r.tasks))
+			sum = sum.Add(r.step.allocatedDemand().Times(r.tasks))
 		}
 	}
 	return sum
@@ -416,7 +416,8 @@
 // openingTimes returns when a worker is expected to have the capacity for one, two and more tasks of a step, up to the
 // horizon. It assumes that no other task starts there.
 func (c *Core) openingTimes(w *worker, s *step) []Instant {
-	if !c.usable(w, s, nil) || multiplesIn(w.info.Capacity, s.spec.TaskDemand) == 0 {
+	demand := c.plannedDemand(s)
+	if !c.usable(w, s, nil) || multiplesIn(w.info.Capacity, demand) == 0 {
 		return nil
 	}
 	limit := len(s.waiting)
@@ -429,7 +430,7 @@
 		if unallocated.HasNegative() {
 			return
 		}
-		for n := multiplesIn(unallocated.Sub(reserved), s.spec.TaskDemand); len(times) < min(n, limit); {
+		for n := multiplesIn(unallocated.Sub(reserved), demand); len(times) < min(n, limit); {
 			times = append(times, at)
 		}
 	}
@@ -447,6 +448,15 @@
 	return times
 }
 
+// plannedDemand returns the demand of a task for which openings are looked for. A best-effort gang looks for idle processor time
+// until bestEffortTimeout has passed.
+func (c *Core) plannedDemand(s *step) model.Resources {
+	if c.now <= s.readyAt+bestEffortTimeout {
+		return s.spec.TaskDemand
+	}
+	return s.allocatedDemand()
+}
+
 // expectedEnd is the expected end of a run, and the capacity that it releases.
 type expectedEnd struct {
 	at     Instant
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -449,7 +449,7 @@
 	sum := int64(0)
 	for _, r := range w.reservations {
 		if r.step != s {
-			sum += r.step.spec.TaskDemand.CPUMilli * int64(r.tasks)
+			sum += r.step.allocatedDemand().CPUMilli * int64(r.tasks)
 		}
 	}
 	return sum
