Let the workers of the soak shrink and grow

Beside the faults, a worker changes its capacity every 0.1 to 0.7 s, to none at the least; all have their whole capacity again when the faults end. A start above a capacity after the time that the rule leaves is a violation as before. The seeds of the other faults give the same sequences as before.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -28,6 +28,8 @@
 	testHost, testPrefix, testService = "desk.example", "/jobs/", "desk"
 	// taskTime is the run time of a task.
 	taskTime = 400 * time.Millisecond
+	// coresPerWorker is the capacity of a worker that has not shrunk. A task needs one core.
+	coresPerWorker = 4
 )
 
 // cluster is a set of real node processes that use stand-ins for the platform, which run in the test process.
@@ -82,7 +84,7 @@
 	key, value := wire.ConfigRow(1, testHost, testPrefix, testService)
 	c.tables.Put(key, value)
 	for i := range workers {
-		c.addWorker(fmt.Sprintf("w%02d", i))
+		c.addWorker(workerName(i))
 	}
 	storeAddress := c.serve(wire.Tables(c.tables))
 	adviceAddress := c.serve(wire.Advisor(&backends.Advisor{Delay: 10 * time.Millisecond, Validity: 2500 * time.Millisecond}))
@@ -107,7 +109,7 @@
 func (c *cluster) addWorker(id string) {
 	info := backend.WorkerInfo{
 		ID: id, Service: testService, Zone: "a", Labels: []string{"k", "r1"}, StartedMS: time.Now().UnixMilli(),
-		Capacity: model.Resources{CPUMilli: 4000, MemoryMiB: 8000},
+		Capacity: capacityOf(coresPerWorker),
 	}
 	link := newProxy(c.t, c.serve(wire.Worker(c.workers, id)))
 	c.workerLinks = append(c.workerLinks, link)
@@ -117,6 +119,20 @@
 	c.tables.Put(key, value)
 }
 
+func capacityOf(cores int) model.Resources {
+	return model.Resources{CPUMilli: 1000 * int64(cores), MemoryMiB: 8000}
+}
+
+// setCores changes the capacity of a running worker and its registry entry.
+func (c *cluster) setCores(worker, cores int) {
+	id := workerName(worker)
+	c.t.Logf("%v: worker %s has %d cores", time.Since(c.startedAt).Round(time.Millisecond), id, cores)
+	key, value := wire.RegistryRow(c.workers.SetCapacity(id, capacityOf(cores), backends.ShrinkGrace))
+	c.tables.Put(key, value)
+}
+
+func workerName(i int) string { return fmt.Sprintf("w%02d", i) }
+
 // freeAddress returns a loopback address with a port that was free during the call.
 func freeAddress(t *testing.T) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -82,6 +82,7 @@
 			c.submitJobs(seed, client, answers, stop)
 		}()
 	}
+	load.Go(func() { c.changeCapacities(rand.New(rand.NewPCG(seed, 2)), stop) })
 	c.injectFaults(rand.New(rand.NewPCG(seed, 1)), *faultTime)
 	close(stop)
 	load.Wait()
@@ -129,6 +130,21 @@
 	}
 }
 
+// changeCapacities lets random workers shrink, also to nothing, and grow until stop is closed. Then all have their whole capacity.
+func (c *cluster) changeCapacities(rng *rand.Rand, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			for i := range c.workerLinks {
+				c.setCores(i, coresPerWorker)
+			}
+			return
+		case <-time.After(time.Duration(100+rng.IntN(600)) * time.Millisecond):
+			c.setCores(rng.IntN(len(c.workerLinks)), rng.IntN(coresPerWorker+1))
+		}
+	}
+}
+
 // injectFaults injects random faults for a period, some of them overlapping, and returns when all of them have ended.
 func (c *cluster) injectFaults(rng *rand.Rand, period time.Duration) {
 	var faults sync.WaitGroup
