Forget the refusals of workers that lacked capacity

A task avoided each worker that had refused it for lack of capacity for as long as it waited, unless all workers were to be avoided. Once workers have shrunk and grown it could wait for a worker that had never refused it, since that one had no capacity, while all others were free. Such a refusal now keeps starts from the worker for startBlockDuration only. Refusals of unhealthy workers are treated as before.

TestRefusalForCapacityIsForgotten/task failed without the change ("0 (int) != 1 (int)" starts) and passes now; its case of a gang passed before, as plans use avoided workers if the others do not suffice.

--- a/version/cell/capacity_test.go
+++ b/version/cell/capacity_test.go
@@ -379,3 +379,29 @@
 	}
 	assert.DeepEqual(t, stopped, []string{"b.0.0.0"})
 }
+
+// A task that workers refused for lack of capacity must start there once they have it again, also if the worker that has not
+// refused it cannot take it.
+func TestRefusalForCapacityIsForgotten(t *testing.T) {
+	for name, change := range map[string]func(*job.Step){"task": func(*job.Step) {}, "gang": asGang} {
+		t.Run(name, func(t *testing.T) {
+			tc := newTestCluster(t, 1)
+			tc.addWorker("w1")
+			tc.addWorker("w2")
+			tc.addWorker("w3")
+			tc.setCapacity("w3", 0, 0)
+			tc.addJob("a", "plain", 1, stepWithTasks(1, change))
+			refusedBy := map[string]bool{}
+			for range 2 {
+				tc.advance(300 * time.Millisecond)
+				assert.Equal(t, len(tc.starts), 1)
+				refusedBy[tc.starts[0].Command.Worker.ID] = true
+				tc.core.StartResult(tc.starts[0], backend.Reply{Refusal: backend.RefusedCapacity, ClockMS: tc.clockMS()}, nil, tc.now)
+				tc.starts = nil
+			}
+			assert.Equal(t, len(refusedBy), 2)
+			tc.advance(startBlockDuration)
+			assert.Equal(t, len(tc.starts), 1)
+		})
+	}
+}
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -241,7 +241,10 @@
 		t.step.gangRunNumber += runNumberIncrement
 	case backend.RefusedTicket:
 		t.step.advice.expireTicket(w.info.ID)
-	case backend.RefusedCapacity, backend.RefusedUnhealthy, backend.RefusedInvalid:
+	case backend.RefusedCapacity:
+		// The worker may have shrunk, which its registry entry shows soon, and may grow again.
+		w.startsBlockedUntil = c.now + startBlockDuration
+	case backend.RefusedUnhealthy, backend.RefusedInvalid:
 		w.startsBlockedUntil = c.now + startBlockDuration
 		t.avoidedWorkers[w.info.ID] = struct{}{}
 	case backend.RefusedLate, backend.RefusedInstance:
