--- a/version/cell/plan.go
+++ b/version/cell/plan.go
@@ -68,13 +68,13 @@
 // plansAhead reports whether capacity is reserved for the waiting tasks of a step: for gangs, and for tasks that others of
 // less urgent queues would otherwise keep from starting. Steps that the workers cannot hold get none.
 func (c *Core) plansAhead(s *step) bool {
-	if len(s.waiting) == 0 || s.spec.BestEffort || c.awaitsRecovery(s) {
+	if len(s.waiting) == 0 || c.awaitsRecovery(s) {
 		return false
 	}
 	if s.spec.Gang {
 		return len(s.waiting) == len(s.tasks) && c.isFeasible(s)
 	}
-	return s.job.queue.Priority < c.ready.leastUrgent && !s.queuePosition.rank.late && c.isFeasible(s)
+	return !s.spec.BestEffort && s.job.queue.Priority < c.ready.leastUrgent && !s.queuePosition.rank.late && c.isFeasible(s)
 }
 
 // planReadySteps updates the plans of the waiting steps in the order of their ranks and reserves the capacity for them.
@@ -143,7 +143,7 @@
 	var sum model.Resources
 	for _, r := range w.reservations {
 		if r.step != s && c.respectsReservation(s, r) {
-			sum = sum.Add(r.step.spec.TaskDemand.Times(r.tasks))
+			sum = sum.Add(r.step.allocatedDemand().Times(r.tasks))
 		}
 	}
 	return sum
@@ -363,7 +363,8 @@
 // openingTimes returns when a worker is expected to have the capacity for one, two and more tasks of a step, up to the
 // horizon. It assumes that no other task starts there.
 func (c *Core) openingTimes(w *worker, s *step) []Instant {
-	if !c.usable(w, s, nil) || multiplesIn(w.info.Capacity, s.spec.TaskDemand) == 0 {
+	demand := c.plannedDemand(s)
+	if !c.usable(w, s, nil) || multiplesIn(w.info.Capacity, demand) == 0 {
 		return nil
 	}
 	limit := len(s.waiting)
@@ -376,7 +377,7 @@
 		if unallocated.HasNegative() {
 			return
 		}
-		for n := multiplesIn(unallocated.Sub(reserved), s.spec.TaskDemand); len(times) < min(n, limit); {
+		for n := multiplesIn(unallocated.Sub(reserved), demand); len(times) < min(n, limit); {
 			times = append(times, at)
 		}
 	}
@@ -394,6 +395,15 @@
 	return times
 }
 
+// plannedDemand returns the demand of a task for which openings are looked for. A best-effort gang looks for idle processor time
+// until bestEffortTimeout has passed.
+func (c *Core) plannedDemand(s *step) model.Resources {
+	if c.now <= s.readyAt+bestEffortTimeout {
+		return s.spec.TaskDemand
+	}
+	return s.allocatedDemand()
+}
+
 // expectedEnd is the expected end of a run, and the capacity that it releases.
 type expectedEnd struct {
 	at     Instant
--- a/version/cell/turns.go
+++ b/version/cell/turns.go
@@ -71,8 +71,8 @@
 	return sweepInterval * time.Duration(1+p.blocked/maxBlockedPlans)
 }
 
-// waitingCPU returns the processor demand of the waiting tasks of a step in thousandths of a core.
-func waitingCPU(s *step) int64 { return s.spec.TaskDemand.CPUMilli * int64(len(s.waiting)) }
+// waitingCPU returns the processor demand of the waiting tasks of a step in the ledger, in thousandths of a core.
+func waitingCPU(s *step) int64 { return s.allocatedDemand().CPUMilli * int64(len(s.waiting)) }
 
 // cpuCapacity returns the processor capacity of all listed workers in thousandths of a core.
 func (c *Core) cpuCapacity() int64 {
@@ -103,7 +103,7 @@
 		if _, approved := s.advice.approved[id]; approved || s.advice.isRejected(id) {
 			continue
 		}
-		if c.usable(w, s, nil) && multiplesIn(w.info.Capacity, s.spec.TaskDemand) > 0 {
+		if c.usable(w, s, nil) && multiplesIn(w.info.Capacity, s.allocatedDemand()) > 0 {
 			return true
 		}
 	}
