Soak: give nodes ports that the system does not hand out

Ports of nodes now come from a range below that of the system (32768 to 60999) and are not chosen twice in a process. The collision was seen in the log once and not reproduced.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -12,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -117,12 +119,33 @@
 	c.tables.Put(key, value)
 }
 
-// freeAddress returns a loopback address with a port that was free during the call.
+const (
+	// firstNodePort and nodePorts are the range of the ports of nodes. It is outside the range from which the system chooses ports
+	// of connections and of listeners without a fixed port, so that none of them occupies the port of a node that is down.
+	firstNodePort, nodePorts = 20000, 12000
+)
+
+// lastNodePort is the number, within the range, of the last port that freeAddress has tried. It starts at a random one because
+// other test processes use the same range.
+var lastNodePort = func() *atomic.Int64 {
+	number := &atomic.Int64{}
+	number.Store(rand.Int64N(nodePorts))
+	return number
+}()
+
+// freeAddress returns a loopback address with a port that was free during the call and that no other call returns.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	for range nodePorts {
+		port := firstNodePort + lastNodePort.Add(1)%nodePorts
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		defer l.Close()
+		return l.Addr().String()
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 // newNode writes the settings of a node, which reaches the table service through its own proxy.
