Soak: tasks that crash the workers that start them

TestSoakWithCrashingTasks is the soak with one more client, whose jobs have a task that crashes each worker 20 ms after its start; the worker returns after 3 s. Such jobs must end as failed. TestSoak is unchanged.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -30,6 +30,9 @@
 	testHost, testPrefix, testService = "desk.example", "/jobs/", "desk"
 	// taskTime is the run time of a task.
 	taskTime = 400 * time.Millisecond
+	// crashDelay is the time from the start of a task that crashes its worker to the crash, and crashDowntime how long the worker
+	// is away.
+	crashDelay, crashDowntime = 20 * time.Millisecond, 3 * time.Second
 )
 
 // cluster is a set of real node processes that use stand-ins for the platform, which run in the test process.
@@ -78,9 +81,17 @@
 	assert.NilError(t, err)
 	c := &cluster{t: t, dir: t.TempDir(), binary: binary, startedAt: time.Now(), tables: backends.NewTables(), http: &http.Client{}}
 	each := model.Resources{CPUMilli: 1000, MemoryMiB: 100}
-	c.workers = backends.NewWorkers(func() time.Duration { return time.Since(c.startedAt) }, func(string) backends.TaskBehavior {
-		return backends.TaskBehavior{Resources: each, Duration: taskTime}
+	c.workers = backends.NewWorkers(func() time.Duration { return time.Since(c.startedAt) }, func(task string) backends.TaskBehavior {
+		behavior := backends.TaskBehavior{Resources: each, Duration: taskTime}
+		if crashesWorkers(task) {
+			behavior.Crash = &backends.Crash{Delay: crashDelay, Downtime: crashDowntime}
+		}
+		return behavior
 	})
+	c.workers.SetRegistry(backends.Registry{Write: c.writeRegistryEntry, Remove: func(id string) {
+		key, _ := wire.RegistryRow(backend.WorkerInfo{ID: id})
+		c.tables.Delete(key)
+	}})
 	key, value := wire.ConfigRow(1, testHost, testPrefix, testService)
 	c.tables.Put(key, value)
 	for i := range workers {
@@ -115,6 +126,10 @@
 	c.workerLinks = append(c.workerLinks, link)
 	info.Address = link.address()
 	c.workers.Add(info)
+	c.writeRegistryEntry(info)
+}
+
+func (c *cluster) writeRegistryEntry(info backend.WorkerInfo) {
 	key, value := wire.RegistryRow(info)
 	c.tables.Put(key, value)
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/model/job"
 	"github.com/lentiltide/lentiltide/standin/wire"
 )
 
@@ -41,8 +42,16 @@
 	clientCount = 4
 	// tasksPerJob is the number of tasks of each job.
 	tasksPerJob = 3
+	// crashingClient is the number of the client whose jobs have one task each, which crashes the workers that start it. Its pauses
+	// between jobs are crashingPauseFactor times as long as those of others.
+	crashingClient, crashingPauseFactor = 0xc, 20
 )
 
+// crashesWorkers reports whether a job or task id is that of the crashing client.
+func crashesWorkers(id string) bool {
+	return len(id) >= 12 && id[8:12] == fmt.Sprintf("%04x", crashingClient)
+}
+
 // TestSoak guards against accepted jobs that are lost, refused jobs that run, and violations that workers observe, under
 // random faults.
 func TestSoak(t *testing.T) {
@@ -56,10 +65,28 @@
 		}
 	}
 	for seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, clientNumbers()) })
+	}
+}
+
+// TestSoakWithCrashingTasks guards against the same while some tasks crash the workers that start them, and against such tasks
+// that are started without end.
+func TestSoakWithCrashingTasks(t *testing.T) {
+	for i := range *seedCount {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, append(clientNumbers(), crashingClient)) })
 	}
 }
 
+// clientNumbers returns the numbers of the clients with ordinary jobs.
+func clientNumbers() []int {
+	var numbers []int
+	for client := range clientCount {
+		numbers = append(numbers, client)
+	}
+	return numbers
+}
+
 // answerRecord records the answers that clients received.
 type answerRecord struct {
 	mu       sync.Mutex
@@ -68,14 +95,14 @@
 	refused map[string]bool
 }
 
-// runSeed runs load and faults with one seed, then stops both and checks the promises.
-func runSeed(t *testing.T, seed uint64) {
+// runSeed runs the load of some clients and faults with one seed, then stops both and checks the promises.
+func runSeed(t *testing.T, seed uint64, clients []int) {
 	c := newCluster(t, *nodeCount, 6)
 	time.Sleep(1500 * time.Millisecond)
 	answers := &answerRecord{accepted: map[string]bool{}, refused: map[string]bool{}}
 	stop := make(chan struct{})
 	var load sync.WaitGroup
-	for client := range clientCount {
+	for _, client := range clients {
 		load.Add(1)
 		go func() {
 			defer load.Done()
@@ -91,12 +118,16 @@
 // submitJobs submits jobs to random nodes until stop is closed. It sends each job up to four times until a node accepts it.
 func (c *cluster) submitJobs(seed uint64, client int, answers *answerRecord, stop <-chan struct{}) {
 	rng := rand.New(rand.NewPCG(seed, uint64(client)+100))
-	body := wire.JobBody(tasksPerJob, model.Resources{CPUMilli: 1000, MemoryMiB: 100}, taskTime)
+	tasks, pauseUnit := tasksPerJob, time.Millisecond
+	if client == crashingClient {
+		tasks, pauseUnit = 1, crashingPauseFactor*time.Millisecond
+	}
+	body := wire.JobBody(tasks, model.Resources{CPUMilli: 1000, MemoryMiB: 100}, taskTime)
 	for i := 0; ; i++ {
 		select {
 		case <-stop:
 			return
-		case <-time.After(time.Duration(50+rng.IntN(200)) * time.Millisecond):
+		case <-time.After(time.Duration(50+rng.IntN(200)) * pauseUnit):
 		}
 		id := fmt.Sprintf("%08x%04x%04x", uint32(seed), client, i)
 		allRefused := true
@@ -175,7 +206,15 @@
 	faults.Wait()
 }
 
-// checkPromises checks that accepted jobs complete, that refused jobs never ran, and that workers observed no violation.
+// finalState returns the state in which an accepted job must end.
+func finalState(id string) job.State {
+	if crashesWorkers(id) {
+		return job.Failed
+	}
+	return job.Completed
+}
+
+// checkPromises checks that accepted jobs end as they must, that refused jobs never ran, and that workers observed no violation.
 func (c *cluster) checkPromises(answers *answerRecord) {
 	pending := map[string]bool{}
 	for id := range answers.accepted {
@@ -186,13 +225,13 @@
 		for id := range pending {
 			status, answer := c.call(c.nodes[0], http.MethodGet, id, "")
 			lastAnswers[id] = fmt.Sprint(status, " ", answer)
-			if status == http.StatusOK && strings.Contains(answer, "completed") {
+			if status == http.StatusOK && strings.Contains(answer, string(finalState(id))) {
 				delete(pending, id)
 			}
 		}
 	}
 	for id := range pending {
-		c.t.Errorf("accepted job %s did not complete within %v, last answer: %s", id, recoveryTimeout, lastAnswers[id])
+		c.t.Errorf("accepted job %s is not %s within %v, last answer: %s", id, finalState(id), recoveryTimeout, lastAnswers[id])
 	}
 	for id := range answers.refused {
 		for i := range tasksPerJob {
@@ -201,6 +240,6 @@
 			}
 		}
 	}
+	c.t.Logf("%d jobs accepted, %d refused, %d crashes of workers", len(answers.accepted), len(answers.refused), c.workers.WorkerCrashes())
 	assert.DeepEqual(c.t, c.workers.Violations(), []string(nil))
-	c.t.Logf("%d jobs accepted and completed, %d refused", len(answers.accepted), len(answers.refused))
 }
