Make the tests of crashes catch counts that are lost or count too much

TestCrashesAreCountedAcrossTakeovers killed the leader once, which the two late starts hid; it now kills it at the second and at the fourth crash, before they are noticed, or at the third start. TestRackPowerLossFailsNoJob hit a task twice only; the busiest rack now loses power five times, and a task must have been hit three times.

--- a/process/node/crash_chance_test.go
+++ b/process/node/crash_chance_test.go
@@ -58,13 +58,12 @@
 }
 
 // requireNoneFailed fails the test for each job that is not completed, except for those that may be given up: two workers have
-// crashed under one of their tasks, not counting the crashes of whole racks.
+// crashed under one of their tasks, and mayGiveUp is set.
 func (c *testCell) requireNoneFailed(ids []string, mayGiveUp bool) {
 	c.t.Helper()
-	maxCrashes, givenUp := 0, 0
+	givenUp := 0
 	for _, id := range ids {
-		crashes := max(c.workers.TaskCrashes(id+".0.0.0"), c.workers.TaskCrashes(id+".0.0.1"))
-		maxCrashes = max(maxCrashes, crashes)
+		crashes := c.maxCrashes([]string{id})
 		state, err := c.state(c.nodes[c.leader()], id)
 		assert.NilError(c.t, err)
 		if mayGiveUp && crashes >= 2 && state == job.Failed {
@@ -75,7 +74,7 @@
 			c.t.Errorf("job %s is %s after %d crashes under one of its tasks", id, state, crashes)
 		}
 	}
-	c.t.Logf("%d jobs, at most %d crashes under a task, %d given up, %d crashes of workers", len(ids), maxCrashes, givenUp, c.workers.WorkerCrashes())
+	c.t.Logf("%d jobs, at most %d crashes under a task, %d given up, %d crashes of workers", len(ids), c.maxCrashes(ids), givenUp, c.workers.WorkerCrashes())
 }
 
 // Guards against jobs that are failed because whole racks have lost power under their tasks, several times in some cases.
@@ -93,10 +92,10 @@
 		t.Run(name, func(t *testing.T) {
 			runWithCrashes(t, 0, func(t *testing.T, c *testCell) {
 				racks := c.addRacks(3)
-				ids := c.submitTogether("a", 16, 6*time.Second)
+				ids := c.submitTogether("a", 16, 8*time.Second)
 				time.Sleep(time.Second)
-				for i := range tc.losses {
-					rack := racks[i%len(racks)]
+				for range tc.losses {
+					rack := c.busiestRack(racks, ids)
 					c.workers.Crash(backends.Crash{Downtime: workerDowntime}, rack...)
 					c.setSilent(tc.silent, rack...)
 					time.Sleep(workerDowntime)
@@ -104,12 +103,40 @@
 					time.Sleep(2 * time.Second)
 				}
 				time.Sleep(30 * time.Second)
+				assert.Assert(t, c.maxCrashes(ids) >= min(tc.losses, 3), "at most %d losses hit a task", c.maxCrashes(ids))
 				c.requireNoneFailed(ids, false)
 			})
 		})
 	}
 }
 
+// busiestRack returns the workers of the rack on which most of the first tasks of some jobs run.
+func (c *testCell) busiestRack(racks [][]string, ids []string) []string {
+	running := map[string]int{}
+	for _, id := range ids {
+		for _, worker := range c.workers.RunningOn(id + ".0.0.0") {
+			running[worker]++
+		}
+	}
+	runs := func(rack []string) int {
+		sum := 0
+		for _, worker := range rack {
+			sum += running[worker]
+		}
+		return sum
+	}
+	return slices.MaxFunc(racks, func(a, b []string) int { return runs(a) - runs(b) })
+}
+
+// maxCrashes returns the largest number of crashes under a task of some jobs.
+func (c *testCell) maxCrashes(ids []string) int {
+	largest := 0
+	for _, id := range ids {
+		largest = max(largest, c.workers.TaskCrashes(id+".0.0.0"), c.workers.TaskCrashes(id+".0.0.1"))
+	}
+	return largest
+}
+
 // Guards against jobs that are failed because single workers crash by chance.
 func TestChanceCrashesFailNoJob(t *testing.T) {
 	for seed := range uint64(5) {
--- a/process/node/crash_test.go
+++ b/process/node/crash_test.go
@@ -128,23 +128,45 @@
 	}
 }
 
+// killPoint is a number of starts of a task and of crashes under it at which the leader is killed.
+type killPoint struct{ starts, crashes int }
+
+// killLeaderAt kills the leader when a task reaches the kill point and starts it again. It reports false if the task has not
+// reached the point within 20 s, because it was given up.
+func (c *testCell) killLeaderAt(task string, p killPoint) bool {
+	for wait := 0; c.workers.Starts(task) < p.starts || c.workers.TaskCrashes(task) < p.crashes; wait++ {
+		if wait > 4000 {
+			return false
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	leader := c.leader()
+	c.kill(leader)
+	time.Sleep(time.Second)
+	c.start(leader)
+	time.Sleep(3 * time.Second)
+	return true
+}
+
 // Guards against a new leader that starts to count the crashes under a task from zero.
 func TestCrashesAreCountedAcrossTakeovers(t *testing.T) {
-	// The delays of the leader's end after the second crash: the former leader may know of it or not.
-	delays := map[string]time.Duration{"before the crash is noticed": 0, "after the crash is noticed": workerDowntime + 2*time.Second}
-	for name, delay := range delays {
+	cases := map[string][]killPoint{
+		"before the leader notices a crash": {{2, 2}, {4, 4}},
+		"after the leader noticed a crash":  {{starts: 3}},
+	}
+	for name, kills := range cases {
 		t.Run(name, func(t *testing.T) {
 			runWithCrashes(t, 8, func(t *testing.T, c *testCell) {
 				ids := c.submitOrdinary("before", 3, 200*time.Millisecond)
 				assert.NilError(t, c.submit(c.follower(), crashingJob, 1, crashingTask(50*time.Millisecond), nil))
-				for c.workers.TaskCrashes(crashingTaskName) < 2 {
-					time.Sleep(5 * time.Millisecond)
+				for i, p := range kills {
+					killed := c.killLeaderAt(crashingTaskName, p)
+					assert.Assert(t, killed || i > 0, "the task was given up before the leader could be killed")
 				}
-				time.Sleep(delay)
-				c.kill(c.leader())
-				time.Sleep(4 * time.Second)
-				ids = append(ids, c.submitOrdinary("after", 10, 500*time.Millisecond)...)
-				time.Sleep(givenUpWithin)
+				// Jobs that ended earlier are no longer known afterwards.
+				c.requireAllCompleted(ids)
+				ids = c.submitOrdinary("after", 10, 500*time.Millisecond)
+				time.Sleep(givenUpWithin / 2)
 				c.logCrashes(1)
 				c.requireAllCompleted(ids)
 				c.requireGivenUp()
