Acknowledge no completions to a worker that may have restarted

A poll acknowledges completions only if the previous poll of the worker was answered. The next answer names the boot, and the poll after it acknowledges again.

TestNoAcknowledgementAfterUnansweredPoll failed before with "1 != 0" and passes now.

--- a/version/cell/runs_test.go
+++ b/version/cell/runs_test.go
@@ -378,3 +378,21 @@
 		})
 	}
 }
+
+// A worker that may have restarted since its last answer must not be told to forget completions: the numbers of the new boot
+// start again, so that it would forget completions that nobody has read, and their tasks would start again.
+func TestNoAcknowledgementAfterUnansweredPoll(t *testing.T) {
+	tc := newStartedTestCluster(t, stepWithTasks(1))
+	tc.confirmStarts()
+	tc.answerPoll("w1", nil, []backend.FinishedRun{tc.completion("w1", "a.0.0.0", 1, backend.ResultDone)})
+	tc.storeBatches()
+	acknowledged := func() int64 {
+		req, _, _ := tc.core.PreparePoll("w1", tc.now)
+		return req.AcknowledgedCompletion
+	}
+	assert.Equal(t, acknowledged(), int64(1))
+	tc.core.PollResult("w1", tc.now, backend.PollReply{}, errNoReply, tc.now)
+	assert.Equal(t, acknowledged(), int64(0))
+	tc.answerPoll("w1", nil, nil)
+	assert.Equal(t, acknowledged(), int64(1))
+}
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -275,7 +275,11 @@
 	if c.suspended || c.superseded {
 		return req, true, true
 	}
-	req = backend.PollRequest{Worker: w.ref(), FencingToken: c.opts.Epoch, LeaseDeadlineMS: c.leaseDeadline(w), AcknowledgedCompletion: w.lastAckedCompletion}
+	req = backend.PollRequest{Worker: w.ref(), FencingToken: c.opts.Epoch, LeaseDeadlineMS: c.leaseDeadline(w)}
+	if w.health.missedPolls == 0 {
+		// A worker that has not answered may have restarted, and numbers its completions anew.
+		req.AcknowledgedCompletion = w.lastAckedCompletion
+	}
 	switch {
 	case !w.inventoryKnown || w.lastReadCompletion > w.lastAckedCompletion:
 		req.Wait = 0
