Test that acknowledged completions are durable

The hypothesis that the core acknowledges a completion that a next leader does not load (more changed jobs than a write holds, writes that fail, writes that took effect though they were counted as failed) is shown not to hold: TestAcknowledgedCompletionsAreDurable plays 20 seeded histories of completions and writes and loads the stored progress into a next core for each acknowledgement.

--- /dev/null
+++ b/version/cell/durability_test.go
@@ -0,0 +1,122 @@
+package cell
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/model/job"
+)
+
+// durabilityHistory plays random completions and writes of progress, some of which fail or have an unknown outcome, and
+// checks each acknowledgement against what a next leader would load.
+type durabilityHistory struct {
+	tc     *testCluster
+	random *rand.Rand
+	// stored is the progress in the store. pending is the batch that is being written.
+	stored  map[job.ID][]byte
+	pending *Batch
+	// running are the runs on each worker, finished its completions.
+	running  map[string][]backend.ActiveRun
+	finished map[string][]backend.FinishedRun
+}
+
+var historyWorkers = []string{"w1", "w2", "w3"}
+
+// start starts the tasks that the core has placed.
+func (h *durabilityHistory) start() {
+	h.tc.advance(50 * time.Millisecond)
+	for worker, runs := range h.tc.confirmStarts() {
+		h.running[worker] = append(h.running[worker], runs...)
+	}
+}
+
+// finish ends a random run of a worker, sometimes with a failure, and answers a poll.
+func (h *durabilityHistory) finish(worker string) {
+	if runs := h.running[worker]; len(runs) > 0 {
+		i := h.random.IntN(len(runs))
+		result := backend.ResultDone
+		if h.random.IntN(4) == 0 {
+			result = backend.ResultFailed
+		}
+		h.finished[worker] = append(h.finished[worker], h.tc.completion(worker, runs[i].Task, runs[i].Run, result))
+		h.running[worker] = append(runs[:i:i], runs[i+1:]...)
+	}
+	h.tc.answerPoll(worker, h.running[worker], h.finished[worker])
+}
+
+// write begins or ends a write of at most two jobs.
+func (h *durabilityHistory) write() {
+	if h.pending == nil {
+		batch := h.tc.core.CollectBatch(2)
+		h.pending = &batch
+		return
+	}
+	// Of five writes, one is refused and one has an effect that the core does not learn of.
+	outcome := h.random.IntN(5)
+	if outcome != 0 {
+		for _, p := range h.pending.Progress {
+			h.stored[p.Job] = p.Data
+		}
+	}
+	h.tc.core.BatchStored(*h.pending, outcome > 1, h.tc.now)
+	h.pending = nil
+}
+
+// checkAcks requires that each task whose completion may be forgotten is done in the store.
+func (h *durabilityHistory) checkAcks(jobs map[job.ID]job.Record) {
+	h.tc.t.Helper()
+	for _, worker := range historyWorkers {
+		req, _, _ := h.tc.core.PreparePoll(worker, h.tc.now)
+		for _, e := range h.finished[worker] {
+			if e.Number > req.AcknowledgedCompletion || e.Result != backend.ResultDone {
+				continue
+			}
+			name, _ := job.ParseTaskName(e.Task)
+			next := newTestCluster(h.tc.t, 2)
+			assert.Assert(h.tc.t, h.stored[name.Job] != nil, "completion of %s is acknowledged without progress", e.Task)
+			assert.NilError(h.tc.t, next.core.LoadProgress(name.Job, jobs[name.Job], h.stored[name.Job], next.now))
+			if next.state(string(name.Job)).Terminal() {
+				continue
+			}
+			assert.Assert(h.tc.t, next.core.findTask(e.Task).done, "completion of %s is acknowledged, but not stored", e.Task)
+		}
+	}
+}
+
+// A completion must not be acknowledged before a next leader would load it, whatever the order of completions and writes,
+// with more changed jobs than a write holds, and with writes that fail or whose outcome is not known.
+func TestAcknowledgedCompletionsAreDurable(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			h := &durabilityHistory{
+				tc: newTestCluster(t, 1), random: rand.New(rand.NewPCG(seed, 0)), stored: map[job.ID][]byte{},
+				running: map[string][]backend.ActiveRun{}, finished: map[string][]backend.FinishedRun{},
+			}
+			for _, worker := range historyWorkers {
+				h.tc.addWorker(worker)
+			}
+			jobs := map[job.ID]job.Record{}
+			for i := range 6 {
+				id := fmt.Sprintf("%016x", i)
+				jobs[job.ID(id)] = record("plain", 1, stepWithTasks(4), stepWithTasks(2, dependsOn(0)))
+				h.tc.addJob(id, "plain", 1, jobs[job.ID(id)].Spec.Steps...)
+			}
+			for range 250 {
+				switch h.random.IntN(3) {
+				case 0:
+					h.start()
+				case 1:
+					h.finish(historyWorkers[h.random.IntN(len(historyWorkers))])
+				case 2:
+					h.write()
+					h.checkAcks(jobs)
+				}
+			}
+		})
+	}
+}
