--- a/process/node/cell_test.go
+++ b/process/node/cell_test.go
@@ -105,12 +105,17 @@
 	return c.behaviors[id]
 }
 
-func (c *testCell) addWorker(id string) {
-	info := backend.WorkerInfo{
+// workerInfo describes a worker that starts now.
+func (c *testCell) workerInfo(id string) backend.WorkerInfo {
+	return backend.WorkerInfo{
 		ID: id, Address: id + ":1", Service: testService, Zone: "a", Labels: []string{"k", "r1"},
 		StartedMS: time.Now().UnixMilli(),
 		Capacity:  model.Resources{CPUMilli: 4000, MemoryMiB: 8000},
 	}
+}
+
+func (c *testCell) addWorker(id string) {
+	info := c.workerInfo(id)
 	c.workers.Add(info)
 	c.writeRegistryEntry(info)
 }
--- a/standin/backends/workers.go
+++ b/standin/backends/workers.go
@@ -325,7 +325,12 @@
 func (w *Workers) Poll(ctx context.Context, req backend.PollRequest) (backend.PollReply, error) {
 	waitTimer := time.NewTimer(req.Wait)
 	defer waitTimer.Stop()
+	boot := w.bootOf(req.Worker.ID)
 	for {
+		if w.bootOf(req.Worker.ID) != boot {
+			// The connection broke when the worker ended.
+			return backend.PollReply{}, ErrNoAnswer
+		}
 		reply, changed, err := w.inventory(req)
 		if err != nil || reply.Refusal != "" || len(reply.Finished) > 0 || req.Wait == 0 {
 			return reply, err
@@ -344,6 +349,13 @@
 	}
 }
 
+// bootOf returns the state of the present boot of a worker, or nil.
+func (w *Workers) bootOf(id string) *workerState {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.workers[id]
+}
+
 // inventory applies a poll request once. The channel it returns is closed when a run on the worker ends.
 func (w *Workers) inventory(req backend.PollRequest) (backend.PollReply, <-chan struct{}, error) {
 	w.mu.Lock()
