--- a/process/node/cell_test.go
+++ b/process/node/cell_test.go
@@ -53,7 +53,9 @@
 	down                   map[string]bool
 	// isolated is an instance that cannot reach any other one.
 	isolated string
-	log      strings.Builder
+	// islands are the groups of instances that cannot reach each other; the default is 0.
+	islands map[string]int
+	log     strings.Builder
 	// silentWorkers do not answer any call; inFlight counts the starts and stops in flight to the other workers, and
 	// maxInFlight is its maximum.
 	silentWorkers         map[string]bool
@@ -309,7 +311,7 @@
 	p.c.mu.Lock()
 	defer p.c.mu.Unlock()
 	n := p.c.nodes[address]
-	if n == nil || p.c.down[address] || p.c.down[p.name] || p.c.isolated == address || p.c.isolated == p.name {
+	if n == nil || p.c.down[address] || p.c.down[p.name] || p.c.isolated == address || p.c.isolated == p.name || p.c.islands[address] != p.c.islands[p.name] {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "peer %s cannot be reached", address)
 	}
 	return n, nil
--- a/process/node/faultseries_test.go
+++ b/process/node/faultseries_test.go
@@ -106,7 +106,9 @@
 	if name == "" || len(f.busy) > 2 {
 		return
 	}
-	switch f.random.IntN(4) {
+	switch f.random.IntN(6) {
+	case 4, 5:
+		f.splitCell(name)
 	case 0:
 		c.kill(name)
 		f.after(name, 500*time.Millisecond, 3*time.Second, func() { c.start(name) })
@@ -126,6 +128,30 @@
 	}
 }
 
+// splitCell separates an instance that cannot reach the store, and another one that can, from the other instances.
+func (f *faultSeries) splitCell(name string) {
+	other := f.pick(f.instances())
+	if other == "" || other == name || f.busy["cell"] {
+		return
+	}
+	c := f.c
+	c.setStoreFault(name, []backends.Fault{backends.FaultRefused, backends.FaultNoAnswer}[f.random.IntN(2)])
+	c.setIslands(map[string]int{name: 1, other: 1})
+	f.busy[name] = true
+	f.after("cell", time.Second, 8*time.Second, func() {
+		delete(f.busy, name)
+		c.setStoreFault(name, backends.FaultNone)
+		c.setIslands(nil)
+	})
+}
+
+// setIslands sets the groups of instances that cannot reach each other.
+func (c *testCell) setIslands(islands map[string]int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.islands = islands
+}
+
 // injectWorkerFault silences a worker for some seconds, or restarts it. The registry learns of a restart later.
 func (f *faultSeries) injectWorkerFault() {
 	name := f.pick([]string{"w00", "w01", "w02", "w03"})
