Recognize outages of racks by place as well as by time

Innocent jobs were failed: TestRackPowerLossFailsNoJob loses five racks one after another under the same tasks, and the crashes of one outage were taken back from a task once only ("job a0 is failed after 4 crashes"). Taking all back made crashing tasks that share four workers go on for ever (TestTasksBesideCrashingTasksFailNoJob, 8 crashes under a task): several of them at once look like an outage.

Change: an outage needs three quarters of the rack's addresses (workers may return under other ids), and no more than half of the workers outside of it crashed at about the same time; a cell with one rack has none. Then the crash is taken back from every task, but from a job with tasks on all of the workers, which may have caused it, twice at most: it starts no more than twice after three crashes. Crashes are judged a second after they are noticed (0.5 s before), since the workers of a rack return within a moment.

TestSeriesOfFaults required every job to complete. Its workers restart at random, and three restarts under one task must give the job up by the users' new rule, so a job may have failed there if the stand-in has counted three ends of workers under one of its tasks; Workers.Remove counts them now.

--- a/standin/backends/workers.go
+++ b/standin/backends/workers.go
@@ -112,10 +112,15 @@
 	}
 }
 
-// Remove removes a worker and all its runs.
+// Remove ends the process of a worker and all its runs, which counts as a crash under their tasks.
 func (w *Workers) Remove(id string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if worker := w.workers[id]; worker != nil {
+		for task := range worker.running {
+			w.crashes.taskCrashes[task]++
+		}
+	}
 	delete(w.workers, id)
 }
 
--- a/version/cell/crash.go
+++ b/version/cell/crash.go
@@ -24,11 +24,16 @@
 	// rackOutageWindow is the time within which the last answers of the workers of a rack lie that lost power together.
 	rackOutageWindow = 2 * time.Second
 	// minRackOutage is the lowest number of crashed workers, and rackOutageShare the share of the workers of a rack, from
-	// which their crashes count as one outage of the rack.
+	// which their crashes count as one outage of the rack. No more than maxShareOutside of the other workers may have crashed
+	// at about the same time: tasks that crash workers are not confined to a rack.
 	minRackOutage   = 3
-	rackOutageShare = 0.5
+	maxShareOutside = 0.5
+	rackOutageShare = 0.75
+	// maxCrashesTakenBack is how many crashes under a task may be attributed to outages that its job may have caused. The task
+	// starts no more than twice after maxCrashes.
+	maxCrashesTakenBack = 2
 	// crashSettleTime is how long after a crash its tasks are judged: the other workers of the rack may be noticed by then.
-	crashSettleTime = 500 * time.Millisecond
+	crashSettleTime = time.Second
 	// crashRetention is how long a crash is kept to recognize the outage of a rack. Workers may return one after the other.
 	crashRetention = 15 * time.Second
 	// stableServiceRun is how long a service task must run for its earlier crashes to be forgotten.
@@ -37,15 +42,14 @@
 
 // crash is the end of a worker's process without notice.
 type crash struct {
-	worker string
-	rack   string
+	worker, address, rack string
 	// lastAnswerAt is when the worker answered last, and silentSince when it first failed to answer; 0 if it did not.
 	lastAnswerAt, silentSince Instant
 	noticedAt                 Instant
 	// tasks are the tasks for which the crash was counted.
 	tasks []*task
-	// settled means that the tasks have been judged.
-	settled bool
+	// settled means that the tasks have been judged, and takenBack that the crash was attributed to an outage of its rack.
+	settled, takenBack bool
 }
 
 // noticeCrash records that the process of a worker has ended, and counts the crash for the tasks whose leases have expired
@@ -57,7 +61,7 @@
 		return nil
 	}
 	k := &crash{
-		worker: w.info.ID, rack: w.rack, lastAnswerAt: w.clockReceivedAt, silentSince: w.silentSince, noticedAt: c.now,
+		worker: w.info.ID, address: w.info.Address, rack: w.rack, lastAnswerAt: w.clockReceivedAt, silentSince: w.silentSince, noticedAt: c.now,
 	}
 	c.crashes = slices.DeleteFunc(c.crashes, func(old *crash) bool { return c.now > old.noticedAt+crashRetention })
 	c.crashes = append(c.crashes, k)
@@ -75,7 +79,7 @@
 	t.crashes++
 	k.tasks = append(k.tasks, t)
 	if k.settled {
-		k.settled, k.noticedAt = false, c.now
+		k.settled, k.takenBack, k.noticedAt = false, false, c.now
 	}
 	c.markChanged(t.step.job)
 }
@@ -123,40 +127,88 @@
 }
 
 // takeBackOutage reports whether a crash belongs to an outage of its rack. The crashes of such an outage are taken back from
-// the tasks, once for each task: a task that crashes workers can bring down a rack as well.
+// the tasks.
 func (c *Core) takeBackOutage(k *crash) bool {
-	var together []*crash
-	workers := map[string]struct{}{}
-	for _, other := range c.crashes {
-		if other.rack == k.rack && (other.lastAnswerAt-k.lastAnswerAt).Abs() <= rackOutageWindow {
-			together = append(together, other)
-			workers[other.worker] = struct{}{}
-		}
-	}
-	if len(workers) < minRackOutage || float64(len(workers)) < rackOutageShare*float64(c.rackSize(k.rack)) {
+	outage, outside := c.crashesWith(k)
+	if !c.isRackOutage(k.rack, len(addressesOf(outage)), len(addressesOf(outside))) {
 		return false
 	}
-	for _, other := range together {
+	for _, other := range outage {
+		if other.takenBack {
+			continue
+		}
+		other.takenBack = true
 		for _, t := range other.tasks {
-			if t.crashes > 0 && !t.crashTakenBack {
-				t.crashes--
-				t.crashTakenBack = true
-				c.markChanged(t.step.job)
-			}
+			c.takeBack(t, outage)
 		}
 	}
 	return true
 }
 
-// rackSize returns the number of the known workers on a rack.
-func (c *Core) rackSize(rack string) int {
-	n := 0
+// isRackOutage reports whether the numbers of workers that crashed at about the same time on a rack and outside of it show an
+// outage of the rack.
+func (c *Core) isRackOutage(rack string, crashed, crashedOutside int) bool {
+	addresses, others := map[string]struct{}{}, map[string]struct{}{}
 	for _, w := range c.workers {
 		if w.rack == rack {
-			n++
+			addresses[w.info.Address] = struct{}{}
+		} else {
+			others[w.info.Address] = struct{}{}
+		}
+	}
+	return crashed >= minRackOutage && float64(crashed) >= rackOutageShare*float64(len(addresses)) &&
+		len(others) > 0 && float64(crashedOutside) <= maxShareOutside*float64(len(others))
+}
+
+// crashesWith returns the crashes of the workers that answered last at about the same time as that of a crash, on its rack and
+// outside of it.
+func (c *Core) crashesWith(k *crash) (onRack, outside []*crash) {
+	for _, other := range c.crashes {
+		if (other.lastAnswerAt - k.lastAnswerAt).Abs() > rackOutageWindow {
+			continue
+		}
+		if other.rack == k.rack {
+			onRack = append(onRack, other)
+		} else {
+			outside = append(outside, other)
+		}
+	}
+	return onRack, outside
+}
+
+// addressesOf returns the addresses of crashed workers. A worker may return under another ID, but at its address.
+func addressesOf(crashes []*crash) map[string]struct{} {
+	addresses := map[string]struct{}{}
+	for _, k := range crashes {
+		addresses[k.address] = struct{}{}
+	}
+	return addresses
+}
+
+// takeBack takes one crash of an outage back from a task. If its job had tasks on all of the workers, it may have caused the
+// outage; this is taken back maxCrashesTakenBack times only.
+func (c *Core) takeBack(t *task, outage []*crash) {
+	if t.crashes == 0 {
+		return
+	}
+	if ranOnAll(t.step.job, outage) {
+		if t.crashesTakenBack >= maxCrashesTakenBack {
+			return
 		}
+		t.crashesTakenBack++
 	}
-	return n
+	t.crashes--
+	c.markChanged(t.step.job)
+}
+
+// ranOnAll reports whether a job had tasks on all crashed workers.
+func ranOnAll(j *jobState, crashes []*crash) bool {
+	for _, k := range crashes {
+		if !slices.ContainsFunc(k.tasks, func(t *task) bool { return t.step.job == j }) {
+			return false
+		}
+	}
+	return true
 }
 
 // tasksAtRisk returns the tasks that may have run on a worker since its last answer.
