Play random histories of a rack with changed capacities

TestRandomHistoriesWithCapacityChanges plays the histories of TestRandomHistories with workers that shrink, also to nothing, and grow. The checks of the ledger stay as strict for workers that have not shrunk: the limit is the capacity. On a worker that has shrunk below what its ledger declared, the ledger may only fall until it is within the capacity again.

It is not sensitive to a claim that is started on a shrunken worker, which TestClaimsOnShrunkenWorker and TestGangReservationOnShrunkenWorker show.

--- a/version/rack/capacity_test.go
+++ b/version/rack/capacity_test.go
@@ -13,10 +13,42 @@
 	"github.com/lentiltide/lentiltide/worker"
 )
 
-// setCores changes the processor capacity of a worker in the membership list.
-func (f *fleet) setCores(i int, n int64) {
-	f.members[i].Capacity.CPUMilli = 1000 * n
+// setCapacity changes the capacity of a worker in the membership list.
+func (f *fleet) setCapacity(i int, capacity model.Resources) {
+	w := f.core.workers[f.members[i].ID]
+	f.members[i].Capacity = capacity
+	var declared model.Resources
+	for _, t := range w.tasks {
+		declared = declared.Add(Demand(t.task))
+	}
+	f.declaredWhenShrunk[w.member.ID] = declared
 	f.enqueue(f.core.SetMembers(f.now, f.members))
+	assert.Equal(f.t, w.member.Capacity, capacity)
+}
+
+// limitOf returns what the tasks of a worker may declare: its capacity, or what they declared at the last check since it shrank
+// below that.
+func (f *fleet) limitOf(w *workerState) model.Resources {
+	if declared, ok := f.declaredWhenShrunk[w.member.ID]; ok {
+		return w.member.Capacity.Max(declared)
+	}
+	return w.member.Capacity
+}
+
+// lowerLimit lowers the limit of a worker that is over its capacity to what its ledger declares now.
+func (f *fleet) lowerLimit(w *workerState, declared model.Resources) {
+	if declared.Fits(w.member.Capacity) {
+		delete(f.declaredWhenShrunk, w.member.ID)
+	} else if _, ok := f.declaredWhenShrunk[w.member.ID]; ok {
+		f.declaredWhenShrunk[w.member.ID] = declared
+	}
+}
+
+// setCores changes the processor capacity of a worker.
+func (f *fleet) setCores(i int, n int64) {
+	capacity := f.members[i].Capacity
+	capacity.CPUMilli = 1000 * n
+	f.setCapacity(i, capacity)
 }
 
 // explanation returns why a task waits.
--- a/version/rack/history_test.go
+++ b/version/rack/history_test.go
@@ -34,6 +34,8 @@
 	sequence     uint64
 	members      []store.Member
 	startCounts  map[model.TaskID]int
+	// declaredWhenShrunk is what the ledger declared of a worker that has shrunk below it, as of the last check. It may not grow.
+	declaredWhenShrunk map[string]model.Resources
 	// refuseEvery makes workers refuse each start whose token sequence is a multiple of it; 0 refuses none.
 	refuseEvery uint64
 }
@@ -42,7 +44,7 @@
 	f := &fleet{
 		t: t, now: time.Unix(1000, 0), boots: map[string]int{}, running: map[string]map[model.TaskID]worker.StartRequest{},
 		results: map[string][]worker.Result{}, openOffers: map[model.TaskID]model.Task{}, deniedClaims: map[model.TaskID]bool{},
-		startCounts: map[model.TaskID]int{},
+		startCounts: map[model.TaskID]int{}, declaredWhenShrunk: map[string]model.Resources{},
 	}
 	f.core = New(f.now, "r1", 1, policy)
 	for i, c := range capacities {
@@ -183,12 +185,14 @@
 		for _, r := range f.running[w.member.ID] {
 			declared = declared.Add(Demand(r.Task))
 		}
-		assert.Assert(f.t, declared.Fits(w.member.Capacity), "worker %s is overcommitted: its running tasks declare %+v", w.member.ID, declared)
+		limit := f.limitOf(w)
+		assert.Assert(f.t, declared.Fits(limit), "worker %s is overcommitted: its running tasks declare %+v", w.member.ID, declared)
 		declared = model.Resources{}
 		for _, t := range w.tasks {
 			declared, counted = declared.Add(Demand(t.task)), counted.Add(t.demand)
 		}
-		assert.Assert(f.t, declared.Fits(w.member.Capacity), "worker %s is overcommitted: its ledger declares %+v", w.member.ID, declared)
+		assert.Assert(f.t, declared.Fits(limit), "worker %s is overcommitted: its ledger declares %+v", w.member.ID, declared)
+		f.lowerLimit(w, declared)
 		assert.Equal(f.t, counted.CPUMilli, w.used.CPUMilli)
 		if w.inTotals {
 			total, used = total.Add(w.member.Capacity), used.Add(counted)
@@ -294,7 +298,13 @@
 
 // TestRandomHistories guards against overcommitted workers, lost offers, tasks that run twice, partly started gangs and
 // an inconsistent ledger, under late replies, restarts, expired leases, leaving workers and wrong demands.
-func TestRandomHistories(t *testing.T) {
+func TestRandomHistories(t *testing.T) { runHistories(t, false) }
+
+// TestRandomHistoriesWithCapacityChanges guards against the same while workers shrink and grow, and against starts on a worker
+// that is over its capacity.
+func TestRandomHistoriesWithCapacityChanges(t *testing.T) { runHistories(t, true) }
+
+func runHistories(t *testing.T, capacityChanges bool) {
 	rapid.Check(t, func(rt *rapid.T) {
 		policy := DefaultPolicy()
 		policy.WorkerReservation.After = time.Second
@@ -383,6 +393,16 @@
 			},
 			"": func(*rapid.T) { f.checkInvariants() },
 		}
+		if capacityChanges {
+			steps["capacity"] = func(rt *rapid.T) {
+				i := rapid.IntRange(0, len(f.members)-1).Draw(rt, "worker")
+				share := int64(rapid.IntRange(0, 4).Draw(rt, "quarters"))
+				f.setCapacity(i, model.Resources{
+					CPUMilli: capacities[i].CPUMilli * share / 4, MemoryMiB: capacities[i].MemoryMiB * share / 4, Slots: capacities[i].Slots,
+					Connections: capacities[i].Connections, Accelerators: capacities[i].Accelerators, AcceleratorType: capacities[i].AcceleratorType,
+				})
+			}
+		}
 		rt.Repeat(steps)
 		f.checkWorkConserving()
 	})
