--- a/version/cell/gang_test.go
+++ b/version/cell/gang_test.go
@@ -50,8 +50,7 @@
 
 func permitEverywhere(*AdviseAction, string) bool { return true }
 
-// A wide gang whose members share few workers must ask for new tickets as soon as the capacity is there, though its tickets
-// expired while it waited. It put the request off with each new plan before, and never started.
+// A wide gang whose members share few workers must not put off the request for new tickets with each plan, and never start.
 func TestWideGangOnFewWorkersRenewsItsTickets(t *testing.T) {
 	tc := newTestCluster(t, 1)
 	tc.addWorkers(10)
@@ -92,8 +91,7 @@
 	assert.Assert(t, tc.now <= freedAt+1500*time.Millisecond, "started after %v", tc.now-freedAt)
 }
 
-// A gang that cannot start must not keep the turn of those behind it: neither one for which too few workers are allowed or large
-// enough, nor one whose reservation has expired. Each had blocked the gangs behind it until it ended.
+// A gang that cannot start must not keep those behind it from starting, whatever it lacks.
 func TestGangsThatCannotStartLeaveTheirTurn(t *testing.T) {
 	gang := func(tasks int, memoryMiB int64) job.Step {
 		return job.Step{
@@ -136,8 +134,7 @@
 	}
 }
 
-// The time in which more urgent gangs have the turn must not count as the age of a gang's reservation. The reservation was
-// paused as soon as the gang had its turn back, and less urgent work took its capacity.
+// A gang that gets its turn back from more urgent ones must not find its reservation expired in the meantime.
 func TestReservationAgesOnlyWhileItHolds(t *testing.T) {
 	tc := newTestCluster(t, 1)
 	tc.addWorkers(10)
