Recover from panics in every goroutine that reads messages of peers

The transport recovered only from panics of the handler. One in the rest of the work on a message ended the whole process: the encoding of a reply, the decoding of requests or of replies, or the handshake of a connection.

The recovery is now a small package, request/recovery, which the HTTP server of the intents uses too. A request whose handling or reply panics is answered with MayHaveRun; a panic while a stream is read costs the stream, and its pending calls end with MayHaveRun; one in a handshake costs the connection. The goroutines of the yamux library itself are not covered.

--- a/connection/peer/certificates_test.go
+++ b/connection/peer/certificates_test.go
@@ -126,3 +126,35 @@
 	err = newClient(t, Options{}).Serve(context.Background(), l, echo)
 	assert.ErrorContains(t, err, "no certificates are configured")
 }
+
+// oneConnListener accepts one connection and then fails.
+type oneConnListener struct {
+	net.Listener
+	conn net.Conn
+}
+
+// Accept implements net.Listener.
+func (l *oneConnListener) Accept() (net.Conn, error) {
+	conn := l.conn
+	l.conn = nil
+	if conn == nil {
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+
+// TestPanicInHandshakeCostsTheConnection guards against a panic in the handshake of an accepted connection that ends the process.
+func TestPanicInHandshakeCostsTheConnection(t *testing.T) {
+	dir := t.TempDir()
+	newTestCA(t).issue(t, dir, 2)
+	panics := make(chan any, 1)
+	server := NewTransport(Options{Certificates: loadCertificates(t, dir), OnPanic: func(value any, _ []byte) { panics <- value }})
+	defer server.Close()
+	local, remote := net.Pipe()
+	defer remote.Close()
+	begin := make(chan struct{})
+	close(begin)
+	err := server.Serve(t.Context(), &oneConnListener{conn: panickingConn{local, begin}}, echo)
+	assert.ErrorIs(t, err, net.ErrClosed)
+	assert.Equal(t, <-panics, any("unexpected"))
+}
--- a/connection/peer/endpoint.go
+++ b/connection/peer/endpoint.go
@@ -102,7 +102,7 @@
 	defer cancel()
 	raw, err := e.transport.dial(ctx, e.address)
 	if err == nil {
-		a.conn, err = newConn(e.transport.wrapConn(raw))
+		a.conn, err = newConn(e.transport.wrapConn(raw), e.transport.opts.OnPanic)
 		if err != nil {
 			_ = raw.Close()
 		}
--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -9,7 +9,6 @@
 	"crypto/tls"
 	"math/rand/v2"
 	"net"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +17,7 @@
 	"github.com/hashicorp/yamux"
 
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
+	"github.com/lentiltide/lentiltide/request/recovery"
 	"github.com/lentiltide/lentiltide/request/verdict"
 )
 
@@ -82,7 +82,8 @@
 	PrivateNetwork bool
 	// Dial replaces the TCP dialler in tests.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
-	// OnPanic, if not nil, is called with the value and the stack of a panic in a Handler. The panic costs only its request.
+	// OnPanic, if not nil, is called with the value and the stack of a panic. A panic in a Handler costs only its request; one
+	// in the decoding of messages costs the connection.
 	OnPanic func(value any, stack []byte)
 	// Seed seeds the jitter of the reconnection backoff.
 	Seed uint64
@@ -214,13 +215,13 @@
 	if t.opts.Certificates == nil && !t.opts.PrivateNetwork && !IsLoopback(l.Addr().String()) {
 		return errors.Newf("address %s is not a loopback address and no certificates are configured", l.Addr())
 	}
-	handle = t.recoverPanics(t.trackCalls(handle))
+	handle = t.trackCalls(handle)
 	for {
 		raw, err := l.Accept()
 		if err != nil {
 			return err
 		}
-		go t.serveConn(ctx, raw, handle)
+		go recovery.Catch(t.opts.OnPanic, func() { t.serveConn(ctx, raw, handle) })
 	}
 }
 
@@ -239,24 +240,6 @@
 	}
 }
 
-// recoverPanics returns a handler that answers a request during which handle panics with an error. The request may have run.
-func (t *Transport) recoverPanics(handle Handler) Handler {
-	return func(ctx context.Context, req *peerpb.Request) (reply *peerpb.Reply) {
-		defer func() {
-			value := recover()
-			if value == nil {
-				return
-			}
-			if t.opts.OnPanic != nil {
-				t.opts.OnPanic(value, debug.Stack())
-			}
-			err := verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "the request failed unexpectedly")
-			reply = &peerpb.Reply{Id: req.GetId(), Error: ErrorToProto(err)}
-		}()
-		return handle(ctx, req)
-	}
-}
-
 // trackCalls returns a handler that maintains activeCalls and lastCallAt for requests of ClassCall.
 func (t *Transport) trackCalls(handle Handler) Handler {
 	return func(ctx context.Context, req *peerpb.Request) *peerpb.Reply {
@@ -305,7 +288,7 @@
 			_ = stream.Close()
 			continue
 		}
-		go serveStream(ctx, session, stream, handle)
+		go serveStream(ctx, session, stream, handle, t.opts.OnPanic)
 	}
 }
 
--- a/connection/peer/peer_test.go
+++ b/connection/peer/peer_test.go
@@ -79,6 +79,58 @@
 	assert.Equal(t, panics.Load(), int64(2))
 }
 
+// TestPanicOutsideTheHandlerCostsOneRequest guards against a panic after the handler, here for a reply that is missing, that
+// ends the process.
+func TestPanicOutsideTheHandlerCostsOneRequest(t *testing.T) {
+	address := startServer(t, Options{}, func(context.Context, *peerpb.Request) *peerpb.Reply { return nil })
+	_, err := newClient(t, Options{}).Call(t.Context(), address, forwardRequest(nil))
+	assert.Equal(t, verdict.Of(err), verdict.MayHaveRun)
+}
+
+// panickingConn is a connection whose reads panic, once reading has begun.
+type panickingConn struct {
+	net.Conn
+	begin <-chan struct{}
+}
+
+// Read implements net.Conn.
+func (c panickingConn) Read([]byte) (int, error) {
+	<-c.begin
+	panic("unexpected")
+}
+
+// TestPanicWhileReadingCostsTheConnection guards against a panic in the decoding of messages that ends the process, or that
+// leaves calls without an answer.
+func TestPanicWhileReadingCostsTheConnection(t *testing.T) {
+	var panics atomic.Int64
+	onPanic := func(any, []byte) { panics.Add(1) }
+	local, remote := net.Pipe()
+	defer remote.Close()
+	go func() { _, _ = io.Copy(io.Discard, remote) }()
+	session, err := newConn(local, nil)
+	assert.NilError(t, err)
+	begin := make(chan struct{})
+	stream := newClientStream(panickingConn{local, begin}, session.session, onPanic)
+	time.AfterFunc(50*time.Millisecond, func() { close(begin) })
+	_, err = stream.call(t.Context(), forwardRequest(nil))
+	assert.Equal(t, verdict.Of(err), verdict.MayHaveRun)
+	assert.Equal(t, panics.Load(), int64(1))
+	assert.Assert(t, session.isClosed())
+}
+
+// TestPanicWhileReadingRequestsCostsTheStream guards against a panic in the decoding of requests that ends the process.
+func TestPanicWhileReadingRequestsCostsTheStream(t *testing.T) {
+	var panics atomic.Int64
+	local, remote := net.Pipe()
+	defer remote.Close()
+	begin := make(chan struct{})
+	close(begin)
+	serveStream(t.Context(), local, panickingConn{local, begin}, echo, func(any, []byte) { panics.Add(1) })
+	assert.Equal(t, panics.Load(), int64(1))
+	_, err := local.Write(nil)
+	assert.Assert(t, errors.Is(err, io.ErrClosedPipe))
+}
+
 // serveRaw listens on a loopback address and calls f for each accepted connection with the index of the connection.
 func serveRaw(t *testing.T, f func(n int, raw net.Conn)) string {
 	t.Helper()
@@ -154,7 +206,7 @@
 				return
 			}
 			if n%numClasses != class {
-				go serveStream(context.Background(), session, stream, handle)
+				go serveStream(context.Background(), session, stream, handle, nil)
 			}
 		}
 	})
@@ -221,7 +273,7 @@
 				return
 			}
 			if n > 0 {
-				go serveStream(context.Background(), session, stream, echo)
+				go serveStream(context.Background(), session, stream, echo, nil)
 				continue
 			}
 			go func() {
@@ -264,7 +316,7 @@
 			if err != nil {
 				return
 			}
-			go serveStream(context.Background(), session, stream, echo)
+			go serveStream(context.Background(), session, stream, echo, nil)
 		}
 	})
 	c := newClient(t, Options{})
--- a/connection/peer/serve.go
+++ b/connection/peer/serve.go
@@ -8,28 +8,35 @@
 	"time"
 
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
+	"github.com/lentiltide/lentiltide/request/recovery"
 	"github.com/lentiltide/lentiltide/request/verdict"
 )
 
 // serverStream handles the requests of one incoming stream.
 type serverStream struct {
-	handle Handler
-	writer *frameWriter
+	handle  Handler
+	onPanic func(value any, stack []byte)
+	writer  *frameWriter
 
 	// mu protects inFlight, the cancel functions of the requests in progress by request ID.
 	mu       sync.Mutex
 	inFlight map[uint64]context.CancelFunc
 }
 
-// serveStream reads the messages of one stream and dispatches them until the stream fails.
-func serveStream(ctx context.Context, session io.Closer, stream net.Conn, handle Handler) {
+// serveStream reads the messages of one stream and dispatches them until the stream fails or its decoding panics.
+func serveStream(ctx context.Context, session io.Closer, stream net.Conn, handle Handler, onPanic func(any, []byte)) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer stream.Close()
-	s := &serverStream{handle: handle, inFlight: map[uint64]context.CancelFunc{}}
+	s := &serverStream{handle: handle, onPanic: onPanic, inFlight: map[uint64]context.CancelFunc{}}
 	// A reply that cannot be written closes the session, since its caller would otherwise wait until the deadline.
 	s.writer = newFrameWriter(stream, func(error) { _ = session.Close() })
 	defer s.writer.close()
+	recovery.Catch(onPanic, func() { s.readRequests(ctx, stream) })
+}
+
+// readRequests reads and dispatches messages until the stream fails.
+func (s *serverStream) readRequests(ctx context.Context, stream io.Reader) {
 	reader := newFrameReader(stream)
 	for {
 		req := &peerpb.Request{}
@@ -41,14 +48,15 @@
 }
 
 // dispatch handles one message: it applies a cancellation, passes a message without a reply to the handler on the
-// calling goroutine, and starts a goroutine for a request. Requests beyond maxInFlight are refused.
+// calling goroutine, and starts a goroutine for a request. Requests beyond maxInFlight are refused. A request that panics is
+// answered with an error.
 func (s *serverStream) dispatch(ctx context.Context, req *peerpb.Request) {
 	if cancel := req.GetCancel(); cancel != nil {
 		s.cancel(cancel.GetRequest())
 		return
 	}
 	if req.GetId() == 0 {
-		s.handle(ctx, req)
+		recovery.Catch(s.onPanic, func() { s.handle(ctx, req) })
 		return
 	}
 	ctx, ok := s.admit(ctx, req)
@@ -59,9 +67,14 @@
 	}
 	go func() {
 		defer s.cancel(req.GetId())
-		reply := s.handleRequest(ctx, req)
-		reply.Id = req.GetId()
-		s.reply(reply)
+		panicked := recovery.Catch(s.onPanic, func() {
+			reply := s.handleRequest(ctx, req)
+			reply.Id = req.GetId()
+			s.reply(reply)
+		})
+		if panicked {
+			s.reply(&peerpb.Reply{Id: req.GetId(), Error: ErrorToProto(recovery.Error())})
+		}
 	}()
 }
 
--- a/connection/peer/stream.go
+++ b/connection/peer/stream.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/yamux"
 
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
+	"github.com/lentiltide/lentiltide/request/recovery"
 	"github.com/lentiltide/lentiltide/request/verdict"
 )
 
@@ -71,8 +72,8 @@
 	streams [numClasses]*clientStream
 }
 
-// newConn starts a session on raw and opens its streams in the order of the classes.
-func newConn(raw net.Conn) (*conn, error) {
+// newConn starts a session on raw and opens its streams in the order of the classes. onPanic is as in Options.
+func newConn(raw net.Conn, onPanic func(value any, stack []byte)) (*conn, error) {
 	session, err := yamux.Client(raw, yamuxConfig())
 	if err != nil {
 		return nil, err
@@ -84,7 +85,7 @@
 			_ = session.Close()
 			return nil, err
 		}
-		c.streams[i] = newClientStream(stream, c.session)
+		c.streams[i] = newClientStream(stream, c.session, onPanic)
 	}
 	return c, nil
 }
@@ -112,10 +113,14 @@
 	err     error
 }
 
-func newClientStream(stream net.Conn, session *clientSession) *clientStream {
+func newClientStream(stream net.Conn, session *clientSession, onPanic func(any, []byte)) *clientStream {
 	s := &clientStream{stream: stream, session: session, pending: map[uint64]chan *peerpb.Reply{}}
 	s.writer = newFrameWriter(stream, func(error) { _ = session.Close() })
-	go s.readReplies()
+	go func() {
+		if recovery.Catch(onPanic, s.readReplies) {
+			s.fail(recovery.Error())
+		}
+	}()
 	return s
 }
 
--- a/request/api/request.go
+++ b/request/api/request.go
@@ -4,11 +4,11 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"mime"
 	"net/http"
 	"net/url"
-	"runtime/debug"
 	"slices"
 	"strconv"
 	"strings"
@@ -20,6 +20,7 @@
 
 	"github.com/lentiltide/lentiltide/connection/jsonhttp"
 	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/request/recovery"
 	"github.com/lentiltide/lentiltide/request/strictjson"
 	"github.com/lentiltide/lentiltide/request/verdict"
 )
@@ -141,12 +142,17 @@
 // serveWithDeadline serves a request within its deadline. It turns a panic into a MayHaveRun error, since the request
 // may have taken effect before the panic.
 func (s *Server) serveWithDeadline(c khttp.Context, req *request, op operation) (err error) {
-	defer func() {
-		if recovered := recover(); recovered != nil {
-			s.opts.Log.WithFields(logrus.Fields{"request_id": req.requestID, "stack": string(debug.Stack())}).Error("panic")
-			err = verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "internal error")
-		}
-	}()
+	report := func(value any, stack []byte) {
+		s.opts.Log.WithFields(logrus.Fields{"request_id": req.requestID, "panic": fmt.Sprint(value), "stack": string(stack)}).Error("panic")
+	}
+	if recovery.Catch(report, func() { err = s.serveInTime(c, req, op) }) {
+		return recovery.Error()
+	}
+	return err
+}
+
+// serveInTime serves a request within its deadline.
+func (s *Server) serveInTime(c khttp.Context, req *request, op operation) error {
 	ctx, cancel, err := withTimeout(c.Request().Context(), req.header)
 	if err != nil {
 		return err
