Keep an instance running after a panic, and end a failed leadership

A panic in a goroutine of process/node ended the process: in a call that a delegate makes for the leader, in a loop of the node or the leader, in a poll of a worker, in a call relayed to the store. A panic under the lock of the scheduler that the transport recovered left state that was applied in part in use. A caller whose request panicked got no answer.

- Calls of the backends and the decoders of rows return an error with the verdict MayHaveRun instead of a panic, which costs only that call or row; delegated and relayed calls and requests of callers likewise (504).
- The loops of a node run again after a panic.
- The core records a panic of a call that held its lock, and returns no commands, no progress and no states of jobs from then on.
The leadership resigns without further progress, or ends without a resignation if that panics too, and the instance leaves the takeover to others for 5 s.
- Panics are logged at most once in 10 s for each place with value and stack, as panic_recovered, and counted in lentiltide_panics_total.

Tests in the bubble provoke a panic at nine events of the leader, most of them in the middle of a decision, three of other loops, and as a new fault at each point of both fault matrices. The cell of the tests fails on any panic that it did not inject. Not tested by a mutation: that a failed core names no expired jobs.

A record that makes every leader panic still keeps the cell from scheduling: the leadership then moves from instance to instance.

--- a/cmd/lentiltide-node/main.go
+++ b/cmd/lentiltide-node/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"maps"
 	"net"
 	"net/http"
@@ -25,6 +24,7 @@
 	"github.com/lentiltide/lentiltide/process/node"
 	"github.com/lentiltide/lentiltide/process/settings"
 	"github.com/lentiltide/lentiltide/process/telemetry"
+	"github.com/lentiltide/lentiltide/request/recovery"
 	"github.com/lentiltide/lentiltide/version/cell"
 )
 
@@ -142,10 +142,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
 	}
+	panics := recovery.NewRecorder(log, metrics.RecordPanic)
 	transport := peer.NewTransport(peer.Options{
-		PrivateNetwork: true, Seed: uint64(time.Now().UnixNano()), OnPanic: func(value any, stack []byte) {
-			log.WithFields(logrus.Fields{"event": "peer_request_panicked", "panic": fmt.Sprint(value), "stack": string(stack)}).Error("a request of a peer failed unexpectedly")
-		},
+		PrivateNetwork: true, Seed: uint64(time.Now().UnixNano()),
+		OnPanic: func(value any, stack []byte) { panics.Record("peer_message", value, stack) },
 	})
 	var machines backend.Machines
 	if s.MachinesAddress != "" {
@@ -164,7 +164,7 @@
 			Config:  backend.RowKey{Table: platform.OperatorTable, Key: platform.ConfigKey},
 			Workers: platform.WorkerTable,
 		},
-		Log: log, OnDecision: decisionRecorder(log, metrics), OnAnswer: metrics.RecordAnswer,
+		Log: log, Panics: panics, OnDecision: decisionRecorder(log, metrics), OnAnswer: metrics.RecordAnswer,
 		Lease:         min(maxLease, time.Duration(s.MaxLeaseMS)*time.Millisecond),
 		StopTimeout:   time.Duration(s.StopTimeoutMS) * time.Millisecond,
 		Retention:     time.Duration(s.RetentionS * float64(time.Second)),
@@ -176,7 +176,7 @@
 		return nil, err
 	}
 	in := &instance{node: n, transport: transport}
-	in.addServer(s.CallerAddress, platform.NewJobAPI(n))
+	in.addServer(s.CallerAddress, platform.NewJobAPI(n, panics))
 	in.addServer(s.ReadyAddress, platform.ReadinessHandler(n))
 	if s.MetricsAddress != "" {
 		mux := http.NewServeMux()
--- a/process/node/cell_test.go
+++ b/process/node/cell_test.go
@@ -18,6 +18,7 @@
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
 	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/model/job"
+	"github.com/lentiltide/lentiltide/request/recovery"
 	"github.com/lentiltide/lentiltide/request/verdict"
 	"github.com/lentiltide/lentiltide/standin/backends"
 	"github.com/lentiltide/lentiltide/version/cell"
@@ -57,6 +58,9 @@
 	// injected is the fault of a fault matrix case; lateCalls are the calls that are executed in the background.
 	injected  *injectedFault
 	lateCalls sync.WaitGroup
+	// panicking is an event at whose first log line an instance panics; panics counts the panics by place.
+	panicking panicAtEvent
+	panics    map[string]int
 }
 
 type testNode struct {
@@ -77,7 +81,7 @@
 	c := &testCell{
 		delegateFrom: delegateFrom, startsBy: map[string]int{},
 		t: t, startedAt: time.Now(), tables: backends.NewTables(), nodes: map[string]*testNode{},
-		behaviors: map[string]backends.TaskBehavior{}, storeFaults: map[string]backends.Fault{}, down: map[string]bool{}, silentWorkers: map[string]bool{}, cpuShares: map[string]float64{},
+		behaviors: map[string]backends.TaskBehavior{}, panics: map[string]int{}, storeFaults: map[string]backends.Fault{}, down: map[string]bool{}, silentWorkers: map[string]bool{}, cpuShares: map[string]float64{},
 	}
 	c.workers = backends.NewWorkers(c.now, c.behaviorOf)
 	c.tables.Put(backend.RowKey{Table: "config", Key: "current"}, []byte("1"))
@@ -123,6 +127,9 @@
 
 func (testDecoder) Worker(row backend.Row) (backend.WorkerInfo, error) {
 	var info backend.WorkerInfo
+	if string(row.Value) == panickingValue {
+		panic("the decoder")
+	}
 	err := json.Unmarshal(row.Value, &info)
 	return info, err
 }
@@ -311,7 +318,7 @@
 	if err != nil {
 		return nil, err
 	}
-	reply := n.handlePeer(ctx, req)
+	reply := p.c.handlePeer(ctx, n, req)
 	return reply, peer.ErrorFromProto(reply.GetError())
 }
 
@@ -337,8 +344,10 @@
 	}
 	p.c.lateCalls.Go(func() {
 		// A message has no answer.
-		_, _ = callWithFault(context.WithoutCancel(ctx), p.c, point, func(ctx context.Context) (*peerpb.Reply, error) {
-			return n.handlePeer(ctx, req), nil
+		n.opts.Panics.Run(placePeer, func() {
+			_, _ = callWithFault(context.WithoutCancel(ctx), p.c, point, func(ctx context.Context) (*peerpb.Reply, error) {
+				return p.c.handlePeer(ctx, n, req), nil
+			})
 		})
 	})
 	return nil
@@ -349,6 +358,7 @@
 	log := logrus.New()
 	log.SetOutput(lockedWriter{&c.mu, &c.log})
 	log.SetFormatter(&logrus.JSONFormatter{})
+	log.AddHook(panicHook{c, name})
 	entry := log.WithField("instance", name)
 	n := New(Options{
 		Instance: name, PeerAddress: name, Peers: testPeers{c, name},
@@ -357,7 +367,7 @@
 		Advisor:  &faultyAdvisor{backends.Advisor{Delay: 25 * time.Millisecond, Validity: 2500 * time.Millisecond}, c},
 		Machines: &c.machines, Decoder: testDecoder{},
 		Sources: Sources{Config: backend.RowKey{Table: "config", Key: "current"}, Workers: "workers"},
-		Log:     entry,
+		Log:     entry, Panics: recovery.NewRecorder(entry, c.recordPanic),
 		OnDecision: func(d cell.Decision) {
 			entry.WithFields(d.Fields).WithField("job", d.Job).WithField("at", c.now()).Info(d.Event)
 		},
--- a/process/node/delegate.go
+++ b/process/node/delegate.go
@@ -8,6 +8,7 @@
 	"github.com/lentiltide/lentiltide/backend"
 	"github.com/lentiltide/lentiltide/connection/peer"
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
+	"github.com/lentiltide/lentiltide/request/recovery"
 	"github.com/lentiltide/lentiltide/request/verdict"
 	"github.com/lentiltide/lentiltide/version/cell"
 )
@@ -40,7 +41,7 @@
 	}
 	b.queued[to] = append(b.queued[to], result)
 	if len(b.queued[to]) == 1 {
-		time.AfterFunc(callBatchDelay, func() { b.flush(to) })
+		time.AfterFunc(callBatchDelay, func() { b.node.opts.Panics.Run(placeBatch, func() { b.flush(to) }) })
 	}
 }
 
@@ -66,7 +67,12 @@
 	to := resultReceiver{calls.GetLeader(), calls.GetEpoch()}
 	for _, call := range calls.GetCalls() {
 		go func() {
-			result := n.makeWorkerCall(ctx, calls.GetEpoch(), call, receivedAt)
+			result, err := recovery.Call(n.opts.Panics, placeWorkerCall, func() (*peerpb.WorkerResult, error) {
+				return n.makeWorkerCall(ctx, calls.GetEpoch(), call, receivedAt), nil
+			})
+			if err != nil {
+				result = &peerpb.WorkerResult{Error: peer.ErrorToProto(err)}
+			}
 			result.Id = call.GetId()
 			n.results.add(to, result)
 		}()
--- a/process/node/delegation.go
+++ b/process/node/delegation.go
@@ -263,7 +263,7 @@
 	d.pending[call.Id] = p
 	c.queue = append(c.queue, call)
 	if len(c.queue) == 1 {
-		time.AfterFunc(callBatchDelay, func() { d.flush(c) })
+		time.AfterFunc(callBatchDelay, func() { d.node.opts.Panics.Run(placeBatch, func() { d.flush(c) }) })
 	}
 	return p, d.node.opts.Now(), true
 }
--- a/process/node/leader.go
+++ b/process/node/leader.go
@@ -58,6 +58,8 @@
 	// resigning requests the writer to resign the leadership; resigned is closed when it has tried.
 	resigning atomic.Bool
 	resigned  chan struct{}
+	// failed is set after a panic.
+	failed atomic.Bool
 
 	cancel func()
 }
@@ -98,10 +100,12 @@
 	n.leadership = l
 	cfg, waves := n.config, slices.Clone(n.waves)
 	n.mu.Unlock()
-	l.core.SetConfig(cfg)
-	for _, w := range waves {
-		l.core.SetWave(w, now)
-	}
+	l.guard(func() {
+		l.core.SetConfig(cfg)
+		for _, w := range waves {
+			l.core.SetWave(w, now)
+		}
+	})
 	n.opts.Log.WithFields(map[string]any{
 		"event": "leadership_taken", "epoch": l.epoch, "previous": l.predecessor.Instance, "resigned": l.predecessor.Resigned,
 	}).Info("leadership taken")
@@ -131,11 +135,13 @@
 		loops.Add(1)
 		go func() {
 			defer loops.Done()
-			f(ctx)
+			l.guard(func() { f(ctx) })
 		}()
 	}
-	startLoop(l.runWriter)
-	if l.load(ctx) {
+	startLoop(l.writeUntilEnd)
+	loaded := false
+	l.guard(func() { loaded = l.load(ctx) })
+	if loaded {
 		startLoop(l.followJobs)
 		startLoop(l.followCancels)
 		startLoop(l.followWorkers)
@@ -161,13 +167,17 @@
 			l.cancel()
 			return
 		}
+		if l.core.Failed() {
+			l.fail()
+			return
+		}
 		if now := l.node.opts.Now(); now >= nextMemberCheck {
 			nextMemberCheck = now + memberCheckInterval
 			l.checkMembers(ctx)
 			polls.start(ctx)
 		}
 		for _, action := range l.core.Step(l.node.opts.Now(), time.Now().UnixMilli()) {
-			go l.execute(ctx, action)
+			go l.guard(func() { l.execute(ctx, action) })
 		}
 		pause(ctx, minStepInterval)
 	}
@@ -206,7 +216,7 @@
 		}
 		go func() {
 			defer p.remove(id)
-			p.leadership.pollWorker(ctx, id)
+			p.leadership.guard(func() { p.leadership.pollWorker(ctx, id) })
 		}()
 	}
 }
--- a/process/node/leadership.go
+++ b/process/node/leadership.go
@@ -218,6 +218,9 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.opts.Now() < n.noTakeoverUntil {
+		return false
+	}
 	l := &n.leader
 	if l.rowVersion == 0 || l.row.Resigned || l.row.Instance == n.opts.Instance {
 		return true
--- a/process/node/matrix_test.go
+++ b/process/node/matrix_test.go
@@ -48,11 +48,13 @@
 	faultDelayed    callFault = "carried-out-late"
 	faultRepeated   callFault = "carried-out-twice"
 	faultLeaderDies callFault = "leader-dies"
+	// faultPanics executes the call and then panics in its client.
+	faultPanics callFault = "panics"
 	// faultDelegateDies kills an instance other than the leader.
 	faultDelegateDies callFault = "delegate-dies"
 )
 
-var callFaults = []callFault{faultRefused, faultSilent, faultAnswerLost, faultDelayed, faultRepeated, faultLeaderDies, faultDelegateDies}
+var callFaults = []callFault{faultRefused, faultSilent, faultAnswerLost, faultDelayed, faultRepeated, faultPanics, faultLeaderDies, faultDelegateDies}
 
 const (
 	// lateCallDelay is the delay after which a late call is executed: longer than a takeover, shorter than a lease.
@@ -114,6 +116,9 @@
 		return unanswered()
 	case faultRepeated:
 		_, _ = call(ctx)
+	case faultPanics:
+		_, _ = call(ctx)
+		panic("the client of " + p)
 	case faultLeaderDies:
 		leader := c.leader()
 		c.lateCalls.Go(func() { c.kill(leader) })
@@ -175,6 +180,13 @@
 		cancelErrs[id] = c.cancel(c.node("i2"), id)
 	}
 	time.Sleep(20 * time.Second)
+	if injected.fault == faultPanics {
+		// Only the call that panicked may fail.
+		assert.Equal(t, c.panicCount(), 1)
+		c.mu.Lock()
+		assert.Equal(t, c.panics[placeLeadership]+c.panics[placeNode], 0, "%v", c.panics)
+		c.mu.Unlock()
+	}
 	assert.Assert(t, injected.fired, "the fault did not fire: too few calls of %s", injected.point)
 	for i := range 4 {
 		id := fmt.Sprintf("job%d", i)
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/lentiltide/lentiltide/backend"
 	"github.com/lentiltide/lentiltide/connection/peer"
 	"github.com/lentiltide/lentiltide/model/job"
+	"github.com/lentiltide/lentiltide/request/recovery"
 	"github.com/lentiltide/lentiltide/request/verdict"
 	"github.com/lentiltide/lentiltide/version/cell"
 )
@@ -44,6 +45,8 @@
 	Decoder  backend.Decoder
 	Sources  Sources
 	Log      logrus.FieldLogger
+	// Panics records panics; nil means a recorder that writes to Log.
+	Panics *recovery.Recorder
 	// OnDecision is called with each decision of the scheduler; see cell.Options.
 	OnDecision func(cell.Decision)
 	// OnAnswer, if not nil, is called for each answer to a caller.
@@ -105,10 +108,16 @@
 	candidate bool
 	// leaderLost is set if the last join was not answered.
 	leaderLost bool
+	// noTakeoverUntil is when this instance may lead again after its leadership has failed.
+	noTakeoverUntil cell.Instant
 }
 
 // New returns an instance, which is inactive until Run is called.
 func New(opts Options) *Node {
+	if opts.Panics == nil {
+		opts.Panics = recovery.NewRecorder(opts.Log, nil)
+	}
+	opts.recoverBackends()
 	n := &Node{opts: opts, createdAt: opts.Now(), joinNow: make(chan struct{}, 1), checkNow: make(chan struct{}, 1), candidate: true}
 	n.direct = observeTables(opts.Tables, opts.Now, n.logStoreContact)
 	n.tables = relayedTables{n.direct, n}
@@ -121,10 +130,9 @@
 func (n *Node) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return n.opts.ServePeers(ctx, n.handlePeer) })
-	group.Go(func() error { n.followConfig(ctx); return nil })
-	group.Go(func() error { n.followLeadership(ctx); return nil })
-	group.Go(func() error { n.joinLeader(ctx); return nil })
-	group.Go(func() error { n.direct.probeDownShards(ctx); return nil })
+	for _, loop := range []func(context.Context){n.followConfig, n.followLeadership, n.joinLeader, n.direct.probeDownShards} {
+		group.Go(func() error { n.runAgain(ctx, loop); return nil })
+	}
 	return group.Wait()
 }
 
--- a/process/node/progress.go
+++ b/process/node/progress.go
@@ -11,9 +11,18 @@
 	"github.com/lentiltide/lentiltide/version/cell"
 )
 
+// writeUntilEnd runs the writer until the leadership is lost or resigned, and then ends it. After a panic the writer runs once
+// more, to resign.
+func (l *leadership) writeUntilEnd(ctx context.Context) {
+	defer l.cancel()
+	defer close(l.resigned)
+	if !l.guard(func() { l.runWriter(ctx) }) {
+		l.guard(func() { l.runWriter(ctx) })
+	}
+}
+
 // runWriter makes progress durable and renews the leadership until it is lost.
 func (l *leadership) runWriter(ctx context.Context) {
-	defer l.cancel()
 	l.readWriteVersion(ctx)
 	for ctx.Err() == nil {
 		if l.resigning.Load() {
--- a/process/node/relay.go
+++ b/process/node/relay.go
@@ -7,6 +7,7 @@
 
 	"github.com/lentiltide/lentiltide/backend"
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
+	"github.com/lentiltide/lentiltide/request/recovery"
 	"github.com/lentiltide/lentiltide/request/verdict"
 )
 
@@ -46,7 +47,7 @@
 	launch := func(call func(context.Context) (T, error)) {
 		pending++
 		go func() {
-			value, err := call(ctx)
+			value, err := recovery.Call(r.node.opts.Panics, placeRelay, func() (T, error) { return call(ctx) })
 			results <- relayResult[T]{value, err}
 		}()
 	}
--- a/process/node/shutdown.go
+++ b/process/node/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/lentiltide/lentiltide/version/cell"
 )
@@ -17,6 +18,33 @@
 	l.resign(ctx)
 }
 
+// failedLeadershipPause is how long an instance whose leadership has failed leaves a takeover to the others.
+const failedLeadershipPause = 5 * time.Second
+
+// guard calls f and reports whether it returned without a panic. A panic ends the leadership.
+func (l *leadership) guard(f func()) (ok bool) {
+	ok = l.node.opts.Panics.Run(placeLeadership, f)
+	if !ok {
+		l.fail()
+	}
+	return ok
+}
+
+// fail ends the leadership after a panic, since the state of the scheduler may be inconsistent: the writer resigns, and another
+// instance reads the durable state.
+func (l *leadership) fail() {
+	if !l.failed.CompareAndSwap(false, true) {
+		return
+	}
+	n := l.node
+	n.mu.Lock()
+	n.noTakeoverUntil = n.opts.Now() + failedLeadershipPause
+	n.mu.Unlock()
+	n.opts.Log.WithFields(map[string]any{"event": "leadership_failed", "epoch": l.epoch}).Error("leadership ends after an unexpected failure")
+	l.core.Suspend(true)
+	l.resigning.Store(true)
+}
+
 // resign stops sending commands to workers and requests the resignation, which is written together with the completions that
 // are not durable yet. It waits until the writer has tried or ctx ends.
 func (l *leadership) resign(ctx context.Context) {
@@ -30,7 +58,6 @@
 
 // commitResignation writes the resignation. It is called by the writer, which owns the versions of the rows.
 func (l *leadership) commitResignation(ctx context.Context) {
-	defer close(l.resigned)
 	row := l.row
 	row.Resigned = true
 	var batch cell.Batch
--- a/process/telemetry/node.go
+++ b/process/telemetry/node.go
@@ -25,6 +25,7 @@
 	answerDuration metric.Float64Histogram
 	tableCalls     metric.Int64Counter
 	tableDuration  metric.Float64Histogram
+	panics         metric.Int64Counter
 }
 
 // NewNodeMetrics returns the metrics of an instance, in their own registry.
@@ -43,9 +44,15 @@
 	m.answerDuration = b.newDurationHistogram("lentiltide.answer.duration", "Time from a request to its answer, by event.")
 	m.tableCalls = b.newCounter("lentiltide.table.calls", "Calls of the table service, by operation and result.")
 	m.tableDuration = b.newDurationHistogram("lentiltide.table.duration", "Time of a call of the table service, by operation.")
+	m.panics = b.newCounter("lentiltide.panics", "Panics after which the instance went on, by place.")
 	return m, b.err
 }
 
+// RecordPanic counts a recovered panic.
+func (m *NodeMetrics) RecordPanic(place string) {
+	m.panics.Add(context.Background(), 1, withAttributes("place", place))
+}
+
 // RegisterGauges registers status and dropped, which are called on each collection of the metrics, as the sources of the gauges.
 // dropped returns the number of dropped log lines.
 func (m *NodeMetrics) RegisterGauges(status func() node.Status, dropped func() uint64) error {
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -5,7 +5,6 @@
 package cell
 
 import (
-	"sync"
 	"time"
 
 	"github.com/lentiltide/lentiltide/backend"
@@ -47,7 +46,7 @@
 	opts       Options
 	epochStart Instant
 
-	mu          sync.Mutex
+	mu          coreMutex
 	now         Instant
 	wallClockMS int64
 	config      job.Config
@@ -195,7 +194,7 @@
 	defer c.mu.Unlock()
 	c.now = max(c.now, now)
 	c.wallClockMS = wallMS
-	if c.suspended || c.superseded {
+	if c.halted() {
 		return nil
 	}
 	if c.now >= c.nextSweep {
--- a/version/cell/progress.go
+++ b/version/cell/progress.go
@@ -55,6 +55,9 @@
 func (c *Core) CollectBatch(limit int) Batch {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.mu.panicked {
+		return Batch{}
+	}
 	batch := Batch{Change: c.changeCount}
 	c.addFleetRecord(&batch)
 	for id, j := range c.dirtyJobs {
@@ -75,6 +78,9 @@
 func (c *Core) TakeExpired(limit int) []job.ID {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.mu.panicked {
+		return nil
+	}
 	n := min(limit, len(c.expiredJobs))
 	ids := c.expiredJobs[:n:n]
 	c.expiredJobs = c.expiredJobs[n:]
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -115,7 +115,7 @@
 func (c *Core) StartNeeded(a *StartAction) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !a.run.removed && a.run.phase == phaseStarting && !c.suspended && !c.superseded
+	return !a.run.removed && a.run.phase == phaseStarting && !c.halted()
 }
 
 // StartWithdrawn records that a start was not sent.
--- a/version/cell/states.go
+++ b/version/cell/states.go
@@ -17,7 +17,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	j := c.jobs[id]
-	if j == nil {
+	if j == nil || c.mu.panicked {
 		return "", false
 	}
 	if j.reportedState.Terminal() {
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -250,7 +250,7 @@
 	if w == nil {
 		return req, false, false
 	}
-	if c.suspended || c.superseded {
+	if c.halted() {
 		return req, true, true
 	}
 	req = backend.PollRequest{Worker: w.ref(), FencingToken: c.opts.Epoch, LeaseDeadlineMS: c.leaseDeadline(w), AcknowledgedCompletion: w.lastAckedCompletion}
