Keep a silent delegate suspended

A delegate that returns no results is to be left out for three seconds. It was removed from the table of delegates, which also held its suspension, and 25 ms later the leader chose the same instance again, without a suspension. Of a worker's calls only the polls are repeated directly, so each start through it took 0.5 s to count as unanswered and was stopped 0.4 s later: the log of TestSilentDelegateIsReplaced shows delegate_suspended and delegates_chosen at the same check for the same instance, and six starts that ran were stopped and made again.

The leader now keeps what it knows about each member apart from the delegates in use. The fault came up when the mutation "silence is not recorded" was not found by the test; the test now also demands that the delegate is replaced.

--- a/process/node/delegation.go
+++ b/process/node/delegation.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"hash/fnv"
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -44,8 +45,9 @@
 	epoch  uint64
 
 	mu sync.Mutex
-	// delegates are the present delegates by the name of the instance.
-	delegates map[string]*delegate
+	// known are the members by the name of the instance, with what is known about them as delegates; delegates are those that are
+	// in use.
+	known, delegates map[string]*delegate
 	// assigned are the delegates of workers by worker ID. It is emptied when the delegates change.
 	assigned map[string]*delegate
 	pending  map[uint64]pendingCall
@@ -73,7 +75,7 @@
 func newDelegatedWorkers(n *Node, epoch uint64) *delegatedWorkers {
 	return &delegatedWorkers{
 		node: n, direct: n.opts.Workers, epoch: epoch,
-		delegates: map[string]*delegate{}, assigned: map[string]*delegate{}, pending: map[uint64]pendingCall{},
+		known: map[string]*delegate{}, delegates: map[string]*delegate{}, assigned: map[string]*delegate{}, pending: map[uint64]pendingCall{},
 	}
 }
 
@@ -82,6 +84,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.node.opts.Now()
+	maps.DeleteFunc(d.known, func(name string, _ *delegate) bool { _, present := members[name]; return !present })
 	chosen := map[string]*delegate{}
 	if workers >= cmp.Or(d.node.opts.DelegateFrom, defaultDelegateFrom) {
 		chosen = d.chooseDelegates(members, float64(workers)*coresPerWorker, now)
@@ -100,17 +103,18 @@
 	}).Info("delegates for the calls to workers chosen")
 }
 
-// chooseDelegates returns the largest members whose processor shares add up to cores. A delegate that stays keeps its state.
-// Callers hold d.mu.
+// chooseDelegates returns the largest members whose processor shares add up to cores and that are not suspended. Callers hold
+// d.mu.
 func (d *delegatedWorkers) chooseDelegates(members map[string]member, cores float64, now cell.Instant) map[string]*delegate {
 	var candidates []*delegate
 	for name, m := range members {
 		if name == d.node.opts.Instance || now-m.joinedAt > memberTTL {
 			continue
 		}
-		c := d.delegates[name]
+		c := d.known[name]
 		if c == nil || c.address != m.address {
 			c = &delegate{name: name, address: m.address, cpuShare: m.cpuShare}
+			d.known[name] = c
 		}
 		if now >= c.suspendedUntil {
 			candidates = append(candidates, c)
--- a/process/node/delegation_test.go
+++ b/process/node/delegation_test.go
@@ -11,6 +11,7 @@
 	"github.com/lentiltide/lentiltide/backend"
 	"github.com/lentiltide/lentiltide/connection/peer"
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
+	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/model/job"
 	"github.com/lentiltide/lentiltide/request/verdict"
 )
@@ -72,7 +73,9 @@
 		c.mute = c.delegateLocked()
 		c.mu.Unlock()
 		assert.NilError(t, c.submit(c.nodes[c.leader()], "b", 6, smallTask(time.Second), nil))
-		time.Sleep(11 * time.Second)
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, c.delegate() != c.mute)
+		time.Sleep(9 * time.Second)
 		for _, id := range []string{"a", "b"} {
 			c.requireState(c.nodes[c.leader()], id, job.Completed)
 		}
@@ -108,6 +111,46 @@
 	})
 }
 
+// A delegate must refuse a call of an ended epoch by itself: a worker that the later leader has not called yet would carry it out.
+func TestDelegateRefusesEndedEpochBeforeTheWorkerKnows(t *testing.T) {
+	runDelegated(t, func(t *testing.T, c *testCell) {
+		former := c.leader()
+		ended := c.nodes[former].loadedLeadership().epoch
+		// The registry has no entry of the worker, so that no leader calls it.
+		c.workers.Add(backend.WorkerInfo{
+			ID: "w99", Address: "w99:1", Service: testService, Capacity: model.Resources{CPUMilli: 4000, MemoryMiB: 8000},
+		})
+		c.kill(former)
+		time.Sleep(3 * time.Second)
+		n := c.follower()
+		assert.Assert(t, n.knownEpoch() > ended)
+		start := &peerpb.WorkerCall{Worker: "w99", Address: "w99:1", Call: &peerpb.WorkerCall_Start{Start: &peerpb.WorkerStart{
+			Task: "x.0.0.0", Run: 1, LeaseDeadlineMs: c.now().Milliseconds() + 4000,
+		}}}
+		result := n.makeWorkerCall(t.Context(), ended, start, c.now())
+		assert.Equal(t, backend.Refusal(result.GetRefusal()), backend.RefusedFence)
+		assert.Equal(t, c.workers.Starts("x.0.0.0"), 0)
+		// The worker itself has no reason to refuse.
+		result = n.makeWorkerCall(t.Context(), n.knownEpoch(), start, c.now())
+		assert.Equal(t, result.GetRefusal(), "")
+		assert.Equal(t, c.workers.Starts("x.0.0.0"), 1)
+	})
+}
+
+// A delegate that has not read the newest epoch yet must pass on the token of its leader, not the one that it knows: the worker
+// would go on to accept the commands of the former leader.
+func TestDelegatePassesTheTokenOfItsLeader(t *testing.T) {
+	runDelegated(t, func(t *testing.T, c *testCell) {
+		c.workers.Add(backend.WorkerInfo{ID: "w99", Address: "w99:1", Service: testService})
+		n := c.follower()
+		epoch := n.knownEpoch()
+		stop := &peerpb.WorkerCall{Worker: "w99", Address: "w99:1", Call: &peerpb.WorkerCall_Stop{Stop: &peerpb.WorkerStop{Task: "x.0.0.0", Run: 1}}}
+		assert.Equal(t, n.makeWorkerCall(t.Context(), epoch+1, stop, c.now()).GetRefusal(), "")
+		refused := n.makeWorkerCall(t.Context(), epoch, stop, c.now())
+		assert.Equal(t, backend.Refusal(refused.GetRefusal()), backend.RefusedFence)
+	})
+}
+
 // Results of another epoch must not complete calls of this one: the numbers of calls begin anew.
 func TestResultsOfOtherEpochsAreIgnored(t *testing.T) {
 	runDelegated(t, func(t *testing.T, c *testCell) {
