--- a/connection/peer/certificates_test.go
+++ b/connection/peer/certificates_test.go
@@ -91,12 +91,13 @@
 }
 
 // TestCertificatesReload guards against replaced certificates that take effect only after a restart, and against losing
-// the current certificate when its replacement cannot be read, here because the key file is written only in part.
+// the current certificate when its replacement cannot be read, here because the key file is written only in part. A CA that was
+// replaced must not be trusted any more.
 func TestCertificatesReload(t *testing.T) {
 	dir := t.TempDir()
 	newTestCA(t).issue(t, dir, 2)
 	c := loadCertificates(t, dir)
-	initial, _ := c.current()
+	initial, initialPool := c.current()
 	replacementCA := newTestCA(t)
 	c.mu.Lock()
 	c.checkedAt = time.Time{}
@@ -113,6 +114,8 @@
 		}
 		return poll.Success()
 	}, poll.WithTimeout(pollTimeout))
+	_, pool := c.current()
+	assert.Assert(t, !pool.Equal(initialPool))
 }
 
 // TestPlainTextOnlyOnLoopback guards against unencrypted connections between machines when no certificates are
--- a/process/node/delegation_test.go
+++ b/process/node/delegation_test.go
@@ -85,6 +85,20 @@
 	})
 }
 
+// A poll through a silent delegate must be repeated directly, or it counts against its worker.
+func TestPollOfSilentDelegateIsRepeated(t *testing.T) {
+	runDelegated(t, func(t *testing.T, c *testCell) {
+		l := c.nodes[c.leader()].loadedLeadership()
+		c.mu.Lock()
+		c.mute = c.delegateLocked()
+		c.mu.Unlock()
+		worker := backend.WorkerRef{ID: "w00", Address: "w00:1"}
+		reply, err := l.workers.Poll(t.Context(), backend.PollRequest{Worker: worker, FencingToken: l.epoch})
+		assert.NilError(t, err)
+		assert.Equal(t, reply.Refusal, backend.Refusal(""))
+	})
+}
+
 // delegateLocked is delegate for callers that hold c.mu.
 func (c *testCell) delegateLocked() string {
 	c.mu.Unlock()
--- a/process/node/matrix_test.go
+++ b/process/node/matrix_test.go
@@ -14,6 +14,7 @@
 	"github.com/lentiltide/lentiltide/model/job"
 	"github.com/lentiltide/lentiltide/request/verdict"
 	"github.com/lentiltide/lentiltide/standin/backends"
+	"github.com/lentiltide/lentiltide/version/cell"
 )
 
 // faultPoint is a kind of call across an interface of the cell at which a fault can be injected.
@@ -206,6 +207,8 @@
 	switch {
 	case submitErr == nil:
 		c.requireCompleted(id)
+		stored, _ := cell.StoredState(c.tables.Rows(progressTable)[id].Value)
+		assert.Equal(c.t, stored, job.Completed, "the state of job %s is not durable", id)
 		assert.Assert(c.t, c.workers.Done(task))
 	case verdict.Of(submitErr) == verdict.NotRun:
 		assert.Equal(c.t, c.workers.Starts(task), 0, "job %s was refused, but its task was started: %v", id, submitErr)
