Judge stalled runs by reports of their progress only

A healthy run was stopped with "no progress" 1.5 s after its start and begun again elsewhere, and its worker's failures were counted, if the worker had been idle before and got another start meanwhile: a long poll of an idle worker takes up to 2 s, so that no poll had reported the run yet, but the answer to the other start made the worker's last reading look recent.

A run can now count as stalled only if a poll has listed it within maxProgressAge. TestRunWithoutReportIsNotStalled failed before with "1 (int) != 0 (int)" stops and passes now, like TestStalledRunIsStopped and the rest of version/cell and process/node (once, with the race detector for the latter).

--- a/version/cell/advice_test.go
+++ b/version/cell/advice_test.go
@@ -199,6 +199,19 @@
 	assert.Assert(t, tc.now-startedAt >= stallTimeout)
 }
 
+// A run must not count as stalled because its worker has answered a command, while the long poll that began before the run has
+// not reported its progress yet.
+func TestRunWithoutReportIsNotStalled(t *testing.T) {
+	tc := newStartedTestCluster(t, stepWithTasks(1))
+	tc.confirmStarts()
+	tc.advance(1200 * time.Millisecond)
+	tc.addJob("b", "plain", 1, stepWithTasks(1))
+	tc.step()
+	assert.Equal(t, len(tc.confirmStarts()["w1"]), 1)
+	tc.advance(700 * time.Millisecond)
+	assert.Equal(t, len(tc.stops), 0)
+}
+
 // A configuration that removes the advice of a queue must not end the leader's process while a request of the queue is
 // outstanding.
 func TestQueueLosesItsAdviceDuringARequest(t *testing.T) {
--- a/version/cell/health.go
+++ b/version/cell/health.go
@@ -99,13 +99,12 @@
 	maxProgressAge = 1300 * time.Millisecond
 )
 
-// stopStalledRuns stops runs that make no progress although the worker answers, so that their tasks start elsewhere.
+// stopStalledRuns stops runs that make no progress although the worker reports them, so that their tasks start elsewhere. The
+// answer to another command says nothing about their progress.
 func (c *Core) stopStalledRuns(w *worker) {
-	if c.now > w.clockReceivedAt+maxProgressAge {
-		return
-	}
 	for _, r := range w.runs {
-		if r.phase == phaseRunning && c.isStalled(r) {
+		recent := r.reportedAt != 0 && c.now <= r.reportedAt+maxProgressAge
+		if r.phase == phaseRunning && recent && c.isStalled(r) {
 			c.logDecision("run_stalled", r.task.step.job.id, map[string]any{
 				"task": r.task.name, "run": r.number, "worker": w.info.ID, "percent": r.progressPercent,
 				"still_ms": (c.now - r.progressedAt).Milliseconds(),
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -42,6 +42,8 @@
 	// at 0.
 	firstPercent  int
 	firstReportAt Instant
+	// reportedAt is when a poll last listed the run; 0 before that.
+	reportedAt Instant
 	// progressedAt is when progressPercent last changed, or when the throttle was last changed.
 	progressedAt Instant
 	load         int64
@@ -459,6 +461,7 @@
 			r.task.step.gangCheckpoint = item.Checkpoint
 		}
 	}
+	r.reportedAt = c.now
 	if r.firstReportAt == 0 {
 		r.firstReportAt, r.firstPercent, r.progressedAt = c.now, item.ProgressPercent, c.now
 	}
