--- a/connection/peer/certificates_test.go
+++ b/connection/peer/certificates_test.go
@@ -91,12 +91,13 @@
 }
 
 // TestCertificatesReload guards against replaced certificates that take effect only after a restart, and against losing
-// the current certificate when its replacement cannot be read, here because the key file is written only in part.
+// the current certificate when its replacement cannot be read, here because the key file is written only in part. A CA that was
+// replaced must not be trusted any more.
 func TestCertificatesReload(t *testing.T) {
 	dir := t.TempDir()
 	newTestCA(t).issue(t, dir, 2)
 	c := loadCertificates(t, dir)
-	initial, _ := c.current()
+	initial, initialPool := c.current()
 	replacementCA := newTestCA(t)
 	c.mu.Lock()
 	c.checkedAt = time.Time{}
@@ -113,6 +114,8 @@
 		}
 		return poll.Success()
 	}, poll.WithTimeout(pollTimeout))
+	_, pool := c.current()
+	assert.Assert(t, !pool.Equal(initialPool))
 }
 
 // TestPlainTextOnlyOnLoopback guards against unencrypted connections between machines when no certificates are
@@ -126,3 +129,35 @@
 	err = newClient(t, Options{}).Serve(context.Background(), l, echo)
 	assert.ErrorContains(t, err, "no certificates are configured")
 }
+
+// oneConnListener accepts one connection and then fails.
+type oneConnListener struct {
+	net.Listener
+	conn net.Conn
+}
+
+// Accept implements net.Listener.
+func (l *oneConnListener) Accept() (net.Conn, error) {
+	conn := l.conn
+	l.conn = nil
+	if conn == nil {
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+
+// TestPanicInHandshakeCostsTheConnection guards against a panic in the handshake of an accepted connection that ends the process.
+func TestPanicInHandshakeCostsTheConnection(t *testing.T) {
+	dir := t.TempDir()
+	newTestCA(t).issue(t, dir, 2)
+	panics := make(chan any, 1)
+	server := NewTransport(Options{Certificates: loadCertificates(t, dir), OnPanic: func(value any, _ []byte) { panics <- value }})
+	defer server.Close()
+	local, remote := net.Pipe()
+	defer remote.Close()
+	begin := make(chan struct{})
+	close(begin)
+	err := server.Serve(t.Context(), &oneConnListener{conn: panickingConn{local, begin}}, echo)
+	assert.ErrorIs(t, err, net.ErrClosed)
+	assert.Equal(t, <-panics, any("unexpected"))
+}
--- a/process/node/matrix_test.go
+++ b/process/node/matrix_test.go
@@ -14,6 +14,7 @@
 	"github.com/lentiltide/lentiltide/model/job"
 	"github.com/lentiltide/lentiltide/request/verdict"
 	"github.com/lentiltide/lentiltide/standin/backends"
+	"github.com/lentiltide/lentiltide/version/cell"
 )
 
 // faultPoint is a kind of call across an interface of the cell at which a fault can be injected.
@@ -48,11 +49,13 @@
 	faultDelayed    callFault = "carried-out-late"
 	faultRepeated   callFault = "carried-out-twice"
 	faultLeaderDies callFault = "leader-dies"
+	// faultPanics executes the call and then panics in its client.
+	faultPanics callFault = "panics"
 	// faultDelegateDies kills an instance other than the leader.
 	faultDelegateDies callFault = "delegate-dies"
 )
 
-var callFaults = []callFault{faultRefused, faultSilent, faultAnswerLost, faultDelayed, faultRepeated, faultLeaderDies, faultDelegateDies}
+var callFaults = []callFault{faultRefused, faultSilent, faultAnswerLost, faultDelayed, faultRepeated, faultPanics, faultLeaderDies, faultDelegateDies}
 
 const (
 	// lateCallDelay is the delay after which a late call is executed: longer than a takeover, shorter than a lease.
@@ -114,6 +117,9 @@
 		return unanswered()
 	case faultRepeated:
 		_, _ = call(ctx)
+	case faultPanics:
+		_, _ = call(ctx)
+		panic("the client of " + p)
 	case faultLeaderDies:
 		leader := c.leader()
 		c.lateCalls.Go(func() { c.kill(leader) })
@@ -175,6 +181,13 @@
 		cancelErrs[id] = c.cancel(c.node("i2"), id)
 	}
 	time.Sleep(20 * time.Second)
+	if injected.fault == faultPanics {
+		// Only the call that panicked may fail.
+		assert.Equal(t, c.panicCount(), 1)
+		c.mu.Lock()
+		assert.Equal(t, c.panics[placeLeadership]+c.panics[placeNode], 0, "%v", c.panics)
+		c.mu.Unlock()
+	}
 	assert.Assert(t, injected.fired, "the fault did not fire: too few calls of %s", injected.point)
 	for i := range 4 {
 		id := fmt.Sprintf("job%d", i)
@@ -194,6 +207,8 @@
 	switch {
 	case submitErr == nil:
 		c.requireCompleted(id)
+		stored, _ := cell.StoredState(c.tables.Rows(progressTable)[id].Value)
+		assert.Equal(c.t, stored, job.Completed, "the state of job %s is not durable", id)
 		assert.Assert(c.t, c.workers.Done(task))
 	case verdict.Of(submitErr) == verdict.NotRun:
 		assert.Equal(c.t, c.workers.Starts(task), 0, "job %s was refused, but its task was started: %v", id, submitErr)
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -42,6 +42,8 @@
 	// at 0.
 	firstPercent  int
 	firstReportAt Instant
+	// reportedAt is when a poll last listed the run; 0 before that.
+	reportedAt Instant
 	// progressedAt is when progressPercent last changed, or when the throttle was last changed.
 	progressedAt Instant
 	load         int64
@@ -121,7 +123,7 @@
 func (c *Core) StartNeeded(a *StartAction) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !a.run.removed && a.run.phase == phaseStarting && !c.suspended && !c.superseded && a.run.worker.acceptsQueuedStart()
+	return !a.run.removed && a.run.phase == phaseStarting && !c.halted() && a.run.worker.acceptsQueuedStart()
 }
 
 // acceptsQueuedStart reports whether a start that was issued earlier may still be sent to the worker. Its demand is part of the
@@ -445,6 +447,7 @@
 			r.task.step.gangCheckpoint = item.Checkpoint
 		}
 	}
+	r.reportedAt = c.now
 	if r.firstReportAt == 0 {
 		r.firstReportAt, r.firstPercent, r.progressedAt = c.now, item.ProgressPercent, c.now
 	}
