Weigh crashes under which a task may not have run less

Jobs were given up without cause: TestSeriesOfFaults/10, "failed != completed, job, 1 crashes under a task". One worker had crashed under the task; two starts had been sent to a worker that was down, remained unanswered, and were counted when its next boot did not list them. Besides, a job whose third crash was stored by a leader that was lost before it judged the task neither ran nor ended (TestSeriesOfFaults/9, "running").

Change: a crash after an unanswered start, or after the lease has expired, is a possible one; four of them weigh as much as three certain ones. Stored crashes are judged by the next leader. A task is isolated from its first crash on, but not from tasks of its own job.

--- a/version/cell/crash.go
+++ b/version/cell/crash.go
@@ -12,10 +12,11 @@
 // says more about one of them the more it has, and a job with a task that has reached maxCrashes has failed.
 
 const (
-	// maxCrashes is how many workers may crash under a task before its job has failed.
-	maxCrashes = 3
-	// isolationCrashes is the number of crashes from which a task runs apart from tasks that started recently.
-	isolationCrashes = 2
+	// maxCrashes is how many workers may crash under a task before its job has failed. Of crashes under which the task may not
+	// have run, maxPossibleCrashes weigh as much: a task may start no more than twice after the third crash.
+	maxCrashes, maxPossibleCrashes = 3, 4
+	// isolationCrashes is the number of crashes from which a task runs apart from tasks of other jobs that started recently.
+	isolationCrashes = 1
 	// isolationDuration is how long after its start a run counts as recent, and how long nothing else starts beside an
 	// isolated one.
 	isolationDuration = 2 * time.Second
@@ -40,6 +41,35 @@
 	stableServiceRun = time.Minute
 )
 
+// crashCount counts the crashes under a task.
+type crashCount struct {
+	// certain are those of workers that had confirmed a run of the task, possible those of workers whose start was not answered or
+	// whose leases had expired.
+	certain, possible int
+}
+
+func (n crashCount) total() int { return n.certain + n.possible }
+
+// tooMany reports whether a task with these crashes is to be given up.
+func (n crashCount) tooMany() bool {
+	return n.certain*maxPossibleCrashes+n.possible*maxCrashes >= maxCrashes*maxPossibleCrashes
+}
+
+// add adds one crash; a sign of -1 takes one back.
+func (n *crashCount) add(certain bool, sign int) {
+	if certain {
+		n.certain = max(0, n.certain+sign)
+	} else {
+		n.possible = max(0, n.possible+sign)
+	}
+}
+
+// countedTask is a task for which a crash was counted.
+type countedTask struct {
+	task    *task
+	certain bool
+}
+
 // crash is the end of a worker's process without notice.
 type crash struct {
 	worker, address, rack string
@@ -47,7 +77,7 @@
 	lastAnswerAt, silentSince Instant
 	noticedAt                 Instant
 	// tasks are the tasks for which the crash was counted.
-	tasks []*task
+	tasks []countedTask
 	// settled means that the tasks have been judged, and takenBack that the crash was attributed to an outage of its rack.
 	settled, takenBack bool
 }
@@ -66,34 +96,45 @@
 	c.crashes = slices.DeleteFunc(c.crashes, func(old *crash) bool { return c.now > old.noticedAt+crashRetention })
 	c.crashes = append(c.crashes, k)
 	for _, t := range expired {
-		c.countCrash(k, t)
+		c.countCrash(k, t, false)
 	}
 	return k
 }
 
-// countCrash counts a crash, which may be nil, for a task that ran on the worker.
-func (c *Core) countCrash(k *crash, t *task) {
-	if k == nil || slices.Contains(k.tasks, t) {
+// countCrash counts a crash for a task that ran on the worker, or may have run there.
+func (c *Core) countCrash(k *crash, t *task, certain bool) {
+	if slices.ContainsFunc(k.tasks, func(counted countedTask) bool { return counted.task == t }) {
 		return
 	}
-	t.crashes++
-	k.tasks = append(k.tasks, t)
+	t.crashes.add(certain, 1)
+	k.tasks = append(k.tasks, countedTask{t, certain})
 	if k.settled {
 		k.settled, k.takenBack, k.noticedAt = false, false, c.now
 	}
 	c.markChanged(t.step.job)
 }
 
-// countCrashOfRun counts a crash for the task of a run, unless its start was sent when the worker did not answer any longer.
+// countCrashOfRun counts a crash, which may be nil, for the task of a run, unless its start was sent when the worker did not
+// answer any longer.
 func (c *Core) countCrashOfRun(k *crash, r *run) {
-	if k != nil && !wasSentTooLate(r, k.silentSince) {
-		c.countCrash(k, r.task)
+	if k != nil && !r.wasSentTooLate(k.silentSince) {
+		c.countCrash(k, r.task, r.isConfirmed())
 	}
 }
 
+// isConfirmed reports whether the worker has answered the start of a run or listed it.
+func (r *run) isConfirmed() bool {
+	return r.firstReportAt != 0 || (r.confirmedAt != 0 && r.unansweredAt == 0)
+}
+
 // wasSentTooLate reports whether the start of a run was sent after its worker had failed to answer, and was not answered.
-func wasSentTooLate(r *run, silentSince Instant) bool {
-	return r.confirmedAt == 0 && silentSince != 0 && r.createdAt > silentSince
+func (r *run) wasSentTooLate(silentSince Instant) bool {
+	return !r.isConfirmed() && silentSince != 0 && r.createdAt > silentSince
+}
+
+// judgeLater judges a task whose crashes a former leader has stored but not judged.
+func (c *Core) judgeLater(t *task) {
+	c.crashes = append(c.crashes, &crash{noticedAt: c.now, tasks: []countedTask{{task: t}}})
 }
 
 // settleCrashes judges the tasks of crashes after crashSettleTime.
@@ -110,8 +151,8 @@
 			"worker": k.worker, "rack": k.rack, "tasks": len(k.tasks), "rack_outage": c.takeBackOutage(k),
 			"last_answer_ms": (c.now - k.lastAnswerAt).Milliseconds(),
 		})
-		for _, t := range k.tasks {
-			c.giveUpAfterCrashes(t)
+		for _, counted := range k.tasks {
+			c.giveUpAfterCrashes(counted.task)
 		}
 	}
 }
@@ -119,10 +160,12 @@
 // giveUpAfterCrashes ends the job of a task under which too many workers have crashed.
 func (c *Core) giveUpAfterCrashes(t *task) {
 	j := t.step.job
-	if t.crashes < maxCrashes || t.done || j.state.Terminal() {
+	if !t.crashes.tooMany() || t.done || j.state.Terminal() {
 		return
 	}
-	c.logDecision("task_given_up", j.id, map[string]any{"task": t.name, "crashes": t.crashes})
+	c.logDecision("task_given_up", j.id, map[string]any{
+		"task": t.name, "crashes": t.crashes.certain, "possible_crashes": t.crashes.possible,
+	})
 	c.finishJob(j, job.Failed, "workers crashed whenever task "+t.name+" ran")
 }
 
@@ -138,8 +181,8 @@
 			continue
 		}
 		other.takenBack = true
-		for _, t := range other.tasks {
-			c.takeBack(t, outage)
+		for _, counted := range other.tasks {
+			c.takeBack(counted, outage)
 		}
 	}
 	return true
@@ -187,24 +230,22 @@
 
 // takeBack takes one crash of an outage back from a task. If its job had tasks on all of the workers, it may have caused the
 // outage; this is taken back maxCrashesTakenBack times only.
-func (c *Core) takeBack(t *task, outage []*crash) {
-	if t.crashes == 0 {
-		return
-	}
+func (c *Core) takeBack(counted countedTask, outage []*crash) {
+	t := counted.task
 	if ranOnAll(t.step.job, outage) {
 		if t.crashesTakenBack >= maxCrashesTakenBack {
 			return
 		}
 		t.crashesTakenBack++
 	}
-	t.crashes--
+	t.crashes.add(counted.certain, -1)
 	c.markChanged(t.step.job)
 }
 
 // ranOnAll reports whether a job had tasks on all crashed workers.
 func ranOnAll(j *jobState, crashes []*crash) bool {
 	for _, k := range crashes {
-		if !slices.ContainsFunc(k.tasks, func(t *task) bool { return t.step.job == j }) {
+		if !slices.ContainsFunc(k.tasks, func(counted countedTask) bool { return counted.task.step.job == j }) {
 			return false
 		}
 	}
@@ -215,7 +256,7 @@
 func (w *worker) tasksAtRisk() []*task {
 	var tasks []*task
 	for _, r := range w.runs {
-		if !wasSentTooLate(r, w.silentSince) {
+		if !r.wasSentTooLate(w.silentSince) {
 			tasks = append(tasks, r.task)
 		}
 	}
@@ -225,36 +266,38 @@
 // forgetEarlierCrashes takes the crashes back from a service task whose run has been stable: it may meet crashes by chance for
 // as long as it lasts.
 func (c *Core) forgetEarlierCrashes(r *run) {
-	if r.task.step.spec.LongRunning && r.task.crashes > 0 && c.now > r.createdAt+stableServiceRun {
-		r.task.crashes = 0
+	if r.task.step.spec.LongRunning && r.task.crashes.total() > 0 && c.now > r.createdAt+stableServiceRun {
+		r.task.crashes = crashCount{}
 		c.markChanged(r.task.step.job)
 	}
 }
 
 // isIsolated reports whether a task runs apart from others. The members of a gang cannot, since they start together.
-func (t *task) isIsolated() bool { return t.crashes >= isolationCrashes && !t.step.spec.Gang }
+func (t *task) isIsolated() bool { return t.crashes.total() >= isolationCrashes && !t.step.spec.Gang }
 
 // mayShare reports whether a task with crashes may start on a worker now, beside the runs there. Two tasks with crashes are kept
 // apart for a while, so that the next crash is counted for one of them only.
 func (c *Core) mayShare(w *worker, t *task) bool {
-	if t.crashes == 0 || t.step.spec.Gang {
+	if t.crashes.total() == 0 || t.step.spec.Gang {
 		return true
 	}
-	if t.crashes >= maxCrashes {
+	if t.crashes.tooMany() {
 		// The task is about to be judged.
 		return false
 	}
 	patient := t.isIsolated() && c.now < t.waitingSince+isolationTimeout
 	for _, r := range w.runs {
 		recent := c.now < r.createdAt+isolationDuration
-		if recent && r.task.step.job != t.step.job && (patient || r.task.crashes > 0) {
+		if recent && r.task.step.job != t.step.job && (patient || r.task.crashes.total() > 0) {
 			return false
 		}
 	}
 	return true
 }
 
-// hasIsolatedRun reports whether nothing else may start on a worker because an isolated run has started there recently.
-func (c *Core) hasIsolatedRun(w *worker) bool {
-	return w.isolatedRun != nil && c.now < w.isolatedRun.createdAt+isolationDuration
+// hasIsolatedRun reports whether a step may not start on a worker because an isolated run of another job has started there
+// recently.
+func (c *Core) hasIsolatedRun(w *worker, s *step) bool {
+	r := w.isolatedRun
+	return r != nil && r.task.step.job != s.job && c.now < r.createdAt+isolationDuration
 }
--- a/version/cell/health.go
+++ b/version/cell/health.go
@@ -72,7 +72,7 @@
 	for _, r := range w.runs {
 		t := r.task
 		s := t.step
-		if !s.spec.Speculative || s.spec.LongRunning || t.done || t.waiting || len(t.runs) > 1 || s.job.state.Terminal() || t.crashes > 0 {
+		if !s.spec.Speculative || s.spec.LongRunning || t.done || t.waiting || len(t.runs) > 1 || s.job.state.Terminal() || t.crashes.total() > 0 {
 			continue
 		}
 		slow := c.now > r.createdAt+time.Duration(slowRunFactor*float64(s.estimatedDuration()))+slowRunSlack
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -98,11 +98,12 @@
 	// avoidedWorkers are workers on which the task failed, stalled or was refused.
 	avoidedWorkers avoidedWorkers
 	firstFailedOn  *worker
-	// crashes counts the workers that crashed while the task ran there, without outages of racks. crashesTakenBack counts the
-	// outages that the job of the task may have caused.
-	crashes, crashesTakenBack int
-	waiting                   bool
-	waitingSince              Instant
+	// crashes counts the workers that crashed under the task, without outages of racks. crashesTakenBack counts the outages that
+	// the job of the task may have caused.
+	crashes          crashCount
+	crashesTakenBack int
+	waiting          bool
+	waitingSince     Instant
 	// preemptions counts how often the task was stopped for a more urgent one.
 	preemptions int
 }
--- a/version/cell/place.go
+++ b/version/cell/place.go
@@ -64,7 +64,7 @@
 	for _, t := range s.waiting {
 		w := c.selectWorker(s, t)
 		if w == nil {
-			if len(t.avoidedWorkers) == 0 && t.crashes == 0 {
+			if len(t.avoidedWorkers) == 0 && t.crashes.total() == 0 {
 				// No worker is left for the other tasks either.
 				break
 			}
@@ -135,7 +135,7 @@
 		c.now < w.startsBlockedUntil || c.now < w.health.suspectUntil {
 		return false
 	}
-	if !w.suits(s) || c.now > w.clockReceivedAt+maxClockAge || w.isReservedAgainst(s, c.now) || c.hasIsolatedRun(w) {
+	if !w.suits(s) || c.now > w.clockReceivedAt+maxClockAge || w.isReservedAgainst(s, c.now) || c.hasIsolatedRun(w, s) {
 		return false
 	}
 	if s.spec.MaxPerWorker > 0 && s.runsPerWorker[w] >= s.spec.MaxPerWorker {
--- a/version/cell/progress.go
+++ b/version/cell/progress.go
@@ -27,8 +27,8 @@
 	Done []byte `json:"d,omitempty"`
 	// Failed holds the numbers of the failed runs, keyed by task index.
 	Failed map[string][]int64 `json:"f,omitempty"`
-	// Crashes holds how many workers crashed while a task ran there, keyed by task index.
-	Crashes map[string]int `json:"c,omitempty"`
+	// Crashes holds the numbers of certain and possible crashes of workers under a task, keyed by task index.
+	Crashes map[string][2]int `json:"c,omitempty"`
 }
 
 // Progress is the encoded progress of one job.
@@ -195,11 +195,11 @@
 			p.Failed[strconv.Itoa(t.index)] = t.failedRuns
 			hasProgress = true
 		}
-		if t.crashes > 0 && !t.done {
+		if t.crashes.total() > 0 && !t.done {
 			if p.Crashes == nil {
-				p.Crashes = map[string]int{}
+				p.Crashes = map[string][2]int{}
 			}
-			p.Crashes[strconv.Itoa(t.index)] = t.crashes
+			p.Crashes[strconv.Itoa(t.index)] = [2]int{t.crashes.certain, t.crashes.possible}
 			hasProgress = true
 		}
 	}
@@ -277,7 +277,11 @@
 		t.waiting = false
 		s.openTasks--
 	}
-	t.crashes = p.Crashes[strconv.Itoa(t.index)]
+	stored := p.Crashes[strconv.Itoa(t.index)]
+	t.crashes = crashCount{certain: stored[0], possible: stored[1]}
+	if t.crashes.tooMany() {
+		c.judgeLater(t)
+	}
 	t.failedRuns = p.Failed[strconv.Itoa(t.index)]
 	for _, number := range t.failedRuns {
 		t.lastRunNumber = max(t.lastRunNumber, number)
