--- a/process/node/matrix_test.go
+++ b/process/node/matrix_test.go
@@ -188,7 +188,10 @@
 		assert.Equal(t, c.panics[placeLeadership]+c.panics[placeNode], 0, "%v", c.panics)
 		c.mu.Unlock()
 	}
-	assert.Assert(t, injected.fired, "the fault did not fire: too few calls of %s", injected.point)
+	c.mu.Lock()
+	fired := injected.fired
+	c.mu.Unlock()
+	assert.Assert(t, fired, "the fault did not fire: too few calls of %s", injected.point)
 	for i := range 4 {
 		id := fmt.Sprintf("job%d", i)
 		c.requireOutcome(id, submitErrs[id])
