Use no worker while a record without it is being written

TWICE in a narrow window: a worker whose entry returned between the collection of a record without it and its storage could be used although the record lacked it, so that a later leader would not have waited for it and its tasks would have started elsewhere.

Its recorded address is cleared when the batch is collected, and a listed worker that is missing is scheduled for the next one. TestWorkerReturnsDuringTheWriteOfTheRecord failed before ("a.Command.Worker.ID is w1") and passes.

--- a/version/cell/fleet.go
+++ b/version/cell/fleet.go
@@ -74,6 +74,12 @@
 	}
 	c.fleetChanged = false
 	b.fleet = c.fleetRecord()
+	for id, w := range c.workers {
+		if _, recorded := b.fleet[id]; !recorded {
+			// Its entry may return before the batch is stored, and the worker must not be used then.
+			w.recordedAddress = ""
+		}
+	}
 	data, err := json.Marshal(b.fleet)
 	if err != nil {
 		panic(errors.Wrap(err, "encode fleet record"))
@@ -125,6 +131,7 @@
 	}
 	for id, w := range c.workers {
 		w.recordedAddress = b.fleet[id]
+		c.fleetChanged = c.fleetChanged || (w.listed && !w.isRecorded())
 	}
 	c.signalWake()
 }
--- a/version/cell/fleet_test.go
+++ b/version/cell/fleet_test.go
@@ -103,3 +103,25 @@
 	tc.advance(100 * time.Millisecond)
 	assert.Equal(t, len(tc.starts), 1)
 }
+
+// A worker whose entry returns while a record without it is being written must not be used before it is recorded again: a later
+// leader would not wait for it, and its tasks would run twice.
+func TestWorkerReturnsDuringTheWriteOfTheRecord(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	tc.addWorker("w1")
+	tc.addWorker("w2")
+	tc.core.RemoveWorker("w1", tc.now)
+	tc.listWorker("w3", nil)
+	batch := tc.core.CollectBatch(80)
+	_, recorded := batch.fleet["w1"]
+	assert.Assert(t, !recorded)
+	tc.listWorker("w1", nil)
+	tc.answerPoll("w1", nil, nil)
+	tc.addJob("a", "plain", 1, stepWithTasks(8))
+	tc.step()
+	for _, a := range tc.starts {
+		assert.Assert(t, a.Command.Worker.ID != "w1")
+	}
+	tc.core.BatchStored(batch, true, tc.now)
+	assert.Equal(t, recordedWorkers(tc.storeBatches())["w1"], "w1:1")
+}
