Keep workers in the record until their completions are durable

TestFleetRecordHoldsWorkersInUse has the case: it failed before ("an expired lease and a completion that is not durable") and passes.

--- a/version/cell/fleet.go
+++ b/version/cell/fleet.go
@@ -103,10 +103,10 @@
 	if w.listed {
 		return true
 	}
-	if c.now > c.leasesEnd(w) && len(w.runs) == 0 {
-		return false
+	if len(w.runs) > 0 || w.lastReadCompletion > w.lastAckedCompletion {
+		return true
 	}
-	return !w.inventoryKnown || len(w.runs) > 0 || w.hasUnknownRuns || w.lastReadCompletion > w.lastAckedCompletion
+	return c.now <= c.leasesEnd(w) && (!w.inventoryKnown || w.hasUnknownRuns)
 }
 
 // removeUnusedFromRecord schedules a write of the fleet record without the workers that are not in use any longer.
--- a/version/cell/fleet_test.go
+++ b/version/cell/fleet_test.go
@@ -67,6 +67,11 @@
 			tc.answerPoll("w1", append(running, backend.ActiveRun{Task: "unknown.0.0.0", Run: 1}), nil)
 			tc.answerPoll("w1", []backend.ActiveRun{{Task: "unknown.0.0.0", Run: 1}}, nil)
 		}, true},
+		{"an expired lease and a completion that is not durable", func(tc *testCluster) {
+			tc.answerPoll("w1", nil, []backend.FinishedRun{tc.completion("w1", "a.0.0.0", 1, backend.ResultDone)})
+			tc.core.RemoveWorker("w1", tc.now)
+			tc.failPolls("w1", testLease+time.Second)
+		}, true},
 		{"an expired lease", func(tc *testCluster) {
 			tc.answerPoll("w1", running, nil)
 			tc.core.RemoveWorker("w1", tc.now)
