Do not count late failures of polls as silence

BUDGET: the late failure of a poll that was sent before the last answer marked the worker as silent. A start that followed, and crashed the worker before it was answered, then counted as sent too late, and the crash was not counted.

TestLateFailureOfAnEarlierPoll failed before ("1h0m0.010000004s != 0s") and passes.

--- a/version/cell/crash_test.go
+++ b/version/cell/crash_test.go
@@ -354,3 +354,15 @@
 		assert.Equal(t, crashes.total(), 1)
 	}
 }
+
+// The late failure of a poll that was sent before the last answer must not make a worker count as silent: the crash under a start
+// that follows would not be counted.
+func TestLateFailureOfAnEarlierPoll(t *testing.T) {
+	cc := newCrashCluster(t, 1, "a1")
+	sentAt := cc.now
+	cc.now += 10 * time.Millisecond
+	cc.poll("a1")
+	failure := verdict.Wrap(errors.New("broken"), verdict.MayHaveRun, verdict.CodeUnavailable, "poll")
+	cc.core.PollResult("a1", sentAt, backend.PollReply{}, failure, cc.now)
+	assert.Equal(t, cc.core.workers["a1"].silentSince, Instant(0))
+}
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -376,7 +376,7 @@
 		return
 	}
 	if err != nil {
-		c.handlePollFailure(w, err)
+		c.handlePollFailure(w, sentAt, err)
 		return
 	}
 	if reply.Refusal == backend.RefusedFence {
@@ -436,9 +436,11 @@
 	w.inventoryKnown = false
 }
 
-// handlePollFailure records an unanswered poll.
-func (c *Core) handlePollFailure(w *worker, err error) {
-	c.recordSilence(w)
+// handlePollFailure records an unanswered poll that was sent at sentAt. It says nothing about the time after a later answer.
+func (c *Core) handlePollFailure(w *worker, sentAt Instant, err error) {
+	if sentAt >= w.clockReceivedAt {
+		c.recordSilence(w)
+	}
 	w.health.missedPolls++
 	if w.health.missedPolls >= missedPollsToBlock {
 		w.startsBlockedUntil = max(w.startsBlockedUntil, c.now+startBlockDuration)
