Keep crashes until they are judged

Its task then neither started nor failed.

TestUnsettledCrashIsKept failed before ("running != failed") and passes.

--- a/version/cell/crash.go
+++ b/version/cell/crash.go
@@ -93,7 +93,7 @@
 	k := &crash{
 		worker: w.info.ID, address: w.info.Address, rack: w.rack, lastAnswerAt: w.clockReceivedAt, silentSince: w.silentSince, noticedAt: c.now,
 	}
-	c.crashes = slices.DeleteFunc(c.crashes, func(old *crash) bool { return c.now > old.noticedAt+crashRetention })
+	c.crashes = slices.DeleteFunc(c.crashes, func(old *crash) bool { return old.settled && c.now > old.noticedAt+crashRetention })
 	c.crashes = append(c.crashes, k)
 	for _, t := range expired {
 		c.countCrash(k, t, false)
--- a/version/cell/crash_test.go
+++ b/version/cell/crash_test.go
@@ -366,3 +366,20 @@
 	cc.core.PollResult("a1", sentAt, backend.PollReply{}, failure, cc.now)
 	assert.Equal(t, cc.core.workers["a1"].silentSince, Instant(0))
 }
+
+// A crash must be judged even if another one is noticed long after it, before the next sweep: a suspended leader runs none, and the
+// task would be neither started nor given up.
+func TestUnsettledCrashIsKept(t *testing.T) {
+	cc := newCrashCluster(t, 1, "a1", "b1")
+	cc.addJob("x", "plain", 1, stepWithTasks(1))
+	cc.core.findTask("x.0.0.0").crashes = crashCount{certain: maxCrashes - 1}
+	worker := cc.start("x.0.0.0")
+	cc.crash(worker)
+	cc.now += crashRetention + time.Second
+	for id := range cc.boots {
+		cc.crash(id)
+	}
+	cc.advance(crashSettleTime + 200*time.Millisecond)
+	cc.storeBatches()
+	assert.Equal(t, cc.state("x"), job.Failed)
+}
