Forget workers that a task does not avoid any longer

Workers that a task had avoided stayed in its list for as long as the leader led, and counted in "has been on all workers", so that a service task that had outlived many workers would have avoided none.

Expired entries are removed when another is added. The tests of version/cell pass; none shows the former fault.

--- a/version/cell/avoid.go
+++ b/version/cell/avoid.go
@@ -1,6 +1,9 @@
 package cell
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // avoidDuration is how long a task avoids a worker on which it failed, stalled or was refused. It is shorter than the time
 // within which a service task must run again, since the workers that it avoids may be the only ones that can run it.
@@ -9,8 +12,11 @@
 // avoidedWorkers holds until when a task avoids workers, by worker ID.
 type avoidedWorkers map[string]Instant
 
-// add makes the task avoid a worker from now on.
-func (a avoidedWorkers) add(w *worker, now Instant) { a[w.info.ID] = now + avoidDuration }
+// add makes the task avoid a worker from now on, and forgets the workers that it does not avoid any longer.
+func (a avoidedWorkers) add(w *worker, now Instant) {
+	maps.DeleteFunc(a, func(_ string, until Instant) bool { return now >= until })
+	a[w.info.ID] = now + avoidDuration
+}
 
 // contains reports whether the task avoids a worker.
 func (a avoidedWorkers) contains(id string, now Instant) bool {
