--- /dev/null
+++ b/version/cell/leases.go
@@ -0,0 +1,82 @@
+package cell
+
+import "time"
+
+// leasesEnd returns when every lease on the worker has expired, on the local clock.
+func (c *Core) leasesEnd(w *worker) Instant {
+	if w.clockMS == 0 {
+		// Until the new boot has answered, a start that it has executed may hold a full lease.
+		return max(c.epochStart+c.recoveryBound(), w.restartedAt+maxLocalDuration(c.opts.LeaseDuration))
+	}
+	remaining := time.Duration(w.leaseEndMS-w.clockMS) * time.Millisecond
+	return w.clockReceivedAt + maxLocalDuration(max(remaining, 0))
+}
+
+// expireLeases drops the runs of a worker that has not answered until all of its leases have expired.
+func (c *Core) expireLeases(w *worker) {
+	if c.now <= c.leasesEnd(w) {
+		return
+	}
+	if len(w.runs) > 0 {
+		c.logDecision("leases_lapsed", "", map[string]any{
+			"worker": w.info.ID, "runs": len(w.runs), "last_answer_ms": (c.now - w.clockReceivedAt).Milliseconds(),
+		})
+		w.expiredTasks = w.tasksAtRisk()
+		for _, r := range w.runs {
+			c.dropRun(r, "lease expired")
+		}
+		w.inventoryKnown = false
+	}
+	delete(c.inventoryPending, w.info.ID)
+	if !w.listed && c.now > w.unlistedAt+unlistedWorkerRetention {
+		c.noticeCrash(w)
+		delete(c.workers, w.info.ID)
+		c.fleetChanged = true
+	}
+}
+
+// unlistedWorkerRetention is how long a worker without a registry entry is kept, since the entry may return.
+const unlistedWorkerRetention = 10 * time.Second
+
+// recordClock records a reading of the worker's clock. Older readings are ignored. A former leader, whose commands the worker
+// refuses from the first answer on, has sent leases that end at most one lease duration after that answer.
+func (c *Core) recordClock(w *worker, readingMS int64) {
+	w.silentSince = 0
+	if w.clockMS == 0 && readingMS > 0 {
+		w.leaseEndMS = max(w.leaseEndMS, readingMS+c.opts.LeaseDuration.Milliseconds())
+	}
+	if readingMS > w.clockMS {
+		w.clockMS, w.clockReceivedAt = readingMS, c.now
+	}
+}
+
+// recordSilence records that a worker has not answered a poll or a start.
+func (c *Core) recordSilence(w *worker) {
+	if w.silentSince == 0 {
+		w.silentSince = c.now
+	}
+}
+
+// recordReplyClock records the clock in the reply to a command for a run. A reply to a command for a run that is older than
+// the known boot may come from the previous boot, whose clock was another one.
+func (c *Core) recordReplyClock(r *run, readingMS int64) {
+	if r.createdAt >= r.worker.restartedAt {
+		c.recordClock(r.worker, readingMS)
+	}
+}
+
+// leaseDeadline returns the deadline of a new lease on the worker's clock and records it as sent. While the worker has
+// runs or has no registry entry, the lease counts from the latest reading of its clock, so that the leases of an
+// unresponsive worker expire. 0 means no deadline, because no reading is known.
+func (c *Core) leaseDeadline(w *worker) int64 {
+	if w.clockMS == 0 {
+		return 0
+	}
+	elapsed := time.Duration(0)
+	if len(w.runs) == 0 && w.listed {
+		elapsed = time.Duration(float64(c.now-w.clockReceivedAt) * (1 - maxClockDrift))
+	}
+	d := w.clockMS + (elapsed + c.opts.LeaseDuration).Milliseconds()
+	w.leaseEndMS = max(w.leaseEndMS, d)
+	return d
+}
--- /dev/null
+++ b/version/cell/polls.go
@@ -0,0 +1,188 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/lentiltide/lentiltide/backend"
+)
+
+const (
+	// pollWait and idlePollWait are how long a worker with and without runs waits for a completion before it answers a
+	// poll.
+	pollWait     = time.Second
+	idlePollWait = 2 * time.Second
+	// completionSlack is added to the time at which a completion is expected.
+	completionSlack = 200 * time.Millisecond
+	// minPollWait is the shortest wait, for workers whose tasks take longer than expected.
+	minPollWait = 300 * time.Millisecond
+	// missedPollsToBlock is how many consecutive polls must remain unanswered before no new runs start on a worker: a
+	// single answer may be lost.
+	missedPollsToBlock = 2
+)
+
+// PreparePoll returns the next poll of a worker. ok is false if the worker is no longer known; pause asks the caller to
+// try again later.
+func (c *Core) PreparePoll(id string, now Instant) (req backend.PollRequest, pause, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = max(c.now, now)
+	w := c.workers[id]
+	if w == nil {
+		return req, false, false
+	}
+	if c.halted() {
+		return req, true, true
+	}
+	req = backend.PollRequest{Worker: w.ref(), FencingToken: c.opts.Epoch, LeaseDeadlineMS: c.leaseDeadline(w)}
+	if w.health.missedPolls == 0 {
+		// A worker that has not answered may have restarted, and numbers its completions anew.
+		req.AcknowledgedCompletion = w.lastAckedCompletion
+	}
+	switch {
+	case !w.inventoryKnown || w.lastReadCompletion > w.lastAckedCompletion:
+		req.Wait = 0
+	case len(w.runs) == 0:
+		req.Wait = idlePollWait
+	default:
+		req.Wait = c.busyPollWait(w)
+	}
+	return req, false, true
+}
+
+// busyPollWait returns how long a poll of a worker with runs should wait, which is until the next completion is
+// expected. If the answer is lost, the completion is then observed no later than necessary.
+func (c *Core) busyPollWait(w *worker) time.Duration {
+	wait := pollWait
+	for _, r := range w.runs {
+		if !r.task.step.spec.LongRunning {
+			wait = min(wait, c.remainingDuration(r)+completionSlack)
+		}
+	}
+	return max(wait.Truncate(time.Millisecond), minPollWait)
+}
+
+// AcksChanged returns a channel that receives a value when more completions of a worker may be acknowledged, and
+// whether any cannot be acknowledged yet.
+func (c *Core) AcksChanged(id string) (changed <-chan struct{}, pending bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.workers[id]
+	if w == nil {
+		return nil, false
+	}
+	return w.acksChanged, w.lastReadCompletion > w.lastAckedCompletion
+}
+
+// PollResult records the outcome of a poll of a worker that was sent at sentAt.
+func (c *Core) PollResult(id string, sentAt Instant, reply backend.PollReply, err error, now Instant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = max(c.now, now)
+	w := c.workers[id]
+	if w == nil {
+		return
+	}
+	if err != nil {
+		c.handlePollFailure(w, sentAt, err)
+		return
+	}
+	if reply.Refusal == backend.RefusedFence {
+		c.supersede(w)
+		return
+	}
+	if reply.Refusal == backend.RefusedInstance {
+		c.handleWorkerReplaced(w)
+		return
+	}
+	if reply.Refusal != "" {
+		c.logDecision("poll_refused", "", map[string]any{"worker": id, "refusal": reply.Refusal})
+		w.startsBlockedUntil = c.now + startBlockDuration
+		return
+	}
+	if reply.StartedMS < w.startedMS {
+		return
+	}
+	if reply.StartedMS > w.startedMS {
+		if w.startedMS != 0 {
+			c.handleWorkerRestart(w, reply.StartedMS)
+		}
+		w.startedMS = reply.StartedMS
+	}
+	c.recordClock(w, reply.ClockMS)
+	if !w.inventoryKnown {
+		c.logDecision("worker_read", "", map[string]any{"worker": id, "running": len(reply.Running), "ended": len(reply.Finished),
+			"started_ms": reply.StartedMS})
+	}
+	w.health.missedPolls = 0
+	if w.health.unresponsive {
+		w.health.unresponsive = false
+		c.logDecision("worker_answers", "", map[string]any{"worker": id})
+	}
+	w.expiredTasks = nil
+	c.recordCompletions(w, reply.Finished)
+	c.reconcileRuns(w, sentAt, reply.Running)
+	w.forgetResolvedTasks()
+	w.inventoryKnown = true
+	delete(c.inventoryPending, id)
+	c.signalWake()
+}
+
+// handleWorkerReplaced drops the runs of a worker whose address belongs to another worker now: its runs ended with its
+// process.
+func (c *Core) handleWorkerReplaced(w *worker) {
+	delete(c.inventoryPending, w.info.ID)
+	if !w.inventoryKnown && len(w.runs) == 0 && len(w.expiredTasks) == 0 {
+		return
+	}
+	c.logDecision("worker_replaced", "", map[string]any{"worker": w.info.ID, "runs": len(w.runs), "address": w.info.Address})
+	k := c.noticeCrash(w)
+	for _, r := range w.runs {
+		c.countCrashOfRun(k, r)
+		c.dropRun(r, "address is used by another worker")
+	}
+	w.inventoryKnown = false
+}
+
+// handlePollFailure records an unanswered poll that was sent at sentAt. It says nothing about the time after a later answer.
+func (c *Core) handlePollFailure(w *worker, sentAt Instant, err error) {
+	if sentAt >= w.clockReceivedAt {
+		c.recordSilence(w)
+	}
+	w.health.missedPolls++
+	if w.health.missedPolls >= missedPollsToBlock {
+		w.startsBlockedUntil = max(w.startsBlockedUntil, c.now+startBlockDuration)
+	}
+	if !w.health.unresponsive {
+		w.health.unresponsive = true
+		c.logDecision("worker_silent", "", map[string]any{"worker": w.info.ID, "error": err.Error(), "runs": len(w.runs)})
+	}
+}
+
+// startBlockDuration is how long no new runs start on a worker after a failure.
+const startBlockDuration = 700 * time.Millisecond
+
+// reconcileRuns compares the runs that a worker lists with the ledger.
+func (c *Core) reconcileRuns(w *worker, sentAt Instant, running []backend.ActiveRun) {
+	w.unknownRuns = nil
+	w.hasUnknownRuns = false
+	listed := make(map[runKey]struct{}, len(running))
+	for _, item := range running {
+		key := runKey{item.Task, item.Run}
+		listed[key] = struct{}{}
+		r := w.runs[key]
+		if r == nil {
+			r = c.adoptRun(w, item)
+		}
+		if r == nil {
+			w.hasUnknownRuns = true
+			continue
+		}
+		c.updateRun(r, item)
+	}
+	for key, r := range w.runs {
+		if _, ok := listed[key]; !ok {
+			c.handleUnlistedRun(r, sentAt)
+		}
+	}
+	c.protectLatency(w)
+}
