Limit reads of the store by their progress, not by their total time

Cause: a read of the feed had 1.7 s in total, of which up to 1 s had passed when a change came. A configuration of 4,245 queues takes 1.07 MB on the wire, 0.9 to 1.0 s of the link. The read was given up and started again from its first byte; meanwhile the store counted as silent, so that the same rows were requested through the leader and another instance, over the same link.

Data that arrives is an answer of the store: it neither counts as an outage nor is requested again through other instances.

--- a/process/node/leadership.go
+++ b/process/node/leadership.go
@@ -192,10 +192,7 @@
 	}
 	n.leader.row, n.leader.rowVersion = value, row.Version
 	n.leaderLost, n.leaderHint = false, ""
-	select {
-	case n.joinNow <- struct{}{}:
-	default:
-	}
+	signal(n.joinNow)
 	n.opts.Log.WithFields(map[string]any{
 		"event": "leader_seen", "leader": value.Instance, "epoch": value.Epoch, "resigned": value.Resigned,
 	}).Info("leader changed")
--- a/process/node/peers.go
+++ b/process/node/peers.go
@@ -65,10 +65,7 @@
 	}
 	if lost {
 		n.updateLeaderHint(address, err)
-		select {
-		case n.checkNow <- struct{}{}:
-		default:
-		}
+		signal(n.checkNow)
 	}
 	if err != nil {
 		return
--- a/process/node/relay.go
+++ b/process/node/relay.go
@@ -54,15 +54,17 @@
 	combined := verdict.NotRun
 	firstErr := r.direct.Check(ctx, shard)
 	if firstErr == nil {
-		launch(direct)
-		select {
-		case out := <-results:
+		progressed := make(chan struct{}, 1)
+		launch(func(ctx context.Context) (T, error) {
+			return direct(backend.WithProgress(ctx, func() { signal(progressed) }))
+		})
+		if out, ok := waitWhileProgressing(results, progressed, r.direct.AnswerTimeout); ok {
 			if isAnswer(out.err) {
 				return out.value, out.err
 			}
 			pending--
 			firstErr, combined = out.err, verdict.Of(out.err)
-		case <-time.After(r.direct.AnswerTimeout()):
+		} else {
 			firstErr = verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the store is silent")
 		}
 	}
@@ -87,6 +89,27 @@
 	return zero, verdict.Wrap(firstErr, combined, verdict.From(firstErr).Code, "no way to the store").WithRetryAfter(retryAfter)
 }
 
+// waitWhileProgressing waits for a result. It returns false when neither a result nor progress has come within the timeout.
+func waitWhileProgressing[T any](results <-chan T, progressed <-chan struct{}, timeout func() time.Duration) (out T, ok bool) {
+	for {
+		select {
+		case out = <-results:
+			return out, true
+		case <-progressed:
+		case <-time.After(timeout()):
+			return out, false
+		}
+	}
+}
+
+// signal wakes the receiver of a channel with a buffer of one, unless it has been woken already.
+func signal(wake chan<- struct{}) {
+	select {
+	case wake <- struct{}{}:
+	default:
+	}
+}
+
 // uncertainIf returns the error of an answer, with the verdict MayHaveRun if the call may have been executed on another
 // path.
 func uncertainIf(severalPaths bool, err error) error {
--- a/process/node/relay_test.go
+++ b/process/node/relay_test.go
@@ -8,9 +8,50 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lentiltide/lentiltide/backend"
 	"github.com/lentiltide/lentiltide/request/verdict"
 )
 
+// Guards against large pages that are requested through other instances as well while the direct call receives them over a
+// slow link: the copies come over the same link.
+func TestTransferInProgressIsNotRelayed(t *testing.T) {
+	cases := map[string]struct {
+		progressInterval time.Duration
+		wantRelayed      bool
+	}{
+		"data arrives":    {100 * time.Millisecond, false},
+		"nothing arrives": {time.Hour, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			runInCell(t, func(t *testing.T, cell *testCell) {
+				transfer := func(ctx context.Context) (int, error) {
+					end := time.After(5 * time.Second)
+					for {
+						select {
+						case <-end:
+							return 1, nil
+						case <-time.After(c.progressInterval):
+							backend.ReportProgress(ctx)
+						case <-ctx.Done():
+							return 0, ctx.Err()
+						}
+					}
+				}
+				relayed := false
+				viaPeer := func(context.Context, string) (int, error) {
+					relayed = true
+					return 2, nil
+				}
+				_, err := relay(t.Context(), cell.follower().tables, cellShard, transfer, viaPeer)
+				assert.NilError(t, err)
+				assert.Equal(t, relayed, c.wantRelayed)
+				synctest.Wait()
+			})
+		})
+	}
+}
+
 // Guards against a conflict with the verdict NotRun although the write may have been executed on another path: the conflict
 // may be with the caller's own write.
 func TestConflictAfterSeveralPathsIsUncertain(t *testing.T) {
--- a/process/node/storehealth.go
+++ b/process/node/storehealth.go
@@ -57,8 +57,8 @@
 
 // shardHealth is the observed health of one shard.
 type shardHealth struct {
-	// pending holds the start times of the calls in flight, by their ids.
-	pending     map[uint64]cell.Instant
+	// pending holds the calls in flight by their ids.
+	pending     map[uint64]*pendingTableCall
 	succeededAt cell.Instant
 	// failingSince is when the current series of failures began, 0 if the last call was answered.
 	failingSince cell.Instant
@@ -67,6 +67,16 @@
 	loggedDown bool
 }
 
+// pendingTableCall is a call in flight.
+type pendingTableCall struct {
+	sentAt cell.Instant
+	// progressedAt is when a part of the response last arrived, 0 if none has.
+	progressedAt cell.Instant
+}
+
+// lastSignAt returns when the store last showed that it serves the call, at the earliest when it was sent.
+func (c *pendingTableCall) lastSignAt() cell.Instant { return max(c.sentAt, c.progressedAt) }
+
 func observeTables(tables backend.Tables, now func() cell.Instant, onChange func(shard string, down bool, cause string)) *observedTables {
 	return &observedTables{Tables: tables, now: now, onChange: onChange, shards: map[string]*shardHealth{}, answeredAt: now()}
 }
@@ -75,7 +85,7 @@
 func (o *observedTables) shard(name string) *shardHealth {
 	health := o.shards[name]
 	if health == nil {
-		health = &shardHealth{pending: map[uint64]cell.Instant{}}
+		health = &shardHealth{pending: map[uint64]*pendingTableCall{}}
 		o.shards[name] = health
 	}
 	return health
@@ -96,7 +106,7 @@
 // Commit implements backend.Tables.
 func (o *observedTables) Commit(ctx context.Context, txn backend.Txn) (uint64, error) {
 	shard := shardOfTxn(txn)
-	callID := o.beginCall(shard)
+	ctx, callID := o.beginCall(ctx, shard)
 	version, err := o.Tables.Commit(ctx, txn)
 	o.endCall(shard, callID, err)
 	return version, err
@@ -104,7 +114,7 @@
 
 // Get implements backend.Tables.
 func (o *observedTables) Get(ctx context.Context, key backend.RowKey) (backend.Row, error) {
-	callID := o.beginCall(key.Shard)
+	ctx, callID := o.beginCall(ctx, key.Shard)
 	row, err := o.Tables.Get(ctx, key)
 	o.endCall(key.Shard, callID, err)
 	return row, err
@@ -112,7 +122,7 @@
 
 // Range implements backend.Tables.
 func (o *observedTables) Range(ctx context.Context, table, shard, from string) (backend.Page, error) {
-	callID := o.beginCall(shard)
+	ctx, callID := o.beginCall(ctx, shard)
 	page, err := o.Tables.Range(ctx, table, shard, from)
 	o.endCall(shard, callID, err)
 	return page, err
@@ -121,21 +131,51 @@
 // feedsShard is the name under which the health of the feeds is tracked. A feed spans all shards.
 const feedsShard = "(feeds)"
 
-// Feed implements backend.Tables. A waiting feed does not show whether the service answers, so only its result is recorded.
+// Feed implements backend.Tables. A waiting feed does not show whether the service answers, so only the arrival of its
+// response and its result are recorded.
 func (o *observedTables) Feed(ctx context.Context, table string, after uint64, wait time.Duration) (backend.Page, error) {
-	page, err := o.Tables.Feed(ctx, table, after, wait)
+	page, err := o.Tables.Feed(backend.WithProgress(ctx, o.recordFeedProgress), table, after, wait)
 	if ctx.Err() == nil {
 		o.endCall(feedsShard, 0, err)
 	}
 	return page, err
 }
 
-func (o *observedTables) beginCall(shard string) uint64 {
+// beginCall records a call that is about to be sent. It returns the context for the call, which records its progress, and the
+// id of the call.
+func (o *observedTables) beginCall(ctx context.Context, shard string) (context.Context, uint64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.lastCallID++
-	o.shard(shard).pending[o.lastCallID] = o.now()
-	return o.lastCallID
+	call := &pendingTableCall{sentAt: o.now()}
+	o.shard(shard).pending[o.lastCallID] = call
+	return backend.WithProgress(ctx, func() { o.recordProgress(call) }), o.lastCallID
+}
+
+// recordProgress records that a part of the response to a call has arrived. The first part ends its answer time.
+func (o *observedTables) recordProgress(call *pendingTableCall) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.now()
+	if call.progressedAt == 0 {
+		o.recordAnswerTime(now - call.sentAt)
+	}
+	call.progressedAt, o.answeredAt = now, now
+}
+
+// recordFeedProgress records that a part of the response to a feed has arrived.
+func (o *observedTables) recordFeedProgress() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.answeredAt = o.now()
+}
+
+// recordAnswerTime updates the longest recent answer time. Callers hold o.mu.
+func (o *observedTables) recordAnswerTime(took time.Duration) {
+	now := o.now()
+	if took >= o.slowestAnswer || now > o.slowestAnswerAt+slowAnswerWindow {
+		o.slowestAnswer, o.slowestAnswerAt = took, now
+	}
 }
 
 // isAnswer reports whether a call was answered. The rejection of a condition or of a version is an answer.
@@ -153,8 +193,8 @@
 	defer o.mu.Unlock()
 	health := o.shard(shard)
 	now := o.now()
-	if sentAt, ok := health.pending[callID]; ok && isAnswer(err) && (now-sentAt >= o.slowestAnswer || now > o.slowestAnswerAt+slowAnswerWindow) {
-		o.slowestAnswer, o.slowestAnswerAt = now-sentAt, now
+	if call := health.pending[callID]; call != nil && call.progressedAt == 0 && isAnswer(err) {
+		o.recordAnswerTime(now - call.sentAt)
 	}
 	delete(health.pending, callID)
 	if isAnswer(err) {
@@ -204,9 +244,10 @@
 		return health.failingSince
 	}
 	since := cell.Instant(0)
-	for _, sentAt := range health.pending {
-		if now-sentAt > o.answerTimeout() && health.succeededAt < sentAt && (since == 0 || sentAt < since) {
-			since = sentAt
+	for _, call := range health.pending {
+		sign := call.lastSignAt()
+		if now-sign > o.answerTimeout() && health.succeededAt < sign && (since == 0 || sign < since) {
+			since = sign
 		}
 	}
 	return since
--- a/process/node/storehealth_test.go
+++ b/process/node/storehealth_test.go
@@ -64,3 +64,38 @@
 		})
 	}
 }
+
+// transferringTables is a table service whose reads of a range take transferTime, during which data arrives every
+// progressInterval.
+type transferringTables struct {
+	backend.Tables
+	transferTime, progressInterval time.Duration
+}
+
+func (t transferringTables) Range(ctx context.Context, _, _, _ string) (backend.Page, error) {
+	for end := time.Now().Add(t.transferTime); time.Now().Before(end); {
+		time.Sleep(t.progressInterval)
+		backend.ReportProgress(ctx)
+	}
+	return backend.Page{}, nil
+}
+
+// Guards against a store that counts as lost while a large page of it arrives over a slow link.
+func TestTransferInProgressIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		startedAt := time.Now()
+		tables := transferringTables{backends.NewTables(), 6 * time.Second, 100 * time.Millisecond}
+		o := observeTables(tables, func() time.Duration { return time.Since(startedAt) + time.Hour }, func(string, bool, string) {})
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_, _ = o.Range(t.Context(), jobTable, "p1", "")
+		}()
+		for range 50 {
+			time.Sleep(100 * time.Millisecond)
+			assert.Assert(t, !o.Down("p1"), "down after %s", time.Since(startedAt))
+		}
+		<-ended
+		assert.Equal(t, o.AnswerTimeout(), minSilenceTimeout, "the time of a transfer is no answer time")
+	})
+}
