Refuse requests by a configuration that is known to be outdated

Cause: the age of the configuration was only used for readiness, after 6 s.

Change: an instance that has a sign of a newer configuration, a response of the feed that has begun, refuses submissions, counts and unknown queues once the change may have to be in force, with 503 and Retry-After, and is not ready. Nothing has run then. States and cancellations of jobs, which do not depend on the configuration, are answered. Without a sign, as in an outage of the store, the last configuration stays in use, but an unknown queue is refused instead of denied. The deadline is the setting config_deadline_ms.

--- a/cmd/lentiltide-node/main.go
+++ b/cmd/lentiltide-node/main.go
@@ -165,12 +165,13 @@
 			Workers: platform.WorkerTable,
 		},
 		Log: log, Panics: panics, OnDecision: decisionRecorder(log, metrics), OnAnswer: metrics.RecordAnswer,
-		Lease:         min(maxLease, time.Duration(s.MaxLeaseMS)*time.Millisecond),
-		StopTimeout:   time.Duration(s.StopTimeoutMS) * time.Millisecond,
-		Retention:     time.Duration(s.RetentionS * float64(time.Second)),
-		CPUShare:      s.CPUShare,
-		TakeoverDelay: time.Duration((1 - min(s.CPUShare, 1)) * float64(maxTakeoverDelay)),
-		Now:           node.BootClock,
+		Lease:          min(maxLease, time.Duration(s.MaxLeaseMS)*time.Millisecond),
+		StopTimeout:    time.Duration(s.StopTimeoutMS) * time.Millisecond,
+		Retention:      time.Duration(s.RetentionS * float64(time.Second)),
+		ConfigDeadline: time.Duration(s.ConfigDeadlineMS) * time.Millisecond,
+		CPUShare:       s.CPUShare,
+		TakeoverDelay:  time.Duration((1 - min(s.CPUShare, 1)) * float64(maxTakeoverDelay)),
+		Now:            node.BootClock,
 	})
 	if err := metrics.RegisterGauges(n.Status, droppedLogLines); err != nil {
 		return nil, err
--- a/process/node/callers.go
+++ b/process/node/callers.go
@@ -16,12 +16,10 @@
 	statusTimeout = 250 * time.Millisecond
 	// maxWaitingJobsAge is the age up to which the counts of waiting jobs are returned.
 	maxWaitingJobsAge = 1800 * time.Millisecond
-	// maxConfigAge is the time since the last confirmation of the configuration after which the instance is not ready for
-	// new connections.
-	maxConfigAge = 6 * time.Second
 )
 
-// Queue returns the queue that is configured for a request's host and path.
+// Queue returns the queue that is configured for a request's host and path. The error has CodeUnavailable if the queue may have
+// been added lately.
 func (n *Node) Queue(host, path string) (job.Queue, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -30,7 +28,7 @@
 	}
 	q, ok := n.config.Match(host, path)
 	if !ok {
-		return job.Queue{}, verdict.New(verdict.NotRun, verdict.CodeNotFound, "there is no such queue")
+		return job.Queue{}, n.unknownQueue()
 	}
 	return q, nil
 }
@@ -41,6 +39,10 @@
 		return err
 	}
 	startedAt := n.opts.Now()
+	if err := n.checkConfig(); err != nil {
+		n.logAnswer("job_submitted", id, startedAt, err, map[string]any{"queue": q.Name})
+		return err
+	}
 	_, epoch := n.leaderAddress()
 	data, err := json.Marshal(job.Record{Queue: q, Spec: spec, Epoch: epoch})
 	if err != nil {
@@ -211,6 +213,9 @@
 
 // WaitingJobs returns the number of jobs of a queue that have no started task.
 func (n *Node) WaitingJobs(_ context.Context, q job.Queue) (int, error) {
+	if err := n.checkConfig(); err != nil {
+		return 0, err
+	}
 	if l := n.loadedLeadership(); l != nil {
 		return l.core.WaitingJobs()[q.Name], nil
 	}
@@ -222,13 +227,6 @@
 	return int(n.waitingJobs[q.Name]), nil
 }
 
-// Ready reports whether the instance accepts new connections.
-func (n *Node) Ready() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return !n.leaving.Load() && n.config.Version != 0 && n.opts.Now()-n.configConfirmedAt < maxConfigAge
-}
-
 // MaxBodyBytes returns the configured limit of a request body, as the HTTP interface for callers requires.
 func (n *Node) MaxBodyBytes() int64 {
 	n.mu.Lock()
--- a/process/node/cell_test.go
+++ b/process/node/cell_test.go
@@ -52,6 +52,8 @@
 	silentFeed             string
 	rangesPerFault, ranges int
 	down                   map[string]bool
+	// transferTimes are how long instances with slow links take to read rows of a feed.
+	transferTimes map[string]time.Duration
 	// isolated is an instance that cannot reach any other one.
 	isolated string
 	// islands are the groups of instances that cannot reach each other; the default is 0.
@@ -88,6 +90,7 @@
 		delegateFrom: delegateFrom, startsBy: map[string]int{},
 		t: t, startedAt: time.Now(), tables: backends.NewTables(), nodes: map[string]*testNode{},
 		behaviors: map[string]backends.TaskBehavior{}, panics: map[string]int{}, storeFaults: map[string]backends.Fault{}, down: map[string]bool{}, silentWorkers: map[string]bool{}, cpuShares: map[string]float64{},
+		transferTimes: map[string]time.Duration{},
 	}
 	c.workers = backends.NewWorkers(c.now, c.behaviorOf)
 	c.tables.Put(backend.RowKey{Table: "config", Key: "current"}, []byte("1"))
@@ -230,12 +233,17 @@
 }
 
 func (n nodeTables) Feed(ctx context.Context, table string, after uint64, wait time.Duration) (backend.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
+	call, cancel := context.WithTimeout(ctx, wait+time.Second)
 	defer cancel()
-	if err := n.checkFeedFault(ctx, table); err != nil {
+	if err := n.checkFeedFault(call, table); err != nil {
 		return backend.Page{}, err
 	}
-	return n.Tables.Feed(ctx, table, after, wait)
+	page, err := n.Tables.Feed(call, table, after, wait)
+	if err != nil {
+		return page, err
+	}
+	// A transfer in progress is limited by its progress, not by the timeout of the long poll.
+	return page, n.transfer(ctx, page)
 }
 
 // nodeWorkers are the workers as one instance sees them. They do not answer an instance that is down.
--- a/process/node/config.go
+++ b/process/node/config.go
@@ -22,7 +22,8 @@
 		var page backend.Page
 		var err error
 		if feedPositionKnown {
-			page, err = n.tables.Feed(ctx, key.Table, version, configLongPoll)
+			// A response that has begun contains a change, unless the long poll has just ended.
+			page, err = n.tables.Feed(backend.WithProgress(ctx, n.noticeNewerConfig), key.Table, version, configLongPoll)
 		} else {
 			page.Rows, page.Version, err = n.readShard(ctx, key.Table, key.Shard)
 		}
@@ -40,14 +41,12 @@
 		}
 		feedPositionKnown, version = true, max(version, page.Version)
 		n.applyConfigRows(page.Rows, key)
+		n.confirmConfig(n.opts.Now())
 	}
 }
 
 // applyConfigRows applies the maintenance requests and the newest configuration among the rows.
 func (n *Node) applyConfigRows(rows []backend.Row, key backend.RowKey) {
-	n.mu.Lock()
-	n.configConfirmedAt = n.opts.Now()
-	n.mu.Unlock()
 	for _, row := range rows {
 		n.applyWaveRow(row)
 		if row.RowKey != key || row.Deleted {
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -54,6 +55,8 @@
 	// Lease is the duration of leases on workers, StopTimeout limits a stop, and Retention is how long the state of a
 	// finished job can be queried.
 	Lease, StopTimeout, Retention time.Duration
+	// ConfigDeadline is the time within which a change of the configuration must be in force; 0 means the default.
+	ConfigDeadline time.Duration
 	// CPUShare is the number of CPU cores of this instance, which may be a fraction; larger instances are preferred as
 	// leaders.
 	CPUShare float64
@@ -88,10 +91,9 @@
 	mu     sync.Mutex
 	config job.Config
 	// waves are the operator's maintenance requests.
-	waves []backend.MaintenanceWave
-	// configConfirmedAt is when the configuration was last confirmed to be current.
-	configConfirmedAt cell.Instant
-	leader            leaderView
+	waves     []backend.MaintenanceWave
+	configAge configAge
+	leader    leaderView
 	// leadership is set while this instance leads.
 	leadership *leadership
 	// waitingJobs is the number of waiting jobs of each queue, as sent by the leader.
@@ -117,6 +119,7 @@
 	if opts.Panics == nil {
 		opts.Panics = recovery.NewRecorder(opts.Log, nil)
 	}
+	opts.ConfigDeadline = cmp.Or(opts.ConfigDeadline, defaultConfigDeadline)
 	opts.recoverBackends()
 	n := &Node{opts: opts, createdAt: opts.Now(), joinNow: make(chan struct{}, 1), checkNow: make(chan struct{}, 1), candidate: true}
 	n.direct = observeTables(opts.Tables, opts.Now, n.logStoreContact)
--- a/process/node/status.go
+++ b/process/node/status.go
@@ -37,7 +37,7 @@
 	n.mu.Lock()
 	s := Status{
 		Instance: n.opts.Instance, Leader: n.leader.row.Instance, SeenEpoch: n.leader.row.Epoch, LeaderLost: n.leaderLost,
-		Leaving: n.leaving.Load(), Config: n.config.Version, ConfigAgeMS: (n.opts.Now() - n.configConfirmedAt).Milliseconds(),
+		Leaving: n.leaving.Load(), Config: n.config.Version, ConfigAgeMS: (n.opts.Now() - n.configAge.confirmedAt).Milliseconds(),
 	}
 	l := n.leadership
 	n.mu.Unlock()
--- a/process/settings/node.go
+++ b/process/settings/node.go
@@ -33,6 +33,8 @@
 	MemoryMB int64 `json:"memory_mb"`
 	// MaxLeaseMS is the longest lease that workers grant, in milliseconds.
 	MaxLeaseMS int64 `json:"max_lease_ms"`
+	// ConfigDeadlineMS is the time within which a change of the configuration must be in force, in milliseconds.
+	ConfigDeadlineMS int64 `json:"config_deadline_ms"`
 	// StopTimeoutMS is the timeout for stopping a task on a worker, in milliseconds.
 	StopTimeoutMS int64 `json:"stop_timeout_ms"`
 	// RetentionS is how long the state of a finished job can be queried, in seconds.
@@ -47,6 +49,7 @@
 const (
 	minMemoryMB, maxMemoryMB = 32, 1 << 20
 	minMaxLeaseMS            = 1000
+	minConfigDeadlineMS      = 100
 	minGraceS, maxGraceS     = 0.5, 600
 	maxRetentionS            = 7 * 24 * 3600
 )
@@ -62,7 +65,7 @@
 
 // ParseNode decodes and validates the settings of a node. The error is an *Error that lists every problem found.
 func ParseNode(data []byte) (Node, error) {
-	s := Node{LogLevel: "info", CPUShare: 1, StopTimeoutMS: 500, RetentionS: 120, GraceS: 6, MaxLeaseMS: maxTimeoutMS}
+	s := Node{LogLevel: "info", CPUShare: 1, StopTimeoutMS: 500, ConfigDeadlineMS: 3000, RetentionS: 120, GraceS: 6, MaxLeaseMS: maxTimeoutMS}
 	var found problems
 	for _, p := range strictjson.Decode(data, &s) {
 		found = append(found, p.String())
@@ -97,6 +100,7 @@
 		p.addf("memory_mb", "expected %d to %d megabytes, got %d", minMemoryMB, maxMemoryMB, s.MemoryMB)
 	}
 	p.checkMillis("max_lease_ms", s.MaxLeaseMS, minMaxLeaseMS, maxLeaseMS)
+	p.checkMillis("config_deadline_ms", s.ConfigDeadlineMS, minConfigDeadlineMS, maxTimeoutMS)
 	p.checkMillis("stop_timeout_ms", s.StopTimeoutMS, 1, maxTimeoutMS)
 	if s.GraceS < minGraceS || s.GraceS > maxGraceS {
 		p.addf("grace_s", "expected %g to %g seconds, got %g", minGraceS, float64(maxGraceS), s.GraceS)
