Limit how many crashes of a task are attributed to outages

Cause: with many crashing tasks, three quarters of the workers of a rack crash within two seconds again and again, which counts as an outage of the rack. Its crashes were taken back from all tasks that did not belong to a job with tasks on each of the workers, without a limit.

Change: at most two crashes are taken back from any task. The number is stored with its crashes, so that the next leader does not start from zero. A service task that has run for a minute is forgiven both.

Evidence: TestTasksOfSeveralJobsThatCrashRacksAreGivenUp (still running after five outages) and TestCrashesTakenBackSurviveATakeover failed before; the tests of innocent jobs pass.

--- a/version/cell/crash.go
+++ b/version/cell/crash.go
@@ -30,8 +30,8 @@
 	minRackOutage   = 3
 	maxShareOutside = 0.5
 	rackOutageShare = 0.75
-	// maxCrashesTakenBack is how many crashes under a task may be attributed to outages that its job may have caused. The task
-	// starts no more than twice after maxCrashes.
+	// maxCrashesTakenBack is how many crashes under a task may be attributed to outages: tasks of several jobs that crash the
+	// workers of a rack look like one. The task starts no more than twice after maxCrashes.
 	maxCrashesTakenBack = 2
 	// crashSettleTime is how long after a crash its tasks are judged: the other workers of the rack may be noticed by then.
 	crashSettleTime = time.Second
@@ -182,7 +182,7 @@
 		}
 		other.takenBack = true
 		for _, counted := range other.tasks {
-			c.takeBack(counted, outage)
+			c.takeBack(counted)
 		}
 	}
 	return true
@@ -228,30 +228,17 @@
 	return addresses
 }
 
-// takeBack takes one crash of an outage back from a task. If its job had tasks on all of the workers, it may have caused the
-// outage; this is taken back maxCrashesTakenBack times only.
-func (c *Core) takeBack(counted countedTask, outage []*crash) {
+// takeBack takes one crash of an outage back from a task, up to maxCrashesTakenBack times.
+func (c *Core) takeBack(counted countedTask) {
 	t := counted.task
-	if ranOnAll(t.step.job, outage) {
-		if t.crashesTakenBack >= maxCrashesTakenBack {
-			return
-		}
-		t.crashesTakenBack++
+	if t.crashesTakenBack >= maxCrashesTakenBack {
+		return
 	}
+	t.crashesTakenBack++
 	t.crashes.add(counted.certain, -1)
 	c.markChanged(t.step.job)
 }
 
-// ranOnAll reports whether a job had tasks on all crashed workers.
-func ranOnAll(j *jobState, crashes []*crash) bool {
-	for _, k := range crashes {
-		if !slices.ContainsFunc(k.tasks, func(counted countedTask) bool { return counted.task.step.job == j }) {
-			return false
-		}
-	}
-	return true
-}
-
 // tasksAtRisk returns the tasks that may have run on a worker since its last answer.
 func (w *worker) tasksAtRisk() []*task {
 	var tasks []*task
@@ -266,8 +253,8 @@
 // forgetEarlierCrashes takes the crashes back from a service task whose run has been stable: it may meet crashes by chance for
 // as long as it lasts.
 func (c *Core) forgetEarlierCrashes(r *run) {
-	if r.task.step.spec.LongRunning && r.task.crashes.total() > 0 && c.now > r.createdAt+stableServiceRun {
-		r.task.crashes = crashCount{}
+	if r.task.step.spec.LongRunning && r.task.crashes.total()+r.task.crashesTakenBack > 0 && c.now > r.createdAt+stableServiceRun {
+		r.task.crashes, r.task.crashesTakenBack = crashCount{}, 0
 		c.markChanged(r.task.step.job)
 	}
 }
--- a/version/cell/crash_test.go
+++ b/version/cell/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -207,6 +208,62 @@
 	assert.Equal(t, outages, maxCrashes+2)
 }
 
+// Tasks of several jobs that bring down a rack together must each be given up: none of them ran on all of its workers, so that each
+// crash looks like an outage that others have caused.
+func TestTasksOfSeveralJobsThatCrashRacksAreGivenUp(t *testing.T) {
+	rack := []string{"a1", "a2", "a3", "a4"}
+	cc := newCrashCluster(t, 1, append(rack, "b1")...)
+	wholeWorker := func(s *job.Step) { s.TaskDemand.CPUMilli = 4000 }
+	cc.addJob("y", "plain", 1, stepWithTasks(1, wholeWorker, func(s *job.Step) { s.RequiredLabel = "b" }))
+	cc.start("y.0.0.0")
+	jobs := []string{"p", "q", "r", "s"}
+	for _, id := range jobs {
+		cc.addJob(id, "plain", 1, stepWithTasks(1, wholeWorker))
+	}
+	for range maxCrashes + maxCrashesTakenBack {
+		for _, id := range jobs {
+			assert.Assert(t, cc.state(id) != job.Failed)
+		}
+		cc.runEverywhere(rack)
+		for _, id := range rack {
+			cc.crash(id)
+		}
+		cc.advance(crashSettleTime + 200*time.Millisecond)
+		cc.storeBatches()
+	}
+	for _, id := range jobs {
+		assert.Equal(t, cc.state(id), job.Failed, id)
+	}
+}
+
+// runEverywhere runs scheduling rounds until each of the workers runs a task.
+func (cc *crashCluster) runEverywhere(workers []string) {
+	for range 100 {
+		cc.advance(50 * time.Millisecond)
+		for id := range cc.boots {
+			cc.poll(id)
+		}
+		cc.confirmStarts()
+		if !slices.ContainsFunc(workers, func(id string) bool { return len(cc.core.workers[id].runs) == 0 }) {
+			return
+		}
+	}
+	cc.t.Fatal("a worker runs no task")
+}
+
+// A leader that takes the crashes of an outage back must not do so again for outages that a former leader took back.
+func TestCrashesTakenBackSurviveATakeover(t *testing.T) {
+	cc := newCrashCluster(t, 1, "a1")
+	cc.addJob("x", "plain", 1, stepWithTasks(1))
+	task := cc.core.findTask("x.0.0.0")
+	task.crashes, task.crashesTakenBack = crashCount{certain: 1}, maxCrashesTakenBack
+	cc.core.markChanged(task.step.job)
+	batches := cc.storeBatches()
+	next := newCrashCluster(t, 2, "a1")
+	assert.NilError(t, next.core.LoadProgress("x", record("plain", 1, stepWithTasks(1)), batches[0].Progress[0].Data, next.now))
+	assert.Equal(t, next.core.findTask("x.0.0.0").crashesTakenBack, maxCrashesTakenBack)
+}
+
 // The next leader must go on with the crashes that were counted, or each change of the leader costs three more workers.
 func TestCrashesSurviveATakeover(t *testing.T) {
 	cc := newCrashCluster(t, 1, "a1", "b1")
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -98,8 +98,8 @@
 	// avoidedWorkers are workers on which the task failed, stalled or was refused.
 	avoidedWorkers avoidedWorkers
 	firstFailedOn  *worker
-	// crashes counts the workers that crashed under the task, without outages of racks. crashesTakenBack counts the outages that
-	// the job of the task may have caused.
+	// crashes counts the workers that crashed under the task, without outages of racks. crashesTakenBack counts the crashes that
+	// were attributed to such outages.
 	crashes          crashCount
 	crashesTakenBack int
 	waiting          bool
--- a/version/cell/progress.go
+++ b/version/cell/progress.go
@@ -27,8 +27,9 @@
 	Done []byte `json:"d,omitempty"`
 	// Failed holds the numbers of the failed runs, keyed by task index.
 	Failed map[string][]int64 `json:"f,omitempty"`
-	// Crashes holds the numbers of certain and possible crashes of workers under a task, keyed by task index.
-	Crashes map[string][2]int `json:"c,omitempty"`
+	// Crashes holds the numbers of certain and possible crashes of workers under a task and of those that were taken back, keyed
+	// by task index.
+	Crashes map[string][3]int `json:"c,omitempty"`
 }
 
 // Progress is the encoded progress of one job.
@@ -195,11 +196,11 @@
 			p.Failed[strconv.Itoa(t.index)] = t.failedRuns
 			hasProgress = true
 		}
-		if t.crashes.total() > 0 && !t.done {
+		if t.crashes.total()+t.crashesTakenBack > 0 && !t.done {
 			if p.Crashes == nil {
-				p.Crashes = map[string][2]int{}
+				p.Crashes = map[string][3]int{}
 			}
-			p.Crashes[strconv.Itoa(t.index)] = [2]int{t.crashes.certain, t.crashes.possible}
+			p.Crashes[strconv.Itoa(t.index)] = [3]int{t.crashes.certain, t.crashes.possible, t.crashesTakenBack}
 			hasProgress = true
 		}
 	}
@@ -278,7 +279,7 @@
 		s.openTasks--
 	}
 	stored := p.Crashes[strconv.Itoa(t.index)]
-	t.crashes = crashCount{certain: stored[0], possible: stored[1]}
+	t.crashes, t.crashesTakenBack = crashCount{certain: stored[0], possible: stored[1]}, stored[2]
 	if t.crashes.tooMany() {
 		c.judgeLater(t)
 	}
