Store the last start of a task that may have crashed its worker

Cause: a crash is known only 3 to 4 s after it, when the worker is replaced or its leases have expired. A leader that was lost meanwhile had not counted it, and its successor found neither the worker nor what had run there.

Change: the last start is stored with the progress of a task that has crashes, and of one whose worker's address refuses connections. A new leader counts the crash when the inventories are known, before the task can start again, unless the worker goes on in the same boot. The crash is certain if the start had been answered. A worker that is only silent counts when its process turns out to have ended.

--- a/standin/backends/workers.go
+++ b/standin/backends/workers.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/lentiltide/lentiltide/backend"
@@ -256,7 +257,7 @@
 		return nil, "", ErrNoAnswer
 	}
 	if worker.outage != nil {
-		return nil, "", verdict.New(verdict.NotRun, verdict.CodeUnavailable, "worker %s refuses connections", ref.ID)
+		return nil, "", verdict.Wrap(syscall.ECONNREFUSED, verdict.NotRun, verdict.CodeUnavailable, "connect to worker %s", ref.ID)
 	}
 	if w.chooseFault != nil {
 		if err := w.chooseFault(ref.ID, command); err != nil && !errors.Is(err, ErrAnswerLost) {
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -85,6 +85,8 @@
 	waves            map[int]*wave
 	// crashes are the crashes of workers within crashRetention.
 	crashes []*crash
+	// formerRuns are the tasks with a formerRun.
+	formerRuns []*task
 	// planned is the demand of the steps for which plans are made.
 	planned plannedShare
 	// machines holds the last list of machines by ID; nil until the first list arrives.
@@ -210,6 +212,7 @@
 		c.nextSweep = c.now + sweepInterval
 		c.sweep()
 	}
+	c.settleFormerRuns()
 	c.ready.update(c)
 	c.planNewSteps()
 	c.placeReadySteps()
--- a/version/cell/crash.go
+++ b/version/cell/crash.go
@@ -253,8 +253,8 @@
 // forgetEarlierCrashes takes the crashes back from a service task whose run has been stable: it may meet crashes by chance for
 // as long as it lasts.
 func (c *Core) forgetEarlierCrashes(r *run) {
-	if r.task.step.spec.LongRunning && r.task.crashes.total()+r.task.crashesTakenBack > 0 && c.now > r.createdAt+stableServiceRun {
-		r.task.crashes, r.task.crashesTakenBack = crashCount{}, 0
+	if r.task.step.spec.LongRunning && r.task.mayCrash() && c.now > r.createdAt+stableServiceRun {
+		r.task.crashes, r.task.crashesTakenBack, r.task.suspect = crashCount{}, 0, false
 		c.markChanged(r.task.step.job)
 	}
 }
--- a/version/cell/fleet.go
+++ b/version/cell/fleet.go
@@ -147,6 +147,7 @@
 			continue
 		}
 		delete(c.inventoryPending, id)
+		w.ended = true
 		c.logDecision("worker_gone", "", map[string]any{"worker": id, "since_load_ms": (c.now - c.fleetLoadedAt).Milliseconds()})
 	}
 }
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -102,8 +102,12 @@
 	// were attributed to such outages.
 	crashes          crashCount
 	crashesTakenBack int
-	waiting          bool
-	waitingSince     Instant
+	// suspect means that the address of a worker that ran the task refused connections.
+	suspect bool
+	// formerRun is the last start by a former leader until it is known what became of it; otherwise nil.
+	formerRun    *storedRun
+	waiting      bool
+	waitingSince Instant
 	// preemptions counts how often the task was stopped for a more urgent one.
 	preemptions int
 }
--- a/version/cell/polls.go
+++ b/version/cell/polls.go
@@ -1,8 +1,11 @@
 package cell
 
 import (
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/lentiltide/lentiltide/backend"
 )
 
@@ -118,7 +121,7 @@
 		w.health.unresponsive = false
 		c.logDecision("worker_answers", "", map[string]any{"worker": id})
 	}
-	w.expiredTasks = nil
+	w.expiredTasks, w.ended = nil, false
 	c.recordCompletions(w, reply.Finished)
 	c.reconcileRuns(w, sentAt, reply.Running)
 	w.forgetResolvedTasks()
@@ -131,6 +134,7 @@
 // process.
 func (c *Core) handleWorkerReplaced(w *worker) {
 	delete(c.inventoryPending, w.info.ID)
+	w.ended = true
 	if !w.inventoryKnown && len(w.runs) == 0 && len(w.expiredTasks) == 0 {
 		return
 	}
@@ -148,6 +152,9 @@
 	if sentAt >= w.clockReceivedAt {
 		c.recordSilence(w)
 	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		c.suspectRuns(w)
+	}
 	w.health.missedPolls++
 	if w.health.missedPolls >= missedPollsToBlock {
 		w.startsBlockedUntil = max(w.startsBlockedUntil, c.now+startBlockDuration)
--- a/version/cell/progress.go
+++ b/version/cell/progress.go
@@ -30,6 +30,8 @@
 	// Crashes holds the numbers of certain and possible crashes of workers under a task and of those that were taken back, keyed
 	// by task index.
 	Crashes map[string][3]int `json:"c,omitempty"`
+	// Runs holds the last starts of the tasks that may crash their workers, keyed by task index.
+	Runs map[string]storedRun `json:"r,omitempty"`
 }
 
 // Progress is the encoded progress of one job.
@@ -196,11 +198,8 @@
 			p.Failed[strconv.Itoa(t.index)] = t.failedRuns
 			hasProgress = true
 		}
-		if t.crashes.total()+t.crashesTakenBack > 0 && !t.done {
-			if p.Crashes == nil {
-				p.Crashes = map[string][3]int{}
-			}
-			p.Crashes[strconv.Itoa(t.index)] = [3]int{t.crashes.certain, t.crashes.possible, t.crashesTakenBack}
+		if t.mayCrash() && !t.done {
+			p.addCrashes(t)
 			hasProgress = true
 		}
 	}
@@ -210,6 +209,18 @@
 	return p
 }
 
+// addCrashes adds the crashes under a task and its last start.
+func (p *stepProgress) addCrashes(t *task) {
+	if p.Crashes == nil {
+		p.Crashes, p.Runs = map[string][3]int{}, map[string]storedRun{}
+	}
+	key := strconv.Itoa(t.index)
+	p.Crashes[key] = [3]int{t.crashes.certain, t.crashes.possible, t.crashesTakenBack}
+	if r := t.lastStoredRun(); r != nil {
+		p.Runs[key] = *r
+	}
+}
+
 // lastOccurrence returns the highest index of the occurrences with progress, or -1. r may be nil.
 func (r *progressRow) lastOccurrence() int {
 	last := -1
@@ -278,12 +289,16 @@
 		t.waiting = false
 		s.openTasks--
 	}
-	stored := p.Crashes[strconv.Itoa(t.index)]
+	key := strconv.Itoa(t.index)
+	stored := p.Crashes[key]
 	t.crashes, t.crashesTakenBack = crashCount{certain: stored[0], possible: stored[1]}, stored[2]
 	if t.crashes.tooMany() {
 		c.judgeLater(t)
 	}
-	t.failedRuns = p.Failed[strconv.Itoa(t.index)]
+	if r, ok := p.Runs[key]; ok {
+		c.loadFormerRun(t, r)
+	}
+	t.failedRuns = p.Failed[key]
 	for _, number := range t.failedRuns {
 		t.lastRunNumber = max(t.lastRunNumber, number)
 	}
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -95,6 +95,7 @@
 			break
 		}
 	}
+	c.markRunChanged(t)
 	c.ready.capacityFreed(r.worker)
 	c.signalWake()
 }
@@ -109,6 +110,7 @@
 		Checkpoint: checkpoint, Ticket: t.step.advice.approved[w.info.ID].value,
 	}
 	c.actions = append(c.actions, &StartAction{command, r})
+	c.markRunChanged(t)
 	if !t.step.job.started {
 		t.step.job.started = true
 	}
@@ -169,6 +171,7 @@
 	c.recordReplyClock(r, reply.ClockMS)
 	if r.confirmedAt == 0 {
 		r.confirmedAt = c.now
+		c.markRunChanged(r.task)
 	}
 	if r.phase == phaseStarting {
 		r.phase = phaseRunning
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -75,6 +75,8 @@
 	expiredTasks []*task
 	// lastCrash is how the previous boot ended; nil if that was expected or there was none.
 	lastCrash *crash
+	// ended means that the process with this ID has ended, as far as is known.
+	ended bool
 	// isolatedRun is a run beside which nothing else starts for a while.
 	isolatedRun *run
 }
