Limit only the crashes that a task may have caused by itself

Change: the limit holds for runs that were younger than a second when their worker crashed, or had started since its last answer, and as before for jobs with tasks on all crashed workers. Tasks that crash their workers mostly do so early; an outage hits runs of any age.

--- a/version/cell/crash.go
+++ b/version/cell/crash.go
@@ -30,13 +30,16 @@
 	minRackOutage   = 3
 	maxShareOutside = 0.5
 	rackOutageShare = 0.75
-	// maxCrashesTakenBack is how many crashes under a task may be attributed to outages: tasks of several jobs that crash the
-	// workers of a rack look like one. The task starts no more than twice after maxCrashes.
+	// maxCrashesTakenBack is how many crashes that a task may have caused are attributed to outages: tasks that crash the workers
+	// of a rack look like one. The task starts no more than twice after maxCrashes.
 	maxCrashesTakenBack = 2
 	// crashSettleTime is how long after a crash its tasks are judged: the other workers of the rack may be noticed by then.
 	crashSettleTime = time.Second
 	// crashRetention is how long a crash is kept to recognize the outage of a rack. Workers may return one after the other.
 	crashRetention = 15 * time.Second
+	// youngRunAge is the age up to which a run may have crashed its worker by itself, although the worker seems to have been lost
+	// in an outage: tasks that crash their workers mostly do so early.
+	youngRunAge = time.Second
 	// stableServiceRun is how long a service task must run for its earlier crashes to be forgotten.
 	stableServiceRun = time.Minute
 )
@@ -68,6 +71,8 @@
 type countedTask struct {
 	task    *task
 	certain bool
+	// young means that the run was younger than youngRunAge when the worker crashed.
+	young bool
 }
 
 // crash is the end of a worker's process without notice.
@@ -96,18 +101,19 @@
 	c.crashes = slices.DeleteFunc(c.crashes, func(old *crash) bool { return old.settled && c.now > old.noticedAt+crashRetention })
 	c.crashes = append(c.crashes, k)
 	for _, t := range expired {
-		c.countCrash(k, t, false)
+		c.countCrash(k, countedTask{task: t})
 	}
 	return k
 }
 
 // countCrash counts a crash for a task that ran on the worker, or may have run there.
-func (c *Core) countCrash(k *crash, t *task, certain bool) {
-	if slices.ContainsFunc(k.tasks, func(counted countedTask) bool { return counted.task == t }) {
+func (c *Core) countCrash(k *crash, counted countedTask) {
+	t := counted.task
+	if slices.ContainsFunc(k.tasks, func(other countedTask) bool { return other.task == t }) {
 		return
 	}
-	t.crashes.add(certain, 1)
-	k.tasks = append(k.tasks, countedTask{t, certain})
+	t.crashes.add(counted.certain, 1)
+	k.tasks = append(k.tasks, counted)
 	if k.settled {
 		k.settled, k.takenBack, k.noticedAt = false, false, c.now
 	}
@@ -118,8 +124,17 @@
 // answer any longer.
 func (c *Core) countCrashOfRun(k *crash, r *run) {
 	if k != nil && !r.wasSentTooLate(k.silentSince) {
-		c.countCrash(k, r.task, r.isConfirmed())
+		c.countCrash(k, countedTask{r.task, r.isConfirmed(), k.wasYoung(r)})
+	}
+}
+
+// wasYoung reports whether a run was younger than youngRunAge when its worker crashed, or started after the last answer.
+func (k *crash) wasYoung(r *run) bool {
+	crashedBy := k.noticedAt
+	if k.silentSince != 0 {
+		crashedBy = k.silentSince
 	}
+	return r.createdAt > k.lastAnswerAt || crashedBy < r.createdAt+youngRunAge
 }
 
 // isConfirmed reports whether the worker has answered the start of a run or listed it.
@@ -182,7 +197,7 @@
 		}
 		other.takenBack = true
 		for _, counted := range other.tasks {
-			c.takeBack(counted)
+			c.takeBack(counted, outage)
 		}
 	}
 	return true
@@ -228,17 +243,30 @@
 	return addresses
 }
 
-// takeBack takes one crash of an outage back from a task, up to maxCrashesTakenBack times.
-func (c *Core) takeBack(counted countedTask) {
+// takeBack takes one crash of an outage back from a task. The task may have caused the crash if its run was young, and its job the
+// outage if it had tasks on all of the workers; this is taken back maxCrashesTakenBack times only.
+func (c *Core) takeBack(counted countedTask, outage []*crash) {
 	t := counted.task
-	if t.crashesTakenBack >= maxCrashesTakenBack {
-		return
+	if counted.young || ranOnAll(t.step.job, outage) {
+		if t.crashesTakenBack >= maxCrashesTakenBack {
+			return
+		}
+		t.crashesTakenBack++
 	}
-	t.crashesTakenBack++
 	t.crashes.add(counted.certain, -1)
 	c.markChanged(t.step.job)
 }
 
+// ranOnAll reports whether a job had tasks on all crashed workers.
+func ranOnAll(j *jobState, crashes []*crash) bool {
+	for _, k := range crashes {
+		if !slices.ContainsFunc(k.tasks, func(counted countedTask) bool { return counted.task.step.job == j }) {
+			return false
+		}
+	}
+	return true
+}
+
 // tasksAtRisk returns the tasks that may have run on a worker since its last answer.
 func (w *worker) tasksAtRisk() []*task {
 	var tasks []*task
--- a/version/cell/formerrun.go
+++ b/version/cell/formerrun.go
@@ -88,7 +88,7 @@
 func (c *Core) countFormerCrash(t *task, stored storedRun) {
 	k := &crash{worker: stored.Worker, noticedAt: c.now}
 	c.crashes = append(c.crashes, k)
-	c.countCrash(k, t, stored.Confirmed)
+	c.countCrash(k, countedTask{task: t, certain: stored.Confirmed})
 }
 
 // hasRun reports whether the ledger has a run of the task.
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -98,8 +98,8 @@
 	// avoidedWorkers are workers on which the task failed, stalled or was refused.
 	avoidedWorkers avoidedWorkers
 	firstFailedOn  *worker
-	// crashes counts the workers that crashed under the task, without outages of racks. crashesTakenBack counts the crashes that
-	// were attributed to such outages.
+	// crashes counts the workers that crashed under the task, without outages of racks. crashesTakenBack counts those that
+	// were attributed to outages although the task may have caused them.
 	crashes          crashCount
 	crashesTakenBack int
 	// suspect means that the address of a worker that ran the task refused connections.
--- a/version/cell/progress.go
+++ b/version/cell/progress.go
@@ -27,8 +27,8 @@
 	Done []byte `json:"d,omitempty"`
 	// Failed holds the numbers of the failed runs, keyed by task index.
 	Failed map[string][]int64 `json:"f,omitempty"`
-	// Crashes holds the numbers of certain and possible crashes of workers under a task and of those that were taken back, keyed
-	// by task index.
+	// Crashes holds the numbers of certain and possible crashes of workers under a task, and task.crashesTakenBack, keyed by
+	// task index.
 	Crashes map[string][3]int `json:"c,omitempty"`
 	// Runs holds the last starts of the tasks that may crash their workers, keyed by task index.
 	Runs map[string]storedRun `json:"r,omitempty"`
