Look up queues through an index

Cause: Match and Queue look at each queue of the configuration. With 20,000 queues a request's lookup took 379 us on this machine, and a new configuration one such search for each job of the leader, under its lock.

Change: an instance indexes a configuration by host and by name before it is in force.

--- a/model/job/job.go
+++ b/model/job/job.go
@@ -118,31 +118,9 @@
 	Services map[string]Service
 	// MaxBodyBytes limits the body of a request; 0 means no limit.
 	MaxBodyBytes int64
-}
-
-// Queue returns the queue with a name.
-func (c *Config) Queue(name string) (Queue, bool) {
-	for _, q := range c.Queues {
-		if q.Name == name {
-			return q, true
-		}
-	}
-	return Queue{}, false
-}
 
-// Match returns the queue of the host with the longest prefix of path.
-func (c *Config) Match(host, path string) (Queue, bool) {
-	var longestMatch Queue
-	found := false
-	for _, q := range c.Queues {
-		if !strings.EqualFold(q.Host, host) || !strings.HasPrefix(path, q.Prefix) {
-			continue
-		}
-		if !found || len(q.Prefix) > len(longestMatch.Prefix) {
-			longestMatch, found = q, true
-		}
-	}
-	return longestMatch, found
+	// Index is set by BuildIndex.
+	Index *ConfigIndex `json:"-"`
 }
 
 // TaskName identifies a task of a job. Occurrence, Step and Index count from 0.
--- a/process/node/config.go
+++ b/process/node/config.go
@@ -63,6 +63,7 @@
 
 // applyConfig puts a configuration in force unless the current one is at least as new.
 func (n *Node) applyConfig(cfg job.Config) {
+	cfg.BuildIndex()
 	n.mu.Lock()
 	newer := cfg.Version > n.config.Version
 	if newer {
