Send changes of the configuration between instances

Change: where links differ, the instances with at least half of the fastest link read the operator's table, and the others get the difference to their version from them. The leader announces the newest version, and when it was confirmed, with the replies to joins, so that nothing is sent without a change and the others make no long polls of the store. An instance reads the table itself if the leader has not been heard of for 1.2 s, its confirmation is too old, or two sources fail; a direct read is given up when a change is announced that others have. A leader of an older program announces nothing. The setting link_mbps tells the bandwidth; without it all instances read directly, as before.

Ruled out: deltas without positions, which the operator's changes in the middle of the list could not be expressed as.

Evidence: TestConfigurationReachesSlowLinksThroughOthers and one case of TestConfigurationWithoutSources fail if joins do not tell the bandwidth.

--- a/cmd/lentiltide-node/main.go
+++ b/cmd/lentiltide-node/main.go
@@ -168,6 +168,7 @@
 		Lease:          min(maxLease, time.Duration(s.MaxLeaseMS)*time.Millisecond),
 		StopTimeout:    time.Duration(s.StopTimeoutMS) * time.Millisecond,
 		Retention:      time.Duration(s.RetentionS * float64(time.Second)),
+		LinkMbps:       s.LinkMbps,
 		ConfigDeadline: time.Duration(s.ConfigDeadlineMS) * time.Millisecond,
 		CPUShare:       s.CPUShare,
 		TakeoverDelay:  time.Duration((1 - min(s.CPUShare, 1)) * float64(maxTakeoverDelay)),
--- a/process/node/cell_test.go
+++ b/process/node/cell_test.go
@@ -54,6 +54,10 @@
 	down                   map[string]bool
 	// transferTimes are how long instances with slow links take to read rows of a feed.
 	transferTimes map[string]time.Duration
+	// links are the bandwidths of the links of instances; the default is 0, unknown. configReads counts the long polls of each
+	// instance for the configuration.
+	links       map[string]float64
+	configReads map[string]int
 	// isolated is an instance that cannot reach any other one.
 	isolated string
 	// islands are the groups of instances that cannot reach each other; the default is 0.
@@ -90,7 +94,7 @@
 		delegateFrom: delegateFrom, startsBy: map[string]int{},
 		t: t, startedAt: time.Now(), tables: backends.NewTables(), nodes: map[string]*testNode{},
 		behaviors: map[string]backends.TaskBehavior{}, panics: map[string]int{}, storeFaults: map[string]backends.Fault{}, down: map[string]bool{}, silentWorkers: map[string]bool{}, cpuShares: map[string]float64{},
-		transferTimes: map[string]time.Duration{},
+		transferTimes: map[string]time.Duration{}, links: map[string]float64{}, configReads: map[string]int{},
 	}
 	c.workers = backends.NewWorkers(c.now, c.behaviorOf)
 	c.tables.Put(backend.RowKey{Table: "config", Key: "current"}, []byte("1"))
@@ -233,6 +237,7 @@
 }
 
 func (n nodeTables) Feed(ctx context.Context, table string, after uint64, wait time.Duration) (backend.Page, error) {
+	n.countConfigRead(table)
 	call, cancel := context.WithTimeout(ctx, wait+time.Second)
 	defer cancel()
 	if err := n.checkFeedFault(call, table); err != nil {
@@ -390,7 +395,7 @@
 		OnDecision: func(d cell.Decision) {
 			entry.WithFields(d.Fields).WithField("job", d.Job).WithField("at", c.now()).Info(d.Event)
 		},
-		CPUShare: c.cpuShareOf(name), DelegateFrom: c.delegateFrom,
+		CPUShare: c.cpuShareOf(name), LinkMbps: c.links[name], DelegateFrom: c.delegateFrom,
 		Lease: 4 * time.Second, StopTimeout: 400 * time.Millisecond, Retention: time.Minute, Now: c.now,
 	})
 	ctx, cancel := context.WithCancel(c.t.Context())
--- a/process/node/configage.go
+++ b/process/node/configage.go
@@ -75,13 +75,6 @@
 	return verdict.New(verdict.NotRun, verdict.CodeNotFound, "there is no such queue")
 }
 
-// confirmConfig records that the configuration in force was the newest at an instant.
-func (n *Node) confirmConfig(at cell.Instant) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.configAge.confirm(at)
-}
-
 // noticeNewerConfig records that there may be a newer configuration than the one in force.
 func (n *Node) noticeNewerConfig() {
 	n.mu.Lock()
--- a/process/node/members.go
+++ b/process/node/members.go
@@ -14,6 +14,8 @@
 	joinedAt cell.Instant
 	// cpuShare is the number of CPU cores of the instance; see Options.CPUShare.
 	cpuShare float64
+	// linkMbps is the bandwidth of its link; see Options.LinkMbps.
+	linkMbps float64
 	// replica is the sequence number up to which the instance holds the completed jobs, nil if it is not a candidate.
 	replica *uint64
 }
@@ -25,10 +27,14 @@
 func (l *leadership) handleJoin(join *peerpb.Join) *peerpb.JoinReply {
 	l.mu.Lock()
 	m := l.members[join.GetInstance()]
-	m.address, m.joinedAt, m.cpuShare = join.GetAddress(), l.node.opts.Now(), join.GetCpuShare()
+	m.address, m.joinedAt, m.cpuShare, m.linkMbps = join.GetAddress(), l.node.opts.Now(), join.GetCpuShare(), join.GetLinkMbps()
 	l.members[join.GetInstance()] = m
 	l.mu.Unlock()
 	reply := &peerpb.JoinReply{Epoch: l.epoch, Waiting: l.waitingJobs(), Members: l.sampleAddresses(), Candidate: l.isCandidate(join.GetInstance())}
+	reply.ConfigSources = l.configSources(join)
+	l.node.mu.Lock()
+	reply.Config = l.node.configState()
+	l.node.mu.Unlock()
 	l.replicate(join, reply)
 	return reply
 }
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -60,6 +60,9 @@
 	// CPUShare is the number of CPU cores of this instance, which may be a fraction; larger instances are preferred as
 	// leaders.
 	CPUShare float64
+	// LinkMbps is the bandwidth of this instance's link in Mbit/s; 0 means unknown. Instances with slow links get changes of the
+	// configuration from others.
+	LinkMbps float64
 	// DelegateFrom is the number of workers from which a leader makes its calls to workers through other instances; 0 means
 	// the default.
 	DelegateFrom int
@@ -82,6 +85,8 @@
 	results resultBatches
 	// joinNow triggers a join at once, after the leader has changed.
 	joinNow chan struct{}
+	// configWake wakes followConfig after the leader has announced a change.
+	configWake chan struct{}
 	// checkNow ends the pause between two checks of the leadership.
 	checkNow chan struct{}
 	leaving  atomic.Bool
@@ -91,9 +96,16 @@
 	mu     sync.Mutex
 	config job.Config
 	// waves are the operator's maintenance requests.
-	waves     []backend.MaintenanceWave
-	configAge configAge
-	leader    leaderView
+	waves      []backend.MaintenanceWave
+	configAge  configAge
+	configFeed configFeed
+	// announced is what the leader has said about the operator's table.
+	announced configAnnouncement
+	// configDeltas are the last changes of the configuration, for instances that get them from this one.
+	configDeltas []job.ConfigDelta
+	// configChanged is closed and replaced when the configuration or the maintenance requests change.
+	configChanged chan struct{}
+	leader        leaderView
 	// leadership is set while this instance leads.
 	leadership *leadership
 	// waitingJobs is the number of waiting jobs of each queue, as sent by the leader.
@@ -123,7 +135,10 @@
 	}
 	opts.ConfigDeadline = cmp.Or(opts.ConfigDeadline, defaultConfigDeadline)
 	opts.recoverBackends()
-	n := &Node{opts: opts, createdAt: opts.Now(), joinNow: make(chan struct{}, 1), checkNow: make(chan struct{}, 1), candidate: true}
+	n := &Node{
+		opts: opts, createdAt: opts.Now(), joinNow: make(chan struct{}, 1), checkNow: make(chan struct{}, 1),
+		configWake: make(chan struct{}, 1), configChanged: make(chan struct{}), candidate: true,
+	}
 	n.direct = observeTables(opts.Tables, opts.Now, n.logStoreContact)
 	n.tables = relayedTables{n.direct, n}
 	n.inserts = newInserter(n.tables)
--- a/process/node/peers.go
+++ b/process/node/peers.go
@@ -41,10 +41,10 @@
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, joinTimeout)
-		join := n.joinRequest()
+		join, sentAt := n.joinRequest(), n.opts.Now()
 		reply, err := n.opts.Peers.Call(call, address, &peerpb.Request{Body: &peerpb.Request_Join{Join: join}})
 		cancel()
-		replicated := n.handleJoinReply(address, join, reply, err)
+		replicated := n.handleJoinReply(address, join, sentAt, reply, err)
 		switch {
 		case err != nil:
 			wait = joinRetryDelay
@@ -56,7 +56,7 @@
 
 // handleJoinReply applies the answer to a join. It reports whether the leader waits for the next join, to learn what this instance
 // holds.
-func (n *Node) handleJoinReply(address string, join *peerpb.Join, reply *peerpb.Reply, err error) (replicated bool) {
+func (n *Node) handleJoinReply(address string, join *peerpb.Join, sentAt cell.Instant, reply *peerpb.Reply, err error) (replicated bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	// A leader that is still loading its state rejects the join, but it is reachable.
@@ -79,6 +79,7 @@
 	}
 	n.waitingJobsReceivedAt = n.opts.Now()
 	n.members = reply.GetJoin().GetMembers()
+	n.recordAnnouncement(reply.GetJoin(), sentAt)
 	return n.updateReplica(join, reply.GetJoin())
 }
 
@@ -141,6 +142,9 @@
 	case *peerpb.Request_WorkerCalls:
 		n.handleWorkerCalls(ctx, body.WorkerCalls)
 		return nil
+	case *peerpb.Request_ConfigFetch:
+		reply.Body = &peerpb.Reply_ConfigUpdate{ConfigUpdate: n.handleConfigFetch(ctx, body.ConfigFetch)}
+		return nil
 	case *peerpb.Request_JoinNow:
 		signal(n.joinNow)
 		return nil
--- a/process/node/recovery.go
+++ b/process/node/recovery.go
@@ -18,6 +18,7 @@
 	placeDecoder    = "row_decoder"
 	placeRelay      = "table_relay"
 	placeWorkerCall = "delegated_call"
+	placeConfig     = "config_read"
 	placeBatch      = "call_batch"
 	placeLeadership = "leadership"
 	placeNode       = "node_loop"
--- a/process/node/replica.go
+++ b/process/node/replica.go
@@ -60,7 +60,7 @@
 
 // joinRequest returns the request to join the leader.
 func (n *Node) joinRequest() *peerpb.Join {
-	join := &peerpb.Join{Instance: n.opts.Instance, Address: n.opts.PeerAddress, CpuShare: n.opts.CPUShare}
+	join := &peerpb.Join{Instance: n.opts.Instance, Address: n.opts.PeerAddress, CpuShare: n.opts.CPUShare, LinkMbps: n.opts.LinkMbps}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	join.ReplicatedEpoch, join.ReplicatedSequence = n.replica.epoch, n.replica.sequence
--- a/process/settings/node.go
+++ b/process/settings/node.go
@@ -29,6 +29,8 @@
 	MachinesAddress string `json:"machines_address,omitempty"`
 	// CPUShare is the processor share of the instance, in cores.
 	CPUShare float64 `json:"cpu_share"`
+	// LinkMbps is the bandwidth of the network link of the instance, in megabits per second; 0 means unknown.
+	LinkMbps float64 `json:"link_mbps,omitempty"`
 	// MemoryMB is the memory that the instance may use, in megabytes.
 	MemoryMB int64 `json:"memory_mb"`
 	// MaxLeaseMS is the longest lease that workers grant, in milliseconds.
@@ -96,6 +98,9 @@
 	if s.CPUShare <= 0 {
 		p.addf("cpu_share", "expected more than 0 cores, got %g", s.CPUShare)
 	}
+	if s.LinkMbps < 0 {
+		p.addf("link_mbps", "expected 0 or more megabits per second, got %g", s.LinkMbps)
+	}
 	if s.MemoryMB < minMemoryMB || s.MemoryMB > maxMemoryMB {
 		p.addf("memory_mb", "expected %d to %d megabytes, got %d", minMemoryMB, maxMemoryMB, s.MemoryMB)
 	}
