Change configurations during the soak

The soak now changes the configuration several times a second beside its other faults, with two nodes on fast links and the others on slow ones, so that these get it from the former. It fails if a node goes back to an earlier configuration, denies a queue that it has known, or does not come to know the newest one within 25 s after the last fault.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -94,7 +94,7 @@
 		key, _ := wire.RegistryRow(backend.WorkerInfo{ID: id})
 		c.tables.Delete(key)
 	}})
-	key, value := wire.ConfigRow(1, testHost, testPrefix, testService)
+	key, value := wire.ConfigRow(1, testHost, testService, testPrefix)
 	c.tables.Put(key, value)
 	for i := range workers {
 		c.addWorker(workerName(i))
@@ -102,7 +102,7 @@
 	storeAddress := c.serve(wire.Tables(c.tables))
 	adviceAddress := c.serve(wire.Advisor(&backends.Advisor{Delay: 10 * time.Millisecond, Validity: 2500 * time.Millisecond}))
 	for i := range nodes {
-		n := c.newNode(fmt.Sprintf("n%d", i), storeAddress, adviceAddress)
+		n := c.newNode(fmt.Sprintf("n%d", i), linkOf(i), storeAddress, adviceAddress)
 		c.nodes = append(c.nodes, n)
 		c.start(n)
 	}
@@ -180,12 +180,12 @@
 }
 
 // newNode writes the settings of a node, which reaches the table service through its own proxy.
-func (c *cluster) newNode(name, storeAddress, adviceAddress string) *nodeProcess {
+func (c *cluster) newNode(name string, linkMbps int, storeAddress, adviceAddress string) *nodeProcess {
 	n := &nodeProcess{name: name, callerAddress: freeAddress(c.t), storeLink: newProxy(c.t, storeAddress)}
 	data, err := json.Marshal(map[string]any{
 		"instance": name, "region": "r", "zone": "a", "caller_address": n.callerAddress, "ready_address": freeAddress(c.t),
 		"peer_address": freeAddress(c.t), "store_address": n.storeLink.address(), "advice_address": adviceAddress,
-		"cpu_share": 0.5, "memory_mb": 256, "max_lease_ms": 6000, "grace_s": 4,
+		"cpu_share": 0.5, "link_mbps": linkMbps, "memory_mb": 256, "max_lease_ms": 6000, "grace_s": 4,
 	})
 	assert.NilError(c.t, err)
 	n.settings = filepath.Join(c.dir, name+".json")
@@ -263,9 +263,14 @@
 // call sends a request for a job to a node and returns the status and the body of the answer. If there is no answer, the
 // status is 0 and answer is the error.
 func (c *cluster) call(n *nodeProcess, method, id, body string) (status int, answer string) {
+	return c.callPath(n, method, testPrefix+id, body)
+}
+
+// callPath sends a request to a node and returns the status and the body of the response, or status 0 and an error.
+func (c *cluster) callPath(n *nodeProcess, method, path, body string) (status int, answer string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.callerAddress+testPrefix+id, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.callerAddress+path, strings.NewReader(body))
 	if err != nil {
 		return 0, err.Error()
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -110,10 +110,13 @@
 		}()
 	}
 	load.Go(func() { c.changeCapacities(rand.New(rand.NewPCG(seed, 2)), stop) })
+	configs := &configHistory{cluster: c}
+	load.Go(func() { configs.run(seed, stop) })
 	c.injectFaults(rand.New(rand.NewPCG(seed, 1)), *faultTime)
 	close(stop)
 	load.Wait()
 	c.checkPromises(answers)
+	configs.checkInForce()
 }
 
 // submitJobs submits jobs to random nodes until stop is closed. It sends each job up to four times until a node accepts it.
--- a/standin/wire/wire.go
+++ b/standin/wire/wire.go
@@ -280,15 +280,19 @@
 	return map[string]int64{"cpu": r.CPUMilli, "memoryRequestMb": r.MemoryMiB, "gpu": r.Accelerators}
 }
 
-// ConfigRow returns the key and value of a configuration row with one queue for a service.
-func ConfigRow(version uint64, host, prefix, service string) (backend.RowKey, []byte) {
-	data, err := json.Marshal(map[string]any{
-		"version": version,
-		"routes": []map[string]any{{
-			"name": "queue", "host": host, "prefix": prefix, "service": service, "priority": 0, "maxAttempts": 3,
+// ConfigRow returns the key and value of a configuration row with queues of a service, one for each prefix.
+func ConfigRow(version uint64, host, service string, prefixes ...string) (backend.RowKey, []byte) {
+	routes := make([]map[string]any, 0, len(prefixes))
+	for _, prefix := range prefixes {
+		routes = append(routes, map[string]any{
+			"name": "queue" + prefix, "host": host, "prefix": prefix, "service": service, "priority": 0, "maxAttempts": 3,
 			"stretch": 1.5, "targetDurationMs": 250,
 			"advice": map[string]any{"decisionMs": 10, "perItemMs": 0.1, "validityMs": 2500},
-		}},
+		})
+	}
+	data, err := json.Marshal(map[string]any{
+		"version":  version,
+		"routes":   routes,
 		"services": []map[string]any{{"name": service}},
 	})
 	if err != nil {
