--- a/process/node/config_test.go
+++ b/process/node/config_test.go
@@ -216,6 +216,7 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, next)
 	assert.Assert(t, proto.Size(deltaToProto(delta)) < 200, "%d bytes", proto.Size(deltaToProto(delta)))
+	t.Logf("whole: %d bytes, a change: %d bytes", proto.Size(whole), proto.Size(deltaToProto(delta)))
 	assert.Assert(t, proto.Size(whole) < 500_000, "%d bytes", proto.Size(whole))
 }
 
--- a/process/node/replica.go
+++ b/process/node/replica.go
@@ -41,10 +41,12 @@
 			delete(r.jobs, id)
 		}
 	}
+	if len(r.jobs)+len(reply.GetUnstoredJobs()) > maxReplicaJobs {
+		// The leader does not report jobs beyond the sequence number as completed.
+		return
+	}
 	for _, id := range reply.GetUnstoredJobs() {
-		if len(r.jobs) < maxReplicaJobs {
-			r.jobs[job.ID(id)] = reply.GetUnstoredSequence()
-		}
+		r.jobs[job.ID(id)] = reply.GetUnstoredSequence()
 	}
 	r.sequence = max(r.sequence, reply.GetUnstoredSequence())
 }
@@ -186,18 +188,18 @@
 	return sequence, ok
 }
 
-// adoptReplica completes the jobs of this instance's own replica of its predecessor. Without one it leaves the others some time to
-// send theirs.
+// adoptReplica completes the jobs of this instance's own replica of its predecessor. Without one, as after a restart or if it was no
+// candidate, it leaves the others some time to send theirs.
 func (l *leadership) adoptReplica() {
 	n := l.node
 	n.mu.Lock()
-	replica := n.replica
-	ids := replica.ids()
+	replicated := n.replica.epoch == l.predecessor.Epoch && n.candidate
+	ids := n.replica.ids()
 	n.mu.Unlock()
 	if len(ids) > 0 {
 		l.adoptCompletions(n.opts.Instance, ids)
 	}
-	if l.predecessor.Epoch != 0 && !l.predecessor.Resigned && replica.epoch != l.predecessor.Epoch {
+	if l.predecessor.Epoch != 0 && !l.predecessor.Resigned && !replicated {
 		l.core.HoldRecovered(n.opts.Now() + replicaWait)
 	}
 }
