Start nothing on a new boot before its registry entry

Change: a worker whose poll names a later boot than its registry entry gets no starts, and queued ones are withdrawn, until the entry of that boot has been read. Entries without a start time are used as before.

Evidence: TestNewBootGetsNoStartsBeforeItsEntry (3 starts) and TestQueuedStartIsWithdrawnAfterARestart failed before.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -27,12 +27,20 @@
 	nodeCount = flag.Int("soak.nodes", 4, "number of node processes")
 )
 
-// failedSeeds are seeds that failed in the past, with the cause. They run in addition to the requested seeds if more than one
-// seed is requested.
-var failedSeeds = []struct {
+// failedSeed is a seed that failed in the past, with the cause. It runs in addition to the requested seeds if more than one seed is
+// requested.
+type failedSeed struct {
 	seed  uint64
 	cause string
-}{}
+}
+
+// failedSeeds and failedCrashSeeds are the failed seeds of TestSoak and of TestSoakWithCrashingTasks.
+var (
+	failedSeeds      = []failedSeed{}
+	failedCrashSeeds = []failedSeed{
+		{2100, "tasks started on a restarted worker by the capacity in the registry entry of its former boot"},
+	}
+)
 
 const (
 	// recoveryTimeout bounds the recovery after the last fault. It covers the suspension of a former leader and the leases of
@@ -55,25 +63,29 @@
 // TestSoak guards against accepted jobs that are lost, refused jobs that run, and violations that workers observe, under
 // random faults.
 func TestSoak(t *testing.T) {
-	seeds := map[uint64]string{}
+	for _, seed := range seedsToRun(failedSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, clientNumbers()) })
+	}
+}
+
+// seedsToRun returns the requested seeds and, if there are several, the failed ones.
+func seedsToRun(failed []failedSeed) []uint64 {
+	var seeds []uint64
 	for i := range *seedCount {
-		seeds[*firstSeed+uint64(i)] = ""
+		seeds = append(seeds, *firstSeed+uint64(i))
 	}
 	if *seedCount > 1 {
-		for _, f := range failedSeeds {
-			seeds[f.seed] = f.cause
+		for _, f := range failed {
+			seeds = append(seeds, f.seed)
 		}
 	}
-	for seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, clientNumbers()) })
-	}
+	return seeds
 }
 
 // TestSoakWithCrashingTasks guards against the same while some tasks crash the workers that start them, and against such tasks
 // that are started without end.
 func TestSoakWithCrashingTasks(t *testing.T) {
-	for i := range *seedCount {
-		seed := *firstSeed + uint64(i)
+	for _, seed := range seedsToRun(failedCrashSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, append(clientNumbers(), crashingClient)) })
 	}
 }
--- a/version/cell/capacity_test.go
+++ b/version/cell/capacity_test.go
@@ -405,3 +405,28 @@
 		})
 	}
 }
+
+// Guards against starts on a worker that has restarted with less capacity, or with other labels, by the registry entry of its former
+// boot.
+func TestNewBootGetsNoStartsBeforeItsEntry(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	tc.addWorker("w1")
+	tc.core.PollResult("w1", tc.now, backend.PollReply{Reply: backend.Reply{ClockMS: tc.clockMS()}, StartedMS: 2000}, nil, tc.now+1)
+	tc.addJob("a", "plain", 1, stepWithTasks(3))
+	tc.advance(time.Second)
+	assert.Equal(t, len(tc.starts), 0)
+	tc.listWorker("w1", func(w *backend.WorkerInfo) {
+		w.StartedMS, w.Capacity = 2000, model.Resources{CPUMilli: 1000, MemoryMiB: 8000}
+	})
+	tc.core.PollResult("w1", tc.now, backend.PollReply{Reply: backend.Reply{ClockMS: tc.clockMS()}, StartedMS: 2000}, nil, tc.now+1)
+	tc.advance(200 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 1)
+}
+
+// Guards against a start that waits for its turn while its worker restarts, and is sent by the entry of the former boot.
+func TestQueuedStartIsWithdrawnAfterARestart(t *testing.T) {
+	tc := newStartedTestCluster(t, stepWithTasks(1))
+	assert.Assert(t, tc.core.StartNeeded(tc.starts[0]))
+	tc.core.PollResult("w1", tc.now, backend.PollReply{Reply: backend.Reply{ClockMS: tc.clockMS()}, StartedMS: 2000}, nil, tc.now+1)
+	assert.Assert(t, !tc.core.StartNeeded(tc.starts[0]))
+}
--- a/version/cell/place.go
+++ b/version/cell/place.go
@@ -133,7 +133,7 @@
 // usable reports whether a task of a step may start on a worker, provided that the free capacity suffices. t may be
 // nil.
 func (c *Core) usable(w *worker, s *step, t *task) bool {
-	if !w.listed || !w.inventoryKnown || !w.isRecorded() || w.info.Draining || w.cordoned || w.hasUnknownRuns ||
+	if !w.listed || !w.entryIsCurrent() || !w.inventoryKnown || !w.isRecorded() || w.info.Draining || w.cordoned || w.hasUnknownRuns ||
 		c.now < w.startsBlockedUntil || c.now < w.health.suspectUntil {
 		return false
 	}
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -131,7 +131,7 @@
 // acceptsQueuedStart reports whether a start that was issued earlier may still be sent to the worker. Its demand is part of the
 // ledger, so that of several queued starts only those that exceed a shrunken capacity are withdrawn.
 func (w *worker) acceptsQueuedStart() bool {
-	return w.listed && !w.info.Draining && !w.cordoned && !w.isOverCapacity()
+	return w.listed && w.entryIsCurrent() && !w.info.Draining && !w.cordoned && !w.isOverCapacity()
 }
 
 // StartWithdrawn records that a start was not sent.
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -194,6 +194,12 @@
 	w.startsBlockedUntil = 0
 }
 
+// entryIsCurrent reports whether the registry entry is that of the worker's present boot. The capacity and the labels of a boot without
+// an entry are not known.
+func (w *worker) entryIsCurrent() bool {
+	return w.info.StartedMS == 0 || w.info.StartedMS >= w.startedMS
+}
+
 func (w *worker) ref() backend.WorkerRef {
 	return backend.WorkerRef{ID: w.info.ID, Address: w.info.Address}
 }
