--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -442,43 +442,6 @@
 	c.signalWake()
 }
 
-// CancelJob cancels a job whose cancellation is durable.
-func (c *Core) CancelJob(id job.ID, now Instant) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.now = max(c.now, now)
-	j := c.jobs[id]
-	if j == nil {
-		c.earlyCancels[id] = c.now
-		return
-	}
-	c.finishJob(j, job.Cancelled, "cancelled by the caller")
-}
-
-// earlyCancelTTL is how long a cancellation is kept for a job that is not known yet: the two arrive through different
-// paths.
-const earlyCancelTTL = time.Minute
-
-func (c *Core) expireEarlyCancels() {
-	for id, at := range c.earlyCancels {
-		if c.now > at+earlyCancelTTL {
-			delete(c.earlyCancels, id)
-		}
-	}
-}
-
-// expireFinishedJobs marks jobs past their retention, whose rows can be removed. The jobs stay known until their
-// records are removed, so that a record that is read again does not start them.
-func (c *Core) expireFinishedJobs() {
-	for id, j := range c.jobs {
-		if !j.expired && j.reportedState.Terminal() && c.now > j.finishedAt+c.opts.Retention && !j.hasRuns() {
-			j.expired = true
-			j.occurrences = map[int]*occurrence{}
-			c.expiredJobs = append(c.expiredJobs, id)
-		}
-	}
-}
-
 func (j *jobState) hasRuns() bool {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
--- a/version/cell/progress.go
+++ b/version/cell/progress.go
@@ -80,6 +80,18 @@
 	return batch
 }
 
+// expireFinishedJobs marks jobs past their retention, whose rows can be removed. The jobs stay known until their
+// records are removed, so that a record that is read again does not start them.
+func (c *Core) expireFinishedJobs() {
+	for id, j := range c.jobs {
+		if !j.expired && j.reportedState.Terminal() && c.now > j.finishedAt+c.opts.Retention && !j.hasRuns() {
+			j.expired = true
+			j.occurrences = map[int]*occurrence{}
+			c.expiredJobs = append(c.expiredJobs, id)
+		}
+	}
+}
+
 // TakeExpired returns at most limit jobs past their retention, whose records and cancellations can be removed.
 func (c *Core) TakeExpired(limit int) []job.ID {
 	c.mu.Lock()
