--- a/process/node/relay_test.go
+++ b/process/node/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,14 +39,14 @@
 						}
 					}
 				}
-				relayed := false
+				var relayed atomic.Bool
 				viaPeer := func(context.Context, string) (int, error) {
-					relayed = true
+					relayed.Store(true)
 					return 2, nil
 				}
 				_, err := relay(t.Context(), cell.follower().tables, cellShard, transfer, viaPeer)
 				assert.NilError(t, err)
-				assert.Equal(t, relayed, c.wantRelayed)
+				assert.Equal(t, relayed.Load(), c.wantRelayed)
 				synctest.Wait()
 			})
 		})
