--- a/backend/backend.go
+++ b/backend/backend.go
@@ -210,6 +210,13 @@
 	InService bool
 }
 
+// MachineList is the list of the platform's machines.
+type MachineList struct {
+	Machines []Machine
+	// Unreadable is the reason why a machine could not be decoded, nil if all could. A machine that is not listed may exist then.
+	Unreadable error
+}
+
 // MaintenanceWave is a request for the maintenance of a set of machines, each of them once.
 type MaintenanceWave struct {
 	Number   int
@@ -242,7 +249,7 @@
 
 // Machines is the machine service. An error means that the outcome is unknown, unless it has NotRun.
 type Machines interface {
-	List(ctx context.Context) ([]Machine, error)
+	List(ctx context.Context) (MachineList, error)
 	// Maintain begins the maintenance of a machine for a wave; all runs on the machine end. It is idempotent.
 	Maintain(ctx context.Context, leader Leader, machine string, wave int) (MachineRefusal, error)
 }
--- a/process/node/leader.go
+++ b/process/node/leader.go
@@ -407,6 +407,9 @@
 			l.node.opts.Log.WithError(err).WithField("event", "machines_unreadable").Warn("cannot read the list of machines")
 			continue
 		}
+		if list.Unreadable != nil {
+			l.node.opts.Log.WithError(list.Unreadable).WithField("event", "machine_ignored").Warn("the list has a machine that cannot be decoded")
+		}
 		l.core.SetMachines(list, readAt, l.node.opts.Now())
 	}
 }
--- a/process/node/maintenance_test.go
+++ b/process/node/maintenance_test.go
@@ -19,7 +19,9 @@
 	tokens []uint64
 }
 
-func (*fakeMachines) List(context.Context) ([]backend.Machine, error) { return nil, nil }
+func (*fakeMachines) List(context.Context) (backend.MachineList, error) {
+	return backend.MachineList{}, nil
+}
 
 func (m *fakeMachines) Maintain(_ context.Context, leader backend.Leader, _ string, _ int) (backend.MachineRefusal, error) {
 	m.mu.Lock()
--- a/process/node/recovery.go
+++ b/process/node/recovery.go
@@ -119,8 +119,8 @@
 }
 
 // List implements backend.Machines.
-func (m recoveringMachines) List(ctx context.Context) ([]backend.Machine, error) {
-	return recovery.Call(m.panics, placeMachines, func() ([]backend.Machine, error) { return m.next.List(ctx) })
+func (m recoveringMachines) List(ctx context.Context) (backend.MachineList, error) {
+	return recovery.Call(m.panics, placeMachines, func() (backend.MachineList, error) { return m.next.List(ctx) })
 }
 
 // Maintain implements backend.Machines.
--- a/version/cell/maintenance.go
+++ b/version/cell/maintenance.go
@@ -101,26 +101,27 @@
 }
 
 // SetMachines records the list of machines that was read at readAt.
-func (c *Core) SetMachines(list []backend.Machine, readAt, now Instant) {
+func (c *Core) SetMachines(list backend.MachineList, readAt, now Instant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.now = max(c.now, now)
 	c.machines = map[string]backend.Machine{}
-	for _, m := range list {
+	for _, m := range list.Machines {
 		c.machines[m.ID] = m
 	}
 	for _, w := range c.waves {
 		for _, m := range w.machines {
-			c.observeMachine(w, m, readAt)
+			c.observeMachine(w, m, list.Unreadable == nil, readAt)
 		}
 	}
 	c.signalWake()
 }
 
-// observeMachine finishes the maintenance of a machine that is up again or no longer exists.
-func (c *Core) observeMachine(w *wave, m *maintenance, readAt Instant) {
+// observeMachine finishes the maintenance of a machine that is up again or no longer exists, which only a complete list shows.
+func (c *Core) observeMachine(w *wave, m *maintenance, complete bool, readAt Instant) {
 	listed, ok := c.machines[m.machine]
 	switch {
+	case !ok && !complete:
 	case !ok:
 		c.setPhase(w, m, maintenanceFinished)
 	case m.phase == maintenanceDown && listed.InService && readAt > m.phaseSince+minDowntime:
--- a/version/cell/maintenance_test.go
+++ b/version/cell/maintenance_test.go
@@ -13,9 +13,9 @@
 
 // listMachines sets a list with one machine for each worker; the machines of the workers in down are not up.
 func (tc *testCluster) listMachines(ids []string, down map[string]bool) {
-	var list []backend.Machine
+	var list backend.MachineList
 	for _, id := range ids {
-		list = append(list, backend.Machine{ID: "m-" + id, Worker: id, InService: !down[id]})
+		list.Machines = append(list.Machines, backend.Machine{ID: "m-" + id, Worker: id, InService: !down[id]})
 	}
 	tc.core.SetMachines(list, tc.now, tc.now)
 }
@@ -146,3 +146,24 @@
 	tc.advance(200 * time.Millisecond)
 	assert.Equal(t, len(tc.starts), 1)
 }
+
+// Guards against a machine that counts as gone, so that its maintenance is reported as finished, because its entry in the list of
+// machines cannot be decoded.
+func TestUnreadableMachineIsNotGone(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	tc.addWorker("w1")
+	tc.addWorker("w2")
+	tc.core.SetWave(backend.MaintenanceWave{Number: 1, Machines: []string{"m-w1", "m-w2"}, Duration: time.Minute, MaxUnavailable: 1}, tc.now)
+	list := backend.MachineList{Machines: []backend.Machine{{ID: "m-w1", Worker: "w1", InService: true}}, Unreadable: errHistoryLost}
+	tc.core.SetMachines(list, tc.now, tc.now)
+	machines, completed := tc.runMaintenance(time.Second)
+	assert.Equal(t, len(machines), 1)
+	assert.Assert(t, !completed)
+
+	// A complete list without the machine shows that it is gone.
+	tc.now += 2 * minDowntime
+	list.Unreadable = nil
+	tc.core.SetMachines(list, tc.now, tc.now)
+	machines, completed = tc.runMaintenance(time.Second)
+	assert.Assert(t, completed, "%v", machines)
+}
