Take the present boot of a worker from its answers only

Cause: a registry entry with a later start time counted as a restart. An entry of another writer with a start time in the far future dropped the runs of a worker that went on with them, so that its tasks ran twice, and all later polls and entries of the worker, also of its next boots, were ignored as outdated. A boot after the clock was set back was ignored in the same way.

Change: an entry of another boot is kept as announced. The worker is polled at once, at the announced address and the known one in turn, and nothing starts there meanwhile. The answer of the announced boot applies the entry; an answer of another boot to a poll sent later drops it. Of two boots the later one is told by the order of polls and answers, not by start times.

Ruled out: refusing start times after the present time, since the clocks of instances and workers jump. Cost: runs on a worker that restarted out of the leader's reach end with their leases, not with its entry.

--- a/version/cell/boot_orders_test.go
+++ b/version/cell/boot_orders_test.go
@@ -52,6 +52,10 @@
 	afterTick func()
 	// duration is that of each task.
 	duration time.Duration
+	// clocksSetBack makes the start times of boots random.
+	clocksSetBack bool
+	// quiet ends the disturbances.
+	quiet bool
 }
 
 const (
@@ -111,6 +115,9 @@
 // boot starts a worker, or restarts it under its ID.
 func (h *orderHistory) boot(id string) {
 	h.boots[id] += 1000
+	if h.clocksSetBack {
+		h.boots[id] = 1 + h.rng.Int64N(1_000_000)
+	}
 	info := backend.WorkerInfo{
 		ID: id, Address: id + ":1", Service: "desk", Labels: []string{"k", "r1"}, StartedMS: h.boots[id],
 		Capacity: model.Resources{CPUMilli: 4000, MemoryMiB: 8000},
@@ -228,6 +235,9 @@
 
 // disturb starts a random disturbance now and then.
 func (h *orderHistory) disturb() {
+	if h.quiet {
+		return
+	}
 	id := fmt.Sprintf("w%d", h.rng.IntN(orderWorkers))
 	switch h.rng.IntN(400) {
 	case 0:
--- a/version/cell/leases.go
+++ b/version/cell/leases.go
@@ -28,7 +28,7 @@
 		w.inventoryKnown = false
 	}
 	delete(c.inventoryPending, w.info.ID)
-	if !w.listed && c.now > w.unlistedAt+unlistedWorkerRetention {
+	if !w.listed && w.announced == nil && c.now > w.unlistedAt+unlistedWorkerRetention {
 		c.noticeCrash(w)
 		delete(c.workers, w.info.ID)
 		c.markFleetChanged(w)
--- a/version/cell/polls.go
+++ b/version/cell/polls.go
@@ -39,7 +39,7 @@
 	if c.halted() {
 		return req, true, true
 	}
-	req = backend.PollRequest{Worker: w.ref(), FencingToken: c.opts.Epoch, LeaseDeadlineMS: c.leaseDeadline(w)}
+	req = backend.PollRequest{Worker: w.pollRef(), FencingToken: c.opts.Epoch, LeaseDeadlineMS: c.leaseDeadline(w)}
 	if w.health.missedPolls == 0 && w.lastAckedCompletion > w.deliveredAck {
 		req.AcknowledgedCompletion = w.lastAckedCompletion
 		w.sentAck, w.ackSentAt = w.lastAckedCompletion, c.now
@@ -101,7 +101,7 @@
 		return
 	}
 	if reply.Refusal == backend.RefusedInstance {
-		c.handleWorkerReplaced(w)
+		c.handleRefusedInstance(w)
 		return
 	}
 	if reply.Refusal != "" {
@@ -109,15 +109,9 @@
 		w.startsBlockedUntil = c.now + startBlockDuration
 		return
 	}
-	if reply.StartedMS < w.startedMS {
+	if !c.recordBoot(w, sentAt, reply.StartedMS) {
 		return
 	}
-	if reply.StartedMS > w.startedMS {
-		if w.startedMS != 0 {
-			c.handleWorkerRestart(w, reply.StartedMS)
-		}
-		w.startedMS = reply.StartedMS
-	}
 	c.recordClock(w, reply.ClockMS)
 	if sentAt >= w.ackSentAt {
 		w.deliveredAck = w.sentAck
@@ -140,6 +134,16 @@
 	c.signalWake()
 }
 
+// handleRefusedInstance records that the worker at the polled address has another ID. While a boot at another address is announced,
+// the next poll is sent to the other of the two addresses.
+func (c *Core) handleRefusedInstance(w *worker) {
+	if a := w.announced; a != nil && a.info.Address != w.info.Address {
+		w.health.missedPolls++
+		return
+	}
+	c.handleWorkerReplaced(w)
+}
+
 // handleWorkerReplaced drops the runs of a worker whose address belongs to another worker now: its runs ended with its
 // process.
 func (c *Core) handleWorkerReplaced(w *worker) {
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -20,8 +20,12 @@
 	fleetShard int
 	// unlistedAt is when the worker's entry left the registry.
 	unlistedAt Instant
-	// startedMS identifies the boot of the worker to which the inventory belongs, by its start time.
-	startedMS int64
+	// startedMS identifies the boot of the worker to which the inventory belongs, by its start time, and bootKnownAt is when the
+	// boot first answered. Only answers change them.
+	startedMS   int64
+	bootKnownAt Instant
+	// announced is a registry entry of another boot, which waits for an answer of that boot.
+	announced *announcedBoot
 	// restartedAt is when this leader learned of the boot; 0 for the first boot that it knows.
 	restartedAt Instant
 	// inventoryKnown means that the inventory of this boot has been read in this epoch, so that commands may be sent.
@@ -129,12 +133,16 @@
 		}
 		c.logDecision("worker_listed", "", map[string]any{"worker": info.ID, "zone": info.Zone, "draining": info.Draining})
 	}
-	if info.StartedMS != 0 && info.StartedMS < w.startedMS {
+	if w.startedMS != 0 && info.StartedMS != 0 && info.StartedMS != w.startedMS {
+		c.announceBoot(w, info)
 		return
 	}
-	if info.StartedMS > w.startedMS && w.startedMS != 0 {
-		c.handleWorkerRestart(w, info.StartedMS)
-	}
+	w.announced = nil
+	c.applyEntry(w, info)
+}
+
+// applyEntry makes a registry entry that of the worker's present boot.
+func (c *Core) applyEntry(w *worker, info backend.WorkerInfo) {
 	wasDraining := w.info.Draining
 	grown := !info.Capacity.Fits(w.info.Capacity)
 	c.recordFleetChange(w.info, info, w.listed)
@@ -163,7 +171,11 @@
 	defer c.mu.Unlock()
 	c.now = max(c.now, now)
 	w := c.workers[id]
-	if w == nil || !w.listed {
+	if w == nil {
+		return
+	}
+	w.announced = nil
+	if !w.listed {
 		return
 	}
 	w.listed = false
@@ -191,7 +203,6 @@
 		c.pollSoon(w)
 	}
 	w.restartedAt, w.lastCrash = c.now, k
-	w.startedMS = startedMS
 	w.inventoryKnown = false
 	w.clockMS, w.leaseEndMS = 0, 0
 	w.lastReadCompletion, w.lastAckedCompletion, w.pendingAcks = 0, 0, nil
@@ -202,12 +213,6 @@
 	w.startsBlockedUntil = 0
 }
 
-// entryIsCurrent reports whether the registry entry is that of the worker's present boot. The capacity and the labels of a boot without
-// an entry are not known.
-func (w *worker) entryIsCurrent() bool {
-	return w.info.StartedMS == 0 || w.info.StartedMS >= w.startedMS
-}
-
 func (w *worker) ref() backend.WorkerRef {
 	return backend.WorkerRef{ID: w.info.ID, Address: w.info.Address}
 }
