Count only the capacity of workers that have answered

Cause: an entry of another writer that names no worker added its capacity to that of the cell, by which shares of teams, plans and the feasibility of gangs are judged. A gang that no worker holds kept its turn.

Change: the capacity of a listed worker counts from its first answer in the epoch on. The sums of plans and shares are one function now, and shares use Resources.DominantShare.

Result: TestWorkerThatNeverAnswersAddsNoCapacity failed before (4,004,000 instead of 4,000 thousandths of a core).

--- a/version/cell/boot_test.go
+++ b/version/cell/boot_test.go
@@ -148,3 +148,21 @@
 		assert.Assert(h.t, state.Terminal(), "job %s is %s", id, state)
 	}
 }
+
+// Guards against decisions by the capacity of a worker that exists only in an entry of another writer: the cell would count as
+// almost empty, and a gang that no worker holds would keep others from their turns.
+func TestWorkerThatNeverAnswersAddsNoCapacity(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	tc.addWorker("w1")
+	tc.listWorker("w9", func(info *backend.WorkerInfo) { info.Capacity = info.Capacity.Times(1000) })
+	assert.Equal(t, tc.core.totalCapacity().CPUMilli, int64(4000))
+	gang := stepWithTasks(12)
+	gang.Gang = true
+	tc.addJob("a", "plain", 1, gang)
+	s := tc.core.jobs["a"].occurrences[0].steps[0]
+	assert.Assert(t, !tc.core.isFeasible(s))
+	tc.addWorker("w9")
+	assert.Assert(t, !tc.core.isFeasible(s))
+	tc.addWorker("w2")
+	assert.Assert(t, tc.core.isFeasible(s))
+}
--- a/version/cell/feasible.go
+++ b/version/cell/feasible.go
@@ -12,7 +12,7 @@
 	feasible     bool
 }
 
-// isFeasible reports whether the listed workers could hold the waiting tasks of a step if nothing else ran there: all members
+// isFeasible reports whether the listed workers that have answered could hold the waiting tasks of a step if nothing else ran there: all members
 // of a gang, or one task of any other step. A step that cannot start must not keep others from their turns; workers may have
 // shrunk, and grow again.
 func (c *Core) isFeasible(s *step) bool {
@@ -28,7 +28,7 @@
 		missing = len(s.tasks)
 	}
 	for _, w := range c.workers {
-		if !w.listed || w.info.Draining || !w.suits(s) || s.advice.isRejected(w.info.ID) {
+		if !w.listed || !w.answered || w.info.Draining || !w.suits(s) || s.advice.isRejected(w.info.ID) {
 			continue
 		}
 		fitting := multiplesIn(w.info.Capacity, s.allocatedDemand())
--- a/version/cell/plan.go
+++ b/version/cell/plan.go
@@ -82,7 +82,7 @@
 	for _, w := range c.workers {
 		w.reservations = nil
 	}
-	c.planned = plannedShare{core: c, capacity: c.cpuCapacity()}
+	c.planned = plannedShare{core: c, capacity: c.totalCapacity().CPUMilli}
 	for _, s := range c.ready.ranked {
 		if !c.plansAhead(s) {
 			s.plan, s.turn = nil, turnWait
--- a/version/cell/polls.go
+++ b/version/cell/polls.go
@@ -112,6 +112,10 @@
 	if !c.recordBoot(w, sentAt, reply.StartedMS) {
 		return
 	}
+	if !w.answered {
+		w.answered = true
+		c.fleetVersion++
+	}
 	c.recordClock(w, reply.ClockMS)
 	if sentAt >= w.ackSentAt {
 		w.deliveredAck = w.sentAck
--- a/version/cell/share.go
+++ b/version/cell/share.go
@@ -53,30 +53,18 @@
 // isExcess reports whether a job comes after all others because its team has submitted more than its rate.
 func (c *Core) isExcess(j *jobState) bool { return j.beyondRate && c.now < j.addedAt+maxExcessAge }
 
-// totalCapacity returns the capacity of all listed workers.
+// totalCapacity returns the capacity of the listed workers that have answered in this epoch. Entries of other writers name no worker
+// that answers.
 func (c *Core) totalCapacity() model.Resources {
 	var total model.Resources
 	for _, w := range c.workers {
-		if w.listed {
+		if w.listed && w.answered {
 			total = total.Add(w.info.Capacity)
 		}
 	}
 	return total
 }
 
-// dominantShare returns the largest share of a capacity in any resource.
-func dominantShare(used, capacity model.Resources) float64 {
-	share := 0.0
-	for _, r := range [...]struct{ used, capacity int64 }{
-		{used.CPUMilli, capacity.CPUMilli}, {used.MemoryMiB, capacity.MemoryMiB}, {used.Accelerators, capacity.Accelerators},
-	} {
-		if r.capacity > 0 {
-			share = max(share, float64(r.used)/float64(r.capacity))
-		}
-	}
-	return share
-}
-
 // updateShares determines which teams are over their share. Only teams that use or want capacity count.
 func (c *Core) updateShares() {
 	if len(c.teams) == 0 {
@@ -92,11 +80,11 @@
 	shares, weights := 0.0, 0.0
 	for _, t := range c.teams {
 		if _, waits := active[t]; waits || t.used.CPUMilli > 0 || t.used.MemoryMiB > 0 {
-			shares += dominantShare(t.used, capacity)
+			shares += t.used.DominantShare(capacity)
 			weights += t.weight
 		}
 	}
 	for _, t := range c.teams {
-		t.overShare = weights > 0 && dominantShare(t.used, capacity)/t.weight > overShareFactor*shares/weights
+		t.overShare = weights > 0 && t.used.DominantShare(capacity)/t.weight > overShareFactor*shares/weights
 	}
 }
--- a/version/cell/share_test.go
+++ b/version/cell/share_test.go
@@ -107,8 +107,8 @@
 // TestDominantShare guards against a team whose share is taken from the resource of which it uses least.
 func TestDominantShare(t *testing.T) {
 	capacity := model.Resources{CPUMilli: 1000, MemoryMiB: 1000, Accelerators: 10}
-	assert.Equal(t, dominantShare(model.Resources{CPUMilli: 100, MemoryMiB: 500, Accelerators: 2}, capacity), 0.5)
-	assert.Equal(t, dominantShare(model.Resources{CPUMilli: 100}, model.Resources{}), 0.0)
+	assert.Equal(t, model.Resources{CPUMilli: 100, MemoryMiB: 500, Accelerators: 2}.DominantShare(capacity), 0.5)
+	assert.Equal(t, model.Resources{CPUMilli: 100}.DominantShare(model.Resources{}), 0.0)
 }
 
 // TestTeamsAreOrderedOnlyIfThereAreAny guards against a change of the order in a cell without teams.
--- a/version/cell/team.go
+++ b/version/cell/team.go
@@ -241,7 +241,7 @@
 	for _, t := range c.teams {
 		uses = append(uses, TeamUse{
 			Name: t.name, Used: t.used, Limit: t.limit, WaitingTasks: waiting[t], HeldSteps: len(t.held),
-			Share: dominantShare(t.used, capacity), Weight: t.weight, OverShare: t.overShare,
+			Share: t.used.DominantShare(capacity), Weight: t.weight, OverShare: t.overShare,
 		})
 	}
 	slices.SortFunc(uses, func(a, b TeamUse) int {
--- a/version/cell/turns.go
+++ b/version/cell/turns.go
@@ -77,17 +77,6 @@
 	return s.allocatedDemand().CPUMilli * int64(p.core.startableTasks(s))
 }
 
-// cpuCapacity returns the processor capacity of all listed workers in thousandths of a core.
-func (c *Core) cpuCapacity() int64 {
-	total := int64(0)
-	for _, w := range c.workers {
-		if w.listed {
-			total += w.info.Capacity.CPUMilli
-		}
-	}
-	return total
-}
-
 // cannotStartSoon reports whether the preparations for a step have come to nothing for now, so that others get its turn: its
 // reservation has expired, or there is no plan and no worker left to ask about.
 func (c *Core) cannotStartSoon(s *step) bool {
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -28,6 +28,8 @@
 	announced *announcedBoot
 	// restartedAt is when this leader learned of the boot; 0 for the first boot that it knows.
 	restartedAt Instant
+	// answered means that the worker has answered a poll in this epoch.
+	answered bool
 	// inventoryKnown means that the inventory of this boot has been read in this epoch, so that commands may be sent.
 	inventoryKnown bool
 	// clockMS is the latest reading of the worker's clock and clockReceivedAt is when it was received.
