Acknowledge completions only when every start on the worker is reported

Cause: completion numbers are those of one boot, and a poll names the worker but not its boot.

Change: a poll carries no acknowledgement while a start on the worker has not been reported by a poll, or while another boot is announced. The next poll waits for the answer to the start, at most 150 ms as for completions that are not durable.

--- a/version/cell/completions.go
+++ b/version/cell/completions.go
@@ -82,6 +82,11 @@
 		return
 	}
 	w.pendingAcks = w.pendingAcks[n:]
+	w.signalAcks()
+}
+
+// signalAcks wakes the caller that waits for the acknowledgements of the worker.
+func (w *worker) signalAcks() {
 	select {
 	case w.acksChanged <- struct{}{}:
 	default:
--- a/version/cell/polls.go
+++ b/version/cell/polls.go
@@ -40,7 +40,7 @@
 		return req, true, true
 	}
 	req = backend.PollRequest{Worker: w.pollRef(), FencingToken: c.opts.Epoch, LeaseDeadlineMS: c.leaseDeadline(w)}
-	if w.health.missedPolls == 0 && w.lastAckedCompletion > w.deliveredAck {
+	if w.ackIsDue() && w.announced == nil && !w.hasUnreportedStart() {
 		req.AcknowledgedCompletion = w.lastAckedCompletion
 		w.sentAck, w.ackSentAt = w.lastAckedCompletion, c.now
 	} else {
@@ -59,6 +59,33 @@
 	return req, false, true
 }
 
+// ackIsDue reports whether completions are durable of which the worker does not know yet that it may forget them.
+func (w *worker) ackIsDue() bool {
+	return w.health.missedPolls == 0 && w.lastAckedCompletion > w.deliveredAck
+}
+
+// hasUnconfirmedStart reports whether a start has not been answered, so that the next poll may not report it.
+func (w *worker) hasUnconfirmedStart() bool {
+	for _, r := range w.runs {
+		if !r.isConfirmed() {
+			return true
+		}
+	}
+	return false
+}
+
+// hasUnreportedStart reports whether a run has been started that no poll has reported. Completion numbers are those of one boot: if
+// the worker has restarted, the start may have been executed by the new boot, and an acknowledgement of numbers of the former one
+// would make it forget a completion that nobody has read.
+func (w *worker) hasUnreportedStart() bool {
+	for _, r := range w.runs {
+		if r.firstReportAt == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // busyPollWait returns how long a poll of a worker with runs should wait, which is until the next completion is
 // expected. If the answer is lost, the completion is then observed no later than necessary.
 func (c *Core) busyPollWait(w *worker) time.Duration {
@@ -72,7 +99,7 @@
 }
 
 // AcksChanged returns a channel that receives a value when more completions of a worker may be acknowledged, and
-// whether any cannot be acknowledged yet.
+// whether any cannot be acknowledged yet: they are not durable, or a start is on its way to the worker.
 func (c *Core) AcksChanged(id string) (changed <-chan struct{}, pending bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -80,7 +107,7 @@
 	if w == nil {
 		return nil, false
 	}
-	return w.acksChanged, w.lastReadCompletion > w.lastAckedCompletion
+	return w.acksChanged, w.lastReadCompletion > w.lastAckedCompletion || w.ackIsDue() && w.hasUnconfirmedStart()
 }
 
 // PollResult records the outcome of a poll of a worker that was sent at sentAt.
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -166,6 +166,7 @@
 	default:
 		c.startOutcomeUnknown(r, err)
 	}
+	r.worker.signalAcks()
 	c.signalWake()
 }
 
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -49,7 +49,7 @@
 	// sentAck is the last acknowledgement sent, at ackSentAt, and deliveredAck the last one that the worker has received for sure.
 	sentAck, deliveredAck int64
 	ackSentAt             Instant
-	// acksChanged receives a value when lastAckedCompletion rises.
+	// acksChanged receives a value when lastAckedCompletion rises, and when a start is answered.
 	acksChanged chan struct{}
 	// startsBlockedUntil prevents new runs for a short time after a command or a poll has failed.
 	startsBlockedUntil Instant
