Tell a slow store from one that does not answer

Cause: probes had a timeout of 0.5 s. While the store took longer, none was ever answered, so that a shard that had failed once stayed lost although the store served it; probes were sent again beside the abandoned ones. A probe ahead of each call doubled its time. Calls without an answer within 0.8 s were sent through two other instances as well, each a further transaction on the same shard, and a refusal for the backlog of a shard (429) counted as an outage.

Change: a caller still waits 0.5 s for a probe, but the probe goes on and its late answer counts; there is one at a time for each shard. Times after which a shard is lost or suspect follow the recent answer times. A call that is on its way directly is relayed only through an instance that the store answers within 0.4 s; other relayed calls have 1.5 s. A refusal for a backlog is no outage while the store answers other calls of the instance.

--- a/process/node/relay.go
+++ b/process/node/relay.go
@@ -14,8 +14,12 @@
 const (
 	// maxRelayPeers limits the other instances through which a call is relayed at the same time.
 	maxRelayPeers = 2
-	// relayTimeout limits a relayed call, in addition to the wait of a feed.
-	relayTimeout = 700 * time.Millisecond
+	// relayTimeout limits a relayed call, in addition to the wait of a feed. The store answers the other instance in this time
+	// also if it is slow by a factor of 150.
+	relayTimeout = 1500 * time.Millisecond
+	// relayProbeTimeout limits the read by which another instance shows, ahead of a call that is also on its way directly, that the
+	// store answers it at once. A store that is slow for all is not asked several times.
+	relayProbeTimeout = 400 * time.Millisecond
 	// maxRelayFeedWait limits the wait of a relayed feed, so that the direct path is tried again soon.
 	maxRelayFeedWait = time.Second
 )
@@ -52,6 +56,7 @@
 		}()
 	}
 	combined := verdict.NotRun
+	directPending := false
 	firstErr := r.direct.Check(ctx, shard)
 	if firstErr == nil {
 		progressed := make(chan struct{}, 1)
@@ -62,16 +67,26 @@
 			if isAnswer(out.err) {
 				return out.value, out.err
 			}
+			if r.direct.IsOverload(out.err) {
+				return out.value, out.err
+			}
 			pending--
 			firstErr, combined = out.err, verdict.Of(out.err)
 		} else {
 			firstErr = verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the store is silent")
+			directPending = true
 		}
 	}
 	for _, address := range r.node.selectPeers(maxRelayPeers) {
 		launch(func(ctx context.Context) (T, error) {
 			ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 			defer cancel()
+			if directPending {
+				if err := r.probePeer(ctx, address, shard); err != nil {
+					var zero T
+					return zero, err
+				}
+			}
 			return viaPeer(ctx, address)
 		})
 	}
@@ -178,6 +193,18 @@
 	return page, err
 }
 
+// probePeer reports with an error that another instance gets no answer from the store at once. The error has the verdict NotRun.
+func (r relayedTables) probePeer(ctx context.Context, address, shard string) error {
+	ctx, cancel := context.WithTimeout(ctx, relayProbeTimeout)
+	defer cancel()
+	key := backend.RowKey{Table: writeTable, Shard: shard, Key: probeKey}
+	msg := &peerpb.TableGet{Key: rowToProto(backend.Row{RowKey: key})}
+	if _, err := r.callPeer(ctx, address, &peerpb.Request{Body: &peerpb.Request_TableGet{TableGet: msg}}); err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "the store does not answer %s at once", address)
+	}
+	return nil
+}
+
 // callPeer sends a table call to another instance.
 func (r relayedTables) callPeer(ctx context.Context, address string, req *peerpb.Request) (backend.Page, error) {
 	reply, err := r.node.opts.Peers.Call(ctx, address, req)
--- a/process/node/storehealth.go
+++ b/process/node/storehealth.go
@@ -7,26 +7,30 @@
 	"time"
 
 	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/request/latency"
 	"github.com/lentiltide/lentiltide/request/verdict"
 	"github.com/lentiltide/lentiltide/version/cell"
 )
 
 const (
 	// minSilenceTimeout is the time without an answer to a call after which its shard counts as silent, unless the store has
-	// been slow recently: then it is slowAnswerFactor times the longest recent answer time, up to maxSilenceTimeout.
+	// been slow recently: then it is slowAnswerFactor times the longest recent answer time, up to maxSilenceTimeout, which
+	// exceeds the time that a transaction waits for a shard of a store that is slow by a factor of 150.
 	minSilenceTimeout = 800 * time.Millisecond
-	maxSilenceTimeout = 2 * time.Second
+	maxSilenceTimeout = 4 * time.Second
 	slowAnswerFactor  = 3
-	// slowAnswerWindow is how long an answer time counts as recent.
-	slowAnswerWindow = 3 * time.Second
-	// maxFailureDuration is how long calls must have failed, without a success, before a shard counts as down.
+	// maxFailureDuration is how long calls must have failed, without a success, before a shard counts as down. While the store
+	// is slow, it is slowAnswerFactor times the longest recent answer time.
 	maxFailureDuration = 250 * time.Millisecond
 	// maxAnswerAge is the time since the last answer of the store after which a read is sent ahead of a call. Renewals of
-	// the leadership arrive more often, unless the store is slow.
+	// the leadership arrive more often. While the store is slow, the time is twice its longest recent answer time.
 	maxAnswerAge = 600 * time.Millisecond
-	// probeInterval is the time between probes while a shard is down; probeTimeout limits a probe.
+	// probeInterval is the time between probes while a shard is down.
 	probeInterval = 200 * time.Millisecond
-	probeTimeout  = 500 * time.Millisecond
+	// probeWait is how long a call waits for the probe of its shard. The probe itself goes on until probeTimeout, since a late
+	// answer shows that the store is slow and not down.
+	probeWait    = 500 * time.Millisecond
+	probeTimeout = 2500 * time.Millisecond
 )
 
 // observedTables forwards calls to the table service and tracks for each shard whether it answers this instance: the service
@@ -40,14 +44,15 @@
 	// that happens to the service as a whole.
 	onChange func(shard string, down bool, cause string)
 
-	mu         sync.Mutex
-	shards     map[string]*shardHealth
+	mu     sync.Mutex
+	shards map[string]*shardHealth
+	// probes holds the probe in flight of each shard.
+	probes     map[string]*storeProbe
 	lastCallID uint64
 	// answeredAt is when the service last answered any call; failedAt is when a call last failed.
 	answeredAt, failedAt cell.Instant
-	// slowestAnswer is the longest recent answer time, measured at slowestAnswerAt.
-	slowestAnswer   time.Duration
-	slowestAnswerAt cell.Instant
+	// answerTimes are the times until the answers to calls other than feeds.
+	answerTimes latency.Peak
 	// newestVersion is the highest version of the service in an answer.
 	newestVersion uint64
 	// loggedSilent is set if the last change reported for the service as a whole was its loss.
@@ -80,7 +85,7 @@
 func (c *pendingTableCall) lastSignAt() cell.Instant { return max(c.sentAt, c.progressedAt) }
 
 func observeTables(tables backend.Tables, now func() cell.Instant, onChange func(shard string, down bool, cause string)) *observedTables {
-	return &observedTables{Tables: tables, now: now, onChange: onChange, shards: map[string]*shardHealth{}, answeredAt: now()}
+	return &observedTables{Tables: tables, now: now, onChange: onChange, shards: map[string]*shardHealth{}, probes: map[string]*storeProbe{}, answeredAt: now()}
 }
 
 // shard returns the health of a shard. Callers hold o.mu.
@@ -178,7 +183,7 @@
 	defer o.mu.Unlock()
 	now := o.now()
 	if call.progressedAt == 0 {
-		o.recordAnswerTime(now - call.sentAt)
+		o.answerTimes.Record(now-call.sentAt, now)
 	}
 	call.progressedAt, o.answeredAt = now, now
 }
@@ -190,12 +195,22 @@
 	o.answeredAt = o.now()
 }
 
-// recordAnswerTime updates the longest recent answer time. Callers hold o.mu.
-func (o *observedTables) recordAnswerTime(took time.Duration) {
-	now := o.now()
-	if took >= o.slowestAnswer || now > o.slowestAnswerAt+slowAnswerWindow {
-		o.slowestAnswer, o.slowestAnswerAt = took, now
-	}
+// isOverload reports whether the store refused a call for the backlog of its shard, which shows that it serves this instance. A store
+// that refuses an instance altogether answers none of its calls. Callers hold o.mu.
+func (o *observedTables) isOverload(err error) bool {
+	return err != nil && verdict.From(err).Code == verdict.CodeOverloaded && o.now()-o.answeredAt <= o.maxAnswerAge()
+}
+
+// IsOverload is isOverload for callers that do not hold o.mu.
+func (o *observedTables) IsOverload(err error) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.isOverload(err)
+}
+
+// maxAnswerAge returns the time without an answer after which the store is suspect. Callers hold o.mu.
+func (o *observedTables) maxAnswerAge() time.Duration {
+	return max(maxAnswerAge, 2*o.answerTimes.Recent(o.now()))
 }
 
 // isAnswer reports whether a call was answered. The rejection of a condition or of a version is an answer, and so is that of a
@@ -215,9 +230,12 @@
 	health := o.shard(shard)
 	now := o.now()
 	if call := health.pending[callID]; call != nil && call.progressedAt == 0 && isAnswer(err) {
-		o.recordAnswerTime(now - call.sentAt)
+		o.answerTimes.Record(now-call.sentAt, now)
 	}
 	delete(health.pending, callID)
+	if o.isOverload(err) {
+		return
+	}
 	if isAnswer(err) {
 		health.succeededAt, health.failingSince = now, 0
 		o.answeredAt = now
@@ -261,7 +279,7 @@
 // 0. Callers hold o.mu.
 func (o *observedTables) downSince(health *shardHealth) cell.Instant {
 	now := o.now()
-	if health.failingSince != 0 && now-health.failingSince > maxFailureDuration {
+	if health.failingSince != 0 && now-health.failingSince > max(maxFailureDuration, slowAnswerFactor*o.answerTimes.Recent(now)) {
 		return health.failingSince
 	}
 	since := cell.Instant(0)
@@ -296,17 +314,15 @@
 
 // answerTimeout implements AnswerTimeout. Callers hold o.mu.
 func (o *observedTables) answerTimeout() time.Duration {
-	if o.now() > o.slowestAnswerAt+slowAnswerWindow {
-		return minSilenceTimeout
-	}
-	return min(max(minSilenceTimeout, slowAnswerFactor*o.slowestAnswer), maxSilenceTimeout)
+	return o.answerTimes.Timeout(o.now(), slowAnswerFactor, minSilenceTimeout, maxSilenceTimeout)
 }
 
 // Check probes a shard ahead of a call if the last call to the shard failed or the service has not answered for
 // maxAnswerAge. This avoids writes with an unknown outcome. The error has the verdict NotRun.
 func (o *observedTables) Check(ctx context.Context, shard string) error {
 	o.mu.Lock()
-	suspect := o.shard(shard).failingSince != 0 || o.now()-o.answeredAt > maxAnswerAge
+	suspect := o.shard(shard).failingSince != 0 || o.now()-o.answeredAt > o.maxAnswerAge()
+	slow := o.answerTimes.Recent(o.now()) > probeWait
 	o.mu.Unlock()
 	if !suspect {
 		return nil
@@ -314,20 +330,70 @@
 	if o.Down(shard) {
 		return unavailable(nil, "the store does not answer")
 	}
+	if slow {
+		// The probe would take as long as the call.
+		return nil
+	}
 	if err := o.probeShard(ctx, shard); err != nil {
 		return unavailable(err, "the store does not answer")
 	}
 	return nil
 }
 
+// storeProbe is a probe of a shard in flight.
+type storeProbe struct {
+	// done is closed when the probe has ended, with err as its outcome.
+	done chan struct{}
+	err  error
+}
+
+// probeShard waits up to probeWait for the outcome of a probe of a shard. The probe goes on after that, and there is at most one for
+// each shard: repeated probes would add to the load of a slow store.
 func (o *observedTables) probeShard(ctx context.Context, shard string) error {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	probe := o.startProbe(shard)
+	timeout := time.NewTimer(probeWait)
+	defer timeout.Stop()
+	select {
+	case <-probe.done:
+		return probe.err
+	case <-timeout.C:
+		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no answer to a probe within %s", probeWait)
+	case <-ctx.Done():
+		return verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.CodeUnavailable, "wait for a probe")
+	}
+}
+
+// startProbe returns the probe of a shard that is in flight, or starts one.
+func (o *observedTables) startProbe(shard string) *storeProbe {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if probe := o.probes[shard]; probe != nil {
+		return probe
+	}
+	probe := &storeProbe{done: make(chan struct{})}
+	o.probes[shard] = probe
+	go func() {
+		defer close(probe.done)
+		probe.err = o.readProbe(shard)
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		delete(o.probes, shard)
+	}()
+	return probe
+}
+
+// probeKey is the key of the row that probes read. It does not exist.
+const probeKey = "probe"
+
+// readProbe reads a row of a shard. Get records the outcome.
+func (o *observedTables) readProbe(shard string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	if shard == feedsShard {
 		// A feed spans all shards. The platform's own shard, which has the empty name, is probed in its place.
 		shard = ""
 	}
-	_, err := o.Get(ctx, backend.RowKey{Table: writeTable, Shard: shard, Key: "probe"})
+	_, err := o.Get(ctx, backend.RowKey{Table: writeTable, Shard: shard, Key: probeKey})
 	if err == nil {
 		o.endCall(feedsShard, 0, nil)
 	}
@@ -350,8 +416,7 @@
 			continue
 		}
 		for _, shard := range o.downShards() {
-			// Get records the outcome.
-			go func() { _ = o.probeShard(ctx, shard) }()
+			o.startProbe(shard)
 		}
 	}
 }
