Insert rows of a shard in several transactions while the store is slow

Cause: an instance had one transaction at a time on a shard. Behind one that takes a second, a submission takes two and more, beyond its deadline. An insert that the store refused for the backlog of a shard was tried again on the same shard.

Change: a row that has waited 100 ms for the transaction in flight is sent in a further one, up to four. An insert that a shard with a backlog refuses goes to the other shard of the job at once.

--- a/process/node/inserts.go
+++ b/process/node/inserts.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,8 +21,14 @@
 	maxInsertRows = 40
 	// maxInsertBytes limits the values of one transaction. It is well below the service's limit of 1 MB in base64.
 	maxInsertBytes = 400_000
-	// insertRetryDelay is the delay before an insert that the store refused for its rate is tried again.
-	insertRetryDelay = 60 * time.Millisecond
+	// insertRetryDelay is the delay before an insert that the store refused for its rate is tried again. It doubles with each
+	// attempt, of which there are maxInsertAttempts: the backlog of a shard of a slow store takes up to a second.
+	insertRetryDelay  = 60 * time.Millisecond
+	maxInsertAttempts = 5
+	// maxInsertWait is how long rows wait for the transaction in flight of their shard to be batched behind it. A slow store takes
+	// longer; then a further transaction is sent, up to maxInsertWriters at the same time.
+	maxInsertWait    = 100 * time.Millisecond
+	maxInsertWriters = 4
 )
 
 // jobShards returns the names of the shards that hold jobs and cancellations.
@@ -58,7 +65,7 @@
 }
 
 // inserter writes rows that must not exist yet. Rows of a shard that arrive while a transaction on it is in flight are
-// batched into the next one.
+// batched into the next one, which is sent when the first has ended or after maxInsertWait.
 type inserter struct {
 	tables backend.Tables
 
@@ -67,10 +74,11 @@
 	queues map[string]*insertQueue
 }
 
-// insertQueue holds the rows of one shard that wait for the transaction in flight. The mu of the inserter protects it.
+// insertQueue holds the rows of one shard that wait for a transaction in flight. The mu of the inserter protects it.
 type insertQueue struct {
 	pending []*insert
-	writing bool
+	// writers is the number of goroutines that write batches.
+	writers int
 }
 
 // insert is one row to write; done receives its outcome.
@@ -92,29 +100,43 @@
 }
 
 // Insert writes a row unless it exists; if it does, Insert returns its value. Attempts that the store refuses for its rate
-// are repeated, up to maxInsertAttempts in total. The error has the verdict NotRun only if no attempt can have taken effect.
+// are repeated. The error has the verdict NotRun only if no attempt can have taken effect.
 func (i *inserter) Insert(ctx context.Context, key backend.RowKey, value []byte) (existing []byte, err error) {
+	return i.InsertAny(ctx, []backend.RowKey{key}, value)
+}
+
+// InsertAny writes a row under the first of several keys whose shard has no backlog: attempts that the store refuses for its rate are
+// repeated with the next key. Of other errors it returns the first. The error has the verdict NotRun only if no attempt can have
+// taken effect.
+func (i *inserter) InsertAny(ctx context.Context, keys []backend.RowKey, value []byte) (existing []byte, err error) {
+	delay := insertRetryDelay
 	for attempt := 1; ; attempt++ {
-		in := &insert{key: key, value: value, done: make(chan insertOutcome, 1)}
-		i.enqueue(in)
-		select {
-		case out := <-in.done:
-			if out.err == nil {
-				return out.existing, nil
-			}
-			err = out.err
-		case <-ctx.Done():
-			return nil, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeUnavailable, "wait for the store")
+		existing, err = i.insertOnce(ctx, keys[(attempt-1)%len(keys)], value)
+		overloaded := err != nil && verdict.From(err).Code == verdict.CodeOverloaded && verdict.Of(err) == verdict.NotRun
+		if !overloaded || attempt == maxInsertAttempts {
+			return existing, err
 		}
-		overloaded := verdict.From(err).Code == verdict.CodeOverloaded
-		if verdict.Of(err) != verdict.NotRun || !overloaded || attempt == maxInsertAttempts || !pause(ctx, insertRetryDelay) {
+		if attempt%len(keys) != 0 {
+			continue
+		}
+		if !pause(ctx, delay) {
 			return nil, err
 		}
+		delay *= 2
 	}
 }
 
-// maxInsertAttempts limits the attempts of a write that the store refuses for its rate.
-const maxInsertAttempts = 3
+// insertOnce makes one attempt to write a row.
+func (i *inserter) insertOnce(ctx context.Context, key backend.RowKey, value []byte) (existing []byte, err error) {
+	in := &insert{key: key, value: value, done: make(chan insertOutcome, 1)}
+	i.enqueue(in)
+	select {
+	case out := <-in.done:
+		return out.existing, out.err
+	case <-ctx.Done():
+		return nil, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeUnavailable, "wait for the store")
+	}
+}
 
 func (i *inserter) enqueue(in *insert) {
 	i.mu.Lock()
@@ -125,8 +147,20 @@
 		i.queues[in.key.Shard] = q
 	}
 	q.pending = append(q.pending, in)
-	if !q.writing {
-		q.writing = true
+	if q.writers == 0 {
+		q.writers++
+		go i.drain(q)
+		return
+	}
+	time.AfterFunc(maxInsertWait, func() { i.addWriter(q, in) })
+}
+
+// addWriter starts a further writer if an insert still waits for a transaction in flight.
+func (i *inserter) addWriter(q *insertQueue, in *insert) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if q.writers < maxInsertWriters && slices.Contains(q.pending, in) {
+		q.writers++
 		go i.drain(q)
 	}
 }
@@ -160,7 +194,9 @@
 		batch = append(batch, in)
 	}
 	q.pending = remaining
-	q.writing = len(batch) > 0
+	if len(batch) == 0 {
+		q.writers--
+	}
 	return batch
 }
 
@@ -223,8 +259,15 @@
 func (n *Node) storeRequest(ctx context.Context, id job.ID, record []byte) ([]byte, error) {
 	combined := verdict.NotRun
 	var firstErr error
-	for _, shard := range shardsOf(id) {
-		existing, err := n.insertIntoShard(ctx, id, shard, record)
+	key, value := jobKey, record
+	if len(record) == 0 {
+		key, value = cancelKey, []byte("{}")
+	}
+	shards := shardsOf(id)
+	for first := range shards {
+		// A shard with a backlog is left to the other one.
+		keys := []backend.RowKey{key(id, shards[first]), key(id, shards[1-first])}
+		existing, err := n.inserts.InsertAny(ctx, keys, value)
 		if err == nil {
 			return existing, nil
 		}
@@ -241,13 +284,6 @@
 	return nil, verdict.Wrap(firstErr, combined, verdict.From(firstErr).Code, "store the request").WithRetryAfter(retryAfter)
 }
 
-func (n *Node) insertIntoShard(ctx context.Context, id job.ID, shard string, record []byte) ([]byte, error) {
-	if len(record) == 0 {
-		return n.inserts.Insert(ctx, cancelKey(id, shard), []byte("{}"))
-	}
-	return n.inserts.Insert(ctx, jobKey(id, shard), record)
-}
-
 // readRow reads a row that may be in either shard of a job. A result with version 0 and no error means that it is in
 // neither, or that the job was refused.
 func (n *Node) readRow(ctx context.Context, id job.ID, key func(job.ID, string) backend.RowKey) (backend.Row, error) {
