Reckon with the longest lease of a worker that has restarted

Cause: deadlines are readings of a worker's clock, which starts anew with each boot. A call with a deadline for the former boot is far in the future for the next one, which grants its longest lease: 10 s on some deployments, where the leader reckons with 6 s. If the worker then fell silent, its tasks started elsewhere while they ran on, and their ends could be acknowledged after that.

Change: after the first answer of a boot in an epoch the leader reckons with the longest lease, and with a second more after a restart, for calls to the former boot that are still on their way. The stand-in workers shorten leases to 10 s, as the platform does.

--- a/cmd/lentiltide-node/main.go
+++ b/cmd/lentiltide-node/main.go
@@ -166,6 +166,7 @@
 		},
 		Log: log, Panics: panics, OnDecision: decisionRecorder(log, metrics), OnAnswer: metrics.RecordAnswer,
 		Lease:          min(maxLease, time.Duration(s.MaxLeaseMS)*time.Millisecond),
+		MaxLease:       time.Duration(s.MaxLeaseMS) * time.Millisecond,
 		StopTimeout:    time.Duration(s.StopTimeoutMS) * time.Millisecond,
 		Retention:      time.Duration(s.RetentionS * float64(time.Second)),
 		LinkMbps:       s.LinkMbps,
--- a/process/node/cell_test.go
+++ b/process/node/cell_test.go
@@ -340,7 +340,7 @@
 			entry.WithFields(d.Fields).WithField("job", d.Job).WithField("at", c.now()).Info(d.Event)
 		},
 		CPUShare: c.cpuShareOf(name), LinkMbps: c.links[name], DelegateFrom: c.delegateFrom, KeyDeadline: c.keyDeadline,
-		Lease: 4 * time.Second, StopTimeout: 400 * time.Millisecond, Retention: time.Minute, Now: c.now,
+		Lease: 4 * time.Second, MaxLease: backends.MaxLease, StopTimeout: 400 * time.Millisecond, Retention: time.Minute, Now: c.now,
 	})
 	ctx, cancel := context.WithCancel(c.t.Context())
 	node := &testNode{Node: n, cancel: cancel, done: make(chan struct{})}
--- a/process/node/leader.go
+++ b/process/node/leader.go
@@ -99,7 +99,7 @@
 	l.storedAt, l.batchLimit = now, maxBatchRows
 	l.workers = newDelegatedWorkers(n, l.epoch)
 	l.core = cell.New(cell.Options{
-		Epoch: l.epoch, LeaseDuration: n.opts.Lease, PredecessorLeaseExtension: l.predecessorLeaseExtension(), StopTimeout: n.opts.StopTimeout,
+		Epoch: l.epoch, LeaseDuration: n.opts.Lease, MaxLease: n.opts.MaxLease, PredecessorLeaseExtension: l.predecessorLeaseExtension(), StopTimeout: n.opts.StopTimeout,
 		Retention: n.opts.Retention, OnDecision: n.opts.OnDecision,
 	}, now)
 	n.mu.Lock()
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -55,6 +55,8 @@
 	// Lease is the duration of leases on workers, StopTimeout limits a stop, and Retention is how long the state of a
 	// finished job can be queried.
 	Lease, StopTimeout, Retention time.Duration
+	// MaxLease is the longest lease that workers grant.
+	MaxLease time.Duration
 	// ConfigDeadline is the time within which a change of the configuration must be in force; 0 means the default.
 	ConfigDeadline time.Duration
 	// KeyDeadline is the time from the withdrawal of a key after which no call with it may be accepted, even by an instance
--- a/standin/backends/workers.go
+++ b/standin/backends/workers.go
@@ -301,6 +301,9 @@
 	return nil
 }
 
+// MaxLease is the longest lease that a worker grants. A deadline beyond it is shortened.
+const MaxLease = 10 * time.Second
+
 // extendLease extends the lease to a deadline on the worker's clock; 0 leaves it as it is. A lease is never shortened.
 // Callers hold the mutex of Workers.
 func (s *workerState) extendLease(now time.Duration, deadlineMS int64) {
@@ -308,7 +311,8 @@
 		if s.leaseUntil < now {
 			s.lapsedAt = now
 		}
-		s.leaseUntil = max(s.leaseUntil, s.startedAt+time.Duration(deadlineMS)*time.Millisecond)
+		deadline := s.startedAt + time.Duration(deadlineMS)*time.Millisecond
+		s.leaseUntil = max(s.leaseUntil, min(deadline, now+MaxLease))
 	}
 }
 
--- a/version/cell/boot_test.go
+++ b/version/cell/boot_test.go
@@ -166,3 +166,22 @@
 	tc.addWorker("w2")
 	assert.Assert(t, tc.core.isFeasible(s))
 }
+
+// Guards against a task that runs twice on a worker that restarts and then falls silent: a call to the former boot, whose clock was
+// ahead, has made the next boot grant its longest lease.
+func TestRestartedWorkerMayHoldTheLongestLease(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	tc.core.opts.MaxLease = 3 * testLease
+	tc.addWorker("w1")
+	tc.listWorker("w1", func(info *backend.WorkerInfo) { info.StartedMS = 9000 })
+	tc.answerBoot(9000)
+	tc.addJob("a", "plain", 1, stepWithTasks(1))
+	tc.advance(100 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 1)
+	tc.confirmStarts()
+	tc.addWorker("w2")
+	tc.advance(2 * testLease)
+	assert.Equal(t, len(tc.core.workers["w1"].runs), 1)
+	tc.advance(2 * testLease)
+	assert.Equal(t, len(tc.core.workers["w1"].runs), 0)
+}
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -20,6 +20,8 @@
 	Epoch uint64
 	// LeaseDuration is the duration of the leases on workers.
 	LeaseDuration time.Duration
+	// MaxLease is the longest lease that workers grant, whatever deadline a command has; 0 means LeaseDuration.
+	MaxLease time.Duration
 	// PredecessorLeaseExtension is how long after the start of this epoch the previous leader may still extend leases.
 	PredecessorLeaseExtension time.Duration
 	// StopTimeout limits the stop of a run on a worker. The Core does not read it.
--- a/version/cell/leases.go
+++ b/version/cell/leases.go
@@ -6,7 +6,7 @@
 func (c *Core) leasesEnd(w *worker) Instant {
 	if w.clockMS == 0 {
 		// Until the new boot has answered, a start that it has executed may hold a full lease.
-		return max(c.epochStart+c.recoveryBound(), w.restartedAt+maxLocalDuration(c.opts.LeaseDuration))
+		return max(c.epochStart+c.recoveryBound(), w.restartedAt+maxLocalDuration(c.maxLease()+lateCallAllowance))
 	}
 	remaining := time.Duration(w.leaseEndMS-w.clockMS) * time.Millisecond
 	return w.clockReceivedAt + maxLocalDuration(max(remaining, 0))
@@ -38,12 +38,25 @@
 // unlistedWorkerRetention is how long a worker without a registry entry is kept, since the entry may return.
 const unlistedWorkerRetention = 10 * time.Second
 
+// lateCallAllowance is how long a call that was sent to the former boot of a worker may still be on its way when the next boot has
+// answered.
+const lateCallAllowance = time.Second
+
+// maxLease returns the longest lease that workers grant.
+func (c *Core) maxLease() time.Duration { return max(c.opts.MaxLease, c.opts.LeaseDuration) }
+
 // recordClock records a reading of the worker's clock. Older readings are ignored. A former leader, whose commands the worker
-// refuses from the first answer on, has sent leases that end at most one lease duration after that answer.
+// refuses from the first answer on, has sent leases that end at most one longest lease after that answer. They may be longer than a
+// lease duration: the deadlines of calls to a former boot are readings of its clock, and on that of the next boot, which starts anew,
+// they are far in the future.
 func (c *Core) recordClock(w *worker, readingMS int64) {
 	w.silentSince = 0
 	if w.clockMS == 0 && readingMS > 0 {
-		w.leaseEndMS = max(w.leaseEndMS, readingMS+c.opts.LeaseDuration.Milliseconds())
+		lease := c.maxLease()
+		if w.restartedAt != 0 {
+			lease += lateCallAllowance
+		}
+		w.leaseEndMS = max(w.leaseEndMS, readingMS+lease.Milliseconds())
 	}
 	if readingMS > w.clockMS {
 		w.clockMS, w.clockReceivedAt = readingMS, c.now
