Name the reasons why a worker is not usable for a step

Cause: the condition was one expression, so that an operator could not be told which part of it keeps tasks off a worker.

Change: obstacleOn returns the reason; usable decides as before.

--- a/version/cell/place.go
+++ b/version/cell/place.go
@@ -158,17 +158,50 @@
 // usable reports whether a task of a step may start on a worker, provided that the free capacity suffices. t may be
 // nil.
 func (c *Core) usable(w *worker, s *step, t *task) bool {
-	if !w.listed || !w.entryIsCurrent() || !w.inventoryKnown || !w.isRecorded() || w.info.Draining || w.cordoned || w.hasUnknownRuns ||
-		c.now < w.startsBlockedUntil || c.now < w.health.suspectUntil {
-		return false
-	}
-	if !w.suits(s) || c.now > w.clockReceivedAt+maxClockAge || w.isReservedAgainst(s, c.now) || c.hasIsolatedRun(w, s) {
-		return false
-	}
-	if s.spec.MaxPerWorker > 0 && s.runsPerWorker[w] >= s.spec.MaxPerWorker {
-		return false
+	return c.obstacleOn(w, s) == noObstacle && (t == nil || (c.mayUse(w, t) && c.mayShare(w, t)))
+}
+
+// obstacle is the reason why no task of a step may start on a worker, whatever its free capacity.
+type obstacle uint8
+
+const (
+	noObstacle obstacle = iota
+	// obstacleUnsuitable: the worker is of another service or lacks the label that the step requires.
+	obstacleUnsuitable
+	// obstacleUnknown: the entry or the inventory of the present boot is not known, or the worker is not recorded yet.
+	obstacleUnknown
+	// obstacleSilent: the worker has not answered lately.
+	obstacleSilent
+	// obstacleLeaving: the worker drains, or its machine waits for maintenance.
+	obstacleLeaving
+	// obstacleSuspect: starts are blocked after a failure.
+	obstacleSuspect
+	// obstacleReserved: the worker is reserved for more urgent work, or for a task that may crash it.
+	obstacleReserved
+	// obstacleSpread: the worker has as many tasks of the step as it may have.
+	obstacleSpread
+)
+
+// obstacleOn returns why no task of a step may start on a worker.
+func (c *Core) obstacleOn(w *worker, s *step) obstacle {
+	switch {
+	case !w.suits(s):
+		return obstacleUnsuitable
+	case !w.listed || !w.entryIsCurrent() || !w.inventoryKnown || !w.isRecorded() || w.hasUnknownRuns:
+		return obstacleUnknown
+	case w.info.Draining || w.cordoned:
+		return obstacleLeaving
+	case c.now < w.startsBlockedUntil || c.now < w.health.suspectUntil:
+		return obstacleSuspect
+	case c.now > w.clockReceivedAt+maxClockAge:
+		return obstacleSilent
+	case w.isReservedAgainst(s, c.now) || c.hasIsolatedRun(w, s):
+		return obstacleReserved
+	case s.spec.MaxPerWorker > 0 && s.runsPerWorker[w] >= s.spec.MaxPerWorker:
+		return obstacleSpread
+	default:
+		return noObstacle
 	}
-	return t == nil || (c.mayUse(w, t) && c.mayShare(w, t))
 }
 
 const (
