--- a/cmd/lentiltide-node/main.go
+++ b/cmd/lentiltide-node/main.go
@@ -20,6 +20,7 @@
 
 	"github.com/lentiltide/lentiltide/backend"
 	"github.com/lentiltide/lentiltide/connection/peer"
+	"github.com/lentiltide/lentiltide/model/job"
 	"github.com/lentiltide/lentiltide/platform"
 	"github.com/lentiltide/lentiltide/process/node"
 	"github.com/lentiltide/lentiltide/process/settings"
@@ -187,6 +188,9 @@
 		mux := http.NewServeMux()
 		mux.Handle("/metrics", metrics.Handler())
 		mux.HandleFunc("/dump", n.ServeDump)
+		mux.Handle("POST /explain", platform.ExplainHandler(func(queue, team string, spec job.Spec) (any, error) {
+			return n.Explain(queue, team, spec)
+		}))
 		in.addServer(s.MetricsAddress, mux)
 	}
 	return in, nil
--- a/cmd/lentiltide/internal/command/arguments.go
+++ b/cmd/lentiltide/internal/command/arguments.go
@@ -42,6 +42,12 @@
 	Limit int `arg:"--limit" default:"200" help:"largest number of entries in each list"`
 }
 
+type whereArgs struct {
+	File  string `arg:"positional,required" placeholder:"FILE" help:"JSON file with a job as callers submit it; - reads standard input"`
+	Queue string `arg:"--queue,required" help:"name of the queue"`
+	Team  string `arg:"--team" help:"name of the team that would submit the job"`
+}
+
 type validateArgs struct {
 	File   string `arg:"positional,required" placeholder:"FILE" help:"JSON file to check; nothing is sent"`
 	Intent bool   `arg:"--intent" help:"the file states an intent, not settings"`
@@ -73,6 +79,7 @@
 	Config   *configArgs   `arg:"subcommand:config" help:"show, plan and confirm the configuration of the cell"`
 	Dump     *dumpArgs     `arg:"subcommand:dump" help:"show the state of the instance asked, as JSON"`
 	Trace    *traceArgs    `arg:"subcommand:trace" help:"print what the logs of several instances say about a job, in the order of time"`
+	Where    *whereArgs    `arg:"subcommand:where" help:"show where the tasks of a job would start now on a cell, and why not elsewhere; nothing is sent to workers. --url is the metrics address of the leader"`
 	Validate *validateArgs `arg:"subcommand:validate" help:"check a file of settings, an intent or a configuration without sending it"`
 	Demo     *noArgs       `arg:"subcommand:demo" help:"run both example deployments in this process; needs nothing else"`
 
--- a/cmd/lentiltide/internal/command/command.go
+++ b/cmd/lentiltide/internal/command/command.go
@@ -96,6 +96,8 @@
 			files = []string{"-"}
 		}
 		return c.trace(a.Trace.Job, files)
+	case a.Where != nil:
+		return c.where(ctx, a.Where)
 	default:
 		return c.validate(a.Validate)
 	}
--- a/cmd/lentiltide/internal/command/requests.go
+++ b/cmd/lentiltide/internal/command/requests.go
@@ -148,6 +148,20 @@
 	return c.printJSON(d)
 }
 
+// where asks the leader of a cell where the tasks of a job would start.
+func (c *command) where(ctx context.Context, a *whereArgs) error {
+	data, err := c.readInput(a.File)
+	if err != nil {
+		return err
+	}
+	path := "/explain?" + url.Values{"queue": {a.Queue}, "team": {a.Team}}.Encode()
+	var placement json.RawMessage
+	if err := c.send(ctx, http.MethodPost, path, nil, data, &placement); err != nil {
+		return err
+	}
+	return c.printJSON(placement)
+}
+
 func (c *command) config(ctx context.Context, a *configArgs) error {
 	switch {
 	case a.Show != nil:
--- a/process/node/status.go
+++ b/process/node/status.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/lentiltide/lentiltide/model/job"
+	"github.com/lentiltide/lentiltide/request/verdict"
 	"github.com/lentiltide/lentiltide/version/cell"
 )
 
@@ -69,6 +71,39 @@
 // maxDumpEntries limits the entries of each list in a dump.
 const maxDumpEntries = 500
 
+// maxExplainedWorkers limits the workers of each step in an explanation.
+const maxExplainedWorkers = 20
+
+// Explain returns where the tasks of a job would start now. The error has CodeInvalid for an unknown queue or an invalid job, and
+// CodeWrongOwner with the leader's address if this instance does not lead.
+func (n *Node) Explain(queue, team string, spec job.Spec) (cell.Placement, error) {
+	if err := validateSpec(spec); err != nil {
+		return cell.Placement{}, err
+	}
+	l := n.loadedLeadership()
+	if l == nil {
+		address, _ := n.leaderAddress()
+		return cell.Placement{}, verdict.New(verdict.NotRun, verdict.CodeWrongOwner, "this instance does not lead; the leader is %q", address)
+	}
+	q, ok := n.queueNamed(queue)
+	if !ok {
+		return cell.Placement{}, verdict.Invalid("queue", "there is no queue %q", queue)
+	}
+	return l.core.Explain(job.Record{Queue: q, Team: team, Spec: spec}, maxExplainedWorkers, n.opts.Now()), nil
+}
+
+// queueNamed returns the configured queue with a name.
+func (n *Node) queueNamed(name string) (job.Queue, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, q := range n.config.Queues {
+		if q.Name == name {
+			return q, true
+		}
+	}
+	return job.Queue{}, false
+}
+
 // ServeDump responds with the state of the instance as JSON.
 func (n *Node) ServeDump(w http.ResponseWriter, _ *http.Request) {
 	s := n.Status()
--- a/version/cell/explain_test.go
+++ b/version/cell/explain_test.go
@@ -89,3 +89,11 @@
 	assert.Equal(t, got.Startable, 3)
 	assert.Equal(t, len(tc.core.teams), 0)
 }
+
+// Guards against an objective that overflows, so that a job with absurd estimates would count as late and come after all others.
+func TestObjectiveOfAbsurdEstimates(t *testing.T) {
+	steps := []job.Step{stepWithTasks(1), stepWithTasks(1)}
+	steps[0].EstimateMS, steps[1].EstimateMS, steps[1].DependsOn = 1<<62, 1<<62, []int{0}
+	j := &jobState{record: job.Record{Spec: job.Spec{Steps: steps}}, queue: job.Queue{Stretch: 1e300}}
+	assert.Equal(t, objectiveDuration(j), maxObjectiveMS*time.Millisecond)
+}
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -261,9 +261,12 @@
 		longestMS = max(longestMS, pathMS[i])
 	}
 	ms := max(j.queue.Stretch, 1)*longestMS + float64(j.queue.ObjectiveMS)
-	return time.Duration(ms * float64(time.Millisecond))
+	return time.Duration(min(ms, maxObjectiveMS) * float64(time.Millisecond))
 }
 
+// maxObjectiveMS limits an objective to ten years, so that it fits into a time.Duration.
+const maxObjectiveMS = 10 * 365 * 24 * 3600 * 1000
+
 // openOccurrence creates an occurrence and queues the steps without dependencies.
 func (c *Core) openOccurrence(j *jobState, index int) *occurrence {
 	o := &occurrence{index: index}
