--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 it does the same without the disruption. Needs the build of the deploy file and review/build.sh. KEEP=1 keeps the logs.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/stage ] && [ -x target/lentiltide-node ] || exit 2
-exec target/review/stage scheduled review/2
+exec target/review/stage executor-cut-off review/2
--- a/review/_stage/executor.go
+++ b/review/_stage/executor.go
@@ -34,6 +34,10 @@
 	demand   demand
 	// finish, if not nil, ends the task when it is closed.
 	finish <-chan struct{}
+	// fills marks a task that fills; disturbedTail is the tail in milliseconds of a task that serves while such a task works
+	// beside it, and calmTail the tail otherwise.
+	fills                   bool
+	calmTail, disturbedTail int64
 }
 
 // executor is a stand-in for one life of a machine. It runs tasks in its own time, guards nothing but fencing tokens, run numbers
@@ -46,8 +50,10 @@
 	record               *record
 	behaviorOf           func(task string) behavior
 
-	mu       sync.Mutex
-	down     bool
+	mu   sync.Mutex
+	down bool
+	// cutOff means that nobody reaches the executor, and that it reaches nobody.
+	cutOff   bool
 	token    uint64
 	deadline time.Time
 	// lapses counts how often the lease has lapsed; hasLapsed means that it has not been extended since.
@@ -65,6 +71,22 @@
 	number   int64
 	began    time.Time
 	behavior behavior
+	// percent is the pace since pacedAt, and worked the work until then.
+	percent int
+	pacedAt time.Time
+	worked  time.Duration
+}
+
+// work returns how long the task has worked, at full pace.
+func (t *taskRun) work(now time.Time) time.Duration {
+	return t.worked + now.Sub(t.pacedAt)*time.Duration(t.percent)/100
+}
+
+// pace sets the pace of the task.
+func (t *taskRun) pace(percent int) {
+	now := time.Now()
+	t.worked = t.work(now)
+	t.pacedAt, t.percent = now, percent
 }
 
 type endedRun struct {
@@ -107,7 +129,7 @@
 		e.lapses++
 	}
 	for task, r := range e.running {
-		done := r.behavior.duration > 0 && now.Sub(r.began) >= r.behavior.duration || isClosed(r.behavior.finish)
+		done := r.behavior.duration > 0 && r.work(now) >= r.behavior.duration || isClosed(r.behavior.finish)
 		switch {
 		case done:
 			e.end(task, r, "done")
@@ -179,6 +201,10 @@
 
 // ServeHTTP implements http.Handler.
 func (e *executor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if e.isCutOff() {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	if r.Header.Get("Expected-Instance") != e.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -206,6 +232,10 @@
 	case "/v1/run-stop":
 		e.serveStop(w, c)
 	case "/v1/pace":
+		if r := e.running[c.Task]; r != nil && r.number == c.Run {
+			r.pace(c.Percent)
+			e.record.note("%s is paced to %d percent", c.Task, c.Percent)
+		}
 		writeJSON(w, http.StatusOK, map[string]any{"clockMs": e.clockMS()})
 	case "/v1/hold":
 		e.extend(c.DeadlineMS)
@@ -253,7 +283,8 @@
 		return
 	}
 	e.extend(c.DeadlineMS)
-	e.running[c.Task] = &taskRun{c.Run, time.Now(), e.behaviorOf(c.Task)}
+	now := time.Now()
+	e.running[c.Task] = &taskRun{number: c.Run, began: now, behavior: e.behaviorOf(c.Task), percent: 100, pacedAt: now}
 	e.record.started(e.id, c.Task, c.Run, e.used(), e.capacity)
 	writeJSON(w, http.StatusOK, map[string]any{"clockMs": e.clockMS()})
 }
@@ -307,13 +338,18 @@
 	running, ended := [][]any{}, [][]any{}
 	now := time.Now()
 	for task, t := range e.running {
-		running = append(running, []any{task, t.number, "", percentOf(t, now), t.behavior.demand.CPU})
+		running = append(running, []any{task, t.number, "", percentOf(t, now), e.figureOf(t)})
 	}
 	for _, x := range e.ended[:min(len(e.ended), maxListedEnds)] {
 		ended = append(ended, []any{x.number, x.task, x.run, x.how, ""})
 	}
 	body := map[string]any{"clockMs": e.clockMS(), "born": e.bornMS, "running": running, "ended": ended}
+	lost := e.cutOff
 	e.mu.Unlock()
+	if lost {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	writeJSON(w, http.StatusOK, body)
 }
 
@@ -322,7 +358,35 @@
 	if full == 0 {
 		full = taskStartup
 	}
-	return int(min(100, 100*now.Sub(t.began)/full))
+	return int(min(100, 100*t.work(now)/full))
+}
+
+// figureOf returns the figure of a run for the last half second: the tail of a task that serves, otherwise the processor use. Callers
+// hold mu.
+func (e *executor) figureOf(t *taskRun) int64 {
+	if t.behavior.calmTail == 0 {
+		return t.behavior.demand.CPU * int64(t.percent) / 100
+	}
+	for _, other := range e.running {
+		if other.behavior.fills && other.percent > 0 {
+			return t.behavior.disturbedTail
+		}
+	}
+	return t.behavior.calmTail
+}
+
+// setCutOff cuts the executor off from everybody, or ends that.
+func (e *executor) setCutOff(cutOff bool) {
+	e.mu.Lock()
+	e.cutOff = cutOff
+	e.mu.Unlock()
+	e.record.note("executor %s is cut off: %t", e.id, cutOff)
+}
+
+func (e *executor) isCutOff() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cutOff
 }
 
 // count returns how many runs and listed ends the executor has.
@@ -344,7 +408,8 @@
 	return names
 }
 
-// checkIn keeps the entry of the executor in the store until it is down.
+// checkIn keeps the entry of the executor in the store until it is down. While the executor is cut off, the store removes its entry
+// after three check-in intervals of silence.
 func (e *executor) checkIn(s *store) {
 	key := rowKey{Table: "servers", Key: e.id}
 	for sequence := 1; ; sequence++ {
@@ -354,6 +419,10 @@
 		if down {
 			return
 		}
+		if e.isCutOff() {
+			e.awaitContact(s, key)
+			continue
+		}
 		s.put(key, map[string]any{
 			"service": service, "address": e.address, "zone": "zone-a", "version": "1", "slots": 8, "state": "ready",
 			"coldRemainingMs": 0, "sequence": sequence, "capacity": e.capacity, "labels": []string{"plain", "r1-1"}, "born": e.bornMS,
@@ -361,3 +430,17 @@
 		time.Sleep(heartbeatInterval)
 	}
 }
+
+// awaitContact waits until the executor is no longer cut off. It begins at the first check-in that is missing.
+func (e *executor) awaitContact(s *store, key rowKey) {
+	removeAt := time.Now().Add(2 * heartbeatInterval)
+	removed := false
+	for e.isCutOff() {
+		time.Sleep(20 * time.Millisecond)
+		if !removed && time.Now().After(removeAt) {
+			removed = true
+			s.remove(key)
+			e.record.note("the entry of %s is removed", e.id)
+		}
+	}
+}
--- a/review/_stage/main.go
+++ b/review/_stage/main.go
@@ -17,13 +17,15 @@
 type play func(s *system, trouble bool) (breaks []string, err error)
 
 var plays = map[string]play{
-	"many-ends":       playManyEnds,
-	"cancel-unknown":  playCancelUnknown,
-	"upkeep-same-id":  playUpkeepSameID,
-	"upkeep-handover": playUpkeepHandover,
-	"upkeep-replay":   playUpkeepReplay,
-	"scheduled":       playScheduled,
-	"executors-crash": playExecutorsCrash,
+	"many-ends":        playManyEnds,
+	"cancel-unknown":   playCancelUnknown,
+	"upkeep-same-id":   playUpkeepSameID,
+	"upkeep-handover":  playUpkeepHandover,
+	"executor-cut-off": playExecutorCutOff,
+	"paced-task":       playPacedTask,
+	"upkeep-replay":    playUpkeepReplay,
+	"scheduled":        playScheduled,
+	"executors-crash":  playExecutorsCrash,
 }
 
 func main() {
--- a/review/_stage/record.go
+++ b/review/_stage/record.go
@@ -150,3 +150,20 @@
 	}
 	return breaks
 }
+
+// runsTogether returns the pairs of runs of one task that were at work at the same time.
+func (r *record) runsTogether() (breaks []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for task, runs := range r.runs {
+		for _, first := range runs {
+			for _, second := range runs {
+				if first.startedAt < second.startedAt && (first.how == "" || first.endedAt > second.startedAt) {
+					breaks = append(breaks, fmt.Sprintf("task %s: run %d on %s from %.3f s to %.3f s (%s), run %d on %s from %.3f s",
+						task, first.run, first.executor, first.startedAt.Seconds(), first.endedAt.Seconds(), first.how, second.run, second.executor, second.startedAt.Seconds()))
+				}
+			}
+		}
+	}
+	return breaks
+}
