--- a/review/_stage/executor.go
+++ b/review/_stage/executor.go
@@ -49,6 +49,10 @@
 	began                time.Time
 	record               *record
 	behaviorOf           func(task string) behavior
+	// takesLate, if not nil, reports whether a hold gets no answer and is carried out later, which is then up to the function.
+	takesLate func(hold call) bool
+	// lateHold is a hold that is carried out when the next run has ended; nil for none.
+	lateHold *call
 
 	mu   sync.Mutex
 	down bool
@@ -156,6 +160,7 @@
 	e.endings++
 	serial := e.record.ended(e.id, task, r.number, how)
 	e.ended = append(e.ended, endedRun{e.endings, task, r.number, how, serial, e.lapses})
+	e.carryOutLateHold()
 	close(e.changed)
 	e.changed = make(chan struct{})
 }
@@ -214,6 +219,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if r.URL.Path == "/v1/hold" && e.takesLate != nil && e.takesLate(c) {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	e.mu.Lock()
 	if e.down {
 		e.mu.Unlock()
@@ -298,6 +307,26 @@
 	writeJSON(w, http.StatusOK, map[string]any{"clockMs": e.clockMS()})
 }
 
+// setLateHold has the executor carry out a hold when its next run has ended.
+func (e *executor) setLateHold(hold call) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lateHold = &hold
+}
+
+// carryOutLateHold carries out a hold that got no answer. Callers hold mu.
+func (e *executor) carryOutLateHold() {
+	hold := e.lateHold
+	if hold == nil || hold.FencingToken < e.token {
+		return
+	}
+	e.lateHold = nil
+	e.token = hold.FencingToken
+	e.extend(hold.DeadlineMS)
+	e.record.noteLate(e.id, hold.LastSeen, len(e.ended))
+	e.takeNote(hold.LastSeen)
+}
+
 // takeNote forgets the ends up to a number. An end does not count as taken note of if the lease has lapsed since. Callers hold mu.
 func (e *executor) takeNote(lastSeen int64) {
 	n := 0
--- a/review/_stage/main.go
+++ b/review/_stage/main.go
@@ -22,6 +22,7 @@
 	"upkeep-same-id":   playUpkeepSameID,
 	"upkeep-handover":  playUpkeepHandover,
 	"executor-cut-off": playExecutorCutOff,
+	"late-hold":        playLateHold,
 	"paced-task":       playPacedTask,
 	"upkeep-replay":    playUpkeepReplay,
 	"scheduled":        playScheduled,
--- a/review/_stage/record.go
+++ b/review/_stage/record.go
@@ -116,6 +116,13 @@
 	r.write("ends up to %d of %s are taken note of", lastSeen, executor)
 }
 
+// noteLate records that an executor carries out a hold late.
+func (r *record) noteLate(executor string, lastSeen int64, listed int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.write("%s carries out a hold with lastSeen %d late; it lists %d ends", executor, lastSeen, listed)
+}
+
 // runsOf returns copies of the runs of the tasks of a submission.
 func (r *record) runsOf(submission string) []runRecord {
 	r.mu.Lock()
