Go on with a maintenance wave after a change of the leader

Cause: the phases of the machines were in the memory of the leader only, the status row was written and never read, and only a refusal cleared the cordon of a worker. The list of machines was no longer read once the last maintenance of a wave had begun.

Change: a record of each wave in a row of the leader's shard, written before a request is sent, and read with the status row before a new leader advances the wave. Cordons follow from the phases of the machines. Machines that the list shows in maintenance count towards the maximum.

TestSuccessorDoesNotRepeatAWave, TestWorkersReturnUnderTheirIDs, TestSuccessorRespectsTheMaximumOfAWave and TestMaintenanceIsRecordedBeforeItsRequest fail without the reading of the record, the return to service or the wait for the record. The tests of maintenance answer the new reads of the record; their checks stand.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -206,8 +206,8 @@
 	ID string
 	// Worker is the id of the machine's current worker; empty if there is none.
 	Worker string
-	// InService says that the machine is in service in its pool.
-	InService bool
+	// InService says that the machine is in service in its pool, and InMaintenance that it is down for its maintenance.
+	InService, InMaintenance bool
 }
 
 // MachineList is the list of the platform's machines.
@@ -264,4 +264,6 @@
 	Wave(row Row) (wave MaintenanceWave, ok bool, err error)
 	// WaveStatus returns the row that shows the operator whether a wave is completed.
 	WaveStatus(number int, completed bool) Row
+	// IsWaveCompleted reports whether a row that WaveStatus has returned shows a completed wave.
+	IsWaveCompleted(row Row) bool
 }
--- a/process/node/cell_test.go
+++ b/process/node/cell_test.go
@@ -178,6 +178,10 @@
 	return backend.Row{RowKey: key, Value: []byte(fmt.Sprint(completed))}
 }
 
+func (d testDecoder) IsWaveCompleted(row backend.Row) bool {
+	return string(row.Value) == string(d.WaveStatus(0, true).Value)
+}
+
 func (testDecoder) Config(row backend.Row) (job.Config, error) {
 	var value testConfig
 	if err := json.Unmarshal(row.Value, &value.Version); err != nil {
--- a/process/node/leader.go
+++ b/process/node/leader.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/lentiltide/lentiltide/backend"
-	"github.com/lentiltide/lentiltide/request/verdict"
 	"github.com/lentiltide/lentiltide/version/cell"
 )
 
@@ -278,26 +277,13 @@
 		refusal, err := l.maintain(ctx, a)
 		l.core.MaintainResult(a, refusal, err, l.node.opts.Now())
 	case *cell.WaveAction:
-		status := l.node.opts.Decoder.WaveStatus(a.Wave, a.Completed)
-		_, err := l.node.tables.Commit(ctx, backend.Txn{Put: []backend.Row{status}})
-		l.core.WaveResult(a, err)
+		l.core.WaveResult(a, l.reportWave(ctx, a))
+	case *cell.ReadWaveAction:
+		stored, err := l.readWave(ctx, a.Wave)
+		l.core.WaveRead(a, stored, err, l.node.opts.Now())
 	}
 }
 
-// maintain requests a maintenance if this instance still leads. The machine service may not compare fencing tokens, so that
-// the request of a leader that was suspended could follow one of its successor.
-func (l *leadership) maintain(ctx context.Context, a *cell.MaintainAction) (backend.MachineRefusal, error) {
-	row, err := l.node.tables.Get(ctx, leaderKey)
-	if err != nil {
-		return "", verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "confirm the leadership")
-	}
-	if row.Version != l.rowVersion {
-		return backend.MachineFenced, nil
-	}
-	leader := backend.Leader{Instance: l.node.opts.Instance, FencingToken: l.epoch}
-	return l.node.opts.Machines.Maintain(ctx, leader, a.Machine, a.Wave)
-}
-
 // startTask sends a start, unless the scheduler has withdrawn it while it waited for a slot. The wait for a slot does not
 // count toward the timeout of the command.
 func (l *leadership) startTask(ctx context.Context, a *cell.StartAction) {
@@ -391,25 +377,3 @@
 		}
 	}
 }
-
-// machinesInterval is the time between reads of the machine list while a maintenance wave is open.
-const machinesInterval = 500 * time.Millisecond
-
-// followMachines reads the list of machines periodically while a maintenance wave is open.
-func (l *leadership) followMachines(ctx context.Context) {
-	for pause(ctx, machinesInterval) {
-		if l.node.opts.Machines == nil || !l.core.NeedsMachines() {
-			continue
-		}
-		readAt := l.node.opts.Now()
-		list, err := l.node.opts.Machines.List(ctx)
-		if err != nil {
-			l.node.opts.Log.WithError(err).WithField("event", "machines_unreadable").Warn("cannot read the list of machines")
-			continue
-		}
-		if list.Unreadable != nil {
-			l.node.opts.Log.WithError(list.Unreadable).WithField("event", "machine_ignored").Warn("the list has a machine that cannot be decoded")
-		}
-		l.core.SetMachines(list, readAt, l.node.opts.Now())
-	}
-}
--- a/process/node/leadership.go
+++ b/process/node/leadership.go
@@ -44,6 +44,11 @@
 	return backend.RowKey{Table: writeTable, Shard: cellShard, Key: fleetRowPrefix + strconv.Itoa(shard)}
 }
 
+// waveKey is the key of the record of a maintenance wave.
+func waveKey(number int) backend.RowKey {
+	return backend.RowKey{Table: writeTable, Shard: cellShard, Key: "wave." + strconv.Itoa(number)}
+}
+
 const (
 	// renewalInterval is the time between renewals of the leadership.
 	renewalInterval = 400 * time.Millisecond
--- a/process/node/progress.go
+++ b/process/node/progress.go
@@ -206,6 +206,9 @@
 	for _, row := range batch.Fleet {
 		txn.Put = append(txn.Put, backend.Row{RowKey: fleetKey(row.Shard), Value: row.Data})
 	}
+	for _, row := range batch.Waves {
+		txn.Put = append(txn.Put, backend.Row{RowKey: waveKey(row.Wave), Value: row.Data})
+	}
 	for _, p := range batch.Progress {
 		txn.Put = append(txn.Put, backend.Row{RowKey: progressKey(p.Job), Value: p.Data})
 	}
--- a/process/node/recovery.go
+++ b/process/node/recovery.go
@@ -157,3 +157,9 @@
 func (d recoveringDecoder) WaveStatus(number int, completed bool) backend.Row {
 	return d.next.WaveStatus(number, completed)
 }
+
+// IsWaveCompleted implements backend.Decoder.
+func (d recoveringDecoder) IsWaveCompleted(row backend.Row) bool {
+	completed, err := recovery.Call(d.panics, placeDecoder, func() (bool, error) { return d.next.IsWaveCompleted(row), nil })
+	return completed && err == nil
+}
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -126,7 +126,7 @@
 }
 
 // Action is a command that the caller of Step executes: *StartAction, *StopAction, *PollAction, *ThrottleAction,
-// *AdviseAction, *LookupAction, *MaintainAction or *WaveAction.
+// *AdviseAction, *LookupAction, *MaintainAction, *WaveAction or *ReadWaveAction.
 type Action any
 
 // StartAction starts a run. The outcome is passed to StartResult.
--- a/version/cell/maintenance.go
+++ b/version/cell/maintenance.go
@@ -15,6 +15,8 @@
 	machines  map[string]*maintenance
 	// reportedState is the state last reported to the operator.
 	reportedState waveState
+	// record is what is durable of the wave.
+	record waveRecord
 }
 
 // waveState is the state of a wave as reported to the operator.
@@ -29,7 +31,11 @@
 // maintenance is the maintenance of one machine in a wave.
 type maintenance struct {
 	machine string
-	phase   maintenancePhase
+	// worker is the ID of the worker that the machine had when it was last drained or requested.
+	worker string
+	// recorded is the phase that the durable record of the wave shows.
+	recorded maintenancePhase
+	phase    maintenancePhase
 	// phaseSince is when the phase began, or when the maintenance was last requested or answered in it.
 	phaseSince Instant
 }
@@ -84,22 +90,33 @@
 		w.machines[id] = &maintenance{machine: id}
 	}
 	c.waves[spec.Number] = w
+	c.readWaveRecord(w)
 	c.logDecision("wave_added", "", map[string]any{"wave": spec.Number, "machines": len(spec.Machines), "max": spec.MaxUnavailable})
 	c.signalWake()
 }
 
-// NeedsMachines reports whether the list of machines is needed because a wave is open.
+// NeedsMachines reports whether the list of machines is needed: a wave is open, or a machine is not up again.
 func (c *Core) NeedsMachines() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, w := range c.waves {
-		if w.reportedState != waveCompleted {
+		if !w.isFinished() {
 			return true
 		}
 	}
 	return false
 }
 
+// isFinished reports whether the wave is completed and all of its machines are up again.
+func (w *wave) isFinished() bool {
+	for _, m := range w.machines {
+		if m.phase != maintenanceFinished {
+			return false
+		}
+	}
+	return w.reportedState == waveCompleted
+}
+
 // SetMachines records the list of machines that was read at readAt.
 func (c *Core) SetMachines(list backend.MachineList, readAt, now Instant) {
 	c.mu.Lock()
@@ -135,6 +152,9 @@
 	}
 	m.phase = p
 	m.phaseSince = c.now
+	if p == maintenanceFinished {
+		c.returnToService(m)
+	}
 	c.logDecision("maintenance", "", map[string]any{"wave": w.spec.Number, "machine": m.machine, "phase": p.String()})
 }
 
@@ -145,12 +165,7 @@
 
 // advanceWaves advances the open waves in ascending order of their numbers.
 func (c *Core) advanceWaves() {
-	for _, w := range c.waves {
-		if w.reportedState == waveUnreported {
-			w.reportedState = waveRunning
-			c.actions = append(c.actions, &WaveAction{Wave: w.spec.Number})
-		}
-	}
+	c.readWaveRecords()
 	if c.machines == nil || len(c.inventoryPending) > 0 {
 		return
 	}
@@ -160,17 +175,17 @@
 	}
 	slices.Sort(numbers)
 	for _, n := range numbers {
-		if w := c.waves[n]; w.reportedState != waveCompleted {
+		if w := c.waves[n]; w.record.known && w.reportedState != waveCompleted {
 			c.advanceWave(w)
 		}
 	}
+	c.updateCordons()
 }
 
 func (c *Core) advanceWave(w *wave) {
 	busy, open := 0, 0
 	for _, m := range w.machines {
-		switch m.phase {
-		case maintenanceDraining, maintenanceRequested, maintenanceDown:
+		if c.isBusy(m) {
 			busy++
 		}
 		if m.phase < maintenanceDown {
@@ -182,6 +197,10 @@
 		c.actions = append(c.actions, &WaveAction{Wave: w.spec.Number, Completed: true})
 		return
 	}
+	if w.reportedState == waveUnreported {
+		w.reportedState = waveRunning
+		c.actions = append(c.actions, &WaveAction{Wave: w.spec.Number})
+	}
 	for _, m := range c.nextMachines(w, max(1, w.spec.MaxUnavailable)-busy) {
 		c.setPhase(w, m, maintenanceDraining)
 	}
@@ -190,6 +209,19 @@
 	}
 }
 
+// isBusy reports whether a machine counts towards the maximum of its wave. The list may show a maintenance that this leader has not
+// requested.
+func (c *Core) isBusy(m *maintenance) bool {
+	switch m.phase {
+	case maintenanceDraining, maintenanceRequested, maintenanceDown:
+		return true
+	case maintenancePending:
+		return c.machines[m.machine].InMaintenance
+	default:
+		return false
+	}
+}
+
 // nextMachines returns at most limit pending machines, those with the lowest drain cost first.
 func (c *Core) nextMachines(w *wave, limit int) []*maintenance {
 	if limit <= 0 {
@@ -197,7 +229,7 @@
 	}
 	var waiting []*maintenance
 	for _, m := range w.machines {
-		if m.phase == maintenancePending {
+		if m.phase == maintenancePending && !c.isBusy(m) {
 			waiting = append(waiting, m)
 		}
 	}
@@ -235,19 +267,25 @@
 func (c *Core) advanceMachine(w *wave, m *maintenance) {
 	switch m.phase {
 	case maintenanceDraining:
-		if worker := c.workerOf(m); worker != nil && len(worker.runs) > 0 {
-			worker.cordoned = true
-			c.drainWorker(w, m, worker)
+	case maintenanceRequested:
+		if c.now <= m.phaseSince+maintenanceRetryInterval {
 			return
 		}
-		if worker := c.workerOf(m); worker != nil {
-			worker.cordoned = true
-		}
+	default:
+		return
+	}
+	worker := c.workerOf(m)
+	if worker != nil {
+		m.worker = worker.info.ID
+	}
+	switch {
+	case worker != nil && len(worker.runs) > 0:
+		c.drainWorker(w, m, worker)
+	case m.recorded < maintenanceRequested:
+		// A new leader must know of the request, whose outcome may be unknown then.
+		w.record.changed = true
+	default:
 		c.requestMaintenance(w, m)
-	case maintenanceRequested:
-		if c.now > m.phaseSince+maintenanceRetryInterval {
-			c.requestMaintenance(w, m)
-		}
 	}
 }
 
@@ -320,11 +358,11 @@
 		c.superseded = true
 	case refusal != "":
 		c.setPhase(w, m, maintenanceFinished)
-		if worker := c.workerOf(m); worker != nil {
-			worker.cordoned = false
-		}
-	default:
+		w.record.changed = true
+	case m.phase < maintenanceDown:
 		c.setPhase(w, m, maintenanceDown)
+		c.retireWorker(m)
+		w.record.changed = true
 	}
 	c.signalWake()
 }
--- a/version/cell/maintenance_test.go
+++ b/version/cell/maintenance_test.go
@@ -20,7 +20,8 @@
 	tc.core.SetMachines(list, tc.now, tc.now)
 }
 
-// runMaintenance runs scheduling rounds for a duration, accepts all maintenance requests and returns their machines.
+// runMaintenance runs scheduling rounds for a duration, answers all maintenance requests and returns their machines. All batches are
+// stored.
 func (tc *testCluster) runMaintenance(d time.Duration) (machines []string, completed bool) {
 	for end := tc.now + d; tc.now < end; {
 		tc.now += tick
@@ -28,17 +29,30 @@
 			switch a := action.(type) {
 			case *MaintainAction:
 				machines = append(machines, a.Machine)
-				tc.core.MaintainResult(a, "", nil, tc.now)
+				tc.core.MaintainResult(a, tc.maintenanceRefusal, nil, tc.now)
 			case *WaveAction:
 				completed = completed || a.Completed
+				tc.storedWaves[a.Wave] = StoredWave{Completed: a.Completed, Record: tc.storedWaves[a.Wave].Record}
+			case *ReadWaveAction:
+				tc.core.WaveRead(a, tc.storedWaves[a.Wave], nil, tc.now)
+			case *StartAction:
+				tc.starts = append(tc.starts, a)
 			case *StopAction:
 				tc.recordStop(a)
 			}
 		}
+		tc.storeBatches()
 	}
 	return machines, completed
 }
 
+// successor returns the cluster under the next leader, which reads what the present one has stored.
+func (tc *testCluster) successor() *testCluster {
+	next := newTestCluster(tc.t, tc.core.opts.Epoch+1)
+	next.now, next.storedWaves = tc.now, tc.storedWaves
+	return next
+}
+
 // recordStop records a stop, but not its retries.
 func (tc *testCluster) recordStop(a *StopAction) {
 	for _, recorded := range tc.stops {
@@ -121,12 +135,8 @@
 	tc.addWorker("w1")
 	tc.core.SetWave(backend.MaintenanceWave{Number: 1, Machines: []string{"m-w1"}, Duration: time.Minute, MaxUnavailable: 1}, tc.now)
 	tc.listMachines([]string{"w1"}, nil)
-	tc.now += time.Second
-	for _, action := range tc.core.Step(tc.now, 0) {
-		if a, ok := action.(*MaintainAction); ok {
-			tc.core.MaintainResult(a, backend.MachineFenced, nil, tc.now)
-		}
-	}
+	tc.maintenanceRefusal = backend.MachineFenced
+	_, _ = tc.runMaintenance(time.Second)
 	assert.Assert(t, tc.core.Superseded())
 }
 
@@ -136,12 +146,8 @@
 	tc.addWorker("w1")
 	tc.core.SetWave(backend.MaintenanceWave{Number: 1, Machines: []string{"m-w1"}, Duration: time.Minute, MaxUnavailable: 1}, tc.now)
 	tc.listMachines([]string{"w1"}, nil)
-	tc.now += time.Second
-	for _, action := range tc.core.Step(tc.now, 0) {
-		if a, ok := action.(*MaintainAction); ok {
-			tc.core.MaintainResult(a, backend.MachineNotInWave, nil, tc.now)
-		}
-	}
+	tc.maintenanceRefusal = backend.MachineNotInWave
+	_, _ = tc.runMaintenance(time.Second)
 	tc.addJob("a", "plain", 1, stepWithTasks(1))
 	tc.advance(200 * time.Millisecond)
 	assert.Equal(t, len(tc.starts), 1)
@@ -167,3 +173,151 @@
 	machines, completed = tc.runMaintenance(time.Second)
 	assert.Assert(t, completed, "%v", machines)
 }
+
+// maintainAll has the maintenance of the machines of the workers in a wave, each of which returns as the worker that returned names.
+func (tc *testCluster) maintainAll(wave int, ids []string, returned func(id string) string) {
+	spec := backend.MaintenanceWave{Number: wave, Duration: time.Minute, MaxUnavailable: 1}
+	names, down := map[string]string{}, map[string]bool{}
+	for _, id := range ids {
+		spec.Machines = append(spec.Machines, "m-"+id)
+		names[id] = id
+	}
+	list := func() {
+		var l backend.MachineList
+		for _, id := range ids {
+			l.Machines = append(l.Machines, backend.Machine{ID: "m-" + id, Worker: names[id], InService: !down[id], InMaintenance: down[id]})
+		}
+		tc.core.SetMachines(l, tc.now, tc.now)
+	}
+	tc.core.SetWave(spec, tc.now)
+	list()
+	for range ids {
+		begun, _ := tc.runMaintenance(time.Second)
+		assert.Equal(tc.t, len(begun), 1, "%v", begun)
+		id := begun[0][2:]
+		down[id] = true
+		list()
+		_, _ = tc.runMaintenance(2 * time.Second)
+		names[id], down[id] = returned(id), false
+		if names[id] != id {
+			tc.core.RemoveWorker(id, tc.now)
+			tc.addWorker(names[id])
+		}
+		list()
+	}
+	_, _ = tc.runMaintenance(time.Second)
+	assert.Assert(tc.t, tc.storedWaves[wave].Completed)
+}
+
+// Guards against a completed wave that is carried out again by the next leader, and against its workers staying cordoned then.
+func TestSuccessorDoesNotRepeatAWave(t *testing.T) {
+	for _, lost := range []string{"nothing", "the status", "status and record"} {
+		tc := newTestCluster(t, 1)
+		tc.addWorker("w1")
+		tc.maintainAll(1, []string{"w1"}, func(id string) string { return id + "-next" })
+		if lost != "nothing" {
+			tc.storedWaves[1] = StoredWave{Record: tc.storedWaves[1].Record}
+		}
+		if lost == "status and record" {
+			tc.storedWaves[1] = StoredWave{}
+		}
+		next := tc.successor()
+		next.addWorker("w1-next")
+		next.core.SetWave(backend.MaintenanceWave{Number: 1, Machines: []string{"m-w1"}, Duration: time.Minute, MaxUnavailable: 1}, next.now)
+		var begun []string
+		for range 10 {
+			next.core.SetMachines(backend.MachineList{Machines: []backend.Machine{{ID: "m-w1", Worker: "w1-next", InService: true}}}, next.now, next.now)
+			again, _ := next.runMaintenance(500 * time.Millisecond)
+			begun = append(begun, again...)
+		}
+		if lost == "status and record" {
+			assert.DeepEqual(t, begun, []string{"m-w1"})
+		} else {
+			assert.Equal(t, len(begun), 0, "lost: %s", lost)
+		}
+		assert.Assert(t, next.storedWaves[1].Completed)
+		assert.Assert(t, !next.core.NeedsMachines())
+		next.addJob("a", "plain", 2, stepWithTasks(1))
+		next.answerPoll("w1-next", nil, nil)
+		next.advance(200 * time.Millisecond)
+		assert.Equal(t, len(next.starts), 1, "lost: %s", lost)
+	}
+}
+
+// Guards against workers that stay cordoned because they start again under the ID that they had before the maintenance, the last one of
+// the wave included.
+func TestWorkersReturnUnderTheirIDs(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	ids := []string{"w1", "w2"}
+	for _, id := range ids {
+		tc.addWorker(id)
+	}
+	tc.maintainAll(1, ids, func(id string) string { return id })
+	for _, id := range ids {
+		tc.answerPoll(id, nil, nil)
+	}
+	tc.addJob("a", "plain", 1, stepWithTasks(8))
+	tc.advance(200 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 8)
+}
+
+// Guards against a new leader that begins a maintenance while another machine of the wave is down: one that its predecessor has
+// requested, without knowing the outcome, or that only the list shows.
+func TestSuccessorRespectsTheMaximumOfAWave(t *testing.T) {
+	machines := func(down bool) backend.MachineList {
+		return backend.MachineList{Machines: []backend.Machine{
+			{ID: "m-w1", Worker: "w1", InService: !down, InMaintenance: down}, {ID: "m-w2", Worker: "w2", InService: true},
+		}}
+	}
+	for name, record := range map[string]string{"requested": `{"requested":["m-w1"]}`, "settled": `{"settled":["m-w1"]}`, "none": ""} {
+		tc := newTestCluster(t, 2)
+		tc.addWorker("w1")
+		tc.addWorker("w2")
+		tc.storedWaves[1] = StoredWave{Record: []byte(record)}
+		tc.core.SetWave(backend.MaintenanceWave{Number: 1, Machines: []string{"m-w1", "m-w2"}, Duration: time.Minute, MaxUnavailable: 1}, tc.now)
+		tc.maintenanceRefusal = backend.MachineBusy
+		for range 4 {
+			tc.core.SetMachines(machines(true), tc.now, tc.now)
+			begun, _ := tc.runMaintenance(500 * time.Millisecond)
+			for _, m := range begun {
+				assert.Equal(t, m, "m-w1", name)
+			}
+		}
+		tc.maintenanceRefusal = ""
+		var begun []string
+		for range 10 {
+			tc.core.SetMachines(machines(false), tc.now, tc.now)
+			again, _ := tc.runMaintenance(500 * time.Millisecond)
+			begun = append(begun, again...)
+		}
+		if name == "settled" {
+			assert.DeepEqual(t, begun, []string{"m-w2"})
+		} else {
+			assert.DeepEqual(t, begun, []string{"m-w1", "m-w2"})
+		}
+	}
+}
+
+// Guards against a maintenance request that is sent before it is recorded: the next leader would not know of it.
+func TestMaintenanceIsRecordedBeforeItsRequest(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	tc.addWorker("w1")
+	tc.core.SetWave(backend.MaintenanceWave{Number: 1, Machines: []string{"m-w1"}, Duration: time.Minute, MaxUnavailable: 1}, tc.now)
+	tc.listMachines([]string{"w1"}, nil)
+	for end := tc.now + 2*time.Second; tc.now < end; {
+		tc.now += tick
+		for _, action := range tc.core.Step(tc.now, 0) {
+			if a, ok := action.(*ReadWaveAction); ok {
+				tc.core.WaveRead(a, StoredWave{}, nil, tc.now)
+			}
+			_, requested := action.(*MaintainAction)
+			assert.Assert(t, !requested)
+		}
+		if b := tc.core.CollectBatch(80); !b.Empty() {
+			tc.core.BatchStored(b, false, tc.now)
+		}
+	}
+	begun, _ := tc.runMaintenance(time.Second)
+	assert.DeepEqual(t, begun, []string{"m-w1"})
+	assert.Equal(t, string(tc.storedWaves[1].Record), `{"settled":["m-w1"]}`)
+}
--- a/version/cell/progress.go
+++ b/version/cell/progress.go
@@ -48,12 +48,14 @@
 	// Removed are jobs whose progress can be removed.
 	Removed []job.ID
 	// Fleet are the changed rows of the fleet record.
-	Fleet  []FleetRow
+	Fleet []FleetRow
+	// Waves are the changed records of waves.
+	Waves  []WaveRow
 	Change uint64
 }
 
 // Rows returns the number of rows to write or remove.
-func (b Batch) Rows() int { return len(b.Fleet) + len(b.Progress) + len(b.Removed) }
+func (b Batch) Rows() int { return len(b.Fleet) + len(b.Waves) + len(b.Progress) + len(b.Removed) }
 
 // Empty reports whether there is nothing to write.
 func (b Batch) Empty() bool { return b.Rows() == 0 }
@@ -70,9 +72,10 @@
 	}
 	batch := Batch{Change: c.changeCount}
 	c.addFleetRecord(&batch)
+	c.addWaveRecords(&batch, limit)
 	bytes := 0
 	for id, j := range c.dirtyJobs {
-		if len(batch.Fleet)+len(batch.Progress) >= limit || bytes > maxBatchBytes {
+		if batch.Rows() >= limit || bytes > maxBatchBytes {
 			break
 		}
 		if j.isRefusedByStore() {
@@ -83,7 +86,7 @@
 		batch.Progress = append(batch.Progress, Progress{id, data, j.firstUnbatchedChange})
 		delete(c.dirtyJobs, id)
 	}
-	for len(c.progressRemovals) > 0 && len(batch.Fleet)+len(batch.Progress)+3*len(batch.Removed) < limit {
+	for len(c.progressRemovals) > 0 && batch.Rows()+2*len(batch.Removed) < limit {
 		batch.Removed = append(batch.Removed, c.progressRemovals[0])
 		c.progressRemovals = c.progressRemovals[1:]
 	}
@@ -138,6 +141,7 @@
 	defer c.mu.Unlock()
 	c.now = max(c.now, now)
 	c.handleFleetRecordStored(b, stored)
+	c.handleWaveRecordsStored(b, stored)
 	if !stored {
 		c.requeueBatch(b)
 		return
--- a/version/cell/testcluster_test.go
+++ b/version/cell/testcluster_test.go
@@ -28,6 +28,9 @@
 	// lookups counts the lookups of unknown jobs. They find no record, or fail with lookupError.
 	lookups     int
 	lookupError error
+	// storedWaves is what the store holds of the waves, and maintenanceRefusal the answer to maintenance requests.
+	storedWaves        map[int]StoredWave
+	maintenanceRefusal backend.MachineRefusal
 }
 
 const (
@@ -38,7 +41,8 @@
 // newTestCluster returns a core with three queues: "plain" needs no advice, "short" cheap advice and "long" expensive
 // advice.
 func newTestCluster(t *testing.T, epoch uint64) *testCluster {
-	tc := &testCluster{t: t, now: time.Hour, lastCompletion: map[string]int64{}, highestAck: map[string]int64{}}
+	tc := &testCluster{t: t, now: time.Hour, lastCompletion: map[string]int64{}, highestAck: map[string]int64{},
+		storedWaves: map[int]StoredWave{}}
 	tc.core = New(Options{
 		Epoch: epoch, LeaseDuration: testLease, PredecessorLeaseExtension: 6 * time.Second, StopTimeout: 400 * time.Millisecond,
 		Retention: time.Minute,
@@ -127,6 +131,8 @@
 		case *LookupAction:
 			tc.lookups++
 			tc.core.LookupResult(a, false, tc.lookupError, tc.now)
+		case *ReadWaveAction:
+			tc.core.WaveRead(a, tc.storedWaves[a.Wave], nil, tc.now)
 		}
 	}
 }
@@ -160,6 +166,9 @@
 			return batches
 		}
 		tc.core.BatchStored(b, true, tc.now)
+		for _, row := range b.Waves {
+			tc.storedWaves[row.Wave] = StoredWave{Completed: tc.storedWaves[row.Wave].Completed, Record: row.Data}
+		}
 		batches = append(batches, b)
 	}
 }
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -77,9 +77,10 @@
 	// priority after tasks were preempted for them.
 	reservedForPriority int
 	reservedUntil       Instant
-	// cordoned prevents new runs before the maintenance of the machine.
-	cordoned      bool
-	drainingSince Instant
+	// cordoned prevents new runs before and during the maintenance of the machine, and retired means that the maintenance has ended
+	// the process of the worker.
+	cordoned, retired bool
+	drainingSince     Instant
 	// departsAt is when a draining worker may leave.
 	departsAt Instant
 	// silentSince is when a poll or a start first remained unanswered since the last answer; 0 after an answer.
@@ -205,6 +206,7 @@
 		c.pollSoon(w)
 	}
 	w.restartedAt, w.lastCrash = c.now, k
+	w.retired = false
 	w.inventoryKnown = false
 	w.clockMS, w.leaseEndMS = 0, 0
 	w.lastReadCompletion, w.lastAckedCompletion, w.pendingAcks = 0, 0, nil
