Keep runs whose completions a worker does not list yet

Cause: a worker lists at most 500 completions at a time. With more than that waiting, a run that had ended was in neither list, and the leader took it for lost. A new leader took the first 500 completions for all. With that mended, acknowledgements stopped for good: they waited for a report of each started run, which runs that end between two polls with a full list never get.

Change: an inventory with 500 completions is not complete. A run that it does not list stays in the ledger, does not hold up acknowledgements, and the worker does not count as read by a new leader while it answers. The stand-in of the workers lists 500 completions at a time.

TestCompletionsBeyondTheListAreNotLost, TestSuccessorReadsAllCompletions and TestRestartEndsRunsWithUnreadCompletions are new.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -174,15 +174,22 @@
 	Checkpoint string
 }
 
+// MaxFinishedRuns is the number of finished runs that a worker lists at a time, those with the lowest numbers.
+const MaxFinishedRuns = 500
+
 // PollReply is the inventory of a worker.
 type PollReply struct {
 	Reply
 	// StartedMS is as in WorkerInfo.
 	StartedMS int64
 	Running   []ActiveRun
-	Finished  []FinishedRun
+	// Finished are at most MaxFinishedRuns runs that are not acknowledged.
+	Finished []FinishedRun
 }
 
+// IsComplete reports whether the reply lists all finished runs. Otherwise a run that is not listed may have finished.
+func (r PollReply) IsComplete() bool { return len(r.Finished) < MaxFinishedRuns }
+
 // Workers sends commands to workers. An error means that the outcome of a command is unknown, unless it is a *verdict.Error
 // with NotRun.
 type Workers interface {
--- a/standin/backends/workers.go
+++ b/standin/backends/workers.go
@@ -494,7 +494,7 @@
 		delete(worker.endedAt, e.Number)
 		return true
 	})
-	reply.Finished = slices.Clone(worker.unacknowledged)
+	reply.Finished = slices.Clone(worker.unacknowledged[:min(len(worker.unacknowledged), backend.MaxFinishedRuns)])
 	for name, r := range worker.running {
 		percent := 100
 		if !r.behavior.Service {
--- /dev/null
+++ b/version/cell/manycompletions_test.go
@@ -0,0 +1,129 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/model/job"
+)
+
+// addLargeWorker lists a worker that holds 1000 tasks of one core and answers its first poll.
+func (tc *testCluster) addLargeWorker(id string) {
+	tc.listWorker(id, func(info *backend.WorkerInfo) { info.Capacity.CPUMilli, info.Capacity.MemoryMiB = 1_000_000, 1_000_000 })
+	tc.answerPoll(id, nil, nil)
+	tc.storeBatches()
+}
+
+// completeRuns returns the completions of runs on a worker.
+func (tc *testCluster) completeRuns(worker string, runs []backend.ActiveRun) []backend.FinishedRun {
+	var completions []backend.FinishedRun
+	for _, r := range runs {
+		completions = append(completions, tc.completion(worker, r.Task, r.Run, backend.ResultDone))
+	}
+	return completions
+}
+
+// listAcknowledged answers polls of a worker that holds completions, 500 at a time, and forgets what it is told to. It returns what is
+// left.
+func (tc *testCluster) listAcknowledged(worker string, running []backend.ActiveRun, completions []backend.FinishedRun) []backend.FinishedRun {
+	req, _, ok := tc.core.PreparePoll(worker, tc.now)
+	assert.Assert(tc.t, ok)
+	for len(completions) > 0 && completions[0].Number <= req.AcknowledgedCompletion {
+		completions = completions[1:]
+	}
+	tc.core.PollResult(worker, tc.now, backend.PollReply{
+		Reply: backend.Reply{ClockMS: tc.clockMS()}, StartedMS: 1000, Running: running,
+		Finished: completions[:min(len(completions), backend.MaxFinishedRuns)],
+	}, nil, tc.now+1)
+	tc.now += 2
+	return completions
+}
+
+// Guards against tasks that start again because their completions are beyond those that a worker lists at a time while the store is not
+// available, and against acknowledgements that wait for ever for runs that ended before a poll listed them.
+func TestCompletionsBeyondTheListAreNotLost(t *testing.T) {
+	for _, reported := range []bool{true, false} {
+		tc := newTestCluster(t, 1)
+		tc.addLargeWorker("w1")
+		tc.addJob("a", "plain", 1, stepWithTasks(800))
+		tc.step()
+		running := tc.confirmStarts()["w1"]
+		assert.Equal(t, len(running), 800)
+		tc.now += 2
+		if reported {
+			tc.answerPoll("w1", running, nil)
+		}
+		tc.addLargeWorker("w2")
+		left := tc.completeRuns("w1", running)
+		for range 30 {
+			left = tc.listAcknowledged("w1", nil, left)
+			tc.answerPoll("w2", nil, nil)
+			tc.advance(50 * time.Millisecond)
+		}
+		assert.Equal(t, len(left), 800, "completions are not durable")
+		assert.Equal(t, len(tc.starts), 0, "reported %t", reported)
+		for range 5 {
+			tc.storeBatches()
+			left = tc.listAcknowledged("w1", nil, left)
+			tc.answerPoll("w2", nil, nil)
+			tc.advance(50 * time.Millisecond)
+		}
+		assert.Equal(t, len(left), 0)
+		assert.Equal(t, len(tc.starts), 0)
+		assert.Equal(t, tc.state("a"), job.Completed)
+	}
+}
+
+// Guards against a new leader that starts tasks again whose completions are beyond the first that a worker lists, however long it takes
+// until they are durable.
+func TestSuccessorReadsAllCompletions(t *testing.T) {
+	tc := newTestCluster(t, 2)
+	assert.NilError(t, tc.core.LoadFleetRecord(tc.now, []byte(`{"w1":"w1:1"}`)))
+	var left []backend.FinishedRun
+	for i := range 1200 {
+		left = append(left, tc.completion("w1", fmt.Sprintf("a.0.0.%d", i), 1, backend.ResultDone))
+	}
+	tc.listWorker("w1", nil)
+	tc.addLargeWorker("w2")
+	tc.addJob("a", "plain", 1, stepWithTasks(1201))
+	for end := tc.now + 2*tc.core.recoveryBound(); tc.now < end; {
+		left = tc.listAcknowledged("w1", nil, left)
+		tc.answerPoll("w2", nil, nil)
+		tc.advance(100 * time.Millisecond)
+	}
+	assert.Equal(t, len(tc.starts), 0)
+	for range 10 {
+		tc.storeBatches()
+		left = tc.listAcknowledged("w1", nil, left)
+		tc.answerPoll("w2", nil, nil)
+		tc.advance(50 * time.Millisecond)
+	}
+	// The start that is on its way holds up the last acknowledgement.
+	assert.Equal(t, len(left), 200)
+	assert.Equal(t, len(tc.starts), 1)
+	assert.Equal(t, tc.starts[0].Command.Task, "a.0.0.1200")
+}
+
+// Guards against a run that keeps its task and its capacity for ever because its worker ended before it listed the completion.
+func TestRestartEndsRunsWithUnreadCompletions(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	tc.addLargeWorker("w1")
+	tc.addJob("a", "plain", 1, stepWithTasks(600))
+	tc.step()
+	running := tc.confirmStarts()["w1"]
+	tc.now += 2
+	tc.listAcknowledged("w1", nil, tc.completeRuns("w1", running))
+	tc.advance(100 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 0)
+	tc.core.PollResult("w1", tc.now, backend.PollReply{Reply: backend.Reply{ClockMS: 1}, StartedMS: 2000}, nil, tc.now+1)
+	tc.listWorker("w1", func(info *backend.WorkerInfo) {
+		info.StartedMS, info.Capacity.CPUMilli, info.Capacity.MemoryMiB = 2000, 1_000_000, 1_000_000
+	})
+	tc.storeBatches()
+	tc.advance(100 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 100)
+}
--- a/version/cell/polls.go
+++ b/version/cell/polls.go
@@ -79,7 +79,7 @@
 // would make it forget a completion that nobody has read.
 func (w *worker) hasUnreportedStart() bool {
 	for _, r := range w.runs {
-		if r.firstReportAt == 0 {
+		if r.firstReportAt == 0 && !r.completionUnread {
 			return true
 		}
 	}
@@ -158,10 +158,12 @@
 	}
 	w.expiredTasks, w.ended = nil, false
 	c.recordCompletions(w, reply.Finished)
-	c.reconcileRuns(w, sentAt, reply.Running)
+	c.reconcileRuns(w, sentAt, reply)
 	w.forgetResolvedTasks()
 	w.inventoryKnown = true
-	delete(c.inventoryPending, id)
+	if reply.IsComplete() {
+		delete(c.inventoryPending, id)
+	}
 	c.signalWake()
 }
 
@@ -214,11 +216,11 @@
 const startBlockDuration = 700 * time.Millisecond
 
 // reconcileRuns compares the runs that a worker lists with the ledger.
-func (c *Core) reconcileRuns(w *worker, sentAt Instant, running []backend.ActiveRun) {
+func (c *Core) reconcileRuns(w *worker, sentAt Instant, reply backend.PollReply) {
 	w.unknownRuns = nil
 	w.hasUnknownRuns = false
-	listed := make(map[runKey]struct{}, len(running))
-	for _, item := range running {
+	listed := make(map[runKey]struct{}, len(reply.Running))
+	for _, item := range reply.Running {
 		key := runKey{item.Task, item.Run}
 		listed[key] = struct{}{}
 		r := w.runs[key]
@@ -233,7 +235,7 @@
 	}
 	for key, r := range w.runs {
 		if _, ok := listed[key]; !ok {
-			c.handleUnlistedRun(r, sentAt)
+			c.handleUnlistedRun(r, sentAt, reply.IsComplete())
 		}
 	}
 	c.protectLatency(w)
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -50,6 +50,8 @@
 	// throttlePercent is the share of its normal speed at which the run works, in percent.
 	throttlePercent int
 	removed         bool
+	// completionUnread means that the run has ended, and that its completion may be beyond those that the worker lists at a time.
+	completionUnread bool
 }
 
 func (r *run) key() runKey { return runKey{r.task.name, r.number} }
@@ -370,8 +372,9 @@
 	}
 }
 
-// handleUnlistedRun handles a run that is missing from the answer to a poll sent at sentAt.
-func (c *Core) handleUnlistedRun(r *run, sentAt Instant) {
+// handleUnlistedRun handles a run that is missing from the answer to a poll sent at sentAt. If the answer is not complete, the run may have
+// finished its task; it stays in the ledger until its completion is listed.
+func (c *Core) handleUnlistedRun(r *run, sentAt Instant, complete bool) {
 	if r.createdAt < r.worker.restartedAt {
 		// The previous boot had it.
 		c.countCrashOfRun(r.worker.lastCrash, r)
@@ -383,15 +386,24 @@
 		}
 	case phaseRunning:
 		if sentAt > r.confirmedAt {
-			c.dropRun(r, "not listed by the worker")
+			c.handleEndedRun(r, "not listed by the worker", complete)
 		}
 	case phaseStopping:
 		if r.stopAnsweredAt != 0 && sentAt >= r.stopAnsweredAt {
-			c.dropRun(r, r.stopReason)
+			c.handleEndedRun(r, r.stopReason, complete)
 		}
 	}
 }
 
+// handleEndedRun drops a run that does not run any longer, unless its completion may not be listed yet.
+func (c *Core) handleEndedRun(r *run, reason string, complete bool) {
+	if complete {
+		c.dropRun(r, reason)
+		return
+	}
+	r.completionUnread = true
+}
+
 // adoptRun adds a run to the ledger that a worker lists and the ledger does not have: it was started by a former
 // leader, or its start was executed after it had been given up. Runs that must not continue are stopped.
 func (c *Core) adoptRun(w *worker, item backend.ActiveRun) *run {
