Store the cancellation of a job that is not known

Cause: a cancellation left nothing behind if the record of the job could not be found, while the insert of the record may take effect seconds later.

Change: the cancellation is stored first. The leader applies it to a record that arrives within a minute, and removes its row then. The answer is 410 if the job is known not to exist, otherwise 200.

--- a/process/node/callers.go
+++ b/process/node/callers.go
@@ -151,7 +151,8 @@
 	}
 }
 
-// Cancel stores a cancellation and notifies the leader.
+// Cancel stores a cancellation and notifies the leader. The error has CodeExpired if the job does not exist; an attempt to submit it that
+// is still on its way does not take effect then either.
 func (n *Node) Cancel(ctx context.Context, _ job.Queue, id job.ID) error {
 	startedAt := n.opts.Now()
 	err := n.cancel(ctx, id)
@@ -160,22 +161,25 @@
 }
 
 func (n *Node) cancel(ctx context.Context, id job.ID) error {
-	if state, err := n.leaderState(ctx, id); err != nil || state == "" {
-		row, err := n.readRow(ctx, id, jobKey)
-		if err != nil {
-			return err
-		}
-		if row.Version == 0 {
-			return verdict.New(verdict.NotRun, verdict.CodeExpired, "there is no such job")
-		}
-	}
 	if _, err := n.storeRequest(ctx, id, nil); err != nil {
 		return err
 	}
 	n.notifyLeader(ctx, id, nil)
+	if n.isAbsent(ctx, id) {
+		return verdict.New(verdict.NotRun, verdict.CodeExpired, "there is no such job")
+	}
 	return nil
 }
 
+// isAbsent reports whether a job is known not to exist.
+func (n *Node) isAbsent(ctx context.Context, id job.ID) bool {
+	if state, err := n.leaderState(ctx, id); err == nil && state != "" {
+		return false
+	}
+	row, err := n.readRow(ctx, id, jobKey)
+	return err == nil && row.Version == 0
+}
+
 // State returns the state of a job from the leader, or from the store if the leader does not answer or does not have the
 // job.
 func (n *Node) State(ctx context.Context, _ job.Queue, id job.ID) (job.State, error) {
--- a/process/node/retention.go
+++ b/process/node/retention.go
@@ -20,6 +20,7 @@
 func (l *leadership) removeExpired(ctx context.Context) {
 	for pause(ctx, removalInterval) {
 		l.removeRefusals(ctx)
+		l.removeCancels(ctx)
 		ids := l.core.TakeExpired(maxRemovedJobs)
 		if len(ids) == 0 {
 			continue
@@ -37,6 +38,18 @@
 	}
 }
 
+// removeCancels removes the cancellations of jobs that have never become known. If a removal fails, the next leader repeats it.
+func (l *leadership) removeCancels(ctx context.Context) {
+	for _, id := range l.core.TakeExpiredCancels(maxRemovedJobs) {
+		for _, shard := range shardsOf(id) {
+			txn := backend.Txn{Remove: []backend.RowKey{cancelKey(id, shard)}}
+			if _, err := l.node.tables.Commit(ctx, txn); err != nil {
+				l.node.opts.Log.WithError(err).WithFields(map[string]any{"event": "cancel_not_removed", "job": id}).Info("expired cancellation was not removed")
+			}
+		}
+	}
+}
+
 // removeRows removes the rows of jobs from every shard in which they may be. It is safe to repeat.
 func (l *leadership) removeRows(ctx context.Context, ids []job.ID) error {
 	byShard := map[string][]backend.RowKey{}
--- a/version/cell/cancel.go
+++ b/version/cell/cancel.go
@@ -13,21 +13,29 @@
 	c.now = max(c.now, now)
 	j := c.jobs[id]
 	if j == nil {
-		c.earlyCancels[id] = c.now
+		if _, known := c.earlyCancels[id]; !known {
+			c.earlyCancels[id] = c.now
+		}
 		return
 	}
 	c.finishJob(j, job.Cancelled, "cancelled by the caller")
 }
 
-// earlyCancelTTL is how long a cancellation is kept for a job that is not known yet: the two arrive through different
-// paths.
+// earlyCancelTTL is how long a cancellation is kept for a job that is not known yet. The record of a job may be written seconds after
+// the cancellation, and the two arrive through different paths.
 const earlyCancelTTL = time.Minute
 
-// expireEarlyCancels drops the cancellations of jobs that have not become known in time.
-func (c *Core) expireEarlyCancels() {
+// TakeExpiredCancels returns at most limit jobs that have not become known within earlyCancelTTL of their cancellation, and forgets them.
+// The rows of the cancellations can be removed.
+func (c *Core) TakeExpiredCancels(limit int) []job.ID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var ids []job.ID
 	for id, at := range c.earlyCancels {
-		if c.now > at+earlyCancelTTL {
+		if len(ids) < limit && c.now > at+earlyCancelTTL {
 			delete(c.earlyCancels, id)
+			ids = append(ids, id)
 		}
 	}
+	return ids
 }
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -271,7 +271,6 @@
 	c.endRecovery()
 	c.openDueOccurrences()
 	c.expireFinishedJobs()
-	c.expireEarlyCancels()
 	c.sendLookups()
 }
 
