Reckon with the leases of all former leaders

Cause: a new leader reckoned with the leases of the leader row before its own only, and with none if that row had been resigned or named the same instance. It named the same instance where a takeover had taken effect after it was given up: epochs 5 and 6 of one instance within 0.13 s in the record. A leader before that could still extend leases.

Change: a leader row says how long the leaders before it may extend leases, and the renewals and the resignation what is left of it. A new leader takes the longest of these and its predecessor's. Rows of earlier programs count as before.

It is not shown that this is what the record shows.

--- a/process/node/cell_test.go
+++ b/process/node/cell_test.go
@@ -71,7 +71,13 @@
 	log     strings.Builder
 	// silentWorkers do not answer any call; inFlight counts the starts and stops in flight to the other workers, and
 	// maxInFlight is its maximum.
-	silentWorkers         map[string]bool
+	silentWorkers map[string]bool
+	// sides are the sides of a partition on which instances and workers are, by their names. An instance reaches the workers on its side.
+	sides map[string]int
+	// relaysFail makes calls to the table service through other instances fail.
+	relaysFail bool
+	// callTimeout, if not 0, is the timeout of calls to the table service.
+	callTimeout           time.Duration
 	inFlight, maxInFlight int
 	// slow are the times that the table service takes.
 	slow slowStore
@@ -104,7 +110,7 @@
 	c := &testCell{
 		delegateFrom: delegateFrom, lease: testLease, startsBy: map[string]int{},
 		t: t, startedAt: time.Now(), tables: backends.NewTables(), nodes: map[string]*testNode{},
-		behaviors: map[string]backends.TaskBehavior{}, panics: map[string]int{}, storeFaults: map[string]backends.Fault{}, down: map[string]bool{}, silentWorkers: map[string]bool{}, cpuShares: map[string]float64{},
+		behaviors: map[string]backends.TaskBehavior{}, panics: map[string]int{}, storeFaults: map[string]backends.Fault{}, down: map[string]bool{}, silentWorkers: map[string]bool{}, sides: map[string]int{}, cpuShares: map[string]float64{},
 		transferTimes: map[string]time.Duration{}, links: map[string]float64{}, configReads: map[string]int{},
 	}
 	c.workers = backends.NewWorkers(c.now, c.behaviorOf)
@@ -221,7 +227,7 @@
 // contactWorker fails if the instance is down or, after silentWorkerTimeout, if the worker is silent.
 func (n nodeWorkers) contactWorker(worker string) error {
 	n.c.mu.Lock()
-	down, silent := n.c.down[n.name], n.c.silentWorkers[worker]
+	down, silent := n.c.down[n.name], n.c.silentWorkers[worker] || n.c.sides[n.name] != n.c.sides[worker]
 	n.c.mu.Unlock()
 	if down {
 		return backends.ErrNoAnswer
@@ -295,10 +301,24 @@
 	if err != nil {
 		return nil, err
 	}
+	if p.c.failsRelay(req) {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the relay does not answer")
+	}
 	reply := p.c.handlePeer(ctx, n, req)
 	return reply, peer.ErrorFromProto(reply.GetError())
 }
 
+// failsRelay reports whether a request is a call to the table service that fails.
+func (c *testCell) failsRelay(req *peerpb.Request) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch req.GetBody().(type) {
+	case *peerpb.Request_TableCommit, *peerpb.Request_TableGet, *peerpb.Request_TableRange, *peerpb.Request_TableFeed:
+		return c.relaysFail
+	}
+	return false
+}
+
 func (p testPeers) Send(ctx context.Context, address string, req *peerpb.Request) error {
 	n, err := p.target(address)
 	if err != nil {
--- a/process/node/celltables_test.go
+++ b/process/node/celltables_test.go
@@ -41,6 +41,12 @@
 const slowCallTimeout = 2500 * time.Millisecond
 
 func (n nodeTables) callTimeout() time.Duration {
+	n.c.mu.Lock()
+	timeout := n.c.callTimeout
+	n.c.mu.Unlock()
+	if timeout > 0 {
+		return timeout
+	}
 	if n.c.slow.isSlow() {
 		return slowCallTimeout
 	}
--- /dev/null
+++ b/process/node/formerleases_test.go
@@ -0,0 +1,105 @@
+package node
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/model/job"
+	"github.com/lentiltide/lentiltide/standin/backends"
+)
+
+// cutOffLeader cuts the leader off from the store, also on paths through other instances, and splits the workers between it and the other
+// instances. It returns the name of the leader.
+func (c *testCell) cutOffLeader(workers ...string) string {
+	old := c.leader()
+	c.mu.Lock()
+	c.relaysFail = true
+	for _, name := range append(workers, old) {
+		c.sides[name] = 1
+	}
+	c.mu.Unlock()
+	c.setStoreFault(old, backends.FaultNoAnswer)
+	return old
+}
+
+// rejoinLeader ends cutOffLeader.
+func (c *testCell) rejoinLeader(old string) {
+	c.setStoreFault(old, backends.FaultNone)
+	c.mu.Lock()
+	clear(c.sides)
+	c.relaysFail = false
+	c.mu.Unlock()
+}
+
+// awaitLeaderOtherThan waits until another instance leads.
+func (c *testCell) awaitLeaderOtherThan(old string) string {
+	for range 1000 {
+		for name, n := range c.nodes {
+			if name != old && n.loadedLeadership() != nil {
+				return name
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.t.Fatal("no other instance leads")
+	return ""
+}
+
+// claimLate writes a takeover of an instance, which does not lead by it, as the store does that executes a write seconds after it was sent.
+func (c *testCell) claimLate(name string) {
+	current := c.tables.Rows(leaderTable)[leaderKey.Key]
+	var row leaderRow
+	assert.NilError(c.t, json.Unmarshal(current.Value, &row))
+	row = leaderRow{Epoch: row.Epoch + 1, Instance: name, Address: name, Claim: "late", LeaseExtensionMS: suspendAfter.Milliseconds()}
+	value, err := json.Marshal(row)
+	assert.NilError(c.t, err)
+	_, err = c.tables.Commit(c.t.Context(), backend.Txn{
+		Expected: []backend.Row{{RowKey: leaderKey, Version: current.Version}}, Put: []backend.Row{{RowKey: leaderKey, Value: value}},
+	})
+	assert.NilError(c.t, err)
+}
+
+// Guards against tasks that run twice because a leader reckons only with the leases of the leader just before it: one that is cut off
+// from the store and from the instances extends leases for some seconds, whoever leads meanwhile.
+func TestLeasesOfLeadersBeforeThePredecessor(t *testing.T) {
+	cases := map[string]func(c *testCell, old string){
+		"the next leader resigns": func(c *testCell, old string) {
+			next := c.awaitLeaderOtherThan(old)
+			c.nodes[next].Leave(c.t.Context())
+		},
+		"the next leader restarts": func(c *testCell, old string) {
+			next := c.awaitLeaderOtherThan(old)
+			c.kill(next)
+			c.start(next)
+		},
+		"a takeover takes effect after it was given up": func(c *testCell, old string) {
+			time.Sleep(time.Second)
+			for name := range c.nodes {
+				if name != old {
+					c.claimLate(name)
+					return
+				}
+			}
+		},
+	}
+	for name, lose := range cases {
+		t.Run(name, func(t *testing.T) {
+			runInCell(t, func(t *testing.T, c *testCell) {
+				c.useLongLeases()
+				assert.NilError(t, c.submit(c.follower(), "a", 8, smallTask(20*time.Second), nil))
+				time.Sleep(time.Second)
+				assert.Assert(t, c.workers.Running("w00") > 0)
+				old := c.cutOffLeader("w00", "w01")
+				lose(c, old)
+				time.Sleep(12 * time.Second)
+				c.rejoinLeader(old)
+				time.Sleep(50 * time.Second)
+				c.requireState(c.follower(), "a", job.Completed)
+			})
+		})
+	}
+}
--- a/process/node/leader.go
+++ b/process/node/leader.go
@@ -19,8 +19,10 @@
 	row         leaderRow
 	rowVersion  uint64
 	predecessor leaderRow
-	core        *cell.Core
-	workers     *delegatedWorkers
+	// extensions are the times until which former leaders may extend leases. mu protects it once the leadership has begun.
+	extensions extensionEnds
+	core       *cell.Core
+	workers    *delegatedWorkers
 
 	// writeVersion is the version of the row with the id of the newest write. Each write is conditional on it, so that a
 	// write whose answer was lost cannot overwrite a later one. writeCount numbers the writes of the leadership.
@@ -98,7 +100,7 @@
 	l.storedAt, l.batchLimit = now, maxBatchRows
 	l.workers = newDelegatedWorkers(n, l.epoch)
 	l.core = cell.New(cell.Options{
-		Epoch: l.epoch, LeaseDuration: n.opts.Lease, MaxLease: n.opts.MaxLease, PredecessorLeaseExtension: l.predecessorLeaseExtension(), StopTimeout: n.opts.StopTimeout,
+		Epoch: l.epoch, LeaseDuration: n.opts.Lease, MaxLease: n.opts.MaxLease, LeaseExtension: l.leaseExtension(), StopTimeout: n.opts.StopTimeout,
 		Retention: n.opts.Retention, OnDecision: n.opts.OnDecision,
 	}, now)
 	n.mu.Lock()
@@ -125,15 +127,6 @@
 	n.opts.Log.WithFields(map[string]any{"event": "leadership_ended", "epoch": l.epoch}).Info("leadership ended")
 }
 
-// predecessorLeaseExtension returns how long the former leader may still extend leases: 0 if there was none, it resigned, or
-// it was this instance.
-func (l *leadership) predecessorLeaseExtension() time.Duration {
-	if l.predecessor.Epoch == 0 || l.predecessor.Resigned || l.predecessor.Instance == l.row.Instance {
-		return 0
-	}
-	return suspendAfter
-}
-
 // run starts the loops of the leadership and waits until they end.
 func (l *leadership) run(ctx context.Context) {
 	var loops sync.WaitGroup
--- a/process/node/leadership.go
+++ b/process/node/leadership.go
@@ -97,14 +97,17 @@
 	// Claim is unique for each takeover attempt. An instance recognizes its own write by it if the answer was lost.
 	Claim    string `json:"claim"`
 	Resigned bool   `json:"resigned,omitempty"`
+	// LeaseExtensionMS is how long after the row was written the leaders before the instance may extend leases, in milliseconds.
+	LeaseExtensionMS int64 `json:"lease_extension_ms,omitempty"`
 }
 
 // leaderView is the state of the leadership as this instance has observed it.
 type leaderView struct {
 	row        leaderRow
 	rowVersion uint64
-	// renewalVersion is the version of the renewal row.
+	// renewalVersion is the version of the renewal row, and renewal its value.
 	renewalVersion uint64
+	renewal        renewalRow
 	// unchangedSince is the time of the last observed change, or of the last failure to read the table service if that is
 	// later: only an uninterrupted observation proves that the renewals have stopped.
 	unchangedSince cell.Instant
@@ -193,8 +196,8 @@
 
 // applyLeaderRow updates n.leader from a row of the leader table. Callers hold n.mu.
 func (n *Node) applyLeaderRow(row backend.Row) {
-	if row.RowKey == renewalKey {
-		n.leader.renewalVersion = max(n.leader.renewalVersion, row.Version)
+	if row.RowKey == renewalKey && row.Version > n.leader.renewalVersion {
+		n.leader.renewalVersion, n.leader.renewal = row.Version, decodeRenewal(row.Value)
 	}
 	if row.RowKey != leaderKey || row.Version <= n.leader.rowVersion {
 		return
@@ -277,8 +280,14 @@
 			return nil
 		}
 	}
+	n.mu.Lock()
+	// The read before the takeover may have returned a newer renewal.
+	old.renewal = n.leader.renewal
+	n.mu.Unlock()
+	extensions := old.leaseExtensions(n.opts.Instance)
 	row := leaderRow{
 		Epoch: old.row.Epoch + 1, Instance: n.opts.Instance, Address: n.opts.PeerAddress, Claim: uuid.NewString(),
+		LeaseExtensionMS: extensions.all().Milliseconds(),
 	}
 	value, err := json.Marshal(row)
 	if err != nil {
@@ -296,7 +305,7 @@
 	if version == 0 {
 		return nil
 	}
-	return &leadership{node: n, epoch: row.Epoch, row: row, rowVersion: version, predecessor: old.row}
+	return &leadership{node: n, epoch: row.Epoch, row: row, rowVersion: version, predecessor: old.row, extensions: extensions.after(n.opts.Now())}
 }
 
 // smallInstanceDelay returns the takeover delay of a small instance, which has too little CPU to lead a large cell, or 0.
--- a/process/node/members.go
+++ b/process/node/members.go
@@ -31,7 +31,7 @@
 	l.members[join.GetInstance()] = m
 	l.mu.Unlock()
 	if join.GetInstance() == l.predecessor.Instance && join.GetFollowsEpoch() >= l.epoch {
-		l.core.FormerLeadersEnded(l.node.opts.Now())
+		l.endPredecessor()
 	}
 	reply := &peerpb.JoinReply{Epoch: l.epoch, Waiting: l.waitingJobs(), Members: l.sampleAddresses(), Candidate: l.isCandidate(join.GetInstance())}
 	reply.ConfigSources = l.configSources(join)
--- a/process/node/progress.go
+++ b/process/node/progress.go
@@ -201,7 +201,11 @@
 		Put: []backend.Row{{RowKey: writeKey, Value: []byte(l.writeID())}},
 	}
 	if renew {
-		txn.Put = append(txn.Put, backend.Row{RowKey: renewalKey, Value: []byte(l.writeID())})
+		renewal, err := l.encodeRenewal()
+		if err != nil {
+			return txn, err
+		}
+		txn.Put = append(txn.Put, backend.Row{RowKey: renewalKey, Value: renewal})
 	}
 	for _, row := range batch.Fleet {
 		txn.Put = append(txn.Put, backend.Row{RowKey: fleetKey(row.Shard), Value: row.Data})
@@ -216,6 +220,7 @@
 		txn.Remove = append(txn.Remove, progressKey(id))
 	}
 	if row.Resigned {
+		row.LeaseExtensionMS = l.leaseExtension().Milliseconds()
 		value, err := json.Marshal(row)
 		if err != nil {
 			return txn, err
--- a/version/cell/boot_orders_test.go
+++ b/version/cell/boot_orders_test.go
@@ -84,7 +84,7 @@
 // newCore returns the scheduler of an epoch.
 func (h *orderHistory) newCore(epoch uint64) *Core {
 	c := New(Options{
-		Epoch: epoch, LeaseDuration: testLease, MaxLease: backends.MaxLease, PredecessorLeaseExtension: time.Second, Retention: time.Hour,
+		Epoch: epoch, LeaseDuration: testLease, MaxLease: backends.MaxLease, LeaseExtension: time.Second, Retention: time.Hour,
 		OnDecision: func(d Decision) { fmt.Fprintf(&h.log, "%v [%d] %s %v\n", h.now-time.Hour, epoch, d.Event, d.Fields) },
 	}, h.now)
 	c.SetConfig(h.config)
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -22,8 +22,8 @@
 	LeaseDuration time.Duration
 	// MaxLease is the longest lease that workers grant, whatever deadline a command has; 0 means LeaseDuration.
 	MaxLease time.Duration
-	// PredecessorLeaseExtension is how long after the start of this epoch the previous leader may still extend leases.
-	PredecessorLeaseExtension time.Duration
+	// LeaseExtension is how long after the start of this epoch former leaders may still extend leases.
+	LeaseExtension time.Duration
 	// StopTimeout limits the stop of a run on a worker. The Core does not read it.
 	StopTimeout time.Duration
 	// Retention is how long the state of a finished job can be queried.
@@ -306,20 +306,20 @@
 	}
 }
 
-// FormerLeadersEnded records that no former leader sends commands any longer, so that leases end sooner than had to be assumed.
-func (c *Core) FormerLeadersEnded(now Instant) {
+// LimitLeaseExtension records that no former leader extends leases later than until, so that they end sooner than had to be assumed.
+func (c *Core) LimitLeaseExtension(until, now Instant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.now = max(c.now, now)
-	if extension := c.now - c.epochStart; extension < c.opts.PredecessorLeaseExtension {
-		c.opts.PredecessorLeaseExtension = extension
-		c.logDecision("former_leaders_ended", "", map[string]any{"since_takeover_ms": extension.Milliseconds()})
+	if extension := max(0, until-c.epochStart); extension < c.opts.LeaseExtension {
+		c.opts.LeaseExtension = extension
+		c.logDecision("lease_extension_limited", "", map[string]any{"since_takeover_ms": extension.Milliseconds()})
 	}
 }
 
 // recoveryBound is the time after the start of the epoch by which every lease of a former leader has expired.
 func (c *Core) recoveryBound() time.Duration {
-	return c.opts.PredecessorLeaseExtension + maxLocalDuration(c.opts.LeaseDuration)
+	return c.opts.LeaseExtension + maxLocalDuration(c.opts.LeaseDuration)
 }
 
 const (
--- a/version/cell/recovery_test.go
+++ b/version/cell/recovery_test.go
@@ -52,8 +52,8 @@
 			bound := 6*time.Second + maxLocalDuration(testLease)
 			if leadersEnded {
 				tc.advance(leadersEndedAfter - (tc.now - startedAt))
-				tc.core.FormerLeadersEnded(tc.now)
-				tc.core.FormerLeadersEnded(tc.now + time.Second)
+				tc.core.LimitLeaseExtension(tc.now, tc.now)
+				tc.core.LimitLeaseExtension(tc.now+time.Second, tc.now)
 				bound = leadersEndedAfter + maxLocalDuration(testLease)
 			}
 			for len(tc.starts) == 0 && tc.now < startedAt+time.Minute {
--- a/version/cell/testcluster_test.go
+++ b/version/cell/testcluster_test.go
@@ -44,7 +44,7 @@
 	tc := &testCluster{t: t, now: time.Hour, lastCompletion: map[string]int64{}, highestAck: map[string]int64{},
 		storedWaves: map[int]StoredWave{}}
 	tc.core = New(Options{
-		Epoch: epoch, LeaseDuration: testLease, PredecessorLeaseExtension: 6 * time.Second, StopTimeout: 400 * time.Millisecond,
+		Epoch: epoch, LeaseDuration: testLease, LeaseExtension: 6 * time.Second, StopTimeout: 400 * time.Millisecond,
 		Retention: time.Minute,
 	}, tc.now)
 	queue := func(name string, priority int, advice *job.Advice) job.Queue {
