Compare the time of each command with the limit of the leadership

What callers may see: a leader that could not renew its leadership extended leases for longer than its successors reckon with, and one that had resigned could command workers; tasks run twice.

Cause: the limit was a flag that the loop of writes set between two writes. A write that waited for the store, or a suspended process, kept it from being set, and a write that was answered during a resignation took it back. The time counted from the begin of the leadership, not from the takeover.

Change: the scheduler knows until when commands are allowed and compares that with the time of each poll, start and round. A resignation ends commands for good. The time counts from the sending of the takeover.

Tests that called Suspend call AllowCommandsUntil, and StartNeeded takes the time; their checks stand.

--- a/process/node/formerleases_test.go
+++ b/process/node/formerleases_test.go
@@ -103,3 +103,43 @@
 		})
 	}
 }
+
+// Guards against a leader that extends leases for longer than its successors assume, because a write that waits for the store keeps it
+// from noticing that its leadership is not renewed. It does not count as isolated, since another instance is cut off with it.
+func TestLeaderStopsCommandsDuringALongWrite(t *testing.T) {
+	runInCell(t, func(t *testing.T, c *testCell) {
+		c.useLongLeases()
+		assert.NilError(t, c.submit(c.follower(), "a", 8, smallTask(30*time.Second), nil))
+		time.Sleep(time.Second)
+		assert.Assert(t, c.workers.Running("w00") > 0)
+		c.mu.Lock()
+		c.callTimeout = 15 * time.Second
+		c.mu.Unlock()
+		old := c.cutOffLeader("w00", "w01")
+		beside := c.follower().opts.Instance
+		c.setStoreFault(beside, backends.FaultNoAnswer)
+		c.mu.Lock()
+		c.islands = map[string]int{old: 1, beside: 1}
+		c.mu.Unlock()
+		time.Sleep(25 * time.Second)
+		c.mu.Lock()
+		c.islands = nil
+		c.mu.Unlock()
+		c.setStoreFault(beside, backends.FaultNone)
+		c.rejoinLeader(old)
+		time.Sleep(60 * time.Second)
+		c.requireState(c.follower(), "a", job.Completed)
+	})
+}
+
+// Guards against commands of a leader that has resigned: its successor expects none, also if the store answers a write that was on its way
+// when it resigned.
+func TestResigningLeaderSendsNoCommands(t *testing.T) {
+	runInCell(t, func(t *testing.T, c *testCell) {
+		l := c.nodes[c.leader()].loadedLeadership()
+		l.core.EndCommands()
+		l.recordStored(l.node.opts.Now(), true)
+		_, paused, ok := l.core.PreparePoll("w00", l.node.opts.Now())
+		assert.Assert(t, paused && ok)
+	})
+}
--- a/process/node/leader.go
+++ b/process/node/leader.go
@@ -28,7 +28,7 @@
 	// write whose answer was lost cannot overwrite a later one. writeCount numbers the writes of the leadership.
 	writeVersion uint64
 	writeCount   uint64
-	// storedAt is when the last durable write was sent; renewedAt is when the last one with the renewal row was sent.
+	// storedAt is when the last durable write was sent, at first the takeover; renewedAt is when the last one with the renewal row was sent.
 	storedAt, renewedAt cell.Instant
 	suspended           bool
 	// batchLimit limits the rows of the next write; it is lowered after the store has refused one, to find the row at fault.
@@ -97,12 +97,13 @@
 	l.commandSlots = make(chan struct{}, maxInFlightCommands)
 	l.resigned = make(chan struct{})
 	l.loggedUnusable, l.refusals = map[string]struct{}{}, map[backend.RowKey]storedRefusal{}
-	l.storedAt, l.batchLimit = now, maxBatchRows
+	l.batchLimit = maxBatchRows
 	l.workers = newDelegatedWorkers(n, l.epoch)
 	l.core = cell.New(cell.Options{
 		Epoch: l.epoch, LeaseDuration: n.opts.Lease, MaxLease: n.opts.MaxLease, LeaseExtension: l.leaseExtension(), StopTimeout: n.opts.StopTimeout,
 		Retention: n.opts.Retention, OnDecision: n.opts.OnDecision,
 	}, now)
+	l.core.AllowCommandsUntil(l.commandsUntil())
 	n.mu.Lock()
 	n.leadership = l
 	cfg, waves := n.config, slices.Clone(n.waves)
@@ -282,7 +283,7 @@
 func (l *leadership) startTask(ctx context.Context, a *cell.StartAction) {
 	release := l.acquireSlot(a.Command.Worker)
 	defer release()
-	if !l.core.StartNeeded(a) {
+	if !l.core.StartNeeded(a, l.node.opts.Now()) {
 		l.core.StartWithdrawn(a, l.node.opts.Now())
 		return
 	}
--- a/process/node/leadership.go
+++ b/process/node/leadership.go
@@ -66,9 +66,10 @@
 	leaderLongPoll = time.Second
 	// takeoverLongPoll is the duration of that long poll while a takeover may be due.
 	takeoverLongPoll = 150 * time.Millisecond
-	// suspendAfter is how long a leader continues without a renewal. Its successor waits as long before it considers the
-	// leases of unreachable workers expired.
-	suspendAfter = 6 * time.Second
+	// suspendAfter is how long a leader may extend leases after its last durable write, as its successors assume. It stops
+	// suspendMargin before that.
+	suspendAfter  = 6 * time.Second
+	suspendMargin = time.Second
 	// storeRetryDelay is the time between attempts of a failed call to the table service.
 	storeRetryDelay = 150 * time.Millisecond
 	// recentStartWindow is how long an instance counts as recently started; all others wait longRunningTakeoverDelay before
@@ -298,6 +299,7 @@
 		Expected: []backend.Row{{RowKey: leaderKey, Version: old.rowVersion}},
 		Put:      []backend.Row{{RowKey: leaderKey, Value: value}},
 	}
+	sentAt := n.opts.Now()
 	version, err := n.tables.Commit(ctx, txn)
 	if err != nil {
 		version = n.resolveTakeover(ctx, row, err)
@@ -305,7 +307,8 @@
 	if version == 0 {
 		return nil
 	}
-	return &leadership{node: n, epoch: row.Epoch, row: row, rowVersion: version, predecessor: old.row, extensions: extensions.after(n.opts.Now())}
+	return &leadership{node: n, epoch: row.Epoch, row: row, rowVersion: version, predecessor: old.row,
+		storedAt: sentAt, extensions: extensions.after(n.opts.Now())}
 }
 
 // smallInstanceDelay returns the takeover delay of a small instance, which has too little CPU to lead a large cell, or 0.
--- a/process/node/progress.go
+++ b/process/node/progress.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"strconv"
-	"time"
 
 	"github.com/lentiltide/lentiltide/backend"
 	"github.com/lentiltide/lentiltide/request/verdict"
@@ -44,7 +43,7 @@
 			l.node.opts.Log.WithFields(map[string]any{"event": "leadership_lost", "epoch": l.epoch}).Warn("leadership lost to another instance")
 			return
 		}
-		l.suspendIfStale()
+		l.logSuspension()
 		if !stored {
 			pause(ctx, storeRetryDelay)
 		}
@@ -52,15 +51,16 @@
 	}
 }
 
-// suspendIfStale suspends the commands to workers while the leadership cannot be renewed. It does so one second before
-// suspendAfter.
-func (l *leadership) suspendIfStale() {
-	stale := l.node.opts.Now()-l.storedAt > suspendAfter-time.Second
+// commandsUntil returns until when the leader sends commands to workers without a further durable write.
+func (l *leadership) commandsUntil() cell.Instant { return l.storedAt + suspendAfter - suspendMargin }
+
+// logSuspension logs whether the commands to workers are suspended, since the leadership cannot be renewed.
+func (l *leadership) logSuspension() {
+	stale := l.node.opts.Now() >= l.commandsUntil()
 	if stale == l.suspended {
 		return
 	}
 	l.suspended = stale
-	l.core.Suspend(stale)
 	l.node.opts.Log.WithFields(map[string]any{
 		"event": "leadership_suspended", "epoch": l.epoch, "suspended": stale,
 		"renewal_age_ms": (l.node.opts.Now() - l.storedAt).Milliseconds(),
@@ -162,6 +162,7 @@
 
 func (l *leadership) recordStored(sent cell.Instant, renewed bool) {
 	l.storedAt = sent
+	l.core.AllowCommandsUntil(l.commandsUntil())
 	if renewed {
 		l.renewedAt = sent
 	}
--- a/process/node/shutdown.go
+++ b/process/node/shutdown.go
@@ -42,14 +42,14 @@
 	n.noTakeoverUntil = n.opts.Now() + failedLeadershipPause
 	n.mu.Unlock()
 	n.opts.Log.WithFields(map[string]any{"event": "leadership_failed", "epoch": l.epoch}).Error("leadership ends after an unexpected failure")
-	l.core.Suspend(true)
+	l.core.EndCommands()
 	l.resigning.Store(true)
 }
 
 // resign stops sending commands to workers and requests the resignation, which is written together with the completions that
 // are not durable yet. It waits until the writer has tried or ctx ends.
 func (l *leadership) resign(ctx context.Context) {
-	l.core.Suspend(true)
+	l.core.EndCommands()
 	l.resigning.Store(true)
 	select {
 	case <-l.resigned:
--- a/version/cell/capacity_test.go
+++ b/version/cell/capacity_test.go
@@ -148,7 +148,7 @@
 			})
 			needed := 0
 			for _, a := range tc.starts {
-				if tc.core.StartNeeded(a) {
+				if tc.core.StartNeeded(a, tc.now) {
 					needed++
 				} else {
 					tc.core.StartWithdrawn(a, tc.now)
@@ -162,16 +162,16 @@
 // A start that waits to be sent must be withdrawn when its worker has left the registry or awaits maintenance.
 func TestQueuedStartIsWithdrawnWhenItsWorkerLeaves(t *testing.T) {
 	tc := newStartedTestCluster(t, stepWithTasks(1))
-	assert.Assert(t, tc.core.StartNeeded(tc.starts[0]))
+	assert.Assert(t, tc.core.StartNeeded(tc.starts[0], tc.now))
 	tc.core.RemoveWorker("w1", tc.now)
-	assert.Assert(t, !tc.core.StartNeeded(tc.starts[0]))
+	assert.Assert(t, !tc.core.StartNeeded(tc.starts[0], tc.now))
 
 	tc = newStartedTestCluster(t, stepWithTasks(1))
 	tc.core.SetWave(backend.MaintenanceWave{Number: 1, Machines: []string{"m-w1"}, Duration: time.Minute, MaxUnavailable: 1}, tc.now)
 	tc.listMachines([]string{"w1"}, nil)
-	assert.Assert(t, tc.core.StartNeeded(tc.starts[0]))
+	assert.Assert(t, tc.core.StartNeeded(tc.starts[0], tc.now))
 	tc.advance(200 * time.Millisecond)
-	assert.Assert(t, !tc.core.StartNeeded(tc.starts[0]))
+	assert.Assert(t, !tc.core.StartNeeded(tc.starts[0], tc.now))
 }
 
 // A gang of which one queued start was withdrawn must not start partially.
@@ -184,7 +184,7 @@
 	assert.Equal(t, len(tc.starts), 6)
 	tc.setCapacity("w2", 1000, 8000)
 	for _, a := range tc.starts {
-		if tc.core.StartNeeded(a) {
+		if tc.core.StartNeeded(a, tc.now) {
 			tc.core.StartResult(a, backend.Reply{ClockMS: tc.clockMS()}, nil, tc.now)
 		} else {
 			tc.core.StartWithdrawn(a, tc.now)
@@ -426,7 +426,7 @@
 // Guards against a start that waits for its turn while its worker restarts, and is sent by the entry of the former boot.
 func TestQueuedStartIsWithdrawnAfterARestart(t *testing.T) {
 	tc := newStartedTestCluster(t, stepWithTasks(1))
-	assert.Assert(t, tc.core.StartNeeded(tc.starts[0]))
+	assert.Assert(t, tc.core.StartNeeded(tc.starts[0], tc.now))
 	tc.core.PollResult("w1", tc.now, backend.PollReply{Reply: backend.Reply{ClockMS: tc.clockMS()}, StartedMS: 2000}, nil, tc.now+1)
-	assert.Assert(t, !tc.core.StartNeeded(tc.starts[0]))
+	assert.Assert(t, !tc.core.StartNeeded(tc.starts[0], tc.now))
 }
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -87,7 +87,10 @@
 	fleetRowsInFlight  int
 	fleetRecordKnown   bool
 	superseded         bool
-	suspended          bool
+	// commandsUntil is when the commands to workers end unless they are allowed for longer; 0 means that they do not. commandsEnded
+	// means that no more are sent whatever happens.
+	commandsUntil Instant
+	commandsEnded bool
 	approvalRates      map[string]float64
 	// kindSpeeds are the speeds of the kinds of workers. speedsDiffer means that placement considers speeds, and tightestStretch is
 	// the smallest stretch of all queues.
@@ -187,15 +190,23 @@
 	return c.superseded
 }
 
-// Suspend stops or resumes commands to workers. A leader that cannot renew its leadership suspends its core, so that
-// its successor can compute when the leases have expired.
-func (c *Core) Suspend(suspended bool) {
+// AllowCommandsUntil allows commands to workers until an instant. A leader allows them for some time after each renewal of its leadership,
+// so that its successor can compute when the leases have expired. The Core compares the instant with the time of each command, since
+// the process may be suspended.
+func (c *Core) AllowCommandsUntil(until Instant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.suspended = suspended
+	c.commandsUntil = until
 	c.signalWake()
 }
 
+// EndCommands stops all further commands to workers. A leader that resigns ends them first.
+func (c *Core) EndCommands() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.commandsEnded = true
+}
+
 // SetConfig replaces the configuration if cfg is newer.
 func (c *Core) SetConfig(cfg job.Config) {
 	c.mu.Lock()
--- a/version/cell/failure.go
+++ b/version/cell/failure.go
@@ -30,4 +30,7 @@
 }
 
 // halted reports whether the Core must not send commands to workers. Callers hold c.mu.
-func (c *Core) halted() bool { return c.suspended || c.superseded || c.mu.panicked }
+func (c *Core) halted() bool {
+	late := c.commandsUntil != 0 && c.now >= c.commandsUntil
+	return late || c.commandsEnded || c.superseded || c.mu.panicked
+}
--- a/version/cell/failure_test.go
+++ b/version/cell/failure_test.go
@@ -19,7 +19,7 @@
 	// The progress of the first task is not collected before the panic.
 	done := tc.completion("w1", ended.Command.Task, ended.Command.Run, backend.ResultDone)
 	tc.answerPoll("w1", nil, []backend.FinishedRun{done})
-	assert.Assert(t, tc.core.StartNeeded(start))
+	assert.Assert(t, tc.core.StartNeeded(start, tc.now))
 	assert.Assert(t, !tc.core.Failed())
 	tc.core.opts.OnDecision = func(Decision) { panic("in the middle of a decision") }
 	assert.Assert(t, recovery.Catch(nil, func() { tc.addJob("b", "plain", 1, job.Step{Count: 1}) }))
@@ -27,7 +27,7 @@
 
 	assert.Assert(t, tc.core.Failed())
 	assert.Equal(t, len(tc.core.Step(tc.now+time.Second, 0)), 0)
-	assert.Assert(t, !tc.core.StartNeeded(start))
+	assert.Assert(t, !tc.core.StartNeeded(start, tc.now))
 	_, pause, ok := tc.core.PreparePoll("w1", tc.now)
 	assert.Assert(t, pause && ok)
 	_, known := tc.core.State("a")
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -126,9 +126,10 @@
 
 // StartNeeded reports whether a queued start may still be sent. By then its task may be done, cancelled or stopped, the
 // leadership may be uncertain, or the worker may no longer accept the run.
-func (c *Core) StartNeeded(a *StartAction) bool {
+func (c *Core) StartNeeded(a *StartAction, now Instant) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.now = max(c.now, now)
 	return !a.run.removed && a.run.phase == phaseStarting && !c.halted() && a.run.worker.acceptsQueuedStart()
 }
 
--- a/version/cell/runs_test.go
+++ b/version/cell/runs_test.go
@@ -322,13 +322,13 @@
 	if cancelled.Command.Task != "a.0.0.0" {
 		cancelled, needed = needed, cancelled
 	}
-	assert.Assert(t, !tc.core.StartNeeded(cancelled))
-	assert.Assert(t, tc.core.StartNeeded(needed))
-	tc.core.Suspend(true)
-	assert.Assert(t, !tc.core.StartNeeded(needed))
+	assert.Assert(t, !tc.core.StartNeeded(cancelled, tc.now))
+	assert.Assert(t, tc.core.StartNeeded(needed, tc.now))
+	tc.core.AllowCommandsUntil(tc.now)
+	assert.Assert(t, !tc.core.StartNeeded(needed, tc.now))
 	tc.core.StartWithdrawn(cancelled, tc.now)
 	tc.core.StartWithdrawn(needed, tc.now)
-	tc.core.Suspend(false)
+	tc.core.AllowCommandsUntil(tc.now + time.Hour)
 	tc.starts = nil
 	tc.advance(100 * time.Millisecond)
 	assert.Equal(t, len(tc.starts), 1)
@@ -399,3 +399,29 @@
 	tc.answerPoll("w1", nil, nil)
 	assert.Equal(t, acknowledged(), int64(0), "the worker has received it")
 }
+
+// Guards against commands after the time that a successor reckons with: the process may have been suspended since the last round, so that
+// each command has to compare the time itself.
+func TestCommandsEndInTime(t *testing.T) {
+	tc := newStartedTestCluster(t, stepWithTasks(1))
+	paused := func() bool {
+		_, paused, ok := tc.core.PreparePoll("w1", tc.now)
+		assert.Assert(t, ok)
+		return paused
+	}
+	tc.core.AllowCommandsUntil(tc.now + time.Second)
+	assert.Assert(t, !paused())
+	assert.Assert(t, tc.core.StartNeeded(tc.starts[0], tc.now))
+	tc.now += time.Second
+	assert.Assert(t, !tc.core.StartNeeded(tc.starts[0], tc.now))
+	assert.Assert(t, paused())
+	tc.addJob("b", "plain", 1, stepWithTasks(1))
+	tc.advance(time.Second)
+	assert.Equal(t, len(tc.starts), 1)
+	tc.core.AllowCommandsUntil(tc.now + time.Second)
+	tc.advance(100 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 2)
+	tc.core.EndCommands()
+	tc.core.AllowCommandsUntil(tc.now + time.Hour)
+	assert.Assert(t, paused())
+}
