Store the progress of each job for itself

A job that changes all the time made the leader write the refused row again with each change, beside its renewals.

Cause: what is durable was one number for all jobs. A refused job was left out of it as long as it did not change, so that the number passed its changes.

Change: each job knows its last change that is durable, and a completion is acknowledged when that of its job is. A refused row is written again after a pause of 1 s, which doubles up to 16 s, and at once when the job has finished, whose row is small.

--- a/version/cell/completions.go
+++ b/version/cell/completions.go
@@ -1,36 +1,33 @@
 package cell
 
 import (
-	"math"
 	"slices"
 
 	"github.com/lentiltide/lentiltide/backend"
 	"github.com/lentiltide/lentiltide/model/job"
 )
 
-// pendingAck is a completion that may be acknowledged once the change with the given number is durable.
+// pendingAck is a completion that may be acknowledged once a change of its job is durable.
 type pendingAck struct {
 	number int64
+	// unresolved means that the completion waits for its job to become known.
+	unresolved bool
+	// job is the job of the completion, and change the number of its change; nil if there is no such job.
+	job    *jobState
 	change uint64
-	// job is the job that the change belongs to; nil if the job is not known.
-	job *jobState
 }
 
 // isDurable reports whether a completion may be acknowledged.
-func (a pendingAck) isDurable(durableChange uint64) bool {
-	return a.change <= durableChange && (a.job == nil || !a.job.isRefusedByStore())
+func (a pendingAck) isDurable() bool {
+	return !a.unresolved && (a.job == nil || a.change <= a.job.storedChange)
 }
 
-// neverDurable is the change number of a completion that waits for its job. It is higher than any change that becomes
-// durable.
-const neverDurable = math.MaxUint64
-
 // recordCompletions queues the completions that are new and handles those whose job is known.
 func (c *Core) recordCompletions(w *worker, ended []backend.FinishedRun) {
 	for _, e := range ended {
 		if e.Number > w.lastReadCompletion {
 			w.lastReadCompletion = e.Number
-			w.pendingAcks = append(w.pendingAcks, pendingAck{number: e.Number, change: neverDurable})
+			w.pendingAcks = append(w.pendingAcks, pendingAck{number: e.Number, unresolved: true})
 			w.unknownCompletions = append(w.unknownCompletions, e)
 		}
 	}
@@ -46,16 +43,12 @@
 			unresolved = append(unresolved, e)
 			continue
 		}
-		changesBefore := c.changeCount
 		c.handleCompletion(w, e)
 		required := pendingAck{number: e.Number}
 		if t := c.findTask(e.Task); t != nil {
 			// The completion may repeat a state that is known but not durable yet.
 			required.change, required.job = t.step.job.lastChange, t.step.job
 		}
-		if c.changeCount > changesBefore {
-			required.change = c.changeCount
-		}
 		w.setRequiredChange(required)
 	}
 	w.unknownCompletions = unresolved
@@ -74,7 +67,7 @@
 // advanceAcks raises the number up to which the worker may forget completions to the last one that is durable.
 func (c *Core) advanceAcks(w *worker) {
 	n := 0
-	for n < len(w.pendingAcks) && w.pendingAcks[n].isDurable(c.durableChange) {
+	for n < len(w.pendingAcks) && w.pendingAcks[n].isDurable() {
 		w.lastAckedCompletion = w.pendingAcks[n].number
 		n++
 	}
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -73,11 +73,10 @@
 	// inventoryPending are the workers that a former leader may have used and whose inventory has not been read in this
 	// epoch.
 	inventoryPending map[string]struct{}
-	// changeCount numbers the changes to be stored; durableChange is the number up to which all are durable.
-	changeCount, durableChange uint64
-	// storedChange is the number of the last change before the last stored batch was collected.
-	storedChange uint64
-	dirtyJobs    map[job.ID]*jobState
+	// changeCount numbers the changes to be stored.
+	changeCount uint64
+	// dirtyJobs are the jobs with changes that are in no batch.
+	dirtyJobs map[job.ID]*jobState
 	// expiredJobs are jobs past their retention whose rows can be removed. progressRemovals are those whose record and
 	// cancellation rows have been removed and whose progress row is next.
 	expiredJobs, progressRemovals []job.ID
@@ -91,7 +90,7 @@
 	// means that no more are sent whatever happens.
 	commandsUntil Instant
 	commandsEnded bool
-	approvalRates      map[string]float64
+	approvalRates map[string]float64
 	// kindSpeeds are the speeds of the kinds of workers. speedsDiffer means that placement considers speeds, and tightestStretch is
 	// the smallest stretch of all queues.
 	kindSpeeds      map[string]*speedEstimate
--- a/version/cell/durability_test.go
+++ b/version/cell/durability_test.go
@@ -120,3 +120,50 @@
 		})
 	}
 }
+
+// Guards against completions of a job that are acknowledged although the store refuses the row of the job, once the job has changed again
+// or other jobs have been stored, and against a row that is written again with each change, which would hold up the other rows.
+func TestCompletionsOfARefusedRowAreNotAcknowledged(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	const worker = "w1"
+	tc.addWorker(worker)
+	tc.addJob("a", "plain", 1, stepWithTasks(4))
+	tc.step()
+	running := tc.confirmStarts()
+	assert.Equal(t, len(running[worker]), 4)
+	var ended []backend.FinishedRun
+	refusals := 0
+	write := func() {
+		for {
+			b := tc.core.CollectBatch(1)
+			if b.Empty() {
+				return
+			}
+			if len(b.Progress) > 0 && b.Progress[0].Job == "a" {
+				refusals++
+				tc.core.BatchRefused(b, tc.now)
+				continue
+			}
+			tc.core.BatchStored(b, true, tc.now)
+		}
+	}
+	for i, r := range running[worker][:3] {
+		ended = append(ended, tc.completion(worker, r.Task, r.Run, backend.ResultDone))
+		tc.addJob(fmt.Sprintf("b%d", i), "plain", 1, stepWithTasks(1))
+		tc.core.CancelJob(job.ID(fmt.Sprintf("b%d", i)), tc.now)
+		for range 5 {
+			tc.answerPoll(worker, running[worker][i+1:], ended)
+			write()
+			tc.advance(20 * time.Millisecond)
+			tc.confirmStarts()
+		}
+	}
+	assert.Equal(t, tc.acknowledged(worker), int64(0))
+	assert.Equal(t, refusals, 1)
+	assert.Equal(t, tc.core.RefusedRows(), 1)
+	tc.advance(2 * maxRefusalPause)
+	tc.storeBatches()
+	assert.Equal(t, tc.core.RefusedRows(), 0)
+	tc.answerPoll(worker, running[worker][3:], ended)
+	assert.Equal(t, tc.acknowledged(worker), int64(3))
+}
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -28,12 +28,11 @@
 	started           bool
 	// state is the decided state; reportedState is the durable one.
 	state, reportedState job.State
-	// lastChange is the number of the last change of the progress; firstUnbatchedChange is the first change that is not
-	// in a batch yet.
-	lastChange, firstUnbatchedChange uint64
-	// refusedChange is the last change when the store refused the progress as too large; 0 if it has not.
-	refusedChange uint64
-	finishedAt    Instant
+	// lastChange is the number of the last change of the progress, and storedChange that of the last one that is durable. Each job is
+	// stored for itself, since the store may refuse the row of one.
+	lastChange, storedChange uint64
+	refusal                  rowRefusal
+	finishedAt               Instant
 	// completionSequence is the number of the completed job in Core.unstored. completionReported means that it may be reported as
 	// completed at once.
 	completionSequence uint64
@@ -408,6 +407,8 @@
 	}
 	j.state = state
 	j.finishedAt = c.now
+	// The row of a finished job is small.
+	j.refusal = rowRefusal{}
 	delete(c.recurring, j.id)
 	c.markChanged(j)
 	if state == job.Completed {
@@ -440,9 +441,6 @@
 func (c *Core) markChanged(j *jobState) {
 	c.changeCount++
 	j.lastChange = c.changeCount
-	if c.dirtyJobs[j.id] == nil {
-		j.firstUnbatchedChange = c.changeCount
-	}
 	c.dirtyJobs[j.id] = j
 	c.signalWake()
 }
--- a/version/cell/progress.go
+++ b/version/cell/progress.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -38,11 +39,12 @@
 type Progress struct {
 	Job  job.ID
 	Data []byte
-	// firstChange is the number of the first change that storing the progress makes durable.
-	firstChange uint64
+	// state is the job, and change the number of its last change when the progress was encoded.
+	state  *jobState
+	change uint64
 }
 
-// Batch holds progress to be stored. Change is the number of the last change before it was collected.
+// Batch holds progress to be stored.
 type Batch struct {
 	Progress []Progress
 	// Removed are jobs whose progress can be removed.
@@ -50,8 +52,7 @@
 	// Fleet are the changed rows of the fleet record.
 	Fleet []FleetRow
 	// Waves are the changed records of waves.
-	Waves  []WaveRow
-	Change uint64
+	Waves []WaveRow
 }
 
 // Rows returns the number of rows to write or remove.
@@ -70,7 +71,7 @@
 	if c.mu.panicked {
 		return Batch{}
 	}
-	batch := Batch{Change: c.changeCount}
+	batch := Batch{}
 	c.addFleetRecord(&batch)
 	c.addWaveRecords(&batch, limit)
 	bytes := 0
@@ -78,12 +79,12 @@
 		if batch.Rows() >= limit || bytes > maxBatchBytes {
 			break
 		}
-		if j.isRefusedByStore() {
+		if j.refusal.holds(c.now) {
 			continue
 		}
 		data := encodeProgress(j)
 		bytes += len(data)
-		batch.Progress = append(batch.Progress, Progress{id, data, j.firstUnbatchedChange})
+		batch.Progress = append(batch.Progress, Progress{id, data, j, j.lastChange})
 		delete(c.dirtyJobs, id)
 	}
 	for len(c.progressRemovals) > 0 && batch.Rows()+2*len(batch.Removed) < limit {
@@ -147,55 +148,64 @@
 		return
 	}
 	for _, p := range b.Progress {
-		if j := c.jobs[p.Job]; j != nil && j.state.Terminal() && j.lastChange <= b.Change {
-			j.reportedState = j.state
+		p.state.refusal = rowRefusal{}
+		p.state.storedChange = max(p.state.storedChange, p.change)
+		if p.state.state.Terminal() && p.state.lastChange <= p.change {
+			p.state.reportedState = p.state.state
 		}
 	}
-	c.storedChange = b.Change
-	c.updateDurableChange()
-}
-
-// updateDurableChange sets the change up to which all are durable, and acknowledges completions accordingly. Changes made after
-// the last stored batch was collected, and jobs that did not fit into it, are not durable yet.
-func (c *Core) updateDurableChange() {
-	c.durableChange = c.storedChange
-	for _, j := range c.dirtyJobs {
-		if !j.isRefusedByStore() {
-			c.durableChange = min(c.durableChange, j.firstUnbatchedChange-1)
-		}
-	}
-	c.unstored.removeStored(c.durableChange)
+	c.unstored.removeStored()
 	for _, w := range c.workers {
 		c.advanceAcks(w)
 	}
 }
 
-// BatchRefused records that the store refuses a batch with a single row whatever happens. The job's progress is not written again
-// until it changes, and the completions in it are not acknowledged; the other jobs go on.
+// BatchRefused records that the store refuses a batch with a single row whatever happens. The row is not written again for a while,
+// however often it changes, and the completions in it are not acknowledged; the other jobs go on.
 func (c *Core) BatchRefused(b Batch, now Instant) {
 	c.BatchStored(b, false, now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, p := range b.Progress {
-		if j := c.jobs[p.Job]; j != nil {
-			j.refusedChange = j.lastChange
-		}
+		p.state.refusal.record(c.now)
+	}
+	for _, row := range b.Waves {
+		c.waves[row.Wave].record.refusal.record(c.now)
 	}
-	c.updateDurableChange()
 }
 
-// isRefusedByStore reports whether the store has refused the present progress of a job.
-func (j *jobState) isRefusedByStore() bool {
-	return j.refusedChange != 0 && j.refusedChange == j.lastChange
+// rowRefusal is how often in a row the store has refused a row whatever happens.
+type rowRefusal struct {
+	count int
+	// until is when the row is written again. Each attempt may delay the other rows of a batch.
+	until Instant
 }
 
+const (
+	// minRefusalPause is the pause after the first refusal of a row; it doubles with each further one, up to maxRefusalPause.
+	minRefusalPause = time.Second
+	maxRefusalPause = 16 * time.Second
+)
+
+func (r *rowRefusal) record(now Instant) {
+	pause := minRefusalPause
+	for range r.count {
+		pause = min(2*pause, maxRefusalPause)
+	}
+	r.count++
+	r.until = now + pause
+}
+
+// holds reports whether the row is not to be written yet.
+func (r *rowRefusal) holds(now Instant) bool { return now < r.until }
+
 // RefusedRows returns the number of jobs whose progress the store refuses.
 func (c *Core) RefusedRows() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := 0
 	for _, j := range c.dirtyJobs {
-		if j.isRefusedByStore() {
+		if j.refusal.count > 0 {
 			n++
 		}
 	}
@@ -204,15 +214,9 @@
 
 func (c *Core) requeueBatch(b Batch) {
 	for _, p := range b.Progress {
-		j := c.jobs[p.Job]
-		if j == nil {
-			continue
-		}
-		if c.dirtyJobs[p.Job] == nil {
-			j.firstUnbatchedChange = p.firstChange
+		if c.jobs[p.Job] != nil {
+			c.dirtyJobs[p.Job] = p.state
 		}
-		j.firstUnbatchedChange = min(j.firstUnbatchedChange, p.firstChange)
-		c.dirtyJobs[p.Job] = j
 	}
 	c.progressRemovals = append(c.progressRemovals, b.Removed...)
 }
--- a/version/cell/unstored.go
+++ b/version/cell/unstored.go
@@ -61,10 +61,10 @@
 }
 
 // removeStored removes the entries whose progress has become durable.
-func (u *unstoredResults) removeStored(durableChange uint64) {
+func (u *unstoredResults) removeStored() {
 	u.entries = slices.DeleteFunc(u.entries, func(e unstoredEntry) bool {
 		if e.crashChange != 0 {
-			return e.crashChange <= durableChange
+			return e.crashChange <= e.job.storedChange
 		}
 		return e.job.reportedState.Terminal()
 	})
@@ -98,7 +98,7 @@
 // the task once too often.
 func (c *Core) isHeldAfterCrash(t *task) bool {
 	last := t.step.job.lastCrash
-	return t.crashes.total() >= minHeldCrashes && last.change > c.durableChange && last.sequence > c.unstored.replicatedSequence &&
+	return t.crashes.total() >= minHeldCrashes && last.change > t.step.job.storedChange && last.sequence > c.unstored.replicatedSequence &&
 		c.now < last.countedAt+maxCrashHold
 }
 
@@ -124,7 +124,7 @@
 	if c.mu.panicked {
 		return UnstoredResults{Sequence: after}
 	}
-	c.unstored.removeStored(c.durableChange)
+	c.unstored.removeStored()
 	out := UnstoredResults{Sequence: after, StoredSequence: c.unstored.lastSequence}
 	if len(c.unstored.entries) > 0 {
 		out.StoredSequence = c.unstored.entries[0].sequence - 1
--- a/version/cell/waverecord.go
+++ b/version/cell/waverecord.go
@@ -18,6 +18,7 @@
 	readAt Instant
 	// changed means that the record must be written.
 	changed bool
+	refusal rowRefusal
 }
 
 // waveRow is the durable form of the record: machines by name. It takes less space than the operator's request.
@@ -118,7 +119,7 @@
 // addWaveRecords adds the changed records of waves to a batch.
 func (c *Core) addWaveRecords(b *Batch, limit int) {
 	for _, w := range c.waves {
-		if !w.record.changed || b.Rows() >= limit {
+		if !w.record.changed || w.record.refusal.holds(c.now) || b.Rows() >= limit {
 			continue
 		}
 		w.record.changed = false
@@ -158,6 +159,7 @@
 			w.record.changed = true
 			continue
 		}
+		w.record.refusal = rowRefusal{}
 		for m, p := range row.phases {
 			m.recorded = max(m.recorded, p)
 		}
