Reckon with the longest lease on workers that have started again

Cause: a call that was meant for the former boot of a worker gives the present one a deadline far in the future, and so its longest lease. A new leader, and one that knew of the new boot by its entry only, reckoned with the usual lease. The stand-in of the workers did not show it: it judged a second start by the ends that had been acknowledged before, and not by those that are acknowledged later.

Change: a worker that has, or may have, started again is marked in the record of the workers in use until the longest lease has passed, before it is used. While a boot is announced, polls carry no deadline. The stand-in judges starts by later acknowledgements too. TestSoakWithLostLeaders loses leaders, workers and the store together, with tasks that last longer than leases.

TestSuccessorReckonsWithLongLeases is new. Tests in which a worker starts again store the record before they expect a start, and TestRunStartedAfterUnnoticedRestart expects the allowance for late calls on top of the lease.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -99,6 +99,9 @@
 	each := model.Resources{CPUMilli: 1000, MemoryMiB: 100}
 	c.workers = backends.NewWorkers(func() time.Duration { return time.Since(c.startedAt) }, func(task string) backends.TaskBehavior {
 		behavior := backends.TaskBehavior{Resources: each, Duration: taskTime}
+		if isLong(task) {
+			behavior.Duration = longTaskTime
+		}
 		if crashesWorkers(task) {
 			behavior.Crash = &backends.Crash{Delay: crashDelay, Downtime: crashDowntime}
 		}
--- a/standin/backends/workers.go
+++ b/standin/backends/workers.go
@@ -47,8 +47,10 @@
 	starts       map[string]int
 	done         map[string]bool
 	acknowledged map[string]bool
-	chooseFault  func(worker, command string) error
-	crashes      crashRecord
+	// lastStart holds when the last run of each task started.
+	lastStart   map[string]time.Duration
+	chooseFault func(worker, command string) error
+	crashes     crashRecord
 }
 
 // workerState is the state of a worker since its last start. Times are on the clock of Workers.
@@ -99,7 +101,7 @@
 func NewWorkers(now func() time.Duration, behaviorOf func(task string) TaskBehavior) *Workers {
 	return &Workers{
 		now: now, behaviorOf: behaviorOf, workers: map[string]*workerState{}, starts: map[string]int{}, done: map[string]bool{},
-		acknowledged: map[string]bool{}, crashes: newCrashRecord(),
+		acknowledged: map[string]bool{}, lastStart: map[string]time.Duration{}, crashes: newCrashRecord(),
 	}
 }
 
@@ -177,8 +179,8 @@
 	ErrNoAnswer   = errors.New("the worker does not answer")
 )
 
-// Violations describes the violations that the workers observed: a task started again after its completion was
-// acknowledged, a task that runs on two workers, a worker over its capacity, or a task that is not given up although the
+// Violations describes the violations that the workers observed: a task started again after it was done, if that end was
+// acknowledged then or later, a task that runs on two workers, a worker over its capacity, or a task that is not given up although the
 // workers that start it crash.
 func (w *Workers) Violations() []string {
 	w.mu.Lock()
@@ -375,6 +377,7 @@
 	}
 	worker.running[command.Task] = &activeRun{task: command.Task, run: command.Run, behavior: behavior, startedAt: w.now()}
 	w.starts[command.Task]++
+	w.lastStart[command.Task] = w.now()
 	if behavior.Crash != nil {
 		w.recordLateStart(command.Task)
 		w.advanceAfter(behavior.Crash.Delay)
@@ -490,6 +493,9 @@
 		}
 		if e.Result == backend.ResultDone && worker.endedAt[e.Number] >= worker.lapsedAt {
 			w.acknowledged[e.Task] = true
+			if w.lastStart[e.Task] > worker.endedAt[e.Number] {
+				w.violations = append(w.violations, fmt.Sprintf("task %s was started again after the end that is acknowledged now", e.Task))
+			}
 		}
 		delete(worker.endedAt, e.Number)
 		return true
--- a/version/cell/boot.go
+++ b/version/cell/boot.go
@@ -20,6 +20,7 @@
 			"worker": info.ID, "started_ms": info.StartedMS, "known_started_ms": w.startedMS, "address": info.Address,
 		})
 		w.announced = &announcedBoot{at: c.now}
+		c.expectLongLeases(w)
 		c.pollSoon(w)
 	}
 	w.announced.info = info
--- a/version/cell/boot_test.go
+++ b/version/cell/boot_test.go
@@ -18,6 +18,7 @@
 	reply := backend.PollReply{Reply: backend.Reply{ClockMS: tc.clockMS()}, StartedMS: startedMS, Running: running}
 	tc.core.PollResult("w1", tc.now, reply, nil, tc.now+1)
 	tc.now += time.Millisecond
+	tc.storeBatches()
 }
 
 // Guards against a task that runs twice because a registry entry of another writer has a start time in the future: the worker goes on
--- a/version/cell/capacity_test.go
+++ b/version/cell/capacity_test.go
@@ -419,6 +419,7 @@
 		w.StartedMS, w.Capacity = 2000, model.Resources{CPUMilli: 1000, MemoryMiB: 8000}
 	})
 	tc.core.PollResult("w1", tc.now, backend.PollReply{Reply: backend.Reply{ClockMS: tc.clockMS()}, StartedMS: 2000}, nil, tc.now+1)
+	tc.storeBatches()
 	tc.advance(200 * time.Millisecond)
 	assert.Equal(t, len(tc.starts), 1)
 }
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -278,30 +278,11 @@
 	c.advanceWaves()
 	c.settleCrashes()
 	c.removeUnusedFromRecord()
-	c.endRecovery()
 	c.openDueOccurrences()
 	c.expireFinishedJobs()
 	c.sendLookups()
 }
 
-// endRecovery stops waiting for unreachable workers once no run of a former leader can exist on them.
-func (c *Core) endRecovery() {
-	if c.now < c.epochStart+c.recoveryBound() {
-		return
-	}
-	unread := 0
-	for id := range c.inventoryPending {
-		// A worker that has answered has not listed all of its completions yet, and keeps them until its leases expire.
-		if w := c.workers[id]; w == nil || !w.answered {
-			c.giveUpInventory(id)
-			unread++
-		}
-	}
-	if unread > 0 {
-		c.logDecision("recovery_bound_reached", "", map[string]any{"unread_workers": unread})
-	}
-}
-
 // giveUpInventory stops waiting for the inventory of a worker that has not answered, since the leases of its runs have expired. A
 // worker without a registry entry is considered gone then, and not before: while it is cut off, its entry expires although its runs go
 // on.
@@ -310,10 +291,14 @@
 		return
 	}
 	delete(c.inventoryPending, id)
-	if w := c.workers[id]; w != nil && !w.listed && !w.inventoryKnown {
+	w := c.workers[id]
+	gone := w != nil && !w.listed && !w.inventoryKnown
+	if gone {
 		w.ended = true
-		c.logDecision("worker_gone", "", map[string]any{"worker": id, "since_takeover_ms": (c.now - c.epochStart).Milliseconds()})
 	}
+	c.logDecision("recovery_bound_reached", "", map[string]any{
+		"worker": id, "gone": gone, "since_takeover_ms": (c.now - c.epochStart).Milliseconds(),
+	})
 }
 
 // LimitLeaseExtension records that no former leader extends leases later than until, so that they end sooner than had to be assumed.
@@ -327,9 +312,9 @@
 	}
 }
 
-// recoveryBound is the time after the start of the epoch by which every lease of a former leader has expired.
-func (c *Core) recoveryBound() time.Duration {
-	return c.opts.LeaseExtension + maxLocalDuration(c.opts.LeaseDuration)
+// recoveryBound is the time after the start of the epoch by which every lease of a duration that a former leader has granted has expired.
+func (c *Core) recoveryBound(lease time.Duration) time.Duration {
+	return c.opts.LeaseExtension + maxLocalDuration(lease)
 }
 
 const (
--- a/version/cell/dump.go
+++ b/version/cell/dump.go
@@ -112,7 +112,7 @@
 	defer c.mu.Unlock()
 	n := 0
 	for _, w := range c.workers {
-		if w.listed && w.inventoryKnown && w.isRecorded() && !w.info.Draining && c.now >= w.health.suspectUntil {
+		if w.listed && w.inventoryKnown && c.isRecorded(w) && !w.info.Draining && c.now >= w.health.suspectUntil {
 			n++
 		}
 	}
--- a/version/cell/fleet.go
+++ b/version/cell/fleet.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"hash/fnv"
+	"maps"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -24,8 +26,46 @@
 	maxFleetRows = 32
 )
 
-// fleetRow is the durable form of a row of the fleet record: worker addresses by ID.
-type fleetRow map[string]string
+// fleetRow is a row of the fleet record.
+type fleetRow struct {
+	// addresses are the addresses of the workers by ID.
+	addresses map[string]string
+	// longLeases are the workers that may have longer leases than usual.
+	longLeases map[string]bool
+}
+
+// fleetRowWithLeases is the durable form of a row with longLeases. That of a row without is the addresses by ID alone.
+type fleetRowWithLeases struct {
+	Workers    map[string]string `json:"workers"`
+	LongLeases []string          `json:"long_leases"`
+}
+
+func newFleetRow() fleetRow {
+	return fleetRow{addresses: map[string]string{}, longLeases: map[string]bool{}}
+}
+
+func (r fleetRow) encode() ([]byte, error) {
+	if len(r.longLeases) == 0 {
+		return json.Marshal(r.addresses)
+	}
+	return json.Marshal(fleetRowWithLeases{r.addresses, slices.Sorted(maps.Keys(r.longLeases))})
+}
+
+func decodeFleetRow(data []byte) (fleetRow, error) {
+	row := newFleetRow()
+	if len(data) == 0 || json.Unmarshal(data, &row.addresses) == nil {
+		return row, nil
+	}
+	var stored fleetRowWithLeases
+	if err := json.Unmarshal(data, &stored); err != nil {
+		return row, errors.Wrap(err, "decode fleet record")
+	}
+	row.addresses = stored.Workers
+	for _, id := range stored.LongLeases {
+		row.longLeases[id] = true
+	}
+	return row, nil
+}
 
 // FleetRow is a row of the fleet record to be stored.
 type FleetRow struct {
@@ -50,12 +90,9 @@
 	c.now = max(c.now, now)
 	var unreadable error
 	for _, data := range rows {
-		row := fleetRow{}
-		if len(data) == 0 {
-			continue
-		}
-		if err := json.Unmarshal(data, &row); err != nil {
-			unreadable = errors.Wrap(err, "decode fleet record")
+		row, err := decodeFleetRow(data)
+		if err != nil {
+			unreadable = err
 			continue
 		}
 		c.loadFleetRow(row)
@@ -65,14 +102,17 @@
 }
 
 func (c *Core) loadFleetRow(row fleetRow) {
-	for id, address := range row {
+	for id, address := range row.addresses {
 		w := c.workers[id]
 		if w == nil {
 			w = c.addWorker(id)
 			w.info = backend.WorkerInfo{ID: id, Address: address}
 			w.unlistedAt = c.now
 		}
-		w.recordedAddress = address
+		w.recordedAddress, w.recordedLongLeases = address, row.longLeases[id]
+		if row.longLeases[id] {
+			w.longLeasesUntil = c.epochStart + maxLocalDuration(c.maxLease()+lateCallAllowance)
+		}
 		c.inventoryPending[id] = struct{}{}
 	}
 }
@@ -109,15 +149,18 @@
 
 // scheduleFleetRecord schedules a write of the fleet record if the worker's address is not recorded.
 func (c *Core) scheduleFleetRecord(w *worker) {
-	if w.isRecorded() {
+	if c.isRecorded(w) {
 		return
 	}
 	c.markFleetChanged(w)
 	c.signalWake()
 }
 
-// isRecorded reports whether the worker is durably recorded under its current address, so that it may be used.
-func (w *worker) isRecorded() bool { return w.recordedAddress == w.info.Address }
+// isRecorded reports whether the worker is durably recorded under its current address, and with long leases if it has them, so that it
+// may be used.
+func (c *Core) isRecorded(w *worker) bool {
+	return w.recordedAddress == w.info.Address && (w.recordedLongLeases || !c.hasLongLeases(w))
+}
 
 // addFleetRecord adds changed rows of the fleet record to a batch.
 func (c *Core) addFleetRecord(b *Batch) {
@@ -129,7 +172,7 @@
 		if len(rows) == maxFleetRows {
 			break
 		}
-		rows[shard] = fleetRow{}
+		rows[shard] = newFleetRow()
 		delete(c.changedFleetShards, shard)
 	}
 	for id, w := range c.workers {
@@ -137,14 +180,17 @@
 		switch {
 		case !changed:
 		case c.inUse(w):
-			row[id] = w.info.Address
+			row.addresses[id] = w.info.Address
+			if c.hasLongLeases(w) {
+				row.longLeases[id] = true
+			}
 		default:
 			// Its entry may return before the batch is stored, and the worker must not be used then.
 			w.recordedAddress = ""
 		}
 	}
 	for shard, row := range rows {
-		data, err := json.Marshal(row)
+		data, err := row.encode()
 		if err != nil {
 			panic(errors.Wrap(err, "encode fleet record"))
 		}
@@ -172,6 +218,10 @@
 			w.recordedAddress = ""
 			c.markFleetChanged(w)
 		}
+		if w.recordedLongLeases && !c.hasLongLeases(w) {
+			w.recordedLongLeases = false
+			c.markFleetChanged(w)
+		}
 	}
 }
 
@@ -196,9 +246,14 @@
 		if !written {
 			continue
 		}
-		w.recordedAddress = row[id]
-		if w.listed && !w.isRecorded() {
+		wasRecorded := c.isRecorded(w)
+		w.recordedAddress, w.recordedLongLeases = row.addresses[id], row.longLeases[id]
+		switch {
+		case !w.listed:
+		case !c.isRecorded(w):
 			c.markFleetChanged(w)
+		case !wasRecorded:
+			c.ready.capacityFreed(w)
 		}
 	}
 	c.signalWake()
--- a/version/cell/fleet_test.go
+++ b/version/cell/fleet_test.go
@@ -26,16 +26,16 @@
 }
 
 // recordedWorkers returns the fleet record that the rows in the batches make up, the newest of each shard.
-func recordedWorkers(batches []Batch) fleetRow {
+func recordedWorkers(batches []Batch) map[string]string {
 	byShard := map[int]fleetRow{}
 	for _, b := range batches {
 		for _, row := range b.Fleet {
 			byShard[row.Shard] = row.workers
 		}
 	}
-	record := fleetRow{}
+	record := map[string]string{}
 	for _, row := range byShard {
-		maps.Copy(record, row)
+		maps.Copy(record, row.addresses)
 	}
 	return record
 }
@@ -52,8 +52,8 @@
 }
 
 // inUseByID returns the addresses of the workers that are in use.
-func (tc *testCluster) inUseByID() fleetRow {
-	record := fleetRow{}
+func (tc *testCluster) inUseByID() map[string]string {
+	record := map[string]string{}
 	for id, w := range tc.core.workers {
 		if tc.core.inUse(w) {
 			record[id] = w.info.Address
@@ -128,13 +128,13 @@
 	tc.addWorker("w1")
 	tc.core.RemoveWorker("w1", tc.now)
 	tc.advance(200 * time.Millisecond)
-	assert.DeepEqual(t, recordedWorkers(tc.storeBatches()), fleetRow{})
+	assert.DeepEqual(t, recordedWorkers(tc.storeBatches()), map[string]string{})
 	tc.listWorker("w1", nil)
 	tc.answerPoll("w1", nil, nil)
 	tc.addJob("a", "plain", 1, stepWithTasks(1))
 	tc.advance(100 * time.Millisecond)
 	assert.Equal(t, len(tc.starts), 0)
-	assert.DeepEqual(t, recordedWorkers(tc.storeBatches()), fleetRow{"w1": "w1:1"})
+	assert.DeepEqual(t, recordedWorkers(tc.storeBatches()), map[string]string{"w1": "w1:1"})
 	tc.advance(100 * time.Millisecond)
 	assert.Equal(t, len(tc.starts), 1)
 }
@@ -256,3 +256,45 @@
 	assert.Equal(t, tc.state("a"), job.Completed, "the final state is a small row")
 	assert.Equal(t, tc.acknowledged(workerOf["a"]), int64(2))
 }
+
+// Guards against tasks that run twice because a new leader reckons with the usual leases on a worker that has restarted: a call to its former
+// boot gives the new one the longest lease that workers grant.
+func TestSuccessorReckonsWithLongLeases(t *testing.T) {
+	const longest = 3 * testLease
+	tc := newTestCluster(t, 1)
+	tc.core.opts.MaxLease = longest
+	tc.addWorker("w1")
+	restart := func(clockMS int64) {
+		tc.core.PollResult("w1", tc.now, backend.PollReply{Reply: backend.Reply{ClockMS: clockMS}, StartedMS: 2000}, nil, tc.now+1)
+	}
+	restart(5)
+	tc.listWorker("w1", func(info *backend.WorkerInfo) { info.StartedMS = 2000 })
+	tc.addJob("a", "plain", 1, stepWithTasks(1))
+	tc.advance(50 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 0, "the restart is not recorded")
+	restarted := fleetData(tc.storeBatches())
+	tc.advance(50 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 1)
+
+	waits := func(rows [][]byte) time.Duration {
+		next := newTestCluster(t, 2)
+		next.core.opts.MaxLease, next.core.opts.LeaseExtension = longest, 0
+		startedAt := next.now
+		assert.NilError(t, next.core.LoadFleetRecord(next.now, rows...))
+		next.listWorker("w1", func(info *backend.WorkerInfo) { info.StartedMS = 2000 })
+		next.addWorker("w2")
+		next.addJob("a", "plain", 1, stepWithTasks(1))
+		for len(next.starts) == 0 && next.now < startedAt+time.Minute {
+			next.answerPoll("w2", nil, nil)
+			next.advance(100 * time.Millisecond)
+		}
+		return next.now - startedAt
+	}
+	long := maxLocalDuration(longest + lateCallAllowance)
+	waited := waits(restarted)
+	assert.Assert(t, waited >= long && waited < long+time.Second, "waited %s", waited)
+
+	tc.advance(long + time.Second)
+	waited = waits(fleetData(tc.storeBatches()))
+	assert.Assert(t, waited >= testLease && waited < testLease+time.Second, "waited %s", waited)
+}
--- a/version/cell/formerrun_test.go
+++ b/version/cell/formerrun_test.go
@@ -45,7 +45,7 @@
 		"address of another worker": {func(next *crashCluster) {
 			answer(next, backend.PollReply{Reply: backend.Reply{Refusal: backend.RefusedInstance}}, nil)
 		}, 2},
-		"worker gone": {func(next *crashCluster) { next.advance(next.core.recoveryBound() + 200*time.Millisecond) }, 2},
+		"worker gone": {func(next *crashCluster) { next.advance(next.core.recoveryBound(testLease) + 200*time.Millisecond) }, 2},
 		"run goes on": {func(next *crashCluster) { answer(next, backend.PollReply{StartedMS: 1000, Running: running}, nil) }, 1},
 		"run has ended": {func(next *crashCluster) {
 			ended := []backend.FinishedRun{{Number: 1, Task: "x.0.0.0", Run: 1, Result: backend.ResultStopped}}
--- a/version/cell/leases.go
+++ b/version/cell/leases.go
@@ -5,11 +5,20 @@
 // leasesEnd returns when every lease on the worker has expired, on the local clock.
 func (c *Core) leasesEnd(w *worker) Instant {
 	if w.clockMS == 0 {
-		// Until the new boot has answered, a start that it has executed may hold a full lease.
-		return max(c.epochStart+c.recoveryBound(), w.restartedAt+maxLocalDuration(c.maxLease()+lateCallAllowance))
+		return max(c.epochStart+c.recoveryBound(c.opts.LeaseDuration), w.longLeasesUntil)
 	}
 	remaining := time.Duration(w.leaseEndMS-w.clockMS) * time.Millisecond
-	return w.clockReceivedAt + maxLocalDuration(max(remaining, 0))
+	return max(w.clockReceivedAt+maxLocalDuration(max(remaining, 0)), w.longLeasesUntil)
+}
+
+// hasLongLeases reports whether a worker may have leases that are longer than usual. The deadlines of calls to its former boot are readings
+// of the clock of that boot, and on the clock of the present one, which starts anew, they are far in the future.
+func (c *Core) hasLongLeases(w *worker) bool { return c.now < w.longLeasesUntil }
+
+// expectLongLeases records that a worker has, or may have, started again.
+func (c *Core) expectLongLeases(w *worker) {
+	w.longLeasesUntil = c.now + maxLocalDuration(c.maxLease()+lateCallAllowance)
+	c.scheduleFleetRecord(w)
 }
 
 // expireLeases drops the runs of a worker that has not answered until all of its leases have expired.
--- a/version/cell/manycompletions_test.go
+++ b/version/cell/manycompletions_test.go
@@ -90,7 +90,7 @@
 	tc.listWorker("w1", nil)
 	tc.addLargeWorker("w2")
 	tc.addJob("a", "plain", 1, stepWithTasks(1201))
-	for end := tc.now + 2*tc.core.recoveryBound(); tc.now < end; {
+	for end := tc.now + 2*tc.core.recoveryBound(testLease); tc.now < end; {
 		left = tc.listAcknowledged("w1", nil, left)
 		tc.answerPoll("w2", nil, nil)
 		tc.advance(100 * time.Millisecond)
--- a/version/cell/place.go
+++ b/version/cell/place.go
@@ -187,7 +187,7 @@
 	switch {
 	case !w.suits(s):
 		return obstacleUnsuitable
-	case !w.listed || !w.entryIsCurrent() || !w.inventoryKnown || !w.isRecorded() || w.hasUnknownRuns:
+	case !w.listed || !w.entryIsCurrent() || !w.inventoryKnown || !c.isRecorded(w) || w.hasUnknownRuns:
 		return obstacleUnknown
 	case w.info.Draining || w.cordoned:
 		return obstacleLeaving
--- a/version/cell/polls.go
+++ b/version/cell/polls.go
@@ -39,7 +39,11 @@
 	if c.halted() {
 		return req, true, true
 	}
-	req = backend.PollRequest{Worker: w.pollRef(), FencingToken: c.opts.Epoch, LeaseDeadlineMS: c.leaseDeadline(w)}
+	req = backend.PollRequest{Worker: w.pollRef(), FencingToken: c.opts.Epoch}
+	if w.announced == nil {
+		// On the clock of an announced boot the deadline would be far in the future.
+		req.LeaseDeadlineMS = c.leaseDeadline(w)
+	}
 	if w.ackIsDue() && w.announced == nil && !w.hasUnreportedStart() {
 		req.AcknowledgedCompletion = w.lastAckedCompletion
 		w.sentAck, w.ackSentAt = w.lastAckedCompletion, c.now
--- a/version/cell/runs_test.go
+++ b/version/cell/runs_test.go
@@ -345,12 +345,12 @@
 	}{
 		"the new boot lists the run":          {listed: true},
 		"the new boot does not list the run":  {},
-		"the new boot does not answer a poll": {silent: true, startsAfter: testLease},
+		"the new boot does not answer a poll": {silent: true, startsAfter: maxLocalDuration(testLease + lateCallAllowance)},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			tc := newTestCluster(t, 1)
-			tc.now += tc.core.recoveryBound()
+			tc.now += tc.core.recoveryBound(testLease)
 			tc.addWorker("w1")
 			tc.addJob("a", "plain", 1, stepWithTasks(1))
 			tc.step()
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -16,6 +16,10 @@
 	listed bool
 	// recordedAddress is the address of the worker in the durable fleet record.
 	recordedAddress string
+	// longLeasesUntil is until when the worker may have leases that are longer than usual, and recordedLongLeases means that the record
+	// says so.
+	longLeasesUntil    Instant
+	recordedLongLeases bool
 	// fleetShard is the row of the fleet record that holds the worker.
 	fleetShard int
 	// unlistedAt is when the worker's entry left the registry.
@@ -130,7 +134,7 @@
 	w := c.workers[info.ID]
 	if w == nil {
 		w = c.addWorker(info.ID)
-		if !c.fleetRecordKnown && c.now < c.epochStart+c.recoveryBound() {
+		if !c.fleetRecordKnown && c.now < c.epochStart+c.recoveryBound(c.maxLease()) {
 			// Without the record any worker may have been used by a former leader.
 			c.inventoryPending[info.ID] = struct{}{}
 		}
@@ -210,6 +214,7 @@
 	}
 	w.restartedAt, w.lastCrash = c.now, k
 	w.retired = false
+	c.expectLongLeases(w)
 	w.inventoryKnown = false
 	w.clockMS, w.leaseEndMS = 0, 0
 	w.lastReadCompletion, w.lastAckedCompletion, w.pendingAcks = 0, 0, nil
