Bound the progress of recurring jobs

Cause: the record of a job had an entry for each step of each occurrence ever opened, until the store refused the row, and all occurrences that were due were opened at once.

Change: complete occurrences are kept as ranges of indexes.

--- a/version/cell/completions.go
+++ b/version/cell/completions.go
@@ -44,10 +44,10 @@
 			continue
 		}
 		c.handleCompletion(w, e)
-		required := pendingAck{number: e.Number}
-		if t := c.findTask(e.Task); t != nil {
+		required := pendingAck{number: e.Number, job: c.findJob(e.Task)}
+		if required.job != nil {
 			// The completion may repeat a state that is known but not durable yet.
-			required.change, required.job = t.step.job.lastChange, t.step.job
+			required.change = required.job.lastChange
 		}
 		w.setRequiredChange(required)
 	}
--- a/version/cell/formerrun.go
+++ b/version/cell/formerrun.go
@@ -15,7 +15,10 @@
 }
 
 // mayCrash reports whether a task may crash its worker, so that its crashes and its last start are stored.
-func (t *task) mayCrash() bool { return t.crashes.total()+t.crashesTakenBack > 0 || t.suspect }
+func (t *task) mayCrash() bool { return t.hasCrashes() || t.suspect }
+
+// hasCrashes reports whether crashes of workers were counted for the task.
+func (t *task) hasCrashes() bool { return t.crashes.total()+t.crashesTakenBack > 0 }
 
 // suspectRuns records that the runs on a worker may have crashed it: nothing listens at its address.
 func (c *Core) suspectRuns(w *worker) {
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -23,8 +23,10 @@
 	// baseRunNumber is the number after which the run numbers of this epoch start.
 	baseRunNumber int64
 	occurrences   map[int]*occurrence
-	// openedOccurrences is one more than the highest index of the opened occurrences.
+	// openedOccurrences is one more than the highest index of the opened occurrences. doneOccurrences are those that are complete and
+	// need not be kept any longer.
 	openedOccurrences int
+	doneOccurrences   indexRanges
 	started           bool
 	// state is the decided state; reportedState is the durable one.
 	state, reportedState job.State
@@ -183,8 +185,12 @@
 	c.logJobAdded(j)
 	if record.Spec.Repetitions > 0 {
 		c.recurring[id] = j
+		if progress != nil {
+			j.doneOccurrences = progress.Done
+		}
 		c.openOccurrencesUpTo(j, progress.lastOccurrence())
 		c.openDueOccurrencesOf(j)
+		c.finishIfComplete(j)
 	} else {
 		c.openOccurrence(j, 0)
 	}
@@ -244,69 +250,6 @@
 	}
 }
 
-// openOccurrence creates an occurrence and queues the steps without dependencies.
-func (c *Core) openOccurrence(j *jobState, index int) *occurrence {
-	o := &occurrence{index: index}
-	j.occurrences[index] = o
-	j.openedOccurrences = max(j.openedOccurrences, index+1)
-	for i := range j.record.Spec.Steps {
-		s := &step{
-			job: j, occurrence: o, index: i, spec: &j.record.Spec.Steps[i], runsPerWorker: map[*worker]int{},
-			name: stepName(j.id, index, i),
-		}
-		s.advice.init()
-		avoided := avoidedWorkers{}
-		for t := range s.spec.Count {
-			if !s.spec.Gang {
-				// The members of a gang share the set: what fails one of them ends all.
-				avoided = avoidedWorkers{}
-			}
-			s.tasks = append(s.tasks, &task{
-				step: s, index: t, name: job.TaskName{Job: j.id, Occurrence: index, Step: i, Index: t}.String(),
-				lastRunNumber: j.baseRunNumber, avoidedWorkers: avoided,
-			})
-		}
-		s.gangRunNumber = j.baseRunNumber
-		s.openTasks = len(s.tasks)
-		o.steps = append(o.steps, s)
-		o.openSteps++
-	}
-	if j.progress != nil {
-		c.applyProgress(j, o)
-	}
-	for _, s := range o.steps {
-		c.queueStep(s)
-	}
-	c.finishIfComplete(o, j)
-	return o
-}
-
-// openDueOccurrences opens the occurrences of recurring jobs that are due.
-func (c *Core) openDueOccurrences() {
-	for _, j := range c.recurring {
-		c.openDueOccurrencesOf(j)
-	}
-}
-
-func (c *Core) openDueOccurrencesOf(j *jobState) {
-	spec := &j.record.Spec
-	for !j.state.Terminal() && j.openedOccurrences < spec.Repetitions &&
-		c.wallClockMS >= spec.StartAtMS+int64(j.openedOccurrences)*spec.IntervalMS {
-		c.openOccurrence(j, j.openedOccurrences)
-	}
-	if j.openedOccurrences >= spec.Repetitions || j.state.Terminal() {
-		delete(c.recurring, j.id)
-	}
-}
-
-// openOccurrencesUpTo opens the occurrences up to the one with the given index. A former leader has opened it, and those
-// before it are due as well, even if they are not due yet according to this instance's clock.
-func (c *Core) openOccurrencesUpTo(j *jobState, index int) {
-	for j.openedOccurrences <= index && j.openedOccurrences < j.record.Spec.Repetitions {
-		c.openOccurrence(j, j.openedOccurrences)
-	}
-}
-
 // queueStep queues the tasks of a step if the step's dependencies are done.
 func (c *Core) queueStep(s *step) {
 	if s.openTasks == 0 || s.job.state.Terminal() || !s.dependenciesDone() {
@@ -384,20 +327,7 @@
 		c.queueStep(next)
 	}
 	s.occurrence.openSteps--
-	c.finishIfComplete(s.occurrence, s.job)
-}
-
-// finishIfComplete completes the job when all of its occurrences are complete.
-func (c *Core) finishIfComplete(o *occurrence, j *jobState) {
-	if o.openSteps > 0 || j.openedOccurrences < max(1, j.record.Spec.Repetitions) {
-		return
-	}
-	for _, other := range j.occurrences {
-		if other.openSteps > 0 {
-			return
-		}
-	}
-	c.finishJob(j, job.Completed, "")
+	c.finishIfComplete(s.job)
 }
 
 // finishJob sets the final state of a job and stops its remaining runs.
@@ -447,18 +377,23 @@
 
 func (j *jobState) hasRuns() bool {
 	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			for _, t := range s.tasks {
-				if len(t.runs) > 0 {
-					return true
-				}
-			}
+		if o.hasRuns() {
+			return true
 		}
 	}
 	return false
 }
 
-// findTask returns the task with the given name, or nil.
+// findJob returns the job of the task with the given name, or nil.
+func (c *Core) findJob(task string) *jobState {
+	n, ok := job.ParseTaskName(task)
+	if !ok {
+		return nil
+	}
+	return c.jobs[n.Job]
+}
+
+// findTask returns the task with the given name, or nil. It is nil for a task of an occurrence that is complete and not kept any longer.
 func (c *Core) findTask(name string) *task {
 	n, ok := job.ParseTaskName(name)
 	if !ok {
--- a/version/cell/progress.go
+++ b/version/cell/progress.go
@@ -18,6 +18,8 @@
 	State job.State `json:"s,omitempty"`
 	// Steps holds the steps with finished runs, keyed by occurrence.step.
 	Steps map[string]*stepProgress `json:"t,omitempty"`
+	// Done are the occurrences of a recurring job whose steps are all done. They are not in Steps.
+	Done indexRanges `json:"o,omitempty"`
 }
 
 // stepProgress is the durable progress of a step.
@@ -225,20 +227,50 @@
 func stepKey(occurrence, step int) string { return fmt.Sprintf("%d.%d", occurrence, step) }
 
 func encodeProgress(j *jobState) []byte {
-	row := progressRow{}
 	if j.state.Terminal() {
-		row.State = j.state
-		return mustEncodeProgress(row)
+		return mustEncodeProgress(progressRow{State: j.state})
 	}
-	row.Steps = map[string]*stepProgress{}
+	var data []byte
+	for detail := allStarts; detail <= noStarts; detail++ {
+		data = mustEncodeProgress(j.progressRow(detail))
+		if len(data) <= maxProgressBytes {
+			break
+		}
+	}
+	return data
+}
+
+// startDetail is which last starts of tasks that may crash their workers the progress of a job holds. Without them a crash may not be
+// counted that a lost leader has not noticed.
+type startDetail int
+
+const (
+	allStarts startDetail = iota
+	// startsWithCrashes are those of tasks with crashes.
+	startsWithCrashes
+	noStarts
+)
+
+// holds reports whether the last start of a task is held.
+func (d startDetail) holds(t *task) bool {
+	return d == allStarts || d == startsWithCrashes && t.hasCrashes()
+}
+
+// progressRow returns the progress of a job that is not finished.
+func (j *jobState) progressRow(detail startDetail) progressRow {
+	row := progressRow{Steps: map[string]*stepProgress{}, Done: j.doneOccurrences}
 	for _, o := range j.occurrences {
+		if j.record.Spec.Repetitions > 0 && o.isComplete() {
+			row.Done = row.Done.with(o.index)
+			continue
+		}
 		for _, s := range o.steps {
-			if p := s.progress(); p != nil {
+			if p := s.progress(detail); p != nil {
 				row.Steps[stepKey(o.index, s.index)] = p
 			}
 		}
 	}
-	return mustEncodeProgress(row)
+	return row
 }
 
 // mustEncodeProgress encodes a progress row. Its type always encodes without an error.
@@ -247,11 +279,11 @@
 	if err != nil {
 		panic(errors.Wrap(err, "encode progress"))
 	}
-	return data
+	return compressProgress(data)
 }
 
 // progress returns the durable form of a step, or nil if no task is done, no run has failed and no worker has crashed.
-func (s *step) progress() *stepProgress {
+func (s *step) progress(detail startDetail) *stepProgress {
 	if s.openTasks == 0 {
 		return &stepProgress{All: true}
 	}
@@ -272,8 +304,8 @@
 			p.Failed[strconv.Itoa(t.index)] = t.failedRuns
 			hasProgress = true
 		}
-		if t.mayCrash() && !t.done {
-			p.addCrashes(t)
+		if t.mayCrash() && !t.done && (t.hasCrashes() || detail.holds(t)) {
+			p.addCrashes(t, detail.holds(t))
 			hasProgress = true
 		}
 	}
@@ -283,14 +315,14 @@
 	return p
 }
 
-// addCrashes adds the crashes under a task and its last start.
-func (p *stepProgress) addCrashes(t *task) {
+// addCrashes adds the crashes under a task and, if wanted, its last start.
+func (p *stepProgress) addCrashes(t *task, withStart bool) {
 	if p.Crashes == nil {
 		p.Crashes, p.Runs = map[string][3]int{}, map[string]storedRun{}
 	}
 	key := strconv.Itoa(t.index)
 	p.Crashes[key] = [3]int{t.crashes.certain, t.crashes.possible, t.crashesTakenBack}
-	if r := t.lastStoredRun(); r != nil {
+	if r := t.lastStoredRun(); r != nil && withStart {
 		p.Runs[key] = *r
 	}
 }
@@ -301,6 +333,7 @@
 	if r == nil {
 		return last
 	}
+	last = r.Done.last()
 	for key := range r.Steps {
 		occurrence, _, _ := strings.Cut(key, ".")
 		if index, err := strconv.Atoi(occurrence); err == nil {
@@ -313,17 +346,20 @@
 // StoredState returns the state in a job's durable progress: the final state, and whether a task has ended. Progress
 // that is absent or cannot be decoded yields no state.
 func StoredState(data []byte) (state job.State, started bool) {
-	var row progressRow
-	if len(data) == 0 || json.Unmarshal(data, &row) != nil {
+	if len(data) == 0 {
 		return "", false
 	}
-	return row.State, len(row.Steps) > 0
+	row, err := decodeProgress(data)
+	if err != nil {
+		return "", false
+	}
+	return row.State, len(row.Steps)+len(row.Done) > 0
 }
 
 // LoadProgress adds a job with its durable progress.
 func (c *Core) LoadProgress(id job.ID, record job.Record, data []byte, now Instant) error {
-	row := &progressRow{}
-	if err := json.Unmarshal(data, row); err != nil {
+	row, err := decodeProgress(data)
+	if err != nil {
 		return errors.Wrapf(err, "decode progress of job %s", id)
 	}
 	if row.State.Terminal() {
--- a/version/cell/unstored.go
+++ b/version/cell/unstored.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"encoding/json"
 	"slices"
 	"strconv"
 	"time"
@@ -177,8 +176,8 @@
 
 // AdoptCrashes adds the crashes that were counted under a former leader, which could not store them.
 func (c *Core) AdoptCrashes(id job.ID, data []byte, now Instant) error {
-	row := &progressRow{}
-	if err := json.Unmarshal(data, row); err != nil {
+	row, err := decodeProgress(data)
+	if err != nil {
 		return errors.Wrapf(err, "decode replicated progress of job %s", id)
 	}
 	c.mu.Lock()
