Take the throttle of an adopted run for unknown

Cause: the throttle was in the memory of the leader only, and an adopted run began with 100%.

Change: an adopted best-effort run, and one after a failed command, has an unknown throttle. It counts as paused when it is sped up, and is set to 0 when the latency beside it is high.

Result: TestSuccessorThrottlesAdoptedRuns fails without the change.

--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -47,7 +47,7 @@
 	// progressedAt is when progressPercent last changed, or when the throttle was last changed.
 	progressedAt Instant
 	load         int64
-	// throttlePercent is the share of its normal speed at which the run works, in percent.
+	// throttlePercent is the share of its normal speed at which the run works, in percent, or unknownThrottlePercent.
 	throttlePercent int
 	removed         bool
 	// completionUnread means that the run has ended, and that its completion may be beyond those that the worker lists at a time.
@@ -422,6 +422,9 @@
 	}
 	r := c.addRun(t, w, item.Run, phaseRunning)
 	r.confirmedAt = c.now
+	if t.step.spec.BestEffort {
+		r.throttlePercent = unknownThrottlePercent
+	}
 	j := t.step.job
 	j.started = true
 	c.pruneWaiting(t.step)
--- a/version/cell/throttle.go
+++ b/version/cell/throttle.go
@@ -29,16 +29,22 @@
 		if !r.task.step.spec.BestEffort || r.phase != phaseRunning {
 			continue
 		}
-		percent := r.throttlePercent
-		switch {
-		case worstRatio > 1:
-			percent = 0
-		case worstRatio > throttleRatio:
-			percent = r.throttlePercent / 2
-		case worstRatio < resumeRatio && r.throttlePercent < 100:
-			percent = min(100, r.throttlePercent+throttleStepPercent)
-		}
-		c.throttle(r, percent, worstRatio)
+		c.throttle(r, nextThrottle(r.throttlePercent, worstRatio), worstRatio)
+	}
+}
+
+// nextThrottle returns the throttle that follows a present one at a ratio of latency to its objective. An unknown throttle counts as that
+// of a paused run, which may be so, when the run is sped up, and is set to 0 when it is slowed down.
+func nextThrottle(present int, ratio float64) int {
+	switch {
+	case ratio > 1:
+		return 0
+	case ratio > throttleRatio:
+		return max(present, 0) / 2
+	case ratio < resumeRatio && present < 100:
+		return min(100, max(present, 0)+throttleStepPercent)
+	default:
+		return present
 	}
 }
 
@@ -71,6 +77,6 @@
 	a.run.throttlePercent = unknownThrottlePercent
 }
 
-// unknownThrottlePercent replaces the throttle of a run after a failed command. It differs from the values that are
-// normally requested, so that the next decision sends one again.
-const unknownThrottlePercent = 99
+// unknownThrottlePercent is the throttle of a run after a failed command, and of a run that a former leader may have throttled. It differs
+// from all values that are requested, so that the next decision sends one.
+const unknownThrottlePercent = -1
--- a/version/cell/throttle_test.go
+++ b/version/cell/throttle_test.go
@@ -70,3 +70,35 @@
 		assert.Assert(t, a.Command.Task != "big.0.0.0" || tc.core.workers["w1"].allocated.MemoryMiB <= 8000)
 	}
 }
+
+// Guards against a best-effort run that stays paused for ever, since the leader that has paused it is lost, and against one that a new
+// leader speeds up beside a task above its objective.
+func TestSuccessorThrottlesAdoptedRuns(t *testing.T) {
+	cases := map[string]struct {
+		latency int64
+		want    []int
+	}{
+		"latency is low":  {40, []int{25, 50, 75, 100}},
+		"latency is high": {90, []int{0}},
+	}
+	for name, k := range cases {
+		t.Run(name, func(t *testing.T) {
+			tc := newTestCluster(t, 2)
+			tc.addWorker("w1")
+			tc.addJob("serve", "plain", 1, stepWithTasks(1, func(s *job.Step) { s.LongRunning, s.TargetMS = true, 100 }))
+			tc.addJob("fill", "plain", 1, stepWithTasks(1, func(s *job.Step) { s.BestEffort = true }))
+			running := []backend.ActiveRun{{Task: "serve.0.0.0", Run: 1, ProgressPercent: 100, Load: k.latency}, {Task: "fill.0.0.0", Run: 1}}
+			var sent []int
+			for range 8 {
+				tc.now += throttleInterval
+				tc.answerPoll("w1", running, nil)
+				for _, action := range tc.core.Step(tc.now, 0) {
+					if a, ok := action.(*ThrottleAction); ok {
+						sent = append(sent, a.Percent)
+					}
+				}
+			}
+			assert.DeepEqual(t, sent, k.want)
+		})
+	}
+}
