Pause services after crashes of workers

Cause: the guard against tasks that crash their workers gave such jobs up like others.

Change: a service task pauses for 3 s after three crashes and goes on to start apart from others.

TestServiceIsPausedAndNotGivenUpAfterCrashes fails without the change. The guard for tasks that end is unchanged.

--- a/version/cell/crash.go
+++ b/version/cell/crash.go
@@ -40,6 +40,9 @@
 	// youngRunAge is the age up to which a run may have crashed its worker by itself, although the worker seems to have been lost
 	// in an outage: tasks that crash their workers mostly do so early.
 	youngRunAge = time.Second
+	// serviceCrashPause is how long a service task waits after maxCrashes, since its job is not given up: it must run again however it ends,
+	// and workers crash under it by chance for as long as it lasts.
+	serviceCrashPause = 3 * time.Second
 	// stableServiceRun is how long a service task must run for its earlier crashes to be forgotten.
 	stableServiceRun = time.Minute
 )
@@ -173,18 +176,32 @@
 	}
 }
 
-// giveUpAfterCrashes ends the job of a task under which too many workers have crashed.
+// giveUpAfterCrashes ends the job of a task under which too many workers have crashed, unless the task is one of a service.
 func (c *Core) giveUpAfterCrashes(t *task) {
 	j := t.step.job
 	if !t.crashes.tooMany() || t.done || j.state.Terminal() {
 		return
 	}
+	if t.step.spec.LongRunning {
+		c.pauseAfterCrashes(t)
+		return
+	}
 	c.logDecision("task_given_up", j.id, map[string]any{
 		"task": t.name, "crashes": t.crashes.certain, "possible_crashes": t.crashes.possible,
 	})
 	c.finishJob(j, job.Failed, "workers crashed whenever task "+t.name+" ran")
 }
 
+// pauseAfterCrashes makes a service task wait before it starts again. The task stays isolated.
+func (c *Core) pauseAfterCrashes(t *task) {
+	c.logDecision("service_paused", t.step.job.id, map[string]any{
+		"task": t.name, "crashes": t.crashes.certain, "possible_crashes": t.crashes.possible, "pause_ms": serviceCrashPause.Milliseconds(),
+	})
+	t.crashes, t.crashesTakenBack = crashCount{certain: isolationCrashes}, 0
+	t.pausedUntil = c.now + serviceCrashPause
+	c.markChanged(t.step.job)
+}
+
 // takeBackOutage reports whether a crash belongs to an outage of its rack. The crashes of such an outage are taken back from
 // the tasks.
 func (c *Core) takeBackOutage(k *crash) bool {
@@ -297,7 +314,7 @@
 	if t.crashes.total() == 0 || t.step.spec.Gang {
 		return true
 	}
-	if c.isHeldAfterCrash(t) {
+	if c.isHeldAfterCrash(t) || c.now < t.pausedUntil {
 		return false
 	}
 	if t.crashes.tooMany() {
--- a/version/cell/crash_test.go
+++ b/version/cell/crash_test.go
@@ -436,3 +436,26 @@
 	cc.storeBatches()
 	assert.Equal(t, cc.state("x"), job.Failed)
 }
+
+// Guards against a service that is shown as failed because workers have crashed under one of its tasks in quick succession, and against one
+// that crashes workers without a pause.
+func TestServiceIsPausedAndNotGivenUpAfterCrashes(t *testing.T) {
+	cc := newCrashCluster(t, 1, "a1", "b1", "c1", "d1")
+	cc.addJob("x", "plain", 1, stepWithTasks(1, func(s *job.Step) { s.LongRunning = true }))
+	var lastCrash Instant
+	pauses := 0
+	for range 4 * maxCrashes {
+		worker := cc.start("x.0.0.0")
+		waited := cc.now - lastCrash
+		assert.Assert(t, lastCrash == 0 || waited < crashSettleTime+serviceCrashPause+time.Second, "waited %s", waited)
+		if lastCrash != 0 && waited > serviceCrashPause {
+			pauses++
+		}
+		cc.advance(200 * time.Millisecond)
+		cc.crash(worker)
+		cc.storeBatches()
+		lastCrash = cc.now
+		assert.Assert(t, cc.state("x") != job.Failed)
+	}
+	assert.Assert(t, pauses >= 4, "%d pauses", pauses)
+}
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -118,6 +118,8 @@
 	// were attributed to outages although the task may have caused them.
 	crashes          crashCount
 	crashesTakenBack int
+	// pausedUntil is when a service task may start again after maxCrashes.
+	pausedUntil Instant
 	// suspect means that the address of a worker that ran the task refused connections.
 	suspect bool
 	// formerRun is the last start by a former leader until it is known what became of it; otherwise nil.
