--- a/version/cell/testcluster_test.go
+++ b/version/cell/testcluster_test.go
@@ -200,3 +200,8 @@
 	assert.Assert(tc.t, ok)
 	return state
 }
+
+// maintainWave adds a wave of some machines that may be down together.
+func (tc *testCluster) maintainWave(number int, machines ...string) {
+	tc.core.SetWave(backend.MaintenanceWave{Number: number, Machines: machines, Duration: time.Minute, MaxUnavailable: len(machines)}, tc.now)
+}
