Expect pauses of services whose workers crash

The rule says that tasks that last must be restarted however they end, and have no limit of attempts.

Change: the test expects that a service goes on, and the stand-in records a violation if a service task is started more than 8 times in 10 s after three crashes. Other tasks are judged as before.

--- a/process/node/crash_test.go
+++ b/process/node/crash_test.go
@@ -110,8 +110,21 @@
 	assert.DeepEqual(c.t, c.workers.Violations(), []string(nil))
 }
 
-// Guards against a task that is started again and again although each worker that starts it crashes, and against ordinary
-// jobs that fail or never complete beside it.
+// requirePaused fails the test unless the crashing job, a service, goes on and its tasks were started no more often than they may.
+func (c *testCell) requirePaused() {
+	c.t.Helper()
+	state, err := c.state(c.nodes[c.leader()], crashingJob)
+	assert.NilError(c.t, err)
+	assert.Equal(c.t, state, job.Running)
+	assert.Assert(c.t, c.workers.Starts(crashingTaskName) > maxCrashesOfAJob, "the service is not started again")
+	assert.DeepEqual(c.t, c.workers.Violations(), []string(nil))
+}
+
+// maxCrashesOfAJob is the number of crashes after which a job that ends is given up.
+const maxCrashesOfAJob = 3
+
+// Guards against a task that is started again and again although each worker that starts it crashes, against a service that is given up
+// for that, and against ordinary jobs that fail or never complete beside it.
 func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
 	for name, d := range crashCases() {
 		t.Run(name, func(t *testing.T) {
@@ -122,7 +135,11 @@
 				time.Sleep(givenUpWithin)
 				c.logCrashes(d.tasks)
 				c.requireAllCompleted(ids)
-				c.requireGivenUp()
+				if d.behavior.Service {
+					c.requirePaused()
+				} else {
+					c.requireGivenUp()
+				}
 			})
 		})
 	}
--- a/standin/backends/crashes.go
+++ b/standin/backends/crashes.go
@@ -35,6 +35,10 @@
 	// maxLateStarts is the number of starts of such a task that do not count as a violation, because they may have been sent
 	// before the scheduler knew of the last crash.
 	maxLateStarts = 2
+	// maxServiceStarts is the number of starts of a service task in serviceStartWindow after crashesToGiveUp crashes. It must run again
+	// however it ends, but not without pauses.
+	maxServiceStarts   = 8
+	serviceStartWindow = 10 * time.Second
 )
 
 // outage is the time from the crash of a worker to its next boot. The worker refuses connections meanwhile.
@@ -51,6 +55,8 @@
 	taskCrashes   map[string]int
 	// lateStarts counts the starts of each task after crashesToGiveUp crashes.
 	lateStarts map[string]int
+	// serviceStarts are the times of the starts of each service task after crashesToGiveUp crashes, within serviceStartWindow.
+	serviceStarts map[string][]time.Duration
 	// lapses are the times at which the registry entries of crashed workers lapse, by worker id.
 	lapses map[string]time.Duration
 	// successors are the ids under which crashed workers have booted, by their former ids.
@@ -59,7 +65,7 @@
 
 func newCrashRecord() crashRecord {
 	return crashRecord{
-		taskCrashes: map[string]int{}, lateStarts: map[string]int{}, lapses: map[string]time.Duration{}, successors: map[string]string{},
+		taskCrashes: map[string]int{}, lateStarts: map[string]int{}, serviceStarts: map[string][]time.Duration{}, lapses: map[string]time.Duration{}, successors: map[string]string{},
 	}
 }
 
@@ -194,15 +200,30 @@
 	}
 }
 
-// recordLateStart records a violation if a task that crashes its workers should have been given up before this start. Callers
-// hold w.mu.
-func (w *Workers) recordLateStart(task string) {
+// recordLateStart records a violation if a task that crashes its workers should have been given up before this start, or paused if it is
+// one of a service. Callers hold w.mu.
+func (w *Workers) recordLateStart(task string, service bool) {
 	crashes := w.crashes.taskCrashes[task]
 	if crashes < crashesToGiveUp {
 		return
 	}
+	if service {
+		w.recordServiceStart(task)
+		return
+	}
 	w.crashes.lateStarts[task]++
 	if late := w.crashes.lateStarts[task]; late > maxLateStarts {
 		w.violations = append(w.violations, fmt.Sprintf("task %s was started %d times more after %d crashes, now %d crashes", task, late, crashesToGiveUp, crashes))
 	}
 }
+
+// recordServiceStart records a violation if a service task that crashes its workers is started too often. Callers hold w.mu.
+func (w *Workers) recordServiceStart(task string) {
+	now := w.now()
+	starts := slices.DeleteFunc(w.crashes.serviceStarts[task], func(at time.Duration) bool { return at <= now-serviceStartWindow })
+	starts = append(starts, now)
+	w.crashes.serviceStarts[task] = starts
+	if len(starts) > maxServiceStarts {
+		w.violations = append(w.violations, fmt.Sprintf("service task %s was started %d times within %s although its workers crash", task, len(starts), serviceStartWindow))
+	}
+}
--- a/standin/backends/workers.go
+++ b/standin/backends/workers.go
@@ -379,7 +379,7 @@
 	w.starts[command.Task]++
 	w.lastStart[command.Task] = w.now()
 	if behavior.Crash != nil {
-		w.recordLateStart(command.Task)
+		w.recordLateStart(command.Task, behavior.Service)
 		w.advanceAfter(behavior.Crash.Delay)
 	}
 	used := model.Resources{}
