--- a/version/cell/cordon.go
+++ b/version/cell/cordon.go
@@ -14,9 +14,7 @@
 
 // cordonMachine cordons the workers of a machine that is drained or down: the one that it had, and the one that the list shows.
 func (c *Core) cordonMachine(m *maintenance) {
-	switch m.phase {
-	case maintenanceDraining, maintenanceRequested, maintenanceDown:
-	default:
+	if !m.phase.isInProgress() {
 		return
 	}
 	for _, w := range []*worker{c.workers[m.worker], c.workerOf(m)} {
@@ -33,11 +31,10 @@
 	}
 }
 
-// returnToService ends the cordon of the worker that the list shows on a machine, which may have started again under its former ID, or
-// has gone on because the maintenance had been done before.
+// returnToService records that the worker which the list shows on a machine is in use again. It may have started again under its former
+// ID, or has gone on because the maintenance had been done before. The next sweep ends its cordon.
 func (c *Core) returnToService(m *maintenance) {
 	if w := c.workerOf(m); w != nil {
 		w.retired = false
 	}
-	c.updateCordons()
 }
--- a/version/cell/leases.go
+++ b/version/cell/leases.go
@@ -5,6 +5,7 @@
 // leasesEnd returns when every lease on the worker has expired, on the local clock.
 func (c *Core) leasesEnd(w *worker) Instant {
 	if w.clockMS == 0 {
+		// Until the present boot has answered, a run that it has started may hold a full lease.
 		return max(c.epochStart+c.recoveryBound(c.opts.LeaseDuration), w.longLeasesUntil)
 	}
 	remaining := time.Duration(w.leaseEndMS-w.clockMS) * time.Millisecond
--- a/version/cell/maintenance.go
+++ b/version/cell/maintenance.go
@@ -56,6 +56,11 @@
 	maintenanceFinished
 )
 
+// isInProgress reports whether a machine is drained for its maintenance or down.
+func (p maintenancePhase) isInProgress() bool {
+	return p > maintenancePending && p < maintenanceFinished
+}
+
 const (
 	// drainTimeout is how long tasks without checkpoints may continue before they are stopped to drain the machine.
 	drainTimeout = 3 * time.Second
@@ -212,14 +217,7 @@
 // isBusy reports whether a machine counts towards the maximum of its wave. The list may show a maintenance that this leader has not
 // requested.
 func (c *Core) isBusy(m *maintenance) bool {
-	switch m.phase {
-	case maintenanceDraining, maintenanceRequested, maintenanceDown:
-		return true
-	case maintenancePending:
-		return c.machines[m.machine].InMaintenance
-	default:
-		return false
-	}
+	return m.phase.isInProgress() || m.phase == maintenancePending && c.machines[m.machine].InMaintenance
 }
 
 // nextMachines returns at most limit pending machines, those with the lowest drain cost first.
--- a/version/cell/manycompletions_test.go
+++ b/version/cell/manycompletions_test.go
@@ -43,6 +43,18 @@
 	return completions
 }
 
+// storeAndList stores all batches and answers polls of a worker that holds completions, some rounds long, while w2 answers too. It returns
+// what is left.
+func (tc *testCluster) storeAndList(worker string, completions []backend.FinishedRun, rounds int) []backend.FinishedRun {
+	for range rounds {
+		tc.storeBatches()
+		completions = tc.listAcknowledged(worker, nil, completions)
+		tc.answerPoll("w2", nil, nil)
+		tc.advance(50 * time.Millisecond)
+	}
+	return completions
+}
+
 // Guards against tasks that start again because their completions are beyond those that a worker lists at a time while the store is not
 // available, and against acknowledgements that wait for ever for runs that ended before a poll listed them.
 func TestCompletionsBeyondTheListAreNotLost(t *testing.T) {
@@ -66,12 +78,7 @@
 		}
 		assert.Equal(t, len(left), 800, "completions are not durable")
 		assert.Equal(t, len(tc.starts), 0, "reported %t", reported)
-		for range 5 {
-			tc.storeBatches()
-			left = tc.listAcknowledged("w1", nil, left)
-			tc.answerPoll("w2", nil, nil)
-			tc.advance(50 * time.Millisecond)
-		}
+		left = tc.storeAndList("w1", left, 5)
 		assert.Equal(t, len(left), 0)
 		assert.Equal(t, len(tc.starts), 0)
 		assert.Equal(t, tc.state("a"), job.Completed)
@@ -96,12 +103,7 @@
 		tc.advance(100 * time.Millisecond)
 	}
 	assert.Equal(t, len(tc.starts), 0)
-	for range 10 {
-		tc.storeBatches()
-		left = tc.listAcknowledged("w1", nil, left)
-		tc.answerPoll("w2", nil, nil)
-		tc.advance(50 * time.Millisecond)
-	}
+	left = tc.storeAndList("w1", left, 10)
 	// The start that is on its way holds up the last acknowledgement.
 	assert.Equal(t, len(left), 200)
 	assert.Equal(t, len(tc.starts), 1)
