--- a/process/node/formerleases_test.go
+++ b/process/node/formerleases_test.go
@@ -63,7 +63,7 @@
 	assert.NilError(c.t, err)
 }
 
-// Guards against tasks that run twice because a leader reckons only with the leases of the leader just before it: one that is cut off
+// Guards against tasks that run twice because a leader accounts only for the leases of the leader just before it: one that is cut off
 // from the store and from the instances extends leases for some seconds, whoever leads meanwhile.
 func TestLeasesOfLeadersBeforeThePredecessor(t *testing.T) {
 	cases := map[string]func(c *testCell, old string){
--- a/process/node/leaseextension.go
+++ b/process/node/leaseextension.go
@@ -7,8 +7,8 @@
 	"github.com/lentiltide/lentiltide/version/cell"
 )
 
-// A leader that is cut off goes on to extend leases for up to suspendAfter, whoever leads meanwhile. A new leader reckons with its
-// predecessor and with the leaders before that: the predecessor may have led for a moment only, or not at all if its takeover took effect
+// A leader that is cut off goes on to extend leases for up to suspendAfter, whoever leads meanwhile. A new leader accounts for its
+// predecessor and for the leaders before that: the predecessor may have led for a moment only, or not at all if its takeover took effect
 // after it had been given up. So each leader row says how long earlier leaders may extend leases, and the renewals what is left of that.
 
 // renewalRow is the value of the renewal row.
--- a/standin/backends/crashes.go
+++ b/standin/backends/crashes.go
@@ -35,8 +35,8 @@
 	// maxLateStarts is the number of starts of such a task that do not count as a violation, because they may have been sent
 	// before the scheduler knew of the last crash.
 	maxLateStarts = 2
-	// maxServiceStarts is the number of starts of a service task in serviceStartWindow after crashesToGiveUp crashes. It must run again
-	// however it ends, but not without pauses.
+	// maxServiceStarts is the number of starts of a service task in serviceStartWindow after crashesToGiveUp crashes. A service has
+	// no limit of attempts, but its tasks have to pause.
 	maxServiceStarts   = 8
 	serviceStartWindow = 10 * time.Second
 )
--- a/version/cell/crash.go
+++ b/version/cell/crash.go
@@ -40,8 +40,8 @@
 	// youngRunAge is the age up to which a run may have crashed its worker by itself, although the worker seems to have been lost
 	// in an outage: tasks that crash their workers mostly do so early.
 	youngRunAge = time.Second
-	// serviceCrashPause is how long a service task waits after maxCrashes, since its job is not given up: it must run again however it ends,
-	// and workers crash under it by chance for as long as it lasts.
+	// serviceCrashPause is how long a service task waits after maxCrashes, since its job is not given up: a service has no limit of attempts, and
+	// workers crash under its tasks by chance for as long as it lasts.
 	serviceCrashPause = 3 * time.Second
 	// stableServiceRun is how long a service task must run for its earlier crashes to be forgotten.
 	stableServiceRun = time.Minute
--- a/version/cell/fleet_test.go
+++ b/version/cell/fleet_test.go
@@ -257,9 +257,9 @@
 	assert.Equal(t, tc.acknowledged(workerOf["a"]), int64(2))
 }
 
-// Guards against tasks that run twice because a new leader reckons with the usual leases on a worker that has restarted: a call to its former
+// Guards against tasks that run twice because a new leader assumes the usual leases on a worker that has restarted: a call to its former
 // boot gives the new one the longest lease that workers grant.
-func TestSuccessorReckonsWithLongLeases(t *testing.T) {
+func TestSuccessorAccountsForLongLeases(t *testing.T) {
 	const longest = 3 * testLease
 	tc := newTestCluster(t, 1)
 	tc.core.opts.MaxLease = longest
--- a/version/cell/runs_test.go
+++ b/version/cell/runs_test.go
@@ -400,7 +400,7 @@
 	assert.Equal(t, acknowledged(), int64(0), "the worker has received it")
 }
 
-// Guards against commands after the time that a successor reckons with: the process may have been suspended since the last round, so that
+// Guards against commands after the time that a successor assumes: the process may have been suspended since the last round, so that
 // each command has to compare the time itself.
 func TestCommandsEndInTime(t *testing.T) {
 	tc := newStartedTestCluster(t, stepWithTasks(1))
