Count no crash for runs that had ended

What callers may see: a task is kept apart, or its job given up, for a crash of a worker on which its run had ended; the completion was beyond those that the worker lists at a time.

Cause: that a run had ended was only considered where its worker starts again, in a branch of its own, and not where the address belongs to another worker or the leases had expired before.

Change: countCrashOfRun and tasksAtRisk leave out runs that have ended, for all callers, and the branch is gone.

--- a/version/cell/crash.go
+++ b/version/cell/crash.go
@@ -124,10 +124,10 @@
 	c.holdAfterCrash(t.step.job)
 }
 
-// countCrashOfRun counts a crash, which may be nil, for the task of a run, unless its start was sent when the worker did not
-// answer any longer.
+// countCrashOfRun counts a crash, which may be nil, for the task of a run, unless the run had ended or its start was sent when the worker
+// did not answer any longer.
 func (c *Core) countCrashOfRun(k *crash, r *run) {
-	if k != nil && !r.wasSentTooLate(k.silentSince) {
+	if k != nil && !r.completionUnread && !r.wasSentTooLate(k.silentSince) {
 		c.countCrash(k, countedTask{r.task, r.isConfirmed(), k.wasYoung(r)})
 	}
 }
@@ -289,7 +289,7 @@
 func (w *worker) tasksAtRisk() []*task {
 	var tasks []*task
 	for _, r := range w.runs {
-		if !r.wasSentTooLate(w.silentSince) {
+		if !r.completionUnread && !r.wasSentTooLate(w.silentSince) {
 			tasks = append(tasks, r.task)
 		}
 	}
--- a/version/cell/manycompletions_test.go
+++ b/version/cell/manycompletions_test.go
@@ -129,3 +129,33 @@
 	tc.advance(100 * time.Millisecond)
 	assert.Equal(t, len(tc.starts), 100)
 }
+
+// Guards against crashes that are counted for tasks whose runs had ended: their completions were not listed before the address of their
+// worker was taken over by another one, or its next boot answered.
+func TestEndedRunsCountNoCrash(t *testing.T) {
+	restarted := backend.PollReply{Reply: backend.Reply{ClockMS: 1}, StartedMS: 2000}
+	for name, k := range map[string]struct {
+		silence time.Duration
+		reply   backend.PollReply
+	}{
+		"replaced":                               {reply: backend.PollReply{Reply: backend.Reply{Refusal: backend.RefusedInstance}}},
+		"restarted":                              {reply: restarted},
+		"restarted after its leases had expired": {2 * testLease, restarted},
+	} {
+		tc := newTestCluster(t, 1)
+		tc.addLargeWorker("w1")
+		tc.addJob("a", "plain", 1, stepWithTasks(600))
+		tc.step()
+		running := tc.confirmStarts()["w1"]
+		tc.now += 2
+		tc.answerPoll("w1", running, nil)
+		tc.listAcknowledged("w1", nil, tc.completeRuns("w1", running))
+		tc.failPolls("w1", k.silence)
+		tc.core.PollResult("w1", tc.now, k.reply, nil, tc.now+1)
+		counted := 0
+		for _, task := range tc.core.jobs["a"].occurrences[0].steps[0].tasks {
+			counted += task.crashes.total()
+		}
+		assert.Equal(t, counted, 0, name)
+	}
+}
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -201,10 +201,7 @@
 	c.logDecision("worker_restarted", "", map[string]any{"worker": w.info.ID, "runs": len(w.runs), "started_ms": startedMS})
 	k := c.noticeCrash(w)
 	for _, r := range w.runs {
-		switch {
-		case r.completionUnread:
-			c.dropRun(r, "worker restarted before it listed the completion")
-		case r.firstReportAt != 0:
+		if r.completionUnread || r.firstReportAt != 0 {
 			c.countCrashOfRun(k, r)
 			c.dropRun(r, "worker restarted")
 		}
