--- a/standin/backends/workers.go
+++ b/standin/backends/workers.go
@@ -131,21 +131,6 @@
 	delete(w.workers, id)
 }
 
-// Info returns what a worker reports about itself.
-func (w *Workers) Info(id string) backend.WorkerInfo {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.workers[id].info
-}
-
-// Running returns how many runs a worker has.
-func (w *Workers) Running(id string) int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.advance()
-	return len(w.workers[id].running)
-}
-
 // SetCapacity changes the capacity of a worker while it runs and returns what the worker reports about itself from now on; the
 // caller writes its registry entry. Runs, lease, clock and fencing token stay. Until the grace has passed, a start is no
 // violation if it fits into the former capacity.
@@ -179,67 +164,6 @@
 	ErrNoAnswer   = errors.New("the worker does not answer")
 )
 
-// Violations describes the violations that the workers observed: a task started again after it was done, if that end was
-// acknowledged then or later, a task that runs on two workers, a worker over its capacity, or a task that is not given up although the
-// workers that start it crash.
-func (w *Workers) Violations() []string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return slices.Clone(w.violations)
-}
-
-// Starts returns how many runs of a task were started.
-func (w *Workers) Starts(task string) int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.starts[task]
-}
-
-// Done reports whether a run of a task ended as done.
-func (w *Workers) Done(task string) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.advance()
-	return w.done[task]
-}
-
-// Acknowledged reports whether the scheduler acknowledged the completion of a run that ended as done, after which the
-// worker drops its record.
-func (w *Workers) Acknowledged(task string) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.acknowledged[task]
-}
-
-// RunningOn returns the sorted ids of the workers on which a task runs.
-func (w *Workers) RunningOn(task string) []string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.advance()
-	var ids []string
-	for id, worker := range w.workers {
-		if worker.running[task] != nil {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	return ids
-}
-
-// RunningTasks returns the names of all running tasks.
-func (w *Workers) RunningTasks() []string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.advance()
-	var tasks []string
-	for _, worker := range w.workers {
-		for name := range worker.running {
-			tasks = append(tasks, name)
-		}
-	}
-	return tasks
-}
-
 // advance brings the workers up to date: due crashes, boots and ends of runs. Callers hold w.mu.
 func (w *Workers) advance() {
 	now := w.now()
