Log and measure what a leader spends its time on

The events of a large cell show that starts are late and that delegates are suspended, not whether the leader's time goes to decisions, to calls of its own, or to polls. Change: the core counts the workers that its decisions examine, by purpose, and the rounds. The leader logs leader_load every 2 s (time in rounds, the longest one, ready steps, workers examined, delegated, unanswered and direct calls); the same is in /dump and the metrics lentiltide.leader.* and lentiltide.ready.*. Result: tests of version/cell, process/node and process/telemetry pass. No decision changes.

--- a/process/node/delegation.go
+++ b/process/node/delegation.go
@@ -52,6 +52,7 @@
 	assigned map[string]*delegate
 	pending  map[uint64]pendingCall
 	lastID   uint64
+	counts   callCounts
 }
 
 var _ backend.Workers = (*delegatedWorkers)(nil)
@@ -172,6 +173,7 @@
 		Checkpoint: command.Checkpoint, Ticket: command.Ticket,
 	}}})
 	if isUndelegated(err) {
+		d.counts.direct.Add(1)
 		return d.direct.Start(ctx, command)
 	}
 	return replyOf(result), err
@@ -183,6 +185,7 @@
 		Task: command.Task, Run: command.Run,
 	}}})
 	if isUndelegated(err) {
+		d.counts.direct.Add(1)
 		return d.direct.Stop(ctx, command)
 	}
 	return replyOf(result), err
@@ -194,6 +197,7 @@
 		Task: command.Task, Run: command.Run, Percent: int32(percent),
 	}}})
 	if isUndelegated(err) {
+		d.counts.direct.Add(1)
 		return d.direct.Throttle(ctx, command, percent)
 	}
 	return replyOf(result), err
@@ -209,6 +213,7 @@
 		if isDelegateSilent(err) {
 			req.Wait = 0
 		}
+		d.counts.direct.Add(1)
 		return d.direct.Poll(ctx, req)
 	}
 	if err != nil {
@@ -246,6 +251,7 @@
 		}
 		return result, peer.ErrorFromProto(result.GetError())
 	case <-timer.C:
+		d.counts.unanswered.Add(1)
 		d.recordSilence(p.delegate, sentAt)
 		return nil, errDelegateSilent
 	case <-ctx.Done():
@@ -261,6 +267,7 @@
 	if c == nil {
 		return p, 0, false
 	}
+	d.counts.delegated.Add(1)
 	d.lastID++
 	call.Id = d.lastID
 	p = pendingCall{c, make(chan *peerpb.WorkerResult, 1)}
--- a/process/node/leader.go
+++ b/process/node/leader.go
@@ -155,6 +155,7 @@
 // runScheduler runs the scheduling rounds, executes the actions of each, and polls every worker.
 func (l *leadership) runScheduler(ctx context.Context) {
 	polls := workerPolls{leadership: l, running: map[string]struct{}{}}
+	load := newLoadRecorder(l)
 	nextMemberCheck, nextJoinRequest := l.node.opts.Now(), l.node.opts.Now()
 	for ctx.Err() == nil {
 		select {
@@ -180,7 +181,10 @@
 			}
 			polls.start(ctx)
 		}
-		for _, action := range l.core.Step(l.node.opts.Now(), time.Now().UnixMilli()) {
+		startedAt := l.node.opts.Now()
+		actions := l.core.Step(startedAt, time.Now().UnixMilli())
+		load.recordRound(startedAt, l.node.opts.Now())
+		for _, action := range actions {
 			go l.guard(func() { l.execute(ctx, action) })
 		}
 		pause(ctx, minStepInterval)
--- a/process/node/status.go
+++ b/process/node/status.go
@@ -34,6 +34,9 @@
 	Waiting int `json:"waiting"`
 	Workers int `json:"workers"`
 	Members int `json:"members"`
+	// Load is what the scheduler has to do and has done, and Calls counts its calls to workers; only the leader sets them.
+	Load  cell.Load   `json:"load"`
+	Calls WorkerCalls `json:"calls"`
 	// Teams is the use of the cell by the teams with the largest shares; only the leader sets it.
 	Teams []cell.TeamUse `json:"teams,omitempty"`
 	// Cell is the state of the leader's scheduler, limited in size. Only ServeDump sets it.
@@ -57,6 +60,7 @@
 		s.Members = len(l.memberAddresses(memberTTL))
 		s.Workers = l.core.UsableWorkers()
 		s.RefusedRows = l.core.RefusedRows()
+		s.Load, s.Calls = l.core.Load(), l.workers.counts.snapshot()
 		s.Teams, _ = l.core.Teams(maxStatusTeams)
 		for _, count := range l.core.WaitingJobs() {
 			s.Waiting += count
--- a/process/telemetry/gauges.go
+++ b/process/telemetry/gauges.go
@@ -28,6 +28,12 @@
 	return g
 }
 
+func (b *instrumentBuilder) newObservableCounter(name, description string) metric.Int64ObservableCounter {
+	c, err := b.meter.Int64ObservableCounter(name, metric.WithDescription(description))
+	b.recordError(err)
+	return c
+}
+
 func (b *instrumentBuilder) newGauges() *gauges {
 	g := &gauges{
 		meter:           b.meter,
@@ -38,10 +44,7 @@
 		journalPending:  b.newGauge("lentiltide.journal.pending", "Outcomes that are not durable yet."),
 	}
 	g.configVersion = b.newGauge("lentiltide.config.version", "Version of the configuration in force on this instance.")
-	peerBytes, err := b.meter.Int64ObservableCounter("lentiltide.peer.bytes",
-		metric.WithDescription("Bytes sent to and received from other instances, by direction."))
-	b.recordError(err)
-	g.peerBytes = peerBytes
+	g.peerBytes = b.newObservableCounter("lentiltide.peer.bytes", "Bytes sent to and received from other instances, by direction.")
 	age, err := b.meter.Float64ObservableGauge("lentiltide.session.age", metric.WithUnit("s"),
 		metric.WithDescription("Time since the session was renewed; negative if it never was."))
 	b.recordError(err)
--- a/process/telemetry/node.go
+++ b/process/telemetry/node.go
@@ -73,6 +73,7 @@
 	takeovers := b.newGauge("lentiltide.leader.takeovers", "Changes of the leader within 20 s, without resignations.")
 	refusedRows := b.newGauge("lentiltide.store.refused_rows", "Rows that the store refuses whatever happens, such as rows that are too large.")
 	teams := newTeamGauges(b)
+	load := newLoadInstruments(b)
 	droppedLines := b.newGauge("lentiltide.log.dropped", "Log lines that were dropped.")
 	if b.err != nil {
 		return b.err
@@ -89,8 +90,9 @@
 		o.ObserveInt64(members, int64(s.Members))
 		o.ObserveInt64(droppedLines, int64(dropped()))
 		teams.observe(o, s.Teams)
+		load.observe(o, s)
 		return nil
-	}, append(teams.instruments(), epoch, config, configAge, takeovers, refusedRows, waiting, workers, members, droppedLines)...)
+	}, append(append(teams.instruments(), load.instruments()...), epoch, config, configAge, takeovers, refusedRows, waiting, workers, members, droppedLines)...)
 	return errors.Wrap(err, "register the callback of the node gauges")
 }
 
--- a/version/cell/advice.go
+++ b/version/cell/advice.go
@@ -246,6 +246,7 @@
 	}
 	var candidates []candidate
 	for _, w := range c.ready.workersWithCapacity(c) {
+		c.effort.Advice++
 		if !s.spec.BestEffort && w.freeCPUMilli() < s.spec.TaskDemand.CPUMilli {
 			continue
 		}
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -109,6 +109,7 @@
 	// machines holds the last list of machines by ID; nil until the first list arrives.
 	machines  map[string]backend.Machine
 	nextSweep Instant
+	effort    Effort
 	wake      chan struct{}
 }
 
@@ -239,6 +240,7 @@
 	if c.halted() {
 		return nil
 	}
+	c.effort.Rounds++
 	if c.now >= c.nextSweep {
 		c.nextSweep = c.now + sweepInterval
 		c.sweep()
@@ -260,6 +262,7 @@
 
 // sweep runs the time-based checks. Callers hold c.mu.
 func (c *Core) sweep() {
+	c.effort.Sweep += uint64(len(c.workers))
 	for _, w := range c.workers {
 		c.expireLeases(w)
 		c.retryStops(w)
--- a/version/cell/explore.go
+++ b/version/cell/explore.go
@@ -137,6 +137,7 @@
 	soonAt := c.soonFor(s)
 	var out []candidateOpenings
 	for id, w := range c.workers {
+		c.effort.Planning++
 		if _, approved := s.advice.approved[id]; approved || s.advice.isRejected(id) || s.advice.isPending(id) {
 			continue
 		}
--- a/version/cell/feasible.go
+++ b/version/cell/feasible.go
@@ -28,6 +28,7 @@
 		missing = len(s.tasks)
 	}
 	for _, w := range c.workers {
+		c.effort.Planning++
 		if !w.listed || !w.answered || w.info.Draining || !w.suits(s) || s.advice.isRejected(w.info.ID) {
 			continue
 		}
--- a/version/cell/place.go
+++ b/version/cell/place.go
@@ -110,6 +110,7 @@
 	var selected *worker
 	bestScore := 0.0
 	consider := func(w *worker) {
+		c.effort.Placement++
 		if !c.eligible(w, s, t) {
 			return
 		}
--- a/version/cell/plan.go
+++ b/version/cell/plan.go
@@ -363,6 +363,7 @@
 // openingTimes returns when a worker is expected to have the capacity for one, two and more tasks of a step, up to the
 // horizon. It assumes that no other task starts there.
 func (c *Core) openingTimes(w *worker, s *step) []Instant {
+	c.effort.Planning++
 	demand := c.plannedDemand(s)
 	if !c.usable(w, s, nil) || multiplesIn(w.info.Capacity, demand) == 0 {
 		return nil
--- a/version/cell/preempt.go
+++ b/version/cell/preempt.go
@@ -59,6 +59,7 @@
 // taskCapacity returns how many tasks of a step fit into the free capacity of the usable workers.
 func (c *Core) taskCapacity(s *step) int {
 	capacity := 0
+	c.effort.Preemption += uint64(len(c.workers))
 	for _, w := range c.workers {
 		if c.usable(w, s, nil) {
 			capacity += w.taskCapacity(s.spec.TaskDemand)
@@ -78,6 +79,7 @@
 // preemptRuns stops tasks of less urgent queues until the missing number of tasks of a step fits, a few on each worker.
 func (c *Core) preemptRuns(s *step, missing int) {
 	workers := make([]*worker, 0, len(c.workers))
+	c.effort.Preemption += uint64(len(c.workers))
 	for _, w := range c.workers {
 		if c.usable(w, s, nil) {
 			workers = append(workers, w)
--- a/version/cell/turns.go
+++ b/version/cell/turns.go
@@ -92,6 +92,7 @@
 		return false
 	}
 	for id, w := range c.workers {
+		c.effort.Planning++
 		if _, approved := s.advice.approved[id]; approved || s.advice.isRejected(id) {
 			continue
 		}
