Keep the delegates of a leader that is late itself

What callers saw: bookings late for nine seconds after a third of the instances was killed, while every processor but the leader's was idle.

Cause: a call without a result within 0.5 s suspends its delegate. A leader whose processor is full handles all results late, so it took its own delay for silence: 35 delegates were suspended within 1.8 s, at most 9 of which had been killed. Each poll in flight there was then repeated by the leader itself, over a connection of its own, which cost it more than the results did and made it later.

Change: the time in which the process could not run does not count towards the limit of a call. A call that was not sent, and a poll without a result, is delegated again, up to three times, before the leader makes it itself. The polls in flight at a suspended delegate are repeated at once, and its replacement is chosen at once. Starts in flight keep their limits: they may have run.

Result: TestLateLeaderKeepsItsDelegates and TestPollsOfALostDelegateGoThroughOthers failed before (the delegate was replaced; 6 and 12 polls made by the leader itself) and pass.

--- a/process/node/cell_test.go
+++ b/process/node/cell_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -49,6 +50,12 @@
 	// lost.
 	startsBy map[string]int
 	mute     string
+	// pollsBy counts the polls that each instance sent to workers.
+	pollsBy map[string]int
+	// resultsHeldUntil is when the results of delegated calls that are sent before it reach the leader.
+	resultsHeldUntil time.Duration
+	// suspendedNS is how long the processes could not run, in nanoseconds. Their clock counts it.
+	suspendedNS atomic.Int64
 	// unavailableShard is the shard of the table service that fails for all instances.
 	unavailableShard string
 	// silentFeed is the table whose change feed does not answer. rangesPerFault is the number of range reads of which one fails,
@@ -106,7 +113,7 @@
 // newTestCellWith starts a cell whose leader delegates its calls from a number of workers on; 0 means the default.
 func newTestCellWith(t *testing.T, instances, workers, delegateFrom int) *testCell {
 	c := &testCell{
-		delegateFrom: delegateFrom, lease: testLease, startsBy: map[string]int{},
+		delegateFrom: delegateFrom, lease: testLease, startsBy: map[string]int{}, pollsBy: map[string]int{},
 		t: t, startedAt: time.Now(), tables: backends.NewTables(), nodes: map[string]*testNode{},
 		behaviors: map[string]backends.TaskBehavior{}, panics: map[string]int{}, storeFaults: map[string]backends.Fault{}, down: map[string]bool{}, silentWorkers: map[string]bool{}, sides: map[string]int{}, cpuShares: map[string]float64{},
 		transferTimes: map[string]time.Duration{}, links: map[string]float64{}, configReads: map[string]int{},
@@ -125,6 +132,11 @@
 
 func (c *testCell) now() time.Duration { return time.Since(c.startedAt) }
 
+// bootClock is the clock of the instances, which counts the time in which they could not run.
+func (c *testCell) bootClock() time.Duration {
+	return c.now() + time.Duration(c.suspendedNS.Load())
+}
+
 // behaviorOf returns the behavior of a task, which is registered under the id of its job.
 func (c *testCell) behaviorOf(task string) backends.TaskBehavior {
 	id, _, _ := strings.Cut(task, ".")
@@ -272,6 +284,9 @@
 }
 
 func (n nodeWorkers) Poll(ctx context.Context, req backend.PollRequest) (backend.PollReply, error) {
+	n.c.mu.Lock()
+	n.c.pollsBy[n.name]++
+	n.c.mu.Unlock()
 	if err := n.contactWorker(req.Worker.ID); err != nil {
 		return backend.PollReply{}, err
 	}
@@ -297,7 +312,7 @@
 			entry.WithFields(d.Fields).WithField("job", d.Job).WithField("at", c.now()).Info(d.Event)
 		},
 		CPUShare: c.cpuShareOf(name), LinkMbps: c.links[name], DelegateFrom: c.delegateFrom, KeyDeadline: c.keyDeadline,
-		Lease: c.lease, MaxLease: backends.MaxLease, StopTimeout: 400 * time.Millisecond, Retention: time.Minute, Now: c.now,
+		Lease: c.lease, MaxLease: backends.MaxLease, StopTimeout: 400 * time.Millisecond, Retention: time.Minute, Now: c.bootClock,
 	})
 	ctx, cancel := context.WithCancel(c.t.Context())
 	node := &testNode{Node: n, cancel: cancel, done: make(chan struct{})}
--- a/process/node/cellpeers_test.go
+++ b/process/node/cellpeers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/lentiltide/lentiltide/connection/peer"
 	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
@@ -54,6 +55,10 @@
 	}
 	p.c.mu.Lock()
 	mute := p.c.mute == p.name && req.GetWorkerResults() != nil
+	held := time.Duration(0)
+	if req.GetWorkerResults() != nil {
+		held = p.c.resultsHeldUntil - p.c.now()
+	}
 	p.c.mu.Unlock()
 	if mute {
 		return nil
@@ -68,6 +73,7 @@
 		point = pointResults
 	}
 	p.c.lateCalls.Go(func() {
+		time.Sleep(held)
 		// A message has no answer.
 		n.opts.Panics.Run(placePeer, func() {
 			_, _ = callWithFault(context.WithoutCancel(ctx), p.c, point, func(ctx context.Context) (*peerpb.Reply, error) {
--- a/process/node/delegation.go
+++ b/process/node/delegation.go
@@ -33,6 +33,10 @@
 	delegatedCallTimeout = 500 * time.Millisecond
 	// delegateSuspension is how long no calls are delegated to an instance that returned no results.
 	delegateSuspension = 3 * time.Second
+	// maxDelegations limits how often a call is delegated that was not sent, or may be repeated, before the leader makes it itself.
+	maxDelegations = 3
+	// maxLateAllowance limits by how much the limit of a delegated call is extended because the leader was late.
+	maxLateAllowance = 3 * time.Second
 )
 
 // delegatedWorkers makes the calls of a leader to the workers of a large cell through other instances, its delegates. The
@@ -43,12 +47,17 @@
 	node   *Node
 	direct backend.Workers
 	epoch  uint64
+	// lateness is that of the leader, which handles results late when its processor is full.
+	lateness *lateness
 
 	mu sync.Mutex
 	// known are the members by the name of the instance, with what is known about them as delegates; delegates are those that are
 	// in use.
 	known, delegates map[string]*delegate
-	// assigned are the delegates of workers by worker ID. It is emptied when the delegates change.
+	// members and workers are the arguments of the last call of setMembers.
+	members map[string]member
+	workers int
+	// assigned are the delegates of workers by worker ID, as far as they were determined since the delegates changed.
 	assigned map[string]*delegate
 	pending  map[uint64]pendingCall
 	lastID   uint64
@@ -67,28 +76,40 @@
 	suspendedUntil cell.Instant
 }
 
-// pendingCall is a delegated call that waits for its result. result is buffered.
+// pendingCall is a delegated call that waits for its result.
 type pendingCall struct {
 	delegate *delegate
-	result   chan *peerpb.WorkerResult
+	sentAt   cell.Instant
+	// lost is the time that the leader had lost when the call was queued.
+	lost time.Duration
+	// repeatable means that the call may be made again while it is in flight.
+	repeatable bool
+	// result is buffered. It receives nil if the call has to be delegated again.
+	result chan *peerpb.WorkerResult
 }
 
 func newDelegatedWorkers(n *Node, epoch uint64) *delegatedWorkers {
 	return &delegatedWorkers{
-		node: n, direct: n.opts.Workers, epoch: epoch,
+		node: n, direct: n.opts.Workers, epoch: epoch, lateness: &lateness{now: n.opts.Now},
 		known: map[string]*delegate{}, delegates: map[string]*delegate{}, assigned: map[string]*delegate{}, pending: map[uint64]pendingCall{},
 	}
 }
 
-// setMembers chooses the delegates among the members: the largest instances that suffice for the number of workers.
+// setMembers chooses the delegates among the members: the largest instances that suffice for the number of workers. The map must not be
+// modified afterwards.
 func (d *delegatedWorkers) setMembers(members map[string]member, workers int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.node.opts.Now()
 	maps.DeleteFunc(d.known, func(name string, _ *delegate) bool { _, present := members[name]; return !present })
+	d.members, d.workers = members, workers
+	d.updateDelegates()
+}
+
+// updateDelegates chooses the delegates among the members. Callers hold d.mu.
+func (d *delegatedWorkers) updateDelegates() {
 	chosen := map[string]*delegate{}
-	if workers >= cmp.Or(d.node.opts.DelegateFrom, defaultDelegateFrom) {
-		chosen = d.chooseDelegates(members, float64(workers)*coresPerWorker, now)
+	if d.workers >= cmp.Or(d.node.opts.DelegateFrom, defaultDelegateFrom) {
+		chosen = d.chooseDelegates(float64(d.workers)*coresPerWorker, d.node.opts.Now())
 	}
 	changed := len(chosen) != len(d.delegates)
 	for name, c := range chosen {
@@ -100,15 +121,15 @@
 	d.delegates = chosen
 	clear(d.assigned)
 	d.node.opts.Log.WithFields(map[string]any{
-		"event": "delegates_chosen", "epoch": d.epoch, "delegates": len(chosen), "workers": workers,
+		"event": "delegates_chosen", "epoch": d.epoch, "delegates": len(chosen), "workers": d.workers,
 	}).Info("delegates for the calls to workers chosen")
 }
 
 // chooseDelegates returns the largest members whose processor shares add up to cores and that are not suspended. Callers hold
 // d.mu.
-func (d *delegatedWorkers) chooseDelegates(members map[string]member, cores float64, now cell.Instant) map[string]*delegate {
+func (d *delegatedWorkers) chooseDelegates(cores float64, now cell.Instant) map[string]*delegate {
 	var candidates []*delegate
-	for name, m := range members {
+	for name, m := range d.members {
 		if name == d.node.opts.Instance || now-m.joinedAt > memberTTL {
 			continue
 		}
@@ -159,21 +180,15 @@
 	return chosen
 }
 
-// isDelegated reports whether the calls to a worker are delegated.
-func (d *delegatedWorkers) isDelegated(worker string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.delegateOf(worker) != nil
-}
-
 // Start implements backend.Workers.
 func (d *delegatedWorkers) Start(ctx context.Context, command backend.StartCommand) (backend.Reply, error) {
-	result, err := d.call(ctx, command.Worker, 0, &peerpb.WorkerCall{Call: &peerpb.WorkerCall_Start{Start: &peerpb.WorkerStart{
-		Task: command.Task, Run: command.Run, Payload: command.Payload, LeaseDeadlineMs: command.LeaseDeadlineMS,
-		Checkpoint: command.Checkpoint, Ticket: command.Ticket,
-	}}})
+	result, err := d.call(ctx, command.Worker, 0, func() *peerpb.WorkerCall {
+		return &peerpb.WorkerCall{Call: &peerpb.WorkerCall_Start{Start: &peerpb.WorkerStart{
+			Task: command.Task, Run: command.Run, Payload: command.Payload, LeaseDeadlineMs: command.LeaseDeadlineMS,
+			Checkpoint: command.Checkpoint, Ticket: command.Ticket,
+		}}}
+	})
 	if isUndelegated(err) {
-		d.counts.direct.Add(1)
 		return d.direct.Start(ctx, command)
 	}
 	return replyOf(result), err
@@ -181,11 +196,10 @@
 
 // Stop implements backend.Workers.
 func (d *delegatedWorkers) Stop(ctx context.Context, command backend.Command) (backend.Reply, error) {
-	result, err := d.call(ctx, command.Worker, 0, &peerpb.WorkerCall{Call: &peerpb.WorkerCall_Stop{Stop: &peerpb.WorkerStop{
-		Task: command.Task, Run: command.Run,
-	}}})
+	result, err := d.call(ctx, command.Worker, 0, func() *peerpb.WorkerCall {
+		return &peerpb.WorkerCall{Call: &peerpb.WorkerCall_Stop{Stop: &peerpb.WorkerStop{Task: command.Task, Run: command.Run}}}
+	})
 	if isUndelegated(err) {
-		d.counts.direct.Add(1)
 		return d.direct.Stop(ctx, command)
 	}
 	return replyOf(result), err
@@ -193,27 +207,30 @@
 
 // Throttle implements backend.Workers.
 func (d *delegatedWorkers) Throttle(ctx context.Context, command backend.Command, percent int) (backend.Reply, error) {
-	result, err := d.call(ctx, command.Worker, 0, &peerpb.WorkerCall{Call: &peerpb.WorkerCall_Throttle{Throttle: &peerpb.WorkerThrottle{
-		Task: command.Task, Run: command.Run, Percent: int32(percent),
-	}}})
+	result, err := d.call(ctx, command.Worker, 0, func() *peerpb.WorkerCall {
+		return &peerpb.WorkerCall{Call: &peerpb.WorkerCall_Throttle{Throttle: &peerpb.WorkerThrottle{
+			Task: command.Task, Run: command.Run, Percent: int32(percent),
+		}}}
+	})
 	if isUndelegated(err) {
-		d.counts.direct.Add(1)
 		return d.direct.Throttle(ctx, command, percent)
 	}
 	return replyOf(result), err
 }
 
-// Poll implements backend.Workers. A poll whose delegate does not answer is repeated directly, so that a lost delegate does
-// not count against its workers.
+// Poll implements backend.Workers. A poll whose delegate does not answer is repeated through others, so that a lost delegate does not
+// count against its workers. A repeated poll does not wait at the worker.
 func (d *delegatedWorkers) Poll(ctx context.Context, req backend.PollRequest) (backend.PollReply, error) {
-	result, err := d.call(ctx, req.Worker, req.Wait, &peerpb.WorkerCall{Call: &peerpb.WorkerCall_Poll{Poll: &peerpb.WorkerPoll{
-		LeaseDeadlineMs: req.LeaseDeadlineMS, AcknowledgedCompletion: req.AcknowledgedCompletion, WaitMs: req.Wait.Milliseconds(),
-	}}})
-	if isUndelegated(err) || isDelegateSilent(err) {
-		if isDelegateSilent(err) {
-			req.Wait = 0
-		}
-		d.counts.direct.Add(1)
+	wait := req.Wait
+	result, err := d.call(ctx, req.Worker, req.Wait, func() *peerpb.WorkerCall {
+		call := &peerpb.WorkerCall{Call: &peerpb.WorkerCall_Poll{Poll: &peerpb.WorkerPoll{
+			LeaseDeadlineMs: req.LeaseDeadlineMS, AcknowledgedCompletion: req.AcknowledgedCompletion, WaitMs: wait.Milliseconds(),
+		}}}
+		wait = 0
+		return call
+	})
+	if isUndelegated(err) {
+		req.Wait = wait
 		return d.direct.Poll(ctx, req)
 	}
 	if err != nil {
@@ -223,63 +240,99 @@
 }
 
 var (
-	// errUndelegated means that a call was not sent to a delegate, so that the leader can make it itself.
+	// errUndelegated means that a call has no delegate and was not made, or may be repeated, so that the leader makes it itself.
 	errUndelegated = verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the worker has no delegate")
 	// errDelegateSilent means that a delegate did not answer in time.
 	errDelegateSilent = verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the delegate did not answer")
 )
 
-func isUndelegated(err error) bool    { return err == error(errUndelegated) }
-func isDelegateSilent(err error) bool { return err == error(errDelegateSilent) }
-
-// call queues a call for the delegate of a worker and waits for its result. wait is how long the worker may wait before it
-// answers. The error is errUndelegated if the call was not sent and errDelegateSilent if there was no answer in time;
-// otherwise it is that of the delegate's call.
-func (d *delegatedWorkers) call(ctx context.Context, worker backend.WorkerRef, wait time.Duration, call *peerpb.WorkerCall) (*peerpb.WorkerResult, error) {
-	call.Worker, call.Address = worker.ID, worker.Address
-	p, sentAt, ok := d.enqueue(call)
-	if !ok {
-		return nil, errUndelegated
+func isUndelegated(err error) bool { return err == error(errUndelegated) }
+
+// call delegates a call and waits for its result. build returns the message of each attempt. A call that was not sent is delegated
+// again, and so is a poll without a result. wait is how long the worker may wait before it answers the first attempt. The error is
+// errUndelegated if the leader has to make the call itself and errDelegateSilent if there was no answer in time; otherwise it is that of
+// the delegate's call.
+func (d *delegatedWorkers) call(ctx context.Context, worker backend.WorkerRef, wait time.Duration, build func() *peerpb.WorkerCall) (*peerpb.WorkerResult, error) {
+	for range maxDelegations {
+		if !d.hasDelegate(worker.ID) {
+			break
+		}
+		call := build()
+		call.Worker, call.Address = worker.ID, worker.Address
+		p, ok := d.enqueue(call)
+		if !ok {
+			break
+		}
+		result, err := d.awaitResult(ctx, call.Id, p, wait+delegatedCallTimeout)
+		if result != nil || (err != nil && !p.repeatable) || ctx.Err() != nil {
+			return result, err
+		}
+		wait = 0
 	}
-	defer d.forget(call.Id)
-	timer := time.NewTimer(wait + delegatedCallTimeout)
+	d.counts.direct.Add(1)
+	return nil, errUndelegated
+}
+
+// awaitResult waits for the result of a call for a time, in which the time that the leader was late does not count. The result is nil
+// without an error if the call has to be delegated again.
+func (d *delegatedWorkers) awaitResult(ctx context.Context, id uint64, p pendingCall, limit time.Duration) (*peerpb.WorkerResult, error) {
+	defer d.forget(id)
+	timer := time.NewTimer(limit)
 	defer timer.Stop()
-	select {
-	case result := <-p.result:
-		if result == nil {
-			return nil, errUndelegated
+	allowed := time.Duration(0)
+	for {
+		select {
+		case result := <-p.result:
+			if result == nil {
+				return nil, nil
+			}
+			return result, peer.ErrorFromProto(result.GetError())
+		case <-timer.C:
+			if late := min(d.lateness.lost()-p.lost, maxLateAllowance); late > allowed {
+				timer.Reset(late - allowed)
+				allowed = late
+				continue
+			}
+			d.counts.unanswered.Add(1)
+			d.recordSilence(p.delegate, p.sentAt)
+			return nil, errDelegateSilent
+		case <-ctx.Done():
+			return nil, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeUnavailable, "wait for the delegate")
 		}
-		return result, peer.ErrorFromProto(result.GetError())
-	case <-timer.C:
-		d.counts.unanswered.Add(1)
-		d.recordSilence(p.delegate, sentAt)
-		return nil, errDelegateSilent
-	case <-ctx.Done():
-		return nil, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeUnavailable, "wait for the delegate")
 	}
 }
 
+// hasDelegate reports whether the calls to a worker are delegated.
+func (d *delegatedWorkers) hasDelegate(worker string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.delegateOf(worker) != nil
+}
+
 // enqueue adds a call to the queue of its delegate, which is sent after callBatchDelay. ok is false if there is no delegate.
-func (d *delegatedWorkers) enqueue(call *peerpb.WorkerCall) (p pendingCall, at cell.Instant, ok bool) {
+func (d *delegatedWorkers) enqueue(call *peerpb.WorkerCall) (p pendingCall, ok bool) {
+	lost := d.lateness.lost()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c := d.delegateOf(call.Worker)
 	if c == nil {
-		return p, 0, false
+		return p, false
 	}
 	d.counts.delegated.Add(1)
 	d.lastID++
 	call.Id = d.lastID
-	p = pendingCall{c, make(chan *peerpb.WorkerResult, 1)}
+	p = pendingCall{
+		delegate: c, sentAt: d.node.opts.Now(), lost: lost, repeatable: call.GetPoll() != nil, result: make(chan *peerpb.WorkerResult, 1),
+	}
 	d.pending[call.Id] = p
 	c.queue = append(c.queue, call)
 	if len(c.queue) == 1 {
 		time.AfterFunc(callBatchDelay, func() { d.node.opts.Panics.Run(placeBatch, func() { d.flush(c) }) })
 	}
-	return p, d.node.opts.Now(), true
+	return p, true
 }
 
-// flush sends the queued calls of a delegate. Calls that cannot be sent return to the leader as undelegated.
+// flush sends the queued calls of a delegate. Calls that cannot be sent are delegated again.
 func (d *delegatedWorkers) flush(c *delegate) {
 	d.mu.Lock()
 	calls := c.queue
@@ -295,19 +348,24 @@
 	}
 }
 
-// handleSendFailure suspends a delegate that cannot be reached and returns its calls.
+// handleSendFailure suspends a delegate that cannot be reached. The calls that were not sent are delegated again.
 func (d *delegatedWorkers) handleSendFailure(c *delegate, calls []*peerpb.WorkerCall, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.suspend(c, err.Error())
 	for _, call := range calls {
 		if p, ok := d.pending[call.GetId()]; ok {
-			p.result <- nil
-			delete(d.pending, call.GetId())
+			d.delegateAgain(call.GetId(), p)
 		}
 	}
 }
 
+// delegateAgain ends the wait for the result of a call, which is delegated again. Callers hold d.mu.
+func (d *delegatedWorkers) delegateAgain(id uint64, p pendingCall) {
+	p.result <- nil
+	delete(d.pending, id)
+}
+
 // recordSilence suspends a delegate that has returned nothing since a call was queued at sentAt.
 func (d *delegatedWorkers) recordSilence(c *delegate, sentAt cell.Instant) {
 	d.mu.Lock()
@@ -317,15 +375,20 @@
 	}
 }
 
-// suspend stops using a delegate for a while. Callers hold d.mu.
+// suspend stops using a delegate for a while. Its polls in flight are repeated through others, without waiting for their limits. Callers
+// hold d.mu.
 func (d *delegatedWorkers) suspend(c *delegate, reason string) {
 	now := d.node.opts.Now()
 	if now < c.suspendedUntil {
 		return
 	}
 	c.suspendedUntil = now + delegateSuspension
-	delete(d.delegates, c.name)
-	clear(d.assigned)
+	d.updateDelegates()
+	for id, p := range d.pending {
+		if p.delegate == c && p.repeatable {
+			d.delegateAgain(id, p)
+		}
+	}
 	d.node.opts.Log.WithFields(map[string]any{
 		"event": "delegate_suspended", "epoch": d.epoch, "delegate": c.name, "reason": reason,
 	}).Warn("delegate does not answer; its workers are called by others")
--- a/process/node/delegation_test.go
+++ b/process/node/delegation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -99,6 +100,61 @@
 	})
 }
 
+// holdResults delays the results of delegated calls on their way to the leader for a time.
+func (c *testCell) holdResults(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.resultsHeldUntil = c.now() + d
+}
+
+// A leader whose processor is full handles all results late. It must not take its own delay for silence of its delegates: it would make
+// their calls itself, which costs it more than their results.
+func TestLateLeaderKeepsItsDelegates(t *testing.T) {
+	runDelegated(t, func(t *testing.T, c *testCell) {
+		former, directPolls := c.delegate(), c.pollsBy[c.leader()]
+		const late = 2 * delegatedCallTimeout
+		c.holdResults(late)
+		assert.NilError(t, c.submit(c.follower(), "a", 12, smallTask(3*time.Second), nil))
+		time.Sleep(100 * time.Millisecond)
+		c.suspendedNS.Add(int64(late))
+		time.Sleep(2 * late)
+		assert.Equal(t, c.delegate(), former)
+		assert.Equal(t, c.pollsBy[c.leader()], directPolls)
+		assert.Assert(t, !strings.Contains(c.log.String(), "start_unanswered"))
+		time.Sleep(3 * time.Second)
+		c.requireState(c.follower(), "a", job.Completed)
+		for i := range 12 {
+			assert.Equal(t, c.workers.Starts(fmt.Sprintf("a.0.0.%d", i)), 1)
+		}
+	})
+}
+
+// The polls in flight at a lost delegate must be repeated through the others: a leader that repeats them itself opens a connection to
+// each of its workers at once.
+func TestPollsOfALostDelegateGoThroughOthers(t *testing.T) {
+	for name, lose := range map[string]func(c *testCell, delegate string){
+		"killed": func(c *testCell, delegate string) { c.kill(delegate) },
+		"silent": func(c *testCell, delegate string) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.mute = delegate
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runDelegated(t, func(t *testing.T, c *testCell) {
+				assert.NilError(t, c.submit(c.nodes[c.leader()], "a", 12, smallTask(3*time.Second), nil))
+				time.Sleep(time.Second)
+				directPolls := c.pollsBy[c.leader()]
+				lose(c, c.delegate())
+				time.Sleep(5 * time.Second)
+				c.requireState(c.nodes[c.leader()], "a", job.Completed)
+				assert.Equal(t, c.pollsBy[c.leader()], directPolls)
+				assert.Assert(t, !strings.Contains(c.log.String(), "worker_silent"))
+			})
+		})
+	}
+}
+
 // delegateLocked is delegate for callers that hold c.mu.
 func (c *testCell) delegateLocked() string {
 	c.mu.Unlock()
@@ -171,7 +227,7 @@
 		d := newDelegatedWorkers(c.follower().Node, 7)
 		d.setMembers(map[string]member{"peer": {address: "peer", joinedAt: c.now(), cpuShare: 1}}, 6)
 		call := &peerpb.WorkerCall{Worker: "w00"}
-		p, _, ok := d.enqueue(call)
+		p, ok := d.enqueue(call)
 		assert.Assert(t, ok)
 		d.deliver(&peerpb.WorkerResults{Epoch: 6, Results: []*peerpb.WorkerResult{{Id: call.GetId()}}})
 		assert.Equal(t, len(p.result), 0)
--- a/process/node/fuzz_test.go
+++ b/process/node/fuzz_test.go
@@ -99,7 +99,7 @@
 			d.setMembers(map[string]member{"peer": {address: "peer", joinedAt: n.opts.Now(), cpuShare: 1}}, 1)
 			n.leadership = &leadership{node: n, epoch: 7, workers: d}
 			call := &peerpb.WorkerCall{Worker: "w00"}
-			p, _, ok := d.enqueue(call)
+			p, ok := d.enqueue(call)
 			assert.Assert(t, ok)
 			n.handlePeer(t.Context(), &peerpb.Request{Body: &peerpb.Request_WorkerResults{WorkerResults: results}})
 			if len(p.result) == 1 {
--- a/process/node/leader.go
+++ b/process/node/leader.go
@@ -139,6 +139,7 @@
 		}()
 	}
 	startLoop(l.writeUntilEnd)
+	startLoop(l.workers.lateness.run)
 	loaded := false
 	l.guard(func() { loaded = l.load(ctx) })
 	if loaded {
@@ -298,7 +299,7 @@
 // acquireSlot waits for a command slot and returns the function that releases it. The slot is released after slotTTL at the
 // latest, so that commands to silent workers do not delay those to others. A delegated command needs no slot.
 func (l *leadership) acquireSlot(worker backend.WorkerRef) (release func()) {
-	if l.workers.isDelegated(worker.ID) {
+	if l.workers.hasDelegate(worker.ID) {
 		return func() {}
 	}
 	l.commandSlots <- struct{}{}
