Do less work for all workers at fixed intervals

Change: one pass over the runs; a write of progress advances the acknowledgements of the workers that wait for one; loops of polls are looked for when the set of workers has changed or a loop has ended; members are checked when one has changed, and otherwise every 100 ms. An inventory marks the runs that it lists in place of building a set of them.

--- a/process/node/leader.go
+++ b/process/node/leader.go
@@ -41,6 +41,8 @@
 	hasFormerFleetRow bool
 	// members are the instances that have joined, by name.
 	members map[string]member
+	// membersChanged is set when a member has joined, or has joined again after some time or with other properties.
+	membersChanged atomic.Bool
 	// waitingCounts are the counts of waiting jobs by queue as of waitingCountedAt. The map is not modified after it is set.
 	waitingCounts    map[string]uint32
 	waitingCountedAt cell.Instant
@@ -157,7 +159,7 @@
 func (l *leadership) runScheduler(ctx context.Context) {
 	polls := workerPolls{leadership: l, running: map[string]struct{}{}}
 	load := newLoadRecorder(l)
-	nextMemberCheck, nextJoinRequest := l.node.opts.Now(), l.node.opts.Now()
+	nextMemberCheck, nextFullCheck, nextJoinRequest := l.node.opts.Now(), l.node.opts.Now(), l.node.opts.Now()
 	for ctx.Err() == nil {
 		select {
 		case <-l.core.Wake():
@@ -175,7 +177,10 @@
 		}
 		if now := l.node.opts.Now(); now >= nextMemberCheck {
 			nextMemberCheck = now + memberCheckInterval
-			l.checkMembers(ctx)
+			if l.membersChanged.Swap(false) || now >= nextFullCheck {
+				nextFullCheck = now + fullMemberCheckInterval
+				l.checkMembers(ctx)
+			}
 			if now >= nextJoinRequest {
 				nextJoinRequest = now + joinRequestInterval
 				l.requestJoins(ctx)
@@ -198,6 +203,10 @@
 // memberCheckInterval is the time between checks for instances and workers that have joined or left.
 const memberCheckInterval = 25 * time.Millisecond
 
+// fullMemberCheckInterval is the time between checks for members whose joins have become too old. In a large cell each check looks at
+// hundreds of members.
+const fullMemberCheckInterval = 100 * time.Millisecond
+
 // checkMembers passes the instances that have joined to the scheduler, and resigns if another instance should lead.
 func (l *leadership) checkMembers(ctx context.Context) {
 	names := l.advisers()
@@ -218,10 +227,15 @@
 	mu sync.Mutex
 	// running holds the ids of the workers with a loop.
 	running map[string]struct{}
+	// started is the version of the set of workers whose loops were started, 0 if a loop has ended since.
+	started uint64
 }
 
 // start starts the loops of workers that have none.
 func (p *workerPolls) start(ctx context.Context) {
+	if !p.isDue(p.leadership.core.WorkerSetVersion()) {
+		return
+	}
 	for _, id := range p.leadership.core.WorkerIDs() {
 		if !p.add(id) {
 			continue
@@ -233,6 +247,15 @@
 	}
 }
 
+// isDue reports whether loops may be missing for a version of the set of workers, and records that they are started.
+func (p *workerPolls) isDue(version uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	due := p.started != version
+	p.started = version
+	return due
+}
+
 // add reports whether the worker had no loop, and records that it has one now.
 func (p *workerPolls) add(id string) bool {
 	p.mu.Lock()
@@ -248,6 +271,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.running, id)
+	p.started = 0
 }
 
 // execute executes one action of the scheduler and passes the result back to it.
--- a/process/node/members.go
+++ b/process/node/members.go
@@ -26,9 +26,13 @@
 // handleJoin records a join of an instance and returns the answer to it.
 func (l *leadership) handleJoin(join *peerpb.Join) *peerpb.JoinReply {
 	l.mu.Lock()
-	m := l.members[join.GetInstance()]
+	former := l.members[join.GetInstance()]
+	m := former
 	m.address, m.joinedAt, m.cpuShare, m.linkMbps = join.GetAddress(), l.node.opts.Now(), join.GetCpuShare(), join.GetLinkMbps()
 	l.members[join.GetInstance()] = m
+	if m.joinedAt-former.joinedAt > memberTTL || m.address != former.address || m.cpuShare != former.cpuShare {
+		l.membersChanged.Store(true)
+	}
 	l.mu.Unlock()
 	if join.GetInstance() == l.predecessor.Instance && join.GetFollowsEpoch() >= l.epoch {
 		l.endPredecessor()
--- a/version/cell/completions.go
+++ b/version/cell/completions.go
@@ -28,6 +28,7 @@
 		if e.Number > w.lastReadCompletion {
 			w.lastReadCompletion = e.Number
 			w.pendingAcks = append(w.pendingAcks, pendingAck{number: e.Number, unresolved: true})
+			c.awaitingAcks[w] = struct{}{}
 			w.unknownCompletions = append(w.unknownCompletions, e)
 		}
 	}
@@ -71,11 +72,13 @@
 		w.lastAckedCompletion = w.pendingAcks[n].number
 		n++
 	}
-	if n == 0 {
-		return
-	}
 	w.pendingAcks = w.pendingAcks[n:]
-	w.signalAcks()
+	if len(w.pendingAcks) == 0 {
+		delete(c.awaitingAcks, w)
+	}
+	if n > 0 {
+		w.signalAcks()
+	}
 }
 
 // signalAcks wakes the caller that waits for the acknowledgements of the worker.
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -62,8 +62,14 @@
 	// lookups are the jobs that are not known and of which workers list tasks.
 	lookups map[job.ID]*jobLookup
 	workers map[string]*worker
-	free    freeIndex
-	byRack  rackIndex
+	// workerSetVersion rises when a worker is added or removed.
+	workerSetVersion uint64
+	// inventories counts the inventories of workers that have been compared with the ledger.
+	inventories uint64
+	// awaitingAcks are the workers with completions that may not be acknowledged yet, and possibly some without any.
+	awaitingAcks map[*worker]struct{}
+	free         freeIndex
+	byRack       rackIndex
 	// fleetVersion rises when a change of the registry entries may make a step feasible or infeasible.
 	fleetVersion uint64
 	// ready are the steps with waiting tasks.
@@ -120,7 +126,7 @@
 	c := &Core{
 		opts: opts, epochStart: now, now: now, fleetVersion: 1,
 		jobs: map[job.ID]*jobState{}, recurring: map[job.ID]*jobState{}, teams: map[string]*team{}, earlyCancels: map[job.ID]Instant{},
-		lookups: map[job.ID]*jobLookup{}, workers: map[string]*worker{},
+		lookups: map[job.ID]*jobLookup{}, workers: map[string]*worker{}, awaitingAcks: map[*worker]struct{}{},
 		advisers: map[string]*adviser{}, inventoryPending: map[string]struct{}{},
 		dirtyJobs: map[job.ID]*jobState{}, changedFleetShards: map[int]struct{}{}, approvalRates: map[string]float64{}, kindSpeeds: map[string]*speedEstimate{}, waves: map[int]*wave{},
 		wake: make(chan struct{}, 1),
@@ -267,10 +273,9 @@
 	c.effort.Sweep += uint64(len(c.workers))
 	for _, w := range c.workers {
 		c.expireLeases(w)
-		c.retryStops(w)
-		c.resolveUnansweredStarts(w)
-		c.stopStalledRuns(w)
-		c.queueSpeculativeRuns(w)
+		for _, r := range w.runs {
+			c.checkRun(r)
+		}
 	}
 	c.updateUnread()
 	c.updateShares()
@@ -288,6 +293,19 @@
 	c.sendLookups()
 }
 
+// checkRun runs the time-based checks of a run.
+func (c *Core) checkRun(r *run) {
+	switch r.phase {
+	case phaseStarting:
+		c.resolveUnansweredStart(r)
+	case phaseRunning:
+		c.stopIfStalled(r)
+	case phaseStopping:
+		c.retryStop(r)
+	}
+	c.queueSpeculativeRun(r)
+}
+
 // giveUpInventory stops waiting for the inventory of a worker that has not answered, since the leases of its runs have expired. A
 // worker without a registry entry is considered gone then, and not before: while it is cut off, its entry expires although its runs go
 // on.
--- a/version/cell/fleet.go
+++ b/version/cell/fleet.go
@@ -142,6 +142,7 @@
 	w.info.ID = id
 	c.workers[id] = w
 	c.free.update(w)
+	c.workerSetVersion++
 	return w
 }
 
--- a/version/cell/health.go
+++ b/version/cell/health.go
@@ -65,27 +65,24 @@
 	slowRunSlack = 150 * time.Millisecond
 )
 
-// queueSpeculativeRuns queues a second run of each task that permits speculative copies and whose only run is slow or
-// on a worker that has missed at least missedPollsToBlock polls in a row. A task with crashes gets none: the copy could crash
-// another worker.
-func (c *Core) queueSpeculativeRuns(w *worker) {
-	for _, r := range w.runs {
-		t := r.task
-		s := t.step
-		if !s.spec.Speculative || s.spec.LongRunning || t.done || t.waiting || len(t.runs) > 1 || s.job.state.Terminal() || t.crashes.total() > 0 {
-			continue
-		}
-		slow := c.now > r.createdAt+time.Duration(slowRunFactor*float64(s.estimatedDuration()))+slowRunSlack
-		if r.phase == phaseStopping || (!slow && w.health.missedPolls < missedPollsToBlock) {
-			continue
-		}
-		c.logDecision("copy_wanted", s.job.id, map[string]any{
-			"task": t.name, "worker": w.info.ID, "percent": r.progressPercent,
-			"silent_polls": w.health.missedPolls, "after_ms": (c.now - r.createdAt).Milliseconds(),
-		})
-		t.avoidedWorkers.add(w, c.now)
-		c.enqueue(t)
+// queueSpeculativeRun queues a second run of a task that permits speculative copies if its only run is slow or on a worker that has missed at
+// least missedPollsToBlock polls in a row. A task with crashes gets none: the copy could crash another worker.
+func (c *Core) queueSpeculativeRun(r *run) {
+	t, w := r.task, r.worker
+	s := t.step
+	if !s.spec.Speculative || s.spec.LongRunning || t.done || t.waiting || len(t.runs) > 1 || s.job.state.Terminal() || t.crashes.total() > 0 {
+		return
 	}
+	slow := c.now > r.createdAt+time.Duration(slowRunFactor*float64(s.estimatedDuration()))+slowRunSlack
+	if r.phase == phaseStopping || (!slow && w.health.missedPolls < missedPollsToBlock) {
+		return
+	}
+	c.logDecision("copy_wanted", s.job.id, map[string]any{
+		"task": t.name, "worker": w.info.ID, "percent": r.progressPercent,
+		"silent_polls": w.health.missedPolls, "after_ms": (c.now - r.createdAt).Milliseconds(),
+	})
+	t.avoidedWorkers.add(w, c.now)
+	c.enqueue(t)
 }
 
 const (
@@ -100,21 +97,20 @@
 	maxProgressAge = 1300 * time.Millisecond
 )
 
-// stopStalledRuns stops runs that make no progress although the worker reports them, so that their tasks start elsewhere. The
-// answer to another command says nothing about their progress.
-func (c *Core) stopStalledRuns(w *worker) {
-	for _, r := range w.runs {
-		recent := r.reportedAt != 0 && c.now <= r.reportedAt+maxProgressAge
-		if r.phase == phaseRunning && recent && c.isStalled(r) {
-			c.logDecision("run_stalled", r.task.step.job.id, map[string]any{
-				"task": r.task.name, "run": r.number, "worker": w.info.ID, "percent": r.progressPercent,
-				"still_ms": (c.now - r.progressedAt).Milliseconds(),
-			})
-			c.recordFailure(r.task, w)
-			r.task.avoidedWorkers.add(w, c.now)
-			c.stopRun(r, "no progress")
-		}
+// stopIfStalled stops a run that makes no progress although the worker reports it, so that its task starts elsewhere. The answer to another
+// command says nothing about its progress.
+func (c *Core) stopIfStalled(r *run) {
+	recent := r.reportedAt != 0 && c.now <= r.reportedAt+maxProgressAge
+	if !recent || !c.isStalled(r) {
+		return
 	}
+	c.logDecision("run_stalled", r.task.step.job.id, map[string]any{
+		"task": r.task.name, "run": r.number, "worker": r.worker.info.ID, "percent": r.progressPercent,
+		"still_ms": (c.now - r.progressedAt).Milliseconds(),
+	})
+	c.recordFailure(r.task, r.worker)
+	r.task.avoidedWorkers.add(r.worker, c.now)
+	c.stopRun(r, "no progress")
 }
 
 // isStalled reports whether a run has made no progress for longer than its limit. Throttled runs, best-effort runs and
--- a/version/cell/leases.go
+++ b/version/cell/leases.go
@@ -42,6 +42,8 @@
 		c.noticeCrash(w)
 		delete(c.workers, w.info.ID)
 		c.free.remove(w)
+		delete(c.awaitingAcks, w)
+		c.workerSetVersion++
 		c.markFleetChanged(w)
 	}
 }
--- a/version/cell/polls.go
+++ b/version/cell/polls.go
@@ -223,11 +223,9 @@
 func (c *Core) reconcileRuns(w *worker, sentAt Instant, reply backend.PollReply) {
 	w.unknownRuns = nil
 	w.hasUnknownRuns = false
-	listed := make(map[runKey]struct{}, len(reply.Running))
+	c.inventories++
 	for _, item := range reply.Running {
-		key := runKey{item.Task, item.Run}
-		listed[key] = struct{}{}
-		r := w.runs[key]
+		r := w.runs[runKey{item.Task, item.Run}]
 		if r == nil {
 			r = c.adoptRun(w, item)
 		}
@@ -235,10 +233,11 @@
 			w.hasUnknownRuns = true
 			continue
 		}
+		r.listedIn = c.inventories
 		c.updateRun(r, item)
 	}
-	for key, r := range w.runs {
-		if _, ok := listed[key]; !ok {
+	for _, r := range w.runs {
+		if r.listedIn != c.inventories {
 			c.handleUnlistedRun(r, sentAt, reply.IsComplete())
 		}
 	}
--- a/version/cell/progress.go
+++ b/version/cell/progress.go
@@ -157,7 +157,7 @@
 		}
 	}
 	c.unstored.removeStored()
-	for _, w := range c.workers {
+	for w := range c.awaitingAcks {
 		c.advanceAcks(w)
 	}
 }
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -44,6 +44,8 @@
 	firstReportAt Instant
 	// reportedAt is when a poll last listed the run; 0 before that.
 	reportedAt Instant
+	// listedIn is the number of the last inventory that listed the run; see Core.inventories.
+	listedIn uint64
 	// progressedAt is when progressPercent last changed, or when the throttle was last changed.
 	progressedAt Instant
 	load         int64
@@ -234,12 +236,10 @@
 // stopped: the polls of the worker are not answered either.
 const unansweredStartTimeout = 400 * time.Millisecond
 
-// resolveUnansweredStarts stops the run numbers of starts whose outcome no poll has shown.
-func (c *Core) resolveUnansweredStarts(w *worker) {
-	for _, r := range w.runs {
-		if r.phase == phaseStarting && r.unansweredAt != 0 && c.now > r.unansweredAt+unansweredStartTimeout {
-			c.stopUnansweredStart(r)
-		}
+// resolveUnansweredStart stops the run number of a start whose outcome no poll has shown.
+func (c *Core) resolveUnansweredStart(r *run) {
+	if r.unansweredAt != 0 && c.now > r.unansweredAt+unansweredStartTimeout {
+		c.stopUnansweredStart(r)
 	}
 }
 
@@ -362,16 +362,14 @@
 	unresponsiveStopRetryInterval = 2 * time.Second
 )
 
-// retryStops sends stops again that had no effect.
-func (c *Core) retryStops(w *worker) {
+// retryStop sends a stop again that had no effect.
+func (c *Core) retryStop(r *run) {
 	wait := stopRetryInterval
-	if w.health.unresponsive {
+	if r.worker.health.unresponsive {
 		wait = unresponsiveStopRetryInterval
 	}
-	for _, r := range w.runs {
-		if r.phase == phaseStopping && c.now > r.stopSentAt+wait {
-			c.sendStop(r)
-		}
+	if c.now > r.stopSentAt+wait {
+		c.sendStop(r)
 	}
 }
 
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -241,6 +241,13 @@
 	return n
 }
 
+// WorkerSetVersion returns a number that rises when the result of WorkerIDs changes.
+func (c *Core) WorkerSetVersion() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.workerSetVersion
+}
+
 // WorkerIDs returns the IDs of the workers to be polled.
 func (c *Core) WorkerIDs() []string {
 	c.mu.Lock()
