Ask about workers that other steps do not ask about

What callers saw: bookings wait for half a second while the cell is nearly full, and the leader of a large cell sends 500 to 750 requests for advice a second, three to five for each step.

Cause: steps that look for workers at the same time chose the same ones, those with the most free capacity. Only the first that was answered found capacity there; the others asked again, about the same workers once more.

Change: the demand that a step with a quick request is expected to place on each worker in it counts against that worker for other requests until the answer.

TestStepsAskAboutDifferentWorkers failed before.

--- a/version/cell/advice.go
+++ b/version/cell/advice.go
@@ -67,6 +67,8 @@
 	dueAt Instant
 	// expectedSoon and expectedTotal are the numbers of openings that an exploration is expected to yield.
 	expectedSoon, expectedTotal float64
+	// askedCPUMilli is what the step is expected to use of each worker, as added to worker.askedCPUMilli.
+	askedCPUMilli int64
 }
 
 // adviser is an instance through which placement advice is requested. The policy serves one call per instance at a
@@ -233,18 +235,14 @@
 	maxAdviceWorkers = 30
 	// extraAdviceWorkers is added to the number of workers that the expected approval rate requires.
 	extraAdviceWorkers = 2
-	// expectedTasksPerWorker is how many tasks of a step are expected to share a worker.
+	// expectedTasksPerWorker is how many tasks of a step are expected to share a worker, unless it allows fewer.
 	expectedTasksPerWorker = 2
 )
 
 // adviceWorkerCount returns how many workers without advice to ask about so that the waiting tasks are expected to be
 // placed.
 func (c *Core) adviceWorkerCount(s *step) int {
-	perWorker := expectedTasksPerWorker
-	if s.spec.MaxPerWorker > 0 {
-		perWorker = min(perWorker, s.spec.MaxPerWorker)
-	}
-	needed := float64(c.startableTasks(s)) / (float64(perWorker) * c.approvalRate(s))
+	needed := float64(c.startableTasks(s)) / (float64(s.expectedTasksPerWorker()) * c.approvalRate(s))
 	return min(int(math.Ceil(needed))+extraAdviceWorkers, maxAdviceWorkers)
 }
 
@@ -266,6 +264,8 @@
 
 func (c *Core) sendAdviceRequest(a *adviser, request *adviceRequest) {
 	a.request = request
+	request.askedCPUMilli = request.step.askedCPUMilli()
+	c.addAskedDemand(request, request.askedCPUMilli)
 	request.step.advice.pending = append(request.step.advice.pending, request)
 	c.actions = append(c.actions, &AdviseAction{
 		Adviser: a.name, Step: request.step.name, Workers: request.workers, Expected: request.expected, request: request,
@@ -276,6 +276,33 @@
 	})
 }
 
+// addAskedDemand adds a demand to worker.askedCPUMilli of the workers of a request.
+func (c *Core) addAskedDemand(request *adviceRequest, cpuMilli int64) {
+	for _, id := range request.workers {
+		if w := c.workers[id]; w != nil {
+			// The worker may have been added again since the request was sent.
+			w.askedCPUMilli = max(0, w.askedCPUMilli+cpuMilli)
+		}
+	}
+}
+
+// askedCPUMilli returns the processor demand that a step which asks about a worker is expected to place there. It is 0 for a gang, which
+// asks about more workers than it uses, and where the answer takes so long that the free capacity of now says little about then.
+func (s *step) askedCPUMilli() int64 {
+	if s.spec.Gang || speedOf(s) != fastAdvice {
+		return 0
+	}
+	return s.allocatedDemand().CPUMilli * int64(s.expectedTasksPerWorker())
+}
+
+// expectedTasksPerWorker returns how many tasks of a step are expected to share a worker.
+func (s *step) expectedTasksPerWorker() int {
+	if s.spec.MaxPerWorker > 0 {
+		return min(expectedTasksPerWorker, s.spec.MaxPerWorker)
+	}
+	return expectedTasksPerWorker
+}
+
 // adviserPause is how long no requests are sent through an instance that failed to answer.
 const adviserPause = 500 * time.Millisecond
 
@@ -286,6 +313,7 @@
 	c.now = max(c.now, now)
 	request := a.request
 	request.step.advice.pending = slices.DeleteFunc(request.step.advice.pending, func(r *adviceRequest) bool { return r == request })
+	c.addAskedDemand(request, -request.askedCPUMilli)
 	if adviser := c.advisers[a.Adviser]; adviser != nil && adviser.request == request {
 		adviser.request = nil
 		if err != nil {
--- a/version/cell/candidates.go
+++ b/version/cell/candidates.go
@@ -107,7 +107,9 @@
 	if s.advice.isRejected(w.info.ID) || (approved && t.isValid(c.now)) || !c.eligible(w, s, nil) {
 		return
 	}
-	f.found = append(f.found, adviceCandidate{w.info.ID, approved, c.score(w, s)})
+	// What other steps ask about is likely to be taken before the answer to this request.
+	taken := float64(w.askedCPUMilli) / float64(max(w.info.Capacity.CPUMilli, 1))
+	f.found = append(f.found, adviceCandidate{w.info.ID, approved, c.score(w, s) - taken})
 }
 
 // choose returns the best of the workers that were found, as many as are expected to be needed.
--- a/version/cell/candidates_test.go
+++ b/version/cell/candidates_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -50,6 +51,32 @@
 	assert.Assert(t, examined <= limit, "%d workers examined for advice, at most %d", examined, limit)
 }
 
+// Steps that ask for advice at the same time must ask about different workers while there are enough: of those that ask about the same ones
+// only the first finds capacity there, and the others ask again.
+func TestStepsAskAboutDifferentWorkers(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	tc.addWorkers(30)
+	tc.core.SetAdvisers([]string{"i1", "i2", "i3"})
+	for i := range 3 {
+		tc.addJob(fmt.Sprintf("job%d", i), "short", 1, stepWithTasks(4))
+	}
+	tc.step()
+	assert.Equal(t, len(tc.adviceRequests), 3)
+	asked := map[string]int{}
+	for _, a := range tc.adviceRequests {
+		for _, id := range a.Workers {
+			asked[id]++
+			assert.Equal(t, asked[id], 1)
+		}
+	}
+	for _, a := range tc.adviceRequests {
+		tc.answerAdvice(a, time.Second, permitAll)
+	}
+	for _, w := range tc.core.workers {
+		assert.Equal(t, w.askedCPUMilli, int64(0))
+	}
+}
+
 // Guards against workers that a search by free capacity misses, finds twice, or looks for among those without capacity.
 func TestFreeIndexFindsTheWorkersWithCapacity(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -69,6 +69,8 @@
 	// watchers are the steps that the placement policy allows here and that wait for capacity.
 	watchers     map[*step]struct{}
 	freePosition freePosition
+	// askedCPUMilli is the processor demand that steps with a request for advice about the worker are expected to place here.
+	askedCPUMilli int64
 	// reservations keep capacity for steps with a plan.
 	reservations []capacityReservation
 	// unknownRuns and unknownCompletions were listed by the worker and belong to jobs whose records have not arrived.
