Check the share in time of a large site, with the processor of its leader

Reports have the waits by stage (record, queue, advice, decision, command, poll). Log, dump and metrics of the load of a leader are tested.

--- a/bench/site/report.go
+++ b/bench/site/report.go
@@ -19,6 +19,9 @@
 	// LongestWait is the longest time for which a call waited for the processor.
 	LongestWait time.Duration
 
+	// stages are the durations of the stages by kind of request.
+	stages map[string]*stageTimes
+
 	starts, polls, writes, adviceCalls int
 }
 
@@ -64,6 +67,7 @@
 		if j.FinishedAt == 0 && !s.kinds[j.Kind].LongRunning {
 			k.Unfinished++
 		}
+		r.recordStages(j)
 		if j.StartedAt > 0 {
 			starts[j.Kind] = append(starts[j.Kind], j.StartedAt-j.SubmittedAt)
 		}
@@ -77,6 +81,28 @@
 	}
 }
 
+// recordStages records the stages of a job up to the start of its first task.
+func (r *Report) recordStages(j *Job) {
+	stages := r.stages[j.Kind]
+	ends := []struct {
+		stage Stage
+		at    time.Duration
+	}{{StageRecord, j.addedAt}, {StageQueue, j.askedAt}, {StageAdvice, j.answeredAt}, {StageDecision, j.StartedAt}, {StageCommand, j.commandAt}}
+	from := j.SubmittedAt
+	for _, e := range ends {
+		if e.at == 0 {
+			return
+		}
+		stages.record(e.stage, max(0, e.at-from))
+		from = max(from, e.at)
+	}
+}
+
+// Stage returns the p50 and p99 of a stage of a kind of request.
+func (r *Report) Stage(kind string, s Stage) (p50, p99 time.Duration) {
+	return r.stages[kind].quantiles(s)
+}
+
 func quantile(sorted []time.Duration, share float64) time.Duration {
 	return sorted[int(share*float64(len(sorted)-1))]
 }
@@ -96,6 +122,7 @@
 		k := r.Kinds[name]
 		fmt.Fprintf(&b, "%-14s %5d jobs, %.3f in time, %d unfinished, first start p50 %v, p99 %v\n", name, k.Jobs, k.Share(), k.Unfinished,
 			k.StartP50.Round(time.Millisecond), k.StartP99.Round(time.Millisecond))
+		fmt.Fprintf(&b, "  stages, p50 and p99: %s\n", r.stages[name])
 	}
 	return b.String()
 }
--- a/bench/site/simulation.go
+++ b/bench/site/simulation.go
@@ -55,6 +55,9 @@
 	// awaitingAck are the workers whose next poll waits for completions to become durable.
 	awaitingAck []*ackWait
 
+	// endedAt holds when tasks ended whose completions the scheduler has not read.
+	endedAt map[string]time.Duration
+
 	report *Report
 }
 
@@ -66,6 +69,9 @@
 	StartedAt, FinishedAt time.Duration
 	// work is the duration of the longest task of each step.
 	work map[string]time.Duration
+	// addedAt, askedAt and answeredAt are when the scheduler had the job, and when it first asked for advice and had an answer; commandAt is
+	// when a worker first had a start.
+	addedAt, askedAt, answeredAt, commandAt time.Duration
 }
 
 // inTime reports whether a job was in time: within its objective and the stretch of what its longest tasks took, or, for one that runs
@@ -94,7 +100,7 @@
 func New(site Site, costs Costs, seed uint64) *Simulation {
 	s := &Simulation{
 		site: site, costs: costs, seed: seed, now: startTime, byID: map[string]*worker{}, kinds: map[string]Kind{},
-		jobs: map[job.ID]*Job{}, report: &Report{},
+		jobs: map[job.ID]*Job{}, endedAt: map[string]time.Duration{}, report: &Report{stages: map[string]*stageTimes{}},
 	}
 	s.processor = processor{sim: s, share: site.CPUShare}
 	s.core = cell.New(cell.Options{
@@ -103,6 +109,7 @@
 	cfg := job.Config{Version: 1}
 	for _, k := range site.Kinds {
 		s.kinds[k.Name] = k
+		s.report.stages[k.Name] = &stageTimes{}
 		cfg.Queues = append(cfg.Queues, k.queue())
 	}
 	s.core.SetConfig(cfg)
@@ -238,6 +245,7 @@
 	duration := k.taskTime(s.draw("task", a.Command.Task))
 	step := a.Command.Task[:strings.LastIndexByte(a.Command.Task, '.')]
 	j.work[step] = max(j.work[step], duration)
+	setOnce(&j.commandAt, s.elapsed())
 	s.start(w, a.Command, duration, k.LongRunning)
 	reply := backend.Reply{ClockMS: clockMS(s.now)}
 	s.after(callDelay, func() {
@@ -388,12 +396,34 @@
 		return
 	}
 	switch d.Event {
+	case "job_added":
+		setOnce(&j.addedAt, s.elapsed())
+	case "advice_asked":
+		setOnce(&j.askedAt, s.elapsed())
+	case "advice_answered":
+		setOnce(&j.answeredAt, s.elapsed())
+	case "run_ended":
+		s.recordCompletion(j, d)
 	case "task_started":
 		s.report.starts++
-		if j.StartedAt == 0 {
-			j.StartedAt = s.elapsed()
-		}
+		setOnce(&j.StartedAt, s.elapsed())
 	case "job_finished":
 		j.FinishedAt = s.elapsed()
 	}
 }
+
+// setOnce sets a time that is not set yet.
+func setOnce(at *time.Duration, now time.Duration) {
+	if *at == 0 {
+		*at = now
+	}
+}
+
+// recordCompletion records how long the scheduler did not know of the end of a run.
+func (s *Simulation) recordCompletion(j *Job, d cell.Decision) {
+	task, _ := d.Fields["task"].(string)
+	if endedAt, ok := s.endedAt[task]; ok {
+		delete(s.endedAt, task)
+		s.report.stages[j.Kind].record(StagePoll, s.now-endedAt)
+	}
+}
--- a/bench/site/workers.go
+++ b/bench/site/workers.go
@@ -53,6 +53,7 @@
 			break
 		}
 	}
+	s.endedAt[task] = s.now
 	w.lastCompletion++
 	w.finished = append(w.finished, backend.FinishedRun{Number: w.lastCompletion, Task: task, Run: run, Result: result})
 	s.answerPoll(w)
--- a/process/node/delegation_test.go
+++ b/process/node/delegation_test.go
@@ -15,6 +15,7 @@
 	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/model/job"
 	"github.com/lentiltide/lentiltide/request/verdict"
+	"github.com/lentiltide/lentiltide/version/cell"
 )
 
 // runDelegated runs a test in a cell of four instances and six workers whose leader delegates its calls.
@@ -271,3 +272,18 @@
 		assert.Assert(t, moved < workers/3, "%d workers moved", moved)
 	})
 }
+
+// Operators must see what a leader spends its time on: without it a leader that is late looks like one whose workers are slow.
+func TestLoadOfTheLeaderIsLogged(t *testing.T) {
+	runDelegated(t, func(t *testing.T, c *testCell) {
+		assert.NilError(t, c.submit(c.follower(), "a", 12, smallTask(time.Second), nil))
+		time.Sleep(2*loadLogInterval + time.Second)
+		for _, field := range []string{`"event":"leader_load"`, `"rounds":`, `"longest_round_ms":`, `"examined_advice":`, `"delegated_calls":`} {
+			assert.Assert(t, strings.Contains(c.log.String(), field), field)
+		}
+		status := c.nodes[c.leader()].Status()
+		assert.Assert(t, status.Load.Effort.Rounds > 0 && status.Load.Effort.Examined() > 0)
+		assert.Assert(t, status.Calls.Delegated > 0)
+		assert.Equal(t, c.follower().Status().Load, cell.Load{})
+	})
+}
