--- a/process/node/delegation.go
+++ b/process/node/delegation.go
@@ -255,6 +255,7 @@
 func (d *delegatedWorkers) call(ctx context.Context, worker backend.WorkerRef, wait time.Duration, build func() *peerpb.WorkerCall) (*peerpb.WorkerResult, error) {
 	for range maxDelegations {
 		if !d.hasDelegate(worker.ID) {
+			// Without an attempt the leader makes the call as it is.
 			break
 		}
 		call := build()
--- a/version/cell/ready.go
+++ b/version/cell/ready.go
@@ -18,7 +18,7 @@
 	// it is. freedCount counts how often that happened.
 	anyFreed   bool
 	freedCount uint64
-	// freed are the workers whose capacity has become free last, at most maxFreed of them, one entry for each time.
+	// freed are the workers whose capacity has become free last, one entry for each time, at most 2*maxFreed.
 	freed []*worker
 }
 
