--- a/process/node/delegation_test.go
+++ b/process/node/delegation_test.go
@@ -101,6 +101,20 @@
 	})
 }
 
+// pollsOf returns the number of polls that an instance sent to workers.
+func (c *testCell) pollsOf(name string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pollsBy[name]
+}
+
+// logText returns what all instances have logged.
+func (c *testCell) logText() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.log.String()
+}
+
 // holdResults delays the results of delegated calls on their way to the leader for a time.
 func (c *testCell) holdResults(d time.Duration) {
 	c.mu.Lock()
@@ -112,7 +126,7 @@
 // their calls itself, which costs it more than their results.
 func TestLateLeaderKeepsItsDelegates(t *testing.T) {
 	runDelegated(t, func(t *testing.T, c *testCell) {
-		former, directPolls := c.delegate(), c.pollsBy[c.leader()]
+		former, directPolls := c.delegate(), c.pollsOf(c.leader())
 		const late = 2 * delegatedCallTimeout
 		c.holdResults(late)
 		assert.NilError(t, c.submit(c.follower(), "a", 12, smallTask(3*time.Second), nil))
@@ -120,8 +134,8 @@
 		c.suspendedNS.Add(int64(late))
 		time.Sleep(2 * late)
 		assert.Equal(t, c.delegate(), former)
-		assert.Equal(t, c.pollsBy[c.leader()], directPolls)
-		assert.Assert(t, !strings.Contains(c.log.String(), "start_unanswered"))
+		assert.Equal(t, c.pollsOf(c.leader()), directPolls)
+		assert.Assert(t, !strings.Contains(c.logText(), "start_unanswered"))
 		time.Sleep(3 * time.Second)
 		c.requireState(c.follower(), "a", job.Completed)
 		for i := range 12 {
@@ -145,12 +159,12 @@
 			runDelegated(t, func(t *testing.T, c *testCell) {
 				assert.NilError(t, c.submit(c.nodes[c.leader()], "a", 12, smallTask(3*time.Second), nil))
 				time.Sleep(time.Second)
-				directPolls := c.pollsBy[c.leader()]
+				directPolls := c.pollsOf(c.leader())
 				lose(c, c.delegate())
 				time.Sleep(5 * time.Second)
 				c.requireState(c.nodes[c.leader()], "a", job.Completed)
-				assert.Equal(t, c.pollsBy[c.leader()], directPolls)
-				assert.Assert(t, !strings.Contains(c.log.String(), "worker_silent"))
+				assert.Equal(t, c.pollsOf(c.leader()), directPolls)
+				assert.Assert(t, !strings.Contains(c.logText(), "worker_silent"))
 			})
 		})
 	}
@@ -279,7 +293,7 @@
 		assert.NilError(t, c.submit(c.follower(), "a", 12, smallTask(time.Second), nil))
 		time.Sleep(2*loadLogInterval + time.Second)
 		for _, field := range []string{`"event":"leader_load"`, `"rounds":`, `"longest_round_ms":`, `"examined_advice":`, `"delegated_calls":`} {
-			assert.Assert(t, strings.Contains(c.log.String(), field), field)
+			assert.Assert(t, strings.Contains(c.logText(), field), field)
 		}
 		status := c.nodes[c.leader()].Status()
 		assert.Assert(t, status.Load.Effort.Rounds > 0 && status.Load.Effort.Examined() > 0)
