Lose no log lines on a pipe that is full and does not block

Change: at most 4 KB are written at once, which a pipe takes whole or not at all, and the writer waits while the pipe is full. Its queue fills meanwhile, and lines that do not fit are counted as before.

--- a/process/telemetry/async.go
+++ b/process/telemetry/async.go
@@ -1,9 +1,11 @@
 package telemetry
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -12,8 +14,11 @@
 	maxQueuedLines = 4096
 	// dropReportInterval is the minimum time between lines that report the number of dropped lines.
 	dropReportInterval = time.Second
-	// maxBatchBytes limits the lines that are written at once. A system call for each line would cost more than its encoding.
-	maxBatchBytes = 32 << 10
+	// maxBatchBytes limits the lines that are written at once, since a system call for each line would cost more than its encoding. A
+	// pipe takes as many bytes whole or not at all.
+	maxBatchBytes = 4096
+	// fullPipeDelay is the pause after a write to a pipe that is full and does not block.
+	fullPipeDelay = 2 * time.Millisecond
 )
 
 // AsyncWriter passes lines to an underlying writer without blocking its callers. Lines that do not fit into its queue are
@@ -63,11 +68,17 @@
 	defer close(w.done)
 	reportedDrops := uint64(0)
 	reportedAt := time.Time{}
-	var batch []byte
-	for line := range w.lines {
-		batch = w.appendQueued(append(batch[:0], line...))
-		// A failed write to standard output cannot be reported anywhere.
-		_, _ = w.out.Write(batch)
+	var batch, next []byte
+	for {
+		line, open := next, true
+		if line == nil {
+			line, open = <-w.lines
+		}
+		if !open {
+			return
+		}
+		batch, next = w.appendQueued(append(batch[:0], line...))
+		w.writeBatch(batch)
 		if n := w.dropped.Load(); n != reportedDrops && time.Since(reportedAt) >= dropReportInterval {
 			_, _ = fmt.Fprintf(w.out, "{\"event\":\"log_lines_dropped\",\"level\":\"warning\",\"total\":%d}\n", n)
 			reportedDrops, reportedAt = n, time.Now()
@@ -75,18 +86,33 @@
 	}
 }
 
-// appendQueued appends the lines that are in the queue, up to about maxBatchBytes in all.
-func (w *AsyncWriter) appendQueued(batch []byte) []byte {
-	for len(batch) < maxBatchBytes {
+// appendQueued appends the lines that are in the queue as long as the batch stays within maxBatchBytes. next is a line that did not fit.
+func (w *AsyncWriter) appendQueued(batch []byte) (filled, next []byte) {
+	for {
 		select {
 		case line, open := <-w.lines:
 			if !open {
-				return batch
+				return batch, nil
+			}
+			if len(batch)+len(line) > maxBatchBytes {
+				return batch, line
 			}
 			batch = append(batch, line...)
 		default:
-			return batch
+			return batch, nil
+		}
+	}
+}
+
+// writeBatch writes lines and waits while the reader of a pipe that does not block is slow. Meanwhile the queue fills, and lines that do not
+// fit are counted. Any other error of standard output cannot be reported anywhere.
+func (w *AsyncWriter) writeBatch(batch []byte) {
+	for {
+		n, err := w.out.Write(batch)
+		if !errors.Is(err, syscall.EAGAIN) {
+			return
 		}
+		batch = batch[n:]
+		time.Sleep(fullPipeDelay)
 	}
-	return batch
 }
--- a/process/telemetry/format_test.go
+++ b/process/telemetry/format_test.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"regexp"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -77,6 +79,36 @@
 	assert.Equal(t, out.String(), want.String())
 }
 
+// fullPipe takes a part of each second write and then fails as a pipe that is full and does not block.
+type fullPipe struct {
+	bytes.Buffer
+	writes int
+}
+
+func (p *fullPipe) Write(data []byte) (int, error) {
+	p.writes++
+	if p.writes%2 == 1 && len(data) > 1 {
+		n, _ := p.Buffer.Write(data[:len(data)/2])
+		return n, &os.PathError{Op: "write", Path: "stdout", Err: syscall.EAGAIN}
+	}
+	return p.Buffer.Write(data)
+}
+
+// Lines must not be lost, and none be cut, while the reader of a pipe that does not block is slow.
+func TestAsyncWriterWaitsForAFullPipe(t *testing.T) {
+	var out fullPipe
+	var want bytes.Buffer
+	w := NewAsyncWriter(&out)
+	for i := range 300 {
+		line := fmt.Sprintf("%d %s\n", i, strings.Repeat("x", 10*(i%100)))
+		want.WriteString(line)
+		_, err := w.Write([]byte(line))
+		assert.NilError(t, err)
+	}
+	w.Close(time.Minute)
+	assert.Equal(t, out.String(), want.String())
+}
+
 // BenchmarkDecision measures the log line of one decision, without the output.
 func BenchmarkDecision(b *testing.B) {
 	log := NewDecisionLog(NewLogger(io.Discard, logrus.InfoLevel).WithFields(logrus.Fields{"instance": "front-a-1", "zone": "a"}))
