--- a/process/node/capacity_test.go
+++ b/process/node/capacity_test.go
@@ -128,7 +128,7 @@
 	}
 	time.Sleep(15 * time.Second)
 	assert.DeepEqual(t, c.workers.Violations(), []string(nil))
-	fmt.Println(c.log.String())
+	fmt.Println(c.logText())
 	for _, id := range jobs {
 		c.requireCompleted(id)
 	}
--- a/process/node/cell_test.go
+++ b/process/node/cell_test.go
@@ -368,7 +368,7 @@
 	// An insert can run for up to callTimeout after its caller has returned.
 	time.Sleep(2 * slowCallTimeout)
 	if c.t.Failed() {
-		c.t.Log(c.log.String())
+		c.t.Log(c.logText())
 	}
 }
 
--- a/process/node/keys_test.go
+++ b/process/node/keys_test.go
@@ -143,7 +143,7 @@
 		}
 		time.Sleep(2 * time.Second)
 		test(t, c)
-		assert.Assert(t, !strings.Contains(c.log.String(), firstKey))
+		assert.Assert(t, !strings.Contains(c.logText(), firstKey))
 	})
 }
 
