Return an error for a call without an answer when the leadership ends

What could happen: a start, stop or throttle that was not sent to a delegate, and whose context ended before it was delegated again, was returned without an error, as if the worker had confirmed it. Cause: the end of the context was checked together with a result, and neither was there. Change: such a call ends with an error that says that it may have run. Result: TestCallWithoutAnAnswerAtTheEndIsAnError failed before; go test -race of the tests of delegation passes.

--- a/process/node/delegation.go
+++ b/process/node/delegation.go
@@ -265,9 +265,12 @@
 			break
 		}
 		result, err := d.awaitResult(ctx, call.Id, p, wait+delegatedCallTimeout)
-		if result != nil || (err != nil && !p.repeatable) || ctx.Err() != nil {
+		if result != nil || (err != nil && !p.repeatable) {
 			return result, err
 		}
+		if ctx.Err() != nil {
+			return nil, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeUnavailable, "wait for the delegate")
+		}
 		wait = 0
 	}
 	d.counts.direct.Add(1)
--- a/process/node/delegation_test.go
+++ b/process/node/delegation_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -287,6 +288,31 @@
 	})
 }
 
+// A call that was not sent when its leadership ended must not look like one that the worker has answered.
+func TestCallWithoutAnAnswerAtTheEndIsAnError(t *testing.T) {
+	runDelegated(t, func(t *testing.T, c *testCell) {
+		d := newDelegatedWorkers(c.follower().Node, 7)
+		d.setMembers(map[string]member{"peer": {address: "peer", joinedAt: c.now(), cpuShare: 1}}, 6)
+		for range 20 {
+			ctx, cancel := context.WithCancel(t.Context())
+			result := make(chan error)
+			go func() {
+				_, err := d.Start(ctx, backend.StartCommand{Command: backend.Command{Worker: backend.WorkerRef{ID: "w00"}}})
+				result <- err
+			}()
+			synctest.Wait()
+			d.mu.Lock()
+			for id, p := range d.pending {
+				d.delegateAgain(id, p)
+			}
+			d.mu.Unlock()
+			cancel()
+			assert.Assert(t, <-result != nil)
+		}
+		time.Sleep(time.Second)
+	})
+}
+
 // Operators must see what a leader spends its time on: without it a leader that is late looks like one whose workers are slow.
 func TestLoadOfTheLeaderIsLogged(t *testing.T) {
 	runDelegated(t, func(t *testing.T, c *testCell) {
