--- a/process/node/replica.go
+++ b/process/node/replica.go
@@ -225,13 +225,19 @@
 func (l *leadership) adoptReplica() {
 	n := l.node
 	n.mu.Lock()
-	replicated := n.replica.epoch == l.predecessor.Epoch && n.candidate
+	epoch, candidate := n.replica.epoch, n.candidate
 	completed, crashes := n.replica.messages()
 	n.mu.Unlock()
+	replicated := epoch == l.predecessor.Epoch && candidate
 	l.adoptResults(n.opts.Instance, completed, crashes)
-	if l.predecessor.Epoch != 0 && !l.predecessor.Resigned && !replicated {
+	waits := l.predecessor.Epoch != 0 && !l.predecessor.Resigned && !replicated
+	if waits {
 		l.core.HoldRecovered(n.opts.Now() + replicaWait)
 	}
+	n.opts.Log.WithFields(map[string]any{
+		"event": "replica_checked", "epoch": l.epoch, "predecessor_epoch": l.predecessor.Epoch, "replica_epoch": epoch, "candidate": candidate,
+		"completed": len(completed), "crashes": len(crashes), "waits": waits,
+	}).Info("own replica of the results of the former leader")
 }
 
 // keepReplica makes the results that an ended leadership could not store the replica of this instance.
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -39,6 +39,8 @@
 	// completed at once.
 	completionSequence uint64
 	completionReported bool
+	// reportedUnstored means that a caller was told that the job is completed before that was durable.
+	reportedUnstored bool
 	// lastCrash is the record of the last crash of a worker under a task of the job.
 	lastCrash crashRecord
 	// expired means that the retention has passed.
--- a/version/cell/states.go
+++ b/version/cell/states.go
@@ -15,6 +15,7 @@
 		return j.reportedState, true
 	}
 	if j.state == job.Completed && (j.completionReported || c.unstored.isReplicated(j)) {
+		c.logReportedUnstored(j)
 		return j.state, true
 	}
 	if j.started {
@@ -23,6 +24,18 @@
 	return job.Queued, true
 }
 
+// logReportedUnstored logs the first report of a completed job whose progress is not durable.
+func (c *Core) logReportedUnstored(j *jobState) {
+	if j.reportedUnstored {
+		return
+	}
+	j.reportedUnstored = true
+	c.logDecision("completion_reported_unstored", j.id, map[string]any{
+		"adopted": j.completionReported, "sequence": j.completionSequence, "replicated_sequence": c.unstored.replicatedSequence,
+		"unstored_ms": (c.now - j.finishedAt).Milliseconds(),
+	})
+}
+
 // WaitingJobs returns the number of accepted jobs without a started task for each queue.
 func (c *Core) WaitingJobs() map[string]int {
 	c.mu.Lock()
