Tests that fail: tasks start again after their job was shown as completed

The stand-in of the workers did not know what callers were shown, so that no test checked the second half of the rule. Change: the stand-in records which jobs were shown as completed and reports starts more than 1 s later, for every test of process/node. Two tests watch a job's state over an outage of the store: all instances are lost, or two leaders one after the other.

--- a/process/node/cell_test.go
+++ b/process/node/cell_test.go
@@ -439,11 +439,15 @@
 	return n.Submit(ctx, q, team, job.ID(id), job.Spec{Payload: "p", Steps: []job.Step{s}})
 }
 
-// state requests the state of a job from an instance.
+// state requests the state of a job from an instance. The workers report a start after a job was shown as completed.
 func (c *testCell) state(n *testNode, id string) (job.State, error) {
 	ctx, cancel := context.WithTimeout(c.t.Context(), 3*time.Second)
 	defer cancel()
-	return n.State(ctx, job.Queue{Name: testQueue}, job.ID(id))
+	state, err := n.State(ctx, job.Queue{Name: testQueue}, job.ID(id))
+	if err == nil && state == job.Completed {
+		c.workers.ShowCompleted(id)
+	}
+	return state, err
 }
 
 // smallTask describes a task that uses one core for the duration d.
--- /dev/null
+++ b/process/node/shown_test.go
@@ -0,0 +1,149 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentiltide/lentiltide/model/job"
+	"github.com/lentiltide/lentiltide/standin/backends"
+)
+
+const (
+	// shownTasks is the number of tasks of the job whose state is watched, each of which runs for shownTaskTime.
+	shownTasks, shownTaskTime = 12, time.Second
+	// watchInterval is the time between two requests for its state.
+	watchInterval = 25 * time.Millisecond
+	// workersDowntime is how long crashed workers are away, and restartTime how long a killed instance is.
+	workersDowntime, restartTime = 300 * time.Millisecond, 500 * time.Millisecond
+)
+
+// startOutage submits job a and watches its state; the store refuses all calls shortly after the job has started. It returns when
+// all tasks have ended.
+func (c *testCell) startOutage() {
+	c.t.Helper()
+	assert.NilError(c.t, c.submit(c.follower(), "a", shownTasks, smallTask(shownTaskTime), nil))
+	time.Sleep(300 * time.Millisecond)
+	c.tables.SetFault(func(bool) backends.Fault { return backends.FaultRefused })
+	for end := time.Now().Add(2500 * time.Millisecond); time.Now().Before(end); time.Sleep(watchInterval) {
+		c.showState("a")
+	}
+}
+
+// showState requests the state of a job from all live instances, as callers do. The workers record whether it is completed.
+func (c *testCell) showState(id string) {
+	for name, n := range c.nodes {
+		c.mu.Lock()
+		down := c.down[name]
+		c.mu.Unlock()
+		if !down {
+			// An instance that cannot tell the state shows nothing.
+			_, _ = c.state(n, id)
+		}
+	}
+}
+
+// crashAllWorkers crashes all workers, which forget the completions that were not acknowledged.
+func (c *testCell) crashAllWorkers() {
+	c.workers.Crash(backends.Crash{Downtime: workersDowntime}, "w00", "w01", "w02", "w03")
+}
+
+// requireCompletedInTheEnd ends the outage and fails the test unless the job is completed some time after it.
+func (c *testCell) requireCompletedInTheEnd() {
+	c.t.Helper()
+	c.tables.SetFault(nil)
+	for end := time.Now().Add(12 * time.Second); time.Now().Before(end); time.Sleep(watchInterval) {
+		c.showState("a")
+	}
+	c.requireState(c.nodes[c.leader()], "a", job.Completed)
+}
+
+// names returns the names of all instances.
+func (c *testCell) names() []string {
+	var names []string
+	for i := range len(c.nodes) {
+		names = append(names, fmt.Sprintf("i%d", i))
+	}
+	return names
+}
+
+// Guards against tasks of a job that callers were shown as completed and that start again, because all instances were lost while the
+// store was away, and with them the only record of the completion.
+func TestShownJobStaysCompletedWhenAllInstancesAreLost(t *testing.T) {
+	for name, crash := range map[string]bool{"with the workers": true, "without the workers": false} {
+		t.Run(name, func(t *testing.T) {
+			runWithCrashes(t, 4, func(t *testing.T, c *testCell) {
+				c.startOutage()
+				if crash {
+					c.crashAllWorkers()
+				}
+				for _, name := range c.names() {
+					c.kill(name)
+				}
+				time.Sleep(restartTime)
+				for _, name := range c.names() {
+					c.start(name)
+				}
+				time.Sleep(2 * time.Second)
+				c.requireCompletedInTheEnd()
+			})
+		})
+	}
+}
+
+// Guards against tasks of a job that callers were shown as completed and that start again, because a successor was lost shortly after its
+// takeover, together with the results that it had received.
+func TestShownJobStaysCompletedAfterShortLeaderships(t *testing.T) {
+	for _, ledFor := range []time.Duration{0, 5, 10, 50, 100, 200} {
+		for _, restarts := range []bool{false, true} {
+			for _, lostAfter := range []time.Duration{0, 50, 100, 150, 250} {
+				ledFor, lostAfter := ledFor*time.Millisecond, lostAfter*time.Millisecond
+				t.Run(fmt.Sprintf("led for %v, lost after %v, restarts %v", ledFor, lostAfter, restarts), func(t *testing.T) {
+					runWithCrashes(t, 4, func(t *testing.T, c *testCell) {
+						c.startOutage()
+						c.loseTwoLeaders(ledFor, lostAfter, restarts)
+						c.requireCompletedInTheEnd()
+					})
+				})
+			}
+		}
+	}
+}
+
+// loseTwoLeaders crashes the workers and kills the leader in an outage of the store, lets a successor lead for a while, and kills that one
+// in a second outage.
+func (c *testCell) loseTwoLeaders(ledFor, lostAfter time.Duration, restarts bool) {
+	c.crashAllWorkers()
+	c.kill(c.leader())
+	time.Sleep(restartTime)
+	c.tables.SetFault(nil)
+	successor := ""
+	for successor == "" {
+		time.Sleep(time.Millisecond)
+		successor = c.takingOver()
+	}
+	time.Sleep(ledFor)
+	c.tables.SetFault(func(bool) backends.Fault { return backends.FaultRefused })
+	time.Sleep(lostAfter)
+	c.kill(successor)
+	time.Sleep(100 * time.Millisecond)
+	if restarts {
+		c.start(successor)
+	}
+	time.Sleep(200 * time.Millisecond)
+}
+
+// takingOver returns the name of the instance that leads, whether its state is loaded or not, or "".
+func (c *testCell) takingOver() string {
+	for name, n := range c.nodes {
+		c.mu.Lock()
+		down := c.down[name]
+		c.mu.Unlock()
+		if !down && n.currentLeadership() != nil {
+			return name
+		}
+	}
+	return ""
+}
--- a/standin/backends/observations.go
+++ b/standin/backends/observations.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+	"strings"
+	"time"
 
 	"github.com/lentiltide/lentiltide/backend"
 )
@@ -21,9 +23,35 @@
 	return len(w.workers[id].running)
 }
 
+// shownGrace is the time after a job was shown as completed in which a start of its tasks may still arrive.
+const shownGrace = time.Second
+
+// ShowCompleted records that a caller was told that a job is completed. Starts of its tasks from shownGrace after that on are
+// violations.
+func (w *Workers) ShowCompleted(job string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if _, ok := w.shownAt[job]; !ok {
+		w.shownAt[job] = w.now()
+	}
+}
+
+// ShownCompleted returns the number of jobs that callers were told are completed.
+func (w *Workers) ShownCompleted() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.shownAt)
+}
+
+// jobOf returns the job of a task.
+func jobOf(task string) string {
+	id, _, _ := strings.Cut(task, ".")
+	return id
+}
+
 // Violations describes the violations that the workers observed: a task started again after it was done, if that end was
-// acknowledged then or later, a task that runs on two workers, a worker over its capacity, or a task that is not given up although the
-// workers that start it crash.
+// acknowledged then or later, or after its job was shown as completed, a task that runs on two workers, a worker over its capacity, or
+// a task that is not given up although the workers that start it crash.
 func (w *Workers) Violations() []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/standin/backends/workers.go
+++ b/standin/backends/workers.go
@@ -48,7 +48,9 @@
 	done         map[string]bool
 	acknowledged map[string]bool
 	// lastStart holds when the last run of each task started.
-	lastStart   map[string]time.Duration
+	lastStart map[string]time.Duration
+	// shownAt holds when each job was first shown to a caller as completed.
+	shownAt     map[string]time.Duration
 	chooseFault func(worker, command string) error
 	crashes     crashRecord
 }
@@ -101,7 +103,7 @@
 func NewWorkers(now func() time.Duration, behaviorOf func(task string) TaskBehavior) *Workers {
 	return &Workers{
 		now: now, behaviorOf: behaviorOf, workers: map[string]*workerState{}, starts: map[string]int{}, done: map[string]bool{},
-		acknowledged: map[string]bool{}, lastStart: map[string]time.Duration{}, crashes: newCrashRecord(),
+		acknowledged: map[string]bool{}, lastStart: map[string]time.Duration{}, shownAt: map[string]time.Duration{}, crashes: newCrashRecord(),
 	}
 }
 
@@ -294,6 +296,9 @@
 	if w.acknowledged[command.Task] {
 		w.violations = append(w.violations, fmt.Sprintf("task %s was started again after its completion was acknowledged", command.Task))
 	}
+	if shownAt, ok := w.shownAt[jobOf(command.Task)]; ok && w.now() > shownAt+shownGrace {
+		w.violations = append(w.violations, fmt.Sprintf("task %s was started %v after its job was shown as completed", command.Task, w.now()-shownAt))
+	}
 	for id, other := range w.workers {
 		if other.running[command.Task] != nil {
 			w.violations = append(w.violations, fmt.Sprintf("task %s runs on workers %s and %s", command.Task, id, worker.info.ID))
