Report a completed job only when its row is durable

Cause: while the store was away, a completed job was reported when all candidates held it in memory. Any number of instances may be lost at once, and the workers that list the completions may crash; then the rows, which do not have it, are all that is left. The class: an answer that binds rests on memory that may be lost. Change: Core.State reports a final state only when it is durable, as it did for failed and cancelled jobs; before that the job is running. Adopted completions are reported when the next leader has stored them. Replication to the candidates stays, to spare repeated work; no answer rests on it. final_state_stored takes the place of completion_reported_unstored, which can no longer occur. Tests: five required that a completed job is reported during the outage, which is the fault. TestCompletedJobIsReportedDuringStoreOutage (now TestCompletedJobIsReportedWhenDurable), TestReplicatedCompletionIsAdopted, TestWorkContinuesWithoutStore, TestCompletedJobSurvivesTakeoverAfterStoreOutage and TestCompletedJobSurvivesLossOfWorkersAndLeader now require running until the row is durable, completed within 0.5 s of the store's return, and, as before, that nothing starts twice.

--- a/process/node/failover_test.go
+++ b/process/node/failover_test.go
@@ -139,35 +139,41 @@
 	})
 }
 
-// Guards against work that stops while the store is unavailable, against completions that are acknowledged before they are
-// durable, and against completed jobs that are reported as running until the store is available again.
+// reportAfterOutage is the time within which completed jobs are reported after the store is back: a retry of the write, and its answer.
+const reportAfterOutage = 500 * time.Millisecond
+
+// Guards against work that stops while the store is unavailable, against completions that are acknowledged or reported before they are
+// durable, and against completed jobs that are reported late after the store is back.
 func TestWorkContinuesWithoutStore(t *testing.T) {
 	runInCell(t, func(t *testing.T, c *testCell) {
 		assert.NilError(t, c.submit(c.follower(), "a", 20, smallTask(time.Second), nil))
 		time.Sleep(300 * time.Millisecond)
 		c.tables.SetFault(func(bool) backends.Fault { return backends.FaultRefused })
 		time.Sleep(3 * time.Second)
-		c.requireCompleted("a")
+		c.requireState(c.nodes[c.leader()], "a", job.Running)
+		c.requireState(c.follower(), "a", job.Running)
 		for i := range 20 {
 			task := fmt.Sprintf("a.0.0.%d", i)
 			assert.Assert(t, c.workers.Done(task))
 			assert.Assert(t, !c.workers.Acknowledged(task))
 		}
 		c.tables.SetFault(nil)
-		time.Sleep(2 * time.Second)
+		time.Sleep(reportAfterOutage)
 		c.requireCompleted("a")
+		c.requireState(c.follower(), "a", job.Completed)
+		time.Sleep(2*time.Second - reportAfterOutage)
 		assert.Assert(t, c.workers.Acknowledged("a.0.0.19"))
 	})
 }
 
-// Guards against a job that was reported as completed while the store was unavailable and runs again under the next leader.
+// Guards against a job that was completed while the store was unavailable and runs again under the next leader.
 func TestCompletedJobSurvivesTakeoverAfterStoreOutage(t *testing.T) {
 	runInCell(t, func(t *testing.T, c *testCell) {
 		assert.NilError(t, c.submit(c.follower(), "a", 20, smallTask(time.Second), nil))
 		time.Sleep(300 * time.Millisecond)
 		c.tables.SetFault(func(bool) backends.Fault { return backends.FaultRefused })
 		time.Sleep(2 * time.Second)
-		c.requireCompleted("a")
+		c.requireState(c.nodes[c.leader()], "a", job.Running)
 		old := c.leader()
 		c.kill(old)
 		c.tables.SetFault(nil)
@@ -180,8 +186,8 @@
 	})
 }
 
-// Guards against a job that was reported as completed while the store was unavailable and runs again, because the workers that
-// retained its completions have crashed and the leader has died before the store was back.
+// Guards against a job that was completed while the store was unavailable and runs again, because the workers that retained its
+// completions have crashed and the leader has died before the store was back.
 func TestCompletedJobSurvivesLossOfWorkersAndLeader(t *testing.T) {
 	for name, sameInstance := range map[string]bool{"another instance leads": false, "the same instance leads again": true} {
 		t.Run(name, func(t *testing.T) {
@@ -190,7 +196,7 @@
 				time.Sleep(300 * time.Millisecond)
 				c.tables.SetFault(func(bool) backends.Fault { return backends.FaultRefused })
 				time.Sleep(2500 * time.Millisecond)
-				c.requireCompleted("a")
+				c.requireState(c.nodes[c.leader()], "a", job.Running)
 				c.workers.Crash(backends.Crash{Downtime: 300 * time.Millisecond}, "w00", "w01", "w02", "w03")
 				leader := c.leader()
 				c.kill(leader)
@@ -203,7 +209,7 @@
 				for c.leader() == "" {
 					time.Sleep(100 * time.Millisecond)
 				}
-				time.Sleep(replicaWait)
+				time.Sleep(replicaWait + reportAfterOutage)
 				c.requireCompleted("a")
 				time.Sleep(5 * time.Second)
 				c.requireCompleted("a")
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -35,12 +35,6 @@
 	lastChange, storedChange uint64
 	refusal                  rowRefusal
 	finishedAt               Instant
-	// completionSequence is the number of the completed job in Core.unstored. completionReported means that it may be reported as
-	// completed at once.
-	completionSequence uint64
-	completionReported bool
-	// reportedUnstored means that a caller was told that the job is completed before that was durable.
-	reportedUnstored bool
 	// lastCrash is the record of the last crash of a worker under a task of the job.
 	lastCrash crashRecord
 	// expired means that the retention has passed.
--- a/version/cell/progress.go
+++ b/version/cell/progress.go
@@ -153,7 +153,7 @@
 		p.state.refusal = rowRefusal{}
 		p.state.storedChange = max(p.state.storedChange, p.change)
 		if p.state.state.Terminal() && p.state.lastChange <= p.change {
-			p.state.reportedState = p.state.state
+			c.reportState(p.state)
 		}
 	}
 	c.unstored.removeStored()
@@ -162,6 +162,16 @@
 	}
 }
 
+// reportState reports the final state of a job, which has become durable. A state that was not durable for longer than a write takes
+// is logged.
+func (c *Core) reportState(j *jobState) {
+	unstored := c.now - j.finishedAt
+	if !j.reportedState.Terminal() && unstored > unstoredReportDelay {
+		c.logDecision("final_state_stored", j.id, map[string]any{"state": j.state, "unstored_ms": unstored.Milliseconds()})
+	}
+	j.reportedState = j.state
+}
+
 // BatchRefused records that the store refuses a batch with a single row whatever happens. The row is not written again for a while,
 // however often it changes, and the completions in it are not acknowledged; the other jobs go on.
 func (c *Core) BatchRefused(b Batch, now Instant) {
--- a/version/cell/recovery_test.go
+++ b/version/cell/recovery_test.go
@@ -237,9 +237,9 @@
 	assert.Assert(t, tc.now-unresponsiveSince >= testLease, "task moved after %s", tc.now-unresponsiveSince)
 }
 
-// Completed jobs must not be reported as running during an outage of the store, and the next leader must find them
-// completed.
-func TestCompletedJobIsReportedDuringStoreOutage(t *testing.T) {
+// Guards against a job that is reported as completed although only instances and workers know it, all of which may be lost at once, and
+// against a next leader that does not find it completed while its worker lists the completions.
+func TestCompletedJobIsReportedWhenDurable(t *testing.T) {
 	tc := newTestCluster(t, 1)
 	tc.addWorker("w1")
 	fleet := [][]byte{[]byte(`{"w1":"w1:1"}`)}
@@ -255,9 +255,11 @@
 	unstored := tc.core.UnstoredResults(0, 10, tc.now)
 	assert.DeepEqual(t, unstored, UnstoredResults{Completed: []job.ID{"a"}, Sequence: 1})
 	tc.core.SetReplicated(unstored.Sequence)
-	assert.Equal(t, tc.state("a"), job.Completed)
+	assert.Equal(t, tc.state("a"), job.Running, "all instances may be lost")
 	req, _, _ := tc.core.PreparePoll("w1", tc.now)
 	assert.Equal(t, req.AcknowledgedCompletion, int64(0))
+	tc.storeBatches()
+	assert.Equal(t, tc.state("a"), job.Completed)
 
 	next := newTestCluster(t, 2)
 	assert.NilError(t, next.core.LoadFleetRecord(next.now, fleet...))
@@ -270,8 +272,8 @@
 	assert.Equal(t, next.state("a"), job.Completed)
 }
 
-// Guards against a completed job that runs again, or is reported as running again, after the worker that retained its completions
-// has crashed and the leader is lost before it could store them.
+// Guards against a completed job that runs again after the worker that retained its completions has crashed and the leader is lost before
+// it could store them, and against one that is reported as completed before the next leader has stored that.
 func TestReplicatedCompletionIsAdopted(t *testing.T) {
 	next := newTestCluster(t, 2)
 	next.addWorker("w1")
@@ -280,12 +282,13 @@
 	next.advance(500 * time.Millisecond)
 	assert.Equal(t, len(next.starts), 0)
 	next.core.AdoptCompletions([]job.ID{"a", "unknown"}, next.now)
-	assert.Equal(t, next.state("a"), job.Completed)
+	assert.Equal(t, next.state("a"), job.Running)
 	next.advance(2 * time.Second)
 	assert.Equal(t, len(next.starts), 0)
 	batches := next.storeBatches()
 	state, _ := StoredState(batches[len(batches)-1].Progress[0].Data)
 	assert.Equal(t, state, job.Completed)
+	assert.Equal(t, next.state("a"), job.Completed)
 	assert.Equal(t, len(next.core.UnstoredResults(0, 10, next.now).Completed), 0)
 }
 
--- a/version/cell/states.go
+++ b/version/cell/states.go
@@ -2,8 +2,8 @@
 
 import "github.com/lentiltide/lentiltide/model/job"
 
-// State returns the state of a job that may be reported, and whether the job is known. If the store does not answer, a
-// completed job is reported when it is replicated, so that the next leader also finds it completed.
+// State returns the state of a job that may be reported, and whether the job is known. A final state binds whoever leads next, so it is
+// reported only when it is durable: everything that holds it in memory may be lost at once. Until then the job is running.
 func (c *Core) State(id job.ID) (job.State, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -14,28 +14,12 @@
 	if j.reportedState.Terminal() {
 		return j.reportedState, true
 	}
-	if j.state == job.Completed && (j.completionReported || c.unstored.isReplicated(j)) {
-		c.logReportedUnstored(j)
-		return j.state, true
-	}
-	if j.started {
+	if j.started || j.state.Terminal() {
 		return job.Running, true
 	}
 	return job.Queued, true
 }
 
-// logReportedUnstored logs the first report of a completed job whose progress is not durable.
-func (c *Core) logReportedUnstored(j *jobState) {
-	if j.reportedUnstored {
-		return
-	}
-	j.reportedUnstored = true
-	c.logDecision("completion_reported_unstored", j.id, map[string]any{
-		"adopted": j.completionReported, "sequence": j.completionSequence, "replicated_sequence": c.unstored.replicatedSequence,
-		"unstored_ms": (c.now - j.finishedAt).Milliseconds(),
-	})
-}
-
 // WaitingJobs returns the number of accepted jobs without a started task for each queue.
 func (c *Core) WaitingJobs() map[string]int {
 	c.mu.Lock()
--- a/version/cell/unstored.go
+++ b/version/cell/unstored.go
@@ -10,9 +10,10 @@
 	"github.com/lentiltide/lentiltide/model/job"
 )
 
-// While the store does not answer, two kinds of results are replicated to the instances that may lead next. Completed jobs are
-// reported when they are replicated; a worker retains the completions of its tasks too, but it may crash. Crashes of workers are
-// replicated before the tasks that may have caused them start again; nothing else retains them.
+// While the store does not answer, two kinds of results are replicated to the instances that may lead next, so that less is repeated if
+// the leader is lost. Completed jobs: a worker retains the completions of its tasks too, but it may crash. Crashes of workers, before the
+// tasks that may have caused them start again: nothing else retains them. The replicas may all be lost at once, so no answer to a caller
+// rests on them.
 
 const (
 	// unstoredReportDelay is how long a result waits for its progress to become durable before it is replicated. It is longer
@@ -69,14 +70,9 @@
 	})
 }
 
-// isReplicated reports whether a completed job is known to the instances that may lead next.
-func (u *unstoredResults) isReplicated(j *jobState) bool {
-	return j.completionSequence != 0 && j.completionSequence <= u.replicatedSequence
-}
-
 // addUnstoredCompletion adds a job that has just been completed.
 func (c *Core) addUnstoredCompletion(j *jobState) {
-	j.completionSequence = c.unstored.add(unstoredEntry{job: j, addedAt: c.now})
+	c.unstored.add(unstoredEntry{job: j, addedAt: c.now})
 }
 
 // addUnstoredCrashes adds the crashes under the tasks of a job, and their last starts, as of its last change. An earlier entry is
@@ -169,8 +165,6 @@
 			continue
 		}
 		c.finishJob(j, job.Completed, "completed under a former leader")
-		// Callers may have been told so already.
-		j.completionReported = true
 	}
 }
 
