Keep the results of a lost leader until a successor has stored them

What callers saw: after an outage of the store with two leaders lost in a row, tasks that had ended ran again, and tasks that crash their workers were started more often than their attempts allow. Cause: an instance handed its results to the next leader and then began an empty replica. The leader passed them on 100 ms later, adopted crashes never, and dropped what it had when it ended before its rows were loaded, or what was younger than 100 ms. The next leader took its own empty replica of the right epoch for a whole one and did not wait for the others. The class: data is given up when it is handed over, not when the receiver has made it durable. Change: an instance keeps what it has handed over until the leader reports that as stored (adopted_sequence of the reply to a join). Adopted crashes are replicated like new ones. A leadership that ends keeps all of its results, and without loaded rows those that the instance held before. A replica counts as whole only when the leader has waited for those of others and has sent what it adopted (results_whole); otherwise the next leader waits 400 ms. An older program sends neither field and is waited for. TestAdoptedResultsArePassedOn and TestReplicaKeepsWhatTheLeaderHasAdopted cover the parts.

--- a/process/node/leader.go
+++ b/process/node/leader.go
@@ -37,6 +37,8 @@
 	mu sync.Mutex
 	// loaded is set once all rows were read.
 	loaded bool
+	// resultsHeldUntil is until when the leadership waits for results of its predecessors that other instances hold.
+	resultsHeldUntil cell.Instant
 	// hasFormerFleetRow means that the row at formerFleetKey exists. Only load and, once loaded is set, the writer use it.
 	hasFormerFleetRow bool
 	// members are the instances that have joined, by name.
--- a/process/node/replica.go
+++ b/process/node/replica.go
@@ -35,6 +35,8 @@
 	crashes map[job.ID]replicatedProgress
 	// handOver means that the leader has changed, so that the results are sent with the next join.
 	handOver bool
+	// whole means that the leader has sent all results of its own predecessors, and had waited for those that other instances held.
+	whole bool
 }
 
 // replicatedProgress is the progress of a job with the sequence number up to which it was sent.
@@ -66,6 +68,18 @@
 		r.crashes[job.ID(p.GetJob())] = replicatedProgress{reply.GetUnstoredSequence(), p.GetData()}
 	}
 	r.sequence = max(r.sequence, reply.GetUnstoredSequence())
+	r.whole = reply.GetResultsWhole()
+}
+
+// carryOver adds the results of a replica for a former leader, which the leader has adopted. They are kept until the leader has stored
+// what it had adopted: it may be lost before it sends them back.
+func (r *resultReplica) carryOver(former resultReplica, adopted uint64) {
+	for id := range former.completed {
+		r.completed[id] = adopted
+	}
+	for id, p := range former.crashes {
+		r.crashes[id] = replicatedProgress{adopted, p.data}
+	}
 }
 
 // messages returns the results as they are sent to the leader.
@@ -106,7 +120,9 @@
 			r.handOver = true
 			return true
 		}
+		former := n.replica
 		n.replica = newResultReplica(reply.GetEpoch())
+		r.carryOver(former, reply.GetAdoptedSequence())
 	}
 	r.merge(reply)
 	return len(reply.GetUnstoredJobs())+len(reply.GetUnstoredCrashes()) > 0
@@ -129,6 +145,8 @@
 	l.recordReplica(join.GetInstance(), &after)
 	unstored := l.core.UnstoredResults(after, maxReplicatedJobs, l.node.opts.Now())
 	reply.UnstoredSequence, reply.StoredSequence = unstored.Sequence, unstored.StoredSequence
+	reply.AdoptedSequence = unstored.AdoptedSequence
+	reply.ResultsWhole = l.resultsWhole(l.node.opts.Now()) && max(unstored.Sequence, unstored.StoredSequence) >= unstored.AdoptedSequence
 	for _, id := range unstored.Completed {
 		reply.UnstoredJobs = append(reply.UnstoredJobs, string(id))
 	}
@@ -220,31 +238,45 @@
 	return sequence, ok
 }
 
-// adoptReplica adopts the results in this instance's own replica of its predecessor. Without one, as after a restart or if it was no
-// candidate, it leaves the others some time to send theirs.
+// adoptReplica adopts the results in this instance's own replica of its predecessor. Unless that is whole, it leaves the others some time
+// to send theirs.
 func (l *leadership) adoptReplica() {
 	n := l.node
 	n.mu.Lock()
-	epoch, candidate := n.replica.epoch, n.candidate
+	epoch, whole := n.replica.epoch, n.replica.whole && n.candidate
 	completed, crashes := n.replica.messages()
 	n.mu.Unlock()
-	replicated := epoch == l.predecessor.Epoch && candidate
 	l.adoptResults(n.opts.Instance, completed, crashes)
-	waits := l.predecessor.Epoch != 0 && !l.predecessor.Resigned && !replicated
+	waits := l.predecessor.Epoch != 0 && !l.predecessor.Resigned && (epoch != l.predecessor.Epoch || !whole)
 	if waits {
-		l.core.HoldRecovered(n.opts.Now() + replicaWait)
+		until := n.opts.Now() + replicaWait
+		l.core.HoldRecovered(until)
+		l.mu.Lock()
+		l.resultsHeldUntil = until
+		l.mu.Unlock()
 	}
 	n.opts.Log.WithFields(map[string]any{
-		"event": "replica_checked", "epoch": l.epoch, "predecessor_epoch": l.predecessor.Epoch, "replica_epoch": epoch, "candidate": candidate,
+		"event": "replica_checked", "epoch": l.epoch, "predecessor_epoch": l.predecessor.Epoch, "replica_epoch": epoch, "whole": whole,
 		"completed": len(completed), "crashes": len(crashes), "waits": waits,
 	}).Info("own replica of the results of the former leader")
 }
 
-// keepReplica makes the results that an ended leadership could not store the replica of this instance.
+// resultsWhole reports whether the leadership does not wait for results of its predecessors any longer.
+func (l *leadership) resultsWhole(now cell.Instant) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now >= l.resultsHeldUntil
+}
+
+// keepReplica makes the results that an ended leadership could not store the replica of this instance. A leadership that has not read its
+// rows, or whose scheduler has failed, knows none: what the instance held before it stays.
 func (n *Node) keepReplica(l *leadership) {
-	unstored := l.core.UnstoredResults(0, maxReplicaJobs, n.opts.Now())
+	if !l.isLoaded() || l.core.Failed() {
+		return
+	}
+	unstored := l.core.AllUnstoredResults()
 	replica := newResultReplica(l.epoch)
-	replica.sequence = unstored.Sequence
+	replica.sequence, replica.whole = unstored.Sequence, l.resultsWhole(n.opts.Now())
 	for _, id := range unstored.Completed {
 		replica.completed[id] = unstored.Sequence
 	}
--- a/process/node/replica_test.go
+++ b/process/node/replica_test.go
@@ -27,3 +27,17 @@
 	assert.DeepEqual(t, completed, []string{"c"})
 	assert.Equal(t, r.sequence, uint64(3))
 }
+
+// Guards against results of a former leader that an instance forgets before the leader that has adopted them has stored them.
+func TestReplicaKeepsWhatTheLeaderHasAdopted(t *testing.T) {
+	former := newResultReplica(1)
+	former.merge(&peerpb.JoinReply{Epoch: 1, UnstoredJobs: []string{"a"}, UnstoredCrashes: []*peerpb.JobProgress{{Job: "b"}}, UnstoredSequence: 2})
+	r := newResultReplica(2)
+	r.carryOver(former, 5)
+	r.merge(&peerpb.JoinReply{Epoch: 2, StoredSequence: 4, AdoptedSequence: 5})
+	assert.Equal(t, r.size(), 2)
+	assert.Assert(t, !r.whole)
+	r.merge(&peerpb.JoinReply{Epoch: 2, StoredSequence: 5, AdoptedSequence: 5, ResultsWhole: true})
+	assert.Equal(t, r.size(), 0)
+	assert.Assert(t, r.whole)
+}
--- a/process/node/shown_test.go
+++ b/process/node/shown_test.go
@@ -26,7 +26,7 @@
 	c.t.Helper()
 	assert.NilError(c.t, c.submit(c.follower(), "a", shownTasks, smallTask(shownTaskTime), nil))
 	time.Sleep(300 * time.Millisecond)
-	c.tables.SetFault(func(bool) backends.Fault { return backends.FaultRefused })
+	c.tables.SetFault(refuseAll)
 	for end := time.Now().Add(2500 * time.Millisecond); time.Now().Before(end); time.Sleep(watchInterval) {
 		c.showState("a")
 	}
@@ -60,6 +60,14 @@
 	c.requireState(c.nodes[c.leader()], "a", job.Completed)
 }
 
+// requireOneStartEach fails the test if a task of job a started again.
+func (c *testCell) requireOneStartEach() {
+	c.t.Helper()
+	for i := range shownTasks {
+		assert.Equal(c.t, c.workers.Starts(fmt.Sprintf("a.0.0.%d", i)), 1)
+	}
+}
+
 // names returns the names of all instances.
 func (c *testCell) names() []string {
 	var names []string
@@ -93,18 +101,19 @@
 	}
 }
 
-// Guards against tasks of a job that callers were shown as completed and that start again, because a successor was lost shortly after its
-// takeover, together with the results that it had received.
+// Guards against tasks of a completed job that start again, whether callers were shown it or not, because a successor was lost shortly
+// after its takeover, together with the results that the other instances had handed to it. One of those stays alive.
 func TestShownJobStaysCompletedAfterShortLeaderships(t *testing.T) {
-	for _, ledFor := range []time.Duration{0, 5, 10, 50, 100, 200} {
+	for _, ledFor := range []time.Duration{0, 2, 5, 10, 50, 200} {
 		for _, restarts := range []bool{false, true} {
-			for _, lostAfter := range []time.Duration{0, 50, 100, 150, 250} {
+			for _, lostAfter := range []time.Duration{25, 50, 75, 100, 250} {
 				ledFor, lostAfter := ledFor*time.Millisecond, lostAfter*time.Millisecond
 				t.Run(fmt.Sprintf("led for %v, lost after %v, restarts %v", ledFor, lostAfter, restarts), func(t *testing.T) {
 					runWithCrashes(t, 4, func(t *testing.T, c *testCell) {
 						c.startOutage()
 						c.loseTwoLeaders(ledFor, lostAfter, restarts)
 						c.requireCompletedInTheEnd()
+						c.requireOneStartEach()
 					})
 				})
 			}
@@ -119,13 +128,9 @@
 	c.kill(c.leader())
 	time.Sleep(restartTime)
 	c.tables.SetFault(nil)
-	successor := ""
-	for successor == "" {
-		time.Sleep(time.Millisecond)
-		successor = c.takingOver()
-	}
+	successor := c.awaitTakeover("")
 	time.Sleep(ledFor)
-	c.tables.SetFault(func(bool) backends.Fault { return backends.FaultRefused })
+	c.tables.SetFault(refuseAll)
 	time.Sleep(lostAfter)
 	c.kill(successor)
 	time.Sleep(100 * time.Millisecond)
@@ -135,15 +140,25 @@
 	time.Sleep(200 * time.Millisecond)
 }
 
-// takingOver returns the name of the instance that leads, whether its state is loaded or not, or "".
-func (c *testCell) takingOver() string {
-	for name, n := range c.nodes {
-		c.mu.Lock()
-		down := c.down[name]
-		c.mu.Unlock()
-		if !down && n.currentLeadership() != nil {
-			return name
+// refusedFault is the fault of an outage of the table service, and refuseAll lets all calls fail with it.
+const refusedFault = backends.FaultRefused
+
+func refuseAll(bool) backends.Fault { return refusedFault }
+
+// awaitTakeover waits until an instance other than the former one leads, whether its state is loaded or not, and returns its name.
+func (c *testCell) awaitTakeover(former string) string {
+	c.t.Helper()
+	for range 20_000 {
+		for name, n := range c.nodes {
+			c.mu.Lock()
+			down := c.down[name]
+			c.mu.Unlock()
+			if name != former && !down && n.currentLeadership() != nil {
+				return name
+			}
 		}
+		time.Sleep(time.Millisecond)
 	}
+	c.t.Fatal("no instance takes over")
 	return ""
 }
--- a/version/cell/unstored.go
+++ b/version/cell/unstored.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -33,6 +34,8 @@
 	// entries are in ascending order of their sequence numbers.
 	entries      []unstoredEntry
 	lastSequence uint64
+	// adoptedSequence is the number of the last result of a former leader.
+	adoptedSequence uint64
 	// replicatedSequence is the sequence number up to which the results are replicated.
 	replicatedSequence uint64
 }
@@ -106,6 +109,8 @@
 	// Sequence is the number of the last of the results, or the number that was asked for if there are none. All results up to
 	// StoredSequence are durable.
 	Sequence, StoredSequence uint64
+	// AdoptedSequence is the number of the last result of a former leader that was adopted.
+	AdoptedSequence uint64
 }
 
 // Empty reports whether there are no results.
@@ -119,17 +124,31 @@
 	if c.mu.panicked {
 		return UnstoredResults{Sequence: after}
 	}
-	c.unstored.removeStored()
-	out := UnstoredResults{Sequence: after, StoredSequence: c.unstored.lastSequence}
-	if len(c.unstored.entries) > 0 {
-		out.StoredSequence = c.unstored.entries[0].sequence - 1
+	return c.unstoredResults(after, limit, maxCrashBytes, now-unstoredReportDelay)
+}
+
+// AllUnstoredResults returns the results that are not durable when the leadership has ended, however young they are.
+func (c *Core) AllUnstoredResults() UnstoredResults {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unstoredResults(0, math.MaxInt, math.MaxInt, c.now)
+}
+
+// unstoredResults returns the results after a sequence number that were added at a time or before, within limits of their number and, in
+// bytes, of the progress.
+func (c *Core) unstoredResults(after uint64, limit, maxBytes int, addedUntil Instant) UnstoredResults {
+	u := &c.unstored
+	u.removeStored()
+	out := UnstoredResults{Sequence: after, StoredSequence: u.lastSequence, AdoptedSequence: u.adoptedSequence}
+	if len(u.entries) > 0 {
+		out.StoredSequence = u.entries[0].sequence - 1
 	}
 	bytes := 0
-	for _, e := range c.unstored.entries {
+	for _, e := range u.entries {
 		if e.sequence <= after {
 			continue
 		}
-		if len(out.Completed)+len(out.Crashes) == limit || bytes > maxCrashBytes || now < e.addedAt+unstoredReportDelay {
+		if len(out.Completed)+len(out.Crashes) >= limit || bytes > maxBytes || e.addedAt > addedUntil {
 			break
 		}
 		if e.crashChange != 0 {
@@ -166,6 +185,7 @@
 		}
 		c.finishJob(j, job.Completed, "completed under a former leader")
 	}
+	c.unstored.adoptedSequence = c.unstored.lastSequence
 }
 
 // AdoptCrashes adds the crashes that were counted under a former leader, which could not store them.
@@ -181,6 +201,7 @@
 	if j == nil || j.state.Terminal() {
 		return nil
 	}
+	defer c.addAdoptedCrashes(j, c.changeCount)
 	if row.State == job.Failed {
 		c.finishJob(j, job.Failed, "failed under a former leader")
 		return nil
@@ -196,6 +217,15 @@
 	return nil
 }
 
+// addAdoptedCrashes adds the crashes of a job that were adopted, unless the job has not changed since a change: this leader may be lost as
+// well before they are durable.
+func (c *Core) addAdoptedCrashes(j *jobState, since uint64) {
+	if j.lastChange > since {
+		c.addUnstoredCrashes(j)
+	}
+	c.unstored.adoptedSequence = c.unstored.lastSequence
+}
+
 // adoptStepCrashes adds the crashes under the tasks of a step that a former leader had counted.
 func (c *Core) adoptStepCrashes(s *step, p *stepProgress) {
 	for _, t := range s.tasks {
--- a/version/cell/unstored_test.go
+++ b/version/cell/unstored_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/lentiltide/lentiltide/model/job"
 )
 
 // crashedTwice returns a cluster in which task x.0.0.0 has crashed two of three workers, the first crash being stored.
@@ -76,3 +78,25 @@
 	assert.Assert(t, cc.core.UnstoredResults(0, 10, cc.now).Empty())
 	assert.Equal(t, len(cc.core.unstored.entries), 0)
 }
+
+// TestAdoptedResultsArePassedOn guards against results of a former leader that are lost with its successor, which has received them and
+// not stored them, and against results that are lost because they are young when the leadership ends.
+func TestAdoptedResultsArePassedOn(t *testing.T) {
+	cc := crashedTwice(t)
+	assert.Equal(t, len(cc.core.AllUnstoredResults().Crashes), 1)
+	crashes := cc.core.AllUnstoredResults().Crashes[0].Data
+	next := newCrashCluster(t, 2, "a1", "a2", "a3")
+	next.addJob("x", "plain", 1, stepWithTasks(1))
+	next.addJob("y", "plain", 1, stepWithTasks(1))
+	next.storeBatches()
+	next.core.AdoptCompletions([]job.ID{"y"}, next.now)
+	assert.NilError(t, next.core.AdoptCrashes("x", crashes, next.now))
+	results := next.core.AllUnstoredResults()
+	assert.DeepEqual(t, results.Completed, []job.ID{"y"})
+	assert.Equal(t, len(results.Crashes), 1)
+	assert.Equal(t, results.AdoptedSequence, results.Sequence)
+	next.storeBatches()
+	results = next.core.AllUnstoredResults()
+	assert.Assert(t, results.Empty())
+	assert.Assert(t, results.StoredSequence >= results.AdoptedSequence)
+}
