Keep replicated crashes until the ones that supersede them are durable

Cause: each crash, and each start after one, supersedes the entry of its job in the unstored results. The sequence number up to which all is durable then passed the superseded entry although nothing was stored, so the candidates removed what they held; the new entry followed 100 ms later, or never while a further one superseded it within that time. A leader lost in between took the count along. The same number let a leader call the results of its predecessors replicated (results_whole) before it had sent them. The class: data is given up when its successor exists, not when that is durable or replicated. Change: an entry carries the first sequence number that it supersedes, below which StoredSequence stays, and the time since when its job waits to be stored. Result: TestSupersededCrashesAreNotReportedAsStored and TestAdoptedCrashesAreWholeWhenTheirSuccessorIsSent fail before and pass.

--- a/version/cell/unstored.go
+++ b/version/cell/unstored.go
@@ -46,7 +46,10 @@
 	job      *jobState
 	// crashChange is the number of the change with the crash; 0 for a completion.
 	crashChange uint64
-	addedAt     Instant
+	// since is the sequence number of the first entry that this one supersedes, its own if there is none, and addedAt is when that was
+	// added.
+	since   uint64
+	addedAt Instant
 }
 
 // crashRecord says which change of a job holds the last crash of a worker under one of its tasks.
@@ -59,6 +62,9 @@
 func (u *unstoredResults) add(e unstoredEntry) uint64 {
 	u.lastSequence++
 	e.sequence = u.lastSequence
+	if e.since == 0 {
+		e.since = e.sequence
+	}
 	u.entries = append(u.entries, e)
 	return e.sequence
 }
@@ -78,13 +84,28 @@
 	c.unstored.add(unstoredEntry{job: j, addedAt: c.now})
 }
 
+// storedSequence returns the sequence number up to which all entries, those that others supersede included, are durable.
+func (u *unstoredResults) storedSequence() uint64 {
+	stored := u.lastSequence
+	for _, e := range u.entries {
+		stored = min(stored, e.since-1)
+	}
+	return stored
+}
+
 // addUnstoredCrashes adds the crashes under the tasks of a job, and their last starts, as of its last change. An earlier entry is
-// superseded.
+// superseded; instances that hold it keep it until this one is durable.
 func (c *Core) addUnstoredCrashes(j *jobState) uint64 {
+	c.unstored.removeStored()
+	added := unstoredEntry{job: j, crashChange: j.lastChange, addedAt: c.now}
 	c.unstored.entries = slices.DeleteFunc(c.unstored.entries, func(e unstoredEntry) bool {
-		return e.job == j && e.crashChange != 0
+		if e.job != j || e.crashChange == 0 {
+			return false
+		}
+		added.since, added.addedAt = e.since, e.addedAt
+		return true
 	})
-	return c.unstored.add(unstoredEntry{job: j, crashChange: j.lastChange, addedAt: c.now})
+	return c.unstored.add(added)
 }
 
 // holdAfterCrash makes the tasks of a job that may crash workers wait until the last crash outlasts this leader.
@@ -139,10 +160,7 @@
 func (c *Core) unstoredResults(after uint64, limit, maxBytes int, addedUntil Instant) UnstoredResults {
 	u := &c.unstored
 	u.removeStored()
-	out := UnstoredResults{Sequence: after, StoredSequence: u.lastSequence, AdoptedSequence: u.adoptedSequence}
-	if len(u.entries) > 0 {
-		out.StoredSequence = u.entries[0].sequence - 1
-	}
+	out := UnstoredResults{Sequence: after, StoredSequence: u.storedSequence(), AdoptedSequence: u.adoptedSequence}
 	bytes := 0
 	for _, e := range u.entries {
 		if e.sequence <= after {
--- a/version/cell/unstored_test.go
+++ b/version/cell/unstored_test.go
@@ -100,3 +100,40 @@
 	assert.Assert(t, results.Empty())
 	assert.Assert(t, results.StoredSequence >= results.AdoptedSequence)
 }
+
+// TestSupersededCrashesAreNotReportedAsStored guards against instances that forget the crashes under a task when another crash takes their
+// place, which they receive later: a leader lost in between would take both along.
+func TestSupersededCrashesAreNotReportedAsStored(t *testing.T) {
+	cc := crashedTwice(t)
+	cc.advance(unstoredReportDelay)
+	held := cc.core.UnstoredResults(0, 10, cc.now)
+	assert.Equal(t, len(held.Crashes), 1)
+	cc.core.SetReplicated(held.Sequence)
+	cc.crash(cc.start("x.0.0.0"))
+	results := cc.core.UnstoredResults(held.Sequence, 0, cc.now)
+	assert.Assert(t, results.StoredSequence < held.Sequence, "nothing was stored, and %d is reported as stored", results.StoredSequence)
+	results = cc.core.UnstoredResults(held.Sequence, 10, cc.now)
+	assert.Equal(t, len(results.Crashes), 1, "the record is older than a write takes, whatever superseded it")
+	assert.Assert(t, results.StoredSequence < held.Sequence)
+	cc.storeBatches()
+	results = cc.core.UnstoredResults(results.Sequence, 10, cc.now)
+	assert.Assert(t, results.StoredSequence >= results.Sequence)
+}
+
+// TestAdoptedCrashesAreWholeWhenTheirSuccessorIsSent guards against a leader that takes its adopted crashes for replicated although a crash
+// that supersedes them has not been sent yet.
+func TestAdoptedCrashesAreWholeWhenTheirSuccessorIsSent(t *testing.T) {
+	former := crashedTwice(t)
+	next := newCrashCluster(t, 2, "a1", "a2", "a3")
+	next.addJob("x", "plain", 1, stepWithTasks(1))
+	for range 2 {
+		assert.NilError(t, next.core.AdoptCrashes("x", former.core.AllUnstoredResults().Crashes[0].Data, next.now))
+	}
+	results := next.core.UnstoredResults(0, 10, next.now)
+	assert.Assert(t, results.Empty())
+	assert.Assert(t, max(results.Sequence, results.StoredSequence) < results.AdoptedSequence)
+	next.advance(unstoredReportDelay)
+	results = next.core.UnstoredResults(0, 10, next.now)
+	assert.Equal(t, len(results.Crashes), 1)
+	assert.Assert(t, results.Sequence >= results.AdoptedSequence)
+}
