Keep the results that an instance hands over when it is no candidate

What is seen: work that had ended is repeated after two leaders are lost in a row, where the instance that holds the results of the first is not among the six candidates of the second. Cause: the reply to a join of an instance that is no candidate left adopted_sequence and stored_sequence at 0, which means that nothing was adopted, although the leader had adopted the results in that join. The instance then dropped them at once. In a cell of eight or more instances each leader has such members, and a former leader may be one. The class: data is given up when it is handed over. Change: the reply carries both numbers to every instance; the results themselves still go to candidates only.

--- a/process/node/handover_test.go
+++ b/process/node/handover_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
 	"github.com/lentiltide/lentiltide/model/job"
 )
 
@@ -87,3 +88,41 @@
 		})
 	}
 }
+
+// Guards against results of a former leader that are lost with its successor, because the instance that held them is no candidate any
+// longer and forgets them when it hands them over.
+func TestInstanceThatIsNoCandidateKeepsWhatItHandsOver(t *testing.T) {
+	runInCell(t, func(t *testing.T, c *testCell) {
+		assert.NilError(t, c.submit(c.follower(), "a", 1, smallTask(time.Minute), nil))
+		time.Sleep(300 * time.Millisecond)
+		l, holder := c.nodes[c.leader()].loadedLeadership(), c.follower()
+		c.tables.SetFault(refuseAll)
+		c.isolate(holder.opts.Instance)
+		for i := range maxCandidates {
+			l.handleJoin(&peerpb.Join{Instance: fmt.Sprint("large", i), CpuShare: 8})
+		}
+		former := newResultReplica(l.epoch - 1)
+		former.merge(&peerpb.JoinReply{Epoch: former.epoch, UnstoredJobs: []string{"a"}, UnstoredSequence: 7})
+		holder.mu.Lock()
+		holder.replica = former
+		holder.replica.handOver = true
+		holder.mu.Unlock()
+		join := holder.joinRequest()
+		reply := l.handleJoin(join)
+		assert.Assert(t, !reply.GetCandidate())
+		requireHeld := func(want int) {
+			t.Helper()
+			holder.mu.Lock()
+			defer holder.mu.Unlock()
+			holder.updateReplica(join, reply)
+			assert.Equal(t, holder.replica.epoch, l.epoch)
+			assert.Equal(t, holder.replica.size(), want)
+		}
+		requireHeld(1)
+		c.tables.SetFault(nil)
+		time.Sleep(time.Second)
+		join = holder.joinRequest()
+		reply = l.handleJoin(join)
+		requireHeld(0)
+	})
+}
--- a/process/node/replica.go
+++ b/process/node/replica.go
@@ -129,24 +129,26 @@
 }
 
 // replicate adds the results that are not durable to the reply to a join of a candidate, and records what the candidates
-// hold.
+// hold. Other instances learn up to which number the results are durable.
 func (l *leadership) replicate(join *peerpb.Join, reply *peerpb.JoinReply) {
 	if join.GetReplicatedEpoch() < l.epoch {
 		l.adoptResults(join.GetInstance(), join.GetReplicatedJobs(), join.GetReplicatedCrashes())
 	}
-	if !reply.GetCandidate() {
-		l.recordReplica(join.GetInstance(), nil)
-		return
-	}
-	after := uint64(0)
+	after, limit := uint64(0), maxReplicatedJobs
 	if join.GetReplicatedEpoch() == l.epoch {
 		after = join.GetReplicatedSequence()
 	}
-	l.recordReplica(join.GetInstance(), &after)
-	unstored := l.core.UnstoredResults(after, maxReplicatedJobs, l.node.opts.Now())
+	held := &after
+	if !reply.GetCandidate() {
+		// The instance gets no results. It keeps those that it has handed over until they are stored.
+		limit, held = 0, nil
+	}
+	l.recordReplica(join.GetInstance(), held)
+	unstored := l.core.UnstoredResults(after, limit, l.node.opts.Now())
 	reply.UnstoredSequence, reply.StoredSequence = unstored.Sequence, unstored.StoredSequence
 	reply.AdoptedSequence = unstored.AdoptedSequence
-	reply.ResultsWhole = l.resultsWhole(l.node.opts.Now()) && max(unstored.Sequence, unstored.StoredSequence) >= unstored.AdoptedSequence
+	reply.ResultsWhole = reply.GetCandidate() && l.resultsWhole(l.node.opts.Now()) &&
+		max(unstored.Sequence, unstored.StoredSequence) >= unstored.AdoptedSequence
 	for _, id := range unstored.Completed {
 		reply.UnstoredJobs = append(reply.UnstoredJobs, string(id))
 	}
