Begin the retention of a job when its final state is reported

What callers saw: a job that was completed in an outage of the store is answered as not found (410) earlier than the retention after it was first shown as completed, after an outage longer than the retention within 2 s. Cause: the retention began when the final state was decided. Since final states are reported only when they are durable, an outage takes up part of it. Change: the retention begins when the state is known to be durable. Result: TestRetentionBeginsWhenTheFinalStateIsReported fails before (removed at once) and passes.

--- a/version/cell/durability_test.go
+++ b/version/cell/durability_test.go
@@ -167,3 +167,22 @@
 	tc.answerPoll(worker, running[worker][3:], ended)
 	assert.Equal(t, tc.acknowledged(worker), int64(3))
 }
+
+// TestRetentionBeginsWhenTheFinalStateIsReported guards against a completed job that callers cannot see, because an outage of the store has
+// taken up its retention: it would be removed as soon as its final state is durable.
+func TestRetentionBeginsWhenTheFinalStateIsReported(t *testing.T) {
+	tc := newStartedTestCluster(t, stepWithTasks(1))
+	tc.confirmStarts()
+	tc.answerPoll("w1", nil, []backend.FinishedRun{tc.completion("w1", "a.0.0.0", 1, backend.ResultDone)})
+	outage := tc.core.opts.Retention + time.Second
+	tc.now += outage
+	assert.Equal(t, tc.state("a"), job.Running)
+	tc.storeBatches()
+	assert.Equal(t, tc.state("a"), job.Completed)
+	tc.now += tc.core.opts.Retention - time.Second
+	tc.step()
+	assert.Equal(t, len(tc.core.TakeExpired(10)), 0, "the state was reported for less than the retention")
+	tc.now += 2 * time.Second
+	tc.step()
+	assert.DeepEqual(t, tc.core.TakeExpired(10), []job.ID{"a"})
+}
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -34,7 +34,8 @@
 	// stored for itself, since the store may refuse the row of one.
 	lastChange, storedChange uint64
 	refusal                  rowRefusal
-	finishedAt               Instant
+	// finishedAt is when the final state was decided, and reportedAt when it was known to be durable.
+	finishedAt, reportedAt Instant
 	// lastCrash is the record of the last crash of a worker under a task of the job.
 	lastCrash crashRecord
 	// expired means that the retention has passed.
@@ -244,7 +245,7 @@
 		return
 	}
 	c.jobs[id] = &jobState{
-		id: id, state: state, reportedState: state, finishedAt: c.now, started: true, occurrences: map[int]*occurrence{},
+		id: id, state: state, reportedState: state, finishedAt: c.now, reportedAt: c.now, started: true, occurrences: map[int]*occurrence{},
 	}
 }
 
--- a/version/cell/progress.go
+++ b/version/cell/progress.go
@@ -96,11 +96,11 @@
 	return batch
 }
 
-// expireFinishedJobs marks jobs past their retention, whose rows can be removed. The jobs stay known until their
+// expireFinishedJobs marks jobs past their retention, which begins when callers can see the final state. Their rows can be removed. The jobs stay known until their
 // records are removed, so that a record that is read again does not start them.
 func (c *Core) expireFinishedJobs() {
 	for id, j := range c.jobs {
-		if !j.expired && j.reportedState.Terminal() && c.now > j.finishedAt+c.opts.Retention && !j.hasRuns() {
+		if !j.expired && j.reportedState.Terminal() && c.now > j.reportedAt+c.opts.Retention && !j.hasRuns() {
 			j.expired = true
 			j.occurrences = map[int]*occurrence{}
 			c.expiredJobs = append(c.expiredJobs, id)
@@ -165,11 +165,13 @@
 // reportState reports the final state of a job, which has become durable. A state that was not durable for longer than a write takes
 // is logged.
 func (c *Core) reportState(j *jobState) {
-	unstored := c.now - j.finishedAt
-	if !j.reportedState.Terminal() && unstored > unstoredReportDelay {
+	if j.reportedState.Terminal() {
+		return
+	}
+	if unstored := c.now - j.finishedAt; unstored > unstoredReportDelay {
 		c.logDecision("final_state_stored", j.id, map[string]any{"state": j.state, "unstored_ms": unstored.Milliseconds()})
 	}
-	j.reportedState = j.state
+	j.reportedState, j.reportedAt = j.state, c.now
 }
 
 // BatchRefused records that the store refuses a batch with a single row whatever happens. The row is not written again for a while,
