Wait for results that a resigned leader has not stored

What is seen: work that had ended is repeated when a leader resigns soon after its takeover, or with more results than one write holds. Cause: a successor took a resignation for the statement that all results are durable. The class: data is given up when it is handed over. Change: the row of a resigned leader says whether results may not be durable (unstored): its rows were not loaded, it still waited for those of others, or its last write does not hold all. Rows of older programs do not have the field and are taken as before.

--- a/process/node/handover_test.go
+++ b/process/node/handover_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -18,26 +19,7 @@
 		lostAfter := lostAfter * time.Millisecond
 		t.Run(fmt.Sprint(lostAfter), func(t *testing.T) {
 			runWithCrashes(t, 4, func(t *testing.T, c *testCell) {
-				c.startOutage()
-				c.crashAllWorkers()
-				holder := ""
-				for _, name := range c.names() {
-					if name != c.leader() {
-						holder = name
-					}
-				}
-				for _, name := range c.names() {
-					if name != holder {
-						c.kill(name)
-						c.start(name)
-					}
-				}
-				time.Sleep(restartTime)
-				// The holder reaches neither the store nor the others until the second of the restarted instances has taken over.
-				c.isolate(holder)
-				c.setStoreFault(holder, refusedFault)
-				c.tables.SetFault(nil)
-				first := c.awaitTakeover("")
+				holder, first := c.loseAllButAFollower()
 				time.Sleep(lostAfter)
 				c.kill(first)
 				second := c.awaitTakeover(first)
@@ -126,3 +108,51 @@
 		requireHeld(0)
 	})
 }
+
+// Guards against work that is repeated because the results of a former leader count as durable when its successor resigns, which has not
+// received them: an instance that has restarted leads next and does not wait for those of others.
+func TestResignationDoesNotHideTheResultsOfOthers(t *testing.T) {
+	for _, resignsAfter := range []time.Duration{0, 20, 100, 300} {
+		resignsAfter := resignsAfter * time.Millisecond
+		t.Run(fmt.Sprint(resignsAfter), func(t *testing.T) {
+			runWithCrashes(t, 4, func(t *testing.T, c *testCell) {
+				holder, first := c.loseAllButAFollower()
+				time.Sleep(resignsAfter)
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				c.nodes[first].Leave(ctx)
+				cancel()
+				c.kill(first)
+				second := c.awaitTakeover(first)
+				assert.Assert(t, second != holder)
+				c.isolate("")
+				c.setStoreFault(holder, 0)
+				c.requireCompletedInTheEnd()
+				c.requireOneStartEach()
+			})
+		})
+	}
+}
+
+// loseAllButAFollower crashes the workers and restarts all instances but one in an outage of the store. The remaining one, the holder of the
+// results, reaches neither the store nor the others when the store is back. It returns when the first of the restarted instances leads.
+func (c *testCell) loseAllButAFollower() (holder, first string) {
+	c.t.Helper()
+	c.startOutage()
+	c.crashAllWorkers()
+	for _, name := range c.names() {
+		if name != c.leader() {
+			holder = name
+		}
+	}
+	for _, name := range c.names() {
+		if name != holder {
+			c.kill(name)
+			c.start(name)
+		}
+	}
+	time.Sleep(restartTime)
+	c.isolate(holder)
+	c.setStoreFault(holder, refusedFault)
+	c.tables.SetFault(nil)
+	return holder, c.awaitTakeover("")
+}
--- a/process/node/leadership.go
+++ b/process/node/leadership.go
@@ -98,6 +98,9 @@
 	// Claim is unique for each takeover attempt. An instance recognizes its own write by it if the answer was lost.
 	Claim    string `json:"claim"`
 	Resigned bool   `json:"resigned,omitempty"`
+	// Unstored means that results may not be durable although the leader has resigned: its own, or those of its predecessors, which other
+	// instances hold.
+	Unstored bool `json:"unstored,omitempty"`
 	// LeaseExtensionMS is how long after the row was written the leaders before the instance may extend leases, in milliseconds.
 	LeaseExtensionMS int64 `json:"lease_extension_ms,omitempty"`
 }
--- a/process/node/replica.go
+++ b/process/node/replica.go
@@ -240,8 +240,8 @@
 	return sequence, ok
 }
 
-// adoptReplica adopts the results in this instance's own replica of its predecessor. Unless that is whole, it leaves the others some time
-// to send theirs.
+// adoptReplica adopts the results in this instance's own replica of its predecessor. Unless that is whole, or the predecessor has stored
+// all before it resigned, it leaves the others some time to send theirs.
 func (l *leadership) adoptReplica() {
 	n := l.node
 	n.mu.Lock()
@@ -249,7 +249,8 @@
 	completed, crashes := n.replica.messages()
 	n.mu.Unlock()
 	l.adoptResults(n.opts.Instance, completed, crashes)
-	waits := l.predecessor.Epoch != 0 && !l.predecessor.Resigned && (epoch != l.predecessor.Epoch || !whole)
+	replicated := epoch == l.predecessor.Epoch && whole
+	waits := l.predecessor.Epoch != 0 && (l.predecessor.Unstored || !l.predecessor.Resigned && !replicated)
 	if waits {
 		until := n.opts.Now() + replicaWait
 		l.core.HoldRecovered(until)
--- a/process/node/shutdown.go
+++ b/process/node/shutdown.go
@@ -67,6 +67,7 @@
 		if !refused {
 			batch = l.core.CollectBatch(maxBatchRows)
 		}
+		row.Unstored = !l.isLoaded() || !l.resultsWhole(l.node.opts.Now()) || !l.core.AreResultsIn(batch)
 		l.writeCount++
 		txn, err := l.buildTxn(batch, row, false)
 		if err != nil {
@@ -81,7 +82,7 @@
 		}
 		l.core.BatchStored(batch, stored, l.node.opts.Now())
 		l.node.opts.Log.WithFields(map[string]any{
-			"event": "leadership_resigned", "epoch": l.epoch, "stored": stored, "error": errText(err),
+			"event": "leadership_resigned", "epoch": l.epoch, "stored": stored, "unstored": row.Unstored, "error": errText(err),
 		}).Info("resignation")
 		if stored || lost {
 			return
--- a/version/cell/unstored.go
+++ b/version/cell/unstored.go
@@ -181,6 +181,21 @@
 	return out
 }
 
+// AreResultsIn reports whether all results that are not durable are in a batch.
+func (c *Core) AreResultsIn(b Batch) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.mu.panicked {
+		return false
+	}
+	c.unstored.removeStored()
+	collected := map[*jobState]uint64{}
+	for _, p := range b.Progress {
+		collected[p.state] = p.change
+	}
+	return !slices.ContainsFunc(c.unstored.entries, func(e unstoredEntry) bool { return collected[e.job] < e.job.lastChange })
+}
+
 // SetReplicated records that the instances that may lead next hold the results up to a sequence number.
 func (c *Core) SetReplicated(sequence uint64) {
 	c.mu.Lock()
--- a/version/cell/unstored_test.go
+++ b/version/cell/unstored_test.go
@@ -137,3 +137,22 @@
 	assert.Equal(t, len(results.Crashes), 1)
 	assert.Assert(t, results.Sequence >= results.AdoptedSequence)
 }
+
+// TestResultsBeyondABatch guards against a leader that resigns as if all results were durable, although they did not fit into its last
+// write.
+func TestResultsBeyondABatch(t *testing.T) {
+	tc := newTestCluster(t, 2)
+	tc.addJob("x", "plain", 1, stepWithTasks(1))
+	tc.addJob("y", "plain", 1, stepWithTasks(1))
+	assert.Assert(t, tc.core.AreResultsIn(Batch{}))
+	tc.core.AdoptCompletions([]job.ID{"x", "y"}, tc.now)
+	first := tc.core.CollectBatch(1)
+	assert.Equal(t, len(first.Progress), 1)
+	assert.Assert(t, !tc.core.AreResultsIn(first))
+	tc.core.BatchStored(first, false, tc.now)
+	both := tc.core.CollectBatch(10)
+	assert.Assert(t, tc.core.AreResultsIn(both))
+	assert.Assert(t, !tc.core.AreResultsIn(Batch{}))
+	tc.core.BatchStored(both, true, tc.now)
+	assert.Assert(t, tc.core.AreResultsIn(Batch{}))
+}
