Make the report of a wave conditional on the one before it

What the operator sees: a wave that was reported as completed is shown as running, and stays so until another leader reports it again. Cause: reports were written unconditionally. A first report without an answer, or one of a former leader, may be carried out seconds later, after the report of the completion. The class: an answer that binds is overwritten by one that rests on an earlier state. Change: the write is conditional on the report that was read before it, and a completed wave is not reported as running. It costs one read for each report. Result: TestLateReportDoesNotReopenAWave fails before (running after completed) and passes.

--- a/process/node/maintenance.go
+++ b/process/node/maintenance.go
@@ -23,10 +23,21 @@
 	return l.node.opts.Machines.Maintain(ctx, leader, a.Machine, a.Wave)
 }
 
-// reportWave writes the state of a wave for the operator.
+// reportWave writes the state of a wave for the operator, unless the wave was reported as completed. The write is conditional on the
+// state before it, so that one without an answer, or one of a former leader, does not take effect after a later one.
 func (l *leadership) reportWave(ctx context.Context, a *cell.WaveAction) error {
-	status := l.node.opts.Decoder.WaveStatus(a.Wave, a.Completed)
-	_, err := l.node.tables.Commit(ctx, backend.Txn{Put: []backend.Row{status}})
+	decoder := l.node.opts.Decoder
+	status := decoder.WaveStatus(a.Wave, a.Completed)
+	reported, err := l.node.tables.Get(ctx, status.RowKey)
+	if err != nil {
+		return err
+	}
+	if !a.Completed && decoder.IsWaveCompleted(reported) {
+		return nil
+	}
+	_, err = l.node.tables.Commit(ctx, backend.Txn{
+		Expected: []backend.Row{{RowKey: status.RowKey, Version: reported.Version}}, Put: []backend.Row{status},
+	})
 	return err
 }
 
--- a/process/node/maintenance_test.go
+++ b/process/node/maintenance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -57,3 +58,31 @@
 		assert.DeepEqual(t, c.machines.tokens, []uint64{l.epoch})
 	})
 }
+
+// Guards against a wave that the operator is told is running after it was told that the wave is completed: the first report had no answer
+// and is carried out late.
+func TestLateReportDoesNotReopenAWave(t *testing.T) {
+	runInCell(t, func(t *testing.T, c *testCell) {
+		l := c.nodes[c.leader()].loadedLeadership()
+		status := testDecoder{}.WaveStatus(7, true)
+		requireReported := func(completed bool) {
+			t.Helper()
+			row, err := c.tables.Get(t.Context(), status.RowKey)
+			assert.NilError(t, err)
+			assert.Equal(t, string(row.Value), fmt.Sprint(completed))
+		}
+		c.slow.setSpeed(10*time.Millisecond, 2*time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		assert.Assert(t, l.reportWave(ctx, &cell.WaveAction{Wave: 7}) != nil)
+		cancel()
+		c.slow.setSpeed(0, 0)
+		assert.NilError(t, l.reportWave(t.Context(), &cell.WaveAction{Wave: 7}))
+		requireReported(false)
+		assert.NilError(t, l.reportWave(t.Context(), &cell.WaveAction{Wave: 7, Completed: true}))
+		requireReported(true)
+		time.Sleep(2 * time.Second)
+		requireReported(true)
+		assert.NilError(t, l.reportWave(t.Context(), &cell.WaveAction{Wave: 7}))
+		requireReported(true)
+	})
+}
