Never add a job without its progress when that cannot be decoded

What callers would see: tasks of a job that was shown as completed start again. It takes a progress row that the leader cannot decode, as from a newer program or a damaged one; none is known to have occurred. Cause: such a job was left out when the rows were loaded, and added without progress as soon as its record arrived by another path: when the table is read again since the store has dropped its history, by a message, or with a second record in the other shard. Its cancellation was removed after a minute as that of a job that does not exist. Change: the scheduler remembers jobs whose progress cannot be decoded and adds them only with progress that can.

--- a/process/node/lookup_test.go
+++ b/process/node/lookup_test.go
@@ -97,3 +97,38 @@
 		c.setSilentFeed("")
 	})
 }
+
+// Guards against a completed job that runs again because its durable progress cannot be decoded: it is left out when the rows are loaded,
+// and must not be added without its progress when the table is read again, by a message, or with a second record.
+func TestJobWithUnreadableProgressDoesNotStart(t *testing.T) {
+	cases := map[string]func(c *testCell){
+		"the table is read again": func(c *testCell) {
+			c.setSilentFeed(jobTable)
+			c.tables.TrimHistory()
+			c.setSilentFeed("")
+		},
+		"the record is sent again": func(c *testCell) {
+			c.nodes[c.leader()].loadedLeadership().applyNotification("a", c.tables.Rows(jobTable)["a"].Value)
+		},
+		"another record is stored": func(c *testCell) {
+			c.tables.Put(jobKey("a", shardsOf("a")[1]), c.tables.Rows(jobTable)["a"].Value)
+		},
+	}
+	for name, repeat := range cases {
+		t.Run(name, func(t *testing.T) {
+			runInCell(t, func(t *testing.T, c *testCell) {
+				assert.NilError(t, c.submit(c.follower(), "a", 1, smallTask(time.Second), nil))
+				time.Sleep(3 * time.Second)
+				c.requireState(c.follower(), "a", job.Completed)
+				c.tables.Put(progressKey("a"), []byte("{"))
+				c.kill(c.leader())
+				for c.leader() == "" {
+					time.Sleep(100 * time.Millisecond)
+				}
+				repeat(c)
+				time.Sleep(5 * time.Second)
+				assert.Equal(t, c.workers.Starts("a.0.0.0"), 1)
+			})
+		})
+	}
+}
--- a/version/cell/cancel.go
+++ b/version/cell/cancel.go
@@ -26,12 +26,15 @@
 const earlyCancelTTL = time.Minute
 
 // TakeExpiredCancels returns at most limit jobs that have not become known within earlyCancelTTL of their cancellation, and forgets them.
-// The rows of the cancellations can be removed.
+// The rows of the cancellations can be removed. Those of jobs whose progress cannot be decoded are kept.
 func (c *Core) TakeExpiredCancels(limit int) []job.ID {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var ids []job.ID
 	for id, at := range c.earlyCancels {
+		if _, unreadable := c.unreadable[id]; unreadable {
+			continue
+		}
 		if len(ids) < limit && c.now > at+earlyCancelTTL {
 			delete(c.earlyCancels, id)
 			ids = append(ids, id)
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -59,6 +59,8 @@
 	unreadChanged bool
 	// earlyCancels holds when jobs were cancelled whose records have not arrived yet.
 	earlyCancels map[job.ID]Instant
+	// unreadable are jobs whose durable progress cannot be decoded. They are not started: their tasks may have ended.
+	unreadable map[job.ID]struct{}
 	// lookups are the jobs that are not known and of which workers list tasks.
 	lookups map[job.ID]*jobLookup
 	workers map[string]*worker
@@ -125,7 +127,7 @@
 func New(opts Options, now Instant) *Core {
 	c := &Core{
 		opts: opts, epochStart: now, now: now, fleetVersion: 1,
-		jobs: map[job.ID]*jobState{}, recurring: map[job.ID]*jobState{}, teams: map[string]*team{}, earlyCancels: map[job.ID]Instant{},
+		jobs: map[job.ID]*jobState{}, recurring: map[job.ID]*jobState{}, teams: map[string]*team{}, earlyCancels: map[job.ID]Instant{}, unreadable: map[job.ID]struct{}{},
 		lookups: map[job.ID]*jobLookup{}, workers: map[string]*worker{}, awaitingAcks: map[*worker]struct{}{},
 		advisers: map[string]*adviser{}, inventoryPending: map[string]struct{}{},
 		dirtyJobs: map[job.ID]*jobState{}, changedFleetShards: map[int]struct{}{}, approvalRates: map[string]float64{}, kindSpeeds: map[string]*speedEstimate{}, waves: map[int]*wave{},
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -159,6 +159,9 @@
 		c.lowerEpoch(j, record.Epoch)
 		return
 	}
+	if _, unreadable := c.unreadable[id]; unreadable {
+		return
+	}
 	if record.Epoch > c.opts.Epoch {
 		// The instance that accepted the job knows a later leader, which does not expect starts by this one.
 		c.superseded = true
--- a/version/cell/progress.go
+++ b/version/cell/progress.go
@@ -368,10 +368,14 @@
 	return row.State, len(row.Steps)+len(row.Done) > 0
 }
 
-// LoadProgress adds a job with its durable progress.
+// LoadProgress adds a job with its durable progress. A job whose progress cannot be decoded is not added later either, unless it is loaded
+// with progress that can.
 func (c *Core) LoadProgress(id job.ID, record job.Record, data []byte, now Instant) error {
 	row, err := decodeProgress(data)
 	if err != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.unreadable[id] = struct{}{}
 		return errors.Wrapf(err, "decode progress of job %s", id)
 	}
 	if row.State.Terminal() {
@@ -381,6 +385,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.now = max(c.now, now)
+	delete(c.unreadable, id)
 	c.addJob(id, record, row)
 	return nil
 }
