Take no results of former leaders with a scheduler that has failed

What is seen: work that had ended is repeated when a leader ends by an internal error in an outage of the store. Cause: while such a leader tried to resign it still answered joins. Its scheduler reports that nothing was adopted, so the sender gave up the results that it handed over, and the leader drops its own when it ends. The class: data is given up when it is handed over. Change: it answers joins like an instance that does not lead; the sender keeps its results for the next leader. Result: TestFailedLeaderTakesNoResults fails before (the join is answered) and passes.

--- a/process/node/panic_test.go
+++ b/process/node/panic_test.go
@@ -315,3 +315,28 @@
 	p.received <- req.GetWorkerResults()
 	return nil
 }
+
+// Guards against results of a former leader that an instance gives up when it hands them to a leader whose scheduler has failed, which
+// drops them.
+func TestFailedLeaderTakesNoResults(t *testing.T) {
+	runInCell(t, func(t *testing.T, c *testCell) {
+		leader, follower := c.nodes[c.leader()], c.follower()
+		l := leader.loadedLeadership()
+		// The resignation after the failure cannot be written.
+		c.tables.SetFault(refuseAll)
+		c.mu.Lock()
+		c.panicking = panicAtEvent{leader.opts.Instance, "job_added", 1}
+		c.mu.Unlock()
+		record, err := json.Marshal(job.Record{Epoch: l.epoch})
+		assert.NilError(t, err)
+		c.handlePeer(t.Context(), leader, &peerpb.Request{Body: &peerpb.Request_JobStored{JobStored: &peerpb.JobStored{Job: "a", Record: record}}})
+		time.Sleep(20 * time.Millisecond)
+		assert.Assert(t, l.core.Failed())
+		reply := leader.handlePeer(t.Context(), &peerpb.Request{Body: &peerpb.Request_Join{Join: &peerpb.Join{
+			Instance: follower.opts.Instance, ReplicatedEpoch: l.epoch - 1, ReplicatedJobs: []string{"b"},
+		}}})
+		assert.Assert(t, reply.GetError() != nil)
+		assert.Assert(t, reply.GetJoin() == nil)
+		c.tables.SetFault(nil)
+	})
+}
--- a/process/node/peers.go
+++ b/process/node/peers.go
@@ -160,6 +160,10 @@
 	}
 	switch body := req.GetBody().(type) {
 	case *peerpb.Request_Join:
+		if l.core.Failed() {
+			// The sender keeps the results that it would hand over.
+			return n.notLeader()
+		}
 		reply.Body = &peerpb.Reply_Join{Join: l.handleJoin(body.Join)}
 	case *peerpb.Request_JobStored:
 		l.applyNotification(job.ID(body.JobStored.GetJob()), body.JobStored.GetRecord())
