Remove no cancellation of a job that exists

What callers would see: a job runs although its cancellation was acknowledged. Cause: a leader removed the stored cancellation of a job that it had not come to know within a minute, as that of a job that does not exist, without looking. The class: what backs an answer that binds is given up on the word of memory that is not complete. Change: it reads the record first, in both shards; if that exists or cannot be read, the cancellation is kept for another minute. Result: TestCancellationOfAJobThatTheLeaderReadsLate fails before (1 start, expected 0) and passes.

--- a/process/node/earlycancel_test.go
+++ b/process/node/earlycancel_test.go
@@ -96,3 +96,22 @@
 		assert.Assert(t, !shown.Terminal() || shown == final, "%s was shown before %s", shown, final)
 	})
 }
+
+// Guards against a job that runs although its cancellation was acknowledged: the leader learns of the cancellation by a message, and of the
+// job only after it has removed the cancellation as that of a job that does not exist.
+func TestCancellationOfAJobThatTheLeaderReadsLate(t *testing.T) {
+	for shard := range 2 {
+		runInCell(t, func(t *testing.T, c *testCell) {
+			id := job.ID("late")
+			c.setSilentFeed(jobTable)
+			_, epoch := c.follower().leaderAddress()
+			c.storeRecord(id, shardsOf(id)[shard], epoch, time.Second)
+			assert.NilError(t, c.cancel(c.follower(), string(id)))
+			time.Sleep(80 * time.Second)
+			c.setSilentFeed("")
+			time.Sleep(5 * time.Second)
+			assert.Equal(t, c.workers.Starts("late.0.0.0"), 0)
+			c.requireState(c.follower(), string(id), job.Cancelled)
+		})
+	}
+}
--- a/process/node/retention.go
+++ b/process/node/retention.go
@@ -41,13 +41,27 @@
 // removeCancels removes the cancellations of jobs that have never become known. If a removal fails, the next leader repeats it.
 func (l *leadership) removeCancels(ctx context.Context) {
 	for _, id := range l.core.TakeExpiredCancels(maxRemovedJobs) {
-		for _, shard := range shardsOf(id) {
-			txn := backend.Txn{Remove: []backend.RowKey{cancelKey(id, shard)}}
-			if _, err := l.node.tables.Commit(ctx, txn); err != nil {
-				l.node.opts.Log.WithError(err).WithFields(map[string]any{"event": "cancel_not_removed", "job": id}).Info("expired cancellation was not removed")
-			}
+		if err := l.removeCancel(ctx, id); err != nil {
+			l.node.opts.Log.WithError(err).WithFields(map[string]any{"event": "cancel_not_removed", "job": id}).Info("expired cancellation was not removed")
+		}
+	}
+}
+
+// removeCancel removes the cancellation of a job that has not become known. If the job exists, as when its record could not be read for a
+// long time, or that cannot be read, the scheduler keeps the cancellation.
+func (l *leadership) removeCancel(ctx context.Context, id job.ID) error {
+	record, err := l.node.readRow(ctx, id, jobKey)
+	if err != nil || record.Version != 0 {
+		l.core.CancelJob(id, l.node.opts.Now())
+		return err
+	}
+	for _, shard := range shardsOf(id) {
+		txn := backend.Txn{Remove: []backend.RowKey{cancelKey(id, shard)}}
+		if _, err = l.node.tables.Commit(ctx, txn); err != nil {
+			return err
 		}
 	}
+	return nil
 }
 
 // removeRows removes the rows of jobs from every shard in which they may be. It is safe to repeat.
