--- a/process/node/shown_test.go
+++ b/process/node/shown_test.go
@@ -162,3 +162,33 @@
 	c.t.Fatal("no instance takes over")
 	return ""
 }
+
+// Guards against tasks of a job that callers were shown as completed and that start again, because the write of its final state counted as
+// done while the store had not executed it, or executed it late: all instances and workers are lost around that time.
+func TestShownJobStaysCompletedWhileWritesAreLate(t *testing.T) {
+	for _, txnTime := range []time.Duration{250 * time.Millisecond, 900 * time.Millisecond, 2 * time.Second} {
+		for _, lostAfter := range []time.Duration{800, 1100, 1400, 1700, 2000, 2600, 3200, 4000} {
+			lostAfter := lostAfter * time.Millisecond
+			t.Run(fmt.Sprintf("%v, lost after %v", txnTime, lostAfter), func(t *testing.T) {
+				runWithCrashes(t, 4, func(t *testing.T, c *testCell) {
+					defer c.lateCalls.Wait()
+					assert.NilError(t, c.submit(c.follower(), "a", shownTasks, smallTask(shownTaskTime), nil))
+					time.Sleep(300 * time.Millisecond)
+					c.slow.setSpeed(20*time.Millisecond, txnTime)
+					for end := time.Now().Add(lostAfter); time.Now().Before(end); time.Sleep(watchInterval) {
+						c.showState("a")
+					}
+					c.crashAllWorkers()
+					for _, name := range c.names() {
+						c.kill(name)
+					}
+					c.slow.setSpeed(0, 0)
+					for _, name := range c.names() {
+						c.start(name)
+					}
+					c.requireCompletedInTheEnd()
+				})
+			})
+		}
+	}
+}
