--- a/process/node/earlycancel_test.go
+++ b/process/node/earlycancel_test.go
@@ -71,3 +71,47 @@
 		assert.Equal(t, len(c.tables.Rows(cancelTable)), 0)
 	})
 }
+
+// Guards against a final state that is taken back: a caller was told that a job is cancelled, since its cancellation is stored, while the
+// leader has completed the job before and could not store that yet.
+func TestStoredCancellationIsNoFinalState(t *testing.T) {
+	runInCell(t, func(t *testing.T, c *testCell) {
+		leader, asked := c.leader(), c.follower()
+		assert.NilError(t, c.submit(asked, "a", 1, smallTask(500*time.Millisecond), nil))
+		time.Sleep(300 * time.Millisecond)
+		// The leader reaches the workers, but neither the store nor other instances, for less than a takeover takes.
+		c.setStoreFault(leader, backends.FaultRefused)
+		c.isolate(leader)
+		time.Sleep(400 * time.Millisecond)
+		assert.Assert(t, c.workers.Done("a.0.0.0"))
+		assert.NilError(t, asked.Cancel(t.Context(), job.Queue{Name: testQueue}, "a"))
+		shown, err := c.state(asked, "a")
+		assert.NilError(t, err)
+		c.isolate("")
+		c.setStoreFault(leader, backends.FaultNone)
+		time.Sleep(2 * time.Second)
+		final, err := c.state(asked, "a")
+		assert.NilError(t, err)
+		assert.Assert(t, final.Terminal())
+		assert.Assert(t, !shown.Terminal() || shown == final, "%s was shown before %s", shown, final)
+	})
+}
+
+// Guards against a job that runs although its cancellation was acknowledged: the leader learns of the cancellation by a message, and of the
+// job only after it has removed the cancellation as that of a job that does not exist.
+func TestCancellationOfAJobThatTheLeaderReadsLate(t *testing.T) {
+	for shard := range 2 {
+		runInCell(t, func(t *testing.T, c *testCell) {
+			id := job.ID("late")
+			c.setSilentFeed(jobTable)
+			_, epoch := c.follower().leaderAddress()
+			c.storeRecord(id, shardsOf(id)[shard], epoch, time.Second)
+			assert.NilError(t, c.cancel(c.follower(), string(id)))
+			time.Sleep(80 * time.Second)
+			c.setSilentFeed("")
+			time.Sleep(5 * time.Second)
+			assert.Equal(t, c.workers.Starts("late.0.0.0"), 0)
+			c.requireState(c.follower(), string(id), job.Cancelled)
+		})
+	}
+}
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -34,7 +34,8 @@
 	// stored for itself, since the store may refuse the row of one.
 	lastChange, storedChange uint64
 	refusal                  rowRefusal
-	finishedAt               Instant
+	// finishedAt is when the final state was decided, and reportedAt when it was known to be durable.
+	finishedAt, reportedAt Instant
 	// lastCrash is the record of the last crash of a worker under a task of the job.
 	lastCrash crashRecord
 	// expired means that the retention has passed.
@@ -158,6 +159,9 @@
 		c.lowerEpoch(j, record.Epoch)
 		return
 	}
+	if _, unreadable := c.unreadable[id]; unreadable {
+		return
+	}
 	if record.Epoch > c.opts.Epoch {
 		// The instance that accepted the job knows a later leader, which does not expect starts by this one.
 		c.superseded = true
@@ -244,7 +248,7 @@
 		return
 	}
 	c.jobs[id] = &jobState{
-		id: id, state: state, reportedState: state, finishedAt: c.now, started: true, occurrences: map[int]*occurrence{},
+		id: id, state: state, reportedState: state, finishedAt: c.now, reportedAt: c.now, started: true, occurrences: map[int]*occurrence{},
 	}
 }
 
--- a/version/cell/progress.go
+++ b/version/cell/progress.go
@@ -96,11 +96,11 @@
 	return batch
 }
 
-// expireFinishedJobs marks jobs past their retention, whose rows can be removed. The jobs stay known until their
+// expireFinishedJobs marks jobs past their retention, which begins when callers can see the final state. Their rows can be removed. The jobs stay known until their
 // records are removed, so that a record that is read again does not start them.
 func (c *Core) expireFinishedJobs() {
 	for id, j := range c.jobs {
-		if !j.expired && j.reportedState.Terminal() && c.now > j.finishedAt+c.opts.Retention && !j.hasRuns() {
+		if !j.expired && j.reportedState.Terminal() && c.now > j.reportedAt+c.opts.Retention && !j.hasRuns() {
 			j.expired = true
 			j.occurrences = map[int]*occurrence{}
 			c.expiredJobs = append(c.expiredJobs, id)
@@ -165,11 +165,13 @@
 // reportState reports the final state of a job, which has become durable. A state that was not durable for longer than a write takes
 // is logged.
 func (c *Core) reportState(j *jobState) {
-	unstored := c.now - j.finishedAt
-	if !j.reportedState.Terminal() && unstored > unstoredReportDelay {
+	if j.reportedState.Terminal() {
+		return
+	}
+	if unstored := c.now - j.finishedAt; unstored > unstoredReportDelay {
 		c.logDecision("final_state_stored", j.id, map[string]any{"state": j.state, "unstored_ms": unstored.Milliseconds()})
 	}
-	j.reportedState = j.state
+	j.reportedState, j.reportedAt = j.state, c.now
 }
 
 // BatchRefused records that the store refuses a batch with a single row whatever happens. The row is not written again for a while,
@@ -366,10 +368,14 @@
 	return row.State, len(row.Steps)+len(row.Done) > 0
 }
 
-// LoadProgress adds a job with its durable progress.
+// LoadProgress adds a job with its durable progress. A job whose progress cannot be decoded is not added later either, unless it is loaded
+// with progress that can.
 func (c *Core) LoadProgress(id job.ID, record job.Record, data []byte, now Instant) error {
 	row, err := decodeProgress(data)
 	if err != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.unreadable[id] = struct{}{}
 		return errors.Wrapf(err, "decode progress of job %s", id)
 	}
 	if row.State.Terminal() {
@@ -379,6 +385,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.now = max(c.now, now)
+	delete(c.unreadable, id)
 	c.addJob(id, record, row)
 	return nil
 }
