Start the tests of the instances between their periods

Cause: the race is in the test. It acted 25 s after the start of the instances, the instant at which the former owner renews its session. If the renewal ran between the return of the table and the request, the former owner knew of the move already and sent the request to the new owner without a conflict, which is right. The same cause elsewhere: every test of startTestCluster acted at the instant of a renewal, a poll of the configuration and a tick. Change: startTestCluster returns 30 ms after that instant; all periods of the instances are multiples of 50 ms. The test keeps the synctest.Wait, so that a renewal at its instant shows at once.

--- a/process/instance/cluster_test.go
+++ b/process/instance/cluster_test.go
@@ -258,13 +258,21 @@
 	return n
 }
 
-// startTestCluster starts instances and waits 15 s, after which each serves partitions.
+const (
+	// settleTime is how long instances need until each serves partitions.
+	settleTime = 15 * time.Second
+	// betweenPeriods is the time from the settled cluster to the first action of a test. All periods of the instances are multiples
+	// of 50 ms: an action at the instant of a renewal would run before or after it in random order.
+	betweenPeriods = 30 * time.Millisecond
+)
+
+// startTestCluster starts instances and waits until each serves partitions and none of their periodic tasks is due.
 func startTestCluster(t testing.TB, instances, workers int) (*testCluster, []*node) {
 	cluster := newTestCluster(workers, 2)
 	var nodes []*node
 	for i := range instances {
 		nodes = append(nodes, cluster.startInstance(t, fmt.Sprintf("entry-%d", i)))
 	}
-	time.Sleep(15 * time.Second)
+	time.Sleep(settleTime + betweenPeriods)
 	return cluster, nodes
 }
--- a/process/instance/route_test.go
+++ b/process/instance/route_test.go
@@ -191,6 +191,8 @@
 		_, err = formerOwner.loadedIntentRunner(p)
 		assert.NilError(t, err)
 		formerOwner.table.setFaults(func(f *faultyTable) { f.unavailable = false })
+		// A renewal that is due at this instant runs now. There must be none, since it would report the move.
+		synctest.Wait()
 		conflicts := 0
 		formerOwner.handle = func(ctx context.Context) error {
 			if owns, err := formerOwner.owners.VerifyOwnership(ctx, ownership.Intent(p)); err != nil || owns {
