Don't count the time in which a process could not run as silence of its peers

Cause: yamux limits pings and writes by the time that passes, 2 s. A process that cannot run for 2 s, on a busy processor or suspended, finds these limits exceeded when it runs again, before it reads the answers that have arrived, and gives up its sessions with all calls on them, MayHaveRun. The class: own lateness is taken for silence of others, as in the limits of process/node/lateness.go. The same cause elsewhere: keep-alive and stream limits of yamux and the deadline of writes to a stream, changed here. Deadlines of single calls remain: they are the caller's. A write of more than 200 ms probes the connection; writes to a stream keep their limit of 10 s.

--- a/connection/peer/frame.go
+++ b/connection/peer/frame.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +23,8 @@
 	// maxBatchBytes limits the small frames that are combined into one write. yamux adds a header and two system calls
 	// to each call to Write.
 	maxBatchBytes = 32 << 10
+	// slowWriteDelay is the time after which a write that has not ended probes the connection.
+	slowWriteDelay = 200 * time.Millisecond
 	// readBufferBytes is the size of the read buffer of a stream.
 	readBufferBytes = 16 << 10
 )
@@ -64,9 +65,9 @@
 // frameWriter writes frames to a stream on its own goroutine and combines small frames into one write. enqueue and
 // enqueueReply do not block on a slow receiver.
 type frameWriter struct {
-	stream net.Conn
-	// onError is called, without mu, when a write fails or the queued replies exceed maxQueuedBytes.
-	onError func(error)
+	stream io.Writer
+	// session is closed, without mu, when a write fails or the queued replies exceed maxQueuedBytes.
+	session peerSession
 
 	// mu protects the fields below. ready is signalled when a frame is queued or the writer is closed.
 	mu          sync.Mutex
@@ -76,8 +77,15 @@
 	closed      bool
 }
 
-func newFrameWriter(stream net.Conn, onError func(error)) *frameWriter {
-	w := &frameWriter{stream: stream, onError: onError}
+// peerSession is the session of a stream.
+type peerSession interface {
+	io.Closer
+	// probe closes the session if the peer does not answer.
+	probe()
+}
+
+func newFrameWriter(stream io.Writer, session peerSession) *frameWriter {
+	w := &frameWriter{stream: stream, session: session}
 	w.ready = sync.NewCond(&w.mu)
 	go w.run()
 	return w
@@ -109,7 +117,7 @@
 	w.push(f)
 	w.mu.Unlock()
 	if full {
-		w.onError(errQueueFull)
+		_ = w.session.Close()
 	}
 }
 
@@ -142,7 +150,7 @@
 			batch, frames = fillBatch(batch, frames)
 			if err := w.write(batch); err != nil {
 				w.close()
-				w.onError(err)
+				_ = w.session.Close()
 				return
 			}
 		}
@@ -176,18 +184,28 @@
 	return batch, frames
 }
 
-// write writes a batch to the stream. It fails if the write takes longer than streamWriteTimeout.
+// write writes a batch to the stream. It fails if the session is closed, as it is when the write takes longer than
+// streamWriteTimeout or the peer does not answer meanwhile.
 func (w *frameWriter) write(batch []byte) error {
 	if len(batch) == 0 {
 		return nil
 	}
-	if err := w.stream.SetWriteDeadline(time.Now().Add(streamWriteTimeout)); err != nil {
-		return err
-	}
+	written := make(chan struct{})
+	defer close(written)
+	slow := time.AfterFunc(slowWriteDelay, func() { w.limitWrite(written) })
+	defer slow.Stop()
 	_, err := w.stream.Write(batch)
 	return err
 }
 
+// limitWrite probes the connection of a slow write, and closes the session if the write takes longer than streamWriteTimeout.
+func (w *frameWriter) limitWrite(written <-chan struct{}) {
+	w.session.probe()
+	if !awaitPeer(written, streamWriteTimeout-slowWriteDelay) {
+		_ = w.session.Close()
+	}
+}
+
 // frameReader reads frames from a stream.
 type frameReader struct{ buf *bufio.Reader }
 
--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -269,15 +269,16 @@
 		}
 		raw = tlsConn
 	}
-	session, err := yamux.Server(t.wrapConn(raw), yamuxConfig())
+	muxed, err := yamux.Server(t.wrapConn(raw), yamuxConfig())
 	if err != nil {
 		return
 	}
-	if !t.trackSession(session) {
+	session := newMuxSession(muxed)
+	if !t.trackSession(muxed) {
 		_ = session.Close()
 		return
 	}
-	defer t.untrackSession(session)
+	defer t.untrackSession(muxed)
 	for {
 		stream, err := session.AcceptStream()
 		if err != nil {
--- a/connection/peer/peer_test.go
+++ b/connection/peer/peer_test.go
@@ -118,6 +118,11 @@
 	assert.Assert(t, session.isClosed())
 }
 
+// unprobedSession is a session of one stream that is a connection itself.
+type unprobedSession struct{ io.Closer }
+
+func (unprobedSession) probe() {}
+
 // TestPanicWhileReadingRequestsCostsTheStream guards against a panic in the decoding of requests that ends the process.
 func TestPanicWhileReadingRequestsCostsTheStream(t *testing.T) {
 	var panics atomic.Int64
@@ -125,7 +130,7 @@
 	defer remote.Close()
 	begin := make(chan struct{})
 	close(begin)
-	serveStream(t.Context(), local, panickingConn{local, begin}, echo, func(any, []byte) { panics.Add(1) })
+	serveStream(t.Context(), unprobedSession{local}, panickingConn{local, begin}, echo, func(any, []byte) { panics.Add(1) })
 	assert.Equal(t, panics.Load(), int64(1))
 	_, err := local.Write(nil)
 	assert.Assert(t, errors.Is(err, io.ErrClosedPipe))
@@ -206,7 +211,7 @@
 				return
 			}
 			if n%numClasses != class {
-				go serveStream(context.Background(), session, stream, handle, nil)
+				go serveStream(context.Background(), &muxSession{Session: session}, stream, handle, nil)
 			}
 		}
 	})
@@ -273,7 +278,7 @@
 				return
 			}
 			if n > 0 {
-				go serveStream(context.Background(), session, stream, echo, nil)
+				go serveStream(context.Background(), &muxSession{Session: session}, stream, echo, nil)
 				continue
 			}
 			go func() {
@@ -316,7 +321,7 @@
 			if err != nil {
 				return
 			}
-			go serveStream(context.Background(), session, stream, echo, nil)
+			go serveStream(context.Background(), &muxSession{Session: session}, stream, echo, nil)
 		}
 	})
 	c := newClient(t, Options{})
--- a/connection/peer/serve.go
+++ b/connection/peer/serve.go
@@ -24,13 +24,13 @@
 }
 
 // serveStream reads the messages of one stream and dispatches them until the stream fails or its decoding panics.
-func serveStream(ctx context.Context, session io.Closer, stream net.Conn, handle Handler, onPanic func(any, []byte)) {
+func serveStream(ctx context.Context, session peerSession, stream net.Conn, handle Handler, onPanic func(any, []byte)) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer stream.Close()
 	s := &serverStream{handle: handle, onPanic: onPanic, inFlight: map[uint64]context.CancelFunc{}}
 	// A reply that cannot be written closes the session, since its caller would otherwise wait until the deadline.
-	s.writer = newFrameWriter(stream, func(error) { _ = session.Close() })
+	s.writer = newFrameWriter(stream, session)
 	defer s.writer.close()
 	recovery.Catch(onPanic, func() { s.readRequests(ctx, stream) })
 }
--- a/connection/peer/stream.go
+++ b/connection/peer/stream.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -22,53 +21,14 @@
 	// overloadRetryAfter is the retry time that is returned while a stream has too many requests in flight or bytes
 	// queued.
 	overloadRetryAfter = 100 * time.Millisecond
-	// keepAliveInterval is the time between yamux keep-alive messages. A call that times out probes the connection at
-	// once, so the interval only bounds how long an idle half-open connection stays open.
-	keepAliveInterval = 15 * time.Second
-	// probeTimeout is how long a peer may take to answer a ping, or to accept the next bytes written to the connection.
-	probeTimeout = 2 * time.Second
-	// streamWriteTimeout limits one write to a stream. A receiver that accepts no bytes for this long loses the
-	// session.
+	// streamWriteTimeout limits one write to a stream, as far as this process could run. A receiver that does not accept it in
+	// this time loses the session.
 	streamWriteTimeout = 10 * time.Second
 )
 
-// yamuxConfig returns the configuration of both ends of a session. yamux does not log: failures are returned by calls.
-func yamuxConfig() *yamux.Config {
-	cfg := yamux.DefaultConfig()
-	cfg.LogOutput = io.Discard
-	cfg.KeepAliveInterval = keepAliveInterval
-	cfg.ConnectionWriteTimeout = probeTimeout
-	return cfg
-}
-
-var errSessionClosed = errors.New("session was closed")
-
-// clientSession is a yamux session with a probe for half-open connections.
-type clientSession struct {
-	*yamux.Session
-	probing atomic.Bool
-}
-
-// closeError returns the error that is recorded for a lost session.
-func (s *clientSession) closeError() error { return errSessionClosed }
-
-// probe pings the peer in the background and closes the session if no answer arrives within probeTimeout. At most one
-// probe runs at a time.
-func (s *clientSession) probe() {
-	if !s.probing.CompareAndSwap(false, true) {
-		return
-	}
-	go func() {
-		defer s.probing.Store(false)
-		if _, err := s.Ping(); err != nil {
-			_ = s.Close()
-		}
-	}()
-}
-
 // conn is an outgoing session with one stream for each message class.
 type conn struct {
-	session *clientSession
+	session *muxSession
 	streams [numClasses]*clientStream
 }
 
@@ -78,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{session: &clientSession{Session: session}}
+	c := &conn{session: newMuxSession(session)}
 	for i := range c.streams {
 		stream, err := session.OpenStream()
 		if err != nil {
@@ -100,7 +60,7 @@
 
 // clientStream sends requests on one stream and matches replies to them by ID.
 type clientStream struct {
-	session *clientSession
+	session *muxSession
 	stream  net.Conn
 	writer  *frameWriter
 	nextID  atomic.Uint64
@@ -113,9 +73,9 @@
 	err     error
 }
 
-func newClientStream(stream net.Conn, session *clientSession, onPanic func(any, []byte)) *clientStream {
+func newClientStream(stream net.Conn, session *muxSession, onPanic func(any, []byte)) *clientStream {
 	s := &clientStream{stream: stream, session: session, pending: map[uint64]chan *peerpb.Reply{}}
-	s.writer = newFrameWriter(stream, func(error) { _ = session.Close() })
+	s.writer = newFrameWriter(stream, session)
 	go func() {
 		if recovery.Catch(onPanic, s.readReplies) {
 			s.fail(recovery.Error())
