Record what the stand-in workers and their faults do in a history

The stand-in workers judge what they see themselves and keep no account of it, so that a report names a violation without the events before it. SetHistory makes them write starts with their sender and epoch, ends, new listings, acknowledgements, expired leases, boots, crashes and changes of the capacity, and the tables and workers write the faults of their calls, from the first call that a fault affects until it is replaced. Ends before the expiry of a lease are written before it. Polls move to a file of their own.

Tests: standin/backends with -race passes.

--- a/standin/backends/crashes.go
+++ b/standin/backends/crashes.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/history"
 )
 
 // Crash describes the crash of a worker.
@@ -137,6 +138,7 @@
 	for task := range worker.running {
 		w.crashes.taskCrashes[task]++
 	}
+	w.recordChange(worker.info, history.ChangeCrash)
 	worker.running = map[string]*activeRun{}
 	worker.unacknowledged = nil
 	worker.outage = &outage{bootAt: at + crash.Downtime, newID: crash.NewID}
@@ -171,6 +173,7 @@
 		delete(w.crashes.lapses, formerID)
 	}
 	w.workers[info.ID] = newWorkerState(info, worker.outage.bootAt)
+	w.recordChange(info, history.ChangeBoot)
 	if w.crashes.registry.Write != nil {
 		w.crashes.registry.Write(info)
 	}
--- a/standin/backends/tables.go
+++ b/standin/backends/tables.go
@@ -47,6 +47,8 @@
 	changed     chan struct{}
 	chooseFault func(write bool) Fault
 	calls       int
+	// faults records the faults of the calls.
+	faults faultLog
 }
 
 var _ backend.Tables = (*Tables)(nil)
@@ -61,6 +63,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.chooseFault = choose
+	t.faults.end()
 }
 
 // Calls returns the number of calls so far, including those that failed. A feed that times out counts twice.
@@ -153,7 +156,9 @@
 	if t.chooseFault == nil {
 		return FaultNone
 	}
-	return t.chooseFault(write)
+	fault := t.chooseFault(write)
+	t.recordFault(fault)
+	return fault
 }
 
 // injectFault returns the error of a fault that prevents a call, after waiting for the end of ctx if the fault is
--- a/standin/backends/workers.go
+++ b/standin/backends/workers.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/history"
 	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/request/verdict"
 )
@@ -53,6 +54,9 @@
 	shownAt     map[string]time.Duration
 	chooseFault func(worker, command string) error
 	crashes     crashRecord
+	// history records what the workers observe, and faults the faults of their calls; nil records nothing.
+	history *history.Recorder
+	faults  faultLog
 }
 
 // workerState is the state of a worker since its last start. Times are on the clock of Workers.
@@ -78,6 +82,10 @@
 	formerCapacities []formerCapacity
 	// changed is closed and replaced when a run ends.
 	changed chan struct{}
+	// lastListed is the number of the last finished run that a poll has listed, and expiredLease the end of the last lease whose
+	// expiry is recorded.
+	lastListed   int64
+	expiredLease time.Duration
 	// outage is set from a crash of the worker to its next boot.
 	outage *outage
 }
@@ -112,6 +120,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.workers[info.ID] = newWorkerState(info, w.now())
+	w.recordChange(info, history.ChangeBoot)
 }
 
 func newWorkerState(info backend.WorkerInfo, startedAt time.Duration) *workerState {
@@ -129,6 +138,7 @@
 		for task := range worker.running {
 			w.crashes.taskCrashes[task]++
 		}
+		w.recordChange(worker.info, history.ChangeCrash)
 	}
 	delete(w.workers, id)
 }
@@ -143,6 +153,7 @@
 	former := formerCapacity{worker.info.Capacity, w.now() + grace}
 	worker.formerCapacities = append(worker.formerCapacities, former)
 	worker.info.Capacity = capacity
+	w.recordChange(worker.info, history.ChangeCapacity)
 	return worker.info
 }
 
@@ -157,6 +168,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.chooseFault = choose
+	w.faults.end()
 }
 
 // ErrAnswerLost means that a command was executed but its answer was lost. ErrNoAnswer means that the command
@@ -179,30 +191,37 @@
 
 // endDueRuns ends the runs on a worker that are due and those whose lease has expired. Callers hold w.mu.
 func (w *Workers) endDueRuns(worker *workerState, now time.Duration) {
+	var expired []*activeRun
 	for name, r := range worker.running {
 		finishAt := r.startedAt + r.behavior.Duration
 		switch {
 		case worker.leaseUntil < now && (r.behavior.Service || worker.leaseUntil < finishAt):
-			worker.end(name, r, backend.ResultExpired, now)
+			expired = append(expired, r)
 		case r.behavior.Service || r.paused || finishAt > now:
 		case r.behavior.FailsOn != nil && r.behavior.FailsOn(worker.info.ID):
-			worker.end(name, r, backend.ResultFailed, now)
+			w.end(worker, r, backend.ResultFailed, now)
 		default:
-			worker.end(name, r, backend.ResultDone, now)
+			w.end(worker, r, backend.ResultDone, now)
 			w.done[name] = true
 		}
 	}
+	w.recordLeaseExpiry(worker, now)
+	for _, r := range expired {
+		w.end(worker, r, backend.ResultExpired, now)
+	}
 }
 
-// end removes a run, records its completion and wakes long polls. Callers hold the mutex of Workers.
-func (s *workerState) end(name string, r *activeRun, how backend.RunResult, now time.Duration) {
-	delete(s.running, name)
-	s.lastNumber++
-	s.endedAt[s.lastNumber] = now
-	s.highestClosedRun[name] = max(s.highestClosedRun[name], r.run)
-	s.unacknowledged = append(s.unacknowledged, backend.FinishedRun{Number: s.lastNumber, Task: name, Run: r.run, Result: how})
-	close(s.changed)
-	s.changed = make(chan struct{})
+// end removes a run, records its completion and wakes long polls. Callers hold w.mu.
+func (w *Workers) end(worker *workerState, r *activeRun, how backend.RunResult, now time.Duration) {
+	delete(worker.running, r.task)
+	worker.lastNumber++
+	worker.endedAt[worker.lastNumber] = now
+	worker.highestClosedRun[r.task] = max(worker.highestClosedRun[r.task], r.run)
+	finished := backend.FinishedRun{Number: worker.lastNumber, Task: r.task, Run: r.run, Result: how}
+	worker.unacknowledged = append(worker.unacknowledged, finished)
+	w.recordEnd(worker, finished)
+	close(worker.changed)
+	worker.changed = make(chan struct{})
 }
 
 // clockMS returns the worker's clock in milliseconds. It starts at 1, since 0 means that the clock is not reported.
@@ -223,6 +242,7 @@
 	}
 	if w.chooseFault != nil {
 		if err := w.chooseFault(ref.ID, command); err != nil && !errors.Is(err, ErrAnswerLost) {
+			w.faults.begin(ref.ID, faultKindOf(err))
 			return nil, "", err
 		}
 	}
@@ -239,6 +259,7 @@
 		return nil
 	}
 	if err := w.chooseFault(id, command); errors.Is(err, ErrAnswerLost) {
+		w.faults.begin(id, faultKindOf(err))
 		return err
 	}
 	return nil
@@ -260,7 +281,7 @@
 }
 
 // Start implements backend.Workers.
-func (w *Workers) Start(_ context.Context, command backend.StartCommand) (backend.Reply, error) {
+func (w *Workers) Start(ctx context.Context, command backend.StartCommand) (backend.Reply, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	worker, refusal, err := w.beginCommand(command.Worker, "start", command.FencingToken)
@@ -282,6 +303,7 @@
 	worker.extendLease(now, command.LeaseDeadlineMS)
 	if worker.running[command.Task] == nil {
 		w.beginRun(worker, command)
+		w.recordStart(ctx, worker, command)
 		w.advance()
 	}
 	if worker.outage != nil {
@@ -347,7 +369,7 @@
 	}
 	worker.highestClosedRun[command.Task] = max(worker.highestClosedRun[command.Task], command.Run)
 	if r := worker.running[command.Task]; r != nil && r.run <= command.Run {
-		worker.end(command.Task, r, backend.ResultStopped, w.now())
+		w.end(worker, r, backend.ResultStopped, w.now())
 	}
 	return reply, w.answerLostFault(command.Worker.ID, "stop")
 }
@@ -366,76 +388,3 @@
 	}
 	return backend.Reply{Refusal: refusal, ClockMS: worker.clockMS(w.now())}, nil
 }
-
-// Poll implements backend.Workers.
-func (w *Workers) Poll(ctx context.Context, req backend.PollRequest) (backend.PollReply, error) {
-	waitTimer := time.NewTimer(req.Wait)
-	defer waitTimer.Stop()
-	boot := w.bootOf(req.Worker.ID)
-	for {
-		if w.bootOf(req.Worker.ID) != boot {
-			// The connection broke when the worker ended.
-			return backend.PollReply{}, ErrNoAnswer
-		}
-		reply, changed, err := w.inventory(req)
-		if err != nil || reply.Refusal != "" || len(reply.Finished) > 0 || req.Wait == 0 {
-			return reply, err
-		}
-		tick := time.NewTimer(10 * time.Millisecond)
-		select {
-		case <-changed:
-		case <-tick.C:
-		case <-waitTimer.C:
-			req.Wait = 0
-		case <-ctx.Done():
-			tick.Stop()
-			return backend.PollReply{}, ctx.Err()
-		}
-		tick.Stop()
-	}
-}
-
-// bootOf returns the state of the present boot of a worker, or nil.
-func (w *Workers) bootOf(id string) *workerState {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.workers[id]
-}
-
-// inventory applies a poll request once. The channel it returns is closed when a run on the worker ends.
-func (w *Workers) inventory(req backend.PollRequest) (backend.PollReply, <-chan struct{}, error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	worker, refusal, err := w.beginCommand(req.Worker, "poll", req.FencingToken)
-	if err != nil {
-		return backend.PollReply{}, nil, err
-	}
-	now := w.now()
-	reply := backend.PollReply{Reply: backend.Reply{Refusal: refusal, ClockMS: worker.clockMS(now)}, StartedMS: worker.info.StartedMS}
-	if refusal != "" {
-		return reply, nil, nil
-	}
-	worker.extendLease(now, req.LeaseDeadlineMS)
-	worker.unacknowledged = slices.DeleteFunc(worker.unacknowledged, func(e backend.FinishedRun) bool {
-		if e.Number > req.AcknowledgedCompletion {
-			return false
-		}
-		if e.Result == backend.ResultDone && worker.endedAt[e.Number] >= worker.lapsedAt {
-			w.acknowledged[e.Task] = true
-			if w.lastStart[e.Task] > worker.endedAt[e.Number] {
-				w.violations = append(w.violations, fmt.Sprintf("task %s was started again after the end that is acknowledged now", e.Task))
-			}
-		}
-		delete(worker.endedAt, e.Number)
-		return true
-	})
-	reply.Finished = slices.Clone(worker.unacknowledged[:min(len(worker.unacknowledged), backend.MaxFinishedRuns)])
-	for name, r := range worker.running {
-		percent := 100
-		if !r.behavior.Service {
-			percent = int(100 * (now - r.startedAt) / max(r.behavior.Duration, 1))
-		}
-		reply.Running = append(reply.Running, backend.ActiveRun{Task: name, Run: r.run, ProgressPercent: percent})
-	}
-	return reply, worker.changed, nil
-}
