--- a/process/node/capacity_test.go
+++ b/process/node/capacity_test.go
@@ -75,7 +75,7 @@
 		time.Sleep(20 * time.Second)
 		c.requireState(c.follower(), "a", job.Queued)
 		assert.Equal(t, c.workers.Starts("a.0.0.0"), 0)
-		waiting, err := c.follower().WaitingJobs(t.Context(), job.Queue{Name: testQueue})
+		waiting, err := c.waiting(c.follower())
 		assert.NilError(t, err)
 		assert.Equal(t, waiting, 1)
 		c.setCores("w00", 2)
--- a/process/node/cell_test.go
+++ b/process/node/cell_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/lentiltide/lentiltide/backend"
 	"github.com/lentiltide/lentiltide/connection/peer"
+	"github.com/lentiltide/lentiltide/history"
 	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/model/job"
 	"github.com/lentiltide/lentiltide/request/recovery"
@@ -92,6 +93,7 @@
 	// panicking is an event at whose first log line an instance panics; panics counts the panics by place.
 	panicking panicAtEvent
 	panics    map[string]int
+	history   *cellHistory
 }
 
 type testNode struct {
@@ -118,8 +120,11 @@
 		behaviors: map[string]backends.TaskBehavior{}, panics: map[string]int{}, storeFaults: map[string]backends.Fault{}, down: map[string]bool{}, silentWorkers: map[string]bool{}, sides: map[string]int{}, cpuShares: map[string]float64{},
 		transferTimes: map[string]time.Duration{}, links: map[string]float64{}, configReads: map[string]int{},
 	}
+	c.history = newCellHistory(c)
 	c.workers = backends.NewWorkers(c.now, c.behaviorOf)
-	c.tables.Put(backend.RowKey{Table: "config", Key: "current"}, []byte("1"))
+	c.workers.SetHistory(c.history.Recorder)
+	c.tables.SetHistory(c.history.Recorder)
+	c.writeConfig([]byte("1"))
 	for i := range workers {
 		c.addWorker(fmt.Sprintf("w%02d", i))
 	}
@@ -165,6 +170,7 @@
 	data, err := json.Marshal(entry)
 	assert.NilError(c.t, err)
 	c.tables.Put(backend.RowKey{Table: "workers", Key: entry.ID}, data)
+	c.history.Record(backends.RegistryEvent(entry))
 }
 
 // testConfig is the value of the configuration row; a row may also hold the version alone.
@@ -237,6 +243,7 @@
 // contactWorker fails if the instance is down or, after silentWorkerTimeout, if the worker is silent.
 func (n nodeWorkers) contactWorker(worker string) error {
 	n.c.mu.Lock()
+	n.c.recordFaults()
 	down, silent := n.c.down[n.name], n.c.silentWorkers[worker] || n.c.sides[n.name] != n.c.sides[worker]
 	n.c.mu.Unlock()
 	if down {
@@ -273,6 +280,7 @@
 	n.c.mu.Lock()
 	n.c.startsBy[n.name]++
 	n.c.mu.Unlock()
+	ctx = backends.WithSender(ctx, backends.Sender{Instance: n.name})
 	return callWithFault(ctx, n.c, pointStart, func(ctx context.Context) (backend.Reply, error) { return n.Workers.Start(ctx, o) })
 }
 
@@ -287,6 +295,7 @@
 	n.c.mu.Lock()
 	n.c.pollsBy[n.name]++
 	n.c.mu.Unlock()
+	ctx = backends.WithSender(ctx, backends.Sender{Instance: n.name})
 	if err := n.contactWorker(req.Worker.ID); err != nil {
 		return backend.PollReply{}, err
 	}
@@ -319,7 +328,9 @@
 	c.mu.Lock()
 	c.nodes[name] = node
 	delete(c.down, name)
+	c.recordFaults()
 	c.mu.Unlock()
+	c.recordInstance(name, history.ChangeBoot)
 	go func() {
 		defer close(node.done)
 		if err := n.Run(ctx); err != nil && ctx.Err() == nil {
@@ -351,14 +362,18 @@
 func (c *testCell) kill(name string) {
 	c.mu.Lock()
 	c.down[name] = true
+	c.recordFaults()
 	n := c.nodes[name]
 	c.mu.Unlock()
 	n.cancel()
 	<-n.done
+	c.recordInstance(name, history.ChangeEnded)
 }
 
-// stop stops all instances and waits for their goroutines, which must have ended when the bubble does.
+// stop checks the history of the cell, stops all instances and waits for their goroutines, which must have ended when the bubble does.
 func (c *testCell) stop() {
+	assert.Check(c.t, c.history.Close())
+	defer checkHistory(c.t, &c.history.written)
 	for _, n := range c.nodes {
 		n.cancel()
 	}
@@ -426,6 +441,16 @@
 	if modify != nil {
 		modify(&s)
 	}
+	spec := job.Spec{Payload: "p", Steps: []job.Step{s}}
+	c.recordJob(id, spec)
+	number := c.recordCall(n, history.OperationSubmit, id)
+	err := c.send(n, id, spec)
+	c.recordAnswer(number, err, history.Answer{Verdict: history.VerdictAccepted})
+	return err
+}
+
+// send sends a job to an instance like the HTTP interface for callers.
+func (c *testCell) send(n *testNode, id string, spec job.Spec) error {
 	q, err := n.Queue("h", "/b/"+id)
 	if err != nil {
 		return err
@@ -436,20 +461,30 @@
 	}
 	ctx, cancel := context.WithTimeout(c.t.Context(), 3*time.Second)
 	defer cancel()
-	return n.Submit(ctx, q, team, job.ID(id), job.Spec{Payload: "p", Steps: []job.Step{s}})
+	return n.Submit(ctx, q, team, job.ID(id), spec)
 }
 
 // state requests the state of a job from an instance. The workers report a start after a job was shown as completed.
 func (c *testCell) state(n *testNode, id string) (job.State, error) {
 	ctx, cancel := context.WithTimeout(c.t.Context(), 3*time.Second)
 	defer cancel()
+	number := c.recordCall(n, history.OperationState, id)
 	state, err := n.State(ctx, job.Queue{Name: testQueue}, job.ID(id))
+	c.recordAnswer(number, err, history.Answer{Verdict: history.VerdictState, State: history.State(state)})
 	if err == nil && state == job.Completed {
 		c.workers.ShowCompleted(id)
 	}
 	return state, err
 }
 
+// waiting requests the number of waiting jobs from an instance.
+func (c *testCell) waiting(n *testNode) (int, error) {
+	number := c.recordCall(n, history.OperationWaiting, "")
+	waiting, err := n.WaitingJobs(c.t.Context(), job.Queue{Name: testQueue})
+	c.recordAnswer(number, err, history.Answer{Verdict: history.VerdictWaiting, Waiting: waiting})
+	return waiting, err
+}
+
 // smallTask describes a task that uses one core for the duration d.
 func smallTask(d time.Duration) backends.TaskBehavior {
 	return backends.TaskBehavior{Resources: model.Resources{CPUMilli: 1000, MemoryMiB: 100}, Duration: d}
--- a/process/node/cellpeers_test.go
+++ b/process/node/cellpeers_test.go
@@ -18,6 +18,7 @@
 func (p testPeers) target(address string) (*testNode, error) {
 	p.c.mu.Lock()
 	defer p.c.mu.Unlock()
+	p.c.recordFaults()
 	n := p.c.nodes[address]
 	if n == nil || p.c.down[address] || p.c.down[p.name] || p.c.isolated == address || p.c.isolated == p.name || p.c.islands[address] != p.c.islands[p.name] {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "peer %s cannot be reached", address)
--- a/process/node/celltables_test.go
+++ b/process/node/celltables_test.go
@@ -18,6 +18,7 @@
 
 func (n nodeTables) checkFault(ctx context.Context, shard string) error {
 	n.c.mu.Lock()
+	n.c.recordFaults()
 	fault, down := n.c.storeFaults[n.name], n.c.down[n.name]
 	unavailable := shard != "" && shard == n.c.unavailableShard
 	n.c.mu.Unlock()
--- a/process/node/commands_test.go
+++ b/process/node/commands_test.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-
-	"github.com/lentiltide/lentiltide/model/job"
 )
 
 // Guards against silent workers that delay the commands to all others: the stops of their runs are repeated, and each of
@@ -27,7 +25,7 @@
 		}
 		c.mu.Unlock()
 		for i := range 40 {
-			assert.NilError(t, c.follower().Cancel(t.Context(), job.Queue{Name: testQueue}, job.ID(fmt.Sprintf("long%d", i))))
+			assert.NilError(t, c.cancel(c.follower(), fmt.Sprintf("long%d", i)))
 		}
 		time.Sleep(2 * time.Second)
 		for i := range 10 {
--- a/process/node/config_test.go
+++ b/process/node/config_test.go
@@ -50,7 +50,7 @@
 	c.t.Helper()
 	for what, err := range map[string]error{
 		"submission":    c.submit(n, "late", 1, smallTask(time.Second), nil),
-		"count":         countWaiting(n),
+		"count":         countWaiting(c, n),
 		"unknown queue": unknownQueue(n),
 	} {
 		assert.Assert(c.t, err != nil, what)
@@ -66,13 +66,13 @@
 func (c *testCell) requireCurrent(n *testNode, id string) {
 	c.t.Helper()
 	assert.NilError(c.t, c.submit(n, id, 1, smallTask(time.Second), nil))
-	assert.NilError(c.t, countWaiting(n))
+	assert.NilError(c.t, countWaiting(c, n))
 	assert.Equal(c.t, verdict.From(unknownQueue(n)).Code, verdict.CodeNotFound)
 	assert.Assert(c.t, n.Ready())
 }
 
-func countWaiting(n *testNode) error {
-	_, err := n.WaitingJobs(context.Background(), job.Queue{Name: testQueue})
+func countWaiting(c *testCell, n *testNode) error {
+	_, err := c.waiting(n)
 	return err
 }
 
@@ -89,7 +89,7 @@
 		c.isolate(slow.opts.Instance)
 		c.setTransferTime(slow.opts.Instance, 8*time.Second)
 		c.requireCurrent(slow, "a")
-		c.tables.Put(configKey, []byte("2"))
+		c.writeConfig([]byte("2"))
 		time.Sleep(2 * time.Second)
 		assert.NilError(t, c.submit(slow, "b", 1, smallTask(time.Second), nil), "the change need not be in force yet")
 		time.Sleep(time.Second)
@@ -144,7 +144,7 @@
 	runWithSlowLinks(t, func(t *testing.T, c *testCell, slow *testNode) {
 		reads := c.configReadsOf("slow0")
 		for version := 2; version <= 20; version++ {
-			c.tables.Put(configKey, []byte(strconv.Itoa(version)))
+			c.writeConfig([]byte(strconv.Itoa(version)))
 			time.Sleep(600 * time.Millisecond)
 			assert.Equal(t, slow.Status().Config, uint64(version))
 			assert.NilError(t, c.submit(slow, fmt.Sprint("job", version), 1, smallTask(100*time.Millisecond), nil))
@@ -176,7 +176,7 @@
 		t.Run(name, func(t *testing.T) {
 			runWithSlowLinks(t, func(t *testing.T, c *testCell, slow *testNode) {
 				tc.lose(c)
-				c.tables.Put(configKey, []byte("2"))
+				c.writeConfig([]byte("2"))
 				time.Sleep(tc.within)
 				assert.Equal(t, slow.Status().Config, uint64(2))
 				assert.NilError(t, c.submit(slow, "a", 1, smallTask(time.Second), nil))
--- a/process/node/crash_chance_test.go
+++ b/process/node/crash_chance_test.go
@@ -187,7 +187,7 @@
 					entry := c.tables.Rows("workers")[worker].Value
 					time.Sleep(4500 * time.Millisecond)
 					if unlisted {
-						c.tables.Delete(key)
+						c.removeRegistryEntry(worker)
 					}
 					time.Sleep(4 * time.Second)
 					c.setSilent(false, worker)
@@ -214,7 +214,7 @@
 					info := c.drainWorker(worker)
 					time.Sleep(2 * time.Second)
 					c.workers.Remove(worker)
-					c.tables.Delete(backend.RowKey{Table: "workers", Key: worker})
+					c.removeRegistryEntry(worker)
 					time.Sleep(time.Second)
 					if returns {
 						info.Draining, info.StartedMS = false, time.Now().UnixMilli()
--- a/process/node/crash_test.go
+++ b/process/node/crash_test.go
@@ -8,7 +8,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/lentiltide/lentiltide/backend"
 	"github.com/lentiltide/lentiltide/model/job"
 	"github.com/lentiltide/lentiltide/standin/backends"
 )
@@ -31,7 +30,7 @@
 		defer c.stop()
 		c.workers.SetRegistry(backends.Registry{
 			Write:  c.writeRegistryEntry,
-			Remove: func(id string) { c.tables.Delete(backend.RowKey{Table: "workers", Key: id}) },
+			Remove: c.removeRegistryEntry,
 		})
 		test(t, c)
 		assert.DeepEqual(t, c.workers.Violations(), []string(nil))
--- a/process/node/cutoff_test.go
+++ b/process/node/cutoff_test.go
@@ -15,7 +15,7 @@
 	c.mu.Lock()
 	c.silentWorkers[worker] = true
 	c.mu.Unlock()
-	c.tables.Delete(backend.RowKey{Table: "workers", Key: worker})
+	c.removeRegistryEntry(worker)
 }
 
 // rejoin ends the cut of a worker, whose entry returns.
--- a/process/node/earlycancel_test.go
+++ b/process/node/earlycancel_test.go
@@ -23,7 +23,9 @@
 	c.behaviors[string(id)] = backends.TaskBehavior{Service: true, Resources: model.Resources{CPUMilli: 1000}}
 	c.mu.Unlock()
 	step := job.Step{Count: 2, TaskDemand: model.Resources{CPUMilli: 1000}, LongRunning: true}
-	record, err := json.Marshal(job.Record{Queue: q, Spec: job.Spec{Payload: "p", Steps: []job.Step{step}}})
+	spec := job.Spec{Payload: "p", Steps: []job.Step{step}}
+	c.recordUnanswered(string(id), spec)
+	record, err := json.Marshal(job.Record{Queue: q, Spec: spec})
 	assert.NilError(c.t, err)
 	key := jobKey(id, shardsOf(id)[shard])
 	_, err = c.tables.Commit(c.t.Context(), backend.Txn{
--- a/process/node/failover_test.go
+++ b/process/node/failover_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -64,7 +63,7 @@
 		time.Sleep(2 * time.Second)
 		assert.Assert(t, c.workers.Done("a.0.0.0"))
 		for id := range c.tables.Rows("workers") {
-			c.tables.Delete(backend.RowKey{Table: "workers", Key: id})
+			c.removeRegistryEntry(id)
 		}
 		c.kill(c.leader())
 		for name := range c.nodes {
@@ -275,9 +274,7 @@
 			assert.NilError(t, c.submit(n, "a", 2, smallTask(time.Second), nil))
 			time.Sleep(3 * time.Second)
 			assert.Assert(t, c.workers.Done("a.0.0.1"))
-			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
-			defer cancel()
-			assert.NilError(t, n.Cancel(ctx, job.Queue{}, "a"))
+			assert.NilError(t, c.cancel(n, "a"))
 		})
 	}
 }
@@ -328,9 +325,7 @@
 		n := c.follower()
 		assert.NilError(t, c.submit(n, "a", 30, smallTask(2*time.Second), nil))
 		time.Sleep(500 * time.Millisecond)
-		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
-		defer cancel()
-		assert.NilError(t, n.Cancel(ctx, job.Queue{}, "a"))
+		assert.NilError(t, c.cancel(n, "a"))
 		time.Sleep(time.Second)
 		assert.Equal(t, len(c.workers.RunningOn("a.0.0.0")), 0)
 		c.kill(c.leader())
@@ -364,7 +359,7 @@
 	runInCell(t, func(t *testing.T, c *testCell) {
 		leader := c.leader()
 		c.setStoreFault(leader, backends.FaultNoAnswer)
-		c.tables.Put(backend.RowKey{Table: "config", Key: "current"}, []byte("7"))
+		c.writeConfig([]byte("7"))
 		c.addWorker("late")
 		c.tables.TrimHistory()
 		c.setStoreFault(leader, backends.FaultNone)
@@ -405,10 +400,8 @@
 func TestRowsAreRemovedAfterRetention(t *testing.T) {
 	runInCell(t, func(t *testing.T, c *testCell) {
 		assert.NilError(t, c.submit(c.follower(), "a", 2, smallTask(time.Second), nil))
-		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
-		defer cancel()
 		assert.NilError(t, c.submit(c.follower(), "b", 2, smallTask(time.Minute), nil))
-		assert.NilError(t, c.follower().Cancel(ctx, job.Queue{}, "b"))
+		assert.NilError(t, c.cancel(c.follower(), "b"))
 		time.Sleep(30 * time.Second)
 		assert.Equal(t, len(c.tables.Rows(jobTable)), 2)
 		assert.Equal(t, len(c.tables.Rows(progressTable)), 2)
--- a/process/node/keys_test.go
+++ b/process/node/keys_test.go
@@ -151,7 +151,7 @@
 func (c *testCell) setKeys(version uint64, keys ...string) {
 	data, err := json.Marshal(testConfig{Version: version, Teams: configWithKeys(version, keys...).Teams})
 	assert.NilError(c.t, err)
-	c.tables.Put(configKey, data)
+	c.writeConfig(data)
 }
 
 // TestWithdrawnKeyIsRefusedEverywhere guards against a withdrawn key that an instance without contact goes on accepting, and against
--- a/process/node/lookup_test.go
+++ b/process/node/lookup_test.go
@@ -45,7 +45,9 @@
 	queue, err := c.follower().Queue("h", "/b/"+string(id))
 	assert.NilError(c.t, err)
 	steps := []job.Step{{Count: 1, TaskDemand: smallTask(task).Resources, EstimateMS: task.Milliseconds()}}
-	record, err := json.Marshal(job.Record{Queue: queue, Epoch: epoch, Spec: job.Spec{Payload: "p", Steps: steps}})
+	spec := job.Spec{Payload: "p", Steps: steps}
+	c.recordUnanswered(string(id), spec)
+	record, err := json.Marshal(job.Record{Queue: queue, Epoch: epoch, Spec: spec})
 	assert.NilError(c.t, err)
 	c.tables.Put(jobKey(id, shard), record)
 }
--- a/process/node/matrix_test.go
+++ b/process/node/matrix_test.go
@@ -86,6 +86,7 @@
 		return ""
 	}
 	f.fired = true
+	c.recordInjected(f)
 	return f.fault
 }
 
@@ -109,7 +110,7 @@
 		_, _ = call(ctx)
 		return unanswered()
 	case faultDelayed:
-		callCtx := context.WithoutCancel(ctx)
+		callCtx := backends.WithSender(context.WithoutCancel(ctx), backends.Sender{Instance: backends.SenderOf(ctx).Instance, Late: true})
 		c.lateCalls.Go(func() {
 			time.Sleep(lateCallDelay)
 			_, _ = call(callCtx)
--- a/process/node/panic_test.go
+++ b/process/node/panic_test.go
@@ -181,7 +181,7 @@
 		t.Run(event, func(t *testing.T) {
 			runInCell(t, func(t *testing.T, c *testCell) {
 				c.panicAt("", event, 1)
-				c.tables.Put(backend.RowKey{Table: "config", Key: "current"}, []byte("2"))
+				c.writeConfig([]byte("2"))
 				c.kill(c.leader())
 				time.Sleep(4 * time.Second)
 				n := c.follower()
@@ -189,7 +189,7 @@
 				assert.Equal(t, n.Status().Config, uint64(2))
 				assert.Equal(t, n.Status().Leader, c.leader())
 				assert.Equal(t, c.nodes[c.leader()].Status().Members, 1)
-				c.tables.Put(backend.RowKey{Table: "config", Key: "current"}, []byte("3"))
+				c.writeConfig([]byte("3"))
 				c.kill(c.leader())
 				time.Sleep(4 * time.Second)
 				assert.Equal(t, c.leader(), n.opts.Instance)
--- a/process/node/porcupine_test.go
+++ b/process/node/porcupine_test.go
@@ -12,6 +12,7 @@
 	"github.com/anishathalye/porcupine"
 	"gotest.tools/v3/assert"
 
+	"github.com/lentiltide/lentiltide/history"
 	"github.com/lentiltide/lentiltide/model/job"
 	"github.com/lentiltide/lentiltide/request/verdict"
 	"github.com/lentiltide/lentiltide/standin/backends"
@@ -271,6 +272,13 @@
 
 // cancel cancels a job at an instance.
 func (c *testCell) cancel(n *testNode, id string) error {
+	number := c.recordCall(n, history.OperationCancel, id)
+	err := c.sendCancellation(n, id)
+	c.recordAnswer(number, err, history.Answer{Verdict: history.VerdictCancelled})
+	return err
+}
+
+func (c *testCell) sendCancellation(n *testNode, id string) error {
 	q, err := n.Queue("h", "/b/"+id)
 	if err != nil {
 		return err
@@ -284,7 +292,10 @@
 func (c *testCell) refuse(n *testNode, id string) error {
 	ctx, cancel := context.WithTimeout(c.t.Context(), 3*time.Second)
 	defer cancel()
-	return n.Refuse(ctx, job.ID(id), errOutdated())
+	number := c.recordCall(n, history.OperationSubmit, id)
+	err := n.Refuse(ctx, job.ID(id), errOutdated())
+	c.recordAnswer(number, err, history.Answer{Verdict: history.VerdictAccepted})
+	return err
 }
 
 // node returns the instance that currently has the name. It may have been restarted.
