Write a history of the demo

lentiltide demo counts faults in its workers and shows no events. Plans, tickets, epochs and acknowledgements are left out, since a history describes those of the other interface. The names of workers, jobs and instances are prefixed with the deployment.

Tests: TestRunWritesAHistory; cmd/lentiltide/... and standin/... with -race pass.

--- a/cmd/lentiltide/internal/command/arguments.go
+++ b/cmd/lentiltide/internal/command/arguments.go
@@ -61,6 +61,10 @@
 
 type noArgs struct{}
 
+type demoArgs struct {
+	History string `arg:"--history" placeholder:"FILE" help:"write what callers and workers observe to FILE, as JSON lines"`
+}
+
 type configArgs struct {
 	Show    *noArgs     `arg:"subcommand:show" help:"show the configuration in force on the instance asked"`
 	Plan    *planArgs   `arg:"subcommand:plan" help:"show what a configuration document would change; nothing changes"`
@@ -81,7 +85,7 @@
 	Trace    *traceArgs    `arg:"subcommand:trace" help:"print what the logs of several instances say about a job, in the order of time"`
 	Where    *whereArgs    `arg:"subcommand:where" help:"show where the tasks of a job would start now on a cell, and why not elsewhere; nothing is sent to workers. --url is the metrics address of the leader"`
 	Validate *validateArgs `arg:"subcommand:validate" help:"check a file of settings, an intent or a configuration without sending it"`
-	Demo     *noArgs       `arg:"subcommand:demo" help:"run both example deployments in this process; needs nothing else"`
+	Demo     *demoArgs     `arg:"subcommand:demo" help:"run both example deployments in this process; needs nothing else"`
 
 	URL     []string      `arg:"--url,separate,env:LENTILTIDE_URL" placeholder:"URL" help:"base URL of an instance; may be repeated, the next is asked when one cannot be reached [default: http://127.0.0.1:7411]"`
 	Timeout time.Duration `arg:"--timeout" default:"30s" help:"time until the command gives up"`
--- a/cmd/lentiltide/internal/command/command.go
+++ b/cmd/lentiltide/internal/command/command.go
@@ -14,6 +14,7 @@
 	"github.com/lentiltide/lentiltide/cmd/lentiltide/internal/demo"
 	"github.com/lentiltide/lentiltide/connection/jsonhttp"
 	"github.com/lentiltide/lentiltide/examples"
+	"github.com/lentiltide/lentiltide/history"
 	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/process/settings"
 	"github.com/lentiltide/lentiltide/request/strictjson"
@@ -67,7 +68,7 @@
 // run executes the subcommand.
 func (c *command) run(ctx context.Context) error {
 	if c.args.Demo != nil {
-		return demo.Run(ctx, c.streams.Out, examples.Files, "karutehas", "crease-union")
+		return c.demo(ctx, c.args.Demo.History)
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.args.Timeout)
 	defer cancel()
@@ -103,6 +104,27 @@
 	}
 }
 
+// demo runs both example deployments and writes their history to a file, or to none if its name is empty.
+func (c *command) demo(ctx context.Context, file string) error {
+	opts := demo.Options{Out: c.streams.Out, Files: examples.Files}
+	if file == "" {
+		return demo.Run(ctx, opts, demoDeployments...)
+	}
+	out, err := os.Create(file)
+	if err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalid, "create the history")
+	}
+	opts.History = history.NewRecorder(out, history.SinceNow(), "lentiltide demo")
+	err = demo.Run(ctx, opts, demoDeployments...)
+	if writeErr := errors.Join(opts.History.Close(), out.Close()); err == nil && writeErr != nil {
+		err = verdict.Wrap(writeErr, verdict.Ran, verdict.CodeInternal, "write the history")
+	}
+	return err
+}
+
+// demoDeployments are the directories of the example deployments.
+var demoDeployments = []string{"karutehas", "crease-union"}
+
 // reportError prints err, if it is not nil, and returns the exit code.
 func (c *command) reportError(err error) int {
 	if err == nil {
--- a/cmd/lentiltide/internal/demo/calls.go
+++ b/cmd/lentiltide/internal/demo/calls.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/lentiltide/lentiltide/history"
 	"github.com/lentiltide/lentiltide/request/verdict"
 )
 
@@ -44,7 +45,7 @@
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
-				r.call(ctx, target.id, payload)
+				r.call(ctx, target, payload)
 			}()
 		}
 		ticker.Stop()
@@ -52,12 +53,15 @@
 	wg.Wait()
 }
 
-func (r *deploymentRun) call(ctx context.Context, id, payload string) {
+func (r *deploymentRun) call(ctx context.Context, target confirmedIntent, payload string) {
 	r.cell.Observer.RecordSubmission(payload, time.Now())
 	r.mu.Lock()
 	r.calls.sent++
 	r.mu.Unlock()
-	reply, err := r.client.call(ctx, id, payload)
+	r.recordJob(payload, target.spec)
+	call := r.recordCall(history.OperationSubmit, payload)
+	reply, err := r.client.call(ctx, target.id, payload)
+	r.recordAnswer(call, err, history.VerdictAccepted)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch verdict.Of(err) {
--- a/cmd/lentiltide/internal/demo/demo.go
+++ b/cmd/lentiltide/internal/demo/demo.go
@@ -14,6 +14,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
+
+	"github.com/lentiltide/lentiltide/history"
 )
 
 // Summary is the last line that the demo prints, as JSON.
@@ -33,16 +35,28 @@
 // ErrFaults is returned if the observers recorded a double run, an overcommit or lost work.
 var ErrFaults = errors.New("the observers recorded double runs, overcommits or lost work")
 
+// Options are the input and the output of the demo.
+type Options struct {
+	// Out receives the progress and the summary.
+	Out io.Writer
+	// Files has the deployments.
+	Files fs.FS
+	// History records what callers and workers observe; nil records nothing.
+	History *history.Recorder
+}
+
 // Run runs the deployments in the given directories concurrently, prints their progress and finally the summary.
-func Run(ctx context.Context, out io.Writer, files fs.FS, dirs ...string) error {
-	printer := &printer{out: out, startedAt: time.Now()}
+func Run(ctx context.Context, opts Options, dirs ...string) error {
+	printer := &printer{out: opts.Out, startedAt: time.Now()}
 	runs := make([]*deploymentRun, len(dirs))
 	for i, dir := range dirs {
-		d, err := loadDeployment(files, dir)
+		d, err := loadDeployment(opts.Files, dir)
 		if err != nil {
 			return err
 		}
-		runs[i] = &deploymentRun{deployment: d, printer: printer, answeredCalls: map[string]string{}, callErrors: map[string]string{}}
+		runs[i] = &deploymentRun{
+			deployment: d, printer: printer, history: opts.History, answeredCalls: map[string]string{}, callErrors: map[string]string{},
+		}
 	}
 	errs := make([]error, len(runs))
 	var wg sync.WaitGroup
@@ -59,7 +73,7 @@
 			return errors.Wrap(err, runs[i].deployment.Name)
 		}
 	}
-	return printSummary(out, runs)
+	return printSummary(opts.Out, runs)
 }
 
 // printSummary prints the totals of all deployments. It returns ErrFaults if there was a fault.
--- a/cmd/lentiltide/internal/demo/demo_test.go
+++ b/cmd/lentiltide/internal/demo/demo_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lentiltide/lentiltide/examples"
+	"github.com/lentiltide/lentiltide/history"
 	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/standin/cell"
 	standinworker "github.com/lentiltide/lentiltide/standin/worker"
@@ -30,7 +31,7 @@
 // TestRunEndsWithSummary guards against a demo whose last line is not the summary or whose counts are wrong.
 func TestRunEndsWithSummary(t *testing.T) {
 	var out bytes.Buffer
-	assert.NilError(t, Run(context.Background(), &out, smallDeployment, "small"), "%s", &out)
+	assert.NilError(t, Run(context.Background(), Options{Out: &out, Files: smallDeployment}, "small"), "%s", &out)
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
 	var sum Summary
 	dec := json.NewDecoder(strings.NewReader(lines[len(lines)-1]))
@@ -41,6 +42,48 @@
 	assert.Assert(t, strings.Contains(out.String(), "killing instance"))
 }
 
+// TestRunWritesAHistory guards against a history in which a caller, a worker or the killed instance is missing, or in which the names
+// of tasks are not those of the jobs that were submitted.
+func TestRunWritesAHistory(t *testing.T) {
+	var out, written bytes.Buffer
+	recorder := history.NewRecorder(&written, history.SinceNow(), "test")
+	assert.NilError(t, Run(context.Background(), Options{Out: &out, Files: smallDeployment, History: recorder}, "small"), "%s", &out)
+	assert.NilError(t, recorder.Close())
+	reader, err := history.NewReader(&written)
+	assert.NilError(t, err)
+	demanded, ended, counts := map[string]int{}, map[string]int{}, map[history.Kind]int{}
+	for {
+		event, err := reader.Next()
+		if err == io.EOF {
+			break
+		}
+		assert.NilError(t, err)
+		counts[event.Kind]++
+		switch event.Kind {
+		case history.KindJob:
+			demanded[event.Job.ID] = event.Job.Steps[0].Count
+		case history.KindStart:
+			task := event.Start.Task
+			assert.Assert(t, task.Index < demanded[task.Job], "%s", &event)
+		case history.KindEnd:
+			assert.Assert(t, event.End.Run > 0)
+			ended[event.End.Task.Job]++
+		}
+	}
+	for id, tasks := range demanded {
+		// A call that was not answered may not have run.
+		assert.Assert(t, ended[id] >= tasks || tasks == 1, "job %s: %d ends, want %d", id, ended[id], tasks)
+	}
+	// 50 calls, the confirmation of the batch and that of the calls.
+	assert.Equal(t, counts[history.KindJob], 52)
+	assert.Equal(t, counts[history.KindAnswer], counts[history.KindCall])
+	assert.Equal(t, counts[history.KindWorker], 4)
+	assert.Equal(t, counts[history.KindInstance], 3)
+	assert.Equal(t, counts[history.KindFault], 2)
+	assert.Equal(t, counts[history.KindClosed], 1)
+	assert.Assert(t, counts[history.KindStart] >= 8+40, "%v", counts)
+}
+
 // TestFaultsAreCounted guards against a demo that passes although confirmed or answered work did not finish, a watcher does
 // not run, or a call got a wrong answer.
 func TestFaultsAreCounted(t *testing.T) {
--- a/cmd/lentiltide/internal/demo/run.go
+++ b/cmd/lentiltide/internal/demo/run.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/lentiltide/lentiltide"
+	"github.com/lentiltide/lentiltide/history"
 	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/process/settings"
 	"github.com/lentiltide/lentiltide/standin/cell"
@@ -58,6 +59,7 @@
 	printer    *printer
 	cell       *cell.Cell
 	client     *client
+	history    *history.Recorder
 	intents    []confirmedIntent
 	// lost is the number of entries of missingWork at the end of the run.
 	lost int
@@ -102,6 +104,7 @@
 	d := r.deployment
 	c, err := cell.Start(cell.Options{
 		Workers: d.Workers, PerRack: d.WorkersPerRack, Zones: d.Zones, Region: d.Region, Capacity: d.Capacity, Behave: taskBehavior,
+		History: r.history, Name: d.Name,
 	})
 	if err != nil {
 		return nil, err
@@ -114,13 +117,14 @@
 	var urls []string
 	for i := range d.Instances {
 		s := settings.Default()
-		s.Instance, s.Region, s.Zone = fmt.Sprintf("entry-%d", i+1), d.Region, d.Zones[i%len(d.Zones)]
+		s.Instance, s.Region, s.Zone = instanceName(i), d.Region, d.Zones[i%len(d.Zones)]
 		s.HTTPAddress, s.PeerAddress, s.PlatformURL = "127.0.0.1:0", "127.0.0.1:0", c.URL
 		s.SessionRenewMS, s.SessionTermMS = sessionRenewInterval.Milliseconds(), sessionTTL.Milliseconds()
 		in, err := lentiltide.Start(lentiltide.Options{Settings: s, Log: log, Seed: uint64(i)})
 		if err != nil {
 			return instances, err
 		}
+		r.recordInstance(s.Instance, history.ChangeBoot)
 		instances, urls = append(instances, in), append(urls, in.URL())
 	}
 	r.client = newClient(urls)
@@ -144,6 +148,9 @@
 	}
 }
 
+// instanceName returns the name of the i-th instance.
+func instanceName(i int) string { return fmt.Sprintf("entry-%d", i+1) }
+
 // killBusiestInstance kills the instance that serves the most partitions.
 func (r *deploymentRun) killBusiestInstance(instances []*lentiltide.Instance) {
 	busiest, mostPartitions := 0, -1
@@ -152,8 +159,12 @@
 			busiest, mostPartitions = i, len(d.Intents)+len(d.Racks)
 		}
 	}
-	r.printf("killing instance entry-%d, which serves %d partitions", busiest+1, mostPartitions)
+	r.printf("killing instance %s, which serves %d partitions", instanceName(busiest), mostPartitions)
+	name := instanceName(busiest)
+	r.recordKill(name, history.ChangeBegin)
 	instances[busiest].Kill()
+	r.recordInstance(name, history.ChangeEnded)
+	r.recordKill(name, history.ChangeEnd)
 }
 
 // taskBehavior makes calls answer with text that contains their payload; other tasks run as their spec declares.
@@ -204,7 +215,10 @@
 		for _, id := range c.taskIDs() {
 			r.cell.Observer.RecordSubmission(string(id), now)
 		}
+		r.recordJob(c.id, spec)
+		call := r.recordCall(history.OperationSubmit, c.id)
 		in, err := r.client.confirm(ctx, plan.ID)
+		r.recordAnswer(call, err, history.VerdictAccepted)
 		if isStale(err) {
 			r.printf("the plan of %s is stale; stating the intent again", spec.Name)
 			continue
@@ -333,7 +347,10 @@
 		if !c.spec.Kind.Restarts() {
 			continue
 		}
-		if err := r.client.cancel(ctx, c.id); err != nil {
+		call := r.recordCall(history.OperationCancel, c.id)
+		err := r.client.cancel(ctx, c.id)
+		r.recordAnswer(call, err, history.VerdictCancelled)
+		if err != nil {
 			return err
 		}
 		r.printf("cancelled %s", c.spec.Name)
--- a/standin/cell/cell.go
+++ b/standin/cell/cell.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/lentiltide/lentiltide/history"
 	"github.com/lentiltide/lentiltide/model"
 	standinplatform "github.com/lentiltide/lentiltide/standin/platform"
 	"github.com/lentiltide/lentiltide/standin/server"
@@ -32,6 +33,9 @@
 	Capacity model.Resources
 	// Behave selects how a task runs; nil means standinworker.DefaultBehavior.
 	Behave func(model.Task) standinworker.Behavior
+	// History records what the workers observe, with Name as the name of the cell; nil records nothing.
+	History *history.Recorder
+	Name    string
 }
 
 // Cell is a running stand-in platform with workers.
@@ -53,6 +57,7 @@
 		Table: standinplatform.NewTable(), Objects: standinplatform.NewObjects(), Members: standinplatform.NewInstanceList(),
 		Observer: standinworker.NewObserver(time.Now), Agents: map[string]*standinworker.Agent{},
 	}
+	c.Observer.SetHistory(opts.History, opts.Name)
 	for i := range opts.Workers {
 		if err := c.addWorker(opts, i); err != nil {
 			c.Close()
--- a/standin/worker/agent.go
+++ b/standin/worker/agent.go
@@ -107,6 +107,7 @@
 	a.running = map[model.TaskID]*taskRun{}
 	a.endedTokens = map[model.StartToken]bool{}
 	a.results, a.lastSequence = nil, 0
+	a.opts.Observer.recordBoot(a.opts.ID, a.opts.Capacity)
 	a.wakePolls()
 }
 
--- a/standin/worker/observer.go
+++ b/standin/worker/observer.go
@@ -35,6 +35,8 @@
 	waits  *hdrhistogram.Histogram
 	counts Counts
 	faults []string
+	// history is where starts and ends are written; the zero value writes nothing.
+	history historyLog
 }
 
 // workRecord is the history of one piece of work.
@@ -98,6 +100,7 @@
 	w.copies++
 	w.starts++
 	w.lostResult = false
+	o.history.start(id, name, t)
 }
 
 // checkStart counts a start and checks it against the earlier runs of the same work. Callers hold o.mu.
@@ -151,7 +154,9 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	w := o.work[o.nameOf(t.Task)]
+	name := o.nameOf(t.Task)
+	w := o.work[name]
+	o.history.end(id, name, t, state)
 	if w.runningOn[id]--; w.runningOn[id] == 0 {
 		delete(w.runningOn, id)
 	}
