--- a/history/cell.go
+++ b/history/cell.go
@@ -129,6 +129,8 @@
 	Service string `json:"service"`
 	// MaxAttempts is the number of failed runs after which a task is not started again; 0 means no limit is known.
 	MaxAttempts int `json:"max_attempts,omitempty"`
+	// RestrictsWorkers says that a placement policy permits only some workers.
+	RestrictsWorkers bool `json:"restricts_workers,omitempty"`
 }
 
 // The changes of a wave. Those of one machine have Machine set.
@@ -146,6 +148,9 @@
 	Machine  string   `json:"machine,omitempty"`
 	Machines []string `json:"machines,omitempty"`
 	Maximum  int      `json:"maximum,omitempty"`
+	// Holder and Token are the instance that requested the maintenance of Machine and its fencing token, with ChangeBegan.
+	Holder string `json:"holder,omitempty"`
+	Token  uint64 `json:"token,omitempty"`
 }
 
 // TargetKind is what a fault disturbs.
--- a/history/event.go
+++ b/history/event.go
@@ -2,7 +2,11 @@
 //
 // A history is a file of JSON lines. The first line is a Header; each other line is an Event. The times of the events are
 // microseconds since the start of the history on one monotonic clock and never decrease. A complete history ends with an
-// event of kind KindClosed. Package history/check decides from a history alone whether the rules of the platform were kept.
+// event of kind KindClosed.
+//
+// The order of the events is the order of cause and effect: a client records a call before it sends it and an answer after it
+// has received it; a worker records a start or an end before it tells anyone; a fault is recorded before it begins and after it
+// has ended. Package history/check decides from a history alone whether the rules of the platform were kept.
 package history
 
 import (
