--- a/history/check/apply.go
+++ b/history/check/apply.go
@@ -235,9 +235,9 @@
 	switch change.Change {
 	case history.ChangeBoot:
 		w.clear(k.now.at)
-		w.info, w.described, w.up, w.draining = *change, true, true, ref{}
+		w.info, w.described, w.up, w.draining, w.former = *change, true, true, ref{}, nil
 	case history.ChangeCapacity:
-		w.info.Capacity = change.Capacity
+		w.changeCapacity(change.Capacity, k.now.at)
 	case history.ChangeCrash, history.ChangeGone:
 		ended := w.clear(k.now.at)
 		w.up = false
--- a/history/check/bounds.go
+++ b/history/check/bounds.go
@@ -26,6 +26,8 @@
 	// run may have nothing running then.
 	finishTime = 14 * time.Second
 	idleTime   = 3 * time.Second
+	// shrinkTime is how long the former capacity of a worker that has shrunk counts: contactMs and one heartbeat.
+	shrinkTime = contactTime + 1500*time.Millisecond
 	// drainTime is after which nothing starts on a worker that drains (drainMs).
 	drainTime = 2000 * time.Millisecond
 	// configurationTime is after which a confirmed configuration is in force (configurationMs).
--- a/history/check/worker.go
+++ b/history/check/worker.go
@@ -1,6 +1,7 @@
 package check
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lentiltide/lentiltide/history"
@@ -18,6 +19,28 @@
 	pending []*completion
 	// draining is when it was acknowledged that the worker drains.
 	draining ref
+	// former are the capacities before changes, each with the time until which starts may count on it.
+	former []formerCapacity
+}
+
+// formerCapacity is the capacity of a worker before a change.
+type formerCapacity struct {
+	capacity history.Resources
+	until    time.Duration
+}
+
+// changeCapacity sets the capacity of a worker that goes on.
+func (w *workerState) changeCapacity(capacity history.Resources, at time.Duration) {
+	w.former = slices.DeleteFunc(w.former, func(f formerCapacity) bool { return f.until < at })
+	w.former = append(w.former, formerCapacity{w.info.Capacity, at + shrinkTime})
+	w.info.Capacity = capacity
+}
+
+// allows reports whether a demand on top of what is used is within the capacity, or within a former one that still counts.
+func (w *workerState) allows(demand history.Resources, at time.Duration) bool {
+	return !exceeds(w.used, demand, w.info.Capacity) || slices.ContainsFunc(w.former, func(f formerCapacity) bool {
+		return at <= f.until && !exceeds(w.used, demand, f.capacity)
+	})
 }
 
 // demandOf returns what a task of a step counts against the capacity of its worker.
