--- a/history/check/apply.go
+++ b/history/check/apply.go
@@ -1,6 +1,10 @@
 package check
 
-import "github.com/lentiltide/lentiltide/history"
+import (
+	"slices"
+
+	"github.com/lentiltide/lentiltide/history"
+)
 
 // apply changes the state by the present event.
 func (k *checker) apply() {
@@ -49,6 +53,7 @@
 		return
 	}
 	p.job = k.job(c.Job)
+	p.job.openCalls++
 	switch c.Operation {
 	case history.OperationSubmit:
 		p.job.attempts++
@@ -78,6 +83,7 @@
 	if j == nil {
 		return
 	}
+	j.openCalls--
 	k.recordOperation(c, a)
 	switch a.Verdict {
 	case history.VerdictAccepted:
@@ -114,11 +120,8 @@
 	if s == history.StateCompleted {
 		setOnce(&j.completed, k.now)
 	}
-	if s.Final() {
-		setOnce(&j.final, k.now)
-		if q := queueOf(j); q != "" {
-			delete(k.queue(q).notBegun, j)
-		}
+	if s.Final() && !j.final.known() {
+		k.finalShown(j)
 	}
 }
 
@@ -173,7 +176,7 @@
 	t.completed = append(t.completed, c)
 	if !t.done {
 		t.done = true
-		t.job.doneTasks[stepKey{t.key.occurrence, t.key.step}]++
+		t.job.countDone(t.key)
 	}
 }
 
@@ -209,6 +212,7 @@
 	k.timers.add(k.now.at+noticeTime, func() {
 		if k.calmSince(k.now.at) {
 			k.note(listed)
+			w.pending = slices.DeleteFunc(w.pending, func(c *completion) bool { return c.noted.known() })
 			return
 		}
 		for _, c := range listed {
--- a/history/check/checker.go
+++ b/history/check/checker.go
@@ -76,9 +76,9 @@
 
 // observe checks and applies the event of a line.
 func (k *checker) observe(line int, e *history.Event) {
-	k.now.line = line
+	k.now.line, k.event = line, e
 	k.timers.runUntil(e.At(), func(at time.Duration) { k.now.at = at })
-	k.now.at, k.event, k.call, k.run = e.At(), e, nil, nil
+	k.now.at, k.call, k.run = e.At(), nil, nil
 	if !k.resolve() {
 		return
 	}
@@ -126,7 +126,7 @@
 func (k *checker) job(id string) *jobState {
 	j := k.jobs[id]
 	if j == nil {
-		j = &jobState{id: id, tasks: map[taskKey]*taskState{}, doneTasks: map[stepKey]int{}}
+		j = &jobState{id: id}
 		k.jobs[id] = j
 	}
 	return j
--- a/history/check/job.go
+++ b/history/check/job.go
@@ -52,6 +52,10 @@
 	reads                             int
 	// idleReported means that the job is reported for standing still.
 	idleReported bool
+	// openCalls is the number of calls without an answer so far.
+	openCalls int
+	// archived means that the tasks and operations are forgotten, wasDone that all tasks had ended as done before.
+	archived, wasDone bool
 }
 
 // step returns a step of the job, or nil if it is not known.
@@ -76,12 +80,23 @@
 func (j *jobState) task(k taskKey) *taskState {
 	t := j.tasks[k]
 	if t == nil {
+		if j.tasks == nil {
+			j.tasks = map[taskKey]*taskState{}
+		}
 		t = &taskState{key: k, job: j}
 		j.tasks[k] = t
 	}
 	return t
 }
 
+// countDone counts a task that has ended as done for the first time.
+func (j *jobState) countDone(k taskKey) {
+	if j.doneTasks == nil {
+		j.doneTasks = map[stepKey]int{}
+	}
+	j.doneTasks[stepKey{k.occurrence, k.step}]++
+}
+
 // stepDone reports whether all tasks of a step have ended as done. One member stands for a gang.
 func (j *jobState) stepDone(occurrence, step int) bool {
 	s := j.step(step)
@@ -89,19 +104,27 @@
 		return false
 	}
 	done := j.doneTasks[stepKey{occurrence, step}]
-	return done >= s.Count || s.Gang && done > 0
+	return j.wasDone || done >= max(1, s.Count) || s.Gang && done > 0
 }
 
 // done reports whether all tasks have ended as done. The spec must be known.
 func (j *jobState) done() bool {
-	for k := range j.occurrences() {
+	return j.wasDone || j.firstOpen() == j.occurrences()
+}
+
+// firstOpen returns the first occurrence of which a task has not ended as done, or the number of occurrences.
+func (j *jobState) firstOpen() int {
+	if len(j.spec.Steps) == 0 {
+		return 0
+	}
+	for o := range j.occurrences() {
 		for s := range j.spec.Steps {
-			if !j.stepDone(k, s) {
-				return false
+			if !j.stepDone(o, s) {
+				return o
 			}
 		}
 	}
-	return true
+	return j.occurrences()
 }
 
 // taskState is what is known of a task.
@@ -137,8 +160,8 @@
 		return t.completed
 	}
 	var out []*completion
-	for i := range t.step().Count {
-		if member := t.job.tasks[taskKey{t.key.occurrence, t.key.step, i}]; member != nil {
+	for key, member := range t.job.tasks {
+		if key.occurrence == t.key.occurrence && key.step == t.key.step {
 			out = append(out, member.completed...)
 		}
 	}
--- a/history/check/jobs.go
+++ b/history/check/jobs.go
@@ -87,7 +87,7 @@
 		}
 	}
 	if again {
-		k.timers.add(k.now.at+cancelTime+stopTime, func() { k.checkRunsAfterCancel(j) })
+		k.repeat(cancelTime+stopTime, func() { k.checkRunsAfterCancel(j) })
 	}
 }
 
--- a/history/check/linear.go
+++ b/history/check/linear.go
@@ -34,7 +34,7 @@
 		o.answered = ref{}
 	}
 	switch {
-	case a.Verdict == history.VerdictNoQueue:
+	case a.Verdict == history.VerdictNoQueue || c.job.archived:
 		return
 	case c.Operation != history.OperationSubmit && a.Verdict == history.VerdictRefused:
 		return
@@ -66,23 +66,24 @@
 
 // linearizable: there is an order of the calls about a job, in which each takes effect between its sending and its answer, that
 // explains all answers.
-func linearizable(k *checker, r *result) {
+func linearizable(k *checker, _ *result) {
 	for _, c := range k.calls {
 		if c.job != nil && (c.Operation == history.OperationSubmit || c.Operation == history.OperationCancel) {
 			c.job.operations = append(c.job.operations, operation{operation: c.Operation, verdict: history.VerdictNoAnswer, sent: c.sent})
 		}
 	}
 	for _, j := range k.sortedJobs() {
-		if len(j.operations) < 2 {
-			continue
-		}
-		r.tried++
-		switch checkOperations(j.operations, noLine) {
-		case porcupine.Unknown:
-			r.undecided++
-		case porcupine.Illegal:
-			k.broken(r, "the answers about a job fit no order", shortestIllegal(j.operations)...)
-		}
+		k.checkLinearizable(j)
+	}
+}
+
+// recordOrder checks the operations on a job and records the result.
+func (k *checker) recordOrder(r *result, operations []operation) {
+	switch checkOperations(operations, noLine) {
+	case porcupine.Unknown:
+		r.undecided++
+	case porcupine.Illegal:
+		k.broken(r, "the answers about a job fit no order", shortestIllegal(operations)...)
 	}
 }
 
--- a/history/check/lost.go
+++ b/history/check/lost.go
@@ -11,7 +11,7 @@
 // acceptance. Final states need not be known after their retention.
 func lostJob(k *checker, r *result) {
 	c, j := k.call, k.call.job
-	if c.Operation != history.OperationState || !j.accepted.known() || j.cancelSent.known() || !k.inTouchSince(c.Instance, c.sent.at) {
+	if c.Operation != history.OperationState || j == nil || !j.accepted.known() || j.cancelSent.known() || !k.inTouchSince(c.Instance, c.sent.at) {
 		return
 	}
 	if c.sent.at <= j.accepted.at+visibleTime || k.retentionOver(j) {
@@ -140,7 +140,7 @@
 // checkIdle: after the traffic, a job has had nothing running for the bound while a task's turn has come, there is capacity for it
 // twice over, and under half of the capacity is in use. It runs every idleTime until the end of the history.
 func (k *checker) checkIdle() {
-	k.timers.add(k.now.at+idleTime, k.checkIdle)
+	k.repeat(idleTime, k.checkIdle)
 	if !k.calmSince(k.now.at-idleTime) || k.halfUsed() {
 		return
 	}
@@ -171,20 +171,20 @@
 	return over(used.CPUMilli, capacity.CPUMilli) || over(used.MemoryMB, capacity.MemoryMB) || over(used.GPU, capacity.GPU)
 }
 
-// readyStep returns a step of which a task's turn came before the bound and that no run has done; nil if there is none.
+// readyStep returns a step of the first occurrence that is not done, of which a task's turn came before the bound; nil if there is
+// none.
 func (k *checker) readyStep(j *jobState) *history.Step {
-	for o := range j.occurrences() {
-		if j.due(o)+idleTime > k.now.at {
-			continue
+	o := j.firstOpen()
+	if o == j.occurrences() || j.due(o)+idleTime > k.now.at {
+		return nil
+	}
+	for i := range j.spec.Steps {
+		ready := !j.stepDone(o, i)
+		for _, d := range j.spec.Steps[i].DependsOn {
+			ready = ready && j.stepDone(o, d)
 		}
-		for i := range j.spec.Steps {
-			ready := !j.stepDone(o, i)
-			for _, d := range j.spec.Steps[i].DependsOn {
-				ready = ready && j.stepDone(o, d)
-			}
-			if ready {
-				return &j.spec.Steps[i]
-			}
+		if ready {
+			return &j.spec.Steps[i]
 		}
 	}
 	return nil
--- a/history/check/mutate_test.go
+++ b/history/check/mutate_test.go
@@ -97,3 +97,10 @@
 		s.call(ms, history.Call{Operation: history.OperationWaiting, Queue: "q"}, history.Answer{Verdict: history.VerdictWaiting, Version: uint64(2 - i)})
 	}
 }
+
+func startLongAfter(s *script) {
+	s.remove(func(e *history.Event) bool { return e.Kind == history.KindClosed })
+	s.fault(179_000, "f", history.ChangeBegin, history.TargetLink, "i1")
+	s.start(180_000, "a.0.0.0", 2, "w3")
+	s.add(181_000, history.Event{Kind: history.KindClosed})
+}
--- a/history/check/mutation_test.go
+++ b/history/check/mutation_test.go
@@ -38,6 +38,7 @@
 	{"TWICE done", "a start between the end and its acknowledgement", func(s *script) { s.start(5620, "a.0.0.0", 2, "w3") }, 5650},
 	{"TWICE done", "a start after an end that was listed in calm", func(s *script) { s.start(5800, "a.0.0.1", 2, "w3") }, 5800},
 	{"TWICE done", "a member of a gang starts after another one is done", func(s *script) { s.start(7700, "gang.0.0.1", 2, "w3") }, 7700},
+	{"TWICE done", "an instance that is cut off starts a task three minutes later", startLongAfter, 180_000},
 	{"TWICE known", "a copy starts 1.1 s after the acknowledged end", func(s *script) { s.start(8960, "copies.0.0.0", 3, "w3") }, 8960},
 	{"TWICE shown", "the worker of a job that was shown as completed crashes before the acknowledgement, and the task starts again", startAfterCrash, 26_200},
 	{"ORDER dependencies", "a start before the dependencies are done", func(s *script) { s.shiftStart("a.0.1.0", 1, 5550) }, 5550},
@@ -204,3 +205,28 @@
 		assert.Equal(t, sentence.Verdict, NotTried, sentence.Name)
 	}
 }
+
+// FuzzRead guards against histories that make the reader or the checker panic or never end, and against breaks that name no line of
+// the history.
+func FuzzRead(f *testing.F) {
+	valid := validScript().text(f)
+	f.Add(valid)
+	f.Add(valid[:len(valid)/2])
+	for _, m := range mutations {
+		s := validScript()
+		m.mutate(s)
+		f.Add(s.text(f))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		r, err := File(bytes.NewReader(text))
+		if err != nil {
+			return
+		}
+		lines := bytes.Count(text, []byte("\n")) + 1
+		for _, s := range r.Sentences {
+			for _, b := range s.Breaks {
+				assert.Assert(t, b.Line > 1 && b.Line <= lines)
+			}
+		}
+	})
+}
--- a/history/check/sentences.go
+++ b/history/check/sentences.go
@@ -52,13 +52,14 @@
 	{name: nameIdle, text: "jobs that could run do not stand still 14 s after the end of the traffic"},
 	{name: "CONFIG force", text: "an instance in touch answers by the configuration confirmed 2 s before", kinds: kinds(history.KindAnswer), check: configurationInForce},
 	{name: "CONFIG regress", text: "an instance does not return to an older configuration", kinds: kinds(history.KindAnswer), check: configurationRegress},
-	{name: "ANSWERS linearizable", text: "acceptances, refusals, cancellations and states of a job fit one order", final: linearizable},
+	{name: nameLinearizable, text: "acceptances, refusals, cancellations and states of a job fit one order", final: linearizable},
 }
 
-// The names of sentences that timers check.
+// The names of sentences that are checked at other times than their events.
 const (
-	nameRunsOn = "UNASKED runs on"
-	nameIdle   = "LOST idle"
+	nameRunsOn       = "UNASKED runs on"
+	nameIdle         = "LOST idle"
+	nameLinearizable = "ANSWERS linearizable"
 )
 
 // result returns the result of a sentence.
--- a/history/check/starts.go
+++ b/history/check/starts.go
@@ -21,6 +21,7 @@
 	if t.speculative() || t.longRunning() {
 		return
 	}
+	k.startAfterArchive(r)
 	for _, c := range t.completions() {
 		if c.noted.known() {
 			k.broken(r, "a task starts after its end as done was acknowledged", c.ended, c.noted, k.now)
--- a/history/check/timers.go
+++ b/history/check/timers.go
@@ -36,3 +36,9 @@
 		next.run()
 	}
 }
+
+// repeat runs f a period later. Nothing changes between two events, so that a check that repeats itself skips most of a long time
+// without events.
+func (k *checker) repeat(period time.Duration, f func()) {
+	k.timers.add(max(k.now.at+period, k.event.At()-2*period), f)
+}
--- a/history/reader.go
+++ b/history/reader.go
@@ -13,6 +13,9 @@
 // MaxLineBytes is the maximum length of a line.
 const MaxLineBytes = 1 << 20
 
+// maxTimeUS is the largest time of an event: ten years.
+const maxTimeUS = 10 * 365 * 24 * 3600 * 1_000_000
+
 // Errors of a Reader. They are wrapped in a LineError.
 var (
 	ErrNoHistory  = errors.New("not a history: the first line is not its header")
@@ -96,6 +99,8 @@
 		return Event{}, &LineError{Line: r.line, Err: fmt.Errorf("%w: %w", ErrMalformed, err)}
 	case !e.hasDetails():
 		return Event{}, &LineError{Line: r.line, Err: fmt.Errorf("%w: kind %q without its details", ErrMalformed, e.Kind)}
+	case e.AtUS > maxTimeUS:
+		return Event{}, &LineError{Line: r.line, Err: fmt.Errorf("%w: a time of %d microseconds", ErrMalformed, e.AtUS)}
 	case e.AtUS < r.lastUS:
 		return Event{}, &LineError{Line: r.line, Err: fmt.Errorf("%w: %d after %d microseconds", ErrOutOfOrder, e.AtUS, r.lastUS)}
 	}
