--- a/process/node/handover_test.go
+++ b/process/node/handover_test.go
@@ -18,7 +18,7 @@
 		t.Run(fmt.Sprint(lostAfter), func(t *testing.T) {
 			runWithCrashes(t, 4, func(t *testing.T, c *testCell) {
 				c.startOutage()
-				c.crashAllWorkers()
+				c.crashAllWorkers(workersDowntime)
 				holder := ""
 				for _, name := range c.names() {
 					if name != c.leader() {
--- a/process/node/porcupine_test.go
+++ b/process/node/porcupine_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -12,7 +11,6 @@
 	"github.com/anishathalye/porcupine"
 	"gotest.tools/v3/assert"
 
-	"github.com/lentiltide/lentiltide/history"
 	"github.com/lentiltide/lentiltide/model/job"
 	"github.com/lentiltide/lentiltide/request/verdict"
 	"github.com/lentiltide/lentiltide/standin/backends"
@@ -270,34 +268,6 @@
 	time.Sleep(500 * time.Millisecond)
 }
 
-// cancel cancels a job at an instance.
-func (c *testCell) cancel(n *testNode, id string) error {
-	number := c.recordCall(n, history.OperationCancel, id)
-	err := c.sendCancellation(n, id)
-	c.recordAnswer(number, err, history.Answer{Verdict: history.VerdictCancelled})
-	return err
-}
-
-func (c *testCell) sendCancellation(n *testNode, id string) error {
-	q, err := n.Queue("h", "/b/"+id)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(c.t.Context(), 3*time.Second)
-	defer cancel()
-	return n.Cancel(ctx, q, job.ID(id))
-}
-
-// refuse submits a job at an instance that knows that its configuration is outdated.
-func (c *testCell) refuse(n *testNode, id string) error {
-	ctx, cancel := context.WithTimeout(c.t.Context(), 3*time.Second)
-	defer cancel()
-	number := c.recordCall(n, history.OperationSubmit, id)
-	err := n.Refuse(ctx, job.ID(id), errOutdated())
-	c.recordAnswer(number, err, history.Answer{Verdict: history.VerdictAccepted})
-	return err
-}
-
 // node returns the instance that currently has the name. It may have been restarted.
 func (c *testCell) node(name string) *testNode {
 	c.mu.Lock()
--- a/process/node/shown_test.go
+++ b/process/node/shown_test.go
@@ -18,6 +18,8 @@
 	watchInterval = 25 * time.Millisecond
 	// workersDowntime is how long crashed workers are away, and restartTime how long a killed instance is.
 	workersDowntime, restartTime = 300 * time.Millisecond, 500 * time.Millisecond
+	// longDowntime lasts until the instances have been in touch with the store for over 3 s again. Only then do the rules forbid a start.
+	longDowntime = 8 * time.Second
 )
 
 // startOutage submits job a and watches its state; the store refuses all calls shortly after the job has started. It returns when
@@ -46,8 +48,8 @@
 }
 
 // crashAllWorkers crashes all workers, which forget the completions that were not acknowledged.
-func (c *testCell) crashAllWorkers() {
-	c.workers.Crash(backends.Crash{Downtime: workersDowntime}, "w00", "w01", "w02", "w03")
+func (c *testCell) crashAllWorkers(downtime time.Duration) {
+	c.workers.Crash(backends.Crash{Downtime: downtime}, "w00", "w01", "w02", "w03")
 }
 
 // requireCompletedInTheEnd ends the outage and fails the test unless the job is completed some time after it.
@@ -80,12 +82,14 @@
 // Guards against tasks of a job that callers were shown as completed and that start again, because all instances were lost while the
 // store was away, and with them the only record of the completion.
 func TestShownJobStaysCompletedWhenAllInstancesAreLost(t *testing.T) {
-	for name, crash := range map[string]bool{"with the workers": true, "without the workers": false} {
+	for name, downtime := range map[string]time.Duration{
+		"with the workers": workersDowntime, "with the workers for longer": longDowntime, "without the workers": 0,
+	} {
 		t.Run(name, func(t *testing.T) {
 			runWithCrashes(t, 4, func(t *testing.T, c *testCell) {
 				c.startOutage()
-				if crash {
-					c.crashAllWorkers()
+				if downtime > 0 {
+					c.crashAllWorkers(downtime)
 				}
 				for _, name := range c.names() {
 					c.kill(name)
@@ -124,7 +128,7 @@
 // loseTwoLeaders crashes the workers and kills the leader in an outage of the store, lets a successor lead for a while, and kills that one
 // in a second outage.
 func (c *testCell) loseTwoLeaders(ledFor, lostAfter time.Duration, restarts bool) {
-	c.crashAllWorkers()
+	c.crashAllWorkers(workersDowntime)
 	c.kill(c.leader())
 	time.Sleep(restartTime)
 	c.tables.SetFault(nil)
