--- a/history/cell.go
+++ b/history/cell.go
@@ -18,7 +18,7 @@
 	Task   Task   `json:"task"`
 	Run    uint64 `json:"run"`
 	Worker string `json:"worker"`
-	// Boot identifies the boot of the worker.
+	// Boot identifies the boot of the worker; 0, here and below, is the present one.
 	Boot int64 `json:"boot,omitempty"`
 	// Instance is the instance that sent the command; empty if unknown.
 	Instance string `json:"instance,omitempty"`
--- a/history/check/worker.go
+++ b/history/check/worker.go
@@ -11,9 +11,11 @@
 	// info is its present boot. The service, labels and capacity are known if described is set.
 	info      history.Worker
 	described bool
-	up        bool
-	runs      []*run
-	used      history.Resources
+	// formerBoots are the boots before the present one.
+	formerBoots []int64
+	up          bool
+	runs        []*run
+	used        history.Resources
 	// pending are ends as done or failed that were not acknowledged.
 	pending []*completion
 	// draining is when it was acknowledged that the worker drains.
--- a/history/history_test.go
+++ b/history/history_test.go
@@ -87,6 +87,18 @@
 	return s.w.Write(b)
 }
 
+// TestOversizedEventIsCounted guards against a history that its reader refuses since one event is too long.
+func TestOversizedEventIsCounted(t *testing.T) {
+	var file bytes.Buffer
+	r := NewRecorder(&file, SinceNow(), "")
+	r.Record(Event{Kind: KindJob, Job: &Job{ID: "a", Payload: strings.Repeat("x", MaxLineBytes)}})
+	assert.NilError(t, r.Close())
+	events, err := readAll(file.String())
+	assert.NilError(t, err)
+	assert.Equal(t, len(events), 2)
+	assert.Equal(t, events[0].Gap.Dropped, uint64(1))
+}
+
 // TestNilRecorder guards against observers that fail when nothing is recorded.
 func TestNilRecorder(t *testing.T) {
 	var r *Recorder
