Check services that stand still and missing acknowledgements in histories

Change: what stands still is checked each 0.5 s, and a break needs the condition at each check for 3 s. ACKS counts cancellations and listed completions after 4 s of steady state.

--- a/history/check/apply.go
+++ b/history/check/apply.go
@@ -1,10 +1,6 @@
 package check
 
-import (
-	"slices"
-
-	"github.com/lentiltide/lentiltide/history"
-)
+import "github.com/lentiltide/lentiltide/history"
 
 // apply changes the state by the present event.
 func (k *checker) apply() {
@@ -59,13 +55,26 @@
 		p.job.attempts++
 		setOnce(&p.job.submitted, k.now)
 	case history.OperationCancel:
-		setOnce(&p.job.cancelSent, k.now)
-		if q := queueOf(p.job); q != "" {
-			delete(k.queue(q).notBegun, p.job)
+		if !p.job.cancelSent.known() {
+			k.applyCancelCall(p.job)
 		}
 	}
 }
 
+func (k *checker) applyCancelCall(j *jobState) {
+	j.cancelSent = k.now
+	k.close(j)
+	k.watchCancellation(j)
+}
+
+// close removes a job from those that wait or could stand still.
+func (k *checker) close(j *jobState) {
+	delete(k.open, j)
+	if q := queueOf(j); q != "" {
+		delete(k.queue(q).notBegun, j)
+	}
+}
+
 // setOnce sets r to the first of its values.
 func setOnce(r *ref, value ref) {
 	if !r.known() {
@@ -97,18 +106,28 @@
 		k.applyCancellation(j)
 	case history.VerdictState:
 		k.applyShownState(j, a.State)
+	case history.VerdictNotFound:
+		j.cancelAnswered = j.cancelAnswered || c.Operation == history.OperationCancel
 	}
 	k.applyFinalQuestion(c, a)
 }
 
 func (k *checker) applyAcceptance(j *jobState) {
 	setOnce(&j.accepted, k.now)
+	if !j.cancelSent.known() && !j.final.known() {
+		k.open[j] = struct{}{}
+	}
+	if !k.watching {
+		k.watching = true
+		k.repeat(idlePeriod, k.checkIdle)
+	}
 	if q := queueOf(j); q != "" && !j.begun.known() && !j.cancelSent.known() && !j.final.known() {
 		k.queue(q).notBegun[j] = struct{}{}
 	}
 }
 
 func (k *checker) applyCancellation(j *jobState) {
+	j.cancelAnswered = true
 	if j.cancelled.known() {
 		return
 	}
@@ -146,6 +165,7 @@
 	}
 	j.openRuns++
 	r.task.runs = append(r.task.runs, r)
+	r.task.lastStart = k.now
 	r.worker.runs = append(r.worker.runs, r)
 	r.worker.used = add(r.worker.used, demandOf(r.task.step()), 1)
 	if j.cancelled.known() {
@@ -197,6 +217,7 @@
 // applyListing counts listed completions as acknowledged a little later, if nothing is disturbed until then.
 func (k *checker) applyListing(l *history.Listing) {
 	w := k.worker(l.Worker, l.Boot)
+	k.watchCompletions(w, l.UpTo)
 	var listed []*completion
 	for _, c := range w.pending {
 		if c.number <= l.UpTo && !c.listed {
@@ -212,7 +233,6 @@
 	k.timers.add(k.now.at+noticeTime, func() {
 		if k.calmSince(k.now.at) {
 			k.note(listed)
-			w.pending = slices.DeleteFunc(w.pending, func(c *completion) bool { return c.noted.known() })
 			return
 		}
 		for _, c := range listed {
@@ -224,6 +244,9 @@
 func (k *checker) applyAcknowledgement(a *history.Acknowledgement) {
 	w := k.worker(a.Worker, a.Boot)
 	taken := w.takePending(a.UpTo)
+	for _, c := range taken {
+		c.acknowledged = true
+	}
 	if !a.Expired {
 		k.note(taken)
 		return
@@ -301,5 +324,4 @@
 
 func (k *checker) applyTrafficEnd() {
 	setOnce(&k.trafficEnded, k.now)
-	k.timers.add(k.now.at+finishTime+idleTime, k.checkIdle)
 }
--- a/history/check/archive.go
+++ b/history/check/archive.go
@@ -57,9 +57,7 @@
 // finalShown records that a job is shown in a final state for the first time.
 func (k *checker) finalShown(j *jobState) {
 	j.final = k.now
-	if q := queueOf(j); q != "" {
-		delete(k.queue(q).notBegun, j)
-	}
+	k.close(j)
 	if k.event.Answer.State != history.StateFailed {
 		k.archiveLater(j)
 	}
--- a/history/check/bounds.go
+++ b/history/check/bounds.go
@@ -26,6 +26,14 @@
 	// run may have nothing running then.
 	finishTime = 14 * time.Second
 	idleTime   = 3 * time.Second
+	// serviceTime is after which a service task runs again.
+	serviceTime = 6 * time.Second
+	// acknowledgeTime is how long an acknowledgement takes in steady state (acknowledgeMs). A share of cancellations and of
+	// completions may lack theirs.
+	acknowledgeTime      = 4000 * time.Millisecond
+	missingCancellations = 0.1
+	missingCompletions   = 0.2
+	fewestMissing        = 3
 	// drainTime is after which nothing starts on a worker that drains (drainMs).
 	drainTime = 2000 * time.Millisecond
 	// configurationTime is after which a confirmed configuration is in force (configurationMs).
--- a/history/check/checker.go
+++ b/history/check/checker.go
@@ -22,9 +22,13 @@
 	waves     map[uint64]*waveState
 	// trafficEnded is when callers stopped submitting jobs.
 	trafficEnded ref
-	timers       timers
-	results      []*result
-	byKind       map[history.Kind][]*result
+	// open are the accepted jobs that are neither cancelled nor shown in a final state; watching means that checkIdle runs.
+	open     map[*jobState]struct{}
+	watching bool
+	acks     acknowledgements
+	timers   timers
+	results  []*result
+	byKind   map[history.Kind][]*result
 
 	// What the present event is about: the call of an answer, the run of a start or an end.
 	call *call
@@ -63,7 +67,7 @@
 	k := &checker{
 		jobs: map[string]*jobState{}, workers: map[string]*workerState{}, calls: map[uint64]*call{}, queues: map[string]*queueState{},
 		disturbances: newDisturbances(), instances: map[string]*instanceState{}, waves: map[uint64]*waveState{},
-		byKind: map[history.Kind][]*result{},
+		byKind: map[history.Kind][]*result{}, open: map[*jobState]struct{}{},
 	}
 	for i := range sentences {
 		r := &result{sentence: &sentences[i]}
--- a/history/check/job.go
+++ b/history/check/job.go
@@ -50,8 +50,12 @@
 	askedLast, knownLast, unknownLast ref
 	operations                        []operation
 	reads                             int
-	// idleReported means that the job is reported for standing still.
-	idleReported bool
+	// idleReported means that the job is reported for standing still, serviceTried that its service tasks are watched. IdleFrom is
+	// since when it has stood still; 0 if it does not.
+	idleReported, serviceTried bool
+	idleFrom                   time.Duration
+	// cancelAnswered means that a call that cancels the job was answered.
+	cancelAnswered bool
 	// openCalls is the number of calls without an answer so far.
 	openCalls int
 	// archived means that the tasks and operations are forgotten, wasDone that all tasks had ended as done before.
@@ -142,6 +146,9 @@
 	// failures counts the runs that have ended as failed.
 	failures int
 	ended    time.Duration
+	// lastStart is the last start. RestingFrom is since when a service task could run and does not; 0 if it does.
+	lastStart   ref
+	restingFrom time.Duration
 	// lastNoted is when an end of the task was last acknowledged.
 	lastNoted ref
 	// overBudget are starts after enough failed ends, of which some are not acknowledged yet.
@@ -191,8 +198,12 @@
 	// noted is when the end was acknowledged or counts as such; lost means that this cannot happen any more.
 	noted ref
 	lost  bool
+	// acknowledged means that an acknowledgement has reached the end.
+	acknowledged bool
 	// listed means that the end was listed while nothing was disturbed.
 	listed bool
+	// watched means that the acknowledgement is waited for.
+	watched bool
 	// startedAfter are starts of the task after the end, as long as it is not acknowledged.
 	startedAfter []ref
 }
--- a/history/check/lost.go
+++ b/history/check/lost.go
@@ -137,69 +137,6 @@
 	}
 }
 
-// checkIdle: after the traffic, a job has had nothing running for the bound while a task's turn has come, there is capacity for it
-// twice over, and under half of the capacity of its service is in use. It runs every idleTime until the end of the history.
-func (k *checker) checkIdle() {
-	k.repeat(idleTime, k.checkIdle)
-	if !k.calmSince(k.now.at - idleTime) {
-		return
-	}
-	r := k.result(nameIdle)
-	for _, j := range k.sortedJobs() {
-		if !j.accepted.known() || j.cancelSent.known() || j.final.known() || j.spec == nil || j.idleReported || k.failed(j) {
-			continue
-		}
-		if s := k.readyStep(j); s != nil && !k.halfUsed(j) && k.roomTwice(j, s) {
-			r.tried++
-			if j.openRuns == 0 && k.now.at >= max(j.idleSince, j.accepted.at)+idleTime {
-				j.idleReported = true
-				k.broken(r, "nothing of a job runs though there is capacity", j.accepted, k.now)
-			}
-		}
-	}
-}
-
-// halfUsed reports whether half of the capacity of the workers of a job's service that are up is in use in a dimension.
-func (k *checker) halfUsed(j *jobState) bool {
-	var used, capacity history.Resources
-	for _, w := range k.workers {
-		if w.up && w.described && k.serves(w, j.spec.Queue) {
-			used, capacity = add(used, w.used, 1), add(capacity, w.info.Capacity, 1)
-		}
-	}
-	over := func(used, capacity int64) bool { return used > 0 && 2*used >= capacity }
-	return over(used.CPUMilli, capacity.CPUMilli) || over(used.MemoryMB, capacity.MemoryMB) || over(used.GPU, capacity.GPU)
-}
-
-// readyStep returns a step of the first occurrence that is not done, of which a task's turn came before the bound; nil if there is
-// none.
-func (k *checker) readyStep(j *jobState) *history.Step {
-	o := j.firstOpen()
-	if o == j.occurrences() || j.due(o)+idleTime > k.now.at {
-		return nil
-	}
-	for i := range j.spec.Steps {
-		ready := !j.stepDone(o, i)
-		for _, d := range j.spec.Steps[i].DependsOn {
-			ready = ready && j.stepDone(o, d)
-		}
-		if ready {
-			return &j.spec.Steps[i]
-		}
-	}
-	return nil
-}
-
-// roomTwice reports whether a task of a step, or a gang, fits the free capacity twice.
-func (k *checker) roomTwice(j *jobState, s *history.Step) bool {
-	needed := 2
-	if s.Gang {
-		needed = 2 * s.Count
-	}
-	free := func(w *workerState) history.Resources { return add(w.info.Capacity, w.used, -1) }
-	return !k.hopeless(j) && k.places(j, s, needed, free) >= needed
-}
-
 // sortedJobs returns the jobs in the order of their first submission.
 func (k *checker) sortedJobs() []*jobState {
 	out := make([]*jobState, 0, len(k.jobs))
--- a/history/check/mutate_test.go
+++ b/history/check/mutate_test.go
@@ -104,3 +104,10 @@
 	s.start(180_000, "a.0.0.0", 2, "w3")
 	s.add(181_000, history.Event{Kind: history.KindClosed})
 }
+
+func unansweredCancellations(s *script) {
+	for _, id := range []string{"x", "y", "z"} {
+		s.job(21_000, history.Job{ID: id, Steps: []history.Step{{Count: 1, Demand: small}}})
+		s.cancel(21_500, id, history.VerdictNoAnswer)
+	}
+}
--- a/history/check/mutation_test.go
+++ b/history/check/mutation_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -77,6 +78,14 @@
 	{"LOST idle", "a service stands still after the traffic", func(s *script) {
 		s.end(40_000, "watch.0.0.0", 1, "w3", 1, history.ResultFailed)
 	}, 60_000},
+	{"LOST service", "a service task does not run for 18 s", func(s *script) {
+		s.end(22_000, "watch.0.0.0", 1, "w3", 1, history.ResultFailed)
+		s.start(40_000, "watch.0.0.0", 2, "w3")
+	}, 40_000},
+	{"ACKS cancellations", "three of four cancellations get no answer", unansweredCancellations, 30_000},
+	{"ACKS completions", "the completions that are listed are not acknowledged", func(s *script) {
+		s.remove(func(e *history.Event) bool { return e.Kind == history.KindAcknowledgement && e.AtUS == 9_000_000 })
+	}, 13_000},
 	{"CONFIG force", "an answer by the version before", func(s *script) { s.answerTo(history.OperationWaiting, 18_100).Version = 1 }, 18_110},
 	{"CONFIG force", "a new queue does not exist", missingQueue, 18_510},
 	{"CONFIG regress", "an answer by version 2, then one by version 1", regress, 17_010},
@@ -175,6 +184,20 @@
 			s.result("gang.0.0.1", history.ResultAlone)
 			s.fault(9000, "f", history.ChangeBegin, history.TargetWorker, "w9")
 		},
+		"cancellations without an answer while a worker is cut off": func(s *script) {
+			unansweredCancellations(s)
+			s.fault(22_000, "f", history.ChangeBegin, history.TargetLink, "w9")
+		},
+		"a service task that finds no capacity": func(s *script) {
+			s.end(22_000, "watch.0.0.0", 1, "w3", 1, history.ResultFailed)
+			s.job(22_000, history.Job{ID: "x", Steps: []history.Step{{Count: 3, Demand: history.Resources{CPUMilli: 3500, MemoryMB: 3500}}}})
+			for i, w := range []string{"w1", "w2", "w3"} {
+				task := "x.0.0." + strconv.Itoa(i)
+				s.start(22_000, task, 1, w)
+				s.end(39_000, task, 1, w, []uint64{10, 7, 2}[i], history.ResultDone)
+			}
+			s.start(40_000, "watch.0.0.0", 2, "w3")
+		},
 		"events of a former boot that were recorded late": func(s *script) {
 			for _, boot := range []int64{2, 3} {
 				w := *s.boot("w2")
--- a/history/check/script_test.go
+++ b/history/check/script_test.go
@@ -149,6 +149,7 @@
 	s.end(5600, "a.0.0.1", 1, "w2", 1, history.ResultDone)
 	s.add(5610, history.Event{Kind: history.KindListing, Listing: &history.Listing{Worker: "w2", UpTo: 1}})
 	s.acknowledge(5650, "w1", 1)
+	s.acknowledge(9000, "w2", 2)
 	s.start(5700, "a.0.1.0", 1, "w1")
 	s.end(6000, "a.0.1.0", 1, "w1", 2, history.ResultFailed)
 	s.acknowledge(6050, "w1", 2)
--- a/history/check/sentences.go
+++ b/history/check/sentences.go
@@ -50,6 +50,9 @@
 	{name: "LOST verdict", text: "a job is shown as failed or cancelled with cause", kinds: kinds(history.KindAnswer), check: lostVerdict},
 	{name: "LOST finish", text: "jobs are known 14 s after the end of the traffic", final: lostAtEnd},
 	{name: nameIdle, text: "jobs that could run do not stand still 14 s after the end of the traffic"},
+	{name: nameService, text: "a service task runs again 6 s after its last run, if it could"},
+	{name: "ACKS cancellations", text: "at most a tenth of the cancellations are without an answer after 4 s of steady state", final: cancellationsAcknowledged},
+	{name: "ACKS completions", text: "at most a fifth of the listed completions are not acknowledged after 4 s of steady state", final: completionsAcknowledged},
 	{name: "CONFIG force", text: "an instance in touch answers by the configuration confirmed 2 s before", kinds: kinds(history.KindAnswer), check: configurationInForce},
 	{name: "CONFIG regress", text: "an instance does not return to an older configuration", kinds: kinds(history.KindAnswer), check: configurationRegress},
 	{name: nameLinearizable, text: "acceptances, refusals, cancellations and states of a job fit one order", final: linearizable},
@@ -59,6 +62,7 @@
 const (
 	nameRunsOn       = "UNASKED runs on"
 	nameIdle         = "LOST idle"
+	nameService      = "LOST service"
 	nameLinearizable = "ANSWERS linearizable"
 )
 
