Checker: a cancellation of an unknown job may hold for a later submission

Cause: trial with histories of TestAcceptanceIsLinearizable: 6 of 12 were reported, each for a job whose cancellation was answered not found and that was shown as cancelled after a later submission.

--- a/history/check/mutation_test.go
+++ b/history/check/mutation_test.go
@@ -188,6 +188,11 @@
 			unansweredCancellations(s)
 			s.fault(22_000, "f", history.ChangeBegin, history.TargetLink, "w9")
 		},
+		"a job that was cancelled before its submission": func(s *script) {
+			s.cancel(24_000, "x", history.VerdictNotFound)
+			s.job(24_100, history.Job{ID: "x", Steps: []history.Step{{Count: 1, Demand: small}}})
+			s.state(24_200, "x", history.StateCancelled)
+		},
 		"a service task that finds no capacity": func(s *script) {
 			s.end(22_000, "watch.0.0.0", 1, "w3", 1, history.ResultFailed)
 			s.job(22_000, history.Job{ID: "x", Steps: []history.Step{{Count: 3, Demand: history.Resources{CPUMilli: 3500, MemoryMB: 3500}}}})
