--- a/history/check/linear.go
+++ b/history/check/linear.go
@@ -160,7 +160,7 @@
 	case history.OperationSubmit:
 		return stepSubmission(m, o)
 	case history.OperationCancel:
-		// A cancellation that did not find the job may hold for a later attempt to submit it.
+		// A cancellation of an unknown job may hold for a later submission: a caller has asked for it.
 		m.cancelled = true
 		return o.verdict != history.VerdictNotFound || !m.accepted, m
 	}
