--- a/process/node/answers_test.go
+++ b/process/node/answers_test.go
@@ -14,7 +14,7 @@
 // them are back.
 func (c *testCell) loseAll() {
 	c.tables.SetFault(refuseAll)
-	c.crashAllWorkers()
+	c.crashAllWorkers(workersDowntime)
 	for _, name := range c.names() {
 		c.kill(name)
 	}
--- a/process/node/handover_test.go
+++ b/process/node/handover_test.go
@@ -138,7 +138,7 @@
 func (c *testCell) loseAllButAFollower() (holder, first string) {
 	c.t.Helper()
 	c.startOutage()
-	c.crashAllWorkers()
+	c.crashAllWorkers(workersDowntime)
 	for _, name := range c.names() {
 		if name != c.leader() {
 			holder = name
--- a/process/node/losses_test.go
+++ b/process/node/losses_test.go
@@ -108,7 +108,7 @@
 	case 2, 3, 4:
 		c.tables.SetFault(nil)
 	case 5:
-		c.crashAllWorkers()
+		c.crashAllWorkers(workersDowntime)
 	case 6:
 		for _, name := range h.live() {
 			c.kill(name)
--- a/process/node/porcupine_test.go
+++ b/process/node/porcupine_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -269,24 +268,6 @@
 	time.Sleep(500 * time.Millisecond)
 }
 
-// cancel cancels a job at an instance.
-func (c *testCell) cancel(n *testNode, id string) error {
-	q, err := n.Queue("h", "/b/"+id)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(c.t.Context(), 3*time.Second)
-	defer cancel()
-	return n.Cancel(ctx, q, job.ID(id))
-}
-
-// refuse submits a job at an instance that knows that its configuration is outdated.
-func (c *testCell) refuse(n *testNode, id string) error {
-	ctx, cancel := context.WithTimeout(c.t.Context(), 3*time.Second)
-	defer cancel()
-	return n.Refuse(ctx, job.ID(id), errOutdated())
-}
-
 // node returns the instance that currently has the name. It may have been restarted.
 func (c *testCell) node(name string) *testNode {
 	c.mu.Lock()
