Soak: read states during faults and lose whole cells during outages

The soak asked for states only after the faults, when everything was durable, and it never lost all nodes or all workers, so it could not see that a job that was shown as completed started again. Change: in each run with faults eight readers ask random nodes for states of accepted jobs. The workers are told of each job that is shown as completed and report later starts. An answer that contradicts a final state shown before its request, a denial included, and a job that is shown as completed while a task has not ended as done fail the test. TestSoakWithLostCells loses all nodes, all nodes and workers, all workers and the leader, or two successors within 300 ms of their takeovers, or stops the leader, while the store refuses, is silent, loses answers or writes late (new FaultLate: executed 2 s later if its expectations hold then), beside faults of single nodes and workers. It logs how many jobs ended during each outage and fails if none did. Clients keep their connections until the process closes them.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -37,6 +37,9 @@
 	crashDelay, crashDowntime = 20 * time.Millisecond, 3 * time.Second
 )
 
+// maxIdleConns is the number of open connections to each node that clients keep, whether or not it answers.
+const maxIdleConns = 64
+
 // cluster is a set of real node processes that use stand-ins for the platform, which run in the test process.
 type cluster struct {
 	t         *testing.T
@@ -65,6 +68,9 @@
 	// storeLink is the proxy to the table service.
 	storeLink *proxy
 
+	// restarting is held while the process is restarted.
+	restarting sync.Mutex
+
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
@@ -92,15 +98,18 @@
 func newClusterWithTeams(t *testing.T, nodes, workers int, teams []wire.Team) *cluster {
 	binary, err := buildNode()
 	assert.NilError(t, err)
-	c := &cluster{t: t, dir: t.TempDir(), binary: binary, startedAt: time.Now(), tables: backends.NewTables(), http: &http.Client{}, teams: teams}
+	c := &cluster{t: t, dir: t.TempDir(), binary: binary, startedAt: time.Now(), tables: backends.NewTables(), http: newClient(), teams: teams}
 	if len(teams) > 0 {
 		c.key = teams[0].Keys[0]
 	}
 	each := model.Resources{CPUMilli: 1000, MemoryMiB: 100}
 	c.workers = backends.NewWorkers(func() time.Duration { return time.Since(c.startedAt) }, func(task string) backends.TaskBehavior {
 		behavior := backends.TaskBehavior{Resources: each, Duration: taskTime}
-		if isLong(task) {
+		switch {
+		case isLong(task):
 			behavior.Duration = longTaskTime
+		case isMedium(task):
+			behavior.Duration = mediumTaskTime
 		}
 		if crashesWorkers(task) {
 			behavior.Crash = &backends.Crash{Delay: crashDelay, Downtime: crashDowntime}
@@ -126,6 +135,11 @@
 	return c
 }
 
+// newClient returns an HTTP client that keeps its connections to a node until the process closes them or is gone.
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns}}
+}
+
 // writeConfig writes a configuration with queues of some prefixes and the teams.
 func (c *cluster) writeConfig(version uint64, prefixes ...string) {
 	c.mu.Lock()
@@ -257,6 +271,8 @@
 // restart sends a signal to the process of a node, waits for its exit, and starts it again after downtime. A process that does
 // not exit within 10 s fails the test and is killed.
 func (c *cluster) restart(n *nodeProcess, s syscall.Signal, downtime time.Duration) {
+	n.restarting.Lock()
+	defer n.restarting.Unlock()
 	n.mu.Lock()
 	exited := n.exited
 	n.mu.Unlock()
--- a/soak/leaders_test.go
+++ b/soak/leaders_test.go
@@ -22,6 +22,8 @@
 	missedHeartbeats  = 3
 	// longTaskTime is the run time of the tasks of clients with long jobs. It is longer than leases and takeovers.
 	longTaskTime = 9 * time.Second
+	// tasksPerLongJob is the number of tasks of such jobs.
+	tasksPerLongJob = 2
 	// longClient is the number of the first client with long jobs.
 	longClient = 0x10
 )
@@ -36,13 +38,14 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			c := newCluster(t, *nodeCount, 6)
 			time.Sleep(1500 * time.Millisecond)
-			answers := &answerRecord{accepted: map[string]bool{}, refused: map[string]bool{}}
+			answers := newAnswerRecord()
 			stop := make(chan struct{})
 			var load sync.WaitGroup
 			for client := range 2 {
 				load.Go(func() { c.submitJobs(seed, client, answers, stop) })
 				load.Go(func() { c.submitLongJobs(seed, longClient+client, answers, stop) })
 			}
+			c.readStates(seed, answers, stop, &load)
 			c.loseLeaders(rand.New(rand.NewPCG(seed, 3)), *faultTime)
 			close(stop)
 			load.Wait()
@@ -54,7 +57,7 @@
 // submitLongJobs submits jobs whose tasks run longer than a takeover takes, each to one node.
 func (c *cluster) submitLongJobs(seed uint64, client int, answers *answerRecord, stop <-chan struct{}) {
 	rng := rand.New(rand.NewPCG(seed, uint64(client)+100))
-	body := wire.JobBody(2, model.Resources{CPUMilli: 1000, MemoryMiB: 100}, longTaskTime)
+	body := wire.JobBody(tasksPerLongJob, model.Resources{CPUMilli: 1000, MemoryMiB: 100}, longTaskTime)
 	for i := 0; ; i++ {
 		select {
 		case <-stop:
@@ -68,14 +71,24 @@
 	}
 }
 
+// leaderRow returns the epoch of the leader and the name of its node according to the store; 0 and empty if there is none.
+func (c *cluster) leaderRow() (epoch uint64, node string) {
+	var row struct {
+		Epoch    uint64
+		Instance string
+	}
+	if err := json.Unmarshal(c.tables.Rows("leader")["leader"].Value, &row); err != nil {
+		return 0, ""
+	}
+	return row.Epoch, row.Instance
+}
+
 // leader returns the node that leads according to the store, or any one.
 func (c *cluster) leader() *nodeProcess {
-	var row struct{ Instance string }
-	if err := json.Unmarshal(c.tables.Rows("leader")["leader"].Value, &row); err == nil {
-		for _, n := range c.nodes {
-			if n.name == row.Instance {
-				return n
-			}
+	_, name := c.leaderRow()
+	for _, n := range c.nodes {
+		if n.name == name {
+			return n
 		}
 	}
 	return c.nodes[0]
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -105,6 +105,11 @@
 	accepted map[string]bool
 	// refused holds the jobs for which the last answer said that the job never runs, whatever became of earlier attempts.
 	refused map[string]bool
+	shown   shownRecord
+}
+
+func newAnswerRecord() *answerRecord {
+	return &answerRecord{accepted: map[string]bool{}, refused: map[string]bool{}, shown: newShownRecord()}
 }
 
 // runSeed runs the load of some clients and faults with one seed, then stops both and checks the promises.
@@ -115,7 +120,7 @@
 // runSeedOn is runSeed on a cluster.
 func runSeedOn(t *testing.T, c *cluster, seed uint64, clients []int) {
 	time.Sleep(1500 * time.Millisecond)
-	answers := &answerRecord{accepted: map[string]bool{}, refused: map[string]bool{}}
+	answers := newAnswerRecord()
 	stop := make(chan struct{})
 	var load sync.WaitGroup
 	for _, client := range clients {
@@ -125,6 +130,7 @@
 			c.submitJobs(seed, client, answers, stop)
 		}()
 	}
+	c.readStates(seed, answers, stop, &load)
 	load.Go(func() { c.changeCapacities(rand.New(rand.NewPCG(seed, 2)), stop) })
 	configs := &configHistory{cluster: c}
 	load.Go(func() { configs.run(seed, stop) })
@@ -171,6 +177,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if accepted {
+		if !l.accepted[id] {
+			l.shown.unfinished = append(l.shown.unfinished, id)
+		}
 		l.accepted[id] = true
 		delete(l.refused, id)
 	} else if !l.accepted[id] {
@@ -247,8 +256,26 @@
 	return job.Completed
 }
 
-// checkPromises checks that accepted jobs end as they must, that refused jobs never ran, and that workers observed no violation.
+// tasksOf returns the names of the tasks of a job.
+func tasksOf(id string) []string {
+	count := tasksPerJob
+	switch {
+	case crashesWorkers(id):
+		count = 1
+	case isLong(id):
+		count = tasksPerLongJob
+	}
+	var names []string
+	for i := range count {
+		names = append(names, fmt.Sprintf("%s.0.0.%d", id, i))
+	}
+	return names
+}
+
+// checkPromises checks that accepted jobs end as they must, that refused jobs never ran, that callers were shown jobs as completed,
+// and that workers observed no violation.
 func (c *cluster) checkPromises(answers *answerRecord) {
+	shownDuringFaults := c.workers.ShownCompleted()
 	pending := map[string]bool{}
 	for id := range answers.accepted {
 		pending[id] = true
@@ -256,7 +283,7 @@
 	lastAnswers := map[string]string{}
 	for end := time.Now().Add(recoveryTimeout); len(pending) > 0 && time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
 		for id := range pending {
-			status, answer := c.call(c.nodes[0], http.MethodGet, id, "")
+			status, answer := c.readState(c.nodes[0], id, answers)
 			lastAnswers[id] = fmt.Sprint(status, " ", answer)
 			if status == http.StatusOK && strings.Contains(answer, string(finalState(id))) {
 				delete(pending, id)
@@ -273,6 +300,8 @@
 			}
 		}
 	}
-	c.t.Logf("%d jobs accepted, %d refused, %d crashes of workers", len(answers.accepted), len(answers.refused), c.workers.WorkerCrashes())
+	c.t.Logf("%d jobs accepted, %d refused, %d shown as completed, %d of them during faults, %d crashes of workers",
+		len(answers.accepted), len(answers.refused), c.workers.ShownCompleted(), shownDuringFaults, c.workers.WorkerCrashes())
+	assert.Assert(c.t, shownDuringFaults > 0, "the readers saw no completed job during the faults")
 	assert.DeepEqual(c.t, c.workers.Violations(), []string(nil))
 }
--- a/standin/backends/observations.go
+++ b/standin/backends/observations.go
@@ -70,7 +70,17 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
-	return w.done[task]
+	_, ok := w.doneAt[task]
+	return ok
+}
+
+// DoneAt returns when a run of a task first ended as done, on the clock of Workers, and whether one did.
+func (w *Workers) DoneAt(task string) (at time.Duration, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	at, ok = w.doneAt[task]
+	return at, ok
 }
 
 // Acknowledged reports whether the scheduler acknowledged the completion of a run that ended as done, after which the
--- a/standin/backends/tables.go
+++ b/standin/backends/tables.go
@@ -30,8 +30,14 @@
 	// FaultAnswerLost executes a commit but blocks until the caller's context ends, as if the answer was lost. Reads are
 	// served normally.
 	FaultAnswerLost
+	// FaultLate executes a commit lateWriteDelay later, if its expectations hold then, and blocks until the caller's context ends.
+	// Reads are served normally.
+	FaultLate
 )
 
+// lateWriteDelay is the time from a commit with FaultLate to its execution.
+const lateWriteDelay = 2 * time.Second
+
 // Tables is an in-memory table service. Use NewTables to create one; the zero value is not usable.
 //
 // Locking: mu protects all fields and is not held while a call blocks.
@@ -99,6 +105,12 @@
 	if err := injectFault(ctx, fault); err != nil {
 		return 0, err
 	}
+	if fault == FaultLate {
+		// Nobody learns the result of a commit that is executed late.
+		time.AfterFunc(lateWriteDelay, func() { _, _ = t.commit(txn) })
+		<-ctx.Done()
+		return 0, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeUnavailable, "the commit is late")
+	}
 	version, err := t.commit(txn)
 	if fault == FaultAnswerLost {
 		<-ctx.Done()
--- a/standin/backends/workers.go
+++ b/standin/backends/workers.go
@@ -43,9 +43,9 @@
 	workers map[string]*workerState
 	// violations describes each violation of the scheduler's guarantees.
 	violations []string
-	// starts, done and acknowledged are keyed by task; the last two are about runs that ended as done.
+	// starts, doneAt and acknowledged are keyed by task; the last two are about runs that ended as done. doneAt holds the first end.
 	starts       map[string]int
-	done         map[string]bool
+	doneAt       map[string]time.Duration
 	acknowledged map[string]bool
 	// lastStart holds when the last run of each task started.
 	lastStart map[string]time.Duration
@@ -102,7 +102,7 @@
 // its name.
 func NewWorkers(now func() time.Duration, behaviorOf func(task string) TaskBehavior) *Workers {
 	return &Workers{
-		now: now, behaviorOf: behaviorOf, workers: map[string]*workerState{}, starts: map[string]int{}, done: map[string]bool{},
+		now: now, behaviorOf: behaviorOf, workers: map[string]*workerState{}, starts: map[string]int{}, doneAt: map[string]time.Duration{},
 		acknowledged: map[string]bool{}, lastStart: map[string]time.Duration{}, shownAt: map[string]time.Duration{}, crashes: newCrashRecord(),
 	}
 }
@@ -189,7 +189,9 @@
 			worker.end(name, r, backend.ResultFailed, now)
 		default:
 			worker.end(name, r, backend.ResultDone, now)
-			w.done[name] = true
+			if _, ok := w.doneAt[name]; !ok {
+				w.doneAt[name] = finishAt
+			}
 		}
 	}
 }
