--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -21,6 +21,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/history"
 	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/standin/backends"
 	"github.com/lentiltide/lentiltide/standin/wire"
@@ -52,6 +53,7 @@
 	// workerLinks are the proxies to the workers, in the order of the workers.
 	workerLinks []*proxy
 	http        *http.Client
+	history     *cellHistory
 	// key is the key that calls carry; empty for none.
 	key string
 
@@ -68,6 +70,7 @@
 	// storeLink is the proxy to the table service.
 	storeLink *proxy
 
+	history *cellHistory
 	// restarting is held while the process is restarted.
 	restarting sync.Mutex
 
@@ -99,6 +102,8 @@
 	binary, err := buildNode()
 	assert.NilError(t, err)
 	c := &cluster{t: t, dir: t.TempDir(), binary: binary, startedAt: time.Now(), tables: backends.NewTables(), http: newClient(), teams: teams}
+	c.history = newCellHistory(t, c.dir, func() time.Duration { return time.Since(c.startedAt) })
+	c.tables.SetHistory(c.history.Recorder)
 	if len(teams) > 0 {
 		c.key = teams[0].Keys[0]
 	}
@@ -116,10 +121,9 @@
 		}
 		return behavior
 	})
-	c.workers.SetRegistry(backends.Registry{Write: c.writeRegistryEntry, Remove: func(id string) {
-		key, _ := wire.RegistryRow(backend.WorkerInfo{ID: id})
-		c.tables.Delete(key)
-	}})
+	c.workers.SetHistory(c.history.Recorder)
+	c.workers.SetInstanceOf(c.leaderOf)
+	c.workers.SetRegistry(backends.Registry{Write: c.writeRegistryEntry, Remove: c.removeRegistryEntry})
 	c.writeConfig(1, testPrefix)
 	for i := range workers {
 		c.addWorker(workerName(i))
@@ -146,7 +150,9 @@
 	teams := c.teams
 	c.mu.Unlock()
 	key, value := wire.ConfigRowWithTeams(version, testHost, testService, teams, prefixes...)
+	c.history.recordConfig(history.ChangeWritten, version, prefixes)
 	c.tables.Put(key, value)
+	c.history.recordConfig(history.ChangeConfirmed, version, prefixes)
 }
 
 // serve starts an HTTP server for handler and returns its address.
@@ -163,7 +169,7 @@
 		ID: id, Service: testService, Zone: "a", Labels: []string{"k", "r1"}, StartedMS: time.Now().UnixMilli(),
 		Capacity: capacityOf(coresPerWorker),
 	}
-	link := newProxy(c.t, c.serve(wire.Worker(c.workers, id)))
+	link := newProxy(c.t, c.serve(wire.Worker(c.workers, id)), func(f linkFault) { c.history.recordLink(id, "", f) })
 	c.workerLinks = append(c.workerLinks, link)
 	info.Address = link.address()
 	c.workers.Add(info)
@@ -173,6 +179,13 @@
 func (c *cluster) writeRegistryEntry(info backend.WorkerInfo) {
 	key, value := wire.RegistryRow(info)
 	c.tables.Put(key, value)
+	c.history.recordEntry(info)
+}
+
+func (c *cluster) removeRegistryEntry(id string) {
+	key, _ := wire.RegistryRow(backend.WorkerInfo{ID: id})
+	c.tables.Delete(key)
+	c.history.recordRemoval(id)
 }
 
 func capacityOf(cores int) model.Resources {
@@ -183,8 +196,7 @@
 func (c *cluster) setCores(worker, cores int) {
 	id := workerName(worker)
 	c.t.Logf("%v: worker %s has %d cores", time.Since(c.startedAt).Round(time.Millisecond), id, cores)
-	key, value := wire.RegistryRow(c.workers.SetCapacity(id, capacityOf(cores), backends.ShrinkGrace))
-	c.tables.Put(key, value)
+	c.writeRegistryEntry(c.workers.SetCapacity(id, capacityOf(cores), backends.ShrinkGrace))
 }
 
 func workerName(i int) string { return fmt.Sprintf("w%02d", i) }
@@ -220,7 +232,8 @@
 
 // newNode writes the settings of a node, which reaches the table service through its own proxy.
 func (c *cluster) newNode(name string, linkMbps int, storeAddress, adviceAddress string) *nodeProcess {
-	n := &nodeProcess{name: name, callerAddress: freeAddress(c.t), storeLink: newProxy(c.t, storeAddress)}
+	n := &nodeProcess{name: name, callerAddress: freeAddress(c.t), history: c.history}
+	n.storeLink = newProxy(c.t, storeAddress, func(f linkFault) { c.history.recordLink(name, storeName, f) })
 	settings := map[string]any{
 		"instance": name, "region": "r", "zone": "a", "caller_address": n.callerAddress, "ready_address": freeAddress(c.t),
 		"peer_address": freeAddress(c.t), "store_address": n.storeLink.address(), "advice_address": adviceAddress,
@@ -248,10 +261,13 @@
 	cmd := exec.Command(c.binary, "--settings", n.settings)
 	cmd.Stdout, cmd.Stderr = log, log
 	assert.NilError(c.t, cmd.Start())
+	c.history.endFaults(history.TargetInstance, n.name, "")
+	c.history.recordInstance(n.name, history.ChangeBoot)
 	exited := make(chan struct{})
 	go func() {
 		// An error is expected, because the tests kill the process.
 		_ = cmd.Wait()
+		c.history.recordInstance(n.name, history.ChangeEnded)
 		_ = log.Close()
 		close(exited)
 	}()
@@ -264,8 +280,12 @@
 func (n *nodeProcess) signal(s syscall.Signal) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.history.recordSignal(n.name, s)
 	// The error of a process that has exited is ignored.
 	_ = n.cmd.Process.Signal(s)
+	if s == syscall.SIGCONT {
+		n.history.endFaults(history.TargetInstance, n.name, "", history.FaultFreeze)
+	}
 }
 
 // restart sends a signal to the process of a node, waits for its exit, and starts it again after downtime. A process that does
@@ -288,8 +308,10 @@
 	c.start(n)
 }
 
-// close kills the node processes and, if the test failed, copies their logs to a directory that outlives it.
+// close checks the history, kills the node processes and, if the test failed, copies the history and their logs to a directory that
+// outlives it.
 func (c *cluster) close() {
+	c.checkHistory()
 	for _, n := range c.nodes {
 		n.signal(syscall.SIGCONT)
 		n.signal(syscall.SIGKILL)
@@ -302,7 +324,7 @@
 	if err == nil {
 		err = os.CopyFS(logDir, os.DirFS(c.dir))
 	}
-	c.t.Logf("logs of the nodes: %s (copy error: %v)", logDir, err)
+	c.t.Logf("logs of the nodes and history: %s (copy error: %v)", logDir, err)
 }
 
 // call sends a request for a job to a node and returns the status and the body of the answer. If there is no answer, the
@@ -316,8 +338,19 @@
 	return c.callWithKey(n, method, path, c.key, body)
 }
 
-// callWithKey is callPath with a key, which may be empty.
+// callWithKey is callPath with a key, which may be empty. The history has only requests with the key of the cluster.
 func (c *cluster) callWithKey(n *nodeProcess, method, path, key, body string) (status int, answer string) {
+	if key != c.key {
+		return c.send(n, method, path, key, body)
+	}
+	call := c.history.recordCall(n, method, path, body)
+	status, answer = c.send(n, method, path, key, body)
+	c.history.recordAnswer(call, status, answer)
+	return status, answer
+}
+
+// send is callWithKey without a record in the history.
+func (c *cluster) send(n *nodeProcess, method, path, key, body string) (status int, answer string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.callerAddress+path, strings.NewReader(body))
--- a/soak/leaders_test.go
+++ b/soak/leaders_test.go
@@ -10,7 +10,6 @@
 	"testing"
 	"time"
 
-	"github.com/lentiltide/lentiltide/backend"
 	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/standin/backends"
 	"github.com/lentiltide/lentiltide/standin/wire"
@@ -96,10 +95,9 @@
 
 // cutOffWorker cuts a worker off from everybody for a while. Its registry entry expires meanwhile.
 func (c *cluster) cutOffWorker(worker int, duration time.Duration) {
-	key, _ := wire.RegistryRow(backend.WorkerInfo{ID: workerName(worker)})
 	link := c.workerLinks[worker]
 	link.setFault(linkBlackhole)
-	expiry := time.AfterFunc(missedHeartbeats*heartbeatInterval-heartbeatInterval/2, func() { c.tables.Delete(key) })
+	expiry := time.AfterFunc(missedHeartbeats*heartbeatInterval-heartbeatInterval/2, func() { c.removeRegistryEntry(workerName(worker)) })
 	time.Sleep(duration)
 	expiry.Stop()
 	link.setFault(linkHealthy)
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -34,16 +34,18 @@
 type proxy struct {
 	listener net.Listener
 	target   string
+	// record is called before a fault begins and after it has ended.
+	record func(linkFault)
 
 	mu    sync.Mutex
 	fault linkFault
 	conns map[net.Conn]struct{}
 }
 
-func newProxy(t *testing.T, target string) *proxy {
+func newProxy(t *testing.T, target string, record func(linkFault)) *proxy {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	p := &proxy{listener: l, target: target, conns: map[net.Conn]struct{}{}}
+	p := &proxy{listener: l, target: target, record: record, conns: map[net.Conn]struct{}{}}
 	t.Cleanup(func() {
 		_ = l.Close()
 		p.resetAll()
@@ -56,11 +58,17 @@
 
 // setFault sets the current fault. linkReset also resets the open connections.
 func (p *proxy) setFault(f linkFault) {
+	if f != linkHealthy {
+		p.record(f)
+	}
 	p.mu.Lock()
 	p.fault = f
 	p.mu.Unlock()
-	if f == linkReset {
+	switch f {
+	case linkReset:
 		p.resetAll()
+	case linkHealthy:
+		p.record(f)
 	}
 }
 
--- a/soak/shown_test.go
+++ b/soak/shown_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/lentiltide/lentiltide/history"
 	"github.com/lentiltide/lentiltide/model/job"
 )
 
@@ -82,6 +83,7 @@
 
 // readStates starts readers in load, which ask random nodes for states of accepted jobs until stop is closed.
 func (c *cluster) readStates(seed uint64, answers *answerRecord, stop <-chan struct{}, load *sync.WaitGroup) {
+	c.history.recordTraffic(history.ChangeBegin)
 	for reader := range readerCount {
 		load.Go(func() {
 			rng := rand.New(rand.NewPCG(seed, uint64(reader)+1000))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -15,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lentiltide/lentiltide/history"
 	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/model/job"
 	"github.com/lentiltide/lentiltide/standin/wire"
@@ -275,6 +276,7 @@
 // checkPromises checks that accepted jobs end as they must, that refused jobs never ran, that callers were shown jobs as completed,
 // and that workers observed no violation.
 func (c *cluster) checkPromises(answers *answerRecord) {
+	c.history.recordTraffic(history.ChangeEnd)
 	shownDuringFaults := c.workers.ShownCompleted()
 	pending := map[string]bool{}
 	for id := range answers.accepted {
--- a/standin/backends/history.go
+++ b/standin/backends/history.go
@@ -78,9 +78,20 @@
 	w.history.Record(history.Event{Kind: history.KindWorker, Observer: info.ID, Worker: &event})
 }
 
+// SetInstanceOf sets the function that names the instance that sends commands with a fencing token, for commands whose context has
+// no sender. It must not call the methods of Workers.
+func (w *Workers) SetInstanceOf(instanceOf func(token uint64) string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.instanceOf = instanceOf
+}
+
 // recordStart records that a worker has started a run. Callers hold w.mu.
 func (w *Workers) recordStart(ctx context.Context, worker *workerState, command backend.StartCommand) {
 	sender := SenderOf(ctx)
+	if sender.Instance == "" && w.instanceOf != nil {
+		sender.Instance = w.instanceOf(command.FencingToken)
+	}
 	w.history.Record(history.Event{Kind: history.KindStart, Observer: worker.info.ID, Start: &history.Start{
 		Task: taskOf(command.Task), Run: uint64(command.Run), Worker: worker.info.ID, Boot: worker.info.StartedMS,
 		Instance: sender.Instance, Epoch: command.FencingToken, Late: sender.Late, Payload: command.Payload,
--- a/standin/backends/workers.go
+++ b/standin/backends/workers.go
@@ -57,6 +57,8 @@
 	// history records what the workers observe, and faults the faults of their calls; nil records nothing.
 	history *history.Recorder
 	faults  faultLog
+	// instanceOf names the instance that sends commands with a fencing token; nil for unknown.
+	instanceOf func(token uint64) string
 }
 
 // workerState is the state of a worker since its last start. Times are on the clock of Workers.
--- a/standin/wire/wire.go
+++ b/standin/wire/wire.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/history"
 	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/request/verdict"
 	"github.com/lentiltide/lentiltide/standin/backends"
@@ -299,7 +300,7 @@
 	routes := make([]map[string]any, 0, len(prefixes))
 	for _, prefix := range prefixes {
 		routes = append(routes, map[string]any{
-			"name": "queue" + prefix, "host": host, "prefix": prefix, "service": service, "priority": 0, "maxAttempts": 3,
+			"name": QueueName(prefix), "host": host, "prefix": prefix, "service": service, "priority": 0, "maxAttempts": MaxAttempts,
 			"stretch": 1.5, "targetDurationMs": 250,
 			"advice": map[string]any{"decisionMs": 10, "perItemMs": 0.1, "validityMs": 2500},
 		})
@@ -321,6 +322,32 @@
 	return backend.RowKey{Table: "op", Key: "config"}, data
 }
 
+// MaxAttempts is the number of failed runs of a task after which the job has failed, in all queues of ConfigRowWithTeams.
+const MaxAttempts = 3
+
+// QueueName returns the name of the queue with a path prefix in the rows of ConfigRowWithTeams.
+func QueueName(prefix string) string { return "queue" + prefix }
+
+// JobSteps returns the steps of a job by the body that submits it, as a history has them, and what its workers are told to run. The error
+// is that of a body that JobBody did not write.
+func JobSteps(body string) (steps []history.Step, payload string, err error) {
+	var decoded struct {
+		Specification string
+		Steps         []struct {
+			Count           int
+			CPU             int64
+			MemoryRequestMB int64
+		}
+	}
+	if err := json.Unmarshal([]byte(body), &decoded); err != nil {
+		return nil, "", errors.Wrap(err, "decode job")
+	}
+	for _, s := range decoded.Steps {
+		steps = append(steps, history.Step{Count: s.Count, Demand: history.Resources{CPUMilli: s.CPU, MemoryMB: s.MemoryRequestMB}})
+	}
+	return steps, decoded.Specification, nil
+}
+
 // JobBody returns the request body that submits a job of one step.
 func JobBody(tasks int, each model.Resources, estimate time.Duration) string {
 	data, err := json.Marshal(map[string]any{
