--- a/standin/backends/workers.go
+++ b/standin/backends/workers.go
@@ -44,9 +44,9 @@
 	workers map[string]*workerState
 	// violations describes each violation of the scheduler's guarantees.
 	violations []string
-	// starts, done and acknowledged are keyed by task; the last two are about runs that ended as done.
+	// starts, doneAt and acknowledged are keyed by task; the last two are about runs that ended as done. doneAt holds the first end.
 	starts       map[string]int
-	done         map[string]bool
+	doneAt       map[string]time.Duration
 	acknowledged map[string]bool
 	// lastStart holds when the last run of each task started.
 	lastStart map[string]time.Duration
@@ -57,6 +57,8 @@
 	// history records what the workers observe, and faults the faults of their calls; nil records nothing.
 	history *history.Recorder
 	faults  faultLog
+	// instanceOf names the instance that sends commands with a fencing token; nil for unknown.
+	instanceOf func(token uint64) string
 }
 
 // workerState is the state of a worker since its last start. Times are on the clock of Workers.
@@ -110,7 +112,7 @@
 // its name.
 func NewWorkers(now func() time.Duration, behaviorOf func(task string) TaskBehavior) *Workers {
 	return &Workers{
-		now: now, behaviorOf: behaviorOf, workers: map[string]*workerState{}, starts: map[string]int{}, done: map[string]bool{},
+		now: now, behaviorOf: behaviorOf, workers: map[string]*workerState{}, starts: map[string]int{}, doneAt: map[string]time.Duration{},
 		acknowledged: map[string]bool{}, lastStart: map[string]time.Duration{}, shownAt: map[string]time.Duration{}, crashes: newCrashRecord(),
 	}
 }
@@ -202,7 +204,9 @@
 			w.end(worker, r, backend.ResultFailed, now)
 		default:
 			w.end(worker, r, backend.ResultDone, now)
-			w.done[name] = true
+			if _, ok := w.doneAt[name]; !ok {
+				w.doneAt[name] = finishAt
+			}
 		}
 	}
 	w.recordLeaseExpiry(worker, now)
