Name the limit of a wait for a peer by what it is

Cause: the type for a wait that does not count the time in which this process could not run had a figurative name. Change: waitLimit, in waitlimit.go. No behaviour changes. Result: go test -race ./connection/peer passes.

--- a/connection/peer/session_test.go
+++ b/connection/peer/session_test.go
@@ -17,17 +17,17 @@
 // wait that never ends because the process is always late.
 func TestPatienceCountsOnlyTimeOnTime(t *testing.T) {
 	now := time.Unix(0, 0)
-	observe := func(p *patience, elapsed time.Duration) bool {
+	observe := func(p *waitLimit, elapsed time.Duration) bool {
 		now = now.Add(elapsed)
 		return p.exhausted(now)
 	}
-	onTime := patience{limit: time.Second, observedAt: now}
+	onTime := waitLimit{limit: time.Second, observedAt: now}
 	for range 9 {
 		assert.Assert(t, !observe(&onTime, observationInterval))
 	}
 	assert.Assert(t, observe(&onTime, observationInterval))
 
-	suspended := patience{limit: time.Second, observedAt: now}
+	suspended := waitLimit{limit: time.Second, observedAt: now}
 	assert.Assert(t, !observe(&suspended, time.Hour))
 	for range 8 {
 		assert.Assert(t, !observe(&suspended, observationInterval))
@@ -36,7 +36,7 @@
 	assert.Assert(t, !observe(&suspended, time.Hour))
 	assert.Assert(t, observe(&suspended, observationInterval))
 
-	late := patience{limit: time.Second, observedAt: now}
+	late := waitLimit{limit: time.Second, observedAt: now}
 	for range 19 {
 		assert.Assert(t, !observe(&late, 2*observationInterval))
 	}
--- a/connection/peer/patience.go
+++ b/connection/peer/waitlimit.go
@@ -11,9 +11,9 @@
 	maxLateFactor = 2
 )
 
-// patience is a limit on a wait for a peer that does not count the time in which this process could not run: what the peer sent in
+// waitLimit is a limit on a wait for a peer that does not count the time in which this process could not run: what the peer sent in
 // that time is read only later.
-type patience struct {
+type waitLimit struct {
 	limit time.Duration
 	// waited is the time that counts, and observedAt the latest observation.
 	waited     time.Duration
@@ -22,7 +22,7 @@
 
 // exhausted records an observation, which should follow the last one by observationInterval, and reports whether the wait is over.
 // It is not over after a late observation, so that what has arrived meanwhile is read first.
-func (p *patience) exhausted(now time.Time) bool {
+func (p *waitLimit) exhausted(now time.Time) bool {
 	elapsed := now.Sub(p.observedAt)
 	p.observedAt = now
 	p.waited += min(elapsed, observationInterval)
@@ -34,7 +34,7 @@
 func awaitPeer(done <-chan struct{}, limit time.Duration) bool {
 	ticker := time.NewTicker(observationInterval)
 	defer ticker.Stop()
-	p := patience{limit: limit, observedAt: time.Now()}
+	p := waitLimit{limit: limit, observedAt: time.Now()}
 	for {
 		select {
 		case <-done:
