Refuse a job in both shards when the store is reached through other instances

What callers saw: a job that had been accepted, or that was accepted afterwards, was answered as refused for certain (503, never runs). Cause: an instance whose direct path to the store is silent stopped after the first of the two shards, also when the refusal was stored there through another instance, and answered as if both held it. The class: "not run" rests on less than the rule for it asks. Change: only a refusal that could not be stored ends the attempt, and then the outcome is unknown. Result: TestRefusalThroughAnotherInstanceCoversBothShards fails before (nothing in the second shard) and passes.

--- a/process/node/refusal.go
+++ b/process/node/refusal.go
@@ -32,7 +32,7 @@
 		case len(existing) > 0 && !isRefused(existing):
 			return n.answerForExisting(cause)
 		}
-		if n.direct.Silent() {
+		if err != nil && n.direct.Silent() {
 			break
 		}
 	}
--- a/process/node/refusal_test.go
+++ b/process/node/refusal_test.go
@@ -102,6 +102,23 @@
 	assert.Equal(t, state, job.Queued)
 }
 
+// TestRefusalThroughAnotherInstanceCoversBothShards guards against "never runs" about a job that runs: an instance that reaches the store
+// only through others refused it in one shard, and an earlier attempt is stored in the other one.
+func TestRefusalThroughAnotherInstanceCoversBothShards(t *testing.T) {
+	runInCell(t, func(t *testing.T, c *testCell) {
+		n := c.follower()
+		c.setStoreFault(n.opts.Instance, backends.FaultRefused)
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, n.direct.Silent())
+		assert.Equal(t, verdict.Of(n.Refuse(t.Context(), "a", errOutdated())), verdict.NotRun)
+		for _, shard := range shardsOf("a") {
+			row, err := c.tables.Get(t.Context(), jobKey("a", shard))
+			assert.NilError(t, err)
+			assert.Assert(t, isRefused(row.Value), "shard %s", shard)
+		}
+	})
+}
+
 // TestRefusalsAreRemoved guards against refusals that fill the store, and against the removal of a job that has replaced one.
 func TestRefusalsAreRemoved(t *testing.T) {
 	tables := backends.NewTables()
