Write a refusal again when a job is refused once more

What callers saw: a job that was answered as refused for certain ran: an attempt that was on its way was accepted after that answer. Cause: a refusal is the value of the job's row, and an attempt that began after it replaces it. When the job was refused again, the row was left as it was, so that the second refusal did not cover the attempts that had begun between the two. Change: a refusal that is repeated writes the row again under a condition on its version; a row that changes meanwhile is looked at again, and if it keeps changing the outcome is unknown. An attempt that finds a refusal newer than itself renews only older rows. Result: TestRepeatedRefusalCoversEarlierAttempts fails before (accepted) and passes.

--- a/process/node/refusal.go
+++ b/process/node/refusal.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"math"
 	"time"
 
 	"github.com/lentiltide/lentiltide/backend"
@@ -23,16 +24,22 @@
 // Refuse makes sure that no attempt so far to submit a job takes effect. It returns cause, which has the verdict NotRun, if that is
 // certain, nil if the job exists, and an error with MayHaveRun if neither is known.
 func (n *Node) Refuse(ctx context.Context, id job.ID, cause error) error {
+	return n.refuseAttempts(ctx, id, math.MaxUint64, cause)
+}
+
+// refuseAttempts is Refuse for the attempts that began when their instances knew versions of the store below before.
+func (n *Node) refuseAttempts(ctx context.Context, id job.ID, before uint64, cause error) error {
 	var unknown error
 	for _, shard := range shardsOf(id) {
-		existing, err := n.inserts.Insert(ctx, jobKey(id, shard), refusedRecord)
-		switch {
-		case err != nil:
-			unknown = err
-		case len(existing) > 0 && !isRefused(existing):
+		exists, err := n.storeRefusal(ctx, jobKey(id, shard), before)
+		if exists {
 			return n.answerForExisting(cause)
 		}
-		if err != nil && n.direct.Silent() {
+		if err == nil {
+			continue
+		}
+		unknown = err
+		if n.direct.Silent() {
 			break
 		}
 	}
@@ -42,6 +49,46 @@
 	return cause
 }
 
+// storeRefusal makes sure that a row holds a refusal of a version of the store that is at least before, or of this call. exists is true if
+// it holds a job.
+func (n *Node) storeRefusal(ctx context.Context, key backend.RowKey, before uint64) (exists bool, err error) {
+	for range maxReplacements {
+		existing, err := n.inserts.Insert(ctx, key, refusedRecord)
+		if err != nil || len(existing) == 0 {
+			return false, err
+		}
+		if !isRefused(existing) {
+			return true, nil
+		}
+		renewed, err := n.renewRefusal(ctx, key, before)
+		if renewed || err != nil {
+			return false, err
+		}
+	}
+	return false, errRefusalChanges()
+}
+
+// renewRefusal writes a refusal again that is of a version below before: attempts that began after it would replace it. renewed is false
+// if the row has changed.
+func (n *Node) renewRefusal(ctx context.Context, key backend.RowKey, before uint64) (renewed bool, err error) {
+	row, err := n.tables.Get(ctx, key)
+	if err != nil || row.Version == 0 || !isRefused(row.Value) {
+		return false, err
+	}
+	if row.Version >= before {
+		return true, nil
+	}
+	_, err = n.tables.Commit(ctx, backend.Txn{
+		Expected: []backend.Row{{RowKey: key, Version: row.Version}}, Put: []backend.Row{{RowKey: key, Value: refusedRecord}},
+	})
+	if err != nil && verdict.From(err).Code == verdict.CodeConflict {
+		return false, nil
+	}
+	return err == nil, err
+}
+
+func errRefusalChanges() error { return unavailable(nil, "the refusal of the job keeps changing") }
+
 // answerForExisting returns the answer to a submission that cannot be accepted although the job exists: success, unless its key may
 // have been withdrawn.
 func (n *Node) answerForExisting(cause error) error {
@@ -78,7 +125,7 @@
 			return nil, err
 		}
 	}
-	return nil, uncertain(unavailable(nil, "the refusal of the job keeps changing"))
+	return nil, uncertain(errRefusalChanges())
 }
 
 const (
@@ -111,7 +158,7 @@
 		return false, nil
 	}
 	if row.Version > seen {
-		err := n.Refuse(ctx, id, unavailable(nil, "another attempt was refused at the same time"))
+		err := n.refuseAttempts(ctx, id, seen+1, unavailable(nil, "another attempt was refused at the same time"))
 		return true, err
 	}
 	_, err = n.tables.Commit(ctx, backend.Txn{
--- a/process/node/refusal_test.go
+++ b/process/node/refusal_test.go
@@ -102,6 +102,21 @@
 	assert.Equal(t, state, job.Queued)
 }
 
+// TestRepeatedRefusalCoversEarlierAttempts guards against "never runs" about a job that runs: the job had been refused before, another
+// attempt began after that, and it is on its way when the job is refused again.
+func TestRepeatedRefusalCoversEarlierAttempts(t *testing.T) {
+	tables := backends.NewTables()
+	n, _ := newIdleNode(Options{Tables: tables, Peers: struct{ peer.Caller }{}})
+	assert.Equal(t, verdict.Of(n.Refuse(t.Context(), "a", errOutdated())), verdict.NotRun)
+	seen := n.direct.NewestVersion()
+	assert.Equal(t, verdict.Of(n.Refuse(t.Context(), "a", errOutdated())), verdict.NotRun)
+	_, err := n.storeJob(t.Context(), "a", []byte("{}"), seen)
+	assert.Equal(t, verdict.Of(err), verdict.NotRun, "the attempt began before the second refusal")
+	_, err = n.State(t.Context(), job.Queue{}, "a")
+	assert.Equal(t, verdict.From(err).Code, verdict.CodeExpired)
+	assert.NilError(t, submitAt(t.Context(), n, "a"), "an attempt that begins after both is accepted")
+}
+
 // TestRefusalThroughAnotherInstanceCoversBothShards guards against "never runs" about a job that runs: an instance that reaches the store
 // only through others refused it in one shard, and an earlier attempt is stored in the other one.
 func TestRefusalThroughAnotherInstanceCoversBothShards(t *testing.T) {
