Series of faults: record the end of the traffic

The sentences of LOST that hold after the end of the traffic were not tried by any test cell. The series asks for all accepted jobs 20 s after its last fault.

--- a/process/node/cellhistory_test.go
+++ b/process/node/cellhistory_test.go
@@ -166,6 +166,11 @@
 	c.history.Record(history.Event{Kind: history.KindInstance, Observer: "test", Instance: &history.Instance{Instance: name, Change: change}})
 }
 
+// recordTraffic records that the clients begin or stop submitting jobs. After the end a test asks for all accepted jobs.
+func (c *testCell) recordTraffic(change history.Change) {
+	c.history.Record(history.Event{Kind: history.KindTraffic, Observer: "test", Traffic: &history.Traffic{Change: change}})
+}
+
 // recordCall records that a client sends a request and returns its number.
 func (c *testCell) recordCall(n *testNode, operation history.Operation, id string) uint64 {
 	c.mu.Lock()
--- a/process/node/faultseries_test.go
+++ b/process/node/faultseries_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lentiltide/lentiltide/history"
 	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/model/job"
 	"github.com/lentiltide/lentiltide/standin/backends"
@@ -217,6 +218,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := newTestCell(t, 4, 4)
 				defer c.stop()
+				c.recordTraffic(history.ChangeBegin)
 				f := &faultSeries{c: c, random: rand.New(rand.NewPCG(seed, 1)), busy: map[string]bool{}}
 				for end := c.now() + 35*time.Second; c.now() < end; {
 					time.Sleep(time.Duration(50+f.random.IntN(250)) * time.Millisecond)
@@ -235,6 +237,7 @@
 				for len(f.heals) > 0 {
 					f.healDue(true)
 				}
+				c.recordTraffic(history.ChangeEnd)
 				time.Sleep(20 * time.Second)
 				assert.DeepEqual(t, c.workers.Violations(), []string(nil))
 				for _, id := range f.accepted {
