List another seed of the soak with the answers of a former leader

Trace, seed 226 of TestSoakWithLostCells: n1 leads, is stopped from 2.26 to 3.89 s, n2 takes over and shows five jobs as completed; n1 shows them as running while the store refuses, until it ends its leadership 1.5 s after the takeover.

--- a/soak/cells_test.go
+++ b/soak/cells_test.go
@@ -31,6 +31,7 @@
 // failedCellSeeds are the failed seeds of TestSoakWithLostCells.
 var failedCellSeeds = []failedSeed{
 	{115, formerLeaderCause},
+	{226, formerLeaderCause},
 }
 
 // TestSoakWithLostCells guards against promises that rest on what a cell holds in memory: during outages of the store it loses all nodes
