Restore the 60 cases of the short leaderships

Cause: cut the grid of TestShownJobStaysCompletedAfterShortLeaderships to 24 cases and said that the others never failed. Change: the grid has its 60 cases again.

--- a/process/node/shown_test.go
+++ b/process/node/shown_test.go
@@ -108,9 +108,9 @@
 // Guards against tasks of a completed job that start again, whether callers were shown it or not, because a successor was lost shortly
 // after its takeover, together with the results that the other instances had handed to it. One of those stays alive.
 func TestShownJobStaysCompletedAfterShortLeaderships(t *testing.T) {
-	for _, ledFor := range []time.Duration{0, 2, 5, 10} {
+	for _, ledFor := range []time.Duration{0, 2, 5, 10, 50, 200} {
 		for _, restarts := range []bool{false, true} {
-			for _, lostAfter := range []time.Duration{25, 50, 100} {
+			for _, lostAfter := range []time.Duration{25, 50, 75, 100, 250} {
 				ledFor, lostAfter := ledFor*time.Millisecond, lostAfter*time.Millisecond
 				t.Run(fmt.Sprintf("led for %v, lost after %v, restarts %v", ledFor, lostAfter, restarts), func(t *testing.T) {
 					runWithCrashes(t, 4, func(t *testing.T, c *testCell) {
