Renew a refusal whatever version an attempt knows

What callers could see: "never runs" about a job that runs. An instance that knows only old versions of the store finds a refusal newer than its attempt and answers for sure; another attempt that began after that refusal then replaces it. Found by reading the change again. Change: each refusal writes the row again; the parameter for the version is gone. Result: TestRefusalOfALateInstanceCoversNewerAttempts fails before (accepted) and passes, with the tests of refusals, linearizable answers, losses and binding answers.

--- a/process/node/refusal.go
+++ b/process/node/refusal.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"math"
 	"time"
 
 	"github.com/lentiltide/lentiltide/backend"
@@ -24,14 +23,9 @@
 // Refuse makes sure that no attempt so far to submit a job takes effect. It returns cause, which has the verdict NotRun, if that is
 // certain, nil if the job exists, and an error with MayHaveRun if neither is known.
 func (n *Node) Refuse(ctx context.Context, id job.ID, cause error) error {
-	return n.refuseAttempts(ctx, id, math.MaxUint64, cause)
-}
-
-// refuseAttempts is Refuse for the attempts that began when their instances knew versions of the store below before.
-func (n *Node) refuseAttempts(ctx context.Context, id job.ID, before uint64, cause error) error {
 	var unknown error
 	for _, shard := range shardsOf(id) {
-		exists, err := n.storeRefusal(ctx, jobKey(id, shard), before)
+		exists, err := n.storeRefusal(ctx, jobKey(id, shard))
 		if exists {
 			return n.answerForExisting(cause)
 		}
@@ -49,9 +43,8 @@
 	return cause
 }
 
-// storeRefusal makes sure that a row holds a refusal of a version of the store that is at least before, or of this call. exists is true if
-// it holds a job.
-func (n *Node) storeRefusal(ctx context.Context, key backend.RowKey, before uint64) (exists bool, err error) {
+// storeRefusal makes sure that a row holds a refusal written by this call. exists is true if it holds a job.
+func (n *Node) storeRefusal(ctx context.Context, key backend.RowKey) (exists bool, err error) {
 	for range maxReplacements {
 		existing, err := n.inserts.Insert(ctx, key, refusedRecord)
 		if err != nil || len(existing) == 0 {
@@ -60,7 +53,7 @@
 		if !isRefused(existing) {
 			return true, nil
 		}
-		renewed, err := n.renewRefusal(ctx, key, before)
+		renewed, err := n.renewRefusal(ctx, key)
 		if renewed || err != nil {
 			return false, err
 		}
@@ -68,16 +61,12 @@
 	return false, errRefusalChanges()
 }
 
-// renewRefusal writes a refusal again that is of a version below before: attempts that began after it would replace it. renewed is false
-// if the row has changed.
-func (n *Node) renewRefusal(ctx context.Context, key backend.RowKey, before uint64) (renewed bool, err error) {
+// renewRefusal writes a refusal again: attempts that began after it would replace it. renewed is false if the row has changed.
+func (n *Node) renewRefusal(ctx context.Context, key backend.RowKey) (renewed bool, err error) {
 	row, err := n.tables.Get(ctx, key)
 	if err != nil || row.Version == 0 || !isRefused(row.Value) {
 		return false, err
 	}
-	if row.Version >= before {
-		return true, nil
-	}
 	_, err = n.tables.Commit(ctx, backend.Txn{
 		Expected: []backend.Row{{RowKey: key, Version: row.Version}}, Put: []backend.Row{{RowKey: key, Value: refusedRecord}},
 	})
@@ -158,7 +147,7 @@
 		return false, nil
 	}
 	if row.Version > seen {
-		err := n.refuseAttempts(ctx, id, seen+1, unavailable(nil, "another attempt was refused at the same time"))
+		err := n.Refuse(ctx, id, unavailable(nil, "another attempt was refused at the same time"))
 		return true, err
 	}
 	_, err = n.tables.Commit(ctx, backend.Txn{
--- a/process/node/refusal_test.go
+++ b/process/node/refusal_test.go
@@ -117,6 +117,20 @@
 	assert.NilError(t, submitAt(t.Context(), n, "a"), "an attempt that begins after both is accepted")
 }
 
+// TestRefusalOfALateInstanceCoversNewerAttempts guards against "never runs" about a job that runs: an instance that knows only old versions
+// of the store finds a refusal newer than its attempt, while another attempt is on its way that began after that refusal.
+func TestRefusalOfALateInstanceCoversNewerAttempts(t *testing.T) {
+	tables := backends.NewTables()
+	n, _ := newIdleNode(Options{Tables: tables, Peers: struct{ peer.Caller }{}})
+	late := n.direct.NewestVersion()
+	assert.Equal(t, verdict.Of(n.Refuse(t.Context(), "a", errOutdated())), verdict.NotRun)
+	seen := n.direct.NewestVersion()
+	_, err := n.storeJob(t.Context(), "a", []byte("{}"), late)
+	assert.Equal(t, verdict.Of(err), verdict.NotRun)
+	_, err = n.storeJob(t.Context(), "a", []byte("{}"), seen)
+	assert.Equal(t, verdict.Of(err), verdict.NotRun, "the attempt began before the second refusal")
+}
+
 // TestRefusalThroughAnotherInstanceCoversBothShards guards against "never runs" about a job that runs: an instance that reaches the store
 // only through others refused it in one shard, and an earlier attempt is stored in the other one.
 func TestRefusalThroughAnotherInstanceCoversBothShards(t *testing.T) {
