Log which service tasks wait for unread workers after a takeover

A service task that stays away after a change of the leader left no line: the log named a worker whose bound was reached, but not which tasks wait, for which workers, and whether the bound is a lease, what former leaders may extend, or the long leases of a worker that has restarted. recovery_waits says so each second while the leader holds service tasks. No decision changes.

--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -119,8 +119,10 @@
 	// machines holds the last list of machines by ID; nil until the first list arrives.
 	machines  map[string]backend.Machine
 	nextSweep Instant
-	effort    Effort
-	wake      chan struct{}
+	// nextRecoveryWaitLog is the earliest time of the next log entry of logRecoveryWait.
+	nextRecoveryWaitLog Instant
+	effort              Effort
+	wake                chan struct{}
 }
 
 // New returns a Core for one leadership epoch.
@@ -286,6 +288,7 @@
 	c.ready.update(c)
 	c.planReadySteps()
 	c.logWaitingGangs()
+	c.logRecoveryWait()
 	c.preempt()
 	c.advanceWaves()
 	c.settleCrashes()
