Place service tasks on workers that have not just restarted

The tasks of the first crash started on it again, and a worker that has restarted may hold the longest lease and a second more, counted from the restart, so that its tasks start elsewhere later than those of other lost workers.

A service task now prefers any worker without such leases. If all have restarted, it starts as before.

TestServiceTasksAvoidRestartedWorkers failed before: the task started on w1, which had just restarted and was idle, in place of w2, which had room too.

--- a/version/cell/place.go
+++ b/version/cell/place.go
@@ -233,6 +233,9 @@
 	if s.spec.LongRunning && w.bestEffortCPUMilli > 0 {
 		v--
 	}
+	if s.spec.LongRunning && c.hasLongLeases(w) {
+		v -= longLeasePenalty
+	}
 	v += c.speedScore(w, s)
 	if s.spec.DataRack != "" && !w.isOnRack(s.spec.DataRack) {
 		v -= remoteRackPenalty
@@ -243,6 +246,9 @@
 const (
 	// servingPenalty reduces the score for a best-effort task for each run with a latency objective on the worker.
 	servingPenalty = 0.5
+	// longLeasePenalty reduces the score for a service task on a worker that has started again lately, by more than idle processor time
+	// can outweigh. If that worker is lost too, the task stays away until its long leases have ended.
+	longLeasePenalty = 5
 	// remoteRackPenalty is large enough to rank every worker on the rack of the data before any other.
 	remoteRackPenalty = 10
 )
--- a/version/cell/place_test.go
+++ b/version/cell/place_test.go
@@ -248,3 +248,31 @@
 	}
 	assert.Equal(t, len(tc.starts), 1)
 }
+
+// Guards against service tasks that stay away for a longest lease because they started on a worker that had just restarted and was lost
+// again, although others had room. If all workers have restarted, the tasks start all the same.
+func TestServiceTasksAvoidRestartedWorkers(t *testing.T) {
+	for _, onlyRestarted := range []bool{false, true} {
+		tc := newTestCluster(t, 1)
+		tc.core.opts.MaxLease = 3 * testLease
+		expected := "w1"
+		if !onlyRestarted {
+			expected = "w2"
+			tc.addWorker(expected)
+			tc.addJob("busy", "plain", 1, stepWithTasks(2))
+			tc.step()
+		}
+		tc.addWorker("w1")
+		tc.answerBoot(2000)
+		tc.listWorker("w1", func(info *backend.WorkerInfo) { info.StartedMS = 2000 })
+		tc.answerBoot(2000)
+		tc.addJob("service", "plain", 1, stepWithTasks(1, func(s *job.Step) { s.LongRunning = true }))
+		for range 5 {
+			tc.step()
+			tc.storeBatches()
+		}
+		last := tc.starts[len(tc.starts)-1].Command
+		assert.Equal(t, last.Task, "service.0.0.0")
+		assert.Equal(t, last.Worker.ID, expected)
+	}
+}
