Explain the wait of service tasks in a log line and two metrics

No decision changes.

TestWaitOfServiceTasksIsExplained, and TestMetricsOfTheLoadOfALeader with the new lines, pass.

--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -288,6 +288,7 @@
 	c.ready.update(c)
 	c.planReadySteps()
 	c.logWaitingGangs()
+	c.logWaitingServices()
 	c.logRecoveryWait()
 	c.preempt()
 	c.advanceWaves()
--- a/version/cell/effort.go
+++ b/version/cell/effort.go
@@ -32,6 +32,10 @@
 	// ReadySteps are the steps with waiting tasks, and WaitingTasks their waiting tasks.
 	ReadySteps   int `json:"ready_steps"`
 	WaitingTasks int `json:"waiting_tasks"`
+	// WaitingServices are those of the waiting tasks that are service tasks, and LongestServiceWaitMS is how long one of them has waited in
+	// this leadership, in milliseconds.
+	WaitingServices      int   `json:"waiting_services"`
+	LongestServiceWaitMS int64 `json:"longest_service_wait_ms"`
 }
 
 // Load returns the present load.
@@ -43,7 +47,17 @@
 		if len(s.waiting) > 0 {
 			load.ReadySteps++
 			load.WaitingTasks += len(s.waiting)
+			load.addServices(s, c.now)
 		}
 	}
 	return load
 }
+
+// addServices adds the waiting service tasks of a step.
+func (l *Load) addServices(s *step, now Instant) {
+	if !s.spec.LongRunning {
+		return
+	}
+	l.WaitingServices += len(s.waiting)
+	l.LongestServiceWaitMS = max(l.LongestServiceWaitMS, (now - s.longestWaiting().waitingSince).Milliseconds())
+}
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -92,7 +92,7 @@
 	nextPreemptionAt Instant
 	// nextHeldLogAt is the earliest time of the next log entry about the limit of the team.
 	nextHeldLogAt Instant
-	// nextWaitLogAt is the earliest time of the next log entry about the wait of a gang.
+	// nextWaitLogAt is the earliest time of the next log entry about the wait of a gang or of service tasks.
 	nextWaitLogAt Instant
 }
 
--- a/version/cell/waiting.go
+++ b/version/cell/waiting.go
@@ -12,7 +12,7 @@
 // logWaitingGangs logs now and then what the gangs that have not started for long wait for.
 func (c *Core) logWaitingGangs() {
 	for _, s := range c.ready.ranked {
-		if !s.spec.Gang || c.now < s.readyAt+waitLogDelay || c.now < s.nextWaitLogAt {
+		if !s.spec.Gang || s.spec.LongRunning || c.now < s.readyAt+waitLogDelay || c.now < s.nextWaitLogAt {
 			continue
 		}
 		s.nextWaitLogAt = c.now + waitLogInterval
