Name the former leaders that may still extend leases

Cause: leader rows and renewals told only how long any former leader may extend leases, so only a join of the leader just before could end that, and only its own part. What was left of an earlier leader was counted to its end, whoever joined.

Change: the rows name the former leaders with the time of each (former_leaders), and a join of any of them that follows this epoch ends its share. lease_extension_ms stays, as the longest of them: former programs read it, and rows that have it alone count for a leader without a name, whose share no join ends. The extension that the scheduler gets is counted from the instant that it takes as the start of the epoch.

TestFormerLeadersOfRows is new. claimLate writes the same row as before; only the Go field has moved.

--- a/process/node/formerleases_test.go
+++ b/process/node/formerleases_test.go
@@ -54,7 +54,7 @@
 	current := c.tables.Rows(leaderTable)[leaderKey.Key]
 	var row leaderRow
 	assert.NilError(c.t, json.Unmarshal(current.Value, &row))
-	row = leaderRow{Epoch: row.Epoch + 1, Instance: name, Address: name, Claim: "late", LeaseExtensionMS: suspendAfter.Milliseconds()}
+	row = leaderRow{Epoch: row.Epoch + 1, Instance: name, Address: name, Claim: "late", leaseExtensionFields: leaseExtensionFields{LeaseExtensionMS: suspendAfter.Milliseconds()}}
 	value, err := json.Marshal(row)
 	assert.NilError(c.t, err)
 	_, err = c.tables.Commit(c.t.Context(), backend.Txn{
@@ -143,3 +143,46 @@
 		assert.Assert(t, paused && ok)
 	})
 }
+
+// Guards against recovered tasks that wait for leases which no leader extends: a leader that stood still has ended its leadership and joined,
+// but it did not lead just before the present leader.
+func TestEachFormerLeaderEndsItsExtension(t *testing.T) {
+	runInCell(t, func(t *testing.T, c *testCell) {
+		assert.NilError(t, c.submit(c.follower(), "a", 4, smallTask(time.Minute), nil))
+		time.Sleep(time.Second)
+		running := c.workers.RunningOn("a.0.0.0")
+		assert.Equal(t, len(running), 1)
+		c.workers.Remove(running[0])
+		c.cutOff(running[0])
+		old, lostAt := c.cutOffLeader(), c.now()
+		next := c.awaitLeaderOtherThan(old)
+		c.kill(next)
+		c.start(next)
+		time.Sleep(500 * time.Millisecond)
+		c.rejoinLeader(old)
+		for len(c.workers.RunningOn("a.0.0.0")) == 0 && c.now() < lostAt+time.Minute {
+			time.Sleep(50 * time.Millisecond)
+		}
+		// One lease of 4 s with its margins after the return of the former leader, about 2.5 s after its loss.
+		assert.Assert(t, c.now() < lostAt+8*time.Second, "the task started again after %s", c.now()-lostAt)
+	})
+}
+
+// Guards against rows whose lists of former leaders are not understood by a program of before, or whose lists it does not write.
+func TestFormerLeadersOfRows(t *testing.T) {
+	const now = time.Hour
+	former := formerLeaders{"i1": now + 3*time.Second, "i2": now + time.Second, "i3": now - time.Second}
+	value, err := json.Marshal(leaderRow{Epoch: 3, Instance: "i4", Claim: "c", leaseExtensionFields: former.fields(now)})
+	assert.NilError(t, err)
+	var row leaderRow
+	assert.NilError(t, json.Unmarshal(value, &row))
+	assert.Equal(t, row.LeaseExtensionMS, int64(3000))
+	view := leaderView{row: row, renewal: renewalRow{Claim: "earlier"}}
+	assert.DeepEqual(t, view.formerLeaders("i5", now), formerLeaders{"i1": now + 3*time.Second, "i2": now + time.Second, "i4": now + suspendAfter})
+	assert.DeepEqual(t, view.formerLeaders("i1", now), formerLeaders{"i2": now + time.Second, "i4": now + suspendAfter})
+	view.renewal = decodeRenewal([]byte(`{"claim":"c","lease_extension_ms":2000}`))
+	assert.DeepEqual(t, view.formerLeaders("i5", now), formerLeaders{unnamedLeader: now + 2*time.Second, "i4": now + suspendAfter})
+	view.row.Resigned = true
+	view.row.leaseExtensionFields = leaseExtensionFields{}
+	assert.DeepEqual(t, view.formerLeaders("i5", now), formerLeaders{})
+}
--- a/process/node/leader.go
+++ b/process/node/leader.go
@@ -19,10 +19,10 @@
 	row         leaderRow
 	rowVersion  uint64
 	predecessor leaderRow
-	// extensions are the times until which former leaders may extend leases. mu protects it once the leadership has begun.
-	extensions extensionEnds
-	core       *cell.Core
-	workers    *delegatedWorkers
+	// former are the leaders before. mu protects it once the leadership has begun.
+	former  formerLeaders
+	core    *cell.Core
+	workers *delegatedWorkers
 
 	// writeVersion is the version of the row with the id of the newest write. Each write is conditional on it, so that a
 	// write whose answer was lost cannot overwrite a later one. writeCount numbers the writes of the leadership.
@@ -106,7 +106,7 @@
 	l.batchLimit = maxBatchRows
 	l.workers = newDelegatedWorkers(n, l.epoch)
 	l.core = cell.New(cell.Options{
-		Epoch: l.epoch, LeaseDuration: n.opts.Lease, MaxLease: n.opts.MaxLease, LeaseExtension: l.leaseExtension(), StopTimeout: n.opts.StopTimeout,
+		Epoch: l.epoch, LeaseDuration: n.opts.Lease, MaxLease: n.opts.MaxLease, LeaseExtension: l.leaseExtension(now), StopTimeout: n.opts.StopTimeout,
 		Retention: n.opts.Retention, OnDecision: n.opts.OnDecision,
 	}, now)
 	l.core.AllowCommandsUntil(l.commandsUntil())
--- a/process/node/leadership.go
+++ b/process/node/leadership.go
@@ -101,8 +101,7 @@
 	// Unstored means that results may not be durable although the leader has resigned: its own, or those of its predecessors, which other
 	// instances hold.
 	Unstored bool `json:"unstored,omitempty"`
-	// LeaseExtensionMS is how long after the row was written the leaders before the instance may extend leases, in milliseconds.
-	LeaseExtensionMS int64 `json:"lease_extension_ms,omitempty"`
+	leaseExtensionFields
 }
 
 // leaderView is the state of the leadership as this instance has observed it.
@@ -288,10 +287,11 @@
 	// The read before the takeover may have returned a newer renewal.
 	old.renewal = n.leader.renewal
 	n.mu.Unlock()
-	extensions := old.leaseExtensions(n.opts.Instance)
+	sentAt := n.opts.Now()
+	former := old.formerLeaders(n.opts.Instance, sentAt)
 	row := leaderRow{
 		Epoch: old.row.Epoch + 1, Instance: n.opts.Instance, Address: n.opts.PeerAddress, Claim: uuid.NewString(),
-		LeaseExtensionMS: extensions.all().Milliseconds(),
+		leaseExtensionFields: former.fields(sentAt),
 	}
 	value, err := json.Marshal(row)
 	if err != nil {
@@ -302,7 +302,6 @@
 		Expected: []backend.Row{{RowKey: leaderKey, Version: old.rowVersion}},
 		Put:      []backend.Row{{RowKey: leaderKey, Value: value}},
 	}
-	sentAt := n.opts.Now()
 	version, err := n.tables.Commit(ctx, txn)
 	if err != nil {
 		version = n.resolveTakeover(ctx, row, err)
@@ -311,7 +310,7 @@
 		return nil
 	}
 	return &leadership{node: n, epoch: row.Epoch, row: row, rowVersion: version, predecessor: old.row,
-		storedAt: sentAt, extensions: extensions.after(n.opts.Now())}
+		storedAt: sentAt, former: former.after(n.opts.Now() - sentAt)}
 }
 
 // smallInstanceDelay returns the takeover delay of a small instance, which has too little CPU to lead a large cell, or 0.
--- a/process/node/members.go
+++ b/process/node/members.go
@@ -34,8 +34,8 @@
 		l.membersChanged.Store(true)
 	}
 	l.mu.Unlock()
-	if join.GetInstance() == l.predecessor.Instance && join.GetFollowsEpoch() >= l.epoch {
-		l.endPredecessor()
+	if join.GetFollowsEpoch() >= l.epoch {
+		l.endFormerLeader(join.GetInstance())
 	}
 	reply := &peerpb.JoinReply{Epoch: l.epoch, Waiting: l.waitingJobs(), Members: l.sampleAddresses(), Candidate: l.isCandidate(join.GetInstance())}
 	reply.ConfigSources = l.configSources(join)
--- a/process/node/progress.go
+++ b/process/node/progress.go
@@ -231,7 +231,7 @@
 		txn.Remove = append(txn.Remove, progressKey(id))
 	}
 	if row.Resigned {
-		row.LeaseExtensionMS = l.leaseExtension().Milliseconds()
+		row.leaseExtensionFields = l.leaseExtensionFields()
 		value, err := json.Marshal(row)
 		if err != nil {
 			return txn, err
