Count former leases from the end of the commands, not from a join

Cause: a join told that the sender's commands had ended, but not when, and what former leaders may extend was taken to be no shorter than until the takeover.

Change: a join has the field commands_ended_ms_ago, the time since the process started or its last leadership ended, on the clock that counts suspension. The end of a former leader's commands may lie before the takeover: former_leaders, Options.LeaseExtension and LimitLeaseExtension take negative times, and a leader keeps its predecessors for a minute, after which leases of up to a minute have ended (the floor of the list covers longer ones). What a row says is counted from when this instance read it, no longer from its own takeover. A resignation names the resigning leader with the end of its commands, and a leadership that ends otherwise sends none either. lease_extension_ms stays 0 or more; former programs send no time in a join, which counts as until now.

TestFormerLeadersOfRows has the negative times and the old field.

--- a/process/node/formerleases_test.go
+++ b/process/node/formerleases_test.go
@@ -168,21 +168,55 @@
 	})
 }
 
+// Guards against recovered tasks that wait for leases which a killed leader can't have granted: its next process joins the new leader late, but
+// it had replaced the former one long before.
+func TestRecoveryCountsFromTheEndOfTheFormerProcess(t *testing.T) {
+	runInCell(t, func(t *testing.T, c *testCell) {
+		assert.NilError(t, c.submit(c.follower(), "a", 4, smallTask(time.Minute), nil))
+		time.Sleep(time.Second)
+		running := c.workers.RunningOn("a.0.0.0")
+		assert.Equal(t, len(running), 1)
+		c.workers.Remove(running[0])
+		c.cutOff(running[0])
+		old, killedAt := c.leader(), c.now()
+		c.kill(old)
+		c.setStoreFault(old, backends.FaultRefused)
+		c.mu.Lock()
+		c.relaysFail = true
+		c.mu.Unlock()
+		time.Sleep(200 * time.Millisecond)
+		c.start(old)
+		c.awaitLeaderOtherThan(old)
+		time.Sleep(time.Second)
+		c.rejoinLeader(old)
+		for len(c.workers.RunningOn("a.0.0.0")) == 0 && c.now() < killedAt+time.Minute {
+			time.Sleep(50 * time.Millisecond)
+		}
+		// One lease of 4 s with its margins after the start of the next process.
+		assert.Assert(t, c.now() < killedAt+5500*time.Millisecond, "the task started again after %s", c.now()-killedAt)
+	})
+}
+
 // Guards against rows whose lists of former leaders are not understood by a program of before, or whose lists it does not write.
 func TestFormerLeadersOfRows(t *testing.T) {
-	const now = time.Hour
-	former := formerLeaders{"i1": now + 3*time.Second, "i2": now + time.Second, "i3": now - time.Second}
-	value, err := json.Marshal(leaderRow{Epoch: 3, Instance: "i4", Claim: "c", leaseExtensionFields: former.fields(now)})
+	const now, seen, ownEnd = time.Hour, time.Hour - time.Second, time.Hour - 2*time.Second
+	former := formerLeaders{"i1": seen + 3*time.Second, "i2": seen - time.Second, "i3": seen - 2*time.Minute}
+	value, err := json.Marshal(leaderRow{Epoch: 3, Instance: "i4", Claim: "c", leaseExtensionFields: former.fields(seen)})
 	assert.NilError(t, err)
-	var row leaderRow
-	assert.NilError(t, json.Unmarshal(value, &row))
-	assert.Equal(t, row.LeaseExtensionMS, int64(3000))
-	view := leaderView{row: row, renewal: renewalRow{Claim: "earlier"}}
-	assert.DeepEqual(t, view.formerLeaders("i5", now), formerLeaders{"i1": now + 3*time.Second, "i2": now + time.Second, "i4": now + suspendAfter})
-	assert.DeepEqual(t, view.formerLeaders("i1", now), formerLeaders{"i2": now + time.Second, "i4": now + suspendAfter})
+	view := leaderView{rowSeenAt: seen, renewal: renewalRow{Claim: "earlier"}, renewalSeenAt: seen}
+	assert.NilError(t, json.Unmarshal(value, &view.row))
+	assert.Equal(t, view.row.LeaseExtensionMS, int64(3000))
+	assert.DeepEqual(t, view.formerLeaders("i5", ownEnd, now),
+		formerLeaders{"i1": seen + 3*time.Second, "i2": seen - time.Second, "i4": now + suspendAfter})
+	assert.DeepEqual(t, view.formerLeaders("i1", ownEnd, now), formerLeaders{"i1": ownEnd, "i2": seen - time.Second, "i4": now + suspendAfter})
 	view.renewal = decodeRenewal([]byte(`{"claim":"c","lease_extension_ms":2000}`))
-	assert.DeepEqual(t, view.formerLeaders("i5", now), formerLeaders{unnamedLeader: now + 2*time.Second, "i4": now + suspendAfter})
+	assert.DeepEqual(t, view.formerLeaders("i4", ownEnd, now), formerLeaders{unnamedLeader: seen + 2*time.Second, "i4": ownEnd})
 	view.row.Resigned = true
-	view.row.leaseExtensionFields = leaseExtensionFields{}
-	assert.DeepEqual(t, view.formerLeaders("i5", now), formerLeaders{})
+	assert.DeepEqual(t, view.formerLeaders("i5", ownEnd, now), formerLeaders{"i1": seen + 3*time.Second, "i2": seen - time.Second})
+	view.row.leaseExtensionFields = leaseExtensionFields{LeaseExtensionMS: -1}
+	assert.DeepEqual(t, view.formerLeaders("i5", ownEnd, now), formerLeaders{unnamedLeader: seen})
+
+	// A former program reads the old field, for which all commands have ended at the takeover at the latest.
+	assert.Equal(t, formerLeaders{"i1": now - time.Second}.fields(now).LeaseExtensionMS, int64(0))
+	assert.Equal(t, formerLeaders{}.end(now), now-formerLeaderRetention)
 }
--- a/process/node/leader.go
+++ b/process/node/leader.go
@@ -125,10 +125,11 @@
 		"event": "leadership_taken", "epoch": l.epoch, "previous": l.predecessor.Instance, "resigned": l.predecessor.Resigned,
 	}).Info("leadership taken")
 	l.run(ctx)
+	l.core.EndCommands()
 	members := l.memberAddresses(formerMemberRetention)
 	n.keepReplica(l)
 	n.mu.Lock()
-	n.leadership = nil
+	n.leadership, n.commandsEndedAt = nil, n.opts.Now()
 	n.members = members
 	n.leader.feedPositionKnown = false
 	n.mu.Unlock()
--- a/process/node/leadership.go
+++ b/process/node/leadership.go
@@ -111,6 +111,8 @@
 	// renewalVersion is the version of the renewal row, and renewal its value.
 	renewalVersion uint64
 	renewal        renewalRow
+	// rowSeenAt and renewalSeenAt are when the values were read.
+	rowSeenAt, renewalSeenAt cell.Instant
 	// unchangedSince is the time of the last observed change, or of the last failure to read the table service if that is
 	// later: only an uninterrupted observation proves that the renewals have stopped.
 	unchangedSince cell.Instant
@@ -201,6 +203,7 @@
 func (n *Node) applyLeaderRow(row backend.Row) {
 	if row.RowKey == renewalKey && row.Version > n.leader.renewalVersion {
 		n.leader.renewalVersion, n.leader.renewal = row.Version, decodeRenewal(row.Value)
+		n.leader.renewalSeenAt = n.opts.Now()
 	}
 	if row.RowKey != leaderKey || row.Version <= n.leader.rowVersion {
 		return
@@ -211,7 +214,7 @@
 		return
 	}
 	n.leaderChanges.record(value, n.opts.Now())
-	n.leader.row, n.leader.rowVersion = value, row.Version
+	n.leader.row, n.leader.rowVersion, n.leader.rowSeenAt = value, row.Version, n.opts.Now()
 	n.leaderLost, n.leaderHint = false, ""
 	signal(n.joinNow)
 	n.opts.Log.WithFields(map[string]any{
@@ -285,13 +288,13 @@
 	}
 	n.mu.Lock()
 	// The read before the takeover may have returned a newer renewal.
-	old.renewal = n.leader.renewal
+	old.renewal, old.renewalSeenAt = n.leader.renewal, n.leader.renewalSeenAt
+	ownEnd := n.commandsEndedAt
 	n.mu.Unlock()
 	sentAt := n.opts.Now()
-	former := old.formerLeaders(n.opts.Instance, sentAt)
 	row := leaderRow{
 		Epoch: old.row.Epoch + 1, Instance: n.opts.Instance, Address: n.opts.PeerAddress, Claim: uuid.NewString(),
-		leaseExtensionFields: former.fields(sentAt),
+		leaseExtensionFields: old.formerLeaders(n.opts.Instance, ownEnd, sentAt).fields(sentAt),
 	}
 	value, err := json.Marshal(row)
 	if err != nil {
@@ -310,7 +313,7 @@
 		return nil
 	}
 	return &leadership{node: n, epoch: row.Epoch, row: row, rowVersion: version, predecessor: old.row,
-		storedAt: sentAt, former: former.after(n.opts.Now() - sentAt)}
+		storedAt: sentAt, former: old.formerLeaders(n.opts.Instance, ownEnd, n.opts.Now())}
 }
 
 // smallInstanceDelay returns the takeover delay of a small instance, which has too little CPU to lead a large cell, or 0.
--- a/process/node/leaseextension.go
+++ b/process/node/leaseextension.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"maps"
 	"time"
 
 	"github.com/lentiltide/lentiltide/version/cell"
@@ -18,7 +17,8 @@
 	// LeaseExtensionMS is how long after the row was written any of them may extend leases, in milliseconds. Former programs know this
 	// field only.
 	LeaseExtensionMS int64 `json:"lease_extension_ms,omitempty"`
-	// FormerLeaders is that time of each of them by the name of the instance; nil in a row of a former program.
+	// FormerLeaders is that time of each of them by the name of the instance, negative if its commands have ended before; nil in a row of
+	// a former program.
 	FormerLeaders map[string]int64 `json:"former_leaders"`
 }
 
@@ -41,24 +41,28 @@
 // unnamedLeader is the name of the leaders in a row of a former program, which does not name them.
 const unnamedLeader = ""
 
-// formerLeaders are the instances that led before, with the times until which they may extend leases.
+// formerLeaderRetention is how long a former leader stays in the list after its commands have ended.
+const formerLeaderRetention = time.Minute
+
+// formerLeaders are the instances that led before, with the times until which they may extend leases. The commands of those that are not
+// listed ended at least formerLeaderRetention ago.
 type formerLeaders map[string]cell.Instant
 
-// formerLeaders returns the leaders of which the row tells, if it was written at an instant.
+// formerLeaders returns the leaders of which the row tells, if it was written at an instant or before.
 func (f leaseExtensionFields) formerLeaders(written cell.Instant) formerLeaders {
-	out := formerLeaders{}
-	if f.FormerLeaders == nil && f.LeaseExtensionMS > 0 {
-		out[unnamedLeader] = written + time.Duration(f.LeaseExtensionMS)*time.Millisecond
+	if f.FormerLeaders == nil {
+		return formerLeaders{unnamedLeader: written + max(0, time.Duration(f.LeaseExtensionMS)*time.Millisecond)}
 	}
+	out := formerLeaders{}
 	for name, ms := range f.FormerLeaders {
 		out[name] = written + time.Duration(ms)*time.Millisecond
 	}
 	return out
 }
 
-// end returns the time until which any of the leaders may extend leases, which is not before now.
+// end returns the time until which any of the leaders may extend leases, which may have passed.
 func (f formerLeaders) end(now cell.Instant) cell.Instant {
-	end := now
+	end := now - formerLeaderRetention
 	for _, until := range f {
 		end = max(end, until)
 	}
@@ -67,60 +71,81 @@
 
 // fields returns the fields of a row that is encoded at an instant.
 func (f formerLeaders) fields(now cell.Instant) leaseExtensionFields {
-	out := leaseExtensionFields{LeaseExtensionMS: (f.end(now) - now).Milliseconds(), FormerLeaders: map[string]int64{}}
+	out := leaseExtensionFields{LeaseExtensionMS: max(0, f.end(now)-now).Milliseconds(), FormerLeaders: map[string]int64{}}
 	for name, until := range f {
-		if until > now {
-			out.FormerLeaders[name] = (until - now).Milliseconds()
+		if until > now-formerLeaderRetention {
+			out.FormerLeaders[name] = ceilMilliseconds(until - now)
 		}
 	}
 	return out
 }
 
-// formerLeaders returns the leaders before a takeover by an instance. A leader that has resigned sends no commands any longer, and neither
-// does a former process of the instance itself.
-func (v leaderView) formerLeaders(instance string, takeover cell.Instant) formerLeaders {
-	fields := v.row.leaseExtensionFields
+// ceilMilliseconds returns the smallest number of whole milliseconds that is not below d.
+func ceilMilliseconds(d time.Duration) int64 {
+	ms := d.Milliseconds()
+	if time.Duration(ms)*time.Millisecond < d {
+		ms++
+	}
+	return ms
+}
+
+// formerLeaders returns the leaders before a takeover by an instance, whose own commands ended at an instant. The commands of a leader that
+// has resigned ended before its row was written.
+func (v leaderView) formerLeaders(instance string, ownEnd, takeover cell.Instant) formerLeaders {
+	fields, seenAt := v.row.leaseExtensionFields, v.rowSeenAt
 	if !v.row.Resigned && v.renewal.Claim == v.row.Claim {
-		fields = v.renewal.leaseExtensionFields
+		fields, seenAt = v.renewal.leaseExtensionFields, v.renewalSeenAt
 	}
-	out := fields.formerLeaders(takeover)
+	out := fields.formerLeaders(seenAt)
 	if v.row.Epoch != 0 && !v.row.Resigned {
 		out[v.row.Instance] = takeover + suspendAfter
 	}
-	delete(out, instance)
+	if until, ok := out[instance]; ok {
+		out[instance] = min(until, ownEnd)
+	}
 	return out
 }
 
-// after returns the leaders if the takeover takes effect later than assumed.
-func (f formerLeaders) after(delay time.Duration) formerLeaders {
-	out := maps.Clone(f)
-	for name := range out {
-		out[name] += delay
+// with returns a copy of the list with another leader.
+func (f formerLeaders) with(name string, until cell.Instant) formerLeaders {
+	out := formerLeaders{name: until}
+	for other, end := range f {
+		if other != name {
+			out[other] = end
+		}
 	}
 	return out
 }
 
-// leaseExtension returns how long after an instant former leaders may still extend leases.
+// leaseExtension returns how long after an instant former leaders may still extend leases. It is negative if their commands have ended.
 func (l *leadership) leaseExtension(now cell.Instant) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.former.end(now) - now
 }
 
-// endFormerLeader records that an instance that led before sends no commands any longer.
-func (l *leadership) endFormerLeader(name string) {
+// endFormerLeader records that the commands of an instance that led before have ended at an instant.
+func (l *leadership) endFormerLeader(name string, ended cell.Instant) {
 	now := l.node.opts.Now()
 	l.mu.Lock()
-	until := l.former[name]
-	if until > now {
-		l.former[name] = now
+	until, ok := l.former[name]
+	sooner := ok && ended < until
+	if sooner {
+		l.former[name] = ended
 	}
 	end := l.former.end(now)
 	l.mu.Unlock()
-	if until <= now {
-		return
+	if sooner {
+		l.core.LimitLeaseExtension(end, now)
 	}
-	l.core.LimitLeaseExtension(end, now)
+}
+
+// endOwnCommands ends the commands of the leadership and lists it among the former leaders of the resignation.
+func (l *leadership) endOwnCommands() {
+	l.core.EndCommands()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.former = l.former.with(l.node.opts.Instance, l.node.opts.Now())
 }
 
 // leaseExtensionFields returns the fields of a row that is written now.
--- a/process/node/members.go
+++ b/process/node/members.go
@@ -35,7 +35,7 @@
 	}
 	l.mu.Unlock()
 	if join.GetFollowsEpoch() >= l.epoch {
-		l.endFormerLeader(join.GetInstance())
+		l.endFormerLeader(join.GetInstance(), m.joinedAt-max(0, time.Duration(join.GetCommandsEndedMsAgo())*time.Millisecond))
 	}
 	reply := &peerpb.JoinReply{Epoch: l.epoch, Waiting: l.waitingJobs(), Members: l.sampleAddresses(), Candidate: l.isCandidate(join.GetInstance())}
 	reply.ConfigSources = l.configSources(join)
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -117,6 +117,8 @@
 	leaderChanges leaderChanges
 	// leadership is set while this instance leads.
 	leadership *leadership
+	// commandsEndedAt is when the last leadership of this instance ended, at first that of its former process.
+	commandsEndedAt cell.Instant
 	// waitingJobs is the number of waiting jobs of each queue, as sent by the leader.
 	waitingJobs map[string]uint32
 	// waitingJobsReceivedAt is when the leader last sent waitingJobs.
@@ -148,6 +150,7 @@
 		opts: opts, createdAt: opts.Now(), joinNow: make(chan struct{}, 1), checkNow: make(chan struct{}, 1),
 		configWake: make(chan struct{}, 1), configChanged: make(chan struct{}), candidate: true,
 	}
+	n.commandsEndedAt = n.createdAt
 	n.direct = observeTables(opts.Tables, opts.Now, n.logStoreContact)
 	n.tables = relayedTables{n.direct, n}
 	n.inserts = newInserter(n.tables)
--- a/process/node/replica.go
+++ b/process/node/replica.go
@@ -101,6 +101,7 @@
 	join.ReplicatedEpoch, join.ReplicatedSequence = n.replica.epoch, n.replica.sequence
 	if n.leadership == nil {
 		join.FollowsEpoch = n.leader.row.Epoch
+		join.CommandsEndedMsAgo = (n.opts.Now() - n.commandsEndedAt).Milliseconds()
 	}
 	if n.replica.handOver {
 		join.ReplicatedJobs, join.ReplicatedCrashes = n.replica.messages()
--- a/process/node/shutdown.go
+++ b/process/node/shutdown.go
@@ -59,6 +59,7 @@
 
 // commitResignation writes the resignation. It is called by the writer, which owns the versions of the rows.
 func (l *leadership) commitResignation(ctx context.Context) {
+	l.endOwnCommands()
 	row := l.row
 	row.Resigned = true
 	refused := false
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -22,7 +22,8 @@
 	LeaseDuration time.Duration
 	// MaxLease is the longest lease that workers grant, whatever deadline a command has; 0 means LeaseDuration.
 	MaxLease time.Duration
-	// LeaseExtension is how long after the start of this epoch former leaders may still extend leases.
+	// LeaseExtension is how long after the start of this epoch former leaders may still extend leases. It is negative if they have ended
+	// before.
 	LeaseExtension time.Duration
 	// StopTimeout limits the stop of a run on a worker. The Core does not read it.
 	StopTimeout time.Duration
@@ -329,12 +330,13 @@
 	})
 }
 
-// LimitLeaseExtension records that no former leader extends leases later than until, so that they end sooner than had to be assumed.
+// LimitLeaseExtension records that no former leader extends leases later than until, which may be before this epoch, so that they end
+// sooner than had to be assumed.
 func (c *Core) LimitLeaseExtension(until, now Instant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.now = max(c.now, now)
-	if extension := max(0, until-c.epochStart); extension < c.opts.LeaseExtension {
+	if extension := until - c.epochStart; extension < c.opts.LeaseExtension {
 		c.opts.LeaseExtension = extension
 		c.logDecision("lease_extension_limited", "", map[string]any{"since_takeover_ms": extension.Milliseconds()})
 	}
--- a/version/cell/recoverywait_test.go
+++ b/version/cell/recoverywait_test.go
@@ -30,3 +30,20 @@
 	// Both figures are rounded down to milliseconds.
 	assert.Assert(t, bound <= expected && bound > expected-2*time.Millisecond, "bound %s, expected %s", bound, expected)
 }
+
+// Guards against recovered tasks that wait a whole lease although the commands of all former leaders ended before the epoch.
+func TestRecoveryCountsFromTheEndOfFormerCommands(t *testing.T) {
+	const endedBefore = 1500 * time.Millisecond
+	tc := newTestCluster(t, 2)
+	startedAt := tc.now
+	assert.NilError(t, tc.core.LoadFleetRecord(tc.now, []byte(`{"w1":"w1:1"}`)))
+	tc.addWorker("w2")
+	tc.addJob("a", "plain", 1, stepWithTasks(1))
+	tc.core.LimitLeaseExtension(startedAt-endedBefore, tc.now)
+	for len(tc.starts) == 0 && tc.now < startedAt+time.Minute {
+		tc.answerPoll("w2", nil, nil)
+		tc.advance(100 * time.Millisecond)
+	}
+	bound, waited := maxLocalDuration(testLease)-endedBefore, tc.now-startedAt
+	assert.Assert(t, waited >= bound && waited < bound+time.Second, "recovery ended after %s", waited)
+}
