--- a/process/node/leadership.go
+++ b/process/node/leadership.go
@@ -101,8 +101,7 @@
 	// Unstored means that results may not be durable although the leader has resigned: its own, or those of its predecessors, which other
 	// instances hold.
 	Unstored bool `json:"unstored,omitempty"`
-	// LeaseExtensionMS is how long after the row was written the leaders before the instance may extend leases, in milliseconds.
-	LeaseExtensionMS int64 `json:"lease_extension_ms,omitempty"`
+	leaseExtensionFields
 }
 
 // leaderView is the state of the leadership as this instance has observed it.
@@ -112,6 +111,8 @@
 	// renewalVersion is the version of the renewal row, and renewal its value.
 	renewalVersion uint64
 	renewal        renewalRow
+	// rowSeenAt and renewalSeenAt are when the values were read.
+	rowSeenAt, renewalSeenAt cell.Instant
 	// unchangedSince is the time of the last observed change, or of the last failure to read the table service if that is
 	// later: only an uninterrupted observation proves that the renewals have stopped.
 	unchangedSince cell.Instant
@@ -202,6 +203,7 @@
 func (n *Node) applyLeaderRow(row backend.Row) {
 	if row.RowKey == renewalKey && row.Version > n.leader.renewalVersion {
 		n.leader.renewalVersion, n.leader.renewal = row.Version, decodeRenewal(row.Value)
+		n.leader.renewalSeenAt = n.opts.Now()
 	}
 	if row.RowKey != leaderKey || row.Version <= n.leader.rowVersion {
 		return
@@ -212,7 +214,7 @@
 		return
 	}
 	n.leaderChanges.record(value, n.opts.Now())
-	n.leader.row, n.leader.rowVersion = value, row.Version
+	n.leader.row, n.leader.rowVersion, n.leader.rowSeenAt = value, row.Version, n.opts.Now()
 	n.leaderLost, n.leaderHint = false, ""
 	signal(n.joinNow)
 	n.opts.Log.WithFields(map[string]any{
@@ -286,12 +288,13 @@
 	}
 	n.mu.Lock()
 	// The read before the takeover may have returned a newer renewal.
-	old.renewal = n.leader.renewal
+	old.renewal, old.renewalSeenAt = n.leader.renewal, n.leader.renewalSeenAt
+	ownEnd := n.commandsEndedAt
 	n.mu.Unlock()
-	extensions := old.leaseExtensions(n.opts.Instance)
+	sentAt := n.opts.Now()
 	row := leaderRow{
 		Epoch: old.row.Epoch + 1, Instance: n.opts.Instance, Address: n.opts.PeerAddress, Claim: uuid.NewString(),
-		LeaseExtensionMS: extensions.all().Milliseconds(),
+		leaseExtensionFields: old.formerLeaders(n.opts.Instance, ownEnd, sentAt).fields(sentAt),
 	}
 	value, err := json.Marshal(row)
 	if err != nil {
@@ -302,7 +305,6 @@
 		Expected: []backend.Row{{RowKey: leaderKey, Version: old.rowVersion}},
 		Put:      []backend.Row{{RowKey: leaderKey, Value: value}},
 	}
-	sentAt := n.opts.Now()
 	version, err := n.tables.Commit(ctx, txn)
 	if err != nil {
 		version = n.resolveTakeover(ctx, row, err)
@@ -311,7 +313,7 @@
 		return nil
 	}
 	return &leadership{node: n, epoch: row.Epoch, row: row, rowVersion: version, predecessor: old.row,
-		storedAt: sentAt, extensions: extensions.after(n.opts.Now())}
+		storedAt: sentAt, former: old.formerLeaders(n.opts.Instance, ownEnd, n.opts.Now())}
 }
 
 // smallInstanceDelay returns the takeover delay of a small instance, which has too little CPU to lead a large cell, or 0.
--- a/process/node/leaseextension.go
+++ b/process/node/leaseextension.go
@@ -9,14 +9,24 @@
 
 // A leader that is cut off goes on to extend leases for up to suspendAfter, whoever leads meanwhile. A new leader accounts for its
 // predecessor and for the leaders before that: the predecessor may have led for a moment only, or not at all if its takeover took effect
-// after it had been given up. So each leader row says how long earlier leaders may extend leases, and the renewals what is left of that.
+// after it had been given up. So each leader row names the instances that led before and says how long each may extend leases, and the
+// renewals and the resignation say what is left of that.
+
+// leaseExtensionFields are the fields of the leader row and its renewals about the leaders before the one that writes them.
+type leaseExtensionFields struct {
+	// LeaseExtensionMS is how long after the row was written any of them may extend leases, in milliseconds. Former programs know this
+	// field only.
+	LeaseExtensionMS int64 `json:"lease_extension_ms,omitempty"`
+	// FormerLeaders is that time of each of them by the name of the instance, negative if its commands have ended before; nil in a row of
+	// a former program.
+	FormerLeaders map[string]int64 `json:"former_leaders"`
+}
 
 // renewalRow is the value of the renewal row.
 type renewalRow struct {
 	// Claim is that of the leader row which is renewed.
 	Claim string `json:"claim"`
-	// LeaseExtensionMS is as in leaderRow.
-	LeaseExtensionMS int64 `json:"lease_extension_ms,omitempty"`
+	leaseExtensionFields
 }
 
 // decodeRenewal decodes the value of the renewal row. That of an earlier program has no claim.
@@ -28,54 +38,124 @@
 	return row
 }
 
-// leaseExtensions are the times after a takeover for which former leaders may extend leases.
-type leaseExtensions struct {
-	// predecessor is that of the last leader, and earlier that of all leaders before it.
-	predecessor, earlier time.Duration
+// unnamedLeader is the name of the leaders in a row of a former program, which does not name them.
+const unnamedLeader = ""
+
+// formerLeaderRetention is how long a former leader stays in the list after its commands have ended.
+const formerLeaderRetention = time.Minute
+
+// formerLeaders are the instances that led before, with the times until which they may extend leases. The commands of those that are not
+// listed ended at least formerLeaderRetention ago.
+type formerLeaders map[string]cell.Instant
+
+// formerLeaders returns the leaders of which the row tells, if it was written at an instant or before.
+func (f leaseExtensionFields) formerLeaders(written cell.Instant) formerLeaders {
+	if f.FormerLeaders == nil {
+		return formerLeaders{unnamedLeader: written + max(0, time.Duration(f.LeaseExtensionMS)*time.Millisecond)}
+	}
+	out := formerLeaders{}
+	for name, ms := range f.FormerLeaders {
+		out[name] = written + time.Duration(ms)*time.Millisecond
+	}
+	return out
+}
+
+// end returns the time until which any of the leaders may extend leases, which may have passed.
+func (f formerLeaders) end(now cell.Instant) cell.Instant {
+	end := now - formerLeaderRetention
+	for _, until := range f {
+		end = max(end, until)
+	}
+	return end
+}
+
+// fields returns the fields of a row that is encoded at an instant.
+func (f formerLeaders) fields(now cell.Instant) leaseExtensionFields {
+	out := leaseExtensionFields{LeaseExtensionMS: max(0, f.end(now)-now).Milliseconds(), FormerLeaders: map[string]int64{}}
+	for name, until := range f {
+		if until > now-formerLeaderRetention {
+			out.FormerLeaders[name] = ceilMilliseconds(until - now)
+		}
+	}
+	return out
 }
 
-func (e leaseExtensions) all() time.Duration { return max(e.predecessor, e.earlier) }
+// ceilMilliseconds returns the smallest number of whole milliseconds that is not below d.
+func ceilMilliseconds(d time.Duration) int64 {
+	ms := d.Milliseconds()
+	if time.Duration(ms)*time.Millisecond < d {
+		ms++
+	}
+	return ms
+}
 
-// leaseExtensions returns the times for a takeover by an instance. A leader that has resigned sends no commands any longer, and neither does
-// a former process of the instance itself.
-func (v leaderView) leaseExtensions(instance string) leaseExtensions {
-	out := leaseExtensions{earlier: time.Duration(v.row.LeaseExtensionMS) * time.Millisecond}
+// formerLeaders returns the leaders before a takeover by an instance, whose own commands ended at an instant. The commands of a leader that
+// has resigned ended before its row was written.
+func (v leaderView) formerLeaders(instance string, ownEnd, takeover cell.Instant) formerLeaders {
+	fields, seenAt := v.row.leaseExtensionFields, v.rowSeenAt
 	if !v.row.Resigned && v.renewal.Claim == v.row.Claim {
-		out.earlier = time.Duration(v.renewal.LeaseExtensionMS) * time.Millisecond
+		fields, seenAt = v.renewal.leaseExtensionFields, v.renewalSeenAt
+	}
+	out := fields.formerLeaders(seenAt)
+	if v.row.Epoch != 0 && !v.row.Resigned {
+		out[v.row.Instance] = takeover + suspendAfter
 	}
-	if v.row.Epoch != 0 && !v.row.Resigned && v.row.Instance != instance {
-		out.predecessor = suspendAfter
+	if until, ok := out[instance]; ok {
+		out[instance] = min(until, ownEnd)
 	}
 	return out
 }
 
-// extensionEnds are the times until which former leaders may extend leases.
-type extensionEnds struct{ predecessor, earlier cell.Instant }
+// with returns a copy of the list with another leader.
+func (f formerLeaders) with(name string, until cell.Instant) formerLeaders {
+	out := formerLeaders{name: until}
+	for other, end := range f {
+		if other != name {
+			out[other] = end
+		}
+	}
+	return out
+}
 
-// after returns the times for a takeover at an instant.
-func (e leaseExtensions) after(takeover cell.Instant) extensionEnds {
-	return extensionEnds{takeover + e.predecessor, takeover + e.earlier}
+// leaseExtension returns how long after an instant former leaders may still extend leases. It is negative if their commands have ended.
+func (l *leadership) leaseExtension(now cell.Instant) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.former.end(now) - now
 }
 
-func (e extensionEnds) all() cell.Instant { return max(e.predecessor, e.earlier) }
+// endFormerLeader records that the commands of an instance that led before have ended at an instant.
+func (l *leadership) endFormerLeader(name string, ended cell.Instant) {
+	now := l.node.opts.Now()
+	l.mu.Lock()
+	until, ok := l.former[name]
+	sooner := ok && ended < until
+	if sooner {
+		l.former[name] = ended
+	}
+	end := l.former.end(now)
+	l.mu.Unlock()
+	if sooner {
+		l.core.LimitLeaseExtension(end, now)
+	}
+}
 
-// leaseExtension returns how long former leaders may still extend leases.
-func (l *leadership) leaseExtension() time.Duration {
+// endOwnCommands ends the commands of the leadership and lists it among the former leaders of the resignation.
+func (l *leadership) endOwnCommands() {
+	l.core.EndCommands()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return max(0, l.extensions.all()-l.node.opts.Now())
+	l.former = l.former.with(l.node.opts.Instance, l.node.opts.Now())
 }
 
-// endPredecessor records that the predecessor sends no commands any longer.
-func (l *leadership) endPredecessor() {
+// leaseExtensionFields returns the fields of a row that is written now.
+func (l *leadership) leaseExtensionFields() leaseExtensionFields {
 	l.mu.Lock()
-	l.extensions.predecessor = min(l.extensions.predecessor, l.node.opts.Now())
-	end := l.extensions.all()
-	l.mu.Unlock()
-	l.core.LimitLeaseExtension(end, l.node.opts.Now())
+	defer l.mu.Unlock()
+	return l.former.fields(l.node.opts.Now())
 }
 
 // encodeRenewal returns the value of the renewal row.
 func (l *leadership) encodeRenewal() ([]byte, error) {
-	return json.Marshal(renewalRow{Claim: l.row.Claim, LeaseExtensionMS: l.leaseExtension().Milliseconds()})
+	return json.Marshal(renewalRow{Claim: l.row.Claim, leaseExtensionFields: l.leaseExtensionFields()})
 }
