Assume the longest lease only of workers that have started lately

Only a call to the former boot of a worker, executed by its next boot, grants more than the usual lease, since its deadline is a reading of another clock. A boot executes such calls only early on: calls are late by 12 s at most. So that none is sent later, a poll after an unanswered one has no deadline and does not wait; the one after the answer extends the lease.

TestLongRunningWorkerHoldsTheUsualLease (long) failed before, 12.45 s against a lease of 4 s; TestPollOfASilentWorkerHasNoDeadline failed before. version/cell and process/node pass.

--- a/version/cell/boot_test.go
+++ b/version/cell/boot_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/lentiltide/lentiltide/backend"
@@ -186,3 +187,49 @@
 	tc.advance(2 * testLease)
 	assert.Equal(t, len(tc.core.workers["w1"].runs), 0)
 }
+
+// Guards against tasks of a lost worker that stay away for the longest lease after a takeover, although the worker has been up for too long
+// to have granted it to a call that was sent to its former boot. A worker that has started lately may have.
+func TestLongRunningWorkerHoldsTheUsualLease(t *testing.T) {
+	const longest = 3 * testLease
+	cases := map[string]struct{ uptime, bound time.Duration }{
+		"long":  {time.Minute, testLease},
+		"short": {2 * time.Second, longest},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tc := newTestCluster(t, 2)
+			tc.core.opts.MaxLease = longest
+			assert.NilError(t, tc.core.LoadFleetRecord(tc.now, []byte(`{"w1":"w1:1","w2":"w2:1"}`)))
+			tc.listWorker("w1", nil)
+			tc.addWorker("w2")
+			tc.addJob("a", "plain", 1, stepWithTasks(1))
+			reply := backend.PollReply{Reply: backend.Reply{ClockMS: c.uptime.Milliseconds()}, StartedMS: 1000,
+				Running: []backend.ActiveRun{{Task: "a.0.0.0", Run: 1}}}
+			tc.core.PollResult("w1", tc.now, reply, nil, tc.now)
+			answeredAt := tc.now
+			for len(tc.starts) == 0 && tc.now < answeredAt+time.Minute {
+				tc.answerPoll("w2", nil, nil)
+				tc.advance(50 * time.Millisecond)
+			}
+			waited := tc.now - answeredAt
+			assert.Assert(t, waited >= maxLocalDuration(c.bound) && waited < c.bound+time.Second, "started again after %s", waited)
+		})
+	}
+}
+
+// Guards against a boot that gets the longest lease from a poll whose deadline is a reading of the clock of the former boot: the poll after
+// an unanswered one may reach a boot of which the leader does not know.
+func TestPollOfASilentWorkerHasNoDeadline(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	tc.addWorker("w1")
+	req, _, _ := tc.core.PreparePoll("w1", tc.now)
+	assert.Assert(t, req.LeaseDeadlineMS > 0 && req.Wait > 0)
+	tc.core.PollResult("w1", tc.now, backend.PollReply{}, errors.New("timeout"), tc.now+1)
+	req, _, _ = tc.core.PreparePoll("w1", tc.now+2)
+	assert.Equal(t, req.LeaseDeadlineMS, int64(0))
+	assert.Equal(t, req.Wait, time.Duration(0))
+	tc.answerPoll("w1", nil, nil)
+	req, _, _ = tc.core.PreparePoll("w1", tc.now)
+	assert.Assert(t, req.LeaseDeadlineMS > 0 && req.Wait > 0)
+}
--- a/version/cell/leases.go
+++ b/version/cell/leases.go
@@ -58,18 +58,27 @@
 // maxLease returns the longest lease that workers grant.
 func (c *Core) maxLease() time.Duration { return max(c.opts.MaxLease, c.opts.LeaseDuration) }
 
-// recordClock records a reading of the worker's clock. Older readings are ignored. A former leader, whose commands the worker
-// refuses from the first answer on, has sent leases that end at most one longest lease after that answer. They may be longer than a
-// lease duration: the deadlines of calls to a former boot are readings of its clock, and on that of the next boot, which starts anew,
-// they are far in the future.
+// maxLateCall is how long after the start of a boot it may execute calls that were sent to the former one: calls may be executed 12 s
+// late, and a leader sends deadlines for up to maxClockAge after the last answer.
+const maxLateCall = 12*time.Second + maxClockAge
+
+// formerLeaseEnd returns the latest deadline, on the clock of a worker, of the leases that former leaders have granted before a first
+// reading of it, from which on the worker refuses their commands. Usually they end a lease duration later. But the deadlines of calls to a
+// former boot are readings of its clock, and on that of the next boot, which starts anew, they are far in the future: executed there, such
+// a call grants the longest lease.
+func (c *Core) formerLeaseEnd(w *worker, readingMS int64) int64 {
+	if w.restartedAt != 0 {
+		return readingMS + (c.maxLease() + lateCallAllowance).Milliseconds()
+	}
+	late := min(readingMS, maxLateCall.Milliseconds())
+	return max(readingMS+c.opts.LeaseDuration.Milliseconds(), late+c.maxLease().Milliseconds())
+}
+
+// recordClock records a reading of the worker's clock. Older readings are ignored.
 func (c *Core) recordClock(w *worker, readingMS int64) {
 	w.silentSince = 0
 	if w.clockMS == 0 && readingMS > 0 {
-		lease := c.maxLease()
-		if w.restartedAt != 0 {
-			lease += lateCallAllowance
-		}
-		w.leaseEndMS = max(w.leaseEndMS, readingMS+lease.Milliseconds())
+		w.leaseEndMS = max(w.leaseEndMS, c.formerLeaseEnd(w, readingMS))
 	}
 	if readingMS > w.clockMS {
 		w.clockMS, w.clockReceivedAt = readingMS, c.now
--- a/version/cell/polls.go
+++ b/version/cell/polls.go
@@ -40,8 +40,8 @@
 		return req, true, true
 	}
 	req = backend.PollRequest{Worker: w.pollRef(), FencingToken: c.opts.Epoch}
-	if w.announced == nil {
-		// On the clock of an announced boot the deadline would be far in the future.
+	if w.announced == nil && !w.health.unresponsive {
+		// On the clock of a boot that is announced, or that has begun unnoticed, the deadline would be far in the future.
 		req.LeaseDeadlineMS = c.leaseDeadline(w)
 	}
 	if w.ackIsDue() && w.announced == nil && !w.hasUnreportedStart() {
@@ -52,8 +52,9 @@
 		w.sentAck = w.deliveredAck
 	}
 	switch {
-	case !w.inventoryKnown || w.lastReadCompletion > w.lastAckedCompletion || req.AcknowledgedCompletion > 0:
-		// While a poll waits, the worker might restart and finish runs of its new boot that the acknowledgement covers.
+	case !w.inventoryKnown || w.health.unresponsive || w.lastReadCompletion > w.lastAckedCompletion || req.AcknowledgedCompletion > 0:
+		// While a poll waits, the worker might restart and finish runs of its new boot that the acknowledgement covers. One that was silent
+		// waits for the next lease.
 		req.Wait = 0
 	case len(w.runs) == 0:
 		req.Wait = idlePollWait
