Send no start while an acknowledgement is on its way to its worker

A worker restarts while a poll with an acknowledgement is on its way; its next boot executes and ends a start, and then the poll arrives and makes it forget the end. Cause: completion numbers are those of a boot, and polls name the worker only. Acknowledgements waited for starts, but not starts for acknowledgements. A held start is withdrawn if its worker restarts meanwhile, and counts as no run that has crashed it. The time of a poll is read before it is prepared, so that its result names it. An acknowledgement that is carried out after its poll has failed remains (late-hold).

--- a/process/node/leader.go
+++ b/process/node/leader.go
@@ -350,7 +350,8 @@
 func (l *leadership) pollWorker(ctx context.Context, id string) {
 	now := l.node.opts.Now
 	for ctx.Err() == nil {
-		req, suspended, ok := l.core.PreparePoll(id, now())
+		sent := now()
+		req, suspended, ok := l.core.PreparePoll(id, sent)
 		if !ok {
 			return
 		}
@@ -358,7 +359,6 @@
 			pause(ctx, pollRetryDelay)
 			continue
 		}
-		sent := now()
 		reply, err := l.workers.Poll(ctx, req)
 		if ctx.Err() != nil {
 			return
@@ -375,12 +375,12 @@
 // pollOnce polls a worker once, without waiting for a completion.
 func (l *leadership) pollOnce(ctx context.Context, id string) {
 	now := l.node.opts.Now
-	req, suspended, ok := l.core.PreparePoll(id, now())
+	sent := now()
+	req, suspended, ok := l.core.PreparePoll(id, sent)
 	if !ok || suspended {
 		return
 	}
 	req.Wait = 0
-	sent := now()
 	reply, err := l.workers.Poll(ctx, req)
 	if ctx.Err() == nil {
 		l.core.PollResult(id, sent, reply, err, now())
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -78,6 +78,8 @@
 	ready    readyQueue
 	advisers map[string]*adviser
 	actions  []Action
+	// heldStarts are starts that wait for acknowledgements on their way.
+	heldStarts []*StartAction
 	// deferredPolls are the workers with an additional poll that is not due yet.
 	deferredPolls []*worker
 	// inventoryPending are the workers that a former leader may have used and whose inventory has not been read in this
@@ -258,6 +260,7 @@
 		c.sweep()
 	}
 	c.settleFormerRuns()
+	c.sendHeldStarts()
 	if c.unreadChanged {
 		c.unreadChanged = false
 		c.updateUnread()
--- a/version/cell/polls.go
+++ b/version/cell/polls.go
@@ -47,6 +47,7 @@
 	if w.ackIsDue() && w.announced == nil && !w.hasUnreportedStart() {
 		req.AcknowledgedCompletion = w.lastAckedCompletion
 		w.sentAck, w.ackSentAt = w.lastAckedCompletion, c.now
+		w.recordAckPoll(now)
 	} else {
 		// The answer to this poll does not confirm an earlier acknowledgement.
 		w.sentAck = w.deliveredAck
@@ -123,6 +124,7 @@
 	if w == nil {
 		return
 	}
+	c.endAckPoll(w, sentAt)
 	if err != nil {
 		c.handlePollFailure(w, sentAt, err)
 		return
@@ -191,6 +193,7 @@
 		return
 	}
 	c.logDecision("worker_replaced", "", map[string]any{"worker": w.info.ID, "runs": len(w.runs), "address": w.info.Address})
+	c.withdrawHeldStarts(w)
 	k := c.noticeCrash(w)
 	for _, r := range w.runs {
 		c.countCrashOfRun(k, r)
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -52,6 +52,8 @@
 	// throttlePercent is the share of its normal speed at which the run works, in percent, or unknownThrottlePercent.
 	throttlePercent int
 	removed         bool
+	// held means that the start has not been sent, since an acknowledgement is on its way to the worker.
+	held bool
 	// completionUnread means that the run has ended, and that its completion may be beyond those that the worker lists at a time.
 	completionUnread bool
 }
@@ -118,7 +120,7 @@
 		Command: r.command(c), Payload: t.step.job.record.Spec.Payload, LeaseDeadlineMS: deadline,
 		Checkpoint: checkpoint, Ticket: t.step.advice.approved[w.info.ID].value,
 	}
-	c.actions = append(c.actions, &StartAction{command, r})
+	c.sendStart(&StartAction{command, r})
 	c.markRunChanged(t)
 	if !t.step.job.started {
 		t.step.job.started = true
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -53,6 +53,8 @@
 	// sentAck is the last acknowledgement sent, at ackSentAt, and deliveredAck the last one that the worker has received for sure.
 	sentAck, deliveredAck int64
 	ackSentAt             Instant
+	// ackPolls are when the polls with an acknowledgement were sent that are not answered.
+	ackPolls []Instant
 	// acksChanged receives a value when lastAckedCompletion rises, and when a start is answered.
 	acksChanged chan struct{}
 	// startsBlockedUntil prevents new runs for a short time after a command or a poll has failed.
@@ -203,6 +205,7 @@
 // was.
 func (c *Core) handleWorkerRestart(w *worker, startedMS int64) {
 	c.logDecision("worker_restarted", "", map[string]any{"worker": w.info.ID, "runs": len(w.runs), "started_ms": startedMS})
+	c.withdrawHeldStarts(w)
 	k := c.noticeCrash(w)
 	for _, r := range w.runs {
 		if r.completionUnread || r.firstReportAt != 0 {
