--- a/process/node/leader.go
+++ b/process/node/leader.go
@@ -351,7 +351,8 @@
 func (l *leadership) pollWorker(ctx context.Context, id string) {
 	now := l.node.opts.Now
 	for ctx.Err() == nil {
-		req, suspended, ok := l.core.PreparePoll(id, now())
+		sent := now()
+		req, suspended, ok := l.core.PreparePoll(id, sent)
 		if !ok {
 			return
 		}
@@ -359,7 +360,6 @@
 			pause(ctx, pollRetryDelay)
 			continue
 		}
-		sent := now()
 		reply, err := l.workers.Poll(ctx, req)
 		if ctx.Err() != nil {
 			return
@@ -376,12 +376,12 @@
 // pollOnce polls a worker once, without waiting for a completion.
 func (l *leadership) pollOnce(ctx context.Context, id string) {
 	now := l.node.opts.Now
-	req, suspended, ok := l.core.PreparePoll(id, now())
+	sent := now()
+	req, suspended, ok := l.core.PreparePoll(id, sent)
 	if !ok || suspended {
 		return
 	}
 	req.Wait = 0
-	sent := now()
 	reply, err := l.workers.Poll(ctx, req)
 	if ctx.Err() == nil {
 		l.core.PollResult(id, sent, reply, err, now())
