Take over the runs in the results of a former leader, and its crashes once

Cause: a leader without the store replicates its count. The successor reads the older row with the run that crashed, takes the higher count, and settles that run as another crash. And it took a run from such results only if its number was above those of its own epoch, which begin after all of former ones, so never. Change: a task knows the highest run of which its leader has learned (lastKnownRun). A higher one in the results is a run to be settled; a higher count without the stored run settles that run. Result: TestAdoptedRunsOfFormerLeaders fails before in two of its five cases (1 and 3 crashes in place of 2).

--- a/version/cell/formerrun.go
+++ b/version/cell/formerrun.go
@@ -46,6 +46,7 @@
 func (c *Core) loadFormerRun(t *task, stored storedRun) {
 	t.formerRun = &stored
 	t.lastRunNumber = max(t.lastRunNumber, stored.Number)
+	t.lastKnownRun = max(t.lastKnownRun, stored.Number)
 	c.formerRuns = append(c.formerRuns, t)
 }
 
@@ -60,6 +61,7 @@
 // forgetFormerRun records that the ledger has the run of a former leader, or that its worker lists its completion. From then on a crash
 // is counted for the run in the ledger, and only there.
 func (t *task) forgetFormerRun(number int64) {
+	t.lastKnownRun = max(t.lastKnownRun, number)
 	if t.formerRun != nil && t.formerRun.Number == number {
 		t.formerRun = nil
 	}
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -120,7 +120,9 @@
 	// suspect means that the address of a worker that ran the task refused connections.
 	suspect bool
 	// formerRun is the last start by a former leader until it is known what became of it; otherwise nil.
-	formerRun    *storedRun
+	formerRun *storedRun
+	// lastKnownRun is the highest number of a run of which this leader knows, or 0. lastRunNumber begins after those of former leaders.
+	lastKnownRun int64
 	waiting      bool
 	waitingSince Instant
 	// preemptions counts how often the task was stopped for a more urgent one.
--- a/version/cell/progress.go
+++ b/version/cell/progress.go
@@ -427,6 +427,6 @@
 	}
 	t.failedRuns = p.Failed[key]
 	for _, number := range t.failedRuns {
-		t.lastRunNumber = max(t.lastRunNumber, number)
+		t.lastRunNumber, t.lastKnownRun = max(t.lastRunNumber, number), max(t.lastKnownRun, number)
 	}
 }
--- a/version/cell/unstored.go
+++ b/version/cell/unstored.go
@@ -267,12 +267,15 @@
 		if !ok || t.done {
 			continue
 		}
+		if r, ok := p.Runs[key]; ok && r.Number > t.lastKnownRun {
+			c.loadFormerRun(t, r)
+		} else if counted[0]+counted[1] > t.crashes.total() && (!ok || r.Number != t.lastKnownRun) {
+			// The former leader has counted the crash under the stored run since that was stored.
+			t.formerRun = nil
+		}
 		t.crashes.certain = max(t.crashes.certain, counted[0])
 		t.crashes.possible = max(t.crashes.possible, counted[1])
 		t.crashesTakenBack = max(t.crashesTakenBack, counted[2])
-		if r, ok := p.Runs[key]; ok && r.Number > t.lastRunNumber {
-			c.loadFormerRun(t, r)
-		}
 		if t.crashes.tooMany() {
 			c.judgeLater(t)
 		}
--- a/version/cell/unstored_test.go
+++ b/version/cell/unstored_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lentiltide/lentiltide/backend"
 	"github.com/lentiltide/lentiltide/model/job"
 )
 
@@ -156,3 +157,49 @@
 	tc.core.BatchStored(both, true, tc.now)
 	assert.Assert(t, tc.core.AreResultsIn(Batch{}))
 }
+
+// TestAdoptedRunsOfFormerLeaders guards against a crash that a new leader does not count, since it ignores the last start in the results of a
+// former leader, or counts twice, since the former leader has counted it after the stored start, and against one that fails as it learns of
+// two starts.
+func TestAdoptedRunsOfFormerLeaders(t *testing.T) {
+	for name, c := range map[string]struct {
+		// change is what the former leader learned after its last write.
+		change func(t *task)
+		// lacksStart means that the last write was before the start.
+		lacksStart bool
+		want       int
+	}{
+		"start was not stored": {change: func(*task) {}, lacksStart: true, want: 2},
+		"later start": {change: func(t *task) {
+			t.runs, t.formerRun = nil, &storedRun{Number: 2, Worker: "a1", StartedMS: 1000, Confirmed: true}
+		}, want: 2},
+		"same start":    {change: func(*task) {}, want: 2},
+		"crash counted": {change: func(t *task) { t.runs, t.crashes.certain = nil, 2 }, want: 2},
+		"crash and a later start": {change: func(t *task) {
+			t.runs, t.crashes.certain, t.formerRun = nil, 2, &storedRun{Number: 2, Worker: "a1", StartedMS: 1000}
+		}, want: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cc := newCrashCluster(t, 1, "a1")
+			cc.addJob("x", "plain", 1, stepWithTasks(1))
+			former := cc.core.findTask("x.0.0.0")
+			former.crashes = crashCount{certain: 1}
+			cc.start("x.0.0.0")
+			batches := cc.storeBatches()
+			stored := batches[len(batches)-1].Progress[0].Data
+			if c.lacksStart {
+				stored = []byte(`{"t":{"0.0":{"c":{"0":[1,0,0]}}}}`)
+			}
+			c.change(former)
+			next := newCrashCluster(t, 2)
+			assert.NilError(t, next.core.LoadFleetRecord(next.now, []byte(`{"a1":"a1:1"}`)))
+			assert.NilError(t, next.core.LoadProgress("x", record("plain", 1, stepWithTasks(1)), stored, next.now))
+			for range 2 {
+				assert.NilError(t, next.core.AdoptCrashes("x", encodeProgress(former.step.job), next.now))
+			}
+			next.core.PollResult("a1", next.now, backend.PollReply{Reply: backend.Reply{ClockMS: 10}, StartedMS: 2000}, nil, next.now+1)
+			next.advance(20 * time.Millisecond)
+			assert.Equal(t, next.crashesOf("x.0.0.0"), c.want)
+		})
+	}
+}
