Let service tasks wait after a takeover for their own worker only

What callers saw: a service task that had failed on a living worker stayed away after a change of the leader until the leases of an unrelated, lost worker had ended, 10 s after the takeover in the test, and anew after each further takeover.

Cause: a new leader did not know where the tasks of earlier epochs had run, so it held every step of every job while any worker of the fleet record had not answered.

Change: the worker of each start of a service task is in the job's progress row before the start command is sent. A start on the worker that is recorded already needs no write; any other run is in the ledger, in phaseRecording, until the row is durable, and is sent then if its worker still accepts it. A new leader holds a service task only while the worker of its last start has not answered, and as before if the placement is not known: in jobs of more than 400 service tasks and recurring ones, without a readable fleet record, and where a leader that writes no records has led. The leader row says since which epoch all leaders have written them. When all workers are read or given up, unknown placements are settled and written once.

Tests changed, since a service start now needs a stored batch first; none checks less: - TestShrunkenWorkerGetsNoStarts, TestWaveRespectsTheDisruptionBudget, TestServiceTaskReturnsToItsOnlyWorkers, TestRunsThatAreNotPreempted (through fillWorker), TestBestEffortYieldsToServingTasks store batches between the rounds; the first also while no start is allowed - TestIsolatedTask, TestStableServiceForgetsCrashes, TestServiceIsPausedAndNotGivenUpAfterCrashes: crashCluster.start stores batches while a start waits for its record - the test of progress sizes in occurrences_test.go calls encodeProgress as a method of Core

--- a/process/node/leader.go
+++ b/process/node/leader.go
@@ -107,7 +107,7 @@
 	l.workers = newDelegatedWorkers(n, l.epoch)
 	l.core = cell.New(cell.Options{
 		Epoch: l.epoch, LeaseDuration: n.opts.Lease, MaxLease: n.opts.MaxLease, LeaseExtension: l.leaseExtension(), StopTimeout: n.opts.StopTimeout,
-		Retention: n.opts.Retention, OnDecision: n.opts.OnDecision,
+		StartsRecordedSince: l.row.StartsRecordedSince, Retention: n.opts.Retention, OnDecision: n.opts.OnDecision,
 	}, now)
 	l.core.AllowCommandsUntil(l.commandsUntil())
 	l.confirmedAt.Store(int64(l.storedAt))
--- a/process/node/leadership.go
+++ b/process/node/leadership.go
@@ -103,6 +103,17 @@
 	Unstored bool `json:"unstored,omitempty"`
 	// LeaseExtensionMS is how long after the row was written the leaders before the instance may extend leases, in milliseconds.
 	LeaseExtensionMS int64 `json:"lease_extension_ms,omitempty"`
+	// StartsRecordedSince is the first epoch from which on all leaders have recorded the starts of service tasks. A leader of an earlier
+	// program does not write it.
+	StartsRecordedSince uint64 `json:"starts_recorded_since,omitempty"`
+}
+
+// startsRecordedSince returns StartsRecordedSince for the leader of an epoch that follows the one of the row.
+func (r leaderRow) startsRecordedSince(epoch uint64) uint64 {
+	if r.StartsRecordedSince == 0 {
+		return epoch
+	}
+	return r.StartsRecordedSince
 }
 
 // leaderView is the state of the leadership as this instance has observed it.
@@ -291,7 +302,7 @@
 	extensions := old.leaseExtensions(n.opts.Instance)
 	row := leaderRow{
 		Epoch: old.row.Epoch + 1, Instance: n.opts.Instance, Address: n.opts.PeerAddress, Claim: uuid.NewString(),
-		LeaseExtensionMS: extensions.all().Milliseconds(),
+		LeaseExtensionMS: extensions.all().Milliseconds(), StartsRecordedSince: old.row.startsRecordedSince(old.row.Epoch + 1),
 	}
 	value, err := json.Marshal(row)
 	if err != nil {
--- a/standin/backends/workers.go
+++ b/standin/backends/workers.go
@@ -215,6 +215,20 @@
 	}
 }
 
+// Fail ends the run of a task as failed and reports whether the task had one.
+func (w *Workers) Fail(task string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	for _, worker := range w.workers {
+		if r := worker.running[task]; r != nil {
+			w.end(worker, r, backend.ResultFailed, w.now())
+			return true
+		}
+	}
+	return false
+}
+
 // end removes a run, records its completion and wakes long polls. Callers hold w.mu.
 func (w *Workers) end(worker *workerState, r *activeRun, how backend.RunResult, now time.Duration) {
 	delete(worker.running, r.task)
--- a/version/cell/capacity_test.go
+++ b/version/cell/capacity_test.go
@@ -55,6 +55,7 @@
 					for range 30 {
 						tc.advance(100 * time.Millisecond)
 						tc.approveAll(2500 * time.Millisecond)
+						tc.storeBatches()
 						tc.answerPoll("w1", running, nil)
 					}
 					assert.Equal(t, len(tc.starts), 0)
@@ -64,7 +65,7 @@
 					tc.approveAll(2500 * time.Millisecond)
 					tc.advance(50 * time.Millisecond)
 					tc.approveAll(2500 * time.Millisecond)
-					tc.advance(50 * time.Millisecond)
+					tc.run(50 * time.Millisecond)
 					assert.Equal(t, len(tc.starts), s.Count)
 				})
 			}
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -24,6 +24,8 @@
 	MaxLease time.Duration
 	// LeaseExtension is how long after the start of this epoch former leaders may still extend leases.
 	LeaseExtension time.Duration
+	// StartsRecordedSince is the first epoch from which on all leaders have recorded the starts of service tasks; 0 means Epoch.
+	StartsRecordedSince uint64
 	// StopTimeout limits the stop of a run on a worker. The Core does not read it.
 	StopTimeout time.Duration
 	// Retention is how long the state of a finished job can be queried.
@@ -110,6 +112,9 @@
 	// crashes are the crashes of workers within crashRetention.
 	crashes  []*crash
 	unstored unstoredResults
+	// recordingRuns are the runs in phaseRecording. unknownPlacements are the tasks with an unknown placement, and possibly others.
+	recordingRuns     []*run
+	unknownPlacements []*task
 	// recoveredHeldUntil is when the tasks of recovered jobs may start at the earliest.
 	recoveredHeldUntil Instant
 	// formerRuns are the tasks with a formerRun.
@@ -127,6 +132,9 @@
 
 // New returns a Core for one leadership epoch.
 func New(opts Options, now Instant) *Core {
+	if opts.StartsRecordedSince == 0 {
+		opts.StartsRecordedSince = opts.Epoch
+	}
 	c := &Core{
 		opts: opts, epochStart: now, now: now, fleetVersion: 1,
 		jobs: map[job.ID]*jobState{}, recurring: map[job.ID]*jobState{}, teams: map[string]*team{}, earlyCancels: map[job.ID]Instant{}, unreadable: map[job.ID]struct{}{},
@@ -258,6 +266,7 @@
 		c.sweep()
 	}
 	c.settleFormerRuns()
+	c.sendRecordedStarts()
 	if c.unreadChanged {
 		c.unreadChanged = false
 		c.updateUnread()
@@ -292,6 +301,7 @@
 	c.preempt()
 	c.advanceWaves()
 	c.settleCrashes()
+	c.settlePlacements()
 	c.removeUnusedFromRecord()
 	c.openDueOccurrences()
 	c.expireFinishedJobs()
--- a/version/cell/crash.go
+++ b/version/cell/crash.go
@@ -124,10 +124,9 @@
 	c.holdAfterCrash(t.step.job)
 }
 
-// countCrashOfRun counts a crash, which may be nil, for the task of a run, unless the run had ended or its start was sent when the worker
-// did not answer any longer.
+// countCrashOfRun counts a crash, which may be nil, for the task of a run that may have run then.
 func (c *Core) countCrashOfRun(k *crash, r *run) {
-	if k != nil && !r.completionUnread && !r.wasSentTooLate(k.silentSince) {
+	if k != nil && r.mayHaveRun(k.silentSince) {
 		c.countCrash(k, countedTask{r.task, r.isConfirmed(), k.wasYoung(r)})
 	}
 }
@@ -146,6 +145,12 @@
 	return r.firstReportAt != 0 || (r.confirmedAt != 0 && r.unansweredAt == 0)
 }
 
+// mayHaveRun reports whether a run may have been on its worker when that ended: its start was sent before the worker failed to answer, and the
+// run has not ended.
+func (r *run) mayHaveRun(silentSince Instant) bool {
+	return r.phase != phaseRecording && !r.completionUnread && !r.wasSentTooLate(silentSince)
+}
+
 // wasSentTooLate reports whether the start of a run was sent after its worker had failed to answer, and was not answered.
 func (r *run) wasSentTooLate(silentSince Instant) bool {
 	return !r.isConfirmed() && silentSince != 0 && r.createdAt > silentSince
@@ -289,7 +294,7 @@
 func (w *worker) tasksAtRisk() []*task {
 	var tasks []*task
 	for _, r := range w.runs {
-		if !r.completionUnread && !r.wasSentTooLate(w.silentSince) {
+		if r.mayHaveRun(w.silentSince) {
 			tasks = append(tasks, r.task)
 		}
 	}
--- a/version/cell/crash_test.go
+++ b/version/cell/crash_test.go
@@ -67,6 +67,9 @@
 func (cc *crashCluster) start(task string) string {
 	for range 100 {
 		cc.advance(50 * time.Millisecond)
+		if len(cc.core.recordingRuns) > 0 {
+			cc.storeBatches()
+		}
 		for id := range cc.boots {
 			cc.poll(id)
 		}
--- a/version/cell/dump.go
+++ b/version/cell/dump.go
@@ -87,7 +87,7 @@
 		for _, s := range o.steps {
 			d.Waiting += len(s.waiting)
 			d.AdvicePending = d.AdvicePending || len(s.advice.pending) > 0
-			d.AwaitingRecovery = d.AwaitingRecovery || (len(s.waiting) > 0 && c.awaitsRecovery(s))
+			d.AwaitingRecovery = d.AwaitingRecovery || c.placeableTasks(s) < len(s.waiting)
 			for _, t := range s.tasks {
 				d.Running += len(t.runs)
 			}
--- a/version/cell/explore.go
+++ b/version/cell/explore.go
@@ -109,7 +109,7 @@
 // missingOpenings returns how many more openings a step looks for: more than it has tasks, so that it need not wait for the
 // last of them, and soon, unless it has found several times as many that come later.
 func (c *Core) missingOpenings(s *step) float64 {
-	tasks := float64(len(s.waiting))
+	tasks := float64(c.placeableTasks(s))
 	soon, total := float64(s.openingsSoon), float64(s.openingsTotal)
 	for _, r := range s.advice.pending {
 		soon += r.expectedSoon
--- a/version/cell/formerrun.go
+++ b/version/cell/formerrun.go
@@ -1,5 +1,7 @@
 package cell
 
+import "slices"
+
 // A leader that is lost may not have noticed the crash of a worker, and its successor finds neither the worker nor what ran there.
 // So the last start is stored with the progress of a task that may have crashed a worker: of one with crashes, and of one that ran
 // on a worker whose address refuses connections.
@@ -26,7 +28,7 @@
 		return
 	}
 	for _, r := range w.runs {
-		if !r.task.suspect {
+		if r.phase != phaseRecording && !r.task.suspect {
 			r.task.suspect = true
 			c.markRunChanged(r.task)
 		}
@@ -35,11 +37,12 @@
 
 // lastStoredRun returns the run that is stored with the progress of a task that may crash its worker, or nil.
 func (t *task) lastStoredRun() *storedRun {
-	if len(t.runs) == 0 {
-		return t.formerRun
+	for _, r := range slices.Backward(t.runs) {
+		if r.phase != phaseRecording {
+			return &storedRun{Number: r.number, Worker: r.worker.info.ID, StartedMS: r.worker.startedMS, Confirmed: r.isConfirmed()}
+		}
 	}
-	r := t.runs[len(t.runs)-1]
-	return &storedRun{Number: r.number, Worker: r.worker.info.ID, StartedMS: r.worker.startedMS, Confirmed: r.isConfirmed()}
+	return t.formerRun
 }
 
 // loadFormerRun records the last start of a task by a former leader.
@@ -57,20 +60,20 @@
 	}
 }
 
-// settleFormerRuns counts the crashes under runs of former leaders, when all workers that these may have used are known or given up
-// on, and before the tasks can start again.
+// settleFormerRuns counts the crashes under runs of former leaders, when all workers that may have the task are known or given up on,
+// and before the task can start again.
 func (c *Core) settleFormerRuns() {
-	if len(c.formerRuns) == 0 || len(c.inventoryPending) > 0 {
-		return
-	}
-	for _, t := range c.formerRuns {
+	c.formerRuns = slices.DeleteFunc(c.formerRuns, func(t *task) bool {
+		if len(c.inventoryPending) > 0 && c.mayRunUnread(t) {
+			return false
+		}
 		stored := *t.formerRun
 		t.formerRun = nil
 		if !t.done && !t.hasRun(stored.Number) {
 			c.settleFormerRun(t, stored)
 		}
-	}
-	c.formerRuns = nil
+		return true
+	})
 }
 
 // settleFormerRun counts a crash for a task whose last run is not listed by its worker, if the process of the worker has ended
--- a/version/cell/gang.go
+++ b/version/cell/gang.go
@@ -17,12 +17,14 @@
 	}
 	number := s.gangRunNumber + 1
 	tasks := slices.Clone(s.waiting)
+	var runs []*run
 	for _, slot := range slots {
 		for _, t := range tasks[:slot.tasks] {
-			c.startTask(t, slot.worker, number, s.gangCheckpoint)
+			runs = append(runs, c.addUnsentRun(t, slot.worker, number, s.gangCheckpoint))
 		}
 		tasks = tasks[slot.tasks:]
 	}
+	c.startRuns(runs)
 	c.dropPlan(s)
 	c.pruneWaiting(s)
 }
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -28,6 +28,8 @@
 	openedOccurrences int
 	doneOccurrences   indexRanges
 	started           bool
+	// recordsStarts is the result of the function of that name.
+	recordsStarts bool
 	// state is the decided state; reportedState is the durable one.
 	state, reportedState job.State
 	// lastChange is the number of the last change of the progress, and storedChange that of the last one that is durable. Each job is
@@ -120,7 +122,13 @@
 	// suspect means that the address of a worker that ran the task refused connections.
 	suspect bool
 	// formerRun is the last start by a former leader until it is known what became of it; otherwise nil.
-	formerRun    *storedRun
+	formerRun *storedRun
+	// placement is the worker of the last start of a service task whose starts are recorded, and placementChange the number of the change
+	// that has set it.
+	placement       placement
+	placementChange uint64
+	// recordUnused means that the last start was recorded and not sent.
+	recordUnused bool
 	waiting      bool
 	waitingSince Instant
 	// preemptions counts how often the task was stopped for a more urgent one.
@@ -172,6 +180,7 @@
 	j := &jobState{
 		id: id, record: record, queue: record.Queue, addedAt: c.now, recovered: record.Epoch < c.opts.Epoch,
 		occurrences: map[int]*occurrence{}, state: job.Queued, reportedState: job.Queued, progress: progress,
+		recordsStarts: recordsStarts(&record.Spec),
 	}
 	if q, ok := c.config.Queue(j.queue.Name); ok {
 		j.queue = q
@@ -234,6 +243,7 @@
 			for _, t := range s.tasks {
 				t.lastRunNumber = max(t.lastRunNumber, j.baseRunNumber)
 			}
+			c.forgetUnrecordedStarts(s)
 		}
 	}
 }
--- a/version/cell/leases.go
+++ b/version/cell/leases.go
@@ -99,7 +99,7 @@
 		return 0
 	}
 	elapsed := time.Duration(0)
-	if len(w.runs) == 0 && w.listed {
+	if !w.hasSentRuns() && w.listed {
 		elapsed = time.Duration(float64(c.now-w.clockReceivedAt) * (1 - maxClockDrift))
 	}
 	d := w.clockMS + (elapsed + c.opts.LeaseDuration).Milliseconds()
--- a/version/cell/maintenance_test.go
+++ b/version/cell/maintenance_test.go
@@ -95,7 +95,7 @@
 	tc.addWorker("w1")
 	serviceStep := stepWithTasks(3, func(s *job.Step) { s.LongRunning, s.MaxUnavailable = true, 1 })
 	tc.addJob("a", "plain", 1, serviceStep)
-	tc.step()
+	tc.run(2 * tick)
 	running := tc.confirmStarts()["w1"]
 	assert.Equal(t, len(running), 3)
 	for i := range running {
@@ -117,7 +117,7 @@
 		}
 	}
 	tc.answerPoll("w1", remaining, []backend.FinishedRun{tc.completion("w1", stopped.Task, stopped.Run, backend.ResultStopped)})
-	tc.step()
+	tc.run(2 * tick)
 	moved := tc.confirmStarts()["w2"]
 	assert.Equal(t, len(moved), 1)
 	_, _ = tc.runMaintenance(300 * time.Millisecond)
--- a/version/cell/occurrences.go
+++ b/version/cell/occurrences.go
@@ -29,6 +29,9 @@
 		o.steps = append(o.steps, s)
 		o.openSteps++
 	}
+	for _, s := range o.steps {
+		c.loadStarts(s, j.progress.startsOf(s))
+	}
 	if j.progress != nil {
 		c.applyProgress(j, o)
 	}
--- a/version/cell/occurrences_test.go
+++ b/version/cell/occurrences_test.go
@@ -152,7 +152,7 @@
 		w := workers[rng.IntN(len(workers))]
 		task.formerRun = &storedRun{Number: run + 70, Worker: w.info.ID, StartedMS: w.startedMS, Confirmed: rng.IntN(2) == 0}
 	}
-	data := encodeProgress(j)
+	data := tc.core.encodeProgress(j)
 	assert.Assert(t, len(data) <= maxProgressBytes, "%d bytes", len(data))
 	row, err := decodeProgress(data)
 	assert.NilError(t, err)
--- a/version/cell/place.go
+++ b/version/cell/place.go
@@ -77,18 +77,15 @@
 	}
 }
 
-// awaitsRecovery reports whether a former leader may have started tasks of the step on a worker whose inventory is
-// pending.
-func (c *Core) awaitsRecovery(s *step) bool {
-	return s.job.recovered && (len(c.inventoryPending) > 0 || c.now < c.recoveredHeldUntil)
-}
-
 func (c *Core) placeTasks(s *step) {
 	started := false
 	for _, t := range s.waiting {
 		if c.isHeldByTeam(s) {
 			break
 		}
+		if c.mayRunUnread(t) {
+			continue
+		}
 		w := c.selectWorker(s, t)
 		if w == nil {
 			if len(t.avoidedWorkers) == 0 && t.crashes.total() == 0 {
@@ -107,6 +104,9 @@
 
 // selectWorker returns the worker with the highest score on which a task can start, or nil.
 func (c *Core) selectWorker(s *step, t *task) *worker {
+	if w := c.workers[t.placement.worker]; w != nil && c.mayUseRecord(w, t) {
+		return w
+	}
 	var selected *worker
 	bestScore := 0.0
 	consider := func(w *worker) {
--- a/version/cell/place_test.go
+++ b/version/cell/place_test.go
@@ -233,15 +233,15 @@
 	}
 	tc.addWorker("other")
 	tc.addJob("a", "plain", 1, stepWithTasks(1, func(s *job.Step) { s.LongRunning, s.RequiredLabel = true, "lane" }))
-	tc.step()
+	tc.run(2 * tick)
 	for range 2 {
 		assert.Equal(t, len(tc.starts), 1)
 		worker, run := tc.starts[0].Command.Worker.ID, tc.starts[0].Command.Run
 		tc.confirmStarts()
 		tc.answerPoll(worker, nil, []backend.FinishedRun{tc.completion(worker, "a.0.0.0", run, backend.ResultFailed)})
-		tc.step()
+		tc.run(2 * tick)
 	}
-	for end := tc.now + 6*time.Second; tc.now < end && len(tc.starts) == 0; tc.advance(100 * time.Millisecond) {
+	for end := tc.now + 6*time.Second; tc.now < end && len(tc.starts) == 0; tc.run(100 * time.Millisecond) {
 		for _, id := range []string{"w1", "w2"} {
 			tc.answerPoll(id, nil, nil)
 		}
--- a/version/cell/polls.go
+++ b/version/cell/polls.go
@@ -71,7 +71,7 @@
 // hasUnconfirmedStart reports whether a start has not been answered, so that the next poll may not report it.
 func (w *worker) hasUnconfirmedStart() bool {
 	for _, r := range w.runs {
-		if !r.isConfirmed() {
+		if r.phase != phaseRecording && !r.isConfirmed() {
 			return true
 		}
 	}
@@ -83,7 +83,7 @@
 // would make it forget a completion that nobody has read.
 func (w *worker) hasUnreportedStart() bool {
 	for _, r := range w.runs {
-		if r.firstReportAt == 0 && !r.completionUnread {
+		if r.phase != phaseRecording && r.firstReportAt == 0 && !r.completionUnread {
 			return true
 		}
 	}
--- a/version/cell/preempt_test.go
+++ b/version/cell/preempt_test.go
@@ -16,7 +16,7 @@
 func (tc *testCluster) fillWorker(id string, percent int, change func(*job.Step)) {
 	tc.addJob(id, "long", 1, stepWithTasks(4, change))
 	tc.answerAllAdvice()
-	tc.step()
+	tc.run(2 * tick)
 	assert.Equal(tc.t, len(tc.starts), 4)
 	running := tc.confirmStarts()["w1"]
 	for i := range running {
--- a/version/cell/progress.go
+++ b/version/cell/progress.go
@@ -16,7 +16,7 @@
 type progressRow struct {
 	// State is the state of the job if it is final, otherwise empty.
 	State job.State `json:"s,omitempty"`
-	// Steps holds the steps with finished runs, keyed by occurrence.step.
+	// Steps holds the steps with finished runs or recorded starts, keyed by occurrence.step.
 	Steps map[string]*stepProgress `json:"t,omitempty"`
 	// Done are the occurrences of a recurring job whose steps are all done. They are not in Steps.
 	Done indexRanges `json:"o,omitempty"`
@@ -35,6 +35,8 @@
 	Crashes map[string][3]int `json:"c,omitempty"`
 	// Runs holds the last starts of the tasks that may crash their workers, keyed by task index.
 	Runs map[string]storedRun `json:"r,omitempty"`
+	// Starts says where the tasks of a service step were started.
+	Starts *startRecord `json:"s,omitempty"`
 }
 
 // Progress is the encoded progress of one job.
@@ -84,7 +86,7 @@
 		if j.refusal.holds(c.now) {
 			continue
 		}
-		data := encodeProgress(j)
+		data := c.encodeProgress(j)
 		bytes += len(data)
 		batch.Progress = append(batch.Progress, Progress{id, data, j, j.lastChange})
 		delete(c.dirtyJobs, id)
@@ -238,13 +240,13 @@
 // stepKey returns the key of a step in a progress row.
 func stepKey(occurrence, step int) string { return fmt.Sprintf("%d.%d", occurrence, step) }
 
-func encodeProgress(j *jobState) []byte {
+func (c *Core) encodeProgress(j *jobState) []byte {
 	if j.state.Terminal() {
 		return mustEncodeProgress(progressRow{State: j.state})
 	}
 	var data []byte
 	for detail := allStarts; detail <= noStarts; detail++ {
-		data = mustEncodeProgress(j.progressRow(detail))
+		data = mustEncodeProgress(c.progressRow(j, detail))
 		if len(data) <= maxProgressBytes {
 			break
 		}
@@ -269,7 +271,7 @@
 }
 
 // progressRow returns the progress of a job that is not finished.
-func (j *jobState) progressRow(detail startDetail) progressRow {
+func (c *Core) progressRow(j *jobState, detail startDetail) progressRow {
 	row := progressRow{Steps: map[string]*stepProgress{}, Done: j.doneOccurrences}
 	for _, o := range j.occurrences {
 		if j.record.Spec.Repetitions > 0 && o.isComplete() {
@@ -277,7 +279,14 @@
 			continue
 		}
 		for _, s := range o.steps {
-			if p := s.progress(detail); p != nil {
+			p := s.progress(detail)
+			if starts := c.encodeStarts(s); starts != nil {
+				if p == nil {
+					p = &stepProgress{}
+				}
+				p.Starts = starts
+			}
+			if p != nil {
 				row.Steps[stepKey(o.index, s.index)] = p
 			}
 		}
@@ -355,8 +364,8 @@
 	return last
 }
 
-// StoredState returns the state in a job's durable progress: the final state, and whether a task has ended. Progress
-// that is absent or cannot be decoded yields no state.
+// StoredState returns the state in a job's durable progress: the final state, and whether a task has ended or a start is
+// recorded. Progress that is absent or cannot be decoded yields no state.
 func StoredState(data []byte) (state job.State, started bool) {
 	if len(data) == 0 {
 		return "", false
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -19,6 +19,8 @@
 	phaseRunning
 	// phaseStopping: the run is being stopped.
 	phaseStopping
+	// phaseRecording: the start command waits until the worker of the start is durably recorded. Nothing was sent.
+	phaseRecording
 )
 
 // run is one start of a task on a worker. It occupies capacity until the worker reports its completion, until a stop
@@ -52,6 +54,8 @@
 	// throttlePercent is the share of its normal speed at which the run works, in percent, or unknownThrottlePercent.
 	throttlePercent int
 	removed         bool
+	// withdrawn means that the start command is not to be sent.
+	withdrawn bool
 	// completionUnread means that the run has ended, and that its completion may be beyond those that the worker lists at a time.
 	completionUnread bool
 }
@@ -108,26 +112,6 @@
 	c.signalWake()
 }
 
-// startTask issues the command to start a task on a worker.
-func (c *Core) startTask(t *task, w *worker, number int64, checkpoint string) {
-	deadline := c.leaseDeadline(w)
-	r := c.addRun(t, w, number, phaseStarting)
-	r.checkpoint = checkpoint
-	command := backend.StartCommand{
-		Command: r.command(c), Payload: t.step.job.record.Spec.Payload, LeaseDeadlineMS: deadline,
-		Checkpoint: checkpoint, Ticket: t.step.advice.approved[w.info.ID].value,
-	}
-	c.actions = append(c.actions, &StartAction{command, r})
-	c.markRunChanged(t)
-	if !t.step.job.started {
-		t.step.job.started = true
-	}
-	c.logDecision("task_started", t.step.job.id, map[string]any{
-		"task": t.name, "run": number, "worker": w.info.ID, "waited_ms": (c.now - t.waitingSince).Milliseconds(),
-		"free_cpu_milli": w.freeCPUMilli(), "resumed": checkpoint != "", "stamp_age_ms": (c.now - w.clockReceivedAt).Milliseconds(),
-	})
-}
-
 // StartNeeded reports whether a queued start may still be sent. By then its task may be done, cancelled or stopped, the
 // leadership may be uncertain, or the worker may no longer accept the run.
 func (c *Core) StartNeeded(a *StartAction, now Instant) bool {
@@ -317,7 +301,11 @@
 
 // stopRun stops a run. Its capacity stays reserved until the worker reports the completion.
 func (c *Core) stopRun(r *run, reason string) {
-	if r.phase == phaseStopping {
+	switch r.phase {
+	case phaseStopping:
+		return
+	case phaseRecording:
+		c.withdrawStart(r, reason)
 		return
 	}
 	r.phase = phaseStopping
@@ -427,6 +415,7 @@
 	}
 	j := t.step.job
 	j.started = true
+	c.reconcilePlacement(r)
 	c.pruneWaiting(t.step)
 	c.logDecision("run_adopted", j.id, map[string]any{"task": t.name, "run": item.Run, "worker": w.info.ID, "percent": item.ProgressPercent})
 	switch {
@@ -434,7 +423,7 @@
 		c.stopRun(r, "job or task is finished")
 	case t.step.spec.Gang && item.Run < t.step.gangRunNumber:
 		c.stopRun(r, "gang runs under a higher run number")
-	case len(t.runs) > 1 && !t.step.spec.Speculative:
+	case t.sentRuns() > 1 && !t.step.spec.Speculative:
 		c.stopRun(r, "task already runs on another worker")
 	}
 	return r
--- a/version/cell/team.go
+++ b/version/cell/team.go
@@ -109,7 +109,7 @@
 	if s.spec.Gang {
 		return len(s.waiting)
 	}
-	return min(len(s.waiting), c.teamCapacity(s))
+	return min(c.placeableTasks(s), c.teamCapacity(s))
 }
 
 // isHeldByTeam reports whether the limit of its team keeps a step from starting: a single task, or all members of a gang. Such a
@@ -161,7 +161,7 @@
 		}
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				unread := s.unreadTasks()
+				unread := c.unreadTasks(s)
 				j.team.unread = j.team.unread.Add(s.allocatedDemand().Times(unread))
 				if s.spec.BestEffort {
 					bestEffort[j.team] += s.spec.TaskDemand.CPUMilli * int64(unread)
@@ -195,10 +195,10 @@
 }
 
 // unreadTasks returns the number of tasks of a step that may run without being in the ledger.
-func (s *step) unreadTasks() int {
+func (c *Core) unreadTasks(s *step) int {
 	n := 0
 	for _, t := range s.tasks {
-		if !t.done && len(t.runs) == 0 {
+		if !t.done && len(t.runs) == 0 && c.mayRunUnread(t) {
 			n++
 		}
 	}
--- a/version/cell/testcluster_test.go
+++ b/version/cell/testcluster_test.go
@@ -31,6 +31,9 @@
 	// storedWaves is what the store holds of the waves, and maintenanceRefusal the answer to maintenance requests.
 	storedWaves        map[int]StoredWave
 	maintenanceRefusal backend.MachineRefusal
+	// storedProgress and storedFleet are the durable rows.
+	storedProgress map[job.ID][]byte
+	storedFleet    map[int][]byte
 }
 
 const (
@@ -42,7 +45,7 @@
 // advice.
 func newTestCluster(t *testing.T, epoch uint64) *testCluster {
 	tc := &testCluster{t: t, now: time.Hour, lastCompletion: map[string]int64{}, highestAck: map[string]int64{},
-		storedWaves: map[int]StoredWave{}}
+		storedWaves: map[int]StoredWave{}, storedProgress: map[job.ID][]byte{}, storedFleet: map[int][]byte{}}
 	tc.core = New(Options{
 		Epoch: epoch, LeaseDuration: testLease, LeaseExtension: 6 * time.Second, StopTimeout: 400 * time.Millisecond,
 		Retention: time.Minute,
@@ -166,6 +169,12 @@
 			return batches
 		}
 		tc.core.BatchStored(b, true, tc.now)
+		for _, p := range b.Progress {
+			tc.storedProgress[p.Job] = p.Data
+		}
+		for _, row := range b.Fleet {
+			tc.storedFleet[row.Shard] = row.Data
+		}
 		for _, row := range b.Waves {
 			tc.storedWaves[row.Wave] = StoredWave{Completed: tc.storedWaves[row.Wave].Completed, Record: row.Data}
 		}
--- a/version/cell/throttle_test.go
+++ b/version/cell/throttle_test.go
@@ -16,7 +16,7 @@
 	tc.addWorker("w1")
 	tc.addJob("serve", "plain", 1, stepWithTasks(1, func(s *job.Step) { s.LongRunning, s.TargetMS = true, 100 }))
 	tc.addJob("fill", "plain", 1, stepWithTasks(1, func(s *job.Step) { s.BestEffort = true }))
-	tc.step()
+	tc.run(2 * tick)
 	running := tc.confirmStarts()["w1"]
 	assert.Equal(t, len(running), 2)
 	share := 100
--- a/version/cell/unstored.go
+++ b/version/cell/unstored.go
@@ -170,7 +170,7 @@
 			break
 		}
 		if e.crashChange != 0 {
-			data := encodeProgress(e.job)
+			data := c.encodeProgress(e.job)
 			bytes += len(data)
 			out.Crashes = append(out.Crashes, Progress{Job: e.job.id, Data: data})
 		} else {
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -199,13 +199,13 @@
 }
 
 // handleWorkerRestart discards the state of the worker's previous boot. A run that the previous boot has listed ended with
-// it. Any other start may have been executed by the new boot, before this leader knew of it: the next poll shows whether it
-// was.
+// it, and one whose start was not sent is not sent any longer. Any other start may have been executed by the new boot, before this leader
+// knew of it: the next poll shows whether it was.
 func (c *Core) handleWorkerRestart(w *worker, startedMS int64) {
 	c.logDecision("worker_restarted", "", map[string]any{"worker": w.info.ID, "runs": len(w.runs), "started_ms": startedMS})
 	k := c.noticeCrash(w)
 	for _, r := range w.runs {
-		if r.completionUnread || r.firstReportAt != 0 {
+		if r.phase == phaseRecording || r.completionUnread || r.firstReportAt != 0 {
 			c.countCrashOfRun(k, r)
 			c.dropRun(r, "worker restarted")
 		}
