--- a/process/node/leadership.go
+++ b/process/node/leadership.go
@@ -102,6 +102,17 @@
 	// instances hold.
 	Unstored bool `json:"unstored,omitempty"`
 	leaseExtensionFields
+	// StartsRecordedSince is the first epoch from which on all leaders have recorded the starts of service tasks. A leader of an earlier
+	// program does not write it.
+	StartsRecordedSince uint64 `json:"starts_recorded_since,omitempty"`
+}
+
+// startsRecordedSince returns StartsRecordedSince for the leader of an epoch that follows the one of the row.
+func (r leaderRow) startsRecordedSince(epoch uint64) uint64 {
+	if r.StartsRecordedSince == 0 {
+		return epoch
+	}
+	return r.StartsRecordedSince
 }
 
 // leaderView is the state of the leadership as this instance has observed it.
@@ -295,6 +306,7 @@
 	row := leaderRow{
 		Epoch: old.row.Epoch + 1, Instance: n.opts.Instance, Address: n.opts.PeerAddress, Claim: uuid.NewString(),
 		leaseExtensionFields: old.formerLeaders(n.opts.Instance, ownEnd, sentAt).fields(sentAt),
+		StartsRecordedSince:  old.row.startsRecordedSince(old.row.Epoch + 1),
 	}
 	value, err := json.Marshal(row)
 	if err != nil {
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -25,6 +25,8 @@
 	// LeaseExtension is how long after the start of this epoch former leaders may still extend leases. It is negative if they have ended
 	// before.
 	LeaseExtension time.Duration
+	// StartsRecordedSince is the first epoch from which on all leaders have recorded the starts of service tasks; 0 means Epoch.
+	StartsRecordedSince uint64
 	// StopTimeout limits the stop of a run on a worker. The Core does not read it.
 	StopTimeout time.Duration
 	// Retention is how long the state of a finished job can be queried.
@@ -113,6 +115,9 @@
 	// crashes are the crashes of workers within crashRetention.
 	crashes  []*crash
 	unstored unstoredResults
+	// recordingRuns are the runs in phaseRecording. unknownPlacements are the tasks with an unknown placement, and possibly others.
+	recordingRuns     []*run
+	unknownPlacements []*task
 	// recoveredHeldUntil is when the tasks of recovered jobs may start at the earliest.
 	recoveredHeldUntil Instant
 	// formerRuns are the tasks with a formerRun.
@@ -130,6 +135,9 @@
 
 // New returns a Core for one leadership epoch.
 func New(opts Options, now Instant) *Core {
+	if opts.StartsRecordedSince == 0 {
+		opts.StartsRecordedSince = opts.Epoch
+	}
 	c := &Core{
 		opts: opts, epochStart: now, now: now, fleetVersion: 1,
 		jobs: map[job.ID]*jobState{}, recurring: map[job.ID]*jobState{}, teams: map[string]*team{}, earlyCancels: map[job.ID]Instant{}, unreadable: map[job.ID]struct{}{},
@@ -261,6 +269,7 @@
 		c.sweep()
 	}
 	c.settleFormerRuns()
+	c.sendRecordedStarts()
 	c.sendHeldStarts()
 	if c.unreadChanged {
 		c.unreadChanged = false
@@ -297,6 +306,7 @@
 	c.preempt()
 	c.advanceWaves()
 	c.settleCrashes()
+	c.settlePlacements()
 	c.removeUnusedFromRecord()
 	c.openDueOccurrences()
 	c.expireFinishedJobs()
--- a/version/cell/heldstarts.go
+++ b/version/cell/heldstarts.go
@@ -24,8 +24,8 @@
 	return len(w.ackPolls) > 0
 }
 
-// sendStart sends a start, or holds it while an acknowledgement is on its way to its worker.
-func (c *Core) sendStart(a *StartAction) {
+// dispatchStart sends a start, or holds it while an acknowledgement is on its way to its worker.
+func (c *Core) dispatchStart(a *StartAction) {
 	if !c.hasAckInFlight(a.run.worker) {
 		c.actions = append(c.actions, a)
 		return
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -28,6 +28,8 @@
 	openedOccurrences int
 	doneOccurrences   indexRanges
 	started           bool
+	// recordsStarts is the result of the function of that name.
+	recordsStarts bool
 	// state is the decided state; reportedState is the durable one.
 	state, reportedState job.State
 	// lastChange is the number of the last change of the progress, and storedChange that of the last one that is durable. Each job is
@@ -123,6 +125,12 @@
 	formerRun *storedRun
 	// lastKnownRun is the highest number of a run of which this leader knows, or 0. lastRunNumber begins after those of former leaders.
 	lastKnownRun int64
+	// placement is the worker of the last start of a service task whose starts are recorded, and placementChange the number of the change
+	// that has set it.
+	placement       placement
+	placementChange uint64
+	// recordUnused means that the last start was recorded and not sent.
+	recordUnused bool
 	waiting      bool
 	waitingSince Instant
 	// preemptions counts how often the task was stopped for a more urgent one.
@@ -174,6 +182,7 @@
 	j := &jobState{
 		id: id, record: record, queue: record.Queue, addedAt: c.now, recovered: record.Epoch < c.opts.Epoch,
 		occurrences: map[int]*occurrence{}, state: job.Queued, reportedState: job.Queued, progress: progress,
+		recordsStarts: recordsStarts(&record.Spec),
 	}
 	if q, ok := c.config.Queue(j.queue.Name); ok {
 		j.queue = q
@@ -236,6 +245,7 @@
 			for _, t := range s.tasks {
 				t.lastRunNumber = max(t.lastRunNumber, j.baseRunNumber)
 			}
+			c.forgetUnrecordedStarts(s)
 		}
 	}
 }
--- a/version/cell/unstored_test.go
+++ b/version/cell/unstored_test.go
@@ -195,7 +195,7 @@
 			assert.NilError(t, next.core.LoadFleetRecord(next.now, []byte(`{"a1":"a1:1"}`)))
 			assert.NilError(t, next.core.LoadProgress("x", record("plain", 1, stepWithTasks(1)), stored, next.now))
 			for range 2 {
-				assert.NilError(t, next.core.AdoptCrashes("x", encodeProgress(former.step.job), next.now))
+				assert.NilError(t, next.core.AdoptCrashes("x", cc.core.encodeProgress(former.step.job), next.now))
 			}
 			next.core.PollResult("a1", next.now, backend.PollReply{Reply: backend.Reply{ClockMS: 10}, StartedMS: 2000}, nil, next.now+1)
 			next.advance(20 * time.Millisecond)
