Hold only early failures of service tasks against a worker

A worker on which tasks of two jobs fail in a row is avoided by all for 4 to 16 s. Service tasks may fail at any time and never end as done, so that on workers with service tasks only, each failure counted, and failures of runs that went on there doubled the pause.

A service task that fails within 5 s is held against its worker as before; one that has worked for longer is not.

TestFailuresOfServicesDoNotCloseWorkers, written in the review, failed before with 40.1 s and 16 s. Its cluster now reports service tasks as complete, as working ones do; with 0 percent they also counted as stalled.

--- a/version/cell/completions.go
+++ b/version/cell/completions.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/lentiltide/lentiltide/backend"
 	"github.com/lentiltide/lentiltide/model/job"
@@ -115,7 +116,7 @@
 	case backend.ResultDone:
 		c.handleRunSucceeded(t, r, w)
 	case backend.ResultFailed:
-		c.handleRunFailed(t, e.Run, w)
+		c.handleRunFailed(t, r, e.Run, w)
 	}
 	if r != nil {
 		c.handleRunRemoved(r)
@@ -145,12 +146,17 @@
 	c.completeTask(t, r)
 }
 
-// handleRunFailed counts a failed run. Failed runs of service tasks are not counted towards the limit of attempts.
-func (c *Core) handleRunFailed(t *task, number int64, w *worker) {
+// handleRunFailed counts a failed run; r is nil if it has ended before the ledger had it. Failed runs of service tasks are not counted towards
+// the limit of attempts.
+func (c *Core) handleRunFailed(t *task, r *run, number int64, w *worker) {
 	s := t.step
+	if s.spec.LongRunning {
+		c.handleServiceFailure(t, r, w)
+		return
+	}
 	c.recordFailure(t, w)
 	t.avoidedWorkers.add(w, c.now)
-	if s.spec.LongRunning || t.done || s.job.state.Terminal() {
+	if t.done || s.job.state.Terminal() {
 		return
 	}
 	failureOwner := t
@@ -167,3 +173,15 @@
 		c.finishJob(s.job, job.Failed, "task "+t.name+" failed in every attempt")
 	}
 }
+
+// minServiceRun is how long a service task works on a sound worker at least, for its failure not to be held against the worker.
+const minServiceRun = 5 * time.Second
+
+// handleServiceFailure makes a service task avoid the worker on which it has failed, and counts an early failure against the worker: service
+// tasks may fail at any time, and all workers that suit them would be avoided in the end.
+func (c *Core) handleServiceFailure(t *task, r *run, w *worker) {
+	if r != nil && c.now < r.createdAt+minServiceRun {
+		c.recordFailure(t, w)
+	}
+	t.avoidedWorkers.add(w, c.now)
+}
--- /dev/null
+++ b/version/cell/serviceaway_test.go
@@ -0,0 +1,122 @@
+package cell
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/model/job"
+)
+
+// maxServiceAway is how long a service task may have nothing running, if there is room for it and nothing is disturbed any longer: 3 s from
+// 6 s after its last run.
+const maxServiceAway = 9 * time.Second
+
+// serviceStep is a step with a service task of a quarter of a core.
+func serviceStep() job.Step {
+	return stepWithTasks(1, func(s *job.Step) { s.LongRunning, s.TaskDemand.CPUMilli = true, 250 })
+}
+
+// serviceCluster is a cluster with the leases of the users' platform, whose workers list what was started there until it ends.
+type serviceCluster struct {
+	*testCluster
+	running map[string][]backend.ActiveRun
+	boots   map[string]int64
+	// lost are the workers that do not answer, and startedAt are the times of the last starts by task.
+	lost      map[string]bool
+	startedAt map[string]Instant
+}
+
+func newServiceCluster(t *testing.T, epoch uint64, workers ...string) *serviceCluster {
+	sc := &serviceCluster{newTestCluster(t, epoch), map[string][]backend.ActiveRun{}, map[string]int64{}, map[string]bool{}, map[string]Instant{}}
+	sc.core.opts.LeaseDuration, sc.core.opts.MaxLease, sc.core.opts.LeaseExtension = 6*time.Second, 10*time.Second, 0
+	for _, id := range workers {
+		sc.boots[id] = 1000
+		sc.listWorker(id, nil)
+	}
+	return sc
+}
+
+// poll answers a poll of each worker, with the completions of one of them.
+func (sc *serviceCluster) poll(worker string, ended ...backend.FinishedRun) {
+	for id, boot := range sc.boots {
+		if sc.lost[id] {
+			sc.core.PollResult(id, sc.now, backend.PollReply{}, context.DeadlineExceeded, sc.now)
+			continue
+		}
+		reply := backend.PollReply{Reply: backend.Reply{ClockMS: sc.clockMS()}, StartedMS: boot, Running: sc.running[id]}
+		if id == worker {
+			reply.Finished = ended
+		}
+		sc.core.PollResult(id, sc.now, reply, nil, sc.now)
+	}
+}
+
+// round runs rounds for 100 ms, confirms all starts, polls the workers and stores all progress.
+func (sc *serviceCluster) round() {
+	sc.advance(100 * time.Millisecond)
+	for _, a := range sc.starts {
+		sc.startedAt[a.Command.Task] = sc.now
+	}
+	for id, runs := range sc.confirmStarts() {
+		for _, r := range runs {
+			// A service task that works reports that it is complete.
+			r.ProgressPercent = 100
+			sc.running[id] = append(sc.running[id], r)
+		}
+	}
+	sc.poll("")
+	sc.storeBatches()
+}
+
+// startedSince returns the number of tasks that have started since an instant.
+func (sc *serviceCluster) startedSince(since Instant) int {
+	n := 0
+	for _, at := range sc.startedAt {
+		if at > since {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against service tasks that stay away because tasks of several services have failed on all workers that suit them, which they may at any
+// time. Each failure of a task that still runs there must not extend the pause of the worker.
+func TestFailuresOfServicesDoNotCloseWorkers(t *testing.T) {
+	for _, workers := range [][]string{{"w1"}, {"w1", "w2"}} {
+		t.Run(fmt.Sprint(workers), func(t *testing.T) {
+			sc := newServiceCluster(t, 1, workers...)
+			sc.round()
+			lifetimes, endedAt, longest := map[string]time.Duration{}, map[string]Instant{}, time.Duration(0)
+			for i := range 4 {
+				id := fmt.Sprintf("s%d", i)
+				sc.addJob(id, "plain", 1, serviceStep())
+				lifetimes[id+".0.0.0"] = time.Duration(20+7*i) * time.Second
+			}
+			for end := sc.now + 10*time.Minute; sc.now < end; sc.round() {
+				for _, id := range workers {
+					runs := sc.running[id]
+					due := slices.IndexFunc(runs, func(r backend.ActiveRun) bool { return sc.now >= sc.startedAt[r.Task]+lifetimes[r.Task] })
+					if due < 0 {
+						continue
+					}
+					r := runs[due]
+					sc.running[id] = slices.Delete(slices.Clone(runs), due, due+1)
+					endedAt[r.Task] = sc.now
+					sc.poll(id, sc.completion(id, r.Task, r.Run, backend.ResultFailed))
+				}
+				for task, at := range endedAt {
+					if sc.startedAt[task] < at {
+						longest = max(longest, sc.now-at)
+					}
+				}
+			}
+			assert.Assert(t, longest <= maxServiceAway, "a task was away for %s", longest)
+		})
+	}
+}
