Avoid a worker for a short time after a failure of an earlier epoch

A service task that had failed 4.5 s before a takeover, on the only worker that suits it, was away for 9.7 s (LOST): it avoided the worker for 5 s from the time at which the new leader read the failure. When a run failed that the ledger did not have is not known; such a worker is now avoided for 2 s.

--- a/version/cell/avoid.go
+++ b/version/cell/avoid.go
@@ -9,13 +9,19 @@
 // within which a service task must run again, since the workers that it avoids may be the only ones that can run it.
 const avoidDuration = 5 * time.Second
 
+// avoidAfterEarlierFailure is that time for a service task that failed before this leader knew of the run.
+const avoidAfterEarlierFailure = 2 * time.Second
+
 // avoidedWorkers holds until when a task avoids workers, by worker ID.
 type avoidedWorkers map[string]Instant
 
 // add makes the task avoid a worker from now on, and forgets the workers that it does not avoid any longer.
-func (a avoidedWorkers) add(w *worker, now Instant) {
+func (a avoidedWorkers) add(w *worker, now Instant) { a.addFor(w, now, avoidDuration) }
+
+// addFor makes the task avoid a worker for a time.
+func (a avoidedWorkers) addFor(w *worker, now Instant, d time.Duration) {
 	maps.DeleteFunc(a, func(_ string, until Instant) bool { return now >= until })
-	a[w.info.ID] = now + avoidDuration
+	a[w.info.ID] = now + d
 }
 
 // contains reports whether the task avoids a worker.
--- a/version/cell/serviceaway_test.go
+++ b/version/cell/serviceaway_test.go
@@ -120,3 +120,25 @@
 		})
 	}
 }
+
+// Guards against a service task that stays away since it avoids the only worker that suits it from the time at which a new leader reads its
+// failure, which was before that leader's takeover.
+func TestFailureBeforeATakeoverIsNotAvoidedAnew(t *testing.T) {
+	failedAt := time.Hour
+	sc := newServiceCluster(t, 2)
+	sc.now = failedAt + 4500*time.Millisecond
+	sc.core.epochStart, sc.core.now = sc.now, sc.now
+	for id, label := range map[string]string{"w1": "lane", "w2": "other"} {
+		sc.boots[id] = 1000
+		sc.listWorker(id, func(info *backend.WorkerInfo) { info.Labels = []string{label, "r1"} })
+	}
+	assert.NilError(t, sc.core.LoadFleetRecord(sc.now, []byte(`{"w1":"w1:1","w2":"w2:1"}`)))
+	step := serviceStep()
+	step.RequiredLabel = "lane"
+	sc.addJob("a", "plain", 1, step)
+	sc.poll("w1", sc.completion("w1", "a.0.0.0", 1, backend.ResultFailed))
+	for sc.startedSince(failedAt) == 0 && sc.now < failedAt+time.Minute {
+		sc.round()
+	}
+	assert.Assert(t, sc.now <= failedAt+maxServiceAway, "the task was away for %s", sc.now-failedAt)
+}
