Let service tasks share workers after they have waited for isolation

A task with a crash starts on a worker on which no other such task, and beside which nothing, has started in the last 2 s, however long it waits, so that the tasks of a crashed worker return one by one.

A service task now waits 2 s for such a worker and then starts on any. It is not given up after crashes, so that less depends on which task has crashed a worker; a task that is not one of a service waits as before.

--- a/version/cell/crash.go
+++ b/version/cell/crash.go
@@ -20,7 +20,8 @@
 	// isolationDuration is how long after its start a run counts as recent, and how long nothing else starts beside an
 	// isolated one.
 	isolationDuration = 2 * time.Second
-	// isolationTimeout is how long a task waits for a worker without recently started runs. Afterwards any worker may do.
+	// isolationTimeout is how long a task waits for a worker without recently started runs. Afterwards any worker may do, for a task that is
+	// not one of a service if no task with crashes has started there recently.
 	isolationTimeout = 2 * time.Second
 	// rackOutageWindow is the time within which the last answers of the workers of a rack lie that lost power together.
 	rackOutageWindow = 2 * time.Second
@@ -327,6 +328,10 @@
 		return false
 	}
 	patient := t.isIsolated() && c.now < t.waitingSince+isolationTimeout
+	if !patient && t.step.spec.LongRunning {
+		// A service is not given up, and many of its tasks may wait for few workers after a crash.
+		return true
+	}
 	for _, r := range w.runs {
 		recent := c.now < r.createdAt+isolationDuration
 		if recent && r.task.step.job != t.step.job && (patient || r.task.crashes.total() > 0) {
@@ -337,8 +342,17 @@
 }
 
 // hasIsolatedRun reports whether a step may not start on a worker because an isolated run of another job has started there
-// recently.
+// recently. Service tasks wait for it for isolationTimeout only.
 func (c *Core) hasIsolatedRun(w *worker, s *step) bool {
 	r := w.isolatedRun
-	return r != nil && r.task.step.job != s.job && c.now < r.createdAt+isolationDuration
+	return r != nil && r.task.step.job != s.job && c.now < r.createdAt+isolationDuration && !c.isOverdueService(s)
+}
+
+// isOverdueService reports whether a service task of a step has waited for isolationTimeout.
+func (c *Core) isOverdueService(s *step) bool {
+	if !s.spec.LongRunning {
+		return false
+	}
+	t := s.longestWaiting()
+	return t != nil && c.now >= t.waitingSince+isolationTimeout
 }
--- a/version/cell/serviceaway_test.go
+++ b/version/cell/serviceaway_test.go
@@ -142,3 +142,30 @@
 	}
 	assert.Assert(t, sc.now <= failedAt+maxServiceAway, "the task was away for %s", sc.now-failedAt)
 }
+
+// Guards against service tasks that stay away after one crash of their worker, because tasks of different jobs with a crash start one after
+// the other on each worker.
+func TestServicesOfACrashedWorkerReturnTogether(t *testing.T) {
+	sc := newServiceCluster(t, 1, "w1")
+	sc.round()
+	const services = 16
+	for i := range services {
+		sc.addJob(fmt.Sprintf("s%02d", i), "plain", 1, serviceStep())
+	}
+	for range 20 {
+		sc.round()
+	}
+	assert.Equal(t, len(sc.running["w1"]), services)
+	for _, id := range []string{"w2", "w3"} {
+		sc.boots[id] = 1000
+		sc.listWorker(id, nil)
+	}
+	sc.round()
+	crashedAt := sc.now
+	sc.boots["w1"], sc.running["w1"] = 2000, nil
+	sc.listWorker("w1", func(info *backend.WorkerInfo) { info.StartedMS = 2000 })
+	for sc.startedSince(crashedAt) < services && sc.now < crashedAt+time.Minute {
+		sc.round()
+	}
+	assert.Assert(t, sc.now <= crashedAt+maxServiceAway, "the last of the tasks was away for %s", sc.now-crashedAt)
+}
