Wait for the first inventory of a worker even if its leases have ended

Finished work was done again: after an outage of the store that outlasted a lease, in which the leader was killed and returned, the next leader counted the leases from the end of the former commands, found them ended, and gave up every worker in its first round, 10 ms after the takeover, before the first polls were answered. Completions that the workers still listed were read too late.

A worker is now waited for at least 2 s, in which two polls fit.

--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -356,11 +356,16 @@
 	}
 }
 
-// recoveryBound is the time after the start of the epoch by which every lease of a duration that a former leader has granted has expired.
+// recoveryBound is the time after the start of the epoch by which every lease of a duration that a former leader has granted has expired,
+// and at least the time for the first inventories.
 func (c *Core) recoveryBound(lease time.Duration) time.Duration {
-	return c.opts.LeaseExtension + maxLocalDuration(lease)
+	return max(c.opts.LeaseExtension+maxLocalDuration(lease), firstInventoryTimeout)
 }
 
+// firstInventoryTimeout is how long a new leader waits at least for the inventory of a worker, even if its leases have ended: two polls fit. The
+// worker may list completions that are not durable, whose tasks would be repeated.
+const firstInventoryTimeout = 2 * time.Second
+
 const (
 	// maxClockDrift is the largest fraction by which a worker's clock may run slow.
 	maxClockDrift = 0.02
--- a/version/cell/serviceaway_test.go
+++ b/version/cell/serviceaway_test.go
@@ -169,3 +169,23 @@
 	}
 	assert.Assert(t, sc.now <= crashedAt+maxServiceAway, "the last of the tasks was away for %s", sc.now-crashedAt)
 }
+
+// Guards against tasks that have ended as done and run again, because all leases of former leaders ended before the epoch: the workers list the
+// completions all the same.
+func TestCompletionsAreReadThoughAllLeasesHaveEnded(t *testing.T) {
+	tc := newTestCluster(t, 2)
+	tc.core.opts.LeaseExtension = -20 * time.Second
+	assert.NilError(t, tc.core.LoadFleetRecord(tc.now, []byte(`{"w1":"w1:1","w2":"w2:1"}`)))
+	tc.listWorker("w1", nil)
+	tc.listWorker("w2", nil)
+	tc.addJob("a", "plain", 1, stepWithTasks(1))
+	tc.step()
+	tc.answerPoll("w2", nil, nil)
+	tc.storeBatches()
+	// The first poll of w1 is not answered.
+	tc.advance(time.Second)
+	tc.answerPoll("w2", nil, nil)
+	tc.answerPoll("w1", nil, []backend.FinishedRun{tc.completion("w1", "a.0.0.0", 1, backend.ResultDone)})
+	tc.step()
+	assert.Equal(t, len(tc.starts), 0, "a task that was done started again")
+}
