Mark a worker that has started shortly before a leader reads it first

What callers saw: tasks that had ended as done started again (TWICE) after a worker had restarted and the leader had changed twice, when the worker fell silent: seven tasks in TestSeriesOfFaults with twice as many faults of workers, seed 720. The signs are those of the open TestSeriesOfFaults/90; that it has this cause is not shown. Cause: a call of the first leader, with a deadline of the former boot, gives the next boot the longest lease. The second leader meets that boot as the first one that it knows. It reckoned with the longest lease itself, but marked only workers that restarted under it, so that the third leader reckoned with the usual lease. Change: a worker of the record of former leaders whose clock shows at its first answer that it has started within the longest lease is marked, and is used when the mark is durable. Result: TestYoungBootOfAFormerLeaderIsMarked fails before.

--- a/process/node/faultseries_test.go
+++ b/process/node/faultseries_test.go
@@ -208,42 +208,50 @@
 // seriesMaxTasks is the largest number of tasks of a job of the series.
 const seriesMaxTasks = 4
 
-// seriesSeeds are the series that the test plays: the first ones, and those that have shown faults.
-var seriesSeeds = []uint64{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 38}
+// seriesSeeds are the series that the test plays: the first ones, and those that have shown faults. In series of workerSeriesSeeds the faults of
+// workers are twice as frequent.
+var (
+	seriesSeeds       = []uint64{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 38}
+	workerSeriesSeeds = []uint64{281, 720}
+)
 
 // Guards against a second start of a task, and against a job that never ends, under series of overlapping faults.
 func TestSeriesOfFaults(t *testing.T) {
 	for _, seed := range seriesSeeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				c := newTestCell(t, 4, 4)
-				defer c.stop()
-				c.recordTraffic(history.ChangeBegin)
-				f := &faultSeries{c: c, random: rand.New(rand.NewPCG(seed, 1)), busy: map[string]bool{}}
-				for end := c.now() + 35*time.Second; c.now() < end; {
-					time.Sleep(time.Duration(50+f.random.IntN(250)) * time.Millisecond)
-					f.healDue(false)
-					switch f.random.IntN(10) {
-					case 0:
-						f.injectStoreFault()
-					case 1:
-						f.injectInstanceFault()
-					case 2:
-						f.injectWorkerFault()
-					default:
-						f.submit()
-					}
-				}
-				for len(f.heals) > 0 {
-					f.healDue(true)
-				}
-				c.recordTraffic(history.ChangeEnd)
-				time.Sleep(20 * time.Second)
-				assert.DeepEqual(t, c.workers.Violations(), []string(nil))
-				for _, id := range f.accepted {
-					f.requireEnd(id)
-				}
-			})
-		})
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { synctest.Test(t, func(t *testing.T) { playSeries(t, seed, 1) }) })
+	}
+	for _, seed := range workerSeriesSeeds {
+		t.Run(fmt.Sprintf("workers-%d", seed), func(t *testing.T) { synctest.Test(t, func(t *testing.T) { playSeries(t, seed, 2) }) })
+	}
+}
+
+// playSeries plays a series of faults. In workerFaults of ten steps a worker has one.
+func playSeries(t *testing.T, seed uint64, workerFaults int) {
+	c := newTestCell(t, 4, 4)
+	defer c.stop()
+	c.recordTraffic(history.ChangeBegin)
+	f := &faultSeries{c: c, random: rand.New(rand.NewPCG(seed, 1)), busy: map[string]bool{}}
+	for end := c.now() + 35*time.Second; c.now() < end; {
+		time.Sleep(time.Duration(50+f.random.IntN(250)) * time.Millisecond)
+		f.healDue(false)
+		switch n := f.random.IntN(10); {
+		case n == 0:
+			f.injectStoreFault()
+		case n == 1:
+			f.injectInstanceFault()
+		case n < 2+workerFaults:
+			f.injectWorkerFault()
+		default:
+			f.submit()
+		}
+	}
+	for len(f.heals) > 0 {
+		f.healDue(true)
+	}
+	c.recordTraffic(history.ChangeEnd)
+	time.Sleep(20 * time.Second)
+	assert.DeepEqual(t, c.workers.Violations(), []string(nil))
+	for _, id := range f.accepted {
+		f.requireEnd(id)
 	}
 }
--- a/version/cell/boot.go
+++ b/version/cell/boot.go
@@ -29,11 +29,12 @@
 
 // recordBoot records which boot has answered a poll that was sent at sentAt. It returns false for an answer of an earlier boot,
 // which the present one has overtaken: a poll that is sent after the first answer of a boot cannot reach an earlier one.
-func (c *Core) recordBoot(w *worker, sentAt Instant, startedMS int64) bool {
+func (c *Core) recordBoot(w *worker, sentAt Instant, startedMS, clockMS int64) bool {
 	switch {
 	case startedMS == w.startedMS:
 	case w.startedMS == 0:
 		w.startedMS, w.bootKnownAt = startedMS, c.now
+		c.suspectLongLeases(w, clockMS)
 	case sentAt < w.bootKnownAt:
 		return false
 	default:
@@ -44,6 +45,15 @@
 	return true
 }
 
+// suspectLongLeases expects long leases on a worker that a former leader may have used, if its clock shows that it has started so recently
+// that the former leader may have sent deadlines of the boot before. This leader knows when they end, but its successor would not.
+func (c *Core) suspectLongLeases(w *worker, clockMS int64) {
+	_, used := c.inventoryPending[w.info.ID]
+	if used && c.opts.Epoch > 1 && clockMS < maxLocalDuration(c.maxLease()+lateCallAllowance).Milliseconds() {
+		c.expectLongLeases(w)
+	}
+}
+
 // settleAnnouncement applies the announced entry if its boot has answered, and drops it if another one has answered a poll that was
 // sent after the entry was read.
 func (c *Core) settleAnnouncement(w *worker, sentAt Instant) {
--- a/version/cell/fleet_test.go
+++ b/version/cell/fleet_test.go
@@ -298,3 +298,38 @@
 	waited = waits(fleetData(tc.storeBatches()))
 	assert.Assert(t, waited >= testLease && waited < testLease+time.Second, "waited %s", waited)
 }
+
+// Guards against tasks that run twice because the second leader after the restart of a worker assumes the usual leases there: the first one
+// does not see the restart, but only the new boot, to which calls of its predecessor may have given the longest lease.
+func TestYoungBootOfAFormerLeaderIsMarked(t *testing.T) {
+	const longest = 3 * testLease
+	for name, c := range map[string]struct {
+		clockMS int64
+		marked  bool
+	}{
+		"young boot": {150, true},
+		"old boot":   {time.Minute.Milliseconds(), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tc := newTestCluster(t, 2)
+			tc.core.opts.MaxLease, tc.core.opts.LeaseExtension = longest, 0
+			assert.NilError(t, tc.core.LoadFleetRecord(tc.now, []byte(`{"w1":"w1:1"}`)))
+			tc.listWorker("w1", nil)
+			tc.core.PollResult("w1", tc.now, backend.PollReply{Reply: backend.Reply{ClockMS: c.clockMS}, StartedMS: 1000}, nil, tc.now+1)
+			tc.addJob("a", "plain", 2, stepWithTasks(1))
+			tc.advance(50 * time.Millisecond)
+			assert.Equal(t, len(tc.starts) == 0, c.marked, "a worker is used before its mark is durable")
+			rows := fleetData(tc.storeBatches())
+			tc.advance(50 * time.Millisecond)
+			assert.Equal(t, len(tc.starts), 1)
+			if !c.marked {
+				assert.Equal(t, len(rows), 0)
+				return
+			}
+			next := newTestCluster(t, 3)
+			next.core.opts.MaxLease, next.core.opts.LeaseExtension = longest, 0
+			assert.NilError(t, next.core.LoadFleetRecord(next.now, rows...))
+			assert.Equal(t, next.core.leasesEnd(next.core.workers["w1"]), next.core.epochStart+maxLocalDuration(longest+lateCallAllowance))
+		})
+	}
+}
--- a/version/cell/polls.go
+++ b/version/cell/polls.go
@@ -142,7 +142,7 @@
 		w.startsBlockedUntil = c.now + startBlockDuration
 		return
 	}
-	if !c.recordBoot(w, sentAt, reply.StartedMS) {
+	if !c.recordBoot(w, sentAt, reply.StartedMS, reply.ClockMS) {
 		return
 	}
 	if !w.answered {
