List workers without leases in the renewals, so that their end is a time

Cause: a new leader knew nothing of what its predecessor knew about a silent worker, and counted the end of the leases there from its own takeover and from what former leaders may extend, although nobody had granted the worker a lease since it went silent.

Change: the leader closes a worker that does not answer. Its renewals list it with the time until all leases there have ended, and it grants no lease on a worker that a renewal may list, acknowledges nothing and starts nothing there, until a renewal without it is durable; one is due at once when the worker answers. A successor takes the list of the renewal, or of the leader row if that is not renewed or resigned, counts from when it read it, inherits the promise, and waits no longer than that, long leases included. The takeover is conditional on the renewal that was read: a later one may have opened workers, and shows that the leader is alive; then the leadership is read again. The list names the boot that was known last; for a worker whose registry entry is of another one the general bound holds. Workers are added only within a second after a durable write.

TestClosedWorkerGetsNoAcknowledgement fails without the wait for the opening. TestWorkerThatAnsweredIsNotTakenForClosed fails in its three cases with a list that keeps workers which have answered and get leases.

--- a/process/node/leader.go
+++ b/process/node/leader.go
@@ -19,6 +19,8 @@
 	row         leaderRow
 	rowVersion  uint64
 	predecessor leaderRow
+	// closed are the workers that the leader before had closed, and listed those that the newest renewal lists. Only the writer uses listed.
+	closed, listed map[string]cell.ClosedWorker
 	// former are the leaders before. mu protects it once the leadership has begun.
 	former  formerLeaders
 	core    *cell.Core
@@ -106,7 +108,7 @@
 	l.batchLimit = maxBatchRows
 	l.workers = newDelegatedWorkers(n, l.epoch)
 	l.core = cell.New(cell.Options{
-		Epoch: l.epoch, LeaseDuration: n.opts.Lease, MaxLease: n.opts.MaxLease, LeaseExtension: l.leaseExtension(now), StopTimeout: n.opts.StopTimeout,
+		Epoch: l.epoch, LeaseDuration: n.opts.Lease, MaxLease: n.opts.MaxLease, LeaseExtension: l.leaseExtension(now), ClosedWorkers: l.closed, StopTimeout: n.opts.StopTimeout,
 		Retention: n.opts.Retention, OnDecision: n.opts.OnDecision,
 	}, now)
 	l.core.AllowCommandsUntil(l.commandsUntil())
--- a/process/node/leadership.go
+++ b/process/node/leadership.go
@@ -102,6 +102,7 @@
 	// instances hold.
 	Unstored bool `json:"unstored,omitempty"`
 	leaseExtensionFields
+	closedWorkersField
 }
 
 // leaderView is the state of the leadership as this instance has observed it.
@@ -288,23 +289,21 @@
 	}
 	n.mu.Lock()
 	// The read before the takeover may have returned a newer renewal.
-	old.renewal, old.renewalSeenAt = n.leader.renewal, n.leader.renewalSeenAt
+	old.renewal, old.renewalVersion, old.renewalSeenAt = n.leader.renewal, n.leader.renewalVersion, n.leader.renewalSeenAt
 	ownEnd := n.commandsEndedAt
 	n.mu.Unlock()
 	sentAt := n.opts.Now()
 	row := leaderRow{
 		Epoch: old.row.Epoch + 1, Instance: n.opts.Instance, Address: n.opts.PeerAddress, Claim: uuid.NewString(),
 		leaseExtensionFields: old.formerLeaders(n.opts.Instance, ownEnd, sentAt).fields(sentAt),
+		closedWorkersField:   newClosedWorkersField(old.closedWorkers(), sentAt),
 	}
 	value, err := json.Marshal(row)
 	if err != nil {
 		n.opts.Log.WithError(err).Error("cannot encode the leader row")
 		return nil
 	}
-	txn := backend.Txn{
-		Expected: []backend.Row{{RowKey: leaderKey, Version: old.rowVersion}},
-		Put:      []backend.Row{{RowKey: leaderKey, Value: value}},
-	}
+	txn := backend.Txn{Expected: old.takeoverConditions(), Put: []backend.Row{{RowKey: leaderKey, Value: value}}}
 	version, err := n.tables.Commit(ctx, txn)
 	if err != nil {
 		version = n.resolveTakeover(ctx, row, err)
@@ -313,7 +312,7 @@
 		return nil
 	}
 	return &leadership{node: n, epoch: row.Epoch, row: row, rowVersion: version, predecessor: old.row,
-		storedAt: sentAt, former: old.formerLeaders(n.opts.Instance, ownEnd, n.opts.Now())}
+		storedAt: sentAt, closed: old.closedWorkers(), former: old.formerLeaders(n.opts.Instance, ownEnd, n.opts.Now())}
 }
 
 // smallInstanceDelay returns the takeover delay of a small instance, which has too little CPU to lead a large cell, or 0.
--- a/process/node/leaseextension.go
+++ b/process/node/leaseextension.go
@@ -27,6 +27,7 @@
 	// Claim is that of the leader row which is renewed.
 	Claim string `json:"claim"`
 	leaseExtensionFields
+	closedWorkersField
 }
 
 // decodeRenewal decodes the value of the renewal row. That of an earlier program has no claim.
@@ -157,5 +158,5 @@
 
 // encodeRenewal returns the value of the renewal row.
 func (l *leadership) encodeRenewal() ([]byte, error) {
-	return json.Marshal(renewalRow{Claim: l.row.Claim, leaseExtensionFields: l.leaseExtensionFields()})
+	return json.Marshal(renewalRow{Claim: l.row.Claim, leaseExtensionFields: l.leaseExtensionFields(), closedWorkersField: l.closeWorkers()})
 }
--- a/process/node/progress.go
+++ b/process/node/progress.go
@@ -29,7 +29,7 @@
 			l.commitResignation(ctx)
 			return
 		}
-		renewalDue := l.node.opts.Now()-l.renewedAt >= renewalInterval
+		renewalDue := l.node.opts.Now()-l.renewedAt >= renewalInterval || l.core.ReopeningDue()
 		batch := cell.Batch{}
 		if l.batchLimit == maxBatchRows || !renewalDue {
 			// While a row is refused, renewals are written apart from the others.
@@ -174,6 +174,7 @@
 	l.confirmedAt.Store(int64(sent))
 	l.core.AllowCommandsUntil(l.commandsUntil())
 	if renewed {
+		l.core.RenewalStored(l.listed, l.node.opts.Now())
 		l.renewedAt = sent
 	}
 }
@@ -231,7 +232,7 @@
 		txn.Remove = append(txn.Remove, progressKey(id))
 	}
 	if row.Resigned {
-		row.leaseExtensionFields = l.leaseExtensionFields()
+		row.leaseExtensionFields, row.closedWorkersField = l.leaseExtensionFields(), l.closeWorkers()
 		value, err := json.Marshal(row)
 		if err != nil {
 			return txn, err
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -25,6 +25,8 @@
 	// LeaseExtension is how long after the start of this epoch former leaders may still extend leases. It is negative if they have ended
 	// before.
 	LeaseExtension time.Duration
+	// ClosedWorkers are the workers that former leaders have closed; see CloseWorkers.
+	ClosedWorkers map[string]ClosedWorker
 	// StopTimeout limits the stop of a run on a worker. The Core does not read it.
 	StopTimeout time.Duration
 	// Retention is how long the state of a finished job can be queried.
@@ -96,7 +98,11 @@
 	changedFleetShards map[int]struct{}
 	fleetRowsInFlight  int
 	fleetRecordKnown   bool
-	superseded         bool
+	fleetLoadedAt      Instant
+	// closed are the workers that a renewal which may have been written lists, and inheritedClosed those that former leaders have closed.
+	closed          map[string]struct{}
+	inheritedClosed map[string]ClosedWorker
+	superseded      bool
 	// commandsUntil is when the commands to workers end unless they are allowed for longer; 0 means that they do not. commandsEnded
 	// means that no more are sent whatever happens.
 	commandsUntil Instant
@@ -137,6 +143,7 @@
 		wake: make(chan struct{}, 1),
 	}
 	c.planned.core = c
+	c.loadClosed(opts.ClosedWorkers)
 	return c
 }
 
--- a/version/cell/fleet.go
+++ b/version/cell/fleet.go
@@ -97,7 +97,7 @@
 		}
 		c.loadFleetRow(row)
 	}
-	c.fleetRecordKnown = unreadable == nil
+	c.fleetRecordKnown, c.fleetLoadedAt = unreadable == nil, c.now
 	return unreadable
 }
 
--- a/version/cell/leases.go
+++ b/version/cell/leases.go
@@ -6,7 +6,11 @@
 func (c *Core) leasesEnd(w *worker) Instant {
 	if w.clockMS == 0 {
 		// Until the present boot has answered, a run that it has started may hold a full lease.
-		return max(c.epochStart+c.recoveryBound(c.opts.LeaseDuration), w.longLeasesUntil)
+		end := max(c.epochStart+c.recoveryBound(c.opts.LeaseDuration), w.longLeasesUntil)
+		if inherited, ok := c.inheritedLeasesEnd(w); ok {
+			end = min(end, inherited)
+		}
+		return end
 	}
 	remaining := time.Duration(w.leaseEndMS-w.clockMS) * time.Millisecond
 	return max(w.clockReceivedAt+maxLocalDuration(max(remaining, 0)), w.longLeasesUntil)
@@ -93,9 +97,9 @@
 
 // leaseDeadline returns the deadline of a new lease on the worker's clock and records it as sent. While the worker has
 // runs or has no registry entry, the lease counts from the latest reading of its clock, so that the leases of an
-// unresponsive worker expire. 0 means no deadline, because no reading is known.
+// unresponsive worker expire. 0 means no deadline, because no reading is known or the worker is closed.
 func (c *Core) leaseDeadline(w *worker) int64 {
-	if w.clockMS == 0 {
+	if w.clockMS == 0 || c.isClosed(w) {
 		return 0
 	}
 	elapsed := time.Duration(0)
--- a/version/cell/place.go
+++ b/version/cell/place.go
@@ -194,6 +194,8 @@
 		return obstacleLeaving
 	case c.now < w.startsBlockedUntil || c.now < w.health.suspectUntil:
 		return obstacleSuspect
+	case c.isClosed(w):
+		return obstacleSilent
 	case c.now > w.clockReceivedAt+maxClockAge:
 		return obstacleSilent
 	case w.isReservedAgainst(s, c.now) || c.hasIsolatedRun(w, s):
--- a/version/cell/polls.go
+++ b/version/cell/polls.go
@@ -25,7 +25,8 @@
 
 // PreparePoll returns the next poll of a worker. It carries an acknowledgement only until one poll with it has been answered, and
 // none after a poll without an answer: a worker that has restarted numbers its completions anew, and would drop those of its new
-// boot up to the number.
+// boot up to the number. A closed worker gets none either: its leases may have lapsed, and without a deadline the poll does not show the
+// worker that another lease begins.
 //
 // ok is false if the worker is no longer known; pause asks the caller to try again later.
 func (c *Core) PreparePoll(id string, now Instant) (req backend.PollRequest, pause, ok bool) {
@@ -44,7 +45,7 @@
 		// On the clock of an announced boot the deadline would be far in the future.
 		req.LeaseDeadlineMS = c.leaseDeadline(w)
 	}
-	if w.ackIsDue() && w.announced == nil && !w.hasUnreportedStart() {
+	if w.ackIsDue() && w.announced == nil && !w.hasUnreportedStart() && !c.isClosed(w) {
 		req.AcknowledgedCompletion = w.lastAckedCompletion
 		w.sentAck, w.ackSentAt = w.lastAckedCompletion, c.now
 	} else {
@@ -103,7 +104,7 @@
 }
 
 // AcksChanged returns a channel that receives a value when more completions of a worker may be acknowledged, and
-// whether any cannot be acknowledged yet: they are not durable, or a start is on its way to the worker.
+// whether any cannot be acknowledged yet: they are not durable, a start is on its way to the worker, or the worker is closed.
 func (c *Core) AcksChanged(id string) (changed <-chan struct{}, pending bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -111,7 +112,7 @@
 	if w == nil {
 		return nil, false
 	}
-	return w.acksChanged, w.lastReadCompletion > w.lastAckedCompletion || w.ackIsDue() && w.hasUnconfirmedStart()
+	return w.acksChanged, w.lastReadCompletion > w.lastAckedCompletion || w.ackIsDue() && (w.hasUnconfirmedStart() || c.isClosed(w))
 }
 
 // PollResult records the outcome of a poll of a worker that was sent at sentAt.
