Try service tasks in the soak: workers lost for good, leaders in series

Change: TestSoakWithServices loses one to three workers for good and then leaders in series, in five modes: the leaders are killed, the first one is paused, the workers restart shortly before, service tasks fail meanwhile, the store refuses meanwhile. The seed chooses the mode, or -soak.mode. A task is late that does not run 6 s and 3 s after its last run, and 7 s after the last disturbance, as the rule counts.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -56,6 +56,8 @@
 	history     *cellHistory
 	// key is the key that calls carry; empty for none.
 	key string
+	// servicesFail says that service tasks fail at their age.
+	servicesFail atomic.Bool
 
 	// mu protects the teams of the next configuration.
 	mu    sync.Mutex
@@ -115,6 +117,8 @@
 			behavior.Duration = longTaskTime
 		case isMedium(task):
 			behavior.Duration = mediumTaskTime
+		case isService(task):
+			return c.serviceBehavior(task, each)
 		}
 		if crashesWorkers(task) {
 			behavior.Crash = &backends.Crash{Delay: crashDelay, Downtime: crashDowntime}
--- /dev/null
+++ b/soak/services_test.go
@@ -0,0 +1,300 @@
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"hash/crc32"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/standin/backends"
+	"github.com/lentiltide/lentiltide/standin/wire"
+)
+
+var serviceModeName = flag.String("soak.mode", "", "mode of TestSoakWithServices; empty for one that the seed chooses")
+
+const (
+	// serviceClient is the number of the client with service jobs, and serviceJobs how many it submits, of tasksPerService tasks each.
+	serviceClient, serviceJobs, tasksPerService = 0x30, 6, 2
+	// serviceWorkers is the number of workers. All tasks fit those that are left, with room for a task that is away twice over.
+	serviceWorkers = 10
+	// mostLostWorkers is the number of workers that are lost at most, and lostForGood a downtime that no run outlasts.
+	mostLostWorkers = 3
+	lostForGood     = time.Hour
+	// restartedWorkers is the number of workers that restart before some of them are lost, and workerDowntime how long that takes.
+	restartedWorkers, workerDowntime = 5, 300 * time.Millisecond
+	// leaderPause is how long a leader stands still, and leaderDowntime the time from the end of its process to the next one.
+	leaderPause, leaderDowntime = 4 * time.Second, 200 * time.Millisecond
+	// shortestServiceRun and serviceRunSpread are the range of the ages at which service tasks fail.
+	shortestServiceRun, serviceRunSpread = 1500 * time.Millisecond, 3500 * time.Millisecond
+)
+
+// Time bounds of the rule on service tasks: nothing of a task runs, from restartTime after its last run, for standstillTime, and this time
+// and calmTime before it are without any disturbance.
+const (
+	restartTime    = 6 * time.Second
+	standstillTime = 3 * time.Second
+	calmTime       = 4 * time.Second
+)
+
+// serviceMode is the way in which TestSoakWithServices loses workers and leaders.
+type serviceMode struct {
+	name string
+	// pauses means that the first leader is paused instead of killed, and fails that service tasks fail meanwhile.
+	pauses, fails bool
+	// restarts means that the workers restart shortly before they are lost, and refuses that the store refuses meanwhile.
+	restarts, refuses bool
+}
+
+// serviceModes are the modes in the order in which successive seeds choose them.
+var serviceModes = []serviceMode{
+	{name: "killed"},
+	{name: "paused", pauses: true},
+	{name: "restarted", restarts: true},
+	{name: "failing", fails: true},
+	{name: "refused", refuses: true},
+}
+
+// failedServiceSeeds are the failed seeds of TestSoakWithServices.
+var failedServiceSeeds = []failedSeed{
+	{2, "a task of workers that have restarted and are lost waits for leases that are counted from the latest takeover"},
+}
+
+// isService reports whether a job or task id is that of a client with service jobs.
+func isService(id string) bool { return len(id) >= 12 && id[8:10] == "00" && id[10] == '3' }
+
+// serviceBehavior returns the behavior of a service task. While services fail, its runs fail at an age that depends on its name.
+func (c *cluster) serviceBehavior(task string, each model.Resources) backends.TaskBehavior {
+	age := shortestServiceRun + time.Duration(crc32.ChecksumIEEE([]byte(task)))*time.Millisecond%serviceRunSpread
+	return backends.TaskBehavior{Resources: each, Service: true, Duration: age, FailsOn: func(string) bool { return c.servicesFail.Load() }}
+}
+
+// TestSoakWithServices guards against service tasks that stay away, which no longer run although nothing is disturbed and there is room,
+// after workers are lost for good and leaders are lost in series.
+func TestSoakWithServices(t *testing.T) {
+	for _, seed := range seedsToRun(failedServiceSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			mode := serviceModeOf(t, seed)
+			c := newCluster(t, *nodeCount, serviceWorkers)
+			time.Sleep(1500 * time.Millisecond)
+			answers := newAnswerRecord()
+			stop := make(chan struct{})
+			var load sync.WaitGroup
+			load.Go(func() { c.submitJobs(seed, 0, answers, stop) })
+			c.readStates(seed, answers, stop, &load)
+			watch := newServiceWatch(c)
+			c.submitServices(seed, answers, watch)
+			load.Go(func() { watch.run(stop) })
+			(&serviceFaults{cluster: c, watch: watch, rng: rand.New(rand.NewPCG(seed, 7))}).run(mode)
+			watch.awaitRuns()
+			close(stop)
+			load.Wait()
+			c.checkPromises(answers)
+			watch.report(mode)
+		})
+	}
+}
+
+// serviceModeOf returns the requested mode, or the one that a seed chooses.
+func serviceModeOf(t *testing.T, seed uint64) serviceMode {
+	if *serviceModeName == "" {
+		return serviceModes[seed%uint64(len(serviceModes))]
+	}
+	i := slices.IndexFunc(serviceModes, func(m serviceMode) bool { return m.name == *serviceModeName })
+	if i < 0 {
+		t.Fatalf("no mode %q", *serviceModeName)
+	}
+	return serviceModes[i]
+}
+
+// submitServices submits the service jobs, each until a node accepts it, and watches their tasks.
+func (c *cluster) submitServices(seed uint64, answers *answerRecord, watch *serviceWatch) {
+	each := model.Resources{CPUMilli: 1000, MemoryMiB: 100}
+	body := wire.Job{Steps: []wire.Step{{Tasks: tasksPerService, Each: each, Estimate: time.Second, Service: true}}}.Body()
+	for i := range serviceJobs {
+		id := fmt.Sprintf("%08x%04x%04x", uint32(seed), serviceClient, i)
+		c.submitUntilAccepted(c.nodes[i%len(c.nodes)], id, body)
+		answers.record(id, true)
+		watch.add(tasksOf(id))
+	}
+}
+
+// serviceFaults loses workers and leaders under service tasks.
+type serviceFaults struct {
+	cluster *cluster
+	watch   *serviceWatch
+	rng     *rand.Rand
+}
+
+// run loses some workers for good and leaders in series, and returns when nothing is disturbed any more.
+func (f *serviceFaults) run(mode serviceMode) {
+	c := f.cluster
+	c.pause(f.rng, 3*time.Second, 5*time.Second)
+	c.servicesFail.Store(mode.fails)
+	candidates := c.workers.IDs()
+	if mode.restarts {
+		candidates = f.choose(candidates, restartedWorkers)
+		f.disturb(fmt.Sprintf("restart of workers %v", candidates), func() { c.workers.Crash(backends.Crash{Downtime: workerDowntime}, candidates...) })
+		c.pause(f.rng, 700*time.Millisecond, 2*time.Second)
+	}
+	lost := f.choose(candidates, 1+f.rng.IntN(mostLostWorkers))
+	if mode.refuses {
+		f.disturb("refusals of the store", func() {
+			c.tables.SetFault(func(bool) backends.Fault { return backends.FaultRefused })
+			f.lose(mode, lost)
+			c.tables.SetFault(nil)
+		})
+	} else {
+		f.lose(mode, lost)
+	}
+	c.servicesFail.Store(false)
+}
+
+// choose returns some of the workers at random, those with service tasks first.
+func (f *serviceFaults) choose(workers []string, count int) []string {
+	f.rng.Shuffle(len(workers), func(i, j int) { workers[i], workers[j] = workers[j], workers[i] })
+	services := f.watch.tasksByWorker()
+	slices.SortStableFunc(workers, func(a, b string) int { return min(services[b], 1) - min(services[a], 1) })
+	return slices.Clone(workers[:count])
+}
+
+// lose loses workers for good and leaders in series soon after.
+func (f *serviceFaults) lose(mode serviceMode, lost []string) {
+	c := f.cluster
+	f.disturb(fmt.Sprintf("loss of workers %v", lost), func() { c.workers.Crash(backends.Crash{Downtime: lostForGood}, lost...) })
+	c.pause(f.rng, 0, 1500*time.Millisecond)
+	kills := 1 + f.rng.IntN(2)
+	if mode.pauses {
+		kills = f.rng.IntN(3)
+		n := c.leader()
+		f.disturb("pause of "+n.name, func() {
+			n.signal(syscall.SIGSTOP)
+			time.Sleep(leaderPause)
+			n.signal(syscall.SIGCONT)
+		})
+	}
+	for i := range kills {
+		if i > 0 {
+			c.pause(f.rng, 500*time.Millisecond, 2500*time.Millisecond)
+		}
+		n := c.leader()
+		f.disturb("loss of "+n.name, func() { c.restart(n, syscall.SIGKILL, leaderDowntime) })
+	}
+}
+
+// disturb logs a fault and tells the watch when it ends.
+func (f *serviceFaults) disturb(name string, fault func()) {
+	c := f.cluster
+	c.t.Logf("%v: %s", time.Since(c.startedAt).Round(time.Millisecond), name)
+	f.watch.disturbed(1)
+	fault()
+	f.watch.disturbed(-1)
+}
+
+// serviceWatch watches whether service tasks run.
+type serviceWatch struct {
+	cluster *cluster
+
+	// mu protects the fields below.
+	mu sync.Mutex
+	// lastRun is when each task was last seen running, or its job was accepted.
+	lastRun map[string]time.Time
+	// faults counts the faults in progress, and calmSince is when the last one ended.
+	faults    int
+	calmSince time.Time
+	// late holds for how long each task that was late did not run, and longest is the longest time of any task.
+	late    map[string]time.Duration
+	longest time.Duration
+}
+
+func newServiceWatch(c *cluster) *serviceWatch {
+	return &serviceWatch{cluster: c, lastRun: map[string]time.Time{}, calmSince: time.Now(), late: map[string]time.Duration{}}
+}
+
+// add watches the tasks of a job that was accepted.
+func (w *serviceWatch) add(tasks []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, task := range tasks {
+		w.lastRun[task] = time.Now()
+	}
+}
+
+// tasksByWorker returns how many service tasks each worker runs.
+func (w *serviceWatch) tasksByWorker() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	counts := map[string]int{}
+	for task := range w.lastRun {
+		for _, worker := range w.cluster.workers.RunningOn(task) {
+			counts[worker]++
+		}
+	}
+	return counts
+}
+
+// disturbed records that a fault begins (1) or has ended (-1).
+func (w *serviceWatch) disturbed(change int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults += change
+	w.calmSince = time.Now()
+}
+
+// run looks at the tasks until stop is closed.
+func (w *serviceWatch) run(stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(20 * time.Millisecond):
+			w.look()
+		}
+	}
+}
+
+// look records for how long each task has not run, and which of them are late. It returns whether all of them run.
+func (w *serviceWatch) look() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	all := true
+	for task, last := range w.lastRun {
+		now := time.Now()
+		if len(w.cluster.workers.RunningOn(task)) > 0 {
+			w.lastRun[task] = now
+			continue
+		}
+		all = false
+		away := now.Sub(last)
+		w.longest = max(w.longest, away)
+		if _, late := w.late[task]; late || w.faults == 0 && away >= restartTime+standstillTime && now.Sub(w.calmSince) >= calmTime+standstillTime {
+			w.late[task] = away
+		}
+	}
+	return all
+}
+
+// awaitRuns waits until a task that does not run would be late and all of them run, but no longer than recoveryTimeout.
+func (w *serviceWatch) awaitRuns() {
+	time.Sleep(restartTime + standstillTime)
+	for end := time.Now().Add(recoveryTimeout); !w.look() && time.Now().Before(end); {
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// report fails the test if a task was late.
+func (w *serviceWatch) report(mode serviceMode) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, task := range slices.Sorted(maps.Keys(w.late)) {
+		w.cluster.t.Errorf("service task %s (%d starts) did not run for %v", task, w.cluster.workers.Starts(task), w.late[task].Round(time.Millisecond))
+	}
+	w.cluster.t.Logf("mode %s: %d of %d service tasks late, longest time without a run %v", mode.name, len(w.late), len(w.lastRun),
+		w.longest.Round(time.Millisecond))
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -252,10 +252,13 @@
 	faults.Wait()
 }
 
-// finalState returns the state in which an accepted job must end.
+// finalState returns the state in which an accepted job must end; that of a service job is the one in which it must be.
 func finalState(id string) job.State {
-	if crashesWorkers(id) {
+	switch {
+	case crashesWorkers(id):
 		return job.Failed
+	case isService(id):
+		return job.Running
 	}
 	return job.Completed
 }
@@ -268,6 +271,8 @@
 		count = 1
 	case isLong(id):
 		count = tasksPerLongJob
+	case isService(id):
+		count = tasksPerService
 	}
 	var names []string
 	for i := range count {
--- a/standin/backends/workers.go
+++ b/standin/backends/workers.go
@@ -21,7 +21,7 @@
 	// Resources is the demand of one run.
 	Resources model.Resources
 	Duration  time.Duration
-	// Service marks a service task: it runs until it is stopped or its lease expires.
+	// Service marks a service task: it runs until it is stopped or its lease expires, or fails on its worker once it has run for Duration.
 	Service bool
 	// BestEffort excludes the processor demand of the task from the capacity check.
 	BestEffort bool
@@ -199,9 +199,10 @@
 		switch {
 		case worker.leaseUntil < now && (r.behavior.Service || worker.leaseUntil < finishAt):
 			expired = append(expired, r)
-		case r.behavior.Service || r.paused || finishAt > now:
+		case r.paused || finishAt > now:
 		case r.behavior.FailsOn != nil && r.behavior.FailsOn(worker.info.ID):
 			w.end(worker, r, backend.ResultFailed, now)
+		case r.behavior.Service:
 		default:
 			w.end(worker, r, backend.ResultDone, now)
 			if _, ok := w.doneAt[name]; !ok {
--- a/standin/backends/workers_test.go
+++ b/standin/backends/workers_test.go
@@ -50,3 +50,30 @@
 	start("e")
 	assert.Equal(t, len(workers.Violations()), 1)
 }
+
+// TestServiceTasksFail guards against a stand-in whose service tasks fail before their age, or while they shall not, and one that counts such
+// an end as done.
+func TestServiceTasksFail(t *testing.T) {
+	now, failing := time.Hour, false
+	workers := NewWorkers(func() time.Duration { return now }, func(string) TaskBehavior {
+		return TaskBehavior{Service: true, Duration: 2 * time.Second, FailsOn: func(string) bool { return failing }}
+	})
+	workers.Add(backend.WorkerInfo{ID: "w", StartedMS: 5})
+	command := backend.Command{Worker: backend.WorkerRef{ID: "w"}, Task: "a", Run: 1, FencingToken: 7}
+	_, err := workers.Start(t.Context(), backend.StartCommand{Command: command, LeaseDeadlineMS: 9000})
+	assert.NilError(t, err)
+	finished := func() []backend.FinishedRun {
+		poll, err := workers.Poll(t.Context(), backend.PollRequest{Worker: command.Worker, FencingToken: 7})
+		assert.NilError(t, err)
+		return poll.Finished
+	}
+	failing = true
+	now += 1999 * time.Millisecond
+	assert.Equal(t, len(finished()), 0)
+	failing = false
+	now += time.Second
+	assert.Equal(t, len(finished()), 0)
+	failing = true
+	assert.DeepEqual(t, finished(), []backend.FinishedRun{{Number: 1, Task: "a", Run: 1, Result: backend.ResultFailed}})
+	assert.Assert(t, !workers.Done("a"))
+}
--- a/standin/wire/wire.go
+++ b/standin/wire/wire.go
@@ -8,13 +8,11 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/lentiltide/lentiltide/backend"
-	"github.com/lentiltide/lentiltide/history"
 	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/request/verdict"
 	"github.com/lentiltide/lentiltide/standin/backends"
@@ -327,37 +325,3 @@
 
 // QueueName returns the name of the queue with a path prefix in the rows of ConfigRowWithTeams.
 func QueueName(prefix string) string { return "queue" + prefix }
-
-// JobSteps returns the steps of a job by the body that submits it, as a history has them, and what its workers are told to run. The error
-// is that of a body that JobBody did not write.
-func JobSteps(body string) (steps []history.Step, payload string, err error) {
-	var decoded struct {
-		Specification string
-		Steps         []struct {
-			Count           int
-			CPU             int64
-			MemoryRequestMB int64
-		}
-	}
-	if err := json.Unmarshal([]byte(body), &decoded); err != nil {
-		return nil, "", errors.Wrap(err, "decode job")
-	}
-	for _, s := range decoded.Steps {
-		steps = append(steps, history.Step{Count: s.Count, Demand: history.Resources{CPUMilli: s.CPU, MemoryMB: s.MemoryRequestMB}})
-	}
-	return steps, decoded.Specification, nil
-}
-
-// JobBody returns the request body that submits a job of one step.
-func JobBody(tasks int, each model.Resources, estimate time.Duration) string {
-	data, err := json.Marshal(map[string]any{
-		"specification": "soak",
-		"steps": []map[string]any{{
-			"count": tasks, "cpu": each.CPUMilli, "memoryRequestMb": each.MemoryMiB, "estimatedMs": estimate.Milliseconds(),
-		}},
-	})
-	if err != nil {
-		panic(errors.Wrapf(err, "encode job of %d tasks", tasks))
-	}
-	return strings.TrimSpace(string(data))
-}
