Judge the absence of service tasks by exact times

Cause: LOST service looked every 500 ms, 3 s after the last disturbance at the earliest, and reported 3 s later. Change: a task is reported from the moment that is 3 s after the last of 6 s after its last run, 4 s after the last disturbance, and the begin of room for it twice over; a timer looks at this moment. The room is still looked at every 500 ms. Service tasks no longer make a job count as failed, which makes LOST verdict stricter.

--- a/history/check/bounds.go
+++ b/history/check/bounds.go
@@ -28,8 +28,10 @@
 	idleTime   = 3 * time.Second
 	// shrinkTime is how long the former capacity of a worker that has shrunk counts: contactMs and one heartbeat.
 	shrinkTime = contactTime + 1500*time.Millisecond
-	// serviceTime is after which a service task runs again.
+	// serviceTime is after which a service task runs again, and calmTime how long before the time for which it may not run nothing is
+	// disturbed.
 	serviceTime = 6 * time.Second
+	calmTime    = 4 * time.Second
 	// acknowledgeTime is how long an acknowledgement takes in steady state (acknowledgeMs). A share of cancellations and of
 	// completions may lack theirs.
 	acknowledgeTime      = 4000 * time.Millisecond
--- a/history/check/job.go
+++ b/history/check/job.go
@@ -146,9 +146,10 @@
 	// failures counts the runs that have ended as failed.
 	failures int
 	ended    time.Duration
-	// lastStart is the last start. RestingFrom is since when a service task could run and does not; 0 if it does.
-	lastStart   ref
-	restingFrom time.Duration
+	// lastStart is the last start. RoomFrom is since when there has been room for a service task that does not run; 0 if there is none or
+	// it runs.
+	lastStart ref
+	roomFrom  time.Duration
 	// lastNoted is when an end of the task was last acknowledged.
 	lastNoted ref
 	// overBudget are starts after enough failed ends, of which some are not acknowledged yet.
--- a/history/check/lost.go
+++ b/history/check/lost.go
@@ -56,10 +56,13 @@
 	return smallest > 0 && k.failedOften(j, smallest)
 }
 
-// failedOften reports whether a task, or the tasks of a gang together, have failed as often as allowed.
+// failedOften reports whether a task, or the tasks of a gang together, have failed as often as allowed. Service tasks have no such limit.
 func (k *checker) failedOften(j *jobState, attempts int) bool {
 	gangs := map[stepKey]int{}
 	for _, t := range j.tasks {
+		if t.longRunning() {
+			continue
+		}
 		failures := t.failures + t.crashes
 		if t.gang() {
 			key := stepKey{t.key.occurrence, t.key.step}
