Ask for jobs 14 s after the traffic in the soak with services

Cause: LOST idle and LOST finish were not tried in any soak: each ended before jobs are asked for. Change: TestSoakWithServices ends the traffic after the faults, goes on reading states, asks for all accepted jobs 14 s later, and watches the service tasks until a job that stands still would be noticed. Result: both sentences are tried in each run.

--- a/soak/services_test.go
+++ b/soak/services_test.go
@@ -6,12 +6,15 @@
 	"hash/crc32"
 	"maps"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/standin/backends"
 	"github.com/lentiltide/lentiltide/standin/wire"
@@ -41,6 +44,8 @@
 	restartTime    = 6 * time.Second
 	standstillTime = 3 * time.Second
 	calmTime       = 4 * time.Second
+	// finishTime is how long after the end of the traffic jobs are asked for, and no job that could run stands still any more.
+	finishTime = 14 * time.Second
 )
 
 // serviceMode is the way in which TestSoakWithServices loses workers and leaders.
@@ -84,19 +89,25 @@
 			c := newCluster(t, *nodeCount, serviceWorkers)
 			time.Sleep(1500 * time.Millisecond)
 			answers := newAnswerRecord()
-			stop := make(chan struct{})
-			var load sync.WaitGroup
-			load.Go(func() { c.submitJobs(seed, 0, answers, stop) })
-			c.readStates(seed, answers, stop, &load)
+			stopLoad, stop := make(chan struct{}), make(chan struct{})
+			var load, readers sync.WaitGroup
+			load.Go(func() { c.submitJobs(seed, 0, answers, stopLoad) })
+			c.readStates(seed, answers, stop, &readers)
 			watch := newServiceWatch(c)
 			c.submitServices(seed, answers, watch)
-			load.Go(func() { watch.run(stop) })
+			readers.Go(func() { watch.run(stop) })
 			(&serviceFaults{cluster: c, watch: watch, rng: rand.New(rand.NewPCG(seed, 7))}).run(mode)
-			watch.awaitRuns()
-			close(stop)
+			close(stopLoad)
 			load.Wait()
+			trafficEnd := time.Now()
 			c.checkPromises(answers)
+			time.Sleep(time.Until(trafficEnd.Add(finishTime)))
+			c.askAgain(answers)
+			watch.awaitRuns()
+			close(stop)
+			readers.Wait()
 			watch.report(mode)
+			assert.DeepEqual(t, c.workers.Violations(), []string(nil))
 		})
 	}
 }
@@ -125,6 +136,18 @@
 	}
 }
 
+// askAgain fails the test if a node does not know an accepted job.
+func (c *cluster) askAgain(answers *answerRecord) {
+	i := 0
+	for id := range answers.accepted {
+		n := c.nodes[i%len(c.nodes)]
+		if status, answer := c.readState(n, id, answers); status != http.StatusOK {
+			c.t.Errorf("%s does not know job %s %v after the end of the traffic: %d %s", n.name, id, finishTime, status, answer)
+		}
+		i++
+	}
+}
+
 // serviceFaults loses workers and leaders under service tasks.
 type serviceFaults struct {
 	cluster *cluster
@@ -280,9 +303,9 @@
 	return all
 }
 
-// awaitRuns waits until a task that does not run would be late and all of them run, but no longer than recoveryTimeout.
+// awaitRuns waits until a job that stands still would be noticed and all tasks run, but no longer than recoveryTimeout.
 func (w *serviceWatch) awaitRuns() {
-	time.Sleep(restartTime + standstillTime)
+	time.Sleep(standstillTime + time.Second)
 	for end := time.Now().Add(recoveryTimeout); !w.look() && time.Now().Before(end); {
 		time.Sleep(50 * time.Millisecond)
 	}
