--- a/standin/backends/crashes.go
+++ b/standin/backends/crashes.go
@@ -139,14 +139,19 @@
 		w.crashes.taskCrashes[task]++
 	}
 	w.recordChange(worker.info, history.ChangeCrash)
+	w.takeDown(worker, outage{bootAt: at + crash.Downtime, newID: crash.NewID})
+	w.crashes.lapses[worker.info.ID] = at + registryLapse
+	w.advanceAfter(at + registryLapse - w.now())
+}
+
+// takeDown ends all runs on a worker without a completion, until its next boot. Callers hold w.mu.
+func (w *Workers) takeDown(worker *workerState, o outage) {
 	worker.running = map[string]*activeRun{}
 	worker.unacknowledged = nil
-	worker.outage = &outage{bootAt: at + crash.Downtime, newID: crash.NewID}
+	worker.outage = &o
 	close(worker.changed)
 	worker.changed = make(chan struct{})
-	w.crashes.lapses[worker.info.ID] = at + registryLapse
-	w.advanceAfter(at + crash.Downtime - w.now())
-	w.advanceAfter(at + registryLapse - w.now())
+	w.advanceAfter(o.bootAt - w.now())
 }
 
 // advanceAfter brings the state of the workers up to date after a delay, even if no call arrives.
