--- a/soak/varied_test.go
+++ b/soak/varied_test.go
@@ -113,8 +113,8 @@
 }
 
 // TestSoakWithVariedJobs guards against the same as TestSoak with jobs of dependent steps, with times, with labels and a limit for each
-// worker, of gangs and copies, with tasks that fail, and with cancellations, while workers drain; and against rules that are kept only by instances which
-// are not in touch: the load goes on after the faults.
+// worker, of gangs and copies, with tasks that fail, and with cancellations, while workers drain; and against rules that instances in
+// touch break: the load goes on after the faults.
 func TestSoakWithVariedJobs(t *testing.T) {
 	for _, seed := range seedsToRun(nil) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
