Send no recorded start to a worker that was closed meanwhile

A start that waited for its record was sent without a deadline if its worker had been closed meanwhile, so that no lease was counted for it: the records and the closed workers were built side by side. Nothing was seen by callers.

TestRecordedStartIsNotSentToAClosedWorker failed before (1 start).

--- a/version/cell/closed_test.go
+++ b/version/cell/closed_test.go
@@ -159,3 +159,18 @@
 	assert.Equal(t, len(changed), 1)
 	assert.Equal(t, tc.acknowledged("w1"), int64(1))
 }
+
+// Guards against a start without a deadline on a worker that was closed while the start waited for its record.
+func TestRecordedStartIsNotSentToAClosedWorker(t *testing.T) {
+	tc, _ := newRecordingCluster(t)
+	tc.failPoll("w1")
+	assert.Equal(t, len(tc.core.CloseWorkers(tc.now, true)), 1)
+	tc.storeBatches()
+	tc.advance(100 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 0)
+	tc.answerPoll("w1", nil, nil)
+	tc.core.RenewalStored(nil, tc.now)
+	tc.advance(time.Second)
+	assert.Equal(t, len(tc.starts), 1)
+	assert.Assert(t, tc.starts[0].Command.LeaseDeadlineMS > 0)
+}
--- a/version/cell/startrecord.go
+++ b/version/cell/startrecord.go
@@ -250,7 +250,7 @@
 func (c *Core) acceptsRecordedStart(r *run) bool {
 	return !slices.ContainsFunc(r.unsentWith(), func(member *run) bool {
 		w := member.worker
-		return !w.acceptsQueuedStart() || !w.inventoryKnown || w.hasUnknownRuns || !c.isRecorded(w) || c.now < w.startsBlockedUntil ||
+		return !w.acceptsQueuedStart() || !w.inventoryKnown || w.hasUnknownRuns || !c.isRecorded(w) || c.isClosed(w) || c.now < w.startsBlockedUntil ||
 			c.now > w.clockReceivedAt+maxClockAge || !c.hasTicket(w, member.task.step) || !c.mayShare(w, member.task)
 	})
 }
