--- a/version/cell/serviceaway_test.go
+++ b/version/cell/serviceaway_test.go
@@ -189,3 +189,47 @@
 	tc.step()
 	assert.Equal(t, len(tc.starts), 0, "a task that was done started again")
 }
+
+// Guards against a service task that stays away for a longest lease because its worker is lost within a second after it has first answered a
+// new leader.
+func TestServiceReturnsFromAWorkerLostAfterATakeover(t *testing.T) {
+	sc := newServiceCluster(t, 2, "w1", "w2")
+	assert.NilError(t, sc.core.LoadFleetRecord(sc.now, []byte(`{"w1":"w1:1","w2":"w2:1"}`)))
+	sc.addJob("a", "plain", 1, serviceStep())
+	sc.running["w1"] = []backend.ActiveRun{{Task: "a.0.0.0", Run: 1}}
+	for range 3 {
+		sc.round()
+	}
+	lostAt := sc.now
+	sc.lost["w1"] = true
+	for sc.startedSince(lostAt) == 0 && sc.now < lostAt+time.Minute {
+		sc.round()
+	}
+	assert.Assert(t, sc.now <= lostAt+maxServiceAway, "the task was away for %s", sc.now-lostAt)
+}
+
+// Guards against tasks of a worker that has restarted and is lost, which stay away for a longest lease from each takeover of a series.
+func TestLongLeasesCountFromTheRestart(t *testing.T) {
+	sc := newServiceCluster(t, 1, "w1", "w2")
+	sc.round()
+	sc.boots["w1"] = 2000
+	restartedAt := sc.now
+	sc.round()
+	var fleet [][]byte
+	sc.core.RewriteFleetRecord()
+	for _, b := range sc.storeBatches() {
+		for _, row := range b.Fleet {
+			fleet = append(fleet, row.Data)
+		}
+	}
+	for epoch := uint64(2); epoch <= 3; epoch++ {
+		next := newServiceCluster(t, epoch)
+		next.now = restartedAt + time.Duration(epoch-1)*4*time.Second
+		next.core.epochStart, next.core.now = next.now, next.now
+		assert.NilError(t, next.core.LoadFleetRecord(next.now, fleet...))
+		end := next.core.leasesEnd(next.core.workers["w1"])
+		known := restartedAt + maxLocalDuration(10*time.Second+lateCallAllowance)
+		assert.Check(t, end <= known+500*time.Millisecond, "epoch %d assumes leases for %s after the restart, %s are possible", epoch,
+			end-restartedAt, known-restartedAt)
+	}
+}
