Confirm an acknowledgement by the time at which its poll was prepared

An acknowledgement was sent again although the poll with it had been answered, if a round began between the reading of the time and the preparation of the poll: since starts wait for acknowledgements the time is read before, and the acknowledgement kept the later one. Each repetition is one more poll, and may reach the next boot of the worker.

TestAcknowledgementIsConfirmedBesideARound failed before.

--- a/version/cell/heldstarts_test.go
+++ b/version/cell/heldstarts_test.go
@@ -134,3 +134,23 @@
 		}
 	}
 }
+
+// Guards against an acknowledgement that is sent again although the poll with it was answered: a round has begun between the reading of the time
+// and the preparation of the poll.
+func TestAcknowledgementIsConfirmedBesideARound(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	tc.listWorker("w1", nil)
+	tc.answerPoll("w1", nil, nil)
+	tc.addJob("a", "plain", 1, stepWithTasks(1))
+	tc.step()
+	tc.confirmStarts()
+	tc.answerPoll("w1", nil, []backend.FinishedRun{tc.completion("w1", "a.0.0.0", 1, backend.ResultDone)})
+	tc.storeBatches()
+	sentAt := tc.now
+	tc.step()
+	req, _, _ := tc.core.PreparePoll("w1", sentAt)
+	assert.Equal(t, req.AcknowledgedCompletion, int64(1))
+	tc.core.PollResult("w1", sentAt, backend.PollReply{StartedMS: 1000, Reply: backend.Reply{ClockMS: tc.clockMS()}}, nil, tc.now)
+	req, _, _ = tc.core.PreparePoll("w1", tc.now)
+	assert.Equal(t, req.AcknowledgedCompletion, int64(0))
+}
--- a/version/cell/polls.go
+++ b/version/cell/polls.go
@@ -47,7 +47,7 @@
 	}
 	if w.ackIsDue() && w.announced == nil && !w.hasUnreportedStart() && !c.isClosed(w) {
 		req.AcknowledgedCompletion = w.lastAckedCompletion
-		w.sentAck, w.ackSentAt = w.lastAckedCompletion, c.now
+		w.sentAck, w.ackSentAt = w.lastAckedCompletion, now
 		w.recordAckPoll(now)
 	} else {
 		// The answer to this poll does not confirm an earlier acknowledgement.
