--- a/version/cell/heldstarts_test.go
+++ b/version/cell/heldstarts_test.go
@@ -10,9 +10,9 @@
 	"github.com/lentiltide/lentiltide/request/verdict"
 )
 
-// ackInFlight returns a cluster with a worker to which a poll with an acknowledgement is on its way, and the time at which it was sent.
-func ackInFlight(t *testing.T) (tc *testCluster, sentAt Instant) {
-	tc = newTestCluster(t, 1)
+// ackDue returns a cluster with a worker whose next poll has an acknowledgement.
+func ackDue(t *testing.T) *testCluster {
+	tc := newTestCluster(t, 1)
 	tc.listWorker("w1", nil)
 	tc.answerPoll("w1", nil, nil)
 	tc.addJob("a", "plain", 1, stepWithTasks(1))
@@ -20,6 +20,12 @@
 	tc.confirmStarts()
 	tc.answerPoll("w1", nil, []backend.FinishedRun{tc.completion("w1", "a.0.0.0", 1, backend.ResultDone)})
 	tc.storeBatches()
+	return tc
+}
+
+// ackInFlight returns a cluster with a worker to which a poll with an acknowledgement is on its way, and the time at which it was sent.
+func ackInFlight(t *testing.T) (tc *testCluster, sentAt Instant) {
+	tc = ackDue(t)
 	sentAt = tc.now
 	req, _, _ := tc.core.PreparePoll("w1", sentAt)
 	assert.Equal(t, req.AcknowledgedCompletion, int64(1))
@@ -138,14 +144,7 @@
 // Guards against an acknowledgement that is sent again although the poll with it was answered: a round has begun between the reading of the time
 // and the preparation of the poll.
 func TestAcknowledgementIsConfirmedBesideARound(t *testing.T) {
-	tc := newTestCluster(t, 1)
-	tc.listWorker("w1", nil)
-	tc.answerPoll("w1", nil, nil)
-	tc.addJob("a", "plain", 1, stepWithTasks(1))
-	tc.step()
-	tc.confirmStarts()
-	tc.answerPoll("w1", nil, []backend.FinishedRun{tc.completion("w1", "a.0.0.0", 1, backend.ResultDone)})
-	tc.storeBatches()
+	tc := ackDue(t)
 	sentAt := tc.now
 	tc.step()
 	req, _, _ := tc.core.PreparePoll("w1", sentAt)
