Share the steps of the tests that lose workers and leaders

Three tests of former leaders, one of recoveries and two of service tasks wrote out the loss of a worker, the wait for a run and an instance cut off from the store.

--- a/process/node/closedworkers_test.go
+++ b/process/node/closedworkers_test.go
@@ -21,6 +21,13 @@
 	return running[0]
 }
 
+// awaitRun waits until a task runs, at most until an instant.
+func (c *testCell) awaitRun(task string, until time.Duration) {
+	for len(c.workers.RunningOn(task)) == 0 && c.now() < until {
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 // loseLeader kills the leader for good and waits until another instance leads.
 func (c *testCell) loseLeader() {
 	old := c.leader()
@@ -40,9 +47,7 @@
 		c.loseLeader()
 		c.loseLeader()
 		takenAt := c.now()
-		for len(c.workers.RunningOn("a.0.0.0")) == 0 && c.now() < lostAt+time.Minute {
-			time.Sleep(50 * time.Millisecond)
-		}
+		c.awaitRun("a.0.0.0", lostAt+time.Minute)
 		// The lease of 4 s with its margins ended before the last takeover or ends soon after it.
 		assert.Assert(t, c.now() < max(takenAt+1500*time.Millisecond, lostAt+7*time.Second), "the task started again %s after the loss, %s after the last takeover",
 			c.now()-lostAt, c.now()-takenAt)
--- a/process/node/cutoff_test.go
+++ b/process/node/cutoff_test.go
@@ -103,16 +103,11 @@
 	runInCell(t, func(t *testing.T, c *testCell) {
 		assert.NilError(t, c.submit(c.follower(), "a", 4, smallTask(time.Minute), nil))
 		time.Sleep(time.Second)
-		running := c.workers.RunningOn("a.0.0.0")
-		assert.Equal(t, len(running), 1)
-		c.workers.Remove(running[0])
-		c.cutOff(running[0])
+		c.loseWorkerOf("a.0.0.0")
 		killedAt := c.now()
 		// The instance returns after another one has taken over.
 		c.restartLeader(2 * time.Second)
-		for len(c.workers.RunningOn("a.0.0.0")) == 0 && c.now() < killedAt+time.Minute {
-			time.Sleep(50 * time.Millisecond)
-		}
+		c.awaitRun("a.0.0.0", killedAt+time.Minute)
 		// One lease of 4 s with its margins, the restart, and the takeover.
 		assert.Assert(t, c.now() < killedAt+8*time.Second, "the task started again after %s", c.now()-killedAt)
 	})
--- a/process/node/formerleases_test.go
+++ b/process/node/formerleases_test.go
@@ -26,7 +26,15 @@
 	return old
 }
 
-// rejoinLeader ends cutOffLeader.
+// cutOffStore makes the store refuse an instance, also on paths through other instances.
+func (c *testCell) cutOffStore(name string) {
+	c.setStoreFault(name, backends.FaultRefused)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.relaysFail = true
+}
+
+// rejoinLeader ends cutOffLeader and cutOffStore.
 func (c *testCell) rejoinLeader(old string) {
 	c.setStoreFault(old, backends.FaultNone)
 	c.mu.Lock()
@@ -150,19 +158,14 @@
 	runInCell(t, func(t *testing.T, c *testCell) {
 		assert.NilError(t, c.submit(c.follower(), "a", 4, smallTask(time.Minute), nil))
 		time.Sleep(time.Second)
-		running := c.workers.RunningOn("a.0.0.0")
-		assert.Equal(t, len(running), 1)
-		c.workers.Remove(running[0])
-		c.cutOff(running[0])
+		c.loseWorkerOf("a.0.0.0")
 		old, lostAt := c.cutOffLeader(), c.now()
 		next := c.awaitLeaderOtherThan(old)
 		c.kill(next)
 		c.start(next)
 		time.Sleep(500 * time.Millisecond)
 		c.rejoinLeader(old)
-		for len(c.workers.RunningOn("a.0.0.0")) == 0 && c.now() < lostAt+time.Minute {
-			time.Sleep(50 * time.Millisecond)
-		}
+		c.awaitRun("a.0.0.0", lostAt+time.Minute)
 		// One lease of 4 s with its margins after the return of the former leader, about 2.5 s after its loss.
 		assert.Assert(t, c.now() < lostAt+8*time.Second, "the task started again after %s", c.now()-lostAt)
 	})
@@ -174,24 +177,16 @@
 	runInCell(t, func(t *testing.T, c *testCell) {
 		assert.NilError(t, c.submit(c.follower(), "a", 4, smallTask(time.Minute), nil))
 		time.Sleep(time.Second)
-		running := c.workers.RunningOn("a.0.0.0")
-		assert.Equal(t, len(running), 1)
-		c.workers.Remove(running[0])
-		c.cutOff(running[0])
+		c.loseWorkerOf("a.0.0.0")
 		old, killedAt := c.leader(), c.now()
 		c.kill(old)
-		c.setStoreFault(old, backends.FaultRefused)
-		c.mu.Lock()
-		c.relaysFail = true
-		c.mu.Unlock()
+		c.cutOffStore(old)
 		time.Sleep(200 * time.Millisecond)
 		c.start(old)
 		c.awaitLeaderOtherThan(old)
 		time.Sleep(time.Second)
 		c.rejoinLeader(old)
-		for len(c.workers.RunningOn("a.0.0.0")) == 0 && c.now() < killedAt+time.Minute {
-			time.Sleep(50 * time.Millisecond)
-		}
+		c.awaitRun("a.0.0.0", killedAt+time.Minute)
 		// One lease of 4 s with its margins after the start of the next process.
 		assert.Assert(t, c.now() < killedAt+5500*time.Millisecond, "the task started again after %s", c.now()-killedAt)
 	})
--- a/process/node/serviceaway_test.go
+++ b/process/node/serviceaway_test.go
@@ -18,15 +18,10 @@
 		service := backends.TaskBehavior{Service: true, Resources: model.Resources{CPUMilli: 1000, MemoryMiB: 100}}
 		assert.NilError(t, c.submit(c.follower(), "s", 4, service, nil))
 		time.Sleep(3 * time.Second)
-		running := c.workers.RunningOn("s.0.0.0")
-		assert.Equal(t, len(running), 1)
 		lostAt := c.now()
-		c.workers.Remove(running[0])
-		c.cutOff(running[0])
+		c.loseWorkerOf("s.0.0.0")
 		c.kill(c.leader())
-		for len(c.workers.RunningOn("s.0.0.0")) == 0 && c.now() < lostAt+time.Minute {
-			time.Sleep(50 * time.Millisecond)
-		}
+		c.awaitRun("s.0.0.0", lostAt+time.Minute)
 		assert.Assert(t, c.now() <= lostAt+9*time.Second, "the task was away for %s", c.now()-lostAt)
 	})
 }
@@ -60,10 +55,7 @@
 				old := c.leader()
 				c.kill(old)
 				if joinsAfter > 0 {
-					c.setStoreFault(old, backends.FaultRefused)
-					c.mu.Lock()
-					c.relaysFail = true
-					c.mu.Unlock()
+					c.cutOffStore(old)
 				}
 				time.Sleep(200 * time.Millisecond)
 				c.start(old)
