--- a/version/cell/testcluster_test.go
+++ b/version/cell/testcluster_test.go
@@ -214,3 +214,14 @@
 func (tc *testCluster) maintainWave(number int, machines ...string) {
 	tc.core.SetWave(backend.MaintenanceWave{Number: number, Machines: machines, Duration: time.Minute, MaxUnavailable: len(machines)}, tc.now)
 }
+
+// recordDecisions records the fields of all further decisions with a name.
+func (tc *testCluster) recordDecisions(event string) *[]map[string]any {
+	recorded := &[]map[string]any{}
+	tc.core.opts.OnDecision = func(d Decision) {
+		if d.Event == event {
+			*recorded = append(*recorded, d.Fields)
+		}
+	}
+	return recorded
+}
