Hold no early failure of an adopted service run against its worker

Found by reading the change again. Only runs that this leader has started count now.

TestFailuresOfAdoptedServicesDoNotCloseWorkers failed before.

--- a/version/cell/completions.go
+++ b/version/cell/completions.go
@@ -178,14 +178,16 @@
 const minServiceRun = 5 * time.Second
 
 // handleServiceFailure makes a service task avoid the worker on which it has failed, and counts an early failure against the worker: service
-// tasks may fail at any time, and all workers that suit them would be avoided in the end. A run that the ledger did not have may have failed
+// tasks may fail at any time, and all workers that suit them would be avoided in the end. How long a run of a former leader has worked is not
+// known. A run that the ledger did not have may have failed
 // some time before this epoch.
 func (c *Core) handleServiceFailure(t *task, r *run, w *worker) {
 	if r == nil {
 		t.avoidedWorkers.addFor(w, c.now, avoidAfterEarlierFailure)
 		return
 	}
-	if c.now < r.createdAt+minServiceRun {
+	startedHere := r.number > t.step.job.baseRunNumber
+	if startedHere && c.now < r.createdAt+minServiceRun {
 		c.recordFailure(t, w)
 	}
 	t.avoidedWorkers.add(w, c.now)
--- a/version/cell/serviceaway_test.go
+++ b/version/cell/serviceaway_test.go
@@ -233,3 +233,20 @@
 			end-restartedAt, known-restartedAt)
 	}
 }
+
+// Guards against a worker that is closed to all tasks because service tasks of two jobs, which a former leader had started long ago, fail there
+// just after a takeover.
+func TestFailuresOfAdoptedServicesDoNotCloseWorkers(t *testing.T) {
+	sc := newServiceCluster(t, 2, "w1")
+	assert.NilError(t, sc.core.LoadFleetRecord(sc.now, []byte(`{"w1":"w1:1"}`)))
+	var ended []backend.FinishedRun
+	for _, id := range []string{"a", "b"} {
+		sc.addJob(id, "plain", 1, serviceStep())
+		sc.running["w1"] = append(sc.running["w1"], backend.ActiveRun{Task: id + ".0.0.0", Run: 1, ProgressPercent: 100})
+		ended = append(ended, sc.completion("w1", id+".0.0.0", 1, backend.ResultFailed))
+	}
+	sc.round()
+	sc.running["w1"] = nil
+	sc.poll("w1", ended...)
+	assert.Assert(t, sc.core.workers["w1"].health.suspectUntil <= sc.now)
+}
