--- a/process/node/node.go
+++ b/process/node/node.go
@@ -117,7 +117,8 @@
 	leaderChanges leaderChanges
 	// leadership is set while this instance leads.
 	leadership *leadership
-	// commandsEndedAt is when the last leadership of this instance ended, at first that of its former process.
+	// commandsEndedAt is when the last leadership of this instance ended, at first when this process started: a name stands for one process
+	// at a time, so that its former process has ended before.
 	commandsEndedAt cell.Instant
 	// waitingJobs is the number of waiting jobs of each queue, as sent by the leader.
 	waitingJobs map[string]uint32
--- a/version/cell/crash.go
+++ b/version/cell/crash.go
@@ -20,8 +20,8 @@
 	// isolationDuration is how long after its start a run counts as recent, and how long nothing else starts beside an
 	// isolated one.
 	isolationDuration = 2 * time.Second
-	// isolationTimeout is how long a task waits for a worker without recently started runs. Afterwards any worker may do, for a task that is
-	// not one of a service if no task with crashes has started there recently.
+	// isolationTimeout is how long a task waits for a worker without recently started runs. Afterwards any worker may do; a task
+	// that is not one of a service still avoids those on which another task with crashes has started recently.
 	isolationTimeout = 2 * time.Second
 	// rackOutageWindow is the time within which the last answers of the workers of a rack lie that lost power together.
 	rackOutageWindow = 2 * time.Second
