Send starts, lease deadlines and acknowledgements to the boot that they are meant for

What callers would see: a task that runs twice. A start with a deadline of the former clock reaches the next boot of a worker and gets the longest lease there, the leader is lost before it knows, the worker is cut off, and the successor waits for a usual lease only.

Cause: a call names the worker and not its boot. Whatever is counted by the clock or the numbers of one boot is executed by the next one too.

Change: WorkerRef carries the boot that may execute a call. Starts, and polls with a deadline or an acknowledgement, name it, also through delegates. A refused boot makes the leader read the worker again, without deadline and acknowledgement. The clock in a refusal by another process is ignored. The stand-ins refuse calls for a former boot unless a test has them accepted, and on the wire connections end with a boot. The random orders and series of before are played with calls that cross boots, as before, and some of them with bound calls too.

Late calls that the next boot of a worker carries out are not kept from it.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -70,8 +70,13 @@
 	RemainingMS int64
 }
 
-// WorkerRef is the id and the address of a worker. A worker with another id at the same address refuses the command.
-type WorkerRef struct{ ID, Address string }
+// WorkerRef addresses a worker. A worker with another id at the same address refuses the command.
+type WorkerRef struct {
+	ID, Address string
+	// StartedMS is the start time of the boot that may execute the command, as in WorkerInfo; 0 means any boot. Another boot does not
+	// execute it: lease deadlines and completion numbers are those of one boot.
+	StartedMS int64
+}
 
 // Refusal is the reason why a worker did not carry out a command; empty if it did.
 type Refusal string
@@ -90,6 +95,8 @@
 	RefusedTicket Refusal = "ticket"
 	// RefusedInstance: the worker at the address has another id.
 	RefusedInstance Refusal = "instance"
+	// RefusedBoot: the worker has started again since the boot that the command names, and has not executed it.
+	RefusedBoot Refusal = "boot"
 	// RefusedUnhealthy: the worker considers itself unhealthy.
 	RefusedUnhealthy Refusal = "unhealthy"
 	// RefusedInvalid: the worker rejects the command as invalid.
--- a/process/node/delegate.go
+++ b/process/node/delegate.go
@@ -89,7 +89,7 @@
 		e := verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the call was held for too long")
 		return &peerpb.WorkerResult{Error: peer.ErrorToProto(e)}
 	}
-	command := backend.Command{Worker: backend.WorkerRef{ID: call.GetWorker(), Address: call.GetAddress()}, FencingToken: epoch}
+	command := backend.Command{Worker: backend.WorkerRef{ID: call.GetWorker(), Address: call.GetAddress(), StartedMS: call.GetStartedMs()}, FencingToken: epoch}
 	switch body := call.GetCall().(type) {
 	case *peerpb.WorkerCall_Start:
 		command.Task, command.Run = body.Start.GetTask(), body.Start.GetRun()
--- a/process/node/delegation.go
+++ b/process/node/delegation.go
@@ -259,7 +259,7 @@
 			break
 		}
 		call := build()
-		call.Worker, call.Address = worker.ID, worker.Address
+		call.Worker, call.Address, call.StartedMs = worker.ID, worker.Address, worker.StartedMS
 		p, ok := d.enqueue(call)
 		if !ok {
 			break
--- a/process/node/faultseries_test.go
+++ b/process/node/faultseries_test.go
@@ -218,17 +218,20 @@
 // Guards against a second start of a task, and against a job that never ends, under series of overlapping faults.
 func TestSeriesOfFaults(t *testing.T) {
 	for _, seed := range seriesSeeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { synctest.Test(t, func(t *testing.T) { playSeries(t, seed, 1) }) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { synctest.Test(t, func(t *testing.T) { playSeries(t, seed, 1, false) }) })
 	}
 	for _, seed := range workerSeriesSeeds {
-		t.Run(fmt.Sprintf("workers-%d", seed), func(t *testing.T) { synctest.Test(t, func(t *testing.T) { playSeries(t, seed, 2) }) })
+		t.Run(fmt.Sprintf("workers-%d", seed), func(t *testing.T) { synctest.Test(t, func(t *testing.T) { playSeries(t, seed, 2, false) }) })
+		t.Run(fmt.Sprintf("bound-%d", seed), func(t *testing.T) { synctest.Test(t, func(t *testing.T) { playSeries(t, seed, 2, true) }) })
 	}
 }
 
-// playSeries plays a series of faults. In workerFaults of ten steps a worker has one.
-func playSeries(t *testing.T, seed uint64, workerFaults int) {
+// playSeries plays a series of faults. In workerFaults of ten steps a worker has one. Calls to a former boot of a worker reach the next one,
+// unless they are bound.
+func playSeries(t *testing.T, seed uint64, workerFaults int, bound bool) {
 	c := newTestCell(t, 4, 4)
 	defer c.stop()
+	c.workers.AcceptCallsToFormerBoots(!bound)
 	c.recordTraffic(history.ChangeBegin)
 	f := &faultSeries{c: c, random: rand.New(rand.NewPCG(seed, 1)), busy: map[string]bool{}}
 	for end := c.now() + 35*time.Second; c.now() < end; {
--- a/process/node/serviceseries_test.go
+++ b/process/node/serviceseries_test.go
@@ -22,6 +22,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := newTestCell(t, 4, 4)
 				defer c.stop()
+				c.workers.AcceptCallsToFormerBoots(true)
 				c.recordTraffic(history.ChangeBegin)
 				tasks := c.submitServices(4)
 				f := &faultSeries{c: c, random: rand.New(rand.NewPCG(seed, 2)), busy: map[string]bool{}}
--- a/standin/backends/observations.go
+++ b/standin/backends/observations.go
@@ -12,7 +12,10 @@
 func (w *Workers) Info(id string) backend.WorkerInfo {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.workers[id].info
+	if worker := w.workers[id]; worker != nil {
+		return worker.info
+	}
+	return backend.WorkerInfo{}
 }
 
 // Running returns how many runs a worker has.
--- a/standin/backends/workers.go
+++ b/standin/backends/workers.go
@@ -58,7 +58,9 @@
 	// shownAt holds when each job was first shown to a caller as completed.
 	shownAt     map[string]time.Duration
 	chooseFault func(worker, command string) error
-	crashes     crashRecord
+	// acceptFormerBoots means that calls to a former boot of a worker are executed by the present one.
+	acceptFormerBoots bool
+	crashes           crashRecord
 	// history records what the workers observe, and faults the faults of their calls; nil records nothing.
 	history *history.Recorder
 	faults  faultLog
@@ -202,6 +204,14 @@
 	w.faults.end()
 }
 
+// AcceptCallsToFormerBoots sets whether the workers execute calls that name a former boot. They do so if a leader or a delegate of an earlier
+// program sends them, which names none, or if a call is carried out late by the next boot.
+func (w *Workers) AcceptCallsToFormerBoots(accept bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.acceptFormerBoots = accept
+}
+
 // ErrAnswerLost means that a command was executed but its answer was lost. ErrNoAnswer means that the command
 // was not executed.
 var (
@@ -295,6 +305,9 @@
 			return nil, "", err
 		}
 	}
+	if !w.acceptFormerBoots && ref.StartedMS != 0 && ref.StartedMS != worker.info.StartedMS {
+		return worker, backend.RefusedBoot, nil
+	}
 	if token < worker.highestToken {
 		return worker, backend.RefusedFence, nil
 	}
--- a/standin/wire/wire.go
+++ b/standin/wire/wire.go
@@ -4,6 +4,7 @@
 package wire
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -24,12 +25,36 @@
 	if err != nil {
 		return nil, "", errors.Wrap(err, "listen")
 	}
-	server := &http.Server{Handler: handler}
+	server := &http.Server{Handler: handler, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, &connection{})
+	}}
 	// The goroutine ends when the server is closed.
 	go func() { _ = server.Serve(listener) }()
 	return server, listener.Addr().String(), nil
 }
 
+// connection is the state of a connection to a stand-in. The server handles the requests on a connection one after another.
+type connection struct {
+	// workerStartedMS is the start time of the worker's boot that has accepted the connection; 0 before the first request.
+	workerStartedMS int64
+}
+
+type connectionKey struct{}
+
+// endAtBoot aborts a request on a connection to a former boot of a worker: connections end with the process.
+func endAtBoot(r *http.Request, startedMS int64) {
+	conn, ok := r.Context().Value(connectionKey{}).(*connection)
+	if !ok || startedMS == 0 {
+		return
+	}
+	if conn.workerStartedMS == 0 {
+		conn.workerStartedMS = startedMS
+	}
+	if conn.workerStartedMS != startedMS {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // row is the JSON form of a backend.Row.
 type row struct {
 	Table   string `json:"table"`
@@ -188,7 +213,10 @@
 			"clockMs": reply.ClockMS, "born": reply.StartedMS, "running": running, "ended": ended,
 		})
 	})
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		endAtBoot(r, workers.Info(id).StartedMS)
+		mux.ServeHTTP(w, r)
+	})
 }
 
 // commandBody is the JSON body of the start, stop and throttle commands. Its field names are those of the protocol.
--- a/version/cell/boot.go
+++ b/version/cell/boot.go
@@ -41,10 +41,33 @@
 		c.handleWorkerRestart(w, startedMS)
 		w.startedMS, w.bootKnownAt = startedMS, c.now
 	}
+	w.bootRefused = false
 	c.settleAnnouncement(w, sentAt)
 	return true
 }
 
+// handleRefusedBoot records that a worker has refused a call to its known boot. The next poll shows which boot is the present one.
+func (c *Core) handleRefusedBoot(w *worker) {
+	if !w.bootRefused {
+		c.logDecision("worker_boot_refused", "", map[string]any{"worker": w.info.ID, "known_started_ms": w.startedMS})
+	}
+	w.bootRefused = true
+	c.pollSoon(w)
+}
+
+// isBootCertain reports whether nothing speaks against the known boot of a worker. Only then do polls extend leases and acknowledge
+// completions, which they do for this boot alone.
+func (w *worker) isBootCertain() bool {
+	return w.announced == nil && !w.health.unresponsive && !w.bootRefused
+}
+
+// bootRef returns the worker with its known boot, so that no other boot executes the command.
+func (w *worker) bootRef() backend.WorkerRef {
+	ref := w.ref()
+	ref.StartedMS = w.startedMS
+	return ref
+}
+
 // suspectLongLeases expects long leases on a worker that a former leader may have used, if its clock shows that it has started so recently
 // that the former leader may have sent deadlines of the boot before. This leader knows when they end, but its successor would not.
 func (c *Core) suspectLongLeases(w *worker, clockMS int64) {
--- a/version/cell/boot_orders_test.go
+++ b/version/cell/boot_orders_test.go
@@ -74,6 +74,8 @@
 	h.workers = backends.NewWorkers(func() time.Duration { return h.now }, func(string) backends.TaskBehavior {
 		return backends.TaskBehavior{Duration: h.duration, Resources: model.Resources{CPUMilli: 1000, MemoryMiB: 100}}
 	})
+	// Nothing but the order of the calls keeps those to a former boot from the next one.
+	h.workers.AcceptCallsToFormerBoots(true)
 	h.core = h.newCore(1)
 	for i := range orderWorkers {
 		h.boot(fmt.Sprintf("w%d", i))
@@ -301,17 +303,24 @@
 // runs out.
 func TestAcknowledgedTasksStartOnce(t *testing.T) {
 	for seed := range uint64(150) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			h := newOrderHistory(t, seed)
-			h.run(func(tick int) {
-				if tick%40 == 0 {
-					h.submit(job.ID(fmt.Sprintf("job%d", tick)), "")
-				}
-			})
-			if v := h.workers.Violations(); len(v) > 0 {
-				t.Log(h.log.String())
-				assert.DeepEqual(t, v, []string(nil))
-			}
-		})
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playAcknowledgements(t, seed, false) })
+	}
+	for seed := range uint64(50) {
+		t.Run(fmt.Sprintf("bound-%d", seed), func(t *testing.T) { playAcknowledgements(t, seed, true) })
+	}
+}
+
+// playAcknowledgements plays a random order of calls. Those to a former boot of a worker reach the next one, unless they are bound.
+func playAcknowledgements(t *testing.T, seed uint64, bound bool) {
+	h := newOrderHistory(t, seed)
+	h.workers.AcceptCallsToFormerBoots(!bound)
+	h.run(func(tick int) {
+		if tick%40 == 0 {
+			h.submit(job.ID(fmt.Sprintf("job%d", tick)), "")
+		}
+	})
+	if v := h.workers.Violations(); len(v) > 0 {
+		t.Log(h.log.String())
+		assert.DeepEqual(t, v, []string(nil))
 	}
 }
--- a/version/cell/boot_test.go
+++ b/version/cell/boot_test.go
@@ -233,3 +233,43 @@
 	req, _, _ = tc.core.PreparePoll("w1", tc.now)
 	assert.Assert(t, req.LeaseDeadlineMS > 0 && req.Wait > 0)
 }
+
+// Guards against lease deadlines, acknowledgements and starts that a later boot of a worker executes, since they name no boot.
+func TestCallsNameTheKnownBoot(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	tc.listWorker("w1", nil)
+	first, _, _ := tc.core.PreparePoll("w1", tc.now)
+	assert.Equal(t, first, backend.PollRequest{Worker: backend.WorkerRef{ID: "w1", Address: "w1:1"}, FencingToken: 1})
+	tc.answerBoot(1000)
+	tc.addJob("a", "plain", 1, stepWithTasks(1))
+	tc.step()
+	assert.Equal(t, len(tc.starts), 1)
+	assert.Equal(t, tc.starts[0].Command.Worker.StartedMS, int64(1000))
+	poll, _, _ := tc.core.PreparePoll("w1", tc.now)
+	assert.Equal(t, poll.Worker.StartedMS, int64(1000))
+	assert.Assert(t, poll.LeaseDeadlineMS > 0)
+}
+
+// Guards against a worker whose new boot stays unknown, because all calls name the former one, and against a start that holds capacity although
+// it was refused.
+func TestRefusedBootIsReadAgain(t *testing.T) {
+	tc := newStartedTestCluster(t, stepWithTasks(1))
+	w := tc.core.workers["w1"]
+	clockMS := w.clockMS
+	tc.core.StartResult(tc.starts[0], backend.Reply{Refusal: backend.RefusedBoot, ClockMS: clockMS + 1_000_000}, nil, tc.now)
+	assert.Equal(t, len(w.runs), 0)
+	assert.Equal(t, w.clockMS, clockMS)
+	tc.starts = nil
+	tc.step()
+	assert.DeepEqual(t, tc.polls, []string{"w1"})
+	assert.Equal(t, len(tc.starts), 0)
+	poll, _, _ := tc.core.PreparePoll("w1", tc.now)
+	assert.Equal(t, poll.Worker.StartedMS, int64(0))
+	assert.Equal(t, poll.LeaseDeadlineMS, int64(0))
+	assert.Equal(t, poll.AcknowledgedCompletion, int64(0))
+	tc.listWorker("w1", func(info *backend.WorkerInfo) { info.StartedMS = 2000 })
+	tc.answerBoot(2000)
+	tc.step()
+	assert.Equal(t, len(tc.starts), 1)
+	assert.Equal(t, tc.starts[0].Command.Worker.StartedMS, int64(2000))
+}
--- a/version/cell/leases.go
+++ b/version/cell/leases.go
@@ -1,6 +1,10 @@
 package cell
 
-import "time"
+import (
+	"time"
+
+	"github.com/lentiltide/lentiltide/backend"
+)
 
 // leasesEnd returns when every lease on the worker has expired, on the local clock.
 func (c *Core) leasesEnd(w *worker) Instant {
@@ -97,10 +101,12 @@
 }
 
 // recordReplyClock records the clock in the reply to a command for a run. A reply to a command for a run that is older than
-// the known boot may come from the previous boot, whose clock was another one.
-func (c *Core) recordReplyClock(r *run, readingMS int64) {
-	if r.createdAt >= r.worker.restartedAt {
-		c.recordClock(r.worker, readingMS)
+// the known boot may come from the previous boot, whose clock was another one, and one that refuses the process in question comes from
+// another process.
+func (c *Core) recordReplyClock(r *run, reply backend.Reply) {
+	ofOther := reply.Refusal == backend.RefusedInstance || reply.Refusal == backend.RefusedBoot
+	if !ofOther && r.createdAt >= r.worker.restartedAt {
+		c.recordClock(r.worker, reply.ClockMS)
 	}
 }
 
--- a/version/cell/polls.go
+++ b/version/cell/polls.go
@@ -41,11 +41,12 @@
 		return req, true, true
 	}
 	req = backend.PollRequest{Worker: w.pollRef(), FencingToken: c.opts.Epoch}
-	if w.announced == nil && !w.health.unresponsive {
-		// On the clock of a boot that is announced, or that has begun unnoticed, the deadline would be far in the future.
+	bootCertain := w.isBootCertain()
+	if bootCertain {
+		req.Worker = w.bootRef()
 		req.LeaseDeadlineMS = c.leaseDeadline(w)
 	}
-	if w.ackIsDue() && w.announced == nil && !w.hasUnreportedStart() && !c.isClosed(w) {
+	if w.ackIsDue() && bootCertain && !w.hasUnreportedStart() && !c.isClosed(w) {
 		req.AcknowledgedCompletion = w.lastAckedCompletion
 		w.sentAck, w.ackSentAt = w.lastAckedCompletion, now
 		w.recordAckPoll(now)
@@ -139,6 +140,10 @@
 		c.handleRefusedInstance(w)
 		return
 	}
+	if reply.Refusal == backend.RefusedBoot {
+		c.handleRefusedBoot(w)
+		return
+	}
 	if reply.Refusal != "" {
 		c.logDecision("poll_refused", "", map[string]any{"worker": id, "refusal": reply.Refusal})
 		w.startsBlockedUntil = c.now + startBlockDuration
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -165,7 +165,7 @@
 }
 
 func (c *Core) startConfirmed(r *run, reply backend.Reply) {
-	c.recordReplyClock(r, reply.ClockMS)
+	c.recordReplyClock(r, reply)
 	if r.confirmedAt == 0 {
 		r.confirmedAt = c.now
 		c.markRunChanged(r.task)
@@ -238,7 +238,7 @@
 // startRefused handles a worker that has definitely not started the run.
 func (c *Core) startRefused(r *run, reply backend.Reply) {
 	w, t := r.worker, r.task
-	c.recordReplyClock(r, reply.ClockMS)
+	c.recordReplyClock(r, reply)
 	switch reply.Refusal {
 	case backend.RefusedFence:
 		c.supersede(w)
@@ -256,6 +256,9 @@
 		t.avoidedWorkers.add(w, c.now)
 	case backend.RefusedLate, backend.RefusedInstance:
 		w.inventoryKnown = false
+	case backend.RefusedBoot:
+		w.inventoryKnown = false
+		c.handleRefusedBoot(w)
 	}
 	c.startFailed(r, string(reply.Refusal), nil)
 }
@@ -334,7 +337,7 @@
 	if err != nil || r.removed {
 		return
 	}
-	c.recordReplyClock(r, reply.ClockMS)
+	c.recordReplyClock(r, reply)
 	switch reply.Refusal {
 	case "":
 		r.stopAnsweredAt = c.now
--- a/version/cell/startrecord.go
+++ b/version/cell/startrecord.go
@@ -258,11 +258,13 @@
 // sendStart issues the command to start a run.
 func (c *Core) sendStart(r *run) {
 	t, w := r.task, r.worker
-	deadline := c.leaseDeadline(w)
+	command, deadline := r.command(c), c.leaseDeadline(w)
+	// The deadline is a reading of the clock of this boot. On that of another one it may be far in the future.
+	command.Worker = w.bootRef()
 	r.phase, r.createdAt, r.progressedAt = phaseStarting, c.now, c.now
 	t.recordUnused = false
 	c.dispatchStart(&StartAction{backend.StartCommand{
-		Command: r.command(c), Payload: t.step.job.record.Spec.Payload, LeaseDeadlineMS: deadline,
+		Command: command, Payload: t.step.job.record.Spec.Payload, LeaseDeadlineMS: deadline,
 		Checkpoint: r.checkpoint, Ticket: t.step.advice.approved[w.info.ID].value,
 	}, r})
 	c.markRunChanged(t)
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -28,6 +28,8 @@
 	// boot first answered. Only answers change them.
 	startedMS   int64
 	bootKnownAt Instant
+	// bootRefused means that the worker has refused a call to startedMS since it has started again.
+	bootRefused bool
 	// announced is a registry entry of another boot, which waits for an answer of that boot.
 	announced *announcedBoot
 	// restartedAt is when this leader learned of the boot; 0 for the first boot that it knows.
