Notice the return of a silent store with the next probe

What callers see: after a store that was silent answers again, submissions at some instances are refused for up to 2.5 s more, and a leader may lose its leadership although the store is back.

Cause: one probe at a time, which goes on for 2.5 s. A probe that was sent during the silence is never answered, and keeps further ones from being sent until it ends. Whether an instance returns at once or seconds late depends on the phase of its probes. Besides, the failure of such a probe after the next success counted as a failure of the shard.

Change: another probe is sent after 0.5 s without an answer, and the failure of a call that was sent before the last success does not count.

Evidence: TestReturnOfASilentStoreIsNoticed failed for 21 of 27 lengths of a silence before, and fails for 27 if late failures count.

--- a/process/node/storehealth.go
+++ b/process/node/storehealth.go
@@ -31,6 +31,9 @@
 	// answer shows that the store is slow and not down.
 	probeWait    = 500 * time.Millisecond
 	probeTimeout = 2500 * time.Millisecond
+	// probeRepeatInterval is the time after which another probe is sent beside one without an answer: a probe that meets a silent store is
+	// never answered.
+	probeRepeatInterval = 500 * time.Millisecond
 )
 
 // observedTables forwards calls to the table service and tracks for each shard whether it answers this instance: the service
@@ -46,7 +49,7 @@
 
 	mu     sync.Mutex
 	shards map[string]*shardHealth
-	// probes holds the probe in flight of each shard.
+	// probes holds the latest probe in flight of each shard.
 	probes     map[string]*storeProbe
 	lastCallID uint64
 	// answeredAt is when the service last answered any call; failedAt is when a call last failed.
@@ -229,13 +232,18 @@
 	defer o.mu.Unlock()
 	health := o.shard(shard)
 	now := o.now()
-	if call := health.pending[callID]; call != nil && call.progressedAt == 0 && isAnswer(err) {
+	call := health.pending[callID]
+	if call != nil && call.progressedAt == 0 && isAnswer(err) {
 		o.answerTimes.Record(now-call.sentAt, now)
 	}
 	delete(health.pending, callID)
 	if o.isOverload(err) {
 		return
 	}
+	if call != nil && call.sentAt < health.succeededAt && !isAnswer(err) {
+		// The shard has answered a later call, so that this one, which may have met a silent store, does not count.
+		return
+	}
 	if isAnswer(err) {
 		health.succeededAt, health.failingSince = now, 0
 		o.answeredAt = now
@@ -342,13 +350,14 @@
 
 // storeProbe is a probe of a shard in flight.
 type storeProbe struct {
+	sentAt cell.Instant
 	// done is closed when the probe has ended, with err as its outcome.
 	done chan struct{}
 	err  error
 }
 
-// probeShard waits up to probeWait for the outcome of a probe of a shard. The probe goes on after that, and there is at most one for
-// each shard: repeated probes would add to the load of a slow store.
+// probeShard waits up to probeWait for the outcome of a probe of a shard. The probe goes on after that. Another one is sent beside
+// it at most every probeRepeatInterval, since frequent probes would add to the load of a slow store.
 func (o *observedTables) probeShard(ctx context.Context, shard string) error {
 	probe := o.startProbe(shard)
 	timeout := time.NewTimer(probeWait)
@@ -363,21 +372,25 @@
 	}
 }
 
-// startProbe returns the probe of a shard that is in flight, or starts one.
+// startProbe returns the latest probe of a shard that is in flight, or starts one if there is none or that one has no answer for
+// probeRepeatInterval.
 func (o *observedTables) startProbe(shard string) *storeProbe {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if probe := o.probes[shard]; probe != nil {
+	now := o.now()
+	if probe := o.probes[shard]; probe != nil && now < probe.sentAt+probeRepeatInterval {
 		return probe
 	}
-	probe := &storeProbe{done: make(chan struct{})}
+	probe := &storeProbe{sentAt: now, done: make(chan struct{})}
 	o.probes[shard] = probe
 	go func() {
 		defer close(probe.done)
 		probe.err = o.readProbe(shard)
 		o.mu.Lock()
 		defer o.mu.Unlock()
-		delete(o.probes, shard)
+		if o.probes[shard] == probe {
+			delete(o.probes, shard)
+		}
 	}()
 	return probe
 }
--- a/process/node/storehealth_test.go
+++ b/process/node/storehealth_test.go
@@ -99,3 +99,56 @@
 		assert.Equal(t, o.AnswerTimeout(), minSilenceTimeout, "the time of a transfer is no answer time")
 	})
 }
+
+// silentTables is a table service that never answers the reads that are sent while it is silent.
+type silentTables struct {
+	backend.Tables
+	silentUntil time.Time
+	reads       int
+}
+
+func (t *silentTables) Get(ctx context.Context, key backend.RowKey) (backend.Row, error) {
+	t.reads++
+	if time.Now().Before(t.silentUntil) {
+		<-ctx.Done()
+		return backend.Row{}, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeUnavailable, "wait for reply")
+	}
+	return t.Tables.Get(ctx, key)
+}
+
+// Guards against an instance that notices the return of a silent store seconds late, because a probe that was sent during the silence is never
+// answered and keeps further ones from being sent.
+func TestReturnOfASilentStoreIsNoticed(t *testing.T) {
+	// A probe is sent just before the return, the next one with the next round, and answered at once.
+	const bound = probeRepeatInterval + probeInterval + 10*time.Millisecond
+	// No probe is sent at the moment of the return.
+	for silence := 2003 * time.Millisecond; silence < 8*time.Second; silence += 230 * time.Millisecond {
+		t.Run(silence.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				startedAt := time.Now()
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				tables := &silentTables{Tables: backends.NewTables(), silentUntil: startedAt.Add(silence)}
+				o := observeTables(tables, func() time.Duration { return time.Since(startedAt) + time.Hour }, func(string, bool, string) {})
+				go o.probeDownShards(ctx)
+				// The first call shows the silence.
+				call, cancelCall := context.WithTimeout(ctx, time.Second)
+				_, err := o.Get(call, backend.RowKey{Table: jobTable, Shard: cellShard, Key: "k"})
+				cancelCall()
+				assert.Assert(t, err != nil)
+				time.Sleep(time.Until(tables.silentUntil))
+				assert.Assert(t, o.Down(cellShard))
+				reads := tables.reads
+				assert.Assert(t, reads <= 2+int(silence/probeRepeatInterval), "%d reads during the silence", reads)
+				time.Sleep(bound)
+				assert.Check(t, !o.Down(cellShard), "still down %s after the return", bound)
+				// The probes that were sent during the silence end, and change nothing.
+				for end := time.Now().Add(probeTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+					assert.Check(t, !o.Down(cellShard), "down again %s after the return", time.Since(tables.silentUntil))
+				}
+				cancel()
+				time.Sleep(probeTimeout)
+			})
+		})
+	}
+}
