Hold a task after a takeover only for the workers on which it was started

What callers saw: beside a lost leader and workers that are cut off, batch work stood still for up to 12 s although half of the workers were idle and answering; each further takeover began the wait anew.

Cause: a new leader knew of service tasks only where they may run. Any worker that it had not read held every other task of earlier epochs, until the leases there had ended.

Starts of service tasks that are recorded in rows are sent as before. Limits of teams count what unread workers hold by name, since the same function decides. recovery_waits, the dump, and three metrics show what is held, for which workers and until when, and how much of it was needed.

--- a/cmd/lentiltide-node/main.go
+++ b/cmd/lentiltide-node/main.go
@@ -170,6 +170,7 @@
 		StopTimeout:    time.Duration(s.StopTimeoutMS) * time.Millisecond,
 		Retention:      time.Duration(s.RetentionS * float64(time.Second)),
 		LinkMbps:       s.LinkMbps,
+		Zone:           s.Zone,
 		ConfigDeadline: time.Duration(s.ConfigDeadlineMS) * time.Millisecond,
 		KeyDeadline:    s.KeyDeadline(),
 		OnRefusedKey:   metrics.RecordRefusedKey,
--- a/process/node/cell_test.go
+++ b/process/node/cell_test.go
@@ -88,8 +88,10 @@
 	// slow are the times that the table service takes.
 	slow slowStore
 	// injected is the fault of a fault matrix case; lateCalls are the calls that are executed in the background.
-	injected  *injectedFault
-	lateCalls sync.WaitGroup
+	// holdNoStarts means that the instances refuse to hold the starts of the leader.
+	holdNoStarts bool
+	injected     *injectedFault
+	lateCalls    sync.WaitGroup
 	// panicking is an event at whose first log line an instance panics; panics counts the panics by place.
 	panicking panicAtEvent
 	panics    map[string]int
--- a/process/node/cellpeers_test.go
+++ b/process/node/cellpeers_test.go
@@ -34,8 +34,27 @@
 	if p.c.failsRelay(req) {
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the relay does not answer")
 	}
-	reply := p.c.handlePeer(ctx, n, req)
-	return reply, peer.ErrorFromProto(reply.GetError())
+	handle := func(ctx context.Context) (*peerpb.Reply, error) {
+		reply := p.c.handlePeer(ctx, n, req)
+		return reply, peer.ErrorFromProto(reply.GetError())
+	}
+	switch req.GetBody().(type) {
+	case *peerpb.Request_PlacementUpdate:
+		if p.c.earlierPrograms() {
+			return nil, verdict.New(verdict.NotRun, verdict.CodeInvalid, "unknown request")
+		}
+		return callWithFault(ctx, p.c, pointReplicate, handle)
+	case *peerpb.Request_PlacementFetch:
+		return callWithFault(ctx, p.c, pointHandOver, handle)
+	}
+	return handle(ctx)
+}
+
+// earlierPrograms reports whether the instances refuse to hold starts, like those of an earlier program.
+func (c *testCell) earlierPrograms() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.holdNoStarts
 }
 
 // failsRelay reports whether a request is a call to the table service that fails.
--- a/process/node/closedworkers.go
+++ b/process/node/closedworkers.go
@@ -46,7 +46,7 @@
 // closedWorkers returns the workers that the last leader had closed. The row holds for a leader that has resigned, or not renewed yet.
 func (v leaderView) closedWorkers() map[string]cell.ClosedWorker {
 	field, seenAt := v.row.closedWorkersField, v.rowSeenAt
-	if !v.row.Resigned && v.renewal.Claim == v.row.Claim {
+	if v.isRenewed() {
 		field, seenAt = v.renewal.closedWorkersField, v.renewalSeenAt
 	}
 	out := map[string]cell.ClosedWorker{}
--- a/process/node/fleetrecord_test.go
+++ b/process/node/fleetrecord_test.go
@@ -56,6 +56,7 @@
 	assert.NilError(t, err)
 	f.leadership = &leadership{node: n, epoch: epoch, rowVersion: row.Version, batchLimit: maxBatchRows, row: leaderRow{Claim: fmt.Sprint(epoch)}, loaded: true}
 	f.core = cell.New(cell.Options{Epoch: epoch, LeaseDuration: 4 * time.Second, Retention: time.Hour}, f.now)
+	f.cover = newStartCover(f.leadership, placementCover{})
 	f.readWriteVersion(t.Context())
 	var rows []backend.Row
 	for _, r := range tables.Rows(writeTable) {
--- a/process/node/leader.go
+++ b/process/node/leader.go
@@ -21,6 +21,9 @@
 	predecessor leaderRow
 	// closed are the workers that the leader before had closed, and listed those that the newest renewal lists. Only the writer uses listed.
 	closed, listed map[string]cell.ClosedWorker
+	// inherited says who holds the starts of the leader before, and cover replicates those of this leadership.
+	inherited placementCover
+	cover     *startCover
 	// former are the leaders before. mu protects it once the leadership has begun.
 	former  formerLeaders
 	core    *cell.Core
@@ -111,6 +114,8 @@
 		Epoch: l.epoch, LeaseDuration: n.opts.Lease, MaxLease: n.opts.MaxLease, LeaseExtension: l.leaseExtension(now), ClosedWorkers: l.closed,
 		StartsRecordedSince: l.row.StartsRecordedSince, StopTimeout: n.opts.StopTimeout, Retention: n.opts.Retention, OnDecision: n.opts.OnDecision,
 	}, now)
+	l.cover = newStartCover(l, l.inherited)
+	l.cover.updateGate()
 	l.core.AllowCommandsUntil(l.commandsUntil())
 	l.confirmedAt.Store(int64(l.storedAt))
 	n.mu.Lock()
@@ -150,9 +155,12 @@
 	}
 	startLoop(l.writeUntilEnd)
 	startLoop(l.workers.lateness.run)
+	fetched := l.startFetchingPlacements(ctx)
 	loaded := false
 	l.guard(func() { loaded = l.load(ctx) })
 	if loaded {
+		startLoop(func(ctx context.Context) { l.cover.begin(l.loadPlacements(<-fetched)) })
+		startLoop(l.cover.run)
 		startLoop(l.followJobs)
 		startLoop(l.followCancels)
 		startLoop(l.followWorkers)
@@ -198,6 +206,7 @@
 		startedAt := l.node.opts.Now()
 		actions := l.core.Step(startedAt, time.Now().UnixMilli())
 		load.recordRound(startedAt, l.node.opts.Now())
+		l.cover.wake()
 		for _, action := range actions {
 			go l.guard(func() { l.execute(ctx, action) })
 		}
--- a/process/node/leadership.go
+++ b/process/node/leadership.go
@@ -103,6 +103,7 @@
 	Unstored bool `json:"unstored,omitempty"`
 	leaseExtensionFields
 	closedWorkersField
+	placementCoverField
 	// StartsRecordedSince is the first epoch from which on all leaders have recorded the starts of service tasks. A leader of an earlier
 	// program does not write it.
 	StartsRecordedSince uint64 `json:"starts_recorded_since,omitempty"`
@@ -134,6 +135,9 @@
 	feedPositionKnown bool
 }
 
+// isRenewed reports whether the renewal says more than the leader row: that of a leader that has resigned was written after its renewals.
+func (v leaderView) isRenewed() bool { return !v.row.Resigned && v.renewal.Claim == v.row.Claim }
+
 // followLeadership observes the leadership, takes over when the leader has failed or resigned, and leads until the
 // leadership is lost.
 func (n *Node) followLeadership(ctx context.Context) {
@@ -309,6 +313,7 @@
 		leaseExtensionFields: old.formerLeaders(n.opts.Instance, ownEnd, sentAt).fields(sentAt),
 		StartsRecordedSince:  old.row.startsRecordedSince(old.row.Epoch + 1),
 		closedWorkersField:   newClosedWorkersField(old.closedWorkers(), sentAt),
+		placementCoverField:  newPlacementCoverField(old.placementCover()),
 	}
 	value, err := json.Marshal(row)
 	if err != nil {
@@ -324,7 +329,7 @@
 		return nil
 	}
 	return &leadership{node: n, epoch: row.Epoch, row: row, rowVersion: version, predecessor: old.row,
-		storedAt: sentAt, closed: old.closedWorkers(), former: old.formerLeaders(n.opts.Instance, ownEnd, n.opts.Now())}
+		storedAt: sentAt, closed: old.closedWorkers(), inherited: old.placementCover(), former: old.formerLeaders(n.opts.Instance, ownEnd, n.opts.Now())}
 }
 
 // smallInstanceDelay returns the takeover delay of a small instance, which has too little CPU to lead a large cell, or 0.
--- a/process/node/leaseextension.go
+++ b/process/node/leaseextension.go
@@ -28,6 +28,7 @@
 	Claim string `json:"claim"`
 	leaseExtensionFields
 	closedWorkersField
+	placementCoverField
 }
 
 // decodeRenewal decodes the value of the renewal row. That of an earlier program has no claim.
@@ -94,7 +95,7 @@
 // has resigned ended before its row was written.
 func (v leaderView) formerLeaders(instance string, ownEnd, takeover cell.Instant) formerLeaders {
 	fields, seenAt := v.row.leaseExtensionFields, v.rowSeenAt
-	if !v.row.Resigned && v.renewal.Claim == v.row.Claim {
+	if v.isRenewed() {
 		fields, seenAt = v.renewal.leaseExtensionFields, v.renewalSeenAt
 	}
 	out := fields.formerLeaders(seenAt)
@@ -158,5 +159,6 @@
 
 // encodeRenewal returns the value of the renewal row.
 func (l *leadership) encodeRenewal() ([]byte, error) {
-	return json.Marshal(renewalRow{Claim: l.row.Claim, leaseExtensionFields: l.leaseExtensionFields(), closedWorkersField: l.closeWorkers()})
+	return json.Marshal(renewalRow{Claim: l.row.Claim, leaseExtensionFields: l.leaseExtensionFields(), closedWorkersField: l.closeWorkers(),
+		placementCoverField: l.cover.field()})
 }
--- a/process/node/matrix_test.go
+++ b/process/node/matrix_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -32,6 +33,9 @@
 	pointDelegate faultPoint = "delegate"
 	pointResults  faultPoint = "results"
 	pointNotify   faultPoint = "notify"
+	// pointReplicate and pointHandOver are the messages that replicate starts, and that hand them over to a successor.
+	pointReplicate faultPoint = "replicate"
+	pointHandOver  faultPoint = "hand over"
 )
 
 var faultPoints = []faultPoint{pointAccept, pointCancel, pointProgress, pointAdvise, pointStart, pointPoll, pointStop, pointNotify}
@@ -90,6 +94,19 @@
 	return f.fault
 }
 
+// leading returns an instance that leads, also one that is still reading its rows, or "".
+func (c *testCell) leading() string {
+	c.mu.Lock()
+	nodes := maps.Clone(c.nodes)
+	c.mu.Unlock()
+	for name, n := range nodes {
+		if n.currentLeadership() != nil {
+			return name
+		}
+	}
+	return ""
+}
+
 // callWithFault executes a call with the fault that is due at its fault point, if any.
 func callWithFault[T any](ctx context.Context, c *testCell, p faultPoint, call func(context.Context) (T, error)) (T, error) {
 	var zero T
@@ -122,8 +139,9 @@
 		_, _ = call(ctx)
 		panic("the client of " + p)
 	case faultLeaderDies:
-		leader := c.leader()
-		c.lateCalls.Go(func() { c.kill(leader) })
+		if leader := c.leading(); leader != "" {
+			c.lateCalls.Go(func() { c.kill(leader) })
+		}
 	case faultDelegateDies:
 		name := c.follower().opts.Instance
 		c.lateCalls.Go(func() { c.kill(name) })
--- a/process/node/members.go
+++ b/process/node/members.go
@@ -14,6 +14,7 @@
 	joinedAt cell.Instant
 	// cpuShare is the number of CPU cores of the instance; see Options.CPUShare.
 	cpuShare float64
+	zone     string
 	// linkMbps is the bandwidth of its link; see Options.LinkMbps.
 	linkMbps float64
 	// replica is the sequence number up to which the instance holds the completed jobs, nil if it is not a candidate.
@@ -28,7 +29,8 @@
 	l.mu.Lock()
 	former := l.members[join.GetInstance()]
 	m := former
-	m.address, m.joinedAt, m.cpuShare, m.linkMbps = join.GetAddress(), l.node.opts.Now(), join.GetCpuShare(), join.GetLinkMbps()
+	m.address, m.joinedAt, m.zone = join.GetAddress(), l.node.opts.Now(), join.GetZone()
+	m.cpuShare, m.linkMbps = join.GetCpuShare(), join.GetLinkMbps()
 	l.members[join.GetInstance()] = m
 	if m.joinedAt-former.joinedAt > memberTTL || m.address != former.address || m.cpuShare != former.cpuShare {
 		l.membersChanged.Store(true)
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -67,6 +67,8 @@
 	// CPUShare is the number of CPU cores of this instance, which may be a fraction; larger instances are preferred as
 	// leaders.
 	CPUShare float64
+	// Zone is the availability zone of this instance.
+	Zone string
 	// LinkMbps is the bandwidth of this instance's link in Mbit/s; 0 means unknown. Instances with slow links get changes of the
 	// configuration from others.
 	LinkMbps float64
@@ -131,6 +133,8 @@
 	members []string
 	// replica holds the results that the leader could not store yet.
 	replica resultReplica
+	// placements are the starts of leaders that this instance holds.
+	placements placementReplicas
 	// candidate is set if this instance uses the short takeover timeout. In a large fleet the leader selects a few
 	// candidates.
 	candidate bool
--- a/process/node/peers.go
+++ b/process/node/peers.go
@@ -148,6 +148,13 @@
 	case *peerpb.Request_JoinNow:
 		signal(n.joinNow)
 		return nil
+	case *peerpb.Request_PlacementUpdate:
+		ack, err := n.handlePlacementUpdate(body.PlacementUpdate)
+		reply.Body = &peerpb.Reply_PlacementAck{PlacementAck: ack}
+		return err
+	case *peerpb.Request_PlacementFetch:
+		reply.Body = &peerpb.Reply_HeldPlacements{HeldPlacements: n.handlePlacementFetch(body.PlacementFetch)}
+		return nil
 	case *peerpb.Request_WorkerResults:
 		if l := n.currentLeadership(); l != nil {
 			l.workers.deliver(body.WorkerResults)
--- a/process/node/progress.go
+++ b/process/node/progress.go
@@ -29,7 +29,7 @@
 			l.commitResignation(ctx)
 			return
 		}
-		renewalDue := l.node.opts.Now()-l.renewedAt >= renewalInterval || l.core.ReopeningDue()
+		renewalDue := l.node.opts.Now()-l.renewedAt >= renewalInterval || l.core.ReopeningDue() || l.cover.isRenewalDue()
 		batch := cell.Batch{}
 		if l.batchLimit == maxBatchRows || !renewalDue {
 			// While a row is refused, renewals are written apart from the others.
@@ -175,6 +175,7 @@
 	l.core.AllowCommandsUntil(l.commandsUntil())
 	if renewed {
 		l.core.RenewalStored(l.listed, l.node.opts.Now())
+		l.cover.renewalStored()
 		l.renewedAt = sent
 	}
 }
@@ -233,6 +234,7 @@
 	}
 	if row.Resigned {
 		row.leaseExtensionFields, row.closedWorkersField = l.leaseExtensionFields(), l.closeWorkers()
+		row.placementCoverField = l.cover.field()
 		value, err := json.Marshal(row)
 		if err != nil {
 			return txn, err
--- a/process/node/replica.go
+++ b/process/node/replica.go
@@ -95,7 +95,7 @@
 
 // joinRequest returns the request to join the leader.
 func (n *Node) joinRequest() *peerpb.Join {
-	join := &peerpb.Join{Instance: n.opts.Instance, Address: n.opts.PeerAddress, CpuShare: n.opts.CPUShare, LinkMbps: n.opts.LinkMbps}
+	join := &peerpb.Join{Instance: n.opts.Instance, Address: n.opts.PeerAddress, CpuShare: n.opts.CPUShare, LinkMbps: n.opts.LinkMbps, Zone: n.opts.Zone}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	join.ReplicatedEpoch, join.ReplicatedSequence = n.replica.epoch, n.replica.sequence
--- a/process/node/storehealth_test.go
+++ b/process/node/storehealth_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -104,11 +105,11 @@
 type silentTables struct {
 	backend.Tables
 	silentUntil time.Time
-	reads       int
+	reads       atomic.Int64
 }
 
 func (t *silentTables) Get(ctx context.Context, key backend.RowKey) (backend.Row, error) {
-	t.reads++
+	t.reads.Add(1)
 	if time.Now().Before(t.silentUntil) {
 		<-ctx.Done()
 		return backend.Row{}, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeUnavailable, "wait for reply")
@@ -138,8 +139,8 @@
 				assert.Assert(t, err != nil)
 				time.Sleep(time.Until(tables.silentUntil))
 				assert.Assert(t, o.Down(cellShard))
-				reads := tables.reads
-				assert.Assert(t, reads <= 2+int(silence/probeRepeatInterval), "%d reads during the silence", reads)
+				reads := tables.reads.Load()
+				assert.Assert(t, reads <= 2+int64(silence/probeRepeatInterval), "%d reads during the silence", reads)
 				time.Sleep(bound)
 				assert.Check(t, !o.Down(cellShard), "still down %s after the return", bound)
 				// The probes that were sent during the silence end, and change nothing.
--- a/process/telemetry/load.go
+++ b/process/telemetry/load.go
@@ -10,6 +10,8 @@
 type loadInstruments struct {
 	readySteps, waitingTasks     metric.Int64ObservableGauge
 	waitingServices, serviceWait metric.Int64ObservableGauge
+	heldTasks                    metric.Int64ObservableGauge
+	heldTaskTime, foundTasks     metric.Int64ObservableCounter
 	rounds, examined, callsTo    metric.Int64ObservableCounter
 }
 
@@ -19,6 +21,9 @@
 		waitingTasks:    b.newGauge("lentiltide.ready.tasks", "Tasks that wait for a placement."),
 		waitingServices: b.newGauge("lentiltide.services.waiting", "Service tasks that wait for a placement."),
 		serviceWait:     b.newGauge("lentiltide.services.longest_wait", "Longest wait of a service task for a placement in this leadership, in milliseconds."),
+		heldTasks:       b.newGauge("lentiltide.recovery.held_tasks", "Tasks of earlier epochs that wait for workers that are not read."),
+		heldTaskTime:    b.newObservableCounter("lentiltide.recovery.held_task_time", "Sum of the waits of such tasks in this leadership, in milliseconds."),
+		foundTasks:      b.newObservableCounter("lentiltide.recovery.found_tasks", "Waiting tasks of which a worker turned out to have a run."),
 		rounds:          b.newObservableCounter("lentiltide.leader.rounds", "Scheduling rounds of this leadership."),
 		examined:        b.newObservableCounter("lentiltide.leader.examined", "Workers examined by decisions of this leadership, by purpose."),
 		callsTo:         b.newObservableCounter("lentiltide.leader.worker_calls", "Calls of this leadership to workers, by path."),
@@ -26,7 +31,7 @@
 }
 
 func (l loadInstruments) instruments() []metric.Observable {
-	return []metric.Observable{l.readySteps, l.waitingTasks, l.waitingServices, l.serviceWait, l.rounds, l.examined, l.callsTo}
+	return []metric.Observable{l.readySteps, l.waitingTasks, l.waitingServices, l.serviceWait, l.heldTasks, l.heldTaskTime, l.foundTasks, l.rounds, l.examined, l.callsTo}
 }
 
 func (l loadInstruments) observe(o metric.Observer, s node.Status) {
@@ -34,6 +39,9 @@
 	o.ObserveInt64(l.waitingTasks, int64(s.Load.WaitingTasks))
 	o.ObserveInt64(l.waitingServices, int64(s.Load.WaitingServices))
 	o.ObserveInt64(l.serviceWait, s.Load.LongestServiceWaitMS)
+	o.ObserveInt64(l.heldTasks, int64(s.Load.HeldTasks))
+	o.ObserveInt64(l.heldTaskTime, s.Load.HeldTaskMS)
+	o.ObserveInt64(l.foundTasks, int64(s.Load.FoundTasks))
 	e := s.Load.Effort
 	o.ObserveInt64(l.rounds, int64(e.Rounds))
 	for purpose, n := range map[string]uint64{
--- a/version/cell/completions.go
+++ b/version/cell/completions.go
@@ -31,6 +31,9 @@
 			w.pendingAcks = append(w.pendingAcks, pendingAck{number: e.Number, unresolved: true})
 			c.awaitingAcks[w] = struct{}{}
 			w.unknownCompletions = append(w.unknownCompletions, e)
+			if c.findTask(e.Task) == nil {
+				c.recordUnknownPlacement(e.Task, e.Run, w)
+			}
 		}
 	}
 	c.handleResolvedCompletions(w)
@@ -97,6 +100,7 @@
 		c.removeRun(r)
 	}
 	t := c.findTask(e.Task)
+	c.recordCompletionPlacement(runKey{e.Task, e.Run}, w, t)
 	if t == nil {
 		c.logDecision("unknown_end", "", map[string]any{"task": e.Task, "run": e.Run, "worker": w.info.ID, "how": e.Result})
 		return
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -85,6 +85,7 @@
 	actions  []Action
 	// heldStarts are starts that wait for acknowledgements on their way.
 	heldStarts []*StartAction
+	placements placementLog
 	// deferredPolls are the workers with an additional poll that is not due yet.
 	deferredPolls []*worker
 	// inventoryPending are the workers that a former leader may have used and whose inventory has not been read in this
@@ -133,10 +134,9 @@
 	// machines holds the last list of machines by ID; nil until the first list arrives.
 	machines  map[string]backend.Machine
 	nextSweep Instant
-	// nextRecoveryWaitLog is the earliest time of the next log entry of logRecoveryWait.
-	nextRecoveryWaitLog Instant
-	effort              Effort
-	wake                chan struct{}
+	held      heldTasks
+	effort    Effort
+	wake      chan struct{}
 }
 
 // New returns a Core for one leadership epoch.
@@ -152,7 +152,7 @@
 		dirtyJobs: map[job.ID]*jobState{}, changedFleetShards: map[int]struct{}{}, approvalRates: map[string]float64{}, kindSpeeds: map[string]*speedEstimate{}, waves: map[int]*wave{},
 		wake: make(chan struct{}, 1),
 	}
-	c.planned.core = c
+	c.planned.core, c.placements = c, newPlacementLog()
 	c.loadClosed(opts.ClosedWorkers)
 	return c
 }
@@ -165,6 +165,8 @@
 type StartAction struct {
 	Command backend.StartCommand
 	run     *run
+	// placement is the sequence number of the placement of the run.
+	placement uint64
 }
 
 // StopAction stops a run. The outcome is passed to StopResult.
@@ -275,6 +277,7 @@
 		c.nextSweep = c.now + sweepInterval
 		c.sweep()
 	}
+	c.settlePlacementLog()
 	c.settleFormerRuns()
 	c.sendRecordedStarts()
 	c.sendHeldStarts()
@@ -314,6 +317,7 @@
 	c.advanceWaves()
 	c.settleCrashes()
 	c.settlePlacements()
+	c.settleUnowned()
 	c.removeUnusedFromRecord()
 	c.openDueOccurrences()
 	c.expireFinishedJobs()
--- a/version/cell/dump.go
+++ b/version/cell/dump.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/lentiltide/lentiltide/model/job"
@@ -34,6 +35,15 @@
 	AdvicePending bool `json:"asking_advice"`
 	// AwaitingRecovery means that the job waits for worker inventories.
 	AwaitingRecovery bool `json:"blocked_by_recovery"`
+	// AwaitedWorkers are these workers, of which at most maxLoggedWorkers are listed.
+	AwaitedWorkers []AwaitedWorker `json:"awaited_workers,omitempty"`
+}
+
+// AwaitedWorker is a worker that may run tasks of a job and that is not read.
+type AwaitedWorker struct {
+	ID string `json:"id"`
+	// LeasesEndMS is the time until which the job waits for the worker at the longest.
+	LeasesEndMS int64 `json:"leases_end_ms"`
 }
 
 // WorkerDump is the state of a worker.
@@ -83,19 +93,45 @@
 		ID: j.id, Queue: j.queue.Name, State: j.state, AgeMS: (c.now - j.addedAt).Milliseconds(),
 		LateMS: (c.now - j.objectiveAt).Milliseconds(),
 	}
+	awaited := map[string]struct{}{}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			d.Waiting += len(s.waiting)
 			d.AdvicePending = d.AdvicePending || len(s.advice.pending) > 0
-			d.AwaitingRecovery = d.AwaitingRecovery || c.placeableTasks(s) < len(s.waiting)
+			c.addAwaitedBy(s, awaited)
 			for _, t := range s.tasks {
 				d.Running += len(t.runs)
 			}
 		}
 	}
+	d.AwaitedWorkers = c.dumpAwaited(awaited)
+	d.AwaitingRecovery = len(awaited) > 0
 	return d
 }
 
+// addAwaitedBy adds the workers for whose inventories tasks of a step wait.
+func (c *Core) addAwaitedBy(s *step, workers map[string]struct{}) {
+	if !c.isRecovering(s.job) {
+		return
+	}
+	for _, t := range s.waiting {
+		if c.mayRunUnread(t) {
+			c.addAwaitedWorkers(t, workers)
+		}
+	}
+}
+
+// dumpAwaited returns the awaited workers in the order of their IDs.
+func (c *Core) dumpAwaited(workers map[string]struct{}) []AwaitedWorker {
+	var out []AwaitedWorker
+	for _, id := range slices.Sorted(maps.Keys(workers)) {
+		if w := c.workers[id]; w != nil && len(out) < maxLoggedWorkers {
+			out = append(out, AwaitedWorker{id, max(0, c.leasesEnd(w)-c.now).Milliseconds()})
+		}
+	}
+	return out
+}
+
 func (c *Core) dumpWorker(w *worker) WorkerDump {
 	return WorkerDump{
 		ID: w.info.ID, Listed: w.listed, InventoryKnown: w.inventoryKnown, Draining: w.info.Draining, Runs: len(w.runs),
--- a/version/cell/effort.go
+++ b/version/cell/effort.go
@@ -36,13 +36,19 @@
 	// this leadership, in milliseconds.
 	WaitingServices      int   `json:"waiting_services"`
 	LongestServiceWaitMS int64 `json:"longest_service_wait_ms"`
+	// HeldTasks are the tasks of earlier epochs that wait for workers that are not read, as of the last log entry about them, and HeldTaskMS
+	// for how long tasks have waited so in this leadership, in milliseconds. FoundTasks are the waiting tasks of which a worker turned out to
+	// have a run.
+	HeldTasks  int    `json:"held_tasks"`
+	HeldTaskMS int64  `json:"held_task_ms"`
+	FoundTasks uint64 `json:"found_tasks"`
 }
 
 // Load returns the present load.
 func (c *Core) Load() Load {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	load := Load{Effort: c.effort}
+	load := Load{Effort: c.effort, HeldTasks: c.held.tasks, HeldTaskMS: c.held.taskTime.Milliseconds(), FoundTasks: c.held.found}
 	for _, s := range c.ready.ranked {
 		if len(s.waiting) > 0 {
 			load.ReadySteps++
--- a/version/cell/heldstarts.go
+++ b/version/cell/heldstarts.go
@@ -1,6 +1,9 @@
 package cell
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // An acknowledgement names numbers of one boot, and a poll names the worker and not its boot. If the worker restarts while a poll with an
 // acknowledgement is on its way, the next boot may execute and end a start before the poll arrives, and then forgets a completion that
@@ -24,9 +27,15 @@
 	return len(w.ackPolls) > 0
 }
 
-// dispatchStart sends a start, or holds it while an acknowledgement is on its way to its worker.
+// mayDispatch reports whether no acknowledgement is on its way to the worker of a start, and a successor would learn of the start.
+func (c *Core) mayDispatch(a *StartAction) bool {
+	known := a.run.task.step.recordsStarts() || c.placements.gate.allows(a.placement)
+	return known && !c.hasAckInFlight(a.run.worker)
+}
+
+// dispatchStart sends a start, or holds it until it may be sent.
 func (c *Core) dispatchStart(a *StartAction) {
-	if !c.hasAckInFlight(a.run.worker) {
+	if c.mayDispatch(a) {
 		c.actions = append(c.actions, a)
 		return
 	}
@@ -34,7 +43,10 @@
 	c.heldStarts = append(c.heldStarts, a)
 }
 
-// sendHeldStarts sends the starts for which no acknowledgement is on its way any longer.
+// minLoggedHold is the shortest time for which a start is held that is logged. The replication of its placement takes less.
+const minLoggedHold = 20 * time.Millisecond
+
+// sendHeldStarts sends the starts that need not be held any longer.
 func (c *Core) sendHeldStarts() {
 	c.heldStarts = slices.DeleteFunc(c.heldStarts, func(a *StartAction) bool {
 		r := a.run
@@ -44,12 +56,14 @@
 		case r.phase != phaseStarting:
 			c.startFailed(r, "start no longer needed", nil)
 			return true
-		case c.hasAckInFlight(r.worker):
+		case !c.mayDispatch(a):
 			return false
 		}
-		c.logDecision("start_held", r.task.step.job.id, map[string]any{
-			"task": r.task.name, "run": r.number, "worker": r.worker.info.ID, "held_us": (c.now - r.createdAt).Microseconds(),
-		})
+		if held := c.now - r.createdAt; held >= minLoggedHold {
+			c.logDecision("start_held", r.task.step.job.id, map[string]any{
+				"task": r.task.name, "run": r.number, "worker": r.worker.info.ID, "held_us": held.Microseconds(),
+			})
+		}
 		r.held, r.createdAt = false, c.now
 		c.actions = append(c.actions, a)
 		return true
--- a/version/cell/progress.go
+++ b/version/cell/progress.go
@@ -154,6 +154,7 @@
 	for _, p := range b.Progress {
 		p.state.refusal = rowRefusal{}
 		p.state.storedChange = max(p.state.storedChange, p.change)
+		c.placements.endedChanged = true
 		if p.state.state.Terminal() && p.state.lastChange <= p.change {
 			c.reportState(p.state)
 		}
--- a/version/cell/recovery.go
+++ b/version/cell/recovery.go
@@ -4,7 +4,7 @@
 
 // A former leader may have started tasks that the ledger does not have. Until the inventories of the workers that it may have used are read, or
 // all leases there have ended, a new leader does not start tasks again that may run there. Of a service task it knows the worker; see
-// startRecord. Any other task of an earlier epoch may be on any of the workers.
+// startRecord. Any other task of an earlier epoch may be on any of the workers, unless the placements of the former leader are known.
 
 // isRecovering reports whether tasks of a job may run that a former leader has started and the ledger does not have, as far as the job tells.
 func (c *Core) isRecovering(j *jobState) bool {
@@ -20,15 +20,23 @@
 		return true
 	}
 	_, pending := c.inventoryPending[t.placement.worker]
+	pending = pending || c.isPlacedUnread(t)
 	if !pending && t.formerRun != nil {
 		_, pending = c.inventoryPending[t.formerRun.Worker]
 	}
 	return pending
 }
 
-// knowsPlacement reports whether a former leader can have started the task on one worker at most, which is known.
+// knowsPlacement reports whether the workers are known on which a former leader can have started the task: from the record in the row of its
+// job, or from the placements that were held for the former leader.
 func (c *Core) knowsPlacement(t *task) bool {
-	return t.step.recordsStarts() && c.fleetRecordKnown && !t.placement.unknown
+	if !c.fleetRecordKnown {
+		return false
+	}
+	if t.step.recordsStarts() {
+		return !t.placement.unknown
+	}
+	return c.placements.known
 }
 
 // placeableTasks returns the number of waiting tasks of a step that do not wait for the inventories of workers.
@@ -36,7 +44,7 @@
 	if !c.isRecovering(s.job) {
 		return len(s.waiting)
 	}
-	if !s.recordsStarts() {
+	if !s.recordsStarts() && !c.placements.known {
 		return 0
 	}
 	n := 0
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -96,6 +96,7 @@
 		return
 	}
 	r.removed = true
+	c.endPlacement(r.key(), r.task.step.job)
 	delete(r.worker.runs, r.key())
 	r.worker.addDemand(r.task.step, -1)
 	c.free.update(r.worker)
@@ -405,6 +406,7 @@
 	t := c.findTask(item.Task)
 	if t == nil && c.awaitsJobRecord(w, item.Task) {
 		w.unknownRuns = append(w.unknownRuns, item)
+		c.recordUnknownPlacement(item.Task, item.Run, w)
 		return nil
 	}
 	if t == nil {
@@ -414,7 +416,11 @@
 		}, run: &run{removed: true}})
 		return nil
 	}
+	if t.waiting && t.step.job.recovered {
+		c.held.found++
+	}
 	r := c.addRun(t, w, item.Run, phaseRunning)
+	c.recordPlacement(r)
 	r.confirmedAt = c.now
 	if t.step.spec.BestEffort {
 		r.throttlePercent = unknownThrottlePercent
--- a/version/cell/startrecord.go
+++ b/version/cell/startrecord.go
@@ -266,7 +266,7 @@
 	c.dispatchStart(&StartAction{backend.StartCommand{
 		Command: command, Payload: t.step.job.record.Spec.Payload, LeaseDeadlineMS: deadline,
 		Checkpoint: r.checkpoint, Ticket: t.step.advice.approved[w.info.ID].value,
-	}, r})
+	}, r, c.recordPlacement(r)})
 	c.markRunChanged(t)
 	t.step.job.started = true
 	c.logDecision("task_started", t.step.job.id, map[string]any{
