End the commands of a leader with its holders, and update idle holders in time

What callers saw: a service task whose worker is lost for good together with the leader was away for 13.1 s, 9 s allowed, and batch work on such a worker waited as long.

Cause: a leader that is cut off may extend leases for 6 s after its last write, so a successor reckons with that for each worker that it cannot read.

Change: a leader sends commands for a second after the last update that each of its required holders has answered, and updates them every 250 ms at least. Its successor, which one of them has answered, reckons with 1.3 s (docs/design/held-starts.md). The time of the next update decides, whoever wakes the loop.

Evidence: TestServiceReturnsAfterTheLossOfLeaderAndOldWorker is new and passes.

A timer and the clock that counts suspension differed, so that a remainder of almost nothing was waited for again and again.

--- a/process/node/placementcover.go
+++ b/process/node/placementcover.go
@@ -29,8 +29,16 @@
 	// coverTimeout is how long a new leader that knows the starts of its predecessor waits for holders of its own before it sends starts that
 	// nobody holds.
 	coverTimeout = 300 * time.Millisecond
-	// placementIdleInterval is the longest time between two updates of a holder that is behind: ends of runs wait for the next start.
-	placementIdleInterval = 500 * time.Millisecond
+	// holderContactInterval is the longest time between two updates of a holder, which carry the ends of runs if there are no starts.
+	holderContactInterval = 250 * time.Millisecond
+	// minContactPause is the shortest pause between two looks at what a holder needs: timers and the clock that counts suspension may differ,
+	// so that an update can be due slightly after its timer.
+	minContactPause = 2 * time.Millisecond
+	// holderContactTimeout is how long a leader sends commands after the last update that each of its holders has answered, so that its
+	// successor knows when leases end. Successors add holderContactMargin, for the drift of clocks. While the store answers, a lost holder is
+	// left out of the next renewal long before.
+	holderContactTimeout = time.Second
+	holderContactMargin  = 300 * time.Millisecond
 )
 
 // placementCover says which instances hold the starts of a leader.
@@ -100,6 +108,8 @@
 	holders          map[string]*placementHolder
 	// ranked are the names of the instances that may hold starts, the preferred ones first.
 	ranked []string
+	// contactAt is when the last update was sent that an instance has answered.
+	contactAt map[string]cell.Instant
 	// retryAt is when an instance that has failed may hold starts again.
 	retryAt map[string]cell.Instant
 	// begun is set when the rows are loaded, at begunAt. known means that the starts of former leaders were read.
@@ -111,7 +121,7 @@
 func newStartCover(l *leadership, inherited placementCover) *startCover {
 	return &startCover{
 		leadership: l, confirmed: inherited, inFlight: inherited, attempted: map[string]struct{}{}, holders: map[string]*placementHolder{},
-		retryAt: map[string]cell.Instant{},
+		contactAt: map[string]cell.Instant{}, retryAt: map[string]cell.Instant{},
 	}
 }
 
@@ -140,16 +150,25 @@
 }
 
 // gate returns which starts may be sent. Callers hold s.mu.
-func (s *startCover) gate() cell.StartGate {
+func (s *startCover) gate() cell.CommandGate {
 	if s.confirmed.Epoch != 0 && s.confirmed.Epoch != s.leadership.epoch {
 		// A successor would ask for the starts of a former leader, and none of this one.
-		return cell.StartGate{Closed: true}
+		return cell.CommandGate{Closed: true}
 	}
 	required := s.required()
 	if len(required) == 0 {
-		return cell.StartGate{Open: true}
+		return cell.CommandGate{Open: true}
 	}
-	return cell.StartGate{Held: s.ackedByAll(required)}
+	return cell.CommandGate{Held: s.ackedByAll(required), Until: s.lastContact(required) + holderContactTimeout}
+}
+
+// lastContact returns the time up to which all of the holders have answered. Callers hold s.mu.
+func (s *startCover) lastContact(names map[string]struct{}) cell.Instant {
+	last := s.leadership.node.opts.Now()
+	for name := range names {
+		last = min(last, s.contactAt[name])
+	}
+	return last
 }
 
 // ackedByAll returns the sequence number up to which all of the holders have the changes. Callers hold s.mu.
@@ -175,7 +194,7 @@
 	s.mu.Lock()
 	gate := s.gate()
 	s.mu.Unlock()
-	s.leadership.core.SetStartGate(gate)
+	s.leadership.core.SetCommandGate(gate)
 }
 
 // field returns the cover for a renewal that is written now.
@@ -415,39 +434,37 @@
 	}
 }
 
-// replicateTo replicates the starts to a holder until it fails or ctx ends.
+// replicateTo replicates the starts to a holder until it fails or ctx ends. Each scheduling round wakes it.
 func (s *startCover) replicateTo(ctx context.Context, h *placementHolder) {
-	idle := true
+	now := s.leadership.node.opts.Now
+	due := now()
 	for ctx.Err() == nil {
-		update := s.nextUpdate(h, idle)
-		if update != nil && !s.sendUpdate(ctx, h, update) {
-			return
+		if update := s.nextUpdate(h, now() >= due); update != nil {
+			due = now() + holderContactInterval
+			if !s.sendUpdate(ctx, h, update) {
+				return
+			}
 		}
 		select {
 		case <-h.wake:
-			idle = false
-		case <-time.After(placementIdleInterval):
-			idle = true
+		case <-time.After(max(due-now(), minContactPause)):
 		case <-ctx.Done():
 		}
 	}
 }
 
-// nextUpdate returns the next update of a holder, or nil if it has all starts, and with idle set all ends as well.
-func (s *startCover) nextUpdate(h *placementHolder, idle bool) *peerpb.PlacementUpdate {
+// nextUpdate returns the next update of a holder, or nil if it has all starts and no update is due.
+func (s *startCover) nextUpdate(h *placementHolder, due bool) *peerpb.PlacementUpdate {
 	core := s.leadership.core
 	s.mu.Lock()
 	after, synced, covered := h.acked, h.synced, s.confirmed.Epoch
 	s.mu.Unlock()
 	update := &peerpb.PlacementUpdate{Epoch: s.leadership.epoch, After: after, CoveredEpoch: covered}
-	if synced && !idle && !core.HasStartsAfter(after) {
+	if synced && !due && !core.HasStartsAfter(after) {
 		return nil
 	}
 	if synced {
 		changes, last, ok := core.PlacementChanges(after)
-		if ok && last == after {
-			return nil
-		}
 		if ok {
 			update.Sequence = last
 			for _, c := range changes {
@@ -466,6 +483,7 @@
 
 // sendUpdate sends an update to a holder and records the answer. It returns false if the holder has failed.
 func (s *startCover) sendUpdate(ctx context.Context, h *placementHolder, update *peerpb.PlacementUpdate) bool {
+	sentAt := s.leadership.node.opts.Now()
 	call, cancel := context.WithTimeout(ctx, placementUpdateTimeout)
 	reply, err := s.leadership.node.opts.Peers.Call(call, h.address, &peerpb.Request{Body: &peerpb.Request_PlacementUpdate{PlacementUpdate: update}})
 	cancel()
@@ -482,6 +500,7 @@
 		signal(h.wake)
 	default:
 		h.synced, h.acked = true, ack.GetSequence()
+		s.contactAt[h.name] = sentAt
 	}
 	failed := h.failed
 	s.mu.Unlock()
--- a/process/node/placementcover_test.go
+++ b/process/node/placementcover_test.go
@@ -34,9 +34,15 @@
 	if !slices.Contains(s.ranked, name) {
 		s.ranked = append(s.ranked, name)
 	}
+	s.contactAt[name] = s.leadership.node.opts.Now()
 	s.holders[name] = &placementHolder{name: name, address: name, synced: true, acked: acked, wake: make(chan struct{}, 1), cancel: func() {}}
 }
 
+// heldGate is the gate of a leadership whose holders have answered now, and have the starts up to a sequence number.
+func heldGate(held uint64) cell.CommandGate {
+	return cell.CommandGate{Held: held, Until: time.Hour + holderContactTimeout}
+}
+
 // round does what run does periodically.
 func (s *startCover) round() {
 	if s.propose() {
@@ -59,22 +65,22 @@
 // Guards against starts that are sent while a successor would ask for those of a former leader.
 func TestStartsWaitForACoverOfTheirOwn(t *testing.T) {
 	former := placementCover{Epoch: 4, Holders: map[string]string{"x": "x"}}
-	s, now := newTestCover(former, true)
+	s, _ := newTestCover(former, true)
 	s.round()
-	assert.DeepEqual(t, s.gate(), cell.StartGate{Closed: true})
+	assert.DeepEqual(t, s.gate(), cell.CommandGate{Closed: true})
 	assert.DeepEqual(t, s.renew(), former.Holders)
 	s.hold("a", 0)
 	s.round()
-	assert.DeepEqual(t, s.gate(), cell.StartGate{Closed: true})
+	assert.DeepEqual(t, s.gate(), cell.CommandGate{Closed: true})
 	assert.DeepEqual(t, s.renew(), map[string]string{"a": "a"})
-	assert.DeepEqual(t, s.gate(), cell.StartGate{})
+	assert.DeepEqual(t, s.gate(), heldGate(0))
 
-	s, now = newTestCover(former, true)
+	s, now := newTestCover(former, true)
 	*now += coverTimeout
 	s.round()
-	assert.DeepEqual(t, s.gate(), cell.StartGate{Closed: true})
+	assert.DeepEqual(t, s.gate(), cell.CommandGate{Closed: true})
 	assert.Assert(t, s.renew() == nil)
-	assert.DeepEqual(t, s.gate(), cell.StartGate{Open: true})
+	assert.DeepEqual(t, s.gate(), cell.CommandGate{Open: true})
 
 	s, _ = newTestCover(former, false)
 	s.round()
@@ -84,13 +90,13 @@
 // Guards against a renewal that names a holder which does not have a start that was sent before.
 func TestCoverIsPublishedWhenItsHoldersHaveAllStarts(t *testing.T) {
 	s, _ := newTestCover(placementCover{}, false)
-	assert.DeepEqual(t, s.gate(), cell.StartGate{Open: true})
+	assert.DeepEqual(t, s.gate(), cell.CommandGate{Open: true})
 	core := s.leadership.core
 	assert.NilError(t, core.LoadFleetRecord(time.Hour, []byte(`{"w1":"w1:1"}`)))
 	core.LoadPlacements([]cell.TaskPlacement{{Task: "a.0.0.0", Run: 1, Worker: "w1"}}, time.Hour)
 	s.hold("a", 0)
 	assert.Assert(t, s.propose())
-	assert.Equal(t, s.gate(), cell.StartGate{}, "starts are sent without the holder that is proposed")
+	assert.Equal(t, s.gate(), heldGate(0), "starts are sent without the holder that is proposed")
 	assert.Assert(t, !s.isRenewalDue(), "published before the starts that were sent meanwhile are counted")
 	s.recordGated()
 	assert.Assert(t, !s.isRenewalDue())
@@ -98,7 +104,7 @@
 	s.hold("a", core.LastPlacement())
 	assert.Assert(t, s.isRenewalDue())
 	assert.DeepEqual(t, s.renew(), map[string]string{"a": "a"})
-	assert.DeepEqual(t, s.gate(), cell.StartGate{Held: core.LastPlacement()})
+	assert.DeepEqual(t, s.gate(), heldGate(core.LastPlacement()))
 }
 
 // Guards against starts that are sent without a holder which a successor may still ask.
@@ -108,31 +114,31 @@
 	s.hold("b", 7)
 	s.round()
 	assert.DeepEqual(t, s.renew(), map[string]string{"a": "a", "b": "b"})
-	assert.DeepEqual(t, s.gate(), cell.StartGate{Held: 7})
+	assert.DeepEqual(t, s.gate(), heldGate(7))
 	delete(s.holders, "b")
 	s.hold("a", 9)
 	s.round()
-	assert.Equal(t, s.gate(), cell.StartGate{}, "starts are sent without b")
+	assert.Equal(t, s.gate(), heldGate(0), "starts are sent without b")
 	// The renewal without b has no answer.
 	s.field()
-	assert.DeepEqual(t, s.gate(), cell.StartGate{})
+	assert.DeepEqual(t, s.gate(), heldGate(0))
 	assert.DeepEqual(t, s.renew(), map[string]string{"a": "a"})
-	assert.DeepEqual(t, s.gate(), cell.StartGate{Held: 9})
+	assert.DeepEqual(t, s.gate(), heldGate(9))
 	// A holder in a renewal without an answer may be in the row.
 	s.hold("c", 8)
 	s.round()
 	s.field()
 	delete(s.holders, "c")
 	s.round()
-	assert.DeepEqual(t, s.gate(), cell.StartGate{})
+	assert.DeepEqual(t, s.gate(), heldGate(0))
 	assert.DeepEqual(t, s.renew(), map[string]string{"a": "a"})
-	assert.DeepEqual(t, s.gate(), cell.StartGate{Held: 9})
+	assert.DeepEqual(t, s.gate(), heldGate(9))
 	// Without any holder a renewal says so before starts go on.
 	delete(s.holders, "a")
 	s.round()
-	assert.DeepEqual(t, s.gate(), cell.StartGate{})
+	assert.DeepEqual(t, s.gate(), heldGate(0))
 	assert.Assert(t, s.renew() == nil)
-	assert.DeepEqual(t, s.gate(), cell.StartGate{Open: true})
+	assert.DeepEqual(t, s.gate(), cell.CommandGate{Open: true})
 }
 
 // Guards against a leader that says that its starts are known while it does not know those of its predecessor.
@@ -142,7 +148,7 @@
 	s.hold("a", 0)
 	s.round()
 	assert.Assert(t, s.renew() == nil)
-	assert.DeepEqual(t, s.gate(), cell.StartGate{Open: true})
+	assert.DeepEqual(t, s.gate(), cell.CommandGate{Open: true})
 	s.leadership.core.LoadPlacements(nil, *now)
 	s.round()
 	assert.DeepEqual(t, s.renew(), map[string]string{"a": "a"})
--- a/process/node/placementreplica.go
+++ b/process/node/placementreplica.go
@@ -137,7 +137,9 @@
 	found      bool
 	from       string
 	placements []cell.TaskPlacement
-	took       time.Duration
+	// at is when the answer arrived, and took how long it took. From then on the former leader gets no answers from the holder.
+	at   cell.Instant
+	took time.Duration
 }
 
 // startFetchingPlacements requests the starts of the former leader from the instances that hold them. Nothing is sent on the channel but the
@@ -148,7 +150,8 @@
 	go func() {
 		fetched := fetchedPlacements{}
 		l.guard(func() { fetched = l.fetchPlacements(ctx) })
-		fetched.took = l.node.opts.Now() - startedAt
+		fetched.at = l.node.opts.Now()
+		fetched.took = fetched.at - startedAt
 		out <- fetched
 	}()
 	return out
@@ -159,6 +162,9 @@
 	if fetched.found {
 		l.core.LoadPlacements(fetched.placements, l.node.opts.Now())
 	}
+	if fetched.found && l.inherited.Epoch == l.predecessor.Epoch {
+		l.endFormerLeader(l.predecessor.Instance, fetched.at+holderContactTimeout+holderContactMargin)
+	}
 	l.node.opts.Log.WithFields(map[string]any{
 		"event": "placements_read", "epoch": l.epoch, "of_epoch": l.inherited.Epoch, "holders": len(l.inherited.Holders), "from": fetched.from,
 		"found": fetched.found, "placements": len(fetched.placements), "took_ms": fetched.took.Milliseconds(),
--- a/process/node/serviceaway_test.go
+++ b/process/node/serviceaway_test.go
@@ -26,6 +26,21 @@
 	})
 }
 
+// The same with workers that have been up for long, which cannot have longest leases.
+func TestServiceReturnsAfterTheLossOfLeaderAndOldWorker(t *testing.T) {
+	runInCell(t, func(t *testing.T, c *testCell) {
+		c.useLongLeases()
+		service := backends.TaskBehavior{Service: true, Resources: model.Resources{CPUMilli: 1000, MemoryMiB: 100}}
+		assert.NilError(t, c.submit(c.follower(), "s", 4, service, nil))
+		time.Sleep(30 * time.Second)
+		lostAt := c.now()
+		c.loseWorkerOf("s.0.0.0")
+		c.kill(c.leader())
+		c.awaitRun("s.0.0.0", lostAt+time.Minute)
+		assert.Assert(t, c.now() <= lostAt+9*time.Second, "the task was away for %s", c.now()-lostAt)
+	})
+}
+
 // Guards against a task that runs twice because a start of a leader, with a deadline on the clock of the former boot, reached the next boot of
 // a worker just before the leader was lost: no record says that the worker has a longest lease.
 func TestStartOnANewBootBeforeTheLossOfTheLeader(t *testing.T) {
--- a/version/cell/failure.go
+++ b/version/cell/failure.go
@@ -31,6 +31,7 @@
 
 // halted reports whether the Core must not send commands to workers. Callers hold c.mu.
 func (c *Core) halted() bool {
-	late := c.commandsUntil != 0 && c.now >= c.commandsUntil
+	until := c.placements.gate.Until
+	late := c.commandsUntil != 0 && c.now >= c.commandsUntil || until != 0 && c.now >= until
 	return late || c.commandsEnded || c.superseded || c.mu.panicked
 }
--- a/version/cell/placements.go
+++ b/version/cell/placements.go
@@ -23,11 +23,13 @@
 	Ended bool
 }
 
-// StartGate says which starts may be sent.
-type StartGate struct {
-	// Closed means none, and Open all. Otherwise those may be sent whose placement has a sequence number up to Held.
+// CommandGate says which commands may be sent as far as the holders matter.
+type CommandGate struct {
+	// Closed means no starts, and Open all. Otherwise those may be sent whose placement has a sequence number up to Held.
 	Closed, Open bool
 	Held         uint64
+	// Until is when all commands end unless the holders are in contact again; 0 means that they do not.
+	Until Instant
 }
 
 // maxPlacementLog limits the changes that are kept for holders that have not acknowledged them. A holder that is further behind gets all
@@ -47,7 +49,7 @@
 	endedChanged bool
 	// unowned are placements without a run in the ledger: the worker is not read, or its job is not known.
 	unowned map[runKey]struct{}
-	gate    StartGate
+	gate    CommandGate
 	// former are the placements by the name of the task that a former leader has left on workers whose inventory was pending. known means that
 	// they are complete.
 	former map[string][]TaskPlacement
@@ -65,7 +67,7 @@
 func newPlacementLog() placementLog {
 	return placementLog{
 		workers: map[runKey]string{}, ended: map[runKey]*endedPlacement{}, unowned: map[runKey]struct{}{}, former: map[string][]TaskPlacement{},
-		gate: StartGate{Open: true},
+		gate: CommandGate{Open: true},
 	}
 }
 
@@ -103,7 +105,7 @@
 }
 
 // allows reports whether a start whose placement has a sequence number may be sent.
-func (g StartGate) allows(sequence uint64) bool {
+func (g CommandGate) allows(sequence uint64) bool {
 	return g.Open || !g.Closed && sequence <= g.Held
 }
 
@@ -227,8 +229,8 @@
 	return c.placements.known || c.isLedgerComplete()
 }
 
-// SetStartGate sets which starts may be sent.
-func (c *Core) SetStartGate(gate StartGate) {
+// SetCommandGate sets which commands may be sent as far as the holders matter.
+func (c *Core) SetCommandGate(gate CommandGate) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.placements.gate == gate {
--- a/version/cell/placements_test.go
+++ b/version/cell/placements_test.go
@@ -38,17 +38,17 @@
 // Guards against a start that is sent before a successor could learn of it.
 func TestStartsWaitForTheirReplication(t *testing.T) {
 	tc := newTestCluster(t, 1)
-	tc.core.SetStartGate(StartGate{Closed: true})
+	tc.core.SetCommandGate(CommandGate{Closed: true})
 	tc.addWorker("w1")
 	tc.addJob("a", "plain", 1, stepWithTasks(1))
 	tc.advance(time.Second)
 	assert.Equal(t, len(tc.starts), 0)
 	assert.DeepEqual(t, tc.placements(), map[string]string{"a.0.0.0": "w1"})
 	last := tc.core.LastPlacement()
-	tc.core.SetStartGate(StartGate{Held: last - 1})
+	tc.core.SetCommandGate(CommandGate{Held: last - 1})
 	tc.advance(time.Second)
 	assert.Equal(t, len(tc.starts), 0)
-	tc.core.SetStartGate(StartGate{Held: last})
+	tc.core.SetCommandGate(CommandGate{Held: last})
 	tc.step()
 	assert.Equal(t, len(tc.starts), 1)
 }
@@ -56,7 +56,7 @@
 // Guards against service tasks that wait for the replication of starts, although their starts are durable in the rows of their jobs.
 func TestRecordedStartsNeedNoReplication(t *testing.T) {
 	tc := newTestCluster(t, 1)
-	tc.core.SetStartGate(StartGate{Closed: true})
+	tc.core.SetCommandGate(CommandGate{Closed: true})
 	tc.addWorker("w1")
 	tc.addJob("a", "plain", 1, serviceStep())
 	tc.step()
