Do not take the leader's own delay for silence of its holders

A leader whose processor is full, or that was suspended, would replace its holders again and again, and hold all starts meanwhile.

Change: the time that the process itself has lost counts, as for delegates, and a holder that answers updates stays whether its joins are handled in time or not.

Evidence: TestLateLeaderKeepsItsHolders fails without the change in its late case. The tests of the replication pass.

--- a/process/node/placementcover.go
+++ b/process/node/placementcover.go
@@ -22,6 +22,8 @@
 	maxPlacementHolders = 2
 	// placementUpdateTimeout limits the replication of starts to one holder. After that the holder is given up.
 	placementUpdateTimeout = 150 * time.Millisecond
+	// maxUpdateLateness is the time that this process has lost during an update above which a missing answer says nothing about the holder.
+	maxUpdateLateness = 50 * time.Millisecond
 	// holderRetryDelay is the time until an instance that has failed may hold starts again, and requiredHolderRetryDelay that of one for which
 	// starts wait: without the store no renewal can do without it.
 	holderRetryDelay         = 2 * time.Second
@@ -304,7 +306,8 @@
 	for name, h := range s.holders {
 		_, needed := required[name]
 		m, present := members[name]
-		lost := !present || h.failed || m.address != h.address
+		// One that answers updates is there, whether its joins are handled in time or not.
+		lost := h.failed || present && m.address != h.address
 		if !lost && (needed || len(s.holders) <= maxPlacementHolders || slices.Contains(preferred, name)) {
 			continue
 		}
@@ -483,7 +486,7 @@
 
 // sendUpdate sends an update to a holder and records the answer. It returns false if the holder has failed.
 func (s *startCover) sendUpdate(ctx context.Context, h *placementHolder, update *peerpb.PlacementUpdate) bool {
-	sentAt := s.leadership.node.opts.Now()
+	sentAt, lost := s.leadership.node.opts.Now(), s.leadership.workers.lateness.lost()
 	call, cancel := context.WithTimeout(ctx, placementUpdateTimeout)
 	reply, err := s.leadership.node.opts.Peers.Call(call, h.address, &peerpb.Request{Body: &peerpb.Request_PlacementUpdate{PlacementUpdate: update}})
 	cancel()
@@ -493,6 +496,9 @@
 	case ctx.Err() != nil:
 		s.mu.Unlock()
 		return false
+	case err != nil && s.leadership.workers.lateness.lost()-lost >= maxUpdateLateness:
+		// The answer may have waited for this process. The update is repeated.
+		signal(h.wake)
 	case err != nil || ack == nil:
 		h.failed = true
 	case ack.GetNeedsSnapshot():
--- a/process/node/placementcover_test.go
+++ b/process/node/placementcover_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"slices"
@@ -10,6 +11,8 @@
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
+	"github.com/lentiltide/lentiltide/connection/peer/peerpb"
+	"github.com/lentiltide/lentiltide/request/verdict"
 	"github.com/lentiltide/lentiltide/version/cell"
 )
 
@@ -180,3 +183,34 @@
 		assert.DeepEqual(t, row.Placements, cover)
 	})
 }
+
+// unansweredPeers answer nothing. onCall is called for each call.
+type unansweredPeers struct{ onCall func() }
+
+func (p unansweredPeers) Call(context.Context, string, *peerpb.Request) (*peerpb.Reply, error) {
+	p.onCall()
+	return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "no answer")
+}
+
+func (p unansweredPeers) Send(context.Context, string, *peerpb.Request) error { return nil }
+
+// Guards against a leader that gives up its holders, and holds all starts meanwhile, because its own processor is full.
+func TestLateLeaderKeepsItsHolders(t *testing.T) {
+	for late, failed := range map[bool]bool{false: true, true: false} {
+		s, now := newTestCover(placementCover{}, false)
+		l := s.leadership
+		l.workers = newDelegatedWorkers(l.node, l.epoch)
+		l.workers.lateness.observe()
+		l.node.opts.Peers = unansweredPeers{func() {
+			for range 10 {
+				*now += latenessInterval
+				if !late {
+					l.workers.lateness.observe()
+				}
+			}
+		}}
+		s.hold("a", 0)
+		assert.Equal(t, s.sendUpdate(t.Context(), s.holders["a"], s.nextUpdate(s.holders["a"], true)), !failed)
+		assert.Equal(t, s.holders["a"].failed, failed)
+	}
+}
