--- a/process/node/serviceaway_test.go
+++ b/process/node/serviceaway_test.go
@@ -13,26 +13,21 @@
 // Guards against a service task that stays away for what a leader might extend and a lease more, because the leader and the worker of the task
 // are lost for good at the same time. Nothing is disturbed afterwards, and all other workers have room.
 func TestServiceReturnsAfterTheLossOfLeaderAndWorker(t *testing.T) {
-	runInCell(t, func(t *testing.T, c *testCell) {
-		c.useLongLeases()
-		service := backends.TaskBehavior{Service: true, Resources: model.Resources{CPUMilli: 1000, MemoryMiB: 100}}
-		assert.NilError(t, c.submit(c.follower(), "s", 4, service, nil))
-		time.Sleep(3 * time.Second)
-		lostAt := c.now()
-		c.loseWorkerOf("s.0.0.0")
-		c.kill(c.leader())
-		c.awaitRun("s.0.0.0", lostAt+time.Minute)
-		assert.Assert(t, c.now() <= lostAt+9*time.Second, "the task was away for %s", c.now()-lostAt)
-	})
+	loseLeaderAndServiceWorker(t, 3*time.Second)
 }
 
 // The same with workers that have been up for long, which cannot have longest leases.
 func TestServiceReturnsAfterTheLossOfLeaderAndOldWorker(t *testing.T) {
+	loseLeaderAndServiceWorker(t, 30*time.Second)
+}
+
+// loseLeaderAndServiceWorker loses the leader and a worker with a service task for good, when the task has run for a time.
+func loseLeaderAndServiceWorker(t *testing.T, runs time.Duration) {
 	runInCell(t, func(t *testing.T, c *testCell) {
 		c.useLongLeases()
 		service := backends.TaskBehavior{Service: true, Resources: model.Resources{CPUMilli: 1000, MemoryMiB: 100}}
 		assert.NilError(t, c.submit(c.follower(), "s", 4, service, nil))
-		time.Sleep(30 * time.Second)
+		time.Sleep(runs)
 		lostAt := c.now()
 		c.loseWorkerOf("s.0.0.0")
 		c.kill(c.leader())
