--- a/version/cell/boot.go
+++ b/version/cell/boot.go
@@ -56,7 +56,8 @@
 }
 
 // isBootCertain reports whether nothing speaks against the known boot of a worker. Only then do polls extend leases and acknowledge
-// completions, which they do for this boot alone.
+// completions, which they do for this boot alone: on the clock of a boot that is announced, or that has begun unnoticed, the deadline of a
+// lease would be far in the future.
 func (w *worker) isBootCertain() bool {
 	return w.announced == nil && !w.health.unresponsive && !w.bootRefused
 }
--- a/version/cell/recoverywait.go
+++ b/version/cell/recoverywait.go
@@ -37,7 +37,8 @@
 	workers map[string]struct{}
 }
 
-// logRecoveryWait logs which workers the waiting tasks of earlier epochs wait for, and what their bound consists of.
+// logRecoveryWait logs which workers the waiting tasks of earlier epochs wait for, and what their bound consists of. Service tasks have no
+// end of their own, so nothing else shows that they are away.
 func (c *Core) logRecoveryWait() {
 	idle := c.held.tasks == 0
 	if idle && len(c.inventoryPending) == 0 || !idle && c.now < c.held.countedAt+recoveryWaitLogInterval {
