Node: one function for the sets of holder names

Cause: the set of names of a cover or of the holders was built in five places.

Change: nameSet builds it. No behaviour changes.

--- a/process/node/placementcover.go
+++ b/process/node/placementcover.go
@@ -103,14 +103,10 @@
 func (s *startCover) required() map[string]struct{} {
 	out := maps.Clone(s.attempted)
 	if s.confirmed.Epoch == s.leadership.epoch {
-		for name := range s.confirmed.Holders {
-			out[name] = struct{}{}
-		}
+		maps.Copy(out, nameSet(s.confirmed.Holders))
 	}
 	if s.proposed != nil {
-		for name := range s.proposed.Holders {
-			out[name] = struct{}{}
-		}
+		maps.Copy(out, nameSet(s.proposed.Holders))
 	}
 	return out
 }
@@ -171,10 +167,8 @@
 	if s.mayPublish() {
 		s.inFlight = *s.proposed
 	}
-	for name := range s.inFlight.Holders {
-		if s.inFlight.Epoch == s.leadership.epoch {
-			s.attempted[name] = struct{}{}
-		}
+	if s.inFlight.Epoch == s.leadership.epoch {
+		maps.Copy(s.attempted, nameSet(s.inFlight.Holders))
 	}
 	return newPlacementCoverField(s.inFlight)
 }
@@ -184,10 +178,7 @@
 	if s.proposed == nil || !s.gated {
 		return false
 	}
-	names := map[string]struct{}{}
-	for name := range s.proposed.Holders {
-		names[name] = struct{}{}
-	}
+	names := nameSet(s.proposed.Holders)
 	return len(names) == 0 || s.ackedByAll(names) >= s.proposedSequence && s.allSynced(names)
 }
 
@@ -228,6 +219,15 @@
 	s.updateGate()
 }
 
+// nameSet returns the keys of a map by instance name.
+func nameSet[V any](byName map[string]V) map[string]struct{} {
+	out := make(map[string]struct{}, len(byName))
+	for name := range byName {
+		out[name] = struct{}{}
+	}
+	return out
+}
+
 func (c placementCover) equal(other placementCover) bool {
 	return c.Epoch == other.Epoch && maps.Equal(c.Holders, other.Holders)
 }
--- a/process/node/placementholders.go
+++ b/process/node/placementholders.go
@@ -125,10 +125,7 @@
 // trim drops the changes that all holders have.
 func (s *startCover) trim() {
 	s.mu.Lock()
-	names := map[string]struct{}{}
-	for name := range s.holders {
-		names[name] = struct{}{}
-	}
+	names := nameSet(s.holders)
 	upTo := s.ackedByAll(names)
 	s.mu.Unlock()
 	if len(names) == 0 {
