--- a/review/_cast/main.go
+++ b/review/_cast/main.go
@@ -21,6 +21,7 @@
 
 var casts = map[string]cast{
 	"crashes": {playCrashes, 8, []string{"a", "a", "b"}},
+	"lost":    {playLost, 8, []string{"a", "a", "b"}},
 	"pinned":  {playPinned, 8, []string{"c", "a", "a", "a", "b", "a", "a", "a"}},
 	"waiting": {playWaiting, 12, []string{"c", "a", "a", "b", "a", "a", "b", "a", "a", "b", "a", "a"}},
 	"waves":   {playWaves, 8, []string{"a", "a", "b"}},
@@ -28,7 +29,7 @@
 
 func main() {
 	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: cast CASE FOLDER, with CASE crashes, pinned, waiting or waves")
+		fmt.Fprintln(os.Stderr, "usage: cast CASE FOLDER, with CASE crashes, lost, pinned, waiting or waves")
 		os.Exit(2)
 	}
 	os.Exit(play(os.Args[1], os.Args[2]))
