--- a/review/_cast/executor.go
+++ b/review/_cast/executor.go
@@ -28,6 +28,9 @@
 	MS int64 `json:"ms,omitempty"`
 	// FailMS is how long after its start each run of a task ends as failed; 0 for never.
 	FailMS int64 `json:"failMs,omitempty"`
+	// TailMS is the tail of the response times of a task that serves, to which each task beside it adds its HarmMS, as far as it is not paced.
+	TailMS int64 `json:"tailMs,omitempty"`
+	HarmMS int64 `json:"harmMs,omitempty"`
 }
 
 // run is a task that an executor runs.
@@ -38,6 +41,17 @@
 	started time.Time
 	// stopAt is when the run ends as stopped; zero if no stop was ordered.
 	stopAt time.Time
+	// pace is the share at which the run works, in percent, and worked for how long it has worked at full pace up to workedAt.
+	pace     int64
+	worked   time.Duration
+	workedAt time.Time
+}
+
+// work counts the work up to now.
+func (r *run) work(now time.Time) time.Duration {
+	r.worked += now.Sub(r.workedAt) * time.Duration(r.pace) / 100
+	r.workedAt = now
+	return r.worked
 }
 
 // percent returns how far the run is. A task that lasts is at work after its startup.
@@ -46,7 +60,7 @@
 	if of == 0 {
 		of = startupOf
 	}
-	return int(min(100, 100*now.Sub(r.started)/of))
+	return int(min(100, 100*r.work(now)/of))
 }
 
 // end is a run that has ended.
@@ -80,7 +94,7 @@
 
 	mu   sync.Mutex
 	dead bool
-	// unhealthy means that the executor answers starts with 503 and does nothing.
+	// unhealthy means that the executor answers starts and orders on pace with 503 and does nothing.
 	unhealthy bool
 	token     uint64
 	lease     time.Time
@@ -178,7 +192,7 @@
 			e.finish(r, "stopped")
 		case r.does.FailMS > 0 && age >= r.does.FailMS:
 			e.finish(r, "failed")
-		case r.does.MS > 0 && age >= r.does.MS:
+		case r.does.MS > 0 && r.work(now).Milliseconds() >= r.does.MS:
 			e.finish(r, "done")
 		}
 	}
@@ -217,6 +231,7 @@
 	FencingToken  uint64 `json:"fencingToken"`
 	LastSeen      int64  `json:"lastSeen"`
 	WaitMS        int64  `json:"waitMs"`
+	Percent       int64  `json:"percent"`
 }
 
 // accept decodes an order and checks the incarnation and the token. Callers hold e.mu if it returns true.
@@ -289,7 +304,7 @@
 		e.refuse(w, "old")
 		return
 	default:
-		started := &run{task: o.Task, number: o.Run, started: time.Now()}
+		started := &run{task: o.Task, number: o.Run, started: time.Now(), workedAt: time.Now(), pace: 100}
 		if err := json.Unmarshal([]byte(o.Specification), &started.does); err != nil {
 			reply(w, http.StatusBadRequest, map[string]any{"clockMs": e.clock()})
 			return
@@ -323,9 +338,28 @@
 		return
 	}
 	defer e.mu.Unlock()
+	if e.unhealthy {
+		e.cell.record.logf("pace %d of %s %d is answered with 503 by %s", o.Percent, o.Task, o.Run, e.id)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if present := e.runs[o.Task]; present != nil && present.number == o.Run {
+		present.work(time.Now())
+		present.pace = o.Percent
+		e.cell.record.logf("pace of %s %d on %s is %d", o.Task, o.Run, e.id, o.Percent)
+	}
 	reply(w, http.StatusOK, map[string]any{"clockMs": e.clock(), "born": e.born.UnixMilli()})
 }
 
+// tail returns the tail of the response times of a run that serves. Callers hold e.mu.
+func (e *executor) tail(r *run) int64 {
+	tail := r.does.TailMS
+	for _, other := range e.runs {
+		tail += other.does.HarmMS * other.pace / 100
+	}
+	return tail
+}
+
 func (e *executor) handleHold(w http.ResponseWriter, r *http.Request) {
 	var o order
 	if !e.accept(w, r, &o) {
@@ -352,7 +386,11 @@
 	now := time.Now()
 	running, ended := [][]any{}, [][]any{}
 	for _, r := range e.runs {
-		running = append(running, []any{r.task, r.number, "", r.percent(now), 1})
+		figure := int64(1)
+		if r.does.TailMS > 0 {
+			figure = e.tail(r)
+		}
+		running = append(running, []any{r.task, r.number, "", r.percent(now), figure})
 	}
 	for _, x := range e.ends[:min(len(e.ends), maxEndRows)] {
 		ended = append(ended, []any{x.number, x.task, x.run, x.how, ""})
--- a/review/_cast/main.go
+++ b/review/_cast/main.go
@@ -6,7 +6,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // scenario plays a case, with the disruption or without, and returns how the rule was broken; empty if it held.
@@ -22,6 +24,7 @@
 var casts = map[string]cast{
 	"crashes": {playCrashes, 8, []string{"a", "a", "b"}},
 	"lost":    {playLost, 8, []string{"a", "a", "b"}},
+	"paced":   {playPaced, 12, []string{"c", "a", "a", "b", "a", "a", "b", "a", "a", "b", "a", "a"}},
 	"pinned":  {playPinned, 8, []string{"c", "a", "a", "a", "b", "a", "a", "a"}},
 	"waiting": {playWaiting, 12, []string{"c", "a", "a", "b", "a", "a", "b", "a", "a", "b", "a", "a"}},
 	"waves":   {playWaves, 8, []string{"a", "a", "b"}},
@@ -29,7 +32,7 @@
 
 func main() {
 	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: cast CASE FOLDER, with CASE crashes, lost, pinned, waiting or waves")
+		fmt.Fprintln(os.Stderr, "usage: cast CASE FOLDER, with CASE crashes, lost, paced, pinned, waiting or waves")
 		os.Exit(2)
 	}
 	os.Exit(play(os.Args[1], os.Args[2]))
@@ -51,6 +54,13 @@
 	c, err := newCell(rec, chosen.executors, chosen.kinds)
 	if c != nil {
 		defer c.close()
+		go func() {
+			signals := make(chan os.Signal, 1)
+			signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+			<-signals
+			c.close()
+			os.Exit(2)
+		}()
 	}
 	broken := ""
 	if err == nil {
