--- a/review/_cast/cell.go
+++ b/review/_cast/cell.go
@@ -151,19 +151,14 @@
 		return err
 	}
 	for i := range count {
-		ip := fmt.Sprintf("127.0.0.%d", 11+i)
-		address := func() string {
-			l, err := net.Listen("tcp", ip+":0")
-			if err != nil {
-				return ""
-			}
-			defer l.Close()
-			return l.Addr().String()
+		addresses, err := freeAddresses(loopbackOf(i), 4)
+		if err != nil {
+			return err
 		}
-		n := &node{name: fmt.Sprintf("front-%d", i+1), caller: address()}
+		n := &node{name: fmt.Sprintf("front-%d", i+1), caller: addresses[0]}
 		value, _ := json.Marshal(map[string]any{
-			"instance": n.name, "region": "ee-north", "zone": "tallinn-port", "caller_address": n.caller, "ready_address": address(),
-			"peer_address": address(), "metrics_address": address(), "store_address": store, "advice_address": "", "machines_address": cloud,
+			"instance": n.name, "region": "ee-north", "zone": "tallinn-port", "caller_address": n.caller, "ready_address": addresses[1],
+			"peer_address": addresses[2], "metrics_address": addresses[3], "store_address": store, "advice_address": "", "machines_address": cloud,
 			"store_row_bytes": 65536, "cpu_share": 0.4, "link_mbps": 1000, "memory_mb": 284, "max_lease_ms": 10000, "config_deadline_ms": 2000,
 			"stop_timeout_ms": 400, "retention_s": 120, "grace_s": 6,
 		})
@@ -187,6 +182,26 @@
 	return nil
 }
 
+// loopbackOf returns the loopback address of an instance. Scripts that run side by side use different ones, by the id of their process.
+func loopbackOf(instance int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+(pid>>8)%250, pid%256, 11+instance)
+}
+
+// freeAddresses returns addresses with different ports of an IP address that were free during the call.
+func freeAddresses(ip string, count int) ([]string, error) {
+	var out []string
+	for range count {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
 // close ends all processes and servers.
 func (c *cell) close() {
 	for _, n := range c.nodes {
