--- a/review/_stage3/cluster.go
+++ b/review/_stage3/cluster.go
@@ -74,14 +74,22 @@
 	closing bool
 }
 
-// ports hands out loopback ports.
-type ports struct{ next int }
+// ports hands out ports of a loopback address that no other run uses at the same time.
+type ports struct {
+	host string
+	next int
+}
+
+func newPorts() *ports {
+	pid := os.Getpid()
+	return &ports{host: fmt.Sprintf("127.%d.%d.%d", 64+pid/62500%32, 1+pid/250%250, 1+pid%250)}
+}
 
-// address returns a loopback address whose port is free now.
+// address returns an address whose port is free now.
 func (p *ports) address() (string, error) {
 	for range 4000 {
 		p.next++
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(21000+p.next%10000))
+		address := net.JoinHostPort(p.host, strconv.Itoa(21000+p.next))
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
@@ -112,7 +120,7 @@
 		return nil, err
 	}
 	s := &stage{record: r, dir: dir, tables: backends.NewTables(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}},
-		ports: &ports{next: os.Getpid() % 9000}}
+		ports: newPorts()}
 	return s, nil
 }
 
--- a/review/_stage3/poison.go
+++ b/review/_stage3/poison.go
@@ -22,9 +22,47 @@
 const impossible = `{"specification":"all of them","steps":[{"count":9223372036854775807,"cpu":1000,"memoryRequestMb":100,"estimatedMs":500},` +
 	`{"count":9223372036854775807,"cpu":1000,"memoryRequestMb":100,"estimatedMs":500,"after":[0]}]}`
 
-// playPoisonCount hands in ordinary submissions, one that can never be done, and ordinary ones again. All accepted ordinary ones have
-// to be completed, and no process may end by itself.
+// playPoisonCount hands in one submission that can never be done.
 func playPoisonCount(r *record, trouble bool) (outcome, error) {
+	return playBesideOrdinary(r, func(s *stage) {
+		if !trouble {
+			return
+		}
+		r.printf("disturbance: one submission that can never be done")
+		s.submit("b000000000000001", impossible, 4)
+		time.Sleep(time.Second)
+	})
+}
+
+const (
+	// schedules is the number of scheduled submissions, handed in over scheduleTime: 1.4 a second.
+	schedules, scheduleTime = 34, 24 * time.Second
+	// times is how often a schedule runs, each second.
+	times, timesWithoutTrouble = 20_000, 4
+)
+
+// playBacklog hands in schedules whose first times are long past.
+func playBacklog(r *record, trouble bool) (outcome, error) {
+	return playBesideOrdinary(r, func(s *stage) {
+		if trouble {
+			r.printf("disturbance: %d scheduled submissions, the first time of each %d s ago", schedules, times)
+		}
+		for i := range schedules {
+			count, startAt := timesWithoutTrouble, time.Now()
+			if trouble {
+				count, startAt = times, time.Now().Add(-times*time.Second)
+			}
+			body := fmt.Sprintf(`{"specification":"check","steps":[{"count":1,"cpu":1000,"memoryRequestMb":100,"estimatedMs":500}],"repetitions":%d,"startAtMs":%d,"intervalMs":1000}`,
+				count, startAt.UnixMilli())
+			s.submit(fmt.Sprintf("%016x", 0xe001+i), body, 2)
+			time.Sleep(scheduleTime / schedules)
+		}
+	})
+}
+
+// playBesideOrdinary hands in ordinary submissions before and after a disturbance. All accepted ordinary ones have to be completed, and no
+// process may end by itself.
+func playBesideOrdinary(r *record, disturb func(*stage)) (outcome, error) {
 	s, err := newStage(r)
 	if err != nil {
 		return notRun, err
@@ -65,11 +103,7 @@
 	if before < jobsBefore || done < before {
 		return notRun, fmt.Errorf("%d of %d submissions were accepted and %d done before the disturbance", before, jobsBefore, done)
 	}
-	if trouble {
-		r.printf("disturbance: one submission that can never be done")
-		s.submit("b000000000000001", impossible, 4)
-		time.Sleep(time.Second)
-	}
+	disturb(s)
 	hand(jobsBefore, jobsAfter)
 	r.printf("the traffic has ended; %d ordinary submissions were accepted", len(accepted))
 	time.Sleep(finish + idle)
