Review case 13: a wave over all machines of a kind stops a lasting task for good

Cause: the leader takes as many machines out of use as the wave allows, stops a task of one of them, and has no machine left on which the task may start. Tried: a wave over the three machines that four lasting tasks need, no other disturbance.

--- a/review/_stage3/cloud.go
+++ b/review/_stage3/cloud.go
@@ -64,7 +64,7 @@
 	tasks map[string]*lastingTask
 	// slowUntil is until when answers are slow.
 	slowUntil time.Time
-	// cancelled means that the cancelling of the submission was sent.
+	// cancelled means that AVAIL is not judged: the cancelling of the submission was sent, or the case is about another rule.
 	cancelled bool
 	// violations are the breaks of AVAIL, and upkeeps counts the upkeeps that have begun.
 	violations []string
--- a/review/_stage3/main.go
+++ b/review/_stage3/main.go
@@ -17,8 +17,8 @@
 
 var cases = map[string]func(r *record, trouble bool) (outcome, error){
 	"poison-count": playPoisonCount,
+	"stuck":        playStuck,
 	"backlog":      playBacklog,
-	"harm":         playHarm,
 	"crashes":      playCrashes,
 	"wave":         playWave,
 }
