Review case 14: a leader and an executor lost after a change of the leader

Tried: the process that leads is killed, and 3 s later the next leader and one of eight executors are lost for good.

--- a/review/_stage3/main.go
+++ b/review/_stage3/main.go
@@ -17,10 +17,10 @@
 
 var cases = map[string]func(r *record, trouble bool) (outcome, error){
 	"poison-count": playPoisonCount,
+	"wave":         playWave,
+	"lost-pair":    playLostPair,
 	"stuck":        playStuck,
 	"backlog":      playBacklog,
-	"crashes":      playCrashes,
-	"wave":         playWave,
 }
 
 func main() {
