--- a/review/_stage3/stuck.go
+++ b/review/_stage3/stuck.go
@@ -18,8 +18,8 @@
 	afterLastRun = 6 * time.Second
 )
 
-// standing is a submission of four tasks that last, on the machines with one label.
-const standing = `{"specification":"watch","steps":[{"count":4,"cpu":2000,"memoryRequestMb":1000,"estimatedMs":1000,"longRunning":true,"requirements":"kb","mayMiss":1}]}`
+// standing is a submission of six tasks that last, on the machines with one label.
+const standing = `{"specification":"watch","steps":[{"count":6,"cpu":2000,"memoryRequestMb":1000,"estimatedMs":1000,"longRunning":true,"requirements":"kb","mayMiss":1}]}`
 
 // playStuck orders a wave over all machines of one kind. The lasting tasks that need this kind have to run 14 s after the end of the traffic.
 func playStuck(r *record, trouble bool) (outcome, error) {
@@ -65,8 +65,8 @@
 		return notRun, fmt.Errorf("the submission was not accepted")
 	}
 	time.Sleep(4 * time.Second)
-	if n := len(s.workers.RunningTasks()); n != 4 {
-		return notRun, fmt.Errorf("%d of 4 tasks run before the disturbance", n)
+	if n := len(s.workers.RunningTasks()); n != 6 {
+		return notRun, fmt.Errorf("%d of 6 tasks run before the disturbance", n)
 	}
 	if trouble {
 		if err := c.orderWave(1, stuckKind, 20*time.Second, ids); err != nil {
