--- a/review/_stage3/cloud.go
+++ b/review/_stage3/cloud.go
@@ -106,7 +106,7 @@
 		Capacity: model.Resources{CPUMilli: 1000 * c.cores, MemoryMiB: 64000},
 	}
 	handler := wire.Worker(c.stage.workers, id)
-	listener, err := net.Listen("tcp", cmp.Or(m.address, "127.0.0.1:0"))
+	listener, err := net.Listen("tcp", cmp.Or(m.address, net.JoinHostPort(c.stage.ports.host, "0")))
 	if err != nil {
 		return err
 	}
