Counts, demands and times that overflow are no longer taken for small ones

Cause: validateSpec added the counts of all steps before it compared the sum with the limit, and the sum of such counts wraps to a negative or a small number. The leader then created the tasks.

The same cause acted in recordsStarts (TestStartsOfOverflowingCountsAreNotRecorded failed) and in the due times of occurrences (TestOccurrenceFarAheadIsNotDue failed: two starts long before their time), and in demands, whose product with the number of tasks went into plans and limits of teams; a demand beyond 2^40 is refused with 400. Rows that are in the store already are not covered by this.

--- a/model/job/job.go
+++ b/model/job/job.go
@@ -50,6 +50,10 @@
 	MaxUnavailable int `json:"max_unavailable,omitempty"`
 }
 
+// MaxDemand is the largest amount of a resource that a task may ask for, in the units of model.Resources: a billion processors, or an exabyte
+// of memory. The demand of all tasks of a job does not overflow then.
+const MaxDemand = 1 << 40
+
 // Spec describes the work of a job, as submitted by the caller.
 type Spec struct {
 	// Payload is passed to the workers unchanged.
--- a/process/node/callers.go
+++ b/process/node/callers.go
@@ -112,22 +112,20 @@
 	if len(spec.Steps) == 0 || len(spec.Steps) > maxSteps {
 		return verdict.Invalid("steps", "expected 1 to %d steps, got %d", maxSteps, len(spec.Steps))
 	}
-	tasks := 0
 	for i, s := range spec.Steps {
-		if s.Count <= 0 {
-			return verdict.Invalid("steps", "step %d: expected at least one task, got %d", i, s.Count)
+		if s.Count <= 0 || s.Count > maxTasks {
+			return verdict.Invalid("steps", "step %d: expected 1 to %d tasks, got %d", i, maxTasks, s.Count)
 		}
-		if s.TaskDemand.CPUMilli < 0 || s.TaskDemand.MemoryMiB < 0 || s.TaskDemand.Accelerators < 0 {
-			return verdict.Invalid("steps", "step %d: expected demands of 0 or more", i)
+		if d := s.TaskDemand; min(d.CPUMilli, d.MemoryMiB, d.Accelerators) < 0 || max(d.CPUMilli, d.MemoryMiB, d.Accelerators) > job.MaxDemand {
+			return verdict.Invalid("steps", "step %d: expected demands of 0 to %d", i, int64(job.MaxDemand))
 		}
 		for _, p := range s.DependsOn {
 			if p < 0 || p >= i {
 				return verdict.Invalid("steps", "step %d: expected earlier steps in its dependencies, got %d", i, p)
 			}
 		}
-		tasks += s.Count
 	}
-	if tasks > maxTasks {
+	if tasks := spec.Tasks(); tasks > maxTasks {
 		return verdict.Invalid("steps", "expected at most %d tasks, got %d", maxTasks, tasks)
 	}
 	if spec.Repetitions < 0 || (spec.Repetitions > 0 && spec.IntervalMS < 0) {
--- /dev/null
+++ b/process/node/callers_test.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"math"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/model/job"
+	"github.com/lentiltide/lentiltide/request/verdict"
+)
+
+// stepsOf returns steps with the given numbers of tasks.
+func stepsOf(counts ...int) job.Spec {
+	spec := job.Spec{Payload: "p"}
+	for _, n := range counts {
+		spec.Steps = append(spec.Steps, job.Step{Count: n, TaskDemand: model.Resources{CPUMilli: 1000}})
+	}
+	return spec
+}
+
+// Guards against the acceptance of a job whose counts, or demands, exceed an integer in sum: each leader that reads it would run out of
+// memory, or take its demand for a small one.
+func TestSizesThatOverflowAreRejected(t *testing.T) {
+	accepted := func(spec job.Spec) bool {
+		err := validateSpec(spec)
+		assert.Assert(t, err == nil || verdict.From(err).Code == verdict.CodeInvalid)
+		return err == nil
+	}
+	assert.Assert(t, accepted(stepsOf(maxTasks)))
+	assert.Assert(t, accepted(stepsOf(maxTasks-1, 1)))
+	for _, counts := range [][]int{
+		{maxTasks + 1}, {maxTasks, 1}, {math.MaxInt}, {math.MaxInt, math.MaxInt}, {math.MaxInt, math.MaxInt, 7},
+		{1 << 62, 1 << 62, 1 << 62, 1 << 62, 12}, {1, math.MinInt}, {0},
+	} {
+		assert.Assert(t, !accepted(stepsOf(counts...)), "%v", counts)
+	}
+	for _, demand := range []model.Resources{
+		{CPUMilli: math.MaxInt64}, {MemoryMiB: math.MaxInt64 / 2}, {Accelerators: job.MaxDemand + 1}, {CPUMilli: -1},
+	} {
+		spec := stepsOf(10)
+		spec.Steps[0].TaskDemand = demand
+		assert.Assert(t, !accepted(spec), "%v", demand)
+	}
+	largest := stepsOf(maxTasks)
+	largest.Steps[0].TaskDemand = model.Resources{CPUMilli: job.MaxDemand, MemoryMiB: job.MaxDemand, Accelerators: job.MaxDemand}
+	assert.Assert(t, accepted(largest))
+	assert.Assert(t, !largest.Steps[0].TaskDemand.Times(maxTasks).HasNegative())
+}
--- a/version/cell/occurrences.go
+++ b/version/cell/occurrences.go
@@ -57,18 +57,14 @@
 func (c *Core) openDueOccurrencesOf(j *jobState) {
 	spec := &j.record.Spec
 	for !j.state.Terminal() && j.openedOccurrences < spec.Repetitions && j.hasRoomForOccurrence() &&
-		c.wallClockMS >= spec.StartAtMS+int64(j.openedOccurrences)*spec.IntervalMS {
+		c.wallClockMS >= spec.DueMS(j.openedOccurrences) {
 		c.openOccurrence(j, j.openedOccurrences)
 	}
 }
 
 // hasRoomForOccurrence reports whether a further occurrence may be open beside the others.
 func (j *jobState) hasRoomForOccurrence() bool {
-	tasks := 0
-	for _, s := range j.record.Spec.Steps {
-		tasks += s.Count
-	}
-	return len(j.occurrences) == 0 || (len(j.occurrences)+1)*tasks <= maxOpenTasks
+	return len(j.occurrences) == 0 || len(j.occurrences)+1 <= maxOpenTasks/max(1, j.record.Spec.Tasks())
 }
 
 // openOccurrencesUpTo opens the occurrences up to the one with the given index. A former leader has opened it, and those
--- a/version/cell/occurrences_test.go
+++ b/version/cell/occurrences_test.go
@@ -180,3 +180,14 @@
 		}
 	}
 }
+
+// Guards against an occurrence that starts long before its time because the product of its index and the interval overflows.
+func TestOccurrenceFarAheadIsNotDue(t *testing.T) {
+	tc := newTestCluster(t, 2)
+	tc.addWorker("w1")
+	r := tc.recurringRecord(10, time.Hour, stepWithTasks(1))
+	r.Spec.IntervalMS = 1 << 62
+	assert.NilError(t, tc.core.LoadProgress("a", r, []byte(`{"o":[[0,2]]}`), tc.now))
+	tc.advance(time.Second)
+	assert.Equal(t, len(tc.starts), 0)
+}
--- a/version/cell/startrecord.go
+++ b/version/cell/startrecord.go
@@ -18,13 +18,7 @@
 // recordsStarts reports whether the starts of the service tasks of a job are recorded. It depends on nothing but the job, and all leaders agree
 // on it.
 func recordsStarts(spec *job.Spec) bool {
-	tasks := 0
-	for i := range spec.Steps {
-		if spec.Steps[i].LongRunning {
-			tasks += spec.Steps[i].Count
-		}
-	}
-	return spec.Repetitions == 0 && tasks <= maxRecordedTasks
+	return spec.Repetitions == 0 && spec.ServiceTasks() <= maxRecordedTasks
 }
 
 func (s *step) recordsStarts() bool { return s.spec.LongRunning && s.job.recordsStarts }
--- a/version/cell/startrecord_test.go
+++ b/version/cell/startrecord_test.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 	"maps"
+	"math"
 	"slices"
 	"syscall"
 	"testing"
@@ -319,3 +320,10 @@
 	task.placement, task.recordUnused = placement{worker: "w2"}, true
 	assert.Equal(t, tc.core.selectWorker(task.step, task).info.ID, "w2")
 }
+
+// Guards against a job of service tasks whose counts overflow in sum, so that its starts are recorded although they do not fit into a row.
+func TestStartsOfOverflowingCountsAreNotRecorded(t *testing.T) {
+	service := func(s *job.Step) { s.LongRunning = true }
+	spec := job.Spec{Steps: []job.Step{stepWithTasks(math.MaxInt, service), stepWithTasks(math.MaxInt, service), stepWithTasks(8, service)}}
+	assert.Assert(t, !recordsStarts(&spec))
+}
