--- a/cmd/lentiltide-node/main.go
+++ b/cmd/lentiltide-node/main.go
@@ -43,6 +43,8 @@
 	maxLease = 6 * time.Second
 	// memoryLimitShare is the fraction of the instance's memory that is set as the Go runtime's soft memory limit.
 	memoryLimitShare = 0.7
+	// jobMemoryShare is the fraction of the instance's memory that a leader may use for the steps and tasks of jobs.
+	jobMemoryShare = 0.25
 	// gcPercent is how much the heap grows between garbage collections, in percent. The heap of an instance is small
 	// compared with its memory, and the memory limit applies as well.
 	gcPercent = 300
@@ -175,6 +177,7 @@
 		KeyDeadline:    s.KeyDeadline(),
 		OnRefusedKey:   metrics.RecordRefusedKey,
 		CPUShare:       s.CPUShare,
+		JobMemoryBytes: int64(float64(s.MemoryMB) * jobMemoryShare * (1 << 20)),
 		TakeoverDelay:  time.Duration((1 - min(s.CPUShare, 1)) * float64(maxTakeoverDelay)),
 		Now:            node.BootClock,
 	})
--- a/process/node/cell_test.go
+++ b/process/node/cell_test.go
@@ -47,6 +47,8 @@
 	delegateFrom int
 	// lease is the duration of leases.
 	lease time.Duration
+	// jobMemory is the option JobMemoryBytes of all instances.
+	jobMemory int64
 	// startsBy counts the starts that each instance sent to workers. mute is an instance whose results of delegated calls are
 	// lost.
 	startsBy map[string]int
@@ -322,7 +324,7 @@
 		OnDecision: func(d cell.Decision) {
 			entry.WithFields(d.Fields).WithField("job", d.Job).WithField("at", c.now()).Info(d.Event)
 		},
-		CPUShare: c.cpuShareOf(name), LinkMbps: c.links[name], DelegateFrom: c.delegateFrom, KeyDeadline: c.keyDeadline,
+		CPUShare: c.cpuShareOf(name), LinkMbps: c.links[name], DelegateFrom: c.delegateFrom, KeyDeadline: c.keyDeadline, JobMemoryBytes: c.jobMemory,
 		Lease: c.lease, MaxLease: backends.MaxLease, StopTimeout: 400 * time.Millisecond, Retention: time.Minute, Now: c.bootClock,
 	})
 	ctx, cancel := context.WithCancel(c.t.Context())
--- a/process/node/config.go
+++ b/process/node/config.go
@@ -53,7 +53,7 @@
 		// A response that has begun contains a change, unless the long poll has just ended.
 		page, err = n.tables.Feed(backend.WithProgress(ctx, n.noticeNewerConfig), key.Table, feed.version, configLongPoll)
 	} else {
-		page.Rows, page.Version, err = n.readShard(ctx, key.Table, key.Shard)
+		page.Rows, page.Version, err = n.readRows(ctx, key.Table, key.Shard)
 	}
 	if ctx.Err() != nil {
 		return
--- a/process/node/leader.go
+++ b/process/node/leader.go
@@ -112,7 +112,7 @@
 	l.workers = newDelegatedWorkers(n, l.epoch)
 	l.core = cell.New(cell.Options{
 		Epoch: l.epoch, LeaseDuration: n.opts.Lease, MaxLease: n.opts.MaxLease, LeaseExtension: l.leaseExtension(now), ClosedWorkers: l.closed,
-		StartsRecordedSince: l.row.StartsRecordedSince, StopTimeout: n.opts.StopTimeout, Retention: n.opts.Retention, OnDecision: n.opts.OnDecision,
+		StartsRecordedSince: l.row.StartsRecordedSince, StopTimeout: n.opts.StopTimeout, Retention: n.opts.Retention, MemoryBytes: n.opts.JobMemoryBytes, OnDecision: n.opts.OnDecision,
 	}, now)
 	l.cover = newStartCover(l, l.inherited)
 	l.cover.updateGate()
--- a/process/node/load.go
+++ b/process/node/load.go
@@ -15,132 +15,59 @@
 // feedLongPoll is the duration of a long poll for changes of a table that the leader follows.
 const feedLongPoll = 1500 * time.Millisecond
 
-// snapshot holds the rows of a table. It contains every row that was written before the read started, and a feed from
-// version on returns every later write.
-type snapshot struct {
-	rows    []backend.Row
-	version uint64
-}
-
-// byKey returns the rows by key, for tables that have each key in one shard only.
-func (s snapshot) byKey() map[string]backend.Row {
-	rows := make(map[string]backend.Row, len(s.rows))
-	for _, row := range s.rows {
-		rows[row.Key] = row
-	}
-	return rows
-}
-
-// readShards reads shards of a table in parallel and adds them to the snapshot. It returns the shards that could not be
-// read, with the last error.
-func (n *Node) readShards(ctx context.Context, table string, shards []string, out *snapshot) (failed []string, lastErr error) {
-	var mu sync.Mutex
-	var group sync.WaitGroup
-	for _, shard := range shards {
-		group.Go(func() {
-			rows, version, err := n.readShard(ctx, table, shard)
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				failed, lastErr = append(failed, shard), err
-				return
-			}
-			out.add(rows, version)
-		})
-	}
-	group.Wait()
-	return failed, lastErr
-}
-
-// add adds the rows of a shard that were read at a version.
-func (s *snapshot) add(rows []backend.Row, version uint64) {
-	if s.version == 0 || version < s.version {
-		s.version = version
-	}
-	s.rows = append(s.rows, rows...)
-}
-
-// readShard reads all pages of one shard. The returned version is that of the first page, so that a feed from it on misses
-// no write.
-func (n *Node) readShard(ctx context.Context, table, shard string) ([]backend.Row, uint64, error) {
-	var rows []backend.Row
-	version := uint64(0)
-	from := ""
-	for {
-		page, err := n.tables.Range(ctx, table, shard, from)
-		if err != nil {
-			return nil, 0, err
-		}
-		if version == 0 {
-			version = page.Version
-		}
-		rows = append(rows, page.Rows...)
-		if !page.HasMore || len(page.Rows) == 0 {
-			return rows, version, nil
-		}
-		from = page.Rows[len(page.Rows)-1].Key + "\x00"
-	}
-}
-
-// readTableWithRetry reads a table. Shards that cannot be read are read again until none is left: on an unreliable path to
-// the store, a read of all shards at once would hardly ever succeed. It returns false if the leadership ended.
-func (l *leadership) readTableWithRetry(ctx context.Context, table string, shards []string) (snapshot, bool) {
-	out := snapshot{}
-	for ctx.Err() == nil {
-		failed, err := l.node.readShards(ctx, table, shards, &out)
-		if len(failed) == 0 {
-			return out, true
-		}
-		shards = failed
-		l.node.opts.Log.WithError(err).WithFields(map[string]any{
-			"event": "table_unreadable", "table": table, "shards": len(failed),
-		}).Warn("cannot read the table")
-		pause(ctx, storeRetryDelay)
-	}
-	return snapshot{}, false
-}
-
 // load reads the durable state of the cell. It returns false if the leadership ended.
 func (l *leadership) load(ctx context.Context) bool {
 	startedAt := l.node.opts.Now()
-	// The tables can be read in parallel, since no other instance writes progress in this epoch.
-	var workers, jobs, cancels, progress, writes snapshot
-	reads := []struct {
-		target *snapshot
-		table  string
-		shards []string
-	}{
-		{&workers, l.node.opts.Sources.Workers, []string{""}}, {&jobs, jobTable, jobShards()},
-		{&cancels, cancelTable, jobShards()}, {&progress, progressTable, []string{cellShard}},
-		{&writes, writeTable, []string{cellShard}},
-	}
-	var group sync.WaitGroup
-	for _, r := range reads {
-		group.Go(func() { *r.target, _ = l.readTableWithRetry(ctx, r.table, r.shards) })
+	var workers, writes []backend.Row
+	var cancels []job.ID
+	progress, jobs := newStoredProgress(), 0
+	collect := func(rows *[]backend.Row) func([]backend.Row) {
+		return func(page []backend.Row) { *rows = append(*rows, page...) }
+	}
+	// The tables can be read in parallel, since no other instance writes progress in this epoch. The records of the jobs are applied last.
+	var group, before sync.WaitGroup
+	before.Go(func() {
+		l.workersFeedVersion, _ = l.readTable(ctx, l.node.opts.Sources.Workers, []string{""}, collect(&workers))
+	})
+	before.Go(func() { _, _ = l.readTable(ctx, writeTable, []string{cellShard}, collect(&writes)) })
+	before.Go(func() { _, _ = l.readTable(ctx, progressTable, []string{cellShard}, progress.add) })
+	group.Go(func() {
+		l.cancelsFeedVersion, _ = l.readTable(ctx, cancelTable, jobShards(), func(page []backend.Row) {
+			for _, row := range page {
+				cancels = append(cancels, job.ID(row.Key))
+			}
+		})
+	})
+	ready := make(chan struct{})
+	group.Go(func() {
+		l.jobsFeedVersion, _ = l.readTableWhen(ctx, ready, jobTable, jobShards(), func(page []backend.Row) {
+			jobs += len(page)
+			for _, row := range page {
+				progress.applyTo(l, row)
+			}
+		})
+	})
+	before.Wait()
+	l.loadFleetRecord(writes)
+	for _, row := range workers {
+		l.applyWorkerRow(row)
 	}
+	close(ready)
 	group.Wait()
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || l.failed.Load() {
 		return false
 	}
-	l.loadFleetRecord(writes.rows)
-	for _, row := range workers.rows {
-		l.applyWorkerRow(row)
-	}
-	progressOf := progress.byKey()
-	for _, row := range jobs.rows {
-		l.applyJobRow(row, progressOf[row.Key])
-	}
-	for _, row := range cancels.rows {
-		l.applyCancelRow(row)
+	for _, id := range cancels {
+		l.core.CancelJob(id, l.node.opts.Now())
 	}
 	l.adoptReplica()
-	l.jobsFeedVersion, l.cancelsFeedVersion, l.workersFeedVersion = jobs.version, cancels.version, workers.version
 	l.mu.Lock()
 	l.loaded = true
 	l.mu.Unlock()
+	memory := l.core.MemoryUse()
 	l.node.opts.Log.WithFields(map[string]any{
-		"event": "rows_loaded", "epoch": l.epoch, "jobs": len(jobs.rows), "cancels": len(cancels.rows),
-		"workers": len(workers.rows), "took_ms": (l.node.opts.Now() - startedAt).Milliseconds(),
+		"event": "rows_loaded", "epoch": l.epoch, "jobs": jobs, "cancels": len(cancels), "workers": len(workers), "deferred": memory.Deferred,
+		"used_bytes": memory.UsedBytes, "limit_bytes": memory.LimitBytes, "took_ms": (l.node.opts.Now() - startedAt).Milliseconds(),
 	}).Info("rows loaded")
 	return true
 }
@@ -166,34 +93,43 @@
 }
 
 // applyJobRow passes the job of a row to the scheduler, with the progress that is stored for it, if any.
-func (l *leadership) applyJobRow(row, progress backend.Row) {
+func (l *leadership) applyJobRow(row backend.Row, progress []byte) {
 	if row.Deleted {
 		return
 	}
-	if state, _ := cell.StoredState(progress.Value); state != "" {
+	if state, _ := cell.StoredState(progress); state != "" {
 		l.core.AddFinishedJob(job.ID(row.Key), state, l.node.opts.Now())
 		return
 	}
-	record, refused, err := decodeJobRecord(row.Value)
-	if refused {
-		l.noteRefusal(row)
-		return
-	}
-	if err != nil {
-		l.node.opts.Log.WithError(err).WithFields(map[string]any{"event": "job_unreadable", "job": row.Key}).Error("cannot decode the job record")
+	record, ok := l.decodeJobRow(row)
+	if !ok {
 		return
 	}
 	now := l.node.opts.Now()
 	id := job.ID(row.Key)
-	if len(progress.Value) == 0 {
+	if len(progress) == 0 {
 		l.core.AddJob(id, record, now)
 		return
 	}
-	if err := l.core.LoadProgress(id, record, progress.Value, now); err != nil {
+	if err := l.core.LoadProgress(id, record, progress, now); err != nil {
 		l.node.opts.Log.WithError(err).WithFields(map[string]any{"event": "progress_unreadable", "job": row.Key}).Error("cannot decode the progress of the job")
 	}
 }
 
+// decodeJobRow returns the record in a row of the jobs. ok is false if there is none.
+func (l *leadership) decodeJobRow(row backend.Row) (record job.Record, ok bool) {
+	record, refused, err := decodeJobRecord(row.Value)
+	if refused {
+		l.noteRefusal(row)
+		return job.Record{}, false
+	}
+	if err != nil {
+		l.node.opts.Log.WithError(err).WithFields(map[string]any{"event": "job_unreadable", "job": row.Key}).Error("cannot decode the job record")
+		return job.Record{}, false
+	}
+	return record, true
+}
+
 // lookUpJob reads the rows of a job and passes them to the scheduler. found is false if there is no record of the job.
 func (l *leadership) lookUpJob(ctx context.Context, id job.ID) (found bool, err error) {
 	// A record that is removed after it was read would be added as a new one.
@@ -214,7 +150,7 @@
 	if cancel.Version != 0 {
 		l.applyCancelRow(cancel)
 	}
-	l.applyJobRow(record, progress)
+	l.applyJobRow(record, progress.Value)
 	return true, nil
 }
 
@@ -256,7 +192,7 @@
 const maxLoggedUnusable = 200
 
 func (l *leadership) followJobs(ctx context.Context) {
-	apply := func(row backend.Row) { l.applyJobRow(row, backend.Row{}) }
+	apply := func(row backend.Row) { l.applyJobRow(row, nil) }
 	l.followFeed(ctx, feed{table: jobTable, version: &l.jobsFeedVersion, shards: jobShards(), apply: apply, hasRetention: true})
 }
 
@@ -270,10 +206,10 @@
 	})
 }
 
-// pruneWorkers removes the workers that are missing in a full read of the registry.
-func (l *leadership) pruneWorkers(rows map[string]backend.Row) {
+// pruneWorkers removes the workers whose keys are missing in a full read of the registry.
+func (l *leadership) pruneWorkers(keys map[string]struct{}) {
 	for _, id := range l.core.WorkerIDs() {
-		if _, ok := rows[id]; !ok {
+		if _, ok := keys[id]; !ok {
 			l.core.RemoveWorker(id, l.node.opts.Now())
 		}
 	}
@@ -288,8 +224,8 @@
 	apply   func(backend.Row)
 	// hasRetention is set if the leader removes rows of the table after the retention.
 	hasRetention bool
-	// prune, if not nil, is called with all rows after the whole table was read again.
-	prune func(map[string]backend.Row)
+	// prune, if not nil, is called with all keys after the whole table was read again.
+	prune func(map[string]struct{})
 }
 
 // feedInterval is the pause between two feed calls. Changes accumulate in it, so that a busy table takes few calls. New jobs
@@ -335,15 +271,20 @@
 		l.removalLock.RLock()
 		defer l.removalLock.RUnlock()
 	}
-	s, ok := l.readTableWithRetry(ctx, f.table, f.shards)
+	keys := map[string]struct{}{}
+	version, ok := l.readTable(ctx, f.table, f.shards, func(page []backend.Row) {
+		for _, row := range page {
+			f.apply(row)
+			if f.prune != nil {
+				keys[row.Key] = struct{}{}
+			}
+		}
+	})
 	if !ok {
 		return
 	}
-	for _, row := range s.rows {
-		f.apply(row)
-	}
 	if f.prune != nil {
-		f.prune(s.byKey())
+		f.prune(keys)
 	}
-	*f.version = s.version
+	*f.version = version
 }
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -75,6 +75,8 @@
 	// DelegateFrom is the number of workers from which a leader makes its calls to workers through other instances; 0 means
 	// the default.
 	DelegateFrom int
+	// JobMemoryBytes is the memory that this instance may use for the steps and tasks of jobs while it leads; 0 means the default.
+	JobMemoryBytes int64
 	// TakeoverDelay is an additional delay before this instance takes over, so that other instances can do so first.
 	TakeoverDelay time.Duration
 	// Now returns the time since boot, including the time in which the machine was suspended.
--- a/process/node/peers.go
+++ b/process/node/peers.go
@@ -199,7 +199,7 @@
 		l.applyCancelRow(backend.Row{RowKey: key})
 		return
 	}
-	l.applyJobRow(backend.Row{RowKey: key, Value: record}, backend.Row{})
+	l.applyJobRow(backend.Row{RowKey: key, Value: record}, nil)
 }
 
 // requestAdvice requests placement advice through the instance a.Adviser. It returns the advised workers with their tickets
--- a/process/node/refusal_test.go
+++ b/process/node/refusal_test.go
@@ -159,7 +159,7 @@
 		assert.Assert(t, n.Refuse(t.Context(), id, errOutdated()) != nil)
 	}
 	for _, row := range tables.Rows(jobTable) {
-		l.applyJobRow(row, backend.Row{})
+		l.applyJobRow(row, nil)
 	}
 	assert.NilError(t, submitAt(t.Context(), n, "b"))
 	now += refusalRetention / 2
--- a/process/node/status.go
+++ b/process/node/status.go
@@ -35,8 +35,10 @@
 	Workers int `json:"workers"`
 	Members int `json:"members"`
 	// Load is what the scheduler has to do and has done, and Calls counts its calls to workers; only the leader sets them.
-	Load  cell.Load   `json:"load"`
-	Calls WorkerCalls `json:"calls"`
+	Load cell.Load `json:"load"`
+	// Memory is what the jobs take of the memory for them, and how many are not in memory; only the leader sets it.
+	Memory cell.MemoryUse `json:"memory"`
+	Calls  WorkerCalls    `json:"calls"`
 	// Teams is the use of the cell by the teams with the largest shares; only the leader sets it.
 	Teams []cell.TeamUse `json:"teams,omitempty"`
 	// Cell is the state of the leader's scheduler, limited in size. Only ServeDump sets it.
@@ -60,6 +62,7 @@
 		s.Members = len(l.memberAddresses(memberTTL))
 		s.Workers = l.core.UsableWorkers()
 		s.RefusedRows = l.core.RefusedRows()
+		s.Memory = l.core.MemoryUse()
 		s.Load, s.Calls = l.core.Load(), l.workers.counts.snapshot()
 		s.Teams, _ = l.core.Teams(maxStatusTeams)
 		for _, count := range l.core.WaitingJobs() {
--- a/process/telemetry/load.go
+++ b/process/telemetry/load.go
@@ -13,6 +13,9 @@
 	heldTasks                    metric.Int64ObservableGauge
 	heldTaskTime, foundTasks     metric.Int64ObservableCounter
 	rounds, examined, callsTo    metric.Int64ObservableCounter
+	jobMemory, jobMemoryLimit    metric.Int64ObservableGauge
+	deferredJobs, tooLargeJobs   metric.Int64ObservableGauge
+	evictedJobs                  metric.Int64ObservableCounter
 }
 
 func newLoadInstruments(b *instrumentBuilder) loadInstruments {
@@ -27,11 +30,17 @@
 		rounds:          b.newObservableCounter("lentiltide.leader.rounds", "Scheduling rounds of this leadership."),
 		examined:        b.newObservableCounter("lentiltide.leader.examined", "Workers examined by decisions of this leadership, by purpose."),
 		callsTo:         b.newObservableCounter("lentiltide.leader.worker_calls", "Calls of this leadership to workers, by path."),
+		jobMemory:       b.newGauge("lentiltide.jobs.memory_used", "Upper bound of the memory of the jobs that the leader holds, in bytes."),
+		jobMemoryLimit:  b.newGauge("lentiltide.jobs.memory_limit", "Memory of the leader for jobs, in bytes."),
+		deferredJobs:    b.newGauge("lentiltide.jobs.deferred", "Accepted jobs that the leader does not hold in memory."),
+		tooLargeJobs:    b.newGauge("lentiltide.jobs.too_large", "Accepted jobs that are larger than the memory of the leader for jobs."),
+		evictedJobs:     b.newObservableCounter("lentiltide.jobs.evictions", "Jobs without runs that gave their memory to others in this leadership."),
 	}
 }
 
 func (l loadInstruments) instruments() []metric.Observable {
-	return []metric.Observable{l.readySteps, l.waitingTasks, l.waitingServices, l.serviceWait, l.heldTasks, l.heldTaskTime, l.foundTasks, l.rounds, l.examined, l.callsTo}
+	return []metric.Observable{l.readySteps, l.waitingTasks, l.waitingServices, l.serviceWait, l.heldTasks, l.heldTaskTime, l.foundTasks, l.rounds, l.examined, l.callsTo,
+		l.jobMemory, l.jobMemoryLimit, l.deferredJobs, l.tooLargeJobs, l.evictedJobs}
 }
 
 func (l loadInstruments) observe(o metric.Observer, s node.Status) {
@@ -42,6 +51,11 @@
 	o.ObserveInt64(l.heldTasks, int64(s.Load.HeldTasks))
 	o.ObserveInt64(l.heldTaskTime, s.Load.HeldTaskMS)
 	o.ObserveInt64(l.foundTasks, int64(s.Load.FoundTasks))
+	o.ObserveInt64(l.jobMemory, s.Memory.UsedBytes)
+	o.ObserveInt64(l.jobMemoryLimit, s.Memory.LimitBytes)
+	o.ObserveInt64(l.deferredJobs, int64(s.Memory.Deferred))
+	o.ObserveInt64(l.tooLargeJobs, int64(s.Memory.TooLarge))
+	o.ObserveInt64(l.evictedJobs, int64(s.Memory.Evictions))
 	e := s.Load.Effort
 	o.ObserveInt64(l.rounds, int64(e.Rounds))
 	for purpose, n := range map[string]uint64{
--- /dev/null
+++ b/version/cell/admission.go
@@ -0,0 +1,324 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/lentiltide/lentiltide/model/job"
+)
+
+// Callers may hand in more work than the leader has memory for, and a former leader of another size may have accepted it. So the steps and
+// tasks of a job are in memory only while the job is admitted. Any other job is deferred: the leader keeps an entry of fixed size and reads the
+// rows of the job again when there is memory for it. Where memory is short, admitted jobs without runs give way after a while, so that
+// jobs that cannot start do not keep others from starting, for whatever reason.
+
+const (
+	// defaultMemoryBytes is the memory for jobs if Options.MemoryBytes is not set.
+	defaultMemoryBytes = 64 << 20
+	// largeJobShare is the share of the memory from which a job is large. Large jobs take largeJobsShare together at most, so that there is
+	// memory for small ones.
+	largeJobShare  = 1.0 / 64
+	largeJobsShare = 0.75
+	// backlogShare is the share up to which jobs open occurrences beside others of the same job.
+	backlogShare = 0.5
+	// maxAdmissionReads limits the deferred jobs whose rows are read at the same time.
+	maxAdmissionReads = 16
+	// admissionRetryInterval is the time after which the rows of a deferred job are read again if they could not be read.
+	admissionRetryInterval = time.Second
+	// minResidence is how long an admitted job without runs keeps its memory at least, and maxIdleResidence how long it does whatever its
+	// priority, while others wait for memory.
+	minResidence     = 2 * time.Second
+	maxIdleResidence = 10 * time.Second
+	// dueLead is how long before its next occurrence a deferred job is admitted.
+	dueLead = 2 * time.Second
+)
+
+// admission decides which jobs are in memory.
+type admission struct {
+	// limit is the memory for jobs in bytes, and used what the admitted jobs and those whose rows are being read may take of it.
+	limit, used int64
+	// deferred are the jobs that are not in memory.
+	deferred map[job.ID]*deferredJob
+	// waiting says for each lane whether deferred jobs waited for memory when that was last examined.
+	waiting [numLanes]bool
+	// reads is the number of deferred jobs whose rows are being read.
+	reads int
+	// evictions counts the jobs that were deferred after they had been admitted.
+	evictions uint64
+}
+
+// lane separates small jobs from large ones, which do not wait for each other.
+type lane uint8
+
+const (
+	smallJobs lane = iota
+	largeJobs
+	numLanes
+)
+
+func newAdmission(limit int64) admission {
+	if limit <= 0 {
+		limit = defaultMemoryBytes
+	}
+	return admission{limit: limit, deferred: map[job.ID]*deferredJob{}}
+}
+
+func (a *admission) share(s float64) int64 { return int64(float64(a.limit) * s) }
+
+func (a *admission) laneOf(size int64) lane {
+	if size > a.share(largeJobShare) {
+		return largeJobs
+	}
+	return smallJobs
+}
+
+// fits reports whether there is memory for a further job.
+func (a *admission) fits(size int64) bool {
+	if a.laneOf(size) == largeJobs {
+		return a.used+size <= a.share(largeJobsShare)
+	}
+	return a.used+size <= a.limit
+}
+
+// canHold reports whether there is memory for a job if no other one is admitted.
+func (a *admission) canHold(size int64) bool {
+	return a.laneOf(size) == smallJobs || size <= a.share(largeJobsShare)
+}
+
+// fitsBacklog reports whether a job may open a further occurrence beside others.
+func (a *admission) fitsBacklog(size int64) bool { return a.used+size <= a.share(backlogShare) }
+
+// isAdmitted decides whether a job whose record has arrived is kept in memory, and defers it otherwise. A job of which a worker lists tasks
+// is kept in any case: its runs count in the ledger, and its completions must be handled.
+func (c *Core) isAdmitted(id job.ID, record *job.Record, progress *progressRow) bool {
+	a := &c.admission
+	size := recordFootprint(record) + occurrenceFootprint(&record.Spec)
+	d := a.deferred[id]
+	_, listed := c.lookups[id]
+	switch {
+	case !a.canHold(size):
+	case d != nil && (d.reading || d.required), listed:
+		return true
+	case d == nil && a.fits(size) && !a.waiting[a.laneOf(size)]:
+		return true
+	}
+	if d != nil {
+		d.epoch = min(d.epoch, record.Epoch)
+		return false
+	}
+	d = newDeferredJob(id, record, size, progress)
+	d.startable = c.couldStart(record)
+	c.deferJob(d, deferredReason(a, size))
+	return false
+}
+
+// admitDeferred reads the rows of deferred jobs for which there is memory, or for which others give way.
+func (c *Core) admitDeferred() {
+	a := &c.admission
+	a.waiting = [numLanes]bool{}
+	if len(a.deferred) == 0 {
+		return
+	}
+	victims := victimSearch{core: c}
+	for l, candidates := range c.admissionCandidates() {
+		for _, d := range candidates {
+			if a.reads >= maxAdmissionReads || !d.required && !a.fits(d.size) && !victims.makeRoom(d) {
+				a.waiting[l] = true
+				break
+			}
+			c.readDeferred(d)
+		}
+	}
+}
+
+// admissionCandidates returns the deferred jobs to admit next in each lane: those that could start before others, then those that have never
+// been admitted in the order of their priorities, then the others in the order in which they were deferred.
+func (c *Core) admissionCandidates() [numLanes][]*deferredJob {
+	var out [numLanes][]*deferredJob
+	for _, d := range c.admission.deferred {
+		if !c.mayAdmit(d) {
+			continue
+		}
+		l := &out[c.admission.laneOf(d.size)]
+		*l = c.insertCandidate(*l, d)
+	}
+	return out
+}
+
+// insertCandidate inserts a job into the first maxAdmissionReads candidates.
+func (c *Core) insertCandidate(candidates []*deferredJob, d *deferredJob) []*deferredJob {
+	at, _ := slices.BinarySearchFunc(candidates, d, c.compareCandidates)
+	if at == maxAdmissionReads {
+		return candidates
+	}
+	return slices.Insert(candidates, at, d)[:min(len(candidates)+1, maxAdmissionReads)]
+}
+
+func (c *Core) compareCandidates(a, b *deferredJob) int {
+	if a.required != b.required {
+		return lastIf(b.required)
+	}
+	if hopeless := c.seemsHopeless(a); hopeless != c.seemsHopeless(b) {
+		return lastIf(hopeless)
+	}
+	if (a.admissions == 0) != (b.admissions == 0) {
+		return lastIf(a.admissions > 0)
+	}
+	if a.admissions == 0 && a.priority != b.priority {
+		return cmp.Compare(a.priority, b.priority)
+	}
+	return cmp.Or(cmp.Compare(a.deferredAt, b.deferredAt), cmp.Compare(a.id, b.id))
+}
+
+// seemsHopeless reports whether no worker could hold a task of a deferred job when it was deferred. The workers may have changed since, so that
+// it has its turn with the others after a while.
+func (c *Core) seemsHopeless(d *deferredJob) bool {
+	return !d.startable && c.now < d.deferredAt+maxIdleResidence
+}
+
+// mayAdmit reports whether a deferred job is to be admitted as soon as there is memory for it.
+func (c *Core) mayAdmit(d *deferredJob) bool {
+	return !d.reading && c.admission.canHold(d.size) && c.now >= d.retryAt && c.wallClockMS >= d.dueMS-dueLead.Milliseconds()
+}
+
+// readDeferred reads the rows of a deferred job, for which its memory is set aside.
+func (c *Core) readDeferred(d *deferredJob) {
+	d.reading = true
+	c.admission.reads++
+	c.admission.used += d.size
+	c.actions = append(c.actions, &LookupAction{d.id, c.now})
+}
+
+// endRead ends the read of a deferred job, whether it was admitted or not.
+func (c *Core) endRead(d *deferredJob) {
+	if d.reading {
+		d.reading = false
+		c.admission.reads--
+		c.admission.used -= d.size
+	}
+}
+
+// readFailed records that a deferred job was not admitted after its rows had been read.
+func (c *Core) readFailed(id job.ID) {
+	if d := c.admission.deferred[id]; d != nil && d.reading {
+		c.endRead(d)
+		d.retryAt = c.now + admissionRetryInterval
+	}
+}
+
+// victimSearch finds the admitted jobs that give way to deferred ones.
+type victimSearch struct {
+	core *Core
+	// found are the jobs without runs, the ones that give way first first; nil before they were looked for.
+	found []*jobState
+}
+
+// makeRoom defers admitted jobs until there is memory for another one. It reports whether there is.
+func (v *victimSearch) makeRoom(d *deferredJob) bool {
+	if v.found == nil {
+		v.search()
+	}
+	for i := 0; i < len(v.found) && !v.core.admission.fits(d.size); i++ {
+		if j := v.found[i]; j != nil && v.core.givesWay(j, d) {
+			v.core.evict(j)
+			v.found[i] = nil
+		}
+	}
+	return v.core.admission.fits(d.size)
+}
+
+func (v *victimSearch) search() {
+	v.found = []*jobState{}
+	startable := map[*jobState]bool{}
+	for _, j := range v.core.jobs {
+		if v.core.isIdle(j) {
+			v.found = append(v.found, j)
+			startable[j] = v.core.isStartable(j)
+		}
+	}
+	slices.SortFunc(v.found, func(a, b *jobState) int {
+		if startable[a] != startable[b] {
+			return lastIf(startable[a])
+		}
+		return cmp.Or(cmp.Compare(b.queue.Priority, a.queue.Priority), cmp.Compare(a.activeAt, b.activeAt), cmp.Compare(a.id, b.id))
+	})
+}
+
+// givesWay reports whether an idle job gives way to a deferred one. A more urgent job keeps its memory for longer if it could start.
+func (c *Core) givesWay(j *jobState, d *deferredJob) bool {
+	return j.queue.Priority >= d.priority || !c.isStartable(j) || c.now >= j.activeAt+maxIdleResidence
+}
+
+// couldStart reports whether the workers could hold a task of a job that is not in memory if nothing else ran there.
+func (c *Core) couldStart(record *job.Record) bool {
+	j := &jobState{queue: record.Queue}
+	return slices.ContainsFunc(record.Spec.Steps, func(spec job.Step) bool {
+		spec.Gang = false
+		return len(spec.DependsOn) == 0 && c.fleetHolds(&step{job: j, spec: &spec})
+	})
+}
+
+// isStartable reports whether the workers could hold a waiting task of a job if nothing else ran there.
+func (c *Core) isStartable(j *jobState) bool {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if len(s.waiting) > 0 && c.isFeasible(s) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// isIdle reports whether an admitted job can be deferred: it has had no run for a while, and its rows hold all that is known of it, apart
+// from what a deferredJob holds.
+func (c *Core) isIdle(j *jobState) bool {
+	if j.state.Terminal() || c.now < j.activeAt+minResidence || j.lastChange > j.storedChange || c.isRecovering(j) {
+		return false
+	}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if slices.ContainsFunc(s.tasks, c.hasTransientState) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// hasTransientState reports whether a task has state that is neither in the rows of its job nor in a deferredJob.
+func (c *Core) hasTransientState(t *task) bool {
+	return len(t.runs) > 0 || t.formerRun != nil || t.placement.unknown || t.mayCrash() || c.now < t.pausedUntil
+}
+
+// evict defers an admitted job without runs.
+func (c *Core) evict(j *jobState) {
+	startable := c.isStartable(j)
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			c.withdrawStep(s)
+		}
+	}
+	delete(c.jobs, j.id)
+	delete(c.recurring, j.id)
+	delete(c.dirtyJobs, j.id)
+	c.admission.used -= j.accounted
+	c.admission.evictions++
+	d := c.deferredFrom(j)
+	d.startable = startable
+	c.deferJob(d, deferredIdle)
+}
+
+// withdrawStep removes the tasks of a step without runs from the queue.
+func (c *Core) withdrawStep(s *step) {
+	c.dropPlan(s)
+	for _, t := range s.waiting {
+		t.waiting = false
+	}
+	s.waiting = nil
+	c.ready.remove(s)
+	if s.job.team != nil {
+		delete(s.job.team.held, s)
+	}
+}
--- /dev/null
+++ b/version/cell/admission_test.go
@@ -0,0 +1,368 @@
+package cell
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/model/job"
+)
+
+// newSmallCluster returns a core that has little memory for jobs, with a worker of 4 cores.
+func newSmallCluster(t *testing.T, epoch uint64, memoryBytes int64) *testCluster {
+	tc := newTestCluster(t, epoch)
+	tc.core.admission = newAdmission(memoryBytes)
+	tc.rows = map[job.ID]job.Record{}
+	tc.addWorker("w1")
+	return tc
+}
+
+// loadRow passes a stored job to the core with its progress.
+func (tc *testCluster) loadRow(id job.ID, r job.Record) {
+	if progress := tc.storedProgress[id]; len(progress) > 0 {
+		assert.NilError(tc.t, tc.core.LoadProgress(id, r, progress, tc.now))
+		return
+	}
+	tc.core.AddJob(id, r, tc.now)
+}
+
+// submit stores a job and passes it to the core.
+func (tc *testCluster) submit(id string, r job.Record) {
+	tc.rows[job.ID(id)] = r
+	tc.loadRow(job.ID(id), r)
+}
+
+// runUntil runs rounds in which the worker w1 ends all its runs as done, until a job is in a state.
+func (tc *testCluster) runUntil(id string, want job.State, rounds int) {
+	for range rounds {
+		if tc.state(id) == want {
+			return
+		}
+		tc.runAll()
+		tc.storeBatches()
+	}
+	assert.Equal(tc.t, tc.state(id), want, "%s", id)
+}
+
+func requiring(label string) func(*job.Step) { return func(s *job.Step) { s.RequiredLabel = label } }
+
+// Guards against a leader that runs out of memory on a job of any size that is in the store, however it got there, and against one that cannot
+// be cancelled or seen.
+func TestJobLargerThanMemoryIsDeferred(t *testing.T) {
+	for name, counts := range map[string][]int{
+		"negative sum":                {math.MaxInt, math.MaxInt},
+		"sum wraps to a small number": {math.MaxInt, math.MaxInt, 7},
+		"wide":                        {60_000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tc := newSmallCluster(t, 2, 32<<20)
+			var steps []job.Step
+			for _, n := range counts {
+				steps = append(steps, stepWithTasks(n))
+			}
+			tc.submit("huge", record("plain", 2, steps...))
+			recurring := record("plain", 1, steps...)
+			recurring.Spec.Repetitions, recurring.Spec.IntervalMS = math.MaxInt, math.MaxInt64
+			tc.storedProgress["loaded"] = []byte(`{"t":{"0.0":{"d":"AQ=="}}}`)
+			tc.submit("loaded", recurring)
+			tc.submit("ordinary", record("plain", 2, stepWithTasks(4)))
+			assert.Equal(t, len(tc.core.jobs), 1)
+			assert.Equal(t, tc.state("huge"), job.Queued)
+			assert.Equal(t, tc.state("loaded"), job.Running)
+			tc.runUntil("ordinary", job.Completed, 3)
+			tc.advance(30 * time.Second)
+			assert.Equal(t, tc.lookups, 0)
+			assert.Equal(t, tc.core.WaitingJobs()["plain"], 1)
+			dump := tc.core.Dump(10)
+			assert.Equal(t, len(dump.Deferred), 2)
+			assert.Equal(t, dump.Deferred[0].Reason, deferredTooLarge)
+			assert.Equal(t, dump.Memory.TooLarge, 2)
+
+			tc.core.CancelJob("huge", tc.now)
+			tc.storeBatches()
+			assert.Equal(t, tc.state("huge"), job.Cancelled)
+			assert.Equal(t, string(tc.storedProgress["huge"]), `{"s":"cancelled"}`)
+			tc.submit("huge", record("plain", 2, steps...))
+			assert.Equal(t, tc.state("huge"), job.Cancelled)
+		})
+	}
+}
+
+// Guards against accepted work that takes more memory than the leader has, with jobs that each are within their own limit, and against large
+// jobs that keep small ones out.
+func TestMemoryOfAllJobsIsBounded(t *testing.T) {
+	tc := newSmallCluster(t, 1, 16<<20)
+	for i := range 200 {
+		tc.submit(fmt.Sprintf("wide%03d", i), record("plain", 1, stepWithTasks(1000), stepWithTasks(1000, dependsOn(0))))
+	}
+	assert.Assert(t, len(tc.core.jobs) < 10)
+	assert.Equal(t, len(tc.core.jobs)+len(tc.core.admission.deferred), 200)
+	assert.Equal(t, tc.core.WaitingJobs()["plain"], 200)
+	tc.submit("small", record("plain", 1, stepWithTasks(1)))
+	assert.Assert(t, tc.core.jobs["small"] != nil)
+	for i := range 40 {
+		tc.advance(time.Second)
+		use := tc.core.MemoryUse()
+		assert.Assert(t, use.UsedBytes <= use.LimitBytes, "%d s: %+v", i, use)
+	}
+}
+
+// Guards against jobs that cannot start and keep the memory for ever, so that others are never started though there is capacity.
+func TestJobsThatCannotStartGiveWay(t *testing.T) {
+	for name, step := range map[string]job.Step{
+		"small": stepWithTasks(10, requiring("nowhere")),
+		"large": stepWithTasks(2000, requiring("nowhere")),
+	} {
+		t.Run(name, func(t *testing.T) {
+			tc := newSmallCluster(t, 1, 4<<20)
+			jobs := 20_000 / step.Count
+			for i := range jobs {
+				// A more urgent queue must not keep the memory either.
+				tc.submit(fmt.Sprintf("never%04d", i), record("short", 1, step))
+			}
+			tc.submit("ordinary", record("plain", 1, step))
+			tc.submit("possible", record("plain", 1, stepWithTasks(step.Count)))
+			tc.advance(100 * time.Millisecond)
+			for range 60 {
+				tc.advance(100 * time.Millisecond)
+				if len(tc.starts) > 0 {
+					break
+				}
+			}
+			assert.Assert(t, len(tc.starts) > 0)
+			assert.Equal(t, tc.starts[0].Command.Task[:9], "possible.")
+			use := tc.core.MemoryUse()
+			assert.Assert(t, use.UsedBytes <= use.LimitBytes)
+			assert.Equal(t, len(tc.core.jobs)+use.Deferred, jobs+2)
+		})
+	}
+}
+
+// Guards against tasks whose state is lost while their job is deferred: a run number that is used again, a checkpoint, a task that is done, a
+// failed attempt.
+func TestDeferredJobKeepsItsState(t *testing.T) {
+	tc := newSmallCluster(t, 1, 4<<20)
+	r := record("plain", 1, stepWithTasks(3, func(s *job.Step) { s.Checkpoints = true }))
+	tc.submit("a", r)
+	tc.step()
+	started := map[string]int64{}
+	for _, a := range tc.starts {
+		started[a.Command.Task] = a.Command.Run
+	}
+	assert.Equal(t, len(started), 3)
+	tc.confirmStarts()
+	ended := []backend.FinishedRun{
+		tc.completion("w1", "a.0.0.0", started["a.0.0.0"], backend.ResultDone),
+		tc.completion("w1", "a.0.0.1", started["a.0.0.1"], backend.ResultStopped),
+		tc.completion("w1", "a.0.0.2", started["a.0.0.2"], backend.ResultFailed),
+	}
+	ended[1].Checkpoint = "half"
+	tc.answerPoll("w1", nil, ended)
+	tc.listWorker("w1", func(info *backend.WorkerInfo) { info.Capacity = model.Resources{CPUMilli: 500, MemoryMiB: 10} })
+	tc.storeBatches()
+	tc.advance(minResidence + time.Second)
+	j := tc.core.jobs["a"]
+	assert.Assert(t, tc.core.isIdle(j))
+	tc.core.evict(j)
+	assert.Equal(t, tc.state("a"), job.Running)
+	used := tc.core.admission.used
+	tc.starts = nil
+	tc.listWorker("w1", nil)
+	tc.advance(300 * time.Millisecond)
+	assert.Equal(t, tc.lookups, 1)
+	resumed := map[string]*StartAction{}
+	for _, a := range tc.starts {
+		resumed[a.Command.Task] = a
+	}
+	assert.Equal(t, len(resumed), 2)
+	assert.Equal(t, resumed["a.0.0.1"].Command.Checkpoint, "half")
+	for task, a := range resumed {
+		assert.Assert(t, a.Command.Run > started[task])
+	}
+	assert.Equal(t, len(tc.core.findTask("a.0.0.2").failedRuns), 1)
+	assert.Assert(t, tc.core.admission.used > used)
+}
+
+// Guards against a worker that cannot be used, or a task that starts again, since a former leader has started a job that its successor defers.
+func TestRunOfADeferredJobIsAdopted(t *testing.T) {
+	tc := newSmallCluster(t, 2, 4<<20)
+	for i := range 10 {
+		tc.submit(fmt.Sprintf("wide%d", i), record("plain", 1, stepWithTasks(2000)))
+	}
+	assert.Assert(t, tc.core.admission.deferred["wide9"] != nil)
+	tc.answerPoll("w1", []backend.ActiveRun{{Task: "wide9.0.0.7", Run: 3}}, []backend.FinishedRun{tc.completion("w1", "wide8.0.0.5", 2, backend.ResultDone)})
+	assert.Assert(t, tc.core.workers["w1"].hasUnknownRuns)
+	tc.advance(120 * time.Millisecond)
+	assert.Equal(t, tc.state("wide9"), job.Running)
+	assert.Equal(t, len(tc.core.findTask("wide9.0.0.7").runs), 1)
+	assert.Assert(t, tc.core.findTask("wide8.0.0.5").done)
+	assert.Equal(t, tc.core.workers["w1"].lastAckedCompletion, int64(0))
+	tc.storeBatches()
+	assert.Equal(t, tc.core.workers["w1"].lastAckedCompletion, int64(1))
+	for _, a := range tc.starts {
+		assert.Assert(t, a.Command.Task != "wide9.0.0.7" && a.Command.Task != "wide8.0.0.5")
+	}
+}
+
+// Guards against results of a former leader that are lost because its successor defers their jobs.
+func TestResultsOfDeferredJobsAreAdopted(t *testing.T) {
+	tc := newSmallCluster(t, 2, 4<<20)
+	for i := range 10 {
+		tc.submit(fmt.Sprintf("wide%d", i), record("plain", 1, stepWithTasks(2000)))
+	}
+	tc.core.AdoptCompletions([]job.ID{"wide9"}, tc.now)
+	assert.NilError(t, tc.core.AdoptCrashes("wide8", []byte(`{"s":"failed"}`), tc.now))
+	assert.NilError(t, tc.core.AdoptCrashes("wide7", []byte(`{"t":{"0.0":{"c":{"5":[2,0,0]}}}}`), tc.now))
+	tc.storeBatches()
+	assert.Equal(t, tc.state("wide9"), job.Completed)
+	assert.Equal(t, tc.state("wide8"), job.Failed)
+	tc.advance(200 * time.Millisecond)
+	assert.Equal(t, tc.core.findTask("wide7.0.0.5").crashes.certain, 2)
+}
+
+// Guards against a worker that lists a task of a late occurrence: all occurrences before it took the memory of the leader.
+func TestListedOccurrenceIsOpenedAlone(t *testing.T) {
+	tc := newSmallCluster(t, 2, 16<<20)
+	r := tc.recurringRecord(math.MaxInt, time.Hour, smallSteps(2)...)
+	tc.submit("a", r)
+	tc.answerPoll("w1", []backend.ActiveRun{{Task: "a.1000000000.0.0", Run: 3}}, nil)
+	tc.advance(200 * time.Millisecond)
+	j := tc.core.jobs["a"]
+	assert.Equal(t, len(j.occurrences), 2)
+	assert.Equal(t, len(tc.core.findTask("a.1000000000.0.0").runs), 1)
+	assert.Equal(t, j.nextIndex, 1)
+}
+
+// Guards against progress of occurrences that are not open, which a later write of the row would remove: their tasks would start again.
+func TestProgressOfClosedOccurrencesIsKept(t *testing.T) {
+	tc := newSmallCluster(t, 2, 16<<20)
+	r := tc.recurringRecord(20_000, time.Millisecond, smallSteps(2)...)
+	r.Spec.StartAtMS -= 20_000
+	r.Spec.Steps[1].DependsOn = []int{0}
+	tc.storedProgress["a"] = []byte(`{"o":[[0,99]],"t":{"15000.0":{"a":true},"100.0":{"a":true}}}`)
+	tc.submit("a", r)
+	tc.runAll()
+	tc.storeBatches()
+	row, err := decodeProgress(tc.storedProgress["a"])
+	assert.NilError(t, err)
+	assert.Assert(t, row.Steps["15000.0"] != nil && row.Steps["15000.0"].All)
+	assert.Assert(t, row.Steps["100.0"] == nil && row.Done.contains(100), "%v", row.Done)
+	for range 400 {
+		tc.runAll()
+		for _, a := range tc.starts {
+			assert.Assert(t, a.Command.Task != "a.15000.0.0")
+		}
+	}
+	assert.Assert(t, tc.core.jobs["a"].doneOccurrences.contains(15000), "%v", tc.core.jobs["a"].doneOccurrences)
+}
+
+// Guards against jobs that are lost, run twice or end in another state than with ample memory, whatever their shapes and however little memory
+// there is, over changes of the leader.
+func TestLittleMemoryChangesNoResult(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playLittleMemory(t, rand.New(rand.NewPCG(seed, 69))) })
+	}
+}
+
+func playLittleMemory(t *testing.T, random *rand.Rand) {
+	memory := int64(40+random.IntN(200)) << 10
+	tc := newSmallCluster(t, 1, memory)
+	done := map[string]int64{}
+	highest := map[string]int64{}
+	jobs := 10 + random.IntN(30)
+	for i := range jobs {
+		tc.submit(fmt.Sprintf("j%02d", i), tc.randomRecord(random))
+	}
+	for round := 0; round < 4000 && !tc.allEnded(jobs); round++ {
+		if random.IntN(300) == 0 {
+			tc = tc.smallSuccessor(memory)
+		}
+		tc.advance(time.Duration(20+random.IntN(200)) * time.Millisecond)
+		var ended []backend.FinishedRun
+		for _, a := range tc.starts {
+			name := a.Command.Task
+			assert.Assert(t, done[name] == 0, "%s starts again as %d after it was done", name, a.Command.Run)
+			assert.Assert(t, a.Command.Run > highest[name], "%s: run %d after %d", name, a.Command.Run, highest[name])
+			highest[name] = a.Command.Run
+			result := backend.ResultDone
+			if random.IntN(8) == 0 {
+				result = backend.ResultStopped
+			}
+			if result == backend.ResultDone {
+				done[name] = a.Command.Run
+			}
+			ended = append(ended, tc.completion("w1", name, a.Command.Run, result))
+		}
+		tc.confirmStarts()
+		tc.answerPoll("w1", nil, ended)
+		tc.storeBatches()
+		use := tc.core.MemoryUse()
+		assert.Assert(t, use.UsedBytes <= use.LimitBytes, "%+v", use)
+	}
+	assert.Assert(t, tc.allEnded(jobs), "%+v", tc.core.Dump(5))
+	for id, r := range tc.rows {
+		if slices.ContainsFunc(r.Spec.Steps, func(s job.Step) bool { return s.Gang }) {
+			// The end of one member stands for all.
+			continue
+		}
+		tasks := r.Spec.Tasks() * max(1, r.Spec.Repetitions)
+		for task := range done {
+			if name, _ := job.ParseTaskName(task); name.Job == id {
+				tasks--
+			}
+		}
+		assert.Equal(t, tasks, 0, "tasks of %s were not done", id)
+	}
+}
+
+// randomRecord returns a job of one to three steps, which may be due repeatedly.
+func (tc *testCluster) randomRecord(random *rand.Rand) job.Record {
+	var steps []job.Step
+	for i := range 1 + random.IntN(3) {
+		s := stepWithTasks(1 + random.IntN(6))
+		s.TaskDemand.CPUMilli = int64(100 + random.IntN(900))
+		s.Gang = random.IntN(6) == 0 && s.Count <= 4
+		s.Checkpoints = random.IntN(2) == 0
+		if i > 0 && random.IntN(2) == 0 {
+			s.DependsOn = []int{random.IntN(i)}
+		}
+		steps = append(steps, s)
+	}
+	r := record("plain", 1, steps...)
+	if random.IntN(3) == 0 {
+		r = tc.recurringRecord(1+random.IntN(30), time.Duration(random.IntN(2000))*time.Millisecond, steps...)
+		r.Spec.StartAtMS -= int64(random.IntN(20_000))
+	}
+	return r
+}
+
+func (tc *testCluster) allEnded(jobs int) bool {
+	ended := 0
+	for id := range tc.rows {
+		if state, _ := tc.core.State(id); state.Terminal() {
+			ended++
+		}
+	}
+	return ended == jobs
+}
+
+// smallSuccessor returns the next leader, which has read all rows and the worker w1.
+func (tc *testCluster) smallSuccessor(memory int64) *testCluster {
+	next := newTestCluster(tc.t, tc.core.opts.Epoch+1)
+	next.core.admission = newAdmission(memory)
+	next.now, next.rows, next.storedProgress, next.lastCompletion = tc.now, tc.rows, tc.storedProgress, tc.lastCompletion
+	for id, r := range tc.rows {
+		next.loadRow(id, r)
+	}
+	next.addWorker("w1")
+	next.core.workers["w1"].lastReadCompletion = tc.core.workers["w1"].lastReadCompletion
+	next.core.workers["w1"].lastAckedCompletion = tc.core.workers["w1"].lastAckedCompletion
+	return next
+}
--- a/version/cell/cancel.go
+++ b/version/cell/cancel.go
@@ -12,6 +12,10 @@
 	defer c.mu.Unlock()
 	c.now = max(c.now, now)
 	j := c.jobs[id]
+	if j == nil && c.admission.deferred[id] != nil {
+		c.finishDeferred(id, job.Cancelled, "cancelled by the caller")
+		return
+	}
 	if j == nil {
 		if _, known := c.earlyCancels[id]; !known {
 			c.earlyCancels[id] = c.now
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -29,6 +29,8 @@
 	StartsRecordedSince uint64
 	// ClosedWorkers are the workers that former leaders have closed; see CloseWorkers.
 	ClosedWorkers map[string]ClosedWorker
+	// MemoryBytes is the memory for the steps and tasks of jobs; 0 means a default.
+	MemoryBytes int64
 	// StopTimeout limits the stop of a run on a worker. The Core does not read it.
 	StopTimeout time.Duration
 	// Retention is how long the state of a finished job can be queried.
@@ -59,6 +61,9 @@
 	config      job.Config
 	jobs        map[job.ID]*jobState
 	recurring   map[job.ID]*jobState
+	// admission holds the jobs that are not in memory, and ended are the jobs that have ended and may still have runs.
+	admission admission
+	ended     []*jobState
 	// teams are the teams with jobs, by name. unreadChanged means that their unread use must be determined again.
 	teams         map[string]*team
 	unreadChanged bool
@@ -152,7 +157,7 @@
 		dirtyJobs: map[job.ID]*jobState{}, changedFleetShards: map[int]struct{}{}, approvalRates: map[string]float64{}, kindSpeeds: map[string]*speedEstimate{}, waves: map[int]*wave{},
 		wake: make(chan struct{}, 1),
 	}
-	c.planned.core, c.placements = c, newPlacementLog()
+	c.planned.core, c.placements, c.admission = c, newPlacementLog(), newAdmission(opts.MemoryBytes)
 	c.loadClosed(opts.ClosedWorkers)
 	return c
 }
@@ -252,6 +257,11 @@
 			j.queue = q
 		}
 	}
+	for _, d := range c.admission.deferred {
+		if q, ok := cfg.Queue(d.queue); ok {
+			d.priority = q.Priority
+		}
+	}
 	c.updateTightestStretch()
 	for _, t := range c.teams {
 		c.configureTeam(t)
@@ -319,7 +329,9 @@
 	c.settlePlacements()
 	c.settleUnowned()
 	c.removeUnusedFromRecord()
+	c.releaseEnded()
 	c.openDueOccurrences()
+	c.admitDeferred()
 	c.expireFinishedJobs()
 	c.sendLookups()
 }
--- a/version/cell/dump.go
+++ b/version/cell/dump.go
@@ -17,6 +17,9 @@
 	Teams   []TeamUse    `json:"teams,omitempty"`
 	Jobs    []JobDump    `json:"jobs"`
 	Workers []WorkerDump `json:"workers"`
+	// Deferred are the jobs that are not in memory, the oldest first, and Memory is what the others take.
+	Deferred []DeferredJob `json:"deferred_jobs,omitempty"`
+	Memory   MemoryUse     `json:"memory"`
 	// Omitted counts the entries beyond the limit.
 	Omitted int `json:"omitted,omitempty"`
 }
@@ -66,7 +69,7 @@
 func (c *Core) Dump(limit int) Dump {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	d := Dump{Epoch: c.opts.Epoch}
+	d := Dump{Epoch: c.opts.Epoch, Memory: c.memoryUse()}
 	d.Teams, d.Omitted = c.teamUses(limit)
 	for id := range c.inventoryPending {
 		d.InventoryPending = append(d.InventoryPending, id)
@@ -82,6 +85,12 @@
 		d.Workers = append(d.Workers, c.dumpWorker(w))
 	}
 	slices.SortFunc(d.Workers, func(a, b WorkerDump) int { return cmp.Compare(a.ID, b.ID) })
+	for _, entry := range c.admission.deferred {
+		d.Deferred = append(d.Deferred, c.dumpDeferred(entry))
+	}
+	slices.SortFunc(d.Deferred, func(a, b DeferredJob) int { return cmp.Or(cmp.Compare(b.AgeMS, a.AgeMS), cmp.Compare(a.ID, b.ID)) })
+	d.Omitted += max(0, len(d.Deferred)-limit)
+	d.Deferred = d.Deferred[:min(len(d.Deferred), limit)]
 	d.Omitted += max(0, len(d.Jobs)-limit) + max(0, len(d.Workers)-limit)
 	d.Jobs = d.Jobs[:min(len(d.Jobs), limit)]
 	d.Workers = d.Workers[:min(len(d.Workers), limit)]
--- a/version/cell/heldstarts_test.go
+++ b/version/cell/heldstarts_test.go
@@ -81,10 +81,11 @@
 			tc, _ := ackInFlight(t)
 			tc.addJob("b", "plain", 1, stepWithTasks(1))
 			tc.advance(50 * time.Millisecond)
+			held := tc.core.findTask("b.0.0.0")
 			end(tc)
 			tc.advance(100 * time.Millisecond)
 			assert.Equal(t, len(tc.starts), 0)
-			assert.Equal(t, tc.core.findTask("b.0.0.0").crashes.total(), 0)
+			assert.Equal(t, held.crashes.total(), 0)
 		})
 	}
 }
--- a/version/cell/indexranges.go
+++ b/version/cell/indexranges.go
@@ -11,6 +11,18 @@
 	return found || i > 0 && index <= r[i-1][1]
 }
 
+// spanEnd returns the last index of the range that contains an index. ok is false if none does.
+func (r indexRanges) spanEnd(index int) (last int, ok bool) {
+	i, found := r.search(index)
+	if !found {
+		i--
+	}
+	if i < 0 || index > r[i][1] {
+		return 0, false
+	}
+	return r[i][1], true
+}
+
 // search returns the position of the range that begins at an index, or the position at which it would be.
 func (r indexRanges) search(index int) (int, bool) {
 	return slices.BinarySearchFunc(r, index, func(span [2]int, index int) int { return span[0] - index })
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/lentiltide/lentiltide/model/job"
@@ -23,11 +24,11 @@
 	// baseRunNumber is the number after which the run numbers of this epoch start.
 	baseRunNumber int64
 	occurrences   map[int]*occurrence
-	// openedOccurrences is one more than the highest index of the opened occurrences. doneOccurrences are those that are complete and
-	// need not be kept any longer.
-	openedOccurrences int
-	doneOccurrences   indexRanges
-	started           bool
+	// nextIndex is the index from which on occurrences are opened in their order; later ones may be open already. doneOccurrences are those
+	// that are complete and need not be kept any longer.
+	nextIndex       int
+	doneOccurrences indexRanges
+	started         bool
 	// recordsStarts is the result of the function of that name.
 	recordsStarts bool
 	// state is the decided state; reportedState is the durable one.
@@ -41,8 +42,18 @@
 	// lastCrash is the record of the last crash of a worker under a task of the job.
 	lastCrash crashRecord
 	// expired means that the retention has passed.
-	expired  bool
+	expired bool
+	// progress is the durable progress when the job was loaded, as far as it is not applied yet: that of occurrences which are not open.
 	progress *progressRow
+	// recordSize and occurrenceSize are the parts of the footprint, and accounted is its sum as of the last change. released means that the
+	// job has ended and that its tasks are not in memory any longer.
+	recordSize, occurrenceSize, accounted int64
+	released                              bool
+	// activeAt is when the job was admitted, or a run was added or removed last. admissions is how often the job has been admitted.
+	activeAt   Instant
+	admissions int
+	// checkpoints are those of waiting tasks from before the job was deferred, by task name.
+	checkpoints map[string]string
 }
 
 // occurrence is one repetition of the steps of a job.
@@ -179,39 +190,52 @@
 		c.signalWake()
 		return
 	}
+	if _, early := c.earlyCancels[id]; early {
+		delete(c.earlyCancels, id)
+		c.finishDeferred(id, job.Cancelled, "cancelled by the caller")
+		return
+	}
+	if !c.isAdmitted(id, &record, progress) {
+		return
+	}
+	deferred := c.takeDeferred(id)
 	j := &jobState{
 		id: id, record: record, queue: record.Queue, addedAt: c.now, recovered: record.Epoch < c.opts.Epoch,
 		occurrences: map[int]*occurrence{}, state: job.Queued, reportedState: job.Queued, progress: progress,
-		recordsStarts: recordsStarts(&record.Spec),
+		recordsStarts: recordsStarts(&record.Spec), recordSize: recordFootprint(&record), occurrenceSize: occurrenceFootprint(&record.Spec),
+		activeAt: c.now,
 	}
+	deferred.resume(j)
 	if q, ok := c.config.Queue(j.queue.Name); ok {
 		j.queue = q
 	}
 	j.team = c.teamOf(record.Team)
-	if j.team != nil && !j.recovered {
+	if j.team != nil && !j.recovered && deferred == nil {
 		j.beyondRate = !j.team.rate.take(c.now)
 	}
 	c.unreadChanged = c.unreadChanged || j.recovered
-	j.baseRunNumber = c.baseRunNumber(record.Epoch)
-	j.objectiveAt = c.now + objectiveDuration(j)
+	j.baseRunNumber = c.baseRunNumber(j.record.Epoch)
+	if deferred != nil {
+		j.baseRunNumber = max(j.baseRunNumber, deferred.runNumber)
+	}
+	j.objectiveAt = j.addedAt + objectiveDuration(j)
 	c.jobs[id] = j
 	c.logJobAdded(j)
+	c.account(j)
 	if record.Spec.Repetitions > 0 {
 		c.recurring[id] = j
 		if progress != nil {
 			j.doneOccurrences = progress.Done
 		}
-		c.openOccurrencesUpTo(j, progress.lastOccurrence())
 		c.openDueOccurrencesOf(j)
 		c.finishIfComplete(j)
 	} else {
 		c.openOccurrence(j, 0)
 	}
-	c.resolveUnknownTasks(j)
-	if _, early := c.earlyCancels[id]; early {
-		delete(c.earlyCancels, id)
-		c.finishJob(j, job.Cancelled, "cancelled by the caller")
+	if deferred != nil {
+		c.resumeCrashes(j, deferred.crashes)
 	}
+	c.resolveUnknownTasks(j)
 	c.signalWake()
 }
 
@@ -222,6 +246,9 @@
 	if j.team != nil {
 		fields["team"], fields["beyond_rate"] = j.team.name, j.beyondRate
 	}
+	if j.admissions > 1 || j.addedAt != c.now {
+		fields["admissions"], fields["deferred_ms"] = j.admissions, (c.now - j.addedAt).Milliseconds()
+	}
 	c.logDecision("job_added", j.id, fields)
 }
 
@@ -259,9 +286,10 @@
 	if c.jobs[id] != nil {
 		return
 	}
-	c.jobs[id] = &jobState{
-		id: id, state: state, reportedState: state, finishedAt: c.now, reportedAt: c.now, started: true, occurrences: map[int]*occurrence{},
-	}
+	c.takeDeferred(id)
+	j := &jobState{id: id, state: state, reportedState: state, finishedAt: c.now, reportedAt: c.now, started: true, released: true}
+	c.jobs[id] = j
+	c.account(j)
 }
 
 // queueStep queues the tasks of a step if the step's dependencies are done.
@@ -367,6 +395,22 @@
 			c.stopStep(s)
 		}
 	}
+	c.ended = append(c.ended, j)
+}
+
+// releaseEnded drops the tasks of jobs that have ended and have no runs left. Completions that are listed later are acknowledged like those
+// of jobs whose final state was loaded.
+func (c *Core) releaseEnded() {
+	c.ended = slices.DeleteFunc(c.ended, func(j *jobState) bool {
+		if j.hasRuns() {
+			return false
+		}
+		j.released = true
+		j.occurrences, j.progress, j.checkpoints = nil, nil, nil
+		j.record.Spec = job.Spec{}
+		c.account(j)
+		return true
+	})
 }
 
 // stopStep stops all runs of a step and removes its tasks from the queue.
@@ -417,8 +461,8 @@
 	if j == nil {
 		return nil
 	}
-	if n.Occurrence < j.record.Spec.Repetitions {
-		c.openOccurrencesUpTo(j, n.Occurrence)
+	if n.Occurrence < j.record.Spec.Repetitions && !j.state.Terminal() {
+		c.openListedOccurrence(j, n.Occurrence)
 	}
 	o := j.occurrences[n.Occurrence]
 	if o == nil || n.Step >= len(o.steps) || n.Index >= len(o.steps[n.Step].tasks) {
--- a/version/cell/lookup.go
+++ b/version/cell/lookup.go
@@ -27,7 +27,7 @@
 	absentAt Instant
 }
 
-// LookupAction reads the rows of a job that is not known and adds the job. The outcome is passed to LookupResult.
+// LookupAction reads the rows of a job that is not known, or deferred, and adds the job. The outcome is passed to LookupResult.
 type LookupAction struct {
 	Job       job.ID
 	startedAt Instant
@@ -101,6 +101,7 @@
 	defer c.mu.Unlock()
 	c.now = max(c.now, now)
 	lookup := c.lookups[a.Job]
+	c.readFailed(a.Job)
 	fields := map[string]any{"found": found}
 	if err != nil {
 		fields["error"] = err.Error()
--- a/version/cell/occurrences.go
+++ b/version/cell/occurrences.go
@@ -1,12 +1,18 @@
 package cell
 
-import "github.com/lentiltide/lentiltide/model/job"
+import (
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/lentiltide/lentiltide/model/job"
+)
 
 // openOccurrence creates an occurrence and queues the steps without dependencies.
 func (c *Core) openOccurrence(j *jobState, index int) *occurrence {
 	o := &occurrence{index: index}
 	j.occurrences[index] = o
-	j.openedOccurrences = max(j.openedOccurrences, index+1)
+	c.account(j)
 	for i := range j.record.Spec.Steps {
 		s := &step{
 			job: j, occurrence: o, index: i, spec: &j.record.Spec.Steps[i], runsPerWorker: map[*worker]int{},
@@ -35,6 +41,11 @@
 	if j.progress != nil {
 		c.applyProgress(j, o)
 	}
+	for _, s := range o.steps {
+		for _, t := range s.tasks {
+			t.restoreCheckpoint()
+		}
+	}
 	for _, s := range o.steps {
 		c.queueStep(s)
 	}
@@ -46,37 +57,98 @@
 func (c *Core) openDueOccurrences() {
 	for _, j := range c.recurring {
 		j.retireOccurrences()
+		c.account(j)
 		c.openDueOccurrencesOf(j)
 	}
 }
 
-// maxOpenTasks limits the tasks of the open occurrences of a job. Those of further occurrences that are due wait until earlier ones are
-// complete, so that a backlog takes neither the memory of the instance nor the time of other jobs, and its progress fits into a row.
-const maxOpenTasks = 10_000
+const (
+	// maxOpenTasks limits the tasks of the open occurrences of a job, so that its progress fits into a row.
+	maxOpenTasks = 10_000
+	// maxWaitingTasks limits the waiting tasks of each step without dependencies, over all open occurrences of a job, for a further occurrence
+	// to be opened. Further ones would wait behind them, and take memory and the time of other jobs.
+	maxWaitingTasks = 400
+)
 
 func (c *Core) openDueOccurrencesOf(j *jobState) {
-	spec := &j.record.Spec
-	for !j.state.Terminal() && j.openedOccurrences < spec.Repetitions && j.hasRoomForOccurrence() &&
-		c.wallClockMS >= spec.DueMS(j.openedOccurrences) {
-		c.openOccurrence(j, j.openedOccurrences)
+	if j.state.Terminal() || c.wallClockMS < j.nextDueMS() {
+		return
+	}
+	waiting := j.waitingRootTasks()
+	for j.hasNextOccurrence() && c.wallClockMS >= j.nextDueMS() && c.hasRoomForOccurrence(j, waiting) {
+		waiting += c.openOccurrence(j, j.nextIndex).waitingRootTasks()
+	}
+}
+
+// hasRoomForOccurrence reports whether a further occurrence may be open beside the others, of which a number of tasks wait.
+func (c *Core) hasRoomForOccurrence(j *jobState, waiting int) bool {
+	if len(j.occurrences) == 0 {
+		return true
 	}
+	return len(j.occurrences)+1 <= maxOpenTasks/max(1, j.record.Spec.Tasks()) && waiting < maxWaitingTasks && c.admission.fitsBacklog(j.occurrenceSize)
 }
 
-// hasRoomForOccurrence reports whether a further occurrence may be open beside the others.
-func (j *jobState) hasRoomForOccurrence() bool {
-	return len(j.occurrences) == 0 || len(j.occurrences)+1 <= maxOpenTasks/max(1, j.record.Spec.Tasks())
+// waitingRootTasks returns the smallest number of waiting tasks of a step without dependencies, over all open occurrences.
+func (j *jobState) waitingRootTasks() int {
+	waiting := map[int]int{}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if len(s.spec.DependsOn) == 0 {
+				waiting[s.index] += len(s.waiting)
+			}
+		}
+	}
+	return smallest(waiting)
 }
 
-// openOccurrencesUpTo opens the occurrences up to the one with the given index. A former leader has opened it, and those
-// before it are due as well, even if they are not due yet according to this instance's clock.
-func (c *Core) openOccurrencesUpTo(j *jobState, index int) {
-	for j.openedOccurrences <= index && j.openedOccurrences < j.record.Spec.Repetitions {
-		if j.doneOccurrences.contains(j.openedOccurrences) {
-			j.openedOccurrences++
+// waitingRootTasks returns the smallest number of waiting tasks of a step without dependencies.
+func (o *occurrence) waitingRootTasks() int {
+	waiting := map[int]int{}
+	for _, s := range o.steps {
+		if len(s.spec.DependsOn) == 0 {
+			waiting[s.index] = len(s.waiting)
+		}
+	}
+	return smallest(waiting)
+}
+
+func smallest(counts map[int]int) int {
+	if len(counts) == 0 {
+		return 0
+	}
+	return slices.Min(slices.Collect(maps.Values(counts)))
+}
+
+// hasNextOccurrence reports whether a recurring job has occurrences that were not opened, and moves nextIndex to the first of them.
+func (j *jobState) hasNextOccurrence() bool {
+	for j.nextIndex < j.record.Spec.Repetitions {
+		if last, done := j.doneOccurrences.spanEnd(j.nextIndex); done {
+			j.nextIndex = last + 1
 			continue
 		}
-		c.openOccurrence(j, j.openedOccurrences)
+		if j.occurrences[j.nextIndex] == nil {
+			return true
+		}
+		j.nextIndex++
+	}
+	return false
+}
+
+// nextDueMS returns when the next occurrence is due, in milliseconds since the Unix epoch.
+func (j *jobState) nextDueMS() int64 {
+	if !j.hasNextOccurrence() {
+		return math.MaxInt64
+	}
+	return j.record.Spec.DueMS(j.nextIndex)
+}
+
+// openListedOccurrence opens an occurrence of which a worker, or the results of a former leader, name a task. It may not be due yet according to
+// this instance's clock. The others that a former leader had opened stay closed until they are due here.
+func (c *Core) openListedOccurrence(j *jobState, index int) {
+	if index < 0 || index >= j.record.Spec.Repetitions || j.occurrences[index] != nil || j.doneOccurrences.contains(index) {
+		return
 	}
+	c.openOccurrence(j, index)
 }
 
 // isComplete reports whether all tasks of an occurrence are done.
@@ -105,7 +177,7 @@
 
 // finishIfComplete completes the job when all of its occurrences are complete.
 func (c *Core) finishIfComplete(j *jobState) {
-	if j.openedOccurrences < max(1, j.record.Spec.Repetitions) {
+	if j.hasNextOccurrence() || j.state.Terminal() {
 		return
 	}
 	for _, o := range j.occurrences {
--- a/version/cell/progress.go
+++ b/version/cell/progress.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"strconv"
 	"strings"
 	"time"
@@ -104,7 +105,6 @@
 	for id, j := range c.jobs {
 		if !j.expired && j.reportedState.Terminal() && c.now > j.reportedAt+c.opts.Retention && !j.hasRuns() {
 			j.expired = true
-			j.occurrences = map[int]*occurrence{}
 			c.expiredJobs = append(c.expiredJobs, id)
 		}
 	}
@@ -133,7 +133,10 @@
 		return
 	}
 	for _, id := range ids {
-		delete(c.jobs, id)
+		if j := c.jobs[id]; j != nil {
+			c.admission.used -= j.accounted
+			delete(c.jobs, id)
+		}
 	}
 	c.progressRemovals = append(c.progressRemovals, ids...)
 	c.signalWake()
@@ -274,6 +277,10 @@
 // progressRow returns the progress of a job that is not finished.
 func (c *Core) progressRow(j *jobState, detail startDetail) progressRow {
 	row := progressRow{Steps: map[string]*stepProgress{}, Done: j.doneOccurrences}
+	if j.progress != nil {
+		// What is not applied yet belongs to occurrences that are not open.
+		maps.Copy(row.Steps, j.progress.Steps)
+	}
 	for _, o := range j.occurrences {
 		if j.record.Spec.Repetitions > 0 && o.isComplete() {
 			row.Done = row.Done.with(o.index)
@@ -349,20 +356,14 @@
 	}
 }
 
-// lastOccurrence returns the highest index of the occurrences with progress, or -1. r may be nil.
-func (r *progressRow) lastOccurrence() int {
-	last := -1
-	if r == nil {
-		return last
-	}
-	last = r.Done.last()
-	for key := range r.Steps {
-		occurrence, _, _ := strings.Cut(key, ".")
-		if index, err := strconv.Atoi(occurrence); err == nil {
-			last = max(last, index)
-		}
+// occurrenceOf returns the occurrence of a key of progressRow.Steps, or -1.
+func occurrenceOf(key string) int {
+	occurrence, _, _ := strings.Cut(key, ".")
+	index, err := strconv.Atoi(occurrence)
+	if err != nil {
+		return -1
 	}
-	return last
+	return index
 }
 
 // StoredState returns the state in a job's durable progress: the final state, and whether a task has ended or a start is
@@ -386,6 +387,7 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.unreadable[id] = struct{}{}
+		c.takeDeferred(id)
 		return errors.Wrapf(err, "decode progress of job %s", id)
 	}
 	if row.State.Terminal() {
@@ -403,10 +405,12 @@
 // applyProgress applies the job's durable progress to the steps of an occurrence.
 func (c *Core) applyProgress(j *jobState, o *occurrence) {
 	for _, s := range o.steps {
-		p := j.progress.Steps[stepKey(o.index, s.index)]
+		key := stepKey(o.index, s.index)
+		p := j.progress.Steps[key]
 		if p == nil {
 			continue
 		}
+		delete(j.progress.Steps, key)
 		j.started = true
 		openBefore := s.openTasks
 		for _, t := range s.tasks {
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -73,6 +73,7 @@
 	r := &run{task: t, worker: w, number: number, phase: p, createdAt: c.now, progressedAt: c.now, throttlePercent: 100,
 		checkpoint: t.checkpoint}
 	t.runs = append(t.runs, r)
+	t.step.job.activeAt = c.now
 	t.forgetFormerRun(number)
 	t.lastRunNumber = max(t.lastRunNumber, number)
 	if t.step.spec.Gang {
@@ -96,6 +97,7 @@
 		return
 	}
 	r.removed = true
+	r.task.step.job.activeAt = c.now
 	c.endPlacement(r.key(), r.task.step.job)
 	delete(r.worker.runs, r.key())
 	r.worker.addDemand(r.task.step, -1)
--- a/version/cell/states.go
+++ b/version/cell/states.go
@@ -7,8 +7,14 @@
 func (c *Core) State(id job.ID) (job.State, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.mu.panicked {
+		return "", false
+	}
+	if d := c.admission.deferred[id]; d != nil {
+		return d.state(), true
+	}
 	j := c.jobs[id]
-	if j == nil || c.mu.panicked {
+	if j == nil {
 		return "", false
 	}
 	if j.reportedState.Terminal() {
@@ -30,5 +36,10 @@
 			out[j.queue.Name]++
 		}
 	}
+	for _, d := range c.admission.deferred {
+		if !d.started {
+			out[d.queue]++
+		}
+	}
 	return out
 }
--- a/version/cell/team.go
+++ b/version/cell/team.go
@@ -155,10 +155,20 @@
 		return
 	}
 	bestEffort := map[*team]int64{}
+	capacity := c.pendingCapacity()
+	for _, d := range c.admission.deferred {
+		if t := c.teams[d.team]; t != nil && d.recovered {
+			t.unread = capacity
+		}
+	}
 	for _, j := range c.jobs {
-		if j.team == nil || !j.recovered {
+		if j.team == nil || !j.recovered || j.released {
 			continue
 		}
+		if j.record.Spec.Repetitions > 0 {
+			// A former leader may have opened occurrences that are not open here.
+			j.team.unread = j.team.unread.Add(capacity)
+		}
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
 				unread := c.unreadTasks(s)
@@ -169,7 +179,6 @@
 			}
 		}
 	}
-	capacity := c.pendingCapacity()
 	for _, t := range c.teams {
 		t.unread = t.unread.Min(capacity)
 		// The processor demand of best-effort tasks may exceed the capacity.
--- a/version/cell/testcluster_test.go
+++ b/version/cell/testcluster_test.go
@@ -25,9 +25,10 @@
 	lastCompletion map[string]int64
 	// highestAck is the highest acknowledgement that a poll of each worker has carried.
 	highestAck map[string]int64
-	// lookups counts the lookups of unknown jobs. They find no record, or fail with lookupError.
+	// lookups counts the lookups of unknown jobs. They find the records in rows only, or fail with lookupError.
 	lookups     int
 	lookupError error
+	rows        map[job.ID]job.Record
 	// storedWaves is what the store holds of the waves, and maintenanceRefusal the answer to maintenance requests.
 	storedWaves        map[int]StoredWave
 	maintenanceRefusal backend.MachineRefusal
@@ -133,7 +134,12 @@
 			tc.polls = append(tc.polls, a.Worker)
 		case *LookupAction:
 			tc.lookups++
-			tc.core.LookupResult(a, false, tc.lookupError, tc.now)
+			record, found := tc.rows[a.Job]
+			found = found && tc.lookupError == nil
+			if found {
+				tc.loadRow(a.Job, record)
+			}
+			tc.core.LookupResult(a, found, tc.lookupError, tc.now)
 		case *ReadWaveAction:
 			tc.core.WaveRead(a, tc.storedWaves[a.Wave], nil, tc.now)
 		}
--- a/version/cell/unstored.go
+++ b/version/cell/unstored.go
@@ -212,6 +212,10 @@
 	defer c.mu.Unlock()
 	c.now = max(c.now, now)
 	for _, id := range ids {
+		if c.admission.deferred[id] != nil {
+			c.finishDeferred(id, job.Completed, "completed under a former leader")
+			continue
+		}
 		j := c.jobs[id]
 		if j == nil || j.state.Terminal() {
 			continue
@@ -230,16 +234,47 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.now = max(c.now, now)
+	if d := c.admission.deferred[id]; d != nil {
+		c.adoptDeferredCrashes(d, row, data)
+		return nil
+	}
 	j := c.jobs[id]
 	if j == nil || j.state.Terminal() {
 		return nil
 	}
+	c.adoptJobCrashes(j, row)
+	return nil
+}
+
+// adoptDeferredCrashes keeps crashes for the admission of their job, which follows at once: the next leader must learn of them too.
+func (c *Core) adoptDeferredCrashes(d *deferredJob, row *progressRow, data []byte) {
+	if row.State == job.Failed {
+		c.finishDeferred(d.id, job.Failed, "failed under a former leader")
+		return
+	}
+	d.crashes, d.required = data, true
+	c.signalWake()
+}
+
+// resumeCrashes adds crashes that were kept while the job was deferred; data may be empty.
+func (c *Core) resumeCrashes(j *jobState, data []byte) {
+	if len(data) == 0 {
+		return
+	}
+	if row, err := decodeProgress(data); err == nil {
+		c.adoptJobCrashes(j, row)
+	}
+}
+
+func (c *Core) adoptJobCrashes(j *jobState, row *progressRow) {
 	defer c.addAdoptedCrashes(j, c.changeCount)
 	if row.State == job.Failed {
 		c.finishJob(j, job.Failed, "failed under a former leader")
-		return nil
+		return
+	}
+	for key := range row.Steps {
+		c.openListedOccurrence(j, occurrenceOf(key))
 	}
-	c.openOccurrencesUpTo(j, row.lastOccurrence())
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			if p := row.Steps[stepKey(o.index, s.index)]; p != nil {
@@ -247,7 +282,6 @@
 			}
 		}
 	}
-	return nil
 }
 
 // addAdoptedCrashes adds the crashes of a job that were adopted, unless the job has not changed since a change: this leader may be lost as
