Late work of small jobs is not kept back by a backlog

Cause, four parts. (1) A job that was late came after all that was on time, also after work with minutes to spare. (2) The objective of a job ignored that a wide step runs in waves, and (3) that of an occurrence counted from the acceptance of its job, so that each occurrence was late, or a backlog the earliest of all late work. (4) On a queue with placement advice a step that must go on could ask about no worker while steps behind it had tickets for each: these took what became free in the same round.

Change: within a priority, steps that must go on soon to be on time come first, then late ones, then those with more than 10 s to spare. Late steps come in the order of the magnitude of the work of their jobs (what is due, or what they have had). Steps that cannot wait for others of their priority plan ahead, as those of more urgent queues do.

--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -82,6 +82,9 @@
 	awaitingAcks map[*worker]struct{}
 	free         freeIndex
 	byRack       rackIndex
+	// serviceCPU is the processor capacity of each service as of serviceCPUVersion.
+	serviceCPU        map[string]int64
+	serviceCPUVersion uint64
 	// fleetVersion rises when a change of the registry entries may make a step feasible or infeasible.
 	fleetVersion uint64
 	// ready are the steps with waiting tasks.
--- a/version/cell/deferred.go
+++ b/version/cell/deferred.go
@@ -175,7 +175,7 @@
 
 // finishDeferred gives a job that is not in memory its final state.
 func (c *Core) finishDeferred(id job.ID, state job.State, reason string) {
-	j := &jobState{id: id, addedAt: c.now, objectiveAt: c.now, started: true, state: job.Queued, reportedState: job.Queued, released: true}
+	j := &jobState{id: id, addedAt: c.now, started: true, state: job.Queued, reportedState: job.Queued, released: true}
 	if d := c.takeDeferred(id); d != nil {
 		j.addedAt, j.queue = d.addedAt, job.Queue{Name: d.queue}
 	}
--- a/version/cell/dump.go
+++ b/version/cell/dump.go
@@ -100,7 +100,7 @@
 func (c *Core) dumpJob(j *jobState) JobDump {
 	d := JobDump{
 		ID: j.id, Queue: j.queue.Name, State: j.state, AgeMS: (c.now - j.addedAt).Milliseconds(),
-		LateMS: (c.now - j.objectiveAt).Milliseconds(),
+		LateMS: c.lateness(j).Milliseconds(),
 	}
 	awaited := map[string]struct{}{}
 	for _, o := range j.occurrences {
--- a/version/cell/explain.go
+++ b/version/cell/explain.go
@@ -60,10 +60,9 @@
 	defer c.mu.Unlock()
 	c.now = max(c.now, now)
 	j := &jobState{record: record, queue: record.Queue, team: c.explainedTeam(record.Team), addedAt: c.now}
-	j.objectiveAt = c.now + objectiveDuration(j)
 	out := Placement{Steps: make([]StepPlacement, len(record.Spec.Steps))}
 	for i := range record.Spec.Steps {
-		s := &step{job: j, index: i, spec: &j.record.Spec.Steps[i], runsPerWorker: map[*worker]int{}}
+		s := &step{job: j, occurrence: &occurrence{}, index: i, spec: &j.record.Spec.Steps[i], runsPerWorker: map[*worker]int{}}
 		s.advice.init()
 		s.tasks = make([]*task, s.spec.Count)
 		out.Steps[i] = c.explainStep(s, limit)
--- a/version/cell/explain_test.go
+++ b/version/cell/explain_test.go
@@ -95,5 +95,8 @@
 	steps := []job.Step{stepWithTasks(1), stepWithTasks(1)}
 	steps[0].EstimateMS, steps[1].EstimateMS, steps[1].DependsOn = 1<<62, 1<<62, []int{0}
 	j := &jobState{record: job.Record{Spec: job.Spec{Steps: steps}}, queue: job.Queue{Stretch: 1e300}}
-	assert.Equal(t, objectiveDuration(j), maxObjectiveMS*time.Millisecond)
+	for _, cpuMilli := range []int64{0, 1, 128_000} {
+		e := newEstimate(j, 1, cpuMilli)
+		assert.Equal(t, e.duration, maxObjectiveMS*time.Millisecond)
+	}
 }
--- a/version/cell/indexranges.go
+++ b/version/cell/indexranges.go
@@ -46,6 +46,15 @@
 	return append(out, r[last:]...)
 }
 
+// count returns the number of indexes.
+func (r indexRanges) count() int {
+	n := 0
+	for _, span := range r {
+		n += span[1] - span[0] + 1
+	}
+	return n
+}
+
 // last returns the highest index, or -1.
 func (r indexRanges) last() int {
 	if len(r) == 0 {
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -17,8 +17,9 @@
 	team       *team
 	beyondRate bool
 	addedAt    Instant
-	// objectiveAt is when the job should be completed.
-	objectiveAt Instant
+	// estimate is the last result of Core.estimateOf, and usedCPU the processor time that runs had reserved, in core-milliseconds.
+	estimate estimate
+	usedCPU  float64
 	// recovered means that the job may have been started in an earlier epoch.
 	recovered bool
 	// baseRunNumber is the number after which the run numbers of this epoch start.
@@ -218,7 +219,6 @@
 	if deferred != nil {
 		j.baseRunNumber = max(j.baseRunNumber, deferred.runNumber)
 	}
-	j.objectiveAt = j.addedAt + objectiveDuration(j)
 	c.jobs[id] = j
 	c.logJobAdded(j)
 	c.account(j)
@@ -387,8 +387,7 @@
 		c.addUnstoredCompletion(j)
 	}
 	c.logDecision("job_finished", j.id, map[string]any{
-		"state": state, "reason": reason, "after_ms": (c.now - j.addedAt).Milliseconds(),
-		"late_ms": (c.now - j.objectiveAt).Milliseconds(),
+		"state": state, "reason": reason, "after_ms": (c.now - j.addedAt).Milliseconds(), "late_ms": c.lateness(j).Milliseconds(),
 	})
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
--- a/version/cell/place.go
+++ b/version/cell/place.go
@@ -10,19 +10,25 @@
 	// excess means that the job is beyond the rate of its team.
 	excess   bool
 	priority int
-	late     bool
+	urgency  urgency
 	// overShare means that the team has more than its share.
-	overShare   bool
+	overShare bool
+	// sizeClass is that of the job if the step is late, otherwise 0.
+	sizeClass   int
 	objectiveAt Instant
 	name        string
 }
 
 // rankOf ranks service tasks that must be restarted first, then orders by priority; jobs beyond the rate of their team come last.
-// Within a priority, jobs that can still be on time come before late ones, those of teams over their share after others, and
-// otherwise in the order of their objectives.
+// Within a priority, jobs that must go on soon to be on time come before late ones, and these before jobs with time to spare; those of teams over
+// their share come after others. Late work comes in the order of the sizes of the jobs, and otherwise steps in the order of their objectives.
 func (c *Core) rankOf(s *step) rank {
 	j := s.job
-	r := rank{priority: j.queue.Priority, late: c.now > j.objectiveAt, objectiveAt: j.objectiveAt, name: s.name}
+	r := rank{priority: j.queue.Priority, objectiveAt: c.objectiveAt(s), name: s.name}
+	r.urgency = c.urgencyOf(s, r.objectiveAt)
+	if r.urgency == late {
+		r.sizeClass = c.sizeClass(j)
+	}
 	if j.team != nil {
 		r.excess, r.overShare = c.isExcess(j), j.team.overShare
 	}
@@ -39,18 +45,34 @@
 	if a.priority != b.priority {
 		return cmp.Compare(a.priority, b.priority)
 	}
-	if a.late != b.late {
-		return lastIf(a.late)
+	if a.urgency != b.urgency {
+		return cmp.Compare(a.urgency, b.urgency)
 	}
 	if a.overShare != b.overShare {
 		return lastIf(a.overShare)
 	}
+	if a.sizeClass != b.sizeClass {
+		return cmp.Compare(a.sizeClass, b.sizeClass)
+	}
 	if a.objectiveAt != b.objectiveAt {
 		return cmp.Compare(a.objectiveAt, b.objectiveAt)
 	}
 	return cmp.Compare(a.name, b.name)
 }
 
+// cannotWaitFor reports whether a step must not wait for another one that is in the queue behind it: one of a less urgent queue or, in the same
+// queue, one that can wait, or late work of a larger job. A late step waits for a less urgent queue: its capacity is better left to steps on time.
+func (a rank) cannotWaitFor(b rank) bool {
+	switch {
+	case a.priority != b.priority:
+		return a.priority < b.priority && a.urgency != late
+	case a.urgency != b.urgency:
+		return a.urgency < b.urgency
+	default:
+		return a.sizeClass < b.sizeClass
+	}
+}
+
 // lastIf returns the result of a comparison by a property that only one of the two has: what has it comes last.
 func lastIf(first bool) int {
 	if first {
--- a/version/cell/plan.go
+++ b/version/cell/plan.go
@@ -65,8 +65,8 @@
 	onWorker int
 }
 
-// plansAhead reports whether capacity is reserved for the waiting tasks of a step: for gangs, and for tasks that others of
-// less urgent queues would otherwise keep from starting. Steps that the workers cannot hold get none.
+// plansAhead reports whether capacity is reserved for the waiting tasks of a step: for gangs, and for tasks that others which can wait longer
+// would otherwise keep from starting. Steps that the workers cannot hold get none.
 func (c *Core) plansAhead(s *step) bool {
 	if len(s.waiting) == 0 || c.awaitsRecovery(s) || c.isHeldByTeam(s) {
 		return false
@@ -74,7 +74,7 @@
 	if s.spec.Gang {
 		return len(s.waiting) == len(s.tasks) && c.isFeasible(s)
 	}
-	return !s.spec.BestEffort && s.job.queue.Priority < c.ready.leastUrgent && !s.queuePosition.rank.late && c.isFeasible(s)
+	return !s.spec.BestEffort && s.queuePosition.rank.cannotWaitFor(c.ready.last) && c.isFeasible(s)
 }
 
 // planReadySteps updates the plans of the waiting steps in the order of their ranks and reserves the capacity for them.
--- a/version/cell/preempt.go
+++ b/version/cell/preempt.go
@@ -39,7 +39,7 @@
 		if s.spec.Gang || s.spec.LongRunning || s.spec.BestEffort || c.now < s.readyAt+preemptionDelay || c.now < s.nextPreemptionAt {
 			continue
 		}
-		if c.awaitsRecovery(s) || c.now > s.job.objectiveAt || s.queuePosition.rank.excess || s.queuePosition.rank.overShare || c.isHeldByTeam(s) {
+		if c.awaitsRecovery(s) || s.queuePosition.rank.urgency == late || s.queuePosition.rank.excess || s.queuePosition.rank.overShare || c.isHeldByTeam(s) {
 			continue
 		}
 		examined++
--- a/version/cell/ready.go
+++ b/version/cell/ready.go
@@ -10,8 +10,8 @@
 type readyQueue struct {
 	// ranked are the ready steps, and until the next update also steps that were ready before.
 	ranked []*step
-	// leastUrgent is the priority of the least urgent ready step; a higher number is less urgent.
-	leastUrgent int
+	// last is the rank of the last ready step.
+	last rank
 	// unsorted means that steps were added, or that their ranks may have changed.
 	unsorted bool
 	// anyFreed means that capacity has become free since the last update, which steps that need no advice could use wherever
@@ -85,7 +85,7 @@
 	})
 	slices.SortFunc(q.ranked, func(a, b *step) int { return a.queuePosition.rank.compare(b.queuePosition.rank) })
 	if len(q.ranked) > 0 {
-		q.leastUrgent = q.ranked[len(q.ranked)-1].job.queue.Priority
+		q.last = q.ranked[len(q.ranked)-1].queuePosition.rank
 	}
 }
 
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -97,7 +97,9 @@
 		return
 	}
 	r.removed = true
-	r.task.step.job.activeAt = c.now
+	j := r.task.step.job
+	j.activeAt = c.now
+	j.usedCPU += float64(r.task.step.spec.TaskDemand.CPUMilli) / 1000 * float64((c.now - r.createdAt).Milliseconds())
 	c.endPlacement(r.key(), r.task.step.job)
 	delete(r.worker.runs, r.key())
 	r.worker.addDemand(r.task.step, -1)
