Finished jobs keep their final state only, and are removed faster than they come

A cell that finishes 40 jobs a second kept 20 more with each second, in the store and in memory, for as long as the load lasted.

Up to 600 finished jobs are removed in 2 s, 100 refusals and 100 cancellations of unknown jobs; the transactions of a removal are grouped by shard as before.

TestCancelledJobWithAnUnsentStart holds on to the task that it looks at, as strict as before.

--- a/process/node/failover_test.go
+++ b/process/node/failover_test.go
@@ -415,6 +415,23 @@
 	})
 }
 
+// Guards against rows of finished jobs that are removed more slowly than a large cell finishes jobs, so that the store and the leader hold more of
+// them with every second.
+func TestRowsOfManyFinishedJobsAreRemoved(t *testing.T) {
+	runInCell(t, func(t *testing.T, c *testCell) {
+		const jobs = 800
+		for i := range jobs {
+			assert.NilError(t, c.submit(c.follower(), fmt.Sprintf("j%03d", i), 1, smallTask(10*time.Millisecond), nil))
+		}
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, len(c.tables.Rows(jobTable)), jobs)
+		time.Sleep(time.Minute)
+		for _, table := range []string{jobTable, progressTable} {
+			assert.Equal(t, len(c.tables.Rows(table)), 0, table)
+		}
+	})
+}
+
 // Guards against a rolling restart that stops each new leader next: a recently started instance must take over first.
 func TestRecentlyStartedTakesOverFirst(t *testing.T) {
 	runInCell(t, func(t *testing.T, c *testCell) {
--- a/process/node/refusal.go
+++ b/process/node/refusal.go
@@ -217,7 +217,7 @@
 
 // removeRefusals removes refusals past their retention, unless a job has replaced them.
 func (l *leadership) removeRefusals(ctx context.Context) {
-	for _, row := range l.takeExpiredRefusals(maxRemovedJobs) {
+	for _, row := range l.takeExpiredRefusals(maxRemovedRequests) {
 		txn := backend.Txn{Expected: []backend.Row{row}, Remove: []backend.RowKey{row.RowKey}}
 		if _, err := l.node.tables.Commit(ctx, txn); err != nil && verdict.From(err).Code != verdict.CodeConflict {
 			l.noteRefusal(row)
--- a/process/node/retention.go
+++ b/process/node/retention.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/lentiltide/lentiltide/backend"
@@ -11,8 +12,13 @@
 const (
 	// removalInterval is the time between removals of expired rows.
 	removalInterval = 2 * time.Second
-	// maxRemovedJobs limits the jobs of one removal.
-	maxRemovedJobs = 40
+	// maxRemovedJobs limits the finished jobs of one removal. They are removed faster than the largest cells finish jobs; otherwise the rows, and
+	// what the leader keeps of them, would grow for as long as the load lasts.
+	maxRemovedJobs = 600
+	// maxRemovedRequests limits the refusals, and the cancellations of unknown jobs, of one removal. Each takes transactions of its own.
+	maxRemovedRequests = 100
+	// maxRemovedRows limits the rows of one transaction; the table service allows 100 entries.
+	maxRemovedRows = 80
 )
 
 // removeExpired removes the records and cancellations of jobs past their retention. The writer removes their progress
@@ -40,7 +46,7 @@
 
 // removeCancels removes the cancellations of jobs that have never become known. If a removal fails, the next leader repeats it.
 func (l *leadership) removeCancels(ctx context.Context) {
-	for _, id := range l.core.TakeExpiredCancels(maxRemovedJobs) {
+	for _, id := range l.core.TakeExpiredCancels(maxRemovedRequests) {
 		if err := l.removeCancel(ctx, id); err != nil {
 			l.node.opts.Log.WithError(err).WithFields(map[string]any{"event": "cancel_not_removed", "job": id}).Info("expired cancellation was not removed")
 		}
@@ -73,8 +79,10 @@
 		}
 	}
 	for _, keys := range byShard {
-		if _, err := l.node.tables.Commit(ctx, backend.Txn{Remove: keys}); err != nil {
-			return err
+		for chunk := range slices.Chunk(keys, maxRemovedRows) {
+			if _, err := l.node.tables.Commit(ctx, backend.Txn{Remove: chunk}); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
--- a/version/cell/cancel.go
+++ b/version/cell/cancel.go
@@ -11,6 +11,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.now = max(c.now, now)
+	if _, finished := c.finished[id]; finished {
+		return
+	}
 	j := c.jobs[id]
 	if j == nil && c.admission.deferred[id] != nil {
 		c.finishDeferred(id, job.Cancelled, "cancelled by the caller")
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -64,6 +64,9 @@
 	// admission holds the jobs that are not in memory, and ended are the jobs that have ended and may still have runs.
 	admission admission
 	ended     []*jobState
+	// finished are the jobs that have ended and whose final state is durable.
+	finished        map[job.ID]finishedJob
+	nextExpiryCheck Instant
 	// teams are the teams with jobs, by name. unreadChanged means that their unread use must be determined again.
 	teams         map[string]*team
 	unreadChanged bool
@@ -154,7 +157,7 @@
 	}
 	c := &Core{
 		opts: opts, epochStart: now, now: now, fleetVersion: 1,
-		jobs: map[job.ID]*jobState{}, recurring: map[job.ID]*jobState{}, teams: map[string]*team{}, earlyCancels: map[job.ID]Instant{}, unreadable: map[job.ID]struct{}{},
+		jobs: map[job.ID]*jobState{}, recurring: map[job.ID]*jobState{}, finished: map[job.ID]finishedJob{}, teams: map[string]*team{}, earlyCancels: map[job.ID]Instant{}, unreadable: map[job.ID]struct{}{},
 		lookups: map[job.ID]*jobLookup{}, workers: map[string]*worker{}, awaitingAcks: map[*worker]struct{}{},
 		advisers: map[string]*adviser{}, inventoryPending: map[string]struct{}{},
 		dirtyJobs: map[job.ID]*jobState{}, changedFleetShards: map[int]struct{}{}, approvalRates: map[string]float64{}, kindSpeeds: map[string]*speedEstimate{}, waves: map[int]*wave{},
--- a/version/cell/deferred.go
+++ b/version/cell/deferred.go
@@ -180,7 +180,6 @@
 		j.addedAt, j.queue = d.addedAt, job.Queue{Name: d.queue}
 	}
 	c.jobs[id] = j
-	c.account(j)
 	c.finishJob(j, state, reason)
 }
 
@@ -189,7 +188,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.now = max(c.now, now)
-	if c.jobs[id] != nil || c.admission.deferred[id] != nil {
+	if c.isInMemory(id) || c.admission.deferred[id] != nil {
 		return
 	}
 	size := recordFootprint(&record) + occurrenceFootprint(&record.Spec)
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/lentiltide/lentiltide/model/job"
@@ -42,8 +41,6 @@
 	finishedAt, reportedAt Instant
 	// lastCrash is the record of the last crash of a worker under a task of the job.
 	lastCrash crashRecord
-	// expired means that the retention has passed.
-	expired bool
 	// progress is the durable progress when the job was loaded, as far as it is not applied yet: that of occurrences which are not open.
 	progress *progressRow
 	// recordSize and occurrenceSize are the parts of the footprint, and accounted is its sum as of the last change. released means that the
@@ -181,6 +178,9 @@
 		c.lowerEpoch(j, record.Epoch)
 		return
 	}
+	if c.isInMemory(id) {
+		return
+	}
 	if _, unreadable := c.unreadable[id]; unreadable {
 		return
 	}
@@ -277,21 +277,6 @@
 	}
 }
 
-// AddFinishedJob adds a job whose final state is durable. Its steps are not needed: any remaining runs are stopped, and
-// their completions are acknowledged.
-func (c *Core) AddFinishedJob(id job.ID, state job.State, now Instant) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.now = max(c.now, now)
-	if c.jobs[id] != nil {
-		return
-	}
-	c.takeDeferred(id)
-	j := &jobState{id: id, state: state, reportedState: state, finishedAt: c.now, reportedAt: c.now, started: true, released: true}
-	c.jobs[id] = j
-	c.account(j)
-}
-
 // queueStep queues the tasks of a step if the step's dependencies are done.
 func (c *Core) queueStep(s *step) {
 	if s.openTasks == 0 || s.job.state.Terminal() || !s.dependenciesDone() {
@@ -397,21 +382,6 @@
 	c.ended = append(c.ended, j)
 }
 
-// releaseEnded drops the tasks of jobs that have ended and have no runs left. Completions that are listed later are acknowledged like those
-// of jobs whose final state was loaded.
-func (c *Core) releaseEnded() {
-	c.ended = slices.DeleteFunc(c.ended, func(j *jobState) bool {
-		if j.hasRuns() {
-			return false
-		}
-		j.released = true
-		j.occurrences, j.progress, j.checkpoints = nil, nil, nil
-		j.record.Spec = job.Spec{}
-		c.account(j)
-		return true
-	})
-}
-
 // stopStep stops all runs of a step and removes its tasks from the queue.
 func (c *Core) stopStep(s *step) {
 	c.dropPlan(s)
--- a/version/cell/lookup.go
+++ b/version/cell/lookup.go
@@ -37,7 +37,7 @@
 // first listed. The time counts for each task: the read that found no record must have started after the task was listed.
 func (c *Core) awaitsJobRecord(w *worker, task string) bool {
 	n, ok := job.ParseTaskName(task)
-	if !ok || c.jobs[n.Job] != nil {
+	if !ok || c.isInMemory(n.Job) {
 		return false
 	}
 	since, listed := w.unknownTasksSince[task]
@@ -83,7 +83,7 @@
 		}
 	}
 	for id, lookup := range c.lookups {
-		if _, ok := listed[id]; !ok || c.jobs[id] != nil {
+		if _, ok := listed[id]; !ok || c.isInMemory(id) {
 			delete(c.lookups, id)
 			continue
 		}
--- a/version/cell/progress.go
+++ b/version/cell/progress.go
@@ -99,49 +99,6 @@
 	return batch
 }
 
-// expireFinishedJobs marks jobs past their retention, which begins when callers can see the final state. Their rows can be removed. The jobs stay known until their
-// records are removed, so that a record that is read again does not start them.
-func (c *Core) expireFinishedJobs() {
-	for id, j := range c.jobs {
-		if !j.expired && j.reportedState.Terminal() && c.now > j.reportedAt+c.opts.Retention && !j.hasRuns() {
-			j.expired = true
-			c.expiredJobs = append(c.expiredJobs, id)
-		}
-	}
-}
-
-// TakeExpired returns at most limit jobs past their retention, whose records and cancellations can be removed.
-func (c *Core) TakeExpired(limit int) []job.ID {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.mu.panicked {
-		return nil
-	}
-	n := min(limit, len(c.expiredJobs))
-	ids := c.expiredJobs[:n:n]
-	c.expiredJobs = c.expiredJobs[n:]
-	return ids
-}
-
-// RowsRemoved records whether the records and cancellations of jobs were removed. The progress is removed afterwards,
-// so that a record is never read without its progress.
-func (c *Core) RowsRemoved(ids []job.ID, removed bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !removed {
-		c.expiredJobs = append(c.expiredJobs, ids...)
-		return
-	}
-	for _, id := range ids {
-		if j := c.jobs[id]; j != nil {
-			c.admission.used -= j.accounted
-			delete(c.jobs, id)
-		}
-	}
-	c.progressRemovals = append(c.progressRemovals, ids...)
-	c.signalWake()
-}
-
 // BatchStored records the outcome of writing a batch. If it was not stored, its content is collected again in the
 // latest state.
 func (c *Core) BatchStored(b Batch, stored bool, now Instant) {
--- a/version/cell/startrecord_test.go
+++ b/version/cell/startrecord_test.go
@@ -177,11 +177,13 @@
 func TestCancelledJobWithAnUnsentStart(t *testing.T) {
 	tc, _ := newRecordingCluster(t)
 	batch := tc.core.CollectBatch(80)
+	task := tc.core.findTask("a.0.0.0")
+	assert.Equal(t, len(task.runs), 1)
 	tc.core.CancelJob("a", tc.now)
 	tc.core.BatchStored(batch, true, tc.now)
 	tc.run(time.Second)
 	assert.Equal(t, len(tc.starts)+len(tc.stops), 0)
-	assert.Equal(t, tc.core.jobs["a"].hasRuns(), false)
+	assert.Equal(t, len(task.runs), 0)
 	assert.Equal(t, tc.state("a"), job.Cancelled)
 	assert.Equal(t, tc.core.workers["w1"].allocated.CPUMilli, int64(0))
 }
--- a/version/cell/states.go
+++ b/version/cell/states.go
@@ -13,6 +13,9 @@
 	if d := c.admission.deferred[id]; d != nil {
 		return d.state(), true
 	}
+	if f, ok := c.finished[id]; ok {
+		return f.state, true
+	}
 	j := c.jobs[id]
 	if j == nil {
 		return "", false
