--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -96,6 +96,7 @@
 	actions  []Action
 	// heldStarts are starts that wait for acknowledgements on their way.
 	heldStarts []*StartAction
+	inFlight   commandsInFlight
 	placements placementLog
 	// deferredPolls are the workers with an additional poll that is not due yet.
 	deferredPolls []*worker
--- a/version/cell/heldstarts.go
+++ b/version/cell/heldstarts.go
@@ -36,7 +36,7 @@
 // dispatchStart sends a start, or holds it until it may be sent.
 func (c *Core) dispatchStart(a *StartAction) {
 	if c.mayDispatch(a) {
-		c.actions = append(c.actions, a)
+		c.issueStart(a)
 		return
 	}
 	a.run.held = true
@@ -65,7 +65,7 @@
 			})
 		}
 		r.held, r.createdAt = false, c.now
-		c.actions = append(c.actions, a)
+		c.issueStart(a)
 		return true
 	})
 }
--- a/version/cell/place.go
+++ b/version/cell/place.go
@@ -84,6 +84,9 @@
 // placeReadySteps starts the waiting tasks for which a worker is available.
 func (c *Core) placeReadySteps() {
 	for _, s := range c.ready.ranked {
+		if !c.mayIssueStarts() {
+			return
+		}
 		if !s.queuePosition.tryPlacement || len(s.waiting) == 0 || c.awaitsRecovery(s) {
 			continue
 		}
@@ -105,6 +108,10 @@
 		if c.isHeldByTeam(s) {
 			break
 		}
+		if !c.mayIssueStarts() {
+			s.queuePosition.tryPlacement = true
+			break
+		}
 		if c.mayRunUnread(t) {
 			continue
 		}
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -140,6 +140,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.now = max(c.now, now)
+	c.inFlight.starts--
 	if !a.run.removed {
 		c.startFailed(a.run, "start no longer needed", nil)
 	}
@@ -150,6 +151,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.now = max(c.now, now)
+	c.inFlight.starts--
+	c.signalWake()
 	r := a.run
 	if r.removed {
 		return
@@ -166,7 +169,6 @@
 		c.startOutcomeUnknown(r, err)
 	}
 	r.worker.signalAcks()
-	c.signalWake()
 }
 
 func (c *Core) startConfirmed(r *run, reply backend.Reply) {
@@ -328,8 +330,12 @@
 }
 
 func (c *Core) sendStop(r *run) {
+	if !c.issueStop(&StopAction{r.command(c), r}) {
+		// retryStop sends it.
+		r.stopSentAt = 0
+		return
+	}
 	r.stopSentAt = c.now
-	c.actions = append(c.actions, &StopAction{r.command(c), r})
 	c.signalWake()
 }
 
@@ -338,6 +344,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.now = max(c.now, now)
+	c.inFlight.stops--
 	r := a.run
 	if err != nil || r.removed {
 		return
@@ -415,7 +422,7 @@
 	}
 	if t == nil {
 		c.logDecision("unknown_run", "", map[string]any{"task": item.Task, "run": item.Run, "worker": w.info.ID})
-		c.actions = append(c.actions, &StopAction{Command: backend.Command{
+		c.issueStop(&StopAction{Command: backend.Command{
 			Worker: w.ref(), Task: item.Task, Run: item.Run, FencingToken: c.opts.Epoch,
 		}, run: &run{removed: true}})
 		return nil
