A round looks for workers once for tasks that are alike

The footprint of a step counts advice on 30 workers, 6 KB in place of 3, so that 284 MB hold 7,640 such schedules.

--- a/version/cell/footprint.go
+++ b/version/cell/footprint.go
@@ -12,8 +12,8 @@
 const (
 	// jobFootprint is the part that does not depend on the job.
 	jobFootprint = 1 << 10
-	// stepFootprint is that of an open step with advice on some dozen workers.
-	stepFootprint = 3 << 10
+	// stepFootprint is that of an open step with advice on maxAdviceWorkers workers.
+	stepFootprint = 6 << 10
 	// taskFootprint is that of a task of an open step and of its run.
 	taskFootprint = 1 << 10
 	// maxFootprint is the result for a job of any larger size, so that sums do not overflow.
--- a/version/cell/occurrences.go
+++ b/version/cell/occurrences.go
@@ -1,9 +1,7 @@
 package cell
 
 import (
-	"maps"
 	"math"
-	"slices"
 
 	"github.com/lentiltide/lentiltide/model/job"
 )
@@ -74,49 +72,34 @@
 	if j.state.Terminal() || c.wallClockMS < j.nextDueMS() {
 		return
 	}
-	waiting := j.waitingRootTasks()
-	for j.hasNextOccurrence() && c.wallClockMS >= j.nextDueMS() && c.hasRoomForOccurrence(j, waiting) {
-		waiting += c.openOccurrence(j, j.nextIndex).waitingRootTasks()
+	for c.wallClockMS >= j.nextDueMS() && c.hasRoomForOccurrence(j) {
+		c.openOccurrence(j, j.nextIndex)
 	}
 }
 
-// hasRoomForOccurrence reports whether a further occurrence may be open beside the others, of which a number of tasks wait.
-func (c *Core) hasRoomForOccurrence(j *jobState, waiting int) bool {
+// hasRoomForOccurrence reports whether a further occurrence may be open beside the others.
+func (c *Core) hasRoomForOccurrence(j *jobState) bool {
 	if len(j.occurrences) == 0 {
 		return true
 	}
-	return len(j.occurrences)+1 <= maxOpenTasks/max(1, j.record.Spec.Tasks()) && waiting < maxWaitingTasks && c.admission.fitsBacklog(j.occurrenceSize)
+	return c.admission.fitsBacklog(j.occurrenceSize) && len(j.occurrences)+1 <= maxOpenTasks/max(1, j.record.Spec.Tasks()) &&
+		j.waitingRootTasks() < maxWaitingTasks
 }
 
 // waitingRootTasks returns the smallest number of waiting tasks of a step without dependencies, over all open occurrences.
 func (j *jobState) waitingRootTasks() int {
-	waiting := map[int]int{}
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			if len(s.spec.DependsOn) == 0 {
-				waiting[s.index] += len(s.waiting)
-			}
+	fewest := math.MaxInt
+	for i := range j.record.Spec.Steps {
+		if len(j.record.Spec.Steps[i].DependsOn) > 0 {
+			continue
 		}
-	}
-	return smallest(waiting)
-}
-
-// waitingRootTasks returns the smallest number of waiting tasks of a step without dependencies.
-func (o *occurrence) waitingRootTasks() int {
-	waiting := map[int]int{}
-	for _, s := range o.steps {
-		if len(s.spec.DependsOn) == 0 {
-			waiting[s.index] = len(s.waiting)
+		waiting := 0
+		for _, o := range j.occurrences {
+			waiting += len(o.steps[i].waiting)
 		}
+		fewest = min(fewest, waiting)
 	}
-	return smallest(waiting)
-}
-
-func smallest(counts map[int]int) int {
-	if len(counts) == 0 {
-		return 0
-	}
-	return slices.Min(slices.Collect(maps.Values(counts)))
+	return fewest
 }
 
 // hasNextOccurrence reports whether a recurring job has occurrences that were not opened, and moves nextIndex to the first of them.
--- a/version/cell/place.go
+++ b/version/cell/place.go
@@ -83,6 +83,7 @@
 
 // placeReadySteps starts the waiting tasks for which a worker is available.
 func (c *Core) placeReadySteps() {
+	full := fullClasses{}
 	for _, s := range c.ready.ranked {
 		if !c.mayIssueStarts() {
 			return
@@ -91,18 +92,19 @@
 			continue
 		}
 		s.queuePosition.tryPlacement = false
-		if c.isHeldByTeam(s) {
+		if full.contains(s) || c.isHeldByTeam(s) {
 			continue
 		}
 		if s.spec.Gang {
 			c.placeGang(s)
-		} else {
-			c.placeTasks(s)
+		} else if c.placeTasks(s) {
+			full.add(s)
 		}
 	}
 }
 
-func (c *Core) placeTasks(s *step) {
+// placeTasks starts the waiting tasks of a step for which a worker is available. It reports whether none is left for a task that avoids no worker.
+func (c *Core) placeTasks(s *step) (full bool) {
 	started := false
 	for _, t := range s.waiting {
 		if c.isHeldByTeam(s) {
@@ -119,6 +121,7 @@
 		if w == nil {
 			if len(t.avoidedWorkers) == 0 && t.crashes.total() == 0 {
 				// No worker is left for the other tasks either.
+				full = true
 				break
 			}
 			continue
@@ -129,6 +132,7 @@
 	if started {
 		c.pruneWaiting(s)
 	}
+	return full
 }
 
 // selectWorker returns the worker with the highest score on which a task can start, or nil.
