--- a/model/job/job.go
+++ b/model/job/job.go
@@ -50,6 +50,9 @@
 	MaxUnavailable int `json:"max_unavailable,omitempty"`
 }
 
+// MaxSteps is the largest number of steps of a job.
+const MaxSteps = 200
+
 // MaxDemand is the largest amount of a resource that a task may ask for, in the units of model.Resources: a billion processors, or an exabyte
 // of memory. The demand of all tasks of a job does not overflow then.
 const MaxDemand = 1 << 40
--- a/process/node/callers.go
+++ b/process/node/callers.go
@@ -98,7 +98,6 @@
 
 // Limits of a job; maxPayload and maxRecordBytes are in bytes. A record must fit into a row of the store.
 const (
-	maxSteps       = 200
 	maxTasks       = 5000
 	maxPayload     = 4000
 	maxRecordBytes = 60_000
@@ -109,8 +108,8 @@
 	if len(spec.Payload) > maxPayload {
 		return verdict.Invalid("specification", "expected at most %d bytes, got %d", maxPayload, len(spec.Payload))
 	}
-	if len(spec.Steps) == 0 || len(spec.Steps) > maxSteps {
-		return verdict.Invalid("steps", "expected 1 to %d steps, got %d", maxSteps, len(spec.Steps))
+	if len(spec.Steps) == 0 || len(spec.Steps) > job.MaxSteps {
+		return verdict.Invalid("steps", "expected 1 to %d steps, got %d", job.MaxSteps, len(spec.Steps))
 	}
 	for i, s := range spec.Steps {
 		if s.Count <= 0 || s.Count > maxTasks {
