Submissions beyond the backlog that a leader can keep are refused

Change: while 100,000 accepted jobs have not begun, further submissions are refused with 429 and a time to come back of 10 s, by the refusal rows that make never runs true. Each instance knows the number from the leader, as it does for the number of waiting jobs, and refuses nothing if that is old.

Evidence: TestSubmissionBeyondTheBacklogIsRefused.

--- a/bench/cell/memory_test.go
+++ b/bench/cell/memory_test.go
@@ -110,3 +110,27 @@
 	runtime.ReadMemStats(&m)
 	return float64(m.HeapAlloc)
 }
+
+// BenchmarkDeferred measures the live heap that a leader needs for each accepted job that is not in memory, and the processor time of a round
+// beside them.
+func BenchmarkDeferred(b *testing.B) {
+	const jobs = 100_000
+	for range b.N {
+		f := newMemoryFleet(48)
+		f.core.Step(f.now, f.now.Milliseconds())
+		before := heapBytes()
+		record := job.Record{Queue: f.queue, Epoch: 1, Spec: job.Spec{Payload: "p", Steps: []job.Step{{Count: 10, EstimateMS: 500}}}}
+		for i := range jobs {
+			f.core.DeferJob(job.ID(fmt.Sprintf("%016x", i)), record, f.now)
+		}
+		b.ReportMetric((heapBytes()-before)/jobs, "B/job")
+		startedAt := time.Now()
+		const rounds = 20
+		for range rounds {
+			f.now += 100 * time.Millisecond
+			f.core.Step(f.now, f.now.Milliseconds())
+		}
+		b.ReportMetric(float64(time.Since(startedAt).Microseconds())/rounds, "us/sweep")
+		runtime.KeepAlive(f)
+	}
+}
--- a/process/node/callers.go
+++ b/process/node/callers.go
@@ -50,6 +50,11 @@
 		n.logAnswer("job_submitted", id, startedAt, err, map[string]any{"queue": q.Name, "outdated": true})
 		return err
 	}
+	if err := n.checkBacklog(); err != nil {
+		err = n.Refuse(ctx, id, err)
+		n.logAnswer("job_submitted", id, startedAt, err, map[string]any{"queue": q.Name, "backlog": true})
+		return err
+	}
 	_, epoch := n.leaderAddress()
 	data, err := json.Marshal(job.Record{Queue: q, Team: team, Spec: spec, Epoch: epoch})
 	if err != nil {
@@ -70,6 +75,38 @@
 	return nil
 }
 
+const (
+	// maxWaitingJobs limits the accepted jobs of all queues that have not begun, for each of which a leader needs some memory.
+	maxWaitingJobs = 100_000
+	// backlogRetryAfter is the delay after which a caller should retry that was refused for the backlog.
+	backlogRetryAfter = 10 * time.Second
+)
+
+// checkBacklog rejects a submission that would wait behind more jobs than a leader can keep, as far as this instance knows their number.
+func (n *Node) checkBacklog() error {
+	waiting := 0
+	for _, count := range n.waitingCounts() {
+		waiting += int(count)
+	}
+	if waiting < maxWaitingJobs {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "%d accepted jobs have not begun", waiting).WithRetryAfter(backlogRetryAfter)
+}
+
+// waitingCounts returns the numbers of waiting jobs by queue, nil if they are not known.
+func (n *Node) waitingCounts() map[string]uint32 {
+	if l := n.loadedLeadership(); l != nil {
+		return l.waitingJobs()
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.opts.Now()-n.waitingJobsReceivedAt > maxWaitingJobsAge {
+		return nil
+	}
+	return n.waitingJobs
+}
+
 // submissionFields returns the fields of the log entry about a submission.
 func submissionFields(q job.Queue, team string, epoch uint64, existing bool) map[string]any {
 	fields := map[string]any{"queue": q.Name, "epoch": epoch, "existing": existing}
--- a/process/node/callers_test.go
+++ b/process/node/callers_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -48,3 +49,31 @@
 	assert.Assert(t, accepted(largest))
 	assert.Assert(t, !largest.Steps[0].TaskDemand.Times(maxTasks).HasNegative())
 }
+
+// Guards against a backlog of accepted jobs without a limit, for each of which a leader needs memory, and against a refusal of a job that was accepted
+// before, or that runs nevertheless.
+func TestSubmissionBeyondTheBacklogIsRefused(t *testing.T) {
+	runInCell(t, func(t *testing.T, c *testCell) {
+		n := c.follower()
+		assert.NilError(t, c.submit(n, "a", 1, smallTask(time.Second), nil))
+		setBacklog := func(jobs uint32) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.waitingJobs, n.waitingJobsReceivedAt = map[string]uint32{"other": jobs - 1, testQueue: 1}, n.opts.Now()
+		}
+		setBacklog(maxWaitingJobs)
+		err := c.submit(n, "b", 1, smallTask(time.Second), nil)
+		e := verdict.From(err)
+		assert.Equal(t, e.Verdict, verdict.NotRun)
+		assert.Equal(t, e.Code, verdict.CodeOverloaded)
+		assert.Equal(t, e.RetryAfter, backlogRetryAfter)
+		setBacklog(maxWaitingJobs)
+		assert.NilError(t, c.submit(n, "a", 1, smallTask(time.Second), nil))
+		setBacklog(maxWaitingJobs - 1)
+		assert.NilError(t, c.submit(n, "c", 1, smallTask(time.Second), nil))
+		time.Sleep(5 * time.Second)
+		c.requireState(n, "a", job.Completed)
+		c.requireState(n, "c", job.Completed)
+		assert.Equal(t, c.workers.Starts("b.0.0.0"), 0)
+	})
+}
--- a/version/cell/admission.go
+++ b/version/cell/admission.go
@@ -24,6 +24,10 @@
 	backlogShare = 0.5
 	// maxAdmissionReads limits the deferred jobs whose rows are read at the same time.
 	maxAdmissionReads = 16
+	// maxCandidates limits the deferred jobs of a lane that are kept in their order, and candidateScanJobs is the number of deferred jobs for which
+	// the interval between two looks at all of them grows by one round.
+	maxCandidates     = 256
+	candidateScanJobs = 4000
 	// admissionRetryInterval is the time after which the rows of a deferred job are read again if they could not be read.
 	admissionRetryInterval = time.Second
 	// minResidence is how long an admitted job without runs keeps its memory at least, and maxIdleResidence how long it does whatever its
@@ -40,6 +44,9 @@
 	limit, used int64
 	// deferred are the jobs that are not in memory.
 	deferred map[job.ID]*deferredJob
+	// candidates are the next deferred jobs to admit in each lane, as of scannedAt and with those deferred since.
+	candidates [numLanes][]*deferredJob
+	scannedAt  Instant
 	// waiting says for each lane whether deferred jobs waited for memory when that was last examined.
 	waiting [numLanes]bool
 	// reads is the number of deferred jobs whose rows are being read.
@@ -116,43 +123,62 @@
 // admitDeferred reads the rows of deferred jobs for which there is memory, or for which others give way.
 func (c *Core) admitDeferred() {
 	a := &c.admission
-	a.waiting = [numLanes]bool{}
 	if len(a.deferred) == 0 {
+		a.waiting = [numLanes]bool{}
 		return
 	}
+	c.updateCandidates()
 	victims := victimSearch{core: c}
-	for l, candidates := range c.admissionCandidates() {
-		for _, d := range candidates {
-			if a.reads >= maxAdmissionReads || !d.required && !a.fits(d.size) && !victims.makeRoom(d) {
-				a.waiting[l] = true
-				break
-			}
-			c.readDeferred(d)
-		}
+	for l := range numLanes {
+		a.waiting[l] = !c.admitLane(l, &victims)
 	}
 }
 
-// admissionCandidates returns the deferred jobs to admit next in each lane: those that could start before others, then those that have never
-// been admitted in the order of their priorities, then the others in the order in which they were deferred.
-func (c *Core) admissionCandidates() [numLanes][]*deferredJob {
-	var out [numLanes][]*deferredJob
-	for _, d := range c.admission.deferred {
+// admitLane admits the candidates of a lane in their order. It reports whether there was memory for all of them.
+func (c *Core) admitLane(l lane, victims *victimSearch) bool {
+	a := &c.admission
+	for len(a.candidates[l]) > 0 {
+		d := a.candidates[l][0]
+		a.candidates[l] = a.candidates[l][1:]
 		if !c.mayAdmit(d) {
 			continue
 		}
-		l := &out[c.admission.laneOf(d.size)]
-		*l = c.insertCandidate(*l, d)
+		if a.reads >= maxAdmissionReads || !d.required && !a.fits(d.size) && !victims.makeRoom(d) {
+			c.addCandidate(d)
+			return false
+		}
+		c.readDeferred(d)
+	}
+	return true
+}
+
+// updateCandidates looks for the deferred jobs to admit next in each lane: those that could start before others, then those that have never
+// been admitted in the order of their priorities, then the others in the order in which they were deferred.
+func (c *Core) updateCandidates() {
+	a := &c.admission
+	interval := sweepInterval * time.Duration(len(a.deferred)/candidateScanJobs)
+	if a.scannedAt != 0 && c.now < a.scannedAt+interval {
+		return
+	}
+	a.scannedAt = c.now
+	a.candidates = [numLanes][]*deferredJob{}
+	for _, d := range a.deferred {
+		c.addCandidate(d)
 	}
-	return out
 }
 
-// insertCandidate inserts a job into the first maxAdmissionReads candidates.
-func (c *Core) insertCandidate(candidates []*deferredJob, d *deferredJob) []*deferredJob {
-	at, _ := slices.BinarySearchFunc(candidates, d, c.compareCandidates)
-	if at == maxAdmissionReads {
-		return candidates
+// addCandidate adds a job to the first maxCandidates of its lane.
+func (c *Core) addCandidate(d *deferredJob) {
+	if !c.mayAdmit(d) {
+		return
+	}
+	l := &c.admission.candidates[c.admission.laneOf(d.size)]
+	if n := len(*l); n == maxCandidates && c.compareCandidates((*l)[n-1], d) <= 0 {
+		return
 	}
-	return slices.Insert(candidates, at, d)[:min(len(candidates)+1, maxAdmissionReads)]
+	at, _ := slices.BinarySearchFunc(*l, d, c.compareCandidates)
+	*l = slices.Insert(*l, at, d)
+	*l = (*l)[:min(len(*l), maxCandidates)]
 }
 
 func (c *Core) compareCandidates(a, b *deferredJob) int {
@@ -179,7 +205,7 @@
 
 // mayAdmit reports whether a deferred job is to be admitted as soon as there is memory for it.
 func (c *Core) mayAdmit(d *deferredJob) bool {
-	return !d.reading && c.admission.canHold(d.size) && c.now >= d.retryAt && c.wallClockMS >= d.dueMS-dueLead.Milliseconds()
+	return c.admission.deferred[d.id] == d && !d.reading && c.admission.canHold(d.size) && c.now >= d.retryAt && c.wallClockMS >= d.dueMS-dueLead.Milliseconds()
 }
 
 // readDeferred reads the rows of a deferred job, for which its memory is set aside.
--- a/version/cell/deferred.go
+++ b/version/cell/deferred.go
@@ -123,6 +123,7 @@
 		d.queue, d.priority = q.Name, q.Priority
 	}
 	c.admission.deferred[d.id] = d
+	c.addCandidate(d)
 	c.unreadChanged = c.unreadChanged || d.recovered
 	c.logDecision("job_deferred", d.id, map[string]any{
 		"queue": d.queue, "reason": reason, "bytes": d.size, "used_bytes": c.admission.used, "limit_bytes": c.admission.limit,
--- a/version/cell/unstored.go
+++ b/version/cell/unstored.go
@@ -253,6 +253,7 @@
 		return
 	}
 	d.crashes, d.required = data, true
+	c.addCandidate(d)
 	c.signalWake()
 }
 
