--- a/version/cell/admission.go
+++ b/version/cell/admission.go
@@ -276,8 +276,11 @@
 	return j.queue.Priority >= d.priority || !c.isStartable(j) || c.now >= j.activeAt+maxIdleResidence
 }
 
-// couldStart reports whether the workers could hold a task of a job that is not in memory if nothing else ran there.
+// couldStart reports whether the workers could hold a task of a job that is not in memory if nothing else ran there, as far as they are known.
 func (c *Core) couldStart(record *job.Record) bool {
+	if c.serviceCPUMilli(record.Queue.Service) == 0 {
+		return true
+	}
 	j := &jobState{queue: record.Queue}
 	return slices.ContainsFunc(record.Spec.Steps, func(spec job.Step) bool {
 		spec.Gang = false
--- a/version/cell/deferred.go
+++ b/version/cell/deferred.go
@@ -194,7 +194,7 @@
 	}
 	size := recordFootprint(&record) + occurrenceFootprint(&record.Spec)
 	d := newDeferredJob(id, &record, size, nil)
-	d.started = true
+	d.started, d.startable = true, c.couldStart(&record)
 	c.deferJob(d, deferredReason(&c.admission, size))
 }
 
