Soak beside accepted work that takes many times the memory of a leader

TestSoakWithBacklogs: nodes of 96 MB, wide jobs that no worker suits or that all want, schedules of one and of two steps that are due for long, and a row whose counts overflow, while leaders are lost. Ordinary jobs must be done, all others are cancelled in the end, and a process over its memory is an error.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -43,7 +43,9 @@
 
 // cluster is a set of real node processes that use stand-ins for the platform, which run in the test process.
 type cluster struct {
-	t         *testing.T
+	t *testing.T
+	// memoryMB is the memory of each node, in megabytes.
+	memoryMB  int64
 	dir       string
 	binary    string
 	startedAt time.Time
@@ -96,14 +98,25 @@
 })
 
 func newCluster(t *testing.T, nodes, workers int) *cluster {
-	return newClusterWithTeams(t, nodes, workers, nil)
+	return newClusterWithMemory(t, nodes, workers, usualMemoryMB)
+}
+
+// usualMemoryMB is the memory of a node unless a test asks for another.
+const usualMemoryMB = 256
+
+func newClusterWithMemory(t *testing.T, nodes, workers int, memoryMB int64) *cluster {
+	return startCluster(t, nodes, workers, nil, memoryMB)
 }
 
 // newClusterWithTeams starts a cluster whose nodes fail closed, with teams that may be nil. Calls carry the first key of the first.
 func newClusterWithTeams(t *testing.T, nodes, workers int, teams []wire.Team) *cluster {
+	return startCluster(t, nodes, workers, teams, usualMemoryMB)
+}
+
+func startCluster(t *testing.T, nodes, workers int, teams []wire.Team, memoryMB int64) *cluster {
 	binary, err := buildNode()
 	assert.NilError(t, err)
-	c := &cluster{t: t, dir: t.TempDir(), binary: binary, startedAt: time.Now(), tables: backends.NewTables(), http: newClient(), teams: teams}
+	c := &cluster{t: t, dir: t.TempDir(), binary: binary, startedAt: time.Now(), tables: backends.NewTables(), http: newClient(), teams: teams, memoryMB: memoryMB}
 	c.history = newCellHistory(t, c.dir, c.startedAt)
 	c.tables.SetHistory(c.history.Recorder)
 	if len(teams) > 0 {
@@ -248,7 +261,7 @@
 	settings := map[string]any{
 		"instance": name, "region": "r", "zone": "a", "caller_address": n.callerAddress, "ready_address": freeAddress(c.t),
 		"peer_address": freeAddress(c.t), "store_address": n.storeLink.address(), "advice_address": adviceAddress,
-		"cpu_share": 0.5, "link_mbps": linkMbps, "memory_mb": 256, "max_lease_ms": 6000, "grace_s": 4,
+		"cpu_share": 0.5, "link_mbps": linkMbps, "memory_mb": c.memoryMB, "max_lease_ms": 6000, "grace_s": 4,
 	}
 	if len(c.teams) > 0 {
 		settings["fail_closed"], settings["key_deadline_ms"] = true, keyDeadline.Milliseconds()
--- a/soak/varied_test.go
+++ b/soak/varied_test.go
@@ -40,6 +40,8 @@
 	// fails means that its tasks fail, cancels that the client cancels each job soon after its acceptance, and waits that it submits
 	// one job and cancels it when the load ends.
 	fails, cancels, waits bool
+	// overdue means that all occurrences are due when the job is submitted.
+	overdue bool
 	// taskTime is the run time of its tasks, and estimate what clients say of it; 0 for the run time.
 	taskTime, estimate time.Duration
 }
@@ -58,10 +60,16 @@
 
 // kindOf returns the kind of a job or task of a client with varied jobs, or nil.
 func kindOf(id string) *variedKind {
-	if len(id) < 12 || id[8:10] != "00" || id[10] != '4' {
+	if len(id) < 12 || id[8:10] != "00" {
 		return nil
 	}
-	return &variedKinds[id[11]-'0']
+	switch id[10] {
+	case '4':
+		return &variedKinds[id[11]-'0']
+	case '5':
+		return &backlogKinds[id[11]-'0']
+	}
+	return nil
 }
 
 // finalState returns the state in which a job of the kind must end.
@@ -109,6 +117,9 @@
 	if k.repetitions > 0 {
 		j.StartAt, j.Interval = time.Now().Add(firstDue), occurrenceInterval
 	}
+	if k.overdue {
+		j.StartAt = time.Now().Add(-time.Duration(k.repetitions) * j.Interval)
+	}
 	return j.Body()
 }
 
