Advice counts in the memory for jobs and ends with its step

Change: advice beyond 30 workers of a step counts in the footprint of its job, jobs without runs give way while jobs take more than their memory, and the advice on a step ends with the step, or with the admission of its job. The memory for jobs is 12 MB at least, so that the largest job that is accepted fits.

Evidence: TestAdviceIsPartOfTheMemory, TestAdviceOfEndedStepsIsDropped (steps of ended jobs were left at workers before), TestLargestAcceptedJobFits.

--- a/cmd/lentiltide-node/main.go
+++ b/cmd/lentiltide-node/main.go
@@ -45,6 +45,8 @@
 	memoryLimitShare = 0.7
 	// jobMemoryShare is the fraction of the instance's memory that a leader may use for the steps and tasks of jobs.
 	jobMemoryShare = 0.25
+	// minJobMemory is the least memory of a leader for jobs, in bytes: the largest job that an instance accepts fits into it.
+	minJobMemory = 12 << 20
 	// gcPercent is how much the heap grows between garbage collections, in percent. The heap of an instance is small
 	// compared with its memory, and the memory limit applies as well.
 	gcPercent = 300
@@ -177,7 +179,7 @@
 		KeyDeadline:    s.KeyDeadline(),
 		OnRefusedKey:   metrics.RecordRefusedKey,
 		CPUShare:       s.CPUShare,
-		JobMemoryBytes: int64(float64(s.MemoryMB) * jobMemoryShare * (1 << 20)),
+		JobMemoryBytes: max(int64(float64(s.MemoryMB)*jobMemoryShare*(1<<20)), minJobMemory),
 		TakeoverDelay:  time.Duration((1 - min(s.CPUShare, 1)) * float64(maxTakeoverDelay)),
 		Now:            node.BootClock,
 	})
--- a/version/cell/admission.go
+++ b/version/cell/admission.go
@@ -22,6 +22,8 @@
 	largeJobsShare = 0.75
 	// backlogShare is the share up to which jobs open occurrences beside others of the same job.
 	backlogShare = 0.5
+	// maxOvershoot is the multiple of the memory from which jobs without runs give way at once.
+	maxOvershoot = 1.25
 	// maxAdmissionReads limits the deferred jobs whose rows are read at the same time.
 	maxAdmissionReads = 16
 	// maxCandidates limits the deferred jobs of a lane that are kept in their order, and candidateScanJobs is the number of deferred jobs for which
@@ -123,12 +125,13 @@
 // admitDeferred reads the rows of deferred jobs for which there is memory, or for which others give way.
 func (c *Core) admitDeferred() {
 	a := &c.admission
+	victims := victimSearch{core: c}
+	victims.relieve()
 	if len(a.deferred) == 0 {
 		a.waiting = [numLanes]bool{}
 		return
 	}
 	c.updateCandidates()
-	victims := victimSearch{core: c}
 	for l := range numLanes {
 		a.waiting[l] = !c.admitLane(l, &victims)
 	}
@@ -243,7 +246,7 @@
 // makeRoom defers admitted jobs until there is memory for another one. It reports whether there is.
 func (v *victimSearch) makeRoom(d *deferredJob) bool {
 	if v.found == nil {
-		v.search()
+		v.search(minResidence)
 	}
 	for i := 0; i < len(v.found) && !v.core.admission.fits(d.size); i++ {
 		if j := v.found[i]; j != nil && v.core.givesWay(j, d) {
@@ -254,11 +257,29 @@
 	return v.core.admission.fits(d.size)
 }
 
-func (v *victimSearch) search() {
+// relieve defers admitted jobs while they take more than there is for them: their advice has grown since they were admitted.
+func (v *victimSearch) relieve() {
+	a := &v.core.admission
+	if a.used <= a.limit {
+		return
+	}
+	residence := minResidence
+	if a.used > a.share(maxOvershoot) {
+		residence = 0
+	}
+	v.search(residence)
+	for i := 0; i < len(v.found) && a.used > a.limit; i++ {
+		v.core.evict(v.found[i])
+		v.found[i] = nil
+	}
+}
+
+// search finds the jobs that have had no run for a time.
+func (v *victimSearch) search(residence time.Duration) {
 	v.found = []*jobState{}
 	startable := map[*jobState]bool{}
 	for _, j := range v.core.jobs {
-		if v.core.isIdle(j) {
+		if v.core.isIdle(j, residence) {
 			v.found = append(v.found, j)
 			startable[j] = v.core.isStartable(j)
 		}
@@ -300,10 +321,10 @@
 	return false
 }
 
-// isIdle reports whether an admitted job can be deferred: it has had no run for a while, and its rows hold all that is known of it, apart
+// isIdle reports whether an admitted job can be deferred: it has had no run for a time, and its rows hold all that is known of it, apart
 // from what a deferredJob holds.
-func (c *Core) isIdle(j *jobState) bool {
-	if j.state.Terminal() || c.now < j.activeAt+minResidence || j.lastChange > j.storedChange || c.isRecovering(j) {
+func (c *Core) isIdle(j *jobState, residence time.Duration) bool {
+	if j.state.Terminal() || c.now < j.activeAt+residence || j.lastChange > j.storedChange || c.isRecovering(j) {
 		return false
 	}
 	for _, o := range j.occurrences {
@@ -347,6 +368,7 @@
 	}
 	s.waiting = nil
 	c.ready.remove(s)
+	c.dropAdvice(s)
 	if s.job.team != nil {
 		delete(s.job.team.held, s)
 	}
--- a/version/cell/admission_test.go
+++ b/version/cell/admission_test.go
@@ -169,7 +169,7 @@
 	tc.storeBatches()
 	tc.advance(minResidence + time.Second)
 	j := tc.core.jobs["a"]
-	assert.Assert(t, tc.core.isIdle(j))
+	assert.Assert(t, tc.core.isIdle(j, minResidence))
 	tc.core.evict(j)
 	assert.Equal(t, tc.state("a"), job.Running)
 	used := tc.core.admission.used
@@ -366,3 +366,78 @@
 	next.core.workers["w1"].lastAckedCompletion = tc.core.workers["w1"].lastAckedCompletion
 	return next
 }
+
+// Guards against advice that takes the memory of the leader: jobs that the placement policy allows nowhere ask about every worker of a large cell.
+func TestAdviceIsPartOfTheMemory(t *testing.T) {
+	tc := newSmallCluster(t, 1, 200<<10)
+	const workers, jobs = 300, 12
+	for i := range workers {
+		tc.addWorker(fmt.Sprintf("v%03d", i))
+	}
+	tc.core.SetAdvisers([]string{"i1", "i2", "i3", "i4"})
+	for i := range jobs {
+		tc.submit(fmt.Sprintf("never%02d", i), record("short", 1, stepWithTasks(1)))
+	}
+	rejected := 0
+	for range 300 {
+		requests := tc.adviceRequests
+		tc.adviceRequests = nil
+		for _, a := range requests {
+			rejected += len(a.Workers)
+			tc.answerAdvice(a, time.Minute, func(int) bool { return false })
+		}
+		tc.advance(20 * time.Millisecond)
+		use := tc.core.MemoryUse()
+		inFlight := int64(4 * maxAdviceWorkers * adviceFootprint)
+		assert.Assert(t, float64(use.UsedBytes) <= maxOvershoot*float64(use.LimitBytes)+float64(5*inFlight), "%+v", use)
+	}
+	assert.Assert(t, rejected > jobs*workers/2)
+	assert.Assert(t, tc.core.MemoryUse().Evictions > 0)
+}
+
+// Guards against steps that stay in memory after their end because workers on which they had tickets still refer to them.
+func TestAdviceOfEndedStepsIsDropped(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	tc.addWorkers(6)
+	tc.core.SetAdvisers([]string{"i1", "i2"})
+	for i := range 20 {
+		tc.addJob(fmt.Sprintf("j%02d", i), "short", 1, stepWithTasks(2))
+	}
+	for i := range 20 {
+		if i%4 == 3 {
+			tc.core.CancelJob(job.ID(fmt.Sprintf("j%02d", i)), tc.now)
+		}
+	}
+	for range 60 {
+		requests := tc.adviceRequests
+		tc.adviceRequests = nil
+		tc.advance(20 * time.Millisecond)
+		for _, a := range requests {
+			tc.answerAdvice(a, time.Minute, permitAll)
+		}
+		for id, running := range tc.confirmStarts() {
+			tc.answerPoll(id, nil, tc.completeRuns(id, running))
+		}
+		tc.storeBatches()
+	}
+	for i := range 20 {
+		assert.Assert(t, tc.state(fmt.Sprintf("j%02d", i)).Terminal())
+	}
+	for id, w := range tc.core.workers {
+		assert.Equal(t, len(w.watchers), 0, id)
+	}
+	assert.Equal(t, tc.core.admission.used, int64(0))
+}
+
+// Guards against a job of the largest size that an instance accepts and that the smallest leader could never hold.
+func TestLargestAcceptedJobFits(t *testing.T) {
+	const smallestMemory = 12 << 20
+	var steps []job.Step
+	for i := range job.MaxSteps {
+		steps = append(steps, stepWithTasks(5000/job.MaxSteps, func(s *job.Step) { s.DependsOn = make([]int, i) }))
+	}
+	r := record("plain", 1, steps...)
+	r.Spec.Payload = string(make([]byte, 4000))
+	a := newAdmission(smallestMemory)
+	assert.Assert(t, a.canHold(recordFootprint(&r)+occurrenceFootprint(&r.Spec)))
+}
--- a/version/cell/advice.go
+++ b/version/cell/advice.go
@@ -34,6 +34,21 @@
 	a.rejected = map[string]struct{}{}
 }
 
+// extra returns the number of workers with advice beyond those in the footprint of a step.
+func (a *stepAdvice) extra() int { return max(0, len(a.approved)+len(a.rejected)-maxAdviceWorkers) }
+
+// dropAdvice forgets the advice on a step that needs none any longer. Otherwise the workers would keep the step in memory.
+func (c *Core) dropAdvice(s *step) {
+	for id := range s.advice.approved {
+		if w := c.workers[id]; w != nil {
+			delete(w.watchers, s)
+		}
+	}
+	s.job.extraAdvice -= s.advice.extra()
+	s.advice.approved, s.advice.rejected = nil, nil
+	c.account(s.job)
+}
+
 // isPending reports whether an outstanding request names the worker.
 func (a *stepAdvice) isPending(id string) bool {
 	for _, r := range a.pending {
@@ -337,6 +352,15 @@
 // ticketMargin covers its transmission.
 func (c *Core) recordAdvice(request *adviceRequest, approved []backend.Ticket, validity time.Duration) {
 	s := request.step
+	if s.advice.approved == nil {
+		// The step needs no advice any longer.
+		return
+	}
+	extra := s.advice.extra()
+	defer func() {
+		s.job.extraAdvice += s.advice.extra() - extra
+		c.account(s.job)
+	}()
 	asked, answered := 0, 0
 	for _, id := range request.workers {
 		if _, known := s.advice.approved[id]; !known {
--- a/version/cell/finished.go
+++ b/version/cell/finished.go
@@ -40,6 +40,11 @@
 // release drops the tasks of a job that has ended.
 func (c *Core) release(j *jobState) {
 	j.released = true
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			c.dropAdvice(s)
+		}
+	}
 	j.occurrences, j.progress, j.checkpoints = nil, nil, nil
 	j.record.Spec = job.Spec{}
 	c.account(j)
--- a/version/cell/footprint.go
+++ b/version/cell/footprint.go
@@ -12,8 +12,9 @@
 const (
 	// jobFootprint is the part that does not depend on the job.
 	jobFootprint = 1 << 10
-	// stepFootprint is that of an open step with advice on maxAdviceWorkers workers.
-	stepFootprint = 6 << 10
+	// stepFootprint is that of an open step with advice on maxAdviceWorkers workers, and adviceFootprint that of advice on one of further workers.
+	stepFootprint   = 6 << 10
+	adviceFootprint = 100
 	// taskFootprint is that of a task of an open step and of its run.
 	taskFootprint = 1 << 10
 	// maxFootprint is the result for a job of any larger size, so that sums do not overflow.
@@ -45,7 +46,7 @@
 	if j.released {
 		return 0
 	}
-	return j.recordSize + j.occurrenceSize*int64(max(1, len(j.occurrences)))
+	return j.recordSize + j.occurrenceSize*int64(max(1, len(j.occurrences))) + int64(j.extraAdvice)*adviceFootprint
 }
 
 // account updates the memory in use after a change of the open occurrences of a job.
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -47,6 +47,8 @@
 	// job has ended and that its tasks are not in memory any longer.
 	recordSize, occurrenceSize, accounted int64
 	released                              bool
+	// extraAdvice counts the advice on workers beyond maxAdviceWorkers of each open step.
+	extraAdvice int
 	// activeAt is when the job was admitted, or a run was added or removed last. admissions is how often the job has been admitted.
 	activeAt   Instant
 	admissions int
@@ -350,6 +352,7 @@
 	if s.openTasks > 0 {
 		return
 	}
+	c.dropAdvice(s)
 	for _, next := range s.occurrence.steps {
 		c.queueStep(next)
 	}
