--- a/bench/cell/cell_test.go
+++ b/bench/cell/cell_test.go
@@ -37,6 +37,13 @@
 	}
 	f.core.SetConfig(job.Config{Version: 1, Queues: []job.Queue{f.queue}})
 	f.core.SetAdvisers([]string{"i1", "i2", "i3", "i4"})
+	f.addWorkers(workers)
+	assert.Equal(b, f.core.UsableWorkers(), workers)
+	return f
+}
+
+// addWorkers adds workers with 16 cores and reads them.
+func (f *fleet) addWorkers(workers int) {
 	for i := range workers {
 		id := fmt.Sprintf("w%04d", i)
 		f.core.SetWorker(backend.WorkerInfo{
@@ -46,8 +53,6 @@
 		f.poll(id, nil)
 	}
 	f.storeBatches()
-	assert.Equal(b, f.core.UsableWorkers(), workers)
-	return f
 }
 
 func (f *fleet) clockMS() int64 { return f.now.Milliseconds() }
--- a/bench/cell/memory_test.go
+++ b/bench/cell/memory_test.go
@@ -21,15 +21,7 @@
 	f.core = cell.New(cell.Options{Epoch: 1, LeaseDuration: 6 * time.Second, Retention: time.Second, MemoryBytes: memoryMB << 18}, f.now)
 	f.queue = job.Queue{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 1.5, ObjectiveMS: 250}
 	f.core.SetConfig(job.Config{Version: 1, Queues: []job.Queue{f.queue}})
-	for i := range workers {
-		id := fmt.Sprintf("w%04d", i)
-		f.core.SetWorker(backend.WorkerInfo{
-			ID: id, Address: id, Service: "s", Labels: []string{"k", "r"}, StartedMS: 1,
-			Capacity: model.Resources{CPUMilli: 16_000, MemoryMiB: 64_000},
-		}, f.now)
-		f.poll(id, nil)
-	}
-	f.storeBatches()
+	f.addWorkers(workers)
 	return f
 }
 
