A deferred job keeps its open occurrences due and its oldest record

Two faults of the admission of jobs, found by reading it again: a recurring job that gave way while an occurrence was open came back when the next one was due, and a record with an older epoch that arrived while a job was deferred did not make its tasks wait for the workers of former leaders.

Evidence: TestOpenOccurrenceOfADeferredJobIsDue and TestOldestRecordOfADeferredJobCounts failed before.

--- a/version/cell/admission.go
+++ b/version/cell/admission.go
@@ -113,7 +113,7 @@
 		return true
 	}
 	if d != nil {
-		d.epoch = min(d.epoch, record.Epoch)
+		c.lowerDeferredEpoch(d, record.Epoch)
 		return false
 	}
 	d = newDeferredJob(id, record, size, progress)
--- a/version/cell/admission_test.go
+++ b/version/cell/admission_test.go
@@ -441,3 +441,40 @@
 	a := newAdmission(smallestMemory)
 	assert.Assert(t, a.canHold(recordFootprint(&r)+occurrenceFootprint(&r.Spec)))
 }
+
+// Guards against an occurrence that was open when its job was deferred and that waits until the next one is due.
+func TestOpenOccurrenceOfADeferredJobIsDue(t *testing.T) {
+	tc := newSmallCluster(t, 1, 4<<20)
+	tc.submit("a", tc.recurringRecord(2, time.Hour, stepWithTasks(1, requiring("later"))))
+	tc.advance(minResidence + time.Second)
+	tc.core.evict(tc.core.jobs["a"])
+	tc.listWorker("w1", func(info *backend.WorkerInfo) { info.Labels = []string{"later"} })
+	tc.advance(300 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), 1)
+	assert.Equal(t, tc.starts[0].Command.Task, "a.0.0.0")
+	running := tc.confirmStarts()["w1"]
+	tc.answerPoll("w1", nil, tc.completeRuns("w1", running))
+	tc.storeBatches()
+	tc.advance(minResidence + time.Second)
+	tc.core.evict(tc.core.jobs["a"])
+	lookups := tc.lookups
+	tc.advance(10 * time.Second)
+	assert.Equal(t, tc.lookups, lookups)
+	r := tc.rows["a"]
+	assert.Equal(t, tc.core.admission.deferred["a"].dueMS, r.Spec.DueMS(1))
+}
+
+// Guards against a start that does not wait for the workers of a former leader, since the record with the oldest epoch arrived while the job was
+// deferred.
+func TestOldestRecordOfADeferredJobCounts(t *testing.T) {
+	tc := newSmallCluster(t, 3, 4<<20)
+	tc.submit("a", record("plain", 3, stepWithTasks(1, requiring("later"))))
+	tc.advance(minResidence + time.Second)
+	tc.core.evict(tc.core.jobs["a"])
+	tc.core.AddJob("a", record("plain", 1, stepWithTasks(1)), tc.now)
+	tc.advance(300 * time.Millisecond)
+	j := tc.core.jobs["a"]
+	assert.Assert(t, j.recovered)
+	assert.Equal(t, j.record.Epoch, uint64(1))
+	assert.Equal(t, j.baseRunNumber, int64(2*runNumbersPerEpoch))
+}
--- a/version/cell/deferred.go
+++ b/version/cell/deferred.go
@@ -21,7 +21,7 @@
 	addedAt, deferredAt Instant
 	// retryAt is the earliest time of the next read.
 	retryAt Instant
-	// dueMS is when the next occurrence is due, in milliseconds since the Unix epoch; 0 for a job without occurrences.
+	// dueMS is when the next occurrence is due, in milliseconds since the Unix epoch; 0 for a job without occurrences, or with one that was open.
 	dueMS int64
 	// admissions is how often the job has been admitted.
 	admissions int
@@ -83,7 +83,7 @@
 	if j.team != nil {
 		d.team = j.team.name
 	}
-	if j.record.Spec.Repetitions > 0 {
+	if j.record.Spec.Repetitions > 0 && !j.hasOpenWork() {
 		d.dueMS = j.nextDueMS()
 	}
 	for _, o := range j.occurrences {
@@ -97,6 +97,22 @@
 	return d
 }
 
+// hasOpenWork reports whether an occurrence is open and not complete.
+func (j *jobState) hasOpenWork() bool {
+	for _, o := range j.occurrences {
+		if !o.isComplete() {
+			return true
+		}
+	}
+	return false
+}
+
+// lowerDeferredEpoch is lowerEpoch for a job that is not in memory.
+func (c *Core) lowerDeferredEpoch(d *deferredJob, epoch uint64) {
+	d.epoch = min(d.epoch, epoch)
+	d.recovered = d.recovered || d.epoch < c.opts.Epoch
+}
+
 // addTask adds what a later admission needs of a task and what its job's rows do not hold.
 func (d *deferredJob) addTask(t *task) {
 	d.runNumber = max(d.runNumber, t.lastRunNumber)
