A deferred job is admitted with its progress only

Found by reading admission again: a deferred job whose rows were being read, or of which a worker listed a task, was admitted by any arrival of its record, and the feed of the jobs, which is read again as a whole after a gap, has no progress. Its tasks that were done would have run again (TWICE). A read that began before a job was admitted, changed and deferred again could bring older progress in the same way.

Change: only the record and progress that a lookup has read admit a deferred job (AddLookedUpJob), and a job with an outstanding lookup does not give way.

--- a/bench/cell/memory_test.go
+++ b/bench/cell/memory_test.go
@@ -90,7 +90,7 @@
 		case *cell.StartAction:
 			f.core.StartResult(a, backend.Reply{ClockMS: f.clockMS()}, nil, f.now)
 		case *cell.LookupAction:
-			f.core.AddJob(a.Job, f.records[a.Job], f.now)
+			_ = f.core.AddLookedUpJob(a.Job, f.records[a.Job], nil, f.now)
 			f.core.LookupResult(a, true, nil, f.now)
 		}
 	}
--- a/process/node/load.go
+++ b/process/node/load.go
@@ -112,10 +112,29 @@
 		return
 	}
 	if err := l.core.LoadProgress(id, record, progress, now); err != nil {
-		l.node.opts.Log.WithError(err).WithFields(map[string]any{"event": "progress_unreadable", "job": row.Key}).Error("cannot decode the progress of the job")
+		l.logUnreadableProgress(row, err)
 	}
 }
 
+// applyLookedUpRow is applyJobRow for a row that was read with its progress for a lookup.
+func (l *leadership) applyLookedUpRow(row backend.Row, progress []byte) {
+	if state, _ := cell.StoredState(progress); state != "" {
+		l.core.AddFinishedJob(job.ID(row.Key), state, l.node.opts.Now())
+		return
+	}
+	record, ok := l.decodeJobRow(row)
+	if !ok {
+		return
+	}
+	if err := l.core.AddLookedUpJob(job.ID(row.Key), record, progress, l.node.opts.Now()); err != nil {
+		l.logUnreadableProgress(row, err)
+	}
+}
+
+func (l *leadership) logUnreadableProgress(row backend.Row, err error) {
+	l.node.opts.Log.WithError(err).WithFields(map[string]any{"event": "progress_unreadable", "job": row.Key}).Error("cannot decode the progress of the job")
+}
+
 // decodeJobRow returns the record in a row of the jobs. ok is false if there is none.
 func (l *leadership) decodeJobRow(row backend.Row) (record job.Record, ok bool) {
 	record, refused, err := decodeJobRecord(row.Value)
@@ -150,7 +169,7 @@
 	if cancel.Version != 0 {
 		l.applyCancelRow(cancel)
 	}
-	l.applyJobRow(record, progress.Value)
+	l.applyLookedUpRow(record, progress.Value)
 	return true, nil
 }
 
--- a/version/cell/admission.go
+++ b/version/cell/admission.go
@@ -100,13 +100,14 @@
 
 // isAdmitted decides whether a job whose record has arrived is kept in memory, and defers it otherwise. A job of which a worker lists tasks
 // is kept in any case: its runs count in the ledger, and its completions must be handled.
-func (c *Core) isAdmitted(id job.ID, record *job.Record, progress *progressRow) bool {
+func (c *Core) isAdmitted(id job.ID, record *job.Record, progress *progressRow, lookedUp bool) bool {
 	a := &c.admission
 	size := recordFootprint(record) + occurrenceFootprint(&record.Spec)
 	d := a.deferred[id]
 	_, listed := c.lookups[id]
 	switch {
 	case !a.canHold(size):
+	case d != nil && !lookedUp:
 	case d != nil && (d.reading || d.required), listed:
 		return true
 	case d == nil && a.fits(size) && !a.waiting[a.laneOf(size)]:
@@ -216,7 +217,7 @@
 	d.reading = true
 	c.admission.reads++
 	c.admission.used += d.size
-	c.actions = append(c.actions, &LookupAction{d.id, c.now})
+	c.issueLookup(d.id)
 }
 
 // endRead ends the read of a deferred job, whether it was admitted or not.
@@ -327,6 +328,10 @@
 	if j.state.Terminal() || c.now < j.activeAt+residence || j.lastChange > j.storedChange || c.isRecovering(j) {
 		return false
 	}
+	if c.outstandingLookups[j.id] > 0 {
+		// What was read may be older than the progress of now.
+		return false
+	}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			if slices.ContainsFunc(s.tasks, c.hasTransientState) {
--- a/version/cell/admission_test.go
+++ b/version/cell/admission_test.go
@@ -266,42 +266,58 @@
 // Guards against jobs that are lost, run twice or end in another state than with ample memory, whatever their shapes and however little memory
 // there is, over changes of the leader.
 func TestLittleMemoryChangesNoResult(t *testing.T) {
+	evictions := uint64(0)
 	for seed := range uint64(40) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { playLittleMemory(t, rand.New(rand.NewPCG(seed, 69))) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { evictions += playLittleMemory(t, rand.New(rand.NewPCG(seed, 69))) })
 	}
+	assert.Assert(t, evictions > 100, "only %d jobs gave way", evictions)
 }
 
-func playLittleMemory(t *testing.T, random *rand.Rand) {
+// playLittleMemory plays a set of jobs and returns how many gave way.
+func playLittleMemory(t *testing.T, random *rand.Rand) (evictions uint64) {
 	memory := int64(60+random.IntN(200)) << 10
 	tc := newSmallCluster(t, 1, memory)
+	tc.lateLookups = &[]lateLookup{}
 	done := map[string]int64{}
 	highest := map[string]int64{}
+	var running []backend.ActiveRun
 	jobs := 10 + random.IntN(30)
 	for i := range jobs {
 		tc.submit(fmt.Sprintf("j%02d", i), tc.randomRecord(random))
 	}
-	for round := 0; round < 4000 && !tc.allEnded(jobs); round++ {
-		if random.IntN(300) == 0 {
+	for round := 0; round < 10_000 && !tc.allEnded(jobs); round++ {
+		if random.IntN(1000) == 0 {
+			evictions += tc.core.admission.evictions
 			tc = tc.smallSuccessor(memory)
+			running = nil
 		}
 		tc.advance(time.Duration(20+random.IntN(200)) * time.Millisecond)
-		var ended []backend.FinishedRun
+		tc.disturbTables(random, jobs)
 		for _, a := range tc.starts {
 			name := a.Command.Task
 			assert.Assert(t, done[name] == 0, "%s starts again as %d after it was done", name, a.Command.Run)
 			assert.Assert(t, a.Command.Run > highest[name], "%s: run %d after %d", name, a.Command.Run, highest[name])
 			highest[name] = a.Command.Run
+		}
+		running = append(running, tc.confirmStarts()["w1"]...)
+		var ended []backend.FinishedRun
+		running = slices.DeleteFunc(running, func(r backend.ActiveRun) bool {
+			name, _ := job.ParseTaskName(r.Task)
+			gang := tc.rows[name.Job].Spec.Steps[name.Step].Gang
+			if !gang && random.IntN(5) > 0 {
+				return false
+			}
 			result := backend.ResultDone
 			if random.IntN(8) == 0 {
 				result = backend.ResultStopped
 			}
 			if result == backend.ResultDone {
-				done[name] = a.Command.Run
+				done[r.Task] = r.Run
 			}
-			ended = append(ended, tc.completion("w1", name, a.Command.Run, result))
-		}
-		tc.confirmStarts()
-		tc.answerPoll("w1", nil, ended)
+			ended = append(ended, tc.completion("w1", r.Task, r.Run, result))
+			return true
+		})
+		tc.answerPoll("w1", running, ended)
 		tc.storeBatches()
 		use := tc.core.MemoryUse()
 		assert.Assert(t, use.UsedBytes <= use.LimitBytes, "%+v", use)
@@ -320,6 +336,21 @@
 		}
 		assert.Equal(t, tasks, 0, "tasks of %s were not done", id)
 	}
+	return evictions + tc.core.admission.evictions
+}
+
+// disturbTables delivers some of the lookups, in any order, and lets a row of the followed table arrive again.
+func (tc *testCluster) disturbTables(random *rand.Rand, jobs int) {
+	pending := *tc.lateLookups
+	random.Shuffle(len(pending), func(i, k int) { pending[i], pending[k] = pending[k], pending[i] })
+	for len(pending) > 0 && random.IntN(4) > 0 {
+		tc.deliverLookup(pending[0])
+		pending = pending[1:]
+	}
+	*tc.lateLookups = pending
+	if id := job.ID(fmt.Sprintf("j%02d", random.IntN(jobs))); random.IntN(2) == 0 {
+		tc.core.AddJob(id, tc.rows[id], tc.now)
+	}
 }
 
 // randomRecord returns a job of one to three steps, which may be due repeatedly.
@@ -358,6 +389,7 @@
 	next := newTestCluster(tc.t, tc.core.opts.Epoch+1)
 	next.core.admission = newAdmission(memory)
 	next.now, next.rows, next.storedProgress, next.lastCompletion = tc.now, tc.rows, tc.storedProgress, tc.lastCompletion
+	next.lateLookups = &[]lateLookup{}
 	for id, r := range tc.rows {
 		next.loadRow(id, r)
 	}
@@ -478,3 +510,51 @@
 	assert.Equal(t, j.record.Epoch, uint64(1))
 	assert.Equal(t, j.baseRunNumber, int64(2*runNumbersPerEpoch))
 }
+
+// Guards against tasks that run again because a deferred job is admitted without its progress: the tables are followed without it, and are read again
+// as a whole after a gap.
+func TestFollowedRowDoesNotAdmitADeferredJob(t *testing.T) {
+	r := record("plain", 1, stepWithTasks(2, requiring("later")))
+	deferred := func() *testCluster {
+		tc := newSmallCluster(t, 2, 4<<20)
+		tc.storedProgress["a"] = []byte(`{"t":{"0.0":{"d":"AQ=="}}}`)
+		tc.submit("a", r)
+		tc.advance(minResidence + time.Second)
+		tc.core.evict(tc.core.jobs["a"])
+		return tc
+	}
+	check := func(tc *testCluster) {
+		tc.listWorker("w1", func(info *backend.WorkerInfo) { info.Labels = []string{"later"} })
+		tc.advance(2 * time.Second)
+		assert.Assert(t, tc.core.findTask("a.0.0.0").done)
+		for _, a := range tc.starts {
+			assert.Assert(t, a.Command.Task != "a.0.0.0")
+		}
+	}
+	t.Run("while it is read", func(t *testing.T) {
+		tc := deferred()
+		tc.core.readDeferred(tc.core.admission.deferred["a"])
+		tc.core.AddJob("a", r, tc.now)
+		assert.Assert(t, tc.core.jobs["a"] == nil)
+		check(tc)
+	})
+	t.Run("while a worker lists it", func(t *testing.T) {
+		tc := deferred()
+		tc.answerPoll("w1", []backend.ActiveRun{{Task: "a.0.0.1", Run: 2}}, nil)
+		tc.core.AddJob("a", r, tc.now)
+		assert.Assert(t, tc.core.jobs["a"] == nil)
+		check(tc)
+		assert.Equal(t, len(tc.core.findTask("a.0.0.1").runs), 1)
+	})
+	t.Run("and one that was read before it changed", func(t *testing.T) {
+		tc := deferred()
+		tc.lookupError = errNoReply
+		tc.core.issueLookup("a")
+		tc.core.readDeferred(tc.core.admission.deferred["a"])
+		assert.NilError(t, tc.core.AddLookedUpJob("a", r, tc.storedProgress["a"], tc.now))
+		tc.advance(minResidence + time.Second)
+		assert.Assert(t, tc.core.isIdle(tc.core.jobs["a"], minResidence))
+		tc.core.issueLookup("a")
+		assert.Assert(t, !tc.core.isIdle(tc.core.jobs["a"], minResidence))
+	})
+}
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -76,7 +76,9 @@
 	unreadable map[job.ID]struct{}
 	// lookups are the jobs that are not known and of which workers list tasks.
 	lookups map[job.ID]*jobLookup
-	workers map[string]*worker
+	// outstandingLookups counts the lookups of each job without a result.
+	outstandingLookups map[job.ID]int
+	workers            map[string]*worker
 	// workerSetVersion rises when a worker is added or removed.
 	workerSetVersion uint64
 	// inventories counts the inventories of workers that have been compared with the ledger.
@@ -159,7 +161,7 @@
 	c := &Core{
 		opts: opts, epochStart: now, now: now, fleetVersion: 1,
 		jobs: map[job.ID]*jobState{}, recurring: map[job.ID]*jobState{}, finished: map[job.ID]finishedJob{}, teams: map[string]*team{}, earlyCancels: map[job.ID]Instant{}, unreadable: map[job.ID]struct{}{},
-		lookups: map[job.ID]*jobLookup{}, workers: map[string]*worker{}, awaitingAcks: map[*worker]struct{}{},
+		lookups: map[job.ID]*jobLookup{}, outstandingLookups: map[job.ID]int{}, workers: map[string]*worker{}, awaitingAcks: map[*worker]struct{}{},
 		advisers: map[string]*adviser{}, inventoryPending: map[string]struct{}{},
 		dirtyJobs: map[job.ID]*jobState{}, changedFleetShards: map[int]struct{}{}, approvalRates: map[string]float64{}, kindSpeeds: map[string]*speedEstimate{}, waves: map[int]*wave{},
 		wake: make(chan struct{}, 1),
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -170,12 +170,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.now = max(c.now, now)
-	c.addJob(id, record, nil)
+	c.addJob(id, record, nil, false)
 }
 
 // addJob adds a job with its durable progress, which may be nil. The progress is applied before the job is scheduled and
-// before the runs and completions that workers have listed for it are handled. Callers hold c.mu.
-func (c *Core) addJob(id job.ID, record job.Record, progress *progressRow) {
+// before the runs and completions that workers have listed for it are handled. lookedUp means that both were read for a LookupAction: a deferred
+// job is admitted only then, since the tables are followed without the progress. Callers hold c.mu.
+func (c *Core) addJob(id job.ID, record job.Record, progress *progressRow, lookedUp bool) {
 	if j := c.jobs[id]; j != nil {
 		c.lowerEpoch(j, record.Epoch)
 		return
@@ -198,7 +199,7 @@
 		c.finishDeferred(id, job.Cancelled, "cancelled by the caller")
 		return
 	}
-	if !c.isAdmitted(id, &record, progress) {
+	if !c.isAdmitted(id, &record, progress, lookedUp) {
 		return
 	}
 	deferred := c.takeDeferred(id)
--- a/version/cell/lookup.go
+++ b/version/cell/lookup.go
@@ -91,7 +91,20 @@
 			continue
 		}
 		lookup.inFlight, lookup.startedAt = true, c.now
-		c.actions = append(c.actions, &LookupAction{id, c.now})
+		c.issueLookup(id)
+	}
+}
+
+// issueLookup hands a lookup to the caller of Step.
+func (c *Core) issueLookup(id job.ID) {
+	c.outstandingLookups[id]++
+	c.actions = append(c.actions, &LookupAction{id, c.now})
+}
+
+// endLookup records that the result of a lookup has arrived.
+func (c *Core) endLookup(id job.ID) {
+	if c.outstandingLookups[id]--; c.outstandingLookups[id] <= 0 {
+		delete(c.outstandingLookups, id)
 	}
 }
 
@@ -101,6 +114,7 @@
 	defer c.mu.Unlock()
 	c.now = max(c.now, now)
 	lookup := c.lookups[a.Job]
+	c.endLookup(a.Job)
 	c.readFailed(a.Job)
 	fields := map[string]any{"found": found}
 	if err != nil {
--- a/version/cell/progress.go
+++ b/version/cell/progress.go
@@ -339,6 +339,22 @@
 // LoadProgress adds a job with its durable progress. A job whose progress cannot be decoded is not added later either, unless it is loaded
 // with progress that can.
 func (c *Core) LoadProgress(id job.ID, record job.Record, data []byte, now Instant) error {
+	return c.loadProgress(id, record, data, now, false)
+}
+
+// AddLookedUpJob adds a job whose record and progress, which may be empty, were read for a LookupAction. A deferred job is admitted.
+func (c *Core) AddLookedUpJob(id job.ID, record job.Record, data []byte, now Instant) error {
+	if len(data) > 0 {
+		return c.loadProgress(id, record, data, now, true)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = max(c.now, now)
+	c.addJob(id, record, nil, true)
+	return nil
+}
+
+func (c *Core) loadProgress(id job.ID, record job.Record, data []byte, now Instant, lookedUp bool) error {
 	row, err := decodeProgress(data)
 	if err != nil {
 		c.mu.Lock()
@@ -355,7 +371,7 @@
 	defer c.mu.Unlock()
 	c.now = max(c.now, now)
 	delete(c.unreadable, id)
-	c.addJob(id, record, row)
+	c.addJob(id, record, row, lookedUp)
 	return nil
 }
 
--- a/version/cell/testcluster_test.go
+++ b/version/cell/testcluster_test.go
@@ -29,6 +29,8 @@
 	lookups     int
 	lookupError error
 	rows        map[job.ID]job.Record
+	// lateLookups, if not nil, are the lookups whose rows were read and whose results the test delivers.
+	lateLookups *[]lateLookup
 	// storedWaves is what the store holds of the waves, and maintenanceRefusal the answer to maintenance requests.
 	storedWaves        map[int]StoredWave
 	maintenanceRefusal backend.MachineRefusal
@@ -134,18 +136,35 @@
 			tc.polls = append(tc.polls, a.Worker)
 		case *LookupAction:
 			tc.lookups++
-			record, found := tc.rows[a.Job]
-			found = found && tc.lookupError == nil
-			if found {
-				tc.loadRow(a.Job, record)
+			late := lateLookup{a, tc.storedProgress[a.Job]}
+			if tc.lateLookups != nil {
+				*tc.lateLookups = append(*tc.lateLookups, late)
+				continue
 			}
-			tc.core.LookupResult(a, found, tc.lookupError, tc.now)
+			tc.deliverLookup(late)
 		case *ReadWaveAction:
 			tc.core.WaveRead(a, tc.storedWaves[a.Wave], nil, tc.now)
 		}
 	}
 }
 
+// lateLookup is a lookup with the progress that was read for it.
+type lateLookup struct {
+	action   *LookupAction
+	progress []byte
+}
+
+// deliverLookup passes the result of a lookup to the core.
+func (tc *testCluster) deliverLookup(l lateLookup) {
+	id := l.action.Job
+	record, found := tc.rows[id]
+	found = found && tc.lookupError == nil
+	if found {
+		assert.NilError(tc.t, tc.core.AddLookedUpJob(id, record, l.progress, tc.now))
+	}
+	tc.core.LookupResult(l.action, found, tc.lookupError, tc.now)
+}
+
 // advance runs scheduling rounds for the given duration.
 func (tc *testCluster) advance(d time.Duration) {
 	for end := tc.now + d; tc.now < end; {
