A leader keeps the final state that it has read from the store and shown

Change: what jobState reads of the store is kept by the leadership, up to 10,000 jobs.

Evidence: TestLeaderKeepsTheFinalStateThatItHasShown failed before.

--- a/process/node/callers.go
+++ b/process/node/callers.go
@@ -261,6 +261,9 @@
 	if state == "" || state.Terminal() || l.isConfirmed() {
 		return state
 	}
+	if final, ok := l.readFinalState(id); ok {
+		return final
+	}
 	ctx, cancel := context.WithTimeout(ctx, finalStateTimeout)
 	defer cancel()
 	// The direct path is tried whatever is known of the store, which may have just come back, and its short timeout says nothing of it.
@@ -270,11 +273,35 @@
 		return state
 	}
 	if stored, _ := cell.StoredState(progress.Value); stored != "" {
+		l.keepFinalState(id, stored)
 		return stored
 	}
 	return state
 }
 
+// maxFinalStates limits the final states that a leader keeps although it does not know that they are durable by its own writes.
+const maxFinalStates = 10_000
+
+// keepFinalState keeps a final state that was read from the store and is about to be shown. The store may be silent when the caller asks again.
+func (l *leadership) keepFinalState(id job.ID, state job.State) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.finalStates == nil {
+		l.finalStates = map[job.ID]job.State{}
+	}
+	if len(l.finalStates) < maxFinalStates {
+		l.finalStates[id] = state
+	}
+}
+
+// readFinalState returns the final state of a job that was read from the store.
+func (l *leadership) readFinalState(id job.ID) (job.State, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	state, ok := l.finalStates[id]
+	return state, ok
+}
+
 // storedState derives the state of a job from its rows in the store. A stored cancellation is no final state: the leader may have
 // completed the job before, which is not durable yet.
 func (n *Node) storedState(ctx context.Context, id job.ID) (job.State, error) {
--- a/process/node/leader.go
+++ b/process/node/leader.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/model/job"
 	"github.com/lentiltide/lentiltide/version/cell"
 )
 
@@ -55,6 +56,8 @@
 	// waitingCounts are the counts of waiting jobs by queue as of waitingCountedAt. The map is not modified after it is set.
 	waitingCounts    map[string]uint32
 	waitingCountedAt cell.Instant
+	// finalStates are those that were read from the store while the leader could not write; see keepFinalState.
+	finalStates map[job.ID]job.State
 	// refusals are the refusals of jobs that are stored, by the key of the job row.
 	refusals map[backend.RowKey]storedRefusal
 	// loggedUnusable holds the keys of the registry entries that were logged as ignored.
--- a/soak/backlog_test.go
+++ b/soak/backlog_test.go
@@ -56,6 +56,7 @@
 			}
 			c.readStates(seed, answers, stop, &load)
 			c.loseLeaders(rand.New(rand.NewPCG(seed, 12)), *faultTime)
+			time.Sleep(calmLoadTime)
 			close(stop)
 			load.Wait()
 			c.checkPromises(answers)
