Starts of recorded service tasks count towards those in flight

Found by reading the change again: the bound of 1,000 starts without a result held for decisions only. Service tasks whose records became durable together were all sent at once, 400 a job.

Change: such a start waits for results like a new one; the members of a gang are still sent together.

Evidence: TestRecordedStartsInFlightAreBounded failed before: 2,000 starts at once.

--- a/version/cell/inflight_test.go
+++ b/version/cell/inflight_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -51,3 +52,30 @@
 		assert.Assert(t, len(stopped) > before || len(tc.stops) > 0)
 	}
 }
+
+// Guards against starts of service tasks that are sent all at once when their records become durable together.
+func TestRecordedStartsInFlightAreBounded(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	tc.addWorker("w1")
+	service := stepWithTasks(maxRecordedTasks, isService, func(s *job.Step) { s.TaskDemand = model.Resources{} })
+	const jobs = 5
+	for i := range jobs {
+		tc.addJob(fmt.Sprint("s", i), "plain", 1, service)
+	}
+	tc.advance(200 * time.Millisecond)
+	tc.storeBatches()
+	tc.advance(200 * time.Millisecond)
+	assert.Equal(t, len(tc.starts), maxStartsInFlight)
+	started := 0
+	var running []backend.ActiveRun
+	for range 4 {
+		started += len(tc.starts)
+		running = append(running, tc.confirmStarts()["w1"]...)
+		tc.answerPoll("w1", running, nil)
+		tc.advance(100 * time.Millisecond)
+		tc.storeBatches()
+		tc.advance(100 * time.Millisecond)
+		assert.Assert(t, len(tc.starts) <= maxStartsInFlight)
+	}
+	assert.Equal(t, started+len(tc.starts), jobs*maxRecordedTasks)
+}
--- a/version/cell/startrecord.go
+++ b/version/cell/startrecord.go
@@ -210,6 +210,9 @@
 			c.startFailed(r, r.stopReason, nil)
 		case !r.isStartRecorded():
 			c.recordingRuns = append(c.recordingRuns, r)
+		case !r.task.step.spec.Gang && !c.mayIssueStarts():
+			// The members of a gang are sent together.
+			c.recordingRuns = append(c.recordingRuns, r)
 		case !c.acceptsRecordedStart(r):
 			r.task.recordUnused = true
 			c.startFailed(r, "worker no longer accepts the start", nil)
