A step is not skipped for one that must not share a worker with its job

Found by reading the change again: a task that may crash its worker keeps the tasks of other jobs away from it. A step that found no worker for that reason made steps of the same class be skipped in the round, also one of the job itself, which may start there.

Change: no class counts as full while a worker has an isolated run.

Evidence: TestStepBesideAnIsolatedRunOfItsJobStarts failed before.

--- a/version/cell/crash.go
+++ b/version/cell/crash.go
@@ -348,6 +348,16 @@
 	return r != nil && r.task.step.job != s.job && c.now < r.createdAt+isolationDuration && !c.isOverdueService(s)
 }
 
+// hasIsolatedRuns reports whether a worker may accept tasks of one job only. Steps of different jobs are not alike then.
+func (c *Core) hasIsolatedRuns() bool {
+	for _, w := range c.workers {
+		if w.isolatedRun != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // isOverdueService reports whether a service task of a step has waited for isolationTimeout.
 func (c *Core) isOverdueService(s *step) bool {
 	if !s.spec.LongRunning {
--- a/version/cell/equivalence.go
+++ b/version/cell/equivalence.go
@@ -43,8 +43,8 @@
 }
 
 // add records that no worker is left for an unrestricted task of a step.
-func (f fullClasses) add(s *step) {
-	if class, ok := classOf(s); ok {
+func (f fullClasses) add(c *Core, s *step) {
+	if class, ok := classOf(s); ok && !c.hasIsolatedRuns() {
 		f[class] = struct{}{}
 	}
 }
--- a/version/cell/equivalence_test.go
+++ b/version/cell/equivalence_test.go
@@ -71,3 +71,23 @@
 		}
 	}
 }
+
+// Guards against a step that does not start beside a task of its own job that may crash the worker, because a step of another job, which must not,
+// seemed alike.
+func TestStepBesideAnIsolatedRunOfItsJobStarts(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	tc.addWorker("w1")
+	long := stepWithTasks(1, func(s *job.Step) { s.EstimateMS = 10_000 })
+	tc.addJob("own", "plain", 1, long, stepWithTasks(1), stepWithTasks(1, dependsOn(1)))
+	tc.advance(50 * time.Millisecond)
+	running := tc.confirmStarts()["w1"]
+	assert.Equal(t, len(running), 2)
+	isolated := tc.core.findTask("own.0.0.0").runs[0]
+	isolated.worker.isolatedRun = isolated
+	tc.addJob("other", "plain", 1, stepWithTasks(1))
+	tc.answerPoll("w1", []backend.ActiveRun{{Task: "own.0.0.0", Run: isolated.number}},
+		[]backend.FinishedRun{tc.completion("w1", "own.0.1.0", 1, backend.ResultDone)})
+	tc.step()
+	assert.Equal(t, len(tc.starts), 1)
+	assert.Equal(t, tc.starts[0].Command.Task, "own.0.2.0")
+}
--- a/version/cell/place.go
+++ b/version/cell/place.go
@@ -98,7 +98,7 @@
 		if s.spec.Gang {
 			c.placeGang(s)
 		} else if c.placeTasks(s) {
-			full.add(s)
+			full.add(c, s)
 		}
 	}
 }
