One path loads a job with its progress

applyJobRow and the row of a lookup did the same in two functions, and the core in three. LoadJob and AddLookedUpJob differ in what they say of a deferred job only. An error with NotRun in readRows, which no read could return, is gone.

--- a/bench/cell/progress_test.go
+++ b/bench/cell/progress_test.go
@@ -83,7 +83,7 @@
 				assert.Equal(b, state, job.Completed)
 				startedAt := time.Now()
 				next := cell.New(cell.Options{Epoch: 2, LeaseDuration: 6 * time.Second, Retention: time.Second}, f.now)
-				assert.NilError(b, next.LoadProgress("0000000000000001", r, largest, f.now))
+				assert.NilError(b, next.LoadJob("0000000000000001", r, largest, f.now))
 				b.ReportMetric(float64(time.Since(startedAt).Microseconds()), "us/load")
 				b.ReportMetric(float64(len(largest)), "B/row")
 				b.ReportMetric(float64(len(largest))/float64(c.tasks()), "B/task")
--- a/process/node/load.go
+++ b/process/node/load.go
@@ -94,47 +94,33 @@
 
 // applyJobRow passes the job of a row to the scheduler, with the progress that is stored for it, if any.
 func (l *leadership) applyJobRow(row backend.Row, progress []byte) {
-	if row.Deleted {
-		return
-	}
-	if state, _ := cell.StoredState(progress); state != "" {
-		l.core.AddFinishedJob(job.ID(row.Key), state, l.node.opts.Now())
-		return
-	}
-	record, ok := l.decodeJobRow(row)
-	if !ok {
-		return
-	}
-	now := l.node.opts.Now()
-	id := job.ID(row.Key)
-	if len(progress) == 0 {
-		l.core.AddJob(id, record, now)
-		return
-	}
-	if err := l.core.LoadProgress(id, record, progress, now); err != nil {
-		l.logUnreadableProgress(row, err)
-	}
+	l.addJobRow(row, progress, l.core.LoadJob)
 }
 
 // applyLookedUpRow is applyJobRow for a row that was read with its progress for a lookup.
 func (l *leadership) applyLookedUpRow(row backend.Row, progress []byte) {
+	l.addJobRow(row, progress, l.core.AddLookedUpJob)
+}
+
+// addJobRow passes the job of a row to add, with its progress, or to the scheduler as finished.
+func (l *leadership) addJobRow(row backend.Row, progress []byte, add func(job.ID, job.Record, []byte, cell.Instant) error) {
+	if row.Deleted {
+		return
+	}
+	id, now := job.ID(row.Key), l.node.opts.Now()
 	if state, _ := cell.StoredState(progress); state != "" {
-		l.core.AddFinishedJob(job.ID(row.Key), state, l.node.opts.Now())
+		l.core.AddFinishedJob(id, state, now)
 		return
 	}
 	record, ok := l.decodeJobRow(row)
 	if !ok {
 		return
 	}
-	if err := l.core.AddLookedUpJob(job.ID(row.Key), record, progress, l.node.opts.Now()); err != nil {
-		l.logUnreadableProgress(row, err)
+	if err := add(id, record, progress, now); err != nil {
+		l.node.opts.Log.WithError(err).WithFields(map[string]any{"event": "progress_unreadable", "job": id}).Error("cannot decode the progress of the job")
 	}
 }
 
-func (l *leadership) logUnreadableProgress(row backend.Row, err error) {
-	l.node.opts.Log.WithError(err).WithFields(map[string]any{"event": "progress_unreadable", "job": row.Key}).Error("cannot decode the progress of the job")
-}
-
 // decodeJobRow returns the record in a row of the jobs. ok is false if there is none.
 func (l *leadership) decodeJobRow(row backend.Row) (record job.Record, ok bool) {
 	record, refused, err := decodeJobRecord(row.Value)
--- a/process/node/tableread.go
+++ b/process/node/tableread.go
@@ -6,7 +6,6 @@
 	"sync"
 
 	"github.com/lentiltide/lentiltide/backend"
-	"github.com/lentiltide/lentiltide/request/verdict"
 )
 
 // maxShardReads limits the shards of a table that are read at the same time. A page of rows may take a megabyte in base64, which an instance
@@ -129,10 +128,7 @@
 // readRows reads all rows of a shard whose table has few.
 func (n *Node) readRows(ctx context.Context, table, shard string) (rows []backend.Row, version uint64, err error) {
 	read := n.newTableRead(table, []string{shard}, func(page []backend.Row) { rows = append(rows, page...) })
-	if left, err := read.run(ctx); left > 0 {
-		if err == nil {
-			err = verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the table cannot be read")
-		}
+	if _, err := read.run(ctx); err != nil {
 		return nil, 0, err
 	}
 	return rows, read.version, nil
--- a/version/cell/admission_test.go
+++ b/version/cell/admission_test.go
@@ -27,7 +27,7 @@
 // loadRow passes a stored job to the core with its progress.
 func (tc *testCluster) loadRow(id job.ID, r job.Record) {
 	if progress := tc.storedProgress[id]; len(progress) > 0 {
-		assert.NilError(tc.t, tc.core.LoadProgress(id, r, progress, tc.now))
+		assert.NilError(tc.t, tc.core.LoadJob(id, r, progress, tc.now))
 		return
 	}
 	tc.core.AddJob(id, r, tc.now)
--- a/version/cell/boot_orders_test.go
+++ b/version/cell/boot_orders_test.go
@@ -107,7 +107,7 @@
 	}
 	for id, record := range h.records {
 		if data, ok := h.progress[id]; ok {
-			assert.NilError(h.t, h.core.LoadProgress(id, record, data, h.now))
+			assert.NilError(h.t, h.core.LoadJob(id, record, data, h.now))
 		} else {
 			h.core.AddJob(id, record, h.now)
 		}
--- a/version/cell/crash_test.go
+++ b/version/cell/crash_test.go
@@ -259,7 +259,7 @@
 	cc.core.markChanged(task.step.job)
 	batches := cc.storeBatches()
 	next := newCrashCluster(t, 2, "a1")
-	assert.NilError(t, next.core.LoadProgress("x", record("plain", 1, stepWithTasks(1)), batches[0].Progress[0].Data, next.now))
+	assert.NilError(t, next.core.LoadJob("x", record("plain", 1, stepWithTasks(1)), batches[0].Progress[0].Data, next.now))
 	assert.Equal(t, next.core.findTask("x.0.0.0").crashesTakenBack, maxCrashesTakenBack)
 }
 
@@ -271,7 +271,7 @@
 	batches := cc.storeBatches()
 	next := newCrashCluster(t, 2, "a1")
 	progress := batches[len(batches)-1].Progress
-	assert.NilError(t, next.core.LoadProgress("x", record("plain", 1, stepWithTasks(2)), progress[len(progress)-1].Data, next.now))
+	assert.NilError(t, next.core.LoadJob("x", record("plain", 1, stepWithTasks(2)), progress[len(progress)-1].Data, next.now))
 	assert.Equal(t, next.crashesOf("x.0.0.1"), 1)
 }
 
@@ -363,7 +363,7 @@
 	tc := newTestCluster(t, 2)
 	tc.addWorker("w1")
 	stored := []byte(`{"t":{"0.0":{"c":{"0":[3,0]}}}}`)
-	assert.NilError(t, tc.core.LoadProgress("a", record("plain", 1, stepWithTasks(1)), stored, tc.now))
+	assert.NilError(t, tc.core.LoadJob("a", record("plain", 1, stepWithTasks(1)), stored, tc.now))
 	tc.advance(crashSettleTime + 200*time.Millisecond)
 	tc.storeBatches()
 	assert.Equal(t, len(tc.starts), 0)
--- a/version/cell/durability_test.go
+++ b/version/cell/durability_test.go
@@ -79,7 +79,7 @@
 			name, _ := job.ParseTaskName(e.Task)
 			next := newTestCluster(h.tc.t, 2)
 			assert.Assert(h.tc.t, h.stored[name.Job] != nil, "completion of %s is acknowledged without progress", e.Task)
-			assert.NilError(h.tc.t, next.core.LoadProgress(name.Job, jobs[name.Job], h.stored[name.Job], next.now))
+			assert.NilError(h.tc.t, next.core.LoadJob(name.Job, jobs[name.Job], h.stored[name.Job], next.now))
 			if next.state(string(name.Job)).Terminal() {
 				continue
 			}
--- a/version/cell/finished.go
+++ b/version/cell/finished.go
@@ -56,6 +56,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.now = max(c.now, now)
+	c.addFinishedJob(id, state)
+}
+
+func (c *Core) addFinishedJob(id job.ID, state job.State) {
 	if c.isInMemory(id) {
 		return
 	}
--- a/version/cell/formerrun_test.go
+++ b/version/cell/formerrun_test.go
@@ -23,7 +23,7 @@
 	next := &crashCluster{newTestCluster(t, 2), map[string]int64{"a1": 1000, "b1": 1000}}
 	assert.NilError(t, next.core.LoadFleetRecord(next.now, []byte(`{"a1":"a1:1","b1":"b1:1"}`)))
 	progress := batches[len(batches)-1].Progress
-	assert.NilError(t, next.core.LoadProgress("x", record("plain", 1, stepWithTasks(1)), progress[0].Data, next.now))
+	assert.NilError(t, next.core.LoadJob("x", record("plain", 1, stepWithTasks(1)), progress[0].Data, next.now))
 	next.list("b1")
 	next.poll("b1")
 	return next
@@ -88,7 +88,7 @@
 			if len(batches) > 0 {
 				data = batches[0].Progress[0].Data
 			}
-			assert.NilError(t, next.core.LoadProgress("x", record("plain", 1, stepWithTasks(1)), data, next.now))
+			assert.NilError(t, next.core.LoadJob("x", record("plain", 1, stepWithTasks(1)), data, next.now))
 			next.core.PollResult("a1", next.now, backend.PollReply{Reply: backend.Reply{Refusal: backend.RefusedInstance}}, nil, next.now+1)
 			next.advance(20 * time.Millisecond)
 			assert.Equal(t, next.crashesOf("x.0.0.0"), c.want)
--- a/version/cell/occurrences_test.go
+++ b/version/cell/occurrences_test.go
@@ -23,7 +23,7 @@
 	recurring := record("plain", 1, stepWithTasks(2))
 	recurring.Spec.Repetitions, recurring.Spec.StartAtMS, recurring.Spec.IntervalMS = 3, tc.now.Milliseconds(), interval.Milliseconds()
 	stored := []byte(`{"t":{"0.0":{"d":"AQ=="},"1.0":{"a":true}}}`)
-	assert.NilError(t, tc.core.LoadProgress("a", recurring, stored, tc.now))
+	assert.NilError(t, tc.core.LoadJob("a", recurring, stored, tc.now))
 	tc.advance(100 * time.Millisecond)
 	assert.Equal(t, len(tc.starts), 1)
 	assert.Equal(t, tc.starts[0].Command.Task, "a.0.0.1")
@@ -35,7 +35,7 @@
 	next := newTestCluster(t, 3)
 	next.now = tc.now + interval
 	next.addWorker("w1")
-	assert.NilError(t, next.core.LoadProgress("a", recurring, batches[0].Progress[0].Data, next.now))
+	assert.NilError(t, next.core.LoadJob("a", recurring, batches[0].Progress[0].Data, next.now))
 	next.advance(100 * time.Millisecond)
 	assert.Equal(t, len(next.starts), 0)
 }
@@ -87,7 +87,7 @@
 
 	next := tc.successor()
 	next.addWorker("w1")
-	assert.NilError(t, next.core.LoadProgress("a", r, data, next.now))
+	assert.NilError(t, next.core.LoadJob("a", r, data, next.now))
 	next.advance(50 * time.Millisecond)
 	for _, a := range next.starts {
 		name, _ := job.ParseTaskName(a.Command.Task)
@@ -101,7 +101,7 @@
 
 	// All occurrences are complete, and the leader is lost before it has stored that the job is.
 	last := newTestCluster(t, 3)
-	assert.NilError(t, last.core.LoadProgress("a", r, []byte(fmt.Sprintf(`{"o":[[0,%d]]}`, repetitions-1)), next.now))
+	assert.NilError(t, last.core.LoadJob("a", r, []byte(fmt.Sprintf(`{"o":[[0,%d]]}`, repetitions-1)), next.now))
 	assert.Equal(t, last.core.jobs["a"].state, job.Completed)
 }
 
@@ -187,7 +187,7 @@
 	tc.addWorker("w1")
 	r := tc.recurringRecord(10, time.Hour, stepWithTasks(1))
 	r.Spec.IntervalMS = 1 << 62
-	assert.NilError(t, tc.core.LoadProgress("a", r, []byte(`{"o":[[0,2]]}`), tc.now))
+	assert.NilError(t, tc.core.LoadJob("a", r, []byte(`{"o":[[0,2]]}`), tc.now))
 	tc.advance(time.Second)
 	assert.Equal(t, len(tc.starts), 0)
 }
--- a/version/cell/progress.go
+++ b/version/cell/progress.go
@@ -336,41 +336,38 @@
 	return row.State, len(row.Steps)+len(row.Done) > 0
 }
 
-// LoadProgress adds a job with its durable progress. A job whose progress cannot be decoded is not added later either, unless it is loaded
-// with progress that can.
-func (c *Core) LoadProgress(id job.ID, record job.Record, data []byte, now Instant) error {
-	return c.loadProgress(id, record, data, now, false)
+// LoadJob adds a job with its durable progress, which may be empty. A job whose progress cannot be decoded, which is the only error, is not added
+// later either, unless it is loaded with progress that can.
+func (c *Core) LoadJob(id job.ID, record job.Record, progress []byte, now Instant) error {
+	return c.loadJob(id, record, progress, now, false)
 }
 
-// AddLookedUpJob adds a job whose record and progress, which may be empty, were read for a LookupAction. A deferred job is admitted.
-func (c *Core) AddLookedUpJob(id job.ID, record job.Record, data []byte, now Instant) error {
-	if len(data) > 0 {
-		return c.loadProgress(id, record, data, now, true)
+// AddLookedUpJob is LoadJob for a record and progress that were read for a LookupAction. A deferred job is admitted.
+func (c *Core) AddLookedUpJob(id job.ID, record job.Record, progress []byte, now Instant) error {
+	return c.loadJob(id, record, progress, now, true)
+}
+
+func (c *Core) loadJob(id job.ID, record job.Record, progress []byte, now Instant, lookedUp bool) error {
+	var row *progressRow
+	var err error
+	if len(progress) > 0 {
+		row, err = decodeProgress(progress)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.now = max(c.now, now)
-	c.addJob(id, record, nil, true)
-	return nil
-}
-
-func (c *Core) loadProgress(id job.ID, record job.Record, data []byte, now Instant, lookedUp bool) error {
-	row, err := decodeProgress(data)
 	if err != nil {
-		c.mu.Lock()
-		defer c.mu.Unlock()
 		c.unreadable[id] = struct{}{}
 		c.takeDeferred(id)
 		return errors.Wrapf(err, "decode progress of job %s", id)
 	}
-	if row.State.Terminal() {
-		c.AddFinishedJob(id, row.State, now)
+	if row != nil {
+		delete(c.unreadable, id)
+	}
+	if row != nil && row.State.Terminal() {
+		c.addFinishedJob(id, row.State)
 		return nil
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.now = max(c.now, now)
-	delete(c.unreadable, id)
 	c.addJob(id, record, row, lookedUp)
 	return nil
 }
--- a/version/cell/progress_fuzz_test.go
+++ b/version/cell/progress_fuzz_test.go
@@ -17,9 +17,9 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		tc := newTestCluster(t, 2)
 		r := record("plain", 1, stepWithTasks(2), stepWithTasks(1, dependsOn(0)))
-		_ = tc.core.LoadProgress("a", r, data, tc.now)
+		_ = tc.core.LoadJob("a", r, data, tc.now)
 		r.Spec.Repetitions = 5
-		_ = tc.core.LoadProgress("b", r, data, tc.now)
+		_ = tc.core.LoadJob("b", r, data, tc.now)
 		_, _ = StoredState(data)
 		_ = tc.core.LoadFleetRecord(tc.now, data)
 		for _, id := range []job.ID{"a", "b"} {
--- a/version/cell/recovery_test.go
+++ b/version/cell/recovery_test.go
@@ -102,7 +102,7 @@
 	progress := tc.storeBatches()[0].Progress[0]
 
 	next := newTestCluster(t, 2)
-	assert.NilError(t, next.core.LoadProgress("a", record("plain", 1, stepWithTasks(2)), progress.Data, next.now))
+	assert.NilError(t, next.core.LoadJob("a", record("plain", 1, stepWithTasks(2)), progress.Data, next.now))
 	next.listWorker("w1", nil)
 	next.answerPoll("w1", []backend.ActiveRun{{Task: "a.0.0.0", Run: 1}}, nil)
 	assert.Equal(t, next.state("a"), job.Cancelled)
@@ -125,7 +125,7 @@
 	batches := tc.storeBatches()
 
 	next := newTestCluster(t, 2)
-	assert.NilError(t, next.core.LoadProgress("a", record("plain", 1, steps...), batches[0].Progress[0].Data, next.now))
+	assert.NilError(t, next.core.LoadJob("a", record("plain", 1, steps...), batches[0].Progress[0].Data, next.now))
 	next.addWorker("w1")
 	next.advance(50 * time.Millisecond)
 	assert.Equal(t, len(next.starts), 1)
@@ -441,7 +441,7 @@
 	tc.addWorker("w1")
 	tc.answerPoll("w1", nil, []backend.FinishedRun{tc.completion("w1", "a.0.0.0", 2, backend.ResultFailed)})
 	stored := []byte(`{"t":{"0.0":{"f":{"0":[1]}}}}`)
-	assert.NilError(t, tc.core.LoadProgress("a", record("plain", 1, stepWithTasks(1)), stored, tc.now))
+	assert.NilError(t, tc.core.LoadJob("a", record("plain", 1, stepWithTasks(1)), stored, tc.now))
 	tc.advance(100 * time.Millisecond)
 	assert.Equal(t, len(tc.starts), 1)
 	run := tc.starts[0].Command.Run
--- a/version/cell/runs_test.go
+++ b/version/cell/runs_test.go
@@ -39,7 +39,7 @@
 	progress := tc.storeBatches()[0].Progress[0]
 
 	next := newTestCluster(t, 2)
-	assert.NilError(t, next.core.LoadProgress("a", record("plain", 1, stepWithTasks(1)), progress.Data, next.now))
+	assert.NilError(t, next.core.LoadJob("a", record("plain", 1, stepWithTasks(1)), progress.Data, next.now))
 	next.listWorker("w1", nil)
 	next.answerPoll("w1", nil, []backend.FinishedRun{failed})
 	assert.Equal(t, len(next.core.jobs["a"].occurrences[0].steps[0].tasks[0].failedRuns), 1)
--- a/version/cell/startrecord_test.go
+++ b/version/cell/startrecord_test.go
@@ -32,7 +32,7 @@
 	assert.NilError(tc.t, tc.core.LoadFleetRecord(tc.now, slices.Collect(maps.Values(from.storedFleet))...))
 	for id, r := range records {
 		if data, ok := from.storedProgress[id]; ok {
-			assert.NilError(tc.t, tc.core.LoadProgress(id, r, data, tc.now))
+			assert.NilError(tc.t, tc.core.LoadJob(id, r, data, tc.now))
 		} else {
 			tc.core.AddJob(id, r, tc.now)
 		}
--- a/version/cell/startrecovery_test.go
+++ b/version/cell/startrecovery_test.go
@@ -273,7 +273,7 @@
 	tc.core.opts.StartsRecordedSince = 5
 	assert.Assert(t, tc.core.LoadFleetRecord(tc.now, []byte(`{"w1"`)) != nil)
 	r := record("plain", 5, stepWithTasks(2, isService))
-	assert.NilError(t, tc.core.LoadProgress("a", r, []byte(`{"t":{"0.0":{"s":{"e":5,"w":{"0":"w1","1":""}}}}}`), tc.now))
+	assert.NilError(t, tc.core.LoadJob("a", r, []byte(`{"t":{"0.0":{"s":{"e":5,"w":{"0":"w1","1":""}}}}}`), tc.now))
 	tc.listWorker("w2", nil)
 	tc.addWorker("w1")
 	tc.run(time.Second)
--- a/version/cell/unstored_test.go
+++ b/version/cell/unstored_test.go
@@ -193,7 +193,7 @@
 			c.change(former)
 			next := newCrashCluster(t, 2)
 			assert.NilError(t, next.core.LoadFleetRecord(next.now, []byte(`{"a1":"a1:1"}`)))
-			assert.NilError(t, next.core.LoadProgress("x", record("plain", 1, stepWithTasks(1)), stored, next.now))
+			assert.NilError(t, next.core.LoadJob("x", record("plain", 1, stepWithTasks(1)), stored, next.now))
 			for range 2 {
 				assert.NilError(t, next.core.AdoptCrashes("x", cc.core.encodeProgress(former.step.job), next.now))
 			}
