What a team may have running after a takeover is not taken for too small

Found by reading the change again, with sums of callers' numbers in mind: the demand of a stored job that an earlier version has accepted could overflow in what its team may have running on workers that are not read (-5000 thousandths of a core for 5,000 tasks of 2^63-1), so that the team could exceed its limit. Best-effort steps of jobs that are not in memory, and of occurrences that are not open, were left out.

Change: demands beyond 2^40 are lowered to it when a job is loaded, the sum is bounded by the capacity at each step, and such best-effort work counts without a bound until the workers are read.

--- a/model/job/size.go
+++ b/model/job/size.go
@@ -1,6 +1,9 @@
 package job
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // Callers choose counts, repetitions and intervals, so sums and products of them may exceed an integer. The functions of this file return
 // the largest integer then.
@@ -27,6 +30,19 @@
 	return tasks
 }
 
+// HasBestEffort reports whether a step is best-effort.
+func (s *Spec) HasBestEffort() bool {
+	return slices.ContainsFunc(s.Steps, func(step Step) bool { return step.BestEffort })
+}
+
+// LimitDemands lowers demands beyond MaxDemand, which no worker can meet, in place: instances of earlier versions have accepted such jobs.
+func (s *Spec) LimitDemands() {
+	for i := range s.Steps {
+		d := &s.Steps[i].TaskDemand
+		d.CPUMilli, d.MemoryMiB, d.Accelerators = min(d.CPUMilli, MaxDemand), min(d.MemoryMiB, MaxDemand), min(d.Accelerators, MaxDemand)
+	}
+}
+
 // DueMS returns when an occurrence is due, in milliseconds since the Unix epoch.
 func (s *Spec) DueMS(occurrence int) int64 {
 	start, interval := max(s.StartAtMS, 0), max(s.IntervalMS, 0)
--- a/version/cell/admission_test.go
+++ b/version/cell/admission_test.go
@@ -558,3 +558,44 @@
 		assert.Assert(t, !tc.core.isIdle(tc.core.jobs["a"], minResidence))
 	})
 }
+
+// Guards against a team that exceeds its limit after a change of the leader, since what a former leader may have started of its jobs counts as little, or
+// as less than nothing: a job that is not in memory, occurrences that are not open, demands whose sum overflows.
+func TestUnreadUseOfATeamIsNotTooSmall(t *testing.T) {
+	const lostCPU, limit = 4000, 3000
+	bestEffort := func(s *job.Step) { s.BestEffort = true }
+	for name, c := range map[string]struct {
+		step        job.Step
+		repetitions int
+		memory      int64
+		want        int64
+	}{
+		"demand that overflows":      {stepWithTasks(5000, func(s *job.Step) { s.TaskDemand.CPUMilli = math.MaxInt64 }), 0, 64 << 20, lostCPU},
+		"not in memory":              {stepWithTasks(5000), 0, 1 << 20, lostCPU},
+		"best effort, not in memory": {stepWithTasks(5000, bestEffort), 0, 1 << 20, lostCPU + job.MaxDemand},
+		"occurrences":                {stepWithTasks(1), 1000, 64 << 20, lostCPU},
+		"best-effort occurrences":    {stepWithTasks(1, bestEffort), 1000, 64 << 20, lostCPU + job.MaxDemand},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rows := newTestCluster(t, 1)
+			rows.addWorker("w1")
+			rows.addWorker("lost")
+			tc := newTestCluster(t, 2)
+			tc.core.admission = newAdmission(c.memory)
+			tc.core.SetConfig(job.Config{Version: 2, Queues: tc.core.config.Queues, Teams: map[string]job.Team{
+				"t": {Name: "t", Limit: model.Resources{CPUMilli: limit}, Weight: 1},
+			}})
+			r := record("plain", 1, c.step)
+			r.Team, r.Spec.Repetitions, r.Spec.IntervalMS = "t", c.repetitions, 1000
+			tc.loadRows(rows, map[job.ID]job.Record{"a": r})
+			tc.addWorker("w1")
+			tc.step()
+			assert.Equal(t, tc.core.teams["t"].unread.CPUMilli, c.want)
+			later := record("plain", 2, stepWithTasks(1))
+			later.Team = "t"
+			tc.core.AddJob("b", later, tc.now)
+			tc.advance(200 * time.Millisecond)
+			assert.Equal(t, len(tc.starts), 0)
+		})
+	}
+}
--- a/version/cell/deferred.go
+++ b/version/cell/deferred.go
@@ -12,6 +12,8 @@
 	queue    string
 	priority int
 	team     string
+	// bestEffort means that a step is best-effort.
+	bestEffort bool
 	// epoch is that of the record, and recovered means that a former leader may have started the job.
 	epoch     uint64
 	recovered bool
@@ -63,6 +65,7 @@
 func newDeferredJob(id job.ID, record *job.Record, size int64, progress *progressRow) *deferredJob {
 	d := &deferredJob{
 		id: id, queue: strings.Clone(record.Queue.Name), priority: record.Queue.Priority, team: strings.Clone(record.Team), epoch: record.Epoch, size: size,
+		bestEffort: record.Spec.HasBestEffort(),
 	}
 	if progress != nil {
 		d.started = len(progress.Steps)+len(progress.Done) > 0
@@ -78,7 +81,7 @@
 	d := &deferredJob{
 		id: j.id, queue: j.queue.Name, priority: j.queue.Priority, epoch: j.record.Epoch, recovered: j.recovered,
 		size: j.recordSize + j.occurrenceSize, addedAt: j.addedAt, admissions: j.admissions, started: j.started, beyondRate: j.beyondRate,
-		runNumber: j.baseRunNumber,
+		runNumber: j.baseRunNumber, bestEffort: j.record.Spec.HasBestEffort(),
 	}
 	if j.team != nil {
 		d.team = j.team.name
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -194,6 +194,7 @@
 		c.signalWake()
 		return
 	}
+	record.Spec.LimitDemands()
 	if _, early := c.earlyCancels[id]; early {
 		delete(c.earlyCancels, id)
 		c.finishDeferred(id, job.Cancelled, "cancelled by the caller")
--- a/version/cell/team.go
+++ b/version/cell/team.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lentiltide/lentiltide/model"
+	"github.com/lentiltide/lentiltide/model/job"
 )
 
 // A team has a limit on what it may have running on all workers together. Everything in the ledger counts, also starts without an
@@ -154,35 +155,40 @@
 	if len(c.inventoryPending) == 0 {
 		return
 	}
-	bestEffort := map[*team]int64{}
 	capacity := c.pendingCapacity()
+	// The processor demand of best-effort tasks may exceed the capacity.
+	bestEffort := map[*team]int64{}
 	for _, d := range c.admission.deferred {
 		if t := c.teams[d.team]; t != nil && d.recovered {
 			t.unread = capacity
+			if d.bestEffort {
+				bestEffort[t] = job.MaxDemand
+			}
 		}
 	}
 	for _, j := range c.jobs {
 		if j.team == nil || !j.recovered || j.released {
 			continue
 		}
-		if j.record.Spec.Repetitions > 0 {
+		if spec := &j.record.Spec; spec.Repetitions > 0 {
 			// A former leader may have opened occurrences that are not open here.
-			j.team.unread = j.team.unread.Add(capacity)
+			j.team.unread = capacity
+			if spec.HasBestEffort() {
+				bestEffort[j.team] = job.MaxDemand
+			}
 		}
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
 				unread := c.unreadTasks(s)
-				j.team.unread = j.team.unread.Add(s.allocatedDemand().Times(unread))
+				j.team.unread = j.team.unread.Add(s.allocatedDemand().Times(unread)).Min(capacity)
 				if s.spec.BestEffort {
-					bestEffort[j.team] += s.spec.TaskDemand.CPUMilli * int64(unread)
+					bestEffort[j.team] = min(bestEffort[j.team]+s.spec.TaskDemand.CPUMilli*int64(unread), job.MaxDemand)
 				}
 			}
 		}
 	}
-	for _, t := range c.teams {
-		t.unread = t.unread.Min(capacity)
-		// The processor demand of best-effort tasks may exceed the capacity.
-		t.unread.CPUMilli += bestEffort[t]
+	for t, cpuMilli := range bestEffort {
+		t.unread.CPUMilli += cpuMilli
 	}
 }
 
