Size groups and evictions are named as such in admission

Cause: admission called the two groups of jobs lanes, which the glossary uses for something else, and spoke of jobs that give way and seem hopeless; its operations are evictions and a lack of workers.

No behaviour changes.

--- a/history/check/idle.go
+++ b/history/check/idle.go
@@ -105,5 +105,5 @@
 		needed = 2 * s.Count
 	}
 	free := func(w *workerState) history.Resources { return add(w.info.Capacity, w.used, -1) }
-	return !k.hopeless(j) && k.places(j, s, needed, free) >= needed
+	return !k.mayLackWorker(j) && k.places(j, s, needed, free) >= needed
 }
--- a/history/check/lost.go
+++ b/history/check/lost.go
@@ -43,7 +43,7 @@
 	case a.State == history.StateFailed && j.spec != nil:
 		if smallest, _ := k.attempts(j.spec.Queue); smallest > 0 {
 			r.tried++
-			if !k.failedOften(j, smallest) && !k.hopeless(j) {
+			if !k.failedOften(j, smallest) && !k.mayLackWorker(j) {
 				k.broken(r, "a job is shown as failed without cause", j.submitted, k.call.sent, k.now)
 			}
 		}
@@ -76,9 +76,9 @@
 	return false
 }
 
-// hopeless reports whether the workers that are up may be unable to hold a step of a job: those that are described cannot, or a
+// mayLackWorker reports whether the workers that are up may be unable to hold a step of a job: those that are described cannot, or a
 // placement policy may permit none.
-func (k *checker) hopeless(j *jobState) bool {
+func (k *checker) mayLackWorker(j *jobState) bool {
 	restricted := false
 	k.queueVersions(j.spec.Queue, func(q history.Queue) { restricted = restricted || q.RestrictsWorkers })
 	if restricted {
--- a/version/cell/admission.go
+++ b/version/cell/admission.go
@@ -10,7 +10,7 @@
 
 // Callers may hand in more work than the leader has memory for, and a former leader of another size may have accepted it. So the steps and
 // tasks of a job are in memory only while the job is admitted. Any other job is deferred: the leader keeps an entry of fixed size and reads the
-// rows of the job again when there is memory for it. Where memory is short, admitted jobs without runs give way after a while, so that
+// rows of the job again when there is memory for it. Where memory is short, admitted jobs without runs are evicted after a while, so that
 // jobs that cannot start do not keep others from starting, for whatever reason.
 
 const (
@@ -22,12 +22,12 @@
 	largeJobsShare = 0.75
 	// backlogShare is the share up to which jobs open occurrences beside others of the same job.
 	backlogShare = 0.5
-	// maxOvershoot is the multiple of the memory from which jobs without runs give way at once.
+	// maxOvershoot is the multiple of the memory from which jobs without runs are evicted at once.
 	maxOvershoot = 1.25
 	// maxAdmissionReads limits the deferred jobs whose rows are read at the same time.
 	maxAdmissionReads = 16
-	// maxCandidates limits the deferred jobs of a lane that are kept in their order, and candidateScanJobs is the number of deferred jobs for which
-	// the interval between two looks at all of them grows by one round.
+	// maxCandidates limits the deferred jobs of a size group that are kept in their order, and candidateScanJobs is the number of deferred jobs
+	// for which the interval between two scans of all of them grows by one round.
 	maxCandidates     = 256
 	candidateScanJobs = 4000
 	// admissionRetryInterval is the time after which the rows of a deferred job are read again if they could not be read.
@@ -46,24 +46,24 @@
 	limit, used int64
 	// deferred are the jobs that are not in memory.
 	deferred map[job.ID]*deferredJob
-	// candidates are the next deferred jobs to admit in each lane, as of scannedAt and with those deferred since.
-	candidates [numLanes][]*deferredJob
+	// candidates are the next deferred jobs to admit in each size group, as of scannedAt and with those deferred since.
+	candidates [numSizeGroups][]*deferredJob
 	scannedAt  Instant
-	// waiting says for each lane whether deferred jobs waited for memory when that was last examined.
-	waiting [numLanes]bool
+	// waiting says for each size group whether deferred jobs waited for memory when that was last examined.
+	waiting [numSizeGroups]bool
 	// reads is the number of deferred jobs whose rows are being read.
 	reads int
 	// evictions counts the jobs that were deferred after they had been admitted.
 	evictions uint64
 }
 
-// lane separates small jobs from large ones, which do not wait for each other.
-type lane uint8
+// sizeGroup separates small jobs from large ones, which do not wait for each other.
+type sizeGroup uint8
 
 const (
-	smallJobs lane = iota
+	smallJobs sizeGroup = iota
 	largeJobs
-	numLanes
+	numSizeGroups
 )
 
 func newAdmission(limit int64) admission {
@@ -75,7 +75,7 @@
 
 func (a *admission) share(s float64) int64 { return int64(float64(a.limit) * s) }
 
-func (a *admission) laneOf(size int64) lane {
+func (a *admission) sizeGroupOf(size int64) sizeGroup {
 	if size > a.share(largeJobShare) {
 		return largeJobs
 	}
@@ -84,7 +84,7 @@
 
 // fits reports whether there is memory for a further job.
 func (a *admission) fits(size int64) bool {
-	if a.laneOf(size) == largeJobs {
+	if a.sizeGroupOf(size) == largeJobs {
 		return a.used+size <= a.share(largeJobsShare)
 	}
 	return a.used+size <= a.limit
@@ -92,7 +92,7 @@
 
 // canHold reports whether there is memory for a job if no other one is admitted.
 func (a *admission) canHold(size int64) bool {
-	return a.laneOf(size) == smallJobs || size <= a.share(largeJobsShare)
+	return a.sizeGroupOf(size) == smallJobs || size <= a.share(largeJobsShare)
 }
 
 // fitsBacklog reports whether a job may open a further occurrence beside others.
@@ -110,7 +110,7 @@
 	case d != nil && !lookedUp:
 	case d != nil && (d.reading || d.required), listed:
 		return true
-	case d == nil && a.fits(size) && !a.waiting[a.laneOf(size)]:
+	case d == nil && a.fits(size) && !a.waiting[a.sizeGroupOf(size)]:
 		return true
 	}
 	if d != nil {
@@ -123,27 +123,27 @@
 	return false
 }
 
-// admitDeferred reads the rows of deferred jobs for which there is memory, or for which others give way.
+// admitDeferred reads the rows of deferred jobs for which there is memory, or for which others are evicted.
 func (c *Core) admitDeferred() {
 	a := &c.admission
 	victims := victimSearch{core: c}
-	victims.relieve()
+	victims.evictExcess()
 	if len(a.deferred) == 0 {
-		a.waiting = [numLanes]bool{}
+		a.waiting = [numSizeGroups]bool{}
 		return
 	}
 	c.updateCandidates()
-	for l := range numLanes {
-		a.waiting[l] = !c.admitLane(l, &victims)
+	for g := range numSizeGroups {
+		a.waiting[g] = !c.admitSizeGroup(g, &victims)
 	}
 }
 
-// admitLane admits the candidates of a lane in their order. It reports whether there was memory for all of them.
-func (c *Core) admitLane(l lane, victims *victimSearch) bool {
+// admitSizeGroup admits the candidates of a size group in their order. It reports whether there was memory for all of them.
+func (c *Core) admitSizeGroup(g sizeGroup, victims *victimSearch) bool {
 	a := &c.admission
-	for len(a.candidates[l]) > 0 {
-		d := a.candidates[l][0]
-		a.candidates[l] = a.candidates[l][1:]
+	for len(a.candidates[g]) > 0 {
+		d := a.candidates[g][0]
+		a.candidates[g] = a.candidates[g][1:]
 		if !c.mayAdmit(d) {
 			continue
 		}
@@ -156,8 +156,8 @@
 	return true
 }
 
-// updateCandidates looks for the deferred jobs to admit next in each lane: those that could start before others, then those that have never
-// been admitted in the order of their priorities, then the others in the order in which they were deferred.
+// updateCandidates looks for the deferred jobs to admit next in each size group: those that could start before others, then those that have
+// never been admitted in the order of their priorities, then the others in the order in which they were deferred.
 func (c *Core) updateCandidates() {
 	a := &c.admission
 	interval := sweepInterval * time.Duration(len(a.deferred)/candidateScanJobs)
@@ -165,18 +165,18 @@
 		return
 	}
 	a.scannedAt = c.now
-	a.candidates = [numLanes][]*deferredJob{}
+	a.candidates = [numSizeGroups][]*deferredJob{}
 	for _, d := range a.deferred {
 		c.addCandidate(d)
 	}
 }
 
-// addCandidate adds a job to the first maxCandidates of its lane.
+// addCandidate adds a job to the first maxCandidates of its size group.
 func (c *Core) addCandidate(d *deferredJob) {
 	if !c.mayAdmit(d) {
 		return
 	}
-	l := &c.admission.candidates[c.admission.laneOf(d.size)]
+	l := &c.admission.candidates[c.admission.sizeGroupOf(d.size)]
 	if n := len(*l); n == maxCandidates && c.compareCandidates((*l)[n-1], d) <= 0 {
 		return
 	}
@@ -189,8 +189,8 @@
 	if a.required != b.required {
 		return lastIf(b.required)
 	}
-	if hopeless := c.seemsHopeless(a); hopeless != c.seemsHopeless(b) {
-		return lastIf(hopeless)
+	if lacking := c.lacksWorker(a); lacking != c.lacksWorker(b) {
+		return lastIf(lacking)
 	}
 	if (a.admissions == 0) != (b.admissions == 0) {
 		return lastIf(a.admissions > 0)
@@ -201,9 +201,9 @@
 	return cmp.Or(cmp.Compare(a.deferredAt, b.deferredAt), cmp.Compare(a.id, b.id))
 }
 
-// seemsHopeless reports whether no worker could hold a task of a deferred job when it was deferred. The workers may have changed since, so that
-// it has its turn with the others after a while.
-func (c *Core) seemsHopeless(d *deferredJob) bool {
+// lacksWorker reports whether no worker could hold a task of a deferred job when it was deferred. The workers may have changed since, so
+// the answer holds for a limited time.
+func (c *Core) lacksWorker(d *deferredJob) bool {
 	return !d.startable && c.now < d.deferredAt+maxIdleResidence
 }
 
@@ -237,10 +237,10 @@
 	}
 }
 
-// victimSearch finds the admitted jobs that give way to deferred ones.
+// victimSearch finds the admitted jobs to evict for deferred ones.
 type victimSearch struct {
 	core *Core
-	// found are the jobs without runs, the ones that give way first first; nil before they were looked for.
+	// found are the jobs without runs, the first to evict at the front; nil before they were looked for.
 	found []*jobState
 }
 
@@ -250,7 +250,7 @@
 		v.search(minResidence)
 	}
 	for i := 0; i < len(v.found) && !v.core.admission.fits(d.size); i++ {
-		if j := v.found[i]; j != nil && v.core.givesWay(j, d) {
+		if j := v.found[i]; j != nil && v.core.mayBeEvictedFor(j, d) {
 			v.core.evict(j)
 			v.found[i] = nil
 		}
@@ -258,8 +258,8 @@
 	return v.core.admission.fits(d.size)
 }
 
-// relieve defers admitted jobs while they take more than there is for them: their advice has grown since they were admitted.
-func (v *victimSearch) relieve() {
+// evictExcess defers admitted jobs while they take more than there is for them: their advice has grown since they were admitted.
+func (v *victimSearch) evictExcess() {
 	a := &v.core.admission
 	if a.used <= a.limit {
 		return
@@ -293,8 +293,8 @@
 	})
 }
 
-// givesWay reports whether an idle job gives way to a deferred one. A more urgent job keeps its memory for longer if it could start.
-func (c *Core) givesWay(j *jobState, d *deferredJob) bool {
+// mayBeEvictedFor reports whether an idle job may be evicted for a deferred one. A more urgent job keeps its memory for longer if it could start.
+func (c *Core) mayBeEvictedFor(j *jobState, d *deferredJob) bool {
 	return j.queue.Priority >= d.priority || !c.isStartable(j) || c.now >= j.activeAt+maxIdleResidence
 }
 
--- a/version/cell/admission_test.go
+++ b/version/cell/admission_test.go
@@ -115,7 +115,7 @@
 }
 
 // Guards against jobs that cannot start and keep the memory for ever, so that others are never started though there is capacity.
-func TestJobsThatCannotStartGiveWay(t *testing.T) {
+func TestJobsThatCannotStartAreEvicted(t *testing.T) {
 	for name, step := range map[string]job.Step{
 		"small": stepWithTasks(10, requiring("nowhere")),
 		"large": stepWithTasks(2000, requiring("nowhere")),
@@ -270,10 +270,10 @@
 	for seed := range uint64(40) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { evictions += playLittleMemory(t, rand.New(rand.NewPCG(seed, 69))) })
 	}
-	assert.Assert(t, evictions > 100, "only %d jobs gave way", evictions)
+	assert.Assert(t, evictions > 100, "only %d jobs were evicted", evictions)
 }
 
-// playLittleMemory plays a set of jobs and returns how many gave way.
+// playLittleMemory plays a set of jobs and returns how many were evicted.
 func playLittleMemory(t *testing.T, random *rand.Rand) (evictions uint64) {
 	memory := int64(60+random.IntN(200)) << 10
 	tc := newSmallCluster(t, 1, memory)
--- a/version/cell/inflight.go
+++ b/version/cell/inflight.go
@@ -1,8 +1,8 @@
 package cell
 
-// Each command that the caller of Step executes takes memory until its result arrives. A wide job whose tasks all start, or are all stopped, at the
-// same time would take as much as its tasks do, and starts that wait for their turn could not give way to more urgent ones. So further commands
-// are issued as results arrive.
+// Each command that the caller of Step executes takes memory until its result arrives. A wide job whose tasks all start, or are all stopped,
+// at the same time would take as much as its tasks do, and starts that wait to be sent could not be replaced by more urgent ones. So further
+// commands are issued as results arrive.
 
 const (
 	// maxStartsInFlight and maxStopsInFlight limit the commands without a result. A gang starts as a whole.
