The objective of an occurrence needs no step

Cause: the lateness of a job made up a step to ask for its objective, the waves that have passed were computed by way of the tasks that are not waiting, and two functions searched the ranges of indexes.

Change: objectiveAt takes a job and an occurrence; contains uses spanEnd. No behaviour changes.

--- a/process/telemetry/load.go
+++ b/process/telemetry/load.go
@@ -34,7 +34,7 @@
 		jobMemoryLimit:  b.newGauge("lentiltide.jobs.memory_limit", "Memory of the leader for jobs, in bytes."),
 		deferredJobs:    b.newGauge("lentiltide.jobs.deferred", "Accepted jobs that the leader does not hold in memory."),
 		tooLargeJobs:    b.newGauge("lentiltide.jobs.too_large", "Accepted jobs that are larger than the memory of the leader for jobs."),
-		evictedJobs:     b.newObservableCounter("lentiltide.jobs.evictions", "Jobs without runs that gave their memory to others in this leadership."),
+		evictedJobs:     b.newObservableCounter("lentiltide.jobs.evictions", "Jobs without runs that were removed from memory for others in this leadership."),
 	}
 }
 
--- a/version/cell/indexranges.go
+++ b/version/cell/indexranges.go
@@ -7,8 +7,8 @@
 
 // contains reports whether an index is in the set.
 func (r indexRanges) contains(index int) bool {
-	i, found := r.search(index)
-	return found || i > 0 && index <= r[i-1][1]
+	_, ok := r.spanEnd(index)
+	return ok
 }
 
 // spanEnd returns the last index of the range that contains an index. ok is false if none does.
--- a/version/cell/objective.go
+++ b/version/cell/objective.go
@@ -81,15 +81,14 @@
 	return c.serviceCPU[service]
 }
 
-// objectiveAt returns when the occurrence of a step should be completed: the objective counts from its due time, for a job without occurrences
+// objectiveAt returns when an occurrence of a job should be completed: the objective counts from its due time, for a job without occurrences
 // from its acceptance.
-func (c *Core) objectiveAt(s *step) Instant {
-	j := s.job
+func (c *Core) objectiveAt(j *jobState, occurrence int) Instant {
 	duration := c.estimateOf(j).duration
 	if j.record.Spec.Repetitions == 0 {
 		return j.addedAt + duration
 	}
-	untilDue := j.record.Spec.DueMS(s.occurrence.index) - c.wallClockMS
+	untilDue := j.record.Spec.DueMS(occurrence) - c.wallClockMS
 	return c.now + time.Duration(min(max(untilDue, -maxObjectiveMS), maxObjectiveMS))*time.Millisecond + duration
 }
 
@@ -98,8 +97,7 @@
 	if j.released || len(j.record.Spec.Steps) == 0 {
 		return 0
 	}
-	last := &step{job: j, occurrence: &occurrence{index: max(0, j.record.Spec.Repetitions-1)}}
-	return c.now - c.objectiveAt(last)
+	return c.now - c.objectiveAt(j, max(0, j.record.Spec.Repetitions-1))
 }
 
 // urgency orders the steps of queues of the same priority.
@@ -121,9 +119,9 @@
 	}
 	e := c.estimateOf(s.job)
 	// Of a step that runs in waves, the waiting part is left.
-	done := s.spec.Count - len(s.waiting)
-	tail := e.tails[s.index] - float64(s.spec.EstimateMS)*(e.waves(s.spec.Count, s.spec.TaskDemand.CPUMilli)-e.waves(s.spec.Count-done, s.spec.TaskDemand.CPUMilli))
-	if objectiveAt-c.now-milliseconds(tail) > farSlack {
+	cpuMilli := s.spec.TaskDemand.CPUMilli
+	passedWaves := e.waves(s.spec.Count, cpuMilli) - e.waves(len(s.waiting), cpuMilli)
+	if objectiveAt-c.now-milliseconds(e.tails[s.index]-passedWaves*float64(s.spec.EstimateMS)) > farSlack {
 		return hasSlack
 	}
 	return onTime
--- a/version/cell/place.go
+++ b/version/cell/place.go
@@ -24,7 +24,7 @@
 // their share come after others. Late work comes in the order of the sizes of the jobs, and otherwise steps in the order of their objectives.
 func (c *Core) rankOf(s *step) rank {
 	j := s.job
-	r := rank{priority: j.queue.Priority, objectiveAt: c.objectiveAt(s), name: s.name}
+	r := rank{priority: j.queue.Priority, objectiveAt: c.objectiveAt(j, s.occurrence.index), name: s.name}
 	r.urgency = c.urgencyOf(s, r.objectiveAt)
 	if r.urgency == late {
 		r.sizeClass = c.sizeClass(j)
