A job that exceeds its team's limit is refused for earlier attempts too

Cause: a submission was answered 400 with NotRun by the limit of its team in force, before the store was asked. An earlier attempt, whose answer was lost, may have been accepted under another limit, and have run.

Change: the refusal is stored like others before the answer is given, and a job that exists is answered 200. Also behind a full backlog a repetition with a key in force is answered 200, not 504.

Measured: TestRepetitionAfterALowerLimitIsAccepted failed before with 400 not_run.

--- a/process/node/callers.go
+++ b/process/node/callers.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"time"
@@ -41,18 +42,15 @@
 	if err := validateSpec(spec); err != nil {
 		return err
 	}
-	if err := n.checkTeamLimit(team, spec); err != nil {
-		return err
-	}
 	startedAt, seen := n.opts.Now(), n.direct.NewestVersion()
 	if err := n.checkConfig(); err != nil {
 		err = n.Refuse(ctx, id, err)
 		n.logAnswer("job_submitted", id, startedAt, err, map[string]any{"queue": q.Name, "outdated": true})
 		return err
 	}
-	if err := n.checkBacklog(); err != nil {
-		err = n.Refuse(ctx, id, err)
-		n.logAnswer("job_submitted", id, startedAt, err, map[string]any{"queue": q.Name, "backlog": true})
+	if cause := cmp.Or(n.checkTeamLimit(team, spec), n.checkBacklog()); cause != nil {
+		err := n.refuseAuthorized(ctx, id, cause)
+		n.logAnswer("job_submitted", id, startedAt, err, map[string]any{"queue": q.Name, "cause": verdict.From(cause).Code})
 		return err
 	}
 	_, epoch := n.leaderAddress()
--- a/process/node/callers_test.go
+++ b/process/node/callers_test.go
@@ -77,3 +77,21 @@
 		assert.Equal(t, c.workers.Starts("b.0.0.0"), 0)
 	})
 }
+
+// Guards against a repeated submission of an accepted job that is answered as if the job had never run, since its team's limit was lowered meanwhile.
+func TestRepetitionAfterALowerLimitIsAccepted(t *testing.T) {
+	n, _ := newKeyNode(configWithKeys(1, firstKey))
+	submit := func(id job.ID) error {
+		spec := stepsOf(1)
+		spec.Steps[0].TaskDemand.CPUMilli = 3000
+		return n.Submit(t.Context(), job.Queue{Name: "q"}, "a", id, spec)
+	}
+	assert.NilError(t, submit("a"))
+	lowered := configWithKeys(2, firstKey)
+	lowered.Teams["a"] = job.Team{Name: "a", Keys: []string{firstKey}, Limit: model.Resources{CPUMilli: 2000}}
+	n.config = lowered
+	assert.NilError(t, submit("a"))
+	e := verdict.From(submit("b"))
+	assert.Equal(t, e.Code, verdict.CodeInvalid)
+	assert.Equal(t, e.Verdict, verdict.NotRun)
+}
--- a/process/node/refusal.go
+++ b/process/node/refusal.go
@@ -23,11 +23,35 @@
 // Refuse makes sure that no attempt so far to submit a job takes effect. It returns cause, which has the verdict NotRun, if that is
 // certain, nil if the job exists, and an error with MayHaveRun if neither is known.
 func (n *Node) Refuse(ctx context.Context, id job.ID, cause error) error {
-	var unknown error
+	exists, err := n.storeRefusals(ctx, id)
+	if exists {
+		return n.answerForExisting(cause)
+	}
+	if err != nil {
+		return uncertain(err)
+	}
+	return cause
+}
+
+// refuseAuthorized is Refuse for a caller whose key is in force: if the job exists, its submission has succeeded.
+func (n *Node) refuseAuthorized(ctx context.Context, id job.ID, cause error) error {
+	exists, err := n.storeRefusals(ctx, id)
+	if exists {
+		return nil
+	}
+	if err != nil {
+		return uncertain(err)
+	}
+	return cause
+}
+
+// storeRefusals stores a refusal in each row in which a job may be. exists is true if one of them holds the job. After an error it is not known
+// whether an attempt takes effect.
+func (n *Node) storeRefusals(ctx context.Context, id job.ID) (exists bool, unknown error) {
 	for _, shard := range shardsOf(id) {
 		exists, err := n.storeRefusal(ctx, jobKey(id, shard))
 		if exists {
-			return n.answerForExisting(cause)
+			return true, nil
 		}
 		if err == nil {
 			continue
