Refusals are removed together

Behind a full backlog every submission is refused, so that rows, and the leader's entries for them, grew for as long as callers came back.

Change: up to 2,000 rows in one removal, 40 in a transaction of one shard; if a job has replaced one of them, one by one.

Measured: TestManyRefusalsAreRemoved failed with the limit of before: of 1,000 rows of 500 refusals 100 were removed.

--- a/process/node/refusal.go
+++ b/process/node/refusal.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/lentiltide/lentiltide/backend"
@@ -61,10 +62,7 @@
 			break
 		}
 	}
-	if unknown != nil {
-		return uncertain(unknown)
-	}
-	return cause
+	return false, unknown
 }
 
 // storeRefusal makes sure that a row holds a refusal written by this call. exists is true if it holds a job.
@@ -231,7 +229,10 @@
 	var rows []backend.Row
 	now := l.node.opts.Now()
 	for key, r := range l.refusals {
-		if len(rows) < limit && now > r.readAt+refusalRetention {
+		if len(rows) == limit {
+			break
+		}
+		if now > r.readAt+refusalRetention {
 			rows = append(rows, backend.Row{RowKey: key, Version: r.version})
 			delete(l.refusals, key)
 		}
@@ -241,11 +242,35 @@
 
 // removeRefusals removes refusals past their retention, unless a job has replaced them.
 func (l *leadership) removeRefusals(ctx context.Context) {
-	for _, row := range l.takeExpiredRefusals(maxRemovedRequests) {
-		txn := backend.Txn{Expected: []backend.Row{row}, Remove: []backend.RowKey{row.RowKey}}
-		if _, err := l.node.tables.Commit(ctx, txn); err != nil && verdict.From(err).Code != verdict.CodeConflict {
+	byShard := map[string][]backend.Row{}
+	for _, row := range l.takeExpiredRefusals(maxRemovedRefusals) {
+		byShard[row.Shard] = append(byShard[row.Shard], row)
+	}
+	for _, rows := range byShard {
+		for chunk := range slices.Chunk(rows, maxRemovedRows/2) {
+			l.removeRefusalRows(ctx, chunk)
+		}
+	}
+}
+
+// removeRefusalRows removes refusals of a shard together or, if a job has replaced one of them, one by one. If the store does not remove them,
+// they are removed later.
+func (l *leadership) removeRefusalRows(ctx context.Context, rows []backend.Row) {
+	txn := backend.Txn{Expected: rows}
+	for _, row := range rows {
+		txn.Remove = append(txn.Remove, row.RowKey)
+	}
+	_, err := l.node.tables.Commit(ctx, txn)
+	switch {
+	case err == nil:
+	case verdict.From(err).Code != verdict.CodeConflict:
+		for _, row := range rows {
 			l.noteRefusal(row)
 		}
+	case len(rows) > 1:
+		for row := range slices.Chunk(rows, 1) {
+			l.removeRefusalRows(ctx, row)
+		}
 	}
 }
 
--- a/process/node/refusal_test.go
+++ b/process/node/refusal_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -172,3 +175,32 @@
 	assert.Assert(t, row.Version != 0)
 	assert.Equal(t, len(l.refusals), 0)
 }
+
+// Guards against refusals that come faster than they are removed, as when a backlog is full: the leader keeps an entry for each.
+func TestManyRefusalsAreRemoved(t *testing.T) {
+	tables := backends.NewTables()
+	n, _ := newIdleNode(Options{Tables: tables, Peers: struct{ peer.Caller }{}})
+	now := time.Hour
+	n.opts.Now = func() time.Duration { return now }
+	l := &leadership{node: n, refusals: map[backend.RowKey]storedRefusal{}}
+	const refusals = 500
+	for i := range refusals {
+		assert.Assert(t, n.Refuse(t.Context(), job.ID(fmt.Sprintf("%016x", i)), errOutdated()) != nil)
+	}
+	rows := 0
+	read := n.newTableRead(jobTable, jobShards(), func(page []backend.Row) {
+		rows += len(page)
+		for _, row := range page {
+			l.applyJobRow(row, nil)
+		}
+	})
+	_, err := read.run(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, rows, 2*refusals)
+	assert.NilError(t, submitAt(t.Context(), n, "0000000000000007"))
+	now += 2 * refusalRetention
+	l.removeRefusals(t.Context())
+	left := slices.Collect(maps.Keys(tables.Rows(jobTable)))
+	assert.DeepEqual(t, left, []string{"0000000000000007"})
+	assert.Equal(t, len(l.refusals), 0)
+}
--- a/process/node/retention.go
+++ b/process/node/retention.go
@@ -15,9 +15,11 @@
 	// maxRemovedJobs limits the finished jobs of one removal. They are removed faster than the largest cells finish jobs; otherwise the rows, and
 	// what the leader keeps of them, would grow for as long as the load lasts.
 	maxRemovedJobs = 600
-	// maxRemovedRequests limits the refusals, and the cancellations of unknown jobs, of one removal. Each takes transactions of its own.
-	maxRemovedRequests = 100
-	// maxRemovedRows limits the rows of one transaction; the table service allows 100 entries.
+	// maxRemovedRefusals limits the refusals of one removal. While a backlog is full, every submission is refused.
+	maxRemovedRefusals = 2000
+	// maxRemovedCancels limits the cancellations of unknown jobs of one removal. Each takes transactions of its own.
+	maxRemovedCancels = 100
+	// maxRemovedRows limits the rows of one transaction; the table service allows 100 entries, of which a condition is one.
 	maxRemovedRows = 80
 )
 
@@ -46,7 +48,7 @@
 
 // removeCancels removes the cancellations of jobs that have never become known. If a removal fails, the next leader repeats it.
 func (l *leadership) removeCancels(ctx context.Context) {
-	for _, id := range l.core.TakeExpiredCancels(maxRemovedRequests) {
+	for _, id := range l.core.TakeExpiredCancels(maxRemovedCancels) {
 		if err := l.removeCancel(ctx, id); err != nil {
 			l.node.opts.Log.WithError(err).WithFields(map[string]any{"event": "cancel_not_removed", "job": id}).Info("expired cancellation was not removed")
 		}
