Cancellations of unknown jobs are removed together

Cause: as with refusals, each took transactions of its own, after two reads, one after the other: 50 a second at most. Callers that cancel what was refused to them are as many as the refusals, and the leader keeps an entry for each.

Change: up to 600 in one removal; the reads that show whether their jobs exist run 16 at a time, and the rows are removed like those of jobs, up to 80 in a transaction. The log entry cancel_not_removed of each one is cancels_not_removed of all.

Measured: TestManyCancellationsOfUnknownJobsAreRemoved failed before, with 500 of them; the tests of cancellations pass.

--- a/process/node/earlycancel_test.go
+++ b/process/node/earlycancel_test.go
@@ -2,16 +2,21 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/connection/peer"
 	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/model/job"
 	"github.com/lentiltide/lentiltide/request/verdict"
 	"github.com/lentiltide/lentiltide/standin/backends"
+	"github.com/lentiltide/lentiltide/version/cell"
 )
 
 // writeLate writes the record of a job as the store does that executes a write seconds after it was sent.
@@ -74,6 +79,27 @@
 	})
 }
 
+// Guards against cancellations of unknown jobs that come faster than they are removed, and against the removal of that of a job which exists.
+func TestManyCancellationsOfUnknownJobsAreRemoved(t *testing.T) {
+	tables := backends.NewTables()
+	n, _ := newIdleNode(Options{Tables: tables, Peers: struct{ peer.Caller }{}})
+	now := time.Hour
+	n.opts.Now = func() time.Duration { return now }
+	l := &leadership{node: n, core: cell.New(cell.Options{Epoch: 1}, now)}
+	for i := range 500 {
+		id := job.ID(fmt.Sprintf("%016x", i))
+		_, err := n.storeRequest(t.Context(), id, nil)
+		assert.NilError(t, err)
+		l.core.CancelJob(id, now)
+	}
+	const existing = "0000000000000007"
+	assert.NilError(t, submitAt(t.Context(), n, existing))
+	now += time.Hour
+	l.core.CancelJob(existing, now)
+	l.removeCancels(t.Context())
+	assert.DeepEqual(t, slices.Collect(maps.Keys(tables.Rows(cancelTable))), []string{existing})
+}
+
 // Guards against a final state that is taken back: a caller was told that a job is cancelled, since its cancellation is stored, while the
 // leader has completed the job before and could not store that yet.
 func TestStoredCancellationIsNoFinalState(t *testing.T) {
--- a/process/node/retention.go
+++ b/process/node/retention.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/lentiltide/lentiltide/backend"
 	"github.com/lentiltide/lentiltide/model/job"
 )
@@ -17,8 +19,10 @@
 	maxRemovedJobs = 600
 	// maxRemovedRefusals limits the refusals of one removal. While a backlog is full, every submission is refused.
 	maxRemovedRefusals = 2000
-	// maxRemovedCancels limits the cancellations of unknown jobs of one removal. Each takes transactions of its own.
-	maxRemovedCancels = 100
+	// maxRemovedCancels limits the cancellations of unknown jobs of one removal, and maxRecordReads the reads at the same time that show whether
+	// their jobs exist.
+	maxRemovedCancels = 600
+	maxRecordReads    = 16
 	// maxRemovedRows limits the rows of one transaction; the table service allows 100 entries, of which a condition is one.
 	maxRemovedRows = 80
 )
@@ -39,7 +43,7 @@
 			l.core.RowsRemoved(ids, false)
 			continue
 		}
-		err := l.removeRows(ctx, ids)
+		err := l.removeRows(ctx, ids, jobKey, cancelKey)
 		l.core.RowsRemoved(ids, err == nil)
 		l.removalLock.Unlock()
 		l.node.opts.Log.WithFields(map[string]any{"event": "rows_removed", "jobs": len(ids), "error": errText(err)}).Info("expired rows removed")
@@ -48,40 +52,49 @@
 
 // removeCancels removes the cancellations of jobs that have never become known. If a removal fails, the next leader repeats it.
 func (l *leadership) removeCancels(ctx context.Context) {
-	for _, id := range l.core.TakeExpiredCancels(maxRemovedCancels) {
-		if err := l.removeCancel(ctx, id); err != nil {
-			l.node.opts.Log.WithError(err).WithFields(map[string]any{"event": "cancel_not_removed", "job": id}).Info("expired cancellation was not removed")
-		}
+	ids := l.selectAbsent(ctx, l.core.TakeExpiredCancels(maxRemovedCancels))
+	if err := l.removeRows(ctx, ids, cancelKey); err != nil {
+		l.node.opts.Log.WithError(err).WithFields(map[string]any{"event": "cancels_not_removed", "jobs": len(ids)}).Info("expired cancellations were not removed")
 	}
 }
 
-// removeCancel removes the cancellation of a job that has not become known. If the job exists, as when its record could not be read for a
-// long time, or that cannot be read, the scheduler keeps the cancellation.
-func (l *leadership) removeCancel(ctx context.Context, id job.ID) error {
-	record, err := l.node.readRow(ctx, id, jobKey)
-	if err != nil || record.Version != 0 {
-		l.core.CancelJob(id, l.node.opts.Now())
-		return err
+// selectAbsent returns the jobs without a record. If a job exists, as when its record could not be read for a long time, or that cannot be read,
+// the scheduler keeps the cancellation.
+func (l *leadership) selectAbsent(ctx context.Context, ids []job.ID) []job.ID {
+	exists := make([]bool, len(ids))
+	var group errgroup.Group
+	group.SetLimit(maxRecordReads)
+	for i, id := range ids {
+		group.Go(func() error {
+			record, err := l.node.readRow(ctx, id, jobKey)
+			if exists[i] = err != nil || record.Version != 0; exists[i] {
+				l.core.CancelJob(id, l.node.opts.Now())
+			}
+			return nil
+		})
 	}
-	for _, shard := range shardsOf(id) {
-		txn := backend.Txn{Remove: []backend.RowKey{cancelKey(id, shard)}}
-		if _, err = l.node.tables.Commit(ctx, txn); err != nil {
-			return err
+	_ = group.Wait()
+	var absent []job.ID
+	for i, id := range ids {
+		if !exists[i] {
+			absent = append(absent, id)
 		}
 	}
-	return nil
+	return absent
 }
 
-// removeRows removes the rows of jobs from every shard in which they may be. It is safe to repeat.
-func (l *leadership) removeRows(ctx context.Context, ids []job.ID) error {
+// removeRows removes rows of jobs, whose keys the given functions return, from every shard in which they may be. It is safe to repeat.
+func (l *leadership) removeRows(ctx context.Context, ids []job.ID, keys ...func(job.ID, string) backend.RowKey) error {
 	byShard := map[string][]backend.RowKey{}
 	for _, id := range ids {
 		for _, shard := range shardsOf(id) {
-			byShard[shard] = append(byShard[shard], jobKey(id, shard), cancelKey(id, shard))
+			for _, key := range keys {
+				byShard[shard] = append(byShard[shard], key(id, shard))
+			}
 		}
 	}
-	for _, keys := range byShard {
-		for chunk := range slices.Chunk(keys, maxRemovedRows) {
+	for _, rows := range byShard {
+		for chunk := range slices.Chunk(rows, maxRemovedRows) {
 			if _, err := l.node.tables.Commit(ctx, backend.Txn{Remove: chunk}); err != nil {
 				return err
 			}
