The log of a waiting service task names the workers of each reason

Cause: no line said, for the task that waits, how many workers each reason holds: explainStep looks at the step and not at the task, counts a worker whose poll has just failed as suspect, and says nothing of the advice. Change: service_waiting counts the workers by reason for the task, separates 'blocked' from 'suspect', and has the suspect workers with room, the starts that were not made and the last reason. The wait goes on over such starts, also for the metric and for the time after which isolation ends.

--- a/version/cell/explain.go
+++ b/version/cell/explain.go
@@ -50,7 +50,7 @@
 
 // String returns the name of the obstacle in an explanation.
 func (o obstacle) String() string {
-	return [...]string{"none", "unsuitable", "unknown", "silent", "leaving", "suspect", "reserved", "spread"}[o]
+	return [...]string{"none", "unsuitable", "unknown", "silent", "leaving", "blocked", "suspect", "reserved", "spread"}[o]
 }
 
 // Explain returns where the tasks of a job that a team submits to a queue would start now, and why not elsewhere, with at most limit
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -143,7 +143,11 @@
 	// recordUnused means that the last start was recorded and not sent.
 	recordUnused bool
 	waiting      bool
+	// waitingSince is when the task began to wait. A start that was not made does not end its wait.
 	waitingSince Instant
+	// unsentStarts counts the starts since then that were decided and not made, and unsentReason is the reason of the last one.
+	unsentStarts int
+	unsentReason string
 	// preemptions counts how often the task was stopped for a more urgent one.
 	preemptions int
 }
@@ -314,7 +318,7 @@
 // enqueue adds a task to the waiting tasks of its step.
 func (c *Core) enqueue(t *task) {
 	t.waiting = true
-	t.waitingSince = c.now
+	t.waitingSince, t.unsentStarts, t.unsentReason = c.now, 0, ""
 	t.step.waiting = append(t.step.waiting, t)
 	c.ready.add(c, t.step)
 	c.signalWake()
--- a/version/cell/place.go
+++ b/version/cell/place.go
@@ -208,7 +208,9 @@
 	obstacleSilent
 	// obstacleLeaving: the worker drains, or its machine waits for maintenance.
 	obstacleLeaving
-	// obstacleSuspect: starts are blocked after a failure.
+	// obstacleBlocked: starts are blocked shortly after a command or a poll has failed.
+	obstacleBlocked
+	// obstacleSuspect: tasks of several jobs have failed on the worker.
 	obstacleSuspect
 	// obstacleReserved: the worker is reserved for more urgent work, or for a task that may crash it.
 	obstacleReserved
@@ -225,7 +227,9 @@
 		return obstacleUnknown
 	case w.info.Draining || w.cordoned:
 		return obstacleLeaving
-	case c.now < w.startsBlockedUntil || c.now < w.health.suspectUntil:
+	case c.now < w.startsBlockedUntil:
+		return obstacleBlocked
+	case c.now < w.health.suspectUntil:
 		return obstacleSuspect
 	case c.isClosed(w):
 		return obstacleSilent
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -33,6 +33,8 @@
 	// confirmedAt is when the worker answered the start or first listed the run, or when an unanswered start was stopped.
 	confirmedAt Instant
 	createdAt   Instant
+	// queuedAt is when the task began to wait for the run.
+	queuedAt Instant
 	// unansweredAt is when the start was found to be unanswered; 0 if it was answered.
 	unansweredAt Instant
 	// stopSentAt and stopAnsweredAt are when the last stop was sent and when it was answered.
@@ -71,7 +73,10 @@
 // addRun adds a run to the ledger of its task and its worker.
 func (c *Core) addRun(t *task, w *worker, number int64, p phase) *run {
 	r := &run{task: t, worker: w, number: number, phase: p, createdAt: c.now, progressedAt: c.now, throttlePercent: 100,
-		checkpoint: t.checkpoint}
+		checkpoint: t.checkpoint, queuedAt: c.now}
+	if t.waiting {
+		r.queuedAt = t.waitingSince
+	}
 	t.runs = append(t.runs, r)
 	t.step.job.activeAt = c.now
 	t.forgetFormerRun(number)
@@ -280,8 +285,12 @@
 		fields["error"] = err.Error()
 	}
 	c.logDecision("start_refused", r.task.step.job.id, fields)
+	t, unsent := r.task, r.task.unsentStarts+1
 	c.removeRun(r)
 	c.handleRunRemoved(r)
+	if t.waiting {
+		t.waitingSince, t.unsentStarts, t.unsentReason = min(t.waitingSince, r.queuedAt), unsent, reason
+	}
 }
 
 // dropRun removes a run that definitely no longer exists, without a completion reported by its worker.
--- a/version/cell/servicewait.go
+++ b/version/cell/servicewait.go
@@ -28,12 +28,51 @@
 
 // serviceWait describes why a service task does not start.
 func (c *Core) serviceWait(s *step, t *task) map[string]any {
-	explained := c.explainStep(s, 0)
+	workers, suspectWithCapacity := c.workersFor(s, t)
 	return map[string]any{
 		"task": t.name, "waited_ms": (c.now - t.waitingSince).Milliseconds(), "waiting": len(s.waiting), "run": t.lastRunNumber,
+		"unsent_starts": t.unsentStarts, "unsent_reason": t.unsentReason,
 		"unread_workers": len(c.inventoryPending), "awaits_recovery": c.awaitsRecovery(s), "paused_ms": max(0, t.pausedUntil-c.now).Milliseconds(),
-		"crashes": t.crashes.total(), "avoided": len(t.avoidedWorkers), "team_allows": explained.TeamAllows, "startable": explained.Startable,
-		"obstacles": explained.Obstacles, "asking": len(s.advice.pending), "approved": len(s.advice.approved),
+		"crashes": t.crashes.total(), "team_allows": min(c.teamCapacity(s), s.spec.Count), "turn": s.turn.String(), "planned": s.plan != nil,
+		"workers": workers, "suspect_with_capacity": suspectWithCapacity, "asking": len(s.advice.pending),
+	}
+}
+
+// workersFor returns the number of workers by what keeps a waiting task from them, and how many of the suspect ones have free capacity for it.
+func (c *Core) workersFor(s *step, t *task) (byReason map[string]int, suspectWithCapacity int) {
+	byReason = map[string]int{}
+	for _, w := range c.workers {
+		reason := c.reasonAgainst(w, s, t)
+		byReason[reason]++
+		if reason == obstacleSuspect.String() && c.capacityFor(w, s) > 0 {
+			suspectWithCapacity++
+		}
+	}
+	return byReason, suspectWithCapacity
+}
+
+// reasonAgainst returns why a waiting task does not start on a worker; "startable" if only a scheduling round is missing.
+func (c *Core) reasonAgainst(w *worker, s *step, t *task) string {
+	ticket, approved := s.advice.approved[w.info.ID]
+	switch o := c.obstacleOn(w, s); {
+	case o != noObstacle:
+		return o.String()
+	case !c.mayUse(w, t):
+		return "avoided"
+	case !c.mayShare(w, t):
+		return "isolated"
+	case s.advice.isRejected(w.info.ID):
+		return "rejected"
+	case c.capacityFor(w, s) == 0:
+		return obstacleFull
+	case s.job.queue.Advice == nil || ticket.isValid(c.now):
+		return "startable"
+	case s.advice.isPending(w.info.ID):
+		return "asked"
+	case approved:
+		return "ticket_expired"
+	default:
+		return "not_asked"
 	}
 }
 
