Failures of runs started before a worker became suspect do not extend its pause

Cause: the pause of a suspect worker doubled with each failure that was read. Runs that had been started together and failed together counted as a series, as did all that a new leader read at once, so that the longest pause, 16 s, followed from one fault. Change: only the failure of a run that was started after the worker was found to be suspect doubles the pause.

--- a/version/cell/completions.go
+++ b/version/cell/completions.go
@@ -158,7 +158,7 @@
 		c.handleServiceFailure(t, r, w)
 		return
 	}
-	c.recordFailure(t, w)
+	c.recordFailure(t, r, w)
 	t.avoidedWorkers.add(w, c.now)
 	if t.done || s.job.state.Terminal() {
 		return
@@ -192,7 +192,7 @@
 	}
 	startedHere := r.number > t.step.job.baseRunNumber
 	if startedHere && c.now < r.createdAt+minServiceRun {
-		c.recordFailure(t, w)
+		c.recordFailure(t, r, w)
 	}
 	t.avoidedWorkers.add(w, c.now)
 }
--- a/version/cell/health.go
+++ b/version/cell/health.go
@@ -15,15 +15,17 @@
 	// failedJobsInARow counts consecutive jobs that failed on this worker and on no other.
 	failedJobsInARow int
 	lastFailedJob    job.ID
-	suspectUntil     Instant
-	suspectDuration  time.Duration
+	// suspectSince and suspectUntil are the begin and the end of the time for which the worker is avoided.
+	suspectSince, suspectUntil Instant
+	// suspectDuration is its duration; 0 after a success.
+	suspectDuration time.Duration
 }
 
 const (
 	// suspectFailedJobs is how many consecutive jobs must fail on a worker before it is avoided.
 	suspectFailedJobs = 2
-	// minSuspectDuration and maxSuspectDuration limit how long a suspect worker is avoided. The duration doubles each
-	// time.
+	// minSuspectDuration and maxSuspectDuration limit how long a suspect worker is avoided. The duration doubles each time that a run
+	// fails which was started after the worker was last found to be suspect.
 	minSuspectDuration = 4 * time.Second
 	maxSuspectDuration = 16 * time.Second
 )
@@ -34,14 +36,19 @@
 }
 
 // recordFailure counts a failure against a worker. If a task fails on a second worker, the task is at fault, which
-// takes the failure back from the first worker.
-func (c *Core) recordFailure(t *task, w *worker) {
+// takes the failure back from the first worker. r is nil if the run has ended before the ledger had it.
+//
+// Runs that were started before the worker became suspect belong to the series that has caused it, whenever their failures are read.
+func (c *Core) recordFailure(t *task, r *run, w *worker) {
 	if t.firstFailedOn != nil && t.firstFailedOn != w {
 		t.firstFailedOn.health.failedJobsInARow = max(0, t.firstFailedOn.health.failedJobsInARow-1)
 		return
 	}
 	t.firstFailedOn = w
 	h := &w.health
+	if h.suspectDuration > 0 && (r == nil || r.createdAt <= h.suspectSince) {
+		return
+	}
 	if h.lastFailedJob == t.step.job.id && h.failedJobsInARow > 0 {
 		return
 	}
@@ -51,7 +58,7 @@
 		return
 	}
 	h.suspectDuration = min(max(2*h.suspectDuration, minSuspectDuration), maxSuspectDuration)
-	h.suspectUntil = c.now + h.suspectDuration
+	h.suspectSince, h.suspectUntil = c.now, c.now+h.suspectDuration
 	c.logDecision("worker_suspected", t.step.job.id, map[string]any{
 		"worker": w.info.ID, "jobs_in_a_row": h.failedJobsInARow, "pause_ms": h.suspectDuration.Milliseconds(),
 	})
@@ -108,7 +115,7 @@
 		"task": r.task.name, "run": r.number, "worker": r.worker.info.ID, "percent": r.progressPercent,
 		"still_ms": (c.now - r.progressedAt).Milliseconds(),
 	})
-	c.recordFailure(r.task, r.worker)
+	c.recordFailure(r.task, r, r.worker)
 	r.task.avoidedWorkers.add(r.worker, c.now)
 	c.stopRun(r, "no progress")
 }
