A suspect worker gets trials, and services and a cell of suspect workers do not wait

Cause: suspicion barred a worker from everything for up to 16 s, whatever waited and however many were suspect, and nothing but the end of the pause, or a success of a run from before, could end it. When the pause ended the worker got as many tasks as it holds. Change: after its pause a suspect worker gets one run at a time until one has passed: it is done, or has worked for 2 s. A service task that has waited for 2 s may be such a trial in the pause, as may any step but a gang while more than half of the workers of its service are suspect. Other workers come first. What concerns suspicion is in a file of its own.

--- a/version/cell/advice_test.go
+++ b/version/cell/advice_test.go
@@ -164,17 +164,17 @@
 		tc.addJob(fmt.Sprintf("x%d", i), "plain", 1, stepWithTasks(1))
 		tc.answerPoll("w00", nil, []backend.FinishedRun{tc.completion("w00", task, 1, backend.ResultFailed)})
 	}
-	assert.Assert(t, faulty.health.suspectUntil > tc.now)
+	assert.Assert(t, faulty.health.suspicion.pausedUntil > tc.now)
 
 	// If a job fails on a second worker, the job is at fault.
 	tc2 := newTestCluster(t, 1)
 	tc2.addWorkers(2)
 	tc2.addJob("bad", "plain", 1, stepWithTasks(1))
 	tc2.answerPoll("w00", nil, []backend.FinishedRun{tc2.completion("w00", "bad.0.0.0", 1, backend.ResultFailed)})
-	assert.Equal(t, tc2.core.workers["w00"].health.failedJobsInARow, 1)
+	assert.Equal(t, tc2.core.workers["w00"].health.suspicion.failedJobsInARow, 1)
 	tc2.answerPoll("w01", nil, []backend.FinishedRun{tc2.completion("w01", "bad.0.0.0", 2, backend.ResultFailed)})
-	assert.Equal(t, tc2.core.workers["w00"].health.failedJobsInARow, 0)
-	assert.Equal(t, tc2.core.workers["w01"].health.failedJobsInARow, 0)
+	assert.Equal(t, tc2.core.workers["w00"].health.suspicion.failedJobsInARow, 0)
+	assert.Equal(t, tc2.core.workers["w01"].health.suspicion.failedJobsInARow, 0)
 }
 
 // Tasks that make no progress on a responsive worker are stopped, and tasks that make progress are not.
--- a/version/cell/completions.go
+++ b/version/cell/completions.go
@@ -130,7 +130,7 @@
 // handleRunSucceeded handles a run that has finished its task.
 func (c *Core) handleRunSucceeded(t *task, r *run, w *worker) {
 	s := t.step
-	w.health.recordSuccess()
+	c.recordSuccess(r, w)
 	if r != nil && s.observedDuration == 0 && r.checkpoint == "" {
 		s.observedDuration = c.now - r.createdAt
 	}
--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -326,6 +326,7 @@
 	c.updateUnread()
 	c.updateShares()
 	c.updateSpeedSpread()
+	c.updateTrials()
 	c.ready.markAll(c)
 	c.ready.update(c)
 	c.planReadySteps()
--- a/version/cell/dump.go
+++ b/version/cell/dump.go
@@ -146,7 +146,7 @@
 		ID: w.info.ID, Listed: w.listed, InventoryKnown: w.inventoryKnown, Draining: w.info.Draining, Runs: len(w.runs),
 		FreeCPUMilli: w.freeCPUMilli(), FreeMemoryMiB: w.info.Capacity.MemoryMiB - w.allocated.MemoryMiB,
 		ClockAgeMS:         (c.now - w.clockReceivedAt).Milliseconds(),
-		SuspectMS:          max(0, w.health.suspectUntil-c.now).Milliseconds(),
+		SuspectMS:          max(0, w.health.suspicion.pausedUntil-c.now).Milliseconds(),
 		UnackedCompletions: len(w.pendingAcks),
 	}
 }
@@ -157,7 +157,7 @@
 	defer c.mu.Unlock()
 	n := 0
 	for _, w := range c.workers {
-		if w.listed && w.inventoryKnown && c.isRecorded(w) && !w.info.Draining && c.now >= w.health.suspectUntil {
+		if w.listed && w.inventoryKnown && c.isRecorded(w) && !w.info.Draining && !w.health.suspicion.isPausedAt(c.now) {
 			n++
 		}
 	}
--- a/version/cell/health.go
+++ b/version/cell/health.go
@@ -2,66 +2,15 @@
 
 import (
 	"time"
-
-	"github.com/lentiltide/lentiltide/model/job"
 )
 
-// health summarizes the polls and finished runs of a worker.
+// health summarizes the polls of a worker.
 type health struct {
 	// unresponsive means that the last poll was not answered.
 	unresponsive bool
 	// missedPolls counts consecutive unanswered polls.
 	missedPolls int
-	// failedJobsInARow counts consecutive jobs that failed on this worker and on no other.
-	failedJobsInARow int
-	lastFailedJob    job.ID
-	// suspectSince and suspectUntil are the begin and the end of the time for which the worker is avoided.
-	suspectSince, suspectUntil Instant
-	// suspectDuration is its duration; 0 after a success.
-	suspectDuration time.Duration
-}
-
-const (
-	// suspectFailedJobs is how many consecutive jobs must fail on a worker before it is avoided.
-	suspectFailedJobs = 2
-	// minSuspectDuration and maxSuspectDuration limit how long a suspect worker is avoided. The duration doubles each time that a run
-	// fails which was started after the worker was last found to be suspect.
-	minSuspectDuration = 4 * time.Second
-	maxSuspectDuration = 16 * time.Second
-)
-
-func (h *health) recordSuccess() {
-	h.failedJobsInARow = 0
-	h.suspectDuration = 0
-}
-
-// recordFailure counts a failure against a worker. If a task fails on a second worker, the task is at fault, which
-// takes the failure back from the first worker. r is nil if the run has ended before the ledger had it.
-//
-// Runs that were started before the worker became suspect belong to the series that has caused it, whenever their failures are read.
-func (c *Core) recordFailure(t *task, r *run, w *worker) {
-	if t.firstFailedOn != nil && t.firstFailedOn != w {
-		t.firstFailedOn.health.failedJobsInARow = max(0, t.firstFailedOn.health.failedJobsInARow-1)
-		return
-	}
-	t.firstFailedOn = w
-	h := &w.health
-	if h.suspectDuration > 0 && (r == nil || r.createdAt <= h.suspectSince) {
-		return
-	}
-	if h.lastFailedJob == t.step.job.id && h.failedJobsInARow > 0 {
-		return
-	}
-	h.lastFailedJob = t.step.job.id
-	h.failedJobsInARow++
-	if h.failedJobsInARow < suspectFailedJobs {
-		return
-	}
-	h.suspectDuration = min(max(2*h.suspectDuration, minSuspectDuration), maxSuspectDuration)
-	h.suspectSince, h.suspectUntil = c.now, c.now+h.suspectDuration
-	c.logDecision("worker_suspected", t.step.job.id, map[string]any{
-		"worker": w.info.ID, "jobs_in_a_row": h.failedJobsInARow, "pause_ms": h.suspectDuration.Milliseconds(),
-	})
+	suspicion   suspicion
 }
 
 const (
--- a/version/cell/place.go
+++ b/version/cell/place.go
@@ -186,7 +186,7 @@
 	if w.isOverCapacity() {
 		return 0
 	}
-	return multiplesIn(w.info.Capacity.Sub(w.allocated).Sub(c.reservedFor(w, s)), s.allocatedDemand())
+	return c.limitTrials(w, multiplesIn(w.info.Capacity.Sub(w.allocated).Sub(c.reservedFor(w, s)), s.allocatedDemand()))
 }
 
 // usable reports whether a task of a step may start on a worker, provided that the free capacity suffices. t may be
@@ -210,7 +210,7 @@
 	obstacleLeaving
 	// obstacleBlocked: starts are blocked shortly after a command or a poll has failed.
 	obstacleBlocked
-	// obstacleSuspect: tasks of several jobs have failed on the worker.
+	// obstacleSuspect: tasks of several jobs have failed on the worker; see suspicion.
 	obstacleSuspect
 	// obstacleReserved: the worker is reserved for more urgent work, or for a task that may crash it.
 	obstacleReserved
@@ -229,7 +229,7 @@
 		return obstacleLeaving
 	case c.now < w.startsBlockedUntil:
 		return obstacleBlocked
-	case c.now < w.health.suspectUntil:
+	case !c.mayTry(w, s):
 		return obstacleSuspect
 	case c.isClosed(w):
 		return obstacleSilent
@@ -275,6 +275,9 @@
 	if s.spec.LongRunning && c.hasLongLeases(w) {
 		v -= longLeasePenalty
 	}
+	if w.health.suspicion.isActiveAt(c.now) {
+		v -= suspectPenalty
+	}
 	v += c.speedScore(w, s)
 	if s.spec.DataRack != "" && !w.isOnRack(s.spec.DataRack) {
 		v -= remoteRackPenalty
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -500,6 +500,7 @@
 	}
 	r.load = item.Load
 	c.forgetEarlierCrashes(r)
+	c.passTrial(r)
 	if r.task.done && r.phase == phaseRunning {
 		c.stopRun(r, "task is done")
 		return
--- a/version/cell/serviceaway_test.go
+++ b/version/cell/serviceaway_test.go
@@ -249,7 +249,7 @@
 	sc.round()
 	sc.running["w1"] = nil
 	sc.poll("w1", ended...)
-	assert.Assert(t, sc.core.workers["w1"].health.suspectUntil <= sc.now)
+	assert.Assert(t, sc.core.workers["w1"].health.suspicion.pausedUntil <= sc.now)
 }
 
 // Guards against a service task that stays away in a full cell: short tasks take the room on the workers that the placement policy allows, one
--- a/version/cell/servicewait_test.go
+++ b/version/cell/servicewait_test.go
@@ -44,7 +44,7 @@
 		tc.addWorker(id)
 	}
 	tc.listWorker("full", func(info *backend.WorkerInfo) { info.Capacity.CPUMilli = 500 })
-	tc.core.workers["suspect"].health.suspectUntil = tc.now + time.Minute
+	tc.core.workers["suspect"].health.suspicion.pausedUntil = tc.now + time.Minute
 	tc.addJob("a", "short", 1, stepWithTasks(1, func(s *job.Step) { s.LongRunning = true }))
 	s := tc.core.jobs["a"].occurrences[0].steps[0]
 	s.advice.rejected["rejected"] = struct{}{}
--- a/version/cell/suspicion_test.go
+++ b/version/cell/suspicion_test.go
@@ -43,7 +43,7 @@
 	sc.failRuns("w1", 6)
 	assert.Assert(t, len(*pauses) > 0)
 	for _, p := range *pauses {
-		assert.Equal(t, p["pause_ms"], minSuspectDuration.Milliseconds())
+		assert.Equal(t, p["pause_ms"], minSuspectPause.Milliseconds())
 	}
 }
 
@@ -82,3 +82,94 @@
 	}
 	assert.Assert(t, sc.now <= readAt+maxStandstill, "the first tasks started after %s", sc.now-readAt)
 }
+
+// Guards against a suspect worker that gets as many tasks as it holds when its pause ends, all of which fail if it is still faulty, and against one
+// that stays suspect although its trial has passed.
+func TestSuspectWorkerGetsOneTrialAtATime(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	tc.addWorker("w1")
+	tc.addWorker("w2")
+	w := tc.core.workers["w1"]
+	for i := range suspectFailedJobs {
+		id := fmt.Sprintf("x%d", i)
+		tc.addJob(id, "plain", 1, stepWithTasks(1))
+		tc.answerPoll("w1", nil, []backend.FinishedRun{tc.completion("w1", id+".0.0.0", 1, backend.ResultFailed)})
+	}
+	assert.Assert(t, w.health.suspicion.isPausedAt(tc.now))
+	tc.listWorker("w2", func(info *backend.WorkerInfo) { info.Draining = true })
+	tc.advance(minSuspectPause + 100*time.Millisecond)
+	tc.answerPoll("w1", nil, nil)
+	tc.starts = nil
+	tc.addJob("a", "plain", 1, stepWithTasks(4))
+	tc.advance(time.Second)
+	assert.Equal(t, len(tc.starts), 1)
+	running := tc.confirmStarts()["w1"]
+	for passed := time.Duration(0); passed < minTrialRun+time.Second; passed += 100 * time.Millisecond {
+		tc.advance(100 * time.Millisecond)
+		for i := range running {
+			running[i].ProgressPercent = min(99, running[i].ProgressPercent+1)
+		}
+		tc.answerPoll("w1", running, nil)
+	}
+	assert.Assert(t, !w.health.suspicion.isActiveAt(tc.now))
+	assert.Equal(t, len(tc.starts), 3)
+}
+
+// Guards against a faulty worker on which the attempts of one job after the other are wasted: each trial that fails doubles the pause.
+func TestFailedTrialsDoubleThePause(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	pauses := tc.recordDecisions("worker_suspected")
+	tc.addWorker("w1")
+	for i := range 40 {
+		tc.addJob(fmt.Sprintf("x%02d", i), "plain", 1, stepWithTasks(1, func(s *job.Step) { s.TaskDemand.CPUMilli = 4000 }))
+	}
+	for _, id := range []string{"w2", "w3"} {
+		tc.addWorker(id)
+		tc.listWorker(id, func(info *backend.WorkerInfo) { info.Capacity.CPUMilli = 500 })
+	}
+	for end := tc.now + 50*time.Second; tc.now < end; {
+		tc.advance(100 * time.Millisecond)
+		var ended []backend.FinishedRun
+		for id, runs := range tc.confirmStarts() {
+			for _, r := range runs {
+				ended = append(ended, tc.completion(id, r.Task, r.Run, backend.ResultFailed))
+			}
+		}
+		tc.answerPoll("w1", nil, ended)
+		tc.answerPoll("w2", nil, nil)
+		tc.answerPoll("w3", nil, nil)
+		tc.storeBatches()
+	}
+	var got []int64
+	for _, p := range *pauses {
+		got = append(got, p["pause_ms"].(int64))
+	}
+	assert.DeepEqual(t, got, []int64{4000, 8000, 16000, 16000, 16000})
+}
+
+// Guards against a service task that stays away for the pause of the only worker that holds it, though the worker is sound again, and
+// against a worker that stays suspect although a service works there.
+func TestServiceTriesASuspectWorkerInItsPause(t *testing.T) {
+	sc := newServiceCluster(t, 1, "w1", "w2", "w3")
+	sc.round()
+	for _, id := range []string{"w2", "w3"} {
+		sc.listWorker(id, func(info *backend.WorkerInfo) { info.Capacity.CPUMilli = 100 })
+	}
+	sc.addJob("service", "plain", 1, serviceStep())
+	sc.round()
+	w := sc.core.workers["w1"]
+	for w.health.suspicion.pause < maxSuspectPause {
+		w.health.suspicion.begin(sc.now)
+	}
+	sc.running["w1"] = nil
+	sc.poll("w1", sc.completion("w1", "service.0.0.0", 1, backend.ResultFailed))
+	failedAt := sc.now
+	for sc.startedAt["service.0.0.0"] <= failedAt && sc.now < failedAt+time.Minute {
+		sc.round()
+	}
+	assert.Assert(t, sc.now <= failedAt+maxServiceAway, "the task was away for %s", sc.now-failedAt)
+	for end := sc.now + minTrialRun + time.Second; sc.now < end; {
+		sc.round()
+	}
+	assert.Assert(t, !w.health.suspicion.isActiveAt(sc.now), "the worker is suspect although the service works there")
+}
