A service is never late, so that room is kept for it

Cause: soon after its acceptance a service task that has failed counted as late work, as a batch job past its objective does. Late steps get no plan: no room was kept for it, and the policy was asked only about workers with room at that moment, 0.6 s a call, while short tasks took the room. Change: a service step is always on time in the order of steps. With the priority that a started service has it is planned for, which reserves capacity and asks about workers where capacity becomes free soon.

--- a/version/cell/objective.go
+++ b/version/cell/objective.go
@@ -112,8 +112,12 @@
 	hasSlack
 )
 
-// urgencyOf returns the urgency of a step whose occurrence should be completed at a time.
+// urgencyOf returns the urgency of a step whose occurrence should be completed at a time. A service is never late: it is missed for as long as it
+// does not run.
 func (c *Core) urgencyOf(s *step, objectiveAt Instant) urgency {
+	if s.spec.LongRunning {
+		return onTime
+	}
 	if c.now > objectiveAt {
 		return late
 	}
