Trials of suspect workers in a pause are spaced and do not double it

Change: such a worker gets a trial 2 s after the last failure, and a failed trial in a pause begins the pause anew without doubling it. Service tasks that have waited for 2 s are not held by that time: they have no limit of attempts.

--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -85,8 +85,7 @@
 	gangCheckpoint string
 	// feasibility is the last result of Core.isFeasible.
 	feasibility feasibility
-	// triesPaused means that the tasks may be trials of suspect workers during their pauses.
-	triesPaused bool
+	pauseTrials pauseTrials
 	// turn says how far the preparations for the step may go.
 	turn planningTurn
 	// plan is the plan for the waiting tasks, or nil. nextPlanAt is the earliest time of the next plan.
--- a/version/cell/suspicion.go
+++ b/version/cell/suspicion.go
@@ -23,7 +23,7 @@
 	// suspectFailedJobs is how many consecutive jobs must fail on a worker before it is suspect.
 	suspectFailedJobs = 2
 	// minSuspectPause and maxSuspectPause limit the pause of a suspect worker. It doubles each time that a run fails which was started after
-	// the last pause began.
+	// the last pause, and begins anew if a trial fails that was started in it.
 	minSuspectPause = 4 * time.Second
 	maxSuspectPause = 16 * time.Second
 	// trialPhase is how long after the pause a suspect worker gets one run at a time. It ends without a trial, since there may be nothing to start
@@ -31,6 +31,9 @@
 	trialPhase = 4 * time.Second
 	// minTrialRun is how long a run must work on a suspect worker to pass as a trial.
 	minTrialRun = 2 * time.Second
+	// crowdedTrialInterval is the time between the trials of a worker during its pause while too many workers are suspect, so that they do not use up
+	// the attempts of jobs.
+	crowdedTrialInterval = 2 * time.Second
 	// serviceTrialDelay is how long a service task waits for another worker before it may be the trial of a suspect worker during its pause.
 	serviceTrialDelay = 2 * time.Second
 	// maxSuspectShare is the share of the workers of a service up to which suspect workers are left alone during their pauses. If more are
@@ -48,9 +51,14 @@
 	return p.pausedUntil != 0 && now < p.pausedUntil+trialPhase
 }
 
-// begin begins a pause.
+// begin begins a pause, which is longer than the last one.
 func (p *suspicion) begin(now Instant) {
 	p.pause = min(max(2*p.pause, minSuspectPause), maxSuspectPause)
+	p.restart(now)
+}
+
+// restart begins the pause anew.
+func (p *suspicion) restart(now Instant) {
 	p.since, p.pausedUntil = now, now+p.pause
 }
 
@@ -77,6 +85,10 @@
 // task is at fault, which takes the failure back from the first worker; as a trial of a suspect worker it has not passed all the same.
 func (c *Core) recordFailure(t *task, r *run, w *worker) {
 	p := &w.health.suspicion
+	if p.isTrial(r) && r.createdAt < p.pausedUntil && p.pause > 0 {
+		p.restart(c.now)
+		return
+	}
 	if p.isTrial(r) && p.isActiveAt(c.now) {
 		c.suspect(t, w)
 		return
@@ -130,12 +142,24 @@
 	if !p.isActiveAt(c.now) {
 		return true
 	}
-	if p.isPausedAt(c.now) && !s.triesPaused {
+	if p.isPausedAt(c.now) && !c.mayTryInPause(p, s) {
 		return false
 	}
 	return !w.hasTrial()
 }
 
+// mayTryInPause reports whether a task of a step may be the trial of a worker in its pause.
+func (c *Core) mayTryInPause(p *suspicion, s *step) bool {
+	switch s.pauseTrials {
+	case urgentTrials:
+		return true
+	case crowdedTrials:
+		return c.now >= p.since+crowdedTrialInterval
+	default:
+		return false
+	}
+}
+
 // limitTrials returns how many of a number of tasks may start on a worker: one if it is suspect.
 func (c *Core) limitTrials(w *worker, tasks int) int {
 	if w.health.suspicion.isActiveAt(c.now) {
@@ -144,15 +168,30 @@
 	return tasks
 }
 
-// updateTrials determines which steps may try suspect workers during their pauses: those of service tasks that have waited, and all but gangs if too
-// many workers of their service are suspect.
+// pauseTrials says whether the tasks of a step may be trials of suspect workers during their pauses.
+type pauseTrials uint8
+
+const (
+	noTrials pauseTrials = iota
+	// crowdedTrials: too many workers of the service are suspect, so that each gets a trial now and then.
+	crowdedTrials
+	// urgentTrials: a service task has waited for serviceTrialDelay.
+	urgentTrials
+)
+
+// updateTrials determines which steps may try suspect workers during their pauses.
 func (c *Core) updateTrials() {
 	crowded := c.crowdedBySuspects()
 	for _, s := range c.ready.ranked {
-		s.triesPaused = crowded[s.job.queue.Service] && !s.spec.Gang
-		if s.spec.LongRunning && !s.triesPaused {
-			t := s.longestWaiting()
-			s.triesPaused = t != nil && c.now >= t.waitingSince+serviceTrialDelay
+		s.pauseTrials = noTrials
+		if crowded[s.job.queue.Service] && !s.spec.Gang {
+			s.pauseTrials = crowdedTrials
+		}
+		if !s.spec.LongRunning {
+			continue
+		}
+		if t := s.longestWaiting(); t != nil && c.now >= t.waitingSince+serviceTrialDelay {
+			s.pauseTrials = urgentTrials
 		}
 	}
 }
--- a/version/cell/suspicion_test.go
+++ b/version/cell/suspicion_test.go
@@ -173,3 +173,32 @@
 	}
 	assert.Assert(t, !w.health.suspicion.isActiveAt(sc.now), "the worker is suspect although the service works there")
 }
+
+// Guards against jobs whose attempts are used up on faulty workers, one after the other, because all workers are suspect and get trials, and against
+// pauses that are long when the workers are sound again, because each of these trials has doubled them.
+func TestTrialsOfACrowdOfSuspectWorkersAreFew(t *testing.T) {
+	sc := newServiceCluster(t, 2, "w1", "w2", "w3")
+	sc.takeOver()
+	for id := range sc.boots {
+		sc.failRuns(id, 20)
+	}
+	const faulty = 8 * time.Second
+	starts := 0
+	for end := sc.now + faulty; sc.now < end; {
+		sc.round()
+		for id, runs := range sc.running {
+			var ended []backend.FinishedRun
+			for _, r := range runs {
+				ended = append(ended, sc.completion(id, r.Task, r.Run, backend.ResultFailed))
+			}
+			starts += len(runs)
+			delete(sc.running, id)
+			sc.poll(id, ended...)
+		}
+	}
+	most := len(sc.boots) * (int(faulty/crowdedTrialInterval) + 1)
+	assert.Assert(t, starts > 0 && starts <= most, "%d starts, %d allowed", starts, most)
+	for id, w := range sc.core.workers {
+		assert.Check(t, w.health.suspicion.pausedUntil <= sc.now+minSuspectPause, "%s is paused for %s", id, w.health.suspicion.pausedUntil-sc.now)
+	}
+}
