The reservation of a step ends when it starts or does not wait any longer

Cause: the time for which room may be reserved for a step, 15 s, went on counting while its tasks ran or their starts were written, and over all of its waits. Then no room was kept for as long again. Change: the reservation ends, and the next one may last as long, when no task of the step waits any longer, and for services with each start.

--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -335,6 +335,7 @@
 	}
 	s.waiting = remaining
 	if len(remaining) == 0 {
+		c.endReservation(s)
 		c.ready.remove(s)
 	}
 }
--- a/version/cell/reservation.go
+++ b/version/cell/reservation.go
@@ -31,6 +31,12 @@
 	return false
 }
 
+// endReservation ends the reservation of a step that makes progress or does not wait any longer. The next one may last as long again.
+func (c *Core) endReservation(s *step) {
+	c.dropPlan(s)
+	s.reservationAge = reservationAge{}
+}
+
 // interrupt stops counting until capacity is reserved again.
 func (a *reservationAge) interrupt() { a.countedAt = 0 }
 
--- a/version/cell/startrecord.go
+++ b/version/cell/startrecord.go
@@ -169,6 +169,9 @@
 // startTask starts a task on a worker.
 func (c *Core) startTask(t *task, w *worker, number int64, checkpoint string) {
 	c.startRuns([]*run{c.addUnsentRun(t, w, number, checkpoint)})
+	if t.step.spec.LongRunning {
+		t.step.reservationAge = reservationAge{}
+	}
 }
 
 // addUnsentRun adds a run to the ledger whose start command is not sent yet.
