Trials of suspect workers do not close workers, use up attempts or pass unseen

Change: a run is marked as a trial when it is started, and counted on the worker. Failures of services as trials tell nothing; a task with one attempt left is no trial in a pause; a gang is one trial; a trial passes when done, or after 5 s with progress; a crowd is counted among the workers that suit the step.

--- a/version/cell/place.go
+++ b/version/cell/place.go
@@ -186,13 +186,13 @@
 	if w.isOverCapacity() {
 		return 0
 	}
-	return c.limitTrials(w, multiplesIn(w.info.Capacity.Sub(w.allocated).Sub(c.reservedFor(w, s)), s.allocatedDemand()))
+	return c.limitTrials(w, s, multiplesIn(w.info.Capacity.Sub(w.allocated).Sub(c.reservedFor(w, s)), s.allocatedDemand()))
 }
 
 // usable reports whether a task of a step may start on a worker, provided that the free capacity suffices. t may be
 // nil.
 func (c *Core) usable(w *worker, s *step, t *task) bool {
-	return c.obstacleOn(w, s) == noObstacle && (t == nil || (c.mayUse(w, t) && c.mayShare(w, t)))
+	return c.obstacleOn(w, s) == noObstacle && (t == nil || (c.mayUse(w, t) && c.mayShare(w, t) && !c.risksAttempt(w, t)))
 }
 
 // obstacle is the reason why no task of a step may start on a worker, whatever its free capacity.
--- a/version/cell/plan.go
+++ b/version/cell/plan.go
@@ -368,7 +368,7 @@
 	if !c.usable(w, s, nil) || multiplesIn(w.info.Capacity, demand) == 0 {
 		return nil
 	}
-	limit := c.limitTrials(w, len(s.waiting))
+	limit := c.limitTrials(w, s, len(s.waiting))
 	if s.spec.MaxPerWorker > 0 {
 		limit = min(limit, s.spec.MaxPerWorker-s.runsPerWorker[w])
 	}
--- a/version/cell/runs.go
+++ b/version/cell/runs.go
@@ -56,6 +56,8 @@
 	// throttlePercent is the share of its normal speed at which the run works, in percent, or unknownThrottlePercent.
 	throttlePercent int
 	removed         bool
+	// isTrial means that the worker was found to be suspect before the run was started, and that no trial has passed since.
+	isTrial bool
 	// held means that the start has not been sent, since an acknowledgement is on its way to the worker.
 	held bool
 	// withdrawn means that the start command is not to be sent.
@@ -106,6 +108,7 @@
 	j.activeAt = c.now
 	j.usedCPU += float64(r.task.step.spec.TaskDemand.CPUMilli) / 1000 * float64((c.now - r.createdAt).Milliseconds())
 	c.endPlacement(r.key(), r.task.step.job)
+	r.worker.removeTrial(r)
 	delete(r.worker.runs, r.key())
 	r.worker.addDemand(r.task.step, -1)
 	c.free.update(r.worker)
--- a/version/cell/servicewait.go
+++ b/version/cell/servicewait.go
@@ -57,7 +57,7 @@
 	switch o := c.obstacleOn(w, s); {
 	case o != noObstacle:
 		return o.String()
-	case !c.mayUse(w, t):
+	case !c.mayUse(w, t) || c.risksAttempt(w, t):
 		return "avoided"
 	case !c.mayShare(w, t):
 		return "isolated"
--- a/version/cell/servicewait_test.go
+++ b/version/cell/servicewait_test.go
@@ -36,15 +36,11 @@
 func TestWaitOfServiceTasksNamesTheWorkersOfEachReason(t *testing.T) {
 	tc := newTestCluster(t, 1)
 	waits := tc.recordDecisions("service_waiting")
-	tc.addWorker("suspect")
-	// Its start is not answered, so that the worker gets no other task for as long as it is suspect.
-	tc.addJob("trial", "plain", 1, stepWithTasks(1))
-	tc.step()
-	for _, id := range []string{"full", "rejected", "unasked", "avoided"} {
+	for _, id := range []string{"suspect", "full", "rejected", "unasked", "avoided"} {
 		tc.addWorker(id)
 	}
 	tc.listWorker("full", func(info *backend.WorkerInfo) { info.Capacity.CPUMilli = 500 })
-	tc.core.workers["suspect"].health.suspicion.pausedUntil = tc.now + time.Minute
+	tc.core.workers["suspect"].health.suspicion = suspicion{pausedUntil: tc.now + time.Minute, trials: 1}
 	tc.addJob("a", "short", 1, stepWithTasks(1, func(s *job.Step) { s.LongRunning = true }))
 	s := tc.core.jobs["a"].occurrences[0].steps[0]
 	s.advice.rejected["rejected"] = struct{}{}
--- a/version/cell/startrecord.go
+++ b/version/cell/startrecord.go
@@ -177,6 +177,7 @@
 // addUnsentRun adds a run to the ledger whose start command is not sent yet.
 func (c *Core) addUnsentRun(t *task, w *worker, number int64, checkpoint string) *run {
 	r := c.addRun(t, w, number, phaseRecording)
+	w.countTrial(r)
 	r.checkpoint = checkpoint
 	return r
 }
--- a/version/cell/suspicion_test.go
+++ b/version/cell/suspicion_test.go
@@ -104,7 +104,7 @@
 	tc.advance(time.Second)
 	assert.Equal(t, len(tc.starts), 1)
 	running := tc.confirmStarts()["w1"]
-	for passed := time.Duration(0); passed < minTrialRun+time.Second; passed += 100 * time.Millisecond {
+	for passed := time.Duration(0); passed < minServiceRun+time.Second; passed += 100 * time.Millisecond {
 		tc.advance(100 * time.Millisecond)
 		for i := range running {
 			running[i].ProgressPercent = min(99, running[i].ProgressPercent+1)
@@ -159,7 +159,7 @@
 	sc.round()
 	w := sc.core.workers["w1"]
 	for w.health.suspicion.pause < maxSuspectPause {
-		w.health.suspicion.begin(sc.now)
+		sc.core.beginLongerPause(w)
 	}
 	sc.running["w1"] = nil
 	sc.poll("w1", sc.completion("w1", "service.0.0.0", 1, backend.ResultFailed))
@@ -168,7 +168,7 @@
 		sc.round()
 	}
 	assert.Assert(t, sc.now <= failedAt+maxServiceAway, "the task was away for %s", sc.now-failedAt)
-	for end := sc.now + minTrialRun + time.Second; sc.now < end; {
+	for end := sc.now + minServiceRun + time.Second; sc.now < end; {
 		sc.round()
 	}
 	assert.Assert(t, !w.health.suspicion.isActiveAt(sc.now), "the worker is suspect although the service works there")
--- a/version/cell/workers.go
+++ b/version/cell/workers.go
@@ -227,6 +227,7 @@
 	w.sentAck, w.deliveredAck = 0, 0
 	w.unknownRuns, w.unknownCompletions, w.unknownTasksSince = nil, nil, nil
 	w.hasUnknownRuns = false
+	w.endTrials()
 	w.health = health{}
 	w.startsBlockedUntil = 0
 }
