Services have planning turns of their own, for a few steps at a time

Change: service steps have turns of their own, for 8 steps at a time, and do not count among the others.

--- a/version/cell/core.go
+++ b/version/cell/core.go
@@ -143,8 +143,8 @@
 	recoveredHeldUntil Instant
 	// formerRuns are the tasks with a formerRun.
 	formerRuns []*task
-	// planned is the demand of the steps for which plans are made.
-	planned plannedShare
+	// planned is the demand of the steps for which plans are made, and plannedServices that of service steps.
+	planned, plannedServices plannedShare
 	// machines holds the last list of machines by ID; nil until the first list arrives.
 	machines  map[string]backend.Machine
 	nextSweep Instant
@@ -166,7 +166,8 @@
 		dirtyJobs: map[job.ID]*jobState{}, changedFleetShards: map[int]struct{}{}, approvalRates: map[string]float64{}, kindSpeeds: map[string]*speedEstimate{}, waves: map[int]*wave{},
 		wake: make(chan struct{}, 1),
 	}
-	c.planned.core, c.placements, c.admission = c, newPlacementLog(), newAdmission(opts.MemoryBytes)
+	c.placements, c.admission = newPlacementLog(), newAdmission(opts.MemoryBytes)
+	c.planned, c.plannedServices = plannedShare{core: c, maxSteps: maxReservingSteps}, plannedShare{core: c, maxSteps: maxReservingServices}
 	c.loadClosed(opts.ClosedWorkers)
 	return c
 }
--- a/version/cell/plan.go
+++ b/version/cell/plan.go
@@ -82,14 +82,15 @@
 	for _, w := range c.workers {
 		w.reservations = nil
 	}
-	c.planned = plannedShare{core: c, capacity: c.totalCapacity().CPUMilli}
+	c.resetPlanned()
 	for _, s := range c.ready.ranked {
 		if !c.plansAhead(s) {
 			s.plan, s.turn = nil, turnWait
 			s.reservationAge.interrupt()
 			continue
 		}
-		s.turn = c.planned.turnOf(s)
+		planned := c.plannedWith(s)
+		s.turn = planned.turnOf(s)
 		if s.turn == turnWait {
 			s.plan = nil
 			s.reservationAge.interrupt()
@@ -98,10 +99,10 @@
 		c.updatePlan(s)
 		c.reserveCapacity(s)
 		if c.cannotStartSoon(s) {
-			s.nextPlanAt = max(s.nextPlanAt, c.now+c.planned.addBlocked())
+			s.nextPlanAt = max(s.nextPlanAt, c.now+planned.addBlocked())
 			continue
 		}
-		c.planned.add(s)
+		planned.add(s)
 	}
 }
 
@@ -113,10 +114,11 @@
 			continue
 		}
 		if s.turn == turnWait {
-			if s.turn = c.planned.turnOf(s); s.turn == turnWait {
+			planned := c.plannedWith(s)
+			if s.turn = planned.turnOf(s); s.turn == turnWait {
 				continue
 			}
-			c.planned.add(s)
+			planned.add(s)
 		}
 		c.makePlan(s)
 		c.reserveCapacity(s)
--- a/version/cell/turns.go
+++ b/version/cell/turns.go
@@ -5,6 +5,9 @@
 const (
 	// maxReservingSteps limits the steps for which capacity is reserved at the same time.
 	maxReservingSteps = 40
+	// maxReservingServices limits the steps of services for which capacity is reserved at the same time. They are planned apart from others: many of
+	// them may wait for workers that have no room for a long time.
+	maxReservingServices = 8
 	// maxReservedShare limits the share of the processor capacity that is reserved. The most urgent step may exceed it. With
 	// a larger share many gangs hold a part of what they need each.
 	maxReservedShare = 0.35
@@ -44,6 +47,8 @@
 	core          *Core
 	capacity, cpu int64
 	steps         int
+	// maxSteps limits the steps that have their turn.
+	maxSteps int
 	// blocked counts the steps that have their turn and cannot start soon.
 	blocked int
 }
@@ -51,15 +56,30 @@
 // turnOf returns the turn of the next step in the order of the ranks.
 func (p *plannedShare) turnOf(s *step) planningTurn {
 	switch share := float64(p.cpu+p.waitingCPU(s)) / float64(max(p.capacity, 1)); {
-	case p.steps == 0 || (share <= maxReservedShare && p.steps < maxReservingSteps):
+	case p.steps == 0 || (share <= maxReservedShare && p.steps < p.maxSteps):
 		return turnReserve
-	case share <= maxExploringShare && p.steps < maxReservingSteps:
+	case share <= maxExploringShare && p.steps < p.maxSteps:
 		return turnExplore
 	default:
 		return turnWait
 	}
 }
 
+// plannedWith returns the steps with which a step is planned.
+func (c *Core) plannedWith(s *step) *plannedShare {
+	if s.spec.LongRunning && !s.spec.Gang {
+		return &c.plannedServices
+	}
+	return &c.planned
+}
+
+// resetPlanned prepares for turns of all steps.
+func (c *Core) resetPlanned() {
+	c.planned = plannedShare{core: c, capacity: c.totalCapacity().CPUMilli, maxSteps: maxReservingSteps}
+	c.plannedServices = c.planned
+	c.plannedServices.maxSteps = maxReservingServices
+}
+
 // add adds the demand of a step that has its turn.
 func (p *plannedShare) add(s *step) {
 	p.cpu += p.waitingCPU(s)
