A task that avoids all workers that suit it returns to them after 2 s

Cause: a task avoids a worker on which it has failed for 5 s from the reading of the failure. The exception for a task that has been on all workers counted all workers of the cell, not those that suit the task. Change: a task that avoids all workers that suit it, by service, label and the rejections of the placement policy, avoids them for 2 s.

--- a/version/cell/avoid.go
+++ b/version/cell/avoid.go
@@ -9,6 +9,9 @@
 // within which a service task must run again, since the workers that it avoids may be the only ones that can run it.
 const avoidDuration = 5 * time.Second
 
+// minAvoidDuration is that time if the task avoids all workers that suit it. A job must not have nothing running for longer while there is room for it.
+const minAvoidDuration = 2 * time.Second
+
 // avoidAfterEarlierFailure is that time for a service task that failed before this leader knew of the run.
 const avoidAfterEarlierFailure = 2 * time.Second
 
@@ -31,12 +34,16 @@
 }
 
 // mayUse reports whether a task may start on a worker as far as its earlier runs are concerned. A task that has been on all
-// workers avoids none.
+// workers avoids none, and one that has been on all that suit it avoids them for minAvoidDuration.
 func (c *Core) mayUse(w *worker, t *task) bool {
 	for _, r := range t.runs {
 		if r.worker == w {
 			return false
 		}
 	}
-	return !t.avoidedWorkers.contains(w.info.ID, c.now) || len(t.avoidedWorkers) >= len(c.workers)
+	if !t.avoidedWorkers.contains(w.info.ID, c.now) || len(t.avoidedWorkers) >= len(c.workers) {
+		return true
+	}
+	ending := t.avoidedWorkers[w.info.ID] - avoidDuration + minAvoidDuration
+	return c.now >= ending && len(t.avoidedWorkers) >= c.suitableWorkers(t.step)
 }
--- a/version/cell/feasible.go
+++ b/version/cell/feasible.go
@@ -12,6 +12,12 @@
 	feasible     bool
 }
 
+// suitableCount is the answer of Core.suitableWorkers, as of a version of the fleet and a number of rejected workers.
+type suitableCount struct {
+	fleetVersion      uint64
+	rejected, workers int
+}
+
 // isFeasible reports whether the listed workers that have answered could hold the waiting tasks of a step if nothing else ran there: all members
 // of a gang, or one task of any other step. A step that cannot start must not keep others from their turns; workers may have
 // shrunk, and grow again.
@@ -43,6 +49,22 @@
 	return false
 }
 
+// suitableWorkers returns the number of listed workers that suit a step and that the placement policy has not rejected.
+func (c *Core) suitableWorkers(s *step) int {
+	if s.suitable.fleetVersion == c.fleetVersion && s.suitable.rejected == len(s.advice.rejected) {
+		return s.suitable.workers
+	}
+	n := 0
+	for _, w := range c.workers {
+		c.effort.Planning++
+		if w.listed && !w.info.Draining && w.suits(s) && !s.advice.isRejected(w.info.ID) {
+			n++
+		}
+	}
+	s.suitable = suitableCount{c.fleetVersion, len(s.advice.rejected), n}
+	return n
+}
+
 // suits reports whether a worker is of the service and has the label that a step needs.
 func (w *worker) suits(s *step) bool {
 	return w.info.Service == s.job.queue.Service && (s.spec.RequiredLabel == "" || w.hasLabel(s.spec.RequiredLabel))
--- a/version/cell/jobs.go
+++ b/version/cell/jobs.go
@@ -85,6 +85,8 @@
 	gangCheckpoint string
 	// feasibility is the last result of Core.isFeasible.
 	feasibility feasibility
+	// suitable is the last result of Core.suitableWorkers.
+	suitable    suitableCount
 	pauseTrials pauseTrials
 	// turn says how far the preparations for the step may go.
 	turn planningTurn
