bench/site plays failing workers, lost leaders and a slow store

Change: a site has disturbances: a window in which a share of the workers fails all runs, losses of the leader, whose successor begins from the stored rows 0.3 s later, and a window in which writes take longer. What belongs to one leader is a type of its own in leader.go. The report has, for each service task, the longest time without a run and when the users' rule was first broken: whatever room there was, with room by the free capacity of the permitted workers, and with whole slots. The sentence that a seed gives the same run on any machine leaves the package comment: the scheduler goes through maps. With disturbances switched off by hand, or with rows that are not written or not loaded, the tests of disturbance_test.go fail.

--- a/bench/site/load.go
+++ b/bench/site/load.go
@@ -16,6 +16,8 @@
 	PerSecond             float64
 	BurstFactor           float64
 	BurstFrom, BurstUntil time.Duration
+	// MinWidth and MaxWidth, if set, limit the width of a step, which is uniform between them then.
+	MinWidth, MaxWidth int
 	// Steps, Width, TaskTime and CPUMilli are means; the steps of a job run one after the other.
 	Steps, Width float64
 	TaskTime     time.Duration
@@ -41,6 +43,8 @@
 	Kinds    []Kind
 	// StallAt is when the leader stands still for StallFor, as after the loss of many instances.
 	StallAt, StallFor time.Duration
+	// Disturbances are what else goes wrong.
+	Disturbances Disturbances
 }
 
 // Large is a deployment of 1,100 workers with quick jobs that come in a burst beside batches and services.
@@ -122,8 +126,8 @@
 	steps := make([]job.Step, n)
 	for i := range steps {
 		steps[i] = job.Step{
-			Count:       min(maxWidth, 1+int(rng.ExpFloat64()*(k.Width-1))),
-			TaskDemand:  model.Resources{CPUMilli: k.CPUMilli, MemoryMiB: k.MemoryMiB},
+			Count:       k.width(rng),
+			TaskDemand:  k.demand(),
 			EstimateMS:  k.TaskTime.Milliseconds(),
 			LongRunning: k.LongRunning, Checkpoints: k.Checkpoints,
 		}
@@ -134,6 +138,19 @@
 	return steps
 }
 
+// width draws the number of tasks of a step.
+func (k Kind) width(rng *rand.Rand) int {
+	if k.MaxWidth > 0 {
+		return k.MinWidth + rng.IntN(k.MaxWidth-k.MinWidth+1)
+	}
+	return min(maxWidth, 1+int(rng.ExpFloat64()*(k.Width-1)))
+}
+
+// demand returns the demand of a task.
+func (k Kind) demand() model.Resources {
+	return model.Resources{CPUMilli: k.CPUMilli, MemoryMiB: k.MemoryMiB}
+}
+
 // taskTime draws the duration of a task.
 func (k Kind) taskTime(rng *rand.Rand) time.Duration {
 	d := float64(k.TaskTime) * (1 - taskTimeSpread + 2*taskTimeSpread*rng.Float64())
--- a/bench/site/processor.go
+++ b/bench/site/processor.go
@@ -22,7 +22,7 @@
 
 // processor runs the calls of the leader one after the other.
 type processor struct {
-	sim *Simulation
+	leader *leader
 	// share is the part of a processor that the leader has.
 	share float64
 	queue []call
@@ -38,9 +38,12 @@
 	run       func() (cost time.Duration, then func())
 }
 
-// submit queues a call.
+// submit queues a call, unless the leader is lost.
 func (p *processor) submit(run func() (cost time.Duration, then func())) {
-	p.queue = append(p.queue, call{p.sim.now, run})
+	if p.leader.lost {
+		return
+	}
+	p.queue = append(p.queue, call{p.leader.sim.now, run})
 	p.runNext()
 }
 
@@ -52,17 +55,20 @@
 	next := p.queue[0]
 	p.queue = p.queue[1:]
 	p.busy = true
-	p.longestWait = max(p.longestWait, p.sim.now-next.arrivedAt)
-	before := p.sim.core.Load().Effort
+	p.longestWait = max(p.longestWait, p.leader.sim.now-next.arrivedAt)
+	before := p.leader.core.Load().Effort
 	cost, then := next.run()
-	cost += p.sim.costs.work(before, p.sim.core.Load().Effort)
+	cost += p.leader.sim.costs.work(before, p.leader.core.Load().Effort)
 	p.used += cost
-	p.sim.after(time.Duration(float64(cost)/p.share), func() {
+	p.leader.sim.after(time.Duration(float64(cost)/p.share), func() {
 		p.busy = false
+		if p.leader.lost {
+			return
+		}
 		if then != nil {
 			then()
 		}
-		p.sim.wakeScheduler()
+		p.leader.wakeScheduler()
 		p.runNext()
 	})
 }
--- a/bench/site/report.go
+++ b/bench/site/report.go
@@ -18,6 +18,8 @@
 	Processor float64
 	// LongestWait is the longest time for which a call waited for the processor.
 	LongestWait time.Duration
+	// Services are the service tasks, those with the longest time without a run first.
+	Services []ServiceTask
 
 	// stages are the durations of the stages by kind of request.
 	stages map[string]*stageTimes
@@ -47,9 +49,12 @@
 
 // finish fills in the outcome after a load of a length.
 func (r *Report) finish(s *Simulation, length time.Duration) {
-	r.Effort = s.core.Load().Effort
-	r.Processor = s.processor.used.Seconds() / length.Seconds() / s.processor.share
-	r.LongestWait = s.processor.longestWait
+	for _, l := range append(s.formerLeaders, s.leader) {
+		r.Effort = sum(r.Effort, l.core.Load().Effort)
+		r.Processor += l.processor.used.Seconds() / length.Seconds() / l.processor.share
+		r.LongestWait = max(r.LongestWait, l.processor.longestWait)
+	}
+	r.Services = s.services.outcome()
 	r.Kinds = map[string]KindReport{}
 	starts := map[string][]time.Duration{}
 	for _, k := range s.site.Kinds {
@@ -81,6 +86,25 @@
 	}
 }
 
+// sum returns the effort of two leaders.
+func sum(a, b cell.Effort) cell.Effort {
+	return cell.Effort{
+		Rounds: a.Rounds + b.Rounds, Placement: a.Placement + b.Placement, Advice: a.Advice + b.Advice,
+		Planning: a.Planning + b.Planning, Preemption: a.Preemption + b.Preemption, Sweep: a.Sweep + b.Sweep,
+	}
+}
+
+// BrokenServices returns the service tasks that were without a run for longer than the rule allows, whatever room there was.
+func (r *Report) BrokenServices() []ServiceTask {
+	var broken []ServiceTask
+	for _, t := range r.Services {
+		if t.BrokenAt > 0 {
+			broken = append(broken, t)
+		}
+	}
+	return broken
+}
+
 // recordStages records the stages of a job up to the start of its first task.
 func (r *Report) recordStages(j *Job) {
 	stages := r.stages[j.Kind]
@@ -124,5 +148,8 @@
 			k.StartP50.Round(time.Millisecond), k.StartP99.Round(time.Millisecond))
 		fmt.Fprintf(&b, "  stages, p50 and p99: %s\n", r.stages[name])
 	}
+	if len(r.Services) > 0 {
+		fmt.Fprintf(&b, "%d service tasks, %d without a run for too long; longest absence: %s\n", len(r.Services), len(r.BrokenServices()), r.Services[0])
+	}
 	return b.String()
 }
--- a/bench/site/simulation.go
+++ b/bench/site/simulation.go
@@ -27,21 +27,29 @@
 	ackTimeout = 150 * time.Millisecond
 	// startTime is the time at which the simulation begins; the clocks of workers must not be 0.
 	startTime = time.Hour
+	// leaseDuration is the duration of the leases on workers.
+	leaseDuration = 6 * time.Second
 	// workersPerRack is the number of workers on a rack.
 	workersPerRack = 12
 )
 
+// workerCapacity is the capacity of each worker.
+var workerCapacity = model.Resources{CPUMilli: 16_000, MemoryMiB: 64_000}
+
 // Simulation is a run of a site.
 type Simulation struct {
 	site  Site
 	costs Costs
 	seed  uint64
-	core  *cell.Core
 	now   time.Duration
 
 	events     eventQueue
 	eventCount int
-	processor  processor
+
+	// leader is the present leader, or the lost one until the next has taken over; formerLeaders are those before it.
+	leader        *leader
+	formerLeaders []*leader
+	store         *store
 
 	workers []*worker
 	byID    map[string]*worker
@@ -49,14 +57,10 @@
 	jobs    map[job.ID]*Job
 	lastJob int
 
-	// lastRoundAt is when the last round began; roundQueued means that the next one waits for the processor or its time.
-	lastRoundAt time.Duration
-	roundQueued bool
-	// awaitingAck are the workers whose next poll waits for completions to become durable.
-	awaitingAck []*ackWait
-
 	// endedAt holds when tasks ended whose completions the scheduler has not read.
 	endedAt map[string]time.Duration
+	// services holds the service tasks of accepted jobs.
+	services *serviceTasks
 
 	report *Report
 }
@@ -90,34 +94,18 @@
 	return j.FinishedAt-j.SubmittedAt <= k.Objective+time.Duration(k.Stretch*float64(work))
 }
 
-// ackWait is a worker whose next poll is delayed.
-type ackWait struct {
-	worker *worker
-	done   bool
-}
-
 // New returns a simulation of a site whose leader has only its own share of a processor.
 func New(site Site, costs Costs, seed uint64) *Simulation {
 	s := &Simulation{
 		site: site, costs: costs, seed: seed, now: startTime, byID: map[string]*worker{}, kinds: map[string]Kind{},
 		jobs: map[job.ID]*Job{}, endedAt: map[string]time.Duration{}, report: &Report{stages: map[string]*stageTimes{}},
 	}
-	s.processor = processor{sim: s, share: site.CPUShare}
-	s.core = cell.New(cell.Options{
-		Epoch: 1, LeaseDuration: 6 * time.Second, Retention: 2 * time.Minute, StopTimeout: 400 * time.Millisecond, OnDecision: s.recordDecision,
-	}, s.now)
-	cfg := job.Config{Version: 1}
+	s.store, s.services = newStore(), newServiceTasks(s)
 	for _, k := range site.Kinds {
 		s.kinds[k.Name] = k
 		s.report.stages[k.Name] = &stageTimes{}
-		cfg.Queues = append(cfg.Queues, k.queue())
-	}
-	s.core.SetConfig(cfg)
-	var advisers []string
-	for i := range site.Instances {
-		advisers = append(advisers, fmt.Sprintf("i%04d", i))
 	}
-	s.core.SetAdvisers(advisers)
+	s.leader = s.newLeader(1)
 	for i := range site.Workers {
 		s.addWorker(i)
 	}
@@ -126,14 +114,20 @@
 
 // addWorker adds a worker, which the leader polls from a random moment of the first second on.
 func (s *Simulation) addWorker(i int) {
-	w := &worker{id: fmt.Sprintf("w%05d", i), running: map[string]runningTask{}}
+	w := &worker{id: fmt.Sprintf("w%05d", i), index: i, running: map[string]runningTask{}}
 	s.workers = append(s.workers, w)
 	s.byID[w.id] = w
-	s.core.SetWorker(backend.WorkerInfo{
-		ID: w.id, Address: w.id, Service: service, Labels: []string{"k", fmt.Sprintf("r%d", i/workersPerRack)}, StartedMS: 1,
-		Capacity: model.Resources{CPUMilli: 16_000, MemoryMiB: 64_000},
-	}, s.now)
-	s.after(time.Duration(s.draw("poll", w.id).Int64N(int64(time.Second))), func() { s.pollWorker(w) })
+	l := s.leader
+	l.core.SetWorker(s.registryEntry(w), s.now)
+	s.after(time.Duration(s.draw("poll", w.id).Int64N(int64(time.Second))), func() { l.pollWorker(w) })
+}
+
+// registryEntry returns the entry of a worker in the registry.
+func (s *Simulation) registryEntry(w *worker) backend.WorkerInfo {
+	return backend.WorkerInfo{
+		ID: w.id, Address: w.id, Service: service, Labels: []string{"k", fmt.Sprintf("r%d", w.index/workersPerRack)}, StartedMS: 1,
+		Capacity: workerCapacity,
+	}
 }
 
 // warmUp is the time before the first arrivals, in which the workers are read and recorded.
@@ -141,13 +135,13 @@
 
 // Run runs the load for a time, and the rest of the work for up to drain, and returns the report.
 func (s *Simulation) Run(length, drain time.Duration) *Report {
-	s.after(0, s.wakeScheduler)
-	s.after(0, s.write)
+	s.leader.run()
+	s.scheduleDisturbances()
+	s.after(warmUp, s.services.sample)
 	if s.site.StallFor > 0 {
 		s.after(warmUp+s.site.StallAt, func() {
-			s.processor.submit(func() (time.Duration, func()) {
-				return time.Duration(float64(s.site.StallFor) * s.processor.share), nil
-			})
+			p := &s.leader.processor
+			p.submit(func() (time.Duration, func()) { return time.Duration(float64(s.site.StallFor) * p.share), nil })
 		})
 	}
 	for _, k := range s.site.Kinds {
@@ -178,110 +172,12 @@
 	s.lastJob++
 	id := job.ID(fmt.Sprintf("%016x", s.lastJob))
 	s.jobs[id] = &Job{Kind: k.Name, SubmittedAt: s.elapsed(), work: map[string]time.Duration{}}
-	record := job.Record{Queue: k.queue(), Epoch: 1, Spec: job.Spec{Payload: "p", Steps: k.steps(s.draw("steps", string(id)))}}
-	s.after(storeDelay, func() {
-		s.processor.submit(func() (time.Duration, func()) {
-			s.core.AddJob(id, record, s.now)
-			return s.costs.Job, nil
-		})
-	})
-}
-
-// wakeScheduler queues a scheduling round if the core asks for one or the last one is long ago.
-func (s *Simulation) wakeScheduler() {
-	if s.roundQueued {
-		return
-	}
-	select {
-	case <-s.core.Wake():
-	default:
-		if s.now < s.lastRoundAt+maxStepInterval {
-			return
-		}
-	}
-	s.roundQueued = true
-	s.after(s.lastRoundAt+minStepInterval-s.now, func() { s.processor.submit(s.round) })
-}
-
-// round is a scheduling round.
-func (s *Simulation) round() (time.Duration, func()) {
-	s.lastRoundAt, s.roundQueued = s.now, false
-	actions := s.core.Step(s.now, s.now.Milliseconds())
-	cost := s.costs.Round
-	for _, a := range actions {
-		switch a.(type) {
-		case *cell.StartAction:
-			cost += s.costs.Start
-		case *cell.AdviseAction:
-			cost += s.costs.Advice
-		}
-	}
-	s.after(maxStepInterval, s.wakeScheduler)
-	return cost, func() {
-		for _, a := range actions {
-			s.execute(a)
-		}
-	}
-}
-
-// execute executes an action of the scheduler.
-func (s *Simulation) execute(action cell.Action) {
-	switch a := action.(type) {
-	case *cell.StartAction:
-		s.after(callDelay, func() { s.startTask(a) })
-	case *cell.StopAction:
-		s.after(callDelay, func() { s.stopTask(a) })
-	case *cell.AdviseAction:
-		s.after(a.Expected+adviceDelay, func() { s.answerAdvice(a) })
-	case *cell.PollAction:
-		s.pollOnce(s.byID[a.Worker])
-	}
-}
-
-func (s *Simulation) startTask(a *cell.StartAction) {
-	w := s.byID[a.Command.Worker.ID]
-	j := s.jobOf(a.Command.Task)
-	k := s.kinds[j.Kind]
-	duration := k.taskTime(s.draw("task", a.Command.Task))
-	step := a.Command.Task[:strings.LastIndexByte(a.Command.Task, '.')]
-	j.work[step] = max(j.work[step], duration)
-	setOnce(&j.commandAt, s.elapsed())
-	s.start(w, a.Command, duration, k.LongRunning)
-	reply := backend.Reply{ClockMS: clockMS(s.now)}
-	s.after(callDelay, func() {
-		s.processor.submit(func() (time.Duration, func()) {
-			s.core.StartResult(a, reply, nil, s.now)
-			return 0, nil
-		})
-		s.wakeAckWaits()
-	})
-}
-
-func (s *Simulation) stopTask(a *cell.StopAction) {
-	w := s.byID[a.Command.Worker.ID]
-	s.end(w, a.Command.Task, a.Command.Run, backend.ResultStopped)
-	reply := backend.Reply{ClockMS: clockMS(s.now)}
-	s.after(callDelay, func() {
-		s.processor.submit(func() (time.Duration, func()) {
-			s.core.StopResult(a, reply, nil, s.now)
-			return 0, nil
-		})
-	})
-}
-
-// answerAdvice answers a request for advice. The decision about a step and a worker does not change.
-func (s *Simulation) answerAdvice(a *cell.AdviseAction) {
-	k := s.kinds[s.jobOf(a.Step).Kind]
-	var tickets []backend.Ticket
-	for _, id := range a.Workers {
-		if s.draw(a.Step, id).Float64() < k.Approved {
-			tickets = append(tickets, backend.Ticket{Worker: id, Ticket: "t"})
-		}
-	}
-	s.report.adviceCalls++
-	s.processor.submit(func() (time.Duration, func()) {
-		s.core.AdviceResult(a, tickets, time.Duration(k.Advice.ValidityMS)*time.Millisecond, nil, s.now)
-		return 0, nil
+	steps := k.steps(s.draw("steps", string(id)))
+	record := job.Record{Queue: k.queue(), Epoch: s.leader.epoch, Spec: job.Spec{Payload: "p", Steps: steps}}
+	s.after(s.writeTime(), func() {
+		s.store.addJob(id, record)
+		s.services.addJob(id, k, steps)
+		s.leader.addJob(id, record)
 	})
 }
 
@@ -294,101 +190,20 @@
 	return rand.New(rand.NewPCG(s.seed, h.Sum64()))
 }
 
+// permits reports whether the placement policy permits a step on a worker, if it permits a share of the workers.
+func (s *Simulation) permits(step, worker string, share float64) bool {
+	return s.draw(step, worker).Float64() < share
+}
+
+// stepOf returns the name of the step of a task.
+func stepOf(task string) string { return task[:strings.LastIndexByte(task, '.')] }
+
 // jobOf returns the job of a task or a step, by its name.
 func (s *Simulation) jobOf(name string) *Job {
 	id, _, _ := strings.Cut(name, ".")
 	return s.jobs[job.ID(id)]
 }
 
-// pollWorker sends the next long poll of a worker.
-func (s *Simulation) pollWorker(w *worker) {
-	s.processor.submit(func() (time.Duration, func()) {
-		req, _, ok := s.core.PreparePoll(w.id, s.now)
-		if !ok {
-			return 0, nil
-		}
-		sentAt := s.now
-		return 0, func() {
-			s.after(callDelay, func() { s.receivePoll(w, req, sentAt) })
-		}
-	})
-}
-
-// pollOnce polls a worker at once, beside its long poll.
-func (s *Simulation) pollOnce(w *worker) {
-	if w.poll != nil {
-		s.after(callDelay, func() { s.answerPoll(w) })
-	}
-}
-
-// leaderReceivesPoll passes the result of a poll to the scheduler, and sends the next poll once its completions are durable.
-func (s *Simulation) leaderReceivesPoll(w *worker, sentAt time.Duration, reply backend.PollReply) {
-	s.report.polls++
-	s.processor.submit(func() (time.Duration, func()) {
-		s.core.PollResult(w.id, sentAt, reply, nil, s.now)
-		cost := s.costs.Poll + time.Duration(len(reply.Finished))*s.costs.Completion
-		return cost, func() { s.awaitAcks(w) }
-	})
-}
-
-// awaitAcks polls a worker again when its completions are durable, after ackTimeout at the latest.
-func (s *Simulation) awaitAcks(w *worker) {
-	if _, pending := s.core.AcksChanged(w.id); !pending {
-		s.pollWorker(w)
-		return
-	}
-	wait := &ackWait{worker: w}
-	s.awaitingAck = append(s.awaitingAck, wait)
-	s.after(ackTimeout, func() {
-		if !wait.done {
-			wait.done = true
-			s.pollWorker(w)
-		}
-	})
-}
-
-// wakeAckWaits polls the workers whose completions have become durable.
-func (s *Simulation) wakeAckWaits() {
-	kept := s.awaitingAck[:0]
-	for _, wait := range s.awaitingAck {
-		if wait.done {
-			continue
-		}
-		if _, pending := s.core.AcksChanged(wait.worker.id); pending {
-			kept = append(kept, wait)
-			continue
-		}
-		wait.done = true
-		s.pollWorker(wait.worker)
-	}
-	s.awaitingAck = kept
-}
-
-// write writes the progress that waits, one batch after the other.
-func (s *Simulation) write() {
-	s.processor.submit(func() (time.Duration, func()) {
-		batch := s.core.CollectBatch(maxBatchRows)
-		if batch.Empty() {
-			return 0, func() { s.after(writeInterval, s.write) }
-		}
-		s.report.writes++
-		return s.costs.Batch, func() { s.after(storeDelay, func() { s.stored(batch) }) }
-	})
-}
-
-// maxBatchRows limits the rows of one write, as in process/node.
-const maxBatchRows = 80
-
-func (s *Simulation) stored(batch cell.Batch) {
-	s.processor.submit(func() (time.Duration, func()) {
-		s.core.BatchStored(batch, true, s.now)
-		return 0, func() {
-			s.wakeAckWaits()
-			s.after(writeInterval, s.write)
-		}
-	})
-}
-
 // recordDecision records the first start and the completion of each job.
 func (s *Simulation) recordDecision(d cell.Decision) {
 	j := s.jobs[d.Job]
--- a/bench/site/workers.go
+++ b/bench/site/workers.go
@@ -4,11 +4,13 @@
 	"time"
 
 	"github.com/lentiltide/lentiltide/backend"
+	"github.com/lentiltide/lentiltide/model"
 )
 
 // worker is a model of a worker with a long poll of the leader.
 type worker struct {
 	id      string
+	index   int
 	running map[string]runningTask
 	// order are the names of the running tasks in the order of their starts, so that lists do not depend on the order of a map.
 	order          []string
@@ -22,22 +24,26 @@
 	run       int64
 	startedAt time.Duration
 	duration  time.Duration
+	demand    model.Resources
 }
 
-// waitingPoll is a poll at a worker. answered is set once it has been answered.
+// waitingPoll is a poll of a leader that waits at a worker.
 type waitingPoll struct {
-	sentAt   time.Duration
-	answered bool
+	leader *leader
+	sentAt time.Duration
 }
 
-// start starts a task that ends after a time.
-func (s *Simulation) start(w *worker, c backend.StartCommand, duration time.Duration, longRunning bool) {
-	w.running[c.Task] = runningTask{c.Run, s.now, duration}
+// start starts a task that ends after a time, or fails if the worker is failing.
+func (s *Simulation) start(w *worker, c backend.StartCommand, duration time.Duration, k Kind) {
+	w.running[c.Task] = runningTask{c.Run, s.now, duration, k.demand()}
 	w.order = append(w.order, c.Task)
-	if longRunning {
-		return
+	s.services.started(c.Task)
+	switch {
+	case s.isFailing(w):
+		s.failSoon(w, c.Task, c.Run)
+	case !k.LongRunning:
+		s.after(duration, func() { s.end(w, c.Task, c.Run, backend.ResultDone) })
 	}
-	s.after(duration, func() { s.end(w, c.Task, c.Run, backend.ResultDone) })
 }
 
 // end ends a run and answers the poll that waits.
@@ -54,13 +60,14 @@
 		}
 	}
 	s.endedAt[task] = s.now
+	s.services.ended(task)
 	w.lastCompletion++
 	w.finished = append(w.finished, backend.FinishedRun{Number: w.lastCompletion, Task: task, Run: run, Result: result})
 	s.answerPoll(w)
 }
 
 // receivePoll handles a poll that has reached a worker.
-func (s *Simulation) receivePoll(w *worker, req backend.PollRequest, sentAt time.Duration) {
+func (s *Simulation) receivePoll(w *worker, l *leader, req backend.PollRequest, sentAt time.Duration) {
 	kept := w.finished[:0]
 	for _, f := range w.finished {
 		if f.Number > req.AcknowledgedCompletion {
@@ -68,14 +75,14 @@
 		}
 	}
 	w.finished = kept
-	w.poll = &waitingPoll{sentAt: sentAt}
+	w.poll = &waitingPoll{l, sentAt}
 	if len(w.finished) > 0 || req.Wait == 0 {
 		s.answerPoll(w)
 		return
 	}
 	poll := w.poll
 	s.after(req.Wait, func() {
-		if !poll.answered {
+		if w.poll == poll {
 			s.answerPoll(w)
 		}
 	})
@@ -87,7 +94,7 @@
 		return
 	}
 	poll := w.poll
-	w.poll, poll.answered = nil, true
+	w.poll = nil
 	reply := backend.PollReply{Reply: backend.Reply{ClockMS: clockMS(s.now)}, StartedMS: 1}
 	reply.Finished = append(reply.Finished, w.finished...)
 	for _, name := range w.order {
@@ -96,7 +103,17 @@
 			Task: name, Run: r.run, ProgressPercent: int(100 * (s.now - r.startedAt) / max(r.duration, 1)),
 		})
 	}
-	s.after(callDelay, func() { s.leaderReceivesPoll(w, poll.sentAt, reply) })
+	s.after(callDelay, func() { poll.leader.receivePollReply(w, poll.sentAt, reply) })
+}
+
+// free returns the capacity that no run uses.
+func (w *worker) free() model.Resources {
+	free := workerCapacity
+	for _, r := range w.running {
+		free.CPUMilli -= r.demand.CPUMilli
+		free.MemoryMiB -= r.demand.MemoryMiB
+	}
+	return free
 }
 
 // clockMS returns the clock of a worker.
