Stand-in workers can fail all that they run

Cause: the stand-in can make tasks fail, but not workers. Workers.Failures counts the failed runs of a task.

--- a/history/cell.go
+++ b/history/cell.go
@@ -179,6 +179,7 @@
 	FaultLate        FaultKind = "late"         // requests get no answer and take effect later
 	FaultCut         FaultKind = "cut"          // nothing passes
 	FaultClock       FaultKind = "clock"        // the time of day jumps
+	FaultFailing     FaultKind = "failing"      // a worker fails all that it runs, and answers
 )
 
 // The changes of a fault and of the traffic.
--- a/standin/backends/observations.go
+++ b/standin/backends/observations.go
@@ -68,6 +68,14 @@
 	return w.starts[task]
 }
 
+// Failures returns how many runs of a task have ended as failed.
+func (w *Workers) Failures(task string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	return w.failures[task]
+}
+
 // Done reports whether a run of a task ended as done.
 func (w *Workers) Done(task string) bool {
 	w.mu.Lock()
--- a/standin/backends/workers.go
+++ b/standin/backends/workers.go
@@ -49,8 +49,9 @@
 	workers map[string]*workerState
 	// violations describes each violation of the scheduler's guarantees.
 	violations []string
-	// starts, doneAt and acknowledged are keyed by task; the last two are about runs that ended as done. doneAt holds the first end.
+	// starts, failures, doneAt and acknowledged are keyed by task; the last two are about runs that ended as done. doneAt holds the first end.
 	starts       map[string]int
+	failures     map[string]int
 	doneAt       map[string]time.Duration
 	acknowledged map[string]bool
 	// lastStart holds when the last run of each task started.
@@ -97,6 +98,9 @@
 	expiredLease time.Duration
 	// outage is set from a crash of the worker to its next boot.
 	outage *outage
+	// failing says that the worker fails all runs, and failingSince since when.
+	failing      bool
+	failingSince time.Duration
 }
 
 // formerCapacity is the capacity of a worker before it changed. Starts are judged by it until a time on the clock of Workers.
@@ -143,8 +147,8 @@
 // its name.
 func NewWorkers(now func() time.Duration, behaviorOf func(task string) TaskBehavior) *Workers {
 	return &Workers{
-		now: now, behaviorOf: behaviorOf, workers: map[string]*workerState{}, starts: map[string]int{}, doneAt: map[string]time.Duration{},
-		acknowledged: map[string]bool{}, lastStart: map[string]time.Duration{}, shownAt: map[string]time.Duration{}, crashes: newCrashRecord(),
+		now: now, behaviorOf: behaviorOf, workers: map[string]*workerState{}, starts: map[string]int{}, failures: map[string]int{},
+		doneAt: map[string]time.Duration{}, acknowledged: map[string]bool{}, lastStart: map[string]time.Duration{}, shownAt: map[string]time.Duration{}, crashes: newCrashRecord(),
 	}
 }
 
@@ -239,6 +243,8 @@
 		switch {
 		case worker.leaseUntil < now && (r.behavior.Service || worker.leaseUntil < finishAt):
 			expired = append(expired, r)
+		case worker.failsBy(r, now):
+			w.end(worker, r, backend.ResultFailed, now)
 		case r.paused || finishAt > now:
 		case r.behavior.FailsOn != nil && r.behavior.FailsOn(worker.info.ID):
 			w.end(worker, r, backend.ResultFailed, now)
@@ -273,6 +279,9 @@
 // end removes a run, records its completion and wakes long polls. Callers hold w.mu.
 func (w *Workers) end(worker *workerState, r *activeRun, how backend.RunResult, now time.Duration) {
 	delete(worker.running, r.task)
+	if how == backend.ResultFailed {
+		w.failures[r.task]++
+	}
 	worker.lastNumber++
 	worker.endedAt[worker.lastNumber] = now
 	worker.highestClosedRun[r.task] = max(worker.highestClosedRun[r.task], r.run)
