TestSoakWithServices has a mode in which workers fail all that they run

In mode "failing" service tasks fail, the workers do not. Change: in mode "failing-workers" half of the workers or all fail every run for 4 to 8 s, with good health, while up to five leaders are lost in series. The bounds are those of the other modes. No seed chooses the mode, so that seeds keep theirs: it is requested by -soak.mode, and a run without it has seed 7301 as an extra case. A job may end as failed if one of its tasks has ended so as often as its queue allows; in all soaks, a job that is shown as failed otherwise fails the test at once. Crashes do not count, and services never end so. TestFailedJobNeedsACause fails if two failures suffice, or if services may fail.

--- a/soak/services_test.go
+++ b/soak/services_test.go
@@ -15,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lentiltide/lentiltide/history"
 	"github.com/lentiltide/lentiltide/model"
 	"github.com/lentiltide/lentiltide/standin/backends"
 	"github.com/lentiltide/lentiltide/standin/wire"
@@ -36,6 +37,10 @@
 	leaderPause, leaderDowntime = 4 * time.Second, 200 * time.Millisecond
 	// shortestServiceRun and serviceRunSpread are the range of the ages at which service tasks fail.
 	shortestServiceRun, serviceRunSpread = 1500 * time.Millisecond, 3500 * time.Millisecond
+	// shortestWorkerFailure and longestWorkerFailure are the range of the times for which workers fail all that they run.
+	shortestWorkerFailure, longestWorkerFailure = 4 * time.Second, 8 * time.Second
+	// mostLostLeaders is the number of leaders that are lost at most meanwhile.
+	mostLostLeaders = 5
 )
 
 // Time bounds of the rule on service tasks: nothing of a task runs, from restartTime after its last run, for standstillTime, and this time
@@ -55,6 +60,9 @@
 	pauses, fails bool
 	// restarts means that the workers restart shortly before they are lost, and refuses that the store refuses meanwhile.
 	restarts, refuses bool
+	// failsWorkers means that instead of the losses of workers, half of them or more fail all that they run while leaders are lost and
+	// two clients submit jobs, one of which goes on afterwards.
+	failsWorkers bool
 }
 
 // serviceModes are the modes in the order in which successive seeds choose them.
@@ -66,6 +74,21 @@
 	{name: "refused", refuses: true},
 }
 
+// failingWorkersMode is not among the modes that seeds choose, so that each seed keeps the mode in which it failed or passed before.
+var failingWorkersMode = serviceMode{name: "failing-workers", failsWorkers: true}
+
+// serviceCase is a seed of TestSoakWithServices with a fixed mode.
+type serviceCase struct {
+	mode serviceMode
+	seed uint64
+}
+
+// name returns the name of the test of the case.
+func (s serviceCase) name() string { return s.mode.name + "-" + fmt.Sprint(s.seed) }
+
+// fixedServiceCases run beside the seeds of each run without a requested mode.
+var fixedServiceCases = []serviceCase{{failingWorkersMode, 7301}}
+
 // failedServiceSeeds are the failed seeds of TestSoakWithServices.
 var failedServiceSeeds = []failedSeed{
 	{2, "a task of workers that have restarted and are lost waits for leases that are counted from the latest takeover"},
@@ -81,35 +104,51 @@
 }
 
 // TestSoakWithServices guards against service tasks that stay away, which no longer run although nothing is disturbed and there is room,
-// after workers are lost for good and leaders are lost in series.
+// after workers are lost for good, or fail all that they run, and leaders are lost in series.
 func TestSoakWithServices(t *testing.T) {
 	for _, seed := range seedsToRun(failedServiceSeeds) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			mode := serviceModeOf(t, seed)
-			c := newCluster(t, *nodeCount, serviceWorkers)
-			time.Sleep(1500 * time.Millisecond)
-			answers := newAnswerRecord()
-			stopLoad, stop := make(chan struct{}), make(chan struct{})
-			var load, readers sync.WaitGroup
-			load.Go(func() { c.submitJobs(seed, 0, answers, stopLoad) })
-			c.readStates(seed, answers, stop, &readers)
-			watch := newServiceWatch(c)
-			c.submitServices(seed, answers, watch)
-			readers.Go(func() { watch.run(stop) })
-			(&serviceFaults{cluster: c, watch: watch, rng: rand.New(rand.NewPCG(seed, 7))}).run(mode)
-			close(stopLoad)
-			load.Wait()
-			trafficEnd := time.Now()
-			c.checkPromises(answers)
-			time.Sleep(time.Until(trafficEnd.Add(finishTime)))
-			c.askAgain(answers)
-			watch.awaitRuns()
-			close(stop)
-			readers.Wait()
-			watch.report(mode)
-			assert.DeepEqual(t, c.workers.Violations(), []string(nil))
-		})
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runServices(t, serviceModeOf(t, seed), seed) })
+	}
+	if *serviceModeName != "" {
+		return
+	}
+	for _, fixed := range fixedServiceCases {
+		t.Run(fixed.name(), func(t *testing.T) { runServices(t, fixed.mode, fixed.seed) })
+	}
+}
+
+// runServices runs service jobs, the load of a client and the faults of a mode with one seed, and checks that the service tasks return.
+func runServices(t *testing.T, mode serviceMode, seed uint64) {
+	c := newCluster(t, *nodeCount, serviceWorkers)
+	time.Sleep(1500 * time.Millisecond)
+	answers := newAnswerRecord()
+	faultsEnded, stopLoad, stop := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	var load, readers sync.WaitGroup
+	load.Go(func() { c.submitJobs(seed, 0, answers, stopLoad) })
+	if mode.failsWorkers {
+		// Workers that are full fail several runs at once.
+		load.Go(func() { c.submitJobs(seed, 1, answers, faultsEnded) })
 	}
+	c.readStates(seed, answers, stop, &readers)
+	watch := newServiceWatch(c)
+	c.submitServices(seed, answers, watch)
+	readers.Go(func() { watch.run(stop) })
+	(&serviceFaults{cluster: c, watch: watch, rng: rand.New(rand.NewPCG(seed, 7))}).run(mode)
+	close(faultsEnded)
+	if mode.failsWorkers {
+		time.Sleep(calmLoadTime)
+	}
+	close(stopLoad)
+	load.Wait()
+	trafficEnd := time.Now()
+	c.checkPromises(answers)
+	time.Sleep(time.Until(trafficEnd.Add(finishTime)))
+	c.askAgain(answers)
+	watch.awaitRuns()
+	close(stop)
+	readers.Wait()
+	watch.report(mode)
+	assert.DeepEqual(t, c.workers.Violations(), []string(nil))
 }
 
 // serviceModeOf returns the requested mode, or the one that a seed chooses.
@@ -117,11 +156,12 @@
 	if *serviceModeName == "" {
 		return serviceModes[seed%uint64(len(serviceModes))]
 	}
-	i := slices.IndexFunc(serviceModes, func(m serviceMode) bool { return m.name == *serviceModeName })
+	modes := append(slices.Clone(serviceModes), failingWorkersMode)
+	i := slices.IndexFunc(modes, func(m serviceMode) bool { return m.name == *serviceModeName })
 	if i < 0 {
 		t.Fatalf("no mode %q", *serviceModeName)
 	}
-	return serviceModes[i]
+	return modes[i]
 }
 
 // submitServices submits the service jobs, each until a node accepts it, and watches their tasks.
@@ -155,10 +195,14 @@
 	rng     *rand.Rand
 }
 
-// run loses some workers for good and leaders in series, and returns when nothing is disturbed any more.
+// run loses some workers for good, or lets them fail, and leaders in series, and returns when nothing is disturbed any more.
 func (f *serviceFaults) run(mode serviceMode) {
 	c := f.cluster
 	c.pause(f.rng, 3*time.Second, 5*time.Second)
+	if mode.failsWorkers {
+		f.failWorkers()
+		return
+	}
 	c.servicesFail.Store(mode.fails)
 	candidates := c.workers.IDs()
 	if mode.restarts {
@@ -206,11 +250,44 @@
 		if i > 0 {
 			c.pause(f.rng, 500*time.Millisecond, 2500*time.Millisecond)
 		}
-		n := c.leader()
-		f.disturb("loss of "+n.name, func() { c.restart(n, syscall.SIGKILL, leaderDowntime) })
+		f.loseLeader()
 	}
 }
 
+// failWorkers lets half of the workers or more fail all that they run for some time, in which leaders are lost in series.
+func (f *serviceFaults) failWorkers() {
+	c := f.cluster
+	all := c.workers.IDs()
+	failing := f.choose(all, len(all)/2+f.rng.IntN(len(all)-len(all)/2+1))
+	duration := randomTime(f.rng, shortestWorkerFailure, longestWorkerFailure)
+	f.disturb(fmt.Sprintf("failures of all runs on workers %v for %v", failing, duration), func() {
+		for _, id := range failing {
+			c.history.beginFault(history.Fault{Kind: history.FaultFailing, Target: history.TargetWorker, Name: id})
+		}
+		c.workers.SetFailing(true, failing...)
+		end := time.Now().Add(duration)
+		for range 1 + f.rng.IntN(mostLostLeaders) {
+			pause := randomTime(f.rng, 500*time.Millisecond, 2500*time.Millisecond)
+			if time.Until(end) < pause {
+				break
+			}
+			time.Sleep(pause)
+			f.loseLeader()
+		}
+		time.Sleep(time.Until(end))
+		c.workers.SetFailing(false, failing...)
+		for _, id := range failing {
+			c.history.endFaults(history.TargetWorker, id, "", history.FaultFailing)
+		}
+	})
+}
+
+// loseLeader kills the process of the leader, which starts again a little later.
+func (f *serviceFaults) loseLeader() {
+	n := f.cluster.leader()
+	f.disturb("loss of "+n.name, func() { f.cluster.restart(n, syscall.SIGKILL, leaderDowntime) })
+}
+
 // disturb logs a fault and tells the watch when it ends.
 func (f *serviceFaults) disturb(name string, fault func()) {
 	c := f.cluster
--- a/soak/shown_test.go
+++ b/soak/shown_test.go
@@ -5,11 +5,18 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
+	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
+	"github.com/lentiltide/lentiltide/backend"
 	"github.com/lentiltide/lentiltide/history"
 	"github.com/lentiltide/lentiltide/model/job"
+	"github.com/lentiltide/lentiltide/standin/backends"
+	"github.com/lentiltide/lentiltide/standin/wire"
 )
 
 const (
@@ -103,8 +110,8 @@
 }
 
 // readState asks a node for the state of a job and returns the status and the answer. It fails the test if the job is shown as completed
-// while a task has not ended as done, or if the answer contradicts a final state that was shown before the request was sent. Two
-// different final states contradict each other in any order.
+// while a task has not ended as done, or as failed without cause, or if the answer contradicts a final state that was shown before the
+// request was sent. Two different final states contradict each other in any order.
 func (c *cluster) readState(n *nodeProcess, id string, answers *answerRecord) (status int, answer string) {
 	before, wasFinal := answers.finalShown(id)
 	status, answer = c.call(n, http.MethodGet, id, "")
@@ -122,6 +129,10 @@
 	if body.State == job.Completed {
 		c.recordCompleted(n, id)
 	}
+	if body.State == job.Failed && !crashesWorkers(id) && !c.failedOften(id) {
+		c.t.Errorf("%v: %s shows job %s as failed, but no task has failed %d times", time.Since(c.startedAt).Round(time.Millisecond), n.name, id,
+			wire.MaxAttempts)
+	}
 	if body.State.Terminal() {
 		before, wasFinal = answers.recordFinal(id, shownState{body.State, n.name, time.Now()}), true
 	}
@@ -131,6 +142,34 @@
 	return status, answer
 }
 
+// failedOften reports whether a task of a job has failed as often as the queues allow. The tasks of a service have no such limit.
+func (c *cluster) failedOften(id string) bool {
+	return !isService(id) && slices.ContainsFunc(tasksOf(id), func(task string) bool { return c.workers.Failures(task) >= wire.MaxAttempts })
+}
+
+// TestFailedJobNeedsACause guards against a soak that accepts a job as failed although no task has failed as often as the queues allow, or
+// although its tasks are those of a service.
+func TestFailedJobNeedsACause(t *testing.T) {
+	c := &cluster{t: t, workers: backends.NewWorkers(func() time.Duration { return time.Second }, func(string) backends.TaskBehavior {
+		return backends.TaskBehavior{Duration: time.Minute}
+	})}
+	c.workers.Add(backend.WorkerInfo{ID: "w", StartedMS: 5})
+	jobID, serviceID := fmt.Sprintf("%08x%04x%04x", 1, 0, 0), fmt.Sprintf("%08x%04x%04x", 1, serviceClient, 0)
+	for run := int64(1); run <= wire.MaxAttempts; run++ {
+		for _, id := range []string{jobID, serviceID} {
+			assert.Assert(t, !c.endedAsExpected(id, `{"state":"failed"}`), "%s after %d failures", id, run-1)
+			_, err := c.workers.Start(t.Context(), backend.StartCommand{
+				Command: backend.Command{Worker: backend.WorkerRef{ID: "w"}, Task: tasksOf(id)[1], Run: run}, LeaseDeadlineMS: 60_000,
+			})
+			assert.NilError(t, err)
+			assert.Assert(t, c.workers.Fail(tasksOf(id)[1]))
+		}
+	}
+	assert.Assert(t, c.endedAsExpected(jobID, `{"state":"failed"}`))
+	assert.Assert(t, !c.endedAsExpected(serviceID, `{"state":"failed"}`))
+	assert.Assert(t, !c.endedAsExpected(jobID, `{"state":"running"}`))
+}
+
 // reportContradiction fails the test because of an answer about a job that contradicts the final state that was shown before.
 func (c *cluster) reportContradiction(answers *answerRecord, id, answer string, before shownState) {
 	answers.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -290,6 +290,12 @@
 	return names
 }
 
+// endedAsExpected reports whether an answer shows a job in the state in which it must end, or as failed if a task has failed as often as
+// the queues allow.
+func (c *cluster) endedAsExpected(id, answer string) bool {
+	return strings.Contains(answer, string(finalState(id))) || strings.Contains(answer, string(job.Failed)) && c.failedOften(id)
+}
+
 // checkPromises checks that accepted jobs end as they must, that refused jobs never ran, that callers were shown jobs as completed,
 // and that workers observed no violation.
 func (c *cluster) checkPromises(answers *answerRecord) {
@@ -304,7 +310,7 @@
 		for id := range pending {
 			status, answer := c.readState(c.nodes[0], id, answers)
 			lastAnswers[id] = fmt.Sprint(status, " ", answer)
-			if status == http.StatusOK && strings.Contains(answer, string(finalState(id))) {
+			if status == http.StatusOK && c.endedAsExpected(id, answer) {
 				delete(pending, id)
 			}
 		}
