The soak with services logs which tasks do not run in the end

Change: awaitRuns logs the tasks that do not run when its time is over. What fails the test is the same as before.

--- a/soak/services_test.go
+++ b/soak/services_test.go
@@ -383,8 +383,23 @@
 // awaitRuns waits until a job that stands still would be noticed and all tasks run, but no longer than recoveryTimeout.
 func (w *serviceWatch) awaitRuns() {
 	time.Sleep(standstillTime + time.Second)
-	for end := time.Now().Add(recoveryTimeout); !w.look() && time.Now().Before(end); {
-		time.Sleep(50 * time.Millisecond)
+	for end := time.Now().Add(recoveryTimeout); !w.look(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			w.logAbsences()
+			return
+		}
+	}
+}
+
+// logAbsences logs which tasks do not run.
+func (w *serviceWatch) logAbsences() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, task := range slices.Sorted(maps.Keys(w.lastRun)) {
+		if len(w.cluster.workers.RunningOn(task)) == 0 {
+			w.cluster.t.Logf("service task %s (%d starts) does not run, last %v ago", task, w.cluster.workers.Starts(task),
+				time.Since(w.lastRun[task]).Round(time.Millisecond))
+		}
 	}
 }
 
