--- a/bench/site/returnofservices_test.go
+++ b/bench/site/returnofservices_test.go
@@ -62,3 +62,11 @@
 		checkServicesReturn(t, 1, 0.97, losses, seed)
 	}
 }
+
+// Guards against service tasks that stay away after workers have failed all runs in a cell with more short tasks than it can hold: the tasks of
+// many services wait together, and the room goes to short tasks.
+func TestServicesReturnToAnOverloadedCell(t *testing.T) {
+	for seed := range uint64(3) {
+		checkServicesReturn(t, 2, 0.97, []time.Duration{14 * time.Second, 16500 * time.Millisecond}, seed)
+	}
+}
