Tests of services in a full cell share one cell

Cause: two test files had the same cell of short tasks, one of them in a function of 70 lines. Change: fullCell with short methods in a file of its own; no check changes.

--- a/version/cell/serviceaway_test.go
+++ b/version/cell/serviceaway_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -255,79 +254,7 @@
 // Guards against a service task that stays away in a full cell: short tasks take the room on the workers that the placement policy allows, one
 // quarter after the other, and none is kept for the service, whose objective has passed long ago.
 func TestServiceGetsRoomAmongShortTasks(t *testing.T) {
-	const workers, runTime = 8, 800 * time.Millisecond
-	sc := newServiceCluster(t, 1)
-	for i := range workers {
-		id := fmt.Sprintf("w%d", i)
-		sc.boots[id] = 1000
-		sc.listWorker(id, nil)
-	}
-	sc.core.SetAdvisers([]string{"i1", "i2"})
-	sc.round()
-	isAllowed := func(id string) bool { return id == "w2" || id == "w5" }
-	endsAt := map[string]Instant{}
-	round := func() {
-		// Every 20 ms, short tasks end one by one.
-		for range 5 {
-			sc.advance(20 * time.Millisecond)
-			for _, a := range sc.starts {
-				sc.startedAt[a.Command.Task] = sc.now
-				if !strings.HasPrefix(a.Command.Task, "service") {
-					endsAt[a.Command.Task] = sc.now + runTime
-				}
-			}
-			for id, runs := range sc.confirmStarts() {
-				sc.running[id] = append(sc.running[id], runs...)
-			}
-			var due []*AdviseAction
-			for _, a := range sc.adviceRequests {
-				if sc.now >= a.request.dueAt {
-					var tickets []backend.Ticket
-					for _, id := range a.Workers {
-						if isAllowed(id) {
-							tickets = append(tickets, backend.Ticket{Worker: id, Ticket: "t"})
-						}
-					}
-					sc.core.AdviceResult(a, tickets, 2500*time.Millisecond, nil, sc.now)
-					due = append(due, a)
-				}
-			}
-			sc.adviceRequests = slices.DeleteFunc(sc.adviceRequests, func(a *AdviseAction) bool { return slices.Contains(due, a) })
-			for id, runs := range sc.running {
-				i := slices.IndexFunc(runs, func(r backend.ActiveRun) bool { return endsAt[r.Task] != 0 && sc.now >= endsAt[r.Task] })
-				if i >= 0 {
-					sc.running[id] = slices.Delete(slices.Clone(runs), i, i+1)
-					sc.poll(id, sc.completion(id, runs[i].Task, runs[i].Run, backend.ResultDone))
-				}
-			}
-			sc.poll("")
-			sc.storeBatches()
-		}
-	}
-	sc.addJob("service", "long", 1, stepWithTasks(1, func(s *job.Step) { s.LongRunning, s.TaskDemand.CPUMilli = true, 3000 }))
-	for range 100 {
-		round()
-	}
-	worker := ""
-	for id, runs := range sc.running {
-		if len(runs) > 0 {
-			worker = id
-		}
-	}
-	assert.Assert(t, isAllowed(worker), "the service has not started")
-	for i := range 40 {
-		sc.addJob(fmt.Sprintf("short%02d", i), "plain", 1, stepWithTasks(100, func(s *job.Step) { s.EstimateMS = runTime.Milliseconds() }))
-	}
-	for range 30 {
-		round()
-	}
-	i := slices.IndexFunc(sc.running[worker], func(r backend.ActiveRun) bool { return strings.HasPrefix(r.Task, "service") })
-	failed := sc.running[worker][i]
-	sc.running[worker] = slices.Delete(sc.running[worker], i, i+1)
-	sc.poll(worker, sc.completion(worker, failed.Task, failed.Run, backend.ResultFailed))
-	failedAt := sc.now
-	for sc.startedAt[failed.Task] <= failedAt && sc.now < failedAt+time.Minute {
-		round()
-	}
-	assert.Assert(t, sc.now <= failedAt+maxServiceAway, "the task was away for %s", sc.now-failedAt)
+	fc := newFullCell(t, 800*time.Millisecond, 0)
+	away := fc.awaitService(fc.failService(), fc.now)
+	assert.Assert(t, away <= maxServiceAway, "the task was away for %s", away)
 }
