--- a/version/cell/polls.go
+++ b/version/cell/polls.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"syscall"
 	"time"
 
@@ -254,3 +255,33 @@
 	}
 	c.protectLatency(w)
 }
+
+// pollSoon polls a worker in addition to a long poll that may be in progress there.
+func (c *Core) pollSoon(w *worker) {
+	if w.pollDeferred {
+		return
+	}
+	if w.pollRequestedAt != 0 && c.now < w.pollRequestedAt+minPollRequestInterval {
+		w.pollDeferred = true
+		c.deferredPolls = append(c.deferredPolls, w)
+		return
+	}
+	w.pollRequestedAt = c.now
+	c.actions = append(c.actions, &PollAction{w.info.ID})
+	c.signalWake()
+}
+
+// sendDeferredPolls sends the polls whose time has come.
+func (c *Core) sendDeferredPolls() {
+	c.deferredPolls = slices.DeleteFunc(c.deferredPolls, func(w *worker) bool {
+		if c.now < w.pollRequestedAt+minPollRequestInterval {
+			return false
+		}
+		w.pollDeferred = false
+		c.pollSoon(w)
+		return true
+	})
+}
+
+// minPollRequestInterval is the shortest time between additional polls of a worker.
+const minPollRequestInterval = 20 * time.Millisecond
